--- /dev/null
+++ b/hickorywind/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Build, check and print the operators' configuration."""
--- /dev/null
+++ b/hickorywind/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to database groups: status, log positions, terms and promotion."""
--- /dev/null
+++ b/hickorywind/groups/status.py
@@ -0,0 +1,58 @@
+"""Describe what a backend server says of itself and of its group.
+
+The platform offers these calls as SQL functions over the PostgreSQL protocol, each answering one
+row with one text column that holds ``BackendStatus`` as JSON:
+
+- ``SELECT platform_status()``
+- ``SELECT platform_wait_committed(TERM, OFFSET, TIMEOUT_MS)``: answers once the log is committed
+  up to the position, the term changes or the time is over.
+- ``SELECT platform_accept_term(TERM, 'PROPOSER', MIN_SILENCE_MS)``: promise to take part in TERM
+  and in no earlier one; refused where a higher term, or the same one of another proposer, was
+  accepted, or where the primary was heard from less than MIN_SILENCE_MS ago.
+- ``SELECT platform_promote(TERM, 'PROPOSER')``: become primary of TERM; refused unless that term
+  of that proposer was the last one accepted here.
+
+A refusal is an ErrorResponse with SQLSTATE ``REFUSED_SQLSTATE``.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from hickorywind.ids import BackendId, InstanceRole, LogPosition, ServiceName, Term
+
+REFUSED_SQLSTATE = "55000"
+POSITION_PARAMETER = "platform.position"
+
+
+class PeerProgress(msgspec.Struct, frozen=True):
+    """Report, at a primary, how far one replica has acknowledged the log."""
+
+    backend: BackendId
+    received: LogPosition
+    silence_ms: float
+
+
+class BackendStatus(msgspec.Struct, frozen=True):
+    """Report a backend server's state at the time of the call.
+
+    ``term`` is the highest term accepted; ``received`` the last log entry held; ``committed`` the
+    last entry known to be held by a majority; ``applied`` the last entry visible to reads.
+    ``silence_ms`` is, at a replica, the time since it last heard from the primary of ``term``; at
+    a primary, the time since a majority last answered it. ``leaving`` means that no new work is
+    wanted.
+    """
+
+    backend: BackendId
+    service: ServiceName
+    role: InstanceRole
+    term: Term
+    proposer: str
+    received: LogPosition
+    committed: LogPosition
+    applied: LogPosition
+    silence_ms: float
+    leaving: bool
+    connections_used: int
+    connections_limit: int
+    peers: tuple[PeerProgress, ...] = ()
--- /dev/null
+++ b/hickorywind/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which process is responsible for what, without any communication."""
--- /dev/null
+++ b/hickorywind/placement/rendezvous.py
@@ -0,0 +1,26 @@
+"""Assign keys to members by rendezvous hashing.
+
+Every process that sees the same members computes the same owner, and a change of one member moves
+only that member's keys. See Thaler and Ravishankar, "A Name-Based Mapping Scheme for Rendezvous",
+1996.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+import xxhash
+
+
+def _weight(key: str, member: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}\0{member}")
+
+
+def rank_members(key: str, members: Iterable[str]) -> Sequence[str]:
+    """Order members by descending responsibility for ``key``."""
+    return sorted(members, key=lambda member: (_weight(key, member), member), reverse=True)
+
+
+def owner_of(key: str, members: Iterable[str]) -> str | None:
+    """Return the member responsible for ``key``, or None where there are no members."""
+    return max(members, key=lambda member: (_weight(key, member), member), default=None)
--- /dev/null
+++ b/hickorywind/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Carry typed messages between hickorywind's own processes."""
--- /dev/null
+++ b/hickorywind/protocol/channel.py
@@ -0,0 +1,127 @@
+"""Send and receive messages over ZeroMQ sockets.
+
+``Listener`` owns a ROUTER socket and answers whoever speaks to it. ``Link`` owns a DEALER socket to
+one peer. Neither keeps messages for a peer that is not connected: what was queued for a dead
+process must never reach its successor.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NewType
+
+import zmq
+import zmq.asyncio
+
+from hickorywind.ids import Address
+from hickorywind.protocol.codec import decode, encode
+from hickorywind.protocol.messages import Message, Refused
+from hickorywind.results import HickorywindError
+
+PeerId = NewType("PeerId", bytes)
+
+_RECONNECT_MIN_MS = 50
+_RECONNECT_MAX_MS = 1000
+_HEARTBEAT_INTERVAL_MS = 500
+_HEARTBEAT_TIMEOUT_MS = 2000
+_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+
+
+@dataclass(frozen=True)
+class ChannelKeys:
+    """Hold a CURVE key pair (Z85 text) shared by the processes of one installation."""
+
+    public: bytes
+    secret: bytes
+
+
+@dataclass(frozen=True)
+class Received:
+    """Pair a message with the peer that sent it."""
+
+    peer: PeerId
+    message: Message
+
+
+def _prepare(socket: zmq.asyncio.Socket) -> None:
+    socket.setsockopt(zmq.LINGER, 0)
+    socket.setsockopt(zmq.SNDHWM, 0)
+    socket.setsockopt(zmq.RCVHWM, 0)
+    socket.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
+    socket.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_INTERVAL_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS)
+
+
+class Listener:
+    """Receive messages from many peers and answer each of them."""
+
+    def __init__(self, address: Address, keys: ChannelKeys | None = None) -> None:
+        """Bind ``address``; raise ``zmq.ZMQError`` where it is taken."""
+        self._socket = zmq.asyncio.Context.instance().socket(zmq.ROUTER)
+        _prepare(self._socket)
+        self._socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        if keys is not None:
+            self._socket.setsockopt(zmq.CURVE_SERVER, 1)
+            self._socket.setsockopt(zmq.CURVE_PUBLICKEY, keys.public)
+            self._socket.setsockopt(zmq.CURVE_SECRETKEY, keys.secret)
+        self._socket.bind(f"tcp://{address}")
+
+    async def receive(self) -> Received:
+        """Wait for the next message that can be decoded; refuse the others by number."""
+        while True:
+            peer, data = await self._receive_frames()
+            try:
+                return Received(peer, decode(data))
+            except HickorywindError as error:
+                await self.send(peer, Refused(error.result))
+
+    async def _receive_frames(self) -> tuple[PeerId, bytes]:
+        while True:
+            frames = await self._socket.recv_multipart()
+            if len(frames) == 2:
+                return PeerId(frames[0]), frames[1]
+
+    async def send(self, peer: PeerId, message: Message) -> bool:
+        """Send to a peer; return False where it is gone."""
+        try:
+            await self._socket.send_multipart((peer, encode(message)))
+        except zmq.ZMQError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Close the socket and drop what was not yet sent."""
+        self._socket.close(linger=0)
+
+
+class Link:
+    """Exchange messages with the one peer at an address."""
+
+    def __init__(self, address: Address, keys: ChannelKeys | None = None) -> None:
+        """Start connecting in the background."""
+        self._socket = zmq.asyncio.Context.instance().socket(zmq.DEALER)
+        _prepare(self._socket)
+        self._socket.setsockopt(zmq.IMMEDIATE, 1)
+        self._socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MIN_MS)
+        self._socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
+        if keys is not None:
+            self._socket.setsockopt(zmq.CURVE_SERVERKEY, keys.public)
+            self._socket.setsockopt(zmq.CURVE_PUBLICKEY, keys.public)
+            self._socket.setsockopt(zmq.CURVE_SECRETKEY, keys.secret)
+        self._socket.connect(f"tcp://{address}")
+
+    async def send(self, message: Message) -> bool:
+        """Send without waiting; return False where no connection stands."""
+        try:
+            await self._socket.send(encode(message), flags=zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        return True
+
+    async def receive(self) -> Message:
+        """Wait for the next message; raise ``HickorywindError`` for one that can't be decoded."""
+        return decode(await self._socket.recv())
+
+    def close(self) -> None:
+        """Close the socket and drop what was not yet sent."""
+        self._socket.close(linger=0)
--- /dev/null
+++ b/hickorywind/protocol/codec.py
@@ -0,0 +1,35 @@
+"""Encode and decode messages between processes, with the protocol version in front."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hickorywind.protocol.messages import PROTOCOL_VERSION, Message
+from hickorywind.results import HickorywindError, Outcome, Result, ResultCode
+
+_VERSION_BYTE = bytes((PROTOCOL_VERSION,))
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Encode a message as its version byte and a MessagePack array."""
+    return _VERSION_BYTE + _encoder.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Decode a message.
+
+    Raise ``HickorywindError`` with ``VERSION_REFUSED`` for another protocol version and with
+    ``MALFORMED_MESSAGE`` for anything that is not a known message.
+    """
+    if data[:1] != _VERSION_BYTE:
+        raise _error(ResultCode.VERSION_REFUSED, f"protocol version {data[:1].hex()} is not known")
+    try:
+        return _decoder.decode(memoryview(data)[1:])
+    except msgspec.MsgspecError as error:
+        raise _error(ResultCode.MALFORMED_MESSAGE, f"inner message refused: {error}") from error
+
+
+def _error(code: ResultCode, reason: str) -> HickorywindError:
+    return HickorywindError(Result(code, Outcome.NOT_RUN, reason))
--- /dev/null
+++ b/hickorywind/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Read and validate the settings file of a daemon process."""
--- /dev/null
+++ b/hickorywind/settings/template.py
@@ -0,0 +1,79 @@
+"""Define the settings file of a daemon process.
+
+A process learns its addresses, availability zone and peers from here; what the operators decide
+about services comes from the accepted configuration instead.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from hickorywind.ids import AvailabilityZone, HostId, Region, Role
+
+
+class LogFormat(Enum):
+    """Choose how an event becomes a line."""
+
+    KEY_VALUE = "key_value"
+    JSON = "json"
+
+
+class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Configure logging."""
+
+    format: LogFormat = LogFormat.KEY_VALUE
+    level: str = "info"
+
+
+class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Configure the entry role; ``users_file`` names a YAML map of caller names to passwords."""
+
+    listen: str
+    users_file: str | None = None
+    drain_timeout_ms: int = 10_000
+
+
+class PoolSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Configure the pool role; ``backend_user`` logs in at backend servers."""
+
+    listen: str
+    backend_user: str = "hickorywind"
+    backend_password_file: str | None = None
+    drain_timeout_ms: int = 10_000
+
+
+class ControllerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Configure the controller role; ``seeds`` are addresses of some other controllers."""
+
+    listen: str
+    seeds: tuple[str, ...] = ()
+    store: str = ""
+    store_prefix: str = "/hickorywind"
+    platform_prefix: str = "/platform"
+    store_timeout_ms: int = 1_000
+    backend_user: str = "hickorywind"
+    backend_password_file: str | None = None
+
+
+class DaemonSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold one settings file.
+
+    ``role`` picks the part this process plays; sections of all three roles are allowed, so that
+    the processes of a host can share a file. ``controllers`` are addresses to subscribe at, in
+    order of preference (the host's own first); controllers ignore it. ``keys_file`` names a YAML
+    file with the CURVE key pair of the installation.
+    """
+
+    host: HostId
+    availability_zone: AvailabilityZone
+    region: Region
+    role: Role
+    controllers: tuple[str, ...] = ()
+    entry: EntrySettings | None = None
+    pool: PoolSettings | None = None
+    controller: ControllerSettings | None = None
+    metrics_listen: str | None = None
+    keys_file: str | None = None
+    log: LogSettings = LogSettings()
--- /dev/null
+++ b/hickorywind/store/__init__.py
@@ -0,0 +1,1 @@
+"""Reach the platform's key-value store."""
--- /dev/null
+++ b/hickorywind/util/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the few general helpers that have no better home."""
