--- /dev/null
+++ b/hickorywind/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Keep track of hosts and spread versioned records between them."""
--- /dev/null
+++ b/hickorywind/membership/directory.py
@@ -0,0 +1,187 @@
+"""Answer what entries and pools ask of the record table: services, primaries and homes."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from hickorywind.configuration.model import Configuration, Instance, Service
+from hickorywind.configuration.sections import digest_sections, join_sections
+from hickorywind.ids import AvailabilityZone, BackendId, HostId, Region, Revision, ServiceName
+from hickorywind.membership.table import RecordTable
+from hickorywind.placement.rendezvous import owner_of
+from hickorywind.protocol.records import (
+    ConfigHeadRecord,
+    ConfigRecord,
+    GroupRecord,
+    LeavingRecord,
+    MemberRecord,
+    MemberState,
+    Record,
+)
+
+logger = logging.getLogger(__name__)
+
+NO_REVISION = Revision(0)
+
+
+@dataclass(frozen=True)
+class InForce:
+    """Pair the configuration in force with its revision."""
+
+    revision: Revision
+    configuration: Configuration
+
+
+class Directory:
+    """Interpret a record table.
+
+    The configuration changes only once all sections of a newer head are present and match its
+    digest, so a revision is put in force whole and never goes back.
+    """
+
+    def __init__(self, table: RecordTable | None = None) -> None:
+        self.table = table or RecordTable()
+        self._in_force: InForce | None = None
+        self._members: dict[HostId, MemberRecord] = {}
+        self._groups: dict[ServiceName, GroupRecord] = {}
+        self._leaving: set[BackendId] = set()
+        self._services: dict[ServiceName, Service] = {}
+        self._instances: dict[BackendId, tuple[Service, Instance]] = {}
+        self._regions: dict[AvailabilityZone, Region] = {}
+        self._homes: dict[BackendId, HostId | None] = {}
+        self._take(self.table.records())
+
+    def merge(self, records: Iterable[Record]) -> tuple[Record, ...]:
+        """Take in records and return those that were news."""
+        news = self.table.merge(records)
+        self._take(news)
+        return news
+
+    def _take(self, records: Iterable[Record]) -> None:
+        config_changed = False
+        for record in records:
+            match record:
+                case MemberRecord():
+                    self._members[record.host] = record
+                    self._homes.clear()
+                case GroupRecord():
+                    self._groups[record.service] = record
+                case LeavingRecord():
+                    self._take_leaving(record)
+                case ConfigRecord() | ConfigHeadRecord():
+                    config_changed = True
+        if config_changed:
+            self._try_put_in_force()
+
+    def _take_leaving(self, record: LeavingRecord) -> None:
+        if record.leaving:
+            self._leaving.add(record.backend)
+        else:
+            self._leaving.discard(record.backend)
+
+    def _try_put_in_force(self) -> None:
+        head = self.table.get("config-head")
+        if not isinstance(head, ConfigHeadRecord) or head.revision <= self.revision:
+            return
+        held = [record for record in self.table.records() if isinstance(record, ConfigRecord)]
+        sections = {record.section: record.document for record in held}
+        if digest_sections(sections) != head.digest:
+            return
+        try:
+            configuration = join_sections(sections)
+        except (msgspec.MsgspecError, KeyError) as error:
+            logger.error("config_refused", extra={"revision": head.revision, "error": str(error)})
+            return
+        self._put_in_force(InForce(head.revision, configuration))
+
+    def _put_in_force(self, in_force: InForce) -> None:
+        self._in_force = in_force
+        services = in_force.configuration.services
+        self._services = {service.name: service for service in services}
+        self._instances = {
+            instance.backend: (service, instance)
+            for service in services
+            for instance in service.instances
+        }
+        self._regions = {zone.name: zone.region for zone in in_force.configuration.zones}
+        self._homes.clear()
+        logger.info("config_in_force", extra={"revision": in_force.revision})
+
+    @property
+    def in_force(self) -> InForce | None:
+        """Return the configuration in force, or None before the first one arrived."""
+        return self._in_force
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision in force, ``NO_REVISION`` before the first."""
+        return self._in_force.revision if self._in_force else NO_REVISION
+
+    @property
+    def members(self) -> tuple[MemberRecord, ...]:
+        """Return the record of every host known."""
+        return tuple(self._members.values())
+
+    def member(self, host: HostId) -> MemberRecord | None:
+        """Return the record of one host."""
+        return self._members.get(host)
+
+    def service(self, name: ServiceName) -> Service | None:
+        """Return a service of the configuration in force."""
+        return self._services.get(name)
+
+    def instance(self, backend: BackendId) -> Instance | None:
+        """Return a backend server of the configuration in force."""
+        found = self._instances.get(backend)
+        return found[1] if found else None
+
+    def service_of(self, backend: BackendId) -> Service | None:
+        """Return the service that a backend server belongs to."""
+        found = self._instances.get(backend)
+        return found[0] if found else None
+
+    @property
+    def backends(self) -> tuple[BackendId, ...]:
+        """Return every backend server of the configuration in force."""
+        return tuple(self._instances)
+
+    def region_of(self, zone: AvailabilityZone) -> Region | None:
+        """Return the region of an availability zone."""
+        return self._regions.get(zone)
+
+    def group(self, service: ServiceName) -> GroupRecord | None:
+        """Return who is primary of a service, where known."""
+        return self._groups.get(service)
+
+    def is_leaving(self, backend: BackendId) -> bool:
+        """Tell whether a backend server takes no new work."""
+        return backend in self._leaving
+
+    def home_of(self, backend: BackendId) -> MemberRecord | None:
+        """Return the host whose pool serves a backend server, or None where there is none."""
+        if backend not in self._homes:
+            self._homes[backend] = self._compute_home(backend)
+        host = self._homes[backend]
+        return self._members.get(host) if host is not None else None
+
+    def _compute_home(self, backend: BackendId) -> HostId | None:
+        instance = self.instance(backend)
+        if instance is None:
+            return None
+        usable = [record for record in self._members.values() if self._can_be_home(record)]
+        local = [
+            record.host
+            for record in usable
+            if record.availability_zone == instance.availability_zone
+        ]
+        owner = owner_of(backend, local or [record.host for record in usable])
+        return HostId(owner) if owner is not None else None
+
+    @staticmethod
+    def _can_be_home(record: MemberRecord) -> bool:
+        alive = record.state in (MemberState.ALIVE, MemberState.SUSPECT)
+        return alive and record.pool is not None
--- a/hickorywind/protocol/records.py
+++ b/hickorywind/protocol/records.py
@@ -97,7 +97,7 @@
     """Carry one section of the accepted configuration, e.g. a single database service.
 
     ``revision`` is the store's revision at which the section last changed. ``document`` is the
-    section's canonical YAML; it is empty for a section that was removed.
+    section's canonical JSON; it is empty for a section that was removed.
     """
 
     section: str
