Subscribe entries and pools to the record table

Cause: entries and pools need members, homes, primaries and configuration, also while their own controller restarts. Besides, xxhash 4 hashes bytes only: every table, rendezvous and section digest raised TypeError (seen in tests.membership.test_subscriber).

Ruled out: sending the whole table on each mismatch; its size grows with the fleet.

Change: reconcile tables by bucket digests, stamps and records in both directions, so that a restarted controller learns from its subscribers; records of dead hosts do not count in digests, so that tables may forget them at different times. Strings are encoded before hashing.

--- a/hickorywind/configuration/sections.py
+++ b/hickorywind/configuration/sections.py
@@ -54,5 +54,5 @@
     state = xxhash.xxh3_64()
     for name, document in sorted(sections.items()):
         if document:
-            state.update(f"{name}\0{document}\0")
+            state.update(f"{name}\0{document}\0".encode())
     return state.hexdigest()
--- a/hickorywind/membership/directory.py
+++ b/hickorywind/membership/directory.py
@@ -61,6 +61,12 @@
         self._take(news)
         return news
 
+    def forget_member(self, host: HostId) -> None:
+        """Drop the record of a host that has been dead for long."""
+        self.table.forget(f"member/{host}")
+        self._members.pop(host, None)
+        self._homes.clear()
+
     def _take(self, records: Iterable[Record]) -> None:
         config_changed = False
         for record in records:
--- /dev/null
+++ b/hickorywind/membership/subscriber.py
@@ -0,0 +1,160 @@
+"""Keep a process's directory up to date by subscribing at a controller.
+
+The own host's controller is preferred; another one serves while it is silent. The directory is
+kept across changes of controller, and whichever side lacks records receives them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Sequence
+from datetime import timedelta
+
+from hickorywind.ids import Address, HostId, Incarnation
+from hickorywind.membership.directory import Directory
+from hickorywind.membership.reconcile import answer_digests, answer_stamps
+from hickorywind.membership.tombstones import Tombstones
+from hickorywind.protocol.channel import ChannelKeys, Link
+from hickorywind.protocol.messages import (
+    BucketDigests,
+    BucketStamps,
+    Message,
+    RecordBatch,
+    Subscribe,
+)
+from hickorywind.protocol.records import MemberState
+from hickorywind.results import HickorywindError
+from hickorywind.util.clock import Clock, Instant
+
+logger = logging.getLogger(__name__)
+
+SUBSCRIBE_INTERVAL = timedelta(milliseconds=500)
+CONNECT_TIMEOUT = timedelta(milliseconds=500)
+SILENCE_LIMIT = timedelta(milliseconds=1500)
+RETURN_INTERVAL = timedelta(seconds=15)
+_CONNECT_POLL = timedelta(milliseconds=20)
+
+
+class DirectorySubscriber:
+    """Subscribe at one controller at a time and merge what it sends.
+
+    ``directory`` is always usable, also while no controller answers. ``changed`` is set whenever
+    a record was news; its one reader clears it. Set ``draining`` before the process stops, so that
+    its host no longer announces it.
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        role: str,
+        addresses: Sequence[Address],
+        incarnation: Incarnation,
+        clock: Clock,
+        rng: random.Random,
+        keys: ChannelKeys | None,
+    ) -> None:
+        self.directory = Directory()
+        self.changed = asyncio.Event()
+        self.draining = False
+        self._host = host
+        self._role = role
+        self._addresses = tuple(addresses)
+        self._incarnation = incarnation
+        self._clock = clock
+        self._rng = rng
+        self._keys = keys
+        self._tombstones = Tombstones(self.directory)
+        self._heard: Instant | None = None
+
+    async def run(self) -> None:
+        """Subscribe until cancelled."""
+        while True:
+            for index, address in enumerate(self._candidates()):
+                if await self._stay_at(address, is_preferred=index == 0):
+                    break
+            else:
+                await asyncio.sleep(_CONNECT_POLL.total_seconds())
+
+    def _candidates(self) -> list[Address]:
+        learned = [
+            member.controller
+            for member in self.directory.members
+            if member.state is not MemberState.DEAD and member.controller not in self._addresses
+        ]
+        self._rng.shuffle(learned)
+        return [*self._addresses, *learned]
+
+    async def _stay_at(self, address: Address, is_preferred: bool) -> bool:
+        """Use one controller until it is silent; return whether it ever answered."""
+        link = Link(address, self._keys)
+        self._heard = None
+        receiver = asyncio.create_task(self._receive_all(link))
+        try:
+            if await self._connect(link):
+                await self._keep_subscribing(link, is_preferred)
+        finally:
+            receiver.cancel()
+            await asyncio.gather(receiver, return_exceptions=True)
+            link.close()
+        return self._heard is not None
+
+    async def _connect(self, link: Link) -> bool:
+        deadline = self._clock.now() + CONNECT_TIMEOUT
+        while not await link.send(self._subscribe()):
+            if self._clock.now() >= deadline:
+                return False
+            await asyncio.sleep(_CONNECT_POLL.total_seconds())
+        return True
+
+    async def _keep_subscribing(self, link: Link, is_preferred: bool) -> None:
+        started = self._clock.now()
+        last_tick = started
+        while True:
+            await asyncio.sleep(SUBSCRIBE_INTERVAL.total_seconds())
+            now = self._clock.now()
+            was_paused = now - last_tick > SILENCE_LIMIT
+            last_tick = now
+            if was_paused:
+                started = now
+                self._heard = now if self._heard is not None else None
+            if now - (self._heard or started) > SILENCE_LIMIT:
+                logger.warning("controller_silent", extra={"role": self._role})
+                return
+            if not is_preferred and now - started > RETURN_INTERVAL:
+                return
+            self._tombstones.sweep(now)
+            await link.send(self._subscribe())
+
+    def _subscribe(self) -> Subscribe:
+        return Subscribe(
+            self._host,
+            self._role,
+            self._incarnation,
+            self.directory.table.digest,
+            self.draining,
+        )
+
+    async def _receive_all(self, link: Link) -> None:
+        while True:
+            try:
+                message = await link.receive()
+            except HickorywindError as error:
+                logger.warning("inner_message_refused", extra={"reason": error.result.reason})
+                continue
+            for answer in self._handle(message):
+                await link.send(answer)
+
+    def _handle(self, message: Message) -> tuple[Message, ...]:
+        self._heard = self._clock.now()
+        match message:
+            case RecordBatch(records):
+                if self.directory.merge(records):
+                    self.changed.set()
+            case BucketDigests():
+                answer = answer_digests(self.directory.table, message)
+                return (answer,) if answer else ()
+            case BucketStamps():
+                return answer_stamps(self.directory.table, message)
+        return ()
--- a/hickorywind/membership/table.py
+++ b/hickorywind/membership/table.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from hickorywind.protocol.messages import VersionStamp
-from hickorywind.protocol.records import Record
+from hickorywind.protocol.records import MemberRecord, MemberState, Record
 
 BUCKET_COUNT = 64
 
@@ -17,15 +17,20 @@
     return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode((record.key, record.version)))
 
 
+def _is_tombstone(record: Record) -> bool:
+    return isinstance(record, MemberRecord) and record.state is MemberState.DEAD
+
+
 def bucket_of(key: str) -> int:
     """Return the bucket that a key belongs to."""
-    return xxhash.xxh3_64_intdigest(key) % BUCKET_COUNT
+    return xxhash.xxh3_64_intdigest(key.encode()) % BUCKET_COUNT
 
 
 class RecordTable:
     """Keep the newest record of each key and a digest that is equal where contents are.
 
     The digest is the exclusive or of the records' digests, so that a change costs constant time.
+    Records of dead hosts do not count: tables may forget them at different times and stay equal.
     """
 
     def __init__(self) -> None:
@@ -41,14 +46,25 @@
         held = self._records.get(record.key)
         if held is not None and held.version >= record.version:
             return False
-        bucket = bucket_of(record.key)
         if held is not None:
-            self._buckets[bucket] ^= _stamp_digest(held)
-        self._buckets[bucket] ^= _stamp_digest(record)
-        self._keys_by_bucket[bucket].add(record.key)
+            self._toggle_digest(held)
+        self._toggle_digest(record)
+        self._keys_by_bucket[bucket_of(record.key)].add(record.key)
         self._records[record.key] = record
         return True
 
+    def _toggle_digest(self, record: Record) -> None:
+        if not _is_tombstone(record):
+            self._buckets[bucket_of(record.key)] ^= _stamp_digest(record)
+
+    def forget(self, key: str) -> None:
+        """Drop a record, as if it had never been held."""
+        held = self._records.pop(key, None)
+        if held is None:
+            return
+        self._toggle_digest(held)
+        self._keys_by_bucket[bucket_of(key)].discard(key)
+
     def get(self, key: str) -> Record | None:
         """Return the record of a key."""
         return self._records.get(key)
@@ -75,19 +91,41 @@
         pairs = enumerate(zip(self._buckets, digests, strict=True))
         return tuple(index for index, (ours, theirs) in pairs if ours != theirs)
 
+    def known_buckets(self, buckets: Iterable[int]) -> tuple[int, ...]:
+        """Drop bucket numbers that do not exist."""
+        return tuple(bucket for bucket in buckets if 0 <= bucket < BUCKET_COUNT)
+
+    def _keys_of(self, buckets: Iterable[int]) -> list[str]:
+        return [key for bucket in buckets for key in sorted(self._keys_by_bucket[bucket])]
+
     def stamps(self, buckets: Iterable[int]) -> tuple[VersionStamp, ...]:
-        """List key and version of every record in the given buckets."""
-        keys = [key for bucket in buckets for key in sorted(self._keys_by_bucket[bucket])]
-        return tuple(VersionStamp(key, self._records[key].version) for key in keys)
+        """List key and version of every record in the given buckets but those of dead hosts."""
+        held = (self._records[key] for key in self._keys_of(buckets))
+        return tuple(
+            VersionStamp(record.key, record.version) for record in held if not _is_tombstone(record)
+        )
 
     def newer_than(
         self, buckets: Iterable[int], stamps: Iterable[VersionStamp]
     ) -> tuple[Record, ...]:
-        """Return the records in the buckets that the sender of the stamps lacks."""
-        held = {stamp.key: stamp.version for stamp in stamps}
-        keys = [key for bucket in buckets for key in sorted(self._keys_by_bucket[bucket])]
-        return tuple(
-            self._records[key]
-            for key in keys
-            if key not in held or self._records[key].version > held[key]
-        )
+        """Return the records in the buckets that the sender of the stamps lacks.
+
+        The record of a dead host is only of use to a sender that believes the host alive.
+        """
+        theirs = {stamp.key: stamp.version for stamp in stamps}
+        ours = (self._records[key] for key in self._keys_of(buckets))
+        return tuple(record for record in ours if _is_lacking(record, theirs.get(record.key)))
+
+    def lacks_any(self, stamps: Iterable[VersionStamp]) -> bool:
+        """Tell whether the sender of the stamps holds anything newer."""
+        return any(self._lacks(stamp) for stamp in stamps)
+
+    def _lacks(self, stamp: VersionStamp) -> bool:
+        held = self._records.get(stamp.key)
+        return held is None or held.version < stamp.version
+
+
+def _is_lacking(record: Record, their_version: tuple[int, ...] | None) -> bool:
+    if their_version is None:
+        return not _is_tombstone(record)
+    return record.version > their_version
--- /dev/null
+++ b/hickorywind/membership/tombstones.py
@@ -0,0 +1,38 @@
+"""Decide when the records of dead hosts may be forgotten, so that tables stay bounded."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from hickorywind.ids import HostId
+from hickorywind.membership.directory import Directory
+from hickorywind.protocol.records import MemberState
+from hickorywind.util.clock import Instant
+
+KEEP_DEAD = timedelta(hours=2)
+DEAD_LIMIT = 2_000
+
+
+class Tombstones:
+    """Remember since when each host is dead and forget the oldest.
+
+    A record that comes back after its host was forgotten does no lasting harm: the host is probed
+    anew, does not answer and dies again.
+    """
+
+    def __init__(self, directory: Directory) -> None:
+        self._directory = directory
+        self._dead_since: dict[HostId, Instant] = {}
+
+    def sweep(self, now: Instant) -> None:
+        """Forget hosts that are dead for longer than ``KEEP_DEAD`` or too many."""
+        dead = {
+            member.host for member in self._directory.members if member.state is MemberState.DEAD
+        }
+        self._dead_since = {host: self._dead_since.get(host, now) for host in sorted(dead)}
+        by_age = sorted(self._dead_since, key=lambda host: self._dead_since[host])
+        excess = max(0, len(by_age) - DEAD_LIMIT)
+        for index, host in enumerate(by_age):
+            if index < excess or now - self._dead_since[host] > KEEP_DEAD:
+                self._directory.forget_member(host)
+                del self._dead_since[host]
--- a/hickorywind/placement/rendezvous.py
+++ b/hickorywind/placement/rendezvous.py
@@ -13,7 +13,7 @@
 
 
 def _weight(key: str, member: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}\0{member}")
+    return xxhash.xxh3_64_intdigest(f"{key}\0{member}".encode())
 
 
 def rank_members(key: str, members: Iterable[str]) -> Sequence[str]:
