Add settings loader, logs, metrics, canonical configuration documents

Cause: every role needs its settings, logging and metrics; operators need documents to review. Ruled out: showing PyYAML's own error text for files with secrets (it quotes the document; a value such as '!word' or '*word' would appear in the error), so only the line is named there; a latency objective between two histogram bounds (its count would be a guess), so validation asks for a bound. Change: settings/load and secrets, util/documents (strict YAML), observability/logs and metrics, configuration canonical form, printing, validation, builder, difference.

--- /dev/null
+++ b/hickorywind/configuration/builder.py
@@ -0,0 +1,163 @@
+"""Build configurations in Python.
+
+Operators write a script that ends with a module-level ``configuration`` and print it with
+``hickorywind config print SCRIPT``; see ``examples``.
+"""
+
+from __future__ import annotations
+
+import sys
+from datetime import timedelta
+from typing import Self, TextIO
+
+from hickorywind.configuration.canonical import canonicalize
+from hickorywind.configuration.model import (
+    Configuration,
+    Instance,
+    Limits,
+    Objective,
+    RankPolicy,
+    ReadKind,
+    Service,
+    TransactionLimits,
+    Zone,
+)
+from hickorywind.configuration.printing import format_document
+from hickorywind.configuration.validate import require_valid
+from hickorywind.ids import AvailabilityZone, BackendId, Rank, Region, ServiceName
+from hickorywind.results import ResultCode, UserError
+from hickorywind.util.documents import DocumentError
+
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+def _to_ms(name: str, duration: timedelta) -> int:
+    if not isinstance(duration, timedelta) or duration % _MILLISECOND:
+        raise UserError(
+            ResultCode.CONFIG_INVALID, f"{name}: expected a timedelta of whole milliseconds"
+        )
+    return duration // _MILLISECOND
+
+
+class ServiceBuilder:
+    """Collect what describes one database service; each method returns the builder itself."""
+
+    def __init__(self, name: str) -> None:
+        self._name = ServiceName(name)
+        self._instances: list[Instance] = []
+        self._ranks: list[RankPolicy] = []
+        self._read_kinds: list[ReadKind] = []
+        self._objectives: list[Objective] = []
+        self._transactions = TransactionLimits()
+
+    def instance(self, backend: str, zone: str, address: str, slots: int, connections: int) -> Self:
+        """Add a backend server at ``address`` (IP:PORT)."""
+        self._instances.append(
+            Instance(BackendId(backend), AvailabilityZone(zone), address, slots, connections)
+        )
+        return self
+
+    def rank(
+        self,
+        rank: Rank,
+        floor_percent: int,
+        timeout: timedelta = timedelta(seconds=5),
+        queue_limit: int = 1_000,
+        queue_limit_bytes: int = 16_777_216,
+    ) -> Self:
+        """Set what a rank of work keeps in any flood and how long its requests may take."""
+        timeout_ms = _to_ms("timeout", timeout)
+        self._ranks.append(
+            RankPolicy(rank, floor_percent, timeout_ms, queue_limit, queue_limit_bytes)
+        )
+        return self
+
+    def read_kind(
+        self, name: str, max_staleness: timedelta, fallback_staleness: timedelta | None = None
+    ) -> Self:
+        """Name a kind of read, the age of data it accepts and the age it falls back to."""
+        fallback_ms = None
+        if fallback_staleness is not None:
+            fallback_ms = _to_ms("fallback_staleness", fallback_staleness)
+        self._read_kinds.append(ReadKind(name, _to_ms("max_staleness", max_staleness), fallback_ms))
+        return self
+
+    def objective(self, rank: Rank, target_percent: float, latency: timedelta) -> Self:
+        """State which share of a rank's requests is to be answered within ``latency``."""
+        self._objectives.append(Objective(rank, target_percent, _to_ms("latency", latency)))
+        return self
+
+    def transactions(
+        self,
+        open_limit: int = 8,
+        idle_timeout: timedelta = timedelta(seconds=5),
+        per_session_requests: int = 16,
+    ) -> Self:
+        """Bound open transactions per backend server and waiting requests per session."""
+        idle_timeout_ms = _to_ms("idle_timeout", idle_timeout)
+        self._transactions = TransactionLimits(open_limit, idle_timeout_ms, per_session_requests)
+        return self
+
+    def build(self) -> Service:
+        """Return the service; it is checked with the whole configuration."""
+        return Service(
+            self._name,
+            tuple(self._instances),
+            tuple(self._ranks),
+            tuple(self._read_kinds),
+            tuple(self._objectives),
+            self._transactions,
+        )
+
+
+class ConfigurationBuilder:
+    """Collect a whole configuration."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._zones: list[Zone] = []
+        self._services: list[ServiceBuilder] = []
+        self._limits = Limits()
+
+    def zone(self, name: str, region: str) -> Self:
+        """Place an availability zone in its region."""
+        self._zones.append(Zone(AvailabilityZone(name), Region(region)))
+        return self
+
+    def service(self, name: str) -> ServiceBuilder:
+        """Start a database service and return its builder."""
+        builder = ServiceBuilder(name)
+        self._services.append(builder)
+        return builder
+
+    def limits(
+        self,
+        retry_budget_percent: int = 10,
+        link_bytes_per_second: int = 200_000,
+        caller_connections_per_entry: int = 10_000,
+        message_limit_bytes: int = 16_777_216,
+    ) -> Self:
+        """Set the limits that apply to the whole system."""
+        self._limits = Limits(
+            retry_budget_percent,
+            link_bytes_per_second,
+            caller_connections_per_entry,
+            message_limit_bytes,
+        )
+        return self
+
+    def build(self) -> Configuration:
+        """Return the checked configuration; raise ``UserError`` naming every problem."""
+        services = tuple(builder.build() for builder in self._services)
+        built = Configuration(self._name, tuple(self._zones), services, self._limits)
+        try:
+            configuration = canonicalize(built)
+        except DocumentError as error:
+            raise UserError(ResultCode.CONFIG_INVALID, str(error)) from None
+        require_valid(configuration)
+        return configuration
+
+
+def print_configuration(configuration: Configuration, stream: TextIO | None = None) -> None:
+    """Write the canonical document to ``stream`` (standard output by default)."""
+    (stream or sys.stdout).write(format_document(configuration))
--- /dev/null
+++ b/hickorywind/configuration/canonical.py
@@ -0,0 +1,36 @@
+"""Bring configurations into the one form in which they are printed and compared."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hickorywind.configuration.model import Configuration, Service
+from hickorywind.ids import RANKS_BY_URGENCY
+from hickorywind.util.documents import convert
+
+
+def canonicalize(configuration: Configuration) -> Configuration:
+    """Return an equal configuration whose lists are in a fixed order.
+
+    Raise ``DocumentError`` where a value has the wrong type.
+    """
+    checked = convert(msgspec.to_builtins(configuration), Configuration)
+    return msgspec.structs.replace(
+        checked,
+        zones=tuple(sorted(checked.zones, key=lambda zone: zone.name)),
+        services=tuple(sorted(map(_order, checked.services), key=lambda service: service.name)),
+    )
+
+
+def _order(service: Service) -> Service:
+    return msgspec.structs.replace(
+        service,
+        instances=tuple(sorted(service.instances, key=lambda instance: instance.backend)),
+        ranks=tuple(sorted(service.ranks, key=lambda policy: _urgency(policy.rank))),
+        read_kinds=tuple(sorted(service.read_kinds, key=lambda kind: kind.name)),
+        objectives=tuple(sorted(service.objectives, key=lambda goal: _urgency(goal.rank))),
+    )
+
+
+def _urgency(rank: object) -> int:
+    return RANKS_BY_URGENCY.index(rank)
--- /dev/null
+++ b/hickorywind/configuration/difference.py
@@ -0,0 +1,93 @@
+"""List what changed between two configurations."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+from hickorywind.configuration.canonical import canonicalize
+from hickorywind.configuration.model import Configuration
+
+_IDENTITY_KEYS = ("backend", "name", "rank")
+_SIGNS = {"added": "+", "removed": "-", "changed": "~"}
+
+
+class ChangeKind(Enum):
+    """Say what happened to a value."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+class Change(msgspec.Struct, frozen=True):
+    """Describe one changed value; ``before`` and ``after`` are JSON text, empty where absent."""
+
+    kind: ChangeKind
+    path: str
+    before: str
+    after: str
+
+    def __str__(self) -> str:
+        sign = _SIGNS[self.kind.value]
+        match self.kind:
+            case ChangeKind.ADDED:
+                return f"{sign} {self.path}: {self.after}"
+            case ChangeKind.REMOVED:
+                return f"{sign} {self.path}: {self.before}"
+            case ChangeKind.CHANGED:
+                return f"{sign} {self.path}: {self.before} -> {self.after}"
+
+
+def compare(before: Configuration | None, after: Configuration) -> tuple[Change, ...]:
+    """Return the changes that lead from one configuration to another, ordered by path.
+
+    Without a configuration before, everything is added.
+    """
+    old = msgspec.to_builtins(canonicalize(before)) if before is not None else {}
+    new = msgspec.to_builtins(canonicalize(after))
+    return tuple(_compare_mappings("", old, new))
+
+
+def format_changes(changes: tuple[Change, ...]) -> str:
+    """Return the changes as text, one a line."""
+    return "".join(f"{change}\n" for change in changes)
+
+
+def _compare_mappings(path: str, old: dict[str, Any], new: dict[str, Any]) -> Iterator[Change]:
+    for key in sorted(old.keys() | new.keys()):
+        inner = f"{path}.{key}" if path else key
+        yield from _compare_values(inner, old.get(key), new.get(key))
+
+
+def _compare_values(path: str, old: Any, new: Any) -> Iterator[Change]:
+    if old == new:
+        return
+    if isinstance(old, dict) and isinstance(new, dict):
+        yield from _compare_mappings(path, old, new)
+    elif isinstance(old, tuple) or isinstance(new, tuple):
+        yield from _compare_lists(path, old or (), new or ())
+    elif old is None:
+        yield Change(ChangeKind.ADDED, path, "", _encode(new))
+    elif new is None:
+        yield Change(ChangeKind.REMOVED, path, _encode(old), "")
+    else:
+        yield Change(ChangeKind.CHANGED, path, _encode(old), _encode(new))
+
+
+def _compare_lists(path: str, old: tuple[Any, ...], new: tuple[Any, ...]) -> Iterator[Change]:
+    old_items = {_identify(item): item for item in old}
+    new_items = {_identify(item): item for item in new}
+    for name in sorted(old_items.keys() | new_items.keys()):
+        yield from _compare_values(f"{path}[{name}]", old_items.get(name), new_items.get(name))
+
+
+def _identify(item: dict[str, Any]) -> str:
+    return next(item[key] for key in _IDENTITY_KEYS if key in item)
+
+
+def _encode(value: Any) -> str:
+    return msgspec.json.encode(value).decode()
--- /dev/null
+++ b/hickorywind/configuration/printing.py
@@ -0,0 +1,65 @@
+"""Print configurations as YAML and read them back.
+
+Equal configurations print as the same bytes, so that a review shows only what changed.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import yaml
+
+from hickorywind.configuration.canonical import canonicalize
+from hickorywind.configuration.model import Configuration
+from hickorywind.results import ResultCode, UserError
+from hickorywind.util.documents import DocumentError, convert, read_yaml
+
+_NO_WRAP_CHARACTERS = 1_000_000
+
+
+class _Dumper(yaml.SafeDumper):
+    """Print without anchors and with list items set in from their key."""
+
+    def ignore_aliases(self, data: Any) -> bool:
+        """Write equal values out each time."""
+        return True
+
+    def increase_indent(self, flow: bool = False, indentless: bool = False) -> None:
+        """Set list items in, which reads better in a review."""
+        super().increase_indent(flow, False)
+
+
+def format_document(configuration: Configuration) -> str:
+    """Return the canonical document; raise ``UserError`` where a value has the wrong type."""
+    try:
+        canonical = canonicalize(configuration)
+    except DocumentError as error:
+        raise UserError(ResultCode.CONFIG_INVALID, str(error)) from None
+    return yaml.dump(
+        _drop_absent(msgspec.to_builtins(canonical)),
+        Dumper=_Dumper,
+        sort_keys=False,
+        allow_unicode=True,
+        width=_NO_WRAP_CHARACTERS,
+    )
+
+
+def _drop_absent(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {key: _drop_absent(item) for key, item in value.items() if item is not None}
+    if isinstance(value, (list, tuple)):
+        return [_drop_absent(item) for item in value]
+    return value
+
+
+def parse_document(text: str) -> Configuration:
+    """Read a document in canonical form.
+
+    Raise ``UserError`` with ``CONFIG_INVALID``, which names the key; values are checked by
+    ``validate.py``.
+    """
+    try:
+        return canonicalize(convert(read_yaml(text), Configuration))
+    except DocumentError as error:
+        raise UserError(ResultCode.CONFIG_INVALID, str(error)) from None
--- /dev/null
+++ b/hickorywind/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Log events and count what happens."""
--- /dev/null
+++ b/hickorywind/observability/metrics.py
@@ -0,0 +1,164 @@
+"""Define the metrics of all roles.
+
+One ``Metrics`` is made per process and passed to the parts that count. The table in
+``docs/metrics.md`` is checked against this module by a test.
+"""
+
+from __future__ import annotations
+
+import threading
+from datetime import timedelta
+from wsgiref.simple_server import WSGIServer
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    Info,
+    start_http_server,
+)
+
+from hickorywind import __version__
+from hickorywind.ids import Address, Rank, Role, ServiceName
+from hickorywind.observability.buckets import LATENCY_BOUNDS_SECONDS
+from hickorywind.results import Result
+
+_FAILOVER_BOUNDS_SECONDS = (0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0, 60.0)
+_PREFIX = "hickorywind"
+
+
+class Metrics:
+    """Hold every metric; a role sets those that concern it."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register the metrics; a registry takes them once."""
+        self.registry = registry
+        self._define_requests()
+        self._define_pool()
+        self._define_control()
+
+    @classmethod
+    def with_own_registry(cls) -> Metrics:
+        """Build metrics that share nothing with others in the same process."""
+        return cls(CollectorRegistry())
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(f"{_PREFIX}_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(f"{_PREFIX}_{name}", text, labels, registry=self.registry)
+
+    def _histogram(self, name: str, text: str, bounds: tuple, *labels: str) -> Histogram:
+        return Histogram(f"{_PREFIX}_{name}", text, labels, buckets=bounds, registry=self.registry)
+
+    def _define_requests(self) -> None:
+        self.build = Info(f"{_PREFIX}_build", "Version of the program", registry=self.registry)
+        self.requests = self._counter(
+            "requests", "Requests ended at this entry", "service", "rank", "outcome", "code"
+        )
+        self.latency = self._histogram(
+            "request_seconds",
+            "Time from a request's arrival to its whole answer, for requests that ran",
+            LATENCY_BOUNDS_SECONDS,
+            "service",
+            "rank",
+        )
+        self.reads = self._counter(
+            "reads", "Reads answered, by role of the backend server", "service", "source"
+        )
+        self.retries = self._counter("retries", "Requests sent again by this entry", "service")
+        self.retry_budget = self._gauge("retry_budget", "Retries this entry may still make")
+        self.caller_connections = self._gauge("caller_connections", "Caller connections open")
+        self.sessions_refused = self._counter(
+            "sessions_refused", "Caller connections refused", "code"
+        )
+        self.link_bytes = self._counter(
+            "link_bytes", "Bytes sent to pools of another region", "region"
+        )
+
+    def _define_pool(self) -> None:
+        self.queue_length = self._gauge(
+            "queue_length", "Requests waiting for a backend server", "backend", "rank"
+        )
+        self.queue_bytes = self._gauge(
+            "queue_bytes", "Size of the requests waiting", "backend", "rank"
+        )
+        self.queue_wait = self._histogram(
+            "queue_wait_seconds", "Time a request waited", LATENCY_BOUNDS_SECONDS, "rank"
+        )
+        self.refusals = self._counter(
+            "refusals", "Requests refused by this pool", "backend", "rank", "code"
+        )
+        self.connections_in_use = self._gauge(
+            "connections_in_use", "Connections to a backend server", "backend"
+        )
+        self.busy_slots = self._gauge(
+            "busy_slots", "Statements running at a backend server", "backend"
+        )
+        self.open_transactions = self._gauge(
+            "open_transactions", "Transactions open at a backend server", "backend"
+        )
+
+    def _define_control(self) -> None:
+        self.revision_in_force = self._gauge(
+            "config_revision_in_force", "Store revision of the configuration in force"
+        )
+        self.members = self._gauge("members", "Hosts known, by state", "state")
+        self.failovers = self._counter("failovers", "Promotions ordered here", "service")
+        self.failover_gap = self._histogram(
+            "failover_gap_seconds",
+            "Time from the last sign of the old primary to the promotion of the new",
+            _FAILOVER_BOUNDS_SECONDS,
+            "service",
+        )
+        self.gossip_bytes = self._counter(
+            "gossip_bytes", "Bytes exchanged with other controllers", "direction"
+        )
+        self.store_calls = self._counter("store_calls", "Calls to the store", "call", "outcome")
+
+    def describe_process(self, role: Role, host: str, zone: str) -> None:
+        """Publish what this process is."""
+        self.build.info(
+            {
+                "version": __version__,
+                "role": role.value,
+                "host": host,
+                "availability_zone": zone,
+            }
+        )
+
+    def record_request(
+        self, service: ServiceName, rank: Rank, result: Result, duration: timedelta
+    ) -> None:
+        """Count a request that ended at an entry; its latency counts where it ran."""
+        code = str(int(result.code))
+        self.requests.labels(service, rank.value, result.outcome.value, code).inc()
+        if result.is_ok:
+            self.latency.labels(service, rank.value).observe(duration.total_seconds())
+
+
+class MetricsServer:
+    """Serve metrics over HTTP from a thread of its own until closed."""
+
+    def __init__(self, server: WSGIServer, thread: threading.Thread) -> None:
+        self._server = server
+        self._thread = thread
+
+    @property
+    def address(self) -> Address:
+        """Return the address in use, also where port 0 was asked for."""
+        host, port = self._server.server_address[:2]
+        return Address(str(host), port)
+
+    def close(self) -> None:
+        """Stop serving and wait for the thread."""
+        self._server.shutdown()
+        self._server.server_close()
+        self._thread.join()
+
+
+def start_metrics_server(address: Address, metrics: Metrics) -> MetricsServer:
+    """Serve ``/metrics`` at a loopback address; raise OSError where it is taken."""
+    server, thread = start_http_server(address.port, address.host, registry=metrics.registry)
+    return MetricsServer(server, thread)
--- /dev/null
+++ b/tests/configuration/samples.py
@@ -0,0 +1,23 @@
+"""Build small configurations for tests."""
+
+from datetime import timedelta
+
+from hickorywind.configuration.builder import ConfigurationBuilder
+from hickorywind.ids import Rank
+
+
+def make_builder():
+    """Return the builders of a system with one service in two zones."""
+    system = ConfigurationBuilder("Test").zone("b", "r").zone("a", "r")
+    service = system.service("ledger")
+    service.instance("ledger-b", "b", "127.0.0.1:2001", 3, 20)
+    service.instance("ledger-a", "a", "127.0.0.1:2000", 3, 20)
+    service.rank(Rank.BACKGROUND, 10).rank(Rank.URGENT, 30).rank(Rank.STANDARD, 30)
+    service.read_kind("views", timedelta(seconds=1), timedelta(seconds=5))
+    service.objective(Rank.URGENT, 99.9, timedelta(milliseconds=200))
+    return system, service
+
+
+def make_configuration():
+    """Return the checked configuration of ``make_builder``."""
+    return make_builder()[0].build()
--- /dev/null
+++ b/tests/configuration/test_difference.py
@@ -0,0 +1,39 @@
+import unittest
+from datetime import timedelta
+
+import msgspec
+
+from hickorywind.configuration.difference import Change, ChangeKind, compare, format_changes
+from tests.configuration.samples import make_builder, make_configuration
+
+
+class DifferenceTest(unittest.TestCase):
+    def test_equal_configurations(self):
+        self.assertEqual(compare(make_configuration(), make_configuration()), ())
+
+    def test_changes_are_named_by_identity_not_by_place(self):
+        system, service = make_builder()
+        service.instance("ledger-0", "a", "127.0.0.1:1999", 3, 20)
+        service.transactions(open_limit=4)
+        service.read_kind("stock", timedelta(seconds=2))
+        changes = compare(make_configuration(), system.build())
+        path = "services[ledger]"
+        self.assertEqual(
+            [(change.kind, change.path) for change in changes],
+            [
+                (ChangeKind.ADDED, f"{path}.instances[ledger-0]"),
+                (ChangeKind.ADDED, f"{path}.read_kinds[stock]"),
+                (ChangeKind.CHANGED, f"{path}.transactions.open_limit"),
+            ],
+        )
+        self.assertIn(f"~ {path}.transactions.open_limit: 8 -> 4\n", format_changes(changes))
+
+    def test_removal(self):
+        before = make_configuration()
+        after = msgspec.structs.replace(before, zones=before.zones[:1])
+        removed = Change(ChangeKind.REMOVED, "zones[b]", '{"name":"b","region":"r"}', "")
+        self.assertEqual(compare(before, after), (removed,))
+
+    def test_first_configuration_is_all_added(self):
+        kinds = {change.kind for change in compare(None, make_configuration())}
+        self.assertEqual(kinds, {ChangeKind.ADDED})
--- /dev/null
+++ b/tests/configuration/test_printing.py
@@ -0,0 +1,62 @@
+import random
+import unittest
+
+import msgspec
+
+from hickorywind.configuration.model import Configuration
+from hickorywind.configuration.printing import format_document, parse_document
+from hickorywind.configuration.sections import join_sections, split_sections
+from hickorywind.results import ResultCode, UserError
+from tests.configuration.samples import make_configuration
+
+
+def shuffle(value, chance):
+    """Return builtins whose lists are in another order."""
+    if isinstance(value, dict):
+        return {key: shuffle(item, chance) for key, item in value.items()}
+    if isinstance(value, list | tuple):
+        items = [shuffle(item, chance) for item in value]
+        chance.shuffle(items)
+        return items
+    return value
+
+
+class PrintingTest(unittest.TestCase):
+    def test_same_values_print_as_same_bytes_in_any_order(self):
+        configuration = make_configuration()
+        document = format_document(configuration)
+        for seed in range(50):
+            mixed = shuffle(msgspec.to_builtins(configuration), random.Random(seed))
+            self.assertEqual(format_document(msgspec.convert(mixed, Configuration)), document)
+
+    def test_print_and_parse_are_inverse(self):
+        configuration = make_configuration()
+        document = format_document(configuration)
+        self.assertEqual(parse_document(document), configuration)
+        self.assertEqual(format_document(parse_document(document)), document)
+
+    def test_sections_and_document_agree(self):
+        configuration = make_configuration()
+        self.assertEqual(join_sections(split_sections(configuration)), configuration)
+
+    def test_strings_that_look_like_other_types_survive(self):
+        for name in ("yes", "1", "null", "a: b", "# x", "é", "1e3"):
+            configuration = msgspec.structs.replace(make_configuration(), name=name)
+            self.assertEqual(parse_document(format_document(configuration)).name, name)
+
+    def test_errors_name_the_key_on_one_line(self):
+        document = format_document(make_configuration())
+        cases = {
+            "services[0].instances[0].slots": ("slots: 3", "slots: three"),
+            "services[0].instances[0].colour": ("slots: 3", "slots: 3\n        colour: x"),
+            "services[0].ranks[0].rank": ("rank: urgent", "rank: loud"),
+            "zones": ("zones:", "places:"),
+            "line": ("name: Test", "name: [Test"),
+            "twice": ("name: Test", "name: Test\nname: Test"),
+        }
+        for part, (old, new) in cases.items():
+            with self.subTest(part), self.assertRaises(UserError) as caught:
+                parse_document(document.replace(old, new, 1))
+            self.assertEqual(caught.exception.code, ResultCode.CONFIG_INVALID)
+            self.assertIn(part, str(caught.exception).replace("places", "zones"))
+            self.assertNotIn("\n", str(caught.exception))
--- /dev/null
+++ b/tests/configuration/test_validate.py
@@ -0,0 +1,98 @@
+import unittest
+
+import msgspec
+
+from hickorywind.configuration.model import Configuration
+from hickorywind.configuration.validate import find_problems, require_valid
+from hickorywind.results import ResultCode, UserError
+from tests.configuration.samples import make_configuration
+
+SERVICE = "services[ledger]"
+
+
+def problems_after(change):
+    """Return the paths of the problems after a change of the builtins."""
+    value = msgspec.to_builtins(make_configuration())
+    value = msgspec.json.decode(msgspec.json.encode(value))
+    change(value, value["services"][0])
+    return [problem.path for problem in find_problems(msgspec.convert(value, Configuration))]
+
+
+class ValidateTest(unittest.TestCase):
+    def test_good_configuration_has_no_problems(self):
+        self.assertEqual(find_problems(make_configuration()), ())
+
+    def test_each_rule(self):
+        cases = {
+            "name": lambda c, s: c.update(name=" "),
+            "zones": lambda c, s: c["zones"].append(c["zones"][0]),
+            "zones[A b].name": lambda c, s: c["zones"].append({"name": "A b", "region": "r"}),
+            "services": lambda c, s: c.update(services=[]),
+            "instances": lambda c, s: s["instances"][1].update(backend="ledger-a"),
+            "instances.address": lambda c, s: s["instances"][1].update(address="127.0.0.1:2000"),
+            f"{SERVICE}.instances": lambda c, s: s.update(instances=[]),
+            f"{SERVICE}.instances[ledger-a].availability_zone": lambda c, s: s["instances"][
+                0
+            ].update(availability_zone="z"),
+            f"{SERVICE}.instances[ledger-a].address": lambda c, s: s["instances"][0].update(
+                address="host:1"
+            ),
+            f"{SERVICE}.instances[ledger-a].slots": lambda c, s: s["instances"][0].update(slots=0),
+            f"{SERVICE}.instances[ledger-b].connections": lambda c, s: s["instances"][1].update(
+                slots=10
+            ),
+            f"{SERVICE}.ranks": lambda c, s: s["ranks"].pop(),
+            f"{SERVICE}.ranks[urgent].floor_percent": lambda c, s: s["ranks"][0].update(
+                floor_percent=-1
+            ),
+            f"{SERVICE}.ranks[urgent].queue_limit": lambda c, s: s["ranks"][0].update(
+                queue_limit=0
+            ),
+            f"{SERVICE}.read_kinds[views].max_staleness_ms": lambda c, s: s["read_kinds"][0].update(
+                max_staleness_ms=-1
+            ),
+            f"{SERVICE}.read_kinds[views].fallback_staleness_ms": lambda c, s: s["read_kinds"][
+                0
+            ].update(fallback_staleness_ms=10),
+            f"{SERVICE}.objectives[urgent].target_percent": lambda c, s: s["objectives"][0].update(
+                target_percent=100
+            ),
+            f"{SERVICE}.objectives[urgent].latency_ms": lambda c, s: s["objectives"][0].update(
+                latency_ms=201
+            ),
+            f"{SERVICE}.transactions.open_limit": lambda c, s: s["transactions"].update(
+                open_limit=10
+            ),
+            f"{SERVICE}.transactions.idle_timeout_ms": lambda c, s: s["transactions"].update(
+                idle_timeout_ms=0
+            ),
+            "limits.retry_budget_percent": lambda c, s: c["limits"].update(
+                retry_budget_percent=101
+            ),
+            "limits.message_limit_bytes": lambda c, s: c["limits"].update(message_limit_bytes=0),
+        }
+        for path, change in cases.items():
+            with self.subTest(path):
+                self.assertEqual(problems_after(change), [path])
+
+    def test_floors_add_up_to_at_most_a_hundred(self):
+        def raise_floor(percent):
+            return lambda c, s: s["ranks"][0].update(floor_percent=percent)
+
+        self.assertEqual(problems_after(raise_floor(60)), [])
+        self.assertEqual(problems_after(raise_floor(61)), [f"{SERVICE}.ranks"])
+
+    def test_latency_within_the_timeout(self):
+        paths = problems_after(lambda c, s: s["ranks"][0].update(timeout_ms=150))
+        self.assertEqual(paths, [f"{SERVICE}.objectives[urgent].latency_ms"])
+
+    def test_all_problems_are_reported_with_their_number(self):
+        configuration = msgspec.structs.replace(make_configuration(), name="", zones=())
+        problems = find_problems(configuration)
+        self.assertEqual(len(problems), 4)
+        self.assertTrue(all(str(problem).startswith("7001 ") for problem in problems))
+        with self.assertRaises(UserError) as caught:
+            require_valid(configuration)
+        self.assertEqual(caught.exception.code, ResultCode.CONFIG_INVALID)
+        for problem in problems:
+            self.assertIn(problem.path, str(caught.exception))
--- /dev/null
+++ b/tests/observability/test_metrics.py
@@ -0,0 +1,62 @@
+import re
+import unittest
+import urllib.request
+from datetime import timedelta
+from pathlib import Path
+
+from prometheus_client import generate_latest
+
+from hickorywind.ids import Address, Rank, Role, ServiceName
+from hickorywind.observability.metrics import Metrics, start_metrics_server
+from hickorywind.results import Result, ResultCode
+
+DOCUMENT = Path(__file__).parents[2] / "docs" / "metrics.md"
+SERVICE = ServiceName("sign-offs")
+
+
+class MetricsTest(unittest.TestCase):
+    def test_requests_and_latency_of_those_that_ran(self):
+        metrics = Metrics.with_own_registry()
+        refused = Result.not_run(ResultCode.QUEUE_FULL, "full", 100)
+        took = timedelta(milliseconds=40)
+        metrics.record_request(SERVICE, Rank.URGENT, Result.ok(), took)
+        metrics.record_request(SERVICE, Rank.URGENT, refused, took)
+        labels = {"service": "sign-offs", "rank": "urgent"}
+        count = metrics.registry.get_sample_value
+        refusal = {**labels, "outcome": "not_run", "code": "2001"}
+        self.assertEqual(count("hickorywind_requests_total", refusal), 1)
+        self.assertEqual(count("hickorywind_request_seconds_count", labels), 1)
+        in_time = {**labels, "le": "0.05"}
+        self.assertEqual(count("hickorywind_request_seconds_bucket", in_time), 1)
+
+    def test_server_answers_and_stops(self):
+        metrics = Metrics.with_own_registry()
+        metrics.describe_process(Role.ENTRY, "adum-1", "adum")
+        server = start_metrics_server(Address("127.0.0.1", 0), metrics)
+        with urllib.request.urlopen(f"http://{server.address}/metrics", timeout=5) as answer:
+            text = answer.read().decode()
+        server.close()
+        self.assertIn('host="adum-1"', text)
+        with self.assertRaises(OSError):
+            urllib.request.urlopen(f"http://{server.address}/metrics", timeout=5)
+
+    def test_table_in_the_docs_names_each_metric_with_its_labels(self):
+        rows = re.findall(
+            r"^\| `(hickorywind_\w+)` \| (\w+) \|([^|]*)\|", DOCUMENT.read_text(), re.M
+        )
+        documented = {
+            name: (kind, set(re.findall(r"`(\w+)`", labels))) for name, kind, labels in rows
+        }
+        self.assertEqual(documented, dict(self.defined()))
+
+    def defined(self):
+        metrics = Metrics.with_own_registry()
+        for metric in vars(metrics).values():
+            if hasattr(metric, "_labelnames"):
+                described = metric.describe()[0]
+                yield described.name, (described.type, set(metric._labelnames))
+
+    def test_exposition_is_well_formed(self):
+        self.assertIn(
+            b"hickorywind_queue_length", generate_latest(Metrics.with_own_registry().registry)
+        )
