Accept configurations by compare-and-swap with resolved lost answers

Cause: operators race and the store's answers get lost after a change has taken effect. Ruled out: calling a change 'not applied' because a read still shows the reviewed revision; the swap may yet arrive. The same swap is sent again instead: only one can take effect. Ruled out: history under one key per revision; the store interface deletes nothing, so the list is bounded under a single key. Change: acceptance.py (decision core), history.py, ui/applying.py (runs it against a store). An envelope lists recent change ids, so a change that was replaced at once is still recognised.

--- /dev/null
+++ b/hickorywind/configuration/acceptance.py
@@ -0,0 +1,266 @@
+"""Decide how a reviewed configuration becomes the accepted one.
+
+The store keeps the current document under one key as a ``ChangeEnvelope``; the store revision at
+which that key last changed is *the* revision of the configuration. A change is accepted by
+compare-and-swap against the revision that was reviewed. The same swap may be sent again after a
+lost answer: at most one of them can take effect, and the change id tells whose it was.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import NewType
+
+import msgspec
+
+from hickorywind.configuration.model import Configuration
+from hickorywind.ids import Revision
+from hickorywind.results import ResultCode, UserError
+
+ChangeId = NewType("ChangeId", str)
+
+NO_CHANGE = ChangeId("")
+NOTHING_STORED = Revision(0)
+STORED_LIMIT_BYTES = 1_000_000
+RECENT_CHANGES_KEPT = 32
+_ATTEMPT_LIMIT = 8
+_WAIT_BETWEEN_ATTEMPTS = timedelta(milliseconds=500)
+
+
+def config_key(store_prefix: str) -> str:
+    """Return the store key of the current configuration."""
+    return f"{store_prefix}/config"
+
+
+class ChangeEnvelope(msgspec.Struct, frozen=True, kw_only=True):
+    """Wrap a document with who changed it, why, and which revision was reviewed.
+
+    ``recent_changes`` lists the ids of the changes that led here, oldest first and without this
+    one, so that an operator whose answer was lost can tell later whether the change took effect.
+    """
+
+    change_id: ChangeId
+    author: str
+    note: str
+    reviewed_revision: Revision
+    recent_changes: tuple[ChangeId, ...]
+    document: Configuration
+
+
+@dataclass(frozen=True)
+class StoredEnvelope:
+    """Pair an envelope with its revision."""
+
+    revision: Revision
+    envelope: ChangeEnvelope
+
+
+def encode_envelope(envelope: ChangeEnvelope) -> bytes:
+    """Encode an envelope as JSON; raise ``UserError`` where the store could not hold it."""
+    data = msgspec.json.encode(envelope, order="deterministic")
+    if len(data) > STORED_LIMIT_BYTES:
+        raise UserError(
+            ResultCode.CONFIG_INVALID,
+            f"document takes {len(data)} bytes, the store holds up to {STORED_LIMIT_BYTES}",
+        )
+    return data
+
+
+def decode_envelope(data: bytes) -> ChangeEnvelope:
+    """Decode an envelope; raise ``UserError`` with ``CONFIG_INVALID`` for anything else."""
+    try:
+        return msgspec.json.decode(data, type=ChangeEnvelope)
+    except msgspec.MsgspecError as error:
+        raise UserError(ResultCode.CONFIG_INVALID, f"stored configuration: {error}") from None
+
+
+@dataclass(frozen=True)
+class Proposal:
+    """Hold what an operator asks to accept."""
+
+    change_id: ChangeId
+    author: str
+    note: str
+    reviewed_revision: Revision
+    document: Configuration
+
+
+@dataclass(frozen=True)
+class ReadCurrent:
+    """Read the current envelope after a wait."""
+
+    wait: timedelta = timedelta(0)
+
+
+@dataclass(frozen=True)
+class SwapCurrent:
+    """Write the envelope if the key last changed at ``expected_revision``."""
+
+    expected_revision: Revision
+    envelope: ChangeEnvelope
+
+
+class Verdict(Enum):
+    """Say how an attempt to have a change accepted ended."""
+
+    ACCEPTED = "accepted"
+    SUPERSEDED = "superseded"
+    CONFLICT = "conflict"
+    UNAVAILABLE = "unavailable"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class Finished:
+    """End the attempt.
+
+    ``SUPERSEDED`` means accepted and since replaced by ``current``. ``CONFLICT`` and
+    ``UNAVAILABLE`` mean that the change did not and will not take effect.
+    """
+
+    verdict: Verdict
+    revision: Revision = NOTHING_STORED
+    current: StoredEnvelope | None = None
+
+
+Action = ReadCurrent | SwapCurrent | Finished
+
+
+@dataclass(frozen=True)
+class SwapDone:
+    """Report that the envelope is stored at ``revision``."""
+
+    revision: Revision
+
+
+@dataclass(frozen=True)
+class SwapConflict:
+    """Report that the key had changed since."""
+
+
+@dataclass(frozen=True)
+class SwapUnknown:
+    """Report that no answer came; the swap may have taken, or may yet take, effect."""
+
+
+SwapEnded = SwapDone | SwapConflict | SwapUnknown
+
+
+class Acceptance:
+    """Turn the store's answers into the next step of one change.
+
+    Call ``start`` once, then report the result of each action by ``on_current``, ``on_swapped`` or
+    ``on_unreadable`` until it returns ``Finished``.
+    """
+
+    def __init__(self, proposal: Proposal) -> None:
+        self._proposal = proposal
+        self._base: ChangeId | None = None
+        self._in_doubt = False
+        self._attempts = 0
+
+    def start(self) -> Action:
+        """Return the first action."""
+        return ReadCurrent()
+
+    def on_current(self, current: StoredEnvelope | None) -> Action:
+        """Decide on what the store holds now."""
+        if current is not None and current.envelope.change_id == self._proposal.change_id:
+            same = current.envelope.document == self._proposal.document
+            verdict = Verdict.ACCEPTED if same else Verdict.CONFLICT
+            return Finished(verdict, current.revision, current)
+        if current is not None and self._proposal.change_id in current.envelope.recent_changes:
+            return Finished(Verdict.SUPERSEDED, current.revision, current)
+        revision = current.revision if current is not None else NOTHING_STORED
+        if revision == self._proposal.reviewed_revision:
+            return self._swap(current)
+        if self._in_doubt and not self._rules_out(current):
+            return Finished(Verdict.UNKNOWN, revision, current)
+        return Finished(Verdict.CONFLICT, revision, current)
+
+    def _swap(self, current: StoredEnvelope | None) -> Action:
+        self._attempts += 1
+        if self._attempts > _ATTEMPT_LIMIT:
+            return self._give_up(current)
+        self._base = current.envelope.change_id if current is not None else NO_CHANGE
+        return SwapCurrent(self._proposal.reviewed_revision, self._envelope(current))
+
+    def _envelope(self, current: StoredEnvelope | None) -> ChangeEnvelope:
+        recent: tuple[ChangeId, ...] = ()
+        if current is not None:
+            recent = (*current.envelope.recent_changes, current.envelope.change_id)
+        return ChangeEnvelope(
+            change_id=self._proposal.change_id,
+            author=self._proposal.author,
+            note=self._proposal.note,
+            reviewed_revision=self._proposal.reviewed_revision,
+            recent_changes=recent[-RECENT_CHANGES_KEPT:],
+            document=self._proposal.document,
+        )
+
+    def _rules_out(self, current: StoredEnvelope | None) -> bool:
+        """Tell whether the changes since the reviewed one are all listed, without ours."""
+        if current is None:
+            return False
+        recent = current.envelope.recent_changes
+        if self._base == NO_CHANGE:
+            return len(recent) < RECENT_CHANGES_KEPT
+        return self._base in recent
+
+    def on_swapped(self, outcome: SwapEnded) -> Action:
+        """Decide on the end of a compare-and-swap."""
+        match outcome:
+            case SwapDone(revision):
+                return Finished(Verdict.ACCEPTED, revision)
+            case SwapConflict():
+                return ReadCurrent()
+            case SwapUnknown():
+                self._in_doubt = True
+                return ReadCurrent(_WAIT_BETWEEN_ATTEMPTS)
+
+    def on_unreadable(self) -> Action:
+        """Decide on a failed read."""
+        self._attempts += 1
+        if not self._in_doubt or self._attempts > _ATTEMPT_LIMIT:
+            return self._give_up(None)
+        return ReadCurrent(_WAIT_BETWEEN_ATTEMPTS)
+
+    def _give_up(self, current: StoredEnvelope | None) -> Finished:
+        verdict = Verdict.UNKNOWN if self._in_doubt else Verdict.UNAVAILABLE
+        return Finished(verdict, NOTHING_STORED, current)
+
+
+def explain(finished: Finished, proposal: Proposal) -> UserError | None:
+    """Return the error that an operator sees, or None where the change was accepted."""
+    match finished.verdict:
+        case Verdict.ACCEPTED | Verdict.SUPERSEDED:
+            return None
+        case Verdict.CONFLICT:
+            return UserError(ResultCode.CONFIG_CONFLICT, _explain_conflict(finished, proposal))
+        case Verdict.UNAVAILABLE:
+            return UserError(
+                ResultCode.STORE_UNAVAILABLE,
+                "the store did not answer; nothing was changed, apply again later",
+            )
+        case Verdict.UNKNOWN:
+            return UserError(
+                ResultCode.STORE_OUTCOME_UNKNOWN,
+                f"the store's answer was lost; change {proposal.change_id} may have taken effect,"
+                f" find out by applying again with --change-id {proposal.change_id}",
+            )
+
+
+def _explain_conflict(finished: Finished, proposal: Proposal) -> str:
+    reviewed = proposal.reviewed_revision
+    if finished.current is None:
+        return f"not applied: revision {reviewed} was reviewed, but the store holds none"
+    other = finished.current.envelope
+    if other.change_id == proposal.change_id:
+        return f"not applied: change id {other.change_id} already stands for another document"
+    return (
+        f"not applied: revision {reviewed} was reviewed, but revision {finished.revision} is"
+        f" current, change {other.change_id} by {other.author} ({other.note});"
+        " review the difference and apply again"
+    )
--- /dev/null
+++ b/hickorywind/configuration/history.py
@@ -0,0 +1,86 @@
+"""Keep a short list of accepted changes for operators to read.
+
+The list lives under one store key and is written after a change was accepted. It informs only: a
+lost entry loses no configuration. Documents themselves are kept where they were reviewed.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from hickorywind.configuration.acceptance import ChangeEnvelope, ChangeId
+from hickorywind.configuration.difference import Change
+from hickorywind.ids import Revision
+
+ENTRY_LIMIT = 100
+CHANGE_LINE_LIMIT = 30
+CHANGE_LINE_CHARACTERS = 200
+
+
+def history_key(store_prefix: str) -> str:
+    """Return the store key of the history."""
+    return f"{store_prefix}/history"
+
+
+class HistoryEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe one accepted change.
+
+    ``accepted_at`` is the operator's clock in ISO form, empty where the operator's own entry was
+    lost and another command filled in. ``changes`` are lines of the difference, cut short.
+    """
+
+    revision: Revision
+    change_id: ChangeId
+    author: str
+    note: str
+    reviewed_revision: Revision
+    accepted_at: str = ""
+    changes: tuple[str, ...] = ()
+
+
+def make_entry(
+    revision: Revision,
+    envelope: ChangeEnvelope,
+    accepted_at: str = "",
+    changes: tuple[Change, ...] = (),
+) -> HistoryEntry:
+    """Build the entry of an accepted change."""
+    return HistoryEntry(
+        revision=revision,
+        change_id=envelope.change_id,
+        author=envelope.author,
+        note=envelope.note,
+        reviewed_revision=envelope.reviewed_revision,
+        accepted_at=accepted_at,
+        changes=_shorten(changes),
+    )
+
+
+def _shorten(changes: tuple[Change, ...]) -> tuple[str, ...]:
+    lines = [str(change)[:CHANGE_LINE_CHARACTERS] for change in changes[:CHANGE_LINE_LIMIT]]
+    left_out = len(changes) - len(lines)
+    if left_out:
+        lines.append(f"and {left_out} more")
+    return tuple(lines)
+
+
+def add_entries(
+    held: tuple[HistoryEntry, ...], new: tuple[HistoryEntry, ...]
+) -> tuple[HistoryEntry, ...]:
+    """Return the newest entries of both by revision; what is held wins for equal revisions."""
+    by_revision = {entry.revision: entry for entry in (*new, *held)}
+    ordered = sorted(by_revision.values(), key=lambda entry: entry.revision)
+    return tuple(ordered[-ENTRY_LIMIT:])
+
+
+def encode_history(entries: tuple[HistoryEntry, ...]) -> bytes:
+    """Encode a history as JSON."""
+    return msgspec.json.encode(entries, order="deterministic")
+
+
+def decode_history(data: bytes) -> tuple[HistoryEntry, ...]:
+    """Decode a history; one that can't be read counts as empty."""
+    try:
+        return msgspec.json.decode(data, type=tuple[HistoryEntry, ...])
+    except msgspec.MsgspecError:
+        return ()
--- /dev/null
+++ b/hickorywind/ui/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the command-line tool ``hickorywind``."""
--- /dev/null
+++ b/hickorywind/ui/applying.py
@@ -0,0 +1,183 @@
+"""Carry out the acceptance of a configuration at the store."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from hickorywind.configuration.acceptance import (
+    Acceptance,
+    Action,
+    Finished,
+    Proposal,
+    ReadCurrent,
+    StoredEnvelope,
+    SwapConflict,
+    SwapCurrent,
+    SwapDone,
+    SwapEnded,
+    SwapUnknown,
+    Verdict,
+    config_key,
+    decode_envelope,
+    encode_envelope,
+)
+from hickorywind.configuration.difference import compare
+from hickorywind.configuration.history import (
+    HistoryEntry,
+    add_entries,
+    decode_history,
+    encode_history,
+    history_key,
+    make_entry,
+)
+from hickorywind.results import ResultCode, UserError
+from hickorywind.store.interface import (
+    NEVER_WRITTEN,
+    Store,
+    StoreUnavailableError,
+    SwapOutcome,
+    SwapResult,
+)
+
+logger = logging.getLogger(__name__)
+
+_HISTORY_ATTEMPTS = 3
+
+Sleep = Callable[[float], Awaitable[None]]
+
+
+async def read_current(store: Store, prefix: str) -> StoredEnvelope | None:
+    """Read the accepted configuration; raise ``StoreUnavailableError`` or ``UserError``."""
+    stored = await store.get(config_key(prefix))
+    if stored is None:
+        return None
+    return StoredEnvelope(stored.revision, decode_envelope(stored.value))
+
+
+async def require_current(store: Store, prefix: str) -> StoredEnvelope | None:
+    """Read the accepted configuration; raise ``UserError`` also where the store is down."""
+    try:
+        return await read_current(store, prefix)
+    except StoreUnavailableError as error:
+        raise _store_down(error) from None
+
+
+def _store_down(error: StoreUnavailableError) -> UserError:
+    return UserError(ResultCode.STORE_UNAVAILABLE, f"the store did not answer: {error}")
+
+
+@dataclass
+class Applied:
+    """Report how a proposal ended; ``before`` is what it replaced, where that was read."""
+
+    finished: Finished
+    before: StoredEnvelope | None
+    written: SwapCurrent | None
+
+
+class Applier:
+    """Run ``Acceptance`` against a store."""
+
+    def __init__(self, store: Store, prefix: str, sleep: Sleep = asyncio.sleep) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._sleep = sleep
+
+    async def apply(self, proposal: Proposal, now: datetime) -> Finished:
+        """Try to have a proposal accepted, and note it in the history where it was."""
+        applied = await self._run(proposal)
+        if applied.finished.verdict is Verdict.ACCEPTED and applied.written is not None:
+            await self._note(applied, applied.written, now)
+        return applied.finished
+
+    async def _run(self, proposal: Proposal) -> Applied:
+        acceptance = Acceptance(proposal)
+        applied = Applied(Finished(Verdict.UNAVAILABLE), None, None)
+        action: Action = acceptance.start()
+        while True:
+            match action:
+                case Finished():
+                    applied.finished = action
+                    return applied
+                case ReadCurrent(wait):
+                    action = await self._read(acceptance, applied, wait)
+                case SwapCurrent():
+                    applied.written = action
+                    action = acceptance.on_swapped(await self._swap(action))
+
+    async def _read(self, acceptance: Acceptance, applied: Applied, wait: timedelta) -> Action:
+        if wait:
+            await self._sleep(wait.total_seconds())
+        try:
+            current = await read_current(self._store, self._prefix)
+        except StoreUnavailableError:
+            return acceptance.on_unreadable()
+        if applied.written is None:
+            applied.before = current
+        return acceptance.on_current(current)
+
+    async def _swap(self, action: SwapCurrent) -> SwapEnded:
+        data = encode_envelope(action.envelope)
+        key = config_key(self._prefix)
+        try:
+            result = await self._store.compare_and_swap(key, action.expected_revision, data)
+        except StoreUnavailableError:
+            # A store that breaks off in mid-call may still have taken the change.
+            return SwapUnknown()
+        return _to_event(result)
+
+    async def _note(self, applied: Applied, written: SwapCurrent, now: datetime) -> None:
+        before = applied.before
+        document = before.envelope.document if before is not None else None
+        changes = compare(document, written.envelope.document)
+        when = now.isoformat(timespec="seconds")
+        entry = make_entry(applied.finished.revision, written.envelope, when, changes)
+        entries = (entry,)
+        if before is not None:
+            entries = (make_entry(before.revision, before.envelope), entry)
+        try:
+            await self._write_history(entries)
+        except StoreUnavailableError as error:
+            logger.warning("history_not_written", extra={"error": str(error)})
+
+    async def _write_history(self, entries: tuple[HistoryEntry, ...]) -> None:
+        key = history_key(self._prefix)
+        for _ in range(_HISTORY_ATTEMPTS):
+            stored = await self._store.get(key)
+            held = decode_history(stored.value) if stored is not None else ()
+            revision = stored.revision if stored is not None else NEVER_WRITTEN
+            data = encode_history(add_entries(held, entries))
+            result = await self._store.compare_and_swap(key, revision, data)
+            if result.outcome is SwapOutcome.DONE:
+                return
+        logger.warning("history_not_written", extra={"error": "kept changing"})
+
+
+def _to_event(result: SwapResult) -> SwapEnded:
+    match result.outcome:
+        case SwapOutcome.DONE:
+            return SwapDone(result.revision)
+        case SwapOutcome.CONFLICT:
+            return SwapConflict()
+        case SwapOutcome.UNKNOWN:
+            return SwapUnknown()
+
+
+async def read_history(store: Store, prefix: str) -> tuple[HistoryEntry, ...]:
+    """Return the accepted changes, oldest first; the current one is always among them.
+
+    Raise ``UserError``.
+    """
+    try:
+        stored = await store.get(history_key(prefix))
+        current = await read_current(store, prefix)
+    except StoreUnavailableError as error:
+        raise _store_down(error) from None
+    held = decode_history(stored.value) if stored is not None else ()
+    if current is None:
+        return held
+    return add_entries(held, (make_entry(current.revision, current.envelope),))
