Report service-level burn from samples of the metrics

Ruled out: estimating lateness between histogram bounds; objectives name a bound, so counts are exact.

--- /dev/null
+++ b/hickorywind/report/__init__.py
@@ -0,0 +1,1 @@
+"""Report how fast services spend the errors that their objectives allow."""
--- /dev/null
+++ b/hickorywind/report/burn.py
@@ -0,0 +1,151 @@
+"""Compute burn rates of service-level objectives over several windows.
+
+A burn rate of 1 spends exactly the errors that the objective allows. An alert needs a long window,
+which shows that it matters, and a short one, which shows that it still goes on. See Beyer et al.,
+"The Site Reliability Workbook", 2018, chapter 5.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+from hickorywind.report.counting import (
+    Counts,
+    Increase,
+    ServiceObjective,
+    add_up,
+    list_increases,
+)
+from hickorywind.report.samples import Sample
+
+WINDOWS = (
+    timedelta(minutes=5),
+    timedelta(hours=1),
+    timedelta(hours=6),
+    timedelta(days=3),
+)
+BUDGET_WINDOW = WINDOWS[-1]
+_HUNDRED_PERCENT = 100.0
+
+
+class Alert(Enum):
+    """Say how urgently a burn rate needs a person."""
+
+    NONE = "none"
+    TICKET = "ticket"
+    PAGE = "page"
+
+
+@dataclass(frozen=True)
+class AlertRule:
+    """Raise an alert where both windows burn at ``burn_rate`` or faster."""
+
+    short: timedelta
+    long: timedelta
+    burn_rate: float
+    alert: Alert
+
+
+ALERT_RULES = (
+    AlertRule(WINDOWS[0], WINDOWS[1], 14.4, Alert.PAGE),
+    AlertRule(WINDOWS[1], WINDOWS[2], 6.0, Alert.PAGE),
+    AlertRule(WINDOWS[2], WINDOWS[3], 1.0, Alert.TICKET),
+)
+
+
+@dataclass(frozen=True)
+class WindowBurn:
+    """Report one window; ``covered`` is the part of it for which there are samples."""
+
+    window: timedelta
+    covered: timedelta
+    counts: Counts
+    burn_rate: float
+
+
+@dataclass(frozen=True)
+class ObjectiveBurn:
+    """Report one objective; ``budget_left_percent`` is of the errors that 3 days allow."""
+
+    wanted: ServiceObjective
+    windows: tuple[WindowBurn, ...]
+    budget_left_percent: float
+    alert: Alert
+
+
+@dataclass(frozen=True)
+class BurnPoint:
+    """Hold the burn rate of one window that ends at ``at_seconds``."""
+
+    at_seconds: float
+    burn_rate: float
+
+
+def burn_rate_of(counts: Counts, target_percent: float) -> float:
+    """Return the share of bad requests in units of the share allowed; 0 without requests."""
+    if counts.total <= 0:
+        return 0.0
+    allowed = (_HUNDRED_PERCENT - target_percent) / _HUNDRED_PERCENT
+    return counts.bad / counts.total / allowed
+
+
+def compute_burn(
+    samples: Sequence[Sample], objectives: Sequence[ServiceObjective]
+) -> tuple[ObjectiveBurn, ...]:
+    """Return the burn of each objective at the time of the latest sample."""
+    if not samples:
+        return ()
+    start = min(sample.at_seconds for sample in samples)
+    end = max(sample.at_seconds for sample in samples)
+    return tuple(_compute_objective(samples, wanted, start, end) for wanted in objectives)
+
+
+def _compute_objective(
+    samples: Sequence[Sample], wanted: ServiceObjective, start: float, end: float
+) -> ObjectiveBurn:
+    increases = list_increases(samples, wanted)
+    recorded = timedelta(seconds=end - start)
+    target = wanted.objective.target_percent
+    windows = tuple(_compute_window(increases, window, recorded, end, target) for window in WINDOWS)
+    spent_percent = _find(windows, BUDGET_WINDOW).burn_rate * _HUNDRED_PERCENT
+    left = _HUNDRED_PERCENT - spent_percent
+    return ObjectiveBurn(wanted, windows, left, _choose_alert(windows))
+
+
+def _compute_window(
+    increases: Sequence[Increase],
+    window: timedelta,
+    recorded: timedelta,
+    end: float,
+    target_percent: float,
+) -> WindowBurn:
+    counts = add_up(increases, end - window.total_seconds(), end)
+    return WindowBurn(window, min(window, recorded), counts, burn_rate_of(counts, target_percent))
+
+
+def _find(windows: Sequence[WindowBurn], wanted: timedelta) -> WindowBurn:
+    return next(window for window in windows if window.window == wanted)
+
+
+def _choose_alert(windows: Sequence[WindowBurn]) -> Alert:
+    for rule in ALERT_RULES:
+        pair = (_find(windows, rule.short), _find(windows, rule.long))
+        if all(window.burn_rate >= rule.burn_rate for window in pair):
+            return rule.alert
+    return Alert.NONE
+
+
+def burn_over_time(
+    samples: Sequence[Sample], wanted: ServiceObjective, window: timedelta
+) -> tuple[BurnPoint, ...]:
+    """Return the burn rate of a moving window at the time of each sample."""
+    increases = list_increases(samples, wanted)
+    width = window.total_seconds()
+    target = wanted.objective.target_percent
+    return tuple(
+        BurnPoint(at, burn_rate_of(add_up(increases, at - width, at), target))
+        for at in sorted({increase.at_seconds for increase in increases})
+    )
--- /dev/null
+++ b/hickorywind/report/counting.py
@@ -0,0 +1,109 @@
+"""Turn samples of counters into the good and bad requests of an objective over time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from hickorywind.configuration.model import Configuration, Objective
+from hickorywind.ids import ServiceName
+from hickorywind.report.samples import RankCounts, Sample
+from hickorywind.results import ResultCode
+
+# The caller's own doing: neither good nor bad.
+_CALLER_FAULTS = range(1_000, 2_000)
+_NOT_COUNTED = frozenset({ResultCode.CANCELLED})
+
+
+@dataclass(frozen=True)
+class ServiceObjective:
+    """Pair an objective with its database service."""
+
+    service: ServiceName
+    objective: Objective
+
+    def __str__(self) -> str:
+        goal = self.objective
+        return f"{self.service} {goal.rank.value} {goal.target_percent:g}% in {goal.latency_ms} ms"
+
+
+def list_objectives(configuration: Configuration) -> tuple[ServiceObjective, ...]:
+    """Return the objectives of all services."""
+    return tuple(
+        ServiceObjective(service.name, objective)
+        for service in configuration.services
+        for objective in service.objectives
+    )
+
+
+@dataclass(frozen=True)
+class Counts:
+    """Count all requests that concern an objective, and the good ones among them."""
+
+    total: float = 0.0
+    good: float = 0.0
+
+    @property
+    def bad(self) -> float:
+        """Return the requests refused, late or of unknown outcome."""
+        return max(self.total - self.good, 0.0)
+
+    def __add__(self, other: Counts) -> Counts:
+        return Counts(self.total + other.total, self.good + other.good)
+
+    def since(self, earlier: Counts) -> Counts:
+        """Return the increase; counters that went down belong to a process that restarted."""
+        if self.total < earlier.total or self.good < earlier.good:
+            return self
+        return Counts(self.total - earlier.total, self.good - earlier.good)
+
+
+@dataclass(frozen=True)
+class Increase:
+    """Count what ended between two samples of a process, the later of them at ``at_seconds``."""
+
+    at_seconds: float
+    counts: Counts
+
+
+def count(sample: Sample, wanted: ServiceObjective) -> Counts:
+    """Return the counts of an objective since the sampled process started."""
+    totals = Counts()
+    for ranks in sample.ranks:
+        if ranks.service == wanted.service and ranks.rank is wanted.objective.rank:
+            totals += Counts(_count_total(ranks), _count_good(ranks, wanted.objective))
+    return totals
+
+
+def _count_total(ranks: RankCounts) -> float:
+    return sum(entry.count for entry in ranks.ended if _concerns_objective(entry.code))
+
+
+def _concerns_objective(code: int) -> bool:
+    return code not in _CALLER_FAULTS and code not in _NOT_COUNTED
+
+
+def _count_good(ranks: RankCounts, objective: Objective) -> float:
+    within = [entry.count for entry in ranks.in_time if entry.bound_ms <= objective.latency_ms]
+    return max(within, default=0.0)
+
+
+def list_increases(samples: Sequence[Sample], wanted: ServiceObjective) -> tuple[Increase, ...]:
+    """Return what each process added between its samples, in order of time."""
+    latest: dict[str, Counts] = {}
+    increases = []
+    for sample in sorted(samples, key=lambda sample: sample.at_seconds):
+        counts = count(sample, wanted)
+        if sample.source in latest:
+            increases.append(Increase(sample.at_seconds, counts.since(latest[sample.source])))
+        latest[sample.source] = counts
+    return tuple(increases)
+
+
+def add_up(increases: Iterable[Increase], after_seconds: float, until_seconds: float) -> Counts:
+    """Return the sum of the increases that ended after one time and until another."""
+    totals = Counts()
+    for increase in increases:
+        if after_seconds < increase.at_seconds <= until_seconds:
+            totals += increase.counts
+    return totals
--- /dev/null
+++ b/hickorywind/report/table.py
@@ -0,0 +1,84 @@
+"""Lay out a burn report as text and as JSON."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+import msgspec
+
+from hickorywind.report.burn import ObjectiveBurn, WindowBurn
+
+_HEADINGS = ("objective", "window", "covered", "good", "bad", "burn rate", "budget left", "alert")
+_MINUTE = timedelta(minutes=1)
+_HOUR = timedelta(hours=1)
+_DAY = timedelta(days=1)
+
+
+class BurnRow(msgspec.Struct, frozen=True):
+    """Hold one line of the report; the JSON output is a list of these."""
+
+    objective: str
+    window_seconds: float
+    covered_seconds: float
+    good: float
+    bad: float
+    burn_rate: float
+    budget_left_percent: float
+    alert: str
+
+
+def make_rows(burns: Sequence[ObjectiveBurn]) -> tuple[BurnRow, ...]:
+    """Return one row for each objective and window."""
+    return tuple(_make_row(burn, window) for burn in burns for window in burn.windows)
+
+
+def _make_row(burn: ObjectiveBurn, window: WindowBurn) -> BurnRow:
+    return BurnRow(
+        objective=str(burn.wanted),
+        window_seconds=window.window.total_seconds(),
+        covered_seconds=window.covered.total_seconds(),
+        good=window.counts.good,
+        bad=window.counts.bad,
+        burn_rate=round(window.burn_rate, 4),
+        budget_left_percent=round(burn.budget_left_percent, 2),
+        alert=burn.alert.value,
+    )
+
+
+def format_rows(rows: Sequence[BurnRow]) -> str:
+    """Return the report as an aligned table."""
+    return format_table(_HEADINGS, [_to_cells(row) for row in rows])
+
+
+def _to_cells(row: BurnRow) -> tuple[str, ...]:
+    return (
+        row.objective,
+        format_duration(timedelta(seconds=row.window_seconds)),
+        format_duration(timedelta(seconds=row.covered_seconds)),
+        f"{row.good:.0f}",
+        f"{row.bad:.0f}",
+        f"{row.burn_rate:.2f}",
+        f"{row.budget_left_percent:.1f}%",
+        row.alert,
+    )
+
+
+def format_duration(duration: timedelta) -> str:
+    """Write a duration in its largest unit, e.g. ``6 h``."""
+    for unit, name in ((_DAY, "d"), (_HOUR, "h"), (_MINUTE, "min")):
+        if duration >= unit:
+            return f"{duration / unit:.3g} {name}"
+    return f"{duration.total_seconds():.3g} s"
+
+
+def format_table(headings: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    """Align cells in columns."""
+    lines = [headings, *rows]
+    widths = [max(len(line[column]) for line in lines) for column in range(len(headings))]
+    return "".join(_format_line(line, widths) for line in lines)
+
+
+def _format_line(cells: Sequence[str], widths: Sequence[int]) -> str:
+    padded = [cell.ljust(width) for cell, width in zip(cells, widths, strict=True)]
+    return "  ".join(padded).rstrip() + "\n"
