--- /dev/null
+++ b/hickorywind/store/etcd.py
@@ -0,0 +1,166 @@
+"""Reach an etcd v3 store with bounded calls and honest outcomes.
+
+Uses aetcd's generated stubs on a gRPC channel rather than its client, whose watches and
+reconnections are not bounded in time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable
+from datetime import timedelta
+from typing import Any, Self
+
+import grpc
+from aetcd import rpc
+
+from hickorywind.ids import Address, Revision
+from hickorywind.store.interface import (
+    NEVER_WRITTEN,
+    StoredValue,
+    StoreUnavailableError,
+    SwapOutcome,
+    SwapResult,
+)
+
+_MESSAGE_LIMIT_BYTES = 16_777_216
+_CHANNEL_OPTIONS = (
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+    ("grpc.keepalive_time_ms", 10_000),
+    ("grpc.keepalive_timeout_ms", 3_000),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.max_receive_message_length", _MESSAGE_LIMIT_BYTES),
+    ("grpc.enable_http_proxy", 0),
+)
+_GRACE_S = 0.5
+
+
+class EtcdStore:
+    """Read, swap and watch keys of an etcd v3 store; implements ``Store``."""
+
+    def __init__(self, channel: grpc.aio.Channel, timeout: timedelta) -> None:
+        self._channel = channel
+        self._timeout_s = timeout.total_seconds()
+        self._values = rpc.KVStub(channel)
+        self._watches = rpc.WatchStub(channel)
+        self._leases = rpc.LeaseStub(channel)
+
+    @classmethod
+    def from_address(cls, address: Address, timeout: timedelta) -> Self:
+        """Open a channel, which connects on the first call; needs a running event loop."""
+        channel = rpc.insecure_channel(str(address), options=_CHANNEL_OPTIONS)
+        return cls(channel, timeout)
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Read one key; raise ``StoreUnavailableError``."""
+        request = rpc.RangeRequest(key=key.encode())
+        response = await self._read(self._values.Range(request, timeout=self._timeout_s))
+        return _stored_value(response.kvs[0]) if response.kvs else None
+
+    async def get_prefix(self, prefix: str) -> tuple[StoredValue, ...]:
+        """Read all keys with a prefix in key order; raise ``StoreUnavailableError``."""
+        request = rpc.RangeRequest(
+            key=_range_start(prefix),
+            range_end=_range_end(prefix),
+            sort_order=rpc.RangeRequest.ASCEND,
+            sort_target=rpc.RangeRequest.KEY,
+        )
+        response = await self._read(self._values.Range(request, timeout=self._timeout_s))
+        return tuple(_stored_value(value) for value in response.kvs)
+
+    async def compare_and_swap(
+        self, key: str, expected_revision: Revision, value: bytes
+    ) -> SwapResult:
+        """Write a key if its last change was at ``expected_revision`` (NEVER_WRITTEN: absent).
+
+        Any failure of the call is reported as unknown, because the write may have taken effect.
+        """
+        unchanged = rpc.Compare(
+            key=key.encode(),
+            target=rpc.Compare.MOD,
+            result=rpc.Compare.EQUAL,
+            mod_revision=expected_revision,
+        )
+        put = rpc.RequestOp(request_put=rpc.PutRequest(key=key.encode(), value=value))
+        request = rpc.TxnRequest(compare=[unchanged], success=[put])
+        try:
+            response = await self._read(self._values.Txn(request, timeout=self._timeout_s))
+        except StoreUnavailableError:
+            return SwapResult(SwapOutcome.UNKNOWN)
+        if not response.succeeded:
+            return SwapResult(SwapOutcome.CONFLICT)
+        return SwapResult(SwapOutcome.DONE, Revision(response.header.revision))
+
+    async def put_with_lease(self, key: str, value: bytes, ttl_seconds: int) -> None:
+        """Write a key that vanishes after ``ttl_seconds``; raise ``StoreUnavailableError``."""
+        grant = rpc.LeaseGrantRequest(TTL=ttl_seconds)
+        lease = await self._read(self._leases.LeaseGrant(grant, timeout=self._timeout_s))
+        put = rpc.PutRequest(key=key.encode(), value=value, lease=lease.ID)
+        await self._read(self._values.Put(put, timeout=self._timeout_s))
+
+    async def watch_prefix(
+        self, prefix: str, after_revision: Revision = NEVER_WRITTEN
+    ) -> AsyncIterator[StoredValue]:
+        """Yield later changes under a prefix; raise ``StoreUnavailableError`` when cut.
+
+        A deleted key is yielded with an empty value. With ``after_revision`` the changes since
+        that revision come first, so that none is missed between a read and its watch.
+        """
+        create = rpc.WatchCreateRequest(
+            key=_range_start(prefix),
+            range_end=_range_end(prefix),
+            start_revision=after_revision + 1 if after_revision else 0,
+        )
+        call = self._watches.Watch()
+        try:
+            async for response in self._responses(call, rpc.WatchRequest(create_request=create)):
+                for event in response.events:
+                    yield _stored_value(event.kv)
+        finally:
+            call.cancel()
+
+    async def _responses(self, call: Any, request: Any) -> AsyncIterator[Any]:
+        await self._read(call.write(request))
+        response = await self._read(call.read())
+        while response is not grpc.aio.EOF and not response.canceled:
+            yield response
+            response = await _translate(call.read())
+        raise StoreUnavailableError("the store ended the watch")
+
+    async def _read(self, call: Awaitable[Any]) -> Any:
+        try:
+            return await asyncio.wait_for(_translate(call), self._timeout_s + _GRACE_S)
+        except TimeoutError as error:
+            raise StoreUnavailableError("the store did not answer in time") from error
+
+    async def close(self) -> None:
+        """Release the connection."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._channel.close(), self._timeout_s)
+
+
+async def _translate(call: Awaitable[Any]) -> Any:
+    try:
+        return await call
+    except grpc.aio.AioRpcError as error:
+        raise StoreUnavailableError(f"{error.code().name}: {error.details()}") from error
+    except (grpc.aio.UsageError, asyncio.InvalidStateError) as error:
+        raise StoreUnavailableError(str(error)) from error
+
+
+def _stored_value(value: Any) -> StoredValue:
+    return StoredValue(value.key.decode(), value.value, Revision(value.mod_revision))
+
+
+def _range_start(prefix: str) -> bytes:
+    return prefix.encode() or b"\0"
+
+
+def _range_end(prefix: str) -> bytes:
+    """Return the first key after all keys with a prefix, or etcd's mark for no end."""
+    data = prefix.encode().rstrip(b"\xff")
+    return data[:-1] + bytes([data[-1] + 1]) if data else b"\0"
--- /dev/null
+++ b/standins/backend/database.py
@@ -0,0 +1,244 @@
+"""Run SQL on sqlite: one database file per generation, one connection per session.
+
+The file holds the log position it reflects in a table of its own, so that every snapshot knows
+exactly which log prefix it shows.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import sqlite3
+import threading
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+from pathlib import Path
+
+from hickorywind.ids import EMPTY_LOG, LogPosition, Term
+from standins.backend.errors import SqlError
+from standins.backend.log import Entry, SqlValue
+
+VERSION = "PostgreSQL 16.0 (hickorywind stand-in on sqlite)"
+SERVER_VERSION = "16.0"
+
+_POSITION_TABLE = "standin_position"
+_BUSY_TIMEOUT_S = 5.0
+
+
+@dataclass(frozen=True)
+class Rows:
+    """Hold the outcome of one statement and the position of the snapshot it saw."""
+
+    names: tuple[str, ...]
+    rows: list[tuple[SqlValue, ...]]
+    changed: int
+    position: LogPosition
+
+
+@dataclass
+class Database:
+    """Own the current database file; ``generation`` grows when it is rebuilt from the log."""
+
+    folder: Path
+    database_name: str
+    generation: int = 0
+    paths: dict[int, Path] = field(default_factory=dict)
+
+    @property
+    def path(self) -> Path:
+        """Return the current file."""
+        return self.paths[self.generation]
+
+    def create(self, generation: int) -> None:
+        """Create an empty file for a generation, not yet the current one."""
+        path = self.folder / f"{generation}.sqlite"
+        self.paths[generation] = path
+        with contextlib.closing(sqlite3.connect(path, isolation_level=None)) as connection:
+            connection.execute("PRAGMA journal_mode=WAL")
+            connection.execute(f"CREATE TABLE {_POSITION_TABLE} (term INTEGER, offset INTEGER)")
+            connection.execute(f"INSERT INTO {_POSITION_TABLE} VALUES (0, 0)")
+
+
+class Connection:
+    """Run statements of one session; calls block, so they belong in a worker thread."""
+
+    def __init__(self, database: Database, backend_pid: int = 0) -> None:
+        self._database = database
+        self._backend_pid = backend_pid
+        self._generation = -1
+        self._sqlite: sqlite3.Connection | None = None
+        self._timestamp = ""
+        self._cancelled = threading.Event()
+        self._committing = False
+        self.probing = False
+
+    def open(self, generation: int) -> None:
+        """Open the file of a generation, closing any other."""
+        self.close()
+        path = self._database.paths[generation]
+        self._sqlite = sqlite3.connect(
+            path, isolation_level=None, check_same_thread=False, timeout=_BUSY_TIMEOUT_S
+        )
+        self._sqlite.execute("PRAGMA synchronous=OFF")
+        self._generation = generation
+        self._register_functions(self._sqlite)
+
+    def close(self) -> None:
+        """Close the file, rolling back what is open."""
+        if self._sqlite is not None:
+            self._sqlite.close()
+            self._sqlite = None
+
+    @property
+    def in_transaction(self) -> bool:
+        """Tell whether a sqlite transaction is open."""
+        return self._sqlite is not None and self._sqlite.in_transaction
+
+    def cancel(self) -> None:
+        """Interrupt the statement that runs, from any thread."""
+        self._cancelled.set()
+        if self._sqlite is not None and not self._committing:
+            self._sqlite.interrupt()
+
+    def clear_cancel(self) -> None:
+        """Forget a cancel request before the next statement."""
+        self._cancelled.clear()
+
+    def _current(self) -> sqlite3.Connection:
+        if self._cancelled.is_set():
+            raise SqlError("57014", "canceling statement due to user request")
+        if self._sqlite is None or (
+            self._generation != self._database.generation and not self._sqlite.in_transaction
+        ):
+            self.open(self._database.generation)
+        return self._sqlite
+
+    def run(self, sql: str, parameters: Sequence[SqlValue]) -> Rows:
+        """Run a statement in the open transaction, or on a snapshot of its own."""
+        connection = self._current()
+        with _translated_errors(), self._snapshot(connection):
+            position = self._position(connection)
+            cursor = connection.execute(sql, tuple(parameters))
+            rows = cursor.fetchall()
+            names = tuple(column[0] for column in cursor.description or ())
+            return Rows(names, rows, max(cursor.rowcount, 0), position)
+
+    def first_row(self, sql: str, parameters: Sequence[SqlValue]) -> tuple[SqlValue, ...] | None:
+        """Return the first row of a read, to learn the types of its values."""
+        connection = self._current()
+        self.probing = True
+        try:
+            with _translated_errors(), self._snapshot(connection):
+                return connection.execute(sql, tuple(parameters)).fetchone()
+        finally:
+            self.probing = False
+
+    def raw(self, sql: str) -> list[tuple[SqlValue, ...]]:
+        """Run a statement of the stand-in's own, e.g. a PRAGMA."""
+        with _translated_errors():
+            return self._current().execute(sql).fetchall()
+
+    def begin(self, immediate: bool, timestamp: str) -> LogPosition:
+        """Open a transaction and return the position it sees; ``now()`` is ``timestamp``."""
+        connection = self._current()
+        with _translated_errors():
+            connection.execute("BEGIN IMMEDIATE" if immediate else "BEGIN")
+            position = self._position(connection)
+        self._timestamp = timestamp
+        return position
+
+    def commit(self, position: LogPosition | None) -> None:
+        """Commit, noting the log position that the file reflects from now on."""
+        self._committing = True
+        try:
+            if position is not None:
+                self._note_position(position)
+            self._sqlite.execute("COMMIT")
+        finally:
+            self._committing = False
+        self._timestamp = ""
+
+    def _note_position(self, position: LogPosition) -> None:
+        self._sqlite.execute(
+            f"UPDATE {_POSITION_TABLE} SET term = ?, offset = ?", (position.term, position.offset)
+        )
+
+    def rollback(self) -> None:
+        """Undo the open transaction, if any."""
+        if self.in_transaction:
+            self._sqlite.execute("ROLLBACK")
+        self._timestamp = ""
+
+    def position(self) -> LogPosition:
+        """Return the position of the newest committed snapshot."""
+        return self._position(self._current())
+
+    def apply(self, entries: Sequence[Entry], last: LogPosition) -> None:
+        """Run logged transactions as one and note the position of the last."""
+        connection = self._current()
+        connection.execute("BEGIN IMMEDIATE")
+        for entry in entries:
+            self._timestamp = entry.timestamp
+            for statement in entry.statements:
+                connection.execute(statement.sql, statement.parameters).fetchall()
+        self.commit(last)
+
+    def _position(self, connection: sqlite3.Connection) -> LogPosition:
+        row = connection.execute(f"SELECT term, offset FROM {_POSITION_TABLE}").fetchone()
+        return LogPosition(Term(row[0]), row[1]) if row else EMPTY_LOG
+
+    @contextlib.contextmanager
+    def _snapshot(self, connection: sqlite3.Connection) -> Iterator[None]:
+        if connection.in_transaction:
+            yield
+            return
+        connection.execute("BEGIN")
+        try:
+            yield
+        finally:
+            connection.execute("ROLLBACK")
+
+    def _now(self) -> str:
+        return self._timestamp or utc_now()
+
+    def _sleep(self, seconds: float) -> str:
+        if not self.probing and self._cancelled.wait(float(seconds)):
+            raise InterruptedError("canceling statement")
+        return ""
+
+    def _register_functions(self, connection: sqlite3.Connection) -> None:
+        def register(name: str, count: int, function: object) -> None:
+            connection.create_function(name, count, function)
+
+        register("now", 0, self._now)
+        register("transaction_timestamp", 0, self._now)
+        register("clock_timestamp", 0, utc_now)
+        register("version", 0, lambda: VERSION)
+        register("current_database", 0, lambda: self._database.database_name)
+        register("current_schema", 0, lambda: "public")
+        register("pg_backend_pid", 0, lambda: self._backend_pid)
+        register("pg_sleep", 1, self._sleep)
+        register("pg_is_in_recovery", 0, lambda: 0)
+        register("repeat", 2, lambda text, count: str(text) * count)
+        register("concat", -1, lambda *parts: "".join(str(p) for p in parts if p is not None))
+        register("greatest", -1, lambda *values: max(v for v in values if v is not None))
+        register("least", -1, lambda *values: min(v for v in values if v is not None))
+
+
+@contextlib.contextmanager
+def _translated_errors() -> Iterator[None]:
+    try:
+        yield
+    except sqlite3.OperationalError as error:
+        if "user-defined function raised" in str(error):
+            raise SqlError("57014", "canceling statement due to user request") from error
+        raise SqlError.from_sqlite(error) from error
+    except sqlite3.Error as error:
+        raise SqlError.from_sqlite(error) from error
+    except (OverflowError, UnicodeError) as error:
+        raise SqlError("22003", "value out of range") from error
+
+
+def utc_now() -> str:
+    """Return the wall clock as PostgreSQL prints a timestamptz."""
+    return datetime.now(UTC).strftime("%Y-%m-%d %H:%M:%S.%f") + "+00"
--- /dev/null
+++ b/standins/backend/describe.py
@@ -0,0 +1,252 @@
+"""Infer the types of parameters and result columns, which sqlite itself does not know."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Sequence
+
+from standins.backend.database import Connection
+from standins.backend.log import SqlValue
+from standins.backend.sql import Kind, ParsedStatement, Token, tokenize
+from standins.backend.types import (
+    BOOL,
+    INT4,
+    INT8,
+    TEXT,
+    TIMESTAMPTZ,
+    Column,
+    oid_of,
+    oid_of_value,
+)
+
+_UNNAMED = "?column?"
+_VIEW = "standin_view"
+_IDENTIFIER = re.compile(r"[A-Za-z_]\w*")
+_CALL = re.compile(r"([A-Za-z_]\w*)\s*\(", re.I)
+_CAST_SUFFIX = re.compile(r"::\s*([A-Za-z_][\w ]*?)(?:\s*\(\d+\))?(?:\s+as\s+\S+)?\s*$", re.I)
+_CAST_CALL = re.compile(r"^cast\s*\(.*\bas\s+([\w ]+?)\s*\)(?:\s+as\s+\S+)?$", re.I | re.S)
+_ALIAS = re.compile(r"\s+as\s+\"?(\w+)\"?\s*$", re.I)
+_FUNCTION_TYPES = {"count": INT8, "now": TIMESTAMPTZ, "pg_is_in_recovery": BOOL}
+_FUNCTION_TYPES |= {"length": INT4, "pg_backend_pid": INT4, "exists": BOOL}
+_COMPARISONS = ("=", "<", ">", "!")
+
+
+class Schema:
+    """Look up the declared types of the tables that a statement names."""
+
+    def __init__(self, connection: Connection, words: Sequence[str]) -> None:
+        self.columns: dict[str, list[tuple[str, int]]] = {}
+        for word in dict.fromkeys(words):
+            rows = connection.raw(f'PRAGMA table_info("{word}")')
+            if rows:
+                typed = [(str(row[1]).lower(), oid_of(str(row[2])) or TEXT) for row in rows]
+                self.columns[word] = typed
+
+    def type_of(self, column: str) -> int | None:
+        """Return the type of the first column with this name."""
+        for columns in self.columns.values():
+            for name, type_oid in columns:
+                if name == column.lower():
+                    return type_oid
+        return None
+
+
+def describe_parameters(
+    connection: Connection, statement: ParsedStatement, declared: Sequence[int]
+) -> list[int]:
+    """Return a type per parameter: declared, cast, compared or inserted into, else text."""
+    schema = Schema(connection, statement.words)
+    tokens = [token for token in statement.tokens if token.kind != "space"]
+    inferred = _inserted_types(statement, schema, tokens)
+    for index, token in enumerate(tokens):
+        if token.kind == "param":
+            type_oid = _type_in_context(tokens, index, schema)
+            number = int(token.text[1:])
+            if type_oid is not None:
+                inferred.setdefault(number, type_oid)
+    return [
+        (declared[number - 1] if number <= len(declared) else 0) or inferred.get(number, TEXT)
+        for number in range(1, statement.parameter_count + 1)
+    ]
+
+
+def _type_in_context(tokens: list[Token], index: int, schema: Schema) -> int | None:
+    following = tokens[index + 1] if index + 1 < len(tokens) else None
+    if following is not None and following.kind == "cast":
+        return oid_of(following.text[2:].strip())
+    before = index - 1
+    if before >= 0 and tokens[before].text.lower() in ("limit", "offset"):
+        return INT8
+    if before >= 0 and tokens[before].text.lower() == "pg_sleep":
+        return None
+    for neighbour in range(before, max(before - 12, -1), -1):
+        token = tokens[neighbour]
+        if token.kind in ("word", "quoted"):
+            type_oid = schema.type_of(token.text.strip('"'))
+            if type_oid is not None:
+                return type_oid
+        if token.text in (",", ";") and not _inside_list(tokens, neighbour):
+            break
+    return None
+
+
+def _inside_list(tokens: list[Token], index: int) -> bool:
+    return any(token.text.lower() == "in" for token in tokens[max(0, index - 10) : index])
+
+
+def _inserted_types(
+    statement: ParsedStatement, schema: Schema, tokens: list[Token]
+) -> dict[int, int]:
+    if statement.command != "insert" or "values" not in statement.words:
+        return {}
+    table = statement.words[2] if len(statement.words) > 2 else ""
+    columns = schema.columns.get(table, [])
+    values_at = next(i for i, t in enumerate(tokens) if t.text.lower() == "values")
+    named = [t.text.strip('"').lower() for t in tokens[3:values_at] if t.kind in ("word", "quoted")]
+    types = dict(columns)
+    targets = [types.get(name, TEXT) for name in named] or [oid for _, oid in columns]
+    return _types_by_place(tokens[values_at + 1 :], targets)
+
+
+def _types_by_place(tokens: list[Token], targets: list[int]) -> dict[int, int]:
+    inferred: dict[int, int] = {}
+    depth = 0
+    place = 0
+    for index, token in enumerate(tokens):
+        if token.text == "(":
+            depth += 1
+            place = 0 if depth == 1 else place
+        elif token.text == ")":
+            depth -= 1
+        elif token.text == "," and depth == 1:
+            place += 1
+        elif token.text.lower() in ("on", "returning") and depth == 0:
+            break
+        elif token.kind == "param" and depth == 1 and place < len(targets):
+            cast = tokens[index + 1] if index + 1 < len(tokens) else None
+            if cast is None or cast.kind != "cast":
+                inferred.setdefault(int(token.text[1:]), targets[place])
+    return inferred
+
+
+def describe_columns(
+    connection: Connection, statement: ParsedStatement, parameters: Sequence[SqlValue]
+) -> list[Column]:
+    """Return the result columns of a statement; raise ``SqlError`` for a wrong one."""
+    if statement.kind is Kind.SHOW:
+        return [Column(statement.words[1] if len(statement.words) > 1 else "name", TEXT)]
+    if not statement.returns_rows:
+        return []
+    expressions = _result_expressions(statement)
+    if statement.kind is Kind.WRITE and statement.command != "select":
+        return _returned_columns(connection, statement, expressions)
+    view = _view_columns(connection, statement)
+    aligned = expressions if len(expressions) == len(view) else [""] * len(view)
+    types = [
+        oid_of(type_name) or _type_of_expression(expression)
+        for (_, type_name), expression in zip(view, aligned, strict=True)
+    ]
+    if None in types:
+        types = _probe(connection, statement, parameters, types)
+    names = [
+        _column_name(name, expression) for (name, _), expression in zip(view, aligned, strict=True)
+    ]
+    return [Column(name, oid) for name, oid in zip(names, types, strict=True)]
+
+
+def _view_columns(connection: Connection, statement: ParsedStatement) -> list[tuple[str, str]]:
+    sql = re.sub(r"\?\d+", "NULL", statement.sql) if statement.parameter_count else statement.sql
+    connection.raw(f"CREATE TEMP VIEW {_VIEW} AS {sql}")
+    try:
+        rows = connection.raw(f"PRAGMA temp.table_info({_VIEW})")
+    finally:
+        connection.raw(f"DROP VIEW IF EXISTS temp.{_VIEW}")
+    return [(str(row[1]), str(row[2])) for row in rows]
+
+
+def _probe(
+    connection: Connection,
+    statement: ParsedStatement,
+    parameters: Sequence[SqlValue],
+    types: Sequence[int | None],
+) -> list[int]:
+    values = list(parameters) or [None] * statement.parameter_count
+    row = connection.first_row(statement.sql, values)
+    found = [oid_of_value(value) for value in row] if row else [None] * len(types)
+    return [known or probed or TEXT for known, probed in zip(types, found, strict=True)]
+
+
+def _returned_columns(
+    connection: Connection, statement: ParsedStatement, expressions: list[str]
+) -> list[Column]:
+    schema = Schema(connection, statement.words)
+    columns: list[Column] = []
+    for expression in expressions:
+        if expression.endswith("*"):
+            first = next(iter(schema.columns.values()), [])
+            columns += [Column(name, oid) for name, oid in first]
+            continue
+        plain = _ALIAS.sub("", expression).rpartition(".")[2].strip('"')
+        type_oid = schema.type_of(plain) or _type_of_expression(expression) or TEXT
+        columns.append(Column(_column_name(plain, expression), type_oid))
+    return columns
+
+
+def _result_expressions(statement: ParsedStatement) -> list[str]:
+    start = "returning" if statement.kind is Kind.WRITE else "select"
+    tokens = list(statement.tokens)
+    begin = next((i for i, t in enumerate(tokens) if t.text.lower() == start), None)
+    if begin is None or statement.command == "with":
+        return []
+    expressions = [""]
+    depth = 0
+    for token in tokens[begin + 1 :]:
+        depth += {"(": 1, ")": -1}.get(token.text, 0)
+        if depth == 0 and token.text.lower() in ("from", "union", "where", "order", "limit"):
+            break
+        if depth == 0 and token.text == ",":
+            expressions.append("")
+        else:
+            expressions[-1] += token.text
+    return [expression.strip() for expression in expressions]
+
+
+def _type_of_expression(expression: str) -> int | None:
+    for pattern in (_CAST_SUFFIX, _CAST_CALL):
+        match = pattern.search(expression)
+        if match:
+            return oid_of(match.group(1))
+    plain = _ALIAS.sub("", expression)
+    if plain.lower() in ("true", "false"):
+        return BOOL
+    call = _CALL.match(plain)
+    if call and plain.endswith(")") and plain.count("(") == 1:
+        return _FUNCTION_TYPES.get(call.group(1).lower())
+    if plain.startswith("'") and plain.endswith("'") and plain.count("'") == 2:
+        return TEXT
+    return BOOL if _is_comparison(plain) else None
+
+
+def _is_comparison(expression: str) -> bool:
+    depth = 0
+    for token in tokenize(expression):
+        depth += {"(": 1, ")": -1}.get(token.text, 0)
+        if depth == 0 and token.kind == "other" and token.text in _COMPARISONS:
+            return True
+    return False
+
+
+def _column_name(name: str, expression: str) -> str:
+    alias = _ALIAS.search(expression)
+    if alias:
+        return alias.group(1)
+    plain = re.sub(r":\d+$", "", name)
+    if _IDENTIFIER.fullmatch(plain):
+        return plain
+    call = _CALL.match(expression)
+    if call:
+        return call.group(1).lower()
+    cast = _CAST_SUFFIX.search(expression)
+    if cast:
+        return cast.group(1).lower()
+    return _UNNAMED
--- /dev/null
+++ b/standins/backend/executor.py
@@ -0,0 +1,325 @@
+"""Execute the statements of one session: transactions, locks, slots and what gets logged."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from pygwire import TransactionStatus
+
+from hickorywind.ids import EMPTY_LOG, LogPosition, Term
+from standins.backend.control import ControlCall, run_control_call
+from standins.backend.database import SERVER_VERSION, Connection, Rows, utc_now
+from standins.backend.describe import describe_columns, describe_parameters
+from standins.backend.errors import (
+    CANNOT_CONNECT_NOW,
+    DIVISION_BY_ZERO,
+    FAILED_TRANSACTION,
+    FEATURE_NOT_SUPPORTED,
+    QUERY_CANCELED,
+    READ_ONLY,
+    SYNTAX_ERROR,
+    SqlError,
+)
+from standins.backend.instance import Instance
+from standins.backend.log import Entry, SqlValue, Statement
+from standins.backend.sql import Kind, ParsedStatement
+from standins.backend.types import TEXT, Column
+
+_RAISE = re.compile(r"raise\s+(notice|warning)\s+'([^']*)'", re.I)
+_SETTINGS = {"server_version": SERVER_VERSION, "client_encoding": "UTF8", "timezone": "UTC"}
+_SETTINGS |= {"standard_conforming_strings": "on", "transaction_isolation": "read committed"}
+
+
+@dataclass(frozen=True)
+class Notice:
+    """Hold a NoticeResponse to send with an answer."""
+
+    severity: str
+    sqlstate: str
+    message: str
+
+
+@dataclass(frozen=True)
+class Answer:
+    """Hold the outcome of one statement; ``rows`` is None where there is no result set."""
+
+    tag: str
+    rows: list[tuple[SqlValue, ...]] | None = None
+    notices: tuple[Notice, ...] = ()
+
+
+@dataclass
+class _Transaction:
+    term: Term
+    timestamp: str
+    statements: list[Statement] = field(default_factory=list)
+
+
+class Executor:
+    """Run statements one after another on behalf of a session."""
+
+    def __init__(self, instance: Instance, backend_pid: int) -> None:
+        self._instance = instance
+        self._connection = Connection(instance.database, backend_pid)
+        self._cancelled = asyncio.Event()
+        self._writing: _Transaction | None = None
+        self._savepoints = 0
+        self._read_only = False
+        self.status = TransactionStatus.IDLE
+        self.position = EMPTY_LOG
+
+    @property
+    def holds_writer(self) -> bool:
+        """Tell whether a writing transaction is open."""
+        return self._writing is not None
+
+    def cancel(self) -> None:
+        """Cancel the statement that runs, or waits for a lock or slot."""
+        self._cancelled.set()
+        self._connection.cancel()
+
+    async def refresh_position(self) -> LogPosition:
+        """Read the position of the newest snapshot."""
+        self.position = await self._instance.run_blocking(self._connection.position)
+        return self.position
+
+    async def describe(
+        self, statement: ParsedStatement, parameters: Sequence[SqlValue] = ()
+    ) -> list[Column]:
+        """Return the result columns; raise ``SqlError`` for a statement that is wrong."""
+        call = ControlCall.from_statement(statement)
+        if call is not None:
+            return [Column(call.name, TEXT)]
+        self._check(statement)
+        return await self._instance.run_blocking(
+            describe_columns, self._connection, statement, parameters
+        )
+
+    async def describe_parameters(
+        self, statement: ParsedStatement, declared: Sequence[int]
+    ) -> list[int]:
+        """Return a type for each parameter."""
+        if statement.parameter_count == 0:
+            return []
+        return await self._instance.run_blocking(
+            describe_parameters, self._connection, statement, declared
+        )
+
+    def start_statement(self) -> None:
+        """Forget a cancel request that came between statements."""
+        self._cancelled.clear()
+        self._connection.clear_cancel()
+
+    async def execute(self, statement: ParsedStatement, parameters: Sequence[SqlValue]) -> Answer:
+        """Run one statement; raise ``SqlError``, after which ``fail`` must be called."""
+        self._check(statement)
+        match statement.kind:
+            case Kind.BEGIN:
+                return self._begin(statement)
+            case Kind.COMMIT:
+                return await self._commit(statement)
+            case Kind.ROLLBACK:
+                return await self._rollback()
+            case Kind.SAVEPOINT:
+                return await self._savepoint(statement)
+            case Kind.READ:
+                return await self._read(statement, parameters)
+            case Kind.WRITE:
+                return await self._write(statement, parameters)
+            case Kind.SHOW:
+                return Answer("SHOW", [(self._setting(statement.words[-1]),)])
+            case Kind.DO:
+                found = _RAISE.findall(statement.original)
+                return Answer("DO", notices=tuple(Notice(s.upper(), "00000", t) for s, t in found))
+        return Answer(statement.command.upper())
+
+    def _check(self, statement: ParsedStatement) -> None:
+        ends = statement.kind in (Kind.COMMIT, Kind.ROLLBACK) or (
+            statement.kind is Kind.SAVEPOINT and statement.command == "rollback"
+        )
+        if self.status is TransactionStatus.ERROR_TRANSACTION and not ends:
+            raise SqlError(
+                FAILED_TRANSACTION,
+                "current transaction is aborted, commands ignored until end of transaction block",
+            )
+        match statement.kind:
+            case Kind.UNKNOWN:
+                first = statement.original.split()[0]
+                raise SqlError(SYNTAX_ERROR, f'syntax error at or near "{first}"')
+            case Kind.UNSUPPORTED:
+                raise SqlError(FEATURE_NOT_SUPPORTED, f"{statement.command.upper()} is not there")
+            case Kind.READ | Kind.WRITE if statement.divides_by_zero:
+                raise SqlError(DIVISION_BY_ZERO, "division by zero")
+            case Kind.READ | Kind.WRITE if self._instance.rebuilding:
+                if ControlCall.from_statement(statement) is None:
+                    raise SqlError(CANNOT_CONNECT_NOW, "the database is being rebuilt")
+
+    def _setting(self, name: str) -> str:
+        if name == "transaction_read_only":
+            return "off" if self._instance.accepts_writes else "on"
+        return _SETTINGS.get(name, "")
+
+    def _begin(self, statement: ParsedStatement) -> Answer:
+        if self.status is TransactionStatus.IN_TRANSACTION:
+            message = "there is already a transaction in progress"
+            return Answer(statement.tag(0), notices=(Notice("WARNING", "25001", message),))
+        self.status = TransactionStatus.IN_TRANSACTION
+        self._read_only = ("read", "only") in zip(
+            statement.words, statement.words[1:], strict=False
+        )
+        return Answer(statement.tag(0))
+
+    async def _commit(self, statement: ParsedStatement) -> Answer:
+        if self.status is TransactionStatus.ERROR_TRANSACTION:
+            return await self._rollback()
+        notices: tuple[Notice, ...] = ()
+        if self.status is TransactionStatus.IDLE:
+            notices = (Notice("WARNING", "25P01", "there is no transaction in progress"),)
+        await self._end_transaction()
+        return Answer(statement.tag(0), notices=notices)
+
+    async def _rollback(self) -> Answer:
+        notices: tuple[Notice, ...] = ()
+        if self.status is TransactionStatus.IDLE:
+            notices = (Notice("WARNING", "25P01", "there is no transaction in progress"),)
+        await self.abandon()
+        return Answer("ROLLBACK", notices=notices)
+
+    async def finish_implicit(self) -> None:
+        """Commit the statements run outside a transaction block; raise ``SqlError``."""
+        if self.status is TransactionStatus.IDLE:
+            await self._end_transaction()
+
+    async def fail(self) -> None:
+        """Undo what a failed statement belongs to."""
+        if self.status is TransactionStatus.IDLE:
+            await self.abandon()
+            return
+        self.status = TransactionStatus.ERROR_TRANSACTION
+        if self._savepoints == 0:
+            await self._undo()
+
+    async def abandon(self) -> None:
+        """Roll back and return to idle."""
+        await self._undo()
+        self.status = TransactionStatus.IDLE
+        self._savepoints = 0
+        self._read_only = False
+
+    async def close(self) -> None:
+        """Roll back and close the database file."""
+        await self.abandon()
+        await self._instance.run_blocking(self._connection.close)
+
+    async def _undo(self) -> None:
+        if self._connection.in_transaction:
+            await self._instance.run_blocking(self._connection.rollback)
+        self._release_writer()
+
+    def _release_writer(self) -> None:
+        if self._writing is not None:
+            self._writing = None
+            self._instance.writer.release()
+
+    async def _end_transaction(self) -> None:
+        try:
+            if self._writing is not None:
+                await self._commit_writing(self._writing)
+            elif self._connection.in_transaction:
+                await self._instance.run_blocking(self._connection.rollback)
+        finally:
+            await self.abandon()
+
+    async def _commit_writing(self, transaction: _Transaction) -> None:
+        member = self._instance.member
+        if not self._instance.accepts_writes or member.term != transaction.term:
+            raise SqlError(READ_ONLY, "this instance is no longer the primary")
+        if not transaction.statements:
+            return
+        entry = Entry(transaction.term, tuple(transaction.statements), transaction.timestamp)
+        position = member.append(entry)
+        await self._instance.run_blocking(self._connection.commit, position)
+        self._instance.applied = position
+        self.position = position
+
+    async def _savepoint(self, statement: ParsedStatement) -> Answer:
+        if self.status is TransactionStatus.IDLE:
+            raise SqlError("25P01", "SAVEPOINT can only be used in transaction blocks")
+        if self._instance.accepts_writes:
+            await self._ensure_writing()
+        elif not self._connection.in_transaction:
+            await self._instance.run_blocking(self._connection.begin, False, utc_now())
+        await self._instance.run_blocking(self._connection.run, statement.original, ())
+        self._savepoints += statement.command == "savepoint"
+        if self._writing is not None:
+            self._writing.statements.append(Statement(statement.original))
+        self.status = TransactionStatus.IN_TRANSACTION
+        return Answer(statement.command.upper())
+
+    async def _read(self, statement: ParsedStatement, parameters: Sequence[SqlValue]) -> Answer:
+        call = ControlCall.from_statement(statement)
+        if call is not None:
+            value = await run_control_call(self._instance, call, parameters)
+            return Answer("SELECT 1", [(value,)])
+        rows = await self._run(statement, parameters)
+        return Answer(statement.tag(len(rows.rows)), rows.rows)
+
+    async def _write(self, statement: ParsedStatement, parameters: Sequence[SqlValue]) -> Answer:
+        if not self._instance.accepts_writes or self._read_only:
+            command = statement.command.upper()
+            raise SqlError(READ_ONLY, f"cannot execute {command} in a read-only transaction")
+        await self._ensure_writing()
+        rows = await self._run(statement, parameters)
+        if statement.command != "select":
+            self._writing.statements.append(Statement(statement.sql, tuple(parameters)))
+        count = len(rows.rows) if statement.returns_rows else rows.changed
+        return Answer(statement.tag(count), rows.rows if statement.returns_rows else None)
+
+    async def _ensure_writing(self) -> None:
+        if self._writing is not None:
+            return
+        await self._acquire(self._instance.writer)
+        timestamp = utc_now()
+        self._writing = _Transaction(self._instance.member.term, timestamp)
+        if not self._instance.accepts_writes:
+            raise SqlError(READ_ONLY, "this instance is not the primary")
+        self.position = await self._instance.run_blocking(self._connection.begin, True, timestamp)
+
+    async def _run(self, statement: ParsedStatement, parameters: Sequence[SqlValue]) -> Rows:
+        await self._acquire(self._instance.slots)
+        try:
+            await self._spend_service_time()
+            rows = await self._instance.run_blocking(
+                self._connection.run, statement.sql, parameters
+            )
+        finally:
+            self._instance.slots.release()
+        self.position = rows.position
+        return rows
+
+    async def _spend_service_time(self) -> None:
+        duration_s = self._instance.settings.statement_time_ms / 1000
+        if duration_s <= 0:
+            return
+        try:
+            await asyncio.wait_for(self._cancelled.wait(), duration_s)
+        except TimeoutError:
+            return
+        raise SqlError(QUERY_CANCELED, "canceling statement due to user request")
+
+    async def _acquire(self, lock: asyncio.Lock | asyncio.Semaphore) -> None:
+        """Wait for a lock or slot; raise ``SqlError`` when cancelled meanwhile."""
+        if not lock.locked():
+            await lock.acquire()
+            return
+        acquiring = asyncio.ensure_future(lock.acquire())
+        cancelling = asyncio.ensure_future(self._cancelled.wait())
+        await asyncio.wait({acquiring, cancelling}, return_when=asyncio.FIRST_COMPLETED)
+        cancelling.cancel()
+        if acquiring.done():
+            return
+        acquiring.cancel()
+        raise SqlError(QUERY_CANCELED, "canceling statement due to user request")
--- /dev/null
+++ b/standins/backend/instance.py
@@ -0,0 +1,201 @@
+"""Tie one instance together: group member, database, writer lock, slots and lags."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Protocol
+
+from hickorywind.groups.status import BackendStatus
+from hickorywind.ids import EMPTY_LOG, InstanceRole, LogPosition, Term
+from standins.backend.database import Connection, Database
+from standins.backend.log import Journal
+from standins.backend.member import Member
+from standins.backend.replication import Signal, wait_at_most
+from standins.backend.settings import BackendSettings
+
+logger = logging.getLogger(__name__)
+
+JOURNAL_NAME = "journal.msgpack"
+_CONTROL_RESERVE = 8
+_IDLE_WAIT_S = 1.0
+_APPLY_BATCH_ENTRIES = 200
+
+
+class SessionHandle(Protocol):
+    """Let the instance end or cancel a session."""
+
+    is_control: bool
+    secret_key: bytes
+
+    @property
+    def holds_writer(self) -> bool:
+        """Tell whether the session has a writing transaction open."""
+        ...
+
+    def cancel(self) -> None:
+        """Cancel the statement that runs."""
+        ...
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        ...
+
+
+class Instance:
+    """Hold what the sessions of one instance share."""
+
+    def __init__(self, settings: BackendSettings, folder: Path) -> None:
+        self.settings = settings
+        self.signal = Signal()
+        self.database = Database(folder, settings.service)
+        self.writer = asyncio.Lock()
+        self.slots = asyncio.Semaphore(settings.slots)
+        self.sessions: dict[int, SessionHandle] = {}
+        self.leaving = False
+        self.apply_lag_ms = settings.apply_lag_ms
+        self.applied = EMPTY_LOG
+        self.rebuilding = False
+        self._threads = ThreadPoolExecutor(settings.connections + _CONTROL_RESERVE + 2)
+        self._applier = Connection(self.database)
+        self.member = self._load_member()
+        self.database.create(0)
+
+    def _load_member(self) -> Member:
+        path = Path(self.settings.data_dir) / JOURNAL_NAME if self.settings.data_dir else None
+        records = list(Journal.read(path)) if path else []
+        journal = Journal.open(path) if path else Journal(None)
+        others = tuple(peer.backend for peer in self.settings.other_peers)
+        member = Member(self.settings.backend, others, time.monotonic, journal)
+        member.ship_lag_ms = self.settings.ship_lag_ms
+        member.on_change = self.signal.notify
+        member.on_step_down = self._handle_step_down
+        for record in records:
+            member.restore(record)
+        if not records:
+            member.bootstrap(self.settings.initial_primary)
+        return member
+
+    async def run_blocking(self, function: Callable, *arguments: object) -> object:
+        """Run a blocking call in a worker thread."""
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self._threads, function, *arguments)
+
+    def _handle_step_down(self, diverged: bool) -> None:
+        logger.info("stepped_down", extra={"term": self.member.term, "diverged": diverged})
+        self.rebuilding = self.rebuilding or diverged
+        for session in list(self.sessions.values()):
+            if session.holds_writer:
+                session.abort()
+        self.signal.notify()
+
+    @property
+    def accepts_writes(self) -> bool:
+        """Tell whether the instance is a primary."""
+        return self.member.role is InstanceRole.PRIMARY
+
+    def has_room(self, is_control: bool) -> bool:
+        """Tell whether one more connection fits under its limit."""
+        used = sum(1 for session in self.sessions.values() if session.is_control == is_control)
+        return used < (_CONTROL_RESERVE if is_control else self.settings.connections)
+
+    def status(self) -> BackendStatus:
+        """Describe the instance as the platform does."""
+        member = self.member
+        return BackendStatus(
+            backend=self.settings.backend,
+            service=self.settings.service,
+            role=member.role,
+            term=member.term,
+            proposer=member.proposer,
+            received=member.log.last,
+            committed=member.committed,
+            applied=self.applied,
+            silence_ms=round(member.silence_ms, 1),
+            leaving=self.leaving,
+            connections_used=sum(1 for s in self.sessions.values() if not s.is_control),
+            connections_limit=self.settings.connections,
+            peers=member.progress(),
+        )
+
+    async def wait_committed(self, position: LogPosition, timeout_s: float) -> None:
+        """Return once the log is committed up to a position, the term changes or time is over."""
+        term = self.member.term
+        end_s = time.monotonic() + timeout_s
+        while True:
+            changed = self.signal.current()
+            left_s = end_s - time.monotonic()
+            done = self.member.committed.contains(position) or self.member.term != term
+            if done or left_s <= 0:
+                return
+            await wait_at_most(changed, left_s)
+
+    async def promote(self, term: Term, proposer: str) -> None:
+        """Apply the whole log and become primary; raise ``RefusedError``."""
+        self.member.check_promotion(term, proposer)
+        async with self.writer:
+            self.member.check_promotion(term, proposer)
+            if self.accepts_writes:
+                return
+            if self.rebuilding:
+                await self._rebuild()
+            await self._apply_to(self.member.log.last.offset)
+            self.member.check_promotion(term, proposer)
+            position = self.member.lead()
+            await self.run_blocking(self._applier.apply, (), position)
+            self.applied = position
+        logger.info("promoted", extra={"term": term, "position": str(position)})
+
+    async def run_applier(self) -> None:
+        """Apply committed entries at a replica until cancelled."""
+        while True:
+            changed = self.signal.current()
+            wait_s = await self._apply_due()
+            await wait_at_most(changed, wait_s)
+
+    async def _apply_due(self) -> float:
+        if self.accepts_writes or not (self.rebuilding or self._apply_target()[0]):
+            return self._apply_target()[1]
+        async with self.writer:
+            if self.accepts_writes:
+                return 0.0
+            if self.rebuilding:
+                await self._rebuild()
+            await self._apply_to(self._apply_target()[0])
+        return self._apply_target()[1]
+
+    def _apply_target(self) -> tuple[int, float]:
+        """Return the offset to apply up to now (0: none) and the seconds until the next."""
+        lag_s = self.apply_lag_ms / 1000
+        now_s = time.monotonic()
+        target = 0
+        for offset in range(self.applied.offset + 1, self.member.committed_offset + 1):
+            due_s = self.member.log.arrived_at(offset) + lag_s
+            if due_s > now_s:
+                return target, due_s - now_s
+            target = offset
+            if target - self.applied.offset >= _APPLY_BATCH_ENTRIES:
+                return target, 0.0
+        return target, _IDLE_WAIT_S
+
+    async def _apply_to(self, target: int) -> None:
+        while self.applied.offset < target:
+            start = self.applied.offset
+            entries = self.member.log.batch_after(start, min(target, start + _APPLY_BATCH_ENTRIES))
+            position = self.member.log.position_at(start + len(entries))
+            await self.run_blocking(self._applier.apply, entries, position)
+            self.applied = position
+
+    async def _rebuild(self) -> None:
+        """Replay the committed log into a new database file, dropping what never committed."""
+        generation = self.database.generation + 1
+        self.applied = EMPTY_LOG
+        await self.run_blocking(self.database.create, generation)
+        self.database.generation = generation
+        await self._apply_to(self.member.committed_offset)
+        self.rebuilding = False
+        logger.info("rebuilt", extra={"position": str(self.applied)})
--- /dev/null
+++ b/standins/backend/log.py
@@ -0,0 +1,152 @@
+"""Keep the replicated log of one instance, in memory and optionally in a journal file."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, BinaryIO
+
+import msgspec
+
+from hickorywind.ids import EMPTY_LOG, LogPosition, Term
+
+SqlValue = int | float | str | bytes | None
+
+_LENGTH = struct.Struct("!I")
+_BATCH_ENTRIES = 500
+_BATCH_BYTES = 1_000_000
+
+
+class Statement(msgspec.Struct, frozen=True, array_like=True):
+    """Carry one SQL statement in sqlite's dialect with its bound parameters."""
+
+    sql: str
+    parameters: tuple[Any, ...] = ()
+
+    @property
+    def size_bytes(self) -> int:
+        """Estimate the size on the wire."""
+        sized = (value for value in self.parameters if isinstance(value, str | bytes))
+        return len(self.sql) + sum(len(value) for value in sized)
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """Carry one committed transaction; an entry without statements is a no-op.
+
+    ``timestamp`` is what ``now()`` answers within the transaction, on every instance.
+    """
+
+    term: Term
+    statements: tuple[Statement, ...] = ()
+    timestamp: str = ""
+
+
+class Appended(msgspec.Struct, frozen=True, tag="a", array_like=True):
+    """Record that an entry was appended."""
+
+    entry: Entry
+
+
+class Truncated(msgspec.Struct, frozen=True, tag="t", array_like=True):
+    """Record that the entries after ``offset`` were dropped."""
+
+    offset: int
+
+
+class Promised(msgspec.Struct, frozen=True, tag="p", array_like=True):
+    """Record the highest term accepted and its proposer."""
+
+    term: Term
+    proposer: str
+
+
+JournalRecord = Appended | Truncated | Promised
+
+
+class Journal:
+    """Append records to a file, so that a restarted instance keeps its log and promises."""
+
+    def __init__(self, file: BinaryIO | None) -> None:
+        self._file = file
+
+    @classmethod
+    def open(cls, path: Path) -> Journal:
+        """Open for appending."""
+        return cls(path.open("ab"))
+
+    @staticmethod
+    def read(path: Path) -> Iterator[JournalRecord]:
+        """Yield the whole records of a file, dropping a half-written last one."""
+        data = path.read_bytes() if path.exists() else b""
+        start = 0
+        while start + _LENGTH.size <= len(data):
+            (length,) = _LENGTH.unpack_from(data, start)
+            start += _LENGTH.size
+            if start + length > len(data):
+                return
+            yield msgspec.msgpack.decode(data[start : start + length], type=JournalRecord)
+            start += length
+
+    def write(self, record: JournalRecord) -> None:
+        """Append a record and hand it to the operating system."""
+        if self._file is None:
+            return
+        data = msgspec.msgpack.encode(record)
+        self._file.write(_LENGTH.pack(len(data)) + data)
+        self._file.flush()
+
+
+class Log:
+    """Hold entries at offsets counted from 1, each with the local instant it arrived."""
+
+    def __init__(self) -> None:
+        self._entries: list[Entry] = []
+        self._arrived_s: list[float] = []
+
+    @property
+    def last(self) -> LogPosition:
+        """Return the position of the last entry."""
+        return self.position_at(len(self._entries))
+
+    def position_at(self, offset: int) -> LogPosition:
+        """Return the position of the entry at an offset that exists (0: the empty log)."""
+        if offset == 0:
+            return EMPTY_LOG
+        return LogPosition(self._entries[offset - 1].term, offset)
+
+    def holds(self, position: LogPosition) -> bool:
+        """Tell whether exactly this entry is in the log."""
+        return position.offset <= len(self._entries) and (
+            self.position_at(position.offset) == position
+        )
+
+    def append(self, entry: Entry, now_s: float) -> LogPosition:
+        """Add an entry at the end."""
+        self._entries.append(entry)
+        self._arrived_s.append(now_s)
+        return self.last
+
+    def truncate(self, offset: int) -> None:
+        """Drop every entry after an offset."""
+        del self._entries[offset:]
+        del self._arrived_s[offset:]
+
+    def entry_at(self, offset: int) -> Entry:
+        """Return the entry at an offset that exists."""
+        return self._entries[offset - 1]
+
+    def arrived_at(self, offset: int) -> float:
+        """Return the local instant, in seconds, at which an entry arrived."""
+        return self._arrived_s[offset - 1]
+
+    def batch_after(self, offset: int, end: int) -> tuple[Entry, ...]:
+        """Return the entries after ``offset`` up to ``end``, bounded in count and size."""
+        size_bytes = 0
+        stop = offset
+        for index in range(offset, min(end, offset + _BATCH_ENTRIES)):
+            size_bytes += sum(s.size_bytes for s in self._entries[index].statements)
+            if size_bytes > _BATCH_BYTES and stop > offset:
+                break
+            stop = index + 1
+        return tuple(self._entries[offset:stop])
--- /dev/null
+++ b/standins/backend/member.py
@@ -0,0 +1,288 @@
+"""Decide for one instance of a group: terms, promises, appends and what is committed.
+
+Holds no socket and no thread; ``now_s`` comes from the clock passed in.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from hickorywind.groups.status import PeerProgress
+from hickorywind.ids import BackendId, InstanceRole, LogPosition, Term
+from standins.backend.log import (
+    Appended,
+    Entry,
+    Journal,
+    JournalRecord,
+    Log,
+    Promised,
+    Truncated,
+)
+
+INITIAL_TERM = Term(1)
+
+
+class Append(msgspec.Struct, frozen=True, array_like=True):
+    """Push entries after ``previous`` to a peer; without entries it is a heartbeat."""
+
+    term: Term
+    primary: BackendId
+    previous: LogPosition
+    entries: tuple[Entry, ...]
+    committed_offset: int
+    proposer: str = ""
+
+
+class AppendAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Answer an append; ``matched_offset`` is the end of the log known equal to the primary's."""
+
+    term: Term
+    accepted: bool
+    received: LogPosition
+    matched_offset: int
+    committed_offset: int
+    ship_lag_ms: float
+
+
+class RefusedError(Exception):
+    """Refuse a call on the group; the message says why."""
+
+
+@dataclass
+class _PeerState:
+    next_offset: int = 1
+    matched_offset: int = 0
+    received: LogPosition = LogPosition(Term(0), 0)
+    answered_at_s: float = 0.0
+    ship_lag_ms: float = 0.0
+
+
+class Member:
+    """Hold the log, the promise and the role of one instance."""
+
+    def __init__(
+        self,
+        backend: BackendId,
+        others: tuple[BackendId, ...],
+        now_s: Callable[[], float],
+        journal: Journal,
+    ) -> None:
+        self.backend = backend
+        self.role = InstanceRole.REPLICA
+        self.term = INITIAL_TERM
+        self.proposer = ""
+        self.log = Log()
+        self.committed_offset = 0
+        self.ship_lag_ms = 0.0
+        self.on_change: Callable[[], None] = lambda: None
+        self.on_step_down: Callable[[bool], None] = lambda diverged: None
+        self._journal = journal
+        self._now_s = now_s
+        self._heard_at_s = now_s()
+        self._majority = (len(others) + 1) // 2 + 1
+        self._peers = {backend_id: _PeerState() for backend_id in others}
+
+    def restore(self, record: JournalRecord) -> None:
+        """Replay one record of the journal after a restart."""
+        match record:
+            case Appended(entry=entry):
+                self.log.append(entry, self._now_s())
+            case Truncated(offset=offset):
+                self.log.truncate(offset)
+            case Promised(term=term, proposer=proposer):
+                self.term = term
+                self.proposer = proposer
+
+    def bootstrap(self, initial_primary: bool) -> None:
+        """Enter the first term of a group that never ran."""
+        self._promise(INITIAL_TERM, "")
+        if initial_primary:
+            self._lead()
+
+    @property
+    def committed(self) -> LogPosition:
+        """Return the last position known to be held by a majority."""
+        return self.log.position_at(self.committed_offset)
+
+    @property
+    def silence_ms(self) -> float:
+        """Return how long the group's primary (or, at a primary, a majority) was silent."""
+        return max(0.0, (self._now_s() - self._last_contact_s()) * 1000)
+
+    def _last_contact_s(self) -> float:
+        if self.role is InstanceRole.REPLICA:
+            return self._heard_at_s
+        needed = self._majority - 1
+        if needed == 0:
+            return self._now_s()
+        answers = sorted((peer.answered_at_s for peer in self._peers.values()), reverse=True)
+        return answers[needed - 1]
+
+    def accept_term(self, term: Term, proposer: str, min_silence_ms: float) -> None:
+        """Promise to take part in a term and in no earlier one; raise ``RefusedError``."""
+        if (term, proposer) == (self.term, self.proposer):
+            return
+        unpromised = term == self.term > INITIAL_TERM and self.proposer == ""
+        if term <= self.term and not unpromised:
+            raise RefusedError(f"term {self.term} of proposer {self.proposer!r} was accepted")
+        if self.silence_ms < min_silence_ms:
+            raise RefusedError(f"the primary was heard from {self.silence_ms:.0f} ms ago")
+        self._promise(term, proposer)
+        self._heard_at_s = self._now_s()
+        self._step_down()
+
+    def check_promotion(self, term: Term, proposer: str) -> None:
+        """Raise ``RefusedError`` unless this term of this proposer was accepted last."""
+        if (term, proposer) != (self.term, self.proposer):
+            raise RefusedError(f"term {self.term} of proposer {self.proposer!r} was accepted last")
+
+    def lead(self) -> LogPosition:
+        """Become primary of the accepted term with a no-op entry; the log must be applied."""
+        self._lead()
+        return self.append(Entry(self.term))
+
+    def _lead(self) -> None:
+        self.role = InstanceRole.PRIMARY
+        now_s = self._now_s()
+        for peer in self._peers.values():
+            peer.next_offset = self.log.last.offset + 1
+            peer.matched_offset = 0
+            peer.answered_at_s = now_s
+        self.on_change()
+
+    def append(self, entry: Entry) -> LogPosition:
+        """Add an entry as primary."""
+        position = self._store(entry)
+        self._advance_commit()
+        self.on_change()
+        return position
+
+    def _store(self, entry: Entry) -> LogPosition:
+        self._journal.write(Appended(entry))
+        return self.log.append(entry, self._now_s())
+
+    def _promise(self, term: Term, proposer: str) -> None:
+        self._journal.write(Promised(term, proposer))
+        self.term = term
+        self.proposer = proposer
+
+    def _step_down(self) -> None:
+        was_primary = self.role is InstanceRole.PRIMARY
+        self.role = InstanceRole.REPLICA
+        if was_primary:
+            self.on_step_down(self.log.last.offset > self.committed_offset)
+        self.on_change()
+
+    def _follow(self, term: Term, proposer: str = "") -> None:
+        if term > self.term:
+            self._promise(term, proposer)
+            self._heard_at_s = self._now_s()
+            self._step_down()
+
+    def append_for(self, peer_id: BackendId) -> Append:
+        """Build what to send to a peer next."""
+        peer = self._peers[peer_id]
+        end = self._shippable_end(peer)
+        previous = self.log.position_at(peer.next_offset - 1)
+        entries = self.log.batch_after(peer.next_offset - 1, end)
+        return Append(
+            self.term, self.backend, previous, entries, self.committed_offset, self.proposer
+        )
+
+    def has_more_for(self, peer_id: BackendId) -> bool:
+        """Tell whether entries wait to be sent to a peer now."""
+        peer = self._peers[peer_id]
+        return peer.next_offset <= self._shippable_end(peer)
+
+    def _shippable_end(self, peer: _PeerState) -> int:
+        end = self.log.last.offset
+        newest_s = self._now_s() - peer.ship_lag_ms / 1000
+        while end >= peer.next_offset and self.log.arrived_at(end) > newest_s:
+            end -= 1
+        return end
+
+    def receive_append(self, message: Append) -> AppendAnswer:
+        """Take entries of the primary, dropping a conflicting tail."""
+        if message.term < self.term:
+            return self._answer(accepted=False, matched_offset=0)
+        self._follow(message.term, message.proposer)
+        if self.role is InstanceRole.PRIMARY:
+            raise RefusedError(f"two primaries in term {self.term}")
+        self._heard_at_s = self._now_s()
+        if not self.log.holds(message.previous):
+            return self._answer(accepted=False, matched_offset=0)
+        for offset, entry in enumerate(message.entries, message.previous.offset + 1):
+            self._take(offset, entry)
+        matched_offset = message.previous.offset + len(message.entries)
+        committed_offset = min(message.committed_offset, matched_offset)
+        if committed_offset > self.committed_offset:
+            self.committed_offset = committed_offset
+            self.on_change()
+        return self._answer(accepted=True, matched_offset=matched_offset)
+
+    def _take(self, offset: int, entry: Entry) -> None:
+        if offset <= self.log.last.offset:
+            if self.log.entry_at(offset).term == entry.term:
+                return
+            self._journal.write(Truncated(offset - 1))
+            self.log.truncate(offset - 1)
+        self._store(entry)
+
+    def _answer(self, accepted: bool, matched_offset: int) -> AppendAnswer:
+        return AppendAnswer(
+            self.term,
+            accepted,
+            self.log.last,
+            matched_offset,
+            self.committed_offset,
+            self.ship_lag_ms,
+        )
+
+    def receive_answer(self, peer_id: BackendId, term: Term, answer: AppendAnswer) -> None:
+        """Note a peer's answer to an append that was sent in ``term``."""
+        if answer.term > self.term:
+            self._follow(answer.term)
+            return
+        if self.role is not InstanceRole.PRIMARY or term != self.term:
+            return
+        peer = self._peers[peer_id]
+        peer.answered_at_s = self._now_s()
+        peer.received = answer.received
+        peer.ship_lag_ms = answer.ship_lag_ms
+        if answer.accepted:
+            peer.matched_offset = answer.matched_offset
+            peer.next_offset = answer.matched_offset + 1
+            self._advance_commit()
+        else:
+            peer.matched_offset = 0
+            peer.next_offset = self._retry_offset(peer, answer)
+
+    @staticmethod
+    def _retry_offset(peer: _PeerState, answer: AppendAnswer) -> int:
+        """Go back to the peer's end, or to its committed prefix where that does not match."""
+        if answer.received.offset + 1 < peer.next_offset:
+            return answer.received.offset + 1
+        return min(answer.committed_offset + 1, peer.next_offset)
+
+    def _advance_commit(self) -> None:
+        held = sorted((peer.matched_offset for peer in self._peers.values()), reverse=True)
+        held.insert(0, self.log.last.offset)
+        offset = sorted(held, reverse=True)[self._majority - 1]
+        own_term = offset > 0 and self.log.position_at(offset).term == self.term
+        if offset > self.committed_offset and own_term:
+            self.committed_offset = offset
+            self.on_change()
+
+    def progress(self) -> tuple[PeerProgress, ...]:
+        """Report, as primary, how far each peer has acknowledged the log."""
+        if self.role is not InstanceRole.PRIMARY:
+            return ()
+        now_s = self._now_s()
+        return tuple(
+            PeerProgress(peer_id, peer.received, math.ceil((now_s - peer.answered_at_s) * 1000))
+            for peer_id, peer in self._peers.items()
+        )
--- /dev/null
+++ b/standins/relay/relay.py
@@ -0,0 +1,169 @@
+"""Pass bytes between listening addresses and their targets, late or not at all."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from pathlib import Path
+
+import msgspec
+import yaml
+
+from hickorywind.ids import Address
+
+_CHUNK_BYTES = 65_536
+_QUEUE_CHUNKS = 64
+
+
+class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Describe one way: where to listen, where to connect, and the delay of each direction."""
+
+    name: str
+    listen: str
+    target: str
+    delay_ms: float = 0
+
+
+class RelaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold the settings of one relay process."""
+
+    control: str
+    routes: tuple[Route, ...]
+
+    @classmethod
+    def from_file(cls, path: Path) -> RelaySettings:
+        """Parse a YAML file; raise ``msgspec.ValidationError`` for wrong keys or types."""
+        return msgspec.convert(yaml.safe_load(path.read_text()), cls)
+
+
+class _Way:
+    """Run one route; while cut, connections stay open and nothing passes."""
+
+    def __init__(self, route: Route) -> None:
+        self.route = route
+        self.delay_s = route.delay_ms / 1000
+        self.whole = asyncio.Event()
+        self.whole.set()
+        self.tasks: set[asyncio.Task] = set()
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        listen = Address.from_text(self.route.listen)
+        self.server = await asyncio.start_server(self._serve, listen.host, listen.port)
+
+    async def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    @property
+    def address(self) -> Address:
+        host, port = self.server.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        try:
+            await self._connect_through(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self.tasks.discard(task)
+            writer.transport.abort()
+
+    async def _connect_through(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(self.delay_s)
+        await self.whole.wait()
+        target = Address.from_text(self.route.target)
+        far_reader, far_writer = await asyncio.open_connection(target.host, target.port)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(reader, far_writer))
+                group.create_task(self._pump(far_reader, writer))
+        except* OSError:
+            pass
+        finally:
+            far_writer.transport.abort()
+
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        chunks: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(_QUEUE_CHUNKS)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._collect(reader, chunks))
+            group.create_task(self._deliver(chunks, writer))
+
+    async def _collect(self, reader: asyncio.StreamReader, chunks: asyncio.Queue) -> None:
+        loop = asyncio.get_running_loop()
+        data = b"-"
+        while data:
+            try:
+                data = await reader.read(_CHUNK_BYTES)
+            except OSError:
+                data = b""
+            await chunks.put((loop.time() + self.delay_s, data))
+
+    async def _deliver(self, chunks: asyncio.Queue, writer: asyncio.StreamWriter) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due_s, data = await chunks.get()
+            await asyncio.sleep(max(0.0, due_s - loop.time()))
+            await self.whole.wait()
+            if not data:
+                break
+            writer.write(data)
+            await writer.drain()
+        with contextlib.suppress(OSError, NotImplementedError):
+            writer.write_eof()
+
+
+class Relay:
+    """Run several routes, in this process or behind a control port."""
+
+    def __init__(self, routes: tuple[Route, ...]) -> None:
+        self._ways = {route.name: _Way(route) for route in routes}
+
+    async def start(self) -> None:
+        """Listen on every route."""
+        for way in self._ways.values():
+            await way.start()
+
+    async def close(self) -> None:
+        """Close every connection and stop listening."""
+        for way in self._ways.values():
+            await way.close()
+
+    def address(self, name: str) -> Address:
+        """Return where a route listens (its real port where the settings say 0)."""
+        return self._ways[name].address
+
+    def cut(self, name: str) -> None:
+        """Let nothing pass; connections stay open and bytes are held."""
+        self._ways[name].whole.clear()
+
+    def heal(self, name: str) -> None:
+        """Let bytes pass again, those held first."""
+        self._ways[name].whole.set()
+
+    def set_delay(self, name: str, delay_ms: float) -> None:
+        """Change the delay of each direction for bytes that arrive from now on."""
+        self._ways[name].delay_s = delay_ms / 1000
+
+    def run_command(self, line: str) -> str:
+        """Run one line of the control port and return its answer."""
+        try:
+            match line.split():
+                case ["cut", name]:
+                    self.cut(name)
+                case ["heal", name]:
+                    self.heal(name)
+                case ["delay", name, delay_ms]:
+                    self.set_delay(name, float(delay_ms))
+                case _:
+                    return "error: expected cut NAME, heal NAME or delay NAME MS"
+        except (KeyError, ValueError) as error:
+            return f"error: {error}"
+        return "ok"
