--- /dev/null
+++ b/hickorywind/admission/rankqueue.py
@@ -0,0 +1,72 @@
+"""Keep the waiting requests of one rank, fair between its sessions."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Hashable, Iterator
+
+from hickorywind.admission.requests import WaitingRequest
+from hickorywind.ids import SessionId
+
+
+class RankQueue:
+    """Serve sessions in turn, and the requests of one session in order of arrival."""
+
+    def __init__(self) -> None:
+        self._sessions: OrderedDict[SessionId, deque[WaitingRequest]] = OrderedDict()
+        self._requests: dict[Hashable, WaitingRequest] = {}
+        self.size_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._requests)
+
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        return iter(tuple(self._requests.values()))
+
+    def __contains__(self, key: Hashable) -> bool:
+        return key in self._requests
+
+    def push(self, request: WaitingRequest) -> None:
+        """Append a request to its session's turn."""
+        self._requests[request.key] = request
+        self.size_bytes += request.size_bytes
+        self._sessions.setdefault(request.session, deque()).append(request)
+
+    def pop(self) -> WaitingRequest:
+        """Take the next request of the session whose turn it is; raise KeyError when empty."""
+        session, waiting = self._sessions.popitem(last=False)
+        request = waiting.popleft()
+        if waiting:
+            self._sessions[session] = waiting
+        self._forget(request)
+        return request
+
+    def remove(self, key: Hashable) -> WaitingRequest | None:
+        """Take a request out of the queue, or return None where it does not wait."""
+        request = self._requests.get(key)
+        if request is None:
+            return None
+        waiting = self._sessions[request.session]
+        waiting.remove(request)
+        if not waiting:
+            del self._sessions[request.session]
+        self._forget(request)
+        return request
+
+    def youngest(self) -> WaitingRequest | None:
+        """Return the request that arrived last."""
+        key = next(reversed(self._requests), None)
+        return None if key is None else self._requests[key]
+
+    def waiting_of(self, session: SessionId) -> int:
+        """Count the waiting requests of one session."""
+        return len(self._sessions.get(session, ()))
+
+    def count_ahead_of(self, session: SessionId) -> int:
+        """Bound from above how many requests are served before a new one of ``session``."""
+        turns = self.waiting_of(session) + 1
+        return min(len(self._requests), turns * len(self._sessions))
+
+    def _forget(self, request: WaitingRequest) -> None:
+        del self._requests[request.key]
+        self.size_bytes -= request.size_bytes
--- /dev/null
+++ b/hickorywind/admission/refusals.py
@@ -0,0 +1,43 @@
+"""Build the refusals of the admission queues, with a spread of when to come back."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+
+from hickorywind.admission.requests import Refuse, WaitingRequest
+from hickorywind.results import Result, ResultCode
+from hickorywind.util.clock import to_milliseconds
+
+_HINT_MIN_MS = 50
+_HINT_MAX_MS = 10_000
+
+
+def drain_hint_ms(expected_wait: timedelta, rng: random.Random) -> int:
+    """Return when to come back: the expected wait, spread so that callers don't return at once."""
+    base = min(max(to_milliseconds(expected_wait), _HINT_MIN_MS), _HINT_MAX_MS)
+    return round(base * rng.uniform(1.0, 2.0))
+
+
+def refuse_expired(request: WaitingRequest) -> Refuse:
+    """Refuse a request whose deadline passed before it got a slot."""
+    reason = "the deadline passed before the request was started"
+    return Refuse(request, Result.not_run(ResultCode.DEADLINE_PASSED, reason))
+
+
+def refuse_session(request: WaitingRequest, retry_after_ms: int) -> Refuse:
+    """Refuse a request of a session that has too many at once."""
+    reason = "the session has too many requests at this backend server"
+    return Refuse(request, Result.not_run(ResultCode.SESSION_LIMIT, reason, retry_after_ms))
+
+
+def refuse_late(request: WaitingRequest, retry_after_ms: int) -> Refuse:
+    """Refuse a request whose expected wait outlasts its deadline."""
+    reason = "the expected wait outlasts the deadline"
+    return Refuse(request, Result.not_run(ResultCode.WOULD_MISS_DEADLINE, reason, retry_after_ms))
+
+
+def refuse_full(request: WaitingRequest, retry_after_ms: int) -> Refuse:
+    """Refuse a request for which the bounded queue has no room."""
+    reason = "the queue of this rank is full"
+    return Refuse(request, Result.not_run(ResultCode.QUEUE_FULL, reason, retry_after_ms))
--- /dev/null
+++ b/hickorywind/pool/answers.py
@@ -0,0 +1,107 @@
+"""Send the answer of one request in parts, within the credit that its entry gives."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from hickorywind.ids import LogPosition, RequestId, TransactionId
+from hickorywind.postgres.frames import Frame
+from hickorywind.protocol.messages import (
+    AnswerEnd,
+    AnswerPart,
+    CancelResult,
+    Message,
+    TransactionState,
+)
+from hickorywind.results import Result
+
+_PART_BYTES = 65_536
+_FIRST_CREDIT_BYTES = 1_048_576
+
+
+class Answer:
+    """Cut frames into parts and hold the last part back until ``end``.
+
+    An answer ends once; whatever comes after that is dropped. ``send`` takes messages for the
+    request's entry.
+    """
+
+    def __init__(self, request_id: RequestId, send: Callable[[Message], None]) -> None:
+        self._request_id = request_id
+        self._send = send
+        self._held: list[bytes] = []
+        self._held_bytes = 0
+        self._credit_bytes = _FIRST_CREDIT_BYTES
+        self._credit_came = asyncio.Event()
+        self._part_count = 0
+        self.ended = False
+
+    def add_credit(self, credit_bytes: int) -> None:
+        """Allow further bytes to be sent."""
+        self._credit_bytes += credit_bytes
+        self._credit_came.set()
+
+    async def add(self, frames: Iterable[Frame]) -> None:
+        """Take in frames; wait for credit where a full part can't be sent."""
+        for frame in frames:
+            if self._held and self._held_bytes + len(frame.data) > _PART_BYTES:
+                await self._send_when_allowed()
+            self._held.append(frame.data)
+            self._held_bytes += len(frame.data)
+
+    async def _send_when_allowed(self) -> None:
+        while self._credit_bytes <= 0 and not self.ended:
+            self._credit_came.clear()
+            await self._credit_came.wait()
+        self._send_part()
+
+    def _send_part(self) -> None:
+        if not self.ended and self._held:
+            part = AnswerPart(self._request_id, self._part_count, b"".join(self._held))
+            self._part_count += 1
+            self._credit_bytes -= self._held_bytes
+            self._send(part)
+        self._held.clear()
+        self._held_bytes = 0
+
+    def drop_held(self) -> None:
+        """Forget frames that were not sent yet."""
+        self._held.clear()
+        self._held_bytes = 0
+
+    def end(
+        self,
+        result: Result,
+        state: TransactionState = TransactionState.IDLE,
+        transaction_id: TransactionId | None = None,
+        position: LogPosition | None = None,
+        queued_ms: float = 0.0,
+        service_ms: float = 0.0,
+    ) -> bool:
+        """Send what is held (for an OK result only) and the end; False where it ended before."""
+        if self.ended:
+            return False
+        if result.is_ok:
+            self._send_part()
+        else:
+            self.drop_held()
+        self._send(
+            AnswerEnd(
+                self._request_id,
+                self._part_count,
+                result,
+                state,
+                transaction_id,
+                position,
+                queued_ms,
+                service_ms,
+            )
+        )
+        self.ended = True
+        self._credit_came.set()
+        return True
+
+    def report_cancel(self, result: Result) -> None:
+        """Answer the entry's wish to withdraw the request."""
+        self._send(CancelResult(self._request_id, result))
--- /dev/null
+++ b/hickorywind/pool/backendconnection.py
@@ -0,0 +1,243 @@
+"""Speak PostgreSQL to one backend server over one connection."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import struct
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass
+
+from hickorywind.groups.status import POSITION_PARAMETER
+from hickorywind.ids import Address, LogPosition
+from hickorywind.pool import frontend
+from hickorywind.pool.replies import Outgoing, ReplyTracker
+from hickorywind.pool.statements import StatementNames
+from hickorywind.postgres.frames import Frame, FrameSplitter, FrameTooLargeError
+from hickorywind.protocol.messages import PreparedStatement, TransactionState
+
+logger = logging.getLogger(__name__)
+
+_READ_BYTES = 65_536
+_FRAME_LIMIT_BYTES = 64 * 1024 * 1024
+_APPLICATION = "hickorywind"
+_AUTH_OK = 0
+_AUTH_CLEARTEXT = 3
+_CANCEL_TIMEOUT_SECONDS = 1.0
+
+
+@dataclass(frozen=True)
+class Login:
+    """Name a backend server and how to log in there."""
+
+    address: Address
+    user: str
+    database: str
+    password: str | None = None
+
+
+class ConnectionFailedError(Exception):
+    """Report that a connection could not be opened or was lost."""
+
+
+class BackendRefusedError(ConnectionFailedError):
+    """Report that the backend server refused the login, with its SQLSTATE."""
+
+    def __init__(self, sqlstate: str, text: str) -> None:
+        super().__init__(f"{sqlstate} {text}")
+        self.sqlstate = sqlstate
+
+
+def error_field(frame: Frame, field: bytes) -> str:
+    """Read one field of an ErrorResponse; empty where it is absent."""
+    for part in bytes(frame.payload).split(b"\0"):
+        if part[:1] == field:
+            return part[1:].decode(errors="replace")
+    return ""
+
+
+class BackendConnection:
+    """Run batches one after the other; usable until ``broken`` or closed.
+
+    ``state`` is the transaction state after the last batch, ACTIVE also where the batch ended
+    without a Sync. ``position`` is the last log position that the backend server reported.
+    """
+
+    def __init__(self, login: Login, streams: tuple) -> None:
+        self._login = login
+        self._reader: asyncio.StreamReader = streams[0]
+        self._writer: asyncio.StreamWriter = streams[1]
+        self._splitter = FrameSplitter(_FRAME_LIMIT_BYTES)
+        self._names = StatementNames()
+        self._skipping = False
+        self._cancel_key: tuple[int, bytes] | None = None
+        self.state = TransactionState.IDLE
+        self.position: LogPosition | None = None
+        self.broken = False
+        self._cancel_sent = False
+
+    @classmethod
+    async def open(cls, login: Login) -> BackendConnection:
+        """Connect and log in; raise ``ConnectionFailedError``."""
+        try:
+            streams = await asyncio.open_connection(login.address.host, login.address.port)
+        except OSError as error:
+            raise ConnectionFailedError(str(error)) from error
+        connection = cls(login, streams)
+        try:
+            await connection._log_in()
+        except BaseException:
+            connection.abort()
+            raise
+        return connection
+
+    async def _log_in(self) -> None:
+        self._writer.write(frontend.startup(self._login.user, self._login.database, _APPLICATION))
+        while True:
+            for frame in await self._receive():
+                if self._take_login_frame(frame):
+                    return
+
+    def _take_login_frame(self, frame: Frame) -> bool:
+        match frame.kind:
+            case b"R":
+                self._authenticate(struct.unpack_from("!I", frame.payload)[0])
+            case b"S":
+                self._take_parameter(frame)
+            case b"K":
+                process_id = struct.unpack_from("!I", frame.payload)[0]
+                self._cancel_key = (process_id, bytes(frame.payload[4:]))
+            case b"E":
+                raise BackendRefusedError(error_field(frame, b"C"), error_field(frame, b"M"))
+            case b"Z":
+                return True
+        return False
+
+    def _authenticate(self, method: int) -> None:
+        if method == _AUTH_OK:
+            return
+        if method != _AUTH_CLEARTEXT:
+            raise ConnectionFailedError(f"authentication method {method} is not supported")
+        if self._login.password is None:
+            raise ConnectionFailedError("the backend server asks for a password")
+        self._writer.write(frontend.password(self._login.password))
+
+    def _take_parameter(self, frame: Frame) -> bool:
+        """Read a ParameterStatus and tell whether it is the log position."""
+        name, value, *_ = bytes(frame.payload).split(b"\0")
+        if name.decode(errors="replace") != POSITION_PARAMETER:
+            return False
+        self.position = LogPosition.from_text(value.decode())
+        return True
+
+    async def _receive(self) -> list[Frame]:
+        """Wait for the next bytes and return the messages they complete."""
+        try:
+            data = await self._reader.read(_READ_BYTES)
+        except OSError as error:
+            self.broken = True
+            raise ConnectionFailedError(str(error)) from error
+        if not data:
+            self.broken = True
+            raise ConnectionFailedError("the backend server closed the connection")
+        try:
+            return list(self._splitter.feed(data))
+        except (FrameTooLargeError, ValueError) as error:
+            self.broken = True
+            raise ConnectionFailedError(str(error)) from error
+
+    async def exchange(
+        self, frames: Sequence[Frame], prepared: Sequence[PreparedStatement] = ()
+    ) -> AsyncIterator[list[Frame]]:
+        """Send one batch and yield its replies as they come, without the swallowed ones.
+
+        Raise ``ConnectionFailedError`` where the connection breaks. Until the iterator is
+        exhausted the connection is in the middle of an answer and counts as broken.
+        """
+        batch = self._names.complete(frames, prepared)
+        tracker = ReplyTracker(batch, self._skipping)
+        self.broken = True
+        self._send(batch)
+        while not tracker.done:
+            relayed = self._take_replies(await self._receive(), tracker)
+            if relayed:
+                yield relayed
+        self._names.settle(tracker.defined, tracker.undefined)
+        self._skipping = tracker.skipping
+        self.broken = False
+
+    def _send(self, batch: Sequence[Outgoing]) -> None:
+        try:
+            self._writer.write(b"".join(outgoing.frame.data for outgoing in batch))
+        except (OSError, RuntimeError) as error:
+            raise ConnectionFailedError(str(error)) from error
+        if batch[-1].frame.kind in (b"H",):
+            self.state = TransactionState.ACTIVE
+
+    def _take_replies(self, frames: Sequence[Frame], tracker: ReplyTracker) -> list[Frame]:
+        relayed = []
+        for frame in frames:
+            if self._is_wanted(frame, tracker):
+                relayed.append(frame)
+        return relayed
+
+    def _is_wanted(self, frame: Frame, tracker: ReplyTracker) -> bool:
+        match frame.kind:
+            case b"S" if self._take_parameter(frame):
+                return False
+            case b"Z":
+                self.state = TransactionState(chr(frame.payload[0]))
+            case b"G" | b"W":
+                self._writer.write(frontend.copy_fail("COPY is not carried"))
+                return False
+        return tracker.accept(frame)
+
+    async def run_simple(self, sql: str) -> list[Frame]:
+        """Run a simple query of the pool's own and return all its replies."""
+        frame = Frame(b"Q", frontend.query(sql))
+        replies: list[Frame] = []
+        async for part in self.exchange((frame,)):
+            replies.extend(part)
+        return replies
+
+    @property
+    def is_reusable(self) -> bool:
+        """Tell whether the connection can serve another session."""
+        idle = self.state is TransactionState.IDLE and not self._skipping
+        in_doubt = self.broken or self._cancel_sent
+        return idle and not in_doubt and not self._writer.is_closing()
+
+    @property
+    def is_lost(self) -> bool:
+        """Tell whether the backend server has closed the connection."""
+        return self._reader.at_eof() or self._writer.is_closing()
+
+    async def cancel_running(self) -> None:
+        """Ask the backend server to cancel what this connection runs; errors are ignored.
+
+        The cancellation may take effect late, so the connection won't serve another session.
+        """
+        self._cancel_sent = True
+        if self._cancel_key is None:
+            return
+        address = self._login.address
+        try:
+            async with asyncio.timeout(_CANCEL_TIMEOUT_SECONDS):
+                _, writer = await asyncio.open_connection(address.host, address.port)
+                writer.write(frontend.cancel_request(*self._cancel_key))
+                await writer.drain()
+                writer.close()
+        except (OSError, TimeoutError) as error:
+            logger.debug("cancel_failed", extra={"error": str(error)})
+
+    def terminate(self) -> None:
+        """Close in good order."""
+        self.broken = True
+        if not self._writer.is_closing():
+            self._writer.write(frontend.terminate())
+            self._writer.close()
+
+    def abort(self) -> None:
+        """Close at once; the backend server rolls back an open transaction."""
+        self.broken = True
+        self._writer.transport.abort()
--- /dev/null
+++ b/hickorywind/pool/connections.py
@@ -0,0 +1,131 @@
+"""Keep the bounded set of connections to one backend server."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from datetime import timedelta
+
+from hickorywind.pool.backendconnection import BackendConnection, ConnectionFailedError, Login
+from hickorywind.util.clock import Clock, Instant
+
+logger = logging.getLogger(__name__)
+
+_OPENS_IN_FLIGHT = 4
+_OPEN_TIMEOUT_SECONDS = 2.0
+_IDLE_LIMIT = timedelta(seconds=60)
+_MARGIN = 1
+
+
+def connection_share(connections: int) -> int:
+    """Return how many of a backend server's connections one home may hold.
+
+    Under half, so that an old and a new home fit side by side.
+    """
+    return max(1, connections // 2 - _MARGIN)
+
+
+class Connections:
+    """Lend connections; each lent one comes back through ``release`` or ``discard``."""
+
+    def __init__(self, login: Login, limit: int, clock: Clock) -> None:
+        self._login = login
+        self._limit = limit
+        self._clock = clock
+        self._idle: list[tuple[BackendConnection, Instant]] = []
+        self._lent: set[BackendConnection] = set()
+        self._opening = 0
+        self._waiters: deque[asyncio.Future] = deque()
+        self._opens = asyncio.Semaphore(_OPENS_IN_FLIGHT)
+
+    @property
+    def count(self) -> int:
+        """Return how many connections are open or being opened."""
+        return len(self._idle) + len(self._lent) + self._opening
+
+    @property
+    def lent_count(self) -> int:
+        """Return how many connections are lent."""
+        return len(self._lent)
+
+    async def acquire(self) -> BackendConnection:
+        """Lend an idle connection or open one; raise ``ConnectionFailedError``."""
+        while True:
+            connection = self._take_idle()
+            if connection is not None:
+                return connection
+            if self.count < self._limit:
+                return await self._open()
+            await self._wait_for_release()
+
+    def _take_idle(self) -> BackendConnection | None:
+        while self._idle:
+            connection, _ = self._idle.pop()
+            if connection.is_lost:
+                connection.abort()
+                continue
+            self._lent.add(connection)
+            return connection
+        return None
+
+    async def _open(self) -> BackendConnection:
+        self._opening += 1
+        try:
+            async with self._opens, asyncio.timeout(_OPEN_TIMEOUT_SECONDS):
+                connection = await BackendConnection.open(self._login)
+        except TimeoutError as error:
+            raise ConnectionFailedError("the connection was not opened in time") from error
+        finally:
+            self._opening -= 1
+            self._wake_one()
+        self._lent.add(connection)
+        return connection
+
+    async def _wait_for_release(self) -> None:
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        try:
+            await waiter
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+    def release(self, connection: BackendConnection) -> None:
+        """Take back a connection; one whose state is in doubt is closed."""
+        self._lent.discard(connection)
+        if connection.is_reusable and not connection.is_lost:
+            self._idle.append((connection, self._clock.now()))
+        else:
+            connection.abort()
+        self._wake_one()
+
+    def discard(self, connection: BackendConnection) -> None:
+        """Close a lent connection."""
+        self._lent.discard(connection)
+        connection.abort()
+        self._wake_one()
+
+    def _wake_one(self) -> None:
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
+    def close_idle(self, older_than: timedelta = _IDLE_LIMIT) -> None:
+        """Close connections that were not used for a while."""
+        now = self._clock.now()
+        kept = []
+        for connection, since in self._idle:
+            if now - since < older_than and not connection.is_lost:
+                kept.append((connection, since))
+            else:
+                connection.terminate()
+        self._idle = kept
+
+    def close_all(self) -> None:
+        """Close idle connections in good order and the lent ones at once."""
+        self.close_idle(timedelta(0))
+        for connection in tuple(self._lent):
+            self.discard(connection)
--- /dev/null
+++ b/hickorywind/pool/frontend.py
@@ -0,0 +1,66 @@
+"""Build the few PostgreSQL frontend messages that a pool sends on its own account."""
+
+from __future__ import annotations
+
+import struct
+
+_PROTOCOL_VERSION = 196_608
+_CANCEL_CODE = 80_877_102
+_CANCEL_LENGTH_BYTES = 16
+_LENGTH_BYTES = 4
+
+
+def message(kind: bytes, payload: bytes) -> bytes:
+    """Frame a payload with its type byte and length."""
+    return kind + struct.pack("!I", len(payload) + _LENGTH_BYTES) + payload
+
+
+def text(value: str) -> bytes:
+    """Encode a zero-terminated string."""
+    return value.encode() + b"\0"
+
+
+def startup(user: str, database: str, application: str) -> bytes:
+    """Build the startup message of a connection."""
+    options = {"user": user, "database": database, "application_name": application}
+    pairs = b"".join(text(name) + text(value) for name, value in options.items())
+    body = struct.pack("!I", _PROTOCOL_VERSION) + pairs + b"\0"
+    return struct.pack("!I", len(body) + _LENGTH_BYTES) + body
+
+
+def password(value: str) -> bytes:
+    """Build the answer to a request for a cleartext password."""
+    return message(b"p", text(value))
+
+
+def query(sql: str) -> bytes:
+    """Build a simple query."""
+    return message(b"Q", text(sql))
+
+
+def close_statement(name: str) -> bytes:
+    """Build a Close message for a prepared statement."""
+    return message(b"C", b"S" + text(name))
+
+
+def terminate() -> bytes:
+    """Build the message that ends a connection in good order."""
+    return message(b"X", b"")
+
+
+def copy_fail(reason: str) -> bytes:
+    """Build the message that ends a COPY which the proxy does not carry."""
+    return message(b"f", text(reason))
+
+
+def cancel_request(process_id: int, secret: bytes) -> bytes:
+    """Build the startup-phase message that cancels what another connection runs."""
+    length = _CANCEL_LENGTH_BYTES - _LENGTH_BYTES + len(secret)
+    return struct.pack("!III", length, _CANCEL_CODE, process_id) + secret
+
+
+def quote_literal(value: str) -> str:
+    """Quote a string as an SQL literal; raise ValueError where it holds a zero byte."""
+    if "\0" in value:
+        raise ValueError("a literal can't hold a zero byte")
+    return "'" + value.replace("'", "''") + "'"
--- /dev/null
+++ b/hickorywind/pool/jobs.py
@@ -0,0 +1,153 @@
+"""Carry one request through the pool."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from hickorywind.admission.requests import WaitingRequest
+from hickorywind.ids import (
+    EMPTY_LOG,
+    AccessMode,
+    InstanceRole,
+    LogPosition,
+    RequestId,
+    Term,
+    TransactionId,
+)
+from hickorywind.pool.answers import Answer
+from hickorywind.pool.backendconnection import BackendConnection
+from hickorywind.postgres.frames import Frame, FrameSplitter, FrameTooLargeError
+from hickorywind.protocol.channel import PeerId
+from hickorywind.protocol.messages import Execute
+from hickorywind.results import HickorywindError, Result, ResultCode
+from hickorywind.util.clock import Clock, Instant, milliseconds
+
+_BATCH_LIMIT_BYTES = 64 * 1024 * 1024
+_BATCH_ENDS = (b"Q", b"S", b"H", b"F")
+_PLAIN_BEGIN = b"begin"
+
+
+class JobKey(NamedTuple):
+    """Tell a request from all others: ids are unique within one entry."""
+
+    entry: PeerId
+    request_id: RequestId
+
+
+class TransactionKey(NamedTuple):
+    """Tell a transaction from all others."""
+
+    entry: PeerId
+    transaction_id: TransactionId
+
+
+def split_batch(data: bytes) -> tuple[Frame, ...]:
+    """Cut a batch into messages; raise ``HickorywindError`` where it is not a whole batch."""
+    splitter = FrameSplitter(_BATCH_LIMIT_BYTES)
+    try:
+        frames = tuple(splitter.feed(data))
+    except FrameTooLargeError as error:
+        raise _malformed(str(error)) from error
+    if splitter.buffered_bytes or not frames or frames[-1].kind not in _BATCH_ENDS:
+        raise _malformed("the batch is not made of whole messages")
+    return frames
+
+
+def _malformed(reason: str) -> HickorywindError:
+    return HickorywindError(Result.not_run(ResultCode.MALFORMED_MESSAGE, reason))
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """Hold a request and what has become of it.
+
+    ``touched`` is set just before the first byte is written to a backend server; from then on the
+    request can't be called not run. ``role``, ``term`` and ``applied`` are the backend server's as
+    known before the batch started. ``connection`` is set while the batch runs, ``joined`` once it was counted in
+    its transaction, and ``position`` is what the backend server reported after it.
+    """
+
+    key: JobKey
+    message: Execute
+    frames: tuple[Frame, ...]
+    arrived: Instant
+    deadline: Instant
+    answer: Answer
+    touched: bool = False
+    started: Instant | None = None
+    role: InstanceRole | None = None
+    term: Term = Term(0)
+    applied: LogPosition = EMPTY_LOG
+    connection: BackendConnection | None = None
+    abandoned: bool = False
+    joined: bool = False
+    position: LogPosition | None = None
+    timer: asyncio.TimerHandle | None = None
+
+    @classmethod
+    def from_message(cls, key: JobKey, message: Execute, clock: Clock, answer: Answer) -> Job:
+        """Build a job; raise ``HickorywindError`` for a malformed batch."""
+        now = clock.now()
+        deadline = now + milliseconds(message.remaining_ms)
+        return cls(key, message, split_batch(message.frames), now, deadline, answer)
+
+    @property
+    def transaction(self) -> TransactionKey | None:
+        """Return the key of the transaction that the batch continues."""
+        transaction_id = self.message.transaction_id
+        return None if transaction_id is None else TransactionKey(self.key.entry, transaction_id)
+
+    @property
+    def own_transaction(self) -> TransactionKey:
+        """Return the key of a transaction that this batch may open."""
+        return TransactionKey(self.key.entry, TransactionId(int(self.key.request_id)))
+
+    @property
+    def is_write(self) -> bool:
+        """Tell whether the request may change data."""
+        return self.message.mode is AccessMode.WRITE
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether running the request twice does no harm."""
+        return not self.is_write or self.message.idempotency_key is not None
+
+    @property
+    def opens_transaction(self) -> bool:
+        """Tell whether the batch looks as if it left a transaction open."""
+        if self.message.transaction_id is not None:
+            return False
+        return self.frames[-1].kind == b"H" or _begins(self.frames)
+
+    def to_waiting(self) -> WaitingRequest:
+        """Describe the job to admission."""
+        message = self.message
+        return WaitingRequest(
+            self.key,
+            message.session_id,
+            message.rank,
+            len(message.frames),
+            self.arrived,
+            self.deadline,
+            message.transaction_id is not None,
+        )
+
+
+def _begins(frames: Sequence[Frame]) -> bool:
+    for frame in frames:
+        if frame.kind == b"Q":
+            return _is_begin(bytes(frame.payload[:256]))
+        if frame.kind == b"P":
+            text = bytes(frame.payload[:256])
+            return _is_begin(text[text.index(b"\0") + 1 :] if b"\0" in text else text)
+    return False
+
+
+def _is_begin(sql: bytes) -> bool:
+    text = sql.lstrip().lower()
+    while text.startswith(b"/*") and b"*/" in text:
+        text = text[text.index(b"*/") + 2 :].lstrip()
+    return text.startswith((_PLAIN_BEGIN, b"start transaction"))
--- /dev/null
+++ b/hickorywind/pool/replies.py
@@ -0,0 +1,96 @@
+"""Follow the replies to one batch of frontend messages, to know which to relay and when it ends.
+
+A batch that ends in Flush has no ReadyForQuery: it ends once every message got its own reply. An
+error makes the backend server skip all messages up to the next Sync, also those of later batches.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from hickorywind.postgres.frames import Frame
+
+_READY = b"Z"
+_ERROR = b"E"
+_ASYNCHRONOUS = (b"S", b"N", b"A")
+
+# Reply kinds that complete a frontend message of the given kind.
+_COMPLETED_BY: dict[bytes, tuple[bytes, ...]] = {
+    b"P": (b"1",),
+    b"B": (b"2",),
+    b"D": (b"T", b"n"),
+    b"E": (b"C", b"I", b"s"),
+    b"C": (b"3",),
+    b"S": (_READY,),
+    b"Q": (_READY,),
+    b"F": (_READY,),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """Pair a frontend message with whether its reply is kept from the caller."""
+
+    frame: Frame
+    swallowed: bool = False
+    defines: str | None = None
+    undefines: str | None = None
+
+
+class ReplyTracker:
+    """Match backend messages to the frontend messages of one batch.
+
+    ``skipping`` says that an earlier batch failed without a Sync since.
+    """
+
+    def __init__(self, batch: Iterable[Outgoing], skipping: bool = False) -> None:
+        self._pending: deque[Outgoing] = deque()
+        self.skipping = skipping
+        self.defined: list[str] = []
+        self.undefined: list[str] = []
+        for outgoing in batch:
+            self._expect(outgoing)
+
+    def _expect(self, outgoing: Outgoing) -> None:
+        if outgoing.frame.kind not in _COMPLETED_BY:
+            return
+        if self.skipping and outgoing.frame.kind != b"S":
+            return
+        self.skipping = False
+        self._pending.append(outgoing)
+
+    @property
+    def done(self) -> bool:
+        """Tell whether every reply has come."""
+        return not self._pending
+
+    def accept(self, frame: Frame) -> bool:
+        """Take in a backend message and tell whether to relay it to the caller."""
+        if frame.kind in _ASYNCHRONOUS or not self._pending:
+            return frame.kind != b"A"
+        if frame.kind == _ERROR:
+            return self._accept_error()
+        head = self._pending[0]
+        if frame.kind in _COMPLETED_BY[head.frame.kind]:
+            if head.frame.kind == b"Q" and frame.kind != _READY:
+                return True
+            self._pending.popleft()
+            self._note_names(head)
+        return not head.swallowed
+
+    def _note_names(self, outgoing: Outgoing) -> None:
+        if outgoing.undefines is not None:
+            self.undefined.append(outgoing.undefines)
+        if outgoing.defines is not None:
+            self.defined.append(outgoing.defines)
+
+    def _accept_error(self) -> bool:
+        """Drop the replies that won't come after an error."""
+        if self._pending[0].frame.kind in (b"Q", b"F", b"S"):
+            return True
+        while self._pending and self._pending[0].frame.kind != b"S":
+            self._pending.popleft()
+        self.skipping = not self._pending
+        return True
--- /dev/null
+++ b/tests/pool/harness.py
@@ -0,0 +1,300 @@
+"""Run a pool's tasks in-process against stand-in backend servers, and speak to it as an entry."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import socket
+import tempfile
+from contextlib import AsyncExitStack, asynccontextmanager
+from datetime import timedelta
+from pathlib import Path
+
+from hickorywind.configuration.model import (
+    Configuration,
+    Instance,
+    Limits,
+    RankPolicy,
+    Service,
+    TransactionLimits,
+    Zone,
+)
+from hickorywind.configuration.sections import digest_sections, split_sections
+from hickorywind.groups.client import GroupClient
+from hickorywind.ids import (
+    AccessMode,
+    Address,
+    AvailabilityZone,
+    BackendId,
+    HostId,
+    Incarnation,
+    Rank,
+    Region,
+    RequestId,
+    Revision,
+    ServiceName,
+    SessionId,
+    Term,
+)
+from hickorywind.membership.directory import Directory
+from hickorywind.pool import frontend
+from hickorywind.pool.backendconnection import Login
+from hickorywind.pool.dispatch import Dispatcher
+from hickorywind.pool.role import BackendTasks
+from hickorywind.postgres.frames import FrameSplitter
+from hickorywind.protocol.channel import Link, Listener
+from hickorywind.protocol.messages import (
+    AnswerCredit,
+    AnswerEnd,
+    AnswerPart,
+    CancelResult,
+    EntryHeartbeat,
+    Execute,
+    PoolHeartbeat,
+    Refused,
+)
+from hickorywind.protocol.records import ConfigHeadRecord, ConfigRecord, GroupRecord
+from hickorywind.util.clock import MonotonicClock
+from standins.backend.server import BackendServer
+from standins.backend.settings import BackendSettings, Peer
+
+SERVICE = ServiceName("dispatch")
+HOST = HostId("pool-1")
+_GOODBYE_SECONDS = 0.05
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def connect_control(address: Address) -> GroupClient:
+    return GroupClient(address, timedelta(seconds=1))
+
+
+class Group:
+    """Run the instances of one database group."""
+
+    def __init__(self, count: int, folder: Path, **settings) -> None:
+        ports = [(free_port(), free_port()) for _ in range(count)]
+        self.backends = [BackendId(f"b{index}") for index in range(count)]
+        self.addresses = [Address("127.0.0.1", port) for port, _ in ports]
+        peers = tuple(
+            Peer(backend, f"127.0.0.1:{port}")
+            for backend, (_, port) in zip(self.backends, ports, strict=True)
+        )
+        self.servers = []
+        for index, (port, replication) in enumerate(ports):
+            config = BackendSettings(
+                backend=self.backends[index],
+                service=SERVICE,
+                listen=f"127.0.0.1:{port}",
+                replication_listen=f"127.0.0.1:{replication}",
+                peers=peers,
+                connect_time_ms=1,
+                initial_primary=index == 0,
+                **settings,
+            )
+            path = folder / self.backends[index]
+            path.mkdir()
+            self.servers.append(BackendServer(config, path))
+
+    async def start(self) -> None:
+        for server in self.servers:
+            await server.start()
+
+    async def close(self) -> None:
+        await asyncio.sleep(_GOODBYE_SECONDS)
+        for server in self.servers:
+            await server.close()
+
+
+DEFAULT_RANKS = (
+    RankPolicy(Rank.URGENT, 50),
+    RankPolicy(Rank.STANDARD, 30),
+    RankPolicy(Rank.BACKGROUND, 10),
+)
+
+
+def make_service(group: Group, slots=3, connections=20, **limits) -> Service:
+    instances = tuple(
+        Instance(backend, AvailabilityZone("z"), str(address), slots, connections)
+        for backend, address in zip(group.backends, group.addresses, strict=True)
+    )
+    return Service(SERVICE, instances, DEFAULT_RANKS, transactions=TransactionLimits(**limits))
+
+
+def make_directory(service: Service) -> Directory:
+    zone = Zone(AvailabilityZone("z"), Region("r"))
+    sections = split_sections(Configuration("test", (zone,), (service,), Limits()))
+    directory = Directory()
+    directory.merge(
+        ConfigRecord(section, Revision(1), document) for section, document in sections.items()
+    )
+    directory.merge((ConfigHeadRecord(Revision(1), digest_sections(sections)),))
+    directory.merge((GroupRecord(SERVICE, Term(1), service.instances[0].backend),))
+    return directory
+
+
+class EntryStub:
+    """Speak to a pool as an entry does."""
+
+    def __init__(self, address: Address, host: str = "entry-1") -> None:
+        self.link = Link(address)
+        self.heartbeat = EntryHeartbeat(HostId(host), Incarnation(7))
+        self.incarnation: Incarnation | None = None
+        self.inboxes: dict[int, asyncio.Queue] = {}
+        self.refused: list[Refused] = []
+        self.beating = True
+        self._ids = itertools.count(1)
+        self._tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        self._tasks = [
+            asyncio.create_task(self._receive()),
+            asyncio.create_task(self._beat()),
+        ]
+        while self.incarnation is None:
+            await asyncio.sleep(0.01)
+
+    async def _beat(self) -> None:
+        while True:
+            if self.beating:
+                await self.link.send(self.heartbeat)
+            await asyncio.sleep(0.05 if self.incarnation is None else 0.5)
+
+    async def _receive(self) -> None:
+        while True:
+            message = await self.link.receive()
+            match message:
+                case PoolHeartbeat():
+                    self.incarnation = message.incarnation
+                case Refused():
+                    self.refused.append(message)
+                case AnswerPart() | AnswerEnd() | CancelResult():
+                    self.inbox(message.request_id).put_nowait(message)
+
+    def inbox(self, request_id: int) -> asyncio.Queue:
+        return self.inboxes.setdefault(request_id, asyncio.Queue())
+
+    def make(self, sql: str | bytes, **fields) -> Execute:
+        frames = frontend.query(sql) if isinstance(sql, str) else sql
+        defaults = {
+            "request_id": RequestId(next(self._ids)),
+            "pool_incarnation": self.incarnation,
+            "session_id": SessionId("s1"),
+            "service": SERVICE,
+            "backend": BackendId("b0"),
+            "rank": Rank.STANDARD,
+            "mode": AccessMode.WRITE,
+            "remaining_ms": 3_000,
+            "frames": frames,
+        }
+        return Execute(**(defaults | fields))
+
+    async def collect(self, request_id: int, credit: bool = True) -> Answer:
+        answer = Answer()
+        inbox = self.inbox(request_id)
+        while True:
+            async with asyncio.timeout(10):
+                message = await inbox.get()
+            match message:
+                case AnswerPart():
+                    answer.parts.append(message)
+                    if credit:
+                        await self.link.send(AnswerCredit(request_id, len(message.frames)))
+                case AnswerEnd():
+                    answer.end = message
+                    return answer
+
+    async def run(self, sql: str | bytes, **fields) -> Answer:
+        message = self.make(sql, **fields)
+        await self.link.send(message)
+        return await self.collect(message.request_id)
+
+    async def close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.link.close()
+
+
+class Answer:
+    """Hold a collected answer."""
+
+    def __init__(self) -> None:
+        self.parts: list[AnswerPart] = []
+        self.end: AnswerEnd | None = None
+
+    @property
+    def result(self):
+        return self.end.result
+
+    @property
+    def frames(self):
+        splitter = FrameSplitter(1 << 30)
+        return list(splitter.feed(b"".join(part.frames for part in self.parts)))
+
+    @property
+    def kinds(self) -> str:
+        return "".join(frame.kind.decode() for frame in self.frames)
+
+    @property
+    def rows(self) -> list[str]:
+        """Return the first column of each row as text."""
+        texts = []
+        for frame in self.frames:
+            if frame.kind == b"D":
+                length = int.from_bytes(frame.payload[2:6], "big")
+                texts.append(bytes(frame.payload[6 : 6 + length]).decode())
+        return texts
+
+
+class PoolUnderTest:
+    """Hold a running pool and its surroundings."""
+
+    def __init__(self, group: Group, directory: Directory, control=connect_control) -> None:
+        self.group = group
+        self.directory = directory
+        self.address = Address("127.0.0.1", free_port())
+        clock = MonotonicClock()
+        self.backends = BackendTasks(
+            HOST,
+            directory,
+            lambda service, address: Login(address, "app", service),
+            control,
+            clock,
+            random.Random(1),
+        )
+        self.listener = Listener(self.address)
+        self.dispatcher = Dispatcher(HOST, Incarnation(11), self.listener, self.backends, clock)
+        self._task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        self._task = asyncio.create_task(self.dispatcher.run())
+
+    async def close(self) -> None:
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        await self.backends.close()
+        self.listener.close()
+
+
+@asynccontextmanager
+async def running_pool(count=1, control=connect_control, limits=None, slots=3, **settings):
+    """Start a group, a pool and an entry stub; yield them."""
+    async with AsyncExitStack() as stack:
+        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        group = Group(count, Path(folder), **settings)
+        await group.start()
+        stack.push_async_callback(group.close)
+        directory = make_directory(make_service(group, slots=slots, **(limits or {})))
+        pool = PoolUnderTest(group, directory, control)
+        await pool.start()
+        stack.push_async_callback(pool.close)
+        entry = EntryStub(pool.address)
+        await entry.start()
+        stack.push_async_callback(entry.close)
+        yield pool, entry
