Serve PostgreSQL callers at the entry and run their batches at pools

Cause: nothing took in callers; the whole path needs an entry first. Change: startup, statement classes, hints, shared prepared statements, answer shaping; session floors and tokens, targets, retry policy, link budget; server, session, executor, pool link, role.

--- /dev/null
+++ b/hickorywind/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers: connections, sessions, and the path of each request to a pool."""
--- /dev/null
+++ b/hickorywind/entry/handshake.py
@@ -0,0 +1,126 @@
+"""Open a caller's connection: startup packets, authentication, and the first parameters."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import struct
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from pygwire.constants import StartupRequestCode
+from pygwire.exceptions import PygwireError
+from pygwire.messages import (
+    AuthenticationCleartextPassword,
+    AuthenticationOk,
+    BackendKeyData,
+    NegotiateProtocolVersion,
+    PasswordMessage,
+)
+
+from hickorywind.postgres.answers import parameter_status
+from hickorywind.postgres.startup import (
+    ENCRYPTION_REFUSED,
+    LENGTH_BYTES,
+    CancelWanted,
+    EncryptionWanted,
+    StartupParameters,
+    decode_packet,
+    packet_length,
+)
+from hickorywind.results import HickorywindError, Outcome, Result, ResultCode
+
+_ENCRYPTION_ATTEMPTS = 2
+_PASSWORD_LIMIT_BYTES = 1_024
+_HEADER = struct.Struct("!cI")
+
+# What a PostgreSQL server reports; callers need it before any backend server is chosen.
+_SERVER_PARAMETERS = {
+    "server_version": "15.0 (hickorywind)",
+    "server_encoding": "UTF8",
+    "client_encoding": "UTF8",
+    "DateStyle": "ISO, MDY",
+    "IntervalStyle": "postgres",
+    "TimeZone": "UTC",
+    "integer_datetimes": "on",
+    "standard_conforming_strings": "on",
+    "is_superuser": "off",
+    "in_hot_standby": "off",
+    "default_transaction_read_only": "off",
+}
+
+
+@dataclass(frozen=True)
+class CancelKey:
+    """Identify a session for a cancel request; both parts are random."""
+
+    process_id: int
+    secret_key: bytes
+
+
+async def read_startup(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> StartupParameters | CancelWanted:
+    """Read packets up to the one that says what the caller wants; refuse encryption.
+
+    Raise ``HickorywindError`` for a bad packet and ``IncompleteReadError`` for a cut connection.
+    """
+    for _ in range(_ENCRYPTION_ATTEMPTS + 1):
+        length = packet_length(await reader.readexactly(LENGTH_BYTES))
+        packet = decode_packet(await reader.readexactly(length - LENGTH_BYTES))
+        match packet:
+            case EncryptionWanted():
+                writer.write(ENCRYPTION_REFUSED)
+            case _:
+                return packet
+    raise _refused(ResultCode.BAD_STARTUP, "encryption was asked for too often")
+
+
+async def authenticate(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    user: str,
+    users: Mapping[str, str] | None,
+) -> None:
+    """Ask for the password where callers are known; raise ``AUTHENTICATION_FAILED``."""
+    if users is None:
+        return
+    writer.write(AuthenticationCleartextPassword().to_wire())
+    given = await _read_password(reader)
+    expected = users.get(user)
+    matches = hmac.compare_digest(given.encode(), (expected or "").encode())
+    if expected is None or not matches:
+        raise _refused(ResultCode.AUTHENTICATION_FAILED, "caller name or password is wrong")
+
+
+async def _read_password(reader: asyncio.StreamReader) -> str:
+    kind, length = _HEADER.unpack(await reader.readexactly(_HEADER.size))
+    size = length - LENGTH_BYTES
+    if kind != b"p" or not 0 < size <= _PASSWORD_LIMIT_BYTES:
+        raise _refused(ResultCode.MALFORMED_MESSAGE, "expected a password message")
+    payload = await reader.readexactly(size)
+    try:
+        password = PasswordMessage.decode(memoryview(payload)).password
+    except (PygwireError, UnicodeDecodeError):
+        raise _refused(ResultCode.MALFORMED_MESSAGE, "password message is malformed") from None
+    return password if isinstance(password, str) else password.decode(errors="replace")
+
+
+def greeting(parameters: StartupParameters, key: CancelKey, extra: Mapping[str, str]) -> bytes:
+    """Build all messages from AuthenticationOk to BackendKeyData."""
+    parts = []
+    unknown = [name for name in parameters.values if name.startswith("_pq_.")]
+    if parameters.minor_version > 0 or unknown:
+        parts.append(NegotiateProtocolVersion(StartupRequestCode.V3_0, unknown).to_wire())
+    parts.append(AuthenticationOk().to_wire())
+    shown = dict(_SERVER_PARAMETERS)
+    shown["session_authorization"] = parameters.values.get("user", "")
+    shown["application_name"] = parameters.values.get("application_name", "")
+    shown.update(extra)
+    parts.extend(parameter_status(name, value) for name, value in shown.items())
+    parts.append(BackendKeyData(key.process_id, key.secret_key).to_wire())
+    return b"".join(parts)
+
+
+def _refused(code: ResultCode, reason: str) -> HickorywindError:
+    return HickorywindError(Result(code, Outcome.NOT_RUN, reason))
--- /dev/null
+++ b/hickorywind/entry/inbox.py
@@ -0,0 +1,76 @@
+"""Put the messages of one answer in order, however they arrive."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from hickorywind.ids import RequestId
+from hickorywind.protocol.messages import AnswerEnd, AnswerPart, CancelResult
+
+
+@dataclass(frozen=True)
+class LinkLost:
+    """Tell a waiting request that its pool is gone or has restarted."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class CancelWanted:
+    """Tell a waiting request that its caller wants it withdrawn."""
+
+
+InboxEvent = AnswerPart | AnswerEnd | CancelResult | LinkLost | CancelWanted
+
+
+class RequestInbox:
+    """Receive what belongs to one request; parts come out in sequence and once.
+
+    The end comes out after all its parts. Where parts are missing it is kept back;
+    ``is_incomplete`` then tells that only their arrival can help.
+    """
+
+    def __init__(self, request_id: RequestId) -> None:
+        self.request_id = request_id
+        self._ready: asyncio.Queue[InboxEvent] = asyncio.Queue()
+        self._early: dict[int, AnswerPart] = {}
+        self._next_sequence = 0
+        self._end: AnswerEnd | None = None
+
+    @property
+    def is_incomplete(self) -> bool:
+        """Tell whether the end came and parts of the answer did not."""
+        return self._end is not None and self._next_sequence < self._end.part_count
+
+    def put(self, event: InboxEvent) -> None:
+        """Take in a message in any order; duplicates are dropped."""
+        match event:
+            case AnswerPart():
+                self._put_part(event)
+            case AnswerEnd():
+                self._put_end(event)
+            case CancelResult() | LinkLost() | CancelWanted():
+                self._ready.put_nowait(event)
+
+    def _put_part(self, part: AnswerPart) -> None:
+        if part.sequence < self._next_sequence:
+            return
+        self._early[part.sequence] = part
+        while self._next_sequence in self._early:
+            self._ready.put_nowait(self._early.pop(self._next_sequence))
+            self._next_sequence += 1
+        self._release_end()
+
+    def _put_end(self, end: AnswerEnd) -> None:
+        if self._end is None:
+            self._end = end
+            self._release_end()
+
+    def _release_end(self) -> None:
+        if self._end is not None and self._next_sequence == self._end.part_count:
+            self._ready.put_nowait(self._end)
+
+    async def get(self) -> InboxEvent:
+        """Wait for the next event in order."""
+        return await self._ready.get()
--- /dev/null
+++ b/hickorywind/entry/planning.py
@@ -0,0 +1,86 @@
+"""Work out from a batch what it needs: access mode, whether it may be repeated, and its bounds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from hickorywind.configuration.model import Service
+from hickorywind.entry.sessionstate import find_rank, find_read_kind, find_timeout_ms
+from hickorywind.ids import AccessMode, Rank
+from hickorywind.postgres.batches import Batch, Ending
+from hickorywind.postgres.hints import Hints
+from hickorywind.postgres.statements import Begin, Commit, Empty, Read, Rollback, Statement
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Say how a batch is to be run.
+
+    ``opens_transaction`` and ``closes_transaction`` tell of explicit BEGIN and of COMMIT or
+    ROLLBACK in it.
+    """
+
+    rank: Rank
+    mode: AccessMode
+    timeout_ms: int
+    repeatable: bool
+    max_staleness_ms: int | None
+    fallback_staleness_ms: int | None
+    idempotency_key: str | None
+    opens_transaction: bool
+    closes_transaction: bool
+    read_only_transaction: bool
+
+
+def plan_batch(batch: Batch, session_hints: Hints, service: Service) -> Plan:
+    """Plan a batch; raise ``HickorywindError`` with ``BAD_HINT``."""
+    hints = batch.hints.over(session_hints)
+    rank = find_rank(service, hints)
+    kind = find_read_kind(service, hints)
+    statements = batch.statements + batch.bound
+    mode = _access_mode(batch, statements)
+    return Plan(
+        rank=rank,
+        mode=mode,
+        timeout_ms=find_timeout_ms(service, rank, hints),
+        repeatable=_is_repeatable(hints, mode, statements),
+        max_staleness_ms=_max_staleness(hints, kind.max_staleness_ms if kind else None),
+        fallback_staleness_ms=kind.fallback_staleness_ms if kind else None,
+        idempotency_key=hints.request_id,
+        opens_transaction=any(isinstance(item, Begin) for item in statements),
+        closes_transaction=any(isinstance(item, Commit | Rollback) for item in statements),
+        read_only_transaction=any(
+            isinstance(item, Begin) and item.read_only for item in statements
+        ),
+    )
+
+
+def _max_staleness(hints: Hints, of_kind: int | None) -> int | None:
+    """Return the stricter of the hint and the kind of read."""
+    bounds = [bound for bound in (hints.max_staleness_ms, of_kind) if bound is not None]
+    return min(bounds, default=None)
+
+
+def _access_mode(batch: Batch, statements: list[Statement]) -> AccessMode:
+    if batch.ending is Ending.FLUSH and batch.runs:
+        # What follows in the same implicit transaction is not known yet.
+        return AccessMode.WRITE
+    only_reads = all(_is_read(statement) for statement in statements)
+    return AccessMode.READ if only_reads else AccessMode.WRITE
+
+
+def _is_read(statement: Statement) -> bool:
+    match statement:
+        case Read() | Empty() | Begin(read_only=True):
+            return True
+        case _:
+            return False
+
+
+def _is_repeatable(hints: Hints, mode: AccessMode, statements: list[Statement]) -> bool:
+    if hints.idempotent is not None:
+        return hints.idempotent or hints.request_id is not None
+    if hints.request_id is not None or mode is AccessMode.READ:
+        return True
+    # A BEGIN that got lost leaves at most an empty transaction, which its pool rolls back.
+    return bool(statements) and all(isinstance(statement, Begin) for statement in statements)
--- /dev/null
+++ b/hickorywind/entry/role.py
@@ -0,0 +1,176 @@
+"""Put an entry together from its settings and run it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Mapping
+from datetime import timedelta
+
+from hickorywind.configuration.model import Limits
+from hickorywind.entry.acceptrate import AcceptRate
+from hickorywind.entry.executor import Executor
+from hickorywind.entry.links import PoolLinks
+from hickorywind.entry.server import CallerServer
+from hickorywind.entry.session import SessionContext
+from hickorywind.ids import Address, AvailabilityZone, HostId, Incarnation, Role
+from hickorywind.membership.directory import Directory
+from hickorywind.membership.subscriber import DirectorySubscriber
+from hickorywind.observability.metrics import Metrics
+from hickorywind.protocol.channel import ChannelKeys
+from hickorywind.protocol.messages import EntryHeartbeat
+from hickorywind.results import ResultCode, UserError
+from hickorywind.routing.health import BackendHealth
+from hickorywind.routing.linkbudget import LinkBudget
+from hickorywind.routing.retry import RetryBudget
+from hickorywind.routing.targets import TargetChooser
+from hickorywind.settings.secrets import load_users
+from hickorywind.settings.template import DaemonSettings
+from hickorywind.util.clock import Clock, milliseconds
+
+logger = logging.getLogger(__name__)
+
+_DEFAULTS = Limits()
+_INCARNATION_BITS = 63
+_CHECK_INTERVAL = timedelta(seconds=1)
+
+
+class EntryParts:
+    """Hold the parts of an entry that don't depend on how its directory is fed."""
+
+    def __init__(
+        self,
+        host: HostId,
+        zone: AvailabilityZone,
+        directory: Directory,
+        clock: Clock,
+        rng: random.Random,
+        keys: ChannelKeys | None,
+        metrics: Metrics | None,
+        users: Mapping[str, str] | None = None,
+    ) -> None:
+        incarnation = Incarnation(rng.getrandbits(_INCARNATION_BITS))
+        health = BackendHealth(clock)
+        self.directory = directory
+        self.budget = RetryBudget(_DEFAULTS.retry_budget_percent)
+        self.link_budget = LinkBudget(clock, _DEFAULTS.link_bytes_per_second)
+        self.links = PoolLinks(EntryHeartbeat(host, incarnation), clock, keys)
+        chooser = TargetChooser(directory, zone, health, rng)
+        executor = Executor(
+            self.links, chooser, health, self.budget, self.link_budget, clock, rng, metrics
+        )
+        context = SessionContext(executor, directory, clock)
+        self.server = CallerServer(context, users, rng, metrics, AcceptRate(clock))
+
+    def take_configuration(self) -> None:
+        """Put the limits in force and open links to the pools that are homes."""
+        in_force = self.directory.in_force
+        if in_force is None:
+            return
+        limits = in_force.configuration.limits
+        self.budget.set_share(limits.retry_budget_percent)
+        self.link_budget.set_rate(limits.link_bytes_per_second)
+        homes = [self.directory.home_of(backend) for backend in self.directory.backends]
+        pools = [home.pool for home in homes if home is not None]
+        self.links.retain(frozenset(pool for pool in pools if pool is not None))
+
+
+class EntryRole:
+    """Run the entry role of one host until drained."""
+
+    def __init__(
+        self,
+        parts: EntryParts,
+        subscriber: DirectorySubscriber,
+        listen: Address,
+        drain_timeout: timedelta,
+    ) -> None:
+        self._parts = parts
+        self._subscriber = subscriber
+        self._listen = listen
+        self._drain_timeout = drain_timeout
+        self._stopped = asyncio.Event()
+        self.address: Address | None = None
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: DaemonSettings,
+        clock: Clock,
+        rng: random.Random,
+        keys: ChannelKeys | None,
+        metrics: Metrics | None,
+    ) -> EntryRole:
+        """Build the role; raise ``UserError`` where its settings are incomplete."""
+        entry = settings.entry
+        if entry is None:
+            raise UserError(ResultCode.SETTINGS_INVALID, "section entry is missing")
+        users = load_users(entry.users_file) if entry.users_file is not None else None
+        subscriber = DirectorySubscriber(
+            settings.host,
+            Role.ENTRY.value,
+            tuple(Address.from_text(text) for text in settings.controllers),
+            Incarnation(rng.getrandbits(_INCARNATION_BITS)),
+            clock,
+            rng,
+            keys,
+        )
+        parts = EntryParts(
+            settings.host,
+            settings.availability_zone,
+            subscriber.directory,
+            clock,
+            rng,
+            keys,
+            metrics,
+            users,
+        )
+        listen = Address.from_text(entry.listen)
+        return cls(parts, subscriber, listen, milliseconds(entry.drain_timeout_ms))
+
+    async def run(self) -> None:
+        """Serve callers until ``drain`` is over or the task is cancelled."""
+        tasks = [
+            asyncio.create_task(self._subscriber.run()),
+            asyncio.create_task(self._follow_directory()),
+        ]
+        try:
+            self.address = await self._parts.server.start(self._listen)
+            logger.info("entry_ready", extra={"listen": str(self.address)})
+            await self._wait_stopped(tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await self._parts.server.close()
+            await self._parts.links.close()
+
+    async def _wait_stopped(self, tasks: list[asyncio.Task[None]]) -> None:
+        """Wait for the drain; raise what ended a background task instead."""
+        stopped = asyncio.create_task(self._stopped.wait())
+        try:
+            done, _ = await asyncio.wait([*tasks, stopped], return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+        finally:
+            stopped.cancel()
+
+    async def _follow_directory(self) -> None:
+        changed = self._subscriber.changed
+        while True:
+            self._parts.take_configuration()
+            try:
+                async with asyncio.timeout(_CHECK_INTERVAL.total_seconds()):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+            changed.clear()
+
+    async def drain(self) -> None:
+        """Finish what runs, close all sessions and have ``run`` return."""
+        logger.info("entry_draining")
+        self._subscriber.draining = True
+        await self._parts.server.drain(self._drain_timeout)
+        self._stopped.set()
+        logger.info("entry_drained")
--- /dev/null
+++ b/hickorywind/entry/server.py
@@ -0,0 +1,193 @@
+"""Accept caller connections and give each a session task."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Mapping
+from datetime import timedelta
+
+from hickorywind.entry.acceptrate import AcceptRate
+from hickorywind.entry.attempt import CallerGoneError
+from hickorywind.entry.cancels import CancelRegistry
+from hickorywind.entry.handshake import CancelKey, authenticate, greeting, read_startup
+from hickorywind.entry.session import CallerSession, SessionContext, unknown_service
+from hickorywind.entry.sessionstate import SessionState
+from hickorywind.ids import Address, ServiceName, SessionId
+from hickorywind.observability.metrics import Metrics
+from hickorywind.postgres.errors import Severity, encode_error
+from hickorywind.postgres.hints import PARAMETER_PREFIX, SESSION_ID, startup_settings
+from hickorywind.postgres.startup import CancelWanted, StartupParameters
+from hickorywind.results import HickorywindError, Result, ResultCode
+from hickorywind.routing.backoff import spread_ms
+
+logger = logging.getLogger(__name__)
+
+_STARTUP_TIMEOUT = timedelta(seconds=10)
+_BACKLOG = 1_024
+_READ_LIMIT_BYTES = 65_536
+_RETRY_AFTER_MS = 1_000
+_DRAIN_POLL = timedelta(milliseconds=50)
+_CLOSE_GRACE = timedelta(seconds=1)
+
+
+class CallerServer:
+    """Own the listening socket and all caller connections of an entry."""
+
+    def __init__(
+        self,
+        context: SessionContext,
+        users: Mapping[str, str] | None,
+        rng: random.Random,
+        metrics: Metrics | None,
+        accept_rate: AcceptRate,
+    ) -> None:
+        self._context = context
+        self._users = users
+        self._rng = rng
+        self._metrics = metrics
+        self._accept_rate = accept_rate
+        self._cancels = CancelRegistry(rng)
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._sessions: set[CallerSession] = set()
+        self._draining = False
+
+    async def start(self, address: Address) -> Address:
+        """Listen and return the address in use; raise OSError where it is taken."""
+        self._server = await asyncio.start_server(
+            self._take_connection,
+            address.host,
+            address.port,
+            backlog=_BACKLOG,
+            limit=_READ_LIMIT_BYTES,
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    @property
+    def session_count(self) -> int:
+        """Return the number of open sessions."""
+        return len(self._sessions)
+
+    async def drain(self, timeout: timedelta) -> None:
+        """Stop accepting, let requests and transactions end, then close what is left."""
+        self._draining = True
+        if self._server is not None:
+            self._server.close()
+        deadline = self._context.clock.now() + timeout
+        while self._tasks and self._context.clock.now() < deadline:
+            for session in tuple(self._sessions):
+                session.stop_when_idle()
+            await asyncio.wait(set(self._tasks), timeout=_DRAIN_POLL.total_seconds())
+        await self.close()
+
+    async def close(self) -> None:
+        """Close all connections at once."""
+        if self._server is not None:
+            self._server.close()
+        tasks = set(self._tasks)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks, timeout=_CLOSE_GRACE.total_seconds())
+
+    def _take_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.create_task(self._serve_connection(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._forget_connection)
+        self._show_count()
+
+    def _forget_connection(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        self._show_count()
+
+    def _show_count(self) -> None:
+        if self._metrics is not None:
+            self._metrics.caller_connections.set(len(self._tasks))
+
+    async def _serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await self._open_session(reader, writer)
+        except HickorywindError as error:
+            await self._refuse(writer, error.result)
+        except (OSError, EOFError, TimeoutError, CallerGoneError):
+            logger.debug("connection_dropped")
+        except Exception:
+            # A bug costs this connection only.
+            logger.exception("session_failed")
+            reason = "internal error; see the log of this entry"
+            await self._refuse(writer, Result.unknown(ResultCode.INTERNAL, reason))
+        finally:
+            writer.close()
+
+    async def _open_session(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await self._wait_for_turn()
+        async with asyncio.timeout(_STARTUP_TIMEOUT.total_seconds()):
+            packet = await read_startup(reader, writer)
+            if isinstance(packet, CancelWanted):
+                self._cancels.cancel(CancelKey(packet.process_id, packet.secret_key))
+                return
+            self._check_room()
+            user = packet.values.get("user", "")
+            await authenticate(reader, writer, user, self._users)
+            state = self._make_state(packet)
+            key = self._cancels.new_key()
+            shown = {PARAMETER_PREFIX + SESSION_ID: state.session_id}
+            writer.write(greeting(packet, key, shown))
+        session = CallerSession(self._context, state, reader, writer)
+        self._cancels.register(key, session)
+        self._sessions.add(session)
+        try:
+            await session.run()
+        finally:
+            self._sessions.discard(session)
+            self._cancels.forget(key)
+
+    async def _wait_for_turn(self) -> None:
+        wait = self._accept_rate.take()
+        if wait is None:
+            raise self._too_many("too many new connections at once")
+        if wait:
+            await asyncio.sleep(wait.total_seconds())
+
+    def _check_room(self) -> None:
+        if self._draining:
+            reason = "this entry is shutting down; connect to another"
+            raise HickorywindError(Result.not_run(ResultCode.SHUTTING_DOWN, reason, 1))
+        in_force = self._context.directory.in_force
+        if in_force is None:
+            reason = "no configuration is in force yet"
+            wait_ms = spread_ms(_RETRY_AFTER_MS, self._rng)
+            raise HickorywindError(Result.not_run(ResultCode.NOT_READY, reason, wait_ms))
+        limit = in_force.configuration.limits.caller_connections_per_entry
+        if len(self._sessions) >= limit:
+            raise self._too_many(f"this entry takes at most {limit} connections")
+
+    def _too_many(self, reason: str) -> HickorywindError:
+        wait_ms = spread_ms(_RETRY_AFTER_MS, self._rng)
+        return HickorywindError(Result.not_run(ResultCode.TOO_MANY_CONNECTIONS, reason, wait_ms))
+
+    def _make_state(self, packet: StartupParameters) -> SessionState:
+        values = packet.values
+        name = values.get("database") or values.get("user", "")
+        if self._context.directory.service(ServiceName(name)) is None:
+            raise HickorywindError(unknown_service(name))
+        new_id = SessionId(f"{self._rng.getrandbits(96):024x}")
+        return SessionState.from_startup(ServiceName(name), startup_settings(values), new_id)
+
+    async def _refuse(self, writer: asyncio.StreamWriter, result: Result) -> None:
+        if self._metrics is not None:
+            self._metrics.sessions_refused.labels(str(int(result.code))).inc()
+        logger.info("connection_refused", extra={"code": int(result.code), "reason": result.reason})
+        try:
+            writer.write(encode_error(result, Severity.FATAL))
+            async with asyncio.timeout(_CLOSE_GRACE.total_seconds()):
+                await writer.drain()
+        except (OSError, TimeoutError):
+            writer.transport.abort()
--- /dev/null
+++ b/hickorywind/entry/sessionstate.py
@@ -0,0 +1,124 @@
+"""Hold what a session carries between requests and answer its own statements."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from hickorywind.configuration.model import ReadKind, Service
+from hickorywind.ids import Rank, ServiceName, SessionId
+from hickorywind.postgres.answers import command_complete, text_row
+from hickorywind.postgres.batches import LocalStatement
+from hickorywind.postgres.hints import (
+    NO_HINTS,
+    SESSION_ID,
+    TOKEN,
+    Hints,
+    bad_hint,
+    parse_name,
+)
+from hickorywind.postgres.statements import Deallocate, NoOperation, SetHint, ShowHint
+from hickorywind.routing.session import SessionFloors
+
+_REQUEST_ID = "request_id"
+_DEFAULT_TIMEOUT_MS = 5_000
+
+
+class SessionState:
+    """Keep a session's id, floors and hints."""
+
+    def __init__(
+        self, service: ServiceName, session_id: SessionId, floors: SessionFloors, hints: Hints
+    ) -> None:
+        self.service = service
+        self.session_id = session_id
+        self.floors = floors
+        self._startup_hints = hints
+        self.hints = hints
+        self.deallocated: list[str | None] = []
+
+    @classmethod
+    def from_startup(
+        cls, service: ServiceName, settings: Mapping[str, str], new_id: SessionId
+    ) -> SessionState:
+        """Build the state from the startup settings; raise ``BAD_HINT`` or ``BAD_TOKEN``.
+
+        ``new_id`` serves where the caller presents no session id.
+        """
+        given = settings.get(SESSION_ID)
+        session_id = new_id if given is None else SessionId(parse_name(SESSION_ID, given))
+        floors = SessionFloors.from_startup(given is not None, settings.get(TOKEN))
+        hints = NO_HINTS
+        for name, value in settings.items():
+            if name not in (SESSION_ID, TOKEN):
+                hints = cls._set_hint(hints, name, value)
+        return cls(service, session_id, floors, hints)
+
+    @staticmethod
+    def _set_hint(hints: Hints, name: str, value: str | None) -> Hints:
+        if name == _REQUEST_ID and value is not None:
+            raise bad_hint("request_id names one request; give it in a statement's comment")
+        return hints.with_value(name, value)
+
+    def answer(self, statement: LocalStatement) -> bytes:
+        """Carry out a statement about the session and return its answer."""
+        match statement:
+            case SetHint(name=name, value=value):
+                self._set(name, value)
+                return command_complete("SET")
+            case ShowHint(name=name):
+                return text_row(self._show(name)) + command_complete("SHOW")
+            case Deallocate(name=name):
+                self.deallocated.append(name)
+                return command_complete("DEALLOCATE ALL" if name is None else "DEALLOCATE")
+            case NoOperation(tag=tag):
+                return command_complete(tag)
+
+    def _set(self, name: str, value: str | None) -> None:
+        if name == TOKEN:
+            if value is not None:
+                self.floors.merge_token(value)
+        elif name == SESSION_ID:
+            raise bad_hint("session_id can only be given when connecting")
+        elif value is None:
+            self.hints = self.hints.restored(name, self._startup_hints)
+        else:
+            self.hints = self._set_hint(self.hints, name, value)
+
+    def _show(self, name: str) -> str:
+        match name:
+            case "token":
+                return self.floors.token()
+            case "session_id":
+                return self.session_id
+            case _:
+                return self.hints.text_of(name)
+
+
+def find_read_kind(service: Service, hints: Hints) -> ReadKind | None:
+    """Return the kind of read that the hints name; raise ``BAD_HINT`` for an unknown one."""
+    if hints.read_kind is None:
+        return None
+    for kind in service.read_kinds:
+        if kind.name == hints.read_kind:
+            return kind
+    raise bad_hint(f"service {service.name} has no kind of read {hints.read_kind!r}")
+
+
+def find_rank(service: Service, hints: Hints) -> Rank:
+    """Return the rank of a request; raise ``BAD_HINT`` where the service doesn't take it."""
+    offered = [policy.rank for policy in service.ranks]
+    if hints.priority is None:
+        return Rank.STANDARD if Rank.STANDARD in offered or not offered else offered[-1]
+    if hints.priority not in offered:
+        raise bad_hint(f"service {service.name} takes no {hints.priority.value} work")
+    return hints.priority
+
+
+def find_timeout_ms(service: Service, rank: Rank, hints: Hints) -> int:
+    """Return the time that a request may take, in milliseconds."""
+    if hints.timeout_ms is not None:
+        return hints.timeout_ms
+    for policy in service.ranks:
+        if policy.rank is rank:
+            return policy.timeout_ms
+    return _DEFAULT_TIMEOUT_MS
--- /dev/null
+++ b/hickorywind/postgres/answers.py
@@ -0,0 +1,184 @@
+"""Shape a backend server's answer into the one that the caller expects.
+
+Messages that the entry answers itself (Parse, closing of statements, statements about the session)
+never reach a backend server; their replies are put in at their places in the answer.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from pygwire.constants import TransactionStatus
+from pygwire.messages import (
+    BindComplete,
+    CloseComplete,
+    CommandComplete,
+    DataRow,
+    EmptyQueryResponse,
+    FieldDescription,
+    NoData,
+    ParameterDescription,
+    ParameterStatus,
+    ParseComplete,
+    ReadyForQuery,
+    RowDescription,
+)
+
+from hickorywind.protocol.messages import TransactionState
+
+PARSE_COMPLETE = ParseComplete().to_wire()
+BIND_COMPLETE = BindComplete().to_wire()
+CLOSE_COMPLETE = CloseComplete().to_wire()
+NO_DATA = NoData().to_wire()
+NO_PARAMETERS = ParameterDescription([]).to_wire()
+EMPTY_QUERY = EmptyQueryResponse().to_wire()
+
+_LENGTH = struct.Struct("!I")
+_DATA_ROW = ord("D")
+_TEXT_OID = 25
+_VARIABLE_SIZE = -1
+
+
+class MalformedAnswerError(Exception):
+    """Report bytes that are not whole backend messages."""
+
+
+@dataclass(frozen=True)
+class LocalReply:
+    """Stand for a frontend message that the entry answers with these bytes."""
+
+    data: bytes
+
+
+@dataclass(frozen=True)
+class RemoteReply:
+    """Stand for a forwarded message; one of ``completed_by`` ends its part of the answer."""
+
+    completed_by: frozenset[int]
+
+
+Reply = LocalReply | RemoteReply
+
+BIND_REPLY = RemoteReply(frozenset(b"2"))
+DESCRIBE_REPLY = RemoteReply(frozenset(b"Tn"))
+EXECUTE_REPLY = RemoteReply(frozenset(b"CIs"))
+CLOSE_REPLY = RemoteReply(frozenset(b"3"))
+
+
+def ready_for_query(state: TransactionState) -> bytes:
+    """Build a ReadyForQuery message."""
+    return ReadyForQuery(TransactionStatus(state.value)).to_wire()
+
+
+def parameter_status(name: str, value: str) -> bytes:
+    """Build a ParameterStatus message."""
+    return ParameterStatus(name, value).to_wire()
+
+
+def command_complete(tag: str) -> bytes:
+    """Build a CommandComplete message."""
+    return CommandComplete(tag).to_wire()
+
+
+def describe_text_column(name: str) -> bytes:
+    """Build the RowDescription of one text column."""
+    column = FieldDescription(
+        name=name,
+        table_oid=0,
+        column_attr=0,
+        type_oid=_TEXT_OID,
+        type_size=_VARIABLE_SIZE,
+        type_modifier=-1,
+        format_code=0,
+    )
+    return RowDescription([column]).to_wire()
+
+
+def text_row(value: str) -> bytes:
+    """Build a DataRow of one text column."""
+    return DataRow([value.encode()]).to_wire()
+
+
+class AnswerShaper:
+    """Turn the bytes of one answer into what may be written to the caller.
+
+    Drops ReadyForQuery and ParameterStatus, which the entry composes itself. What follows the last
+    row is held back until ``finish``, so that completion is never told before the pool has said
+    how the request ended.
+    """
+
+    def __init__(self, replies: Iterable[Reply]) -> None:
+        self._replies = deque(replies)
+        self._held = bytearray()
+        self.has_error = False
+        self.released = False
+
+    def feed(self, data: bytes) -> bytes:
+        """Take in whole messages and return what may be written now.
+
+        Raise ``MalformedAnswerError``.
+        """
+        out = bytearray()
+        position = 0
+        rows_start = 0
+        while position < len(data):
+            kind, end = _measure(data, position)
+            if kind != _DATA_ROW:
+                if rows_start < position:
+                    self._release_rows(out, data[rows_start:position])
+                self._take(kind, data[position:end])
+                rows_start = end
+            position = end
+        if rows_start < position:
+            self._release_rows(out, data[rows_start:position])
+        if out:
+            self.released = True
+        return bytes(out)
+
+    def _release_rows(self, out: bytearray, rows: bytes) -> None:
+        self._put_local_replies()
+        out += self._held
+        out += rows
+        self._held.clear()
+
+    def _take(self, kind: int, frame: bytes) -> None:
+        match chr(kind):
+            case "Z" | "S":
+                return
+            case "N" | "A":
+                self._held += frame
+                return
+            case "E":
+                self.has_error = True
+                self._replies.clear()
+                self._held += frame
+                return
+        self._put_local_replies()
+        self._held += frame
+        if self._replies and kind in self._replies[0].completed_by:
+            self._replies.popleft()
+
+    def _put_local_replies(self) -> None:
+        while self._replies and isinstance(self._replies[0], LocalReply):
+            self._held += self._replies.popleft().data
+
+    def finish(self) -> bytes:
+        """Return the rest of an answer that ended well."""
+        if not self.has_error:
+            self._put_local_replies()
+        rest = bytes(self._held)
+        self._held.clear()
+        return rest
+
+
+def _measure(data: bytes, position: int) -> tuple[int, int]:
+    if len(data) - position < 1 + _LENGTH.size:
+        raise MalformedAnswerError("answer ends inside a message header")
+    (length,) = _LENGTH.unpack_from(data, position + 1)
+    end = position + 1 + length
+    if length < _LENGTH.size or end > len(data):
+        raise MalformedAnswerError("answer ends inside a message")
+    return data[position], end
--- /dev/null
+++ b/hickorywind/routing/session.py
@@ -0,0 +1,138 @@
+"""Keep what a session must see: its floor per database service, and the token that carries it."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from dataclasses import dataclass
+
+import msgspec
+import xxhash
+
+from hickorywind.ids import LogPosition, ServiceName, Term
+from hickorywind.results import HickorywindError, Outcome, Result, ResultCode
+
+_TOKEN_PREFIX = "hw1."  # noqa: S105
+_CHECKSUM_BYTES = 8
+_LONGEST_TOKEN_CHARACTERS = 8_192
+_SERVICES_LIMIT = 128
+
+_decoder = msgspec.msgpack.Decoder(dict[str, tuple[int, int]])
+
+
+@dataclass(frozen=True)
+class NoFloor:
+    """Say that the session has seen nothing yet."""
+
+
+@dataclass(frozen=True)
+class UnknownFloor:
+    """Say that the session may have seen something, but not what."""
+
+
+@dataclass(frozen=True)
+class KnownFloor:
+    """Say which position the session must see."""
+
+    position: LogPosition
+
+
+Floor = NoFloor | UnknownFloor | KnownFloor
+
+
+def join_positions(first: LogPosition, second: LogPosition) -> LogPosition:
+    """Return the least position that contains both.
+
+    Of two committed positions one contains the other; where neither does, the greater of each part
+    is a safe upper bound.
+    """
+    term = Term(max(first.term, second.term))
+    return LogPosition(term, max(first.offset, second.offset))
+
+
+class SessionFloors:
+    """Collect the positions that one session has seen; they never go back."""
+
+    def __init__(self, others_unknown: bool, known: dict[ServiceName, LogPosition]) -> None:
+        self._others_unknown = others_unknown
+        self._known = known
+
+    @classmethod
+    def from_startup(cls, has_session_id: bool, token: str | None) -> SessionFloors:
+        """Start a session from what the caller presented; raise ``BAD_TOKEN``.
+
+        A session id without a token, or with one that lacks a service, says that writes unknown
+        here may have been made under it.
+        """
+        known = decode_token(token) if token else {}
+        return cls(has_session_id, known)
+
+    def floor(self, service: ServiceName) -> Floor:
+        """Return what a read of a service must see."""
+        position = self._known.get(service)
+        if position is not None:
+            return KnownFloor(position)
+        return UnknownFloor() if self._others_unknown else NoFloor()
+
+    def advance(self, service: ServiceName, position: LogPosition) -> bool:
+        """Take in a position that the session has seen; return whether the floor rose."""
+        held = self._known.get(service)
+        joined = position if held is None else join_positions(held, position)
+        self._known[service] = joined
+        return joined != held
+
+    def merge_token(self, token: str) -> None:
+        """Take in a token of the same session; raise ``BAD_TOKEN``."""
+        for service, position in decode_token(token).items():
+            self.advance(service, position)
+
+    def token(self) -> str:
+        """Render the floors as a token."""
+        return encode_token(self._known)
+
+
+def encode_token(known: dict[ServiceName, LogPosition]) -> str:
+    """Render positions as versioned, checksummed text without white space."""
+    parts = {str(name): (position.term, position.offset) for name, position in known.items()}
+    body = msgspec.msgpack.encode(dict(sorted(parts.items())))
+    return _TOKEN_PREFIX + base64.urlsafe_b64encode(_checksum(body) + body).decode().rstrip("=")
+
+
+def decode_token(text: str) -> dict[ServiceName, LogPosition]:
+    """Parse a token; raise ``HickorywindError`` with ``BAD_TOKEN`` for anything else."""
+    if len(text) > _LONGEST_TOKEN_CHARACTERS or not text.startswith(_TOKEN_PREFIX):
+        raise _bad_token("not a token of this version")
+    encoded = text.removeprefix(_TOKEN_PREFIX)
+    padding = "=" * (-len(encoded) % 4)
+    try:
+        data = base64.b64decode(encoded + padding, altchars=b"-_", validate=True)
+    except (binascii.Error, ValueError):
+        raise _bad_token("not valid base64") from None
+    checksum, body = data[:_CHECKSUM_BYTES], data[_CHECKSUM_BYTES:]
+    if checksum != _checksum(body):
+        raise _bad_token("checksum differs")
+    return _decode_body(body)
+
+
+def _decode_body(body: bytes) -> dict[ServiceName, LogPosition]:
+    try:
+        parts = _decoder.decode(body)
+    except msgspec.MsgspecError:
+        raise _bad_token("content is malformed") from None
+    if len(parts) > _SERVICES_LIMIT:
+        raise _bad_token("names too many services")
+    if any(term < 0 or offset < 0 for term, offset in parts.values()):
+        raise _bad_token("holds a negative position")
+    return {
+        ServiceName(name): LogPosition(Term(term), offset) for name, (term, offset) in parts.items()
+    }
+
+
+def _checksum(body: bytes) -> bytes:
+    return xxhash.xxh3_64_digest(_TOKEN_PREFIX.encode() + body)
+
+
+def _bad_token(reason: str) -> HickorywindError:
+    return HickorywindError(
+        Result(ResultCode.BAD_TOKEN, Outcome.NOT_RUN, f"token refused: {reason}")
+    )
--- /dev/null
+++ b/hickorywind/routing/targets.py
@@ -0,0 +1,163 @@
+"""Choose the backend servers that may serve a request, best first."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+
+from hickorywind.configuration.model import Instance, Service
+from hickorywind.ids import (
+    Address,
+    AvailabilityZone,
+    BackendId,
+    HostId,
+    LogPosition,
+    ServiceName,
+    Term,
+)
+from hickorywind.membership.directory import Directory
+from hickorywind.routing.health import BackendHealth
+from hickorywind.routing.session import Floor, KnownFloor, NoFloor, UnknownFloor
+
+
+class Distance(IntEnum):
+    """Order backend servers by how far the zone of their pool is."""
+
+    SAME_ZONE = 0
+    SAME_REGION = 1
+    OTHER_REGION = 2
+
+
+@dataclass(frozen=True)
+class Target:
+    """Name a backend server and the pool that is its home.
+
+    ``term`` is the term of which the backend server is believed primary; None for replicas.
+    ``floor`` is what the data must contain. ``distance`` is that of the pool.
+    """
+
+    backend: BackendId
+    pool_host: HostId
+    pool: Address
+    distance: Distance
+    term: Term | None = None
+    floor: LogPosition | None = None
+
+    @property
+    def is_primary(self) -> bool:
+        """Tell whether the backend server is believed to be primary."""
+        return self.term is not None
+
+
+@dataclass(frozen=True)
+class NeedsPrimary:
+    """Ask for the primary: for writes and for transactions."""
+
+
+@dataclass(frozen=True)
+class NeedsRead:
+    """Ask for a backend server to read from, with at least ``floor`` applied."""
+
+    floor: Floor
+
+
+Need = NeedsPrimary | NeedsRead
+
+
+class TargetChooser:
+    """Order the targets of each request from the directory and from recent health."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        zone: AvailabilityZone,
+        health: BackendHealth,
+        rng: random.Random,
+        replica_reads: bool = True,
+    ) -> None:
+        """Take the entry's own zone; ``replica_reads`` off sends every read to the primary."""
+        self._directory = directory
+        self._zone = zone
+        self._health = health
+        self._rng = rng
+        self._replica_reads = replica_reads
+
+    def choose(self, service: Service, need: Need) -> tuple[Target, ...]:
+        """Return the targets to try in this order; none where no pool is known."""
+        match need:
+            case NeedsPrimary():
+                return self._primary(service.name, None)
+            case NeedsRead(floor=UnknownFloor()):
+                return self._primary(service.name, None)
+            case NeedsRead(floor=NoFloor()):
+                return self._readers(service, None)
+            case NeedsRead(floor=KnownFloor(position=position)):
+                return self._readers(service, position)
+
+    def _readers(self, service: Service, floor: LogPosition | None) -> tuple[Target, ...]:
+        primary = self._primary(service.name, floor)
+        if not self._replica_reads:
+            return primary
+        return self._order(self._replicas(service, floor)) + primary
+
+    def _primary(self, service: ServiceName, floor: LogPosition | None) -> tuple[Target, ...]:
+        group = self._directory.group(service)
+        instance = self._directory.instance(group.primary) if group is not None else None
+        if group is None or instance is None:
+            return ()
+        target = self._target(instance, group.term, floor)
+        return () if target is None else (target,)
+
+    def _replicas(self, service: Service, floor: LogPosition | None) -> list[Target]:
+        group = self._directory.group(service.name)
+        primary = group.primary if group is not None else None
+        found = []
+        for instance in service.instances:
+            if instance.backend == primary or self._directory.is_leaving(instance.backend):
+                continue
+            target = self._target(instance, None, floor)
+            if target is not None:
+                found.append(target)
+        return found
+
+    def _target(
+        self, instance: Instance, term: Term | None, floor: LogPosition | None
+    ) -> Target | None:
+        home = self._directory.home_of(instance.backend)
+        if home is None or home.pool is None:
+            return None
+        distance = self._distance(home.availability_zone)
+        return Target(instance.backend, home.host, home.pool, distance, term, floor)
+
+    def _distance(self, zone: AvailabilityZone) -> Distance:
+        if zone == self._zone:
+            return Distance.SAME_ZONE
+        region = self._directory.region_of(zone)
+        if region is not None and region == self._directory.region_of(self._zone):
+            return Distance.SAME_REGION
+        return Distance.OTHER_REGION
+
+    def _order(self, targets: Sequence[Target]) -> tuple[Target, ...]:
+        ordered: list[Target] = []
+        for troubled in (False, True):
+            for distance in Distance:
+                group = [
+                    target
+                    for target in targets
+                    if target.distance is distance
+                    and self._health.is_troubled(target.backend) is troubled
+                ]
+                ordered += self._order_by_load(group)
+        return tuple(ordered)
+
+    def _order_by_load(self, group: list[Target]) -> list[Target]:
+        """Put the better of two random targets first: a small spread without herding."""
+        self._rng.shuffle(group)
+        if len(group) >= 2 and self._cost(group[1]) < self._cost(group[0]):
+            group[0], group[1] = group[1], group[0]
+        return group
+
+    def _cost(self, target: Target) -> float:
+        return self._health.cost_ms(target.backend)
--- /dev/null
+++ b/tests/entry/harness.py
@@ -0,0 +1,163 @@
+"""Put an entry and fake pools together in one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+import psycopg
+
+from hickorywind.configuration.model import (
+    Configuration,
+    Instance,
+    Limits,
+    RankPolicy,
+    ReadKind,
+    Service,
+    Zone,
+)
+from hickorywind.configuration.sections import digest_sections, split_sections
+from hickorywind.entry.role import EntryParts
+from hickorywind.ids import (
+    Address,
+    AvailabilityZone,
+    BackendId,
+    HostId,
+    Incarnation,
+    Rank,
+    Region,
+    Revision,
+    ServiceName,
+    Term,
+)
+from hickorywind.membership.directory import Directory
+from hickorywind.protocol.records import (
+    ConfigHeadRecord,
+    ConfigRecord,
+    GroupRecord,
+    MemberRecord,
+    MemberState,
+)
+from hickorywind.util.clock import MonotonicClock
+from tests.entry.fakepool import FakePool
+
+SERVICE = ServiceName("signoffs")
+ZONES = ("adum", "suame", "tema")
+REGIONS = {"adum": "ashanti", "suame": "ashanti", "tema": "accra"}
+PRIMARY = BackendId("signoffs-adum")
+REPLICA = BackendId("signoffs-suame")
+FAR_REPLICA = BackendId("signoffs-tema")
+
+
+def make_configuration(limits: Limits | None = None, timeout_ms: int = 3_000) -> Configuration:
+    instances = tuple(
+        Instance(BackendId(f"{SERVICE}-{zone}"), AvailabilityZone(zone), "127.0.0.1:1", 3, 20)
+        for zone in ZONES
+    )
+    ranks = tuple(RankPolicy(rank, 20, timeout_ms=timeout_ms) for rank in Rank)
+    kinds = (ReadKind("crew_board", 500, 5_000),)
+    service = Service(SERVICE, instances, ranks, kinds)
+    zones = tuple(Zone(AvailabilityZone(zone), Region(REGIONS[zone])) for zone in ZONES)
+    return Configuration("test", zones, (service,), limits or Limits(link_bytes_per_second=10**9))
+
+
+def make_directory(
+    configuration: Configuration, pools: dict[str, Address], primary: BackendId = PRIMARY
+) -> Directory:
+    directory = Directory()
+    sections = split_sections(configuration)
+    records = [ConfigRecord(name, Revision(1), text) for name, text in sections.items()]
+    directory.merge([*records, ConfigHeadRecord(Revision(1), digest_sections(sections))])
+    directory.merge([GroupRecord(SERVICE, Term(1), primary)])
+    directory.merge(member(zone, address) for zone, address in pools.items())
+    return directory
+
+
+def member(
+    zone: str,
+    address: Address | None,
+    incarnation: int = 1,
+    state: MemberState = MemberState.ALIVE,
+) -> MemberRecord:
+    return MemberRecord(
+        HostId(f"host-{zone}"),
+        AvailabilityZone(zone),
+        Incarnation(incarnation),
+        state,
+        Address("127.0.0.1", 1),
+        address,
+    )
+
+
+class EntryTestCase(unittest.IsolatedAsyncioTestCase):
+    """Run one entry in zone adum, with a fake pool in each zone."""
+
+    timeout_ms = 3_000
+    limits: Limits | None = None
+    users: dict[str, str] | None = None
+
+    async def asyncSetUp(self) -> None:
+        self.pools = {zone: FakePool(incarnation=10 + i) for i, zone in enumerate(ZONES)}
+        configuration = make_configuration(self.limits, self.timeout_ms)
+        addresses = {zone: pool.address for zone, pool in self.pools.items()}
+        self.directory = make_directory(configuration, addresses)
+        self.parts, self.address = await self.start_entry(1)
+
+    async def start_entry(self, seed: int) -> tuple[EntryParts, Address]:
+        parts = EntryParts(
+            HostId(f"entry-{seed}"),
+            AvailabilityZone("adum"),
+            self.directory,
+            MonotonicClock(),
+            random.Random(seed),
+            None,
+            None,
+            self.users,
+        )
+        parts.take_configuration()
+        address = await parts.server.start(Address("127.0.0.1", 0))
+        self.addAsyncCleanup(self._stop, parts)
+        return parts, address
+
+    async def _stop(self, parts: EntryParts) -> None:
+        await parts.server.close()
+        await parts.links.close()
+
+    async def asyncTearDown(self) -> None:
+        for pool in self.pools.values():
+            await pool.close()
+
+    @property
+    def primary_pool(self) -> FakePool:
+        return self.pools["adum"]
+
+    @property
+    def replica_pool(self) -> FakePool:
+        return self.pools["suame"]
+
+    async def connect(
+        self, address: Address | None = None, autocommit: bool = True, **options: str
+    ) -> psycopg.AsyncConnection:
+        address = address or self.address
+        settings = " ".join(f"-c hickorywind.{name}={value}" for name, value in options.items())
+        connection = await psycopg.AsyncConnection.connect(
+            host=address.host,
+            port=address.port,
+            user="crew",
+            dbname=SERVICE,
+            options=settings,
+            autocommit=autocommit,
+            sslmode="disable",
+        )
+        self.addAsyncCleanup(connection.close)
+        return connection
+
+    async def one(self, connection: psycopg.AsyncConnection, text: str, params=None) -> str:
+        cursor = await connection.execute(text, params)
+        return (await cursor.fetchone())[0]
+
+    async def wait_for(self, condition, timeout_seconds: float = 5.0) -> None:
+        async with asyncio.timeout(timeout_seconds):
+            while not condition():
+                await asyncio.sleep(0.01)
