Run a whole site on one machine for demonstration and tests

Cause: the path must run end to end as separate processes from the start. Change: a launcher outside the product starts stand-ins and daemons, applies the example through the command-line tool and stops everything; not yet run whole, the controller is not there.

--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform and the backend servers, for demonstration and tests."""
--- /dev/null
+++ b/standins/cluster.py
@@ -0,0 +1,323 @@
+"""Run a whole site on one machine: stand-ins and the real daemons, each a process of its own.
+
+The site's shape comes from an operators' configuration script; the script is printed, checked and
+applied with the command-line tool, as operators would.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import yaml
+
+from hickorywind.configuration.model import Configuration, Instance, Service
+from hickorywind.configuration.printing import parse_document
+from hickorywind.ids import Address, AvailabilityZone, BackendId, HostId, Role
+from standins.processes import ManagedProcess
+
+LOOPBACK = "127.0.0.1"
+_BASE_PORT_VARIABLE = "HICKORYWIND_EXAMPLE_BASE_PORT"
+_EXAMPLE_PORT_COUNT = 40
+_FIRST_PORT = 20_000
+_LAST_PORT = 31_000
+_STOP_TIMEOUT_SECONDS = 20.0
+_POLL_SECONDS = 0.1
+_ROLES_IN_STOP_ORDER = (Role.ENTRY, Role.POOL, Role.CONTROLLER)
+
+
+class ClusterError(Exception):
+    """Report that the site did not come up or did not stop as it should."""
+
+
+@dataclass(frozen=True)
+class Faults:
+    """Set how the stand-ins of backend servers behave from their start."""
+
+    apply_lag_ms: int = 0
+    statement_time_ms: int = 0
+    connect_time_ms: int = 12
+    keep_data: bool = True
+    replication_relays: bool = False
+
+
+@dataclass(frozen=True)
+class HostAddresses:
+    """Name one entry host's zone and the addresses of its three processes."""
+
+    host: HostId
+    availability_zone: AvailabilityZone
+    entry: Address
+    pool: Address
+    controller: Address
+    metrics: dict[Role, Address]
+
+
+def is_free(port: int) -> bool:
+    """Tell whether a loopback TCP port can be bound."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
+
+
+def pick_port_range(rng: random.Random, count: int) -> int:
+    """Return the first of ``count`` free ports in a row."""
+    for _ in range(200):
+        first = rng.randrange(_FIRST_PORT, _LAST_PORT - count)
+        if all(is_free(port) for port in range(first, first + count)):
+            return first
+    raise ClusterError("no free ports")
+
+
+class PortSource:
+    """Hand out free loopback addresses, each once."""
+
+    def __init__(self, rng: random.Random, count: int) -> None:
+        first = pick_port_range(rng, count)
+        self._ports: Iterator[int] = iter(range(first, first + count))
+
+    def next_address(self) -> Address:
+        """Return an address not handed out before."""
+        return Address(LOOPBACK, next(self._ports))
+
+
+@dataclass
+class Cluster:
+    """Hold the processes of a site and the files they read."""
+
+    folder: Path
+    configuration: Configuration
+    document_path: Path
+    hosts: tuple[HostAddresses, ...]
+    store_address: Address
+    processes: dict[str, ManagedProcess] = field(default_factory=dict)
+    relay_control: Address | None = None
+
+    @classmethod
+    def from_script(
+        cls,
+        script: Path,
+        folder: Path,
+        hosts_per_zone: int = 1,
+        faults: Faults | None = None,
+        rng: random.Random | None = None,
+    ) -> Cluster:
+        """Lay out a site; start nothing yet."""
+        rng = rng or random.Random(os.getpid())
+        base_port = pick_port_range(rng, _EXAMPLE_PORT_COUNT)
+        environment = {_BASE_PORT_VARIABLE: str(base_port)}
+        document = run_command(("config", "print", str(script)), environment)
+        document_path = folder / "configuration.yaml"
+        document_path.write_text(document)
+        configuration = parse_document(document)
+        ports = PortSource(rng, 400)
+        hosts = tuple(_lay_out_hosts(configuration, hosts_per_zone, ports))
+        cluster = cls(folder, configuration, document_path, hosts, ports.next_address())
+        cluster._add_store()
+        cluster._add_backends(faults or Faults(), ports)
+        cluster._add_daemons()
+        return cluster
+
+    # Layout ------------------------------------------------------------------------------------
+
+    def _add(self, name: str, *arguments: str) -> None:
+        log_path = self.folder / (name.replace("/", "-") + ".log")
+        environment = {"PYTHONUNBUFFERED": "1"}
+        self.processes[name] = ManagedProcess(name, arguments, log_path, environment)
+
+    def _write_yaml(self, name: str, content: dict) -> str:
+        path = self.folder / (name.replace("/", "-") + ".yaml")
+        path.write_text(yaml.safe_dump(content, sort_keys=False))
+        return str(path)
+
+    def _add_store(self) -> None:
+        self._add("store", "standins.store", "--listen", str(self.store_address))
+
+    def _add_backends(self, faults: Faults, ports: PortSource) -> None:
+        routes: list[dict] = []
+        for service in self.configuration.services:
+            listens = {instance.backend: ports.next_address() for instance in service.instances}
+            for position, instance in enumerate(service.instances):
+                content = self._backend_settings(service, instance, listens, faults)
+                content["initial_primary"] = position == 0
+                if faults.replication_relays:
+                    content["peers"] = self._relay_peers(instance, listens, routes, ports)
+                name = f"backend/{instance.backend}"
+                path = self._write_yaml(name, content)
+                self._add(name, "standins.backend", "--config", path)
+        if routes:
+            self.relay_control = ports.next_address()
+            content = {"control": str(self.relay_control), "routes": routes}
+            path = self._write_yaml("relay", content)
+            self._add("relay", "standins.relay", "--config", path)
+
+    def _backend_settings(
+        self,
+        service: Service,
+        instance: Instance,
+        listens: dict[BackendId, Address],
+        faults: Faults,
+    ) -> dict:
+        data_dir = self.folder / f"data-{instance.backend}"
+        return {
+            "backend": instance.backend,
+            "service": service.name,
+            "listen": instance.address,
+            "replication_listen": str(listens[instance.backend]),
+            "peers": [
+                {"backend": backend, "address": str(address)}
+                for backend, address in listens.items()
+            ],
+            "slots": instance.slots,
+            "connections": instance.connections,
+            "connect_time_ms": faults.connect_time_ms,
+            "statement_time_ms": faults.statement_time_ms,
+            "apply_lag_ms": faults.apply_lag_ms,
+            "data_dir": str(data_dir) if faults.keep_data else None,
+        }
+
+    @staticmethod
+    def _relay_peers(
+        instance: Instance,
+        listens: dict[BackendId, Address],
+        routes: list[dict],
+        ports: PortSource,
+    ) -> list[dict]:
+        peers = []
+        for backend, address in listens.items():
+            target = address
+            if backend != instance.backend:
+                target = ports.next_address()
+                name = f"{instance.backend}->{backend}"
+                routes.append({"name": name, "listen": str(target), "target": str(address)})
+            peers.append({"backend": backend, "address": str(target)})
+        return peers
+
+    def _add_daemons(self) -> None:
+        for host in self.hosts:
+            for role in Role:
+                name = f"{role.value}/{host.host}"
+                path = self._write_yaml(name, self._daemon_settings(host, role))
+                self._add(name, "hickorywind.daemon", "--config", path)
+
+    def _daemon_settings(self, host: HostAddresses, role: Role) -> dict:
+        regions = {zone.name: zone.region for zone in self.configuration.zones}
+        others = [str(other.controller) for other in self.hosts if other is not host]
+        return {
+            "host": host.host,
+            "availability_zone": host.availability_zone,
+            "region": regions[host.availability_zone],
+            "role": role.value,
+            "controllers": [str(host.controller), *others],
+            "entry": {"listen": str(host.entry)},
+            "pool": {"listen": str(host.pool)},
+            "controller": {
+                "listen": str(host.controller),
+                "seeds": others,
+                "store": str(self.store_address),
+            },
+            "metrics_listen": str(host.metrics[role]),
+        }
+
+    # Life --------------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Start every process and apply the configuration."""
+        for process in self.processes.values():
+            process.start()
+        self.apply(self.document_path, "site started")
+
+    def apply(self, document_path: Path, note: str, revision: int = 0) -> str:
+        """Apply a configuration document with the command-line tool and return what it says."""
+        deadline = time.monotonic() + 15
+        arguments = (
+            "config",
+            "apply",
+            str(document_path),
+            "--reviewed-revision",
+            str(revision),
+            "--author",
+            "demo",
+            "--note",
+            note,
+            "--store",
+            str(self.store_address),
+        )
+        while True:
+            try:
+                return run_command(arguments)
+            except ClusterError:
+                if time.monotonic() > deadline:
+                    raise
+                time.sleep(_POLL_SECONDS)
+
+    def process(self, name: str) -> ManagedProcess:
+        """Return a process by name, e.g. ``backend/ID``, ``entry/HOST`` or ``store``."""
+        return self.processes[name]
+
+    @property
+    def entries(self) -> tuple[Address, ...]:
+        """Return where callers connect."""
+        return tuple(host.entry for host in self.hosts)
+
+    def stop(self) -> None:
+        """Stop everything, roles of hickorywind first; raise where one did not exit with 0."""
+        failures = []
+        for group in self._stop_order():
+            for process in group:
+                process.terminate()
+            for process in group:
+                code = process.wait(_STOP_TIMEOUT_SECONDS)
+                if code != 0:
+                    failures.append(f"{process.name}: exit {code}\n{process.log_tail()}")
+        if failures:
+            raise ClusterError("\n".join(failures))
+
+    def _stop_order(self) -> Iterable[list[ManagedProcess]]:
+        daemons = [f"{role.value}/" for role in _ROLES_IN_STOP_ORDER]
+        for prefix in (*daemons, "backend/", "relay", "store"):
+            yield [
+                process
+                for name, process in self.processes.items()
+                if name.startswith(prefix) and process.is_running
+            ]
+
+
+def _lay_out_hosts(
+    configuration: Configuration, hosts_per_zone: int, ports: PortSource
+) -> Iterator[HostAddresses]:
+    for zone in configuration.zones:
+        for index in range(hosts_per_zone):
+            yield HostAddresses(
+                HostId(f"{zone.name}-{index + 1}"),
+                zone.name,
+                ports.next_address(),
+                ports.next_address(),
+                ports.next_address(),
+                {role: ports.next_address() for role in Role},
+            )
+
+
+def run_command(arguments: Iterable[str], environment: dict[str, str] | None = None) -> str:
+    """Run the command-line tool and return what it prints; raise ``ClusterError``."""
+    done = subprocess.run(
+        [sys.executable, "-m", "hickorywind.ui", *arguments],
+        capture_output=True,
+        text=True,
+        env={**os.environ, **(environment or {})},
+        timeout=60,
+    )
+    if done.returncode != 0:
+        raise ClusterError(f"hickorywind {' '.join(arguments)}: {done.stderr.strip()}")
+    return done.stdout
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,87 @@
+"""Start, pause and stop the separate processes of a demonstration or test."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+
+@dataclass
+class ManagedProcess:
+    """Own one child process whose output goes to a log file."""
+
+    name: str
+    arguments: Sequence[str]
+    log_path: Path
+    environment: Mapping[str, str]
+    _child: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process, or start it anew after its end."""
+        with self.log_path.open("ab") as log:
+            self._child = subprocess.Popen(
+                [sys.executable, "-m", *self.arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, **self.environment},
+                start_new_session=True,
+            )
+
+    @property
+    def process_id(self) -> int:
+        """Return the process id of the running child."""
+        return self._require_child().pid
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process was started and has not ended."""
+        return self._child is not None and self._child.poll() is None
+
+    def _require_child(self) -> subprocess.Popen:
+        if self._child is None:
+            raise RuntimeError(f"{self.name} was never started")
+        return self._child
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self.is_running:
+            self._require_child().send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once, as a crash would."""
+        self.send(signal.SIGKILL)
+        self.wait(timeout_seconds=10)
+
+    def freeze(self) -> None:
+        """Pause the process."""
+        self.send(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a paused process go on."""
+        self.send(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process to stop gracefully; does not wait."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+
+    def wait(self, timeout_seconds: float) -> int | None:
+        """Wait for the end and return the exit code; kill after the timeout and return None."""
+        child = self._require_child()
+        try:
+            return child.wait(timeout_seconds)
+        except subprocess.TimeoutExpired:
+            child.kill()
+            child.wait()
+            return None
+
+    def log_tail(self, line_count: int = 20) -> str:
+        """Return the last lines of the process's output."""
+        lines = self.log_path.read_text(errors="replace").splitlines()
+        return "\n".join(lines[-line_count:])
