Spread records and detect failed hosts at constant cost per host

Cause: every host must know members, homes, primaries and configuration without the store.

Ruled out: probing all members in turn, as SWIM does: each probe opens a link that is then closed, and a handshake costs more than the probe. Random neighbours only: not sure to be connected. Sending each rumour 3 log2 N times on pings: a record takes several probe intervals; passing news on to the neighbours once costs about five messages per host and record and is over at once.

Change: an overlay of rings (zone, region) and a few gateways between regions; probes, indirect probes, suspicion, refutation, excuse of own pauses; news to neighbours within a budget of bytes; digests on each probe repair the rest; rescue probes to hosts believed dead heal partitions.

Not measured: real sockets at these sizes.

--- /dev/null
+++ b/hickorywind/membership/overlay.py
@@ -0,0 +1,83 @@
+"""Choose the few hosts that each host probes and sends news to.
+
+Rings by hash within the availability zone and within the region make the graph connected however
+many hosts there are; the out-degree is constant. Regions are joined only by a few hosts of each
+zone, because traffic between regions is paid by volume.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from functools import lru_cache
+
+import xxhash
+
+from hickorywind.ids import AvailabilityZone, HostId, Region
+from hickorywind.membership.directory import Directory
+from hickorywind.placement.rendezvous import rank_members
+from hickorywind.protocol.records import MemberRecord, MemberState
+
+RING_SUCCESSORS = 2
+RANDOM_NEIGHBOURS = 1
+GATEWAYS_PER_ZONE = 2
+REMOTE_NEIGHBOURS = 2
+
+
+@lru_cache(maxsize=8192)
+def _position(ring: str, host: HostId) -> int:
+    return xxhash.xxh3_64_intdigest(f"{ring}\0{host}".encode())
+
+
+def _successors(ring: str, own: HostId, hosts: Iterable[HostId]) -> list[HostId]:
+    origin = _position(ring, own)
+    others = (host for host in hosts if host != own)
+    ordered = sorted(others, key=lambda host: (_position(ring, host) - origin) % 2**64)
+    return ordered[:RING_SUCCESSORS]
+
+
+class Overlay:
+    """Compute the neighbours of one host from the members it knows."""
+
+    def __init__(self, own: HostId, zone: AvailabilityZone, directory: Directory) -> None:
+        self._own = own
+        self._zone = zone
+        self._directory = directory
+
+    def neighbours(self) -> Sequence[MemberRecord]:
+        """Return the hosts to probe and to send news to, without duplicates."""
+        usable = {
+            member.host: member
+            for member in self._directory.members
+            if member.state is MemberState.ALIVE and member.host != self._own
+        }
+        local = [host for host, member in usable.items() if self._is_local(member)]
+        zone = [host for host in local if usable[host].availability_zone == self._zone]
+        chosen = [
+            *_successors("zone", self._own, zone),
+            *_successors("region", self._own, local),
+            *rank_members(self._own, local)[:RANDOM_NEIGHBOURS],
+            *self._remote(usable, zone),
+        ]
+        return [usable[host] for host in dict.fromkeys(chosen)]
+
+    def _region(self, zone: AvailabilityZone) -> Region | None:
+        return self._directory.region_of(zone)
+
+    def _is_local(self, member: MemberRecord) -> bool:
+        region = self._region(member.availability_zone)
+        own_region = self._region(self._zone)
+        return region is None or own_region is None or region == own_region
+
+    def _remote(self, usable: dict[HostId, MemberRecord], zone: list[HostId]) -> list[HostId]:
+        gateways = rank_members("gateway", [*zone, self._own])[:GATEWAYS_PER_ZONE]
+        if self._own not in gateways:
+            return []
+        by_region: dict[Region | None, list[HostId]] = {}
+        for host, member in usable.items():
+            if not self._is_local(member):
+                by_region.setdefault(self._region(member.availability_zone), []).append(host)
+        return [
+            HostId(host)
+            for hosts in by_region.values()
+            for host in rank_members(self._own, hosts)[:REMOTE_NEIGHBOURS]
+        ]
--- /dev/null
+++ b/tests/membership/test_gossip.py
@@ -0,0 +1,123 @@
+import unittest
+from datetime import timedelta
+
+import msgspec
+
+from hickorywind.ids import BackendId, HostId, ServiceName, Term
+from hickorywind.protocol.records import GroupRecord, MemberState
+from tests.membership.fleet import Fleet
+
+
+def seconds(value):
+    return timedelta(seconds=value)
+
+
+class GossipTest(unittest.TestCase):
+    def start(self, count, seed=1):
+        fleet = Fleet(count, seed)
+        self.assertIsNotNone(fleet.run(seconds(30), fleet.agree))
+        fleet.run(seconds(5))
+        return fleet
+
+    def state(self, fleet, observer, host):
+        return fleet.cores[observer].directory.member(HostId(f"h{host}")).state
+
+    def test_killed_host_is_dead_everywhere_and_restarts(self):
+        fleet = self.start(30)
+        fleet.stopped.add(7)
+        took = fleet.run(seconds(20), fleet.agree)
+        self.assertLess(took, seconds(8))
+        fleet.start(7, incarnation=2)
+        self.assertLess(fleet.run(seconds(20), fleet.agree), seconds(8))
+
+    def test_restart_with_an_older_incarnation_comes_back(self):
+        fleet = self.start(9)
+        fleet.stopped.add(4)
+        fleet.run(seconds(10))
+        fleet.start(4, incarnation=0)
+        self.assertIsNotNone(fleet.run(seconds(20), fleet.agree))
+
+    def test_short_freeze_is_refuted_and_judges_nobody(self):
+        fleet = self.start(9)
+        fleet.frozen[3] = fleet.now + seconds(20)
+        fleet.run(seconds(20.2))
+        alive = [index for index in fleet.running() if index != 3]
+        own_view = {self.state(fleet, 3, index) for index in alive}
+        self.assertEqual(own_view, {MemberState.ALIVE})
+        self.assertIsNotNone(fleet.run(seconds(20), fleet.agree))
+
+    def test_suspicion_does_not_run_out_while_the_observer_is_frozen(self):
+        fleet = self.start(3)
+        observer = fleet.cores[0]
+        suspect = observer.directory.member(HostId("h1"))
+        suspect = msgspec.structs.replace(suspect, state=MemberState.SUSPECT)
+        observer.publish(fleet.now, (suspect,))
+        observer.tick(fleet.now + seconds(20))
+        self.assertEqual(self.state(fleet, 0, 1), MemberState.SUSPECT)
+
+    def test_host_cut_from_one_other_is_not_even_suspected(self):
+        fleet = self.start(9)
+        neighbour = fleet.cores[0].neighbours[0].controller.port
+        before = fleet.cores[neighbour].own.incarnation
+        fleet.is_cut = lambda a, b: {a, b} == {0, neighbour}
+        fleet.run(seconds(30))
+        # A suspected host refutes with a greater incarnation.
+        self.assertEqual(fleet.cores[neighbour].own.incarnation, before)
+
+    def test_partition_heals_and_a_cut_zone_keeps_its_own(self):
+        fleet = self.start(24)
+        zone_a = {index for index in fleet.running() if index % 3 == 0}
+        fleet.is_cut = lambda a, b: (a in zone_a) != (b in zone_a)
+        inside = {f"h{index}" for index in zone_a}
+        took = fleet.run(seconds(60), lambda: all(fleet.alive(index) == inside for index in zone_a))
+        self.assertIsNotNone(took)
+        term = GroupRecord(ServiceName("s"), Term(2), BackendId("s-1"))
+        fleet.cores[1].publish(fleet.now, (term,))
+        fleet.run(seconds(60))
+        self.assertIsNone(fleet.cores[0].directory.group(ServiceName("s")))
+        fleet.is_cut = lambda a, b: False
+        self.assertIsNotNone(fleet.run(seconds(30), fleet.agree))
+        self.assertEqual(fleet.cores[0].directory.group(ServiceName("s")), term)
+
+    def test_zone_lost_at_once(self):
+        fleet = self.start(60)
+        fleet.stopped |= {index for index in fleet.running() if index % 3 == 2}
+        self.assertLess(fleet.run(seconds(60), fleet.agree), seconds(20))
+
+    def test_leaving_host_is_no_home_and_dies_quietly(self):
+        fleet = self.start(9)
+        fleet.cores[5].leave(fleet.now)
+        fleet.run(seconds(0.5))
+        self.assertEqual(self.state(fleet, 0, 5), MemberState.LEAVING)
+        fleet.stopped.add(5)
+        self.assertIsNotNone(fleet.run(seconds(60), fleet.agree))
+
+    def test_news_arrive_within_a_second_although_messages_are_lost(self):
+        fleet = self.start(60)
+        lossy = fleet.rng
+        fleet.is_cut = lambda a, b: lossy.random() < 0.1
+        term = GroupRecord(ServiceName("s"), Term(2), BackendId("s-1"))
+        fleet.cores[1].publish(fleet.now, (term,))
+        cores = fleet.cores.values()
+        fleet.run(seconds(1))
+        informed = sum(core.directory.group(ServiceName("s")) == term for core in cores)
+        self.assertGreater(informed, 55)
+        took = fleet.run(
+            seconds(30),
+            lambda: all(core.directory.group(ServiceName("s")) == term for core in cores),
+        )
+        self.assertIsNotNone(took)
+
+    def test_bytes_per_host_do_not_grow_with_the_fleet(self):
+        rates = []
+        for count in (12, 60):
+            fleet = self.start(count)
+            fleet.sent_bytes = 0
+            fleet.run(seconds(20))
+            rates.append(fleet.sent_bytes / 20 / count)
+        self.assertLess(rates[1], rates[0] * 1.2)
+        self.assertLess(rates[1], 1_000)
+
+
+if __name__ == "__main__":
+    unittest.main()
