--- /dev/null
+++ b/tests/test_layering.py
@@ -0,0 +1,51 @@
+import ast
+import unittest
+from pathlib import Path
+
+PACKAGE = Path(__file__).resolve().parent.parent / "hickorywind"
+DECISION_PACKAGES = ("routing", "admission", "placement", "failover", "configuration")
+DECISION_MODULES = (
+    "protocol/messages.py",
+    "protocol/records.py",
+    "protocol/codec.py",
+    "membership/table.py",
+    "membership/directory.py",
+    "membership/gossip.py",
+)
+FORBIDDEN = {"asyncio", "socket", "zmq", "grpc", "aetcd", "selectors", "threading"}
+FORBIDDEN_MODULES = {"hickorywind.protocol.channel", "hickorywind.membership.subscriber"}
+
+
+def imported_names(path):
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            yield node.module
+
+
+class LayeringTest(unittest.TestCase):
+    def decision_files(self):
+        for package in DECISION_PACKAGES:
+            yield from sorted((PACKAGE / package).glob("*.py"))
+        yield from (PACKAGE / module for module in DECISION_MODULES)
+
+    def test_decisions_do_no_io(self):
+        for path in self.decision_files():
+            with self.subTest(path=path.name):
+                for name in imported_names(path):
+                    self.assertNotIn(name.split(".")[0], FORBIDDEN)
+                    self.assertNotIn(name, FORBIDDEN_MODULES)
+
+    def test_decisions_read_no_clock_and_no_global_randomness(self):
+        for path in self.decision_files():
+            text = path.read_text()
+            with self.subTest(path=path.name):
+                for call in ("time.time(", "time.monotonic(", "datetime.now(", "random.random("):
+                    self.assertNotIn(call, text)
+
+    def test_product_starts_no_process(self):
+        for path in sorted(PACKAGE.rglob("*.py")):
+            with self.subTest(path=path.name):
+                names = {name.split(".")[0] for name in imported_names(path)}
+                self.assertFalse(names & {"subprocess", "multiprocessing", "uvloop"})
