--- a/hickorywind_bench/history.py
+++ b/hickorywind_bench/history.py
@@ -2,7 +2,8 @@
 
 The workload is list-append: every write appends a unique element to the list of a key and every
 read returns the whole list. Such histories show lost, doubled, reordered and stale elements
-directly. See Kingsbury and Alvaro, "Elle: Inferring Isolation Anomalies from Experimental Observations", 2020.
+directly. See Kingsbury and Alvaro, "Elle: Inferring Isolation Anomalies from Experimental
+Observations", 2020.
 """
 
 from __future__ import annotations
