Admit only processes of the same installation between processes

Cause: CURVE encrypts but without a ZAP handler libzmq lets in any client key. Change: a ZAP handler compares the client key with the installation's own. Proof: with the handler off in a scratch copy test_other_keys_and_no_keys_are_kept_out fails, with it it passes.

--- a/hickorywind/protocol/channel.py
+++ b/hickorywind/protocol/channel.py
@@ -16,6 +16,7 @@
 from hickorywind.ids import Address
 from hickorywind.protocol.codec import decode, encode
 from hickorywind.protocol.messages import Message, Refused
+from hickorywind.protocol.peerauth import start_peer_authentication
 from hickorywind.results import HickorywindError
 
 PeerId = NewType("PeerId", bytes)
@@ -56,8 +57,16 @@
     """Receive messages from many peers and answer each of them."""
 
     def __init__(self, address: Address, keys: ChannelKeys | None = None) -> None:
-        """Bind ``address``; raise ``zmq.ZMQError`` where it is taken."""
-        self._socket = zmq.asyncio.Context.instance().socket(zmq.ROUTER)
+        """Bind ``address``; raise ``zmq.ZMQError`` where it is taken.
+
+        With ``keys``, only peers that hold the same keys are let in.
+        """
+        # A ZAP handler serves a whole context, so a listener with keys has one of its own.
+        self._context = zmq.asyncio.Context() if keys else zmq.asyncio.Context.instance()
+        self._authenticator = None
+        if keys is not None:
+            self._authenticator = start_peer_authentication(self._context, keys.public)
+        self._socket = self._context.socket(zmq.ROUTER)
         _prepare(self._socket)
         self._socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
         if keys is not None:
@@ -92,6 +101,9 @@
     def close(self) -> None:
         """Close the socket and drop what was not yet sent."""
         self._socket.close(linger=0)
+        if self._authenticator is not None:
+            self._authenticator.stop()
+            self._context.term()
 
 
 class Link:
--- /dev/null
+++ b/hickorywind/protocol/peerauth.py
@@ -0,0 +1,34 @@
+"""Admit only processes of the same installation to a ZeroMQ listener.
+
+CURVE alone encrypts but lets in any client key; the ZAP handler here (RFC 27/ZAP) compares it with
+the installation's own public key.
+"""
+
+from __future__ import annotations
+
+import hmac
+
+import zmq
+import zmq.asyncio
+from zmq.auth.asyncio import AsyncioAuthenticator
+
+_ALL_DOMAINS = "*"
+
+
+class _InstallationKey:
+    def __init__(self, public: bytes) -> None:
+        self._public = public
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Tell whether a client's public key (Z85 text) is the installation's."""
+        return hmac.compare_digest(key, self._public)
+
+
+def start_peer_authentication(
+    context: zmq.asyncio.Context, public_key: bytes
+) -> AsyncioAuthenticator:
+    """Start checking the client keys of every CURVE listener in ``context``; stop it to release."""
+    authenticator = AsyncioAuthenticator(context)
+    authenticator.start()
+    authenticator.configure_curve_callback(_ALL_DOMAINS, _InstallationKey(public_key))
+    return authenticator
--- /dev/null
+++ b/tests/protocol/test_channel.py
@@ -0,0 +1,91 @@
+import asyncio
+import unittest
+
+import zmq
+
+from hickorywind.ids import Address, RequestId
+from hickorywind.protocol.channel import ChannelKeys, Link, Listener
+from hickorywind.protocol.codec import encode
+from hickorywind.protocol.messages import Cancel, Refused
+from hickorywind.results import ResultCode
+from standins.cluster import is_free
+
+WAIT_SECONDS = 3
+SILENCE_SECONDS = 0.5
+
+
+def free_address():
+    return Address("127.0.0.1", next(port for port in range(31_500, 32_500) if is_free(port)))
+
+
+async def send_when_connected(link, message):
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not await link.send(message):
+            await asyncio.sleep(0.01)
+
+
+class ChannelTest(unittest.IsolatedAsyncioTestCase):
+    def open(self, listener_keys=None, link_keys=None):
+        address = free_address()
+        listener = Listener(address, listener_keys)
+        self.addCleanup(listener.close)
+        link = Link(address, link_keys)
+        self.addCleanup(link.close)
+        return listener, link
+
+    async def test_message_and_answer(self):
+        listener, link = self.open()
+        await send_when_connected(link, Cancel(RequestId(7)))
+        received = await asyncio.wait_for(listener.receive(), WAIT_SECONDS)
+        self.assertEqual(received.message, Cancel(RequestId(7)))
+        self.assertTrue(await listener.send(received.peer, Cancel(RequestId(8))))
+        self.assertEqual(await asyncio.wait_for(link.receive(), WAIT_SECONDS), Cancel(RequestId(8)))
+
+    async def test_unknown_version_is_refused_by_number(self):
+        listener, link = self.open()
+        await send_when_connected(link, Cancel(RequestId(1)))
+        await link._socket.send(b"\xff" + encode(Cancel(RequestId(2)))[1:])
+        await asyncio.wait_for(listener.receive(), WAIT_SECONDS)
+        receiving = asyncio.create_task(listener.receive())
+        answer = await asyncio.wait_for(link.receive(), WAIT_SECONDS)
+        receiving.cancel()
+        self.assertIsInstance(answer, Refused)
+        self.assertEqual(answer.result.code, ResultCode.VERSION_REFUSED)
+
+    async def test_nothing_is_queued_for_a_peer_that_is_not_there(self):
+        link = Link(free_address())
+        self.addCleanup(link.close)
+        await asyncio.sleep(0.05)
+        self.assertFalse(await link.send(Cancel(RequestId(1))))
+
+    async def test_same_keys_are_let_in(self):
+        keys = ChannelKeys(*zmq.curve_keypair())
+        listener, link = self.open(keys, keys)
+        await send_when_connected(link, Cancel(RequestId(7)))
+        received = await asyncio.wait_for(listener.receive(), WAIT_SECONDS)
+        self.assertEqual(received.message, Cancel(RequestId(7)))
+
+    async def test_other_keys_and_no_keys_are_kept_out(self):
+        keys = ChannelKeys(*zmq.curve_keypair())
+        public, secret = zmq.curve_keypair()
+        address = free_address()
+        listener = Listener(address, keys)
+        self.addCleanup(listener.close)
+        stranger = Link(address)
+        self.addCleanup(stranger.close)
+        # Knows the installation's public key, but has a key pair of its own.
+        insider = Link.__new__(Link)
+        insider._socket = zmq.asyncio.Context.instance().socket(zmq.DEALER)
+        insider._socket.setsockopt(zmq.CURVE_SERVERKEY, keys.public)
+        insider._socket.setsockopt(zmq.CURVE_PUBLICKEY, public)
+        insider._socket.setsockopt(zmq.CURVE_SECRETKEY, secret)
+        insider._socket.connect(f"tcp://{address}")
+        self.addCleanup(insider.close)
+        receiving = asyncio.create_task(listener.receive())
+        for link in (stranger, insider):
+            for _ in range(5):
+                await link.send(Cancel(RequestId(1)))
+                await asyncio.sleep(0.02)
+        done, _ = await asyncio.wait((receiving,), timeout=SILENCE_SECONDS)
+        receiving.cancel()
+        self.assertFalse(done)
