Run the controller role with failover, configuration and subscriptions

Cause: nobody else orders promotions, spreads the configuration or tells entries and pools of homes.

Ruled out: a lease holder that alone orders promotions: leases lapse while their holder is paused. Shared polls and orders on one connection: an order would wait behind a poll that hangs.

Change: failover cores (view, election, leaving) behind observers chosen by rendezvous hashing; one task owns the controller's state and gets events from the others; two watchers per zone call the store; subscribers return to their own controller as soon as it answers again; links without ZeroMQ heartbeats where pings do their work; fixed_failover_timeout_ms selects the baseline.

--- /dev/null
+++ b/hickorywind/controller/platformlist.py
@@ -0,0 +1,85 @@
+"""Interpret the platform's list of live and leaving hosts, which lags behind the truth."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+
+import msgspec
+
+from hickorywind.ids import Address, BackendId, Revision
+from hickorywind.membership.directory import Directory
+from hickorywind.protocol.records import LeavingRecord
+from hickorywind.store.interface import StoredValue
+
+logger = logging.getLogger(__name__)
+
+LEAVING_STATE = "leaving"
+
+
+class PlatformEntry(msgspec.Struct, frozen=True):
+    """Describe one host of the list; entry hosts may name their controller (``IP:PORT``)."""
+
+    host: str
+    state: str
+    controller: str | None = None
+
+
+class PlatformList:
+    """Draw hints from the list: further controllers to try, and leaving backend servers.
+
+    Each change of an entry is used once: a backend server's own reports are newer and win.
+    """
+
+    def __init__(self) -> None:
+        self._seen: dict[str, Revision] = {}
+
+    def take(
+        self, entries: Iterable[StoredValue], directory: Directory
+    ) -> tuple[tuple[Address, ...], tuple[LeavingRecord, ...]]:
+        """Return addresses of controllers and records of leaving backend servers."""
+        addresses: list[Address] = []
+        records: list[LeavingRecord] = []
+        for stored in entries:
+            entry = _decode(stored)
+            if entry is None:
+                continue
+            address = _controller_of(entry)
+            if address is not None:
+                addresses.append(address)
+            if self._seen.get(stored.key) != stored.revision and _is_known(entry, directory):
+                self._seen[stored.key] = stored.revision
+                records += _leaving_records(entry, directory)
+        return tuple(addresses), tuple(records)
+
+
+def _decode(stored: StoredValue) -> PlatformEntry | None:
+    if not stored.value:
+        return None
+    try:
+        return msgspec.json.decode(stored.value, type=PlatformEntry)
+    except msgspec.MsgspecError as error:
+        logger.warning("platform_entry_refused", extra={"key": stored.key, "reason": str(error)})
+        return None
+
+
+def _controller_of(entry: PlatformEntry) -> Address | None:
+    if entry.controller is None or entry.state == LEAVING_STATE:
+        return None
+    try:
+        return Address.from_text(entry.controller)
+    except ValueError:
+        return None
+
+
+def _is_known(entry: PlatformEntry, directory: Directory) -> bool:
+    return directory.instance(BackendId(entry.host)) is not None
+
+
+def _leaving_records(entry: PlatformEntry, directory: Directory) -> list[LeavingRecord]:
+    backend = BackendId(entry.host)
+    if entry.state != LEAVING_STATE or directory.is_leaving(backend):
+        return []
+    held = directory.table.get(f"leaving/{backend}")
+    generation = held.generation + 1 if isinstance(held, LeavingRecord) else 1
+    return [LeavingRecord(backend, generation, True)]
--- /dev/null
+++ b/hickorywind/controller/role.py
@@ -0,0 +1,303 @@
+"""Run a controller: one task owns the state, the others bring it events."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections import Counter
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import Self
+
+from hickorywind.controller.calls import GroupCalls
+from hickorywind.controller.config import ConfigIntake
+from hickorywind.controller.events import (
+    AcceptAnswered,
+    ConfigRead,
+    Event,
+    MessageArrived,
+    PlatformListRead,
+    PromoteAnswered,
+    StatusAnswered,
+    StoreReachability,
+    TickDue,
+)
+from hickorywind.controller.groups import GroupAction, ObservedGroups
+from hickorywind.controller.links import LinkPool
+from hickorywind.controller.platformlist import PlatformList
+from hickorywind.controller.requests import OperatorRequests
+from hickorywind.controller.storetask import StoreTask
+from hickorywind.controller.subscribers import Subscribers
+from hickorywind.failover.actions import PublishGroup, PublishLeaving
+from hickorywind.failover.policy import FailoverPolicy, FixedTimeout
+from hickorywind.groups.client import GroupClient
+from hickorywind.ids import Address, Incarnation, Role
+from hickorywind.membership.actions import Send, ToAddress, ToPeer
+from hickorywind.membership.directory import Directory
+from hickorywind.membership.gossip import PAUSE_LIMIT, GossipCore, HostIdentity
+from hickorywind.observability.metrics import Metrics
+from hickorywind.placement.watchers import choose_watchers
+from hickorywind.protocol.channel import ChannelKeys, Listener, PeerId
+from hickorywind.protocol.messages import (
+    DrainReply,
+    DrainRequest,
+    StatusRequest,
+    Subscribe,
+)
+from hickorywind.protocol.records import ConfigHeadRecord, ConfigRecord, MemberRecord, Record
+from hickorywind.settings.secrets import load_password
+from hickorywind.settings.template import ControllerSettings, DaemonSettings
+from hickorywind.store.etcd import EtcdStore
+from hickorywind.util.clock import Clock, Instant, milliseconds
+
+logger = logging.getLogger(__name__)
+
+TICK_INTERVAL = timedelta(milliseconds=50)
+WATCHER_DELAY = timedelta(seconds=1)
+DRAIN_SPREAD_TIME = timedelta(milliseconds=500)
+
+
+class ControllerRole:
+    """Join gossip, configuration, failover and subscriptions of one host."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        clock: Clock,
+        rng: random.Random,
+        keys: ChannelKeys | None,
+        metrics: Metrics,
+        incarnation: Incarnation,
+    ) -> None:
+        self._settings = settings
+        self._own_settings: ControllerSettings = settings.controller
+        self._clock = clock
+        self._rng = rng
+        self._keys = keys
+        self._metrics = metrics
+        self._events: asyncio.Queue[Event] = asyncio.Queue()
+        self._directory = Directory()
+        self._started_at = clock.now()
+        self._last_tick = clock.now()
+        self._is_watcher = False
+        address = Address.from_text(self._own_settings.listen)
+        identity = HostIdentity(settings.host, settings.availability_zone, address)
+        seeds = [Address.from_text(seed) for seed in self._own_settings.seeds]
+        self._gossip = GossipCore(identity, incarnation, self._directory, rng, seeds)
+        self._subscribers = Subscribers(settings.host)
+        self._config = ConfigIntake()
+        self._platform = PlatformList()
+        self._requests = OperatorRequests(settings.host)
+        proposer = f"{settings.host}/{incarnation}-{rng.getrandbits(32):08x}"
+        policy = failover_policy(self._own_settings)
+        self._groups = ObservedGroups(settings.host, proposer, policy, rng)
+        self._calls = GroupCalls(self._make_client, self._events)
+        self._links = LinkPool(self._events, clock, keys)
+        self._listener = Listener(address, keys, with_heartbeats=False)
+        self._store_task: StoreTask | None = None
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: DaemonSettings,
+        clock: Clock,
+        rng: random.Random,
+        keys: ChannelKeys | None,
+        metrics: Metrics,
+    ) -> Self:
+        """Build the role and bind its address; raise ``zmq.ZMQError`` where it is taken."""
+        # Wall-clock time makes incarnations rise over restarts of a host that keeps nothing.
+        incarnation = Incarnation(time.time_ns() // 1_000_000)
+        return cls(settings, clock, rng, keys, metrics, incarnation)
+
+    def _make_client(self, address: Address, timeout: timedelta) -> GroupClient:
+        path = self._own_settings.backend_password_file
+        password = load_password(path) if path is not None else None
+        return GroupClient(address, timeout, self._own_settings.backend_user, password)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._receive())
+                tasks.create_task(self._handle_events())
+                tasks.create_task(self._keep_time())
+                if self._own_settings.store:
+                    self._store_task = self._make_store_task()
+                    tasks.create_task(self._store_task.run())
+        finally:
+            await self._calls.close()
+            await self._links.close()
+            self._listener.close()
+
+    def _make_store_task(self) -> StoreTask:
+        address = Address.from_text(self._own_settings.store)
+        timeout = milliseconds(self._own_settings.store_timeout_ms)
+        return StoreTask(
+            EtcdStore.from_address(address, timeout),
+            self._own_settings,
+            lambda: self._is_watcher,
+            self._events,
+            self._rng,
+            self._metrics,
+        )
+
+    async def drain(self) -> None:
+        """Publish that this host leaves and give the news time to spread."""
+        self._gossip.leave(self._clock.now())
+        await asyncio.sleep(DRAIN_SPREAD_TIME.total_seconds())
+
+    async def _receive(self) -> None:
+        while True:
+            received = await self._listener.receive()
+            await self._events.put(MessageArrived(ToPeer(received.peer), received.message))
+
+    async def _keep_time(self) -> None:
+        while True:
+            await self._events.put(TickDue())
+            await asyncio.sleep(TICK_INTERVAL.total_seconds())
+
+    async def _tick(self, now: Instant) -> None:
+        if now - self._last_tick > PAUSE_LIMIT:
+            self._subscribers.excuse_pause(now - self._last_tick)
+        self._last_tick = now
+        self._subscribers.sweep(now)
+        self._announce_own_processes(now)
+        self._choose_watchers(now)
+        await self._send_all(self._gossip.tick(now))
+        await self._perform(now, self._groups.tick(now, self._directory))
+        await self._links.tick()
+
+    def _announce_own_processes(self, now: Instant) -> None:
+        pool, entry = self._settings.pool, self._settings.entry
+        serves_pool = pool is not None and self._subscribers.is_serving(Role.POOL)
+        serves_entry = entry is not None and self._subscribers.is_serving(Role.ENTRY)
+        self._gossip.announce(
+            now,
+            Address.from_text(pool.listen) if serves_pool else None,
+            Address.from_text(entry.listen) if serves_entry else None,
+        )
+
+    def _choose_watchers(self, now: Instant) -> None:
+        # A host that has just started waits until it knows who watches already.
+        if now - self._started_at > WATCHER_DELAY:
+            watchers = choose_watchers(self._settings.availability_zone, self._directory)
+            self._is_watcher = self._settings.host in watchers
+
+    async def _handle_events(self) -> None:
+        while True:
+            event = await self._events.get()
+            now = self._clock.now()
+            await self._handle(now, event)
+            await self._spread_news(now)
+
+    async def _handle(self, now: Instant, event: Event) -> None:
+        match event:
+            case TickDue():
+                await self._tick(now)
+            case MessageArrived():
+                await self._handle_message(now, event)
+            case StatusAnswered() | AcceptAnswered() | PromoteAnswered():
+                await self._perform(now, self._groups.take(now, event, self._directory))
+            case ConfigRead(stored):
+                self._gossip.publish(now, self._config.take(stored, self._directory.table))
+            case PlatformListRead(entries):
+                addresses, records = self._platform.take(entries, self._directory)
+                self._gossip.add_seeds(addresses)
+                self._gossip.publish(now, records)
+            case StoreReachability(is_reachable):
+                self._requests.is_store_reachable = is_reachable
+
+    async def _handle_message(self, now: Instant, event: MessageArrived) -> None:
+        match event.source, event.message:
+            case ToPeer(peer), Subscribe() as message:
+                answer = self._subscribers.take(now, peer, message, self._directory.table)
+                await self._send_all((answer,))
+            case ToPeer(), StatusRequest():
+                await self._send_all((self._requests.status(event.source, self._directory),))
+            case ToPeer(), DrainRequest(host):
+                if host == self._settings.host:
+                    self._gossip.leave(now)
+                answer = self._requests.drain(event.source, host, self._directory)
+                await self._send_all((answer,))
+            case ToAddress(address), DrainReply() as message:
+                await self._send_all(self._requests.drained(address, message))
+            case source, message:
+                await self._send_all(self._gossip.receive(now, source, message))
+
+    async def _perform(self, now: Instant, actions: Iterable[GroupAction]) -> None:
+        for item in actions:
+            match item.action:
+                case PublishGroup() as action:
+                    self._publish_group(now, action)
+                case PublishLeaving(record):
+                    logger.info("backend_leaving", extra={"backend": record.backend})
+                    self._gossip.publish(now, (record,))
+                case call:
+                    address = self._groups.address_of(call.backend)
+                    if address is not None:
+                        self._calls.start(item.service, address, call, now)
+
+    def _publish_group(self, now: Instant, action: PublishGroup) -> None:
+        record = action.record
+        self._gossip.publish(now, (record,))
+        if not action.was_ordered_here:
+            return
+        gap_ms = action.gap // timedelta(milliseconds=1) if action.gap is not None else None
+        logger.warning(
+            "backend_promoted",
+            extra={
+                "service": record.service,
+                "backend": record.primary,
+                "term": record.term,
+                "gap_ms": gap_ms,
+            },
+        )
+        self._metrics.failovers.labels(record.service).inc()
+        if action.gap is not None:
+            gap_seconds = action.gap.total_seconds()
+            self._metrics.failover_gap.labels(record.service).observe(gap_seconds)
+        if self._store_task is not None:
+            self._store_task.note_group(record)
+
+    async def _spread_news(self, now: Instant) -> None:
+        news = self._gossip.take_news()
+        if not news:
+            return
+        if any(isinstance(record, (ConfigRecord, ConfigHeadRecord)) for record in news):
+            self._gossip.publish(now, self._config.repair(self._directory.table))
+            news += self._gossip.take_news()
+        await self._send_all(self._subscribers.push(now, news))
+        if any(_changes_duties(record) for record in news):
+            self._groups.refresh(self._directory)
+            self._calls.keep_only(self._groups.addresses)
+            self._update_gauges()
+
+    def _update_gauges(self) -> None:
+        self._metrics.revision_in_force.set(self._directory.revision)
+        states = Counter(member.state.value for member in self._directory.members)
+        self._metrics.members.clear()
+        for state, count in states.items():
+            self._metrics.members.labels(state).set(count)
+
+    async def _send_all(self, sends: Iterable[Send]) -> None:
+        for send in tuple(sends):
+            match send.target:
+                case ToPeer(peer):
+                    await self._listener.send(PeerId(peer), send.message)
+                case ToAddress(address):
+                    await self._links.send(address, send.message)
+
+
+def _changes_duties(record: Record) -> bool:
+    return isinstance(record, (MemberRecord, ConfigRecord, ConfigHeadRecord))
+
+
+def failover_policy(settings: ControllerSettings) -> FailoverPolicy:
+    """Return the policy that the settings ask for."""
+    if settings.fixed_failover_timeout_ms is None:
+        return FailoverPolicy()
+    timeout = milliseconds(settings.fixed_failover_timeout_ms)
+    return FailoverPolicy(trigger=FixedTimeout(timeout))
--- /dev/null
+++ b/hickorywind/failover/group.py
@@ -0,0 +1,210 @@
+"""Watch one database group and order promotions: the core behind one observer.
+
+All instants are of this process's own clock; nothing here is compared across hosts.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator, Sequence
+from dataclasses import replace
+from datetime import timedelta
+
+from hickorywind.failover.actions import (
+    Action,
+    Answer,
+    PublishGroup,
+    PublishLeaving,
+)
+from hickorywind.failover.election import Election
+from hickorywind.failover.leaving import LeavingWatch
+from hickorywind.failover.observer import GroupView
+from hickorywind.failover.policy import FailoverPolicy, FixedTimeout, MajoritySilence
+from hickorywind.groups.status import BackendStatus
+from hickorywind.ids import BackendId, InstanceRole, ServiceName, Term
+from hickorywind.protocol.records import GroupRecord, LeavingRecord
+from hickorywind.util.clock import Instant, milliseconds
+
+_NO_SILENCE = timedelta(0)
+
+
+class GroupCore:
+    """Join view and election of one group.
+
+    ``rank`` is this observer's place among those of the group: later ones wait longer before they
+    act. ``group_record`` and ``leaving_records`` are what the record table holds; the owner keeps
+    them up to date.
+    """
+
+    def __init__(
+        self,
+        service: ServiceName,
+        backends: Sequence[BackendId],
+        proposer: str,
+        policy: FailoverPolicy,
+        rng: random.Random,
+    ) -> None:
+        self.service = service
+        self.rank = 0
+        self.slowdown = 1.0
+        self.group_record: GroupRecord | None = None
+        self.leaving_records: dict[BackendId, LeavingRecord] = {}
+        self._policy = policy
+        self._rng = rng
+        self._view = GroupView(backends, policy)
+        self._election = Election(service, proposer, policy, rng)
+        self._leaving = {backend: LeavingWatch(backend) for backend in backends}
+        self._last_tick: Instant | None = None
+        self._wanted_since: Instant | None = None
+        self._delay = _NO_SILENCE
+        self._record_since: Instant | None = None
+        self._record_seen: GroupRecord | None = None
+        self._next_switchover: Instant | None = None
+        self._lost_at: Instant | None = None
+
+    @property
+    def view(self) -> GroupView:
+        """Return what this observer knows."""
+        return self._view
+
+    def set_backends(self, backends: Sequence[BackendId]) -> None:
+        """Follow a change of the configuration; an attempt under way counted other instances."""
+        if tuple(backends) == tuple(self._view.backends):
+            return
+        self._election.abandon()
+        self._view.set_backends(backends)
+        self._leaving = {
+            backend: self._leaving.get(backend, LeavingWatch(backend)) for backend in backends
+        }
+
+    def tick(self, now: Instant) -> list[Action]:
+        """Do what is due; call it every few tens of milliseconds."""
+        if self._last_tick is not None and now - self._last_tick > self._policy.pause_limit:
+            self._start_anew(now)
+        self._last_tick = now
+        self._note_record(now)
+        self._view.rank = self.rank
+        self._view.slowdown = self.slowdown
+        is_doubtful = self._election.is_running or self._view.is_in_doubt(now)
+        actions: list[Action] = list(self._view.polls(now, is_doubtful))
+        actions += self._election.tick(now)
+        actions += self._consider(now)
+        return actions
+
+    def _start_anew(self, now: Instant) -> None:
+        self._view.forget(now)
+        self._election.abandon()
+        self._wanted_since = None
+
+    def _note_record(self, now: Instant) -> None:
+        if self.group_record != self._record_seen:
+            self._record_since = now if self._record_seen is not None else None
+            self._record_seen = self.group_record
+
+    def take_status(
+        self, now: Instant, backend: BackendId, asked_at: Instant, answer: Answer
+    ) -> list[Action]:
+        """Handle the end of a ``PollStatus``; ``asked_at`` is the tick that asked for it."""
+        self._view.take(now, backend, asked_at, answer)
+        if not isinstance(answer, BackendStatus) or backend not in self._leaving:
+            return []
+        actions = list(self._learn_primary(answer))
+        record = self.leaving_records.get(backend)
+        news = self._leaving[backend].take(asked_at, answer, record, now)
+        if news is not None:
+            actions.append(PublishLeaving(news))
+        return actions
+
+    def _learn_primary(self, status: BackendStatus) -> Iterator[Action]:
+        known = self.group_record.term if self.group_record is not None else Term(0)
+        if status.role is InstanceRole.PRIMARY and status.term > known:
+            yield PublishGroup(GroupRecord(self.service, status.term, status.backend))
+
+    def take_accept(
+        self, now: Instant, backend: BackendId, term: Term, answer: Answer
+    ) -> list[Action]:
+        """Handle the answer to an ``AcceptTerm``."""
+        return list(self._election.take_accept(now, backend, term, answer))
+
+    def take_promote(
+        self, now: Instant, backend: BackendId, term: Term, answer: Answer
+    ) -> list[Action]:
+        """Handle the answer to a ``PromoteBackend``."""
+        actions = self._election.take_promote(now, backend, term, answer)
+        return [self._with_gap(now, action) for action in actions]
+
+    def _with_gap(self, now: Instant, action: Action) -> Action:
+        if isinstance(action, PublishGroup) and self._lost_at is not None:
+            return replace(action, gap=now - self._lost_at)
+        return action
+
+    def _consider(self, now: Instant) -> Iterator[Action]:
+        if not self._election.may_start(now):
+            return
+        min_silence = self._wanted_min_silence(now)
+        if min_silence is None:
+            self._wanted_since = None
+            return
+        if self._wanted_since is None:
+            self._wanted_since = now
+            self._delay = self.rank * self._policy.stagger
+            if self.rank:
+                self._delay += self._policy.jitter * self._rng.random()
+        if now - self._wanted_since < self._delay:
+            return
+        self._wanted_since = None
+        if min_silence == _NO_SILENCE:
+            self._next_switchover = now + self._policy.switchover_retry
+        silences = [status.silence_ms for status in self._view.silent(now, min_silence)]
+        self._lost_at = now - milliseconds(min(silences)) if silences else None
+        known = self.group_record.term if self.group_record is not None else Term(0)
+        seen_term = Term(max(known, self._view.highest_term))
+        yield from self._election.start(now, seen_term, self._view.backends, min_silence)
+
+    def _wanted_min_silence(self, now: Instant) -> timedelta | None:
+        """Return the silence an instance must confirm before it accepts; None for no attempt."""
+        if self._wants_switchover(now):
+            return _NO_SILENCE
+        match self._policy.trigger:
+            case MajoritySilence():
+                threshold = self._threshold(now, self._policy.trigger)
+                is_silent = len(self._view.silent(now, threshold)) >= self._view.majority
+                return self._policy.trigger.threshold if is_silent else None
+            case FixedTimeout(timeout):
+                return _NO_SILENCE if self._is_unreached(now, timeout) else None
+
+    def _threshold(self, now: Instant, trigger: MajoritySilence) -> timedelta:
+        if self._record_since is not None and now - self._record_since < self._policy.rest:
+            return trigger.resting_threshold
+        return trigger.threshold
+
+    def _is_unreached(self, now: Instant, timeout: timedelta) -> bool:
+        primary = self._view.primary
+        if primary is None:
+            return len(self._view.reports) >= self._view.majority
+        return self._view.unreached_for(now, primary) >= timeout
+
+    def _wants_switchover(self, now: Instant) -> bool:
+        """Tell whether the primary asks to leave and a caught-up replica can take over."""
+        primary = self._view.primary
+        report = self._view.report_of(primary) if primary is not None else None
+        if report is None or not report.leaving:
+            return False
+        if self._next_switchover is not None and now < self._next_switchover:
+            return False
+        fresh = self._view.fresh(now)
+        caught_up = [
+            status
+            for status in fresh
+            if not status.leaving and status.received.contains(report.committed)
+        ]
+        return report in fresh and len(caught_up) >= self._view.majority
+
+
+def polls_wanted_per_second(policy: FailoverPolicy, rank: int, instances: int) -> float:
+    """Estimate what watching one healthy group costs one observer, before any slowdown."""
+    interval = policy.fast_interval if rank == 0 else policy.standby_interval
+    replicas = max(0, instances - 1)
+    return timedelta(seconds=1) / interval + replicas * (
+        timedelta(seconds=1) / policy.replica_interval
+    )
--- a/hickorywind/membership/subscriber.py
+++ b/hickorywind/membership/subscriber.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
 from collections.abc import Sequence
@@ -33,7 +34,6 @@
 SUBSCRIBE_INTERVAL = timedelta(milliseconds=500)
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 SILENCE_LIMIT = timedelta(milliseconds=1500)
-RETURN_INTERVAL = timedelta(seconds=15)
 _CONNECT_POLL = timedelta(milliseconds=20)
 
 
@@ -42,7 +42,7 @@
 
     ``directory`` is always usable, also while no controller answers. ``changed`` is set whenever
     a record was news; its one reader clears it. Set ``draining`` before the process stops, so that
-    its host no longer announces it.
+    its host no longer announces it; the controller is told at once.
     """
 
     def __init__(
@@ -57,7 +57,8 @@
     ) -> None:
         self.directory = Directory()
         self.changed = asyncio.Event()
-        self.draining = False
+        self._is_draining = False
+        self._wake = asyncio.Event()
         self._host = host
         self._role = role
         self._addresses = tuple(addresses)
@@ -67,6 +68,17 @@
         self._keys = keys
         self._tombstones = Tombstones(self.directory)
         self._heard: Instant | None = None
+        self._preferred_answered = asyncio.Event()
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether the process is about to stop."""
+        return self._is_draining
+
+    @draining.setter
+    def draining(self, value: bool) -> None:
+        self._is_draining = value
+        self._wake.set()
 
     async def run(self) -> None:
         """Subscribe until cancelled."""
@@ -90,13 +102,17 @@
         """Use one controller until it is silent; return whether it ever answered."""
         link = Link(address, self._keys)
         self._heard = None
-        receiver = asyncio.create_task(self._receive_all(link))
+        self._preferred_answered.clear()
+        tasks = [asyncio.create_task(self._receive_all(link))]
+        if not is_preferred:
+            tasks.append(asyncio.create_task(self._try_preferred()))
         try:
             if await self._connect(link):
-                await self._keep_subscribing(link, is_preferred)
+                await self._keep_subscribing(link)
         finally:
-            receiver.cancel()
-            await asyncio.gather(receiver, return_exceptions=True)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
             link.close()
         return self._heard is not None
 
@@ -108,21 +124,39 @@
             await asyncio.sleep(_CONNECT_POLL.total_seconds())
         return True
 
-    async def _keep_subscribing(self, link: Link, is_preferred: bool) -> None:
+    async def _try_preferred(self) -> None:
+        """Set ``_preferred_answered`` once the host's own controller is back."""
+        link = Link(self._addresses[0], self._keys)
+        receiver = asyncio.create_task(link.receive())
+        try:
+            while not receiver.done():
+                await link.send(self._subscribe())
+                await asyncio.wait((receiver,), timeout=SUBSCRIBE_INTERVAL.total_seconds())
+            self._preferred_answered.set()
+            self._wake.set()
+        finally:
+            receiver.cancel()
+            await asyncio.gather(receiver, return_exceptions=True)
+            link.close()
+
+    async def _sleep(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._wake.wait(), SUBSCRIBE_INTERVAL.total_seconds())
+        self._wake.clear()
+
+    async def _keep_subscribing(self, link: Link) -> None:
         started = self._clock.now()
         last_tick = started
-        while True:
-            await asyncio.sleep(SUBSCRIBE_INTERVAL.total_seconds())
+        while not self._preferred_answered.is_set():
+            await self._sleep()
             now = self._clock.now()
-            was_paused = now - last_tick > SILENCE_LIMIT
-            last_tick = now
-            if was_paused:
+            if now - last_tick > SILENCE_LIMIT:
+                # This process did not run; the controller may well have answered.
                 started = now
                 self._heard = now if self._heard is not None else None
+            last_tick = now
             if now - (self._heard or started) > SILENCE_LIMIT:
-                logger.warning("controller_silent", extra={"role": self._role})
-                return
-            if not is_preferred and now - started > RETURN_INTERVAL:
+                logger.warning("controller_silent", extra={"subscriber": self._role})
                 return
             self._tombstones.sweep(now)
             await link.send(self._subscribe())
@@ -133,7 +167,7 @@
             self._role,
             self._incarnation,
             self.directory.table.digest,
-            self.draining,
+            self._is_draining,
         )
 
     async def _receive_all(self, link: Link) -> None:
--- /dev/null
+++ b/hickorywind/placement/observers.py
@@ -0,0 +1,35 @@
+"""Choose which controllers watch a database group."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from hickorywind.configuration.model import Service
+from hickorywind.ids import HostId
+from hickorywind.membership.directory import Directory
+from hickorywind.placement.rendezvous import rank_members
+from hickorywind.protocol.records import MemberState
+
+OBSERVER_COUNT = 3
+
+
+def choose_observers(service: Service, directory: Directory) -> Sequence[HostId]:
+    """Return up to ``OBSERVER_COUNT`` hosts, most responsible first.
+
+    Where possible there is one in each availability zone that holds an instance, so that a cut
+    between zones leaves an observer on the side of the majority.
+    """
+    usable = {
+        member.host: member.availability_zone
+        for member in directory.members
+        if member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+    }
+    ranked = rank_members(f"observe/{service.name}", usable)
+    first_of_zone: dict[str, str] = {}
+    for host in ranked:
+        first_of_zone.setdefault(usable[HostId(host)], host)
+    zones = {instance.availability_zone for instance in service.instances}
+    preferred = [host for zone, host in first_of_zone.items() if zone in zones]
+    others = [host for host in ranked if host not in preferred]
+    chosen = set([*preferred, *others][:OBSERVER_COUNT])
+    return [HostId(host) for host in ranked if host in chosen]
--- /dev/null
+++ b/hickorywind/placement/watchers.py
@@ -0,0 +1,23 @@
+"""Choose which controllers of an availability zone watch the store."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from hickorywind.ids import AvailabilityZone, HostId
+from hickorywind.membership.directory import Directory
+from hickorywind.placement.rendezvous import rank_members
+from hickorywind.protocol.records import MemberState
+
+WATCHERS_PER_ZONE = 2
+
+
+def choose_watchers(zone: AvailabilityZone, directory: Directory) -> Sequence[HostId]:
+    """Return the hosts of a zone that watch the store; their number is constant."""
+    hosts = [
+        member.host
+        for member in directory.members
+        if member.availability_zone == zone
+        and member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+    ]
+    return [HostId(host) for host in rank_members("watch-store", hosts)[:WATCHERS_PER_ZONE]]
--- a/hickorywind/protocol/channel.py
+++ b/hickorywind/protocol/channel.py
@@ -44,19 +44,22 @@
     message: Message
 
 
-def _prepare(socket: zmq.asyncio.Socket) -> None:
+def _prepare(socket: zmq.asyncio.Socket, with_heartbeats: bool) -> None:
     socket.setsockopt(zmq.LINGER, 0)
     socket.setsockopt(zmq.SNDHWM, 0)
     socket.setsockopt(zmq.RCVHWM, 0)
     socket.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
-    socket.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_INTERVAL_MS)
-    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS)
+    if with_heartbeats:
+        socket.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_INTERVAL_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS)
 
 
 class Listener:
     """Receive messages from many peers and answer each of them."""
 
-    def __init__(self, address: Address, keys: ChannelKeys | None = None) -> None:
+    def __init__(
+        self, address: Address, keys: ChannelKeys | None = None, with_heartbeats: bool = True
+    ) -> None:
         """Bind ``address``; raise ``zmq.ZMQError`` where it is taken.
 
         With ``keys``, only peers that hold the same keys are let in.
@@ -67,7 +70,7 @@
         if keys is not None:
             self._authenticator = start_peer_authentication(self._context, keys.public)
         self._socket = self._context.socket(zmq.ROUTER)
-        _prepare(self._socket)
+        _prepare(self._socket, with_heartbeats)
         self._socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
         if keys is not None:
             self._socket.setsockopt(zmq.CURVE_SERVER, 1)
@@ -109,10 +112,15 @@
 class Link:
     """Exchange messages with the one peer at an address."""
 
-    def __init__(self, address: Address, keys: ChannelKeys | None = None) -> None:
-        """Start connecting in the background."""
+    def __init__(
+        self, address: Address, keys: ChannelKeys | None = None, with_heartbeats: bool = True
+    ) -> None:
+        """Start connecting in the background.
+
+        Leave out heartbeats where the messages themselves tell whether the peer lives.
+        """
         self._socket = zmq.asyncio.Context.instance().socket(zmq.DEALER)
-        _prepare(self._socket)
+        _prepare(self._socket, with_heartbeats)
         self._socket.setsockopt(zmq.IMMEDIATE, 1)
         self._socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MIN_MS)
         self._socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
--- a/hickorywind/settings/template.py
+++ b/hickorywind/settings/template.py
@@ -45,7 +45,11 @@
 
 
 class ControllerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Configure the controller role; ``seeds`` are addresses of some other controllers."""
+    """Configure the controller role; ``seeds`` are addresses of some other controllers.
+
+    ``fixed_failover_timeout_ms`` replaces the detection of failed primaries by a plain timeout, as
+    a baseline for measurements.
+    """
 
     listen: str
     seeds: tuple[str, ...] = ()
@@ -53,8 +57,9 @@
     store_prefix: str = "/hickorywind"
     platform_prefix: str = "/platform"
     store_timeout_ms: int = 1_000
-    backend_user: str = "hickorywind"
+    backend_user: str = "hickorywind_control"
     backend_password_file: str | None = None
+    fixed_failover_timeout_ms: int | None = None
 
 
 class DaemonSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/membership/test_subscriber.py
+++ b/tests/membership/test_subscriber.py
@@ -29,6 +29,7 @@
         self.table = RecordTable()
         self.table.merge(records)
         self.subscribes = 0
+        self.saw_drain = False
         self.task = asyncio.create_task(self.run())
 
     async def run(self):
@@ -41,6 +42,7 @@
         match message:
             case Subscribe():
                 self.subscribes += 1
+                self.saw_drain |= message.draining
                 if message.table_digest == self.table.digest:
                     return (RecordBatch(()),)
                 return (open_comparison(self.table),)
@@ -109,3 +111,26 @@
         again = FakeController(self.addresses[0])
         await self.wait_for(lambda: again.table.get("group/a"))
         await again.stop()
+
+    async def test_returns_to_its_own_controller_and_reports_a_drain_at_once(self):
+        other = MemberRecord(
+            HostId("h2"),
+            AvailabilityZone("z"),
+            Incarnation(1),
+            MemberState.ALIVE,
+            self.addresses[1],
+        )
+        second = FakeController(self.addresses[1])
+        own = FakeController(self.addresses[0], (other,))
+        await self.wait_for(lambda: self.subscriber.directory.members)
+        await own.stop()
+        await self.wait_for(lambda: second.subscribes)
+        own = FakeController(self.addresses[0])
+        await self.wait_for(lambda: own.subscribes >= 3)
+        seen = second.subscribes
+        await asyncio.sleep(0.7)
+        self.assertLessEqual(second.subscribes - seen, 1)
+        self.subscriber.draining = True
+        await self.wait_for(lambda: own.saw_drain)
+        await own.stop()
+        await second.stop()
