Add the command-line tool and both examples

Cause: operators print, review, apply and watch through one tool; the demo needs its documents. Change: config print|check|diff|apply|history|show, status, drain, report burn|record; result code 6004 CONTROLLER_UNREACHABLE; examples with golden documents.

--- a/hickorywind/results.py
+++ b/hickorywind/results.py
@@ -68,6 +68,7 @@
     VERSION_REFUSED = 6001
     WRONG_INCARNATION = 6002
     DUPLICATE_REQUEST = 6003
+    CONTROLLER_UNREACHABLE = 6004
     # 7xxx: configuration and the store
     CONFIG_INVALID = 7001
     CONFIG_CONFLICT = 7002
--- /dev/null
+++ b/hickorywind/ui/console.py
@@ -0,0 +1,53 @@
+"""Write what commands have to say, as text or as JSON."""
+
+from __future__ import annotations
+
+import sys
+from enum import Enum
+from typing import Any, TextIO
+
+import msgspec
+
+from hickorywind.results import UserError
+
+
+class OutputFormat(Enum):
+    """Choose between text for people and JSON for programs."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+class Console:
+    """Print results to one stream and errors to the other."""
+
+    def __init__(self, format_: OutputFormat, out: TextIO, err: TextIO) -> None:
+        self.format = format_
+        self._out = out
+        self._err = err
+
+    @classmethod
+    def standard(cls, format_: OutputFormat) -> Console:
+        """Build a console on the standard streams."""
+        return cls(format_, sys.stdout, sys.stderr)
+
+    def show(self, text: str, value: Any) -> None:
+        """Print ``text``, or ``value`` where JSON was asked for."""
+        if self.format is OutputFormat.JSON:
+            self._out.write(msgspec.json.encode(value, order="deterministic").decode() + "\n")
+        else:
+            self._out.write(text if text.endswith("\n") or not text else text + "\n")
+        self._out.flush()
+
+    def warn(self, text: str) -> None:
+        """Print a remark to the error stream."""
+        self._err.write(f"hickorywind: {_one_line(text)}\n")
+        self._err.flush()
+
+    def fail(self, error: UserError) -> None:
+        """Print a user's error with its number, in one line."""
+        self.warn(f"{int(error.code)} {error}")
+
+
+def _one_line(text: str) -> str:
+    return " ".join(text.split())
--- /dev/null
+++ b/hickorywind/ui/documents.py
@@ -0,0 +1,70 @@
+"""Read configurations from the places that commands name."""
+
+from __future__ import annotations
+
+import contextlib
+import runpy
+import sys
+import traceback
+from collections.abc import Iterator
+from pathlib import Path
+
+from hickorywind.configuration.model import Configuration
+from hickorywind.configuration.printing import parse_document
+from hickorywind.results import ResultCode, UserError
+from hickorywind.settings.load import read_text
+
+SCRIPT_VARIABLE = "configuration"
+
+
+def read_document(path: Path) -> Configuration:
+    """Read a printed document; raise ``UserError`` that names file and key."""
+    try:
+        return parse_document(read_text(path))
+    except UserError as error:
+        if str(error).startswith(str(path)):
+            raise
+        raise UserError(error.code, f"{path}: {error}") from None
+
+
+def run_script(path: Path) -> Configuration:
+    """Run an operators' script in this process and return its ``configuration``.
+
+    What the script prints goes to the error stream. Raise ``UserError`` for whatever goes wrong in
+    it, naming the line.
+    """
+    if not path.is_file():
+        raise UserError(ResultCode.CONFIG_INVALID, f"{path}: no such file")
+    try:
+        with _importing_from(path.parent), contextlib.redirect_stdout(sys.stderr):
+            names = runpy.run_path(str(path))
+    except UserError as error:
+        raise UserError(error.code, f"{path}: {error}") from None
+    except (Exception, SystemExit) as error:
+        raise UserError(ResultCode.CONFIG_INVALID, _describe(path, error)) from None
+    found = names.get(SCRIPT_VARIABLE)
+    if not isinstance(found, Configuration):
+        raise UserError(
+            ResultCode.CONFIG_INVALID,
+            f"{path}: expected a variable {SCRIPT_VARIABLE!r} that holds a Configuration",
+        )
+    return found
+
+
+@contextlib.contextmanager
+def _importing_from(directory: Path) -> Iterator[None]:
+    before = sys.path[:]
+    sys.path.insert(0, str(directory.resolve()))
+    try:
+        yield
+    finally:
+        sys.path[:] = before
+
+
+def _describe(path: Path, error: BaseException) -> str:
+    if isinstance(error, SyntaxError) and error.filename == str(path):
+        return f"{path}: line {error.lineno}: {error.msg}"
+    frames = traceback.extract_tb(error.__traceback__)
+    lines = [frame.lineno for frame in frames if frame.filename == str(path)]
+    where = f" line {lines[-1]}:" if lines else ""
+    return f"{path}:{where} {type(error).__name__}: {error}"
--- /dev/null
+++ b/hickorywind/ui/reaching.py
@@ -0,0 +1,81 @@
+"""Reach the store and controllers from a command."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import timedelta
+from typing import TypeVar
+
+from hickorywind.ids import Address
+from hickorywind.protocol.channel import ChannelKeys, Link
+from hickorywind.protocol.messages import Message, Refused
+from hickorywind.results import HickorywindError, ResultCode, UserError
+from hickorywind.store.interface import Store
+from hickorywind.ui.options import require_store, timeout_of
+
+_CONNECT_POLL_SECONDS = 0.02
+
+Reply = TypeVar("Reply")
+
+
+@asynccontextmanager
+async def open_store(arguments: argparse.Namespace) -> AsyncIterator[Store]:
+    """Connect to the store that the options name and close it afterwards."""
+    # Imported here because grpc takes long to load and most commands need none.
+    from hickorywind.store.etcd import EtcdStore
+
+    store = EtcdStore.from_address(require_store(arguments), timeout_of(arguments))
+    try:
+        yield store
+    finally:
+        await store.close()
+
+
+async def ask_controller(
+    address: Address,
+    keys: ChannelKeys | None,
+    request: Message,
+    reply_type: type[Reply],
+    timeout: timedelta,
+) -> Reply:
+    """Send one request to a controller and return its answer.
+
+    Raise ``UserError`` with ``CONTROLLER_UNREACHABLE`` where none comes in time, and with the
+    refusal's own code where it refuses.
+    """
+    link = Link(address, keys)
+    try:
+        async with asyncio.timeout(timeout.total_seconds()):
+            await _send(link, request)
+            return await _receive(link, reply_type)
+    except TimeoutError:
+        raise _unreachable(address, timeout) from None
+    except HickorywindError as error:
+        raise UserError(error.result.code, error.result.reason) from None
+    finally:
+        link.close()
+
+
+async def _send(link: Link, request: Message) -> None:
+    while not await link.send(request):
+        await asyncio.sleep(_CONNECT_POLL_SECONDS)
+
+
+async def _receive(link: Link, reply_type: type[Reply]) -> Reply:
+    while True:
+        match await link.receive():
+            case Refused(result):
+                raise HickorywindError(result)
+            case reply if isinstance(reply, reply_type):
+                return reply
+
+
+def _unreachable(address: Address, timeout: timedelta) -> UserError:
+    waited_ms = timeout // timedelta(milliseconds=1)
+    return UserError(
+        ResultCode.CONTROLLER_UNREACHABLE,
+        f"controller {address} did not answer within {waited_ms} ms (address and keys right?)",
+    )
--- /dev/null
+++ b/tests/ui/running.py
@@ -0,0 +1,27 @@
+"""Run the command-line tool inside the test process."""
+
+import contextlib
+import io
+from dataclasses import dataclass
+
+from hickorywind.ui.program import run
+
+
+@dataclass
+class Ran:
+    """Hold what a command left behind."""
+
+    code: int
+    out: str
+    err: str
+
+
+def run_tool(*arguments):
+    """Run one command; a usage error of argparse counts as its exit code."""
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        try:
+            code = run([str(argument) for argument in arguments])
+        except SystemExit as stop:
+            code = stop.code
+    return Ran(code, out.getvalue(), err.getvalue())
