Prove outcomes, floors and drain at the entry under pool faults

Ruled out: feeding EOF to stop idle readers (later bytes then break the transport); declaring a pool lost at the first failed send (pools resume a reconnected entry, so 300 ms are allowed). Change: hold up to 128 KiB of a read and 16 MiB of a write until the end, half-close before close, refuse request_id inside a transaction, remember that an earlier attempt may have run.

--- a/hickorywind/entry/attempt.py
+++ b/hickorywind/entry/attempt.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from hickorywind.entry.inbox import CancelWanted, InboxEvent, LinkLost, RequestInbox
 from hickorywind.entry.poollink import PoolLink
 from hickorywind.postgres.answers import AnswerShaper, MalformedAnswerError
@@ -17,12 +19,14 @@
     Cancel,
     CancelResult,
     Execute,
+    TransactionState,
 )
 from hickorywind.results import Outcome, Result, ResultCode
 from hickorywind.util.clock import Clock, Instant
 
 CREDIT_BYTES = 256 * 1024
-_HELD_LIMIT_BYTES = 16 * 1024 * 1024
+READ_HELD_BYTES = 128 * 1024
+WRITE_HELD_BYTES = 16 * 1024 * 1024
 _CANCEL_GRACE = timedelta(milliseconds=500)
 _MISSING_PARTS_GRACE = timedelta(seconds=1)
 
@@ -65,8 +69,9 @@
 class Attempt:
     """Send one ``Execute``, relay its answer and resolve deadline, cancel and loss.
 
-    ``hold_whole`` keeps the whole answer back until the pool has proved it; otherwise rows are
-    passed on as they come, after which the request can't be sent again.
+    Up to ``held_limit_bytes`` of an answer are kept back until the pool has said how the request
+    ended. Longer ones are passed on as they come, after which it can't be sent again.
+    ``must_open`` says that the request is no success unless it leaves a transaction open.
     """
 
     def __init__(
@@ -76,14 +81,16 @@
         shaper: AnswerShaper,
         write: Writer,
         clock: Clock,
-        hold_whole: bool,
+        held_limit_bytes: int,
+        must_open: bool,
     ) -> None:
         self._link = link
         self._execute = execute
         self._shaper = shaper
         self._write = write
         self._clock = clock
-        self._hold_whole = hold_whole
+        self._held_limit_bytes = held_limit_bytes
+        self._must_open = must_open
         self._held = bytearray()
         self._credit_due = 0
         self.wrote = False
@@ -112,6 +119,9 @@
             match event:
                 case AnswerPart(frames=frames):
                     await self._relay(frames)
+                case AnswerEnd(result=result) if result.code is ResultCode.CANCELLED:
+                    code = withdrawn or ResultCode.CANCELLED
+                    return AttemptEnd(msgspec.structs.replace(result, code=code), event)
                 case AnswerEnd():
                     return await self._finish(event)
                 case LinkLost(reason=reason):
@@ -153,7 +163,7 @@
             out = self._shaper.feed(frames)
         except MalformedAnswerError as error:
             raise AssertionError(f"pool sent a malformed answer: {error}") from error
-        if self._hold_whole and len(self._held) + len(out) <= _HELD_LIMIT_BYTES:
+        if len(self._held) + len(out) <= self._held_limit_bytes:
             self._held += out
         elif out:
             await self._put_through(bytes(self._held) + out)
@@ -170,8 +180,11 @@
     async def _finish(self, end: AnswerEnd) -> AttemptEnd:
         if not end.result.is_ok:
             return AttemptEnd(end.result, end)
-        if end.result.code is ResultCode.ALREADY_RAN:
+        if end.result.code is ResultCode.ALREADY_RAN and end.part_count == 0:
             return AttemptEnd(end.result, end)
+        if self._must_open and not self._shaper.has_error and _left_open_nothing(end):
+            reason = "the transaction did not stay open at its pool and was rolled back"
+            return AttemptEnd(Result.unknown(ResultCode.TOO_MANY_TRANSACTIONS, reason), end)
         floor = self._execute.floor
         if floor is not None and end.position is not None and not end.position.contains(floor):
             reason = f"answer reflects {end.position}, the session needs {floor}"
@@ -186,3 +199,7 @@
             ran = "the request ended, but parts of its answer were lost"
             return Result.unknown(ResultCode.POOL_LOST, ran)
         return Result.unknown(ResultCode.POOL_LOST, reason)
+
+
+def _left_open_nothing(end: AnswerEnd) -> bool:
+    return end.transaction_state is TransactionState.IDLE
--- a/hickorywind/entry/executor.py
+++ b/hickorywind/entry/executor.py
@@ -129,7 +129,15 @@
     async def attempt(self, request: Request, link: PoolLink, execute: Execute) -> Finished:
         """Run one attempt and report where it ran."""
         shaper = request.make_shaper()
-        attempt = Attempt(link, execute, shaper, request.write, self._clock, request.holds_answer)
+        attempt = Attempt(
+            link,
+            execute,
+            shaper,
+            request.write,
+            self._clock,
+            request.held_limit_bytes,
+            request.must_open,
+        )
         started = self._clock.now()
         end = await attempt.run(request.deadline, request.cancel)
         self._observe(execute, end, to_milliseconds(self._clock.now() - started))
@@ -164,6 +172,7 @@
         left = request.deadline - self._clock.now()
         incarnation = await link.wait_ready(min(left, _FIRST_CONTACT_LIMIT))
         if incarnation is None:
+            self._health.record_failure(target.backend)
             reason = f"no sign of the pool at {target.pool}"
             return Finished(Result.not_run(ResultCode.POOL_UNREACHABLE, reason))
         execute = self.make_execute(
@@ -187,7 +196,7 @@
 
     def _complete(self, result: Result) -> Result:
         """Add when to come back to refusals that may be repeated and don't say so."""
-        repeatable = result.outcome is Outcome.NOT_RUN and result.retry_after_ms is None
+        repeatable = result.outcome is Outcome.NOT_RUN and not result.retry_after_ms
         if not repeatable or result.code in _FINAL_CODES:
             return result
         wait_ms = spread_ms(_RETRY_AFTER_MS, self._rng)
--- a/hickorywind/entry/poollink.py
+++ b/hickorywind/entry/poollink.py
@@ -26,7 +26,10 @@
 HEARTBEAT_INTERVAL = timedelta(milliseconds=500)
 SILENCE_LIMIT = timedelta(seconds=3)
 _FIRST_CONTACT_INTERVAL = timedelta(milliseconds=20)
+_FIRST_ANSWER_INTERVAL = timedelta(milliseconds=100)
 _PAUSE_LIMIT = timedelta(seconds=1)
+_RECONNECT_LIMIT = timedelta(milliseconds=300)
+_RECONNECT_INTERVAL = timedelta(milliseconds=50)
 
 
 class PoolLink:
@@ -53,6 +56,7 @@
         self._link = Link(address, keys)
         self._inboxes: dict[RequestId, RequestInbox] = {}
         self._heard: Instant = clock.now()
+        self._broken_since: Instant | None = None
         self._ready = asyncio.Event()
 
     @property
@@ -104,13 +108,19 @@
             last_tick = now
             if self.incarnation is not None:
                 self._check_alive(connected, now)
-            await asyncio.sleep(self._next_pause().total_seconds())
+            await asyncio.sleep(self._next_pause(connected).total_seconds())
 
-    def _next_pause(self) -> timedelta:
-        return _FIRST_CONTACT_INTERVAL if self.incarnation is None else HEARTBEAT_INTERVAL
+    def _next_pause(self, connected: bool) -> timedelta:
+        if connected:
+            return _FIRST_ANSWER_INTERVAL if self.incarnation is None else HEARTBEAT_INTERVAL
+        return _FIRST_CONTACT_INTERVAL if self.incarnation is None else _RECONNECT_INTERVAL
 
     def _check_alive(self, connected: bool, now: Instant) -> None:
-        if not connected:
+        if connected:
+            self._broken_since = None
+        elif self._broken_since is None:
+            self._broken_since = now
+        if self._broken_since is not None and now - self._broken_since > _RECONNECT_LIMIT:
             self._lose("connection to the pool broke")
         elif now - self._heard > SILENCE_LIMIT:
             self._lose("pool is silent")
@@ -156,6 +166,7 @@
 
     def _forget_all(self, reason: str) -> None:
         self.incarnation = None
+        self._broken_since = None
         self._ready.clear()
         waiting, self._inboxes = self._inboxes, {}
         for inbox in waiting.values():
--- a/hickorywind/entry/request.py
+++ b/hickorywind/entry/request.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from hickorywind.configuration.model import Service
-from hickorywind.entry.attempt import CancelSignal, Writer
+from hickorywind.entry.attempt import WRITE_HELD_BYTES, CancelSignal, Writer
 from hickorywind.entry.poollink import PoolLink
 from hickorywind.ids import (
     AccessMode,
@@ -43,7 +43,8 @@
     """Hold one batch as it goes to a pool.
 
     ``repeatable`` allows to run it more than once. ``max_staleness_ms`` bounds the age of data,
-    ``fallback_staleness_ms`` is accepted where the first can't be met.
+    ``fallback_staleness_ms`` is accepted where the first can't be met. ``must_open`` says that the
+    request opens a transaction, and is no success otherwise.
     """
 
     service: Service
@@ -62,7 +63,8 @@
     write: Writer
     cancel: CancelSignal
     transaction: OpenTransaction | None = None
-    holds_answer: bool = True
+    held_limit_bytes: int = WRITE_HELD_BYTES
+    must_open: bool = False
 
 
 @dataclass(frozen=True)
--- a/hickorywind/entry/server.py
+++ b/hickorywind/entry/server.py
@@ -122,7 +122,7 @@
             reason = "internal error; see the log of this entry"
             await self._refuse(writer, Result.unknown(ResultCode.INTERNAL, reason))
         finally:
-            writer.close()
+            await _close_gently(reader, writer)
 
     async def _open_session(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -191,3 +191,20 @@
                 await writer.drain()
         except (OSError, TimeoutError):
             writer.transport.abort()
+
+
+async def _close_gently(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Let the caller read the last message also where it is just sending.
+
+    Closing with unread bytes would reset the connection, and the caller might never see the error.
+    """
+    try:
+        if writer.can_write_eof() and not writer.is_closing() and not reader.at_eof():
+            writer.write_eof()
+            async with asyncio.timeout(_CLOSE_GRACE.total_seconds()):
+                while await reader.read(_READ_LIMIT_BYTES):
+                    pass
+    except (OSError, TimeoutError):
+        pass
+    finally:
+        writer.close()
--- a/hickorywind/entry/session.py
+++ b/hickorywind/entry/session.py
@@ -9,7 +9,12 @@
 from datetime import timedelta
 
 from hickorywind.configuration.model import Limits, Service
-from hickorywind.entry.attempt import CallerGoneError, CancelSignal
+from hickorywind.entry.attempt import (
+    READ_HELD_BYTES,
+    WRITE_HELD_BYTES,
+    CallerGoneError,
+    CancelSignal,
+)
 from hickorywind.entry.executor import Executor
 from hickorywind.entry.planning import Plan, plan_batch
 from hickorywind.entry.request import Finished, OpenTransaction, Request
@@ -37,7 +42,7 @@
     encode_notice,
 )
 from hickorywind.postgres.frames import Frame, FrameSplitter, FrameTooLargeError
-from hickorywind.postgres.hints import PARAMETER_PREFIX, TOKEN
+from hickorywind.postgres.hints import PARAMETER_PREFIX, TOKEN, bad_hint
 from hickorywind.postgres.statements import Commit, Rollback
 from hickorywind.protocol.messages import TransactionState
 from hickorywind.results import HickorywindError, Outcome, Result, ResultCode
@@ -278,6 +283,7 @@
             if service is None:
                 raise HickorywindError(unknown_service(self._state.service))
             plan = plan_batch(batch, self._state.hints, service)
+            self._check_request_id(plan)
         except HickorywindError as error:
             await self._refuse(batch, error.result)
             return
@@ -289,6 +295,10 @@
             self._cancel = None
         await self._conclude(batch, plan, finished)
 
+    def _check_request_id(self, plan: Plan) -> None:
+        if plan.idempotency_key is not None and self._transaction is not None:
+            raise bad_hint("in a transaction request_id belongs to its BEGIN")
+
     def _make_request(self, batch: Batch, plan: Plan, service: Service) -> Request:
         transaction = self._transaction
         mode = plan.mode
@@ -306,12 +316,13 @@
             repeatable=plan.repeatable,
             max_staleness_ms=plan.max_staleness_ms if mode is AccessMode.READ else None,
             fallback_staleness_ms=plan.fallback_staleness_ms,
-            idempotency_key=plan.idempotency_key,
+            idempotency_key=plan.idempotency_key if mode is AccessMode.WRITE else None,
             make_shaper=lambda: AnswerShaper(batch.replies),
             write=self._write,
             cancel=self._cancel or CancelSignal(),
             transaction=transaction,
-            holds_answer=mode is AccessMode.WRITE,
+            held_limit_bytes=WRITE_HELD_BYTES if mode is AccessMode.WRITE else READ_HELD_BYTES,
+            must_open=plan.opens_transaction and not plan.closes_transaction,
         )
 
     def _frames_to_send(self, batch: Batch) -> bytes:
@@ -341,7 +352,7 @@
             self._builder.skip_to_sync()
         data = self._token_parameter
         self._token_parameter = b""
-        if finished.result.code is ResultCode.ALREADY_RAN:
+        if finished.result.code is ResultCode.ALREADY_RAN and not finished.wrote:
             data = _answer_already_ran(batch, finished.result) + data
         await self._end_batch(batch, data)
 
--- a/hickorywind/routing/retry.py
+++ b/hickorywind/routing/retry.py
@@ -38,7 +38,15 @@
     )
 )
 # Failures after which the request may have run.
-_RETRIED = frozenset((ResultCode.POOL_LOST, ResultCode.CONNECTION_LOST, ResultCode.COMMIT_UNPROVEN))
+_RETRIED = frozenset(
+    (
+        ResultCode.POOL_LOST,
+        ResultCode.CONNECTION_LOST,
+        ResultCode.COMMIT_UNPROVEN,
+        ResultCode.REPLICA_BEHIND,
+        ResultCode.STALE_TERM,
+    )
+)
 # Refusals that say nothing against the backend server itself.
 _HARMLESS = frozenset((ResultCode.NOT_HOME, ResultCode.LINK_BUDGET_SPENT))
 
--- a/tests/entry/fakepool.py
+++ b/tests/entry/fakepool.py
@@ -73,6 +73,7 @@
 
     def __init__(self, address: Address | None = None, incarnation: int = 1) -> None:
         self.address = address or free_address()
+        self._listener = Listener(self.address)
         self.incarnation = Incarnation(incarnation)
         self.executed: list[Execute] = []
         self.received: list[Message] = []
@@ -80,7 +81,6 @@
         self.cancel_handler: Callable[[FakePool, PeerId, Cancel], Awaitable[None]] | None = None
         self.position = LogPosition(Term(1), 1)
         self.beats = True
-        self._listener = Listener(self.address)
         self._tasks: set[asyncio.Task] = set()
         self._main = asyncio.create_task(self._run())
         self._open: dict[int, TransactionState] = {}
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -7,6 +7,7 @@
 import unittest
 
 import psycopg
+import zmq
 
 from hickorywind.configuration.model import (
     Configuration,
@@ -157,6 +158,18 @@
         cursor = await connection.execute(text, params)
         return (await cursor.fetchone())[0]
 
+    async def restart_pool(self, zone: str, incarnation: int) -> None:
+        """Kill a pool and start another process in its place."""
+        old = self.pools[zone]
+        await old.close()
+        async with asyncio.timeout(5):
+            while self.pools[zone] is old:
+                try:
+                    self.pools[zone] = FakePool(old.address, incarnation)
+                except zmq.ZMQError:
+                    # ZeroMQ gives the port back a moment after the socket was closed.
+                    await asyncio.sleep(0.01)
+
     async def wait_for(self, condition, timeout_seconds: float = 5.0) -> None:
         async with asyncio.timeout(timeout_seconds):
             while not condition():
--- /dev/null
+++ b/tests/entry/test_outcomes.py
@@ -0,0 +1,303 @@
+import asyncio
+
+import psycopg
+
+from hickorywind.ids import AccessMode, LogPosition, Term
+from hickorywind.protocol.messages import AnswerEnd, AnswerPart, Cancel, TransactionState
+from hickorywind.results import Result, ResultCode
+from tests.entry.fakepool import FakePool, text_answer
+from tests.entry.harness import FAR_REPLICA, PRIMARY, EntryTestCase
+
+WRITE = "INSERT INTO t VALUES (1)"
+
+
+async def stay_silent(pool, peer, execute):
+    pass
+
+
+def detail(error: psycopg.Error) -> str:
+    return error.diag.message_detail
+
+
+class AnswersTest(EntryTestCase):
+    async def test_parts_out_of_order_and_twice_make_one_answer(self):
+        async def scramble(pool, peer, execute):
+            whole = text_answer("right")
+            first, second, third = whole[:30], whole[30:-20], whole[-20:]
+            cut = [whole.index(b"D"), whole.index(b"C\0\0\0")]
+            first, second, third = whole[: cut[0]], whole[cut[0] : cut[1]], whole[cut[1] :]
+            parts = [AnswerPart(execute.request_id, i, p) for i, p in enumerate((first, second))]
+            end = AnswerEnd(execute.request_id, 3, Result.ok(), TransactionState.IDLE)
+            await pool.send(peer, end)
+            await pool.send(peer, AnswerPart(execute.request_id, 2, third))
+            for part in (*reversed(parts), *parts):
+                await pool.send(peer, part)
+            await pool.send(peer, end)
+
+        connection = await self.connect()
+        self.replica_pool.handler = scramble
+        for _ in range(3):
+            cursor = await connection.execute("SELECT 1")
+            self.assertEqual(await cursor.fetchall(), [("right",)])
+
+    async def test_late_answer_never_reaches_the_next_request(self):
+        late = []
+
+        async def answer_late(pool, peer, execute):
+            late.append((peer, execute))
+
+        connection = await self.connect()
+        self.primary_pool.handler = answer_late
+        text = f"/* hickorywind timeout_ms=100 */ {WRITE}"
+        with self.assertRaises(psycopg.errors.QueryCanceled):
+            await connection.execute(text)
+
+        async def answer_both(pool, peer, execute):
+            old_peer, old = late[0]
+            await pool.answer(old_peer, old, text_answer("old"))
+            await pool.answer(peer, execute, text_answer("new"))
+
+        self.primary_pool.handler = answer_both
+        self.assertEqual(await self.one(connection, f"{WRITE} RETURNING a"), "new")
+
+    async def test_concurrent_sessions_get_their_own_answers_in_any_order(self):
+        waiting = []
+
+        async def hold(pool, peer, execute):
+            waiting.append((peer, execute))
+            if len(waiting) == 8:
+                for held_peer, held in reversed(waiting):
+                    await pool.answer_normally(held_peer, held)
+
+        self.replica_pool.handler = hold
+        connections = [await self.connect() for _ in range(8)]
+        texts = [f"SELECT {i}" for i in range(8)]
+        pairs = zip(connections, texts, strict=True)
+        answers = await asyncio.gather(*(self.one(c, t) for c, t in pairs))
+        self.assertEqual([answer.split(": ")[1] for answer in answers], texts)
+
+    async def test_answer_with_a_missing_part_is_not_passed_on_as_whole(self):
+        async def lose_part(pool, peer, execute):
+            await pool.send(peer, AnswerPart(execute.request_id, 0, text_answer("half")))
+            end = AnswerEnd(execute.request_id, 2, Result.ok(), TransactionState.IDLE)
+            await pool.send(peer, end)
+
+        connection = await self.connect()
+        self.primary_pool.handler = lose_part
+        with self.assertRaises(psycopg.errors.StatementCompletionUnknown):
+            await connection.execute(WRITE)
+        self.assertEqual(len(self.primary_pool.executed), 1)
+
+
+class PoolDeathTest(EntryTestCase):
+    async def test_write_sent_to_a_pool_that_dies_is_unknown_and_not_repeated(self):
+        connection = await self.connect()
+        self.primary_pool.handler = stay_silent
+        running = asyncio.ensure_future(connection.execute(WRITE))
+        await self.wait_for(lambda: self.primary_pool.executed)
+        await self.restart_pool("adum", incarnation=99)
+        with self.assertRaises(psycopg.errors.StatementCompletionUnknown) as caught:
+            await running
+        self.assertIn("outcome=unknown", detail(caught.exception))
+        self.assertEqual(self.primary_pool.executed, [])
+
+    async def test_idempotent_write_runs_again_at_the_successor(self):
+        connection = await self.connect()
+        self.primary_pool.handler = stay_silent
+        text = f"/* hickorywind idempotent=true */ {WRITE} RETURNING a"
+        running = asyncio.ensure_future(self.one(connection, text))
+        await self.wait_for(lambda: self.primary_pool.executed)
+        await self.restart_pool("adum", incarnation=99)
+        self.assertTrue((await running).startswith(PRIMARY))
+        self.assertEqual(self.primary_pool.executed[0].pool_incarnation, 99)
+
+    async def test_read_goes_elsewhere_when_its_pool_dies(self):
+        connection = await self.connect()
+        self.replica_pool.handler = stay_silent
+        running = asyncio.ensure_future(self.one(connection, "SELECT 1"))
+        await self.wait_for(lambda: self.replica_pool.executed)
+        await self.replica_pool.close()
+        self.assertTrue((await running).startswith(FAR_REPLICA))
+
+    async def test_silent_pool_counts_as_lost(self):
+        connection = await self.connect()
+        await connection.execute(WRITE)
+        self.primary_pool.beats = False
+        self.primary_pool.handler = stay_silent
+        started = asyncio.get_running_loop().time()
+        text = f"/* hickorywind timeout_ms=20000 */ {WRITE}"
+        with self.assertRaises(psycopg.errors.StatementCompletionUnknown):
+            await connection.execute(text)
+        self.assertLess(asyncio.get_running_loop().time() - started, 5)
+
+    async def test_write_that_never_left_is_not_run(self):
+        connection = await self.connect()
+        await self.primary_pool.close()
+        await self.wait_for(
+            lambda: self.parts.links.to(self.primary_pool.address).incarnation is None
+        )
+        with self.assertRaises(psycopg.OperationalError) as caught:
+            await connection.execute(f"/* hickorywind timeout_ms=500 */ {WRITE}")
+        self.assertIn("outcome=not_run", detail(caught.exception))
+
+    async def test_transaction_is_lost_with_its_pool(self):
+        connection = await self.connect()
+        await connection.execute("BEGIN")
+        await connection.execute(WRITE)
+        await self.restart_pool("adum", incarnation=99)
+        link = self.parts.links.to(self.primary_pool.address)
+        await self.wait_for(lambda: link.incarnation == 99)
+        with self.assertRaises(psycopg.errors.StatementCompletionUnknown) as caught:
+            await connection.execute(WRITE)
+        self.assertIn("code=4004", detail(caught.exception))
+        with self.assertRaises(psycopg.errors.InFailedSqlTransaction):
+            await connection.execute("SELECT 1")
+        cursor = await connection.execute("COMMIT")
+        self.assertEqual(cursor.statusmessage, "ROLLBACK")
+        self.assertEqual(self.primary_pool.executed, [])
+        self.assertTrue(await self.one(connection, "SELECT 1"))
+
+    async def test_commit_at_a_pool_that_dies_is_unknown(self):
+        connection = await self.connect()
+        await connection.execute("BEGIN")
+        self.primary_pool.handler = stay_silent
+        running = asyncio.ensure_future(connection.execute("COMMIT"))
+        await self.wait_for(lambda: len(self.primary_pool.executed) == 2)
+        await self.primary_pool.close()
+        with self.assertRaises(psycopg.errors.StatementCompletionUnknown) as caught:
+            await running
+        self.assertIn("code=4003 outcome=unknown", detail(caught.exception))
+        self.assertEqual(connection.info.transaction_status, psycopg.pq.TransactionStatus.IDLE)
+
+
+class DeadlineTest(EntryTestCase):
+    text = f"/* hickorywind timeout_ms=150 */ {WRITE}"
+
+    async def test_request_withdrawn_in_time_is_not_run(self):
+        connection = await self.connect()
+        self.primary_pool.handler = stay_silent
+        self.primary_pool.cancel_handler = FakePool.say_cancelled
+        with self.assertRaises(psycopg.errors.QueryCanceled) as caught:
+            await connection.execute(self.text)
+        self.assertIn("code=2003 outcome=not_run", detail(caught.exception))
+
+    async def test_request_that_may_run_is_unknown(self):
+        connection = await self.connect()
+        self.primary_pool.handler = stay_silent
+        with self.assertRaises(psycopg.errors.QueryCanceled) as caught:
+            await connection.execute(self.text)
+        self.assertIn("code=2003 outcome=unknown", detail(caught.exception))
+        self.assertTrue(self.primary_pool.messages_of(Cancel))
+
+    async def test_caller_cancel_withdraws_the_request(self):
+        connection = await self.connect()
+        self.primary_pool.handler = stay_silent
+        self.primary_pool.cancel_handler = FakePool.say_cancelled
+        running = asyncio.ensure_future(connection.execute(WRITE))
+        await self.wait_for(lambda: self.primary_pool.executed)
+        await connection.cancel_safe()
+        with self.assertRaises(psycopg.errors.QueryCanceled) as caught:
+            await running
+        self.assertIn("code=2008 outcome=not_run", detail(caught.exception))
+
+    async def test_retry_after_an_unknown_attempt_never_ends_as_not_run(self):
+        async def doubt_then_refuse(pool, peer, execute):
+            if len(pool.executed) == 1:
+                result = Result.unknown(ResultCode.COMMIT_UNPROVEN, "no majority")
+            else:
+                result = Result.not_run(ResultCode.QUEUE_FULL, "full", 100)
+            await pool.finish(peer, execute, result)
+
+        connection = await self.connect()
+        self.primary_pool.handler = doubt_then_refuse
+        with self.assertRaises(psycopg.Error) as caught:
+            await connection.execute(f"/* hickorywind idempotent=true */ {WRITE}")
+        self.assertEqual(len(self.primary_pool.executed), 2)
+        self.assertIn("code=2001 outcome=unknown retry=no", detail(caught.exception))
+
+
+class RefusalTest(EntryTestCase):
+    async def test_refusal_is_final_and_says_when_to_come_back(self):
+        async def refuse(pool, peer, execute):
+            result = Result.not_run(ResultCode.WOULD_MISS_DEADLINE, "too long", 120)
+            await pool.finish(peer, execute, result)
+
+        connection = await self.connect()
+        self.primary_pool.handler = refuse
+        with self.assertRaises(psycopg.Error) as caught:
+            await connection.execute(f"/* hickorywind idempotent=true */ {WRITE}")
+        self.assertEqual(
+            detail(caught.exception), "code=2002 outcome=not_run retry=yes retry_after_ms=120"
+        )
+        self.assertEqual(len(self.primary_pool.executed), 1)
+
+    async def test_replica_that_is_behind_is_passed_over(self):
+        async def behind(pool, peer, execute):
+            await pool.refuse(peer, execute, ResultCode.REPLICA_BEHIND)
+
+        connection = await self.connect()
+        self.replica_pool.handler = behind
+        self.assertTrue((await self.one(connection, "SELECT 1")).startswith(FAR_REPLICA))
+
+    async def test_refusal_inside_a_transaction_fails_it(self):
+        connection = await self.connect()
+        await connection.execute("BEGIN")
+        with self.assertRaises(psycopg.errors.FeatureNotSupported):
+            await connection.execute("LISTEN crew")
+        with self.assertRaises(psycopg.errors.InFailedSqlTransaction):
+            await connection.execute(WRITE)
+        self.assertEqual((await connection.execute("COMMIT")).statusmessage, "ROLLBACK")
+
+    async def test_begin_that_its_pool_did_not_keep_open_is_no_success(self):
+        async def forget(pool, peer, execute):
+            frames, _ = pool.reply(execute)
+            await pool.answer(peer, execute, frames, TransactionState.IDLE)
+
+        connection = await self.connect()
+        self.primary_pool.handler = forget
+        with self.assertRaises(psycopg.errors.TooManyConnections):
+            await connection.execute("BEGIN")
+
+
+class FloorTest(EntryTestCase):
+    async def test_write_raises_the_floor_of_later_reads(self):
+        connection = await self.connect()
+        self.primary_pool.position = LogPosition(Term(1), 7)
+        await connection.execute(WRITE)
+        self.replica_pool.position = LogPosition(Term(1), 7)
+        await connection.execute("SELECT 1")
+        self.assertEqual(self.replica_pool.executed[-1].floor, LogPosition(Term(1), 7))
+
+    async def test_roaming_with_a_token_keeps_the_floor(self):
+        first = await self.connect()
+        self.primary_pool.position = LogPosition(Term(1), 7)
+        await first.execute(WRITE)
+        token = first.info.parameter_status("hickorywind.token")
+        session_id = first.info.parameter_status("hickorywind.session_id")
+        _, address = await self.start_entry(2)
+        second = await self.connect(address, session_id=session_id, token=token)
+        self.replica_pool.position = LogPosition(Term(1), 7)
+        await second.execute("SELECT 1")
+        self.assertEqual(self.replica_pool.executed[-1].floor, LogPosition(Term(1), 7))
+
+    async def test_roaming_with_a_session_id_only_reads_at_the_primary_first(self):
+        connection = await self.connect(session_id="crew-7")
+        self.primary_pool.position = LogPosition(Term(1), 9)
+        self.assertTrue((await self.one(connection, "SELECT 1")).startswith(PRIMARY))
+        self.replica_pool.position = LogPosition(Term(1), 9)
+        await connection.execute("SELECT 2")
+        self.assertEqual(self.replica_pool.executed[-1].floor, LogPosition(Term(1), 9))
+        self.assertEqual(self.replica_pool.executed[-1].mode, AccessMode.READ)
+
+    async def test_answer_behind_the_floor_is_not_passed_on(self):
+        connection = await self.connect()
+        self.primary_pool.position = LogPosition(Term(1), 7)
+        await connection.execute(WRITE)
+        for zone in ("suame", "tema"):
+            self.pools[zone].position = LogPosition(Term(1), 6)
+        self.assertTrue((await self.one(connection, "SELECT 1")).startswith(PRIMARY))
+
+    async def test_garbage_token_is_refused(self):
+        with self.assertRaises(psycopg.OperationalError) as caught:
+            await self.connect(token="hw1.garbage")
+        self.assertIn("[1008]", str(caught.exception))
--- /dev/null
+++ b/tests/entry/test_server.py
@@ -0,0 +1,263 @@
+import asyncio
+import struct
+from datetime import timedelta
+from unittest import mock
+
+import asyncpg
+import psycopg
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from pygwire.messages import Query, SSLRequest, StartupMessage
+
+from hickorywind.configuration.model import Limits
+from hickorywind.entry import server, session
+from hickorywind.entry.acceptrate import AcceptRate
+from hickorywind.protocol.messages import AnswerCredit, AnswerEnd, AnswerPart, TransactionState
+from hickorywind.results import Result
+from hickorywind.util.clock import ManualClock
+from tests.entry.fakepool import columns, complete, ready, row
+from tests.entry.harness import SERVICE, EntryTestCase
+
+STARTUP = StartupMessage({"user": "crew", "database": SERVICE}).to_wire()
+WRITE = "INSERT INTO t VALUES (1)"
+
+
+class RawTestCase(EntryTestCase):
+    async def open_raw(self, *data: bytes):
+        reader, writer = await asyncio.open_connection(self.address.host, self.address.port)
+        self.addCleanup(writer.close)
+        for piece in data:
+            writer.write(piece)
+        return reader, writer
+
+    async def read_all(self, reader) -> bytes:
+        async with asyncio.timeout(5):
+            try:
+                return await reader.read(-1)
+            except ConnectionResetError:
+                return b""
+
+    async def assert_alive(self):
+        connection = await self.connect()
+        self.assertTrue(await self.one(connection, "SELECT 1"))
+
+
+class BadCallersTest(RawTestCase):
+    async def test_encryption_request_is_answered_and_startup_goes_on(self):
+        reader, _ = await self.open_raw(SSLRequest().to_wire(), STARTUP)
+        self.assertEqual(await reader.readexactly(2), b"NR")
+
+    async def test_bad_startup_packets_cost_one_connection(self):
+        for packet in (
+            b"GET / HTTP/1.1\r\n\r\n",
+            struct.pack("!II", 8, 0x00020000),
+            struct.pack("!II", 2**31, 0x00030000),
+            struct.pack("!II", 12, 0x00030000) + b"user",
+        ):
+            with self.subTest(packet=packet):
+                reader, _ = await self.open_raw(packet)
+                answer = await self.read_all(reader)
+                self.assertIn(b"[1001]", answer)
+        await self.assert_alive()
+
+    async def test_oversized_message_costs_one_connection(self):
+        reader, _ = await self.open_raw(STARTUP, b"Q" + struct.pack("!I", 2**30))
+        self.assertIn(b"[1003]", await self.read_all(reader))
+        await self.assert_alive()
+
+    async def test_unknown_message_costs_one_connection(self):
+        reader, _ = await self.open_raw(STARTUP, b"\x7f\0\0\0\4")
+        self.assertIn(b"[1002]", await self.read_all(reader))
+        await self.assert_alive()
+
+    async def test_half_message_and_a_cut_connection_are_harmless(self):
+        for data in (STARTUP[:10], STARTUP + b"Q\0\0\1\0SELECT", STARTUP + b"P"):
+            reader, writer = await self.open_raw(data)
+            await asyncio.sleep(0.02)
+            writer.close()
+        await self.assert_alive()
+        await self.wait_for(lambda: self.parts.server.session_count <= 1)
+
+    async def test_slow_senders_are_cut_off(self):
+        limit = timedelta(milliseconds=200)
+        with (
+            mock.patch.object(server, "_STARTUP_TIMEOUT", limit),
+            mock.patch.object(session, "_MESSAGE_TIMEOUT", limit),
+        ):
+            slow_start, _ = await self.open_raw(STARTUP[:5])
+            slow_message, _ = await self.open_raw(STARTUP, b"Q\0\0\0\x20SEL")
+            self.assertEqual(await self.read_all(slow_start), b"")
+            self.assertIn(b"[1002]", await self.read_all(slow_message))
+        await self.assert_alive()
+
+    async def test_caller_that_reads_nothing_is_cut_off(self):
+        async def answer_forever(pool, peer, execute):
+            for sequence in range(400):
+                frames = (columns() if sequence == 0 else b"") + row("x" * 1000) * 60
+                await pool.send(peer, AnswerPart(execute.request_id, sequence, frames))
+
+        self.replica_pool.handler = answer_forever
+        with mock.patch.object(session, "_WRITE_TIMEOUT", timedelta(milliseconds=300)):
+            await self.open_raw(STARTUP, Query("SELECT 1").to_wire())
+            await self.wait_for(lambda: self.replica_pool.executed)
+            await self.wait_for(lambda: self.parts.server.session_count == 0)
+
+    async def test_garbage_never_ends_the_process(self):
+        @settings(
+            max_examples=60,
+            derandomize=True,
+            deadline=None,
+            suppress_health_check=list(HealthCheck),
+        )
+        @given(st.booleans(), st.binary(max_size=200))
+        def collect(with_startup, data):
+            samples.append((STARTUP if with_startup else b"") + data)
+
+        samples: list[bytes] = []
+        collect()
+        for data in samples:
+            reader, writer = await self.open_raw(data)
+            writer.write_eof()
+            await self.read_all(reader)
+            writer.close()
+        await self.assert_alive()
+        await self.wait_for(lambda: self.parts.server.session_count <= 1)
+
+    async def test_garbage_messages_after_startup_end_in_a_numbered_error(self):
+        kinds = b"BCDEPQF"
+        for kind in kinds:
+            for payload in (b"", b"\0", b"\xff\xff\0", b"S", b"a\0b"):
+                frame = bytes((kind,)) + struct.pack("!I", len(payload) + 4) + payload
+                reader, writer = await self.open_raw(STARTUP, frame, b"S\0\0\0\4", b"X\0\0\0\4")
+                answer = await self.read_all(reader)
+                with self.subTest(frame=frame):
+                    self.assertNotIn(b"[9001]", answer)
+        await self.assert_alive()
+
+
+class LargeAnswerTest(EntryTestCase):
+    async def test_ten_thousand_rows_and_ten_megabytes_pass_with_credit(self):
+        rows = row("x" * 1000) * 500
+
+        async def answer_much(pool, peer, execute):
+            for sequence in range(20):
+                frames = (columns() if sequence == 0 else b"") + rows
+                await pool.send(peer, AnswerPart(execute.request_id, sequence, frames))
+            tail = complete("SELECT 10000") + ready(TransactionState.IDLE)
+            await pool.send(peer, AnswerPart(execute.request_id, 20, tail))
+            end = AnswerEnd(execute.request_id, 21, Result.ok(), TransactionState.IDLE)
+            await pool.send(peer, end)
+
+        self.replica_pool.handler = answer_much
+        connection = await self.connect()
+        found = await (await connection.execute("SELECT a FROM t")).fetchall()
+        self.assertEqual(len(found), 10_000)
+        credits = self.replica_pool.messages_of(AnswerCredit)
+        granted = sum(credit.credit_bytes for credit in credits)
+        self.assertGreater(granted, 9_000_000)
+
+
+class PipelineTest(EntryTestCase):
+    async def test_error_inside_a_pipeline_skips_to_the_sync(self):
+        connection = await self.connect()
+        with self.assertRaises(psycopg.errors.FeatureNotSupported):
+            async with connection.pipeline():
+                await connection.execute("SELECT %s::text", ("a",))
+                await connection.execute("LISTEN crew")
+                await connection.execute("SELECT %s::text", ("b",))
+        self.assertTrue(await self.one(connection, "SELECT 1"))
+
+    async def test_transaction_in_a_pipeline(self):
+        connection = await self.connect()
+        async with connection.pipeline():
+            async with connection.transaction():
+                cursor = await connection.execute("SELECT %s::text", ("a",))
+            value = (await cursor.fetchone())[0]
+        self.assertTrue(value.endswith("a"))
+        status = connection.info.transaction_status
+        self.assertEqual(status, psycopg.pq.TransactionStatus.IDLE)
+
+
+class DrainTest(RawTestCase):
+    async def test_drain_cuts_off_no_request(self):
+        async def answer_slowly(pool, peer, execute):
+            await asyncio.sleep(0.3)
+            await pool.answer_normally(peer, execute)
+
+        self.replica_pool.handler = answer_slowly
+        idle = await self.connect()
+        busy = await self.connect()
+        running = asyncio.ensure_future(self.one(busy, "SELECT 1"))
+        await self.wait_for(lambda: self.replica_pool.executed)
+        draining = asyncio.ensure_future(self.parts.server.drain(timedelta(seconds=5)))
+        with self.assertRaises(psycopg.OperationalError) as caught:
+            await idle.execute("SELECT 1")
+        self.assertIn("[5002]", str(caught.exception))
+        self.assertTrue(await running)
+        with self.assertRaises(psycopg.OperationalError):
+            await self.connect()
+        await draining
+
+    async def test_drain_lets_a_transaction_end(self):
+        reader, writer = await self.open_raw(STARTUP, Query("BEGIN").to_wire())
+        await reader.readuntil(ready(TransactionState.ACTIVE))
+        draining = asyncio.ensure_future(self.parts.server.drain(timedelta(seconds=5)))
+        await asyncio.sleep(0.2)
+        writer.write(Query(WRITE).to_wire())
+        await reader.readuntil(ready(TransactionState.ACTIVE))
+        writer.write(Query("COMMIT").to_wire())
+        answer = await self.read_all(reader)
+        self.assertTrue(answer.startswith(complete("COMMIT")))
+        self.assertIn(b"C57P01\0M[5002]", answer)
+        await draining
+
+    async def test_drain_ends_at_its_limit(self):
+        connection = await self.connect()
+        await connection.execute("BEGIN")
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        await self.parts.server.drain(timedelta(milliseconds=300))
+        self.assertLess(loop.time() - started, 2)
+
+
+class LimitsTest(EntryTestCase):
+    limits = Limits(caller_connections_per_entry=2)
+
+    async def test_connections_over_the_limit_are_refused_with_a_time(self):
+        for _ in range(2):
+            await self.connect()
+        with self.assertRaises(psycopg.OperationalError) as caught:
+            await self.connect()
+        self.assertIn("[2007]", str(caught.exception))
+        self.assertIn("retry_after_ms=", str(caught.exception))
+
+    def test_storm_of_connections_is_spread_and_bounded(self):
+        clock = ManualClock()
+        rate = AcceptRate(clock, per_second=100)
+        waits = [rate.take() for _ in range(1000)]
+        granted = [wait for wait in waits if wait is not None]
+        self.assertEqual(granted, sorted(granted))
+        self.assertTrue(350 < len(granted) < 450)
+
+
+class PasswordTest(EntryTestCase):
+    users = {"crew": "brush"}
+
+    async def connect_as(self, user: str, password: str) -> asyncpg.Connection:
+        return await asyncpg.connect(
+            host=self.address.host,
+            port=self.address.port,
+            user=user,
+            password=password,
+            database=SERVICE,
+            ssl=False,
+        )
+
+    async def test_known_caller_gets_in_and_others_do_not(self):
+        connection = await self.connect_as("crew", "brush")
+        self.assertTrue(await connection.fetchval("SELECT 1"))
+        await connection.close()
+        for user, password in (("crew", "wrong"), ("nobody", "brush"), ("nobody", "")):
+            with self.subTest(user=user), self.assertRaises(Exception) as caught:
+                await self.connect_as(user, password)
+            self.assertIn("[1009]", str(caught.exception))
--- /dev/null
+++ b/tests/routing/test_session.py
@@ -0,0 +1,73 @@
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hickorywind.ids import LogPosition, ServiceName, Term
+from hickorywind.results import HickorywindError, ResultCode
+from hickorywind.routing.session import (
+    KnownFloor,
+    NoFloor,
+    SessionFloors,
+    UnknownFloor,
+    decode_token,
+    encode_token,
+    join_positions,
+)
+
+A = ServiceName("a")
+B = ServiceName("b")
+positions = st.builds(
+    LogPosition, st.integers(0, 2**40).map(Term), st.integers(min_value=0, max_value=2**60)
+)
+
+
+def at(term: int, offset: int) -> LogPosition:
+    return LogPosition(Term(term), offset)
+
+
+class FloorsTest(unittest.TestCase):
+    def test_new_session_has_no_floor(self):
+        self.assertEqual(SessionFloors.from_startup(False, None).floor(A), NoFloor())
+
+    def test_session_id_without_token_has_an_unknown_floor(self):
+        floors = SessionFloors.from_startup(True, None)
+        self.assertEqual(floors.floor(A), UnknownFloor())
+        floors.advance(A, at(1, 5))
+        self.assertEqual(floors.floor(A), KnownFloor(at(1, 5)))
+        self.assertEqual(floors.floor(B), UnknownFloor())
+
+    def test_floor_never_goes_back(self):
+        floors = SessionFloors.from_startup(False, None)
+        self.assertTrue(floors.advance(A, at(2, 8)))
+        self.assertFalse(floors.advance(A, at(2, 7)))
+        floors.merge_token(encode_token({A: at(1, 3)}))
+        self.assertEqual(floors.floor(A), KnownFloor(at(2, 8)))
+
+    @settings(max_examples=200, derandomize=True)
+    @given(positions, positions)
+    def test_joined_position_contains_both(self, first, second):
+        joined = join_positions(first, second)
+        self.assertTrue(joined.contains(first) and joined.contains(second))
+
+
+class TokenTest(unittest.TestCase):
+    @settings(max_examples=200, derandomize=True)
+    @given(st.dictionaries(st.text(max_size=20).map(ServiceName), positions, max_size=8))
+    def test_round_trip(self, known):
+        self.assertEqual(decode_token(encode_token(known)), known)
+
+    @settings(max_examples=300, derandomize=True)
+    @given(st.text(max_size=60))
+    def test_garbage_is_refused_by_number(self, text):
+        for candidate in (text, "hw1." + text):
+            with self.assertRaises(HickorywindError) as caught:
+                decode_token(candidate)
+            self.assertIs(caught.exception.result.code, ResultCode.BAD_TOKEN)
+
+    def test_every_changed_character_is_noticed(self):
+        token = encode_token({A: at(3, 12345)})
+        for index in range(len(token)):
+            changed = token[:index] + ("x" if token[index] != "x" else "y") + token[index + 1 :]
+            with self.subTest(index=index), self.assertRaises(HickorywindError):
+                decode_token(changed)
