Prove acceptance under races and lost answers

Cause: a configuration accepted twice, or said to be refused while it took effect, misleads operators.

--- /dev/null
+++ b/tests/configuration/test_acceptance.py
@@ -0,0 +1,213 @@
+"""Drive the decision core through interleavings of operators and store faults."""
+
+import unittest
+from collections import Counter
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hickorywind.configuration.acceptance import (
+    RECENT_CHANGES_KEPT,
+    Acceptance,
+    ChangeId,
+    Finished,
+    Proposal,
+    ReadCurrent,
+    StoredEnvelope,
+    SwapConflict,
+    SwapCurrent,
+    SwapDone,
+    SwapUnknown,
+    Verdict,
+    decode_envelope,
+    encode_envelope,
+)
+from hickorywind.ids import Revision
+from hickorywind.results import UserError
+from tests.configuration.samples import make_configuration
+
+DOCUMENT = make_configuration()
+OPERATORS = 3
+FAULTS = ("fine", "fine", "answer lost", "request lost", "late", "unreadable")
+
+
+class ModelStore:
+    """Hold the current envelope, every one accepted, and writes that are still on their way."""
+
+    def __init__(self):
+        self.current = None
+        self.accepted = []
+        self.under_way = []
+
+    @property
+    def revision(self):
+        return self.current.revision if self.current is not None else Revision(0)
+
+    def swap(self, action):
+        if action.expected_revision != self.revision:
+            return SwapConflict()
+        # Revisions of the store also count other keys, so they have gaps.
+        revision = Revision(self.revision + 3)
+        self.current = StoredEnvelope(revision, action.envelope)
+        self.accepted.append(action.envelope.change_id)
+        return SwapDone(revision)
+
+    def deliver(self):
+        for action in self.under_way:
+            self.swap(action)
+        self.under_way.clear()
+
+
+class Operator:
+    """Try one change after another, each step under a fault."""
+
+    def __init__(self, name, store):
+        self.name = name
+        self.store = store
+        self.number = 0
+        self.verdicts = {}
+        self._start()
+
+    def _start(self):
+        self.number += 1
+        self.proposal = propose(f"{self.name}{self.number}", self.store.revision)
+        self.acceptance = Acceptance(self.proposal)
+        self.action = self.acceptance.start()
+
+    def step(self, fault):
+        self.action = self._answer(fault)
+        if isinstance(self.action, Finished):
+            self.verdicts[self.proposal.change_id] = self.action.verdict
+            self._start()
+
+    def _answer(self, fault):
+        match self.action:
+            case ReadCurrent() if fault == "unreadable":
+                return self.acceptance.on_unreadable()
+            case ReadCurrent():
+                return self.acceptance.on_current(self.store.current)
+            case SwapCurrent():
+                return self.acceptance.on_swapped(self._swap(fault))
+
+    def _swap(self, fault):
+        match fault:
+            case "answer lost":
+                self.store.swap(self.action)
+                return SwapUnknown()
+            case "request lost" | "unreadable":
+                return SwapUnknown()
+            case "late":
+                self.store.under_way.append(self.action)
+                return SwapUnknown()
+            case _:
+                return self.store.swap(self.action)
+
+
+def propose(change_id, reviewed):
+    return Proposal(ChangeId(change_id), "ama", "why", Revision(reviewed), DOCUMENT)
+
+
+STEPS = st.lists(
+    st.tuples(st.integers(0, OPERATORS - 1), st.sampled_from(FAULTS), st.booleans()),
+    max_size=150,
+)
+
+
+class InterleavingTest(unittest.TestCase):
+    @settings(max_examples=400, deadline=None, derandomize=True)
+    @given(STEPS)
+    def test_every_verdict_is_true_and_nothing_is_accepted_twice(self, steps):
+        store = ModelStore()
+        operators = [Operator(name, store) for name in "xyz"]
+        for index, fault, deliver in steps:
+            operators[index].step(fault)
+            if deliver:
+                store.deliver()
+        store.deliver()
+        counts = Counter(store.accepted)
+        self.assertLessEqual(max(counts.values(), default=0), 1)
+        for operator in operators:
+            for change_id, verdict in operator.verdicts.items():
+                match verdict:
+                    case Verdict.ACCEPTED | Verdict.SUPERSEDED:
+                        self.assertEqual(counts[change_id], 1, verdict)
+                    case Verdict.CONFLICT | Verdict.UNAVAILABLE:
+                        self.assertEqual(counts[change_id], 0, verdict)
+
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(STEPS)
+    def test_each_change_replaces_exactly_the_reviewed_one(self, steps):
+        store = ModelStore()
+        operators = [Operator(name, store) for name in "xyz"]
+        for index, fault, _ in steps:
+            before = store.current
+            operators[index].step(fault)
+            if store.current is not before:
+                reviewed = store.current.envelope.reviewed_revision
+                self.assertEqual(reviewed, before.revision if before else 0)
+
+
+class AcceptanceTest(unittest.TestCase):
+    def finish(self, acceptance, *events):
+        action = acceptance.start()
+        for event in events:
+            match event:
+                case SwapDone() | SwapConflict() | SwapUnknown():
+                    action = acceptance.on_swapped(event)
+                case "unreadable":
+                    action = acceptance.on_unreadable()
+                case current:
+                    action = acceptance.on_current(current)
+        return action
+
+    def stored(self, change_id, revision, recent=()):
+        acceptance = Acceptance(propose(change_id, 0))
+        acceptance.start()
+        envelope = acceptance.on_current(None).envelope
+        return StoredEnvelope(
+            Revision(revision),
+            type(envelope)(
+                change_id=ChangeId(change_id),
+                author="kofi",
+                note="why",
+                reviewed_revision=Revision(0),
+                recent_changes=tuple(map(ChangeId, recent)),
+                document=DOCUMENT,
+            ),
+        )
+
+    def test_doubt_is_said_where_too_many_changes_came_between(self):
+        recent = [f"n{number}" for number in range(RECENT_CHANGES_KEPT)]
+        later = self.stored("last", 900, recent)
+        acceptance = Acceptance(propose("mine", 5))
+        finished = self.finish(acceptance, self.stored("base", 5), SwapUnknown(), later)
+        self.assertEqual(finished.verdict, Verdict.UNKNOWN)
+
+    def test_conflict_is_certain_where_the_changes_between_are_listed(self):
+        later = self.stored("last", 900, ["base", "n1"])
+        acceptance = Acceptance(propose("mine", 5))
+        finished = self.finish(acceptance, self.stored("base", 5), SwapUnknown(), later)
+        self.assertEqual(finished.verdict, Verdict.CONFLICT)
+
+    def test_it_gives_up_within_bounds(self):
+        acceptance = Acceptance(propose("mine", 0))
+        action = acceptance.start()
+        waited = timedelta(0)
+        for _ in range(100):
+            match action:
+                case Finished():
+                    break
+                case ReadCurrent(wait):
+                    waited += wait
+                    action = acceptance.on_current(None)
+                case SwapCurrent():
+                    action = acceptance.on_swapped(SwapUnknown())
+        self.assertEqual(action.verdict, Verdict.UNKNOWN)
+        self.assertLessEqual(waited, timedelta(seconds=10))
+
+    def test_envelope_survives_the_store(self):
+        envelope = self.stored("c1", 1, ["c0"]).envelope
+        self.assertEqual(decode_envelope(encode_envelope(envelope)), envelope)
+        with self.assertRaises(UserError):
+            decode_envelope(b"{}")
