Compress large configurations in the store

Ruled out: a key per service; a change would need more than one compare-and-swap. Change: envelopes above 16 KiB are zlib-compressed; decoding takes both forms and is bounded.

--- a/hickorywind/configuration/acceptance.py
+++ b/hickorywind/configuration/acceptance.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import zlib
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -25,6 +26,9 @@
 NOTHING_STORED = Revision(0)
 STORED_LIMIT_BYTES = 1_000_000
 RECENT_CHANGES_KEPT = 32
+_COMPRESSED_ABOVE_BYTES = 16_384
+_DECOMPRESSED_LIMIT_BYTES = 67_108_864
+_JSON_START = b"{"
 _ATTEMPT_LIMIT = 8
 _WAIT_BETWEEN_ATTEMPTS = timedelta(milliseconds=500)
 
@@ -58,8 +62,13 @@
 
 
 def encode_envelope(envelope: ChangeEnvelope) -> bytes:
-    """Encode an envelope as JSON; raise ``UserError`` where the store could not hold it."""
+    """Encode an envelope as JSON, compressed where it is large.
+
+    Raise ``UserError`` where the store could not hold it.
+    """
     data = msgspec.json.encode(envelope, order="deterministic")
+    if len(data) > _COMPRESSED_ABOVE_BYTES:
+        data = zlib.compress(data)
     if len(data) > STORED_LIMIT_BYTES:
         raise UserError(
             ResultCode.CONFIG_INVALID,
@@ -71,11 +80,17 @@
 def decode_envelope(data: bytes) -> ChangeEnvelope:
     """Decode an envelope; raise ``UserError`` with ``CONFIG_INVALID`` for anything else."""
     try:
-        return msgspec.json.decode(data, type=ChangeEnvelope)
-    except msgspec.MsgspecError as error:
+        return msgspec.json.decode(_decompress(data), type=ChangeEnvelope)
+    except (msgspec.MsgspecError, zlib.error) as error:
         raise UserError(ResultCode.CONFIG_INVALID, f"stored configuration: {error}") from None
 
 
+def _decompress(data: bytes) -> bytes:
+    if data.startswith(_JSON_START):
+        return data
+    return zlib.decompressobj().decompress(data, _DECOMPRESSED_LIMIT_BYTES)
+
+
 @dataclass(frozen=True)
 class Proposal:
     """Hold what an operator asks to accept."""
--- a/tests/configuration/test_acceptance.py
+++ b/tests/configuration/test_acceptance.py
@@ -1,14 +1,18 @@
 """Drive the decision core through interleavings of operators and store faults."""
 
+import random
 import unittest
+import zlib
 from collections import Counter
 from datetime import timedelta
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from hickorywind.configuration.acceptance import (
     RECENT_CHANGES_KEPT,
+    STORED_LIMIT_BYTES,
     Acceptance,
     ChangeId,
     Finished,
@@ -209,5 +213,23 @@
     def test_envelope_survives_the_store(self):
         envelope = self.stored("c1", 1, ["c0"]).envelope
         self.assertEqual(decode_envelope(encode_envelope(envelope)), envelope)
-        with self.assertRaises(UserError):
-            decode_envelope(b"{}")
+
+    def test_large_envelope_is_compressed(self):
+        envelope = self.stored("c1", 1).envelope
+        (service,) = DOCUMENT.services
+        services = tuple(replace(service, name=f"ledger-{number}") for number in range(820))
+        large = replace(envelope, document=replace(DOCUMENT, services=services))
+        data = encode_envelope(large)
+        self.assertLess(len(data), STORED_LIMIT_BYTES // 4)
+        self.assertEqual(decode_envelope(data), large)
+
+    def test_what_the_store_can_not_hold_is_refused(self):
+        envelope = self.stored("c1", 1).envelope
+        noise = random.Random(1).randbytes(STORED_LIMIT_BYTES).hex()
+        with self.assertRaisesRegex(UserError, "the store holds up to"):
+            encode_envelope(replace(envelope, note=noise * 2))
+
+    def test_anything_else_in_the_store_is_a_user_error(self):
+        for data in (b"{}", b"", b"x", zlib.compress(b"{}"), zlib.compress(b"{}")[:-3]):
+            with self.subTest(data=data), self.assertRaises(UserError):
+                decode_envelope(data)
