Test the stand-ins and their clients; cache statement descriptions

Cause: describing an unnamed statement anew cost more than running it, and closing a session in a worker thread raced with a cancel (sqlite refused to operate on a closed database), which left handlers behind. Change: descriptions are kept until the schema changes; close takes the sqlite connection away before it closes it; sample parameters of the right type when a statement is described before it is bound.

--- a/standins/backend/database.py
+++ b/standins/backend/database.py
@@ -85,9 +85,9 @@
 
     def close(self) -> None:
         """Close the file, rolling back what is open."""
-        if self._sqlite is not None:
-            self._sqlite.close()
-            self._sqlite = None
+        connection, self._sqlite = self._sqlite, None
+        if connection is not None:
+            connection.close()
 
     @property
     def in_transaction(self) -> bool:
@@ -97,8 +97,10 @@
     def cancel(self) -> None:
         """Interrupt the statement that runs, from any thread."""
         self._cancelled.set()
-        if self._sqlite is not None and not self._committing:
-            self._sqlite.interrupt()
+        connection = self._sqlite
+        if connection is not None and not self._committing:
+            with contextlib.suppress(sqlite3.ProgrammingError):
+                connection.interrupt()
 
     def clear_cancel(self) -> None:
         """Forget a cancel request before the next statement."""
--- a/standins/backend/describe.py
+++ b/standins/backend/describe.py
@@ -4,6 +4,7 @@
 
 import re
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from standins.backend.database import Connection
 from standins.backend.log import SqlValue
@@ -129,29 +130,40 @@
     return inferred
 
 
+@dataclass(frozen=True)
+class Description:
+    """Hold result columns; ``by_schema`` tells that no value had to be looked at."""
+
+    columns: list[Column]
+    by_schema: bool = True
+
+
 def describe_columns(
     connection: Connection, statement: ParsedStatement, parameters: Sequence[SqlValue]
-) -> list[Column]:
+) -> Description:
     """Return the result columns of a statement; raise ``SqlError`` for a wrong one."""
     if statement.kind is Kind.SHOW:
-        return [Column(statement.words[1] if len(statement.words) > 1 else "name", TEXT)]
+        name = statement.words[1] if len(statement.words) > 1 else "name"
+        return Description([Column(name, TEXT)])
     if not statement.returns_rows:
-        return []
+        return Description([])
     expressions = _result_expressions(statement)
     if statement.kind is Kind.WRITE and statement.command != "select":
-        return _returned_columns(connection, statement, expressions)
+        return Description(_returned_columns(connection, statement, expressions))
     view = _view_columns(connection, statement)
     aligned = expressions if len(expressions) == len(view) else [""] * len(view)
     types = [
         oid_of(type_name) or _type_of_expression(expression)
         for (_, type_name), expression in zip(view, aligned, strict=True)
     ]
-    if None in types:
+    by_schema = None not in types
+    if not by_schema:
         types = _probe(connection, statement, parameters, types)
     names = [
         _column_name(name, expression) for (name, _), expression in zip(view, aligned, strict=True)
     ]
-    return [Column(name, oid) for name, oid in zip(names, types, strict=True)]
+    columns = [Column(name, oid) for name, oid in zip(names, types, strict=True)]
+    return Description(columns, by_schema)
 
 
 def _view_columns(connection: Connection, statement: ParsedStatement) -> list[tuple[str, str]]:
--- a/standins/backend/executor.py
+++ b/standins/backend/executor.py
@@ -94,9 +94,16 @@
         if call is not None:
             return [Column(call.name, TEXT)]
         self._check(statement)
-        return await self._instance.run_blocking(
+        key = (self._instance.schema_changes, statement.original)
+        known = self._instance.descriptions.get(key)
+        if known is not None and not self._changed_schema:
+            return known
+        description = await self._instance.run_blocking(
             describe_columns, self._connection, statement, parameters
         )
+        if description.by_schema and not self._changed_schema:
+            self._instance.remember_description(key, description.columns)
+        return description.columns
 
     async def describe_parameters(
         self, statement: ParsedStatement, declared: Sequence[int]
@@ -104,9 +111,23 @@
         """Return a type for each parameter."""
         if statement.parameter_count == 0:
             return []
-        return await self._instance.run_blocking(
+        key = (self._instance.schema_changes, statement.original, tuple(declared))
+        known = self._instance.descriptions.get(key)
+        if known is not None and not self._changed_schema:
+            return known
+        types = await self._instance.run_blocking(
             describe_parameters, self._connection, statement, declared
         )
+        if not self._changed_schema:
+            self._instance.remember_description(key, types)
+        return types
+
+    @property
+    def _changed_schema(self) -> bool:
+        """Tell whether the open transaction sees a schema of its own."""
+        return self._writing is not None and any(
+            statement.changes_schema for statement in self._writing.statements
+        )
 
     def start_statement(self) -> None:
         """Forget a cancel request that came between statements."""
@@ -243,6 +264,8 @@
         position = member.append(entry)
         await self._instance.run_blocking(self._connection.commit, position)
         self._instance.applied = position
+        if entry.changes_schema:
+            self._instance.forget_descriptions()
         self.position = position
 
     async def _savepoint(self, statement: ParsedStatement) -> Answer:
--- a/standins/backend/instance.py
+++ b/standins/backend/instance.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Protocol
@@ -24,6 +24,7 @@
 _CONTROL_RESERVE = 8
 _IDLE_WAIT_S = 1.0
 _APPLY_BATCH_ENTRIES = 200
+_DESCRIPTIONS_LIMIT = 2_000
 
 
 class SessionHandle(Protocol):
@@ -60,6 +61,8 @@
         self.apply_lag_ms = settings.apply_lag_ms
         self.applied = EMPTY_LOG
         self.rebuilding = False
+        self.schema_changes = 0
+        self.descriptions: dict[Hashable, object] = {}
         self._threads = ThreadPoolExecutor(settings.connections + _CONTROL_RESERVE + 2)
         self._applier = Connection(self.database)
         self.member = self._load_member()
@@ -85,6 +88,17 @@
         loop = asyncio.get_running_loop()
         return await loop.run_in_executor(self._threads, function, *arguments)
 
+    def forget_descriptions(self) -> None:
+        """Drop what was learnt about statements after a change of the schema."""
+        self.schema_changes += 1
+        self.descriptions.clear()
+
+    def remember_description(self, key: Hashable, description: object) -> None:
+        """Keep what was learnt about a statement, within a bound."""
+        if len(self.descriptions) >= _DESCRIPTIONS_LIMIT:
+            self.descriptions.clear()
+        self.descriptions[key] = description
+
     def _handle_step_down(self, diverged: bool) -> None:
         logger.info("stepped_down", extra={"term": self.member.term, "diverged": diverged})
         self.rebuilding = self.rebuilding or diverged
@@ -189,6 +203,8 @@
             position = self.member.log.position_at(start + len(entries))
             await self.run_blocking(self._applier.apply, entries, position)
             self.applied = position
+            if any(entry.changes_schema for entry in entries):
+                self.forget_descriptions()
 
     async def _rebuild(self) -> None:
         """Replay the committed log into a new database file, dropping what never committed."""
@@ -196,6 +212,7 @@
         self.applied = EMPTY_LOG
         await self.run_blocking(self.database.create, generation)
         self.database.generation = generation
+        self.forget_descriptions()
         await self._apply_to(self.member.committed_offset)
         self.rebuilding = False
         logger.info("rebuilt", extra={"position": str(self.applied)})
--- a/standins/backend/log.py
+++ b/standins/backend/log.py
@@ -16,6 +16,7 @@
 _LENGTH = struct.Struct("!I")
 _BATCH_ENTRIES = 500
 _BATCH_BYTES = 1_000_000
+_SCHEMA_COMMANDS = ("create", "drop", "alter")
 
 
 class Statement(msgspec.Struct, frozen=True, array_like=True):
@@ -24,6 +25,11 @@
     sql: str
     parameters: tuple[Any, ...] = ()
 
+    @property
+    def changes_schema(self) -> bool:
+        """Tell whether the statement defines or drops something."""
+        return self.sql[:6].lower().startswith(_SCHEMA_COMMANDS)
+
     @property
     def size_bytes(self) -> int:
         """Estimate the size on the wire."""
@@ -41,6 +47,11 @@
     statements: tuple[Statement, ...] = ()
     timestamp: str = ""
 
+    @property
+    def changes_schema(self) -> bool:
+        """Tell whether a statement defines or drops something."""
+        return any(s.changes_schema for s in self.statements)
+
 
 class Appended(msgspec.Struct, frozen=True, tag="a", array_like=True):
     """Record that an entry was appended."""
--- a/standins/backend/session.py
+++ b/standins/backend/session.py
@@ -17,6 +17,7 @@
 from hickorywind.groups.status import POSITION_PARAMETER
 from hickorywind.ids import LogPosition
 from standins.backend.errors import (
+    FEATURE_NOT_SUPPORTED,
     PROTOCOL_VIOLATION,
     UNKNOWN_CURSOR,
     UNKNOWN_STATEMENT,
@@ -26,7 +27,7 @@
 from standins.backend.instance import Instance
 from standins.backend.log import SqlValue
 from standins.backend.sql import Kind, ParsedStatement, parse_script, parse_statement
-from standins.backend.types import Column, decode_parameter, encode_rows, wire_formats
+from standins.backend.types import Column, decode_parameter, encode_rows, sample_value, wire_formats
 
 logger = logging.getLogger(__name__)
 
@@ -242,7 +243,7 @@
         prepared = self._find_prepared(name)
         self.executor.start_statement()
         types = await self._parameter_types(prepared)
-        columns = await self._columns(prepared, [])
+        columns = await self._columns(prepared, [sample_value(type_oid) for type_oid in types])
         self.send(messages.ParameterDescription(type_oids=types))
         self._send_row_description(columns, [0] * len(columns))
 
@@ -303,6 +304,8 @@
     async def _send_rows(
         self, rows: list[tuple[SqlValue, ...]], columns: list[Column], formats: list[int]
     ) -> None:
+        if rows and len(rows[0]) != len(columns):
+            raise SqlError(FEATURE_NOT_SUPPORTED, "cached plan must not change result type")
         for start in range(0, len(rows), _ROWS_PER_CHUNK):
             chunk = rows[start : start + _ROWS_PER_CHUNK]
             self._output += encode_rows(chunk, columns, formats)
--- a/standins/backend/sql.py
+++ b/standins/backend/sql.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import re
 from dataclasses import dataclass
 from enum import Enum
@@ -31,6 +32,7 @@
     re.I,
 )
 _BARE_SERIES = re.compile(r"^\s*select\s+(generate_series\s*\([^()]*\))", re.I)
+_CACHED_TEXT_LENGTH = 2_000
 _ZERO_DIVISION = re.compile(r"/\s*0(?![\w.])")
 _ESCAPES = {"n": "\n", "t": "\t", "r": "\r"}
 _AFFINITIES = {INT2: "INTEGER", INT4: "INTEGER", INT8: "INTEGER", BOOL: "INTEGER"}
@@ -124,6 +126,8 @@
     @property
     def divides_by_zero(self) -> bool:
         """Tell whether a literal zero is a divisor, where sqlite would answer NULL."""
+        if "/" not in self.original:
+            return False
         code = "".join(t.text for t in self.tokens if t.kind not in ("string", "space"))
         return bool(_ZERO_DIVISION.search(code))
 
@@ -168,6 +172,11 @@
 
 def parse_script(text: str) -> list[ParsedStatement]:
     """Split a simple query into its statements; empty ones are dropped."""
+    parse = _parse_script if len(text) > _CACHED_TEXT_LENGTH else _parse_script_cached
+    return list(parse(text))
+
+
+def _parse_script(text: str) -> tuple[ParsedStatement, ...]:
     statements: list[list[Token]] = [[]]
     for token in tokenize(text):
         if token.text == ";" and token.kind == "other":
@@ -175,7 +184,10 @@
         else:
             statements[-1].append(token)
     parsed = [_parse(tokens) for tokens in statements]
-    return [statement for statement in parsed if statement.kind is not Kind.EMPTY]
+    return tuple(statement for statement in parsed if statement.kind is not Kind.EMPTY)
+
+
+_parse_script_cached = functools.lru_cache(1_000)(_parse_script)
 
 
 def parse_statement(text: str) -> ParsedStatement:
--- a/standins/backend/types.py
+++ b/standins/backend/types.py
@@ -182,6 +182,15 @@
     return (instant - _EPOCH) // timedelta(microseconds=1)
 
 
+def sample_value(type_oid: int) -> SqlValue:
+    """Return some value of a type, to learn what an expression makes of it."""
+    if type_oid in _INTEGER_FORMATS or type_oid == BOOL:
+        return 1
+    if type_oid in _FLOAT_FORMATS:
+        return 1.0
+    return b"" if type_oid == BYTEA else "1"
+
+
 def wire_formats(requested: Sequence[int], count: int) -> list[int]:
     """Spread the format codes of a Bind message over its columns or parameters."""
     if not requested:
--- /dev/null
+++ b/tests/groups/test_client.py
@@ -0,0 +1,96 @@
+import asyncio
+import tempfile
+import time
+import unittest
+from datetime import timedelta
+from pathlib import Path
+
+from hickorywind.groups.client import CallFailed, CallRefused, GroupClient
+from hickorywind.groups.status import BackendStatus
+from hickorywind.ids import Address, BackendId, LogPosition, ServiceName, Term
+from standins.backend.server import BackendServer
+from standins.backend.settings import BackendSettings
+from standins.relay import Relay, Route
+from tests.standins.support import local_address
+
+TIMEOUT = timedelta(milliseconds=300)
+
+
+class GroupClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        settings = BackendSettings(
+            BackendId("db0"),
+            ServiceName("dispatch"),
+            local_address(),
+            local_address(),
+            initial_primary=True,
+            password="kiln",
+        )
+        self.server = BackendServer(settings, Path(folder.name))
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+        self.relay = Relay((Route("way", "127.0.0.1:0", settings.listen),))
+        await self.relay.start()
+        self.addAsyncCleanup(self.relay.close)
+        self.client = self.open_client(self.relay.address("way"))
+
+    def open_client(self, address, **options):
+        client = GroupClient(address, TIMEOUT, **{"password": "kiln", **options})
+        self.addCleanup(client.close)
+        return client
+
+    async def test_calls_answer_the_status_or_a_refusal(self):
+        status = await self.client.status()
+        self.assertEqual((status.backend, status.term), ("db0", 1))
+        accepted = await self.client.accept_term(Term(2), "o'brien", timedelta(0))
+        self.assertEqual(accepted.proposer, "o'brien")
+        refused = await self.client.promote(Term(3), "o'brien")
+        self.assertIsInstance(refused, CallRefused)
+        promoted = await self.client.promote(Term(2), "o'brien")
+        self.assertEqual(promoted.received, LogPosition(Term(2), 1))
+
+    async def test_wrong_password_and_closed_port_are_failures(self):
+        wrong = self.open_client(self.relay.address("way"), password="clay")
+        self.assertIsInstance(await wrong.status(), CallFailed)
+        closed = self.open_client(Address.from_text(local_address()))
+        self.assertIsInstance(await closed.status(), CallFailed)
+
+    async def test_cut_way_fails_in_time_and_the_next_call_reconnects(self):
+        await self.client.status()
+        self.relay.cut("way")
+        started = time.monotonic()
+        self.assertIsInstance(await self.client.status(), CallFailed)
+        self.assertLess(time.monotonic() - started, 1)
+        self.relay.heal("way")
+        self.assertIsInstance(await self.client.status(), BackendStatus)
+
+    async def test_late_answer_reaches_no_other_call(self):
+        self.relay.set_delay("way", 0)
+        await self.client.status()
+        self.relay.cut("way")
+        late = await self.client.accept_term(Term(7), "late", timedelta(0))
+        self.assertIsInstance(late, CallFailed)
+        self.relay.heal("way")
+        refused = await self.client.promote(Term(9), "none")
+        self.assertIsInstance(refused, CallRefused)
+
+    async def test_cancelled_call_leaves_no_answer_behind(self):
+        await self.client.status()
+        call = asyncio.create_task(
+            self.client.wait_committed(LogPosition(Term(1), 99), timedelta(seconds=5))
+        )
+        await asyncio.sleep(0.1)
+        call.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await call
+        refused = await self.client.promote(Term(9), "none")
+        self.assertIsInstance(refused, CallRefused)
+
+    async def test_restarted_server_is_reached_on_a_later_call(self):
+        await self.client.status()
+        for session in list(self.server.instance.sessions.values()):
+            session.abort()
+        await asyncio.sleep(0.1)
+        self.assertIsInstance(await self.client.status(), BackendStatus)
--- /dev/null
+++ b/tests/store/test_etcd.py
@@ -0,0 +1,136 @@
+import asyncio
+import contextlib
+import time
+import unittest
+from datetime import timedelta
+
+from hickorywind.ids import Address, Revision
+from hickorywind.store.etcd import EtcdStore
+from hickorywind.store.interface import (
+    NEVER_WRITTEN,
+    StoredValue,
+    StoreUnavailableError,
+    SwapOutcome,
+)
+from standins.relay import Relay, Route
+from standins.store.control import read_calls, set_faults
+from standins.store.faults import Faults, LostAnswer
+from standins.store.service import StoreServer
+from tests.standins.support import eventually
+
+TIMEOUT = timedelta(milliseconds=500)
+
+
+class EtcdStoreTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.server = StoreServer(Address("127.0.0.1", 0))
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+        self.store = await self.open_store(self.server.address)
+
+    async def open_store(self, address):
+        store = EtcdStore.from_address(address, TIMEOUT)
+        self.addAsyncCleanup(store.close)
+        return store
+
+    async def swap(self, key, revision, value):
+        return (await self.store.compare_and_swap(key, revision, value)).outcome
+
+    def start_watch(self, prefix, after_revision=NEVER_WRITTEN):
+        seen = []
+
+        async def collect():
+            try:
+                async for value in self.store.watch_prefix(prefix, after_revision):
+                    seen.append(value)
+            except StoreUnavailableError as error:
+                seen.append(error)
+
+        task = asyncio.create_task(collect())
+        self.addCleanup(task.cancel)
+        return seen
+
+    async def test_swap_writes_only_over_the_expected_revision(self):
+        self.assertIs(await self.swap("/a", NEVER_WRITTEN, b"1"), SwapOutcome.DONE)
+        self.assertIs(await self.swap("/a", NEVER_WRITTEN, b"2"), SwapOutcome.CONFLICT)
+        stored = await self.store.get("/a")
+        self.assertEqual(stored.value, b"1")
+        result = await self.store.compare_and_swap("/a", stored.revision, b"3")
+        self.assertEqual(await self.store.get("/a"), StoredValue("/a", b"3", result.revision))
+        self.assertIs(await self.swap("/a", stored.revision, b"4"), SwapOutcome.CONFLICT)
+
+    async def test_lost_answer_is_unknown_though_the_write_took_effect(self):
+        for index, kind in enumerate(LostAnswer):
+            await set_faults(self.server.address, Faults(lose_answers=1, lost_answer=kind))
+            key = f"/{index}"
+            self.assertIs(await self.swap(key, NEVER_WRITTEN, b"x"), SwapOutcome.UNKNOWN)
+            self.assertEqual((await self.store.get(key)).value, b"x")
+
+    async def test_prefix_reads_in_key_order_and_nothing_else(self):
+        for key in ("/b/2", "/b/1", "/bc", "/a"):
+            await self.swap(key, NEVER_WRITTEN, b"")
+        found = await self.store.get_prefix("/b/")
+        self.assertEqual([value.key for value in found], ["/b/1", "/b/2"])
+        self.assertIsNone(await self.store.get("/b/"))
+
+    async def test_leased_key_vanishes_and_the_watch_sees_it(self):
+        seen = self.start_watch("/l")
+        await asyncio.sleep(0.1)
+        await self.store.put_with_lease("/l/1", b"x", 1)
+        self.assertEqual((await self.store.get("/l/1")).value, b"x")
+
+        async def is_gone():
+            return await self.store.get("/l/1") is None
+
+        self.assertTrue(await eventually(is_gone))
+        await asyncio.sleep(0.05)
+        self.assertEqual([(v.key, v.value) for v in seen], [("/l/1", b"x"), ("/l/1", b"")])
+
+    async def test_watch_replays_what_came_after_a_revision(self):
+        first = await self.store.compare_and_swap("/w", NEVER_WRITTEN, b"1")
+        await self.store.compare_and_swap("/w", first.revision, b"2")
+        seen = self.start_watch("/w", first.revision)
+        await asyncio.sleep(0.2)
+        self.assertEqual([value.value for value in seen], [b"2"])
+
+    async def test_outage_refuses_calls_and_cuts_watches(self):
+        seen = self.start_watch("/")
+        await asyncio.sleep(0.1)
+        await set_faults(self.server.address, Faults(outage=True))
+        with self.assertRaises(StoreUnavailableError):
+            await self.store.get("/a")
+        self.assertIs(await self.swap("/a", NEVER_WRITTEN, b""), SwapOutcome.UNKNOWN)
+        await asyncio.sleep(0.1)
+        self.assertIsInstance(seen[-1], StoreUnavailableError)
+        await set_faults(self.server.address, Faults())
+        self.assertIsNone(await self.store.get("/a"))
+
+    async def test_every_call_is_bounded_when_the_way_is_cut(self):
+        relay = Relay((Route("store", "127.0.0.1:0", str(self.server.address)),))
+        await relay.start()
+        self.addAsyncCleanup(relay.close)
+        for used_before in (False, True):
+            store = await self.open_store(relay.address("store"))
+            if used_before:
+                relay.heal("store")
+                await store.get("/a")
+            relay.cut("store")
+            calls = (
+                store.get("/a"),
+                store.get_prefix("/"),
+                store.put_with_lease("/a", b"", 1),
+                anext(store.watch_prefix("/")),
+                store.compare_and_swap("/a", Revision(1), b""),
+            )
+            started = time.monotonic()
+            for call in calls:
+                with contextlib.suppress(StoreUnavailableError):
+                    result = await call
+                    self.assertIs(result.outcome, SwapOutcome.UNKNOWN)
+            self.assertLess(time.monotonic() - started, len(calls) * 1.2)
+
+    async def test_calls_are_counted_by_kind(self):
+        await self.store.get("/a")
+        await self.swap("/a", NEVER_WRITTEN, b"")
+        counts = await read_calls(self.server.address)
+        self.assertEqual((counts["range"], counts["txn"], counts["watches_open"]), (1, 1, 0))
