--- a/hickorywind/observability/metrics.py
+++ b/hickorywind/observability/metrics.py
@@ -74,7 +74,7 @@
             "sessions_refused", "Caller connections refused", "code"
         )
         self.link_bytes = self._counter(
-            "link_bytes", "Bytes sent to pools of another region", "region"
+            "link_bytes", "Bytes exchanged with pools of another region", "region"
         )
 
     def _define_pool(self) -> None:
--- a/hickorywind/settings/load.py
+++ b/hickorywind/settings/load.py
@@ -100,6 +100,10 @@
     for key, text in _controller_peers(controller):
         _check_address(key, text)
     _check_positive("controller.store_timeout_ms", controller.store_timeout_ms)
+    if controller.fixed_failover_timeout_ms is not None:
+        _check_positive(
+            "controller.fixed_failover_timeout_ms", controller.fixed_failover_timeout_ms
+        )
     for key in ("store_prefix", "platform_prefix"):
         _check_prefix(f"controller.{key}", getattr(controller, key))
 
