--- a/tests/system/site.py
+++ b/tests/system/site.py
@@ -53,7 +53,7 @@
         try:
             answer = await client.status()
         finally:
-            await client.close()
+            client.close()
         return answer if isinstance(answer, BackendStatus) else None
 
     async def primary(self, service: ServiceName | None = None) -> BackendStatus:
