Count latency per service in few bounds and look series up once

Cause: with 820 services and 3 ranks a scrape took 1.23 s of processor time and 4.9 MB; counting a request took 14.9 us. Ruled out: dropping the created-at series (0.89 to 0.77 s) - little for a global switch of the library. Change: 10 bounds per service, which objectives name, and 18 by rank alone; label lookups are kept.

--- a/hickorywind/configuration/validate.py
+++ b/hickorywind/configuration/validate.py
@@ -18,7 +18,7 @@
     TransactionLimits,
 )
 from hickorywind.ids import RANKS_BY_URGENCY, Rank
-from hickorywind.observability.buckets import LATENCY_BOUNDS_MS
+from hickorywind.observability.buckets import OBJECTIVE_BOUNDS_MS
 from hickorywind.results import ResultCode, UserError
 from hickorywind.util.addresses import parse_address
 
@@ -163,8 +163,8 @@
 ) -> Iterator[Problem]:
     if not 0 < objective.target_percent < _HUNDRED_PERCENT:
         yield Problem(f"{path}.target_percent", "expected more than 0 and less than 100")
-    if objective.latency_ms not in LATENCY_BOUNDS_MS:
-        bounds = ", ".join(map(str, LATENCY_BOUNDS_MS))
+    if objective.latency_ms not in OBJECTIVE_BOUNDS_MS:
+        bounds = ", ".join(map(str, OBJECTIVE_BOUNDS_MS))
         yield Problem(f"{path}.latency_ms", f"expected one of {bounds}")
     if objective.latency_ms > timeouts.get(objective.rank, objective.latency_ms):
         yield Problem(f"{path}.latency_ms", "expected at most the timeout of the rank")
--- a/hickorywind/observability/buckets.py
+++ b/hickorywind/observability/buckets.py
@@ -1,10 +1,17 @@
 """List the bounds of the latency histograms.
 
-A service-level objective names one of these bounds, so that counting what was in time is exact.
+A service-level objective names one of the few bounds that are counted by database service, so that
+counting what was in time is exact. Finer bounds are counted by rank alone: with hundreds of
+database services every further bound makes each scrape longer.
 """
 
 from __future__ import annotations
 
+_MS_PER_SECOND = 1_000
+
+OBJECTIVE_BOUNDS_MS = (10, 20, 50, 100, 200, 300, 500, 1_000, 2_000, 5_000)
+OBJECTIVE_BOUNDS_SECONDS = tuple(bound / _MS_PER_SECOND for bound in OBJECTIVE_BOUNDS_MS)
+
 LATENCY_BOUNDS_MS = (
     1,
     2,
@@ -25,4 +32,4 @@
     5_000,
     10_000,
 )
-LATENCY_BOUNDS_SECONDS = tuple(bound / 1_000 for bound in LATENCY_BOUNDS_MS)
+LATENCY_BOUNDS_SECONDS = tuple(bound / _MS_PER_SECOND for bound in LATENCY_BOUNDS_MS)
--- a/hickorywind/observability/metrics.py
+++ b/hickorywind/observability/metrics.py
@@ -21,8 +21,8 @@
 
 from hickorywind import __version__
 from hickorywind.ids import Address, Rank, Role, ServiceName
-from hickorywind.observability.buckets import LATENCY_BOUNDS_SECONDS
-from hickorywind.results import Result
+from hickorywind.observability.buckets import LATENCY_BOUNDS_SECONDS, OBJECTIVE_BOUNDS_SECONDS
+from hickorywind.results import Outcome, Result, ResultCode
 
 _FAILOVER_BOUNDS_SECONDS = (0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0, 60.0)
 _PREFIX = "hickorywind"
@@ -34,6 +34,8 @@
     def __init__(self, registry: CollectorRegistry) -> None:
         """Register the metrics; a registry takes them once."""
         self.registry = registry
+        self._request_series: dict[tuple[ServiceName, Rank, Outcome, ResultCode], Counter] = {}
+        self._latency_series: dict[tuple[ServiceName, Rank], Histogram] = {}
         self._define_requests()
         self._define_pool()
         self._define_control()
@@ -60,10 +62,14 @@
         self.latency = self._histogram(
             "request_seconds",
             "Time from a request's arrival to its whole answer, for requests that ran",
-            LATENCY_BOUNDS_SECONDS,
+            OBJECTIVE_BOUNDS_SECONDS,
             "service",
             "rank",
         )
+        self.rank_latency = self._histogram(
+            "rank_seconds", "The same, of all services", LATENCY_BOUNDS_SECONDS, "rank"
+        )
+        self._latency_by_rank = {rank: self.rank_latency.labels(rank.value) for rank in Rank}
         self.reads = self._counter(
             "reads", "Reads answered, by role of the backend server", "service", "source"
         )
@@ -132,10 +138,31 @@
         self, service: ServiceName, rank: Rank, result: Result, duration: timedelta
     ) -> None:
         """Count a request that ended at an entry; its latency counts where it ran."""
-        code = str(int(result.code))
-        self.requests.labels(service, rank.value, result.outcome.value, code).inc()
+        self._counter_of(service, rank, result.outcome, result.code).inc()
         if result.is_ok:
-            self.latency.labels(service, rank.value).observe(duration.total_seconds())
+            seconds = duration.total_seconds()
+            self._latency_of(service, rank).observe(seconds)
+            self._latency_by_rank[rank].observe(seconds)
+
+    # Looking a series up by its labels costs more than counting; these run for every request.
+
+    def _counter_of(
+        self, service: ServiceName, rank: Rank, outcome: Outcome, code: ResultCode
+    ) -> Counter:
+        key = (service, rank, outcome, code)
+        series = self._request_series.get(key)
+        if series is None:
+            series = self.requests.labels(service, rank.value, outcome.value, str(int(code)))
+            self._request_series[key] = series
+        return series
+
+    def _latency_of(self, service: ServiceName, rank: Rank) -> Histogram:
+        key = (service, rank)
+        series = self._latency_series.get(key)
+        if series is None:
+            series = self.latency.labels(service, rank.value)
+            self._latency_series[key] = series
+        return series
 
 
 class MetricsServer:
--- a/tests/observability/test_metrics.py
+++ b/tests/observability/test_metrics.py
@@ -7,7 +7,9 @@
 from prometheus_client import generate_latest
 
 from hickorywind.ids import Address, Rank, Role, ServiceName
+from hickorywind.observability.buckets import OBJECTIVE_BOUNDS_MS
 from hickorywind.observability.metrics import Metrics, start_metrics_server
+from hickorywind.report.samples import parse_exposition
 from hickorywind.results import Result, ResultCode
 
 DOCUMENT = Path(__file__).parents[2] / "docs" / "metrics.md"
@@ -28,6 +30,21 @@
         self.assertEqual(count("hickorywind_request_seconds_count", labels), 1)
         in_time = {**labels, "le": "0.05"}
         self.assertEqual(count("hickorywind_request_seconds_bucket", in_time), 1)
+        fine = {"rank": "urgent", "le": "0.03"}
+        self.assertEqual(count("hickorywind_rank_seconds_bucket", fine), 0)
+        self.assertEqual(count("hickorywind_rank_seconds_count", {"rank": "urgent"}), 1)
+
+    def test_objectives_are_counted_exactly_at_their_bound(self):
+        metrics = Metrics.with_own_registry()
+        for bound_ms in OBJECTIVE_BOUNDS_MS:
+            for extra_us in (0, 1):
+                took = timedelta(milliseconds=bound_ms, microseconds=extra_us)
+                metrics.record_request(SERVICE, Rank.URGENT, Result.ok(), took)
+        text = generate_latest(metrics.registry).decode()
+        (ranks,) = parse_exposition(text, "a", 0.0).ranks
+        within = [(entry.bound_ms, entry.count) for entry in ranks.in_time]
+        expected = [(bound, 2 * index + 1) for index, bound in enumerate(OBJECTIVE_BOUNDS_MS)]
+        self.assertEqual(within, expected)
 
     def test_server_answers_and_stops(self):
         metrics = Metrics.with_own_registry()
