Test pools with transactions, keys, freshness, cancels and cut-off primaries

Cause: only the path of a simple query was tested.

Ruled out: an integration test of an error in a batch that ends in Flush: the stand-in backend server does not send its ErrorResponse until Sync (PostgreSQL sends it at once).

--- a/hickorywind/admission/transactions.py
+++ b/hickorywind/admission/transactions.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Hashable, Sequence
 from dataclasses import dataclass
-from datetime import timedelta
 
 from hickorywind.configuration.model import TransactionLimits
 from hickorywind.ids import SessionId
--- a/hickorywind/pool/backend.py
+++ b/hickorywind/pool/backend.py
@@ -94,6 +94,11 @@
         """Tell whether no request is in hand and no transaction open."""
         return not self._jobs and not len(self._transactions) and self.inbox.empty()
 
+    @property
+    def busy_slots(self) -> int:
+        """Return how many requests run at the backend server."""
+        return self._queue.running_count
+
     @property
     def holds_connections(self) -> bool:
         """Tell whether connections to the backend server are open."""
--- a/hickorywind/pool/dispatch.py
+++ b/hickorywind/pool/dispatch.py
@@ -74,7 +74,7 @@
         self._listener = listener
         self._backends = backends
         self._clock = clock
-        self._entries = EntryTable()
+        self.entries = EntryTable()
         self._seen = RecentKeys(_KEEP_KEYS, _KEYS_LIMIT)
         self._cancelled = RecentKeys(_KEEP_KEYS, _KEYS_LIMIT)
         self._outbox: asyncio.Queue[tuple[PeerId, Message]] = asyncio.Queue()
@@ -91,14 +91,21 @@
 
     async def _receive_all(self) -> None:
         while True:
-            received = await self._listener.receive()
-            self._notice_stall(self._clock.now())
-            self.handle(received)
+            self.receive(await self._listener.receive())
+
+    def receive(self, received: Received) -> None:
+        """Take in one message, which may have waited while this process stood still."""
+        self._notice_stall(self._clock.now())
+        self._handle(received)
 
     async def _send_all(self) -> None:
         while True:
             name, message = await self._outbox.get()
-            await self._listener.send(self._entries.address_of(name), message)
+            await self._listener.send(self.entries.address_of(name), message)
+
+    def next_unsent(self) -> tuple[PeerId, Message]:
+        """Take the next message to send; raise ``asyncio.QueueEmpty``."""
+        return self._outbox.get_nowait()
 
     @property
     def has_unsent(self) -> bool:
@@ -113,7 +120,7 @@
     def _sweep(self, now: Instant) -> None:
         self._notice_stall(now)
         self._last_sweep = now
-        for name in self._entries.sweep(now):
+        for name in self.entries.sweep(now):
             logger.info("entry_silent", extra={"peer": name.hex()})
             for task in self._backends.tasks():
                 task.inbox.put_nowait(EntrySilent(name))
@@ -127,10 +134,9 @@
 
     # Messages ------------------------------------------------------------------------------------
 
-    def handle(self, received: Received) -> None:
-        """Act on one message."""
+    def _handle(self, received: Received) -> None:
         now = self._clock.now()
-        name = self._entries.hear(received.peer, now)
+        name = self.entries.hear(received.peer, now)
         match received.message:
             case Execute() as message:
                 self._execute(name, message, now)
@@ -143,7 +149,7 @@
                 for task in self._backends.tasks():
                     task.inbox.put_nowait(TransactionEnded(key))
             case EntryHeartbeat(host, incarnation):
-                self._entries.identify(received.peer, host, incarnation, now)
+                self.entries.identify(received.peer, host, incarnation, now)
                 answer = PoolHeartbeat(self._host, self._incarnation, self.draining)
                 self._outbox.put_nowait((received.peer, answer))
             case _:
--- a/hickorywind/pool/jobs.py
+++ b/hickorywind/pool/jobs.py
@@ -66,8 +66,8 @@
 
     ``touched`` is set just before the first byte is written to a backend server; from then on the
     request can't be called not run. ``role``, ``term`` and ``applied`` are the backend server's as
-    known before the batch started. ``connection`` is set while the batch runs, ``joined`` once it was counted in
-    its transaction, and ``position`` is what the backend server reported after it.
+    known before the batch started. ``connection`` is set while the batch runs, ``joined`` once it
+    was counted in its transaction; ``position`` is what the backend server reported after it.
     """
 
     key: JobKey
--- a/tests/pool/harness.py
+++ b/tests/pool/harness.py
@@ -138,6 +138,22 @@
     return directory
 
 
+def make_execute(number: int, incarnation: Incarnation, sql: str | bytes, **fields) -> Execute:
+    frames = frontend.query(sql) if isinstance(sql, str) else sql
+    defaults = {
+        "request_id": RequestId(number),
+        "pool_incarnation": incarnation,
+        "session_id": SessionId("s1"),
+        "service": SERVICE,
+        "backend": BackendId("b0"),
+        "rank": Rank.STANDARD,
+        "mode": AccessMode.WRITE,
+        "remaining_ms": 3_000,
+        "frames": frames,
+    }
+    return Execute(**(defaults | fields))
+
+
 class EntryStub:
     """Speak to a pool as an entry does."""
 
@@ -156,8 +172,9 @@
             asyncio.create_task(self._receive()),
             asyncio.create_task(self._beat()),
         ]
-        while self.incarnation is None:
-            await asyncio.sleep(0.01)
+        async with asyncio.timeout(10):
+            while self.incarnation is None:
+                await asyncio.sleep(0.01)
 
     async def _beat(self) -> None:
         while True:
@@ -180,19 +197,7 @@
         return self.inboxes.setdefault(request_id, asyncio.Queue())
 
     def make(self, sql: str | bytes, **fields) -> Execute:
-        frames = frontend.query(sql) if isinstance(sql, str) else sql
-        defaults = {
-            "request_id": RequestId(next(self._ids)),
-            "pool_incarnation": self.incarnation,
-            "session_id": SessionId("s1"),
-            "service": SERVICE,
-            "backend": BackendId("b0"),
-            "rank": Rank.STANDARD,
-            "mode": AccessMode.WRITE,
-            "remaining_ms": 3_000,
-            "frames": frames,
-        }
-        return Execute(**(defaults | fields))
+        return make_execute(next(self._ids), self.incarnation, sql, **fields)
 
     async def collect(self, request_id: int, credit: bool = True) -> Answer:
         answer = Answer()
@@ -252,6 +257,13 @@
         return texts
 
 
+async def eventually(condition) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
 class PoolUnderTest:
     """Hold a running pool and its surroundings."""
 
@@ -277,7 +289,9 @@
 
     async def close(self) -> None:
         self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        (outcome,) = await asyncio.gather(self._task, return_exceptions=True)
+        if not isinstance(outcome, asyncio.CancelledError):
+            raise AssertionError("the dispatcher ended") from outcome
         await self.backends.close()
         self.listener.close()
 
--- a/tests/pool/test_dispatch.py
+++ b/tests/pool/test_dispatch.py
@@ -1,14 +1,38 @@
+import asyncio
 import unittest
 
-from hickorywind.protocol.messages import TransactionState
-from hickorywind.results import ResultCode
-from tests.pool.harness import running_pool
+from hickorywind.ids import (
+    AccessMode,
+    Address,
+    AvailabilityZone,
+    BackendId,
+    HostId,
+    Incarnation,
+    SessionId,
+    Term,
+)
+from hickorywind.pool.dispatch import Dispatcher, unknown_backend
+from hickorywind.protocol.channel import PeerId, Received
+from hickorywind.protocol.messages import (
+    AnswerCredit,
+    AnswerEnd,
+    Cancel,
+    CancelResult,
+    EntryHeartbeat,
+    TransactionState,
+)
+from hickorywind.protocol.records import GroupRecord, MemberRecord, MemberState
+from hickorywind.results import Outcome, ResultCode
+from hickorywind.util.clock import ManualClock, milliseconds
+from tests.pool.harness import HOST, SERVICE, eventually, make_execute, running_pool
+
+TABLE = "CREATE TABLE t (id int primary key, v text)"
 
 
 class ExecuteTest(unittest.IsolatedAsyncioTestCase):
     async def test_simple_queries_get_their_answers_and_positions(self) -> None:
         async with running_pool() as (_, entry):
-            created = await entry.run("CREATE TABLE t (id int primary key, v text)")
+            created = await entry.run(TABLE)
             self.assertEqual(created.result.code, ResultCode.OK)
             inserted = await entry.run("INSERT INTO t VALUES (1, 'a')")
             self.assertEqual(inserted.kinds, "CZ")
@@ -16,3 +40,189 @@
             self.assertEqual((read.kinds, read.rows), ("TDCZ", ["a"]))
             self.assertTrue(read.end.position.contains(inserted.end.position))
             self.assertIs(read.end.transaction_state, TransactionState.IDLE)
+
+    async def test_request_for_another_incarnation_is_not_run(self) -> None:
+        async with running_pool() as (_, entry):
+            refused = await entry.run(TABLE, pool_incarnation=Incarnation(3))
+            self.assertEqual(refused.result.code, ResultCode.WRONG_INCARNATION)
+            self.assertIs(refused.result.outcome, Outcome.NOT_RUN)
+            self.assertTrue((await entry.run(TABLE)).result.is_ok)
+            self.assertEqual((await entry.run(TABLE)).kinds, "EZ")
+
+    async def test_duplicate_of_a_request_is_never_run(self) -> None:
+        async with running_pool() as (_, entry):
+            await entry.run(TABLE)
+            message = entry.make("INSERT INTO t VALUES (1, 'a')")
+            await entry.link.send(message)
+            await entry.link.send(message)
+            self.assertEqual((await entry.collect(message.request_id)).kinds, "CZ")
+            await entry.link.send(message)
+            await asyncio.sleep(0.1)
+            codes = [refused.result.code for refused in entry.refused]
+            self.assertEqual(codes, [ResultCode.DUPLICATE_REQUEST] * 2)
+            self.assertTrue(entry.inbox(message.request_id).empty())
+
+    async def test_cancel_that_overtakes_its_request_stops_it(self) -> None:
+        async with running_pool() as (_, entry):
+            message = entry.make(TABLE)
+            await entry.link.send(Cancel(message.request_id))
+            cancelled = await entry.inbox(message.request_id).get()
+            self.assertIsInstance(cancelled, CancelResult)
+            self.assertIs(cancelled.result.outcome, Outcome.NOT_RUN)
+            await entry.link.send(message)
+            answer = await entry.collect(message.request_id)
+            self.assertEqual(answer.result.code, ResultCode.CANCELLED)
+            self.assertEqual((await entry.run(TABLE)).kinds, "CZ")
+
+    async def test_request_with_an_old_term_is_not_run(self) -> None:
+        async with running_pool() as (pool, entry):
+            pool.directory.merge((GroupRecord(SERVICE, Term(4), BackendId("b0")),))
+            refused = await entry.run(TABLE, expected_term=Term(3))
+            self.assertEqual(refused.result.code, ResultCode.STALE_TERM)
+            self.assertIs(refused.result.outcome, Outcome.NOT_RUN)
+
+    async def test_write_to_a_replica_is_not_run(self) -> None:
+        async with running_pool(count=3) as (_, entry):
+            refused = await entry.run(TABLE, backend=BackendId("b1"))
+            self.assertEqual(refused.result.code, ResultCode.NO_PRIMARY)
+            self.assertIs(refused.result.outcome, Outcome.NOT_RUN)
+
+    async def test_pool_that_is_not_home_refuses_unless_it_holds_connections(self) -> None:
+        async with running_pool() as (pool, entry):
+            other = MemberRecord(
+                HostId("elsewhere"),
+                AvailabilityZone("z"),
+                Incarnation(1),
+                MemberState.ALIVE,
+                Address("127.0.0.1", 1),
+                Address("127.0.0.1", 2),
+            )
+            pool.directory.merge((other,))
+            refused = await entry.run("SELECT 1")
+            self.assertEqual(refused.result.code, ResultCode.NOT_HOME)
+            self.assertIs(refused.result.outcome, Outcome.NOT_RUN)
+
+    async def test_draining_pool_finishes_transactions_but_takes_no_new_work(self) -> None:
+        async with running_pool() as (pool, entry):
+            key = (await entry.run("BEGIN")).end.transaction_id
+            pool.dispatcher.draining = True
+            refused = await entry.run("SELECT 1", session_id=SessionId("s2"))
+            self.assertEqual(refused.result.code, ResultCode.DRAINING)
+            self.assertFalse(pool.backends.all_idle)
+            self.assertTrue((await entry.run("COMMIT", transaction_id=key)).result.is_ok)
+            await asyncio.sleep(0.02)
+            self.assertTrue(pool.backends.all_idle)
+
+    async def test_backend_server_that_is_gone_is_told_as_not_run(self) -> None:
+        async with running_pool() as (pool, entry):
+            await pool.group.servers[0].close()
+            answer = await entry.run("SELECT 1")
+            self.assertEqual(answer.result.code, ResultCode.BACKEND_UNREACHABLE)
+            self.assertIs(answer.result.outcome, Outcome.NOT_RUN)
+
+    async def test_connection_lost_while_a_write_runs_is_unknown(self) -> None:
+        async with running_pool(statement_time_ms=3_000) as (pool, entry):
+            write = entry.make(TABLE, remaining_ms=5_000)
+            await entry.link.send(write)
+            sessions = pool.group.servers[0].instance.sessions
+            await eventually(lambda: any(session.holds_writer for session in sessions.values()))
+            for session in list(sessions.values()):
+                if not session.is_control:
+                    session.writer.transport.abort()
+            answer = await entry.collect(write.request_id)
+            self.assertEqual(answer.result.code, ResultCode.CONNECTION_LOST)
+            self.assertIs(answer.result.outcome, Outcome.UNKNOWN)
+            self.assertFalse(answer.result.retry_allowed)
+
+
+class AnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_large_answer_waits_for_credit_and_comes_whole(self) -> None:
+        async with running_pool() as (_, entry):
+            await entry.run("CREATE TABLE big (id int primary key, v text)")
+            for index in range(40):
+                await entry.run(f"INSERT INTO big VALUES ({index}, '{'x' * 60_000}')")
+            message = entry.make("SELECT v FROM big", mode=AccessMode.READ)
+            await entry.link.send(message)
+            await asyncio.sleep(0.3)
+            inbox = entry.inbox(message.request_id)
+            sent = sum(len(inbox.get_nowait().frames) for _ in range(inbox.qsize()))
+            self.assertLess(sent, 1_048_576 + 2 * 65_536)
+            await entry.link.send(AnswerCredit(message.request_id, 10_000_000))
+            rest = await entry.collect(message.request_id)
+            received = sent + sum(len(part.frames) for part in rest.parts)
+            self.assertGreater(received, 40 * 60_000)
+            self.assertTrue(rest.result.is_ok)
+            self.assertTrue(all(len(part.frames) <= 65_536 for part in rest.parts))
+            self.assertEqual(rest.parts[-1].sequence + 1, rest.end.part_count)
+
+
+class CancelTest(unittest.IsolatedAsyncioTestCase):
+    async def test_running_request_is_cancelled_at_the_backend_server(self) -> None:
+        async with running_pool(statement_time_ms=2_000) as (_, entry):
+            message = entry.make("SELECT 1", mode=AccessMode.READ)
+            await entry.link.send(message)
+            await asyncio.sleep(0.2)
+            await entry.link.send(Cancel(message.request_id))
+            cancelled = await entry.inbox(message.request_id).get()
+            self.assertIs(cancelled.result.outcome, Outcome.UNKNOWN)
+            answer = await entry.collect(message.request_id)
+            self.assertEqual(answer.kinds, "EZ")
+
+    async def test_waiting_request_is_cancelled_as_not_run(self) -> None:
+        async with running_pool(slots=1, statement_time_ms=300) as (_, entry):
+            first = entry.make("SELECT 1", mode=AccessMode.READ)
+            second = entry.make(TABLE)
+            await entry.link.send(first)
+            await asyncio.sleep(0.05)
+            await entry.link.send(second)
+            await entry.link.send(Cancel(second.request_id))
+            answer = await entry.collect(second.request_id)
+            self.assertIs(answer.result.outcome, Outcome.NOT_RUN)
+            self.assertTrue((await entry.collect(first.request_id)).result.is_ok)
+            self.assertTrue((await entry.run(TABLE)).result.is_ok)
+
+    async def test_request_that_outlasts_its_deadline_is_answered_in_time(self) -> None:
+        async with running_pool(statement_time_ms=5_000) as (pool, entry):
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            answer = await entry.run(TABLE, remaining_ms=200)
+            self.assertLess(loop.time() - started, 0.5)
+            self.assertEqual(answer.result.code, ResultCode.DEADLINE_PASSED)
+            self.assertIs(answer.result.outcome, Outcome.UNKNOWN)
+            await asyncio.sleep(0.2)
+            self.assertEqual(pool.backends.tasks()[0].busy_slots, 0)
+
+
+class StandInBackends:
+    def __init__(self) -> None:
+        self.asked = []
+
+    def task_for(self, message):
+        self.asked.append(message.request_id)
+        return unknown_backend(message)
+
+    def tasks(self):
+        return ()
+
+
+class PausedPoolTest(unittest.TestCase):
+    def test_requests_queued_during_a_pause_are_not_run(self) -> None:
+        clock = ManualClock()
+        backends = StandInBackends()
+        dispatcher = Dispatcher(HOST, Incarnation(1), None, backends, clock)
+        message = make_execute(1, Incarnation(1), TABLE)
+        clock.advance(milliseconds(3_000))
+        dispatcher.receive(Received(PeerId(b"p"), message))
+        self.assertEqual(backends.asked, [])
+        _, answer = dispatcher.next_unsent()
+        self.assertIsInstance(answer, AnswerEnd)
+        self.assertIs(answer.result.outcome, Outcome.NOT_RUN)
+
+    def test_reconnected_entry_keeps_its_name(self) -> None:
+        clock = ManualClock()
+        dispatcher = Dispatcher(HOST, Incarnation(1), None, StandInBackends(), clock)
+        for peer in (b"one", b"two"):
+            heartbeat = EntryHeartbeat(HostId("e"), Incarnation(5))
+            dispatcher.receive(Received(PeerId(peer), heartbeat))
+        self.assertEqual(dispatcher.entries.hear(PeerId(b"two"), clock.now()), b"one")
+        self.assertEqual(dispatcher.entries.address_of(PeerId(b"one")), b"two")
--- /dev/null
+++ b/tests/pool/test_idempotency.py
@@ -0,0 +1,77 @@
+import unittest
+
+from hickorywind.pool.backendconnection import error_field
+from hickorywind.results import ResultCode
+from tests.pool import extended
+from tests.pool.harness import running_pool
+
+TABLE = "CREATE TABLE t (id int primary key, v text)"
+INSERT = "INSERT INTO t VALUES (1, 'a')"
+
+
+class KeyedWriteTest(unittest.IsolatedAsyncioTestCase):
+    async def test_second_run_under_a_key_answers_the_first(self) -> None:
+        async with running_pool() as (_, entry):
+            await entry.run(TABLE)
+            add = "INSERT INTO t SELECT count(*) + 1, 'a' FROM t"
+            first = await entry.run(add, idempotency_key="k'1")
+            self.assertEqual(first.result.code, ResultCode.OK)
+            second = await entry.run(add, idempotency_key="k'1")
+            self.assertEqual(second.result.code, ResultCode.ALREADY_RAN)
+            self.assertEqual(second.frames, first.frames)
+            self.assertTrue(second.end.position.contains(first.end.position))
+            self.assertEqual((await entry.run("SELECT count(*) FROM t")).rows, ["1"])
+
+    async def test_extended_protocol_is_replayed_message_by_message(self) -> None:
+        async with running_pool() as (_, entry):
+            await entry.run(TABLE)
+            batch = extended.parse("", "INSERT INTO t VALUES ($1, 'a')") + extended.bind("", ("1",))
+            batch += extended.describe() + extended.execute() + extended.SYNC
+            first = await entry.run(batch, idempotency_key="k")
+            self.assertEqual(first.kinds, "12nCZ")
+            second = await entry.run(batch, idempotency_key="k")
+            self.assertEqual(second.frames, first.frames)
+
+    async def test_business_error_is_relayed_and_leaves_the_key_free(self) -> None:
+        async with running_pool() as (_, entry):
+            await entry.run(TABLE)
+            await entry.run(INSERT)
+            failed = await entry.run(INSERT, idempotency_key="k")
+            self.assertEqual(failed.kinds, "EZ")
+            self.assertEqual(error_field(failed.frames[0], b"C"), "23505")
+            self.assertEqual(failed.result.code, ResultCode.OK)
+            again = await entry.run("INSERT INTO t VALUES (2, 'b')", idempotency_key="k")
+            self.assertEqual((again.kinds, again.result.code), ("CZ", ResultCode.OK))
+
+    async def test_concurrent_runs_under_a_key_run_once(self) -> None:
+        async with running_pool() as (_, entry):
+            await entry.run(TABLE)
+            add = "INSERT INTO t SELECT count(*) + 1, 'a' FROM t"
+            messages = [entry.make(add, idempotency_key="k") for _ in range(3)]
+            for message in messages:
+                await entry.link.send(message)
+            answers = [await entry.collect(message.request_id) for message in messages]
+            codes = sorted(answer.result.code for answer in answers)
+            self.assertEqual(codes, [ResultCode.OK, ResultCode.ALREADY_RAN, ResultCode.ALREADY_RAN])
+            self.assertEqual((await entry.run("SELECT count(*) FROM t")).rows, ["1"])
+
+    async def test_transaction_opened_with_a_key_commits_once(self) -> None:
+        async with running_pool() as (_, entry):
+            await entry.run(TABLE)
+            begun = await entry.run("BEGIN", idempotency_key="k")
+            key = begun.end.transaction_id
+            self.assertEqual(begun.kinds, "CZ")
+            await entry.run(INSERT, transaction_id=key)
+            await entry.run("COMMIT", transaction_id=key)
+            again = await entry.run("BEGIN", idempotency_key="k")
+            self.assertEqual(again.result.code, ResultCode.ALREADY_RAN)
+            self.assertEqual(again.kinds, "EZ")
+            self.assertIsNone(again.end.transaction_id)
+
+    async def test_rolled_back_transaction_leaves_its_key_free(self) -> None:
+        async with running_pool() as (_, entry):
+            await entry.run(TABLE)
+            for _ in range(2):
+                begun = await entry.run("BEGIN", idempotency_key="k")
+                self.assertEqual((begun.kinds, begun.result.code), ("CZ", ResultCode.OK))
+                await entry.run("ROLLBACK", transaction_id=begun.end.transaction_id)
--- /dev/null
+++ b/tests/pool/test_reads.py
@@ -0,0 +1,138 @@
+import asyncio
+import unittest
+
+from hickorywind.ids import AccessMode, BackendId, LogPosition, SessionId, Term
+from hickorywind.results import Outcome, ResultCode
+from tests.pool.harness import running_pool
+
+TABLE = "CREATE TABLE t (id int primary key, v text)"
+READ = "SELECT count(*) FROM t"
+AT_REPLICA = {"backend": BackendId("b1"), "mode": AccessMode.READ}
+
+
+async def hold_back(pool, index: int) -> None:
+    """Stop a replica from applying."""
+    pool.group.servers[index].instance.apply_lag_ms = 60_000
+
+
+async def let_apply(pool, index: int) -> None:
+    pool.group.servers[index].instance.apply_lag_ms = 0
+    pool.group.servers[index].instance.signal.notify()
+
+
+class ReplicaReadTest(unittest.IsolatedAsyncioTestCase):
+    async def test_replica_waits_for_the_floor(self) -> None:
+        async with running_pool(count=3) as (pool, entry):
+            await entry.run(TABLE)
+            await entry.run(READ, **AT_REPLICA)
+            await hold_back(pool, 1)
+            written = await entry.run("INSERT INTO t VALUES (1, 'a')")
+            asyncio.get_running_loop().call_later(
+                0.1, lambda: asyncio.ensure_future(let_apply(pool, 1))
+            )
+            read = await entry.run(READ, floor=written.end.position, **AT_REPLICA)
+            self.assertEqual(read.rows, ["1"])
+            self.assertTrue(read.end.position.contains(written.end.position))
+
+    async def test_replica_behind_the_floor_is_refused_as_not_run(self) -> None:
+        async with running_pool(count=3) as (pool, entry):
+            await entry.run(TABLE)
+            await hold_back(pool, 1)
+            written = await entry.run("INSERT INTO t VALUES (1, 'a')")
+            read = await entry.run(READ, floor=written.end.position, **AT_REPLICA)
+            self.assertEqual(read.result.code, ResultCode.REPLICA_BEHIND)
+            self.assertIs(read.result.outcome, Outcome.NOT_RUN)
+            self.assertIsNotNone(read.result.retry_after_ms)
+
+    async def test_bounded_read_sees_every_write_older_than_its_bound(self) -> None:
+        async with running_pool(count=3) as (pool, entry):
+            await entry.run(TABLE)
+            await entry.run("INSERT INTO t VALUES (1, 'a')")
+            read = await entry.run(READ, max_staleness_ms=0, **AT_REPLICA)
+            self.assertEqual(read.rows, ["1"])
+            await hold_back(pool, 1)
+            await entry.run("INSERT INTO t VALUES (2, 'b')")
+            stale = await entry.run(READ, max_staleness_ms=0, **AT_REPLICA)
+            self.assertEqual(stale.result.code, ResultCode.TOO_STALE)
+            old_enough = await entry.run(READ, max_staleness_ms=60_000, **AT_REPLICA)
+            self.assertEqual(old_enough.rows, ["1"])
+
+    async def test_bounded_reads_are_refused_once_the_primary_is_silent(self) -> None:
+        async with running_pool(count=3) as (pool, entry):
+            await entry.run(TABLE)
+            fresh = await entry.run(READ, max_staleness_ms=300, **AT_REPLICA)
+            self.assertTrue(fresh.result.is_ok)
+            await pool.group.servers[0].close()
+            await asyncio.sleep(0.4)
+            stale = await entry.run(READ, max_staleness_ms=300, **AT_REPLICA)
+            self.assertEqual(stale.result.code, ResultCode.TOO_STALE)
+            unbounded = await entry.run(READ, **AT_REPLICA)
+            self.assertEqual(unbounded.rows, ["0"])
+
+    async def test_answer_with_a_position_of_a_lost_tail_is_not_served(self) -> None:
+        async with running_pool(count=3) as (_, entry):
+            await entry.run(TABLE)
+            floor = LogPosition(Term(9), 1)
+            read = await entry.run(READ, floor=floor, mode=AccessMode.READ)
+            self.assertFalse(read.result.is_ok)
+            self.assertEqual(read.kinds, "")
+
+
+class CutOffPrimaryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_write_without_a_majority_is_never_acknowledged(self) -> None:
+        async with running_pool(count=3) as (pool, entry):
+            await entry.run(TABLE)
+            for server in pool.group.servers[1:]:
+                await server.close()
+            written = await entry.run("INSERT INTO t VALUES (1, 'a')", remaining_ms=600)
+            self.assertEqual(written.result.code, ResultCode.COMMIT_UNPROVEN)
+            self.assertIs(written.result.outcome, Outcome.UNKNOWN)
+            self.assertEqual(written.kinds, "")
+
+    async def test_read_of_unproved_data_is_not_released(self) -> None:
+        async with running_pool(count=3) as (pool, entry):
+            await entry.run(TABLE)
+            for server in pool.group.servers[1:]:
+                await server.close()
+            await entry.run("INSERT INTO t VALUES (1, 'a')", remaining_ms=300)
+            read = await entry.run(READ, mode=AccessMode.READ, remaining_ms=600)
+            self.assertEqual(read.result.code, ResultCode.COMMIT_UNPROVEN)
+            self.assertTrue(read.result.retry_allowed)
+
+    async def test_bounded_read_at_a_primary_without_majority_is_refused(self) -> None:
+        async with running_pool(count=3) as (pool, entry):
+            await entry.run(TABLE)
+            bounded = {"mode": AccessMode.READ, "max_staleness_ms": 200}
+            self.assertTrue((await entry.run(READ, **bounded)).result.is_ok)
+            for server in pool.group.servers[1:]:
+                await server.close()
+            await asyncio.sleep(0.5)
+            read = await entry.run(READ, remaining_ms=500, **bounded)
+            self.assertEqual(read.result.code, ResultCode.COMMIT_UNPROVEN)
+
+    async def test_write_of_a_primary_replaced_before_the_proof_is_unknown(self) -> None:
+        async with running_pool(count=3) as (pool, entry):
+            await entry.run(TABLE)
+            for server in pool.group.servers[1:]:
+                server.instance.member.ship_lag_ms = 60_000
+            await asyncio.sleep(0.2)
+            message = entry.make("INSERT INTO t VALUES (1, 'a')")
+            await entry.link.send(message)
+            await asyncio.sleep(0.1)
+            pool.group.servers[0].instance.member.accept_term(Term(5), "other", 0)
+            answer = await entry.collect(message.request_id)
+            self.assertEqual(answer.result.code, ResultCode.COMMIT_UNPROVEN)
+            self.assertIs(answer.result.outcome, Outcome.UNKNOWN)
+
+    async def test_transactions_of_other_sessions_do_not_see_unproved_acks(self) -> None:
+        async with running_pool(count=3) as (_, entry):
+            await entry.run(TABLE)
+            messages = [
+                entry.make(f"INSERT INTO t VALUES ({n}, 'a')", session_id=SessionId(f"s{n}"))
+                for n in range(20)
+            ]
+            for message in messages:
+                await entry.link.send(message)
+            answers = [await entry.collect(message.request_id) for message in messages]
+            self.assertTrue(all(answer.result.is_ok for answer in answers))
+            self.assertEqual((await entry.run(READ)).rows, ["20"])
