Move the wording of verdicts out of the acceptance decision

Cause: acceptance.py had grown to 281 lines with two jobs. Change: ui/explaining.py turns a verdict into the operator's error. Conclusion: the tests of configuration and ui pass.

--- a/hickorywind/configuration/acceptance.py
+++ b/hickorywind/configuration/acceptance.py
@@ -245,37 +245,3 @@
     def _give_up(self, current: StoredEnvelope | None) -> Finished:
         verdict = Verdict.UNKNOWN if self._in_doubt else Verdict.UNAVAILABLE
         return Finished(verdict, NOTHING_STORED, current)
-
-
-def explain(finished: Finished, proposal: Proposal) -> UserError | None:
-    """Return the error that an operator sees, or None where the change was accepted."""
-    match finished.verdict:
-        case Verdict.ACCEPTED | Verdict.SUPERSEDED:
-            return None
-        case Verdict.CONFLICT:
-            return UserError(ResultCode.CONFIG_CONFLICT, _explain_conflict(finished, proposal))
-        case Verdict.UNAVAILABLE:
-            return UserError(
-                ResultCode.STORE_UNAVAILABLE,
-                "the store did not answer; nothing was changed, apply again later",
-            )
-        case Verdict.UNKNOWN:
-            return UserError(
-                ResultCode.STORE_OUTCOME_UNKNOWN,
-                f"the store's answer was lost; change {proposal.change_id} may have taken effect,"
-                f" find out by applying again with --change-id {proposal.change_id}",
-            )
-
-
-def _explain_conflict(finished: Finished, proposal: Proposal) -> str:
-    reviewed = proposal.reviewed_revision
-    if finished.current is None:
-        return f"not applied: revision {reviewed} was reviewed, but the store holds none"
-    other = finished.current.envelope
-    if other.change_id == proposal.change_id:
-        return f"not applied: change id {other.change_id} already stands for another document"
-    return (
-        f"not applied: revision {reviewed} was reviewed, but revision {finished.revision} is"
-        f" current, change {other.change_id} by {other.author} ({other.note});"
-        " review the difference and apply again"
-    )
--- a/hickorywind/ui/storecommands.py
+++ b/hickorywind/ui/storecommands.py
@@ -17,7 +17,6 @@
     Proposal,
     StoredEnvelope,
     Verdict,
-    explain,
 )
 from hickorywind.configuration.history import HistoryEntry
 from hickorywind.configuration.printing import format_document
@@ -28,6 +27,7 @@
 from hickorywind.ui.console import Console
 from hickorywind.ui.documents import read_document
 from hickorywind.ui.exits import ExitCode
+from hickorywind.ui.explaining import explain
 from hickorywind.ui.options import add_command, add_store_options, to_revision
 from hickorywind.ui.reaching import open_store
 
--- a/tests/ui/test_applying.py
+++ b/tests/ui/test_applying.py
@@ -8,12 +8,12 @@
     Proposal,
     Verdict,
     decode_envelope,
-    explain,
 )
 from hickorywind.configuration.history import ENTRY_LIMIT
 from hickorywind.ids import Revision
 from hickorywind.results import ResultCode
 from hickorywind.ui.applying import Applier, read_current, read_history
+from hickorywind.ui.explaining import explain
 from tests.configuration.samples import make_configuration
 from tests.ui.fakes import FakeStore
 
