Keep cancellations that meet the event waited for

Cause: asyncio.wait_for of Python 3.11 drops a cancellation that arrives just after the inner task ended. A pusher then ran on and close() of a stand-in waited for it forever (seen as a hang of the test run, 1 in 4). Ruled out: a stuck sqlite thread (the dump shows all worker threads idle). Change: asyncio.timeout in the stand-ins and in EtcdStore. A wait for a commit ends with its session.

--- a/hickorywind/store/etcd.py
+++ b/hickorywind/store/etcd.py
@@ -133,14 +133,16 @@
 
     async def _read(self, call: Awaitable[Any]) -> Any:
         try:
-            return await asyncio.wait_for(_translate(call), self._timeout_s + _GRACE_S)
+            async with asyncio.timeout(self._timeout_s + _GRACE_S):
+                return await _translate(call)
         except TimeoutError as error:
             raise StoreUnavailableError("the store did not answer in time") from error
 
     async def close(self) -> None:
         """Release the connection."""
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._channel.close(), self._timeout_s)
+            async with asyncio.timeout(self._timeout_s):
+                await self._channel.close()
 
 
 async def _translate(call: Awaitable[Any]) -> Any:
--- a/standins/backend/control.py
+++ b/standins/backend/control.py
@@ -37,6 +37,11 @@
         texts = [t.text for t in tokenize(match.group(2)) if t.kind not in ("space", "cast")]
         return cls(match.group(1).lower(), tuple(text for text in texts if text != ","))
 
+    @property
+    def only_waits(self) -> bool:
+        """Tell whether the call may be given up halfway."""
+        return self.name == "platform_wait_committed"
+
     def values(self, parameters: Sequence[SqlValue]) -> list[SqlValue]:
         """Evaluate the arguments, which are literals or parameters."""
         return [self._value(text, parameters) for text in self.arguments]
--- a/standins/backend/executor.py
+++ b/standins/backend/executor.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import re
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
 from dataclasses import dataclass, field
+from typing import Any, TypeVar
 
 from pygwire import TransactionStatus
 
@@ -28,6 +29,7 @@
 from standins.backend.sql import Kind, ParsedStatement
 from standins.backend.types import TEXT, Column
 
+_T = TypeVar("_T")
 _RAISE = re.compile(r"raise\s+(notice|warning)\s+'([^']*)'", re.I)
 _SETTINGS = {"server_version": SERVER_VERSION, "client_encoding": "UTF8", "timezone": "UTC"}
 _SETTINGS |= {"standard_conforming_strings": "on", "transaction_isolation": "read committed"}
@@ -285,7 +287,8 @@
     async def _read(self, statement: ParsedStatement, parameters: Sequence[SqlValue]) -> Answer:
         call = ControlCall.from_statement(statement)
         if call is not None:
-            value = await run_control_call(self._instance, call, parameters)
+            running = run_control_call(self._instance, call, parameters)
+            value = await (self._unless_cancelled(running) if call.only_waits else running)
             return Answer("SELECT 1", [(value,)])
         rows = await self._run(statement, parameters)
         return Answer(statement.tag(len(rows.rows)), rows.rows)
@@ -328,7 +331,8 @@
         if duration_s <= 0:
             return
         try:
-            await asyncio.wait_for(self._cancelled.wait(), duration_s)
+            async with asyncio.timeout(duration_s):
+                await self._cancelled.wait()
         except TimeoutError:
             return
         raise SqlError(QUERY_CANCELED, "canceling statement due to user request")
@@ -338,11 +342,18 @@
         if not lock.locked():
             await lock.acquire()
             return
-        acquiring = asyncio.ensure_future(lock.acquire())
+        await self._unless_cancelled(lock.acquire())
+
+    async def _unless_cancelled(self, waiting: Coroutine[Any, Any, _T]) -> _T:
+        """Await something that is safe to give up; raise ``SqlError`` when cancelled meanwhile."""
+        task = asyncio.ensure_future(waiting)
         cancelling = asyncio.ensure_future(self._cancelled.wait())
-        await asyncio.wait({acquiring, cancelling}, return_when=asyncio.FIRST_COMPLETED)
-        cancelling.cancel()
-        if acquiring.done():
-            return
-        acquiring.cancel()
+        try:
+            await asyncio.wait({task, cancelling}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            cancelling.cancel()
+            if not task.done():
+                task.cancel()
+        if task.done():
+            return task.result()
         raise SqlError(QUERY_CANCELED, "canceling statement due to user request")
--- a/standins/backend/replication.py
+++ b/standins/backend/replication.py
@@ -38,7 +38,8 @@
 async def wait_at_most(event: asyncio.Event, timeout_s: float) -> None:
     """Wait for an event or until the time is over."""
     with contextlib.suppress(TimeoutError):
-        await asyncio.wait_for(event.wait(), timeout_s)
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
 
 
 async def _read_message(reader: asyncio.StreamReader, kind: type) -> msgspec.Struct:
@@ -92,7 +93,8 @@
 
     async def _try_exchange(self) -> bool:
         try:
-            await asyncio.wait_for(self._exchange(), _ANSWER_TIMEOUT_S)
+            async with asyncio.timeout(_ANSWER_TIMEOUT_S):
+                await self._exchange()
             return True
         except (OSError, TimeoutError, asyncio.IncompleteReadError, msgspec.DecodeError):
             self._disconnect()
--- /dev/null
+++ b/tests/standins/test_replication.py
@@ -0,0 +1,29 @@
+import asyncio
+import unittest
+
+from standins.backend.replication import Signal, wait_at_most
+
+
+class WaitTest(unittest.IsolatedAsyncioTestCase):
+    async def test_cancel_is_kept_whenever_it_meets_the_event(self):
+        for steps_between in range(5):
+            signal = Signal()
+            done = asyncio.Event()
+
+            async def loop_forever(signal=signal, done=done):
+                while not done.is_set():
+                    await wait_at_most(signal.current(), 60)
+
+            task = asyncio.create_task(loop_forever())
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            signal.notify()
+            for _ in range(steps_between):
+                await asyncio.sleep(0)
+            task.cancel()
+            await asyncio.wait({task}, timeout=0.2)
+            kept = task.cancelled()
+            done.set()
+            signal.notify()
+            await asyncio.wait({task}, timeout=1)
+            self.assertTrue(kept, f"cancel lost {steps_between} steps after the event")
