--- a/hickorywind/failover/election.py
+++ b/hickorywind/failover/election.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -29,6 +29,9 @@
     term: Term
     backends: Sequence[BackendId]
     deadline: Instant
+    min_silence: timedelta
+    avoided: BackendId | None
+    is_repeated: bool = False
     accepted: dict[BackendId, BackendStatus] = field(default_factory=dict)
     refused: set[BackendId] = field(default_factory=set)
     decide_at: Instant | None = None
@@ -77,11 +80,17 @@
         seen_term: Term,
         backends: Sequence[BackendId],
         min_silence: timedelta,
+        avoided: BackendId | None = None,
     ) -> Iterator[Action]:
-        """Ask all instances to accept a term above every one seen or proposed so far."""
+        """Ask all instances to accept a term above every one seen or proposed so far.
+
+        ``avoided`` names the primary to replace: it may be cut off, and is not promoted again
+        where the others alone are a majority.
+        """
         term = Term(max(seen_term, self._last_term) + 1)
         self._last_term = term
-        self._phase = _Accepting(term, backends, now + self._policy.attempt_timeout)
+        deadline = now + self._policy.attempt_timeout
+        self._phase = _Accepting(term, backends, deadline, min_silence, avoided)
         for backend in backends:
             yield AcceptTerm(backend, term, self._proposer, min_silence)
 
@@ -94,6 +103,7 @@
             return
         if isinstance(answer, BackendStatus) and answer.term == term:
             phase.accepted[backend] = answer
+            phase.refused.discard(backend)
         else:
             phase.refused.add(backend)
         yield from self._count(now, phase)
@@ -107,10 +117,24 @@
             return
         if phase.decide_at is None:
             phase.decide_at = now + _GRACE
-        is_complete = len(phase.accepted) + len(phase.refused) == len(phase.backends)
-        is_leaving = any(status.leaving for status in phase.accepted.values())
-        if is_complete or not is_leaving or now >= phase.decide_at:
-            yield from self._promote(now, choose_successor(phase.accepted, majority))
+        preferred = preferred_majority(phase.accepted, majority, phase.avoided)
+        if preferred is not None:
+            yield from self._promote(now, choose_successor(preferred, phase.backends))
+        elif len(phase.accepted) + len(phase.refused) == len(phase.backends):
+            yield from self._promote(now, choose_successor(phase.accepted, phase.backends))
+        elif now >= phase.decide_at:
+            yield from self._end_grace(now, phase)
+
+    def _end_grace(self, now: Instant, phase: _Accepting) -> Iterator[Action]:
+        """Ask once more those that did not answer, then make do with what there is."""
+        if phase.is_repeated:
+            yield from self._promote(now, choose_successor(phase.accepted, phase.backends))
+            return
+        phase.is_repeated = True
+        phase.decide_at = now + _GRACE
+        for backend in phase.backends:
+            if backend not in phase.accepted and backend not in phase.refused:
+                yield AcceptTerm(backend, phase.term, self._proposer, phase.min_silence)
 
     def _promote(self, now: Instant, backend: BackendId) -> Iterator[Action]:
         phase = _Promoting(self._last_term, backend, now + self._policy.promote_timeout)
@@ -160,11 +184,24 @@
     return status.role is InstanceRole.PRIMARY and status.term == term
 
 
-def choose_successor(accepted: dict[BackendId, BackendStatus], majority: int) -> BackendId:
-    """Return the instance with the greatest log among a majority that accepted a term.
+def preferred_majority(
+    accepted: Mapping[BackendId, BackendStatus], majority: int, avoided: BackendId | None
+) -> Mapping[BackendId, BackendStatus] | None:
+    """Return those that accepted without the avoided and the leaving ones, if a majority."""
+    preferred = {
+        backend: status
+        for backend, status in accepted.items()
+        if backend != avoided and not status.leaving
+    }
+    return preferred if len(preferred) >= majority else None
+
+
+def choose_successor(
+    accepted: Mapping[BackendId, BackendStatus], backends: Sequence[BackendId]
+) -> BackendId:
+    """Return the instance with the greatest log of a majority that accepted a term.
 
-    Instances that are leaving are passed over where the others alone are a majority.
+    Of equal ones the first in the order of the configuration is taken.
     """
-    staying = {backend: status for backend, status in accepted.items() if not status.leaving}
-    candidates = staying if len(staying) >= majority else accepted
-    return max(candidates, key=lambda backend: (candidates[backend].received, backend))
+    in_order = [backend for backend in backends if backend in accepted]
+    return max(in_order, key=lambda backend: accepted[backend].received)
--- a/hickorywind/failover/group.py
+++ b/hickorywind/failover/group.py
@@ -159,7 +159,9 @@
         self._lost_at = now - milliseconds(min(silences)) if silences else None
         known = self.group_record.term if self.group_record is not None else Term(0)
         seen_term = Term(max(known, self._view.highest_term))
-        yield from self._election.start(now, seen_term, self._view.backends, min_silence)
+        yield from self._election.start(
+            now, seen_term, self._view.backends, min_silence, avoided=self._view.primary
+        )
 
     def _wanted_min_silence(self, now: Instant) -> timedelta | None:
         """Return the silence an instance must confirm before it accepts; None for no attempt."""
@@ -169,7 +171,7 @@
             case MajoritySilence():
                 threshold = self._threshold(now, self._policy.trigger)
                 is_silent = len(self._view.silent(now, threshold)) >= self._view.majority
-                return self._policy.trigger.threshold if is_silent else None
+                return self._policy.trigger.confirmed if is_silent else None
             case FixedTimeout(timeout):
                 return _NO_SILENCE if self._is_unreached(now, timeout) else None
 
--- a/hickorywind/failover/policy.py
+++ b/hickorywind/failover/policy.py
@@ -12,10 +12,13 @@
 class MajoritySilence:
     """Promote once a majority of the instances has not heard from the primary for a while.
 
-    While a promotion is younger than the policy's rest, ``resting_threshold`` applies.
+    While a promotion is younger than the policy's rest, ``resting_threshold`` applies. Instances
+    are asked to confirm ``confirmed``, which is less: the silences that they see begin at
+    different instants, and a lone refusal would waste the attempt.
     """
 
     threshold: timedelta = milliseconds(300)
+    confirmed: timedelta = milliseconds(200)
     resting_threshold: timedelta = milliseconds(1000)
 
 
