--- a/hickorywind/settings/template.py
+++ b/hickorywind/settings/template.py
@@ -27,12 +27,27 @@
     level: str = "info"
 
 
+class ReadRouting(Enum):
+    """Choose where reads run; the primary alone is a baseline for measurements."""
+
+    REPLICAS = "replicas"
+    PRIMARY = "primary"
+
+
+class QueueOrder(Enum):
+    """Choose the order of a backend server's queue; FIFO is a baseline for measurements."""
+
+    RANKED = "ranked"
+    FIFO = "fifo"
+
+
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Configure the entry role; ``users_file`` names a YAML map of caller names to passwords."""
 
     listen: str
     users_file: str | None = None
     drain_timeout_ms: int = 10_000
+    read_routing: ReadRouting = ReadRouting.REPLICAS
 
 
 class PoolSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -42,6 +57,7 @@
     backend_user: str = "hickorywind"
     backend_password_file: str | None = None
     drain_timeout_ms: int = 10_000
+    queue_order: QueueOrder = QueueOrder.RANKED
 
 
 class ControllerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -48,6 +48,15 @@
     replication_relays: bool = False
 
 
+@dataclass(frozen=True)
+class DaemonVariant:
+    """Choose plainer policies in the daemons, as baselines for measurements."""
+
+    reads_at_primary: bool = False
+    fifo_queue: bool = False
+    fixed_failover_timeout_ms: int | None = None
+
+
 @dataclass(frozen=True)
 class HostAddresses:
     """Name one entry host's zone and the addresses of its three processes."""
@@ -103,6 +112,7 @@
     store_address: Address
     processes: dict[str, ManagedProcess] = field(default_factory=dict)
     relay_control: Address | None = None
+    variant: DaemonVariant = DaemonVariant()
 
     @classmethod
     def from_script(
@@ -112,6 +122,7 @@
         hosts_per_zone: int = 1,
         faults: Faults | None = None,
         rng: random.Random | None = None,
+        variant: DaemonVariant | None = None,
     ) -> Cluster:
         """Lay out a site; start nothing yet."""
         rng = rng or random.Random(os.getpid())
@@ -124,6 +135,7 @@
         ports = PortSource(rng, 400)
         hosts = tuple(_lay_out_hosts(configuration, hosts_per_zone, ports))
         cluster = cls(folder, configuration, document_path, hosts, ports.next_address())
+        cluster.variant = variant or DaemonVariant()
         cluster._add_store()
         cluster._add_backends(faults or Faults(), ports)
         cluster._add_daemons()
@@ -220,12 +232,19 @@
             "region": regions[host.availability_zone],
             "role": role.value,
             "controllers": [str(host.controller), *others],
-            "entry": {"listen": str(host.entry)},
-            "pool": {"listen": str(host.pool)},
+            "entry": {
+                "listen": str(host.entry),
+                "read_routing": "primary" if self.variant.reads_at_primary else "replicas",
+            },
+            "pool": {
+                "listen": str(host.pool),
+                "queue_order": "fifo" if self.variant.fifo_queue else "ranked",
+            },
             "controller": {
                 "listen": str(host.controller),
                 "seeds": others,
                 "store": str(self.store_address),
+                "fixed_failover_timeout_ms": self.variant.fixed_failover_timeout_ms,
             },
             "metrics_listen": str(host.metrics[role]),
         }
