Keep floors in full queues and add FIFO order, gauges and announced drains

A pool that stopped could close while entries did not yet know that it drains.

Ruled out: dropping the common bound, which bounds the memory of a backend server's queue.

Change: a rank below its floor's share of the room may always wait; debt is bounded by one service time; queue_order fifo selects the baseline; metrics of queues; a draining pool tells its entries and waits until they have heard.

--- a/hickorywind/admission/credits.py
+++ b/hickorywind/admission/credits.py
@@ -14,7 +14,6 @@
 
 _NOTHING = timedelta(0)
 _CREDIT_CAP = timedelta(seconds=1)
-_DEBT_CAP = timedelta(milliseconds=50)
 
 
 class FloorCredits:
@@ -31,9 +30,13 @@
                 earned = self._credits[rank] + served * self._floors.get(rank, 0.0)
                 self._credits[rank] = min(earned, _CREDIT_CAP)
 
-    def charge(self, rank: Rank, served: timedelta) -> None:
-        """Charge a rank with slot time; negative time gives back what was charged too much."""
-        self._credits[rank] = max(self._credits[rank] - served, -max(_DEBT_CAP, served))
+    def charge(self, rank: Rank, served: timedelta, debt_limit: timedelta) -> None:
+        """Charge a rank with slot time; negative time gives back what was charged too much.
+
+        Slot time that nobody else wanted makes no debt beyond ``debt_limit``.
+        """
+        held = self._credits[rank]
+        self._credits[rank] = max(held - served, min(held, -debt_limit))
 
     def forfeit(self, rank: Rank) -> None:
         """Take away unused credit of a rank that has no more waiting work."""
--- /dev/null
+++ b/hickorywind/admission/fifo.py
@@ -0,0 +1,105 @@
+"""Order the work of one backend server by arrival alone: the baseline for measurements."""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable, Hashable, Sequence
+
+from hickorywind.admission.refusals import drain_hint_ms, refuse_expired, refuse_full
+from hickorywind.admission.requests import Action, Refuse, Start, WaitingRequest
+from hickorywind.admission.scheduler import AdmissionPolicy
+from hickorywind.ids import Rank
+from hickorywind.results import Result
+from hickorywind.util.clock import Instant, milliseconds
+
+_HINT = milliseconds(100)
+
+
+class FifoQueue:
+    """Offer the interface of ``AdmissionQueue`` without ranks, floors and shedding at arrival."""
+
+    def __init__(self, policy: AdmissionPolicy, rng: random.Random) -> None:
+        self._slots = policy.slots
+        self._limit = sum(rank.queue_limit for rank in policy.ranks)
+        self._limit_bytes = sum(rank.queue_limit_bytes for rank in policy.ranks)
+        self._rng = rng
+        self._waiting: OrderedDict[Hashable, WaitingRequest] = OrderedDict()
+        self._waiting_bytes = 0
+        self._running: set[Hashable] = set()
+
+    def arrive(self, request: WaitingRequest, now: Instant) -> Sequence[Action]:
+        """Take in a request: start it, queue it or refuse it."""
+        if request.deadline <= now:
+            return (refuse_expired(request),)
+        if request.in_transaction:
+            self._running.add(request.key)
+            return (Start(request),)
+        is_full = len(self._waiting) >= self._limit
+        if is_full or self._waiting_bytes + request.size_bytes > self._limit_bytes:
+            return (refuse_full(request, drain_hint_ms(_HINT, self._rng)),)
+        self._waiting[request.key] = request
+        self._waiting_bytes += request.size_bytes
+        return self._fill_slots(now)
+
+    def finish(self, key: Hashable, now: Instant) -> Sequence[Action]:
+        """Free the slot of a started request."""
+        self._running.remove(key)
+        return self._fill_slots(now)
+
+    def withdraw(self, key: Hashable, now: Instant) -> bool:
+        """Remove a waiting request; return False where it does not wait (any more)."""
+        request = self._waiting.pop(key, None)
+        if request is not None:
+            self._waiting_bytes -= request.size_bytes
+        return request is not None
+
+    def expire(self, now: Instant) -> Sequence[Action]:
+        """Refuse the waiting requests whose deadline has passed."""
+        late = [request for request in self._waiting.values() if request.deadline <= now]
+        for request in late:
+            self.withdraw(request.key, now)
+        return [refuse_expired(request) for request in late]
+
+    def refuse_all(self, make_refusal: Callable[[WaitingRequest], Result]) -> Sequence[Action]:
+        """Empty the queue; ``make_refusal`` builds the result for each request."""
+        waiting = tuple(self._waiting.values())
+        self._waiting.clear()
+        self._waiting_bytes = 0
+        return [Refuse(request, make_refusal(request)) for request in waiting]
+
+    @property
+    def waiting_count(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    @property
+    def running_count(self) -> int:
+        """Return how many slots are held."""
+        return len(self._running)
+
+    def waiting_by_rank(self) -> dict[Rank, int]:
+        """Return how many requests of each rank wait."""
+        counts = dict.fromkeys(Rank, 0)
+        for request in self._waiting.values():
+            counts[request.rank] += 1
+        return counts
+
+    def waiting_bytes_by_rank(self) -> dict[Rank, int]:
+        """Return the size of the waiting requests of each rank."""
+        sizes = dict.fromkeys(Rank, 0)
+        for request in self._waiting.values():
+            sizes[request.rank] += request.size_bytes
+        return sizes
+
+    def _fill_slots(self, now: Instant) -> list[Action]:
+        actions: list[Action] = []
+        while self._waiting and len(self._running) < self._slots:
+            _, request = self._waiting.popitem(last=False)
+            self._waiting_bytes -= request.size_bytes
+            if request.deadline <= now:
+                actions.append(refuse_expired(request))
+            else:
+                self._running.add(request.key)
+                actions.append(Start(request))
+        return actions
--- a/hickorywind/admission/scheduler.py
+++ b/hickorywind/admission/scheduler.py
@@ -5,7 +5,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Hashable, Iterable, Sequence
+from collections.abc import Callable, Hashable, Iterable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -22,6 +22,7 @@
 from hickorywind.admission.requests import Action, Refuse, Start, WaitingRequest
 from hickorywind.configuration.model import RankPolicy, Service
 from hickorywind.ids import RANKS_BY_URGENCY, Rank, SessionId
+from hickorywind.results import Result
 from hickorywind.util.clock import Instant
 
 _URGENT_WINDOW = timedelta(seconds=1)
@@ -44,7 +45,9 @@
     @classmethod
     def from_service(cls, service: Service, slots: int) -> AdmissionPolicy:
         """Build the policy of a backend server with ``slots`` from its service."""
-        return cls(slots, service.ranks, service.transactions.per_session_requests)
+        named = {policy.rank: policy for policy in service.ranks}
+        ranks = tuple(named.get(rank, RankPolicy(rank, 0)) for rank in RANKS_BY_URGENCY)
+        return cls(slots, ranks, service.transactions.per_session_requests)
 
 
 @dataclass(slots=True)
@@ -100,7 +103,7 @@
         running = self._running.pop(key)
         request = running.request
         duration = now - running.started
-        self._credits.charge(request.rank, duration - running.charged)
+        self._charge(request.rank, duration - running.charged)
         self._times.observe(request.rank, duration)
         self._running_by_rank[request.rank] -= 1
         self._release_session(request.session)
@@ -125,7 +128,7 @@
             refused.extend(self._expire_one(key, now))
         return refused
 
-    def refuse_all(self, make_refusal) -> Sequence[Action]:
+    def refuse_all(self, make_refusal: Callable[[WaitingRequest], Result]) -> Sequence[Action]:
         """Empty the queue; ``make_refusal`` builds the result for each request."""
         waiting = [request for queue in self._all_queues() for request in queue]
         for queue in self._all_queues():
@@ -152,11 +155,9 @@
             counts[request.rank] += 1
         return counts
 
-    def next_deadline(self) -> Instant | None:
-        """Return when ``expire`` should be called next."""
-        while self._deadlines and not self._is_waiting(self._deadlines[0][2]):
-            heapq.heappop(self._deadlines)
-        return self._deadlines[0][0] if self._deadlines else None
+    def waiting_bytes_by_rank(self) -> dict[Rank, int]:
+        """Return the size of the waiting requests of each rank."""
+        return {rank: queue.size_bytes for rank, queue in self._queues.items()}
 
     def expected_wait(self, request: WaitingRequest) -> timedelta:
         """Estimate how long a request that arrives now would wait for a slot."""
@@ -185,7 +186,7 @@
         wait = self.expected_wait(request)
         if now + wait + self._times.expected(request.rank) > request.deadline and wait:
             return refuse_late(request, drain_hint_ms(wait, self._rng))
-        if self._is_rank_full(request):
+        if self._is_full_for(request):
             return refuse_full(request, drain_hint_ms(wait, self._rng))
         return None
 
@@ -193,23 +194,31 @@
         waiting = sum(queue.waiting_of(request.session) for queue in self._all_queues())
         return waiting + self._running_by_session.get(request.session, 0)
 
-    def _is_rank_full(self, request: WaitingRequest) -> bool:
-        limits = self._limits.get(request.rank)
-        if limits is None or request.in_transaction:
+    def _is_full_for(self, request: WaitingRequest) -> bool:
+        if request.in_transaction:
             return False
+        limits = self._limits[request.rank]
+        queue = self._queues[request.rank]
+        size_bytes = queue.size_bytes + request.size_bytes
+        if len(queue) >= limits.queue_limit or size_bytes > limits.queue_limit_bytes:
+            return True
+        return self._needs_room(request) and self._eviction_candidate(request) is None
+
+    def _needs_room(self, request: WaitingRequest) -> bool:
+        """Tell whether all ranks together hold so much that one has to go.
+
+        A rank that holds less than its floor's share of the room may always add to it.
+        """
+        limit = max(rank.queue_limit for rank in self._policy.ranks)
+        limit_bytes = max(rank.queue_limit_bytes for rank in self._policy.ranks)
         queue = self._queues[request.rank]
-        too_many = len(queue) >= limits.queue_limit
-        too_large = queue.size_bytes + request.size_bytes > limits.queue_limit_bytes
-        if not too_many and not too_large:
-            return self._is_whole_full(request) and self._eviction_candidate(request) is None
-        return True
-
-    def _is_whole_full(self, request: WaitingRequest) -> bool:
-        limit = max((rank.queue_limit for rank in self._policy.ranks), default=0)
-        limit_bytes = max((rank.queue_limit_bytes for rank in self._policy.ranks), default=0)
-        size = sum(queue.size_bytes for queue in self._queues.values())
+        floor = self._floors.get(request.rank, 0.0)
+        own_bytes = queue.size_bytes + request.size_bytes
+        if len(queue) < floor * limit and own_bytes <= floor * limit_bytes:
+            return False
         count = sum(len(queue) for queue in self._queues.values())
-        return count >= limit or size + request.size_bytes > limit_bytes
+        size_bytes = sum(queue.size_bytes for queue in self._queues.values())
+        return count >= limit or size_bytes + request.size_bytes > limit_bytes
 
     def _eviction_candidate(self, request: WaitingRequest) -> WaitingRequest | None:
         """Pick the youngest request of the least urgent rank that is over its floor's share."""
@@ -224,7 +233,7 @@
 
     def _make_room(self, request: WaitingRequest, now: Instant) -> list[Action]:
         evicted: list[Action] = []
-        while not request.in_transaction and self._is_whole_full(request):
+        while not request.in_transaction and self._needs_room(request):
             victim = self._eviction_candidate(request)
             if victim is None:
                 break
@@ -290,7 +299,7 @@
 
     def _hold_slot(self, request: WaitingRequest, now: Instant) -> None:
         expected = self._times.expected(request.rank)
-        self._credits.charge(request.rank, expected)
+        self._charge(request.rank, expected)
         self._running[request.key] = _Running(request, now, expected)
         self._running_by_rank[request.rank] += 1
         count = self._running_by_session.get(request.session, 0)
@@ -317,7 +326,10 @@
             over = now - running.started - running.charged
             if over > _NOTHING:
                 running.charged += over
-                self._credits.charge(running.request.rank, over)
+                self._charge(running.request.rank, over)
+
+    def _charge(self, rank: Rank, served: timedelta) -> None:
+        self._credits.charge(rank, served, self._times.expected(rank))
 
     def _forfeit_if_idle(self, rank: Rank) -> None:
         if not len(self._queues[rank]):
@@ -345,6 +357,3 @@
 
     def _all_queues(self) -> tuple[RankQueue, ...]:
         return (self._continuing, *self._queues.values())
-
-    def _is_waiting(self, key: Hashable) -> bool:
-        return any(key in queue for queue in self._all_queues())
--- a/hickorywind/pool/backend.py
+++ b/hickorywind/pool/backend.py
@@ -9,11 +9,13 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from hickorywind.admission.fifo import FifoQueue
 from hickorywind.admission.requests import Action, Refuse, Start
 from hickorywind.admission.scheduler import AdmissionPolicy, AdmissionQueue
 from hickorywind.admission.transactions import TransactionTable
 from hickorywind.configuration.model import Instance, Service
 from hickorywind.ids import AccessMode, BackendId, InstanceRole, LogPosition
+from hickorywind.observability.metrics import Metrics
 from hickorywind.pool.backendconnection import (
     BackendConnection,
     ConnectionFailedError,
@@ -32,10 +34,12 @@
 )
 from hickorywind.pool.execution import prove_answer, run_batch
 from hickorywind.pool.freshreads import FreshReads
+from hickorywind.pool.gauges import BackendGauges, Occupancy
 from hickorywind.pool.groupwatch import GroupWatch
 from hickorywind.pool.jobs import Job, JobKey, TransactionKey
 from hickorywind.protocol.messages import TransactionState
 from hickorywind.results import Outcome, Result, ResultCode
+from hickorywind.settings.template import QueueOrder
 from hickorywind.util.clock import Clock, Instant, to_milliseconds
 
 logger = logging.getLogger(__name__)
@@ -58,6 +62,8 @@
     watch: GroupWatch
     find_primary: Callable[[], GroupWatch | None]
     is_leaving: Callable[[], bool]
+    queue_order: QueueOrder = QueueOrder.RANKED
+    metrics: Metrics | None = None
 
 
 class BackendTask:
@@ -75,7 +81,8 @@
         reserve = min(instance.slots, share - 1)
         self._slots = min(instance.slots, share)
         policy = AdmissionPolicy.from_service(service, self._slots)
-        self._queue = AdmissionQueue(policy, tools.rng)
+        self._queue = _make_queue(tools.queue_order, policy, tools.rng)
+        self._gauges = BackendGauges(tools.metrics, self.backend)
         self._transactions = TransactionTable(service.transactions, share, reserve)
         self._connections = Connections(tools.login, share, tools.clock)
         self._reads = FreshReads(tools.watch, tools.find_primary, tools.clock, tools.rng)
@@ -279,6 +286,7 @@
     def _start(self, job: Job) -> None:
         now = self._clock.now()
         job.started = now
+        self._gauges.count_wait(job.message.rank, (now - job.arrived).total_seconds())
         status = self._watch.status
         if status is not None:
             job.role, job.term, job.applied = status.role, status.term, status.applied
@@ -351,6 +359,7 @@
 
     def _end(self, job: Job, result: Result) -> None:
         """End a request that was not started; the transaction it continues stays open."""
+        self._gauges.count_refusal(job.message.rank, result)
         if job.transaction is None:
             self._transactions.close(job.own_transaction)
         elif job.joined:
@@ -449,12 +458,24 @@
             logger.info("transaction_idle_timeout", extra={"backend": self.backend})
             self._end_transaction(key, ResultCode.TRANSACTION_IDLE_TIMEOUT)
         self._connections.close_idle()
+        self._show_occupancy()
         in_use = bool(self._jobs) or now - self._last_used < _IN_USE_WINDOW
         is_due = self._last_poll is None or now - self._last_poll >= _POLL_INTERVAL
         if in_use and is_due:
             self._last_poll = now
             self._spawn(self._watch.refresh())
 
+    def _show_occupancy(self) -> None:
+        self._gauges.show(
+            Occupancy(
+                self._queue.waiting_by_rank(),
+                self._queue.waiting_bytes_by_rank(),
+                self._connections.count,
+                self._queue.running_count,
+                len(self._transactions),
+            )
+        )
+
     def _spawn(self, work) -> asyncio.Task:
         task = asyncio.create_task(work)
         self._tasks.add(task)
@@ -462,6 +483,16 @@
         return task
 
 
+def _make_queue(
+    order: QueueOrder, policy: AdmissionPolicy, rng: random.Random
+) -> AdmissionQueue | FifoQueue:
+    match order:
+        case QueueOrder.RANKED:
+            return AdmissionQueue(policy, rng)
+        case QueueOrder.FIFO:
+            return FifoQueue(policy, rng)
+
+
 def _lost(job: Job, reason: str) -> Result:
     return Result(ResultCode.CONNECTION_LOST, Outcome.UNKNOWN, reason, job.is_repeatable)
 
--- a/hickorywind/pool/dispatch.py
+++ b/hickorywind/pool/dispatch.py
@@ -40,6 +40,7 @@
 _SWEEP_SECONDS = 0.1
 _STALL_LIMIT = timedelta(milliseconds=1_000)
 _DISTRUST_AFTER_STALL = timedelta(milliseconds=200)
+_QUIET_TIME = timedelta(milliseconds=200)
 _RETRY_AFTER_MS = 100
 
 
@@ -79,6 +80,7 @@
         self._cancelled = RecentKeys(_KEEP_KEYS, _KEYS_LIMIT)
         self._outbox: asyncio.Queue[tuple[PeerId, Message]] = asyncio.Queue()
         self._last_sweep = clock.now()
+        self._last_execute = clock.now()
         self._distrust_until: Instant | None = None
         self.draining = False
 
@@ -107,10 +109,20 @@
         """Take the next message to send; raise ``asyncio.QueueEmpty``."""
         return self._outbox.get_nowait()
 
+    def announce_drain(self) -> None:
+        """Refuse new work from now on and tell all entries at once."""
+        self.draining = True
+        for name in self.entries.names:
+            self._outbox.put_nowait((name, self._heartbeat()))
+
     @property
-    def has_unsent(self) -> bool:
-        """Tell whether messages wait to be sent."""
-        return not self._outbox.empty()
+    def is_quiet(self) -> bool:
+        """Tell whether no message waits to be sent and no request came lately."""
+        quiet_since = self._clock.now() - self._last_execute
+        return self._outbox.empty() and quiet_since >= _QUIET_TIME
+
+    def _heartbeat(self) -> PoolHeartbeat:
+        return PoolHeartbeat(self._host, self._incarnation, self.draining)
 
     async def _sweep_all(self) -> None:
         while True:
@@ -150,12 +162,12 @@
                     task.inbox.put_nowait(TransactionEnded(key))
             case EntryHeartbeat(host, incarnation):
                 self.entries.identify(received.peer, host, incarnation, now)
-                answer = PoolHeartbeat(self._host, self._incarnation, self.draining)
-                self._outbox.put_nowait((received.peer, answer))
+                self._outbox.put_nowait((received.peer, self._heartbeat()))
             case _:
                 logger.warning("unexpected_message", extra={"peer": received.peer.hex()})
 
     def _execute(self, name: PeerId, message: Execute, now: Instant) -> None:
+        self._last_execute = now
         key = JobKey(name, message.request_id)
         if self._seen.holds(key, now):
             reason = f"request {message.request_id} came twice"
--- a/hickorywind/pool/entries.py
+++ b/hickorywind/pool/entries.py
@@ -31,6 +31,11 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    @property
+    def names(self) -> tuple[PeerId, ...]:
+        """Return the names of all entries that were heard lately."""
+        return tuple(self._entries)
+
     def hear(self, peer: PeerId, now: Instant) -> PeerId:
         """Note a sign of life and return the name of the entry behind a peer."""
         name = self._first_of.setdefault(peer, peer)
--- a/hickorywind/pool/role.py
+++ b/hickorywind/pool/role.py
@@ -14,6 +14,7 @@
 from hickorywind.ids import Address, BackendId, HostId, Incarnation, ServiceName
 from hickorywind.membership.directory import Directory
 from hickorywind.membership.subscriber import DirectorySubscriber
+from hickorywind.observability.metrics import Metrics
 from hickorywind.pool.backend import BackendTask, BackendTools
 from hickorywind.pool.backendconnection import Login
 from hickorywind.pool.dispatch import Dispatcher, is_term_stale, unknown_backend
@@ -21,12 +22,13 @@
 from hickorywind.protocol.channel import ChannelKeys, Listener
 from hickorywind.protocol.messages import Execute
 from hickorywind.results import Result, ResultCode
-from hickorywind.settings.template import DaemonSettings, PoolSettings
+from hickorywind.settings.template import DaemonSettings, PoolSettings, QueueOrder
 from hickorywind.util.clock import Clock, milliseconds
 
 logger = logging.getLogger(__name__)
 
 _DRAIN_POLL_SECONDS = 0.02
+_ANNOUNCE_SECONDS = 0.6
 _REVIEW_SECONDS = 0.5
 _IDLE_TASK_LIMIT = timedelta(seconds=60)
 _HANDED_OVER_LIMIT = timedelta(seconds=2)
@@ -45,7 +47,11 @@
         connect: Callable[[Address], ControlCalls],
         clock: Clock,
         rng: random.Random,
+        queue_order: QueueOrder = QueueOrder.RANKED,
+        metrics: Metrics | None = None,
     ) -> None:
+        self._queue_order = queue_order
+        self._metrics = metrics
         self._host = host
         self._directory = directory
         self._make_login = make_login
@@ -100,6 +106,8 @@
             self._watch(backend),
             lambda: self._primary_watch(service.name),
             lambda: self._directory.is_leaving(backend),
+            self._queue_order,
+            self._metrics,
         )
         task = BackendTask(service, instance, tools)
         self._tasks[backend] = task
@@ -183,7 +191,7 @@
         clock: Clock,
         rng: random.Random,
         keys: ChannelKeys | None,
-        metrics=None,
+        metrics: Metrics | None = None,
     ) -> PoolRole:
         """Build the role; raise ``zmq.ZMQError`` where its address is taken."""
         pool = settings.pool or PoolSettings("127.0.0.1:0")
@@ -200,6 +208,8 @@
             lambda address: GroupClient(address, _CONTROL_TIMEOUT, password=password),
             clock,
             rng,
+            pool.queue_order,
+            metrics,
         )
         listener = Listener(Address.from_text(pool.listen), keys)
         dispatcher = Dispatcher(settings.host, incarnation, listener, backends, clock)
@@ -233,7 +243,7 @@
 
     async def drain(self) -> None:
         """Take no new work, finish what is in hand within the time set, and end ``run``."""
-        self._dispatcher.draining = True
+        self._dispatcher.announce_drain()
         self._subscriber.draining = True
         pool = self._settings.pool or PoolSettings("")
         timeout = milliseconds(pool.drain_timeout_ms).total_seconds()
@@ -245,7 +255,9 @@
         self._stopped.set()
 
     async def _wait_until_idle(self) -> None:
-        while not self._backends.all_idle or self._dispatcher.has_unsent:
+        """Wait until entries have heard of the drain and nothing is in hand any more."""
+        await asyncio.sleep(_ANNOUNCE_SECONDS)
+        while not self._backends.all_idle or not self._dispatcher.is_quiet:
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
 
 
