Split the stand-in's session, executor and SQL into modules of one job

Change: tokens, rewrite, extended, outgoing, answers, cancelling, describer; statements are known without their comments.

--- a/standins/backend/control.py
+++ b/standins/backend/control.py
@@ -14,7 +14,8 @@
 from standins.backend.instance import Instance
 from standins.backend.log import SqlValue
 from standins.backend.member import RefusedError
-from standins.backend.sql import Kind, ParsedStatement, tokenize
+from standins.backend.sql import Kind, ParsedStatement
+from standins.backend.tokens import tokenize
 
 _CALL = re.compile(
     r"^select\s+((?:platform|standin)_\w+)\s*\((.*)\)\s*(?:as\s+\w+)?\s*$", re.I | re.S
--- a/standins/backend/describe.py
+++ b/standins/backend/describe.py
@@ -8,7 +8,8 @@
 
 from standins.backend.database import Connection
 from standins.backend.log import SqlValue
-from standins.backend.sql import Kind, ParsedStatement, Token, tokenize
+from standins.backend.sql import Kind, ParsedStatement
+from standins.backend.tokens import Token, tokenize
 from standins.backend.types import (
     BOOL,
     INT4,
--- a/standins/backend/executor.py
+++ b/standins/backend/executor.py
@@ -2,24 +2,23 @@
 
 from __future__ import annotations
 
-import asyncio
 import re
-from collections.abc import Coroutine, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
-from typing import Any, TypeVar
 
 from pygwire import TransactionStatus
 
 from hickorywind.ids import EMPTY_LOG, LogPosition, Term
+from standins.backend.answers import Answer, Notice
+from standins.backend.cancelling import Canceller
 from standins.backend.control import ControlCall, run_control_call
 from standins.backend.database import SERVER_VERSION, Connection, Rows, utc_now
-from standins.backend.describe import describe_columns, describe_parameters
+from standins.backend.describer import Describer
 from standins.backend.errors import (
     CANNOT_CONNECT_NOW,
     DIVISION_BY_ZERO,
     FAILED_TRANSACTION,
     FEATURE_NOT_SUPPORTED,
-    QUERY_CANCELED,
     READ_ONLY,
     SYNTAX_ERROR,
     SqlError,
@@ -29,30 +28,11 @@
 from standins.backend.sql import Kind, ParsedStatement
 from standins.backend.types import TEXT, Column
 
-_T = TypeVar("_T")
 _RAISE = re.compile(r"raise\s+(notice|warning)\s+'([^']*)'", re.I)
 _SETTINGS = {"server_version": SERVER_VERSION, "client_encoding": "UTF8", "timezone": "UTC"}
 _SETTINGS |= {"standard_conforming_strings": "on", "transaction_isolation": "read committed"}
 
 
-@dataclass(frozen=True)
-class Notice:
-    """Hold a NoticeResponse to send with an answer."""
-
-    severity: str
-    sqlstate: str
-    message: str
-
-
-@dataclass(frozen=True)
-class Answer:
-    """Hold the outcome of one statement; ``rows`` is None where there is no result set."""
-
-    tag: str
-    rows: list[tuple[SqlValue, ...]] | None = None
-    notices: tuple[Notice, ...] = ()
-
-
 @dataclass
 class _Transaction:
     term: Term
@@ -66,7 +46,8 @@
     def __init__(self, instance: Instance, backend_pid: int) -> None:
         self._instance = instance
         self._connection = Connection(instance.database, backend_pid)
-        self._cancelled = asyncio.Event()
+        self._describer = Describer(instance, self._connection)
+        self._canceller = Canceller()
         self._writing: _Transaction | None = None
         self._savepoints = 0
         self._read_only = False
@@ -80,7 +61,7 @@
 
     def cancel(self) -> None:
         """Cancel the statement that runs, or waits for a lock or slot."""
-        self._cancelled.set()
+        self._canceller.cancel()
         self._connection.cancel()
 
     async def refresh_position(self) -> LogPosition:
@@ -96,33 +77,13 @@
         if call is not None:
             return [Column(call.name, TEXT)]
         self._check(statement)
-        key = (self._instance.schema_changes, statement.original)
-        known = self._instance.descriptions.get(key)
-        if known is not None and not self._changed_schema:
-            return known
-        description = await self._instance.run_blocking(
-            describe_columns, self._connection, statement, parameters
-        )
-        if description.by_schema and not self._changed_schema:
-            self._instance.remember_description(key, description.columns)
-        return description.columns
+        return await self._describer.columns(statement, parameters, self._changed_schema)
 
     async def describe_parameters(
         self, statement: ParsedStatement, declared: Sequence[int]
     ) -> list[int]:
         """Return a type for each parameter."""
-        if statement.parameter_count == 0:
-            return []
-        key = (self._instance.schema_changes, statement.original, tuple(declared))
-        known = self._instance.descriptions.get(key)
-        if known is not None and not self._changed_schema:
-            return known
-        types = await self._instance.run_blocking(
-            describe_parameters, self._connection, statement, declared
-        )
-        if not self._changed_schema:
-            self._instance.remember_description(key, types)
-        return types
+        return await self._describer.parameters(statement, declared, self._changed_schema)
 
     @property
     def _changed_schema(self) -> bool:
@@ -133,7 +94,7 @@
 
     def start_statement(self) -> None:
         """Forget a cancel request that came between statements."""
-        self._cancelled.clear()
+        self._canceller.clear()
         self._connection.clear_cancel()
 
     async def execute(self, statement: ParsedStatement, parameters: Sequence[SqlValue]) -> Answer:
@@ -288,7 +249,7 @@
         call = ControlCall.from_statement(statement)
         if call is not None:
             running = run_control_call(self._instance, call, parameters)
-            value = await (self._unless_cancelled(running) if call.only_waits else running)
+            value = await (self._canceller.wait_for(running) if call.only_waits else running)
             return Answer("SELECT 1", [(value,)])
         rows = await self._run(statement, parameters)
         return Answer(statement.tag(len(rows.rows)), rows.rows)
@@ -307,7 +268,7 @@
     async def _ensure_writing(self) -> None:
         if self._writing is not None:
             return
-        await self._acquire(self._instance.writer)
+        await self._canceller.acquire(self._instance.writer)
         timestamp = utc_now()
         self._writing = _Transaction(self._instance.member.term, timestamp)
         if not self._instance.accepts_writes:
@@ -315,9 +276,9 @@
         self.position = await self._instance.run_blocking(self._connection.begin, True, timestamp)
 
     async def _run(self, statement: ParsedStatement, parameters: Sequence[SqlValue]) -> Rows:
-        await self._acquire(self._instance.slots)
+        await self._canceller.acquire(self._instance.slots)
         try:
-            await self._spend_service_time()
+            await self._canceller.sleep(self._instance.settings.statement_time_ms / 1000)
             rows = await self._instance.run_blocking(
                 self._connection.run, statement.sql, parameters
             )
@@ -325,35 +286,3 @@
             self._instance.slots.release()
         self.position = rows.position
         return rows
-
-    async def _spend_service_time(self) -> None:
-        duration_s = self._instance.settings.statement_time_ms / 1000
-        if duration_s <= 0:
-            return
-        try:
-            async with asyncio.timeout(duration_s):
-                await self._cancelled.wait()
-        except TimeoutError:
-            return
-        raise SqlError(QUERY_CANCELED, "canceling statement due to user request")
-
-    async def _acquire(self, lock: asyncio.Lock | asyncio.Semaphore) -> None:
-        """Wait for a lock or slot; raise ``SqlError`` when cancelled meanwhile."""
-        if not lock.locked():
-            await lock.acquire()
-            return
-        await self._unless_cancelled(lock.acquire())
-
-    async def _unless_cancelled(self, waiting: Coroutine[Any, Any, _T]) -> _T:
-        """Await something that is safe to give up; raise ``SqlError`` when cancelled meanwhile."""
-        task = asyncio.ensure_future(waiting)
-        cancelling = asyncio.ensure_future(self._cancelled.wait())
-        try:
-            await asyncio.wait({task, cancelling}, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            cancelling.cancel()
-            if not task.done():
-                task.cancel()
-        if task.done():
-            return task.result()
-        raise SqlError(QUERY_CANCELED, "canceling statement due to user request")
--- /dev/null
+++ b/standins/backend/outgoing.py
@@ -0,0 +1,95 @@
+"""Collect what a session sends and write it to its connection."""
+
+from __future__ import annotations
+
+import asyncio
+
+from pygwire import TransactionStatus, messages
+
+from hickorywind.groups.status import POSITION_PARAMETER
+from hickorywind.ids import LogPosition
+from standins.backend.answers import Notice
+from standins.backend.errors import FEATURE_NOT_SUPPORTED, SqlError
+from standins.backend.log import SqlValue
+from standins.backend.types import Column, encode_rows
+
+_FLUSH_ABOVE_BYTES = 65_536
+_ROWS_PER_CHUNK = 1_000
+
+
+class Outgoing:
+    """Own the writing side of a connection."""
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
+        self._output = bytearray()
+        self._sent_position: LogPosition | None = None
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._writer.transport.abort()
+
+    def send(self, message: messages.PGMessage) -> None:
+        """Queue a message for the next flush."""
+        self._output += message.to_wire()
+
+    async def flush(self) -> None:
+        """Write what is queued."""
+        if self._output:
+            data = bytes(self._output)
+            self._output.clear()
+            self._writer.write(data)
+            await self._writer.drain()
+
+    def send_row_description(self, columns: list[Column], formats: list[int]) -> None:
+        """Describe result columns, or say that there are none."""
+        if not columns:
+            self.send(messages.NoData())
+            return
+        fields = [
+            messages.FieldDescription(
+                name=column.name,
+                table_oid=0,
+                column_attr=0,
+                type_oid=column.type_oid,
+                type_size=column.type_size,
+                type_modifier=-1,
+                format_code=code,
+            )
+            for column, code in zip(columns, formats, strict=True)
+        ]
+        self.send(messages.RowDescription(fields=fields))
+
+    async def send_rows(
+        self, rows: list[tuple[SqlValue, ...]], columns: list[Column], formats: list[int]
+    ) -> None:
+        """Send rows in chunks; raise ``SqlError`` if they do not fit the columns."""
+        if rows and len(rows[0]) != len(columns):
+            raise SqlError(FEATURE_NOT_SUPPORTED, "cached plan must not change result type")
+        for start in range(0, len(rows), _ROWS_PER_CHUNK):
+            chunk = rows[start : start + _ROWS_PER_CHUNK]
+            self._output += encode_rows(chunk, columns, formats)
+            if len(self._output) > _FLUSH_ABOVE_BYTES:
+                await self.flush()
+
+    def send_notices(self, notices: tuple[Notice, ...]) -> None:
+        """Send the notices of an answer."""
+        for notice in notices:
+            fields = {"S": notice.severity, "V": notice.severity}
+            fields |= {"C": notice.sqlstate, "M": notice.message}
+            self.send(messages.NoticeResponse(fields=fields))
+
+    async def send_ready(self, position: LogPosition, status: TransactionStatus) -> None:
+        """End a query cycle, naming the position first where it changed."""
+        if position != self._sent_position:
+            self._sent_position = position
+            self.send(messages.ParameterStatus(name=POSITION_PARAMETER, value=str(position)))
+        self.send(messages.ReadyForQuery(status=status))
+        await self.flush()
+
+
+def error_response(severity: str, sqlstate: str, message: str) -> messages.ErrorResponse:
+    """Build an ErrorResponse with the fields that clients read."""
+    return messages.ErrorResponse(
+        fields={"S": severity, "V": severity, "C": sqlstate, "M": message}
+    )
--- a/standins/backend/server.py
+++ b/standins/backend/server.py
@@ -17,8 +17,9 @@
 from standins.backend.errors import INVALID_PASSWORD, PROTOCOL_VIOLATION, TOO_MANY_CONNECTIONS
 from standins.backend.executor import Executor
 from standins.backend.instance import Instance
+from standins.backend.outgoing import Outgoing, error_response
 from standins.backend.replication import PeerPusher, serve_appends
-from standins.backend.session import Session, error_response
+from standins.backend.session import Session
 from standins.backend.settings import BackendSettings
 
 logger = logging.getLogger(__name__)
@@ -127,7 +128,7 @@
         pid = self._next_pid
         executor = Executor(self.instance, pid)
         key = secrets.token_bytes(4)
-        session = Session(self.instance, executor, reader, writer, decoder, key, is_control)
+        session = Session(executor, reader, Outgoing(writer), decoder, key, is_control)
         self.instance.sessions[pid] = session
         try:
             await asyncio.sleep(self.settings.connect_time_ms / 1000)
@@ -180,14 +181,16 @@
         return False
 
     def _welcome(self, session: Session, pid: int, startup: messages.StartupMessage) -> None:
-        session.send(messages.AuthenticationOk())
+        session.outgoing.send(messages.AuthenticationOk())
         parameters = dict(_PARAMETERS)
         parameters["application_name"] = startup.params.get("application_name", "")
         parameters["session_authorization"] = startup.params.get("user", "")
         parameters["in_hot_standby"] = "off" if self.instance.accepts_writes else "on"
         for name, value in parameters.items():
-            session.send(messages.ParameterStatus(name=name, value=value))
-        session.send(messages.BackendKeyData(process_id=pid, secret_key=session.secret_key))
+            session.outgoing.send(messages.ParameterStatus(name=name, value=value))
+        session.outgoing.send(
+            messages.BackendKeyData(process_id=pid, secret_key=session.secret_key)
+        )
 
 
 async def _next_message(
--- a/standins/backend/sql.py
+++ b/standins/backend/sql.py
@@ -1,4 +1,4 @@
-"""Rewrite PostgreSQL statements for sqlite: tokens, placeholders, casts and a few functions."""
+"""Split SQL scripts into statements and tell what kind each is."""
 
 from __future__ import annotations
 
@@ -7,36 +7,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from standins.backend.types import BOOL, BYTEA, FLOAT4, FLOAT8, INT2, INT4, INT8, oid_of
-
-_TYPE = (
-    r"(?:double\s+precision|character\s+varying|timestamp\s+with(?:out)?\s+time\s+zone"
-    r"|[A-Za-z_]\w*)(?:\s*\(\s*\d+\s*\))?"
-)
-_TOKEN = re.compile(
-    rf"""(?P<space>\s+|--[^\n]*|/\*.*?\*/)
-    |(?P<string>[eE]'[^'\\]*(?:(?:\\.|'')[^'\\]*)*'|'[^']*(?:''[^']*)*')
-    |(?P<dollar>\$(?P<tag>[A-Za-z_]*)\$.*?\$(?P=tag)\$)
-    |(?P<quoted>"(?:[^"]|"")*")
-    |(?P<param>\$\d+)
-    |(?P<cast>::\s*{_TYPE})
-    |(?P<number>\d+(?:\.\d+)?)
-    |(?P<word>[A-Za-z_]\w*)
-    |(?P<other>.)""",
-    re.S | re.X | re.I,
-)
-_SERIES = re.compile(
-    r"\bgenerate_series\s*\(([^(),]+),([^(),]+)\)"
-    r"(?:\s+(?:as\s+)?(?!where\b|order\b|limit\b|group\b|as\b|join\b|cross\b)(\w+)"
-    r"(?:\s*\(\s*(\w+)\s*\))?)?",
-    re.I,
-)
-_BARE_SERIES = re.compile(r"^\s*select\s+(generate_series\s*\([^()]*\))", re.I)
+from standins.backend.rewrite import rewrite
+from standins.backend.tokens import Token, tokenize
+
 _CACHED_TEXT_LENGTH = 2_000
 _ZERO_DIVISION = re.compile(r"/\s*0(?![\w.])")
-_ESCAPES = {"n": "\n", "t": "\t", "r": "\r"}
-_AFFINITIES = {INT2: "INTEGER", INT4: "INTEGER", INT8: "INTEGER", BOOL: "INTEGER"}
-_AFFINITIES |= {FLOAT4: "REAL", FLOAT8: "REAL", BYTEA: "BLOB"}
 
 
 class Kind(Enum):
@@ -92,17 +67,12 @@
 _TAG_WORDS = {"create", "drop", "alter"}
 
 
-@dataclass(frozen=True, slots=True)
-class Token:
-    """Hold one lexical element; ``kind`` is the name of its group in the tokenizer."""
-
-    kind: str
-    text: str
-
-
 @dataclass(frozen=True, slots=True)
 class ParsedStatement:
-    """Hold one statement: its kind, sqlite's version of it and the words it consists of."""
+    """Hold one statement: its kind, sqlite's version of it and the words it consists of.
+
+    ``original`` is the statement without comments.
+    """
 
     kind: Kind
     sql: str
@@ -165,11 +135,6 @@
         return names[0] if names else ""
 
 
-def tokenize(text: str) -> list[Token]:
-    """Cut SQL text into tokens; the concatenation of their texts is the input."""
-    return [Token(match.lastgroup, match.group()) for match in _TOKEN.finditer(text)]
-
-
 def parse_script(text: str) -> list[ParsedStatement]:
     """Split a simple query into its statements; empty ones are dropped."""
     parse = _parse_script if len(text) > _CACHED_TEXT_LENGTH else _parse_script_cached
@@ -201,9 +166,9 @@
 def _parse(tokens: list[Token]) -> ParsedStatement:
     words = tuple(t.text.lower() for t in tokens if t.kind == "word")
     counts = [int(t.text[1:]) for t in tokens if t.kind == "param"]
-    original = "".join(t.text for t in tokens).strip()
+    original = "".join(" " if t.kind == "space" else t.text for t in tokens).strip()
     kind = _classify(words, original)
-    sql = _rewrite(tokens) if kind in (Kind.READ, Kind.WRITE) else original
+    sql = rewrite(tokens) if kind in (Kind.READ, Kind.WRITE) else original
     return ParsedStatement(kind, sql, original, words, tuple(tokens), max(counts, default=0))
 
 
@@ -223,71 +188,3 @@
 
 def _locks_rows(words: tuple[str, ...]) -> bool:
     return ("for", "update") in zip(words, words[1:], strict=False)
-
-
-def _rewrite(tokens: list[Token]) -> str:
-    output: list[str] = []
-    for token in tokens:
-        match token.kind:
-            case "param":
-                output.append("?" + token.text[1:])
-            case "cast":
-                _apply_cast(output, token.text[2:].strip())
-            case "string":
-                output.append(_plain_string(token.text))
-            case "space":
-                output.append(" ")
-            case _:
-                output.append(token.text)
-    return _rewrite_functions("".join(output).strip())
-
-
-def _plain_string(text: str) -> str:
-    if text[0] not in "eE":
-        return text
-    body = re.sub(r"\\(.)", lambda m: _ESCAPES.get(m.group(1), m.group(1)), text[2:-1])
-    return "'" + body.replace("''", "'").replace("'", "''") + "'"
-
-
-def _apply_cast(output: list[str], type_name: str) -> None:
-    start = _operand_start(output)
-    affinity = _AFFINITIES.get(oid_of(type_name) or 0, "TEXT")
-    operand = "".join(output[start:])
-    if affinity == "INTEGER" and operand.strip("'").lower() in ("t", "true", "f", "false"):
-        operand = "1" if operand.strip("'").lower().startswith("t") else "0"
-    output[start:] = [f"CAST({operand} AS {affinity})"]
-
-
-def _operand_start(output: list[str]) -> int:
-    index = len(output) - 1
-    if index >= 0 and output[index] == ")":
-        depth = 0
-        while index >= 0:
-            depth += {")": 1, "(": -1}.get(output[index], 0)
-            if depth == 0:
-                break
-            index -= 1
-        if index > 0 and re.fullmatch(r"[A-Za-z_]\w*", output[index - 1]):
-            index -= 1
-    while index >= 2 and output[index - 1] == ".":
-        index -= 2
-    return max(index, 0)
-
-
-def _rewrite_functions(sql: str) -> str:
-    sql = re.sub(r"^truncate\s+(?:table\s+)?", "DELETE FROM ", sql, flags=re.I)
-    sql = _BARE_SERIES.sub(r"SELECT generate_series FROM \1", sql)
-    sql = _SERIES.sub(_series_query, sql)
-    sql = re.sub(r"\s+for\s+update\b.*$", "", sql, flags=re.I | re.S)
-    sql = re.sub(r"\bdefault\s+now\(\)", "DEFAULT (now())", sql, flags=re.I)
-    return re.sub(r"\b(?:big)?serial\s+primary\s+key", "INTEGER PRIMARY KEY", sql, flags=re.I)
-
-
-def _series_query(match: re.Match[str]) -> str:
-    first, last, alias, column = match.groups()
-    name = column or alias or "generate_series"
-    return (
-        f"(WITH RECURSIVE series({name}) AS (SELECT {first} WHERE {first} <= {last} "
-        f"UNION ALL SELECT {name} + 1 FROM series WHERE {name} < {last}) "
-        f"SELECT {name} FROM series) AS {alias or name}"
-    )
--- a/tests/standins/test_backend_sql.py
+++ b/tests/standins/test_backend_sql.py
@@ -101,6 +101,21 @@
             )
         self.assertEqual(await self.rows("SELECT * FROM step"), [])
 
+    async def test_comments_and_casts_reach_sqlite_rightly(self):
+        expected = {
+            "/* hint a=1 */ SELECT '7'::int + 1 -- tail": 8,
+            "SELECT (1 + 2)::text || 'x'": "3x",
+            "SELECT 'a::int' || E'\\n\\''": "a::int\n'",
+            "SELECT true::bool": True,
+            "SELECT count(*) FROM (SELECT 1 UNION ALL SELECT 2) AS g": 2,
+            "SELECT current_database()": "dispatch",
+        }
+        for sql, value in expected.items():
+            with self.subTest(sql=sql):
+                self.assertEqual(await self.rows(sql), [(value,)])
+        [(status,)] = await self.rows("/* hint */ SELECT platform_status()")
+        self.assertIn('"role":"primary"', status)
+
     async def test_large_answers_arrive_whole(self):
         rows = await self.rows("SELECT n, repeat('x', 20) FROM generate_series(1, 10000) AS n")
         self.assertEqual(len(rows), 10_000)
