--- /dev/null
+++ b/tests/controller/test_site.py
@@ -0,0 +1,107 @@
+"""Fail processes of a whole site and watch what its controllers do."""
+
+import asyncio
+import time
+
+from hickorywind.ids import HostId, Role
+from hickorywind.membership.directory import Directory
+from hickorywind.protocol.channel import Link
+from hickorywind.protocol.messages import StatusReply, StatusRequest
+from hickorywind.protocol.records import MemberState
+from standins.store.control import Faults as StoreFaults
+from standins.store.control import set_faults
+from tests.system.site import SiteTest
+
+
+async def ask(address):
+    """Return a controller's reply, or None where it does not answer within a second."""
+    link = Link(address)
+    try:
+        async with asyncio.timeout(1):
+            while not await link.send(StatusRequest()):
+                await asyncio.sleep(0.02)
+            message = await link.receive()
+    except TimeoutError:
+        return None
+    finally:
+        link.close()
+    return message if isinstance(message, StatusReply) else None
+
+
+class ControllerSiteTest(SiteTest):
+    hosts_per_zone = 1
+
+    async def directory(self, host):
+        reply = await ask(host.controller)
+        result = Directory()
+        result.merge(reply.records if reply is not None else ())
+        return result
+
+    async def wait_for(self, host, condition, limit_s):
+        """Wait until a host's directory meets a condition and return the seconds it took."""
+        begin = time.monotonic()
+        while time.monotonic() - begin < limit_s:
+            if condition(await self.directory(host)):
+                return time.monotonic() - begin
+            await asyncio.sleep(0.05)
+        self.fail("condition not met in time")
+
+    def controller(self, host):
+        return self.cluster.process(f"controller/{host.host}")
+
+    async def test_one_new_primary_after_a_kill_with_the_store_down(self):
+        await set_faults(self.cluster.store_address, StoreFaults(outage=True))
+        host = self.cluster.hosts[1]
+        name = self.service.name
+        old = (await self.primary()).backend
+        self.backend(old).kill()
+        took = await self.wait_for(
+            host, lambda known: known.group(name) and known.group(name).primary != old, 10
+        )
+        self.assertLess(took, 5)
+        self.assertEqual((await self.primary()).term, 2)
+        self.backend(old).start()
+        await asyncio.sleep(3)
+        self.assertEqual((await self.primary()).term, 2)
+
+    async def test_restarted_hosts_keep_the_configuration_while_the_store_is_down(self):
+        first, second, _ = self.cluster.hosts
+        revision = (await self.directory(first)).revision
+        self.assertGreater(revision, 0)
+        await set_faults(self.cluster.store_address, StoreFaults(outage=True))
+        for host in (first, second):
+            self.controller(host).kill()
+            self.controller(host).start()
+            await self.wait_for(host, lambda known: known.revision == revision, 10)
+
+    async def test_all_controllers_restarted_at_once_learn_from_entries_and_pools(self):
+        first = self.cluster.hosts[0]
+        before = await self.directory(first)
+        await set_faults(self.cluster.store_address, StoreFaults(outage=True))
+        for host in self.cluster.hosts:
+            self.controller(host).kill()
+        for host in self.cluster.hosts:
+            self.controller(host).start()
+        for host in self.cluster.hosts:
+            await self.wait_for(
+                host,
+                lambda known: known.revision == before.revision
+                and known.group(self.service.name) == before.group(self.service.name),
+                10,
+            )
+
+    async def test_dead_pool_is_no_home_and_dead_host_is_dead(self):
+        first, second, third = self.cluster.hosts
+        self.cluster.process(f"pool/{first.host}").kill()
+        took = await self.wait_for(
+            second, lambda known: known.member(HostId(first.host)).pool is None, 10
+        )
+        self.assertLess(took, 4)
+        for role in Role:
+            self.cluster.process(f"{role.value}/{third.host}").kill()
+        took = await self.wait_for(
+            second,
+            lambda known: known.member(HostId(third.host)).state is MemberState.DEAD,
+            15,
+        )
+        self.assertLess(took, 8)
