Bound the stand-in store's writes and test the backend's slots

Cause: the platform holds values up to a megabyte, and nothing proved that the slots of a stand-in backend server bind. Change: writes over 1 MiB are refused; a test of six statements on two slots. Ruled out for now: EtcdStore naming a refused size apart from a lost answer; the interface has no outcome for it, and unknown is safe.

--- a/standins/store/service.py
+++ b/standins/store/service.py
@@ -24,6 +24,7 @@
 from standins.store.state import StoreState, Watch
 
 _EXPIRY_INTERVAL_S = 0.1
+_WRITE_LIMIT_BYTES = 1_048_576
 _OPTIONS = (
     ("grpc.max_receive_message_length", 4_194_304),
     ("grpc.http2.min_ping_interval_without_data_ms", 1_000),
@@ -79,6 +80,11 @@
         if self.faults.outage:
             await context.abort(grpc.StatusCode.UNAVAILABLE, "the store is out")
 
+    async def check_size(self, message: Any, context: grpc.aio.ServicerContext) -> None:
+        """Refuse a write over the platform's limit."""
+        if message.ByteSize() > _WRITE_LIMIT_BYTES:
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "request is too large")
+
     async def release_write(self, context: grpc.aio.ServicerContext) -> None:
         """Lose the answer of a write that took effect, where the faults demand it."""
         faults = self.faults
@@ -105,6 +111,7 @@
         if request.key.startswith(CONTROL_PREFIX):
             return await self._control_put(request, context)
         await self._server.admit("put", context)
+        await self._server.check_size(request, context)
         response = self._server.state.put(request)
         await self._server.release_write(context)
         return response
@@ -117,6 +124,7 @@
 
     async def Txn(self, request: Any, context: Any) -> Any:  # noqa: N802
         await self._server.admit("txn", context)
+        await self._server.check_size(request, context)
         response = self._server.state.txn(request)
         await self._server.release_write(context)
         return response
--- a/tests/standins/test_backend_sql.py
+++ b/tests/standins/test_backend_sql.py
@@ -200,3 +200,18 @@
             return (await self.group.status(0)).connections_used == 1
 
         self.assertTrue(await eventually(is_free))
+
+
+class SlotsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_no_more_statements_run_at_once_than_there_are_slots(self):
+        group = await TestGroup(size=1, options={"slots": 2, "statement_time_ms": 150}).start()
+        self.addAsyncCleanup(group.close)
+        connections = [await group.connect() for _ in range(6)]
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        await asyncio.gather(*(connection.execute("SELECT 1") for connection in connections))
+        self.assertGreaterEqual(loop.time() - started, 3 * 0.15)
+        status = await group.status(0)
+        self.assertEqual(status.connections_used, 6)
+        for connection in connections:
+            await connection.close()
--- a/tests/store/test_etcd.py
+++ b/tests/store/test_etcd.py
@@ -129,6 +129,11 @@
                     self.assertIs(result.outcome, SwapOutcome.UNKNOWN)
             self.assertLess(time.monotonic() - started, len(calls) * 1.2)
 
+    async def test_value_over_a_megabyte_is_not_written(self):
+        self.assertIs(await self.swap("/a", NEVER_WRITTEN, b"x" * 1_000_000), SwapOutcome.DONE)
+        self.assertIsNot(await self.swap("/b", NEVER_WRITTEN, b"x" * 1_100_000), SwapOutcome.DONE)
+        self.assertIsNone(await self.store.get("/b"))
+
     async def test_calls_are_counted_by_kind(self):
         await self.store.get("/a")
         await self.swap("/a", NEVER_WRITTEN, b"")
