--- a/hickorywind/admission/fifo.py
+++ b/hickorywind/admission/fifo.py
@@ -11,9 +11,9 @@
 from hickorywind.admission.scheduler import AdmissionPolicy
 from hickorywind.ids import Rank
 from hickorywind.results import Result
-from hickorywind.util.clock import Instant, milliseconds
+from hickorywind.util.clock import Instant
 
-_HINT = milliseconds(100)
+_HINT_SECONDS = 0.1
 
 
 class FifoQueue:
@@ -37,7 +37,7 @@
             return (Start(request),)
         is_full = len(self._waiting) >= self._limit
         if is_full or self._waiting_bytes + request.size_bytes > self._limit_bytes:
-            return (refuse_full(request, drain_hint_ms(_HINT, self._rng)),)
+            return (refuse_full(request, drain_hint_ms(_HINT_SECONDS, self._rng)),)
         self._waiting[request.key] = request
         self._waiting_bytes += request.size_bytes
         return self._fill_slots(now)
--- a/hickorywind/admission/rankqueue.py
+++ b/hickorywind/admission/rankqueue.py
@@ -15,10 +15,11 @@
     def __init__(self) -> None:
         self._sessions: OrderedDict[SessionId, deque[WaitingRequest]] = OrderedDict()
         self._requests: dict[Hashable, WaitingRequest] = {}
+        self.count = 0
         self.size_bytes = 0
 
     def __len__(self) -> int:
-        return len(self._requests)
+        return self.count
 
     def __iter__(self) -> Iterator[WaitingRequest]:
         return iter(tuple(self._requests.values()))
@@ -29,6 +30,7 @@
     def push(self, request: WaitingRequest) -> None:
         """Append a request to its session's turn."""
         self._requests[request.key] = request
+        self.count += 1
         self.size_bytes += request.size_bytes
         self._sessions.setdefault(request.session, deque()).append(request)
 
@@ -65,8 +67,9 @@
     def count_ahead_of(self, session: SessionId) -> int:
         """Bound from above how many requests are served before a new one of ``session``."""
         turns = self.waiting_of(session) + 1
-        return min(len(self._requests), turns * len(self._sessions))
+        return min(self.count, turns * len(self._sessions))
 
     def _forget(self, request: WaitingRequest) -> None:
         del self._requests[request.key]
+        self.count -= 1
         self.size_bytes -= request.size_bytes
--- a/hickorywind/admission/refusals.py
+++ b/hickorywind/admission/refusals.py
@@ -3,19 +3,18 @@
 from __future__ import annotations
 
 import random
-from datetime import timedelta
 
 from hickorywind.admission.requests import Refuse, WaitingRequest
 from hickorywind.results import Result, ResultCode
-from hickorywind.util.clock import to_milliseconds
 
 _HINT_MIN_MS = 50
 _HINT_MAX_MS = 10_000
+_MS_PER_SECOND = 1_000
 
 
-def drain_hint_ms(expected_wait: timedelta, rng: random.Random) -> int:
+def drain_hint_ms(expected_wait_seconds: float, rng: random.Random) -> int:
     """Return when to come back: the expected wait, spread so that callers don't return at once."""
-    base = min(max(to_milliseconds(expected_wait), _HINT_MIN_MS), _HINT_MAX_MS)
+    base = min(max(expected_wait_seconds * _MS_PER_SECOND, _HINT_MIN_MS), _HINT_MAX_MS)
     return round(base * rng.uniform(1.0, 2.0))
 
 
--- /dev/null
+++ b/tests/admission/test_commitproof.py
@@ -0,0 +1,154 @@
+"""Check the group commit against a model of a log that primaries replace."""
+
+import unittest
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from hickorywind.admission.commitproof import Ask, CommitProofs, Proved, Ticket, Unproven
+from hickorywind.groups.status import BackendStatus
+from hickorywind.ids import BackendId, InstanceRole, LogPosition, ServiceName, Term
+from hickorywind.util.clock import ManualClock, milliseconds
+
+PRIMARY = InstanceRole.PRIMARY
+
+
+def status(term: int, committed: LogPosition, role=PRIMARY) -> BackendStatus:
+    return BackendStatus(
+        BackendId("b"),
+        ServiceName("s"),
+        role,
+        Term(term),
+        "",
+        committed,
+        committed,
+        committed,
+        0.0,
+        False,
+        0,
+        20,
+    )
+
+
+def at(term: int, offset: int) -> LogPosition:
+    return LogPosition(Term(term), offset)
+
+
+class CommitProofsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.proofs = CommitProofs()
+
+    def add(self, key: str, position: LogPosition, term: int, timeout_ms=100):
+        deadline = self.clock.now() + milliseconds(timeout_ms)
+        return self.proofs.add(Ticket(key, position, Term(term), deadline), self.clock.now())
+
+    def test_one_call_serves_all_that_wait(self) -> None:
+        (ask,) = self.add("a", at(1, 5), 1)
+        self.assertIsInstance(ask, Ask)
+        self.assertEqual(self.add("b", at(1, 7), 1), ())
+        self.assertEqual(self.add("c", at(1, 6), 1), ())
+        released, again = self.proofs.call_ended(status(1, at(1, 5)), self.clock.now())
+        self.assertEqual(released, Proved("a"))
+        self.assertEqual(again.position, at(1, 7))
+        released = self.proofs.call_ended(status(1, at(1, 7)), self.clock.now())
+        self.assertEqual(set(released), {Proved("b"), Proved("c")})
+
+    def test_what_is_known_committed_needs_no_call(self) -> None:
+        self.proofs.observe(status(1, at(1, 9)))
+        self.assertEqual(self.add("a", at(1, 9), 1), (Proved("a"),))
+
+    def test_same_offset_of_another_term_proves_nothing(self) -> None:
+        self.add("a", at(1, 5), 1)
+        (ended,) = self.proofs.call_ended(status(2, at(2, 9)), self.clock.now())
+        self.assertIsInstance(ended, Unproven)
+        self.proofs.observe(status(3, at(3, 9)))
+        (action,) = self.add("late", at(1, 5), 1)
+        self.assertNotIsInstance(action, Proved)
+
+    def test_step_down_ends_what_waits(self) -> None:
+        self.add("a", at(1, 5), 1)
+        replica = status(1, at(1, 9), InstanceRole.REPLICA)
+        (ended,) = self.proofs.observe(replica)
+        self.assertIsInstance(ended, Unproven)
+
+    def test_deadline_ends_what_waits_although_the_call_still_runs(self) -> None:
+        self.add("a", at(1, 5), 1, timeout_ms=50)
+        self.clock.advance(milliseconds(60))
+        (ended,) = self.proofs.expire(self.clock.now())
+        self.assertIsInstance(ended, Unproven)
+        self.assertEqual(self.proofs.call_ended(None, self.clock.now()), ())
+
+
+event = st.one_of(
+    st.tuples(st.just("write")),
+    st.tuples(st.just("commit"), st.integers(1, 5)),
+    st.tuples(st.just("replace"), st.integers(0, 4)),
+    st.tuples(st.just("observe")),
+    st.tuples(st.just("call ends")),
+    st.tuples(st.just("call fails")),
+    st.tuples(st.just("wait"), st.integers(0, 60)),
+)
+
+
+class ModelTest(unittest.TestCase):
+    @seed(20261204)
+    @settings(max_examples=300, deadline=None, database=None)
+    @given(st.lists(event, max_size=60))
+    def test_only_entries_of_the_lasting_log_are_released_and_each_ticket_ends_once(self, events):
+        clock = ManualClock()
+        proofs = CommitProofs()
+        log: list[int] = []
+        committed, term, key, asking = 0, 1, 0, False
+        tickets: dict[int, tuple[int, int]] = {}
+        released: list[tuple[int, int]] = []
+
+        def apply(actions) -> None:
+            nonlocal asking
+            for action in actions:
+                match action:
+                    case Ask():
+                        self.assertFalse(asking)
+                        asking = True
+                    case Proved(ended):
+                        entry_term, offset = tickets.pop(ended)
+                        self.assertLessEqual(offset, committed)
+                        self.assertEqual(log[offset - 1], entry_term)
+                        released.append((entry_term, offset))
+                    case Unproven(ended):
+                        tickets.pop(ended)
+
+        def now_status() -> BackendStatus:
+            last = log[committed - 1] if committed else 0
+            return status(term, at(last, committed))
+
+        for kind, *values in events:
+            match kind:
+                case "write":
+                    log.append(term)
+                    key += 1
+                    tickets[key] = (term, len(log))
+                    deadline = clock.now() + milliseconds(100)
+                    ticket = Ticket(key, at(term, len(log)), Term(term), deadline)
+                    apply(proofs.add(ticket, clock.now()))
+                case "commit":
+                    committed = min(len(log), committed + values[0])
+                case "replace":
+                    # Another primary keeps what was committed, drops some of the rest.
+                    del log[max(committed, len(log) - values[0]) :]
+                    term += 1
+                    log.append(term)
+                case "observe":
+                    apply(proofs.observe(now_status()))
+                case "call ends" if asking:
+                    asking = False
+                    apply(proofs.call_ended(now_status(), clock.now()))
+                case "call fails" if asking:
+                    asking = False
+                    apply(proofs.call_ended(None, clock.now()))
+                case "wait":
+                    clock.advance(milliseconds(values[0]))
+                    apply(proofs.expire(clock.now()))
+            self.assertEqual(proofs.waiting_count, len(tickets))
+        for entry_term, offset in released:
+            self.assertEqual(log[offset - 1], entry_term)
--- /dev/null
+++ b/tests/admission/test_freshness.py
@@ -0,0 +1,87 @@
+"""Check the bound on a replica's age against a model that knows the true age."""
+
+import unittest
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from hickorywind.admission.freshness import (
+    Freshness,
+    ReadNeeds,
+    Sample,
+    Serve,
+    WaitForFloor,
+    WaitForSample,
+)
+from hickorywind.ids import LogPosition, Term
+from hickorywind.util.clock import ManualClock, milliseconds
+
+
+def at(offset: int, term: int = 1) -> LogPosition:
+    return LogPosition(Term(term), offset)
+
+
+class FreshnessTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.freshness = Freshness()
+
+    def test_floor_comes_first(self) -> None:
+        needs = ReadNeeds(floor=at(5))
+        self.assertEqual(self.freshness.decide(needs, at(4), self.clock.now()), WaitForFloor())
+        self.assertEqual(self.freshness.decide(needs, at(5), self.clock.now()), Serve())
+
+    def test_floor_of_a_newer_term_is_not_met_by_a_longer_old_log(self) -> None:
+        needs = ReadNeeds(floor=at(5, term=2))
+        decision = self.freshness.decide(needs, at(90, term=1), self.clock.now())
+        self.assertEqual(decision, WaitForFloor())
+
+    def test_age_grows_without_samples(self) -> None:
+        needs = ReadNeeds(max_staleness=milliseconds(100))
+        self.assertEqual(self.freshness.decide(needs, at(9), self.clock.now()), WaitForSample())
+        self.freshness.add(Sample(at(9), self.clock.now()))
+        self.assertEqual(self.freshness.decide(needs, at(9), self.clock.now()), Serve())
+        self.clock.advance(milliseconds(101))
+        self.assertEqual(self.freshness.decide(needs, at(9), self.clock.now()), WaitForSample())
+
+    @seed(20261204)
+    @settings(max_examples=300, deadline=None, database=None)
+    @given(
+        st.lists(
+            st.one_of(
+                st.tuples(st.just("write")),
+                st.tuples(st.just("apply"), st.integers(1, 4)),
+                st.tuples(st.just("sample"), st.integers(0, 40)),
+                st.tuples(st.just("advance"), st.integers(1, 50)),
+                st.tuples(st.just("read"), st.integers(0, 200)),
+            ),
+            max_size=80,
+        )
+    )
+    def test_stale_replica_is_never_served(self, events) -> None:
+        clock = ManualClock()
+        freshness = Freshness()
+        written = []
+        applied = 0
+        for kind, *values in events:
+            match kind:
+                case "write":
+                    written.append(clock.now())
+                case "apply":
+                    applied = min(len(written), applied + values[0])
+                case "sample":
+                    # The answer may report the end at any instant after the call was made.
+                    asked = clock.now()
+                    clock.advance(milliseconds(values[0] // 2))
+                    end = at(len(written))
+                    clock.advance(milliseconds(values[0] // 2))
+                    freshness.add(Sample(end, asked))
+                case "advance":
+                    clock.advance(milliseconds(values[0]))
+                case "read":
+                    needs = ReadNeeds(max_staleness=milliseconds(values[0]))
+                    decision = freshness.decide(needs, at(applied), clock.now())
+                    if isinstance(decision, Serve):
+                        oldest_allowed = clock.now() - needs.max_staleness
+                        missed = [when for when in written[applied:] if when < oldest_allowed]
+                        self.assertEqual(missed, [])
--- a/tests/admission/test_scheduler.py
+++ b/tests/admission/test_scheduler.py
@@ -131,7 +131,7 @@
         self.assertTrue(set(modest) <= set(range(load.number + 1)) - self.waiting(load))
 
     def waiting(self, load: Load) -> set:
-        queues = load.queue._all_queues()
+        queues = load.queue._queues()
         return {request.key for queue in queues for request in queue}
 
     def test_session_over_its_limit_is_refused(self) -> None:
--- a/tests/pool/test_dispatch.py
+++ b/tests/pool/test_dispatch.py
@@ -110,8 +110,7 @@
             self.assertEqual(refused.result.code, ResultCode.DRAINING)
             self.assertFalse(pool.backends.all_idle)
             self.assertTrue((await entry.run("COMMIT", transaction_id=key)).result.is_ok)
-            await asyncio.sleep(0.02)
-            self.assertTrue(pool.backends.all_idle)
+            await eventually(lambda: pool.backends.all_idle)
 
     async def test_backend_server_that_is_gone_is_told_as_not_run(self) -> None:
         async with running_pool() as (pool, entry):
@@ -128,7 +127,7 @@
             await eventually(lambda: any(session.holds_writer for session in sessions.values()))
             for session in list(sessions.values()):
                 if not session.is_control:
-                    session.writer.transport.abort()
+                    session.abort()
             answer = await entry.collect(write.request_id)
             self.assertEqual(answer.result.code, ResultCode.CONNECTION_LOST)
             self.assertIs(answer.result.outcome, Outcome.UNKNOWN)
--- a/tests/pool/test_transactions.py
+++ b/tests/pool/test_transactions.py
@@ -97,7 +97,8 @@
             self.assertEqual((await entry.run("SELECT v FROM t")).rows, ["x"])
 
     async def test_dead_entry_loses_its_transaction_and_the_connection_is_not_reused(self) -> None:
-        async with running_pool() as (pool, entry):
+        # The idle timeout must not be what helps.
+        async with running_pool(limits={"idle_timeout_ms": 60_000}) as (pool, entry):
             await entry.run(TABLE)
             other = EntryStub(pool.address, "entry-2")
             await other.start()
