--- a/hickorywind/admission/commitproof.py
+++ b/hickorywind/admission/commitproof.py
@@ -70,9 +70,14 @@
         """Return how many answers wait for their proof."""
         return len(self._waiting)
 
+    def is_proved(self, ticket: Ticket) -> bool:
+        """Tell whether a position is committed by what is known already."""
+        same_term = ticket.term == self._term and ticket.position.term <= self._term
+        return same_term and self._committed.offset >= ticket.position.offset
+
     def add(self, ticket: Ticket, now: Instant) -> Sequence[Action]:
         """Take in an answer that needs a proof."""
-        if self._is_proved(ticket):
+        if self.is_proved(ticket):
             return (Proved(ticket.key),)
         self._waiting[ticket.key] = ticket
         return (*self.expire(now), *self._ask())
@@ -120,13 +125,9 @@
         give_up = max(ticket.deadline for ticket in self._waiting.values())
         return (Ask(greatest, give_up),)
 
-    def _is_proved(self, ticket: Ticket) -> bool:
-        same_term = ticket.term == self._term and ticket.position.term <= self._term
-        return same_term and self._committed.offset >= ticket.position.offset
-
     def _settle(self, ticket: Ticket, status: BackendStatus) -> Proved | Unproven | None:
         if status.term > ticket.term or status.role is not InstanceRole.PRIMARY:
             return Unproven(ticket.key, "the primary was replaced before the commit was proved")
-        if self._is_proved(ticket):
+        if self.is_proved(ticket):
             return Proved(ticket.key)
         return None
--- a/hickorywind/pool/groupwatch.py
+++ b/hickorywind/pool/groupwatch.py
@@ -125,11 +125,14 @@
 
     async def prove(self, ticket: Ticket) -> Proved | Unproven:
         """Wait until a position is known to be committed, or can't be any more."""
+        now = self._clock.now()
+        if self._proofs.is_proved(ticket):
+            return Proved(ticket.key)
         future = asyncio.get_running_loop().create_future()
         self._futures[ticket.key] = future
-        self._carry_out(self._proofs.add(ticket, self._clock.now()))
+        self._carry_out(self._proofs.add(ticket, now))
         try:
-            async with asyncio.timeout((ticket.deadline - self._clock.now()).total_seconds()):
+            async with asyncio.timeout((ticket.deadline - now).total_seconds()):
                 return await future
         except TimeoutError:
             return Unproven(ticket.key, "no proof of the commit before the deadline")
