Split the session, withdraw work of callers that left, count answers on the link

Ruled out: reading ahead while a request runs (unbounded buffer); withdrawing where messages are left to read (a caller may send, terminate and go).

--- a/hickorywind/entry/attempt.py
+++ b/hickorywind/entry/attempt.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
 import msgspec
 
-from hickorywind.entry.inbox import CancelWanted, InboxEvent, LinkLost, RequestInbox
+from hickorywind.entry.inbox import (
+    CancelWanted,
+    InboxEvent,
+    LinkLost,
+    PartsMissing,
+    RequestInbox,
+)
 from hickorywind.entry.poollink import PoolLink
 from hickorywind.postgres.answers import AnswerShaper, MalformedAnswerError
 from hickorywind.protocol.messages import (
@@ -24,6 +31,8 @@
 from hickorywind.results import Outcome, Result, ResultCode
 from hickorywind.util.clock import Clock, Instant
 
+logger = logging.getLogger(__name__)
+
 CREDIT_BYTES = 256 * 1024
 READ_HELD_BYTES = 128 * 1024
 WRITE_HELD_BYTES = 16 * 1024 * 1024
@@ -126,6 +135,8 @@
                     return await self._finish(event)
                 case LinkLost(reason=reason):
                     return AttemptEnd(self._lost(inbox, reason))
+                case PartsMissing():
+                    logger.debug("answer_incomplete", extra={"request_id": inbox.request_id})
                 case CancelWanted():
                     withdrawn = await self._withdraw(ResultCode.CANCELLED)
                 case CancelResult(result=result) if withdrawn is not None:
--- /dev/null
+++ b/hickorywind/entry/callerstream.py
@@ -0,0 +1,135 @@
+"""Read whole messages from a caller and write answers, each within a bounded time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+
+from hickorywind.entry.attempt import CallerGoneError
+from hickorywind.postgres.frames import Frame, FrameSplitter, FrameTooLargeError
+from hickorywind.results import HickorywindError, Outcome, Result, ResultCode
+
+MESSAGE_TIMEOUT = timedelta(seconds=30)
+WRITE_TIMEOUT = timedelta(seconds=30)
+_READ_BYTES = 65_536
+
+
+class StoppedError(Exception):
+    """Report that the stream was asked to stop while it waited for its caller."""
+
+
+class CallerReader(asyncio.StreamReader):
+    """Tell at once when the caller is gone, also while its request runs and nobody reads."""
+
+    on_gone: Callable[[], None] | None = None
+
+    def feed_eof(self) -> None:
+        """Take in the end of the connection."""
+        super().feed_eof()
+        self._tell_if_gone()
+
+    def set_exception(self, exc: Exception) -> None:
+        """Take in the loss of the connection."""
+        super().set_exception(exc)
+        self._tell_if_gone()
+
+    def _tell_if_gone(self) -> None:
+        # With messages left to read the caller has said what it wants before it went.
+        if self.on_gone is not None and self.at_eof():
+            self.on_gone()
+
+
+class CallerStream:
+    """Own the two halves of one caller connection.
+
+    ``is_waiting`` tells that nothing of a next message has come yet.
+    """
+
+    def __init__(
+        self, reader: CallerReader, writer: asyncio.StreamWriter, limit_bytes: int
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._splitter = FrameSplitter(limit_bytes)
+        self._frames: deque[Frame] = deque()
+        self._waiting_task: asyncio.Task | None = None
+        self._stopping = False
+
+    @property
+    def is_waiting(self) -> bool:
+        """Tell whether the caller has sent all of its last message and none of the next."""
+        return self._waiting_task is not None
+
+    @property
+    def has_messages(self) -> bool:
+        """Tell whether whole messages wait to be taken."""
+        return bool(self._frames)
+
+    def when_gone(self, call: Callable[[], None]) -> None:
+        """Name what is called when the caller has left."""
+        self._reader.on_gone = call
+
+    def stop(self) -> None:
+        """Have ``next_frame`` raise ``StoppedError`` if it waits for a message to begin."""
+        if self._waiting_task is not None:
+            self._stopping = True
+            self._waiting_task.cancel()
+
+    async def next_frame(self, inside_batch: bool) -> Frame | None:
+        """Return the next message, or None where the caller has left.
+
+        Inside a batch, and inside a message, the caller has ``MESSAGE_TIMEOUT`` for each piece.
+        Raise ``HickorywindError`` for what ends the connection, and ``StoppedError``.
+        """
+        while not self._frames:
+            if inside_batch or self._splitter.buffered_bytes:
+                data = await self._read_in_time()
+            else:
+                data = await self._read_when_idle()
+            if not data:
+                return None
+            self._frames.extend(self._split(data))
+        return self._frames.popleft()
+
+    def _split(self, data: bytes) -> list[Frame]:
+        try:
+            return list(self._splitter.feed(data))
+        except FrameTooLargeError as error:
+            raise _ended_by(ResultCode.MESSAGE_TOO_LARGE, str(error)) from None
+
+    async def _read_in_time(self) -> bytes:
+        try:
+            async with asyncio.timeout(MESSAGE_TIMEOUT.total_seconds()):
+                return await self._reader.read(_READ_BYTES)
+        except TimeoutError:
+            reason = "a message was begun and not completed in time"
+            raise _ended_by(ResultCode.MALFORMED_MESSAGE, reason) from None
+
+    async def _read_when_idle(self) -> bytes:
+        task = asyncio.current_task()
+        self._waiting_task = task
+        try:
+            return await self._reader.read(_READ_BYTES)
+        except asyncio.CancelledError:
+            if not self._stopping or task is None:
+                raise
+            task.uncancel()
+            raise StoppedError from None
+        finally:
+            self._waiting_task = None
+
+    async def write(self, data: bytes) -> None:
+        """Write and wait until the caller keeps up; raise ``CallerGoneError``."""
+        self._writer.write(data)
+        try:
+            async with asyncio.timeout(WRITE_TIMEOUT.total_seconds()):
+                await self._writer.drain()
+        except (TimeoutError, OSError) as error:
+            self._writer.transport.abort()
+            raise CallerGoneError from error
+
+
+def _ended_by(code: ResultCode, reason: str) -> HickorywindError:
+    return HickorywindError(Result(code, Outcome.NOT_RUN, reason))
--- a/hickorywind/entry/inbox.py
+++ b/hickorywind/entry/inbox.py
@@ -21,7 +21,12 @@
     """Tell a waiting request that its caller wants it withdrawn."""
 
 
-InboxEvent = AnswerPart | AnswerEnd | CancelResult | LinkLost | CancelWanted
+@dataclass(frozen=True)
+class PartsMissing:
+    """Tell a waiting request that the end came before some of its parts."""
+
+
+InboxEvent = AnswerPart | AnswerEnd | CancelResult | LinkLost | CancelWanted | PartsMissing
 
 
 class RequestInbox:
@@ -50,7 +55,7 @@
                 self._put_part(event)
             case AnswerEnd():
                 self._put_end(event)
-            case CancelResult() | LinkLost() | CancelWanted():
+            case _:
                 self._ready.put_nowait(event)
 
     def _put_part(self, part: AnswerPart) -> None:
@@ -66,6 +71,8 @@
         if self._end is None:
             self._end = end
             self._release_end()
+            if self.is_incomplete:
+                self._ready.put_nowait(PartsMissing())
 
     def _release_end(self) -> None:
         if self._end is not None and self._next_sequence == self._end.part_count:
--- /dev/null
+++ b/hickorywind/entry/reporting.py
@@ -0,0 +1,62 @@
+"""Log and count the requests that end at this entry."""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+
+from hickorywind.entry.request import Finished, Request
+from hickorywind.ids import AccessMode
+from hickorywind.observability.metrics import Metrics
+from hickorywind.util.clock import to_milliseconds
+
+logger = logging.getLogger(__name__)
+
+
+class RequestReporter:
+    """Write one event per request and keep the metrics; without metrics it only logs."""
+
+    def __init__(self, metrics: Metrics | None) -> None:
+        self._metrics = metrics
+
+    def report_end(
+        self, request: Request, finished: Finished, duration: timedelta, budget_left: float
+    ) -> None:
+        """Report a request's final result."""
+        result = finished.result
+        level = logging.DEBUG if result.is_ok else logging.INFO
+        if logger.isEnabledFor(level):
+            self._log(level, request, finished, duration)
+        if self._metrics is None:
+            return
+        self._metrics.record_request(request.service.name, request.rank, result, duration)
+        self._metrics.retry_budget.set(budget_left)
+        target = finished.target
+        if result.is_ok and request.mode is AccessMode.READ and target is not None:
+            source = "primary" if target.is_primary else "replica"
+            self._metrics.reads.labels(request.service.name, source).inc()
+
+    def _log(self, level: int, request: Request, finished: Finished, duration: timedelta) -> None:
+        target = finished.target
+        extra = {
+            "session_id": request.session_id,
+            "request_id": finished.request_id,
+            "service": request.service.name,
+            "backend": target.backend if target is not None else "",
+            "rank": request.rank.value,
+            "code": int(finished.result.code),
+            "outcome": finished.result.outcome.value,
+            "reason": finished.result.reason,
+            "duration_ms": round(to_milliseconds(duration), 1),
+        }
+        logger.log(level, "request_ended", extra=extra)
+
+    def count_retry(self, request: Request) -> None:
+        """Count a request that goes out again."""
+        if self._metrics is not None:
+            self._metrics.retries.labels(request.service.name).inc()
+
+    def count_link_bytes(self, region: str, size_bytes: int) -> None:
+        """Count volume exchanged with pools of another region."""
+        if self._metrics is not None:
+            self._metrics.link_bytes.labels(region).inc(size_bytes)
--- a/hickorywind/entry/request.py
+++ b/hickorywind/entry/request.py
@@ -10,18 +10,18 @@
 from hickorywind.entry.poollink import PoolLink
 from hickorywind.ids import (
     AccessMode,
-    BackendId,
     Incarnation,
     LogPosition,
     Rank,
+    RequestId,
     SessionId,
-    Term,
     TransactionId,
 )
 from hickorywind.postgres.answers import AnswerShaper
 from hickorywind.protocol.messages import PreparedStatement, TransactionState
 from hickorywind.results import Result
 from hickorywind.routing.session import Floor
+from hickorywind.routing.targets import Target
 from hickorywind.util.clock import Instant
 
 
@@ -31,9 +31,8 @@
 
     link: PoolLink
     incarnation: Incarnation
-    backend: BackendId
+    target: Target
     transaction_id: TransactionId
-    term: Term | None
     read_only: bool
     explicit: bool
 
@@ -71,18 +70,18 @@
 class Finished:
     """Report how a request ended.
 
-    ``link`` and the fields after it name where it ran last, for a transaction that it opened.
-    ``has_error`` tells of an error from the backend server itself, ``wrote`` that bytes of the
-    answer went to the caller.
+    ``request_id`` is that of the last attempt; ``link``, ``incarnation`` and ``target`` name where
+    it ran, for a transaction that it opened. ``has_error`` tells of an error from the backend
+    server itself, ``wrote`` that bytes of the answer went to the caller.
     """
 
     result: Result
     state: TransactionState = TransactionState.IDLE
+    request_id: RequestId | None = None
     transaction_id: TransactionId | None = None
     position: LogPosition | None = None
     link: PoolLink | None = None
     incarnation: Incarnation | None = None
-    backend: BackendId | None = None
-    term: Term | None = None
+    target: Target | None = None
     has_error: bool = False
     wrote: bool = False
--- a/hickorywind/entry/role.py
+++ b/hickorywind/entry/role.py
@@ -12,6 +12,7 @@
 from hickorywind.entry.acceptrate import AcceptRate
 from hickorywind.entry.executor import Executor
 from hickorywind.entry.links import PoolLinks
+from hickorywind.entry.reporting import RequestReporter
 from hickorywind.entry.server import CallerServer
 from hickorywind.entry.session import SessionContext
 from hickorywind.ids import Address, AvailabilityZone, HostId, Incarnation, Role
@@ -56,9 +57,10 @@
         self.budget = RetryBudget(_DEFAULTS.retry_budget_percent)
         self.link_budget = LinkBudget(clock, _DEFAULTS.link_bytes_per_second)
         self.links = PoolLinks(EntryHeartbeat(host, incarnation), clock, keys)
+        reporter = RequestReporter(metrics)
         chooser = TargetChooser(directory, zone, health, rng)
         executor = Executor(
-            self.links, chooser, health, self.budget, self.link_budget, clock, rng, metrics
+            self.links, chooser, health, self.budget, self.link_budget, clock, rng, reporter
         )
         context = SessionContext(executor, directory, clock)
         self.server = CallerServer(context, users, rng, metrics, AcceptRate(clock))
--- a/hickorywind/entry/server.py
+++ b/hickorywind/entry/server.py
@@ -10,9 +10,15 @@
 
 from hickorywind.entry.acceptrate import AcceptRate
 from hickorywind.entry.attempt import CallerGoneError
+from hickorywind.entry.callerstream import CallerReader, CallerStream
 from hickorywind.entry.cancels import CancelRegistry
 from hickorywind.entry.handshake import CancelKey, authenticate, greeting, read_startup
-from hickorywind.entry.session import CallerSession, SessionContext, unknown_service
+from hickorywind.entry.session import (
+    CallerSession,
+    SessionContext,
+    shutting_down,
+    unknown_service,
+)
 from hickorywind.entry.sessionstate import SessionState
 from hickorywind.ids import Address, ServiceName, SessionId
 from hickorywind.observability.metrics import Metrics
@@ -56,12 +62,9 @@
 
     async def start(self, address: Address) -> Address:
         """Listen and return the address in use; raise OSError where it is taken."""
-        self._server = await asyncio.start_server(
-            self._take_connection,
-            address.host,
-            address.port,
-            backlog=_BACKLOG,
-            limit=_READ_LIMIT_BYTES,
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make_protocol, address.host, address.port, backlog=_BACKLOG
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
@@ -93,7 +96,11 @@
         if tasks:
             await asyncio.wait(tasks, timeout=_CLOSE_GRACE.total_seconds())
 
-    def _take_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def _make_protocol(self) -> asyncio.Protocol:
+        reader = CallerReader(limit=_READ_LIMIT_BYTES)
+        return asyncio.StreamReaderProtocol(reader, self._take_connection)
+
+    def _take_connection(self, reader: CallerReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.create_task(self._serve_connection(reader, writer))
         self._tasks.add(task)
         task.add_done_callback(self._forget_connection)
@@ -107,9 +114,7 @@
         if self._metrics is not None:
             self._metrics.caller_connections.set(len(self._tasks))
 
-    async def _serve_connection(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _serve_connection(self, reader: CallerReader, writer: asyncio.StreamWriter) -> None:
         try:
             await self._open_session(reader, writer)
         except HickorywindError as error:
@@ -124,9 +129,7 @@
         finally:
             await _close_gently(reader, writer)
 
-    async def _open_session(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _open_session(self, reader: CallerReader, writer: asyncio.StreamWriter) -> None:
         await self._wait_for_turn()
         async with asyncio.timeout(_STARTUP_TIMEOUT.total_seconds()):
             packet = await read_startup(reader, writer)
@@ -140,7 +143,8 @@
             key = self._cancels.new_key()
             shown = {PARAMETER_PREFIX + SESSION_ID: state.session_id}
             writer.write(greeting(packet, key, shown))
-        session = CallerSession(self._context, state, reader, writer)
+        stream = CallerStream(reader, writer, self._context.message_limit_bytes)
+        session = CallerSession(self._context, state, stream)
         self._cancels.register(key, session)
         self._sessions.add(session)
         try:
@@ -158,8 +162,7 @@
 
     def _check_room(self) -> None:
         if self._draining:
-            reason = "this entry is shutting down; connect to another"
-            raise HickorywindError(Result.not_run(ResultCode.SHUTTING_DOWN, reason, 1))
+            raise HickorywindError(shutting_down())
         in_force = self._context.directory.in_force
         if in_force is None:
             reason = "no configuration is in force yet"
@@ -193,7 +196,7 @@
             writer.transport.abort()
 
 
-async def _close_gently(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+async def _close_gently(reader: CallerReader, writer: asyncio.StreamWriter) -> None:
     """Let the caller read the last message also where it is just sending.
 
     Closing with unread bytes would reset the connection, and the caller might never see the error.
--- a/hickorywind/entry/session.py
+++ b/hickorywind/entry/session.py
@@ -1,12 +1,9 @@
-"""Serve one caller connection: read batches, have them run, answer in order."""
+"""Serve one caller connection: take its batches, have them run, answer in order."""
 
 from __future__ import annotations
 
-import asyncio
 import logging
-from collections import deque
-from dataclasses import dataclass, replace
-from datetime import timedelta
+from dataclasses import dataclass
 
 from hickorywind.configuration.model import Limits, Service
 from hickorywind.entry.attempt import (
@@ -15,45 +12,33 @@
     CallerGoneError,
     CancelSignal,
 )
+from hickorywind.entry.callerstream import CallerStream, StoppedError
 from hickorywind.entry.executor import Executor
+from hickorywind.entry.localreplies import (
+    answer_already_ran,
+    answer_end_of_nothing,
+    answer_rollback,
+    only_ends_transaction,
+    only_rolls_back,
+)
 from hickorywind.entry.planning import Plan, plan_batch
-from hickorywind.entry.request import Finished, OpenTransaction, Request
+from hickorywind.entry.request import Finished, Request
 from hickorywind.entry.sessionstate import SessionState
+from hickorywind.entry.transaction import SessionTransaction
 from hickorywind.ids import AccessMode
 from hickorywind.membership.directory import Directory
-from hickorywind.postgres.answers import (
-    BIND_COMPLETE,
-    BIND_REPLY,
-    CLOSE_COMPLETE,
-    CLOSE_REPLY,
-    DESCRIBE_REPLY,
-    NO_DATA,
-    AnswerShaper,
-    LocalReply,
-    command_complete,
-    parameter_status,
-    ready_for_query,
-)
+from hickorywind.postgres.answers import AnswerShaper, parameter_status, ready_for_query
 from hickorywind.postgres.batches import Batch, BatchBuilder, Ending, flush_frame, sync_frame
-from hickorywind.postgres.errors import (
-    Severity,
-    encode_error,
-    encode_failed_transaction,
-    encode_notice,
-)
-from hickorywind.postgres.frames import Frame, FrameSplitter, FrameTooLargeError
+from hickorywind.postgres.errors import Severity, encode_error, encode_failed_transaction
 from hickorywind.postgres.hints import PARAMETER_PREFIX, TOKEN, bad_hint
-from hickorywind.postgres.statements import Commit, Rollback
 from hickorywind.protocol.messages import TransactionState
 from hickorywind.results import HickorywindError, Outcome, Result, ResultCode
 from hickorywind.util.clock import Clock, milliseconds
 
 logger = logging.getLogger(__name__)
 
-_READ_BYTES = 65_536
-_MESSAGE_TIMEOUT = timedelta(seconds=30)
-_WRITE_TIMEOUT = timedelta(seconds=30)
 _TOKEN_PARAMETER = PARAMETER_PREFIX + TOKEN
+_TERMINATE = b"X"
 
 
 @dataclass(frozen=True)
@@ -73,237 +58,160 @@
 
 
 class CallerSession:
-    """Own one caller connection from its first ReadyForQuery to its end."""
-
-    def __init__(
-        self,
-        context: SessionContext,
-        state: SessionState,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
+    """Serve one caller from its first ReadyForQuery to its end."""
+
+    def __init__(self, context: SessionContext, state: SessionState, stream: CallerStream) -> None:
         self._context = context
         self._state = state
-        self._reader = reader
-        self._writer = writer
+        self._stream = stream
         self._builder = BatchBuilder(state, context.message_limit_bytes)
-        self._splitter = FrameSplitter(context.message_limit_bytes)
-        self._frames: deque[Frame] = deque()
-        self._transaction: OpenTransaction | None = None
-        self._transaction_state = TransactionState.IDLE
-        self._lost = False
+        self._transaction = SessionTransaction(context.executor)
         self._cancel: CancelSignal | None = None
-        self._waiting = False
         self._stopping = False
-        self._task: asyncio.Task[None] | None = None
-        self._token_parameter = b""
 
     async def run(self) -> None:
         """Serve until the caller leaves, breaks the protocol or the entry stops."""
-        self._task = asyncio.current_task()
+        self._stream.when_gone(self.cancel_running)
         try:
-            await self._write(ready_for_query(TransactionState.IDLE))
+            await self._stream.write(ready_for_query(TransactionState.IDLE))
             await self._serve_batches()
         except HickorywindError as error:
             await self._say_goodbye(error.result)
-        except FrameTooLargeError as error:
-            result = Result(ResultCode.MESSAGE_TOO_LARGE, Outcome.NOT_RUN, str(error))
-            await self._say_goodbye(result)
+        except StoppedError:
+            await self._say_goodbye(shutting_down())
         except (CallerGoneError, ConnectionError):
-            pass
+            logger.debug("caller_gone", extra={"session_id": self._state.session_id})
         finally:
-            if self._transaction is not None:
-                await self._context.executor.end_transaction(self._transaction)
+            await self._transaction.close()
 
     def cancel_running(self) -> None:
         """Withdraw the request under way, if there is one."""
         if self._cancel is not None:
             self._cancel.set()
 
-    @property
-    def is_between_transactions(self) -> bool:
-        """Tell whether the session waits for its caller and holds no transaction."""
-        return self._waiting and self._transaction is None and self._builder.is_empty
-
     def stop_when_idle(self) -> None:
         """End the session once its current request and transaction are over."""
         self._stopping = True
-        if self._task is not None and self.is_between_transactions:
-            self._task.cancel()
-
-    # Reading -----------------------------------------------------------------------------------
+        if self._transaction.is_none and self._builder.is_empty:
+            self._stream.stop()
 
     async def _serve_batches(self) -> None:
-        while True:
-            if self._stopping and self._transaction is None and not self._lost:
-                if not self._frames and self._builder.is_empty:
-                    raise HickorywindError(_shutting_down())
-            frame = await self._next_frame()
-            if frame is None or frame.kind == b"X":
+        while not self._should_stop():
+            frame = await self._stream.next_frame(inside_batch=not self._builder.is_empty)
+            if frame is None or frame.kind == _TERMINATE:
                 return
             batch = self._builder.add(frame)
             if batch is not None:
                 await self._serve(batch)
+        raise StoppedError
 
-    async def _next_frame(self) -> Frame | None:
-        while not self._frames:
-            data = await self._read()
-            if not data:
-                if self._stopping:
-                    raise HickorywindError(_shutting_down())
-                return None
-            self._frames.extend(self._splitter.feed(data))
-        return self._frames.popleft()
-
-    async def _read(self) -> bytes:
-        partial = self._splitter.buffered_bytes > 0 or not self._builder.is_empty
-        if not partial:
-            return await self._read_when_idle()
-        try:
-            async with asyncio.timeout(_MESSAGE_TIMEOUT.total_seconds()):
-                return await self._reader.read(_READ_BYTES)
-        except TimeoutError:
-            reason = "a message was begun and not completed in time"
-            raise HickorywindError(
-                Result(ResultCode.MALFORMED_MESSAGE, Outcome.NOT_RUN, reason)
-            ) from None
-
-    async def _read_when_idle(self) -> bytes:
-        self._waiting = True
-        try:
-            return await self._reader.read(_READ_BYTES)
-        except asyncio.CancelledError:
-            if not self._stopping or self._task is None:
-                raise
-            self._task.uncancel()
-            return b""
-        finally:
-            self._waiting = False
-
-    # Writing -----------------------------------------------------------------------------------
-
-    async def _write(self, data: bytes) -> None:
-        self._writer.write(data)
-        try:
-            async with asyncio.timeout(_WRITE_TIMEOUT.total_seconds()):
-                await self._writer.drain()
-        except (TimeoutError, OSError) as error:
-            self._writer.transport.abort()
-            raise CallerGoneError from error
+    def _should_stop(self) -> bool:
+        idle = self._transaction.is_none and self._builder.is_empty
+        return self._stopping and idle and not self._stream.has_messages
 
     async def _say_goodbye(self, result: Result) -> None:
-        logger.info(
-            "session_ended",
-            extra={
-                "session_id": self._state.session_id,
-                "code": int(result.code),
-                "reason": result.reason,
-            },
-        )
+        extra = {
+            "session_id": self._state.session_id,
+            "code": int(result.code),
+            "reason": result.reason,
+        }
+        logger.info("session_ended", extra=extra)
         try:
-            await self._write(encode_error(result, Severity.FATAL))
+            await self._stream.write(encode_error(result, Severity.FATAL))
         except CallerGoneError:
-            pass
+            logger.debug("caller_gone", extra={"session_id": self._state.session_id})
 
-    async def _end_batch(self, batch: Batch, data: bytes = b"") -> None:
-        if batch.ending is not Ending.FLUSH:
-            data += ready_for_query(self._visible_state())
-        if data:
-            await self._write(data)
-
-    def _visible_state(self) -> TransactionState:
-        return TransactionState.FAILED if self._lost else self._transaction_state
-
-    # Serving -----------------------------------------------------------------------------------
+    # What becomes of a batch ------------------------------------------------------------------
 
     async def _serve(self, batch: Batch) -> None:
-        for name in self._state.deallocated:
-            self._builder.forget_statements(name)
-        self._state.deallocated.clear()
+        self._forget_deallocated()
         if batch.refusal is not None:
             await self._refuse(batch, batch.refusal)
-        elif self._lost and not batch.is_local:
-            await self._serve_after_loss(batch)
-        elif self._is_answered_here(batch):
+        elif self._transaction.failed and not batch.is_local:
+            await self._serve_after_failure(batch)
+        elif batch.is_local and not self._must_sync(batch):
             await self._end_batch(batch, batch.replies_here)
         elif self._ends_nothing(batch):
-            await self._end_batch(batch, _answer_end_of_nothing(batch))
+            await self._end_batch(batch, answer_end_of_nothing(batch))
         else:
             await self._run(batch)
 
-    def _is_answered_here(self, batch: Batch) -> bool:
-        return batch.is_local and not self._must_sync(batch)
+    def _forget_deallocated(self) -> None:
+        for name in self._state.deallocated:
+            self._builder.forget_statements(name)
+        self._state.deallocated.clear()
 
     def _must_sync(self, batch: Batch) -> bool:
-        """Tell whether a Sync ends a transaction that Flush left open at a pool."""
-        transaction = self._transaction
-        implicit = transaction is not None and not transaction.explicit
-        return implicit and batch.ending is not Ending.FLUSH
+        return self._transaction.is_implicit and batch.ending is not Ending.FLUSH
 
     def _ends_nothing(self, batch: Batch) -> bool:
-        if self._transaction is not None or batch.ending is not Ending.QUERY:
-            return False
-        return all(isinstance(item, Commit | Rollback) for item in batch.statements)
+        in_none = self._transaction.is_none and batch.ending is Ending.QUERY
+        return in_none and only_ends_transaction(batch)
+
+    async def _end_batch(self, batch: Batch, data: bytes) -> None:
+        if batch.ending is not Ending.FLUSH:
+            data += ready_for_query(self._transaction.visible_state)
+        if data:
+            await self._stream.write(data)
 
     async def _refuse(self, batch: Batch, result: Result) -> None:
         """Answer an error of the entry's own; an open transaction fails with it."""
-        await self._fail_transaction()
+        await self._transaction.fail()
+        await self._end_with_error(batch, encode_error(result))
+
+    async def _end_with_error(self, batch: Batch, error: bytes) -> None:
+        self._after_error(batch)
+        await self._end_batch(batch, error)
+
+    def _after_error(self, batch: Batch) -> None:
+        if self._transaction.current is None:
+            self._builder.forget_portals()
         if batch.ending is Ending.FLUSH:
             self._builder.skip_to_sync()
-        await self._end_batch(batch, encode_error(result))
 
-    async def _fail_transaction(self) -> None:
-        transaction = self._transaction
-        if transaction is None:
-            return
-        await self._context.executor.end_transaction(transaction)
-        self._leave_transaction()
-        self._lost = transaction.explicit
-
-    def _leave_transaction(self) -> None:
-        self._transaction = None
-        self._transaction_state = TransactionState.IDLE
-        self._builder.forget_portals()
-
-    async def _serve_after_loss(self, batch: Batch) -> None:
-        """Behave as PostgreSQL does in a failed transaction."""
-        if any(isinstance(item, Commit | Rollback) for item in batch.statements):
-            self._lost = False
-            await self._end_batch(batch, _answer_rollback(batch))
+    async def _serve_after_failure(self, batch: Batch) -> None:
+        if only_ends_transaction(batch):
+            self._transaction.forget()
+            await self._end_batch(batch, answer_rollback(batch))
             return
         reason = "the transaction has failed; statements are ignored until it is rolled back"
         result = Result(ResultCode.TRANSACTION_LOST, Outcome.NOT_RUN, reason)
-        if batch.ending is Ending.FLUSH:
-            self._builder.skip_to_sync()
-        await self._end_batch(batch, encode_failed_transaction(result))
+        await self._end_with_error(batch, encode_failed_transaction(result))
+
+    # Running a batch at a pool ------------------------------------------------------------------
 
     async def _run(self, batch: Batch) -> None:
-        service = self._context.directory.service(self._state.service)
+        self._cancel = CancelSignal()
         try:
-            if service is None:
-                raise HickorywindError(unknown_service(self._state.service))
+            service = self._find_service()
             plan = plan_batch(batch, self._state.hints, service)
             self._check_request_id(plan)
+            request = self._make_request(batch, plan, service, self._cancel)
+            finished = await self._context.executor.run(request)
         except HickorywindError as error:
             await self._refuse(batch, error.result)
             return
-        self._cancel = CancelSignal()
-        try:
-            request = self._make_request(batch, plan, service)
-            finished = await self._context.executor.run(request)
         finally:
             self._cancel = None
         await self._conclude(batch, plan, finished)
 
+    def _find_service(self) -> Service:
+        service = self._context.directory.service(self._state.service)
+        if service is None:
+            raise HickorywindError(unknown_service(self._state.service))
+        return service
+
     def _check_request_id(self, plan: Plan) -> None:
-        if plan.idempotency_key is not None and self._transaction is not None:
+        if plan.idempotency_key is not None and self._transaction.current is not None:
             raise bad_hint("in a transaction request_id belongs to its BEGIN")
 
-    def _make_request(self, batch: Batch, plan: Plan, service: Service) -> Request:
-        transaction = self._transaction
-        mode = plan.mode
-        if transaction is not None:
-            mode = AccessMode.READ if transaction.read_only else mode
+    def _make_request(
+        self, batch: Batch, plan: Plan, service: Service, cancel: CancelSignal
+    ) -> Request:
+        transaction = self._transaction.current
+        read_only = transaction is not None and transaction.read_only
+        mode = AccessMode.READ if read_only else plan.mode
+        reads = mode is AccessMode.READ
         return Request(
             service=service,
             session_id=self._state.session_id,
@@ -314,111 +222,83 @@
             floor=self._state.floors.floor(service.name),
             deadline=self._context.clock.now() + milliseconds(plan.timeout_ms),
             repeatable=plan.repeatable,
-            max_staleness_ms=plan.max_staleness_ms if mode is AccessMode.READ else None,
+            max_staleness_ms=plan.max_staleness_ms if reads else None,
             fallback_staleness_ms=plan.fallback_staleness_ms,
-            idempotency_key=plan.idempotency_key if mode is AccessMode.WRITE else None,
+            idempotency_key=None if reads else plan.idempotency_key,
             make_shaper=lambda: AnswerShaper(batch.replies),
-            write=self._write,
-            cancel=self._cancel or CancelSignal(),
+            write=self._stream.write,
+            cancel=cancel,
             transaction=transaction,
-            held_limit_bytes=WRITE_HELD_BYTES if mode is AccessMode.WRITE else READ_HELD_BYTES,
+            held_limit_bytes=READ_HELD_BYTES if reads else WRITE_HELD_BYTES,
             must_open=plan.opens_transaction and not plan.closes_transaction,
         )
 
     def _frames_to_send(self, batch: Batch) -> bytes:
+        frames = bytes(batch.frames)
         match batch.ending:
             case Ending.QUERY:
-                return bytes(batch.frames)
-            case Ending.SYNC:
-                return bytes(batch.frames) + sync_frame()
-            case Ending.FLUSH if self._flush_can_be_sync(batch):
-                return bytes(batch.frames) + sync_frame()
-            case Ending.FLUSH:
-                return bytes(batch.frames) + flush_frame()
-
-    def _flush_can_be_sync(self, batch: Batch) -> bool:
-        """Tell whether a Sync in place of Flush changes nothing that the caller can see."""
-        transaction = self._transaction
-        return not batch.runs and (transaction is None or transaction.explicit)
+                return frames
+            case Ending.FLUSH if batch.runs or self._transaction.is_implicit:
+                return frames + flush_frame()
+            case Ending.FLUSH | Ending.SYNC:
+                # Where nothing was bound, a Sync in place of Flush ends nothing.
+                return frames + sync_frame()
 
     async def _conclude(self, batch: Batch, plan: Plan, finished: Finished) -> None:
-        if finished.position is not None:
-            self._advance_floor(plan, finished)
-        if not finished.result.is_ok:
+        token = self._advance_floor(plan, finished)
+        result = finished.result
+        if not result.is_ok:
             await self._conclude_failure(batch, plan, finished)
             return
-        self._follow_transaction(batch, plan, finished)
-        if finished.has_error and batch.ending is Ending.FLUSH:
-            self._builder.skip_to_sync()
-        data = self._token_parameter
-        self._token_parameter = b""
-        if finished.result.code is ResultCode.ALREADY_RAN and not finished.wrote:
-            data = _answer_already_ran(batch, finished.result) + data
-        await self._end_batch(batch, data)
-
-    def _advance_floor(self, plan: Plan, finished: Finished) -> None:
-        service = self._state.service
+        self._transaction.follow(batch, plan, finished)
+        if finished.has_error:
+            self._after_error(batch)
+        elif self._transaction.is_none:
+            self._builder.forget_portals()
+        if result.code is ResultCode.ALREADY_RAN and not finished.wrote:
+            token = answer_already_ran(batch, result) + token
+        await self._end_batch(batch, token)
+
+    def _advance_floor(self, plan: Plan, finished: Finished) -> bytes:
+        """Raise the floor and return the token's message where the caller should get it."""
+        if finished.position is None:
+            return b""
         floors = self._state.floors
-        was = floors.floor(service)
-        rose = floors.advance(service, finished.position)
-        wrote = plan.mode is AccessMode.WRITE
-        if rose and (wrote or type(was) is not type(floors.floor(service))):
-            self._token_parameter = parameter_status(_TOKEN_PARAMETER, floors.token())
+        was = floors.floor(self._state.service)
+        rose = floors.advance(self._state.service, finished.position)
+        is_new = type(was) is not type(floors.floor(self._state.service))
+        if rose and (is_new or plan.mode is AccessMode.WRITE):
+            return parameter_status(_TOKEN_PARAMETER, floors.token())
+        return b""
 
     async def _conclude_failure(self, batch: Batch, plan: Plan, finished: Finished) -> None:
         result = finished.result
-        transaction = self._transaction
-        if transaction is not None and not plan.closes_transaction:
+        in_transaction = self._transaction.current is not None
+        if in_transaction and not plan.closes_transaction:
             result = _lost_in_transaction(result)
-        if transaction is None and finished.link is not None and plan.opens_transaction:
-            opened = self._opened(batch, plan, finished)
-            await self._context.executor.end_transaction(opened)
-        await self._fail_transaction()
+        if not in_transaction:
+            await self._transaction.drop_opened(batch, plan, finished)
+        await self._transaction.fail()
         if plan.closes_transaction:
-            self._lost = False
-        if transaction is not None and _only_rolls_back(batch):
+            self._transaction.forget()
+        if in_transaction and only_rolls_back(batch):
             # The transaction ends without a trace, which is all that was asked for.
-            await self._end_batch(batch, _answer_rollback(batch))
+            self._after_error(batch)
+            await self._end_batch(batch, answer_rollback(batch))
             return
-        if batch.ending is Ending.FLUSH:
-            self._builder.skip_to_sync()
-        await self._end_batch(batch, encode_error(result))
-
-    def _opened(self, batch: Batch, plan: Plan, finished: Finished) -> OpenTransaction:
-        return OpenTransaction(
-            link=finished.link,
-            incarnation=finished.incarnation,
-            backend=finished.backend,
-            transaction_id=finished.transaction_id,
-            term=finished.term,
-            read_only=plan.read_only_transaction,
-            explicit=plan.opens_transaction or batch.ending is not Ending.FLUSH,
-        )
-
-    def _follow_transaction(self, batch: Batch, plan: Plan, finished: Finished) -> None:
-        self._transaction_state = finished.state
-        if finished.state is TransactionState.IDLE:
-            self._leave_transaction()
-            return
-        opened = self._opened(batch, plan, finished)
-        if self._transaction is None:
-            self._transaction = opened
-        elif opened.explicit:
-            # Only an explicit transaction outlives a Sync.
-            self._transaction = replace(self._transaction, explicit=True)
+        await self._end_with_error(batch, encode_error(result))
 
 
 def unknown_service(name: str) -> Result:
     """Build the refusal for a database name that is no service."""
-    return Result(
-        ResultCode.UNKNOWN_SERVICE, Outcome.NOT_RUN, f"database service {name!r} is not known"
-    )
+    reason = f"database service {name!r} is not known"
+    return Result(ResultCode.UNKNOWN_SERVICE, Outcome.NOT_RUN, reason)
 
 
-def _shutting_down() -> Result:
-    return Result.not_run(
-        ResultCode.SHUTTING_DOWN, "this entry is shutting down; connect to another", 1
-    )
+def shutting_down() -> Result:
+    """Build the refusal of an entry that stops."""
+    reason = "this entry is shutting down; connect to another"
+    return Result.not_run(ResultCode.SHUTTING_DOWN, reason, 1)
 
 
 def _lost_in_transaction(result: Result) -> Result:
@@ -427,42 +307,3 @@
         return result
     reason = f"transaction rolled back: {result.reason}"
     return Result(ResultCode.TRANSACTION_LOST, result.outcome, reason)
-
-
-def _only_rolls_back(batch: Batch) -> bool:
-    statements = batch.statements
-    return bool(statements) and all(isinstance(item, Rollback) for item in statements)
-
-
-def _answer_end_of_nothing(batch: Batch) -> bytes:
-    tag = "COMMIT" if isinstance(batch.statements[0], Commit) else "ROLLBACK"
-    notice = Result(ResultCode.OK, Outcome.NOT_RUN, "there is no transaction in progress")
-    return encode_notice(notice) + command_complete(tag)
-
-
-def _answer_rollback(batch: Batch) -> bytes:
-    return _answer_each(batch, command_complete("ROLLBACK"))
-
-
-def _answer_already_ran(batch: Batch, result: Result) -> bytes:
-    return encode_notice(result) + _answer_each(batch, command_complete("SELECT 0"))
-
-
-def _answer_each(batch: Batch, completion: bytes) -> bytes:
-    """Answer every message of a batch as if each statement had completed without rows."""
-    if batch.ending is Ending.QUERY:
-        return completion
-    parts = []
-    for reply in batch.replies:
-        match reply:
-            case LocalReply(data=data):
-                parts.append(data)
-            case _ if reply == BIND_REPLY:
-                parts.append(BIND_COMPLETE)
-            case _ if reply == DESCRIBE_REPLY:
-                parts.append(NO_DATA)
-            case _ if reply == CLOSE_REPLY:
-                parts.append(CLOSE_COMPLETE)
-            case _:
-                parts.append(completion)
-    return b"".join(parts)
--- /dev/null
+++ b/hickorywind/entry/transaction.py
@@ -0,0 +1,89 @@
+"""Follow the transaction of one session, and its failure."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hickorywind.entry.executor import Executor
+from hickorywind.entry.planning import Plan
+from hickorywind.entry.request import Finished, OpenTransaction
+from hickorywind.postgres.batches import Batch, Ending
+from hickorywind.protocol.messages import TransactionState
+
+
+class SessionTransaction:
+    """Know where the session's transaction lives, and in which state the caller sees it.
+
+    ``failed`` means that the transaction is gone and its caller has not ended it yet; everything
+    but COMMIT and ROLLBACK is then refused, as PostgreSQL does.
+    """
+
+    def __init__(self, executor: Executor) -> None:
+        self._executor = executor
+        self._state = TransactionState.IDLE
+        self.current: OpenTransaction | None = None
+        self.failed = False
+
+    @property
+    def visible_state(self) -> TransactionState:
+        """Return the state for ReadyForQuery."""
+        return TransactionState.FAILED if self.failed else self._state
+
+    @property
+    def is_none(self) -> bool:
+        """Tell whether the session holds no transaction, not even a failed one."""
+        return self.current is None and not self.failed
+
+    @property
+    def is_implicit(self) -> bool:
+        """Tell whether a Flush left a transaction open that the next Sync ends."""
+        return self.current is not None and not self.current.explicit
+
+    def follow(self, batch: Batch, plan: Plan, finished: Finished) -> None:
+        """Take in how a batch ended that succeeded or failed at the backend server."""
+        self._state = finished.state
+        if finished.state is TransactionState.IDLE:
+            self.current = None
+            return
+        opened = _opened(batch, plan, finished)
+        if self.current is None:
+            self.current = opened
+        elif opened.explicit:
+            # Only an explicit transaction outlives a Sync.
+            self.current = replace(self.current, explicit=True)
+
+    async def fail(self) -> None:
+        """End the transaction after an error of hickorywind's own, if there is one."""
+        current = self.current
+        if current is None:
+            return
+        self.forget()
+        self.failed = current.explicit
+        await self._executor.end_transaction(current)
+
+    async def drop_opened(self, batch: Batch, plan: Plan, finished: Finished) -> None:
+        """End a transaction that a failed BEGIN may have left open."""
+        if plan.opens_transaction and finished.link is not None:
+            await self._executor.end_transaction(_opened(batch, plan, finished))
+
+    def forget(self) -> None:
+        """Hold no transaction any more."""
+        self.current = None
+        self._state = TransactionState.IDLE
+        self.failed = False
+
+    async def close(self) -> None:
+        """Have the transaction rolled back, as its session ends."""
+        if self.current is not None:
+            await self._executor.end_transaction(self.current)
+
+
+def _opened(batch: Batch, plan: Plan, finished: Finished) -> OpenTransaction:
+    return OpenTransaction(
+        link=finished.link,
+        incarnation=finished.incarnation,
+        target=finished.target,
+        transaction_id=finished.transaction_id,
+        read_only=plan.read_only_transaction,
+        explicit=plan.opens_transaction or batch.ending is not Ending.FLUSH,
+    )
--- a/hickorywind/routing/retry.py
+++ b/hickorywind/routing/retry.py
@@ -123,6 +123,9 @@
             return GiveUp()
         if targets_left:
             return TryNext()
+        if result.code is ResultCode.LINK_BUDGET_SPENT:
+            # The result says when the budget is refilled; waiting here would only hide that.
+            return GiveUp()
         wait = self._jitter.next_wait()
         if self._clock.now() + wait >= self._deadline:
             return GiveUp()
--- a/hickorywind/routing/targets.py
+++ b/hickorywind/routing/targets.py
@@ -14,6 +14,7 @@
     BackendId,
     HostId,
     LogPosition,
+    Region,
     ServiceName,
     Term,
 )
@@ -35,7 +36,8 @@
     """Name a backend server and the pool that is its home.
 
     ``term`` is the term of which the backend server is believed primary; None for replicas.
-    ``floor`` is what the data must contain. ``distance`` is that of the pool.
+    ``floor`` is what the data must contain. ``distance`` and ``region`` are those of
+    the pool.
     """
 
     backend: BackendId
@@ -44,6 +46,7 @@
     distance: Distance
     term: Term | None = None
     floor: LogPosition | None = None
+    region: Region | None = None
 
     @property
     def is_primary(self) -> bool:
@@ -129,7 +132,8 @@
         if home is None or home.pool is None:
             return None
         distance = self._distance(home.availability_zone)
-        return Target(instance.backend, home.host, home.pool, distance, term, floor)
+        region = self._directory.region_of(home.availability_zone)
+        return Target(instance.backend, home.host, home.pool, distance, term, floor, region)
 
     def _distance(self, zone: AvailabilityZone) -> Distance:
         if zone == self._zone:
--- a/tests/entry/test_outcomes.py
+++ b/tests/entry/test_outcomes.py
@@ -1,4 +1,6 @@
 import asyncio
+import os
+import socket
 
 import psycopg
 
@@ -79,6 +81,7 @@
     async def test_answer_with_a_missing_part_is_not_passed_on_as_whole(self):
         async def lose_part(pool, peer, execute):
             await pool.send(peer, AnswerPart(execute.request_id, 0, text_answer("half")))
+            await asyncio.sleep(0.2)
             end = AnswerEnd(execute.request_id, 2, Result.ok(), TransactionState.IDLE)
             await pool.send(peer, end)
 
@@ -200,6 +203,18 @@
             await running
         self.assertIn("code=2008 outcome=not_run", detail(caught.exception))
 
+    async def test_request_of_a_caller_that_has_gone_is_withdrawn(self):
+        connection = await self.connect()
+        self.primary_pool.handler = stay_silent
+        self.primary_pool.cancel_handler = FakePool.say_cancelled
+        running = asyncio.ensure_future(connection.execute(WRITE))
+        await self.wait_for(lambda: self.primary_pool.executed)
+        with socket.socket(fileno=os.dup(connection.fileno())) as raw:
+            raw.shutdown(socket.SHUT_RDWR)
+        await self.wait_for(lambda: self.primary_pool.messages_of(Cancel), 1)
+        with self.assertRaises(psycopg.OperationalError):
+            await running
+
     async def test_retry_after_an_unknown_attempt_never_ends_as_not_run(self):
         async def doubt_then_refuse(pool, peer, execute):
             if len(pool.executed) == 1:
--- a/tests/entry/test_server.py
+++ b/tests/entry/test_server.py
@@ -10,7 +10,7 @@
 from pygwire.messages import Query, SSLRequest, StartupMessage
 
 from hickorywind.configuration.model import Limits
-from hickorywind.entry import server, session
+from hickorywind.entry import callerstream, server
 from hickorywind.entry.acceptrate import AcceptRate
 from hickorywind.protocol.messages import AnswerCredit, AnswerEnd, AnswerPart, TransactionState
 from hickorywind.results import Result
@@ -82,7 +82,7 @@
         limit = timedelta(milliseconds=200)
         with (
             mock.patch.object(server, "_STARTUP_TIMEOUT", limit),
-            mock.patch.object(session, "_MESSAGE_TIMEOUT", limit),
+            mock.patch.object(callerstream, "MESSAGE_TIMEOUT", limit),
         ):
             slow_start, _ = await self.open_raw(STARTUP[:5])
             slow_message, _ = await self.open_raw(STARTUP, b"Q\0\0\0\x20SEL")
@@ -97,7 +97,7 @@
                 await pool.send(peer, AnswerPart(execute.request_id, sequence, frames))
 
         self.replica_pool.handler = answer_forever
-        with mock.patch.object(session, "_WRITE_TIMEOUT", timedelta(milliseconds=300)):
+        with mock.patch.object(callerstream, "WRITE_TIMEOUT", timedelta(milliseconds=300)):
             await self.open_raw(STARTUP, Query("SELECT 1").to_wire())
             await self.wait_for(lambda: self.replica_pool.executed)
             await self.wait_for(lambda: self.parts.server.session_count == 0)
