Split the task of a backend server into modules of one job

Change: open transactions with their connections, running and giving up, checks against the status, and the set of tasks have modules of their own; no change of behaviour.

Conclusion: tests of pool, daemon and layering pass.

--- /dev/null
+++ b/hickorywind/pool/checks.py
@@ -0,0 +1,49 @@
+"""Check a request against the status of the backend server it is for."""
+
+from __future__ import annotations
+
+from hickorywind.groups.status import BackendStatus
+from hickorywind.ids import AccessMode, InstanceRole
+from hickorywind.protocol.messages import Execute
+from hickorywind.results import Result, ResultCode
+
+RETRY_AFTER_MS = 200
+
+
+def needs_newer_status(status: BackendStatus | None, message: Execute) -> bool:
+    """Tell whether the status held may be older than what the sender knows."""
+    if status is None:
+        return True
+    expected = message.expected_term
+    if expected is not None and status.term < expected:
+        return True
+    return message.mode is AccessMode.WRITE and status.role is not InstanceRole.PRIMARY
+
+
+def refuse_by_status(status: BackendStatus, message: Execute) -> Result | None:
+    """Refuse what the sender would not have sent had it known the status."""
+    expected = message.expected_term
+    if expected is not None and status.term > expected:
+        return _refuse_old_term(status, message)
+    if message.mode is AccessMode.WRITE and status.role is not InstanceRole.PRIMARY:
+        reason = "the backend server is not primary"
+        return Result.not_run(ResultCode.NO_PRIMARY, reason, RETRY_AFTER_MS)
+    return None
+
+
+def _refuse_old_term(status: BackendStatus, message: Execute) -> Result:
+    reason = f"the group is at term {status.term}"
+    if message.transaction_id is not None:
+        return Result.not_run(ResultCode.TRANSACTION_LOST, reason)
+    return Result.not_run(ResultCode.STALE_TERM, reason, RETRY_AFTER_MS)
+
+
+def refuse_unreachable(reason: str) -> Result:
+    """Refuse a request because the backend server can't be reached."""
+    return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, RETRY_AFTER_MS)
+
+
+def refuse_leaving() -> Result:
+    """Refuse new work for a backend server that is leaving."""
+    reason = "the backend server takes no new work"
+    return Result.not_run(ResultCode.BACKEND_LEAVING, reason, RETRY_AFTER_MS)
--- a/tests/pool/harness.py
+++ b/tests/pool/harness.py
@@ -40,8 +40,8 @@
 from hickorywind.membership.directory import Directory
 from hickorywind.pool import frontend
 from hickorywind.pool.backendconnection import Login
+from hickorywind.pool.backendtasks import BackendTasks
 from hickorywind.pool.dispatch import Dispatcher
-from hickorywind.pool.role import BackendTasks
 from hickorywind.postgres.frames import FrameSplitter
 from hickorywind.protocol.channel import Link, Listener
 from hickorywind.protocol.messages import (
