Put changed bounds in force at pools and survive closed watches

Cause: the task of a backend server kept the bounds of its first revision while it was busy, and a refresh that shared a call of a watch being closed was cancelled with it, so that its request was never answered.

Ruled out: replacing the task once it is idle, which never comes under load.

--- a/hickorywind/admission/fifo.py
+++ b/hickorywind/admission/fifo.py
@@ -20,14 +20,18 @@
     """Offer the interface of ``AdmissionQueue`` without ranks, floors and shedding at arrival."""
 
     def __init__(self, policy: AdmissionPolicy, rng: random.Random) -> None:
-        self._slots = policy.slots
-        self._limit = sum(rank.queue_limit for rank in policy.ranks)
-        self._limit_bytes = sum(rank.queue_limit_bytes for rank in policy.ranks)
+        self.set_policy(policy)
         self._rng = rng
         self._waiting: OrderedDict[Hashable, WaitingRequest] = OrderedDict()
         self._waiting_bytes = 0
         self._running: set[Hashable] = set()
 
+    def set_policy(self, policy: AdmissionPolicy) -> None:
+        """Put other bounds in force for what arrives from now on."""
+        self._slots = policy.slots
+        self._limit = sum(rank.queue_limit for rank in policy.ranks)
+        self._limit_bytes = sum(rank.queue_limit_bytes for rank in policy.ranks)
+
     def arrive(self, request: WaitingRequest, now: Instant) -> Sequence[Action]:
         """Take in a request: start it, queue it or refuse it."""
         if request.deadline <= now:
--- a/hickorywind/admission/lanes.py
+++ b/hickorywind/admission/lanes.py
@@ -49,6 +49,12 @@
         floor = policy.floor_percent / _PERCENT
         return cls(policy.rank, floor, policy.queue_limit, policy.queue_limit_bytes)
 
+    def set_policy(self, policy: RankPolicy) -> None:
+        """Put another floor and other bounds in force."""
+        self.floor = policy.floor_percent / _PERCENT
+        self.limit = policy.queue_limit
+        self.limit_bytes = policy.queue_limit_bytes
+
     def charge(self, seconds: float) -> None:
         """Charge slot time; a negative time gives back what was charged too much.
 
@@ -71,17 +77,28 @@
             self.is_measured = True
 
 
+def _complete(policies: Sequence[RankPolicy]) -> tuple[RankPolicy, ...]:
+    """Order policies by urgency; a rank without one has no floor and the default bounds."""
+    named = {policy.rank: policy for policy in policies}
+    return tuple(named.get(rank, RankPolicy(rank, 0)) for rank in RANKS_BY_URGENCY)
+
+
 class Lanes:
     """Hold the lanes of all ranks, the most urgent first."""
 
     def __init__(self, policies: Sequence[RankPolicy], slots: int) -> None:
-        named = {policy.rank: policy for policy in policies}
-        complete = [named.get(rank, RankPolicy(rank, 0)) for rank in RANKS_BY_URGENCY]
+        complete = _complete(policies)
         self.by_urgency = tuple(Lane.from_policy(policy) for policy in complete)
+        self._unfolded_seconds = 0.0
+        self.set_policies(complete, slots)
+
+    def set_policies(self, policies: Sequence[RankPolicy], slots: int) -> None:
+        """Put other floors and bounds in force; what waits stays."""
+        for lane, policy in zip(self.by_urgency, _complete(policies), strict=True):
+            lane.set_policy(policy)
         self.limit = max(lane.limit for lane in self.by_urgency)
         self.limit_bytes = max(lane.limit_bytes for lane in self.by_urgency)
         self._slots = slots
-        self._unfolded_seconds = 0.0
 
     def of(self, rank: Rank) -> Lane:
         """Return the lane of a rank."""
--- a/hickorywind/admission/scheduler.py
+++ b/hickorywind/admission/scheduler.py
@@ -73,6 +73,11 @@
         self._last_event: Instant | None = None
         self._urgent_seen: Instant | None = None
 
+    def set_policy(self, policy: AdmissionPolicy) -> None:
+        """Put other floors and bounds in force for what arrives from now on."""
+        self._policy = policy
+        self._lanes.set_policies(policy.ranks, policy.slots)
+
     # Events ------------------------------------------------------------------------------------
 
     def arrive(self, request: WaitingRequest, now: Instant) -> Sequence[Action]:
--- a/hickorywind/admission/transactions.py
+++ b/hickorywind/admission/transactions.py
@@ -28,9 +28,13 @@
     """
 
     def __init__(self, limits: TransactionLimits, connections: int, reserve: int) -> None:
+        self._open: dict[Hashable, OpenTransaction] = {}
+        self.set_limits(limits, connections, reserve)
+
+    def set_limits(self, limits: TransactionLimits, connections: int, reserve: int) -> None:
+        """Put other bounds in force; transactions that are open stay."""
         self._limit = max(1, min(limits.open_limit, connections - reserve))
         self._idle_timeout = milliseconds(limits.idle_timeout_ms)
-        self._open: dict[Hashable, OpenTransaction] = {}
 
     def __len__(self) -> int:
         return len(self._open)
--- a/hickorywind/pool/backend.py
+++ b/hickorywind/pool/backend.py
@@ -29,6 +29,7 @@
     EntrySilent,
     Event,
     Prepared,
+    Reconfigured,
     SlotFreed,
     Submitted,
     Tick,
@@ -37,7 +38,7 @@
 from hickorywind.pool.freshreads import FreshReads
 from hickorywind.pool.gauges import BackendGauges, Occupancy
 from hickorywind.pool.groupwatch import GroupWatch
-from hickorywind.pool.jobs import Job, JobKey
+from hickorywind.pool.jobs import Job, JobKey, TransactionKey
 from hickorywind.pool.opentransactions import OpenTransactions
 from hickorywind.pool.runner import Runner
 from hickorywind.protocol.channel import PeerId
@@ -66,6 +67,22 @@
     metrics: Metrics | None = None
 
 
+@dataclass(frozen=True)
+class _Bounds:
+    """Derive from the configuration what one home may use of a backend server."""
+
+    policy: AdmissionPolicy
+    connections: int
+    reserve: int
+
+    @classmethod
+    def of(cls, service: Service, instance: Instance) -> _Bounds:
+        share = connection_share(instance.connections)
+        slots = min(instance.slots, share)
+        policy = AdmissionPolicy.from_service(service, slots)
+        return cls(policy, share, reserve=min(slots, share - 1))
+
+
 class BackendTask:
     """Serve the requests for one backend server; ``inbox`` takes its events."""
 
@@ -77,12 +94,11 @@
         self._tools = tools
         self._clock = tools.clock
         self._watch = tools.watch
-        share = connection_share(instance.connections)
-        slots = min(instance.slots, share)
-        table = TransactionTable(service.transactions, share, reserve=min(slots, share - 1))
-        self._queue = _make_queue(tools, AdmissionPolicy.from_service(service, slots))
-        self._connections = Connections(tools.login, share, tools.clock)
-        self._transactions = OpenTransactions(table, self._connections, tools.clock)
+        bounds = _Bounds.of(service, instance)
+        self._table = TransactionTable(service.transactions, bounds.connections, bounds.reserve)
+        self._queue = _make_queue(tools, bounds.policy)
+        self._connections = Connections(tools.login, bounds.connections, tools.clock)
+        self._transactions = OpenTransactions(self._table, self._connections, tools.clock)
         self._reads = FreshReads(tools.watch, tools.find_primary, tools.clock, tools.rng)
         self._runner = Runner(
             self._connections,
@@ -115,6 +131,15 @@
         """Return when the last request came."""
         return self._last_used
 
+    def holds(self, key: TransactionKey) -> bool:
+        """Tell whether a transaction is open here."""
+        return self._transactions.connection_of(key) is not None
+
+    def reconfigure(self, service: Service, instance: Instance) -> None:
+        """Put another revision of the configuration in force."""
+        self.service, self.instance = service, instance
+        self.inbox.put_nowait(Reconfigured(service, instance))
+
     def add_credit(self, key: JobKey, credit_bytes: int) -> bool:
         """Pass on credit for an answer; return False where the request is not here."""
         job = self._jobs.get(key)
@@ -154,9 +179,18 @@
                 self._transactions.end(key)
             case EntrySilent(entry):
                 self._forget_entry(entry)
+            case Reconfigured(service, instance):
+                self._reconfigure(service, instance)
             case Tick():
                 self._tick()
 
+    def _reconfigure(self, service: Service, instance: Instance) -> None:
+        bounds = _Bounds.of(service, instance)
+        self._queue.set_policy(bounds.policy)
+        self._table.set_limits(service.transactions, bounds.connections, bounds.reserve)
+        self._connections.set_limit(bounds.connections)
+        logger.info("backend_reconfigured", extra={"backend": self.backend})
+
     async def _close(self) -> None:
         for task in tuple(self._tasks):
             task.cancel()
--- a/hickorywind/pool/backendtasks.py
+++ b/hickorywind/pool/backendtasks.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from hickorywind.configuration.model import Instance, Service
 from hickorywind.ids import Address, BackendId, HostId, ServiceName
 from hickorywind.membership.directory import Directory
 from hickorywind.observability.metrics import Metrics
@@ -15,10 +16,11 @@
 from hickorywind.pool.backendconnection import Login
 from hickorywind.pool.dispatch import is_term_stale, unknown_backend
 from hickorywind.pool.groupwatch import ControlCalls, GroupWatch
+from hickorywind.pool.jobs import TransactionKey
 from hickorywind.protocol.messages import Execute
 from hickorywind.results import Result, ResultCode
 from hickorywind.settings.template import QueueOrder
-from hickorywind.util.clock import Clock
+from hickorywind.util.clock import Clock, Instant
 
 logger = logging.getLogger(__name__)
 
@@ -52,11 +54,12 @@
         self._tasks: dict[BackendId, BackendTask] = {}
         self._runners: dict[BackendId, asyncio.Task] = {}
         self._watches: dict[BackendId, GroupWatch] = {}
+        self._retired: dict[BackendTask, tuple[asyncio.Task, GroupWatch]] = {}
         self._closing: set[asyncio.Task] = set()
 
     def tasks(self) -> tuple[BackendTask, ...]:
         """Return all tasks."""
-        return tuple(self._tasks.values())
+        return (*self._tasks.values(), *self._retired)
 
     def task_for(self, message: Execute) -> BackendTask | Result:
         """Return the task that serves a request, or why there is none."""
@@ -67,26 +70,39 @@
         refusal = is_term_stale(self._directory, message)
         if refusal is not None and message.transaction_id is None:
             return refusal
-        task = self._tasks.get(message.backend)
-        if task is not None and task.instance == instance:
-            return task
+        task = self._current_task(service, instance)
         if task is not None:
-            return self._replace(task) or self._start(message.backend)
+            return task
         if not self._is_home(message.backend):
             return Result.not_run(ResultCode.NOT_HOME, "another pool is home", _RETRY_AFTER_MS)
         return self._start(message.backend)
 
+    def retired_task_of(self, key: TransactionKey) -> BackendTask | None:
+        """Return the task of a former address that holds an open transaction."""
+        return next((task for task in self._retired if task.holds(key)), None)
+
+    def _current_task(self, service: Service, instance: Instance) -> BackendTask | None:
+        """Return a backend server's task with the configuration in force."""
+        task = self._tasks.get(instance.backend)
+        if task is None or (task.service is service and task.instance is instance):
+            return task
+        if task.instance.address != instance.address:
+            self._retire(task)
+            return None
+        if task.service != service or task.instance != instance:
+            task.reconfigure(service, instance)
+        return task
+
+    def _retire(self, task: BackendTask) -> None:
+        """Let a task finish what it has in hand at an address that is no longer in force."""
+        del self._tasks[task.backend]
+        watch = self._watches.pop(task.backend)
+        self._retired[task] = (self._runners.pop(task.backend), watch)
+
     def _is_home(self, backend: BackendId) -> bool:
         home = self._directory.home_of(backend)
         return home is None or home.host == self._host
 
-    def _replace(self, task: BackendTask) -> BackendTask | None:
-        """Keep a task with changed configuration until it has nothing in hand."""
-        if not task.is_idle:
-            return task
-        self._stop(task.backend)
-        return None
-
     def _start(self, backend: BackendId) -> BackendTask:
         instance = self._directory.instance(backend)
         service = self._directory.service_of(backend)
@@ -122,30 +138,47 @@
 
     def _stop(self, backend: BackendId) -> None:
         self._tasks.pop(backend, None)
-        runner = self._runners.pop(backend, None)
-        watch = self._watches.pop(backend, None)
+        self._close_later(self._runners.pop(backend, None), self._watches.pop(backend, None))
+
+    def _close_later(self, runner: asyncio.Task | None, watch: GroupWatch | None) -> None:
         closing = asyncio.create_task(_close(runner, watch))
         self._closing.add(closing)
         closing.add_done_callback(self._closing.discard)
 
     def review(self) -> None:
-        """End the tasks of backend servers that are unused or handed over to another pool."""
+        """Follow the directory and end what is unused or handed over to another pool."""
         now = self._clock.now()
-        for task in self.tasks():
-            limit = _IDLE_TASK_LIMIT if self._is_home(task.backend) else _HANDED_OVER_LIMIT
-            if task.is_idle and now - task.last_used >= limit:
-                logger.info("backend_released", extra={"backend": task.backend})
-                self._stop(task.backend)
+        for task in tuple(self._tasks.values()):
+            self._review_task(task, now)
+        for task in tuple(self._retired):
+            if task.is_idle:
+                self._close_later(*self._retired.pop(task))
+        for backend, watch in tuple(self._watches.items()):
+            if backend not in self._tasks and now - watch.last_used >= _IDLE_TASK_LIMIT:
+                self._close_later(None, self._watches.pop(backend))
+
+    def _review_task(self, task: BackendTask, now: Instant) -> None:
+        instance = self._directory.instance(task.backend)
+        service = self._directory.service_of(task.backend)
+        if instance is not None and service is not None:
+            self._current_task(service, instance)
+        limit = _IDLE_TASK_LIMIT if self._is_home(task.backend) else _HANDED_OVER_LIMIT
+        if task.is_idle and now - task.last_used >= limit and task.backend in self._tasks:
+            logger.info("backend_released", extra={"backend": task.backend})
+            self._stop(task.backend)
 
     @property
     def all_idle(self) -> bool:
         """Tell whether no task has anything in hand."""
-        return all(task.is_idle for task in self._tasks.values())
+        return all(task.is_idle for task in self.tasks())
 
     async def close(self) -> None:
         """End all tasks and close all connections."""
         for backend in {*self._tasks, *self._watches}:
             self._stop(backend)
+        for runner, watch in self._retired.values():
+            self._close_later(runner, watch)
+        self._retired.clear()
         await asyncio.gather(*self._closing, return_exceptions=True)
 
 
--- a/hickorywind/pool/connections.py
+++ b/hickorywind/pool/connections.py
@@ -39,6 +39,10 @@
         self._waiters: deque[asyncio.Future] = deque()
         self._opens = asyncio.Semaphore(_OPENS_IN_FLIGHT)
 
+    def set_limit(self, limit: int) -> None:
+        """Put another bound in force; connections over it are closed when idle."""
+        self._limit = limit
+
     @property
     def count(self) -> int:
         """Return how many connections are open or being opened."""
@@ -94,7 +98,8 @@
     def release(self, connection: BackendConnection) -> None:
         """Take back a connection; one whose state is in doubt is closed."""
         self._lent.discard(connection)
-        if connection.is_reusable and not connection.is_lost:
+        fits = self.count < self._limit
+        if fits and connection.is_reusable and not connection.is_lost:
             self._idle.append((connection, self._clock.now()))
         else:
             connection.abort()
--- a/hickorywind/pool/dispatch.py
+++ b/hickorywind/pool/dispatch.py
@@ -51,6 +51,10 @@
         """Return the task that serves a request, or why there is none."""
         ...
 
+    def retired_task_of(self, key: TransactionKey) -> BackendTask | None:
+        """Return the task of a former address that holds an open transaction."""
+        ...
+
     def tasks(self) -> tuple[BackendTask, ...]:
         """Return all tasks."""
         ...
@@ -193,6 +197,14 @@
         if self.draining and message.transaction_id is None:
             reason = "the pool takes no new work"
             return Result.not_run(ResultCode.DRAINING, reason, 0)
+        return self._find_task(key, message)
+
+    def _find_task(self, key: JobKey, message: Execute) -> BackendTask | Result:
+        if message.transaction_id is not None:
+            transaction = TransactionKey(key.entry, message.transaction_id)
+            retired = self._backends.retired_task_of(transaction)
+            if retired is not None:
+                return retired
         return self._backends.task_for(message)
 
     def _submit(self, key: JobKey, message: Execute, task: BackendTask) -> None:
--- a/hickorywind/pool/events.py
+++ b/hickorywind/pool/events.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from hickorywind.configuration.model import Instance, Service
 from hickorywind.pool.jobs import Job, JobKey, TransactionKey
 from hickorywind.protocol.channel import PeerId
 
@@ -50,9 +51,26 @@
     entry: PeerId
 
 
+@dataclass(frozen=True, slots=True)
+class Reconfigured:
+    """Another revision of the configuration is in force."""
+
+    service: Service
+    instance: Instance
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time has passed; deadlines and idle times are to be checked."""
 
 
-Event = Submitted | Prepared | SlotFreed | CancelAsked | TransactionEnded | EntrySilent | Tick
+Event = (
+    Submitted
+    | Prepared
+    | SlotFreed
+    | CancelAsked
+    | TransactionEnded
+    | EntrySilent
+    | Reconfigured
+    | Tick
+)
--- a/hickorywind/pool/groupwatch.py
+++ b/hickorywind/pool/groupwatch.py
@@ -59,6 +59,8 @@
         self._current: asyncio.Task | None = None
         self._next: asyncio.Task | None = None
         self._tasks: set[asyncio.Task] = set()
+        self._closed = False
+        self.last_used = clock.now()
         self.status: BackendStatus | None = None
         self.status_taken: Instant | None = None
         self.led_until: Instant | None = None
@@ -69,9 +71,14 @@
 
         Callers that come while a call is in flight share the next one.
         """
+        if self._closed:
+            return None
+        self.last_used = self._clock.now()
         if self._next is None:
             self._next = self._spawn(self._call_after(self._current))
-        return await asyncio.shield(self._next)
+        call = self._next
+        await asyncio.wait((call,))
+        return None if call.cancelled() else call.result()
 
     async def _call_after(self, previous: asyncio.Task | None) -> BackendStatus | None:
         if previous is not None and not previous.done():
@@ -128,6 +135,7 @@
         now = self._clock.now()
         if self._proofs.is_proved(ticket):
             return Proved(ticket.key)
+        self.last_used = now
         future = asyncio.get_running_loop().create_future()
         self._futures[ticket.key] = future
         self._carry_out(self._proofs.add(ticket, now))
@@ -166,6 +174,7 @@
 
     async def close(self) -> None:
         """End the calls in flight and close the control connections."""
+        self._closed = True
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tests/admission/test_scheduler.py
+++ b/tests/admission/test_scheduler.py
@@ -121,6 +121,20 @@
         self.assertGreaterEqual(load.started[Rank.BACKGROUND] - before, 0.9 * 30)
 
 
+class PolicyChangeTest(unittest.TestCase):
+    def test_new_floors_and_slots_hold_for_what_waits(self) -> None:
+        load = Load(make_policy(slots=1))
+        rates = {Rank.URGENT: 30, Rank.BACKGROUND: 30}
+        load.flood(rates, 500)
+        ranks = (RankPolicy(Rank.URGENT, 20), RankPolicy(Rank.BACKGROUND, 50))
+        load.queue.set_policy(AdmissionPolicy(4, ranks, 1_000))
+        before = Counter(load.started)
+        load.flood(rates, 1_000)
+        started = load.started - before
+        self.assertEqual(load.most_running, 4)
+        self.assertGreaterEqual(started[Rank.BACKGROUND], 0.9 * 0.5 * sum(started.values()))
+
+
 class FairnessTest(unittest.TestCase):
     def test_one_session_can_not_take_its_rank_alone(self) -> None:
         load = Load(make_policy())
--- a/tests/pool/harness.py
+++ b/tests/pool/harness.py
@@ -127,15 +127,20 @@
 
 
 def make_directory(service: Service) -> Directory:
+    directory = Directory()
+    put_in_force(directory, service, revision=1)
+    directory.merge((GroupRecord(SERVICE, Term(1), service.instances[0].backend),))
+    return directory
+
+
+def put_in_force(directory: Directory, service: Service, revision: int) -> None:
     zone = Zone(AvailabilityZone("z"), Region("r"))
     sections = split_sections(Configuration("test", (zone,), (service,), Limits()))
-    directory = Directory()
     directory.merge(
-        ConfigRecord(section, Revision(1), document) for section, document in sections.items()
+        ConfigRecord(section, Revision(revision), document)
+        for section, document in sections.items()
     )
-    directory.merge((ConfigHeadRecord(Revision(1), digest_sections(sections)),))
-    directory.merge((GroupRecord(SERVICE, Term(1), service.instances[0].backend),))
-    return directory
+    directory.merge((ConfigHeadRecord(Revision(revision), digest_sections(sections)),))
 
 
 def make_execute(number: int, incarnation: Incarnation, sql: str | bytes, **fields) -> Execute:
@@ -285,7 +290,17 @@
         self._task: asyncio.Task | None = None
 
     async def start(self) -> None:
-        self._task = asyncio.create_task(self.dispatcher.run())
+        self._task = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.dispatcher.run())
+            tasks.create_task(self._review())
+
+    async def _review(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            self.backends.review()
 
     async def close(self) -> None:
         self._task.cancel()
--- a/tests/pool/test_dispatch.py
+++ b/tests/pool/test_dispatch.py
@@ -1,6 +1,9 @@
 import asyncio
 import unittest
 
+from msgspec.structs import replace
+
+from hickorywind.configuration.model import Service
 from hickorywind.ids import (
     AccessMode,
     Address,
@@ -24,7 +27,15 @@
 from hickorywind.protocol.records import GroupRecord, MemberRecord, MemberState
 from hickorywind.results import Outcome, ResultCode
 from hickorywind.util.clock import ManualClock, milliseconds
-from tests.pool.harness import HOST, SERVICE, eventually, make_execute, running_pool
+from tests.pool.harness import (
+    HOST,
+    SERVICE,
+    eventually,
+    make_execute,
+    make_service,
+    put_in_force,
+    running_pool,
+)
 
 TABLE = "CREATE TABLE t (id int primary key, v text)"
 
@@ -225,3 +236,36 @@
             dispatcher.receive(Received(PeerId(peer), heartbeat))
         self.assertEqual(dispatcher.entries.hear(PeerId(b"two"), clock.now()), b"one")
         self.assertEqual(dispatcher.entries.address_of(PeerId(b"one")), b"two")
+
+
+class ReconfigurationTest(unittest.IsolatedAsyncioTestCase):
+    async def test_new_bounds_are_in_force_without_a_restart(self) -> None:
+        async with running_pool(limits={"open_limit": 1}) as (pool, entry):
+            await entry.run("BEGIN")
+            refused = await entry.run("BEGIN")
+            self.assertEqual(refused.result.code, ResultCode.TOO_MANY_TRANSACTIONS)
+            put_in_force(pool.directory, make_service(pool.group, open_limit=4), revision=2)
+            self.assertTrue((await entry.run("SELECT 1")).result.is_ok)
+            self.assertTrue((await entry.run("BEGIN")).result.is_ok)
+            self.assertEqual(len(pool.backends.tasks()), 1)
+
+    async def test_transaction_at_a_former_address_is_finished_there(self) -> None:
+        async with running_pool(count=2) as (pool, entry):
+            await entry.run(TABLE)
+            key = (await entry.run("BEGIN")).end.transaction_id
+            await entry.run("INSERT INTO t VALUES (1, 'a')", transaction_id=key)
+            put_in_force(pool.directory, swap_addresses(make_service(pool.group)), revision=2)
+            elsewhere = await entry.run("SELECT 1", mode=AccessMode.READ)
+            self.assertTrue(elsewhere.result.is_ok)
+            self.assertEqual(len(pool.backends.tasks()), 2)
+            self.assertTrue((await entry.run("COMMIT", transaction_id=key)).result.is_ok)
+            await eventually(lambda: len(pool.backends.tasks()) == 1)
+
+
+def swap_addresses(service: Service) -> Service:
+    first, second = service.instances
+    swapped = (
+        replace(first, address=second.address),
+        replace(second, address=first.address),
+    )
+    return replace(service, instances=swapped)
