Read at the primary after a write whose outcome is unknown

Cause: a caller that checks after an unknown write could ask a replica that lacks it, take the write for not run and send it a second time. Ruled out: forgetting the floor instead (it would go back). Change: sessions and tokens mark such services as doubted until the primary has answered; answers that are ready, and writes that went out whole, no longer start a timer. Conclusion: a write still under way at the time of the check is not covered; request_id is.

--- a/hickorywind/entry/attempt.py
+++ b/hickorywind/entry/attempt.py
@@ -158,6 +158,9 @@
 
     async def _next_event(self, inbox: RequestInbox, deadline: Instant) -> InboxEvent | None:
         """Wait for the next event; None at the deadline or where missing parts stay out."""
+        event = inbox.get_ready()
+        if event is not None:
+            return event
         limit = deadline
         if inbox.is_incomplete:
             limit = min(limit, self._clock.now() + _MISSING_PARTS_GRACE)
--- a/hickorywind/entry/callerstream.py
+++ b/hickorywind/entry/callerstream.py
@@ -123,6 +123,9 @@
     async def write(self, data: bytes) -> None:
         """Write and wait until the caller keeps up; raise ``CallerGoneError``."""
         self._writer.write(data)
+        transport = self._writer.transport
+        if not transport.is_closing() and transport.get_write_buffer_size() == 0:
+            return
         try:
             async with asyncio.timeout(WRITE_TIMEOUT.total_seconds()):
                 await self._writer.drain()
--- a/hickorywind/entry/inbox.py
+++ b/hickorywind/entry/inbox.py
@@ -78,6 +78,10 @@
         if self._end is not None and self._next_sequence == self._end.part_count:
             self._ready.put_nowait(self._end)
 
+    def get_ready(self) -> InboxEvent | None:
+        """Return the next event in order, or None where there is none yet."""
+        return None if self._ready.empty() else self._ready.get_nowait()
+
     async def get(self) -> InboxEvent:
         """Wait for the next event in order."""
         return await self._ready.get()
--- a/hickorywind/entry/session.py
+++ b/hickorywind/entry/session.py
@@ -33,6 +33,7 @@
 from hickorywind.postgres.hints import PARAMETER_PREFIX, TOKEN, bad_hint
 from hickorywind.protocol.messages import TransactionState
 from hickorywind.results import HickorywindError, Outcome, Result, ResultCode
+from hickorywind.routing.session import KnownFloor
 from hickorywind.util.clock import Clock, milliseconds
 
 logger = logging.getLogger(__name__)
@@ -248,7 +249,7 @@
         token = self._advance_floor(plan, finished)
         result = finished.result
         if not result.is_ok:
-            await self._conclude_failure(batch, plan, finished)
+            await self._conclude_failure(batch, plan, finished, token)
             return
         self._transaction.follow(batch, plan, finished)
         if finished.has_error:
@@ -261,17 +262,22 @@
 
     def _advance_floor(self, plan: Plan, finished: Finished) -> bytes:
         """Raise the floor and return the token's message where the caller should get it."""
+        floors, service = self._state.floors, self._state.service
+        if finished.result.outcome is Outcome.UNKNOWN and plan.mode is AccessMode.WRITE:
+            floors.doubt(service)
+            return parameter_status(_TOKEN_PARAMETER, floors.token())
         if finished.position is None:
             return b""
-        floors = self._state.floors
-        was = floors.floor(self._state.service)
-        rose = floors.advance(self._state.service, finished.position)
-        is_new = type(was) is not type(floors.floor(self._state.service))
-        if rose and (is_new or plan.mode is AccessMode.WRITE):
+        was_known = isinstance(floors.floor(service), KnownFloor)
+        from_primary = finished.target is not None and finished.target.is_primary
+        changed = floors.advance(service, finished.position, from_primary)
+        if changed and (plan.mode is AccessMode.WRITE or not was_known):
             return parameter_status(_TOKEN_PARAMETER, floors.token())
         return b""
 
-    async def _conclude_failure(self, batch: Batch, plan: Plan, finished: Finished) -> None:
+    async def _conclude_failure(
+        self, batch: Batch, plan: Plan, finished: Finished, token: bytes
+    ) -> None:
         result = finished.result
         in_transaction = self._transaction.current is not None
         if in_transaction and not plan.closes_transaction:
@@ -286,7 +292,7 @@
             self._after_error(batch)
             await self._end_batch(batch, answer_rollback(batch))
             return
-        await self._end_with_error(batch, encode_error(result))
+        await self._end_with_error(batch, encode_error(result) + token)
 
 
 def unknown_service(name: str) -> Result:
--- a/hickorywind/routing/session.py
+++ b/hickorywind/routing/session.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 import msgspec
@@ -17,8 +18,6 @@
 _LONGEST_TOKEN_CHARACTERS = 8_192
 _SERVICES_LIMIT = 128
 
-_decoder = msgspec.msgpack.Decoder(dict[str, tuple[int, int]])
-
 
 @dataclass(frozen=True)
 class NoFloor:
@@ -50,12 +49,25 @@
     return LogPosition(term, max(first.offset, second.offset))
 
 
+@dataclass(frozen=True)
+class TokenContent:
+    """Hold what a token says: positions seen, and services with a write in doubt."""
+
+    known: Mapping[ServiceName, LogPosition]
+    doubted: frozenset[ServiceName] = frozenset()
+
+
 class SessionFloors:
-    """Collect the positions that one session has seen; they never go back."""
+    """Collect the positions that one session has seen; they never go back.
+
+    A service is doubted from a write whose outcome is unknown until its primary has answered
+    again: a replica that lacks the write would make its caller believe that it did not run.
+    """
 
-    def __init__(self, others_unknown: bool, known: dict[ServiceName, LogPosition]) -> None:
+    def __init__(self, others_unknown: bool, content: TokenContent) -> None:
         self._others_unknown = others_unknown
-        self._known = known
+        self._known = dict(content.known)
+        self._doubted = set(content.doubted)
 
     @classmethod
     def from_startup(cls, has_session_id: bool, token: str | None) -> SessionFloors:
@@ -64,41 +76,60 @@
         A session id without a token, or with one that lacks a service, says that writes unknown
         here may have been made under it.
         """
-        known = decode_token(token) if token else {}
-        return cls(has_session_id, known)
+        return cls(has_session_id, decode_token(token) if token else TokenContent({}))
 
     def floor(self, service: ServiceName) -> Floor:
         """Return what a read of a service must see."""
+        if service in self._doubted:
+            return UnknownFloor()
         position = self._known.get(service)
         if position is not None:
             return KnownFloor(position)
         return UnknownFloor() if self._others_unknown else NoFloor()
 
-    def advance(self, service: ServiceName, position: LogPosition) -> bool:
-        """Take in a position that the session has seen; return whether the floor rose."""
+    def advance(
+        self, service: ServiceName, position: LogPosition, from_primary: bool = False
+    ) -> bool:
+        """Take in a position that the session has seen; return whether the floor changed."""
+        was = self.floor(service)
         held = self._known.get(service)
-        joined = position if held is None else join_positions(held, position)
-        self._known[service] = joined
-        return joined != held
+        self._known[service] = position if held is None else join_positions(held, position)
+        if from_primary:
+            self._doubted.discard(service)
+        return self.floor(service) != was
+
+    def doubt(self, service: ServiceName) -> None:
+        """Note a write whose outcome is unknown."""
+        self._doubted.add(service)
 
     def merge_token(self, token: str) -> None:
         """Take in a token of the same session; raise ``BAD_TOKEN``."""
-        for service, position in decode_token(token).items():
+        content = decode_token(token)
+        for service, position in content.known.items():
             self.advance(service, position)
+        self._doubted |= content.doubted
 
     def token(self) -> str:
         """Render the floors as a token."""
-        return encode_token(self._known)
+        return encode_token(TokenContent(self._known, frozenset(self._doubted)))
+
+
+class _TokenBody(msgspec.Struct, array_like=True):
+    known: dict[str, tuple[int, int]]
+    doubted: tuple[str, ...]
+
+
+_decoder = msgspec.msgpack.Decoder(_TokenBody)
 
 
-def encode_token(known: dict[ServiceName, LogPosition]) -> str:
-    """Render positions as versioned, checksummed text without white space."""
-    parts = {str(name): (position.term, position.offset) for name, position in known.items()}
-    body = msgspec.msgpack.encode(dict(sorted(parts.items())))
+def encode_token(content: TokenContent) -> str:
+    """Render a token as versioned, checksummed text without white space."""
+    known = {name: (at.term, at.offset) for name, at in sorted(content.known.items())}
+    body = msgspec.msgpack.encode(_TokenBody(known, tuple(sorted(content.doubted))))
     return _TOKEN_PREFIX + base64.urlsafe_b64encode(_checksum(body) + body).decode().rstrip("=")
 
 
-def decode_token(text: str) -> dict[ServiceName, LogPosition]:
+def decode_token(text: str) -> TokenContent:
     """Parse a token; raise ``HickorywindError`` with ``BAD_TOKEN`` for anything else."""
     if len(text) > _LONGEST_TOKEN_CHARACTERS or not text.startswith(_TOKEN_PREFIX):
         raise _bad_token("not a token of this version")
@@ -114,18 +145,20 @@
     return _decode_body(body)
 
 
-def _decode_body(body: bytes) -> dict[ServiceName, LogPosition]:
+def _decode_body(body: bytes) -> TokenContent:
     try:
-        parts = _decoder.decode(body)
+        decoded = _decoder.decode(body)
     except msgspec.MsgspecError:
         raise _bad_token("content is malformed") from None
-    if len(parts) > _SERVICES_LIMIT:
+    if len(decoded.known) + len(decoded.doubted) > _SERVICES_LIMIT:
         raise _bad_token("names too many services")
-    if any(term < 0 or offset < 0 for term, offset in parts.values()):
+    if any(term < 0 or offset < 0 for term, offset in decoded.known.values()):
         raise _bad_token("holds a negative position")
-    return {
-        ServiceName(name): LogPosition(Term(term), offset) for name, (term, offset) in parts.items()
+    known = {
+        ServiceName(name): LogPosition(Term(term), offset)
+        for name, (term, offset) in decoded.known.items()
     }
+    return TokenContent(known, frozenset(ServiceName(name) for name in decoded.doubted))
 
 
 def _checksum(body: bytes) -> bytes:
--- a/tests/entry/test_outcomes.py
+++ b/tests/entry/test_outcomes.py
@@ -312,6 +312,23 @@
             self.pools[zone].position = LogPosition(Term(1), 6)
         self.assertTrue((await self.one(connection, "SELECT 1")).startswith(PRIMARY))
 
+    async def test_check_after_an_unknown_write_reads_at_the_primary(self):
+        async def doubt(pool, peer, execute):
+            result = Result.unknown(ResultCode.COMMIT_UNPROVEN, "no majority")
+            await pool.finish(peer, execute, result)
+
+        first = await self.connect()
+        await first.execute(WRITE)
+        self.primary_pool.handler = doubt
+        with self.assertRaises(psycopg.errors.StatementCompletionUnknown):
+            await first.execute(WRITE)
+        self.primary_pool.handler = FakePool.answer_normally
+        token = first.info.parameter_status("hickorywind.token")
+        _, address = await self.start_entry(2)
+        second = await self.connect(address, token=token)
+        for connection in (first, second):
+            self.assertTrue((await self.one(connection, "SELECT 1")).startswith(PRIMARY))
+
     async def test_garbage_token_is_refused(self):
         with self.assertRaises(psycopg.OperationalError) as caught:
             await self.connect(token="hw1.garbage")
--- a/tests/routing/test_session.py
+++ b/tests/routing/test_session.py
@@ -9,6 +9,7 @@
     KnownFloor,
     NoFloor,
     SessionFloors,
+    TokenContent,
     UnknownFloor,
     decode_token,
     encode_token,
@@ -41,9 +42,21 @@
         floors = SessionFloors.from_startup(False, None)
         self.assertTrue(floors.advance(A, at(2, 8)))
         self.assertFalse(floors.advance(A, at(2, 7)))
-        floors.merge_token(encode_token({A: at(1, 3)}))
+        floors.merge_token(encode_token(TokenContent({A: at(1, 3)})))
         self.assertEqual(floors.floor(A), KnownFloor(at(2, 8)))
 
+    def test_doubted_write_is_unknown_until_the_primary_has_answered(self):
+        floors = SessionFloors.from_startup(False, None)
+        floors.advance(A, at(1, 5), from_primary=True)
+        floors.doubt(A)
+        roamed = SessionFloors.from_startup(False, floors.token())
+        for session in (floors, roamed):
+            self.assertEqual(session.floor(A), UnknownFloor())
+            session.advance(A, at(1, 5))
+            self.assertEqual(session.floor(A), UnknownFloor())
+            session.advance(A, at(1, 4), from_primary=True)
+            self.assertEqual(session.floor(A), KnownFloor(at(1, 5)))
+
     @settings(max_examples=200, derandomize=True)
     @given(positions, positions)
     def test_joined_position_contains_both(self, first, second):
@@ -53,9 +66,13 @@
 
 class TokenTest(unittest.TestCase):
     @settings(max_examples=200, derandomize=True)
-    @given(st.dictionaries(st.text(max_size=20).map(ServiceName), positions, max_size=8))
-    def test_round_trip(self, known):
-        self.assertEqual(decode_token(encode_token(known)), known)
+    @given(
+        st.dictionaries(st.text(max_size=20).map(ServiceName), positions, max_size=8),
+        st.frozensets(st.text(max_size=20).map(ServiceName), max_size=4),
+    )
+    def test_round_trip(self, known, doubted):
+        content = TokenContent(known, doubted)
+        self.assertEqual(decode_token(encode_token(content)), content)
 
     @settings(max_examples=300, derandomize=True)
     @given(st.text(max_size=60))
@@ -66,7 +83,7 @@
             self.assertIs(caught.exception.result.code, ResultCode.BAD_TOKEN)
 
     def test_every_changed_character_is_noticed(self):
-        token = encode_token({A: at(3, 12345)})
+        token = encode_token(TokenContent({A: at(3, 12345)}))
         for index in range(len(token)):
             changed = token[:index] + ("x" if token[index] != "x" else "y") + token[index + 1 :]
             with self.subTest(index=index), self.assertRaises(HickorywindError):
