Prove configuration changes with real processes and a failing store

Cause: that an accepted configuration is in force everywhere within seconds and never reverts was tested on decision classes only. Change: tests.system.test_configuration, one site for the class (SharedSiteTest): racing operators, lost answers (refused and hanging), store out at once, controllers started in the outage with one that knows, a host restarted in the outage, a controller frozen across changes, late records. Ruled out: freezing controllers to keep news from them, because a watch's event waits in their sockets and is read when they go on; they are killed and started instead. Conclusion: a zone cut off from the others and healed is not tried; the site's relay carries the replication of backend servers only.

--- /dev/null
+++ b/tests/system/operators.py
@@ -0,0 +1,164 @@
+"""Change a running site's configuration as operators do and see where it is in force."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import sys
+import time
+from dataclasses import dataclass
+from datetime import timedelta
+
+import msgspec
+import psycopg
+
+from hickorywind.configuration.acceptance import (
+    ChangeEnvelope,
+    ChangeId,
+    config_key,
+    decode_envelope,
+    encode_envelope,
+)
+from hickorywind.configuration.model import Configuration, ReadKind
+from hickorywind.configuration.printing import format_document
+from hickorywind.ids import Revision, Role
+from hickorywind.store.etcd import EtcdStore
+from hickorywind_bench.callers import connect_caller
+from standins.cluster import Cluster, HostAddresses
+
+_STORE_PREFIX = "/hickorywind"
+_IN_FORCE = re.compile(r"event=config_in_force .*revision=(\d+)")
+_ACCEPTED = re.compile(r"accepted revision (\d+)")
+_POLL_SECONDS = 0.02
+
+
+@dataclass(frozen=True)
+class Ended:
+    """Hold how a run of the command-line tool ended."""
+
+    exit_code: int
+    text: str
+    error: str
+
+    @property
+    def revision(self) -> int:
+        """Return the revision that the tool reports as accepted."""
+        return int(_ACCEPTED.search(self.text)[1])
+
+
+@dataclass(frozen=True)
+class Change:
+    """Name an operator's change: it adds a kind of read of this name."""
+
+    name: str
+    author: str = "ama"
+
+
+class Operator:
+    """Change one site's configuration."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+
+    async def run(self, *arguments: str) -> Ended:
+        """Run the command-line tool to its end."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "hickorywind.ui",
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        text, error = await process.communicate()
+        return Ended(process.returncode, text.decode(), error.decode())
+
+    async def accepted(self) -> tuple[Revision, ChangeEnvelope]:
+        """Read what the store holds."""
+        store = EtcdStore.from_address(self._cluster.store_address, timedelta(seconds=2))
+        stored = await store.get(config_key(_STORE_PREFIX))
+        await store.close()
+        return stored.revision, decode_envelope(stored.value)
+
+    async def apply(self, change: Change, reviewed: int | None = None) -> Ended:
+        """Apply a change on the revision reviewed, by default the current one."""
+        revision, envelope = await self.accepted()
+        path = self._cluster.folder / f"{change.name}.yaml"
+        path.write_text(format_document(_with_read_kind(envelope.document, change.name)))
+        return await self.run(
+            "config",
+            "apply",
+            str(path),
+            "--reviewed-revision",
+            str(revision if reviewed is None else reviewed),
+            "--author",
+            change.author,
+            "--note",
+            f"add {change.name}",
+            "--store",
+            str(self._cluster.store_address),
+        )
+
+    async def swap(self, change: Change) -> Revision:
+        """Have a change accepted by the store alone, with nothing else sent afterwards."""
+        revision, envelope = await self.accepted()
+        written = msgspec.structs.replace(
+            envelope,
+            change_id=ChangeId(change.name),
+            reviewed_revision=revision,
+            document=_with_read_kind(envelope.document, change.name),
+        )
+        store = EtcdStore.from_address(self._cluster.store_address, timedelta(seconds=2))
+        key = config_key(_STORE_PREFIX)
+        result = await store.compare_and_swap(key, revision, encode_envelope(written))
+        await store.close()
+        return result.revision
+
+
+def _with_read_kind(document: Configuration, name: str) -> Configuration:
+    service = document.services[0]
+    read_kinds = (*service.read_kinds, ReadKind(name, 60_000))
+    changed = msgspec.structs.replace(service, read_kinds=read_kinds)
+    return msgspec.structs.replace(document, services=(changed, *document.services[1:]))
+
+
+class RevisionWatch:
+    """See which revisions the daemons of a site have put in force."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+
+    def revisions(self, host: HostAddresses, role: Role, from_byte: int = 0) -> list[int]:
+        """Return the revisions a daemon has put in force, in order, from a place in its log."""
+        path = self._cluster.process(f"{role.value}/{host.host}").log_path
+        text = path.read_bytes()[from_byte:].decode(errors="replace")
+        return [int(number) for number in _IN_FORCE.findall(text)]
+
+    def log_size(self, host: HostAddresses, role: Role) -> int:
+        """Return the present end of a daemon's log, in bytes."""
+        return self._cluster.process(f"{role.value}/{host.host}").log_path.stat().st_size
+
+    def is_in_force_everywhere(self, revision: int) -> bool:
+        """Tell whether every daemon's latest revision is this one or a later one."""
+        latest = [self.revisions(host, role)[-1:] for host in self._cluster.hosts for role in Role]
+        return all(numbers and numbers[0] >= revision for numbers in latest)
+
+    async def wait_everywhere(self, revision: int, limit: timedelta) -> timedelta:
+        """Return the time until every daemon has put a revision in force; raise TimeoutError."""
+        begin = time.monotonic()
+        async with asyncio.timeout(limit.total_seconds()):
+            while not self.is_in_force_everywhere(revision):
+                await asyncio.sleep(_POLL_SECONDS)
+        return timedelta(seconds=time.monotonic() - begin)
+
+    async def find_entries_without(self, change: Change) -> list[HostAddresses]:
+        """Return the hosts whose entry does not know a change's kind of read."""
+        service = self._cluster.configuration.services[0].name
+        missing = []
+        for host in self._cluster.hosts:
+            async with await connect_caller(host.entry, service) as connection:
+                try:
+                    await connection.execute(f"/* hickorywind read_kind={change.name} */ SELECT 1")
+                except psycopg.errors.InvalidParameterValue:
+                    missing.append(host)
+        return missing
--- a/tests/system/site.py
+++ b/tests/system/site.py
@@ -18,34 +18,23 @@
 EXAMPLES = Path(__file__).resolve().parent.parent.parent / "examples"
 
 
-class SiteTest(unittest.IsolatedAsyncioTestCase):
-    """Run each test against a site of its own, stopped cleanly at the end."""
+def lay_out_site(folder: Path, hosts_per_zone: int, faults: Faults) -> Cluster:
+    """Lay out a site of the shape of Stepclean; start nothing yet."""
+    return Cluster.from_script(
+        EXAMPLES / "stepclean.py", folder, hosts_per_zone, faults, random.Random()
+    )
+
+
+class _SiteCase(unittest.IsolatedAsyncioTestCase):
+    """Watch the backend servers of ``cluster``, which a subclass brings up."""
 
     hosts_per_zone = 1
     faults = Faults()
-    must_stop_cleanly = True
-
-    def setUp(self):
-        folder = tempfile.TemporaryDirectory(prefix="hickorywind-test-")
-        self.addCleanup(folder.cleanup)
-        self.cluster = Cluster.from_script(
-            EXAMPLES / "stepclean.py",
-            Path(folder.name),
-            self.hosts_per_zone,
-            self.faults,
-            random.Random(),
-        )
-        self.addCleanup(self._stop)
-        self.cluster.start()
-        wait_until_served(self.cluster)
-        self.service = self.cluster.configuration.services[0]
+    cluster: Cluster
 
-    def _stop(self):
-        try:
-            self.cluster.stop()
-        except Exception:
-            if self.must_stop_cleanly:
-                raise
+    @property
+    def service(self):
+        return self.cluster.configuration.services[0]
 
     async def status(self, backend) -> BackendStatus | None:
         instance = next(item for item in self.service.instances if item.backend == backend)
@@ -68,3 +57,38 @@
 
     def backend(self, name):
         return self.cluster.process(f"backend/{name}")
+
+
+class SiteTest(_SiteCase):
+    """Run each test against a site of its own, stopped cleanly at the end."""
+
+    must_stop_cleanly = True
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory(prefix="hickorywind-test-")
+        self.addCleanup(folder.cleanup)
+        self.cluster = lay_out_site(Path(folder.name), self.hosts_per_zone, self.faults)
+        self.addCleanup(self._stop)
+        self.cluster.start()
+        wait_until_served(self.cluster)
+
+    def _stop(self):
+        try:
+            self.cluster.stop()
+        except Exception:
+            if self.must_stop_cleanly:
+                raise
+
+
+class SharedSiteTest(_SiteCase):
+    """Run all tests of a class against one site; each leaves it as it found it."""
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        folder = tempfile.TemporaryDirectory(prefix="hickorywind-test-")
+        cls.addClassCleanup(folder.cleanup)
+        cls.cluster = lay_out_site(Path(folder.name), cls.hosts_per_zone, cls.faults)
+        cls.addClassCleanup(cls.cluster.stop)
+        cls.cluster.start()
+        wait_until_served(cls.cluster)
