Keep idempotency keys with batches that hold their own transaction

Cause: a keyed batch such as BEGIN; INSERT ...; COMMIT was taken for the begin of a transaction and ran without its key, so that a second run doubled it; a keyed batch that left a transaction open lost its key or was committed early.

Change: only a lone BEGIN opens a keyed transaction; a batch that ends its own transaction runs under its key; other batches that stay open are refused as not run.

--- a/hickorywind/pool/execution.py
+++ b/hickorywind/pool/execution.py
@@ -6,6 +6,7 @@
 from hickorywind.admission.freshness import ReadNeeds
 from hickorywind.ids import InstanceRole, LogPosition
 from hickorywind.pool.backendconnection import BackendConnection, error_field
+from hickorywind.pool.batches import is_plain_begin
 from hickorywind.pool.freshreads import max_staleness
 from hickorywind.pool.groupwatch import GroupWatch
 from hickorywind.pool.idempotency import (
@@ -28,14 +29,17 @@
 
     The answer's last part is held back. ``touched`` is set before the first byte is written.
     """
-    job.touched = True
     key = job.message.idempotency_key
-    if key is None:
+    if key is None or job.message.transaction_id is not None:
+        job.touched = True
         return await _run_plain(job, connection)
-    if job.message.transaction_id is None and job.opens_transaction:
+    if is_plain_begin(job.frames):
+        job.touched = True
         return await _run_keyed_begin(job, connection, key)
-    if job.message.transaction_id is not None:
-        return await _run_plain(job, connection)
+    if job.opens_transaction:
+        reason = "a batch with an idempotency key must end or hold nothing but BEGIN"
+        return Result.not_run(ResultCode.UNSUPPORTED_STATEMENT, reason)
+    job.touched = True
     return await KeyedWrite(connection, key).run(job.frames, job.message.prepared, job.answer)
 
 
--- a/hickorywind/pool/idempotency.py
+++ b/hickorywind/pool/idempotency.py
@@ -137,15 +137,20 @@
             await answer.add(frame for frame in replies if frame.kind != b"Z")
         if self._connection.state is TransactionState.FAILED:
             await self._connection.run_simple("ROLLBACK")
+        elif self._connection.state is TransactionState.IDLE:
+            # The batch has committed itself, and the key with it.
+            await self._connection.run_simple(self._update("\n".join(tags)))
         else:
             await self._commit("\n".join(tags), answer)
         await answer.add((_READY_IDLE,))
         return Result.ok()
 
-    async def _commit(self, tag: str, answer: Answer) -> None:
+    def _update(self, tag: str) -> str:
         condition = f"request_id = {frontend.quote_literal(self._key)}"
-        update = f"UPDATE {TABLE} SET tag = {frontend.quote_literal(tag)} WHERE {condition}"
-        replies = await self._connection.run_simple(f"{update}; COMMIT")
+        return f"UPDATE {TABLE} SET tag = {frontend.quote_literal(tag)} WHERE {condition}"
+
+    async def _commit(self, tag: str, answer: Answer) -> None:
+        replies = await self._connection.run_simple(f"{self._update(tag)}; COMMIT")
         error = _first_error(replies)
         if error is None:
             return
--- a/hickorywind/pool/jobs.py
+++ b/hickorywind/pool/jobs.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -19,6 +18,7 @@
 )
 from hickorywind.pool.answers import Answer
 from hickorywind.pool.backendconnection import BackendConnection
+from hickorywind.pool.batches import leaves_open
 from hickorywind.postgres.frames import Frame, FrameSplitter, FrameTooLargeError
 from hickorywind.protocol.channel import PeerId
 from hickorywind.protocol.messages import Execute
@@ -27,7 +27,6 @@
 
 _BATCH_LIMIT_BYTES = 64 * 1024 * 1024
 _BATCH_ENDS = (b"Q", b"S", b"H", b"F")
-_PLAIN_BEGIN = b"begin"
 
 
 class JobKey(NamedTuple):
@@ -120,7 +119,7 @@
         """Tell whether the batch looks as if it left a transaction open."""
         if self.message.transaction_id is not None:
             return False
-        return self.frames[-1].kind == b"H" or _begins(self.frames)
+        return leaves_open(self.frames)
 
     def to_waiting(self) -> WaitingRequest:
         """Describe the job to admission."""
@@ -134,20 +133,3 @@
             self.deadline,
             message.transaction_id is not None,
         )
-
-
-def _begins(frames: Sequence[Frame]) -> bool:
-    for frame in frames:
-        if frame.kind == b"Q":
-            return _is_begin(bytes(frame.payload[:256]))
-        if frame.kind == b"P":
-            text = bytes(frame.payload[:256])
-            return _is_begin(text[text.index(b"\0") + 1 :] if b"\0" in text else text)
-    return False
-
-
-def _is_begin(sql: bytes) -> bool:
-    text = sql.lstrip().lower()
-    while text.startswith(b"/*") and b"*/" in text:
-        text = text[text.index(b"*/") + 2 :].lstrip()
-    return text.startswith((_PLAIN_BEGIN, b"start transaction"))
--- a/tests/pool/test_idempotency.py
+++ b/tests/pool/test_idempotency.py
@@ -1,7 +1,7 @@
 import unittest
 
 from hickorywind.pool.backendconnection import error_field
-from hickorywind.results import ResultCode
+from hickorywind.results import Outcome, ResultCode
 from tests.pool import extended
 from tests.pool.harness import running_pool
 
@@ -75,3 +75,32 @@
                 begun = await entry.run("BEGIN", idempotency_key="k")
                 self.assertEqual((begun.kinds, begun.result.code), ("CZ", ResultCode.OK))
                 await entry.run("ROLLBACK", transaction_id=begun.end.transaction_id)
+
+    async def test_batch_with_its_own_transaction_runs_once(self) -> None:
+        async with running_pool() as (_, entry):
+            await entry.run(TABLE)
+            batch = "BEGIN; INSERT INTO t SELECT count(*) + 1, 'a' FROM t; COMMIT"
+            first = await entry.run(batch, idempotency_key="k")
+            self.assertEqual(first.result.code, ResultCode.OK)
+            self.assertEqual(first.kinds.replace("N", ""), "CCCZ")
+            second = await entry.run(batch, idempotency_key="k")
+            self.assertEqual(second.result.code, ResultCode.ALREADY_RAN)
+            self.assertEqual((await entry.run("SELECT count(*) FROM t")).rows, ["1"])
+
+    async def test_batch_that_leaves_more_than_a_begin_open_is_not_run(self) -> None:
+        async with running_pool() as (_, entry):
+            await entry.run(TABLE)
+            pipelined = b"".join(
+                extended.parse("", sql) + extended.bind() + extended.execute()
+                for sql in ("BEGIN", INSERT)
+            )
+            flushed = extended.parse("", INSERT) + extended.bind() + extended.execute()
+            for batch in (
+                f"BEGIN; {INSERT}",
+                pipelined + extended.SYNC,
+                flushed + extended.FLUSH,
+            ):
+                refused = await entry.run(batch, idempotency_key="k")
+                self.assertEqual(refused.result.code, ResultCode.UNSUPPORTED_STATEMENT)
+                self.assertIs(refused.result.outcome, Outcome.NOT_RUN)
+            self.assertEqual((await entry.run("SELECT count(*) FROM t")).rows, ["0"])
