Route reads as set, and link to the pools of a large fleet on need

Cause: the setting read_routing was not obeyed; an entry opened a link with two heartbeats a second to the home of every backend server, which at 670 nodes exceeds the control budget. Ruled out: closing links after seconds (a closed link rolls its transactions back). Change: TargetChooser obeys the setting; links ahead of need for up to 16 pools, else on need, and closed after 10 minutes without use. Conclusion: heartbeats per entry grow with the pools it uses.

--- a/hickorywind/entry/links.py
+++ b/hickorywind/entry/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from datetime import timedelta
 
 from hickorywind.entry.poollink import PoolLink
 from hickorywind.ids import Address
@@ -10,6 +11,10 @@
 from hickorywind.protocol.messages import EntryHeartbeat
 from hickorywind.util.clock import Clock
 
+_EAGER_LIMIT = 16
+# Longer than any transaction may be idle, which a closed link would roll back.
+UNUSED_LIMIT = timedelta(minutes=10)
+
 
 class PoolLinks:
     """Own the links of one entry and the tasks that run them."""
@@ -27,16 +32,32 @@
             self._links[address] = (link, asyncio.create_task(link.run()))
         return self._links[address][0]
 
+    @property
+    def count(self) -> int:
+        """Return the number of links open."""
+        return len(self._links)
+
     def retain(self, wanted: frozenset[Address]) -> None:
-        """Open links to the wanted pools ahead of need and close idle ones to others."""
-        for address in wanted:
-            self.to(address)
-        for address in set(self._links) - wanted:
-            link, task = self._links[address]
-            if link.is_idle and link.incarnation is None:
+        """Open links to the wanted pools ahead of need and close those without use.
+
+        In a large fleet links are only opened when needed: the heartbeats of all would cost more
+        than the first request gains.
+        """
+        eager = len(wanted) <= _EAGER_LIMIT
+        if eager:
+            for address in wanted:
+                self.to(address)
+        for address, (link, task) in tuple(self._links.items()):
+            if not (eager and address in wanted) and self._is_unused(link, address in wanted):
                 del self._links[address]
                 task.cancel()
 
+    def _is_unused(self, link: PoolLink, wanted: bool) -> bool:
+        if not link.is_idle:
+            return False
+        is_gone = not wanted and link.incarnation is None
+        return is_gone or self._clock.now() - link.last_used > UNUSED_LIMIT
+
     async def close(self) -> None:
         """Close all links."""
         tasks = [task for _, task in self._links.values()]
--- a/hickorywind/entry/poollink.py
+++ b/hickorywind/entry/poollink.py
@@ -54,6 +54,7 @@
         self._heartbeat = heartbeat
         self._clock = clock
         self._link = Link(address, keys)
+        self.last_used: Instant = clock.now()
         self._inboxes: dict[RequestId, RequestInbox] = {}
         self._heard: Instant = clock.now()
         self._broken_since: Instant | None = None
@@ -85,6 +86,7 @@
 
     def open_inbox(self, request_id: RequestId) -> RequestInbox:
         """Start to collect the answer of a request."""
+        self.last_used = self._clock.now()
         inbox = RequestInbox(request_id)
         self._inboxes[request_id] = inbox
         return inbox
--- a/hickorywind/entry/role.py
+++ b/hickorywind/entry/role.py
@@ -27,7 +27,7 @@
 from hickorywind.routing.retry import RetryBudget
 from hickorywind.routing.targets import TargetChooser
 from hickorywind.settings.secrets import load_users
-from hickorywind.settings.template import DaemonSettings
+from hickorywind.settings.template import DaemonSettings, ReadRouting
 from hickorywind.util.clock import Clock, milliseconds
 
 logger = logging.getLogger(__name__)
@@ -50,6 +50,7 @@
         keys: ChannelKeys | None,
         metrics: Metrics | None,
         users: Mapping[str, str] | None = None,
+        read_routing: ReadRouting = ReadRouting.REPLICAS,
     ) -> None:
         incarnation = Incarnation(rng.getrandbits(_INCARNATION_BITS))
         health = BackendHealth(clock)
@@ -58,7 +59,8 @@
         self.link_budget = LinkBudget(clock, _DEFAULTS.link_bytes_per_second)
         self.links = PoolLinks(EntryHeartbeat(host, incarnation), clock, keys)
         reporter = RequestReporter(metrics)
-        chooser = TargetChooser(directory, zone, health, rng)
+        replica_reads = read_routing is ReadRouting.REPLICAS
+        chooser = TargetChooser(directory, zone, health, rng, replica_reads)
         executor = Executor(
             self.links, chooser, health, self.budget, self.link_budget, clock, rng, reporter
         )
@@ -127,6 +129,7 @@
             keys,
             metrics,
             users,
+            entry.read_routing,
         )
         listen = Address.from_text(entry.listen)
         return cls(parts, subscriber, listen, milliseconds(entry.drain_timeout_ms))
--- /dev/null
+++ b/tests/entry/test_links.py
@@ -0,0 +1,44 @@
+import unittest
+
+from hickorywind.entry import links
+from hickorywind.entry.links import PoolLinks
+from hickorywind.ids import Address, HostId, Incarnation, RequestId
+from hickorywind.protocol.messages import EntryHeartbeat
+from hickorywind.util.clock import ManualClock, milliseconds
+
+
+def addresses(count: int) -> frozenset[Address]:
+    return frozenset(Address("127.0.0.1", port) for port in range(1, count + 1))
+
+
+class PoolLinksTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = ManualClock()
+        beat = EntryHeartbeat(HostId("e"), Incarnation(1))
+        self.links = PoolLinks(beat, self.clock, None)
+        self.addAsyncCleanup(self.links.close)
+
+    async def test_small_site_is_linked_ahead_of_need(self):
+        self.links.retain(addresses(3))
+        self.assertEqual(self.links.count, 3)
+
+    async def test_large_fleet_is_linked_on_need_and_let_go_of(self):
+        fleet = addresses(500)
+        self.links.retain(fleet)
+        self.assertEqual(self.links.count, 0)
+        used = self.links.to(Address("127.0.0.1", 1))
+        self.clock.advance(links.UNUSED_LIMIT - milliseconds(1))
+        self.links.retain(fleet)
+        self.assertEqual(self.links.count, 1)
+        used.open_inbox(RequestId(1))
+        self.clock.advance(links.UNUSED_LIMIT * 2)
+        self.links.retain(fleet)
+        self.assertEqual(self.links.count, 1, "a request waits")
+        used.close_inbox(RequestId(1))
+        self.links.retain(fleet)
+        self.assertEqual(self.links.count, 0)
+
+    async def test_link_to_a_pool_that_left_is_closed_once_it_is_lost(self):
+        self.links.retain(addresses(3))
+        self.links.retain(addresses(2))
+        self.assertEqual(self.links.count, 2)
