Test the drain and the metrics of the pool role

Cause: the role was only tested through whole processes.

Change: a test of a drain with work in flight and an open transaction, and one of the metrics.

--- a/hickorywind/pool/role.py
+++ b/hickorywind/pool/role.py
@@ -11,6 +11,7 @@
 
 from hickorywind.groups.client import GroupClient
 from hickorywind.ids import Address, Incarnation
+from hickorywind.membership.directory import Directory
 from hickorywind.membership.subscriber import DirectorySubscriber
 from hickorywind.observability.metrics import Metrics
 from hickorywind.pool.backendconnection import Login
@@ -77,6 +78,11 @@
         dispatcher = Dispatcher(settings.host, incarnation, listener, backends, clock)
         return cls(settings, subscriber, backends, dispatcher, listener)
 
+    @property
+    def directory(self) -> Directory:
+        """Return what is known of services, hosts and groups."""
+        return self._subscriber.directory
+
     async def run(self) -> None:
         """Serve until drained or cancelled."""
         tasks = [
--- a/tests/pool/harness.py
+++ b/tests/pool/harness.py
@@ -169,6 +169,7 @@
         self.inboxes: dict[int, asyncio.Queue] = {}
         self.refused: list[Refused] = []
         self.beating = True
+        self.pool_drains = False
         self._ids = itertools.count(1)
         self._tasks: list[asyncio.Task] = []
 
@@ -193,6 +194,7 @@
             match message:
                 case PoolHeartbeat():
                     self.incarnation = message.incarnation
+                    self.pool_drains = message.draining
                 case Refused():
                     self.refused.append(message)
                 case AnswerPart() | AnswerEnd() | CancelResult():
--- /dev/null
+++ b/tests/pool/test_role.py
@@ -0,0 +1,86 @@
+import asyncio
+import random
+import tempfile
+import unittest
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+from hickorywind.ids import AccessMode, Address, AvailabilityZone, HostId, Region, Role
+from hickorywind.observability.metrics import Metrics
+from hickorywind.pool.role import PoolRole
+from hickorywind.protocol.records import Record
+from hickorywind.results import Outcome, ResultCode
+from hickorywind.settings.template import DaemonSettings, PoolSettings
+from hickorywind.util.clock import MonotonicClock
+from tests.pool.harness import (
+    EntryStub,
+    Group,
+    eventually,
+    free_port,
+    make_directory,
+    make_service,
+)
+
+
+class PoolRoleTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.stack = AsyncExitStack()
+        folder = self.stack.enter_context(tempfile.TemporaryDirectory())
+        self.group = Group(1, Path(folder), statement_time_ms=400)
+        await self.group.start()
+        self.stack.push_async_callback(self.group.close)
+        self.address = Address("127.0.0.1", free_port())
+        self.metrics = Metrics.with_own_registry()
+        self.role = PoolRole.from_settings(
+            DaemonSettings(
+                HostId("h"),
+                AvailabilityZone("z"),
+                Region("r"),
+                Role.POOL,
+                pool=PoolSettings(str(self.address), drain_timeout_ms=5_000),
+            ),
+            MonotonicClock(),
+            random.Random(1),
+            None,
+            self.metrics,
+        )
+        records: tuple[Record, ...] = make_directory(make_service(self.group)).table.records()
+        self.role.directory.merge(records)
+        self.running = asyncio.create_task(self.role.run())
+        self.entry = EntryStub(self.address)
+        await self.entry.start()
+        self.stack.push_async_callback(self.entry.close)
+
+    async def asyncTearDown(self) -> None:
+        self.running.cancel()
+        await asyncio.gather(self.running, return_exceptions=True)
+        await self.stack.aclose()
+
+    async def test_drain_finishes_work_in_flight_and_refuses_the_rest(self) -> None:
+        await self.entry.run("SELECT 1", mode=AccessMode.READ)
+        message = self.entry.make("SELECT 2", mode=AccessMode.READ)
+        begun = await self.entry.run("BEGIN")
+        await self.entry.link.send(message)
+        await asyncio.sleep(0.1)
+        draining = asyncio.create_task(self.role.drain())
+        await eventually(lambda: self.entry.pool_drains)
+        refused = await self.entry.run("SELECT 3", mode=AccessMode.READ)
+        self.assertEqual(refused.result.code, ResultCode.DRAINING)
+        self.assertIs(refused.result.outcome, Outcome.NOT_RUN)
+        self.assertEqual((await self.entry.collect(message.request_id)).rows, ["2"])
+        self.assertFalse(draining.done())
+        committed = await self.entry.run("COMMIT", transaction_id=begun.end.transaction_id)
+        self.assertTrue(committed.result.is_ok)
+        async with asyncio.timeout(5):
+            await draining
+            await self.running
+        sessions = self.group.servers[0].instance.sessions
+        await eventually(lambda: not sessions)
+
+    async def test_metrics_show_what_is_in_hand(self) -> None:
+        for _ in range(4):
+            message = self.entry.make("SELECT 1", mode=AccessMode.READ)
+            await self.entry.link.send(message)
+        slots = self.metrics.busy_slots.labels("b0")
+        length = self.metrics.queue_length.labels("b0", "standard")
+        await eventually(lambda: (slots._value.get(), length._value.get()) == (3, 1))
