--- /dev/null
+++ b/tests/failover/slopes.py
@@ -0,0 +1,66 @@
+"""Measure what watching healthy groups costs one host: ``python -m tests.failover.slopes 1 4 16``.
+
+Prints per number of groups: status polls per second (the host is first observer of a third of the
+groups), the interval at which a primary is then polled, and processor time of the cores; without
+the calls themselves.
+"""
+
+import random
+import sys
+import time
+from datetime import timedelta
+
+from hickorywind.failover.actions import PollStatus
+from hickorywind.failover.group import GroupCore, polls_wanted_per_second
+from hickorywind.failover.policy import FailoverPolicy
+from hickorywind.ids import BackendId, ServiceName
+from hickorywind.util.clock import milliseconds
+from tests.failover.fakegroup import FakeGroup
+
+TICK = milliseconds(100)
+DURATION = timedelta(seconds=60)
+INSTANCES = 3
+
+
+def measure(count):
+    policy = FailoverPolicy()
+    template = FakeGroup()
+    template.run(timedelta(seconds=1))
+    statuses = {backend: template.status(backend) for backend in template.backends}
+    ranks = [index % INSTANCES for index in range(count)]
+    wanted = sum(polls_wanted_per_second(policy, rank, INSTANCES) for rank in ranks)
+    cores = []
+    for index, rank in enumerate(ranks):
+        core = GroupCore(
+            ServiceName(f"s{index}"),
+            [BackendId(backend) for backend in template.backends],
+            "o",
+            policy,
+            random.Random(index),
+        )
+        core.rank = rank
+        core.slowdown = max(1.0, wanted / policy.polls_per_second)
+        cores.append(core)
+    now, polls = timedelta(seconds=1), 0
+    begin = time.process_time()
+    while now < DURATION:
+        for core in cores:
+            for action in core.tick(now):
+                if isinstance(action, PollStatus):
+                    polls += 1
+                    core.take_status(now, action.backend, now, statuses[action.backend])
+        now += TICK
+    seconds = DURATION.total_seconds()
+    cpu = (time.process_time() - begin) / seconds
+    slowdown = max(1.0, wanted / policy.polls_per_second)
+    interval = policy.fast_interval * slowdown
+    print(
+        f"groups={count} polls_per_s={polls / seconds:.1f} "
+        f"primary_interval_ms={interval / milliseconds(1):.0f} core_cpu_percent={cpu * 100:.3f}",
+        flush=True,
+    )
+
+
+if __name__ == "__main__":
+    for text in sys.argv[1:] or ("1", "4", "16"):
+        measure(int(text))
--- a/tests/failover/test_group.py
+++ b/tests/failover/test_group.py
@@ -94,6 +94,36 @@
         group.run(seconds(20))
         self.assertEqual(group.orders, 0)
 
+    def test_observer_paused_in_mid_promotion_is_overtaken_and_harmless(self):
+        for wait_ms in (0, 10, 20, 40):
+            group = settled()
+            group.kill("b0")
+            while group.orders == 0:
+                group.run(milliseconds(5))
+            group.run(milliseconds(wait_ms))
+            group.frozen["o0"] = group.now + seconds(5)
+            group.run(seconds(3))
+            self.assertTrue(group.progress_within(seconds(0.5)))
+            term = term_of(group)
+            self.assertGreater(term, 1)
+            group.run(seconds(20))
+            self.assertEqual(term_of(group), term)
+            self.assert_sound(group)
+
+    def test_zone_with_primary_and_observer_cut_off(self):
+        group = settled()
+        for inside in ("b0", "o0"):
+            for outside in ("b1", "b2", "o1", "o2"):
+                group.cut(inside, outside)
+        self.assertLess(self.gap(group), seconds(2))
+        group.run(seconds(10))
+        self.assertEqual(len(group.promotions), 1)
+        group.heal()
+        group.run(seconds(10))
+        self.assertEqual(len(group.promotions), 1)
+        self.assertEqual(len(group.active_primaries()), 1)
+        self.assert_sound(group)
+
     def test_lagging_replica_is_not_chosen(self):
         for lagging in ("b1", "b2"):
             group = settled()
