Give up early on silent backend servers and never start late requests

Cause: reads at a frozen backend server waited for their deadline (8 s in the test), and new ones joined them; a request whose deadline passed while the process stood still between getting its slot and its connection was written all the same.

Ruled out: giving up batches of open transactions too; they may go on when the backend server does.

Change: while the status call fails new work is refused as not run and repeatable work that runs is sent back with leave to retry; the deadline is checked again before the first byte.

--- a/hickorywind/pool/backend.py
+++ b/hickorywind/pool/backend.py
@@ -206,7 +206,7 @@
         refusal = self._refuse_at_arrival(job)
         if refusal is not None:
             self._refuse(job, refusal)
-        elif needs_newer_status(self._watch.status, job.message) or not self._is_fresh(job):
+        elif self._needs_status(job) or not self._is_fresh(job):
             self._spawn(self._prepare(job))
         else:
             self._enqueue(job)
@@ -224,6 +224,9 @@
         status = self._watch.status
         return self._tools.is_leaving() or (status is not None and status.leaving)
 
+    def _needs_status(self, job: Job) -> bool:
+        return not self._watch.answers or needs_newer_status(self._watch.status, job.message)
+
     def _is_fresh(self, job: Job) -> bool:
         """Tell whether a read may run now; at a primary its answer is proved instead."""
         status = self._watch.status
@@ -235,7 +238,7 @@
     async def _prepare(self, job: Job) -> None:
         """Get to know the backend server, and wait until a read's demands are met."""
         status = self._watch.status
-        if needs_newer_status(status, job.message):
+        if self._needs_status(job):
             status = await self._watch.refresh()
         refusal = None
         if status is None:
@@ -310,6 +313,8 @@
         self._carry_out(self._queue.expire(now))
         for _ in self._transactions.end_idle():
             logger.info("transaction_idle_timeout", extra={"backend": self.backend})
+        if not self._watch.answers:
+            self._give_up_repeatable()
         self._connections.close_idle()
         self._show_occupancy()
         in_use = bool(self._jobs) or now - self._last_used < _IN_USE_WINDOW
@@ -318,6 +323,13 @@
             self._last_poll = now
             self._spawn(self._watch.refresh())
 
+    def _give_up_repeatable(self) -> None:
+        """Send elsewhere, before their deadline, what a silent backend server may never answer."""
+        for job in tuple(self._jobs.values()):
+            is_alone = job.connection is not None and job.transaction is None
+            if is_alone and job.is_repeatable:
+                self._runner.give_up(job, ResultCode.CONNECTION_LOST)
+
     def _show_occupancy(self) -> None:
         self._gauges.show(
             Occupancy(
--- a/hickorywind/pool/groupwatch.py
+++ b/hickorywind/pool/groupwatch.py
@@ -41,7 +41,8 @@
     """Hold the newest status of a backend server and settle the proofs that wait for it.
 
     ``led_until`` is an instant of this process's clock at which the backend server was certainly
-    still primary of its term; None where that is not known.
+    still primary of its term; None where that is not known. ``answers`` is False once the last
+    status call has failed.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self._next: asyncio.Task | None = None
         self._tasks: set[asyncio.Task] = set()
         self._closed = False
+        self.answers = True
         self.last_used = clock.now()
         self.status: BackendStatus | None = None
         self.status_taken: Instant | None = None
@@ -85,7 +87,9 @@
             await asyncio.wait((previous,))
         self._current, self._next = self._next, None
         asked = self._clock.now()
-        return self._take_result(await self._status_calls.status(), asked)
+        status = self._take_result(await self._status_calls.status(), asked)
+        self.answers = status is not None
+        return status
 
     def _take_result(self, result: CallResult, asked: Instant) -> BackendStatus | None:
         match result:
--- a/hickorywind/pool/runner.py
+++ b/hickorywind/pool/runner.py
@@ -81,6 +81,9 @@
             return Result.not_run(ResultCode.TRANSACTION_LOST, "the transaction was rolled back")
         job.connection = connection
         try:
+            if self._clock.now() >= job.deadline:
+                reason = "the deadline passed before the request was started"
+                return Result.not_run(ResultCode.DEADLINE_PASSED, reason)
             if job.abandoned:
                 return Result.not_run(ResultCode.CANCELLED, "given up before it was started")
             return await run_batch(job, connection)
