--- /dev/null
+++ b/hickorywind/controller/failover.py
@@ -0,0 +1,91 @@
+"""Carry out what the failover cores of this host decide."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+from hickorywind.controller.calls import GroupCalls
+from hickorywind.controller.events import AcceptAnswered, PromoteAnswered, StatusAnswered
+from hickorywind.controller.groups import GroupAction, ObservedGroups
+from hickorywind.failover.actions import PublishGroup, PublishLeaving
+from hickorywind.membership.gossip import GossipCore
+from hickorywind.observability.metrics import Metrics
+from hickorywind.protocol.records import GroupRecord
+from hickorywind.util.clock import Instant
+
+logger = logging.getLogger(__name__)
+
+
+class FailoverDriver:
+    """Start the calls that are asked for and publish what comes out.
+
+    ``on_promoted`` is told of each promotion ordered here.
+    """
+
+    def __init__(
+        self, groups: ObservedGroups, calls: GroupCalls, gossip: GossipCore, metrics: Metrics
+    ) -> None:
+        self.on_promoted: Callable[[GroupRecord], None] = lambda record: None
+        self._groups = groups
+        self._calls = calls
+        self._gossip = gossip
+        self._metrics = metrics
+
+    def refresh(self) -> None:
+        """Follow a change of members or configuration."""
+        self._groups.refresh(self._gossip.directory)
+        self._calls.keep_only(self._groups.addresses)
+
+    def is_hurried(self, now: Instant) -> bool:
+        """Tell whether a group needs ticks in quick succession."""
+        return self._groups.is_hurried(now)
+
+    def tick(self, now: Instant) -> None:
+        """Do what is due."""
+        self._perform(now, self._groups.tick(now, self._gossip.directory))
+
+    def take(self, now: Instant, event: StatusAnswered | AcceptAnswered | PromoteAnswered) -> None:
+        """Handle the end of a call, and at once what it gives rise to."""
+        self._perform(now, self._groups.take(now, event, self._gossip.directory))
+        if self.is_hurried(now):
+            self.tick(now)
+
+    def _perform(self, now: Instant, actions: Iterable[GroupAction]) -> None:
+        for item in actions:
+            match item.action:
+                case PublishGroup() as action:
+                    self._publish_group(now, action)
+                case PublishLeaving(record):
+                    fields = {"backend": record.backend, "leaving": record.leaving}
+                    logger.info("backend_leaving", extra=fields)
+                    self._gossip.publish(now, (record,))
+                case call:
+                    address = self._groups.address_of(call.backend)
+                    if address is not None:
+                        self._calls.start(item.service, address, call, now)
+
+    def _publish_group(self, now: Instant, action: PublishGroup) -> None:
+        record = action.record
+        self._gossip.publish(now, (record,))
+        if not action.was_ordered_here:
+            return
+        self._report(record, action.gap)
+        self.on_promoted(record)
+
+    def _report(self, record: GroupRecord, gap: timedelta | None) -> None:
+        fields = {
+            "service": record.service,
+            "backend": record.primary,
+            "term": record.term,
+            "gap_ms": gap // timedelta(milliseconds=1) if gap is not None else None,
+        }
+        logger.warning("backend_promoted", extra=fields)
+        self._metrics.failovers.labels(record.service).inc()
+        if gap is not None:
+            self._metrics.failover_gap.labels(record.service).observe(gap.total_seconds())
+
+    async def close(self) -> None:
+        """End every call."""
+        await self._calls.close()
--- a/hickorywind/controller/role.py
+++ b/hickorywind/controller/role.py
@@ -24,13 +24,13 @@
     StoreReachability,
     TickDue,
 )
-from hickorywind.controller.groups import GroupAction, ObservedGroups
+from hickorywind.controller.failover import FailoverDriver
+from hickorywind.controller.groups import ObservedGroups
 from hickorywind.controller.links import LinkPool
 from hickorywind.controller.platformlist import PlatformList
 from hickorywind.controller.requests import OperatorRequests
 from hickorywind.controller.storetask import StoreTask
 from hickorywind.controller.subscribers import Subscribers
-from hickorywind.failover.actions import PublishGroup, PublishLeaving
 from hickorywind.failover.policy import FailoverPolicy, FixedTimeout
 from hickorywind.groups.client import GroupClient
 from hickorywind.ids import Address, Incarnation, Role
@@ -40,9 +40,11 @@
 from hickorywind.observability.metrics import Metrics
 from hickorywind.placement.watchers import choose_watchers
 from hickorywind.protocol.channel import ChannelKeys, Listener, PeerId
+from hickorywind.protocol.codec import encode
 from hickorywind.protocol.messages import (
     DrainReply,
     DrainRequest,
+    Message,
     StatusRequest,
     Subscribe,
 )
@@ -94,11 +96,14 @@
         self._requests = OperatorRequests(settings.host)
         proposer = f"{settings.host}/{incarnation}-{rng.getrandbits(32):08x}"
         policy = failover_policy(self._own_settings)
-        self._groups = ObservedGroups(settings.host, proposer, policy, rng)
-        self._calls = GroupCalls(self._make_client, self._events)
+        self._failover = FailoverDriver(
+            ObservedGroups(settings.host, proposer, policy, rng),
+            GroupCalls(self._make_client, self._events),
+            self._gossip,
+            metrics,
+        )
         self._links = LinkPool(self._events, clock, keys)
         self._listener = Listener(address, keys, with_heartbeats=False)
-        self._store_task: StoreTask | None = None
 
     @classmethod
     def from_settings(
@@ -127,10 +132,11 @@
                 tasks.create_task(self._handle_events())
                 tasks.create_task(self._keep_time())
                 if self._own_settings.store:
-                    self._store_task = self._make_store_task()
-                    tasks.create_task(self._store_task.run())
+                    store_task = self._make_store_task()
+                    self._failover.on_promoted = store_task.note_group
+                    tasks.create_task(store_task.run())
         finally:
-            await self._calls.close()
+            await self._failover.close()
             await self._links.close()
             self._listener.close()
 
@@ -159,7 +165,7 @@
     async def _keep_time(self) -> None:
         while True:
             await self._events.put(TickDue())
-            is_hurried = self._groups.is_hurried(self._clock.now())
+            is_hurried = self._failover.is_hurried(self._clock.now())
             interval = HURRIED_TICK_INTERVAL if is_hurried else TICK_INTERVAL
             await asyncio.sleep(interval.total_seconds())
 
@@ -170,8 +176,8 @@
         self._subscribers.sweep(now)
         self._announce_own_processes(now)
         self._choose_watchers(now)
-        await self._send_all(self._gossip.tick(now))
-        await self._perform(now, self._groups.tick(now, self._directory))
+        await self._send_gossip(self._gossip.tick(now))
+        self._failover.tick(now)
         await self._links.tick()
 
     def _announce_own_processes(self, now: Instant) -> None:
@@ -205,9 +211,7 @@
             case MessageArrived():
                 await self._handle_message(now, event)
             case StatusAnswered() | AcceptAnswered() | PromoteAnswered():
-                await self._perform(now, self._groups.take(now, event, self._directory))
-                if self._groups.is_hurried(now):
-                    await self._perform(now, self._groups.tick(now, self._directory))
+                self._failover.take(now, event)
             case ConfigRead(stored):
                 self._gossip.publish(now, self._config.take(stored, self._directory.table))
             case PlatformListRead(entries):
@@ -232,42 +236,8 @@
             case ToAddress(address), DrainReply() as message:
                 await self._send_all(self._requests.drained(address, message))
             case source, message:
-                await self._send_all(self._gossip.receive(now, source, message))
-
-    async def _perform(self, now: Instant, actions: Iterable[GroupAction]) -> None:
-        for item in actions:
-            match item.action:
-                case PublishGroup() as action:
-                    self._publish_group(now, action)
-                case PublishLeaving(record):
-                    logger.info("backend_leaving", extra={"backend": record.backend})
-                    self._gossip.publish(now, (record,))
-                case call:
-                    address = self._groups.address_of(call.backend)
-                    if address is not None:
-                        self._calls.start(item.service, address, call, now)
-
-    def _publish_group(self, now: Instant, action: PublishGroup) -> None:
-        record = action.record
-        self._gossip.publish(now, (record,))
-        if not action.was_ordered_here:
-            return
-        gap_ms = action.gap // timedelta(milliseconds=1) if action.gap is not None else None
-        logger.warning(
-            "backend_promoted",
-            extra={
-                "service": record.service,
-                "backend": record.primary,
-                "term": record.term,
-                "gap_ms": gap_ms,
-            },
-        )
-        self._metrics.failovers.labels(record.service).inc()
-        if action.gap is not None:
-            gap_seconds = action.gap.total_seconds()
-            self._metrics.failover_gap.labels(record.service).observe(gap_seconds)
-        if self._store_task is not None:
-            self._store_task.note_group(record)
+                self._count_bytes("received", message)
+                await self._send_gossip(self._gossip.receive(now, source, message))
 
     async def _spread_news(self, now: Instant) -> None:
         news = self._gossip.take_news()
@@ -279,8 +249,7 @@
         await self._send_all(self._subscribers.push(now, news))
         if any(_changes_duties(record) for record in news):
             self._watchers_changed = True
-            self._groups.refresh(self._directory)
-            self._calls.keep_only(self._groups.addresses)
+            self._failover.refresh()
             self._update_gauges()
 
     def _update_gauges(self) -> None:
@@ -290,6 +259,14 @@
         for state, count in states.items():
             self._metrics.members.labels(state).set(count)
 
+    async def _send_gossip(self, sends: Iterable[Send]) -> None:
+        for send in sends:
+            self._count_bytes("sent", send.message)
+            await self._send_all((send,))
+
+    def _count_bytes(self, direction: str, message: Message) -> None:
+        self._metrics.gossip_bytes.labels(direction).inc(len(encode(message)))
+
     async def _send_all(self, sends: Iterable[Send]) -> None:
         for send in tuple(sends):
             match send.target:
