--- a/tests/controller/test_site.py
+++ b/tests/controller/test_site.py
@@ -105,3 +105,26 @@
             15,
         )
         self.assertLess(took, 8)
+
+    async def test_frozen_controllers_neither_block_nor_repeat_a_promotion(self):
+        *frozen, host = self.cluster.hosts
+        for other in frozen:
+            self.controller(other).freeze()
+        name = self.service.name
+        old = (await self.primary()).backend
+        self.backend(old).kill()
+        took = await self.wait_for(
+            host, lambda known: known.group(name) and known.group(name).primary != old, 10
+        )
+        self.assertLess(took, 5)
+        term = (await self.primary()).term
+        for other in frozen:
+            self.controller(other).thaw()
+        await asyncio.sleep(4)
+        self.assertEqual((await self.primary()).term, term)
+        for other in self.cluster.hosts:
+            await self.wait_for(
+                other,
+                lambda known: {member.state for member in known.members} == {MemberState.ALIVE},
+                10,
+            )
