Tell pools of a BEGIN in the extended protocol and check what a request_id covers

Cause: the entry kept every Parse to itself, so that a pool could not see a BEGIN of the extended protocol: it did not reserve the transaction and would not have recorded its request_id. A pipeline of BEGIN, a write and COMMIT under one id would have run without the id. Change: the Parse of BEGIN stays in its batch; ids over BEGIN or COMMIT beside other statements of the extended protocol are refused with BAD_HINT. Conclusion: at most once by request_id holds for statements, BEGIN and simple strings.

--- a/hickorywind/entry/localreplies.py
+++ b/hickorywind/entry/localreplies.py
@@ -9,14 +9,24 @@
     CLOSE_REPLY,
     DESCRIBE_REPLY,
     NO_DATA,
+    PARSE_COMPLETE,
+    PARSE_REPLY,
     LocalReply,
     Reply,
     command_complete,
 )
 from hickorywind.postgres.batches import Batch, Ending
-from hickorywind.postgres.errors import encode_notice
+from hickorywind.postgres.errors import encode_notice, encode_warning
 from hickorywind.postgres.statements import Commit, Rollback
-from hickorywind.results import Outcome, Result, ResultCode
+from hickorywind.results import Result
+
+_NO_ACTIVE_TRANSACTION = "25P01"
+_COMPLETED = {
+    PARSE_REPLY: PARSE_COMPLETE,
+    BIND_REPLY: BIND_COMPLETE,
+    DESCRIBE_REPLY: NO_DATA,
+    CLOSE_REPLY: CLOSE_COMPLETE,
+}
 
 
 def only_ends_transaction(batch: Batch) -> bool:
@@ -36,8 +46,8 @@
 def answer_end_of_nothing(batch: Batch) -> bytes:
     """Answer COMMIT or ROLLBACK outside of a transaction, as PostgreSQL does."""
     tag = "COMMIT" if isinstance(batch.statements[0], Commit) else "ROLLBACK"
-    notice = Result(ResultCode.OK, Outcome.NOT_RUN, "there is no transaction in progress")
-    return encode_notice(notice) + command_complete(tag)
+    warning = encode_warning(_NO_ACTIVE_TRANSACTION, "there is no transaction in progress")
+    return warning + command_complete(tag)
 
 
 def answer_rollback(batch: Batch) -> bytes:
@@ -59,10 +69,4 @@
 def _answer_one(reply: Reply, completion: bytes) -> bytes:
     if isinstance(reply, LocalReply):
         return reply.data
-    if reply == BIND_REPLY:
-        return BIND_COMPLETE
-    if reply == DESCRIBE_REPLY:
-        return NO_DATA
-    if reply == CLOSE_REPLY:
-        return CLOSE_COMPLETE
-    return completion
+    return _COMPLETED.get(reply, completion)
--- a/hickorywind/entry/planning.py
+++ b/hickorywind/entry/planning.py
@@ -8,8 +8,16 @@
 from hickorywind.entry.sessionstate import find_rank, find_read_kind, find_timeout_ms
 from hickorywind.ids import AccessMode, Rank
 from hickorywind.postgres.batches import Batch, Ending
-from hickorywind.postgres.hints import Hints
-from hickorywind.postgres.statements import Begin, Commit, Empty, Read, Rollback, Statement
+from hickorywind.postgres.hints import Hints, bad_hint
+from hickorywind.postgres.statements import (
+    Begin,
+    Commit,
+    Empty,
+    Read,
+    Rollback,
+    Statement,
+    Write,
+)
 
 
 @dataclass(frozen=True)
@@ -38,6 +46,10 @@
     rank = find_rank(service, hints)
     kind = find_read_kind(service, hints)
     statements = batch.statements + batch.bound
+    opens = any(isinstance(item, Begin) for item in statements)
+    closes = any(_may_close(item) for item in statements)
+    if hints.request_id is not None and (opens or closes):
+        _check_request_id(batch, statements)
     mode = _access_mode(batch, statements)
     return Plan(
         rank=rank,
@@ -47,14 +59,29 @@
         max_staleness_ms=_max_staleness(hints, kind.max_staleness_ms if kind else None),
         fallback_staleness_ms=kind.fallback_staleness_ms if kind else None,
         idempotency_key=hints.request_id,
-        opens_transaction=any(isinstance(item, Begin) for item in statements),
-        closes_transaction=any(isinstance(item, Commit | Rollback) for item in statements),
+        opens_transaction=opens,
+        closes_transaction=closes,
         read_only_transaction=any(
             isinstance(item, Begin) and item.read_only for item in statements
         ),
     )
 
 
+def _check_request_id(batch: Batch, statements: list[Statement]) -> None:
+    """Refuse what a pool can't record under one id: it sees whole texts in simple queries only."""
+    is_begin_alone = all(isinstance(item, Begin) for item in statements)
+    if batch.ending is not Ending.QUERY and not is_begin_alone:
+        raise bad_hint("in the extended protocol request_id can't cover BEGIN or COMMIT")
+
+
+def _may_close(statement: Statement) -> bool:
+    match statement:
+        case Commit() | Rollback() | Write(controls_transaction=True):
+            return True
+        case _:
+            return False
+
+
 def _max_staleness(hints: Hints, of_kind: int | None) -> int | None:
     """Return the stricter of the hint and the kind of read."""
     bounds = [bound for bound in (hints.max_staleness_ms, of_kind) if bound is not None]
--- a/hickorywind/postgres/answers.py
+++ b/hickorywind/postgres/answers.py
@@ -62,6 +62,7 @@
 
 Reply = LocalReply | RemoteReply
 
+PARSE_REPLY = RemoteReply(frozenset(b"1"))
 BIND_REPLY = RemoteReply(frozenset(b"2"))
 DESCRIBE_REPLY = RemoteReply(frozenset(b"Tn"))
 EXECUTE_REPLY = RemoteReply(frozenset(b"CIs"))
--- a/hickorywind/postgres/batches.py
+++ b/hickorywind/postgres/batches.py
@@ -20,6 +20,7 @@
     NO_DATA,
     NO_PARAMETERS,
     PARSE_COMPLETE,
+    PARSE_REPLY,
     LocalReply,
     Reply,
     describe_text_column,
@@ -39,6 +40,7 @@
     target_of,
 )
 from hickorywind.postgres.statements import (
+    Begin,
     Deallocate,
     Empty,
     NoOperation,
@@ -71,8 +73,9 @@
     """Hold one batch: what is sent on, what is answered here, and what it does.
 
     ``statements`` are those executed, ``bound`` those that only got their parameters.
-    ``refusal`` is set where the batch must not run. ``runs`` tells whether anything in it is bound
-    or executed at a backend server.
+    ``prepared`` holds the definitions that it refers to, ``parsed`` the names of those whose Parse
+    is among the frames. ``refusal`` is set where the batch must not run. ``runs`` tells whether
+    anything in it is bound or executed at a backend server.
     """
 
     ending: Ending = Ending.SYNC
@@ -82,6 +85,7 @@
     bound: list[Statement] = field(default_factory=list)
     hints: Hints = NO_HINTS
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)
+    parsed: set[str] = field(default_factory=set)
     refusal: Result | None = None
     runs: bool = False
     size_bytes: int = 0
@@ -241,12 +245,18 @@
             reason = f"a session holds at most {_NAMED_LIMIT} prepared statements"
             raise HickorywindError(Result.not_run(ResultCode.SESSION_LIMIT, reason))
         self._named[name] = prepared
+        if isinstance(prepared.statement, Begin):
+            # A pool tells by the Parse in the batch that a transaction is about to open.
+            self._batch.parsed.add(prepared.definition.name)
+            self._forward(prepared.definition.parse_frame, PARSE_REPLY)
+            return
         self._batch.replies.append(LocalReply(PARSE_COMPLETE))
         self._refer_to(prepared)
 
     def _refer_to(self, prepared: Prepared) -> None:
-        if not isinstance(prepared.statement, _ANSWERED_HERE):
-            definition = prepared.definition
+        definition = prepared.definition
+        is_local = isinstance(prepared.statement, _ANSWERED_HERE)
+        if not is_local and definition.name not in self._batch.parsed:
             self._batch.prepared[definition.name] = definition
 
     def _find_statement(self, name: str) -> Prepared:
--- a/hickorywind/postgres/errors.py
+++ b/hickorywind/postgres/errors.py
@@ -51,6 +51,11 @@
     return NoticeResponse(_fields(result, "NOTICE", sqlstate_for(ResultCode.OK))).to_wire()
 
 
+def encode_warning(sqlstate: str, text: str) -> bytes:
+    """Encode a warning of PostgreSQL's own as a whole NoticeResponse message."""
+    return NoticeResponse({"S": "WARNING", "V": "WARNING", "C": sqlstate, "M": text}).to_wire()
+
+
 def _fields(result: Result, severity: str, sqlstate: str) -> dict[str, str]:
     reason = result.reason.replace("\0", " ")
     hint = _HINT_BY_OUTCOME[result.outcome]
--- a/hickorywind/postgres/statements.py
+++ b/hickorywind/postgres/statements.py
@@ -38,9 +38,13 @@
 
 @dataclass(frozen=True)
 class Write:
-    """Stand for a statement, or several, that may change data."""
+    """Stand for a statement, or several, that may change data.
+
+    ``controls_transaction`` tells that BEGIN, COMMIT or ROLLBACK is among several.
+    """
 
     verb: str
+    controls_transaction: bool = False
 
 
 @dataclass(frozen=True)
@@ -160,7 +164,8 @@
         return NotCarried(ResultCode.UNSUPPORTED_STATEMENT, reason)
     if all(isinstance(statement, Read) for statement in found):
         return Read("multiple")
-    return Write("multiple")
+    controls = any(isinstance(statement, Begin | Commit | Rollback) for statement in found)
+    return Write("multiple", controls)
 
 
 def _classify_one(tokens: Sequence[Token]) -> Statement:
--- a/tests/entry/fakepool.py
+++ b/tests/entry/fakepool.py
@@ -166,6 +166,9 @@
                     text = bytes(frame.payload).rstrip(b"\0").decode()
                     state, answer = self._run_text(execute, text, state, columns())
                     out += answer + ready(state)
+                case b"P":
+                    parsed[_name(frame, 0)] = _text_of_parse(frame.data)
+                    out += b"1\0\0\0\4"
                 case b"B":
                     bound, values = _read_bind(frame, parsed)
                     out += b"2\0\0\0\4"
--- a/tests/entry/test_wholepath.py
+++ b/tests/entry/test_wholepath.py
@@ -130,6 +130,33 @@
             self.assertEqual(cursor.statusmessage, "INSERT 0 1")
         self.assertEqual(await self.rows(second, "SELECT a FROM t"), [(1,)])
 
+    async def test_request_id_of_a_begin_makes_its_transaction_commit_once(self):
+        first = await self.connect()
+        second = await self.connect(await self.start_entry(2))
+        begin = "/* hickorywind request_id=order-9 */ BEGIN"
+        await first.execute(begin)
+        await first.execute("INSERT INTO t VALUES (1, 'x')")
+        await first.execute("COMMIT")
+        with self.assertRaises(psycopg.errors.UniqueViolation):
+            await second.execute(begin)
+        with self.assertRaises(psycopg.errors.InvalidParameterValue):
+            async with second.pipeline():
+                await second.execute(begin)
+                await second.execute("INSERT INTO t VALUES (2, 'x')")
+                await second.execute("COMMIT")
+        with self.assertRaises(psycopg.errors.UniqueViolation):
+            async with second.pipeline() as pipeline:
+                await second.execute(begin)
+                await pipeline.sync()
+        self.assertEqual(await self.rows(second, "SELECT a FROM t"), [(1,)])
+
+    async def test_request_id_of_a_whole_transaction_in_one_string(self):
+        text = "/* hickorywind request_id=a */ BEGIN; INSERT INTO t VALUES ({}, 'x'); COMMIT"
+        for number in (1, 2):
+            connection = await self.connect()
+            await connection.execute(text.format(number))
+        self.assertEqual(await self.rows(connection, "SELECT a FROM t"), [(1,)])
+
     async def test_large_answers(self):
         connection = await self.connect()
         await connection.execute("INSERT INTO t VALUES (1, %s)", ("x" * 1000,))
