End at once what a cut-off or replaced primary can't prove

Cause: writes that waited for a proof from a dead or frozen primary waited for their deadline (7.7 s of 8 s in the test) although the directory knew the next term, and new writes went to a primary whose majority was silent, to end as unknown.

Ruled out: a fixed shorter limit for proofs, which would call slow commits unknown.

Change: a later term in the directory ends proofs and statements of earlier terms as unknown; a write for a primary whose majority is silent for 1 s is refused as not run.

--- a/hickorywind/admission/commitproof.py
+++ b/hickorywind/admission/commitproof.py
@@ -15,6 +15,8 @@
 from hickorywind.ids import EMPTY_LOG, InstanceRole, LogPosition, Term
 from hickorywind.util.clock import Instant
 
+_REPLACED = "the primary was replaced before the commit was proved"
+
 
 @dataclass(frozen=True, slots=True)
 class Ticket:
@@ -97,6 +99,13 @@
             del self._waiting[action.key]
         return settled
 
+    def learn_term(self, term: Term) -> Sequence[Action]:
+        """Take in from elsewhere that the group is at ``term``: earlier ones prove nothing more."""
+        old = [ticket for ticket in self._waiting.values() if ticket.term < term]
+        for ticket in old:
+            del self._waiting[ticket.key]
+        return [Unproven(ticket.key, _REPLACED) for ticket in old]
+
     def call_ended(self, status: BackendStatus | None, now: Instant) -> Sequence[Action]:
         """Take in the end of the ordered call; None where it failed or timed out."""
         self._asking = False
@@ -127,7 +136,7 @@
 
     def _settle(self, ticket: Ticket, status: BackendStatus) -> Proved | Unproven | None:
         if status.term > ticket.term or status.role is not InstanceRole.PRIMARY:
-            return Unproven(ticket.key, "the primary was replaced before the commit was proved")
+            return Unproven(ticket.key, _REPLACED)
         if self.is_proved(ticket):
             return Proved(ticket.key)
         return None
--- a/hickorywind/pool/backend.py
+++ b/hickorywind/pool/backend.py
@@ -14,7 +14,7 @@
 from hickorywind.admission.scheduler import AdmissionPolicy, AdmissionQueue
 from hickorywind.admission.transactions import TransactionTable
 from hickorywind.configuration.model import Instance, Service
-from hickorywind.ids import AccessMode, BackendId, InstanceRole
+from hickorywind.ids import AccessMode, BackendId, InstanceRole, Term
 from hickorywind.observability.metrics import Metrics
 from hickorywind.pool.backendconnection import Login
 from hickorywind.pool.checks import (
@@ -63,6 +63,7 @@
     watch: GroupWatch
     find_primary: Callable[[], GroupWatch | None]
     is_leaving: Callable[[], bool]
+    known_term: Callable[[], Term]
     queue_order: QueueOrder = QueueOrder.RANKED
     metrics: Metrics | None = None
 
@@ -313,6 +314,7 @@
         self._carry_out(self._queue.expire(now))
         for _ in self._transactions.end_idle():
             logger.info("transaction_idle_timeout", extra={"backend": self.backend})
+        self._give_up_of_old_terms()
         if not self._watch.answers:
             self._give_up_repeatable()
         self._connections.close_idle()
@@ -323,6 +325,15 @@
             self._last_poll = now
             self._spawn(self._watch.refresh())
 
+    def _give_up_of_old_terms(self) -> None:
+        """End at once what ran at a primary that is known to be replaced: it can't be proved."""
+        term = self._tools.known_term()
+        self._watch.learn_term(term)
+        for job in tuple(self._jobs.values()):
+            at_old_primary = job.role is InstanceRole.PRIMARY and job.term < term
+            if at_old_primary and job.connection is not None:
+                self._runner.give_up(job, ResultCode.COMMIT_UNPROVEN)
+
     def _give_up_repeatable(self) -> None:
         """Send elsewhere, before their deadline, what a silent backend server may never answer."""
         for job in tuple(self._jobs.values()):
--- a/hickorywind/pool/backendtasks.py
+++ b/hickorywind/pool/backendtasks.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 
 from hickorywind.configuration.model import Instance, Service
-from hickorywind.ids import Address, BackendId, HostId, ServiceName
+from hickorywind.ids import Address, BackendId, HostId, ServiceName, Term
 from hickorywind.membership.directory import Directory
 from hickorywind.observability.metrics import Metrics
 from hickorywind.pool.backend import BackendTask, BackendTools
@@ -113,6 +113,7 @@
             self._watch(backend),
             lambda: self._primary_watch(service.name),
             lambda: self._directory.is_leaving(backend),
+            lambda: self._known_term(service.name),
             self._queue_order,
             self._metrics,
         )
@@ -130,6 +131,10 @@
             self._watches[backend] = watch
         return watch
 
+    def _known_term(self, service: ServiceName) -> Term:
+        group = self._directory.group(service)
+        return Term(0) if group is None else group.term
+
     def _primary_watch(self, service: ServiceName) -> GroupWatch | None:
         group = self._directory.group(service)
         if group is None or self._directory.instance(group.primary) is None:
--- a/hickorywind/pool/checks.py
+++ b/hickorywind/pool/checks.py
@@ -8,6 +8,7 @@
 from hickorywind.results import Result, ResultCode
 
 RETRY_AFTER_MS = 200
+_MAJORITY_SILENCE_MS = 1_000
 
 
 def needs_newer_status(status: BackendStatus | None, message: Execute) -> bool:
@@ -17,7 +18,12 @@
     expected = message.expected_term
     if expected is not None and status.term < expected:
         return True
-    return message.mode is AccessMode.WRITE and status.role is not InstanceRole.PRIMARY
+    return message.mode is AccessMode.WRITE and not _can_commit(status)
+
+
+def _can_commit(status: BackendStatus) -> bool:
+    """Tell whether a write has a chance to be proved: a primary that its majority answers."""
+    return status.role is InstanceRole.PRIMARY and status.silence_ms < _MAJORITY_SILENCE_MS
 
 
 def refuse_by_status(status: BackendStatus, message: Execute) -> Result | None:
@@ -25,8 +31,8 @@
     expected = message.expected_term
     if expected is not None and status.term > expected:
         return _refuse_old_term(status, message)
-    if message.mode is AccessMode.WRITE and status.role is not InstanceRole.PRIMARY:
-        reason = "the backend server is not primary"
+    if message.mode is AccessMode.WRITE and not _can_commit(status):
+        reason = "the backend server is not primary, or cut off from its group"
         return Result.not_run(ResultCode.NO_PRIMARY, reason, RETRY_AFTER_MS)
     return None
 
--- a/hickorywind/pool/groupwatch.py
+++ b/hickorywind/pool/groupwatch.py
@@ -12,7 +12,7 @@
 from hickorywind.admission.freshness import Sample
 from hickorywind.groups.client import CallFailed, CallRefused, CallResult
 from hickorywind.groups.status import BackendStatus
-from hickorywind.ids import BackendId, InstanceRole, LogPosition
+from hickorywind.ids import BackendId, InstanceRole, LogPosition, Term
 from hickorywind.util.clock import Clock, Instant, milliseconds
 
 logger = logging.getLogger(__name__)
@@ -152,6 +152,10 @@
             self._futures.pop(ticket.key, None)
             self._proofs.withdraw(ticket.key)
 
+    def learn_term(self, term: Term) -> None:
+        """Take in the group's term as known from elsewhere."""
+        self._carry_out(self._proofs.learn_term(term))
+
     def _carry_out(self, actions: Sequence[Action]) -> None:
         for action in actions:
             match action:
--- a/tests/admission/test_commitproof.py
+++ b/tests/admission/test_commitproof.py
@@ -72,6 +72,12 @@
         (ended,) = self.proofs.observe(replica)
         self.assertIsInstance(ended, Unproven)
 
+    def test_news_of_a_later_term_end_what_waits_in_earlier_ones(self) -> None:
+        self.add("old", at(1, 5), 1)
+        self.add("new", at(2, 6), 2)
+        (ended,) = self.proofs.learn_term(Term(2))
+        self.assertEqual((type(ended), ended.key), (Unproven, "old"))
+
     def test_deadline_ends_what_waits_although_the_call_still_runs(self) -> None:
         self.add("a", at(1, 5), 1, timeout_ms=50)
         self.clock.advance(milliseconds(60))
--- a/tests/pool/test_reads.py
+++ b/tests/pool/test_reads.py
@@ -2,8 +2,9 @@
 import unittest
 
 from hickorywind.ids import AccessMode, BackendId, LogPosition, SessionId, Term
+from hickorywind.protocol.records import GroupRecord
 from hickorywind.results import Outcome, ResultCode
-from tests.pool.harness import running_pool
+from tests.pool.harness import SERVICE, running_pool
 
 TABLE = "CREATE TABLE t (id int primary key, v text)"
 READ = "SELECT count(*) FROM t"
@@ -89,6 +90,33 @@
             self.assertIs(written.result.outcome, Outcome.UNKNOWN)
             self.assertEqual(written.kinds, "")
 
+    async def test_write_is_given_up_at_once_when_another_primary_is_known(self) -> None:
+        async with running_pool(count=3) as (pool, entry):
+            await entry.run(TABLE)
+            for server in pool.group.servers[1:]:
+                await server.close()
+            message = entry.make("INSERT INTO t VALUES (1, 'a')", remaining_ms=8_000)
+            await entry.link.send(message)
+            await asyncio.sleep(0.3)
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            pool.directory.merge((GroupRecord(SERVICE, Term(2), BackendId("b1")),))
+            answer = await entry.collect(message.request_id)
+            self.assertLess(loop.time() - started, 1)
+            self.assertEqual(answer.result.code, ResultCode.COMMIT_UNPROVEN)
+            self.assertIs(answer.result.outcome, Outcome.UNKNOWN)
+
+    async def test_write_is_not_run_once_the_majority_is_known_to_be_silent(self) -> None:
+        async with running_pool(count=3) as (pool, entry):
+            await entry.run(TABLE)
+            for server in pool.group.servers[1:]:
+                await server.close()
+            await asyncio.sleep(1.6)
+            written = await entry.run("INSERT INTO t VALUES (1, 'a')", remaining_ms=600)
+            self.assertEqual(written.result.code, ResultCode.NO_PRIMARY)
+            self.assertIs(written.result.outcome, Outcome.NOT_RUN)
+            self.assertEqual((await entry.run(READ, mode=AccessMode.READ)).rows, ["0"])
+
     async def test_read_of_unproved_data_is_not_released(self) -> None:
         async with running_pool(count=3) as (pool, entry):
             await entry.run(TABLE)
