Follow homes member by member instead of computing all anew

Cause: any news of any member threw away all homes. Entries and pools ask for every home after each change, which at 670 hosts and 2,460 backend servers took 1,655 ms of processor time in the event loop that serves statements (python -m hickorywind_bench.slopes directory, load average 17).

Ruled out: waiting for several changes before homes are computed again; each round would still stop statements for more than a second, and a stale home costs a refused request.

A new host takes over what it outranks, a lost host's homes are computed again, and a new configuration keeps the homes of what stays.

--- a/hickorywind/membership/directory.py
+++ b/hickorywind/membership/directory.py
@@ -12,7 +12,7 @@
 from hickorywind.configuration.sections import digest_sections, join_sections
 from hickorywind.ids import AvailabilityZone, BackendId, HostId, Region, Revision, ServiceName
 from hickorywind.membership.table import RecordTable
-from hickorywind.placement.rendezvous import owner_of
+from hickorywind.placement.homes import Homes
 from hickorywind.protocol.records import (
     ConfigHeadRecord,
     ConfigRecord,
@@ -52,7 +52,7 @@
         self._services: dict[ServiceName, Service] = {}
         self._instances: dict[BackendId, tuple[Service, Instance]] = {}
         self._regions: dict[AvailabilityZone, Region] = {}
-        self._homes: dict[BackendId, HostId | None] = {}
+        self._homes = Homes()
         self._take(self.table.records())
 
     def merge(self, records: Iterable[Record]) -> tuple[Record, ...]:
@@ -65,15 +65,14 @@
         """Drop the record of a host that has been dead for long."""
         self.table.forget(f"member/{host}")
         self._members.pop(host, None)
-        self._homes.clear()
+        self._homes.remove(host)
 
     def _take(self, records: Iterable[Record]) -> None:
         config_changed = False
         for record in records:
             match record:
                 case MemberRecord():
-                    self._members[record.host] = record
-                    self._homes.clear()
+                    self._take_member(record)
                 case GroupRecord():
                     self._groups[record.service] = record
                 case LeavingRecord():
@@ -83,6 +82,13 @@
         if config_changed:
             self._try_put_in_force()
 
+    def _take_member(self, record: MemberRecord) -> None:
+        self._members[record.host] = record
+        if self._can_be_home(record):
+            self._homes.add(record.host, record.availability_zone)
+        else:
+            self._homes.remove(record.host)
+
     def _take_leaving(self, record: LeavingRecord) -> None:
         if record.leaving:
             self._leaving.add(record.backend)
@@ -114,7 +120,9 @@
             for instance in service.instances
         }
         self._regions = {zone.name: zone.region for zone in in_force.configuration.zones}
-        self._homes.clear()
+        self._homes.set_backends(
+            {name: instance.availability_zone for name, (_, instance) in self._instances.items()}
+        )
         logger.info("config_in_force", extra={"revision": in_force.revision})
 
     @property
@@ -169,24 +177,9 @@
 
     def home_of(self, backend: BackendId) -> MemberRecord | None:
         """Return the host whose pool serves a backend server, or None where there is none."""
-        if backend not in self._homes:
-            self._homes[backend] = self._compute_home(backend)
-        host = self._homes[backend]
+        host = self._homes.home_of(backend)
         return self._members.get(host) if host is not None else None
 
-    def _compute_home(self, backend: BackendId) -> HostId | None:
-        instance = self.instance(backend)
-        if instance is None:
-            return None
-        usable = [record for record in self._members.values() if self._can_be_home(record)]
-        local = [
-            record.host
-            for record in usable
-            if record.availability_zone == instance.availability_zone
-        ]
-        owner = owner_of(backend, local or [record.host for record in usable])
-        return HostId(owner) if owner is not None else None
-
     @staticmethod
     def _can_be_home(record: MemberRecord) -> bool:
         alive = record.state in (MemberState.ALIVE, MemberState.SUSPECT)
--- a/hickorywind/placement/rendezvous.py
+++ b/hickorywind/placement/rendezvous.py
@@ -24,3 +24,8 @@
 def owner_of(key: str, members: Iterable[str]) -> str | None:
     """Return the member responsible for ``key``, or None where there are no members."""
     return max(members, key=lambda member: (_weight(key, member), member), default=None)
+
+
+def outranks(key: str, challenger: str, holder: str) -> bool:
+    """Tell whether one member is more responsible for ``key`` than another."""
+    return (_weight(key, challenger), challenger) > (_weight(key, holder), holder)
