--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -5,12 +5,14 @@
 import random
 from datetime import timedelta
 
-from hickorywind.ids import Address, AvailabilityZone, HostId, Incarnation
+from hickorywind.configuration.model import Configuration, Zone
+from hickorywind.configuration.sections import digest_sections, split_sections
+from hickorywind.ids import Address, AvailabilityZone, HostId, Incarnation, Region, Revision
 from hickorywind.membership.actions import ToAddress, ToPeer
 from hickorywind.membership.directory import Directory
 from hickorywind.membership.gossip import GossipCore, HostIdentity
 from hickorywind.protocol.codec import decode, encode
-from hickorywind.protocol.records import MemberState
+from hickorywind.protocol.records import ConfigHeadRecord, ConfigRecord, MemberState
 from hickorywind.util.clock import milliseconds
 
 TICK = milliseconds(50)
@@ -18,6 +20,16 @@
 ZONES = ("a", "b", "c")
 
 
+def learn_regions(directory):
+    """Put zones a and b in one region and c in another; for ``Fleet(setup=...)``."""
+    zones = tuple(
+        Zone(AvailabilityZone(name), Region("far" if name == "c" else "near")) for name in ZONES
+    )
+    sections = split_sections(Configuration("test", zones, ()))
+    records = [ConfigRecord(name, Revision(1), text) for name, text in sections.items()]
+    directory.merge((*records, ConfigHeadRecord(Revision(1), digest_sections(sections))))
+
+
 class Fleet:
     """Hosts are numbered; host i has address 10.0.0.0:i and zone ZONES[i % 3]."""
 
@@ -31,6 +43,7 @@
         self.is_cut = lambda a, b: False
         self.sent_bytes = 0
         self.sent_messages = 0
+        self.between_regions_bytes = 0
         self.queue = []
         self.tie = itertools.count()
         for index in range(count):
@@ -70,6 +83,8 @@
             data = encode(action.message)
             self.sent_bytes += len(data) + FRAME_BYTES
             self.sent_messages += 1
+            if (index % 3 == 2) != (target % 3 == 2):
+                self.between_regions_bytes += len(data) + FRAME_BYTES
             delay = milliseconds(1 + self.rng.random() * 2)
             arrival = (self.now + delay, next(self.tie), self.deliver, (index, target, data))
             heapq.heappush(self.queue, arrival)
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -5,7 +5,7 @@
 
 from hickorywind.ids import BackendId, HostId, ServiceName, Term
 from hickorywind.protocol.records import GroupRecord, MemberState
-from tests.membership.fleet import Fleet
+from tests.membership.fleet import Fleet, learn_regions
 
 
 def seconds(value):
@@ -13,8 +13,8 @@
 
 
 class GossipTest(unittest.TestCase):
-    def start(self, count, seed=1):
-        fleet = Fleet(count, seed)
+    def start(self, count, seed=1, setup=None):
+        fleet = Fleet(count, seed, setup)
         self.assertIsNotNone(fleet.run(seconds(30), fleet.agree))
         fleet.run(seconds(5))
         return fleet
@@ -108,6 +108,21 @@
         )
         self.assertIsNotNone(took)
 
+    def test_regions_are_joined_by_few_hosts_and_heal_after_a_cut(self):
+        rates = []
+        for count in (15, 45):
+            fleet = self.start(count, setup=learn_regions)
+            fleet.between_regions_bytes = 0
+            fleet.run(seconds(20))
+            rates.append(fleet.between_regions_bytes / 20)
+        self.assertLess(rates[1], rates[0] * 1.5)
+        far = {index for index in fleet.running() if index % 3 == 2}
+        fleet.is_cut = lambda a, b: (a in far) != (b in far)
+        fleet.run(seconds(60))
+        self.assertEqual(fleet.alive(2), {f"h{index}" for index in far})
+        fleet.is_cut = lambda a, b: False
+        self.assertIsNotNone(fleet.run(seconds(60), fleet.agree))
+
     def test_bytes_per_host_do_not_grow_with_the_fleet(self):
         rates = []
         for count in (12, 60):
