Split session, batches and statements into modules of one job

Ruled out: nothing. Change: context, refusals, requestbuilding; batch; kinds. No change of behaviour.

--- a/hickorywind/entry/localreplies.py
+++ b/hickorywind/entry/localreplies.py
@@ -15,9 +15,12 @@
     Reply,
     command_complete,
 )
-from hickorywind.postgres.batches import Batch, Ending
+from hickorywind.postgres.batch import Batch, Ending
 from hickorywind.postgres.errors import encode_notice, encode_warning
-from hickorywind.postgres.statements import Commit, Rollback
+from hickorywind.postgres.kinds import (
+    Commit,
+    Rollback,
+)
 from hickorywind.results import Result
 
 _NO_ACTIVE_TRANSACTION = "25P01"
--- a/hickorywind/entry/planning.py
+++ b/hickorywind/entry/planning.py
@@ -7,9 +7,9 @@
 from hickorywind.configuration.model import Service
 from hickorywind.entry.sessionstate import find_rank, find_read_kind, find_timeout_ms
 from hickorywind.ids import AccessMode, Rank
-from hickorywind.postgres.batches import Batch, Ending
+from hickorywind.postgres.batch import Batch, Ending
 from hickorywind.postgres.hints import Hints, bad_hint
-from hickorywind.postgres.statements import (
+from hickorywind.postgres.kinds import (
     Begin,
     Commit,
     Empty,
--- /dev/null
+++ b/hickorywind/entry/requestbuilding.py
@@ -0,0 +1,63 @@
+"""Turn a planned batch of a session into the request that the executor runs."""
+
+from __future__ import annotations
+
+from hickorywind.configuration.model import Service
+from hickorywind.entry.attempt import READ_HELD_BYTES, WRITE_HELD_BYTES, CancelSignal, Writer
+from hickorywind.entry.planning import Plan
+from hickorywind.entry.request import Request
+from hickorywind.entry.sessionstate import SessionState
+from hickorywind.entry.transaction import SessionTransaction
+from hickorywind.ids import AccessMode
+from hickorywind.postgres.answers import AnswerShaper
+from hickorywind.postgres.batch import Batch, Ending, flush_frame, sync_frame
+from hickorywind.util.clock import Instant
+
+
+def build_request(
+    state: SessionState,
+    transaction: SessionTransaction,
+    service: Service,
+    batch: Batch,
+    plan: Plan,
+    deadline: Instant,
+    write: Writer,
+    cancel: CancelSignal,
+) -> Request:
+    """Build the request of a batch; ``write`` takes the answer as it comes."""
+    current = transaction.current
+    read_only = current is not None and current.read_only
+    mode = AccessMode.READ if read_only else plan.mode
+    reads = mode is AccessMode.READ
+    return Request(
+        service=service,
+        session_id=state.session_id,
+        rank=plan.rank,
+        mode=mode,
+        frames=_frames_to_send(batch, transaction),
+        prepared=tuple(batch.prepared.values()),
+        floor=state.floors.floor(service.name),
+        deadline=deadline,
+        repeatable=plan.repeatable,
+        max_staleness_ms=plan.max_staleness_ms if reads else None,
+        fallback_staleness_ms=plan.fallback_staleness_ms,
+        idempotency_key=None if reads else plan.idempotency_key,
+        make_shaper=lambda: AnswerShaper(batch.replies),
+        write=write,
+        cancel=cancel,
+        transaction=current,
+        held_limit_bytes=READ_HELD_BYTES if reads else WRITE_HELD_BYTES,
+        must_open=plan.opens_transaction and not plan.closes_transaction,
+    )
+
+
+def _frames_to_send(batch: Batch, transaction: SessionTransaction) -> bytes:
+    frames = bytes(batch.frames)
+    match batch.ending:
+        case Ending.QUERY:
+            return frames
+        case Ending.FLUSH if batch.runs or transaction.is_implicit:
+            return frames + flush_frame()
+        case Ending.FLUSH | Ending.SYNC:
+            # Where nothing was bound, a Sync in place of Flush ends nothing.
+            return frames + sync_frame()
--- a/hickorywind/entry/role.py
+++ b/hickorywind/entry/role.py
@@ -10,11 +10,11 @@
 
 from hickorywind.configuration.model import Limits
 from hickorywind.entry.acceptrate import AcceptRate
+from hickorywind.entry.context import SessionContext
 from hickorywind.entry.executor import Executor
 from hickorywind.entry.links import PoolLinks
 from hickorywind.entry.reporting import RequestReporter
 from hickorywind.entry.server import CallerServer
-from hickorywind.entry.session import SessionContext
 from hickorywind.ids import Address, AvailabilityZone, HostId, Incarnation, Role
 from hickorywind.membership.directory import Directory
 from hickorywind.membership.subscriber import DirectorySubscriber
--- a/hickorywind/entry/server.py
+++ b/hickorywind/entry/server.py
@@ -12,13 +12,10 @@
 from hickorywind.entry.attempt import CallerGoneError
 from hickorywind.entry.callerstream import CallerReader, CallerStream
 from hickorywind.entry.cancels import CancelRegistry
+from hickorywind.entry.context import SessionContext
 from hickorywind.entry.handshake import CancelKey, authenticate, greeting, read_startup
-from hickorywind.entry.session import (
-    CallerSession,
-    SessionContext,
-    shutting_down,
-    unknown_service,
-)
+from hickorywind.entry.refusals import shutting_down, unknown_service
+from hickorywind.entry.session import CallerSession
 from hickorywind.entry.sessionstate import SessionState
 from hickorywind.ids import Address, ServiceName, SessionId
 from hickorywind.observability.metrics import Metrics
--- a/hickorywind/entry/session.py
+++ b/hickorywind/entry/session.py
@@ -3,18 +3,12 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
 from datetime import timedelta
 
-from hickorywind.configuration.model import Limits, Service
-from hickorywind.entry.attempt import (
-    READ_HELD_BYTES,
-    WRITE_HELD_BYTES,
-    CallerGoneError,
-    CancelSignal,
-)
+from hickorywind.configuration.model import Service
+from hickorywind.entry.attempt import CallerGoneError, CancelSignal
 from hickorywind.entry.callerstream import CallerStream, StoppedError
-from hickorywind.entry.executor import Executor
+from hickorywind.entry.context import SessionContext
 from hickorywind.entry.localreplies import (
     answer_already_ran,
     answer_end_of_nothing,
@@ -23,19 +17,21 @@
     only_rolls_back,
 )
 from hickorywind.entry.planning import Plan, plan_batch
-from hickorywind.entry.request import Finished, Request
+from hickorywind.entry.refusals import lost_in_transaction, shutting_down, unknown_service
+from hickorywind.entry.request import Finished
+from hickorywind.entry.requestbuilding import build_request
 from hickorywind.entry.sessionstate import SessionState
 from hickorywind.entry.transaction import SessionTransaction
 from hickorywind.ids import AccessMode
-from hickorywind.membership.directory import Directory
-from hickorywind.postgres.answers import AnswerShaper, parameter_status, ready_for_query
-from hickorywind.postgres.batches import Batch, BatchBuilder, Ending, flush_frame, sync_frame
+from hickorywind.postgres.answers import parameter_status, ready_for_query
+from hickorywind.postgres.batch import Batch, Ending
+from hickorywind.postgres.batches import BatchBuilder
 from hickorywind.postgres.errors import Severity, encode_error, encode_failed_transaction
 from hickorywind.postgres.hints import PARAMETER_PREFIX, TOKEN, bad_hint
 from hickorywind.protocol.messages import TransactionState
 from hickorywind.results import HickorywindError, Outcome, Result, ResultCode
 from hickorywind.routing.session import KnownFloor
-from hickorywind.util.clock import Clock, Instant, milliseconds
+from hickorywind.util.clock import Instant, milliseconds
 
 logger = logging.getLogger(__name__)
 
@@ -45,22 +41,6 @@
 _SERVE_AFTER_STOP = timedelta(seconds=1)
 
 
-@dataclass(frozen=True)
-class SessionContext:
-    """Hold what all sessions of an entry share."""
-
-    executor: Executor
-    directory: Directory
-    clock: Clock
-
-    @property
-    def message_limit_bytes(self) -> int:
-        """Return the greatest size of a caller's message or batch."""
-        in_force = self.directory.in_force
-        limits = in_force.configuration.limits if in_force is not None else Limits()
-        return limits.message_limit_bytes
-
-
 class CallerSession:
     """Serve one caller from its first ReadyForQuery to its end."""
 
@@ -205,7 +185,16 @@
             service = self._find_service()
             plan = plan_batch(batch, self._state.hints, service)
             self._check_request_id(plan)
-            request = self._make_request(batch, plan, service, self._cancel)
+            request = build_request(
+                self._state,
+                self._transaction,
+                service,
+                batch,
+                plan,
+                deadline=self._context.clock.now() + milliseconds(plan.timeout_ms),
+                write=self._stream.write,
+                cancel=self._cancel,
+            )
             finished = await self._context.executor.run(request)
         except HickorywindError as error:
             await self._refuse(batch, error.result)
@@ -224,45 +213,6 @@
         if plan.idempotency_key is not None and self._transaction.current is not None:
             raise bad_hint("in a transaction request_id belongs to its BEGIN")
 
-    def _make_request(
-        self, batch: Batch, plan: Plan, service: Service, cancel: CancelSignal
-    ) -> Request:
-        transaction = self._transaction.current
-        read_only = transaction is not None and transaction.read_only
-        mode = AccessMode.READ if read_only else plan.mode
-        reads = mode is AccessMode.READ
-        return Request(
-            service=service,
-            session_id=self._state.session_id,
-            rank=plan.rank,
-            mode=mode,
-            frames=self._frames_to_send(batch),
-            prepared=tuple(batch.prepared.values()),
-            floor=self._state.floors.floor(service.name),
-            deadline=self._context.clock.now() + milliseconds(plan.timeout_ms),
-            repeatable=plan.repeatable,
-            max_staleness_ms=plan.max_staleness_ms if reads else None,
-            fallback_staleness_ms=plan.fallback_staleness_ms,
-            idempotency_key=None if reads else plan.idempotency_key,
-            make_shaper=lambda: AnswerShaper(batch.replies),
-            write=self._stream.write,
-            cancel=cancel,
-            transaction=transaction,
-            held_limit_bytes=READ_HELD_BYTES if reads else WRITE_HELD_BYTES,
-            must_open=plan.opens_transaction and not plan.closes_transaction,
-        )
-
-    def _frames_to_send(self, batch: Batch) -> bytes:
-        frames = bytes(batch.frames)
-        match batch.ending:
-            case Ending.QUERY:
-                return frames
-            case Ending.FLUSH if batch.runs or self._transaction.is_implicit:
-                return frames + flush_frame()
-            case Ending.FLUSH | Ending.SYNC:
-                # Where nothing was bound, a Sync in place of Flush ends nothing.
-                return frames + sync_frame()
-
     async def _conclude(self, batch: Batch, plan: Plan, finished: Finished) -> None:
         token = self._advance_floor(plan, finished)
         result = finished.result
@@ -299,7 +249,7 @@
         result = finished.result
         in_transaction = self._transaction.current is not None
         if in_transaction and not plan.closes_transaction:
-            result = _lost_in_transaction(result)
+            result = lost_in_transaction(result)
         if not in_transaction:
             await self._transaction.drop_opened(batch, plan, finished)
         await self._transaction.fail()
@@ -311,23 +261,3 @@
             await self._end_batch(batch, answer_rollback(batch))
             return
         await self._end_with_error(batch, encode_error(result) + token)
-
-
-def unknown_service(name: str) -> Result:
-    """Build the refusal for a database name that is no service."""
-    reason = f"database service {name!r} is not known"
-    return Result(ResultCode.UNKNOWN_SERVICE, Outcome.NOT_RUN, reason)
-
-
-def shutting_down() -> Result:
-    """Build the refusal of an entry that stops."""
-    reason = "this entry is shutting down; connect to another"
-    return Result.not_run(ResultCode.SHUTTING_DOWN, reason, 1)
-
-
-def _lost_in_transaction(result: Result) -> Result:
-    """Report a failure inside a transaction, which as a whole is rolled back."""
-    if result.code not in (ResultCode.POOL_LOST, ResultCode.POOL_UNREACHABLE):
-        return result
-    reason = f"transaction rolled back: {result.reason}"
-    return Result(ResultCode.TRANSACTION_LOST, result.outcome, reason)
--- a/hickorywind/entry/sessionstate.py
+++ b/hickorywind/entry/sessionstate.py
@@ -7,7 +7,7 @@
 from hickorywind.configuration.model import ReadKind, Service
 from hickorywind.ids import Rank, ServiceName, SessionId
 from hickorywind.postgres.answers import command_complete, text_row
-from hickorywind.postgres.batches import LocalStatement
+from hickorywind.postgres.batch import LocalStatement
 from hickorywind.postgres.hints import (
     NO_HINTS,
     SESSION_ID,
@@ -16,7 +16,12 @@
     bad_hint,
     parse_name,
 )
-from hickorywind.postgres.statements import Deallocate, NoOperation, SetHint, ShowHint
+from hickorywind.postgres.kinds import (
+    Deallocate,
+    NoOperation,
+    SetHint,
+    ShowHint,
+)
 from hickorywind.routing.session import SessionFloors
 
 _REQUEST_ID = "request_id"
--- a/hickorywind/entry/transaction.py
+++ b/hickorywind/entry/transaction.py
@@ -7,7 +7,7 @@
 from hickorywind.entry.executor import Executor
 from hickorywind.entry.planning import Plan
 from hickorywind.entry.request import Finished, OpenTransaction
-from hickorywind.postgres.batches import Batch, Ending
+from hickorywind.postgres.batch import Batch, Ending
 from hickorywind.protocol.messages import TransactionState
 
 
--- a/hickorywind/postgres/batches.py
+++ b/hickorywind/postgres/batches.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-from enum import Enum
 from typing import Protocol
 
 from hickorywind.postgres.answers import (
@@ -25,81 +23,34 @@
     Reply,
     describe_text_column,
 )
+from hickorywind.postgres.batch import ANSWERED_HERE, Batch, Ending, LocalStatement
 from hickorywind.postgres.frames import Frame
-from hickorywind.postgres.hints import NO_HINTS, Hints, bad_hint, split_comment
+from hickorywind.postgres.hints import Hints, bad_hint, split_comment
+from hickorywind.postgres.kinds import (
+    Begin,
+    Deallocate,
+    Empty,
+    NoOperation,
+    NotCarried,
+    SetHint,
+    ShowHint,
+)
 from hickorywind.postgres.prepared import (
     Prepared,
     bound_statement,
     decode_name,
     describe_statement,
-    make_frame,
     malformed,
     read_name,
     read_parse,
     rename_bind,
     target_of,
 )
-from hickorywind.postgres.statements import (
-    Begin,
-    Deallocate,
-    Empty,
-    NoOperation,
-    NotCarried,
-    SetHint,
-    ShowHint,
-    Statement,
-    classify,
-)
-from hickorywind.protocol.messages import PreparedStatement
+from hickorywind.postgres.statements import classify
 from hickorywind.results import HickorywindError, Outcome, Result, ResultCode
 
-# Statements that the entry answers itself; empty ones go on, as they belong to no session.
-_ANSWERED_HERE = (SetHint, ShowHint, Deallocate, NoOperation)
 _NAMED_LIMIT = 1_000
 
-LocalStatement = SetHint | ShowHint | Deallocate | NoOperation
-
-
-class Ending(Enum):
-    """Name the message that ended a batch."""
-
-    QUERY = "query"
-    SYNC = "sync"
-    FLUSH = "flush"
-
-
-@dataclass
-class Batch:
-    """Hold one batch: what is sent on, what is answered here, and what it does.
-
-    ``statements`` are those executed, ``bound`` those that only got their parameters.
-    ``prepared`` holds the definitions that it refers to, ``parsed`` the names of those whose Parse
-    is among the frames. ``refusal`` is set where the batch must not run. ``runs`` tells whether
-    anything in it is bound or executed at a backend server.
-    """
-
-    ending: Ending = Ending.SYNC
-    frames: bytearray = field(default_factory=bytearray)
-    replies: list[Reply] = field(default_factory=list)
-    statements: list[Statement] = field(default_factory=list)
-    bound: list[Statement] = field(default_factory=list)
-    hints: Hints = NO_HINTS
-    prepared: dict[str, PreparedStatement] = field(default_factory=dict)
-    parsed: set[str] = field(default_factory=set)
-    refusal: Result | None = None
-    runs: bool = False
-    size_bytes: int = 0
-
-    @property
-    def is_local(self) -> bool:
-        """Tell whether no backend server is needed."""
-        return not self.frames and not self.prepared
-
-    @property
-    def replies_here(self) -> bytes:
-        """Return the replies of a local batch."""
-        return b"".join(reply.data for reply in self.replies if isinstance(reply, LocalReply))
-
 
 class LocalAnswerer(Protocol):
     """Answer statements that concern only the session."""
@@ -255,7 +206,7 @@
 
     def _refer_to(self, prepared: Prepared) -> None:
         definition = prepared.definition
-        is_local = isinstance(prepared.statement, _ANSWERED_HERE)
+        is_local = isinstance(prepared.statement, ANSWERED_HERE)
         if not is_local and definition.name not in self._batch.parsed:
             self._batch.prepared[definition.name] = definition
 
@@ -270,7 +221,7 @@
         portal, name = bound_statement(frame)
         prepared = self._find_statement(name)
         self._portals[portal] = prepared
-        if isinstance(prepared.statement, _ANSWERED_HERE):
+        if isinstance(prepared.statement, ANSWERED_HERE):
             self._batch.replies.append(LocalReply(BIND_COMPLETE))
             return
         self._refer_to(prepared)
@@ -286,14 +237,14 @@
         kind, name = target_of(frame)
         if kind == b"P":
             prepared = self._portals.get(name)
-            if prepared is not None and isinstance(prepared.statement, _ANSWERED_HERE):
+            if prepared is not None and isinstance(prepared.statement, ANSWERED_HERE):
                 self._batch.replies.append(LocalReply(_describe_row(prepared.statement)))
                 return
             self._batch.runs = True
             self._forward(frame.data, DESCRIBE_REPLY)
             return
         prepared = self._find_statement(name)
-        if isinstance(prepared.statement, _ANSWERED_HERE):
+        if isinstance(prepared.statement, ANSWERED_HERE):
             data = NO_PARAMETERS + _describe_row(prepared.statement)
             self._batch.replies.append(LocalReply(data))
             return
@@ -309,7 +260,7 @@
         else:
             batch.statements.append(prepared.statement)
             batch.hints = _merge_hints(batch.hints, prepared.hints)
-            if isinstance(prepared.statement, _ANSWERED_HERE):
+            if isinstance(prepared.statement, ANSWERED_HERE):
                 answer = self._answerer.answer(prepared.statement)
                 batch.replies.append(LocalReply(answer))
                 return
@@ -323,22 +274,12 @@
             self._batch.replies.append(LocalReply(CLOSE_COMPLETE))
             return
         prepared = self._portals.pop(name, None)
-        if prepared is None or isinstance(prepared.statement, _ANSWERED_HERE):
+        if prepared is None or isinstance(prepared.statement, ANSWERED_HERE):
             self._batch.replies.append(LocalReply(CLOSE_COMPLETE))
             return
         self._forward(frame.data, CLOSE_REPLY)
 
 
-def sync_frame() -> bytes:
-    """Build a Sync message."""
-    return make_frame(b"S", b"")
-
-
-def flush_frame() -> bytes:
-    """Build a Flush message."""
-    return make_frame(b"H", b"")
-
-
 def _describe_row(statement: LocalStatement) -> bytes:
     return describe_text_column(statement.name) if isinstance(statement, ShowHint) else NO_DATA
 
--- a/hickorywind/postgres/prepared.py
+++ b/hickorywind/postgres/prepared.py
@@ -16,7 +16,10 @@
 
 from hickorywind.postgres.frames import Frame
 from hickorywind.postgres.hints import Hints, split_comment
-from hickorywind.postgres.statements import Statement, classify
+from hickorywind.postgres.kinds import (
+    Statement,
+)
+from hickorywind.postgres.statements import classify
 from hickorywind.protocol.messages import PreparedStatement
 from hickorywind.results import HickorywindError, Outcome, Result, ResultCode
 
--- a/tests/entry/fakepool.py
+++ b/tests/entry/fakepool.py
@@ -19,7 +19,12 @@
 
 from hickorywind.ids import Address, HostId, Incarnation, LogPosition, Term
 from hickorywind.postgres.frames import Frame, FrameSplitter
-from hickorywind.postgres.statements import Begin, Commit, Rollback, classify
+from hickorywind.postgres.kinds import (
+    Begin,
+    Commit,
+    Rollback,
+)
+from hickorywind.postgres.statements import classify
 from hickorywind.protocol.channel import Listener, PeerId
 from hickorywind.protocol.messages import (
     AnswerCredit,
--- a/tests/postgres/test_batches.py
+++ b/tests/postgres/test_batches.py
@@ -15,9 +15,12 @@
     ready_for_query,
     text_row,
 )
-from hickorywind.postgres.batches import BatchBuilder, Ending
+from hickorywind.postgres.batch import Ending
+from hickorywind.postgres.batches import BatchBuilder
 from hickorywind.postgres.frames import Frame, FrameSplitter
-from hickorywind.postgres.statements import Write
+from hickorywind.postgres.kinds import (
+    Write,
+)
 from hickorywind.protocol.messages import TransactionState
 from hickorywind.results import HickorywindError, ResultCode
 
--- a/tests/postgres/test_statements.py
+++ b/tests/postgres/test_statements.py
@@ -3,8 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hickorywind.postgres.sqltext import tokenize
-from hickorywind.postgres.statements import (
+from hickorywind.postgres.kinds import (
     Begin,
     Commit,
     Deallocate,
@@ -17,8 +16,9 @@
     ShowHint,
     TransactionSetting,
     Write,
-    classify,
 )
+from hickorywind.postgres.sqltext import tokenize
+from hickorywind.postgres.statements import classify
 
 READS = (
     "SELECT 1",
