Choose only the observers that a host's change concerns

Ruled out: refreshing at most once in a while; a lost zone would then leave groups without observers for that while, and the pause stays.

Change: ObserverChoice keeps the observers of each group, drops those that a host's change may concern and ranks only the hosts of the zones that hold instances. choose_observers stays as the plain definition.

--- a/hickorywind/controller/groups.py
+++ b/hickorywind/controller/groups.py
@@ -14,7 +14,7 @@
 from hickorywind.failover.policy import FailoverPolicy
 from hickorywind.ids import Address, BackendId, HostId, ServiceName
 from hickorywind.membership.directory import Directory
-from hickorywind.placement.observers import choose_observers
+from hickorywind.placement.observerchoice import ObserverChoice
 from hickorywind.protocol.records import LeavingRecord
 from hickorywind.util.clock import Instant
 
@@ -39,6 +39,7 @@
         self._proposer = proposer
         self._policy = policy
         self._rng = rng
+        self._choice = ObserverChoice()
         self._cores: dict[ServiceName, GroupCore] = {}
         self._addresses: dict[BackendId, Address] = {}
 
@@ -56,8 +57,9 @@
         in_force = directory.in_force
         services = in_force.configuration.services if in_force is not None else ()
         observed = {}
+        self._choice.follow(directory)
         for service in services:
-            observers = choose_observers(service, directory)
+            observers = self._choice.observers_of(service)
             if self._own in observers:
                 observed[service.name] = (service, observers.index(self._own))
         for name in self._cores.keys() - observed.keys():
--- a/hickorywind/placement/observers.py
+++ b/hickorywind/placement/observers.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from hickorywind.configuration.model import Service
-from hickorywind.ids import HostId
+from hickorywind.ids import AvailabilityZone, HostId, ServiceName
 from hickorywind.membership.directory import Directory
 from hickorywind.placement.rendezvous import rank_members
 from hickorywind.protocol.records import MemberState
@@ -13,18 +13,28 @@
 OBSERVER_COUNT = 3
 
 
+def observer_key(service: ServiceName) -> str:
+    """Return the key by which hosts are ranked as observers of a service."""
+    return f"observe/{service}"
+
+
+def usable_hosts(directory: Directory) -> dict[HostId, AvailabilityZone]:
+    """Return the hosts that may observe, with their availability zones."""
+    return {
+        member.host: member.availability_zone
+        for member in directory.members
+        if member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+    }
+
+
 def choose_observers(service: Service, directory: Directory) -> Sequence[HostId]:
     """Return up to ``OBSERVER_COUNT`` hosts, most responsible first.
 
     Where possible there is one in each availability zone that holds an instance, so that a cut
     between zones leaves an observer on the side of the majority.
     """
-    usable = {
-        member.host: member.availability_zone
-        for member in directory.members
-        if member.state in (MemberState.ALIVE, MemberState.SUSPECT)
-    }
-    ranked = rank_members(f"observe/{service.name}", usable)
+    usable = usable_hosts(directory)
+    ranked = rank_members(observer_key(service.name), usable)
     first_of_zone: dict[str, str] = {}
     for host in ranked:
         first_of_zone.setdefault(usable[HostId(host)], host)
