Measure the slopes of costs over the size of a fleet

Cause: docs/CAPACITY.md needs each figure worked out from costs measured at three sizes or more, with the command beside it.

Ruled out: figures from one size only, which hide what grows with the fleet, such as the links of all entries to all homes.

The simulated fleet is a typed copy of that of the membership tests, with zones to choose.

--- /dev/null
+++ b/hickorywind_bench/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Measure how costs grow with the size of a fleet, one module for each slope."""
--- /dev/null
+++ b/hickorywind_bench/slopes/callers.py
@@ -0,0 +1,80 @@
+"""Open many idle caller connections cheaply, without a database driver."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+import time
+from dataclasses import dataclass, field
+
+from hickorywind.ids import Address, ServiceName
+
+_PROTOCOL_VERSION = 196_608
+_READY = b"Z\x00\x00\x00\x05"
+_ERROR = b"E"
+_READ_BYTES = 65_536
+_GIVE_UP_SECONDS = 30.0
+
+
+@dataclass
+class OpenedCallers:
+    """Hold the connections that were accepted and how the others ended."""
+
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
+    accept_seconds: list[float] = field(default_factory=list)
+    refused: int = 0
+    failed: int = 0
+
+    def close(self) -> None:
+        """Close all connections at once."""
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+
+
+async def open_callers(
+    address: Address, service: ServiceName, count: int, at_once: int
+) -> OpenedCallers:
+    """Open connections, at most ``at_once`` of them in progress, and wait for each answer."""
+    opened = OpenedCallers()
+    places = asyncio.Semaphore(at_once)
+    await asyncio.gather(*(_open(address, service, places, opened) for _ in range(count)))
+    return opened
+
+
+async def _open(
+    address: Address, service: ServiceName, places: asyncio.Semaphore, opened: OpenedCallers
+) -> None:
+    async with places:
+        begin = time.monotonic()
+        try:
+            async with asyncio.timeout(_GIVE_UP_SECONDS):
+                await _log_in(address, service, opened, begin)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            opened.failed += 1
+
+
+async def _log_in(
+    address: Address, service: ServiceName, opened: OpenedCallers, begin: float
+) -> None:
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(_startup_message(service))
+    answer = b""
+    while _READY not in answer:
+        data = await reader.read(_READ_BYTES)
+        if not data:
+            writer.transport.abort()
+            if answer.startswith(_ERROR):
+                opened.refused += 1
+            else:
+                opened.failed += 1
+            return
+        answer += data
+    opened.accept_seconds.append(time.monotonic() - begin)
+    opened.writers.append(writer)
+
+
+def _startup_message(service: ServiceName) -> bytes:
+    pairs = b"user\0bench\0database\0" + service.encode() + b"\0\0"
+    body = struct.pack("!I", _PROTOCOL_VERSION) + pairs
+    return struct.pack("!I", len(body) + 4) + body
--- /dev/null
+++ b/hickorywind_bench/slopes/configuration.py
@@ -0,0 +1,150 @@
+"""Measure how a configuration change spreads, as sections, against the whole document.
+
+Hosts run in one process over a simulated network; each row names services and hosts.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from datetime import timedelta
+
+import msgspec
+
+from hickorywind.configuration.acceptance import ChangeEnvelope, ChangeId, encode_envelope
+from hickorywind.configuration.model import Configuration
+from hickorywind.ids import Address, HostId, Incarnation, Revision
+from hickorywind.membership.directory import Directory
+from hickorywind.protocol.records import MemberRecord, MemberState, Record
+from hickorywind_bench.slopes.fleet import Fleet
+from hickorywind_bench.slopes.sites import (
+    DESIGN_SERVICES,
+    ZONES,
+    configuration_records,
+    make_configuration,
+    make_service,
+)
+from hickorywind_bench.slopes.table import Row
+
+SIZES = (100, 400, DESIGN_SERVICES)
+HOSTS = (70, 210, 420)
+CHANGES_PER_DAY = 960
+_SECONDS_PER_DAY = 86_400
+_START_UP = timedelta(seconds=120)
+_WINDOW = timedelta(seconds=20)
+_LIMIT = timedelta(seconds=300)
+_ZONE_NAMES = tuple(zone.name for zone in ZONES)
+
+
+def measure(sizes: tuple[int, ...] = SIZES) -> Iterator[Row]:
+    """Yield one row per number of services on few hosts, then rows with more hosts."""
+    for services in sizes:
+        yield _measure_one(services, HOSTS[0])
+    for hosts in HOSTS[1:]:
+        yield _measure_one(sizes[-1], hosts)
+
+
+def _start(hosts: int, records: list[Record]) -> Fleet:
+    members = [
+        MemberRecord(
+            HostId(f"h{index}"),
+            _ZONE_NAMES[index % len(_ZONE_NAMES)],
+            Incarnation(0),
+            MemberState.ALIVE,
+            Address("10.0.0.0", index),
+        )
+        for index in range(hosts)
+    ]
+
+    def setup(directory: Directory) -> None:
+        directory.merge([*records, *members])
+
+    fleet = Fleet(hosts, setup=setup, zones=_ZONE_NAMES)
+    fleet.run(_START_UP)
+    return fleet
+
+
+def _measure_one(services: int, hosts: int) -> Row:
+    old = make_configuration(services)
+    new = change_one(old)
+    records = configuration_records(old, 1)
+    changed = changed_records(old, new, 2)
+    document = msgspec.json.encode(new)
+    fleet = _start(hosts, records)
+    fleet.sent_bytes = 0
+    fleet.run(_WINDOW)
+    quiet_bytes = fleet.sent_bytes
+    fleet.sent_bytes = 0
+    begin = time.process_time()
+    end = fleet.now + _WINDOW
+    fleet.cores[0].publish(fleet.now, changed)
+    took = _wait_in_force(fleet, Revision(2))
+    cpu = time.process_time() - begin
+    fleet.run(end - fleet.now)
+    extra = max(0, fleet.sent_bytes - quiet_bytes) / hosts
+    whole = _spread_whole(hosts, new)
+    return Row(
+        {
+            "services": services,
+            "hosts": hosts,
+            "document_bytes": len(document),
+            "stored_bytes": stored_bytes(new),
+            "changed_bytes": len(msgspec.msgpack.encode(changed)),
+            "change_in_force_s": took,
+            "change_bytes_per_host": extra,
+            "changes_bytes_per_s": extra * CHANGES_PER_DAY / _SECONDS_PER_DAY,
+            "change_cpu_ms_per_host": cpu / hosts * 1_000,
+            **whole,
+        }
+    )
+
+
+def _wait_in_force(fleet: Fleet, revision: Revision) -> float:
+    cores = [fleet.cores[index] for index in fleet.running()]
+    took = fleet.run(_LIMIT, lambda: all(core.directory.revision == revision for core in cores))
+    return took.total_seconds() if took is not None else float("nan")
+
+
+def _spread_whole(hosts: int, configuration: Configuration) -> dict[str, float]:
+    """Let hosts that hold no configuration but the zones learn the whole document."""
+    zones = configuration_records(make_configuration(0), 1)
+    fleet = _start(hosts, zones)
+    fleet.sent_bytes = 0
+    begin = time.process_time()
+    fleet.cores[0].publish(fleet.now, configuration_records(configuration, 2))
+    took = _wait_in_force(fleet, Revision(2))
+    cpu = time.process_time() - begin
+    return {
+        "whole_in_force_s": took,
+        "whole_kb_per_host": fleet.sent_bytes / hosts / 1_000,
+        "whole_cpu_s_per_host": cpu / hosts,
+    }
+
+
+def change_one(configuration: Configuration) -> Configuration:
+    """Change the slots of one backend server."""
+    first = make_service(0, slots=5)
+    return msgspec.structs.replace(configuration, services=(first, *configuration.services[1:]))
+
+
+def changed_records(old: Configuration, new: Configuration, revision: int) -> list[Record]:
+    """Return the records that a watcher publishes for a change."""
+    held = {record.key: record for record in configuration_records(old, 1)}
+    return [
+        record
+        for record in configuration_records(new, revision)
+        if getattr(held.get(record.key), "document", None) != getattr(record, "document", "")
+    ]
+
+
+def stored_bytes(configuration: Configuration) -> int:
+    """Return the size of the value in the store."""
+    envelope = ChangeEnvelope(
+        change_id=ChangeId("0" * 32),
+        author="operator",
+        note="change the slots of one backend server",
+        reviewed_revision=Revision(1),
+        recent_changes=tuple(ChangeId(f"{number:032}") for number in range(32)),
+        document=configuration,
+    )
+    return len(encode_envelope(envelope))
--- /dev/null
+++ b/hickorywind_bench/slopes/directory.py
@@ -0,0 +1,125 @@
+"""Measure the record table and directory: memory, home lookups and what one change costs.
+
+Sizes grow together: hosts and services in the proportion of the size to design for.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from hickorywind.membership.directory import Directory
+from hickorywind.membership.table import RecordTable
+from hickorywind.placement.observerchoice import ObserverChoice
+from hickorywind.placement.watchers import choose_watchers
+from hickorywind.protocol.records import MemberState, Record
+from hickorywind_bench.slopes.processes import measure_allocation
+from hickorywind_bench.slopes.sites import (
+    DESIGN_HOSTS,
+    DESIGN_SERVICES,
+    ZONES,
+    configuration_records,
+    group_records,
+    make_configuration,
+    make_member,
+)
+from hickorywind_bench.slopes.table import Row
+
+SIZES = (100, 300, DESIGN_HOSTS)
+_MS_PER_SECOND = 1_000
+
+
+def measure(sizes: tuple[int, ...] = SIZES) -> Iterator[Row]:
+    """Yield one row per number of hosts."""
+    for hosts in sizes:
+        yield _measure_one(hosts, hosts * DESIGN_SERVICES // DESIGN_HOSTS)
+
+
+def _cpu_ms(call: Callable[[], object]) -> float:
+    begin = time.process_time()
+    call()
+    return (time.process_time() - begin) * _MS_PER_SECOND
+
+
+def _measure_one(hosts: int, services: int) -> Row:
+    records = _make_records(hosts, services)
+    encoded = msgspec.msgpack.encode(records)
+    decoder = msgspec.msgpack.Decoder(list[Record])
+
+    def fill_table() -> RecordTable:
+        table = RecordTable()
+        table.merge(decoder.decode(encoded))
+        return table
+
+    table, table_bytes = measure_allocation(fill_table)
+    directory, directory_bytes = measure_allocation(lambda: Directory(table))
+    first = _cpu_ms(lambda: _all_homes(directory))
+    again = _cpu_ms(lambda: _all_homes(directory))
+    choice = ObserverChoice()
+    observers = _cpu_ms(lambda: _all_observers(choice, directory))
+    watchers = _cpu_ms(lambda: choose_watchers(ZONES[0].name, directory))
+    gone = msgspec.structs.replace(directory.members[0], state=MemberState.DEAD)
+    held = _homes(directory)
+    merge = _cpu_ms(lambda: directory.merge((gone,)))
+    after = _cpu_ms(lambda: _all_homes(directory))
+    observers_after = _cpu_ms(lambda: _all_observers(choice, directory))
+    moved = sum(1 for pair in zip(held, _homes(directory), strict=True) if pair[0] != pair[1])
+    newer = _with_one_change(services)
+    changed = _cpu_ms(lambda: directory.merge(newer))
+    return Row(
+        {
+            "hosts": hosts,
+            "services": services,
+            "records_bytes": len(encoded),
+            "table_mb": table_bytes / 1e6,
+            "directory_mb": directory_bytes / 1e6,
+            "homes_first_ms": first,
+            "homes_again_ms": again,
+            "member_change_ms": merge,
+            "homes_after_change_ms": after,
+            "homes_moved": moved,
+            "observers_first_ms": observers,
+            "observers_after_change_ms": observers_after,
+            "watchers_ms": watchers,
+            "config_change_ms": changed,
+        }
+    )
+
+
+def _make_records(hosts: int, services: int) -> list[Record]:
+    configuration = make_configuration(services)
+    members = [make_member(number) for number in range(hosts)]
+    return [*members, *configuration_records(configuration, 1), *group_records(configuration)]
+
+
+def _with_one_change(services: int) -> list[Record]:
+    """Return the records of a second revision that differs in one service."""
+    configuration = make_configuration(services)
+    first, *others = configuration.services
+    instance = msgspec.structs.replace(first.instances[0], slots=5)
+    changed = msgspec.structs.replace(first, instances=(instance, *first.instances[1:]))
+    newer = msgspec.structs.replace(configuration, services=(changed, *others))
+    old = {record.key: record for record in configuration_records(configuration, 1)}
+    return [
+        record
+        for record in configuration_records(newer, 2)
+        if getattr(old[record.key], "document", None) != getattr(record, "document", "")
+    ]
+
+
+def _homes(directory: Directory) -> list[str | None]:
+    homes = [directory.home_of(backend) for backend in directory.backends]
+    return [home.host if home is not None else None for home in homes]
+
+
+def _all_homes(directory: Directory) -> None:
+    for backend in directory.backends:
+        directory.home_of(backend)
+
+
+def _all_observers(choice: ObserverChoice, directory: Directory) -> None:
+    choice.follow(directory)
+    for service in directory.in_force.configuration.services:
+        choice.observers_of(service)
--- /dev/null
+++ b/hickorywind_bench/slopes/fleet.py
@@ -0,0 +1,147 @@
+"""Run many membership cores in one process over a fake network with a hand-moved clock."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable, Sequence
+from datetime import timedelta
+from typing import Any
+
+from hickorywind.ids import Address, AvailabilityZone, HostId, Incarnation
+from hickorywind.membership.actions import Send, ToAddress, ToPeer
+from hickorywind.membership.directory import Directory
+from hickorywind.membership.gossip import GossipCore, HostIdentity
+from hickorywind.protocol.codec import decode, encode
+from hickorywind.protocol.records import MemberState
+from hickorywind.util.clock import Instant, milliseconds
+
+TICK = milliseconds(50)
+FRAME_BYTES = 54  # TCP/IP and ZMTP headers of one small message
+ZONES = tuple(AvailabilityZone(name) for name in ("a", "b", "c"))
+_SEED_COUNT = 3
+
+
+class Fleet:
+    """Hold the cores of hosts by number.
+
+    Host i has address 10.0.0.0:i and takes the zones in turn. ``setup`` fills each new directory,
+    ``is_cut`` tells whether messages from one host to another are lost.
+    """
+
+    def __init__(
+        self,
+        count: int,
+        seed: int = 1,
+        setup: Callable[[Directory], object] | None = None,
+        zones: Sequence[AvailabilityZone] = ZONES,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now: Instant = timedelta(seconds=1)
+        self.setup = setup or (lambda directory: None)
+        self.zones = zones
+        self.cores: dict[int, GossipCore] = {}
+        self.stopped: set[int] = set()
+        self.frozen: dict[int, Instant] = {}
+        self.is_cut: Callable[[int, int], bool] = lambda sender, target: False
+        self.sent_bytes = 0
+        self.sent_messages = 0
+        self.queue: list[tuple[Instant, int, Callable[[Any], None], Any]] = []
+        self.tie = itertools.count()
+        for index in range(count):
+            self.start(index)
+
+    def start(self, index: int, incarnation: int = 1) -> None:
+        """Start a host, or start it anew with nothing but what ``setup`` gives it."""
+        identity = HostIdentity(
+            HostId(f"h{index}"),
+            self.zones[index % len(self.zones)],
+            Address("10.0.0.0", index),
+        )
+        directory = Directory()
+        self.setup(directory)
+        seeds = [Address("10.0.0.0", seed) for seed in range(_SEED_COUNT)]
+        rng = random.Random(self.rng.random())
+        self.cores[index] = GossipCore(identity, Incarnation(incarnation), directory, rng, seeds)
+        self.stopped.discard(index)
+        phase = TICK * self.rng.random()
+        self._schedule(self.now + phase, self.tick, index)
+
+    def _schedule(self, due: Instant, function: Callable[[Any], None], argument: Any) -> None:
+        heapq.heappush(self.queue, (due, next(self.tie), function, argument))
+
+    def tick(self, index: int) -> None:
+        """Let one host do what is due."""
+        if index in self.stopped:
+            return
+        resume = self.frozen.get(index)
+        if resume is not None and resume > self.now:
+            self._schedule(resume, self.tick, index)
+            return
+        self.dispatch(index, self.cores[index].tick(self.now))
+        self.cores[index].take_news()
+        self._schedule(self.now + TICK, self.tick, index)
+
+    def dispatch(self, index: int, actions: Iterable[Send]) -> None:
+        """Count a host's messages and have them arrive a little later."""
+        for action in actions:
+            match action.target:
+                case ToAddress(address):
+                    target = address.port
+                case ToPeer(peer):
+                    target = int(peer)
+            data = encode(action.message)
+            self.sent_bytes += len(data) + FRAME_BYTES
+            self.sent_messages += 1
+            delay = milliseconds(1 + self.rng.random() * 2)
+            self._schedule(self.now + delay, self.deliver, (index, target, data))
+
+    def deliver(self, item: tuple[int, int, bytes]) -> None:
+        """Hand a message to its receiver, unless that is stopped or cut off."""
+        sender, target, data = item
+        if target in self.stopped or target not in self.cores or self.is_cut(sender, target):
+            return
+        resume = self.frozen.get(target)
+        if resume is not None and resume > self.now:
+            self._schedule(resume, self.deliver, item)
+            return
+        source = ToPeer(str(sender).encode())
+        self.dispatch(target, self.cores[target].receive(self.now, source, decode(data)))
+
+    def run(self, duration: timedelta, until: Callable[[], bool] | None = None) -> timedelta | None:
+        """Advance; with ``until`` stop once it holds and return the time taken, else None."""
+        end = self.now + duration
+        begin = self.now
+        next_check = self.now
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, function, argument = heapq.heappop(self.queue)
+            function(argument)
+            if until is not None and self.now >= next_check:
+                next_check = self.now + TICK
+                if until():
+                    return self.now - begin
+        self.now = end
+        return None
+
+    def running(self) -> list[int]:
+        """Return the numbers of the hosts that run."""
+        return [index for index in self.cores if index not in self.stopped]
+
+    def agree(self) -> bool:
+        """All running hosts hold equal tables in which exactly the running ones are alive."""
+        running = self.running()
+        digests = {self.cores[index].directory.table.digest for index in running}
+        if len(digests) != 1:
+            return False
+        alive = {f"h{index}" for index in running}
+        return all(self.alive(index) == alive for index in running) and not any(
+            member.state is MemberState.SUSPECT
+            for index in running
+            for member in self.cores[index].directory.members
+        )
+
+    def alive(self, index: int) -> set[str]:
+        """Return the hosts that one host believes alive."""
+        members = self.cores[index].directory.members
+        return {member.host for member in members if member.state is MemberState.ALIVE}
--- /dev/null
+++ b/hickorywind_bench/slopes/groups.py
@@ -0,0 +1,126 @@
+"""Measure the polls of observed groups, and how groups fall on the hosts of a fleet.
+
+One real client polls one stand-in backend server at several rates. The shares of hosts come from
+the placement rules at the size to design for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Iterator
+from datetime import timedelta
+from pathlib import Path
+
+import yaml
+
+from hickorywind.failover.group import polls_wanted_per_second
+from hickorywind.failover.policy import FailoverPolicy
+from hickorywind.groups.client import GroupClient
+from hickorywind.groups.status import BackendStatus
+from hickorywind.ids import Address, HostId
+from hickorywind.membership.directory import Directory
+from hickorywind.placement.observers import choose_observers
+from hickorywind_bench.slopes.children import free_port, running_module
+from hickorywind_bench.slopes.processes import cpu_seconds
+from hickorywind_bench.slopes.sites import (
+    DESIGN_HOSTS,
+    DESIGN_SERVICES,
+    INSTANCES_PER_SERVICE,
+    configuration_records,
+    make_configuration,
+    make_member,
+)
+from hickorywind_bench.slopes.table import Row
+from hickorywind_bench.slopes.traffic import read_traffic
+
+SIZES = (6, 12, 50, 200)
+_WINDOW_SECONDS = 10.0
+_TIMEOUT = timedelta(seconds=1)
+_START_SECONDS = 10.0
+
+
+def measure(sizes: tuple[int, ...] = SIZES) -> Iterator[Row]:
+    """Yield one row per number of polls a second, then one on the placement."""
+    with tempfile.TemporaryDirectory() as folder:
+        address = Address("127.0.0.1", free_port())
+        path = _write_settings(Path(folder), address)
+        with running_module("standins.backend", "--config", str(path)) as backend:
+            for rate in sizes:
+                yield asyncio.run(_measure_one(rate, address, backend))
+    yield measure_placement(DESIGN_HOSTS, DESIGN_SERVICES)
+
+
+def _write_settings(folder: Path, address: Address) -> Path:
+    content = {
+        "backend": "service-000-0",
+        "service": "service-000",
+        "listen": str(address),
+        "replication_listen": f"127.0.0.1:{free_port()}",
+        "initial_primary": True,
+    }
+    path = folder / "backend.yaml"
+    path.write_text(yaml.safe_dump(content))
+    return path
+
+
+async def _measure_one(rate: int, address: Address, backend: int) -> Row:
+    client = GroupClient(address, _TIMEOUT)
+    await _wait_for_status(client)
+    cpu, backend_cpu = time.process_time(), cpu_seconds(backend)
+    traffic = read_traffic([address.port])
+    begin = time.monotonic()
+    polls = 0
+    while (elapsed := time.monotonic() - begin) < _WINDOW_SECONDS:
+        await client.status()
+        polls += 1
+        await asyncio.sleep(max(0.0, begin + polls / rate - time.monotonic()))
+    used = time.process_time() - cpu
+    backend_used = cpu_seconds(backend) - backend_cpu
+    grown = read_traffic([address.port]).since(traffic)
+    client.close()
+    return Row(
+        {
+            "polls_per_s": polls / elapsed,
+            "bytes_per_poll": grown.total_bytes / polls,
+            "bytes_per_s": grown.total_bytes / elapsed,
+            "cpu_ms_per_poll": used / polls * 1_000,
+            "cpu_percent": used / elapsed * 100,
+            "backend_cpu_ms_per_poll": backend_used / polls * 1_000,
+        }
+    )
+
+
+async def _wait_for_status(client: GroupClient) -> None:
+    async with asyncio.timeout(_START_SECONDS):
+        while not isinstance(await client.status(), BackendStatus):
+            await asyncio.sleep(0.1)
+
+
+def measure_placement(hosts: int, services: int) -> Row:
+    """Tell how many groups hosts observe and how much the poll budget slows them down."""
+    directory = Directory()
+    configuration = make_configuration(services)
+    directory.merge(configuration_records(configuration, 1))
+    directory.merge(make_member(number) for number in range(hosts))
+    policy = FailoverPolicy()
+    groups: Counter[HostId] = Counter()
+    wanted: Counter[HostId] = Counter()
+    for service in configuration.services:
+        for rank, host in enumerate(choose_observers(service, directory)):
+            groups[host] += 1
+            wanted[host] += polls_wanted_per_second(policy, rank, INSTANCES_PER_SERVICE)
+    slowdowns = sorted(max(1.0, rate / policy.polls_per_second) for rate in wanted.values())
+    return Row(
+        {
+            "hosts": hosts,
+            "groups_mean": groups.total() / hosts,
+            "groups_max": max(groups.values()),
+            "polls_wanted_mean": wanted.total() / hosts,
+            "polls_wanted_max": max(wanted.values()),
+            "slowdown_median": slowdowns[len(slowdowns) // 2],
+            "slowdown_max": slowdowns[-1],
+        }
+    )
--- /dev/null
+++ b/hickorywind_bench/slopes/membership.py
@@ -0,0 +1,164 @@
+"""Measure membership: quiet, with a restart, a crash, a lost zone and a healed region split.
+
+All hosts run in one process over a simulated network, so processor time includes the simulation's
+own and is an upper bound. Rates are per host; a host's table holds the members and zones only.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+
+from hickorywind.ids import Address, BackendId, HostId, Incarnation, ServiceName, Term
+from hickorywind.membership.directory import Directory
+from hickorywind.protocol.records import GroupRecord, MemberRecord, MemberState
+from hickorywind_bench.slopes.fleet import Fleet
+from hickorywind_bench.slopes.sites import (
+    DESIGN_HOSTS,
+    ZONES,
+    configuration_records,
+    make_configuration,
+)
+from hickorywind_bench.slopes.table import Row
+
+SIZES = (50, 150, 400, DESIGN_HOSTS)
+RESTARTS_PER_DAY = 140
+SECONDS_PER_DAY = 86_400
+_LIMIT = timedelta(seconds=600)
+_SETTLE = timedelta(seconds=15)
+_START_UP = timedelta(seconds=120)
+_QUIET = timedelta(seconds=20)
+_CHURN = timedelta(seconds=60)
+_SPLIT = timedelta(seconds=60)
+_SERVICE = ServiceName("service")
+_ZONE_NAMES = tuple(zone.name for zone in ZONES)
+
+
+@dataclass(frozen=True)
+class Cost:
+    """Hold what a phase cost one host, and how long it took to agree (simulated time)."""
+
+    kilobytes: float
+    cpu_seconds: float
+    took_seconds: float
+
+
+def measure(sizes: tuple[int, ...] = SIZES) -> Iterator[Row]:
+    """Yield one row per number of hosts."""
+    for hosts in sizes:
+        yield _measure_one(hosts)
+
+
+def start_fleet(hosts: int) -> Fleet:
+    """Start a fleet whose hosts know earlier lives of each other, and let the news settle."""
+    regions = configuration_records(make_configuration(0), 1)
+    members = [
+        MemberRecord(
+            HostId(f"h{index}"),
+            _ZONE_NAMES[index % len(_ZONE_NAMES)],
+            Incarnation(0),
+            MemberState.ALIVE,
+            Address("10.0.0.0", index),
+        )
+        for index in range(hosts)
+    ]
+
+    def setup(directory: Directory) -> None:
+        directory.merge([*regions, *members])
+
+    fleet = Fleet(hosts, setup=setup, zones=_ZONE_NAMES)
+    fleet.run(_START_UP)
+    return fleet
+
+
+def _observe(fleet: Fleet, phase: Callable[[], timedelta | None]) -> Cost:
+    fleet.sent_bytes = fleet.sent_messages = 0
+    begin = time.process_time()
+    took = phase()
+    cpu = time.process_time() - begin
+    hosts = len(fleet.running())
+    seconds = took.total_seconds() if took is not None else float("nan")
+    return Cost(fleet.sent_bytes / hosts / 1_000, cpu / hosts, seconds)
+
+
+def _measure_one(hosts: int) -> Row:
+    fleet = start_fleet(hosts)
+    quiet = _observe(fleet, lambda: fleet.run(_QUIET))
+    rate = quiet.kilobytes * 1_000 / _QUIET.total_seconds()
+    messages = fleet.sent_messages / _QUIET.total_seconds() / hosts
+    idle_cpu = quiet.cpu_seconds / _QUIET.total_seconds()
+    spread = _observe(fleet, lambda: _spread_group(fleet))
+    restart = _observe(fleet, lambda: _restart(fleet, hosts // 2))
+    restart_bytes = max(0.0, restart.kilobytes * 1_000 - rate * _CHURN.total_seconds())
+    restart_cpu = max(0.0, restart.cpu_seconds - idle_cpu * _CHURN.total_seconds())
+    crash = _observe(fleet, lambda: _crash(fleet, {hosts // 3}))
+    fleet.run(_SETTLE)
+    zone = _observe(fleet, lambda: _crash(fleet, _hosts_of_zone(fleet, 0)))
+    fleet.run(_SETTLE)
+    cut_regions(fleet)
+    fleet.run(_SPLIT)
+    healing = _observe(fleet, lambda: heal_regions(fleet))
+    return Row(
+        {
+            "hosts": hosts,
+            "quiet_bytes_per_s": rate,
+            "quiet_messages_per_s": messages,
+            "quiet_cpu_percent": idle_cpu * 100,
+            "group_record_everywhere_s": spread.took_seconds,
+            "restart_bytes": restart_bytes,
+            "restart_cpu_ms": restart_cpu * 1_000,
+            "restarts_bytes_per_s": restart_bytes * RESTARTS_PER_DAY / SECONDS_PER_DAY,
+            "crash_known_s": crash.took_seconds,
+            "zone_lost_known_s": zone.took_seconds,
+            "zone_lost_kb": zone.kilobytes,
+            "zone_lost_cpu_s": zone.cpu_seconds,
+            "healed_s": healing.took_seconds,
+            "healing_kb": healing.kilobytes,
+            "healing_cpu_s": healing.cpu_seconds,
+        }
+    )
+
+
+def _spread_group(fleet: Fleet) -> timedelta | None:
+    record = GroupRecord(_SERVICE, Term(2), BackendId("service-1"))
+    fleet.cores[0].publish(fleet.now, (record,))
+    cores = fleet.cores.values()
+    return fleet.run(_LIMIT, lambda: all(core.directory.group(_SERVICE) for core in cores))
+
+
+def _restart(fleet: Fleet, index: int) -> None:
+    """Take one host out as a planned stop does and start it anew within a fixed time."""
+    end = fleet.now + _CHURN
+    fleet.cores[index].leave(fleet.now)
+    fleet.run(timedelta(seconds=5))
+    fleet.stopped.add(index)
+    fleet.run(timedelta(seconds=10))
+    fleet.start(index, incarnation=10)
+    fleet.run(end - fleet.now)
+
+
+def _crash(fleet: Fleet, hosts: set[int]) -> timedelta | None:
+    fleet.stopped |= hosts
+    return fleet.run(_LIMIT, fleet.agree)
+
+
+def _hosts_of_zone(fleet: Fleet, zone: int) -> set[int]:
+    return {index for index in fleet.running() if index % len(_ZONE_NAMES) == zone}
+
+
+def _is_first_region(index: int) -> bool:
+    first = ZONES[0].region
+    return ZONES[index % len(ZONES)].region == first
+
+
+def cut_regions(fleet: Fleet) -> None:
+    """Lose all messages between the regions."""
+    fleet.is_cut = lambda sender, target: _is_first_region(sender) != _is_first_region(target)
+
+
+def heal_regions(fleet: Fleet) -> timedelta | None:
+    """Let messages through again; return the time until all hosts agree."""
+    fleet.is_cut = lambda sender, target: False
+    return fleet.run(_LIMIT, fleet.agree)
