Send waiting requests elsewhere when their backend server is silent or replaced

Cause: experiments/failover-freeze: longest gap without an acknowledged write 2034, 1798, 2042 ms (timeout of the callers 2 s) and, after, 16 of 20 writes in flight still ended with 2003: they waited in the queue of the frozen primary, whose slots were held, until their deadlines. Ruled out: detection and promotion (new primary after about 0.4 s in the same runs). Change: on a newer known term, or while the status call fails, waiting requests are refused as not run so that the entry sends them to the new primary at once.

--- a/hickorywind/pool/backend.py
+++ b/hickorywind/pool/backend.py
@@ -18,9 +18,11 @@
 from hickorywind.observability.metrics import Metrics
 from hickorywind.pool.backendconnection import Login
 from hickorywind.pool.checks import (
+    is_for_older_term,
     needs_newer_status,
     refuse_by_status,
     refuse_leaving,
+    refuse_old_term,
     refuse_unreachable,
 )
 from hickorywind.pool.connections import Connections, connection_share
@@ -317,7 +319,7 @@
             logger.info("transaction_idle_timeout", extra={"backend": self.backend})
         self._give_up_of_old_terms()
         if not self._watch.answers:
-            self._give_up_repeatable()
+            self._give_up_on_silent_backend()
         self._connections.close_idle()
         self._show_occupancy()
         in_use = bool(self._jobs) or now - self._last_used < _IN_USE_WINDOW
@@ -334,13 +336,23 @@
             at_old_primary = job.role is InstanceRole.PRIMARY and job.term < term
             if at_old_primary and job.connection is not None:
                 self._runner.give_up(job, ResultCode.COMMIT_UNPROVEN)
+            elif is_for_older_term(job.message, term):
+                self._refuse_waiting(job, refuse_old_term(term, job.message))
 
-    def _give_up_repeatable(self) -> None:
+    def _give_up_on_silent_backend(self) -> None:
         """Send elsewhere, before their deadline, what a silent backend server may never answer."""
         for job in tuple(self._jobs.values()):
             is_alone = job.connection is not None and job.transaction is None
             if is_alone and job.is_repeatable:
                 self._runner.give_up(job, ResultCode.CONNECTION_LOST)
+            elif job.transaction is None:
+                reason = "the backend server does not answer"
+                self._refuse_waiting(job, refuse_unreachable(reason))
+
+    def _refuse_waiting(self, job: Job, result: Result) -> None:
+        """Send a request elsewhere that still waits for a slot here."""
+        if self._queue.withdraw(job.key, self._clock.now()):
+            self._refuse(job, result)
 
     def _show_occupancy(self) -> None:
         self._gauges.show(
--- a/hickorywind/pool/checks.py
+++ b/hickorywind/pool/checks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from hickorywind.groups.status import BackendStatus
-from hickorywind.ids import AccessMode, InstanceRole
+from hickorywind.ids import AccessMode, InstanceRole, Term
 from hickorywind.protocol.messages import Execute
 from hickorywind.results import Result, ResultCode
 
@@ -28,17 +28,22 @@
 
 def refuse_by_status(status: BackendStatus, message: Execute) -> Result | None:
     """Refuse what the sender would not have sent had it known the status."""
-    expected = message.expected_term
-    if expected is not None and status.term > expected:
-        return _refuse_old_term(status, message)
+    if is_for_older_term(message, status.term):
+        return refuse_old_term(status.term, message)
     if message.mode is AccessMode.WRITE and not _can_commit(status):
         reason = "the backend server is not primary, or cut off from its group"
         return Result.not_run(ResultCode.NO_PRIMARY, reason, RETRY_AFTER_MS)
     return None
 
 
-def _refuse_old_term(status: BackendStatus, message: Execute) -> Result:
-    reason = f"the group is at term {status.term}"
+def is_for_older_term(message: Execute, term: Term) -> bool:
+    """Tell whether a request is meant for the primary of a term before ``term``."""
+    return message.expected_term is not None and message.expected_term < term
+
+
+def refuse_old_term(term: Term, message: Execute) -> Result:
+    """Refuse a request that is meant for the primary of an earlier term."""
+    reason = f"the group is at term {term}"
     if message.transaction_id is not None:
         return Result.not_run(ResultCode.TRANSACTION_LOST, reason)
     return Result.not_run(ResultCode.STALE_TERM, reason, RETRY_AFTER_MS)
--- a/tests/pool/test_frozen_backend.py
+++ b/tests/pool/test_frozen_backend.py
@@ -74,3 +74,16 @@
         self.process.thaw()
         await asyncio.sleep(0.2)
         self.assertEqual((await self.entry.run("SELECT 1", **READ)).rows, ["1"])
+
+    async def test_waiting_requests_are_sent_elsewhere_before_their_deadline(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.process.freeze()
+        frozen = loop.time()
+        running = [self.entry.make("SELECT 1", **READ) for _ in range(12)]
+        for message in running:
+            await self.entry.link.send(message)
+        answers = [await self.entry.collect(message.request_id) for message in running]
+        self.assertLess(loop.time() - frozen, 4)
+        for answer in answers:
+            definite = answer.result.outcome is Outcome.NOT_RUN
+            self.assertTrue(definite or answer.result.retry_allowed, answer.result)
