Keep the observers chosen while a zone is lost

Change: a host that comes concerns such a group only if it outranks an observer or belongs to a zone that has an instance and no observer. Three slopes are added: metrics, platformlist and the neighbours in directory.

tests.placement.test_observerchoice compares with choose_observers as before: passed.

--- a/hickorywind/placement/observerchoice.py
+++ b/hickorywind/placement/observerchoice.py
@@ -23,11 +23,15 @@
 
 @dataclass(frozen=True)
 class _Choice:
-    """Hold observers; ``is_spread`` tells that each is the first of a zone with an instance."""
+    """Hold observers; ``is_spread`` tells that each is the first of a zone with an instance.
+
+    ``missing`` are the zones that hold an instance but no observer.
+    """
 
     zones: frozenset[AvailabilityZone]
     hosts: tuple[HostId, ...]
     is_spread: bool
+    missing: frozenset[AvailabilityZone]
 
 
 class ObserverChoice:
@@ -70,16 +74,25 @@
         firsts = [owner_of(key, self._by_zone.get(zone, ())) for zone in zones]
         spread = [host for host in firsts if host is not None]
         if len(spread) < OBSERVER_COUNT:
-            return _Choice(zones, tuple(choose_observers(service, self._directory)), False)
-        ranked = rank_members(key, spread)[:OBSERVER_COUNT]
-        return _Choice(zones, tuple(HostId(host) for host in ranked), True)
+            hosts = tuple(choose_observers(service, self._directory))
+        else:
+            ranked = rank_members(key, spread)[:OBSERVER_COUNT]
+            hosts = tuple(HostId(host) for host in ranked)
+        missing = zones.difference(self._zones[host] for host in hosts)
+        return _Choice(zones, hosts, len(spread) >= OBSERVER_COUNT, missing)
 
 
 def _is_concerned(
     name: ServiceName, choice: _Choice, come: Mapping[HostId, AvailabilityZone]
 ) -> bool:
-    if not choice.is_spread:
+    if len(choice.hosts) < OBSERVER_COUNT:
         return bool(come)
     last = choice.hosts[-1]
     key = observer_key(name)
-    return any(zone in choice.zones and outranks(key, host, last) for host, zone in come.items())
+    for host, zone in come.items():
+        if zone not in choice.zones and choice.is_spread:
+            continue
+        # Where a zone with an instance had no host, its first one comes before any other.
+        if (zone in choice.missing and not choice.is_spread) or outranks(key, host, last):
+            return True
+    return False
--- a/hickorywind_bench/slopes/__main__.py
+++ b/hickorywind_bench/slopes/__main__.py
@@ -23,6 +23,8 @@
     "statements",
     "storm",
     "store",
+    "platformlist",
+    "metrics",
 )
 
 
--- a/hickorywind_bench/slopes/directory.py
+++ b/hickorywind_bench/slopes/directory.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from hickorywind.membership.directory import Directory
+from hickorywind.membership.overlay import Overlay
 from hickorywind.membership.table import RecordTable
 from hickorywind.placement.observerchoice import ObserverChoice
 from hickorywind.placement.watchers import choose_watchers
@@ -60,6 +61,10 @@
     choice = ObserverChoice()
     observers = _cpu_ms(lambda: _all_observers(choice, directory))
     watchers = _cpu_ms(lambda: choose_watchers(ZONES[0].name, directory))
+    own = directory.members[0]
+    overlay = Overlay(own.host, own.availability_zone, directory)
+    neighbours = _cpu_ms(overlay.neighbours)
+    neighbours_again = _cpu_ms(overlay.neighbours)
     gone = msgspec.structs.replace(directory.members[0], state=MemberState.DEAD)
     held = _homes(directory)
     merge = _cpu_ms(lambda: directory.merge((gone,)))
@@ -83,6 +88,8 @@
             "observers_first_ms": observers,
             "observers_after_change_ms": observers_after,
             "watchers_ms": watchers,
+            "neighbours_first_ms": neighbours,
+            "neighbours_again_ms": neighbours_again,
             "config_change_ms": changed,
         }
     )
