Keep homes in place while a host's controller restarts

Cause: a restarted controller announced its host without pool until the pool had subscribed, so all homes of the host moved away and back. Ruled out: announcing the configured pool unseen; it may be dead. Change: the controller joins once the host's processes have subscribed, at most 1.5 s after its start. Proof: with the wait off in a scratch copy test_restart_of_a_controller_moves_no_home fails; with refutation before joining test_restarted_host_publishes_nothing_before_it_joins fails.

--- a/hickorywind/controller/role.py
+++ b/hickorywind/controller/role.py
@@ -58,7 +58,8 @@
 
 TICK_INTERVAL = timedelta(milliseconds=100)
 HURRIED_TICK_INTERVAL = timedelta(milliseconds=25)
-WATCHER_DELAY = timedelta(seconds=1)
+JOIN_DELAY = timedelta(milliseconds=1500)
+WATCHER_DELAY = timedelta(seconds=2)
 DRAIN_SPREAD_TIME = timedelta(milliseconds=500)
 
 
@@ -86,6 +87,7 @@
         self._last_tick = clock.now()
         self._is_watcher = False
         self._watchers_changed = True
+        self._has_joined = False
         address = Address.from_text(self._own_settings.listen)
         identity = HostIdentity(settings.host, settings.availability_zone, address)
         seeds = [Address.from_text(seed) for seed in self._own_settings.seeds]
@@ -174,16 +176,30 @@
             self._subscribers.excuse_pause(now - self._last_tick)
         self._last_tick = now
         self._subscribers.sweep(now)
-        self._announce_own_processes(now)
+        if self._has_joined or self._may_join(now):
+            self._has_joined = True
+            self._announce_own_processes(now)
+            await self._send_gossip(self._gossip.tick(now))
         self._choose_watchers(now)
-        await self._send_gossip(self._gossip.tick(now))
         self._failover.tick(now)
         await self._links.tick()
 
+    def _serves(self, role: Role) -> bool:
+        return getattr(self._settings, role.value) is not None and self._subscribers.is_serving(
+            role
+        )
+
+    def _may_join(self, now: Instant) -> bool:
+        """Wait a little for the host's processes, so that a restart here moves no home."""
+        configured = [
+            role for role in (Role.POOL, Role.ENTRY) if getattr(self._settings, role.value)
+        ]
+        is_late = now - self._started_at > JOIN_DELAY
+        return is_late or all(self._serves(role) for role in configured)
+
     def _announce_own_processes(self, now: Instant) -> None:
         pool, entry = self._settings.pool, self._settings.entry
-        serves_pool = pool is not None and self._subscribers.is_serving(Role.POOL)
-        serves_entry = entry is not None and self._subscribers.is_serving(Role.ENTRY)
+        serves_pool, serves_entry = self._serves(Role.POOL), self._serves(Role.ENTRY)
         self._gossip.announce(
             now,
             Address.from_text(pool.listen) if serves_pool else None,
--- a/hickorywind/membership/gossip.py
+++ b/hickorywind/membership/gossip.py
@@ -134,7 +134,9 @@
             self._refute(now)
 
     def _refute(self, now: Instant) -> None:
-        """Overrule what others believe of this host."""
+        """Overrule what others believe of this host, once it has joined."""
+        if self._last_tick is None:
+            return
         held = self.directory.member(self._own.host)
         if held is not None and held != self._own:
             overruled = max(held.incarnation, self._own.incarnation)
@@ -142,9 +144,15 @@
             self._replace_own(now)
 
     def tick(self, now: Instant) -> list[Send]:
-        """Do what is due; call it every few tens of milliseconds."""
+        """Do what is due; call it every few tens of milliseconds.
+
+        The first call joins: before it the host answers others but publishes nothing of itself, so
+        that what they know from before a restart stands.
+        """
         if self._last_tick is None:
+            self._last_tick = now
             self.publish(now, (self._own,))
+            self._refute(now)
         elif now - self._last_tick > PAUSE_LIMIT:
             self._prober.excuse_pause(now - self._last_tick)
         self._last_tick = now
@@ -194,7 +202,8 @@
         sender = self.directory.member(ping.host)
         # The own record heals a sender that believed this host dead; its record does so here.
         is_doubtful = sender is None or sender.state is not MemberState.ALIVE
-        records = [self._own] if ping.records or is_doubtful else []
+        own = self.directory.member(self._own.host)
+        records = [own] if own is not None and (ping.records or is_doubtful) else []
         if sender is not None and is_doubtful:
             records.append(sender)
         digest = self.directory.table.digest
--- a/tests/controller/test_site.py
+++ b/tests/controller/test_site.py
@@ -128,3 +128,17 @@
                 lambda known: {member.state for member in known.members} == {MemberState.ALIVE},
                 10,
             )
+
+    async def test_restart_of_a_controller_moves_no_home(self):
+        first, second, _ = self.cluster.hosts
+        before = (await self.directory(second)).member(HostId(first.host))
+        self.assertIsNotNone(before.pool)
+        self.controller(first).kill()
+        self.controller(first).start()
+        end = time.monotonic() + 5
+        while time.monotonic() < end:
+            known = (await self.directory(second)).member(HostId(first.host))
+            self.assertEqual(known.pool, before.pool)
+            self.assertIn(known.state, (MemberState.ALIVE, MemberState.SUSPECT))
+            await asyncio.sleep(0.03)
+        self.assertGreater(known.incarnation, before.incarnation)
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -1,3 +1,4 @@
+import heapq
 import unittest
 from datetime import timedelta
 
@@ -37,6 +38,20 @@
         fleet.start(4, incarnation=0)
         self.assertIsNotNone(fleet.run(seconds(20), fleet.agree))
 
+    def test_restarted_host_publishes_nothing_before_it_joins(self):
+        fleet = self.start(6)
+        old = fleet.cores[2].own
+        fleet.start(2, incarnation=9)
+        joins_at = fleet.now + seconds(2)
+        fleet.queue = [item for item in fleet.queue if item[2:] != (fleet.tick, 2)]
+        heapq.heapify(fleet.queue)
+        while fleet.now < joins_at:
+            fleet.run(seconds(0.25))
+            views = {fleet.cores[index].directory.member(HostId("h2")) for index in (0, 1, 5)}
+            self.assertEqual(views, {old})
+        fleet.tick(2)
+        self.assertIsNotNone(fleet.run(seconds(10), fleet.agree))
+
     def test_short_freeze_is_refuted_and_judges_nobody(self):
         fleet = self.start(9)
         fleet.frozen[3] = fleet.now + seconds(20)
