--- a/hickorywind/pool/backend.py
+++ b/hickorywind/pool/backend.py
@@ -53,6 +53,8 @@
 _TICK_SECONDS = 0.05
 _IDLE_TICK_SECONDS = 0.25
 _POLL_INTERVAL = timedelta(milliseconds=500)
+_POLL_INTERVAL_IN_DOUBT = timedelta(milliseconds=100)
+_LONG_RUN = timedelta(milliseconds=200)
 _IN_USE_WINDOW = timedelta(seconds=5)
 
 
@@ -323,11 +325,17 @@
         self._connections.close_idle()
         self._show_occupancy()
         in_use = bool(self._jobs) or now - self._last_used < _IN_USE_WINDOW
-        is_due = self._last_poll is None or now - self._last_poll >= _POLL_INTERVAL
+        interval = _POLL_INTERVAL_IN_DOUBT if self._is_in_doubt(now) else _POLL_INTERVAL
+        is_due = self._last_poll is None or now - self._last_poll >= interval
         if in_use and is_due:
             self._last_poll = now
             self._spawn(self._watch.refresh())
 
+    def _is_in_doubt(self, now: Instant) -> bool:
+        """Tell whether a request runs for so long that the backend server may have stopped."""
+        started = (job.started for job in self._jobs.values() if job.connection is not None)
+        return any(instant is not None and now - instant > _LONG_RUN for instant in started)
+
     def _give_up_of_old_terms(self) -> None:
         """End at once what ran at a primary that is known to be replaced: it can't be proved."""
         term = self._tools.known_term()
--- a/hickorywind/pool/role.py
+++ b/hickorywind/pool/role.py
@@ -26,7 +26,7 @@
 _DRAIN_POLL_SECONDS = 0.02
 _ANNOUNCE_SECONDS = 0.6
 _REVIEW_SECONDS = 0.5
-_CONTROL_TIMEOUT = timedelta(seconds=1)
+_CONTROL_TIMEOUT = timedelta(milliseconds=500)
 
 
 class PoolRole:
