--- a/hickorywind_bench/appending.py
+++ b/hickorywind_bench/appending.py
@@ -11,13 +11,19 @@
 import psycopg
 
 from hickorywind.ids import Address, ServiceName, SessionId
-from hickorywind.results import Outcome
+from hickorywind.results import Outcome, ResultCode, sqlstate_for
 from hickorywind.util.clock import Clock, MonotonicClock, milliseconds
-from hickorywind_bench.callers import connect_caller, read_refusal
+from hickorywind_bench.callers import (
+    Refusal,
+    connect_caller,
+    read_diagnostic,
+    read_refusal,
+)
 from hickorywind_bench.history import Append, History, Read
 
 _TABLE = "appends"
 _CREATE = f"CREATE TABLE IF NOT EXISTS {_TABLE} (seq INTEGER PRIMARY KEY, k TEXT, element TEXT)"
+_GOODBYE_SQLSTATES = (sqlstate_for(ResultCode.SHUTTING_DOWN),)
 _PAUSE_AFTER_ERROR_SECONDS = 0.05
 _SHARE_OF_READS = 0.5
 _SHARE_OF_TRANSACTIONS = 0.25
@@ -98,6 +104,7 @@
         self._count = 0
         self._connection: psycopg.AsyncConnection | None = None
         self._token: str | None = None
+        self._goodbye: Refusal | None = None
 
     async def run(self, until: timedelta) -> None:
         while self._clock.now() < until:
@@ -136,6 +143,19 @@
             options["token"] = self._token
         connecting = connect_caller(address, self._workload.service, **options)
         self._connection = await asyncio.wait_for(connecting, 5)
+        self._goodbye = None
+        self._connection.add_notice_handler(self._note_goodbye)
+
+    def _note_goodbye(self, notice: psycopg.errors.Diagnostic) -> None:
+        """Keep an error that came between requests; libpq shows it as a notice."""
+        if notice.sqlstate in _GOODBYE_SQLSTATES:
+            self._goodbye = read_diagnostic(notice)
+
+    def _read_refusal(self, error: psycopg.Error) -> Refusal:
+        """Read an error; a request sent after the entry's goodbye was never read there."""
+        if error.sqlstate is None and self._goodbye is not None:
+            return self._goodbye
+        return read_refusal(error)
 
     async def _disconnect(self) -> None:
         connection, self._connection = self._connection, None
@@ -208,7 +228,7 @@
             await self._execute(statement)
         except psycopg.Error as error:
             self._count_refusal(error)
-            return read_refusal(error).outcome, error
+            return self._read_refusal(error).outcome, error
         self._record.answered_at.append(self._clock.now())
         return Outcome.RAN, None
 
@@ -245,7 +265,7 @@
             self._record.answered_at.append(self._clock.now())
         except psycopg.Error as error:
             self._count_refusal(error)
-            outcome = read_refusal(error).outcome if committing else Outcome.NOT_RUN
+            outcome = self._read_refusal(error).outcome if committing else Outcome.NOT_RUN
             raise
         finally:
             for key, element in zip(keys, elements, strict=True):
@@ -259,6 +279,6 @@
         )
 
     def _count_refusal(self, error: psycopg.Error) -> None:
-        refusal = read_refusal(error)
+        refusal = self._read_refusal(error)
         name = str(refusal.code or refusal.sqlstate or type(error).__name__)
         self._record.refusals[name] = self._record.refusals.get(name, 0) + 1
--- a/hickorywind_bench/callers.py
+++ b/hickorywind_bench/callers.py
@@ -27,22 +27,29 @@
 
 def read_refusal(error: psycopg.Error) -> Refusal:
     """Read an error's fields; an error without an answer leaves the outcome unknown."""
-    detail = error.diag.message_detail or ""
-    fields = dict(_DETAIL_FIELD.findall(detail))
-    if "outcome" in fields:
-        retry_after = fields.get("retry_after_ms", "")
-        return Refusal(
-            int(fields["code"]),
-            Outcome(fields["outcome"]),
-            error.sqlstate,
-            int(retry_after) if retry_after.isdigit() else None,
-            error.diag.message_primary or "",
-        )
+    refusal = read_diagnostic(error.diag)
+    if refusal is not None:
+        return refusal
     # A backend server that answered with an error has rolled the statement back.
     outcome = Outcome.NOT_RUN if error.sqlstate else Outcome.UNKNOWN
     return Refusal(None, outcome, error.sqlstate, None, str(error))
 
 
+def read_diagnostic(diagnostic: psycopg.errors.Diagnostic) -> Refusal | None:
+    """Read the fields of hickorywind's own errors; None for a backend server's."""
+    fields = dict(_DETAIL_FIELD.findall(diagnostic.message_detail or ""))
+    if "outcome" not in fields:
+        return None
+    retry_after = fields.get("retry_after_ms", "")
+    return Refusal(
+        int(fields["code"]),
+        Outcome(fields["outcome"]),
+        diagnostic.sqlstate,
+        int(retry_after) if retry_after.isdigit() else None,
+        diagnostic.message_primary or "",
+    )
+
+
 async def connect_caller(
     address: Address, service: ServiceName, **options: str
 ) -> psycopg.AsyncConnection:
