Refuse at the entry what pools are refusing anyway

Ruled out: the queue's order (urgent waited little in the queue; refusals are cheap per request, but many). Change: entries compare, by backend server and rank, requests with admissions and refuse the excess themselves, at once, with the pool's hint when to come back (client-side throttling; cited in the module).

--- a/hickorywind/entry/executor.py
+++ b/hickorywind/entry/executor.py
@@ -23,6 +23,7 @@
 from hickorywind.routing.linkbudget import LinkBudget
 from hickorywind.routing.retry import RetryBudget, RetryPolicy, speaks_against_backend
 from hickorywind.routing.targets import Distance, NeedsPrimary, NeedsRead, Target, TargetChooser
+from hickorywind.routing.throttle import Throttle
 from hickorywind.util.clock import Clock, to_milliseconds
 
 _FIRST_CONTACT_LIMIT = timedelta(milliseconds=300)
@@ -56,6 +57,7 @@
         self._clock = clock
         self._rng = rng
         self._reporter = reporter
+        self._throttle = Throttle(clock, rng)
         self._request_ids = itertools.count(1)
 
     async def run(self, request: Request) -> Finished:
@@ -109,6 +111,7 @@
     ) -> Finished:
         """Run one attempt at a target, where its pool and the link to it allow."""
         refusal = self._check_link_budget(request, target)
+        refusal = refusal or self._throttle.check(target.backend, request.rank)
         if refusal is not None:
             return Finished(refusal)
         link = self._links.to(target.pool)
@@ -122,7 +125,9 @@
         execute = msgspec.structs.replace(
             execute, floor=target.floor, max_staleness_ms=max_staleness_ms
         )
-        return await self._attempt(request, link, execute, target)
+        finished = await self._attempt(request, link, execute, target)
+        self._throttle.observe(target.backend, request.rank, finished.result)
+        return finished
 
     def _check_link_budget(self, request: Request, target: Target) -> Result | None:
         size_bytes = len(request.frames) + _MESSAGE_OVERHEAD_BYTES
--- /dev/null
+++ b/hickorywind/routing/throttle.py
@@ -0,0 +1,76 @@
+"""Refuse work at the entry that its pool would almost surely refuse.
+
+In a flood, refusals cost the pool time that admitted work needs. Each entry therefore compares what
+it was asked with what the pool admitted, by backend server and rank, and refuses the excess itself:
+client-side throttling, see Beyer et al., "Site Reliability Engineering", chapter 21. The pool still
+sees more than it can admit, so it alone decides which requests run.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass
+from datetime import timedelta
+
+from hickorywind.ids import BackendId, Rank
+from hickorywind.results import Result, ResultCode
+from hickorywind.routing.backoff import spread_ms
+from hickorywind.util.clock import Clock, Instant
+
+_MEMORY = timedelta(seconds=2)
+_HEADROOM = 2.0
+_FEWEST_REQUESTS = 20.0
+_DEFAULT_RETRY_AFTER_MS = 500
+_REFUSALS = frozenset((ResultCode.QUEUE_FULL, ResultCode.WOULD_MISS_DEADLINE))
+
+
+@dataclass
+class _Load:
+    updated: Instant
+    requests: float = 0.0
+    admitted: float = 0.0
+    retry_after_ms: int = _DEFAULT_RETRY_AFTER_MS
+
+    def fade(self, now: Instant) -> None:
+        """Let counts fall by 1/e in each memory period."""
+        factor = math.exp(-((now - self.updated) / _MEMORY))
+        self.requests *= factor
+        self.admitted *= factor
+        self.updated = now
+
+
+class Throttle:
+    """Keep, for each backend server and rank, the recent share of requests admitted."""
+
+    def __init__(self, clock: Clock, rng: random.Random) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._loads: dict[tuple[BackendId, Rank], _Load] = {}
+
+    def check(self, backend: BackendId, rank: Rank) -> Result | None:
+        """Count a request; return its refusal where it should not be sent."""
+        load = self._load(backend, rank)
+        load.requests += 1
+        if load.requests < _FEWEST_REQUESTS:
+            return None
+        excess = load.requests - _HEADROOM * max(load.admitted, 1.0)
+        if self._rng.random() >= excess / load.requests:
+            return None
+        reason = f"work of rank {rank.value} is being refused at {backend}"
+        wait_ms = spread_ms(load.retry_after_ms, self._rng)
+        return Result.not_run(ResultCode.WOULD_MISS_DEADLINE, reason, wait_ms)
+
+    def observe(self, backend: BackendId, rank: Rank, result: Result) -> None:
+        """Take in how a request that was sent ended."""
+        load = self._load(backend, rank)
+        if result.code not in _REFUSALS:
+            load.admitted += 1
+        elif result.retry_after_ms is not None:
+            load.retry_after_ms = result.retry_after_ms
+
+    def _load(self, backend: BackendId, rank: Rank) -> _Load:
+        now = self._clock.now()
+        load = self._loads.setdefault((backend, rank), _Load(now))
+        load.fade(now)
+        return load
