Prove the present primary to sessions whose floor is unknown

Cause (found by reading, then shown by the two tests): a read with an unknown floor went to the primary without floor or age bound, and reads in transactions carried no floor, so that a replaced primary that is cut off could answer them from positions proved long ago. Ruled out: proofs of writes; those need a majority anyway. Change: such reads ask for max_staleness_ms=0, for which the pool proves leadership after the read came; reads in transactions carry the known floor. Both tests fail on the commit before and pass now; histories with the primary frozen pass.

--- a/hickorywind/entry/executor.py
+++ b/hickorywind/entry/executor.py
@@ -15,13 +15,14 @@
 from hickorywind.entry.reporting import RequestReporter
 from hickorywind.entry.request import Finished, OpenTransaction, Request
 from hickorywind.entry.rounds import Rounds
-from hickorywind.ids import AccessMode, Incarnation, RequestId
+from hickorywind.ids import AccessMode, Incarnation, LogPosition, RequestId
 from hickorywind.protocol.messages import EndTransaction, Execute, TransactionState
 from hickorywind.results import Outcome, Result, ResultCode
 from hickorywind.routing.backoff import spread_ms
 from hickorywind.routing.health import BackendHealth
 from hickorywind.routing.linkbudget import LinkBudget
 from hickorywind.routing.retry import RetryBudget, RetryPolicy, speaks_against_backend
+from hickorywind.routing.session import KnownFloor, UnknownFloor
 from hickorywind.routing.targets import Distance, NeedsPrimary, NeedsRead, Target, TargetChooser
 from hickorywind.routing.throttle import Throttle
 from hickorywind.util.clock import Clock, to_milliseconds
@@ -123,7 +124,7 @@
             return Finished(Result.not_run(ResultCode.POOL_UNREACHABLE, reason))
         execute = self._make_execute(request, incarnation, target)
         execute = msgspec.structs.replace(
-            execute, floor=target.floor, max_staleness_ms=max_staleness_ms
+            execute, floor=target.floor, max_staleness_ms=_staleness(request, max_staleness_ms)
         )
         finished = await self._attempt(request, link, execute, target)
         self._throttle.observe(target.backend, request.rank, finished.result)
@@ -147,7 +148,12 @@
             reason = "the pool that held the transaction is gone"
             return Finished(Result(ResultCode.TRANSACTION_LOST, Outcome.NOT_RUN, reason))
         execute = self._make_execute(request, transaction.incarnation, transaction.target)
-        execute = msgspec.structs.replace(execute, transaction_id=transaction.transaction_id)
+        execute = msgspec.structs.replace(
+            execute,
+            transaction_id=transaction.transaction_id,
+            floor=_floor_in_transaction(request),
+            max_staleness_ms=_staleness(request, None),
+        )
         return await self._attempt(request, transaction.link, execute, transaction.target)
 
     def _make_execute(self, request: Request, incarnation: Incarnation, target: Target) -> Execute:
@@ -214,6 +220,21 @@
             self._reporter.count_link_bytes(target.region or "", size_bytes)
 
 
+def _staleness(request: Request, max_staleness_ms: int | None) -> int | None:
+    """Let no replaced primary answer a read whose floor nobody knows."""
+    is_unbounded = request.mode is AccessMode.READ and isinstance(request.floor, UnknownFloor)
+    return 0 if is_unbounded else max_staleness_ms
+
+
+def _floor_in_transaction(request: Request) -> LogPosition | None:
+    """Return what a read must see; other statements need not show a new position."""
+    match request.floor:
+        case KnownFloor(position=position) if request.mode is AccessMode.READ:
+            return position
+        case _:
+            return None
+
+
 def _without_repeating(result: Result) -> Result:
     """Forbid retries of a failure once part of the answer has reached the caller."""
     if result.is_ok:
--- a/tests/entry/test_outcomes.py
+++ b/tests/entry/test_outcomes.py
@@ -304,6 +304,21 @@
         self.assertEqual(self.replica_pool.executed[-1].floor, LogPosition(Term(1), 9))
         self.assertEqual(self.replica_pool.executed[-1].mode, AccessMode.READ)
 
+    async def test_read_with_an_unknown_floor_must_be_proved_by_the_present_primary(self):
+        connection = await self.connect(session_id="crew-7")
+        await connection.execute("SELECT 1")
+        self.assertEqual(self.primary_pool.executed[-1].max_staleness_ms, 0)
+
+    async def test_read_inside_a_transaction_carries_the_floor(self):
+        connection = await self.connect()
+        self.primary_pool.position = LogPosition(Term(1), 7)
+        await connection.execute(WRITE)
+        await connection.execute("BEGIN")
+        await connection.execute("SELECT 1")
+        self.assertEqual(self.primary_pool.executed[-1].floor, LogPosition(Term(1), 7))
+        await connection.execute("COMMIT")
+        self.assertIsNone(self.primary_pool.executed[-1].floor)
+
     async def test_answer_behind_the_floor_is_not_passed_on(self):
         connection = await self.connect()
         self.primary_pool.position = LogPosition(Term(1), 7)
