--- a/hickorywind/daemon.py
+++ b/hickorywind/daemon.py
@@ -126,7 +126,8 @@
         return EXIT_FAILED
     logger.info("drain_started", extra={"limit_ms": limit // timedelta(milliseconds=1)})
     try:
-        await asyncio.wait_for(role.drain(), limit.total_seconds())
+        async with asyncio.timeout(limit.total_seconds()):
+            await role.drain()
         logger.info("drain_finished")
     except TimeoutError:
         logger.warning("drain_cut_off")
--- a/hickorywind/entry/poollink.py
+++ b/hickorywind/entry/poollink.py
@@ -79,7 +79,8 @@
         """Return the pool's incarnation, waiting for its first sign; None where none came."""
         if self.incarnation is None:
             try:
-                await asyncio.wait_for(self._ready.wait(), timeout.total_seconds())
+                async with asyncio.timeout(timeout.total_seconds()):
+                    await self._ready.wait()
             except TimeoutError:
                 return None
         return self.incarnation
--- a/hickorywind/membership/subscriber.py
+++ b/hickorywind/membership/subscriber.py
@@ -141,7 +141,8 @@
 
     async def _sleep(self) -> None:
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._wake.wait(), SUBSCRIBE_INTERVAL.total_seconds())
+            async with asyncio.timeout(SUBSCRIBE_INTERVAL.total_seconds()):
+                await self._wake.wait()
         self._wake.clear()
 
     async def _keep_subscribing(self, link: Link) -> None:
--- a/standins/backend/member.py
+++ b/standins/backend/member.py
@@ -57,6 +57,7 @@
     next_offset: int = 1
     matched_offset: int = 0
     received: LogPosition = LogPosition(Term(0), 0)
+    sent_at_s: float = 0.0
     answered_at_s: float = 0.0
     ship_lag_ms: float = 0.0
 
@@ -184,8 +185,9 @@
             self._step_down()
 
     def append_for(self, peer_id: BackendId) -> Append:
-        """Build what to send to a peer next."""
+        """Build what to send to a peer now."""
         peer = self._peers[peer_id]
+        peer.sent_at_s = self._now_s()
         end = self._shippable_end(peer)
         previous = self.log.position_at(peer.next_offset - 1)
         entries = self.log.batch_after(peer.next_offset - 1, end)
@@ -250,7 +252,9 @@
         if self.role is not InstanceRole.PRIMARY or term != self.term:
             return
         peer = self._peers[peer_id]
-        peer.answered_at_s = self._now_s()
+        # An answer may lie unread while this process is paused; it shows that the peer followed
+        # this primary when the append was sent, no later.
+        peer.answered_at_s = max(peer.answered_at_s, peer.sent_at_s)
         peer.received = answer.received
         peer.ship_lag_ms = answer.ship_lag_ms
         if answer.accepted:
--- a/tests/entry/fakepool.py
+++ b/tests/entry/fakepool.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import struct
 from collections.abc import Awaitable, Callable
 
@@ -40,16 +39,11 @@
     TransactionState,
 )
 from hickorywind.results import Result, ResultCode
+from tests.ports import free_address
 
 TEXT_OID = 25
 
 
-def free_address() -> Address:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", probe.getsockname()[1])
-
-
 def columns(name: str = "value") -> bytes:
     return RowDescription([FieldDescription(name, 0, 0, TEXT_OID, -1, -1, 0)]).to_wire()
 
--- a/tests/pool/harness.py
+++ b/tests/pool/harness.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import random
-import socket
 import tempfile
 from contextlib import AsyncExitStack, asynccontextmanager
 from datetime import timedelta
@@ -58,18 +57,13 @@
 from hickorywind.util.clock import MonotonicClock
 from standins.backend.server import BackendServer
 from standins.backend.settings import BackendSettings, Peer
+from tests.ports import free_port
 
 SERVICE = ServiceName("dispatch")
 HOST = HostId("pool-1")
 _GOODBYE_SECONDS = 0.05
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def connect_control(address: Address) -> GroupClient:
     return GroupClient(address, timedelta(seconds=1))
 
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -1,10 +1,27 @@
-"""Pick ports for test servers."""
+"""Pick ports for test servers.
 
-import socket
+They lie below the range from which the system takes ports for outgoing connections, and apart from
+those of ``standins.cluster``; none is handed out twice by one process.
+"""
+
+import random
+
+from hickorywind.ids import Address
+from standins.cluster import LOOPBACK, is_free
+
+_PORTS = range(10_000, 19_000)
+_handed_out = set()
 
 
 def free_port() -> int:
     """Return a loopback TCP port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.choice(_PORTS)
+        if port not in _handed_out and is_free(port):
+            _handed_out.add(port)
+            return port
+
+
+def free_address() -> Address:
+    """Return a loopback address whose port was free a moment ago."""
+    return Address(LOOPBACK, free_port())
--- a/tests/protocol/test_channel.py
+++ b/tests/protocol/test_channel.py
@@ -3,21 +3,17 @@
 
 import zmq
 
-from hickorywind.ids import Address, RequestId
+from hickorywind.ids import RequestId
 from hickorywind.protocol.channel import ChannelKeys, Link, Listener
 from hickorywind.protocol.codec import encode
 from hickorywind.protocol.messages import Cancel, Refused
 from hickorywind.results import ResultCode
-from standins.cluster import is_free
+from tests.ports import free_address
 
 WAIT_SECONDS = 3
 SILENCE_SECONDS = 0.5
 
 
-def free_address():
-    return Address("127.0.0.1", next(port for port in range(31_500, 32_500) if is_free(port)))
-
-
 async def send_when_connected(link, message):
     async with asyncio.timeout(WAIT_SECONDS):
         while not await link.send(message):
--- a/tests/standins/support.py
+++ b/tests/standins/support.py
@@ -1,10 +1,7 @@
 """Start groups of stand-in backend servers inside the test process."""
 
 import asyncio
-import itertools
-import os
 import shutil
-import socket
 import tempfile
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -18,25 +15,11 @@
 from standins.backend.server import BackendServer
 from standins.backend.settings import BackendSettings, Peer
 from standins.relay import Relay, Route
+from tests.ports import free_port
 
-FIRST_PORT = 20_000
-PORT_COUNT = 12_000
-PORTS = (FIRST_PORT + (os.getpid() * 131 + i) % PORT_COUNT for i in itertools.count())
 CALL_TIMEOUT = timedelta(seconds=2)
 
 
-def free_port() -> int:
-    """Return a port below the range from which the system takes ports of outgoing connections."""
-    for candidate in PORTS:
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", candidate))
-            except OSError:
-                continue
-            return candidate
-    raise RuntimeError("no free port")
-
-
 def local_address() -> str:
     return f"127.0.0.1:{free_port()}"
 
--- a/tests/standins/test_member.py
+++ b/tests/standins/test_member.py
@@ -163,3 +163,13 @@
         both = AppendAnswer(Term(2), True, LogPosition(Term(2), 2), 2, 0, 0.0)
         member.receive_answer(NAMES[1], Term(2), both)
         self.assertEqual(member.committed, LogPosition(Term(2), 2))
+
+    def test_answer_read_late_shows_leadership_at_the_time_of_sending_only(self):
+        now_s = [100.0]
+        member = Member(NAMES[0], NAMES[1:], lambda: now_s[0], Journal(None))
+        member.bootstrap(initial_primary=True)
+        member.append_for(NAMES[1])
+        now_s[0] += 5.0
+        answer = AppendAnswer(Term(1), True, LogPosition(Term(0), 0), 0, 0, 0.0)
+        member.receive_answer(NAMES[1], Term(1), answer)
+        self.assertGreaterEqual(member.silence_ms, 5_000)
