--- a/hickorywind_bench/slopes/groups.py
+++ b/hickorywind_bench/slopes/groups.py
@@ -108,9 +108,11 @@
     policy = FailoverPolicy()
     groups: Counter[HostId] = Counter()
     wanted: Counter[HostId] = Counter()
+    first: Counter[HostId] = Counter()
     for service in configuration.services:
         for rank, host in enumerate(choose_observers(service, directory)):
             groups[host] += 1
+            first[host] += rank == 0
             wanted[host] += polls_wanted_per_second(policy, rank, INSTANCES_PER_SERVICE)
     slowdowns = sorted(max(1.0, rate / policy.polls_per_second) for rate in wanted.values())
     return Row(
@@ -118,6 +120,7 @@
             "hosts": hosts,
             "groups_mean": groups.total() / hosts,
             "groups_max": max(groups.values()),
+            "first_observer_max": max(first.values()),
             "polls_wanted_mean": wanted.total() / hosts,
             "polls_wanted_max": max(wanted.values()),
             "slowdown_median": slowdowns[len(slowdowns) // 2],
--- a/hickorywind_bench/slopes/membership.py
+++ b/hickorywind_bench/slopes/membership.py
@@ -28,7 +28,6 @@
 SECONDS_PER_DAY = 86_400
 _LIMIT = timedelta(seconds=600)
 _SETTLE = timedelta(seconds=15)
-_START_UP = timedelta(seconds=120)
 _QUIET = timedelta(seconds=20)
 _CHURN = timedelta(seconds=60)
 _SPLIT = timedelta(seconds=60)
@@ -52,13 +51,13 @@
 
 
 def start_fleet(hosts: int) -> Fleet:
-    """Start a fleet whose hosts know earlier lives of each other, and let the news settle."""
+    """Start a fleet whose hosts know each other, but for one that each hears of at first."""
     regions = configuration_records(make_configuration(0), 1)
     members = [
         MemberRecord(
             HostId(f"h{index}"),
             _ZONE_NAMES[index % len(_ZONE_NAMES)],
-            Incarnation(0),
+            Incarnation(1),
             MemberState.ALIVE,
             Address("10.0.0.0", index),
         )
@@ -66,10 +65,13 @@
     ]
 
     def setup(directory: Directory) -> None:
-        directory.merge([*regions, *members])
+        directory.merge([*regions, *members[1:]])
 
     fleet = Fleet(hosts, setup=setup, zones=_ZONE_NAMES)
-    fleet.run(_START_UP)
+    for core in fleet.cores.values():
+        # News of a member is what makes a host choose its neighbours.
+        core.publish(fleet.now, members[:1])
+    fleet.run(_SETTLE)
     return fleet
 
 
@@ -96,10 +98,7 @@
     crash = _observe(fleet, lambda: _crash(fleet, {hosts // 3}))
     fleet.run(_SETTLE)
     zone = _observe(fleet, lambda: _crash(fleet, _hosts_of_zone(fleet, 0)))
-    fleet.run(_SETTLE)
-    cut_regions(fleet)
-    fleet.run(_SPLIT)
-    healing = _observe(fleet, lambda: heal_regions(fleet))
+    healing = _split_and_heal(fleet)
     return Row(
         {
             "hosts": hosts,
@@ -114,13 +113,24 @@
             "zone_lost_known_s": zone.took_seconds,
             "zone_lost_kb": zone.kilobytes,
             "zone_lost_cpu_s": zone.cpu_seconds,
-            "healed_s": healing.took_seconds,
-            "healing_kb": healing.kilobytes,
-            "healing_cpu_s": healing.cpu_seconds,
+            **healing,
         }
     )
 
 
+def _split_and_heal(fleet: Fleet) -> dict[str, float]:
+    """Part the regions for a while and let them find each other again."""
+    fleet.run(_SETTLE)
+    cut_regions(fleet)
+    fleet.run(_SPLIT)
+    healing = _observe(fleet, lambda: heal_regions(fleet))
+    return {
+        "healed_s": healing.took_seconds,
+        "healing_kb": healing.kilobytes,
+        "healing_cpu_s": healing.cpu_seconds,
+    }
+
+
 def _spread_group(fleet: Fleet) -> timedelta | None:
     record = GroupRecord(_SERVICE, Term(2), BackendId("service-1"))
     fleet.cores[0].publish(fleet.now, (record,))
