Keep the ports of a site's example and of its daemons apart

Ruled out: leadership proofs and elections; the same code came up in all other starts. Change: one pick, cut in two.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -26,6 +26,7 @@
 LOOPBACK = "127.0.0.1"
 _BASE_PORT_VARIABLE = "HICKORYWIND_EXAMPLE_BASE_PORT"
 _EXAMPLE_PORT_COUNT = 40
+_SITE_PORT_COUNT = 400
 _FIRST_PORT = 20_000
 _LAST_PORT = 31_000
 _STOP_TIMEOUT_SECONDS = 20.0
@@ -96,6 +97,10 @@
         first = pick_port_range(rng, count)
         self._ports: Iterator[int] = iter(range(first, first + count))
 
+    def reserve(self, count: int) -> int:
+        """Return the first of ``count`` ports in a row, none of them handed out otherwise."""
+        return [next(self._ports) for _ in range(count)][0]
+
     def next_address(self) -> Address:
         """Return an address not handed out before."""
         return Address(LOOPBACK, next(self._ports))
@@ -126,13 +131,13 @@
     ) -> Cluster:
         """Lay out a site; start nothing yet."""
         rng = rng or random.Random(os.getpid())
-        base_port = pick_port_range(rng, _EXAMPLE_PORT_COUNT)
+        ports = PortSource(rng, _EXAMPLE_PORT_COUNT + _SITE_PORT_COUNT)
+        base_port = ports.reserve(_EXAMPLE_PORT_COUNT)
         environment = {_BASE_PORT_VARIABLE: str(base_port)}
         document = run_command(("config", "print", str(script)), environment)
         document_path = folder / "configuration.yaml"
         document_path.write_text(document)
         configuration = parse_document(document)
-        ports = PortSource(rng, 400)
         hosts = tuple(_lay_out_hosts(configuration, hosts_per_zone, ports))
         cluster = cls(folder, configuration, document_path, hosts, ports.next_address())
         cluster.variant = variant or DaemonVariant()
