Let a leaving primary finish its open transactions before the handover

Ruled out: pools; they refuse new work for a leaving backend server and let transactions go on. Change: the status says how many transactions a change would abort; the handover waits 300 ms for the notice to reach the pools and then for the transactions, 2 s at the most.

--- a/hickorywind/failover/group.py
+++ b/hickorywind/failover/group.py
@@ -60,6 +60,7 @@
         self._record_since: Instant | None = None
         self._record_seen: GroupRecord | None = None
         self._next_switchover: Instant | None = None
+        self._leaving_since: Instant | None = None
         self._lost_at: Instant | None = None
 
     @property
@@ -189,11 +190,23 @@
             return len(self._view.reports) >= self._view.majority
         return self._view.unreached_for(now, primary) >= timeout
 
+    def _may_take_over(self, report: BackendStatus, leaving_for: timedelta) -> bool:
+        """Tell whether a leaving primary had its time to finish what it has begun."""
+        if leaving_for >= self._policy.switchover_limit:
+            return True
+        is_done = report.open_transactions == 0
+        return is_done and leaving_for >= self._policy.switchover_notice
+
     def _wants_switchover(self, now: Instant) -> bool:
         """Tell whether the primary asks to leave and a caught-up replica can take over."""
         primary = self._view.primary
         report = self._view.report_of(primary) if primary is not None else None
         if report is None or not report.leaving:
+            self._leaving_since = None
+            return False
+        if self._leaving_since is None:
+            self._leaving_since = now
+        if not self._may_take_over(report, now - self._leaving_since):
             return False
         if self._next_switchover is not None and now < self._next_switchover:
             return False
--- a/hickorywind/failover/policy.py
+++ b/hickorywind/failover/policy.py
@@ -35,7 +35,9 @@
 
     ``fast_interval`` is the time between two polls of a primary by its first observer and of all
     instances while something is wrong. ``polls_per_second`` bounds what one host spends on all
-    the groups it watches while nothing is wrong.
+    the groups it watches while nothing is wrong. A leaving primary is replaced once pools had
+    ``switchover_notice`` to send it no new work and its transactions have ended, at the latest
+    after ``switchover_limit``.
     """
 
     trigger: MajoritySilence | FixedTimeout = MajoritySilence()
@@ -54,3 +56,5 @@
     rest: timedelta = timedelta(seconds=5)
     pause_limit: timedelta = milliseconds(500)
     switchover_retry: timedelta = timedelta(seconds=5)
+    switchover_notice: timedelta = milliseconds(300)
+    switchover_limit: timedelta = timedelta(seconds=2)
--- a/hickorywind/groups/status.py
+++ b/hickorywind/groups/status.py
@@ -40,7 +40,7 @@
     last entry known to be held by a majority; ``applied`` the last entry visible to reads.
     ``silence_ms`` is, at a replica, the time since it last heard from the primary of ``term``; at
     a primary, the time since a majority last answered it. ``leaving`` means that no new work is
-    wanted.
+    wanted. ``open_transactions`` counts the transactions that a change of primary would abort.
     """
 
     backend: BackendId
@@ -56,3 +56,4 @@
     connections_used: int
     connections_limit: int
     peers: tuple[PeerProgress, ...] = ()
+    open_transactions: int = 0
--- a/standins/backend/instance.py
+++ b/standins/backend/instance.py
@@ -134,6 +134,7 @@
             connections_used=sum(1 for s in self.sessions.values() if not s.is_control),
             connections_limit=self.settings.connections,
             peers=member.progress(),
+            open_transactions=sum(1 for s in self.sessions.values() if s.in_transaction),
         )
 
     async def wait_committed(self, position: LogPosition, timeout_s: float) -> None:
--- a/standins/backend/session.py
+++ b/standins/backend/session.py
@@ -36,6 +36,11 @@
         """Tell whether a writing transaction is open."""
         return self.executor.holds_writer
 
+    @property
+    def in_transaction(self) -> bool:
+        """Tell whether a transaction block is open, or a statement writes."""
+        return self.holds_writer or self.executor.status is not TransactionStatus.IDLE
+
     def cancel(self) -> None:
         """Cancel the statement that runs."""
         self.executor.cancel()
--- a/tests/failover/fakegroup.py
+++ b/tests/failover/fakegroup.py
@@ -60,6 +60,7 @@
         self.frozen = {}
         self.cuts = set()
         self.leaving = set()
+        self.open_transactions = {}
         self.record = None
         self.leaving_records = {}
         self.acknowledged = {}
@@ -209,6 +210,7 @@
             0,
             20,
             member.progress(),
+            self.open_transactions.get(backend, 0),
         )
 
     # Observers ----------------------------------------------------------------------------------
--- a/tests/failover/test_group.py
+++ b/tests/failover/test_group.py
@@ -176,6 +176,25 @@
         self.assertFalse(group.leaving_records["b0"].leaving)
         self.assertEqual(group.leaving_records["b0"].generation, 2)
 
+    def test_leaving_primary_may_finish_its_open_transactions(self):
+        group = settled()
+        group.leaving.add("b0")
+        group.open_transactions["b0"] = 1
+        group.run(milliseconds(1_500))
+        self.assertEqual(group.record.primary, "b0")
+        group.open_transactions["b0"] = 0
+        group.run(milliseconds(500))
+        self.assertNotEqual(group.record.primary, "b0")
+        self.assert_sound(group)
+
+    def test_transactions_that_do_not_end_delay_a_handover_for_two_seconds_only(self):
+        group = settled()
+        group.leaving.add("b0")
+        group.open_transactions["b0"] = 1
+        group.run(milliseconds(2_700))
+        self.assertNotEqual(group.record.primary, "b0")
+        self.assert_sound(group)
+
     def test_no_majority_no_promotion(self):
         group = settled()
         group.kill("b0")
--- a/tests/system/test_stopping.py
+++ b/tests/system/test_stopping.py
@@ -138,6 +138,7 @@
             f" acknowledged write {longest.total_seconds():.2f} s, refusals {record.refusals}"
         )
         self.assertLess(taken[0], LEAVING_LIMIT.total_seconds())
+        self.assert_only_sessions_closed(record)
         self.assertGreater((await self.primary()).term, before.term)
 
     async def test_frozen_home_and_its_successor_break_no_promise(self):
