Use one simulated fleet for tests and slopes

Cause: tests/membership/fleet.py and hickorywind_bench/slopes/fleet.py were copies of one harness. Streams of reads may hold a share of writes, so that reads have floors. tests.membership.test_gossip and tests.hickorywind_bench.test_slopes: 21 passed.

--- a/hickorywind_bench/experiment.py
+++ b/hickorywind_bench/experiment.py
@@ -38,7 +38,10 @@
 
 
 class Stream(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Send requests of one kind at a mean rate, with independent (Poisson) arrivals."""
+    """Send requests of one kind at a mean rate, with independent (Poisson) arrivals.
+
+    In a stream of reads, ``write_share`` of the requests write instead, by the same sessions.
+    """
 
     name: str
     rank: Rank
@@ -49,6 +52,7 @@
     max_staleness_ms: int | None = None
     timeout_ms: int = 2_000
     connections: int = 20
+    write_share: float = 0.0
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/hickorywind_bench/load.py
+++ b/hickorywind_bench/load.py
@@ -197,7 +197,10 @@
         if stream.max_staleness_ms is not None:
             hint += f" max_staleness_ms={stream.max_staleness_ms}"
         key = self._rng.randrange(_KEY_COUNT)
-        match stream.kind:
+        kind = stream.kind
+        if stream.write_share and self._rng.random() < stream.write_share:
+            kind = StreamKind.WRITE
+        match kind:
             case StreamKind.READ:
                 return f"/* hickorywind {hint} */ SELECT v FROM {TABLE} WHERE k = {key}"
             case StreamKind.WRITE:
--- a/hickorywind_bench/slopes/fleet.py
+++ b/hickorywind_bench/slopes/fleet.py
@@ -5,6 +5,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 from typing import Any
@@ -47,6 +48,7 @@
         self.is_cut: Callable[[int, int], bool] = lambda sender, target: False
         self.sent_bytes = 0
         self.sent_messages = 0
+        self.bytes_by_link: Counter[tuple[AvailabilityZone, AvailabilityZone]] = Counter()
         self.queue: list[tuple[Instant, int, Callable[[Any], None], Any]] = []
         self.tie = itertools.count()
         for index in range(count):
@@ -56,7 +58,7 @@
         """Start a host, or start it anew with nothing but what ``setup`` gives it."""
         identity = HostIdentity(
             HostId(f"h{index}"),
-            self.zones[index % len(self.zones)],
+            self._zone_of(index),
             Address("10.0.0.0", index),
         )
         directory = Directory()
@@ -68,6 +70,9 @@
         phase = TICK * self.rng.random()
         self._schedule(self.now + phase, self.tick, index)
 
+    def _zone_of(self, index: int) -> AvailabilityZone:
+        return self.zones[index % len(self.zones)]
+
     def _schedule(self, due: Instant, function: Callable[[Any], None], argument: Any) -> None:
         heapq.heappush(self.queue, (due, next(self.tie), function, argument))
 
@@ -92,7 +97,9 @@
                 case ToPeer(peer):
                     target = int(peer)
             data = encode(action.message)
-            self.sent_bytes += len(data) + FRAME_BYTES
+            size_bytes = len(data) + FRAME_BYTES
+            self.sent_bytes += size_bytes
+            self.bytes_by_link[self._zone_of(index), self._zone_of(target)] += size_bytes
             self.sent_messages += 1
             delay = milliseconds(1 + self.rng.random() * 2)
             self._schedule(self.now + delay, self.deliver, (index, target, data))
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -4,9 +4,44 @@
 
 import msgspec
 
-from hickorywind.ids import BackendId, HostId, ServiceName, Term
-from hickorywind.protocol.records import GroupRecord, MemberState
-from tests.membership.fleet import Fleet, learn_regions
+from hickorywind.configuration.model import Configuration, Zone
+from hickorywind.configuration.sections import digest_sections, split_sections
+from hickorywind.ids import (
+    AvailabilityZone,
+    BackendId,
+    HostId,
+    Region,
+    Revision,
+    ServiceName,
+    Term,
+)
+from hickorywind.protocol.records import (
+    ConfigHeadRecord,
+    ConfigRecord,
+    GroupRecord,
+    MemberState,
+)
+from hickorywind_bench.slopes.fleet import Fleet
+
+FAR_ZONE = AvailabilityZone("c")
+
+
+def learn_regions(directory):
+    """Put zones a and b in one region and c in another; for ``Fleet(setup=...)``."""
+    near = tuple(Zone(AvailabilityZone(name), Region("near")) for name in ("a", "b"))
+    zones = (*near, Zone(FAR_ZONE, Region("far")))
+    sections = split_sections(Configuration("test", zones, ()))
+    records = [ConfigRecord(name, Revision(1), text) for name, text in sections.items()]
+    directory.merge((*records, ConfigHeadRecord(Revision(1), digest_sections(sections))))
+
+
+def between_regions_bytes(fleet):
+    """Count what crossed the border of the far region."""
+    return sum(
+        size_bytes
+        for (sender, target), size_bytes in fleet.bytes_by_link.items()
+        if (sender == FAR_ZONE) != (target == FAR_ZONE)
+    )
 
 
 def seconds(value):
@@ -127,9 +162,9 @@
         rates = []
         for count in (15, 45):
             fleet = self.start(count, setup=learn_regions)
-            fleet.between_regions_bytes = 0
+            fleet.bytes_by_link.clear()
             fleet.run(seconds(20))
-            rates.append(fleet.between_regions_bytes / 20)
+            rates.append(between_regions_bytes(fleet) / 20)
         self.assertLess(rates[1], rates[0] * 1.5)
         far = {index for index in fleet.running() if index % 3 == 2}
         fleet.is_cut = lambda a, b: (a in far) != (b in far)
