Remove code that nothing calls

Cause: a read of the whole change found refuse_all of both queues, lent_count, HostStatus and read_outcome without a caller. Change: removed; nothing else.

--- a/hickorywind/admission/fifo.py
+++ b/hickorywind/admission/fifo.py
@@ -4,13 +4,12 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Hashable, Sequence
+from collections.abc import Hashable, Sequence
 
 from hickorywind.admission.refusals import drain_hint_ms, refuse_expired, refuse_full
-from hickorywind.admission.requests import Action, Refuse, Start, WaitingRequest
+from hickorywind.admission.requests import Action, Start, WaitingRequest
 from hickorywind.admission.scheduler import AdmissionPolicy
 from hickorywind.ids import Rank
-from hickorywind.results import Result
 from hickorywind.util.clock import Instant
 
 _HINT_SECONDS = 0.1
@@ -65,13 +64,6 @@
             self.withdraw(request.key, now)
         return [refuse_expired(request) for request in late]
 
-    def refuse_all(self, make_refusal: Callable[[WaitingRequest], Result]) -> Sequence[Action]:
-        """Empty the queue; ``make_refusal`` builds the result for each request."""
-        waiting = tuple(self._waiting.values())
-        self._waiting.clear()
-        self._waiting_bytes = 0
-        return [Refuse(request, make_refusal(request)) for request in waiting]
-
     @property
     def waiting_count(self) -> int:
         """Return how many requests wait."""
--- a/hickorywind/admission/scheduler.py
+++ b/hickorywind/admission/scheduler.py
@@ -5,7 +5,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable, Hashable, Sequence
+from collections.abc import Hashable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -22,7 +22,6 @@
 from hickorywind.admission.room import find_victim, is_full_for, needs_room
 from hickorywind.configuration.model import RankPolicy, Service
 from hickorywind.ids import Rank, SessionId
-from hickorywind.results import Result
 from hickorywind.util.clock import Instant
 
 _URGENT_WINDOW = timedelta(seconds=1)
@@ -119,13 +118,6 @@
                 refused.append(refuse_expired(request))
         return refused
 
-    def refuse_all(self, make_refusal: Callable[[WaitingRequest], Result]) -> Sequence[Action]:
-        """Empty the queue; ``make_refusal`` builds the result for each request."""
-        waiting = [request for queue in self._queues() for request in queue]
-        for request in waiting:
-            self._remove(request.key)
-        return [Refuse(request, make_refusal(request)) for request in waiting]
-
     # What others may ask -----------------------------------------------------------------------
 
     @property
--- a/hickorywind/pool/connections.py
+++ b/hickorywind/pool/connections.py
@@ -48,11 +48,6 @@
         """Return how many connections are open or being opened."""
         return len(self._idle) + len(self._lent) + self._opening
 
-    @property
-    def lent_count(self) -> int:
-        """Return how many connections are lent."""
-        return len(self._lent)
-
     async def acquire(self) -> BackendConnection:
         """Lend an idle connection or open one; raise ``ConnectionFailedError``."""
         while True:
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -233,13 +233,6 @@
     """Ask a controller for its view of the system."""
 
 
-class HostStatus(msgspec.Struct, frozen=True, array_like=True):
-    """Report which configuration revision one host last said to have in force."""
-
-    host: HostId
-    revision_in_force: Revision
-
-
 class StatusReply(msgspec.Struct, frozen=True, tag="sp", array_like=True):
     """Report a controller's records and what it knows of revisions in force."""
 
--- a/hickorywind_bench/outcome.py
+++ b/hickorywind_bench/outcome.py
@@ -125,8 +125,3 @@
     """Write an experiment's outcome as JSON."""
     path.parent.mkdir(parents=True, exist_ok=True)
     path.write_bytes(msgspec.json.format(msgspec.json.encode(outcome), indent=2))
-
-
-def read_outcome(path: Path) -> ExperimentOutcome:
-    """Read an outcome written before."""
-    return msgspec.json.decode(path.read_bytes(), type=ExperimentOutcome)
