--- /dev/null
+++ b/hickorywind/host/linkpool.py
@@ -0,0 +1,124 @@
+"""Keep the connections of this host to one backend server."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+from hickorywind.host.backendlink import BackendLink, LinkLostError, LinkRefusedError
+from hickorywind.ports.catalog import BackendServer
+from hickorywind.ports.codecs import BackendCodec
+from hickorywind.ports.replies import Answer, BackendErrorKind, ServerStatus, TransactionState
+from hickorywind.util.clock import Clock, Instant
+
+logger = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT = timedelta(milliseconds=600)  # a round trip between regions, twice, and a slot
+IDLE_LIMIT = timedelta(seconds=4)  # spare connections are given back to the other hosts
+LIMIT_PAUSE = timedelta(milliseconds=150)  # rest after the server had no connection to give
+
+
+class LinkPool:
+    """Lend connections to one backend server."""
+
+    def __init__(
+        self, server: BackendServer, make_codec: Callable[[], BackendCodec], clock: Clock
+    ) -> None:
+        self.server = server
+        self.cap = 4
+        self._make_codec = make_codec
+        self._clock = clock
+        self._idle: list[BackendLink] = []
+        self._open: set[BackendLink] = set()
+        self._connecting = 0
+        self._paused_until: Instant = timedelta(0)
+        self._is_closed = False
+
+    @property
+    def open_count(self) -> int:
+        """Return how many connections are open or being opened."""
+        return len(self._open) + self._connecting
+
+    def has_connection(self) -> bool:
+        """Tell whether a connection can be had without waiting for another's return."""
+        if self._idle:
+            return True
+        return self.open_count < self.cap and self._clock.now() >= self._paused_until
+
+    async def take(self, values: Mapping[str, str]) -> BackendLink:
+        """Lend the connection that fits a session best, or open one.
+
+        Raise ``LinkRefusedError`` or ``LinkLostError`` where none can be had.
+        """
+        while self._idle:
+            link = min(self._idle, key=lambda each: _misfit(each, values))
+            self._idle.remove(link)
+            if not link.is_lost:
+                return link
+        return await self._connect()
+
+    async def _connect(self) -> BackendLink:
+        self._connecting += 1
+        try:
+            link = await BackendLink.open(self.server, self._make_codec(), CONNECT_TIMEOUT)
+        except LinkRefusedError as error:
+            if error.kind is BackendErrorKind.CONNECTION_LIMIT:
+                self._paused_until = self._clock.now() + LIMIT_PAUSE
+            logger.info(
+                "backend_connection_refused",
+                extra={"backend": self.server.backend, "reason": str(error)},
+            )
+            raise
+        finally:
+            self._connecting -= 1
+        self._open.add(link)
+        link.on_lost = self._forget
+        if self._is_closed:
+            link.close()
+            raise LinkLostError("the backend server is no longer in use")
+        return link
+
+    def _forget(self, link: BackendLink) -> None:
+        self._open.discard(link)
+        if link in self._idle:
+            self._idle.remove(link)
+
+    def give_back(self, link: BackendLink) -> None:
+        """Take back a connection; one inside a transaction is closed."""
+        if link.is_lost:
+            return
+        if self._is_closed or link.state is not TransactionState.IDLE:
+            link.close()
+            return
+        link.idle_since = self._clock.now()
+        self._idle.append(link)
+
+    def decode_status(self, answer: Answer) -> ServerStatus | None:
+        """Read a status row; None where the answer holds none."""
+        return self._make_codec().decode_status(answer)
+
+    def close_idle(self, keep: int) -> None:
+        """Close connections unused for a while, but for ``keep`` of them."""
+        oldest = self._clock.now() - IDLE_LIMIT
+        for link in list(self._idle):
+            if self.open_count > keep and link.idle_since < oldest:
+                link.close()
+
+    def close(self) -> None:
+        """Close what is idle now and the rest when it comes back."""
+        self._is_closed = True
+        for link in list(self._idle):
+            link.close()
+
+    def abort(self) -> None:
+        """Close every connection at once."""
+        self._is_closed = True
+        for link in list(self._open):
+            link.close()
+
+
+def _misfit(link: BackendLink, values: Mapping[str, str]) -> int:
+    if not link.values.keys() <= values.keys():
+        return 2 + len(link.prepared)  # needs a reset, which costs the prepared statements
+    return 0 if link.values == values else 1
--- /dev/null
+++ b/hickorywind/host/peers.py
@@ -0,0 +1,228 @@
+"""Exchange messages with the other hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import zmq
+
+from hickorywind.failover.leadership import HostRecord
+from hickorywind.host.identity import HostIdentity
+from hickorywind.ids import Address, AvailabilityZone, HostId
+from hickorywind.ports.coordination import LeaseId
+from hickorywind.protocol.channel import Link, Listener
+from hickorywind.protocol.messages import CopyReply, Greeting, GreetingReply, Message
+from hickorywind.results import HickorywindError
+from hickorywind.util.clock import Clock, Instant
+
+logger = logging.getLogger(__name__)
+
+GREETING_INTERVAL = timedelta(seconds=1)  # spreads news within the configuration bound
+CALL_TIMEOUT = timedelta(milliseconds=700)  # several round trips between regions
+ALIVE_WINDOW = timedelta(milliseconds=3500)  # three greetings lost in a row
+FORGET_AFTER = timedelta(seconds=60)  # a host that left for good is no longer greeted
+_MISSES_UNTIL_RECONNECT = 2  # a connection may be silent while a new one works
+
+
+@dataclass
+class Peer:
+    """Hold the connection to one other host."""
+
+    record: HostRecord
+    link: Link
+    last_heard: Instant
+    misses: int = 0
+    waiting: dict[int, asyncio.Future] = field(default_factory=dict)
+    tasks: list[asyncio.Task] = field(default_factory=list)
+
+
+class Peers:
+    """Know the other hosts, greet them and carry calls."""
+
+    def __init__(self, identity: HostIdentity, clock: Clock, rng: random.Random) -> None:
+        self._identity = identity
+        self._clock = clock
+        self._rng = rng
+        self._peers: dict[HostId, Peer] = {}
+        self._next_call = 1
+        self._listener: Listener | None = None
+        self.answer: Callable[[Message], Awaitable[Message | None]] | None = None
+        self.make_greeting: Callable[[int], Greeting] | None = None
+        self.on_greeting_reply: Callable[[GreetingReply, Instant], None] | None = None
+        self.on_membership: Callable[[], None] = lambda: None
+
+    async def serve(self) -> None:
+        """Answer the other hosts until cancelled."""
+        self._listener = Listener(self._identity.address, with_heartbeats=False)
+        try:
+            while True:
+                received = await self._listener.receive()
+                asyncio.create_task(self._respond(received.peer, received.message))  # noqa: RUF006
+        finally:
+            self._listener.close()
+
+    async def _respond(self, sender: bytes, message: Message) -> None:
+        reply = await self.answer(message)
+        if reply is not None:
+            await self._listener.send(sender, reply)
+
+    def add(self, record: HostRecord) -> None:
+        """Learn of a host, or of another life of one."""
+        if record.host == self._identity.host:
+            return
+        known = self._peers.get(record.host)
+        if known is not None:
+            if known.record.incarnation >= record.incarnation:
+                return
+            self._remove(record.host)
+        link = Link(record.address, with_heartbeats=False)
+        peer = Peer(record, link, self._clock.now())
+        self._peers[record.host] = peer
+        peer.tasks = [
+            asyncio.create_task(self._receive(peer)),
+            asyncio.create_task(self._greet(peer)),
+        ]
+        logger.info(
+            "peer_added",
+            extra={"peer": record.host, "address": record.address, "zone": record.zone},
+        )
+        self.on_membership()
+
+    def meet(self, greeting: Greeting) -> None:
+        """Learn of the host that sent a greeting."""
+        known = self._peers.get(greeting.host)
+        if known is not None and known.record.incarnation >= greeting.incarnation:
+            return
+        self.add(
+            HostRecord(
+                greeting.host,
+                greeting.incarnation,
+                AvailabilityZone(greeting.zone),
+                greeting.address,
+                LeaseId(0),
+            )
+        )
+
+    def _remove(self, host: HostId) -> None:
+        peer = self._peers.pop(host)
+        for task in peer.tasks:
+            task.cancel()
+        peer.link.close()
+
+    def known(self) -> tuple[HostRecord, ...]:
+        """Return every other host that was heard of lately."""
+        return tuple(peer.record for peer in self._peers.values())
+
+    def alive(self) -> tuple[HostId, ...]:
+        """Return the other hosts that answered lately."""
+        oldest = self._clock.now() - ALIVE_WINDOW
+        return tuple(host for host, peer in self._peers.items() if peer.last_heard >= oldest)
+
+    async def call(
+        self, host: HostId, make: Callable[[int], Message], timeout: timedelta = CALL_TIMEOUT
+    ) -> Message | None:
+        """Send a message and return the reply, or None where none comes in time."""
+        peer = self._peers.get(host)
+        if peer is None:
+            return None
+        number = self._next_call
+        self._next_call += 1
+        future = asyncio.get_running_loop().create_future()
+        peer.waiting[number] = future
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                if not await peer.link.send(make(number)):
+                    return None
+                return await future
+        except (TimeoutError, zmq.ZMQError):
+            return None
+        finally:
+            peer.waiting.pop(number, None)
+
+    async def tell_all(self, message: Message) -> None:
+        """Send a message that needs no reply to every host."""
+        for peer in list(self._peers.values()):
+            await peer.link.send(message)
+
+    async def _receive(self, peer: Peer) -> None:
+        while True:
+            link = peer.link
+            try:
+                message = await link.receive()
+            except HickorywindError as error:
+                logger.warning(
+                    "peer_message_refused", extra={"peer": peer.record.host, "reason": str(error)}
+                )
+                continue
+            except zmq.ZMQError:
+                # The socket was replaced by a new connection.
+                await asyncio.sleep(0)
+                continue
+            peer.last_heard = self._clock.now()
+            peer.misses = 0
+            waiter = peer.waiting.get(getattr(message, "call", 0))
+            if waiter is not None and not waiter.done():
+                waiter.set_result(message)
+            elif isinstance(message, CopyReply):
+                await self.answer(message)
+
+    async def _greet(self, peer: Peer) -> None:
+        interval = GREETING_INTERVAL.total_seconds()
+        while True:
+            sent = self._clock.now()
+            reply = await self.call(peer.record.host, self.make_greeting)
+            if isinstance(reply, GreetingReply):
+                self.on_greeting_reply(reply, sent)
+            else:
+                self._miss(peer)
+                if self._clock.now() > peer.last_heard + FORGET_AFTER:
+                    logger.info("peer_forgotten", extra={"peer": peer.record.host})
+                    self._peers.pop(peer.record.host, None)
+                    peer.link.close()
+                    peer.tasks[0].cancel()
+                    return
+            await asyncio.sleep(interval * self._rng.uniform(0.8, 1.2))
+
+    def _miss(self, peer: Peer) -> None:
+        peer.misses += 1
+        if peer.misses % _MISSES_UNTIL_RECONNECT:
+            return
+        old, peer.link = peer.link, Link(peer.record.address, with_heartbeats=False)
+        old.close()
+        peer.tasks[0].cancel()
+        peer.tasks[0] = asyncio.create_task(self._receive(peer))
+        self.on_membership()
+
+    def close(self) -> None:
+        """Stop speaking with the other hosts."""
+        for host in list(self._peers):
+            self._remove(host)
+
+
+async def is_process_gone(address: Address, timeout: timedelta) -> bool:
+    """Tell whether a host that is up refuses connections: its process has ended."""
+    try:
+        async with asyncio.timeout(timeout.total_seconds()):
+            _, writer = await asyncio.open_connection(address.host, address.port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
+
+
+async def accepts_connections(address: Address, timeout: timedelta) -> bool:
+    """Tell whether something accepts TCP connections at an address."""
+    try:
+        async with asyncio.timeout(timeout.total_seconds()):
+            _, writer = await asyncio.open_connection(address.host, address.port)
+    except (OSError, TimeoutError):
+        return False
+    writer.transport.abort()
+    return True
--- /dev/null
+++ b/hickorywind/host/requestlog.py
@@ -0,0 +1,72 @@
+"""Log how requests end: failures always, successes as counts."""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+
+from hickorywind.host.operation import Transaction
+from hickorywind.observability.hostmetrics import HostMetrics
+from hickorywind.ports.catalog import DatabaseName
+from hickorywind.ports.replies import Done, Failed, Relayed, Reply
+from hickorywind.ports.statements import Request
+from hickorywind.results import Result
+from hickorywind.util.clock import to_milliseconds
+
+logger = logging.getLogger(__name__)
+
+
+class RequestLog:
+    """Write one line for each request that failed and count all of them."""
+
+    def __init__(self, metrics: HostMetrics) -> None:
+        self._metrics = metrics
+
+    def refused(self, request_id: str, database: DatabaseName, result: Result) -> None:
+        """Log a request or session that was refused before it was routed."""
+        self._metrics.count_request(result.outcome.value, int(result.code))
+        logger.info(
+            "request_refused",
+            extra={
+                "request_id": request_id,
+                "database": database,
+                "outcome": result.outcome,
+                "code": int(result.code),
+                "reason": result.reason,
+            },
+        )
+
+    def answered(
+        self,
+        request: Request,
+        database: DatabaseName,
+        reply: Reply,
+        duration: timedelta,
+        transaction: Transaction | None,
+    ) -> None:
+        """Log a request that failed; count any."""
+        match reply:
+            case Done():
+                return
+            case Relayed(answer) if answer.is_ok:
+                self._metrics.count_request("ran", 0)
+                self._metrics.observe_latency(duration)
+                return
+            case Relayed(answer):
+                outcome, code, reason = "backend_error", 0, answer.error.text
+            case Failed(result):
+                outcome, code, reason = result.outcome.value, int(result.code), result.reason
+        self._metrics.count_request(outcome, code)
+        logger.info(
+            "request_failed",
+            extra={
+                "request_id": request.request_id,
+                "database": database,
+                "statement": type(request.statement).__name__.lower(),
+                "outcome": outcome,
+                "code": code,
+                "reason": reason,
+                "duration_ms": round(to_milliseconds(duration), 1),
+                "in_transaction": transaction is not None,
+            },
+        )
--- /dev/null
+++ b/hickorywind/host/role.py
@@ -0,0 +1,335 @@
+"""Join the parts of a host process: callers, backend servers, peers, store and succession."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from hickorywind.host.fleet import Fleet
+from hickorywind.host.identity import HostIdentity
+from hickorywind.host.peers import Peers, accepts_connections
+from hickorywind.host.requestlog import RequestLog
+from hickorywind.host.service import DISPATCH_INTERVAL, ServiceRuntime
+from hickorywind.host.session import Session
+from hickorywind.host.storesync import StoreSync
+from hickorywind.host.succession import REACH_TIMEOUT, Succession
+from hickorywind.ids import Incarnation, Revision, ServiceName
+from hickorywind.observability.hostmetrics import HostMetrics
+from hickorywind.ports.catalog import Topology
+from hickorywind.ports.codecs import BackendCodec, CallerCodec
+from hickorywind.ports.coordination import (
+    Coordinator,
+    DocumentSchema,
+    Promoter,
+    Snapshot,
+)
+from hickorywind.protocol.messages import (
+    CloseService,
+    CopyQuery,
+    CopyReply,
+    Greeting,
+    GreetingReply,
+    Message,
+    PositionSample,
+    ReachQuery,
+    ReachReply,
+    RenewalQuery,
+    RenewalReply,
+    ServiceClosed,
+)
+from hickorywind.settings.host import HostSettings
+from hickorywind.store.interface import StoredValue
+from hickorywind.util.clock import Clock, Instant, milliseconds, to_milliseconds
+
+logger = logging.getLogger(__name__)
+
+BACKLOG = 1_024  # callers that reconnect at once after a host was lost
+HOUSEKEEPING_INTERVAL = timedelta(milliseconds=500)  # for idle links and missing registrations
+# After SIGTERM the balancer needs two missed probes, a second apart, to send no more callers.
+ROTATION_WAIT = timedelta(milliseconds=2300)
+TRANSACTION_SHARE = 0.5  # open transactions have this share of the grace time to end
+EXIT_SHARE = 0.8  # the process is gone by this share of the grace time
+
+
+@dataclass(frozen=True)
+class Adapters:
+    """Hold the adapter's side of every port."""
+
+    make_caller_codec: Callable[[], CallerCodec]
+    make_backend_codec: Callable[[], BackendCodec]
+    coordinator: Coordinator
+    promoter: Promoter
+    schema: DocumentSchema
+
+
+class HostRole:
+    """Run one host."""
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        adapters: Adapters,
+        clock: Clock,
+        incarnation: Incarnation,
+        metrics: HostMetrics,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._adapters = adapters
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = rng
+        self._identity = HostIdentity(
+            settings.host,
+            incarnation,
+            settings.availability_zone,
+            settings.address("peers_listen"),
+        )
+        self._fleet = Fleet(adapters.schema, clock)
+        self._services: dict[ServiceName, ServiceRuntime] = {}
+        self._sessions: set[Session] = set()
+        self._peers = Peers(self._identity, clock, rng)
+        self._sync = StoreSync(
+            self._fleet, adapters.coordinator, self._identity, self._peers, metrics, rng
+        )
+        self._succession = Succession(
+            self._fleet,
+            self._services,
+            self._peers,
+            adapters.coordinator,
+            adapters.promoter,
+            self._identity,
+            metrics,
+            rng,
+        )
+        self._request_log = RequestLog(metrics)
+        self._server: asyncio.Server | None = None
+        self._is_stopping = False
+        self._copying: set[str] = set()
+        self._connect_parts()
+
+    def _connect_parts(self) -> None:
+        self._peers.answer = self._answer_peer
+        self._peers.make_greeting = self._make_greeting
+        self._peers.on_greeting_reply = self._take_greeting_reply
+        self._peers.on_membership = self._refresh_services
+        self._fleet.on_backends.append(self._refresh_services)
+        self._fleet.on_configuration.append(self._refresh_services)
+        self._fleet.on_leadership.append(lambda service: self._refresh_services())
+
+    # Life --------------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._peers.serve())
+            group.create_task(self._sync.run())
+            group.create_task(self._succession.patrol())
+            group.create_task(self._tick())
+            group.create_task(self._keep_house())
+            await self._listen()
+
+    async def _listen(self) -> None:
+        address = self._settings.address("callers_listen")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make_session, address.host, address.port, backlog=BACKLOG, family=socket.AF_INET
+        )
+
+    def _make_session(self) -> Session:
+        session = Session(
+            self._fleet,
+            self._services.get,
+            self._adapters.make_caller_codec(),
+            self._clock,
+            self._request_log,
+            self._sessions.discard,
+        )
+        self._sessions.add(session)
+        self._metrics.sessions.set(len(self._sessions))
+        if self._is_stopping:
+            session.leave_when_idle()
+        return session
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether this host should get new callers."""
+        if self._is_stopping or self._fleet.configuration is None:
+            return False
+        return self._fleet.permits.is_valid(self._fleet.now())
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
+            for service in self._services.values():
+                service.place_waiting()
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_INTERVAL.total_seconds())
+            self._fleet.drop_missing()
+            for name, service in self._services.items():
+                service.close_idle_links()
+                self._metrics.waiting.labels(name).set(service.waiting_count)
+            left = self._fleet.permits.valid_until - self._fleet.now()
+            self._metrics.permit_seconds.set(left.total_seconds())
+            self._metrics.sessions.set(len(self._sessions))
+
+    async def drain(self) -> None:
+        """Take no new callers, end what is open within the grace time and return."""
+        started = self._clock.now()
+        grace = timedelta(seconds=self._settings.stop_grace_seconds)
+        self._is_stopping = True
+        await asyncio.sleep(min(ROTATION_WAIT, grace * TRANSACTION_SHARE).total_seconds())
+        self._server.close()
+        for session in list(self._sessions):
+            session.leave_when_idle()
+        while self._sessions and self._clock.now() < started + grace * EXIT_SHARE:
+            if self._clock.now() >= started + grace * TRANSACTION_SHARE:
+                self._end_transactions()
+            await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
+        logger.info("sessions_left", extra={"count": len(self._sessions)})
+        self._succession.close()
+        for session in list(self._sessions):
+            session.abort()
+        for service in self._services.values():
+            service.close()
+        await self._sync.unregister()
+        self._peers.close()
+        await self._adapters.coordinator.close()
+
+    def _end_transactions(self) -> None:
+        for session in list(self._sessions):
+            transaction = session.open_transaction()
+            if transaction is not None and not session.is_busy:
+                session.abort()
+
+    # Services ----------------------------------------------------------------------------------
+
+    def _refresh_services(self) -> None:
+        for server in list(self._fleet.backends.values()):
+            if server.service not in self._services:
+                self._add_service(server.service)
+        for service in self._services.values():
+            service.host_count = 1 + len(self._peers.alive())
+            service.refresh()
+        if self._fleet.configuration is not None:
+            self._metrics.configuration_version.set(self._fleet.configuration.version)
+
+    def _add_service(self, name: ServiceName) -> None:
+        service = ServiceRuntime(
+            name,
+            self._fleet,
+            Topology(self._settings.zones),
+            self._settings.availability_zone,
+            self._adapters.make_backend_codec,
+            self._clock,
+            self._rng,
+        )
+        service.on_suspect = self._succession.suspect
+        self._services[name] = service
+
+    # Peers -------------------------------------------------------------------------------------
+
+    def _revisions(self) -> dict[str, int]:
+        return {prefix: copy.changed_at for prefix, copy in self._fleet.copies.items()}
+
+    def _make_greeting(self, call: int) -> Greeting:
+        identity = self._identity
+        return Greeting(
+            call,
+            identity.host,
+            identity.incarnation,
+            identity.zone,
+            identity.address,
+            self._revisions(),
+        )
+
+    def _take_greeting_reply(self, reply: GreetingReply, sent: Instant) -> None:
+        for sample in reply.samples:
+            service = self._services.get(sample.service)
+            if service is not None:
+                # The peer's age counts from a moment after the greeting was sent.
+                service.samples.add(sent - milliseconds(sample.age_ms), sample.position)
+        self._catch_up(reply)
+
+    def _catch_up(self, reply: GreetingReply) -> None:
+        for prefix, revision in reply.revisions.items():
+            copy = self._fleet.copies.get(prefix)
+            if copy is not None and copy.changed_at < revision and prefix not in self._copying:
+                self._copying.add(prefix)
+                asyncio.create_task(self._copy(reply, prefix))  # noqa: RUF006
+
+    async def _copy(self, reply: GreetingReply, prefix: str) -> None:
+        try:
+            answer = await self._peers.call(reply.host, lambda call: CopyQuery(call, prefix))
+            if isinstance(answer, CopyReply):
+                self._take_copy(answer, reply.host)
+        finally:
+            self._copying.discard(prefix)
+
+    def _take_copy(self, reply: CopyReply, source: str) -> None:
+        if reply.prefix not in self._fleet.copies:
+            logger.warning("copy_of_unknown_prefix", extra={"prefix": reply.prefix})
+            return
+        items = tuple(StoredValue(item.key, item.value, item.revision) for item in reply.items)
+        self._fleet.take_snapshot(
+            reply.prefix, Snapshot(items, Revision(reply.as_of)), f"peer {source}"
+        )
+
+    async def _answer_peer(self, message: Message) -> Message | None:
+        match message:
+            case Greeting():
+                return self._answer_greeting(message)
+            case CopyQuery(call, prefix):
+                copy = self._fleet.copies.get(prefix)
+                return None if copy is None else copy.to_message(call)
+            case CopyReply():
+                self._take_copy(message, "notice")
+            case ReachQuery(call, backend):
+                server = self._fleet.backends.get(backend)
+                reached = server is not None and await accepts_connections(
+                    server.address, REACH_TIMEOUT
+                )
+                return ReachReply(call, reached)
+            case CloseService(call, service, revision, is_planned):
+                return await self._close_service(call, service, revision, is_planned)
+            case RenewalQuery(call, lease):
+                return RenewalReply(call, await self._sync.renew(lease))
+        return None
+
+    def _answer_greeting(self, greeting: Greeting) -> GreetingReply:
+        self._peers.meet(greeting)
+        now = self._clock.now()
+        samples = []
+        for name, service in self._services.items():
+            newest = service.samples.newest()
+            if newest is not None:
+                age_ms = int(to_milliseconds(now - newest[0])) + 1
+                samples.append(PositionSample(name, newest[1], age_ms))
+        identity = self._identity
+        return GreetingReply(
+            greeting.call,
+            identity.host,
+            identity.incarnation,
+            identity.zone,
+            self._revisions(),
+            tuple(samples),
+        )
+
+    async def _close_service(
+        self, call: int, name: ServiceName, revision: Revision, is_planned: bool
+    ) -> ServiceClosed:
+        service = self._services.get(name)
+        if service is None:
+            self._fleet.permits.veto(name, revision)
+        else:
+            self._fleet.permits.hold(name, revision)
+            await self._succession.end_own_use(service, revision, is_planned)
+        logger.info("service_closed", extra={"service": name, "revision": revision})
+        return ServiceClosed(call)
--- /dev/null
+++ b/hickorywind/host/service.py
@@ -0,0 +1,340 @@
+"""Serve one database service: its backend servers, the queue before them, and position samples."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import Protocol
+
+from hickorywind.admission.dispatch import Dispatcher, Server, Target, Ticket
+from hickorywind.host.backendlink import BackendLink, LinkLostError, LinkRefusedError
+from hickorywind.host.fleet import Fleet
+from hickorywind.host.linkpool import LinkPool
+from hickorywind.ids import AvailabilityZone, BackendId, ServiceName
+from hickorywind.ports.catalog import BackendServer, BackendState, Route, Topology
+from hickorywind.ports.codecs import BackendCodec
+from hickorywind.ports.replies import Answer, BackendErrorKind
+from hickorywind.results import Result, ResultCode
+from hickorywind.routing.samples import PositionSamples
+from hickorywind.util.clock import Clock, Instant
+
+logger = logging.getLogger(__name__)
+
+DISPATCH_INTERVAL = timedelta(milliseconds=20)  # bounds how late a waiting operation is refused
+PRIMARY_CHANGE_WAIT = timedelta(seconds=5)  # a change of primary is over within this time
+STATUS_TIMEOUT = timedelta(milliseconds=700)  # a busy slot and a round trip between regions
+UNREACHABLE_HINT_MS = 200  # another host can serve the operation at once
+TRANSACTION_END_WAIT = timedelta(milliseconds=1200)  # well inside the drain bound
+LINK_SHARE = 2.0  # uneven load: a host may hold this many times its even share of connections
+LINK_MIN = 4  # what a host may hold however many hosts there are
+
+
+class PrimaryWork(Protocol):
+    """End work that is open at a primary."""
+
+    def abandon(self) -> None:
+        """Roll the work back at once."""
+        ...
+
+
+class PrimaryState(Enum):
+    """Say what this host can expect of the primary of a service."""
+
+    USABLE = "usable"
+    CHANGING = "changing"
+    UNREACHABLE = "unreachable"
+
+
+@dataclass(slots=True)
+class Backend:
+    """Join what belongs to one backend server."""
+
+    server: BackendServer
+    links: LinkPool
+    load: Server
+
+
+@dataclass(slots=True)
+class Grant:
+    """Hold a connection that an operation was given; ``started`` is when it was granted."""
+
+    backend: Backend
+    link: BackendLink
+    started: Instant
+
+
+class ServiceRuntime:
+    """Place operations on the backend servers of one service."""
+
+    def __init__(
+        self,
+        name: ServiceName,
+        fleet: Fleet,
+        topology: Topology,
+        zone: AvailabilityZone,
+        make_codec: Callable[[], BackendCodec],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.fleet = fleet
+        self.clock = clock
+        self.backends: dict[BackendId, Backend] = {}
+        self.samples = PositionSamples()
+        self.primary_state = PrimaryState.USABLE
+        self.on_suspect: Callable[[ServiceName, str], None] = lambda service, reason: None
+        self.host_count = 1
+        self._topology = topology
+        self._zone = zone
+        self._make_codec = make_codec
+        self._rng = rng
+        self._dispatcher = Dispatcher(rng)
+        self._sampling: asyncio.Task | None = None
+        self._at_primary: set[PrimaryWork] = set()
+
+    # Membership --------------------------------------------------------------------------------
+
+    def refresh(self) -> None:
+        """Take in the backend servers, the primary and the connection limit now known."""
+        current = {
+            server.backend: server
+            for server in self.fleet.backends.values()
+            if server.service == self.name
+        }
+        for backend in list(self.backends):
+            known = self.backends[backend].server
+            fresh = current.get(backend)
+            if fresh is None or _is_other_life(known, fresh):
+                self._drop(backend)
+        for server in current.values():
+            self._adopt(server)
+        self._set_caps()
+        self._dispatcher.primary = self.fleet.usable_primary(self.name)
+        self.place_waiting()
+
+    def _adopt(self, server: BackendServer) -> None:
+        held = self.backends.get(server.backend)
+        if held is None:
+            links = LinkPool(server, self._make_codec, self.clock)
+            distance = self._topology.distance(self._zone, server.zone)
+            load = Server(server.backend, distance, server.slots)
+            load.has_connection = links.has_connection
+            held = self.backends[server.backend] = Backend(server, links, load)
+            self._dispatcher.servers[server.backend] = load
+        held.server = server
+        held.links.server = server
+        held.load.is_available = server.state is BackendState.READY
+
+    def _drop(self, backend: BackendId) -> None:
+        held = self.backends.pop(backend)
+        self._dispatcher.servers.pop(backend, None)
+        held.links.close()
+
+    def _set_caps(self) -> None:
+        configuration = self.fleet.configuration
+        limit = 0
+        if configuration is not None:
+            limit = configuration.connection_limits.get(self.name, 0)
+        share = LINK_SHARE * limit / max(1, self.host_count)
+        for backend in self.backends.values():
+            backend.links.cap = max(LINK_MIN, round(share))
+
+    def may_finish(self, backend: Backend) -> bool:
+        """Tell whether work begun at a backend server as primary may go on."""
+        return self.fleet.permits.may_finish(self.name, backend.server.backend, self.fleet.now())
+
+    def primary_backend(self) -> Backend | None:
+        """Return the primary where this host may use it now."""
+        primary = self.fleet.usable_primary(self.name)
+        return None if primary is None else self.backends.get(primary)
+
+    @property
+    def waiting_count(self) -> int:
+        """Return how many operations wait."""
+        return self._dispatcher.waiting_count
+
+    # Operations --------------------------------------------------------------------------------
+
+    def place_waiting(self) -> None:
+        """Start or refuse waiting operations as far as that is possible now."""
+        self._dispatcher.primary = self.fleet.usable_primary(self.name)
+        self._dispatcher.place_waiting(self.clock.now())
+
+    async def acquire(
+        self,
+        route: Route,
+        target: Target,
+        arrived: Instant,
+        values: Mapping[str, str],
+        excluded: frozenset[BackendId] = frozenset(),
+    ) -> Grant | Result:
+        """Wait for a backend server and a connection; return a refusal where none comes in time."""
+        future: asyncio.Future[BackendId | Result] = asyncio.get_running_loop().create_future()
+        wait_limit = max(route.objective, PRIMARY_CHANGE_WAIT)
+        ticket = Ticket(
+            rank=route.rank,
+            arrived=arrived,
+            start_by=arrived + route.objective * 0.9,
+            give_up=arrived + wait_limit,
+            target=target,
+            grant=lambda backend: _settle(future, backend),
+            refuse=lambda result: _settle(future, result),
+            excluded=excluded,
+        )
+        self._dispatcher.primary = self.fleet.usable_primary(self.name)
+        self._dispatcher.submit(ticket, self.clock.now())
+        try:
+            outcome = await future
+        except asyncio.CancelledError:
+            self._dispatcher.withdraw(ticket)
+            if future.done() and not future.cancelled() and not isinstance(future.result(), Result):
+                self.release_slot(self.backends.get(future.result()))
+            raise
+        if isinstance(outcome, Result):
+            return outcome
+        return await self._connect(outcome, values)
+
+    async def _connect(self, backend_id: BackendId, values: Mapping[str, str]) -> Grant | Result:
+        backend = self.backends.get(backend_id)
+        if backend is None:
+            return Result.not_run(ResultCode.BACKEND_UNREACHABLE, "the backend server left", 50)
+        started = self.clock.now()
+        try:
+            link = await backend.links.take(values)
+        except (LinkLostError, LinkRefusedError) as error:
+            self.release_slot(backend)
+            self.note_connection_failure(backend, error)
+            return Result.not_run(
+                ResultCode.BACKEND_UNREACHABLE, f"no connection to the backend server: {error}", 50
+            )
+        except asyncio.CancelledError:
+            self.release_slot(backend)
+            raise
+        return Grant(backend, link, started)
+
+    def note_connection_failure(self, backend: Backend, error: Exception) -> None:
+        """Count a failed connection; a failing primary is investigated."""
+        refused = isinstance(error, LinkRefusedError)
+        if refused and error.kind is BackendErrorKind.CONNECTION_LIMIT:
+            return
+        if backend.server.backend == self.current_primary():
+            self.on_suspect(self.name, "connecting failed")
+            return
+        backend.load.is_available = False
+        self._retry_later(backend)
+
+    def _retry_later(self, backend: Backend) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.5, self._make_available, backend.server.backend)
+
+    def _make_available(self, backend_id: BackendId) -> None:
+        backend = self.backends.get(backend_id)
+        if backend is not None:
+            backend.load.is_available = backend.server.state is BackendState.READY
+
+    def set_primary_state(self, state: PrimaryState) -> None:
+        """Change what operations may expect of the primary."""
+        if state is self.primary_state:
+            return
+        self.primary_state = state
+        logger.info("primary_state", extra={"service": self.name, "state": state})
+        if state is PrimaryState.UNREACHABLE:
+            reason = "this host does not reach the primary, others do"
+            self._dispatcher.refuse_primary_work(
+                Result.not_run(ResultCode.NO_PRIMARY, reason, UNREACHABLE_HINT_MS)
+            )
+
+    def current_primary(self) -> BackendId | None:
+        """Return the primary that the newest record names, usable or not."""
+        leadership = self.fleet.permits.leadership(self.name)
+        return None if leadership is None else leadership.record.primary
+
+    def release_slot(self, backend: Backend | None) -> None:
+        """Give back a slot whose statement brought no answer."""
+        if backend is not None:
+            backend.load.limit.abandon()
+        self.place_waiting()
+
+    def finish_slot(self, backend: Backend, started: Instant) -> None:
+        """Give back the slot of an answered statement."""
+        now = self.clock.now()
+        backend.load.limit.finish(now - started, now)
+        self.place_waiting()
+
+    def note_answer(
+        self, backend: Backend, answer: Answer, sent: Instant, as_primary: bool
+    ) -> None:
+        """Learn from an answer: the server's position and, of a primary, a sample."""
+        if answer.position is None:
+            return
+        backend.load.note_position(answer.position)
+        if as_primary:
+            self.samples.add(sent, answer.position)
+
+    # Planned changes of primary -----------------------------------------------------------------
+
+    def open_at_primary(self, transaction: PrimaryWork) -> None:
+        """Remember a transaction that is open at the primary."""
+        self._at_primary.add(transaction)
+
+    def ended_at_primary(self, transaction: PrimaryWork) -> None:
+        """Forget a transaction that was open at the primary."""
+        self._at_primary.discard(transaction)
+
+    async def end_primary_transactions(self) -> None:
+        """Wait for the transactions open at the primary, then end those that take too long."""
+        until = self.clock.now() + TRANSACTION_END_WAIT
+        while self._at_primary and self.clock.now() < until:
+            await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
+        for transaction in list(self._at_primary):
+            transaction.abandon()
+
+    # Samples -----------------------------------------------------------------------------------
+
+    def refresh_sample(self) -> None:
+        """Ask the primary for its position in the background, once at a time."""
+        if self._sampling is None or self._sampling.done():
+            self._sampling = asyncio.create_task(self._sample())
+
+    async def _sample(self) -> None:
+        backend = self.primary_backend()
+        if backend is None or not backend.links.has_connection():
+            return
+        try:
+            await self.query_status(backend)
+        except (LinkLostError, LinkRefusedError) as error:
+            self.note_connection_failure(backend, error)
+
+    async def query_status(self, backend: Backend) -> Answer:
+        """Ask a backend server for its status; raise where it does not answer."""
+        link = await backend.links.take({})
+        sent = self.clock.now()
+        is_primary = self.fleet.usable_primary(self.name) == backend.server.backend
+        answers = await link.exchange(link.codec.encode_status(), 1, STATUS_TIMEOUT)
+        backend.links.give_back(link)
+        self.note_answer(backend, answers[0], sent, is_primary)
+        return answers[0]
+
+    def close_idle_links(self) -> None:
+        """Close connections that have not been used for a while."""
+        for backend in self.backends.values():
+            backend.links.close_idle(keep=1)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for backend in self.backends.values():
+            backend.links.abort()
+
+
+def _settle(future: asyncio.Future, value: BackendId | Result) -> None:
+    if not future.done():
+        future.set_result(value)
+
+
+def _is_other_life(known: BackendServer, fresh: BackendServer) -> bool:
+    return known.started_ms != fresh.started_ms or known.address != fresh.address
--- /dev/null
+++ b/hickorywind/host/session.py
@@ -0,0 +1,340 @@
+"""Serve one caller: keep its session state and answer its statements one after the other."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+
+from hickorywind.host.backendlink import PreparedShape
+from hickorywind.host.fleet import Fleet
+from hickorywind.host.operation import Operation, SessionContext, Transaction
+from hickorywind.host.requestlog import RequestLog
+from hickorywind.host.service import ServiceRuntime
+from hickorywind.ids import AccessMode, ServiceName
+from hickorywind.ports.catalog import DatabaseName, Route
+from hickorywind.ports.codecs import CallerCodec
+from hickorywind.ports.replies import Done, Failed, Reply, TransactionState
+from hickorywind.ports.statements import (
+    Access,
+    Begin,
+    CallerEvent,
+    Commit,
+    Connect,
+    Deallocate,
+    Execute,
+    Malformed,
+    Prepare,
+    Request,
+    Rollback,
+    SetValue,
+    Terminate,
+)
+from hickorywind.results import Result, ResultCode
+from hickorywind.util.clock import Clock
+
+logger = logging.getLogger(__name__)
+
+PENDING_LIMIT = 64  # requests that a caller may send ahead of the answers
+PREPARED_LIMIT = 1_000  # prepared names that one session may hold
+VALUES_LIMIT = 200  # session values that one session may hold
+
+ServiceFinder = Callable[[ServiceName], ServiceRuntime | None]
+
+
+class Session(asyncio.Protocol):
+    """Own one caller connection."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        find_service: ServiceFinder,
+        codec: CallerCodec,
+        clock: Clock,
+        log: RequestLog,
+        on_end: Callable[[Session], None],
+    ) -> None:
+        self._fleet = fleet
+        self._find_service = find_service
+        self._codec = codec
+        self._clock = clock
+        self._log = log
+        self._on_end = on_end
+        self._transport: asyncio.Transport | None = None
+        self._pending: deque[CallerEvent] = deque()
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task | None = None
+        self._database = DatabaseName("")
+        self._context: SessionContext | None = None
+        self._transaction: Transaction | None = None
+        self._is_busy = False
+        self._is_leaving = False
+        self._is_ended = False
+
+    # Callbacks of the transport ----------------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start serving."""
+        self._transport = transport
+        self._task = asyncio.create_task(self._serve())
+
+    def data_received(self, data: bytes) -> None:
+        """Queue what the caller sent."""
+        self._pending += self._codec.feed(data)
+        if len(self._pending) > PENDING_LIMIT:
+            self._transport.pause_reading()
+        self._wake.set()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop serving; a statement under way is ended, its transaction rolled back."""
+        self._is_ended = True
+        self._wake.set()
+        self._on_end(self)
+
+    # Life --------------------------------------------------------------------------------------
+
+    @property
+    def has_transaction(self) -> bool:
+        """Tell whether a transaction is open."""
+        return self._transaction is not None
+
+    def open_transaction(self) -> Transaction | None:
+        """Return the open transaction."""
+        return self._transaction
+
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether a request is being answered."""
+        return self._is_busy or bool(self._pending)
+
+    def leave_when_idle(self) -> None:
+        """Close as soon as no request and no transaction is open."""
+        self._is_leaving = True
+        self._wake.set()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _serve(self) -> None:
+        try:
+            while not self._is_ended:
+                if not self._pending:
+                    if self._may_leave():
+                        break
+                    self._wake.clear()
+                    await self._wait_for_caller()
+                    continue
+                event = self._pending.popleft()
+                if not self._pending and self._transport is not None:
+                    self._transport.resume_reading()
+                self._is_busy = True
+                is_open = await self._handle(event)
+                self._is_busy = False
+                if not is_open:
+                    break
+        except Exception:
+            logger.exception("session_failed", extra={"database": self._database})
+        finally:
+            await self._end()
+
+    def _may_leave(self) -> bool:
+        return self._is_leaving and self._transaction is None
+
+    async def _wait_for_caller(self) -> None:
+        if self._transaction is None or not self._transaction.is_pinned:
+            await self._wake.wait()
+            return
+        limit = self._idle_limit()
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                await self._wake.wait()
+        except TimeoutError:
+            await self._transaction.expire()
+
+    def _idle_limit(self) -> timedelta:
+        return self._fleet.configuration.transaction_idle
+
+    async def _end(self) -> None:
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None:
+            await transaction.roll_back()
+        if self._transport is not None:
+            self._transport.close()
+
+    # Requests ----------------------------------------------------------------------------------
+
+    async def _handle(self, event: CallerEvent) -> bool:
+        match event:
+            case Connect(database, client):
+                return self._connect(database, client)
+            case Terminate():
+                return False
+            case Malformed(request_id, reason, is_fatal, is_too_large):
+                code = ResultCode.MESSAGE_TOO_LARGE if is_too_large else None
+                result = Result.not_run(code or ResultCode.MALFORMED_MESSAGE, reason)
+                self._log.refused(request_id, self._database, result)
+                if is_fatal or self._context is None:
+                    self._write(self._codec.encode_refused(result))
+                    return False
+                self._reply(Failed(result))
+                return True
+            case Request() if self._context is None:
+                result = Result.not_run(ResultCode.MALFORMED_MESSAGE, "not connected")
+                self._write(self._codec.encode_refused(result))
+                return False
+            case Request():
+                await self._answer(event)
+                return True
+
+    def _connect(self, database: str, client: str) -> bool:
+        if self._context is not None:
+            result = Result.not_run(ResultCode.MALFORMED_MESSAGE, "already connected")
+            self._write(self._codec.encode_refused(result))
+            return False
+        self._database = DatabaseName(database)
+        if self._route() is None:
+            result = self._unknown_database()
+            self._log.refused("-", self._database, result)
+            self._write(self._codec.encode_refused(result))
+            return False
+        self._context = SessionContext(client)
+        self._write(self._codec.encode_connected())
+        return True
+
+    def _route(self) -> Route | None:
+        configuration = self._fleet.configuration
+        return None if configuration is None else configuration.routes.get(self._database)
+
+    def _unknown_database(self) -> Result:
+        configuration = self._fleet.configuration
+        if configuration is None:
+            return Result.not_run(ResultCode.NOT_READY, "no configuration was read yet", 500)
+        reason = f"no route for this database in version {configuration.version}"
+        return Result.not_run(ResultCode.UNKNOWN_SERVICE, reason)
+
+    async def _answer(self, request: Request) -> None:
+        arrived = self._clock.now()
+        reply = await self._execute(request, arrived)
+        transaction = self._transaction
+        if isinstance(request.statement, Commit | Rollback):
+            self._transaction = None
+        self._reply(reply)
+        self._log.answered(request, self._database, reply, self._clock.now() - arrived, transaction)
+
+    def _reply(self, reply: Reply) -> None:
+        self._write(self._codec.encode_reply(reply, self._state()))
+
+    def _state(self) -> TransactionState:
+        if self._transaction is None:
+            return TransactionState.IDLE
+        return TransactionState.FAILED if self._transaction.has_failed else TransactionState.OPEN
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and not self._is_ended:
+            self._transport.write(data)
+
+    async def _execute(self, request: Request, arrived: timedelta) -> Reply:
+        transaction = self._transaction
+        if transaction is not None and transaction.has_failed:
+            return await self._end_failed(request, transaction)
+        match request.statement:
+            case SetValue(name, value):
+                return self._set_value(name, value)
+            case Prepare(name, mode, shape):
+                return self._prepare(name, mode, shape)
+            case Deallocate(name):
+                return self._deallocate(name)
+            case Begin(read_only):
+                return self._begin(read_only)
+            case Rollback():
+                if transaction is None:
+                    return _malformed("no transaction is open")
+                await transaction.roll_back()
+                return Done()
+            case Commit():
+                if transaction is None:
+                    return _malformed("no transaction is open")
+                return await transaction.run(request, None, None)
+            case Access(mode):
+                return await self._run(request, mode, None, arrived)
+            case Execute(name, _):
+                shape = self._context.shapes.get(name)
+                if shape is None:
+                    return self._unknown_statement()
+                mode = AccessMode.WRITE if shape.is_write else AccessMode.READ
+                return await self._run(request, mode, shape, arrived)
+
+    async def _end_failed(self, request: Request, transaction: Transaction) -> Reply:
+        match request.statement:
+            case Rollback():
+                await transaction.roll_back()
+                return Done()
+            case Commit():
+                await transaction.roll_back()
+                reason = "the transaction had failed and was rolled back"
+                return Failed(Result.not_run(ResultCode.TRANSACTION_LOST, reason))
+            case _:
+                return _malformed("the transaction has failed; roll it back first")
+
+    def _set_value(self, name: str, value: str) -> Reply:
+        if name not in self._context.values and len(self._context.values) >= VALUES_LIMIT:
+            return _malformed("the session holds too many values")
+        self._context.values[name] = value
+        return Done()
+
+    def _prepare(self, name: str, mode: AccessMode, shape: str) -> Reply:
+        if name not in self._context.shapes and len(self._context.shapes) >= PREPARED_LIMIT:
+            return _malformed("the session holds too many prepared statements")
+        self._context.shapes[name] = PreparedShape(mode, shape)
+        return Done()
+
+    def _deallocate(self, name: str) -> Reply:
+        if self._context.shapes.pop(name, None) is None:
+            return self._unknown_statement()
+        return Done()
+
+    def _unknown_statement(self) -> Reply:
+        if self._transaction is not None:
+            self._transaction.has_failed = True
+        reason = "no prepared statement of this name in the session"
+        return Failed(Result.not_run(ResultCode.UNKNOWN_PREPARED_STATEMENT, reason))
+
+    def _begin(self, read_only: bool) -> Reply:
+        if self._transaction is not None:
+            self._transaction.has_failed = True
+            return _malformed("a transaction is open already")
+        found = self._find()
+        if isinstance(found, Result):
+            return Failed(found)
+        route, service = found
+        self._transaction = Transaction(service, route, self._context, read_only)
+        return Done()
+
+    def _find(self) -> tuple[Route, ServiceRuntime] | Result:
+        route = self._route()
+        if route is None:
+            return self._unknown_database()
+        service = self._find_service(route.service)
+        if service is None:
+            return Result.not_run(ResultCode.NO_PRIMARY, "the service has no backend server", 500)
+        return route, service
+
+    async def _run(
+        self, request: Request, mode: AccessMode, shape: PreparedShape | None, arrived: timedelta
+    ) -> Reply:
+        if self._transaction is not None:
+            return await self._transaction.run(request, mode, shape)
+        found = self._find()
+        if isinstance(found, Result):
+            return Failed(found)
+        route, service = found
+        operation = Operation(service, route, self._context, request, mode, shape, arrived)
+        return await operation.run()
+
+
+def _malformed(reason: str) -> Reply:
+    return Failed(Result.not_run(ResultCode.MALFORMED_MESSAGE, reason))
--- /dev/null
+++ b/hickorywind/host/succession.py
@@ -0,0 +1,566 @@
+"""Replace the primary of a service: confirm that it failed, fence it, promote a successor."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from datetime import timedelta
+
+from hickorywind.failover.leadership import (
+    Fencing,
+    HostRecord,
+    HostStanding,
+    LeadershipPhase,
+    LeadershipRecord,
+    VersionedLeadership,
+    encode_record,
+)
+from hickorywind.host.backendlink import LinkLostError, LinkRefusedError
+from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX, Fleet
+from hickorywind.host.identity import HostIdentity
+from hickorywind.host.peers import Peers, accepts_connections, is_process_gone
+from hickorywind.host.service import Backend, PrimaryState, ServiceRuntime
+from hickorywind.host.storesync import parse_hosts
+from hickorywind.ids import BackendId, HostId, InstanceRole, Revision, ServiceName
+from hickorywind.observability.hostmetrics import HostMetrics
+from hickorywind.placement.rendezvous import rank_members
+from hickorywind.ports.catalog import BackendState
+from hickorywind.ports.coordination import (
+    Committed,
+    Condition,
+    Coordinator,
+    FencingToken,
+    Promoter,
+    PromotionOutcome,
+    Put,
+    Snapshot,
+)
+from hickorywind.ports.replies import ServerStatus
+from hickorywind.protocol.messages import CloseService, ReachQuery, ReachReply, ServiceClosed
+from hickorywind.store.interface import StoredValue, StoreUnavailableError
+
+logger = logging.getLogger(__name__)
+
+REACH_TIMEOUT = timedelta(milliseconds=400)  # several round trips between regions
+RANK_DELAY = timedelta(milliseconds=300)  # a host that is slower than the first choice waits
+CLOSE_TIMEOUT = timedelta(milliseconds=500)  # for a host's word that it stopped
+PLANNED_CLOSE_TIMEOUT = timedelta(milliseconds=2300)  # open transactions may end first
+FENCE_POLL = timedelta(milliseconds=100)  # how often silent hosts are looked at again
+CATCH_UP_LIMIT = timedelta(milliseconds=1500)  # for the successor of a planned change
+PROMOTION_LIMIT = timedelta(seconds=4)  # for one promotion to take effect
+PROMOTION_POLL = timedelta(milliseconds=60)  # how often the successor is asked whether it leads
+PROMOTION_RESEND = timedelta(milliseconds=1500)  # an order whose answer was lost is repeated
+RECHECK_INTERVAL = timedelta(milliseconds=400)  # between looks at an unreachable primary
+TAKEOVER_AFTER = timedelta(seconds=4)  # a change of primary that makes no progress
+STORE_ATTEMPTS = 6  # tries of one write with conditions
+
+
+class ChangeCancelledError(Exception):
+    """Report that a change of primary ended early; the message says why."""
+
+
+class Succession:
+    """Watch the primaries of all services from this host and replace those that failed."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        services: dict[ServiceName, ServiceRuntime],
+        peers: Peers,
+        coordinator: Coordinator,
+        promoter: Promoter,
+        identity: HostIdentity,
+        metrics: HostMetrics,
+        rng: random.Random,
+    ) -> None:
+        self._fleet = fleet
+        self._services = services
+        self._peers = peers
+        self._coordinator = coordinator
+        self._promoter = promoter
+        self._identity = identity
+        self._metrics = metrics
+        self._rng = rng
+        self._tasks: dict[ServiceName, asyncio.Task] = {}
+        self._closed_since: dict[ServiceName, tuple[Revision, timedelta]] = {}
+        self.is_stopping = False
+
+    # Triggers ----------------------------------------------------------------------------------
+
+    def suspect(self, service: ServiceName, reason: str) -> None:
+        """Look into a primary that failed a statement or a connection."""
+        if service not in self._services or self._is_working(service) or self.is_stopping:
+            return
+        self._start(service, self._investigate(service, reason))
+
+    def _is_working(self, service: ServiceName) -> bool:
+        task = self._tasks.get(service)
+        return task is not None and not task.done()
+
+    def _start(self, service: ServiceName, work) -> None:
+        self._tasks[service] = asyncio.create_task(self._guard(service, work))
+
+    async def _guard(self, service: ServiceName, work) -> None:
+        try:
+            await work
+        except ChangeCancelledError as error:
+            logger.info("primary_change_ended", extra={"service": service, "reason": str(error)})
+        except StoreUnavailableError as error:
+            logger.warning(
+                "primary_change_failed", extra={"service": service, "reason": str(error)}
+            )
+        except Exception:
+            logger.exception("primary_change_crashed", extra={"service": service})
+        finally:
+            runtime = self._services.get(service)
+            if runtime is not None:
+                runtime.refresh()
+
+    async def patrol(self) -> None:
+        """Look regularly at what no failed statement shows, until cancelled."""
+        while True:
+            await asyncio.sleep(RECHECK_INTERVAL.total_seconds())
+            for service in list(self._services):
+                if not self._is_working(service) and not self.is_stopping:
+                    self._look_at(service)
+
+    def _look_at(self, service: ServiceName) -> None:
+        leadership = self._fleet.permits.leadership(service)
+        if leadership is None:
+            self._start(service, self._initialise(service))
+            return
+        if leadership.record.phase is LeadershipPhase.CLOSED:
+            self._watch_closed(service, leadership)
+            return
+        self._closed_since.pop(service, None)
+        primary = self._fleet.backends.get(leadership.record.primary)
+        if primary is None:
+            self._start(service, self._investigate(service, "the primary is not registered"))
+        elif primary.state is BackendState.LEAVING:
+            self._start(service, self._replace_leaving(service, leadership))
+        elif self._services[service].primary_state is not PrimaryState.USABLE:
+            self._start(service, self._investigate(service, "the primary was unreachable"))
+
+    def _watch_closed(self, service: ServiceName, leadership: VersionedLeadership) -> None:
+        """Take a change over whose promoter makes no progress."""
+        now = self._fleet.now()
+        revision, since = self._closed_since.get(service, (Revision(0), now))
+        if revision != leadership.revision:
+            self._closed_since[service] = (leadership.revision, now)
+            return
+        promoter = leadership.record.promoter
+        is_own = promoter == self._identity.host
+        is_silent = not is_own and promoter not in self._peers.alive()
+        patience = TAKEOVER_AFTER + RANK_DELAY * self._rank(service)
+        if is_own or (is_silent and now > since + patience / 2) or now > since + patience * 2:
+            self._start(service, self._take_over(service, leadership))
+
+    def _rank(self, service: ServiceName) -> int:
+        hosts = [self._identity.host, *self._peers.alive()]
+        return list(rank_members(service, hosts)).index(self._identity.host)
+
+    # First record ------------------------------------------------------------------------------
+
+    async def _initialise(self, service: ServiceName) -> None:
+        """Record the primary that the backend servers themselves name."""
+        primaries = [
+            server.backend
+            for server in self._fleet.backends.values()
+            if server.service == service and server.role is InstanceRole.PRIMARY
+        ]
+        if len(primaries) != 1 or not self._fleet.permits.is_valid(self._fleet.now()):
+            return
+        await asyncio.sleep((RANK_DELAY * self._rank(service)).total_seconds())
+        if self._fleet.permits.leadership(service) is not None:
+            return
+        record = LeadershipRecord(primaries[0], LeadershipPhase.OPEN, 0)
+        await self._write(service, record, Revision(0))
+
+    # Detection ---------------------------------------------------------------------------------
+
+    async def _investigate(self, service: ServiceName, reason: str) -> None:
+        runtime = self._services[service]
+        leadership = self._fleet.permits.leadership(service)
+        if leadership is None or leadership.record.phase is LeadershipPhase.CLOSED:
+            return
+        primary = leadership.record.primary
+        backend = runtime.backends.get(primary)
+        if backend is not None and await accepts_connections(backend.server.address, REACH_TIMEOUT):
+            if await self._still_leads(runtime, backend):
+                runtime.set_primary_state(PrimaryState.USABLE)
+                return
+            logger.warning("primary_lost_lead", extra={"service": service, "backend": primary})
+        else:
+            logger.warning(
+                "primary_unreachable",
+                extra={"service": service, "backend": primary, "reason": reason},
+            )
+            if not await self._peers_agree(runtime, primary):
+                return
+        rank = self._rank(service)
+        if rank:
+            await asyncio.sleep((RANK_DELAY * rank).total_seconds())
+            if self._fleet.permits.leadership(service).revision != leadership.revision:
+                return
+        runtime.set_primary_state(PrimaryState.CHANGING)
+        await self._replace_failed(runtime, leadership)
+
+    async def _still_leads(self, runtime: ServiceRuntime, backend: Backend) -> bool:
+        try:
+            answer = await runtime.query_status(backend)
+        except (LinkLostError, LinkRefusedError) as error:
+            # It accepted a connection, so it runs; its slots may all be busy.
+            logger.info(
+                "primary_status_missing",
+                extra={"backend": backend.server.backend, "reason": str(error)},
+            )
+            return True
+        status = self._decode(backend, answer)
+        return status is None or status.role is InstanceRole.PRIMARY
+
+    @staticmethod
+    def _decode(backend: Backend, answer) -> ServerStatus | None:
+        return backend.links.decode_status(answer)
+
+    async def _peers_agree(self, runtime: ServiceRuntime, primary: BackendId) -> bool:
+        """Ask the other hosts; agree that a primary failed only where none reaches it."""
+        alive = self._peers.alive()
+        calls = [self._peers.call(host, lambda call: ReachQuery(call, primary)) for host in alive]
+        replies = [reply for reply in await asyncio.gather(*calls) if isinstance(reply, ReachReply)]
+        reached = sum(reply.is_reachable for reply in replies)
+        logger.info(
+            "primary_checked",
+            extra={
+                "service": runtime.name,
+                "backend": primary,
+                "peers": len(alive),
+                "replies": len(replies),
+                "reached": reached,
+            },
+        )
+        if reached:
+            runtime.set_primary_state(PrimaryState.UNREACHABLE)
+            return False
+        if len(replies) * 2 < len(alive):
+            return False
+        return bool(replies) or not alive
+
+    # Replacement -------------------------------------------------------------------------------
+
+    async def _replace_failed(
+        self, runtime: ServiceRuntime, leadership: VersionedLeadership
+    ) -> None:
+        candidate = await self._choose_candidate(runtime, leadership.record.primary)
+        if candidate is None:
+            raise ChangeCancelledError("no backend server can be promoted")
+        record = replace_record(
+            leadership.record, LeadershipPhase.CLOSED, self._identity.host, candidate, False
+        )
+        closed = await self._write(runtime.name, record, leadership.revision)
+        await self._fence(runtime, closed, may_return=True)
+        await self._promote_and_open(runtime, closed)
+
+    async def _replace_leaving(self, service: ServiceName, leadership: VersionedLeadership) -> None:
+        runtime = self._services[service]
+        rank = self._rank(service)
+        if rank:
+            await asyncio.sleep((RANK_DELAY * rank).total_seconds())
+            if self._fleet.permits.leadership(service).revision != leadership.revision:
+                return
+        candidate = await self._choose_candidate(runtime, leadership.record.primary)
+        if candidate is None:
+            raise ChangeCancelledError("the leaving primary has no successor yet")
+        runtime.set_primary_state(PrimaryState.CHANGING)
+        record = replace_record(
+            leadership.record, LeadershipPhase.CLOSED, self._identity.host, candidate, True
+        )
+        closed = await self._write(service, record, leadership.revision)
+        await self._fence(runtime, closed, may_return=False)
+        await self._await_catch_up(runtime, closed.record)
+        await self._promote_and_open(runtime, closed)
+
+    async def _take_over(self, service: ServiceName, leadership: VersionedLeadership) -> None:
+        """Finish what another promoter began, with the same candidate while it runs."""
+        runtime = self._services[service]
+        runtime.set_primary_state(PrimaryState.CHANGING)
+        record = replace_record(
+            leadership.record,
+            LeadershipPhase.CLOSED,
+            self._identity.host,
+            leadership.record.candidate,
+            leadership.record.is_planned,
+        )
+        closed = await self._write(service, record, leadership.revision)
+        await self._fence(runtime, closed, may_return=False)
+        await self._promote_and_open(runtime, closed)
+
+    async def _choose_candidate(
+        self, runtime: ServiceRuntime, old_primary: BackendId
+    ) -> BackendId | None:
+        """Choose the replica whose log is furthest."""
+        candidates = [
+            backend
+            for backend in runtime.backends.values()
+            if backend.server.backend != old_primary and backend.server.state is BackendState.READY
+        ]
+        statuses = await asyncio.gather(*(self._status(runtime, each) for each in candidates))
+        best: tuple | None = None
+        for backend, status in zip(candidates, statuses, strict=True):
+            if status is None:
+                continue
+            key = (status.received, -backend.load.distance, backend.server.backend)
+            if best is None or key > best[0]:
+                best = (key, backend.server.backend)
+        return None if best is None else best[1]
+
+    async def _status(self, runtime: ServiceRuntime, backend: Backend) -> ServerStatus | None:
+        for _ in range(2):
+            try:
+                answer = await runtime.query_status(backend)
+            except (LinkLostError, LinkRefusedError) as error:
+                logger.info(
+                    "status_missing",
+                    extra={"backend": backend.server.backend, "reason": str(error)},
+                )
+                return None
+            status = self._decode(backend, answer)
+            if status is not None:
+                return status
+            await asyncio.sleep(0.05)
+        return None
+
+    async def _write(
+        self, service: ServiceName, record: LeadershipRecord, revision: Revision
+    ) -> VersionedLeadership:
+        """Write a record that follows ``revision``; raise ``ChangeCancelledError`` after a race."""
+        key = LEADERSHIP_PREFIX + service
+        value = encode_record(record)
+        for attempt in range(STORE_ATTEMPTS):
+            try:
+                result = await self._coordinator.transact(
+                    [Condition(key, revision)], [Put(key, value)]
+                )
+            except StoreUnavailableError as error:
+                logger.warning(
+                    "leadership_write_unanswered",
+                    extra={"service": service, "attempt": attempt, "reason": str(error)},
+                )
+                await asyncio.sleep(0.2)
+                continue
+            if isinstance(result, Committed):
+                return await self._spread(service, record, result.revision)
+            written = await self._own_write(key, value)
+            if written is not None:
+                return await self._spread(service, record, written)
+            raise ChangeCancelledError("another host changed the record first")
+        raise StoreUnavailableError("the leadership record could not be written")
+
+    async def _own_write(self, key: str, value: bytes) -> Revision | None:
+        """Find out whether a write whose answer was lost took effect."""
+        snapshot = await self._coordinator.read_range(LEADERSHIP_PREFIX)
+        self._fleet.take_snapshot(LEADERSHIP_PREFIX, snapshot, "store")
+        for item in snapshot.items:
+            if item.key == key and item.value == value:
+                return item.revision
+        return None
+
+    async def _spread(
+        self, service: ServiceName, record: LeadershipRecord, revision: Revision
+    ) -> VersionedLeadership:
+        key = LEADERSHIP_PREFIX + service
+        copy = self._fleet.copies[LEADERSHIP_PREFIX]
+        kept = tuple(item for item in copy.items.values() if item.key != key)
+        items = (*kept, StoredValue(key, encode_record(record), revision))
+        self._fleet.take_snapshot(
+            LEADERSHIP_PREFIX, Snapshot(items, max(copy.as_of, revision)), "own write"
+        )
+        await self._peers.tell_all(copy.to_message(0))
+        return VersionedLeadership(record, revision)
+
+    # Fencing -----------------------------------------------------------------------------------
+
+    async def _fence(
+        self, runtime: ServiceRuntime, closed: VersionedLeadership, may_return: bool
+    ) -> None:
+        """Return once no host can use the old primary any more."""
+        await self.end_own_use(runtime, closed.revision, closed.record.is_planned)
+        hosts = await self._registered_hosts()
+        hosts.pop(self._identity.host, None)
+        fencing = Fencing.from_hosts(set(hosts))
+        await asyncio.gather(
+            *(self._ask_to_close(runtime, closed, record, fencing) for record in hosts.values())
+        )
+        for host in list(fencing.waiting):
+            await self._end_lease(hosts[host], fencing)
+        while not fencing.is_complete(self._fleet.now()):
+            logger.info(
+                "fencing_waits",
+                extra={"service": runtime.name, "hosts": ",".join(sorted(fencing.waiting))},
+            )
+            if may_return and await self._reopen_if_back(runtime, closed):
+                raise ChangeCancelledError("the primary came back before it was replaced")
+            await asyncio.sleep(FENCE_POLL.total_seconds())
+            await asyncio.gather(
+                *(
+                    self._ask_to_close(runtime, closed, hosts[host], fencing)
+                    for host in list(fencing.waiting)
+                )
+            )
+
+    async def end_own_use(
+        self, runtime: ServiceRuntime, revision: Revision, is_planned: bool
+    ) -> None:
+        """Stop using the primary; where the change is planned, open work may end first."""
+        if is_planned:
+            runtime.refresh()
+            await runtime.end_primary_transactions()
+        self._fleet.permits.veto(runtime.name, revision)
+        runtime.refresh()
+
+    async def _registered_hosts(self) -> dict[HostId, HostRecord]:
+        for _ in range(STORE_ATTEMPTS):
+            try:
+                return parse_hosts(await self._coordinator.read_range(HOSTS_PREFIX))
+            except StoreUnavailableError as error:
+                logger.warning("hosts_unread", extra={"reason": str(error)})
+                await asyncio.sleep(0.2)
+        raise StoreUnavailableError("the registered hosts could not be read")
+
+    async def _ask_to_close(
+        self,
+        runtime: ServiceRuntime,
+        closed: VersionedLeadership,
+        record: HostRecord,
+        fencing: Fencing,
+    ) -> None:
+        planned = closed.record.is_planned
+        self._peers.add(record)
+        reply = await self._peers.call(
+            record.host,
+            lambda call: CloseService(call, runtime.name, closed.revision, planned),
+            PLANNED_CLOSE_TIMEOUT if planned else CLOSE_TIMEOUT,
+        )
+        if isinstance(reply, ServiceClosed):
+            fencing.settle(record.host, HostStanding.STOPPED_USING)
+        elif await is_process_gone(record.address, REACH_TIMEOUT):
+            fencing.settle(record.host, HostStanding.ENDED)
+
+    async def _end_lease(self, record: HostRecord, fencing: Fencing) -> None:
+        for _ in range(STORE_ATTEMPTS):
+            try:
+                await self._coordinator.end_lease(record.lease)
+            except StoreUnavailableError as error:
+                logger.warning(
+                    "lease_end_failed", extra={"peer": record.host, "reason": str(error)}
+                )
+                await asyncio.sleep(0.2)
+                continue
+            fencing.lease_ended(record.host, self._fleet.now())
+            logger.info("lease_ended_for_peer", extra={"peer": record.host})
+            return
+        raise StoreUnavailableError("a silent host's lease could not be ended")
+
+    async def _reopen_if_back(self, runtime: ServiceRuntime, closed: VersionedLeadership) -> bool:
+        backend = runtime.backends.get(closed.record.primary)
+        if backend is None or not await accepts_connections(backend.server.address, REACH_TIMEOUT):
+            return False
+        status = await self._status(runtime, backend)
+        if status is None or status.role is not InstanceRole.PRIMARY:
+            return False
+        await self._open(runtime, closed, closed.record.primary)
+        return True
+
+    # Promotion ---------------------------------------------------------------------------------
+
+    async def _await_catch_up(self, runtime: ServiceRuntime, record: LeadershipRecord) -> None:
+        """Wait until the successor has received all that the leaving primary committed."""
+        until = self._fleet.now() + CATCH_UP_LIMIT
+        old = runtime.backends.get(record.primary)
+        new = runtime.backends.get(record.candidate)
+        while old is not None and new is not None and self._fleet.now() < until:
+            end = await self._status(runtime, old)
+            held = await self._status(runtime, new)
+            if end is None or (held is not None and held.received >= end.received):
+                return
+            await asyncio.sleep(PROMOTION_POLL.total_seconds())
+
+    async def _promote_and_open(self, runtime: ServiceRuntime, closed: VersionedLeadership) -> None:
+        tried = closed
+        while True:
+            outcome = await self._promote(runtime, tried)
+            if outcome:
+                await self._open(runtime, tried, tried.record.candidate)
+                self._metrics.failovers.inc()
+                return
+            candidate = await self._choose_candidate(runtime, tried.record.primary)
+            if candidate is None:
+                raise ChangeCancelledError("no backend server can be promoted")
+            record = replace_record(
+                tried.record, LeadershipPhase.CLOSED, self._identity.host, candidate, False
+            )
+            tried = await self._write(runtime.name, record, tried.revision)
+
+    async def _promote(self, runtime: ServiceRuntime, closed: VersionedLeadership) -> bool:
+        """Order one promotion and wait until it has taken effect; return False where it can't."""
+        record = closed.record
+        until = self._fleet.now() + PROMOTION_LIMIT
+        resend_at = self._fleet.now()
+        token = FencingToken(closed.revision)
+        while self._fleet.now() < until:
+            if self._fleet.now() >= resend_at:
+                outcome = await self._promoter.promote(
+                    runtime.name, record.candidate, self._identity.host, token
+                )
+                logger.info(
+                    "promotion_ordered",
+                    extra={
+                        "service": runtime.name,
+                        "backend": record.candidate,
+                        "fence": token,
+                        "outcome": outcome,
+                    },
+                )
+                if outcome is PromotionOutcome.NOT_RUNNING:
+                    return False
+                resend_at = self._fleet.now() + PROMOTION_RESEND
+            backend = runtime.backends.get(record.candidate)
+            if backend is None:
+                return False
+            status = await self._status(runtime, backend)
+            if status is not None and status.role is InstanceRole.PRIMARY:
+                return True
+            await asyncio.sleep(PROMOTION_POLL.total_seconds())
+        return False
+
+    async def _open(
+        self, runtime: ServiceRuntime, closed: VersionedLeadership, primary: BackendId
+    ) -> None:
+        record = LeadershipRecord(primary, LeadershipPhase.OPEN, closed.record.change + 1)
+        while True:
+            try:
+                await self._write(runtime.name, record, closed.revision)
+                break
+            except StoreUnavailableError as error:
+                logger.warning(
+                    "leadership_not_opened", extra={"service": runtime.name, "reason": str(error)}
+                )
+        runtime.set_primary_state(PrimaryState.USABLE)
+        logger.info("primary_changed", extra={"service": runtime.name, "backend": primary})
+
+    def close(self) -> None:
+        """Stop all work."""
+        self.is_stopping = True
+        for task in self._tasks.values():
+            task.cancel()
+
+
+def replace_record(
+    record: LeadershipRecord,
+    phase: LeadershipPhase,
+    promoter: HostId,
+    candidate: BackendId,
+    is_planned: bool,
+) -> LeadershipRecord:
+    """Return the record that begins or continues a change of primary."""
+    return LeadershipRecord(record.primary, phase, record.change, promoter, candidate, is_planned)
--- /dev/null
+++ b/hickorywind/observability/boundedlog.py
@@ -0,0 +1,62 @@
+"""Write log lines to a file descriptor, bounded in volume and without ever blocking."""
+
+from __future__ import annotations
+
+import logging
+import os
+from collections.abc import Callable
+
+from hickorywind.util.clock import Clock
+
+BURST_SECONDS = 5.0  # unused volume that may be spent at once
+
+
+class BoundedLogHandler(logging.Handler):
+    """Drop and count lines beyond a volume per second, or that the reader has no room for."""
+
+    def __init__(
+        self,
+        descriptor: int,
+        bytes_per_second: int,
+        clock: Clock,
+        on_drop: Callable[[], None],
+    ) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._rate = float(bytes_per_second)
+        self._budget = self._rate * BURST_SECONDS
+        self._clock = clock
+        self._refilled = clock.now()
+        self._on_drop = on_drop
+        self._dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line, preceded by the number of lines dropped since the last."""
+        line = self.format(record)
+        if self._dropped:
+            line = f"event=log_lines_dropped count={self._dropped}\n{line}"
+        data = (line + "\n").encode("utf-8", "backslashreplace")
+        if not self._spend(len(data)):
+            self._drop()
+            return
+        try:
+            written = os.write(self._descriptor, data)
+        except (BlockingIOError, BrokenPipeError):
+            self._drop()
+            return
+        self._dropped = 0 if written == len(data) else 1
+
+    def _spend(self, size: int) -> bool:
+        now = self._clock.now()
+        elapsed = (now - self._refilled).total_seconds()
+        self._refilled = now
+        self._budget = min(self._budget + elapsed * self._rate, self._rate * BURST_SECONDS)
+        if self._budget < size:
+            return False
+        self._budget -= size
+        return True
+
+    def _drop(self) -> None:
+        self._dropped += 1
+        self._on_drop()
--- /dev/null
+++ b/hickorywind/observability/hostmetrics.py
@@ -0,0 +1,64 @@
+"""Define the metrics of a host that plays all roles in one process."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from hickorywind.observability.buckets import LATENCY_BOUNDS_SECONDS
+
+_PREFIX = "hickorywind_host"
+
+
+class HostMetrics:
+    """Count requests, store calls and changes of belief."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.registry = registry
+        self.requests = Counter(
+            f"{_PREFIX}_requests", "Requests ended", ("outcome", "code"), registry=registry
+        )
+        self.latency = Histogram(
+            f"{_PREFIX}_request_seconds",
+            "Time from a statement's arrival to its answer, for those that ran",
+            buckets=LATENCY_BOUNDS_SECONDS,
+            registry=registry,
+        )
+        self.store_calls = Counter(
+            f"{_PREFIX}_store_calls", "Calls to the store", ("call", "outcome"), registry=registry
+        )
+        self.sessions = Gauge(f"{_PREFIX}_sessions", "Caller sessions open", registry=registry)
+        self.configuration_version = Gauge(
+            f"{_PREFIX}_configuration_version", "Configuration in force", registry=registry
+        )
+        self.waiting = Gauge(
+            f"{_PREFIX}_waiting", "Operations waiting", ("service",), registry=registry
+        )
+        self.permit_seconds = Gauge(
+            f"{_PREFIX}_permit_seconds", "Time left of the permit", registry=registry
+        )
+        self.failovers = Counter(
+            f"{_PREFIX}_failovers", "Primary changes completed here", registry=registry
+        )
+        self.log_lines_dropped = Counter(
+            f"{_PREFIX}_log_lines_dropped", "Log lines dropped", registry=registry
+        )
+        self._request_series: dict[tuple[str, int], Counter] = {}
+
+    @classmethod
+    def with_own_registry(cls) -> HostMetrics:
+        """Build metrics that share nothing with others in the same process."""
+        return cls(CollectorRegistry())
+
+    def count_request(self, outcome: str, code: int) -> None:
+        """Count a request by how it ended."""
+        key = (outcome, code)
+        series = self._request_series.get(key)
+        if series is None:
+            series = self._request_series[key] = self.requests.labels(outcome, str(code))
+        series.inc()
+
+    def observe_latency(self, duration: timedelta) -> None:
+        """Count the duration of a request that ran."""
+        self.latency.observe(duration.total_seconds())
--- /dev/null
+++ b/hickorywind/platform/readiness.py
@@ -0,0 +1,43 @@
+"""Answer the platform's readiness probes and serve the metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from aiohttp import web
+from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+
+from hickorywind.ids import Address
+
+READINESS_PATH = "/-/readiness"
+METRICS_PATH = "/metrics"
+_READY = 200
+_NOT_READY = 503
+
+
+async def serve_readiness(address: Address, is_ready: Callable[[], bool]) -> web.AppRunner:
+    """Serve the probe at an address; raise OSError where it is taken."""
+
+    async def answer(request: web.Request) -> web.Response:
+        return web.Response(status=_READY if is_ready() else _NOT_READY)
+
+    return await _serve(address, READINESS_PATH, answer)
+
+
+async def serve_metrics(address: Address, registry: CollectorRegistry) -> web.AppRunner:
+    """Serve the metrics of a registry as text; raise OSError where the address is taken."""
+
+    async def answer(request: web.Request) -> web.Response:
+        headers = {"Content-Type": CONTENT_TYPE_LATEST}
+        return web.Response(body=generate_latest(registry), headers=headers)
+
+    return await _serve(address, METRICS_PATH, answer)
+
+
+async def _serve(address: Address, path: str, answer: Callable) -> web.AppRunner:
+    application = web.Application()
+    application.router.add_get(path, answer)
+    runner = web.AppRunner(application, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, address.host, address.port).start()
+    return runner
--- /dev/null
+++ b/hickorywind/platform/storeclient.py
@@ -0,0 +1,204 @@
+"""Call the platform's key-value store and its order to promote, over HTTP."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+import logging
+import socket
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Any
+
+import aiohttp
+
+from hickorywind.ids import Address, BackendId, HostId, Revision, ServiceName
+from hickorywind.ports.coordination import (
+    Change,
+    Changed,
+    Changes,
+    Committed,
+    Condition,
+    Conflict,
+    Deleted,
+    FencingToken,
+    HistoryLost,
+    LeaseId,
+    PromotionOutcome,
+    Put,
+    Snapshot,
+)
+from hickorywind.store.interface import StoredValue, StoreUnavailableError
+from hickorywind.util.sockets import enable_keepalive
+
+logger = logging.getLogger(__name__)
+
+CALL_TIMEOUT = timedelta(seconds=1)  # the store answers in milliseconds unless it is in trouble
+WATCH_MARGIN = timedelta(seconds=2)  # what a watch may take beyond the wait that it asked for
+_MAX_PAGES = 100  # bounds one range read
+
+
+class PlatformClient:
+    """Speak with the store and the platform's control interface over pooled connections."""
+
+    def __init__(self, store: Address, control: Address, call_timeout: timedelta) -> None:
+        self._store_url = f"http://{store}"
+        self._control_url = f"http://{control}"
+        self._call_timeout = call_timeout
+        connector = aiohttp.TCPConnector(limit=0, socket_factory=_make_socket)
+        self._session = aiohttp.ClientSession(connector=connector)
+
+    @classmethod
+    def from_addresses(cls, store: Address, control: Address) -> PlatformClient:
+        """Build a client with the default timeout; must run inside an event loop."""
+        return cls(store, control, CALL_TIMEOUT)
+
+    async def close(self) -> None:
+        """Release the connections."""
+        await self._session.close()
+
+    async def read_range(self, prefix: str) -> Snapshot:
+        """Read all items under a prefix; ``as_of`` is that of the first page."""
+        items: list[StoredValue] = []
+        as_of: int | None = None
+        query = {"prefix": prefix}
+        for _ in range(_MAX_PAGES):
+            _, body = await self._call("GET", "/-/kv-range", query, accept=(200,))
+            items += [_decode_item(item) for item in _field(body, "items")]
+            as_of = _field(body, "as_of") if as_of is None else as_of
+            if not _field(body, "has_more") or not _field(body, "items"):
+                break
+            query = {"prefix": prefix, "after": items[-1].key}
+        return Snapshot(tuple(items), Revision(as_of or 0))
+
+    async def watch(self, prefix: str, after: Revision, wait: timedelta) -> Changes | HistoryLost:
+        """Wait for changes under a prefix."""
+        wait_ms = wait // timedelta(milliseconds=1)
+        query = {"prefix": prefix, "after": str(after), "wait_ms": str(wait_ms)}
+        timeout = wait + WATCH_MARGIN
+        status, body = await self._call("GET", "/-/kv-watch", query, (200, 410), timeout=timeout)
+        if status == 410:
+            return HistoryLost()
+        changes = tuple(_decode_change(event) for event in _field(body, "events"))
+        return Changes(changes, Revision(_field(body, "as_of")))
+
+    async def transact(
+        self, conditions: Sequence[Condition], puts: Sequence[Put], deletes: Sequence[str] = ()
+    ) -> Committed | Conflict:
+        """Apply all changes if all conditions hold."""
+        body = {
+            "expected_rev": [{"key": each.key, "revision": each.revision} for each in conditions],
+            "puts": [
+                {"key": put.key, "value": base64.b64encode(put.value).decode(), "lease": 0}
+                for put in puts
+            ],
+            "deletes": list(deletes),
+        }
+        status, reply = await self._call("POST", "/-/kv-txn", body=body, accept=(200, 412))
+        return Conflict() if status == 412 else Committed(Revision(_field(reply, "revision")))
+
+    async def grant_lease(self, ttl: timedelta) -> LeaseId:
+        """Create a lease."""
+        body = {"ttl_ms": ttl // timedelta(milliseconds=1)}
+        _, reply = await self._call("POST", "/-/kv-lease", body=body, accept=(200,))
+        return LeaseId(_field(reply, "lease"))
+
+    async def renew_lease(self, lease: LeaseId) -> bool:
+        """Renew a lease; return False where it has ended."""
+        status, _ = await self._call("POST", f"/-/kv-keep/{lease}", accept=(200, 404))
+        return status == 200
+
+    async def end_lease(self, lease: LeaseId) -> None:
+        """End a lease; one that has ended already is no error."""
+        await self._call("DELETE", f"/-/kv-lease-end/{lease}", accept=(200, 204, 404))
+
+    async def promote(
+        self, service: ServiceName, backend: BackendId, holder: HostId, token: FencingToken
+    ) -> PromotionOutcome:
+        """Order the platform to promote a backend server of a service."""
+        headers = {"Lease-Holder": holder, "Fencing-Token": str(token)}
+        body = {"backend": service, "id": backend}  # their "backend" is the service
+        try:
+            status, _ = await self._call(
+                "POST",
+                "/failover",
+                body=body,
+                accept=(200, 202, 204, 409),
+                headers=headers,
+                base=self._control_url,
+            )
+        except StoreUnavailableError as error:
+            logger.warning(
+                "promotion_call_failed",
+                extra={"service": service, "backend": backend, "error": str(error)},
+            )
+            return PromotionOutcome.UNKNOWN
+        return PromotionOutcome.NOT_RUNNING if status == 409 else PromotionOutcome.ACCEPTED
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        accept: tuple[int, ...] = (200,),
+        body: dict[str, Any] | None = None,
+        timeout: timedelta | None = None,
+        headers: dict[str, str] | None = None,
+        base: str | None = None,
+    ) -> tuple[int, dict[str, Any]]:
+        limit = aiohttp.ClientTimeout(total=(timeout or self._call_timeout).total_seconds())
+        try:
+            async with self._session.request(
+                method,
+                (base or self._store_url) + path,
+                params=query,
+                json=body,
+                timeout=limit,
+                headers=headers,
+            ) as response:
+                data = await response.read()
+                status = response.status
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise StoreUnavailableError(f"{method} {path}: {error or 'timed out'}") from error
+        if status not in accept:
+            raise StoreUnavailableError(f"{method} {path}: status {status}")
+        return status, _decode_body(data)
+
+
+def _make_socket(address_info: tuple) -> socket.socket:
+    family, kind, protocol, *_ = address_info
+    made = socket.socket(family, kind, protocol)
+    enable_keepalive(made)
+    return made
+
+
+def _decode_body(data: bytes) -> dict[str, Any]:
+    if not data:
+        return {}
+    try:
+        body = json.loads(data)
+    except ValueError as error:
+        raise StoreUnavailableError(f"unreadable answer: {error}") from error
+    return body if isinstance(body, dict) else {}
+
+
+def _field(body: dict[str, Any], name: str) -> Any:
+    if name not in body:
+        raise StoreUnavailableError(f"unreadable answer: {name} is missing")
+    return body[name]
+
+
+def _decode_item(item: dict[str, Any]) -> StoredValue:
+    try:
+        value = base64.b64decode(item["value"], validate=True)
+    except (binascii.Error, ValueError) as error:
+        logger.warning("item_unreadable", extra={"key": item["key"], "error": str(error)})
+        value = b""
+    return StoredValue(item["key"], value, Revision(item["revision"]))
+
+
+def _decode_change(event: dict[str, Any]) -> Change:
+    if event.get("deleted"):
+        return Deleted(event["key"], Revision(event["revision"]))
+    return Changed(_decode_item(event))
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -12,6 +12,7 @@
 
 from hickorywind.ids import (
     AccessMode,
+    Address,
     BackendId,
     HostId,
     Incarnation,
@@ -259,6 +260,109 @@
     result: Result
 
 
+# Between hosts that play all roles ----------------------------------------------------------------
+
+
+class PositionSample(msgspec.Struct, frozen=True, array_like=True):
+    """Give a position that held all commits acknowledged ``age_ms`` before the message was sent."""
+
+    service: ServiceName
+    position: LogPosition
+    age_ms: int
+
+
+class Greeting(msgspec.Struct, frozen=True, tag="hello", array_like=True):
+    """Tell a peer who and how current this host is; revisions are those of its store copies."""
+
+    call: int
+    host: HostId
+    incarnation: Incarnation
+    zone: str
+    address: Address
+    revisions: dict[str, int]
+
+
+class GreetingReply(msgspec.Struct, frozen=True, tag="hello_ok", array_like=True):
+    """Answer a greeting with the receiver's own state and fresh position samples."""
+
+    call: int
+    host: HostId
+    incarnation: Incarnation
+    zone: str
+    revisions: dict[str, int]
+    samples: tuple[PositionSample, ...]
+
+
+class CopyQuery(msgspec.Struct, frozen=True, tag="copy", array_like=True):
+    """Ask for a peer's copy of the store items under a prefix."""
+
+    call: int
+    prefix: str
+
+
+class CopiedItem(msgspec.Struct, frozen=True, array_like=True):
+    """Hold one store item."""
+
+    key: str
+    value: bytes
+    revision: Revision
+
+
+class CopyReply(msgspec.Struct, frozen=True, tag="copy_ok", array_like=True):
+    """Hand over a copy of the store items under a prefix, current up to a revision.
+
+    Sent without a query (call 0) where the sender knows that the copy has just changed.
+    """
+
+    call: int
+    prefix: str
+    as_of: Revision
+    items: tuple[CopiedItem, ...]
+
+
+class ReachQuery(msgspec.Struct, frozen=True, tag="reach", array_like=True):
+    """Ask whether a peer reaches a backend server."""
+
+    call: int
+    backend: BackendId
+
+
+class ReachReply(msgspec.Struct, frozen=True, tag="reach_ok", array_like=True):
+    """Say whether a backend server accepted a connection just now."""
+
+    call: int
+    is_reachable: bool
+
+
+class CloseService(msgspec.Struct, frozen=True, tag="close", array_like=True):
+    """Ask a host to stop using the primary of a service; planned changes let work end first."""
+
+    call: int
+    service: ServiceName
+    revision: Revision
+    is_planned: bool
+
+
+class ServiceClosed(msgspec.Struct, frozen=True, tag="closed", array_like=True):
+    """Say that the host uses the primary no more until a newer record opens the service."""
+
+    call: int
+
+
+class RenewalQuery(msgspec.Struct, frozen=True, tag="renew", array_like=True):
+    """Ask a peer that reaches the store to renew the sender's lease."""
+
+    call: int
+    lease: int
+
+
+class RenewalReply(msgspec.Struct, frozen=True, tag="renew_ok", array_like=True):
+    """Say whether the store renewed the lease; None where the store did not answer."""
+
+    call: int
+    is_renewed: bool | None
+
+
 Message = (
     Execute
     | Cancel
@@ -282,4 +386,14 @@
     | DrainRequest
     | DrainReply
     | Refused
+    | Greeting
+    | GreetingReply
+    | CopyQuery
+    | CopyReply
+    | ReachQuery
+    | ReachReply
+    | CloseService
+    | ServiceClosed
+    | RenewalQuery
+    | RenewalReply
 )
--- /dev/null
+++ b/hickorywind/settings/host.py
@@ -0,0 +1,77 @@
+"""Load and check the settings of a host that plays all roles in one process."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from hickorywind.ids import Address, AvailabilityZone, HostId, Region
+from hickorywind.settings.load import LOG_LEVELS, read_text, settings_error
+from hickorywind.settings.template import LogSettings
+from hickorywind.util.addresses import parse_address
+from hickorywind.util.documents import DocumentError, convert, read_yaml
+
+_GRACE_MIN_SECONDS = 1.0  # less would leave no time to finish anything
+
+
+class HostSettings(msgspec.Struct, frozen=True):
+    """Hold the settings file of a host process; unknown keys are ignored.
+
+    ``stop_grace_seconds`` is the time from SIGTERM until the process is killed.
+    ``log_bytes_per_second`` bounds the volume of the logs.
+    """
+
+    host: HostId
+    availability_zone: AvailabilityZone
+    region: Region
+    callers_listen: str
+    readiness_listen: str
+    peers_listen: str
+    metrics_listen: str
+    store: str
+    control: str
+    zones: dict[AvailabilityZone, Region]
+    stop_grace_seconds: float = 6.0
+    log_bytes_per_second: int = 100_000
+    log: LogSettings = LogSettings()
+
+    def address(self, key: str) -> Address:
+        """Return a setting that holds an address, parsed."""
+        return parse_address(getattr(self, key))
+
+
+_ADDRESS_KEYS = (
+    "callers_listen",
+    "readiness_listen",
+    "peers_listen",
+    "metrics_listen",
+    "store",
+    "control",
+)
+
+
+def load_host_settings(path: str | Path) -> HostSettings:
+    """Read and check a settings file; raise ``UserError`` that names file and key."""
+    try:
+        settings = convert(read_yaml(read_text(path)), HostSettings)
+        _check(settings)
+    except DocumentError as error:
+        raise settings_error(path, error) from None
+    return settings
+
+
+def _check(settings: HostSettings) -> None:
+    for key in _ADDRESS_KEYS:
+        try:
+            settings.address(key)
+        except ValueError as error:
+            raise DocumentError(key, f"expected IP:PORT ({error})") from None
+    if settings.availability_zone not in settings.zones:
+        raise DocumentError("zones", "lacks the host's own availability zone")
+    if settings.stop_grace_seconds < _GRACE_MIN_SECONDS:
+        raise DocumentError("stop_grace_seconds", f"expected at least {_GRACE_MIN_SECONDS}")
+    if settings.log_bytes_per_second <= 0:
+        raise DocumentError("log_bytes_per_second", "expected a positive number")
+    if settings.log.level not in LOG_LEVELS:
+        raise DocumentError("log.level", f"expected one of {', '.join(LOG_LEVELS)}")
--- a/hickorywind/util/clock.py
+++ b/hickorywind/util/clock.py
@@ -52,3 +52,11 @@
 def to_milliseconds(duration: timedelta) -> float:
     """Express a duration in milliseconds."""
     return duration / timedelta(milliseconds=1)
+
+
+class BoottimeClock:
+    """Read the clock that goes on while the machine is suspended."""
+
+    def now(self) -> Instant:
+        """Return the time since the machine started, suspensions included."""
+        return timedelta(microseconds=time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000)
