--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -126,7 +126,7 @@
             self._grant(ticket, server)
             return
         wait = self._expected_wait(ticket)
-        if now + wait > ticket.give_up:
+        if now + wait >= ticket.give_up:
             reason = "the expected wait outlasts the time the operation may wait"
             ticket.refuse(self._refusal(ResultCode.WOULD_MISS_DEADLINE, reason, wait))
             return
@@ -143,6 +143,12 @@
             self._waiting.remove(ticket)
             ticket.refuse(result)
 
+    def refuse_all(self, result: Result) -> None:
+        """Refuse every waiting operation."""
+        waiting, self._waiting = self._waiting, []
+        for ticket in waiting:
+            ticket.refuse(result)
+
     def place_waiting(self, now: Instant) -> None:
         """Start all waiting operations for which there is room, and refuse those out of time."""
         self._expire(now)
--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -5,6 +5,10 @@
 last proof that the host's lease had not been ended. A host that replaces a primary first closes the
 record, then gets the word of every registered host, or ends the lease of those that stay silent and
 waits until their permits have run out.
+
+A silent host need not be waited for while the old primary's process is known to be gone: hosts
+verify the role on each new connection to a primary, and a server that crashed comes back as a
+replica once another leads.
 """
 
 from __future__ import annotations
@@ -19,8 +23,8 @@
 from hickorywind.ports.coordination import LeaseId
 from hickorywind.util.clock import Instant
 
-PERMIT_DURATION = timedelta(seconds=10)  # outlasts the store's usual outages
-PERMIT_RENEWAL_INTERVAL = timedelta(milliseconds=1500)  # six tries within a permit
+PERMIT_DURATION = timedelta(seconds=8)  # outlasts the store's usual outages
+PERMIT_RENEWAL_INTERVAL = timedelta(milliseconds=1500)  # five tries within a permit
 # A permit is treated as longer by whoever waits for it to run out, for clocks that drift.
 PERMIT_DRIFT_MARGIN = timedelta(milliseconds=200)
 
@@ -167,6 +171,7 @@
     """Track which registered hosts may still use a primary that is to be replaced."""
 
     waiting: set[HostId] = field(default_factory=set)
+    is_primary_gone: bool = False
     _ends: dict[HostId, Instant] = field(default_factory=dict)
 
     @classmethod
@@ -188,4 +193,4 @@
         for host, end in self._ends.items():
             if now >= end:
                 self.waiting.discard(host)
-        return not self.waiting
+        return self.is_primary_gone or not self.waiting
--- a/hickorywind/host/backendlink.py
+++ b/hickorywind/host/backendlink.py
@@ -49,6 +49,7 @@
         self.state = TransactionState.IDLE
         self.idle_since: Instant = timedelta(0)
         self.is_lost = False
+        self.is_verified_primary = False
         self.on_lost: Callable[[BackendLink], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._answers: list[Answer] = []
--- a/hickorywind/host/operation.py
+++ b/hickorywind/host/operation.py
@@ -135,14 +135,12 @@
 
     async def _attempt(self, grant: Grant, target: Target) -> Reply | Result:
         backend, link = grant.backend, grant.link
-        as_primary = (
-            self._service.fleet.usable_primary(self._service.name) == backend.server.backend
-        )
-        if not as_primary and isinstance(target, OnPrimary):
-            self._service.release_slot(backend)
-            backend.links.give_back(link)
-            return Result.not_run(ResultCode.NO_PRIMARY, "the primary changed", _RETRY_HINT_MS)
-        after = None if as_primary or isinstance(target, OnPrimary) else target.position
+        after = target.position if isinstance(target, AtPosition) else None
+        if after is None:
+            refusal = await check_primary(self._service, grant)
+            if refusal is not None:
+                return refusal
+        as_primary = link.is_verified_primary and self._service.may_begin(backend)
         setup, count = link.plan_session(self._context.values, self._shape)
         payload = setup + encode_request(link, self._request, self._shape, after)
         sent = self._service.clock.now()
@@ -204,6 +202,23 @@
         return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, _RETRY_HINT_MS)
 
 
+async def check_primary(service: ServiceRuntime, grant: Grant) -> Result | None:
+    """Return a refusal, and give the grant back, where it does not reach a usable primary."""
+    backend, link = grant.backend, grant.link
+    try:
+        is_primary = await service.verify_primary(backend, link)
+    except LinkLostError as error:
+        service.release_slot(backend)
+        service.note_connection_failure(backend, error)
+        return Result.not_run(ResultCode.BACKEND_UNREACHABLE, f"no primary: {error}", 50)
+    if is_primary and service.may_begin(backend):
+        return None
+    service.release_slot(backend)
+    backend.links.give_back(link)
+    reason = "the primary is busy or changed"
+    return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, _RETRY_HINT_MS)
+
+
 def refuse_unreachable(service: ServiceRuntime, target: Target) -> Result | None:
     """Refuse at once what needs a primary that only other hosts reach."""
     if isinstance(target, OnPrimary) and service.primary_state is PrimaryState.UNREACHABLE:
@@ -261,9 +276,6 @@
             return self._fail(self._lost_result)
         return await self._relay(pinned, request, mode, shape)
 
-    def _may_use(self, backend: Backend) -> bool:
-        return self.service.fleet.usable_primary(self.service.name) == backend.server.backend
-
     def _fail(self, result: Result) -> Reply:
         self.has_failed = True
         return Failed(result)
@@ -297,14 +309,12 @@
 
     async def _begin(self, grant: Grant, target: Target) -> Result | None:
         backend, link = grant.backend, grant.link
-        as_primary = self._may_use(backend)
-        after = None
-        if isinstance(target, AtPosition) and not as_primary:
-            after = target.position
-        if isinstance(target, OnPrimary) and not as_primary:
-            self.service.release_slot(backend)
-            backend.links.give_back(link)
-            return Result.not_run(ResultCode.NO_PRIMARY, "the primary changed", _RETRY_HINT_MS)
+        after = target.position if isinstance(target, AtPosition) else None
+        if after is None:
+            refusal = await check_primary(self.service, grant)
+            if refusal is not None:
+                return refusal
+        as_primary = after is None
         sent = self.service.clock.now()
         setup, count = link.plan_session(self._context.values, None)
         payload = setup + link.codec.encode_begin(self.read_only, after)
@@ -315,7 +325,8 @@
             self.service.note_connection_failure(backend, error)
             return Result.not_run(ResultCode.BACKEND_UNREACHABLE, f"no transaction: {error}", 50)
         answer = answers[-1]
-        self.service.note_answer(backend, answer, sent, as_primary)
+        sampled = as_primary and self.service.may_begin(backend)
+        self.service.note_answer(backend, answer, sent, sampled)
         if answer.is_ok and answer.state is TransactionState.OPEN:
             self._grant = grant
             self._on_primary = as_primary
@@ -355,7 +366,8 @@
         self.service.finish_slot(backend, sent)
         self.last_used = self.service.clock.now()
         answer = answers[-1]
-        self.service.note_answer(backend, answer, sent, self._on_primary and self._may_use(backend))
+        as_primary = self._on_primary and self.service.may_begin(backend)
+        self.service.note_answer(backend, answer, sent, as_primary)
         if mode is None:
             return self._committed(backend, link, answer)
         self.has_failed = answer.state is not TransactionState.OPEN
--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -37,6 +37,7 @@
     link: Link
     last_heard: Instant
     misses: int = 0
+    is_leaving: bool = False
     waiting: dict[int, asyncio.Future] = field(default_factory=dict)
     tasks: list[asyncio.Task] = field(default_factory=list)
 
@@ -123,6 +124,10 @@
         oldest = self._clock.now() - ALIVE_WINDOW
         return tuple(host for host, peer in self._peers.items() if peer.last_heard >= oldest)
 
+    def staying(self) -> tuple[HostId, ...]:
+        """Return the other hosts that answered lately and are not stopping."""
+        return tuple(host for host in self.alive() if not self._peers[host].is_leaving)
+
     async def call(
         self, host: HostId, make: Callable[[int], Message], timeout: timedelta = CALL_TIMEOUT
     ) -> Message | None:
@@ -177,6 +182,7 @@
             sent = self._clock.now()
             reply = await self.call(peer.record.host, self.make_greeting)
             if isinstance(reply, GreetingReply):
+                peer.is_leaving = reply.is_leaving
                 self.on_greeting_reply(reply, sent)
             else:
                 self._miss(peer)
--- a/hickorywind/host/role.py
+++ b/hickorywind/host/role.py
@@ -42,6 +42,7 @@
     RenewalReply,
     ServiceClosed,
 )
+from hickorywind.results import Result, ResultCode
 from hickorywind.settings.host import HostSettings
 from hickorywind.store.interface import StoredValue
 from hickorywind.util.clock import Clock, Instant, milliseconds, to_milliseconds
@@ -53,6 +54,8 @@
 # After SIGTERM the balancer needs two missed probes, a second apart, to send no more callers.
 ROTATION_WAIT = timedelta(milliseconds=2300)
 TRANSACTION_SHARE = 0.5  # open transactions have this share of the grace time to end
+LAST_ANSWERS_WAIT = timedelta(milliseconds=100)  # for answers to reach the sockets
+STOP_HINT_MS = 50  # another host takes the request at once
 EXIT_SHARE = 0.8  # the process is gone by this share of the grace time
 
 
@@ -192,17 +195,25 @@
         while self._sessions and self._clock.now() < started + grace * EXIT_SHARE:
             if self._clock.now() >= started + grace * TRANSACTION_SHARE:
                 self._end_transactions()
+                self._refuse_waiting()
             await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
         logger.info("sessions_left", extra={"count": len(self._sessions)})
         self._succession.close()
-        for session in list(self._sessions):
-            session.abort()
+        # Statements that still run end as lost, which lets their sessions answer.
         for service in self._services.values():
             service.close()
+        await asyncio.sleep(LAST_ANSWERS_WAIT.total_seconds())
+        for session in list(self._sessions):
+            session.abort()
         await self._sync.unregister()
         self._peers.close()
         await self._adapters.coordinator.close()
 
+    def _refuse_waiting(self) -> None:
+        result = Result.not_run(ResultCode.SHUTTING_DOWN, "the host is stopping", STOP_HINT_MS)
+        for service in self._services.values():
+            service.refuse_all(result)
+
     def _end_transactions(self) -> None:
         for session in list(self._sessions):
             transaction = session.open_transaction()
@@ -320,6 +331,7 @@
             identity.zone,
             self._revisions(),
             tuple(samples),
+            self._is_stopping,
         )
 
     async def _close_service(
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -11,11 +11,11 @@
 from enum import Enum
 from typing import Protocol
 
-from hickorywind.admission.dispatch import Dispatcher, Server, Target, Ticket
+from hickorywind.admission.dispatch import Dispatcher, OnPrimary, Server, Target, Ticket
 from hickorywind.host.backendlink import BackendLink, LinkLostError, LinkRefusedError
 from hickorywind.host.fleet import Fleet
 from hickorywind.host.linkpool import LinkPool
-from hickorywind.ids import AvailabilityZone, BackendId, ServiceName
+from hickorywind.ids import AvailabilityZone, BackendId, InstanceRole, ServiceName
 from hickorywind.ports.catalog import BackendServer, BackendState, Route, Topology
 from hickorywind.ports.codecs import BackendCodec
 from hickorywind.ports.replies import Answer, BackendErrorKind
@@ -95,6 +95,8 @@
         self._rng = rng
         self._dispatcher = Dispatcher(rng)
         self._sampling: asyncio.Task | None = None
+        self._closing: Result | None = None
+        self._primary_lost_at: Instant | None = None
         self._at_primary: set[PrimaryWork] = set()
 
     # Membership --------------------------------------------------------------------------------
@@ -114,7 +116,6 @@
         for server in current.values():
             self._adopt(server)
         self._set_caps()
-        self._dispatcher.primary = self.fleet.usable_primary(self.name)
         self.place_waiting()
 
     def _adopt(self, server: BackendServer) -> None:
@@ -144,6 +145,10 @@
         for backend in self.backends.values():
             backend.links.cap = max(LINK_MIN, round(share))
 
+    def may_begin(self, backend: Backend) -> bool:
+        """Tell whether work may be begun at a backend server as primary."""
+        return self.fleet.usable_primary(self.name) == backend.server.backend
+
     def may_finish(self, backend: Backend) -> bool:
         """Tell whether work begun at a backend server as primary may go on."""
         return self.fleet.permits.may_finish(self.name, backend.server.backend, self.fleet.now())
@@ -162,9 +167,27 @@
 
     def place_waiting(self) -> None:
         """Start or refuse waiting operations as far as that is possible now."""
-        self._dispatcher.primary = self.fleet.usable_primary(self.name)
+        self._note_primary()
         self._dispatcher.place_waiting(self.clock.now())
 
+    def _note_primary(self) -> None:
+        primary = self.fleet.usable_primary(self.name)
+        self._dispatcher.primary = primary
+        if primary is not None:
+            self._primary_lost_at = None
+        elif self._primary_lost_at is None:
+            self._primary_lost_at = self.clock.now()
+
+    def _give_up(self, route: Route, target: Target, arrived: Instant) -> Instant:
+        """Return until when an operation may wait.
+
+        Work for the primary waits out a change of primary, unless that already takes too long.
+        """
+        wait_limit = max(route.objective, PRIMARY_CHANGE_WAIT)
+        if isinstance(target, OnPrimary) and self._primary_lost_at is not None:
+            return min(arrived + wait_limit, self._primary_lost_at + PRIMARY_CHANGE_WAIT)
+        return arrived + wait_limit
+
     async def acquire(
         self,
         route: Route,
@@ -174,19 +197,20 @@
         excluded: frozenset[BackendId] = frozenset(),
     ) -> Grant | Result:
         """Wait for a backend server and a connection; return a refusal where none comes in time."""
+        if self._closing is not None:
+            return self._closing
         future: asyncio.Future[BackendId | Result] = asyncio.get_running_loop().create_future()
-        wait_limit = max(route.objective, PRIMARY_CHANGE_WAIT)
         ticket = Ticket(
             rank=route.rank,
             arrived=arrived,
             start_by=arrived + route.objective * 0.9,
-            give_up=arrived + wait_limit,
+            give_up=self._give_up(route, target, arrived),
             target=target,
             grant=lambda backend: _settle(future, backend),
             refuse=lambda result: _settle(future, result),
             excluded=excluded,
         )
-        self._dispatcher.primary = self.fleet.usable_primary(self.name)
+        self._note_primary()
         self._dispatcher.submit(ticket, self.clock.now())
         try:
             outcome = await future
@@ -237,6 +261,11 @@
         if backend is not None:
             backend.load.is_available = backend.server.state is BackendState.READY
 
+    def refuse_all(self, result: Result) -> None:
+        """Refuse every operation that waits, and from now on every new one."""
+        self._closing = result
+        self._dispatcher.refuse_all(result)
+
     def set_primary_state(self, state: PrimaryState) -> None:
         """Change what operations may expect of the primary."""
         if state is self.primary_state:
@@ -317,9 +346,26 @@
         is_primary = self.fleet.usable_primary(self.name) == backend.server.backend
         answers = await link.exchange(link.codec.encode_status(), 1, STATUS_TIMEOUT)
         backend.links.give_back(link)
+        status = backend.links.decode_status(answers[0])
+        link.is_verified_primary = status is not None and status.role is InstanceRole.PRIMARY
+        is_primary = is_primary and link.is_verified_primary
         self.note_answer(backend, answers[0], sent, is_primary)
         return answers[0]
 
+    async def verify_primary(self, backend: Backend, link: BackendLink) -> bool:
+        """Make sure, once for each connection, that it reaches a server that leads.
+
+        A server that restarted may have become a replica; raise ``LinkLostError``.
+        """
+        if link.is_verified_primary:
+            return True
+        answers = await link.exchange(link.codec.encode_status(), 1, STATUS_TIMEOUT)
+        status = backend.links.decode_status(answers[0])
+        link.is_verified_primary = status is not None and status.role is InstanceRole.PRIMARY
+        if status is not None and not link.is_verified_primary:
+            self.on_suspect(self.name, "the primary answers as a replica")
+        return link.is_verified_primary
+
     def close_idle_links(self) -> None:
         """Close connections that have not been used for a while."""
         for backend in self.backends.values():
--- a/hickorywind/host/succession.py
+++ b/hickorywind/host/succession.py
@@ -36,7 +36,7 @@
     Put,
     Snapshot,
 )
-from hickorywind.ports.replies import ServerStatus
+from hickorywind.ports.replies import BackendErrorKind, ServerStatus
 from hickorywind.protocol.messages import CloseService, ReachQuery, ReachReply, ServiceClosed
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
 
@@ -53,6 +53,7 @@
 PROMOTION_RESEND = timedelta(milliseconds=1500)  # an order whose answer was lost is repeated
 RECHECK_INTERVAL = timedelta(milliseconds=400)  # between looks at an unreachable primary
 TAKEOVER_AFTER = timedelta(seconds=4)  # a change of primary that makes no progress
+STUCK_AFTER = timedelta(seconds=20)  # longer than any change whose promoter makes progress
 STORE_ATTEMPTS = 6  # tries of one write with conditions
 
 
@@ -121,8 +122,10 @@
         """Look regularly at what no failed statement shows, until cancelled."""
         while True:
             await asyncio.sleep(RECHECK_INTERVAL.total_seconds())
+            if self.is_stopping:
+                continue
             for service in list(self._services):
-                if not self._is_working(service) and not self.is_stopping:
+                if not self._is_working(service):
                     self._look_at(service)
 
     def _look_at(self, service: ServiceName) -> None:
@@ -153,11 +156,11 @@
         is_own = promoter == self._identity.host
         is_silent = not is_own and promoter not in self._peers.alive()
         patience = TAKEOVER_AFTER + RANK_DELAY * self._rank(service)
-        if is_own or (is_silent and now > since + patience / 2) or now > since + patience * 2:
+        if is_own or (is_silent and now > since + patience / 2) or now > since + STUCK_AFTER:
             self._start(service, self._take_over(service, leadership))
 
     def _rank(self, service: ServiceName) -> int:
-        hosts = [self._identity.host, *self._peers.alive()]
+        hosts = [self._identity.host, *self._peers.staying()]
         return list(rank_members(service, hosts)).index(self._identity.host)
 
     # First record ------------------------------------------------------------------------------
@@ -209,7 +212,10 @@
     async def _still_leads(self, runtime: ServiceRuntime, backend: Backend) -> bool:
         try:
             answer = await runtime.query_status(backend)
-        except (LinkLostError, LinkRefusedError) as error:
+        except LinkRefusedError as error:
+            # Another server at its address means that this one is gone.
+            return error.kind is not BackendErrorKind.WRONG_SERVER
+        except LinkLostError as error:
             # It accepted a connection, so it runs; its slots may all be busy.
             logger.info(
                 "primary_status_missing",
@@ -258,8 +264,8 @@
             leadership.record, LeadershipPhase.CLOSED, self._identity.host, candidate, False
         )
         closed = await self._write(runtime.name, record, leadership.revision)
-        await self._fence(runtime, closed, may_return=True)
-        await self._promote_and_open(runtime, closed)
+        fencing = await self._fence(runtime, closed, may_return=True)
+        await self._promote_and_open(runtime, closed, fencing)
 
     async def _replace_leaving(self, service: ServiceName, leadership: VersionedLeadership) -> None:
         runtime = self._services[service]
@@ -276,9 +282,9 @@
             leadership.record, LeadershipPhase.CLOSED, self._identity.host, candidate, True
         )
         closed = await self._write(service, record, leadership.revision)
-        await self._fence(runtime, closed, may_return=False)
+        fencing = await self._fence(runtime, closed, may_return=False)
         await self._await_catch_up(runtime, closed.record)
-        await self._promote_and_open(runtime, closed)
+        await self._promote_and_open(runtime, closed, fencing)
 
     async def _take_over(self, service: ServiceName, leadership: VersionedLeadership) -> None:
         """Finish what another promoter began, with the same candidate while it runs."""
@@ -292,8 +298,8 @@
             leadership.record.is_planned,
         )
         closed = await self._write(service, record, leadership.revision)
-        await self._fence(runtime, closed, may_return=False)
-        await self._promote_and_open(runtime, closed)
+        fencing = await self._fence(runtime, closed, may_return=False)
+        await self._promote_and_open(runtime, closed, fencing)
 
     async def _choose_candidate(
         self, runtime: ServiceRuntime, old_primary: BackendId
@@ -382,8 +388,8 @@
 
     async def _fence(
         self, runtime: ServiceRuntime, closed: VersionedLeadership, may_return: bool
-    ) -> None:
-        """Return once no host can use the old primary any more."""
+    ) -> Fencing:
+        """Return once no host can use the old primary, or its process is known to be gone."""
         await self.end_own_use(runtime, closed.revision, closed.record.is_planned)
         hosts = await self._registered_hosts()
         hosts.pop(self._identity.host, None)
@@ -393,6 +399,8 @@
         )
         for host in list(fencing.waiting):
             await self._end_lease(hosts[host], fencing)
+        if may_return and fencing.waiting:
+            fencing.is_primary_gone = await self._is_primary_gone(runtime, closed.record.primary)
         while not fencing.is_complete(self._fleet.now()):
             logger.info(
                 "fencing_waits",
@@ -401,12 +409,17 @@
             if may_return and await self._reopen_if_back(runtime, closed):
                 raise ChangeCancelledError("the primary came back before it was replaced")
             await asyncio.sleep(FENCE_POLL.total_seconds())
+            if may_return:
+                fencing.is_primary_gone = await self._is_primary_gone(
+                    runtime, closed.record.primary
+                )
             await asyncio.gather(
                 *(
                     self._ask_to_close(runtime, closed, hosts[host], fencing)
                     for host in list(fencing.waiting)
                 )
             )
+        return fencing
 
     async def end_own_use(
         self, runtime: ServiceRuntime, revision: Revision, is_planned: bool
@@ -461,6 +474,13 @@
             return
         raise StoreUnavailableError("a silent host's lease could not be ended")
 
+    async def _is_primary_gone(self, runtime: ServiceRuntime, primary: BackendId) -> bool:
+        """Tell whether the primary's process is proved to have ended."""
+        backend = runtime.backends.get(primary)
+        if backend is None:
+            return False
+        return await is_process_gone(backend.server.address, REACH_TIMEOUT)
+
     async def _reopen_if_back(self, runtime: ServiceRuntime, closed: VersionedLeadership) -> bool:
         backend = runtime.backends.get(closed.record.primary)
         if backend is None or not await accepts_connections(backend.server.address, REACH_TIMEOUT):
@@ -485,11 +505,14 @@
                 return
             await asyncio.sleep(PROMOTION_POLL.total_seconds())
 
-    async def _promote_and_open(self, runtime: ServiceRuntime, closed: VersionedLeadership) -> None:
+    async def _promote_and_open(
+        self, runtime: ServiceRuntime, closed: VersionedLeadership, fencing: Fencing
+    ) -> None:
         tried = closed
         while True:
-            outcome = await self._promote(runtime, tried)
+            outcome = await self._promote(runtime, tried, fencing)
             if outcome:
+                await self._await_silent_hosts(runtime, fencing)
                 await self._open(runtime, tried, tried.record.candidate)
                 self._metrics.failovers.inc()
                 return
@@ -501,7 +524,18 @@
             )
             tried = await self._write(runtime.name, record, tried.revision)
 
-    async def _promote(self, runtime: ServiceRuntime, closed: VersionedLeadership) -> bool:
+    async def _await_silent_hosts(self, runtime: ServiceRuntime, fencing: Fencing) -> None:
+        """Wait for silent hosts after all where the old primary was seen during the promotion."""
+        while not fencing.is_complete(self._fleet.now()):
+            logger.info(
+                "fencing_waits",
+                extra={"service": runtime.name, "hosts": ",".join(sorted(fencing.waiting))},
+            )
+            await asyncio.sleep(FENCE_POLL.total_seconds())
+
+    async def _promote(
+        self, runtime: ServiceRuntime, closed: VersionedLeadership, fencing: Fencing
+    ) -> bool:
         """Order one promotion and wait until it has taken effect; return False where it can't."""
         record = closed.record
         until = self._fleet.now() + PROMOTION_LIMIT
@@ -528,6 +562,8 @@
             if backend is None:
                 return False
             status = await self._status(runtime, backend)
+            if fencing.is_primary_gone:
+                fencing.is_primary_gone = await self._is_primary_gone(runtime, record.primary)
             if status is not None and status.role is InstanceRole.PRIMARY:
                 return True
             await asyncio.sleep(PROMOTION_POLL.total_seconds())
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -291,6 +291,7 @@
     zone: str
     revisions: dict[str, int]
     samples: tuple[PositionSample, ...]
+    is_leaving: bool
 
 
 class CopyQuery(msgspec.Struct, frozen=True, tag="copy", array_like=True):
