Serve callers that come while a host drains or starts

Change: sessions that come during a drain are served and closed when quiet; a session waits 1.5 s for a host's first configuration; an operation goes back to the queue where no connection can be had; connections beyond the even share are given back after 0.6 s.

--- a/hickorywind/host/linkpool.py
+++ b/hickorywind/host/linkpool.py
@@ -16,7 +16,9 @@
 
 CONNECT_TIMEOUT = timedelta(milliseconds=600)  # a round trip between regions, twice, and a slot
 IDLE_LIMIT = timedelta(seconds=4)  # spare connections are given back to the other hosts
-LIMIT_PAUSE = timedelta(milliseconds=150)  # rest after the server had no connection to give
+SURPLUS_IDLE_LIMIT = timedelta(milliseconds=600)  # beyond the even share others need them more
+LIMIT_PAUSE = timedelta(milliseconds=100)  # rest after the server had no connection to give
+LIMIT_PAUSE_MAX = timedelta(milliseconds=800)  # doubled up to this while it stays that way
 
 
 class LinkPool:
@@ -27,12 +29,14 @@
     ) -> None:
         self.server = server
         self.cap = 4
+        self.even_share = 2
         self._make_codec = make_codec
         self._clock = clock
         self._idle: list[BackendLink] = []
         self._open: set[BackendLink] = set()
         self._connecting = 0
         self._paused_until: Instant = timedelta(0)
+        self._pause = LIMIT_PAUSE
         self._is_closed = False
 
     @property
@@ -64,7 +68,8 @@
             link = await BackendLink.open(self.server, self._make_codec(), CONNECT_TIMEOUT)
         except LinkRefusedError as error:
             if error.kind is BackendErrorKind.CONNECTION_LIMIT:
-                self._paused_until = self._clock.now() + LIMIT_PAUSE
+                self._paused_until = self._clock.now() + self._pause
+                self._pause = min(self._pause * 2, LIMIT_PAUSE_MAX)
             logger.info(
                 "backend_connection_refused",
                 extra={"backend": self.server.backend, "reason": str(error)},
@@ -72,6 +77,7 @@
             raise
         finally:
             self._connecting -= 1
+        self._pause = LIMIT_PAUSE
         self._open.add(link)
         link.on_lost = self._forget
         if self._is_closed:
@@ -98,11 +104,12 @@
         """Read a status row; None where the answer holds none."""
         return self._make_codec().decode_status(answer)
 
-    def close_idle(self, keep: int) -> None:
-        """Close connections unused for a while, but for ``keep`` of them."""
-        oldest = self._clock.now() - IDLE_LIMIT
+    def close_idle(self) -> None:
+        """Close connections unused for a while, sooner those beyond this host's even share."""
+        now = self._clock.now()
         for link in list(self._idle):
-            if self.open_count > keep and link.idle_since < oldest:
+            limit = SURPLUS_IDLE_LIMIT if self.open_count > self.even_share else IDLE_LIMIT
+            if self.open_count > 1 and link.idle_since < now - limit:
                 link.close()
 
     def close(self) -> None:
--- a/hickorywind/host/role.py
+++ b/hickorywind/host/role.py
@@ -155,8 +155,6 @@
         )
         self._sessions.add(session)
         self._metrics.sessions.set(len(self._sessions))
-        if self._is_stopping:
-            session.leave_when_idle()
         return session
 
     @property
@@ -223,9 +221,11 @@
     # Services ----------------------------------------------------------------------------------
 
     def _refresh_services(self) -> None:
-        for server in list(self._fleet.backends.values()):
-            if server.service not in self._services:
-                self._add_service(server.service)
+        named = {server.service for server in self._fleet.backends.values()}
+        if self._fleet.configuration is not None:
+            named |= self._fleet.configuration.connection_limits.keys()
+        for name in named - self._services.keys():
+            self._add_service(name)
         for service in self._services.values():
             service.host_count = 1 + len(self._peers.alive())
             service.refresh()
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -28,6 +28,7 @@
 DISPATCH_INTERVAL = timedelta(milliseconds=20)  # bounds how late a waiting operation is refused
 PRIMARY_CHANGE_WAIT = timedelta(seconds=5)  # a change of primary is over within this time
 STATUS_TIMEOUT = timedelta(milliseconds=700)  # a busy slot and a round trip between regions
+UNAVAILABLE_PAUSE = timedelta(milliseconds=300)  # before a failed server is tried again
 UNREACHABLE_HINT_MS = 200  # another host can serve the operation at once
 TRANSACTION_END_WAIT = timedelta(milliseconds=1200)  # well inside the drain bound
 LINK_SHARE = 2.0  # uneven load: a host may hold this many times its even share of connections
@@ -144,6 +145,7 @@
         share = LINK_SHARE * limit / max(1, self.host_count)
         for backend in self.backends.values():
             backend.links.cap = max(LINK_MIN, round(share))
+            backend.links.even_share = max(1, limit // max(1, self.host_count))
 
     def may_begin(self, backend: Backend) -> bool:
         """Tell whether work may be begun at a backend server as primary."""
@@ -197,6 +199,26 @@
         excluded: frozenset[BackendId] = frozenset(),
     ) -> Grant | Result:
         """Wait for a backend server and a connection; return a refusal where none comes in time."""
+        if self._closing is not None:
+            return self._closing
+        give_up = self._give_up(route, target, arrived)
+        while True:
+            outcome = await self._queue(route, target, arrived, give_up, excluded)
+            if isinstance(outcome, Result):
+                return outcome
+            grant = await self._connect(outcome, values)
+            # The server is passed over for a while, so waiting again does not spin.
+            if isinstance(grant, Grant) or self.clock.now() >= give_up:
+                return grant
+
+    async def _queue(
+        self,
+        route: Route,
+        target: Target,
+        arrived: Instant,
+        give_up: Instant,
+        excluded: frozenset[BackendId],
+    ) -> BackendId | Result:
         if self._closing is not None:
             return self._closing
         future: asyncio.Future[BackendId | Result] = asyncio.get_running_loop().create_future()
@@ -204,7 +226,7 @@
             rank=route.rank,
             arrived=arrived,
             start_by=arrived + route.objective * 0.9,
-            give_up=self._give_up(route, target, arrived),
+            give_up=give_up,
             target=target,
             grant=lambda backend: _settle(future, backend),
             refuse=lambda result: _settle(future, result),
@@ -213,15 +235,12 @@
         self._note_primary()
         self._dispatcher.submit(ticket, self.clock.now())
         try:
-            outcome = await future
+            return await future
         except asyncio.CancelledError:
             self._dispatcher.withdraw(ticket)
             if future.done() and not future.cancelled() and not isinstance(future.result(), Result):
                 self.release_slot(self.backends.get(future.result()))
             raise
-        if isinstance(outcome, Result):
-            return outcome
-        return await self._connect(outcome, values)
 
     async def _connect(self, backend_id: BackendId, values: Mapping[str, str]) -> Grant | Result:
         backend = self.backends.get(backend_id)
@@ -246,17 +265,16 @@
         refused = isinstance(error, LinkRefusedError)
         if refused and error.kind is BackendErrorKind.CONNECTION_LIMIT:
             return
-        if backend.server.backend == self.current_primary():
-            self.on_suspect(self.name, "connecting failed")
-            return
         backend.load.is_available = False
-        self._retry_later(backend)
-
-    def _retry_later(self, backend: Backend) -> None:
         loop = asyncio.get_running_loop()
-        loop.call_later(0.5, self._make_available, backend.server.backend)
+        loop.call_later(
+            UNAVAILABLE_PAUSE.total_seconds(), self.make_available, backend.server.backend
+        )
+        if backend.server.backend == self.current_primary():
+            self.on_suspect(self.name, "connecting failed")
 
-    def _make_available(self, backend_id: BackendId) -> None:
+    def make_available(self, backend_id: BackendId) -> None:
+        """Use a backend server again, unless it is leaving."""
         backend = self.backends.get(backend_id)
         if backend is not None:
             backend.load.is_available = backend.server.state is BackendState.READY
@@ -369,7 +387,7 @@
     def close_idle_links(self) -> None:
         """Close connections that have not been used for a while."""
         for backend in self.backends.values():
-            backend.links.close_idle(keep=1)
+            backend.links.close_idle()
 
     def close(self) -> None:
         """Close every connection."""
--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -37,6 +37,10 @@
 
 logger = logging.getLogger(__name__)
 
+# A session may wait this long for the first configuration of a host that is starting.
+START_WAIT = timedelta(milliseconds=1500)
+START_POLL = timedelta(milliseconds=20)  # how often a waiting session looks for it
+LEAVE_QUIET = timedelta(milliseconds=250)  # a stopping host closes sessions this long idle
 PENDING_LIMIT = 64  # requests that a caller may send ahead of the answers
 PREPARED_LIMIT = 1_000  # prepared names that one session may hold
 VALUES_LIMIT = 200  # session values that one session may hold
@@ -123,10 +127,9 @@
         try:
             while not self._is_ended:
                 if not self._pending:
-                    if self._may_leave():
-                        break
                     self._wake.clear()
-                    await self._wait_for_caller()
+                    if not await self._wait_for_caller():
+                        break
                     continue
                 event = self._pending.popleft()
                 if not self._pending and self._transport is not None:
@@ -144,16 +147,28 @@
     def _may_leave(self) -> bool:
         return self._is_leaving and self._transaction is None
 
-    async def _wait_for_caller(self) -> None:
+    async def _wait_for_caller(self) -> bool:
+        """Wait for a request; return False where the session should end instead."""
+        if self._may_leave():
+            return await self._wait_quiet()
         if self._transaction is None or not self._transaction.is_pinned:
             await self._wake.wait()
-            return
+            return True
         limit = self._idle_limit()
         try:
             async with asyncio.timeout(limit.total_seconds()):
                 await self._wake.wait()
         except TimeoutError:
             await self._transaction.expire()
+        return True
+
+    async def _wait_quiet(self) -> bool:
+        try:
+            async with asyncio.timeout(LEAVE_QUIET.total_seconds()):
+                await self._wake.wait()
+        except TimeoutError:
+            return False
+        return True
 
     def _idle_limit(self) -> timedelta:
         return self._fleet.configuration.transaction_idle
@@ -170,6 +185,7 @@
     async def _handle(self, event: CallerEvent) -> bool:
         match event:
             case Connect(database, client):
+                await self._wait_for_configuration()
                 return self._connect(database, client)
             case Terminate():
                 return False
@@ -190,6 +206,11 @@
                 await self._answer(event)
                 return True
 
+    async def _wait_for_configuration(self) -> None:
+        until = self._clock.now() + START_WAIT
+        while self._fleet.configuration is None and self._clock.now() < until:
+            await asyncio.sleep(START_POLL.total_seconds())
+
     def _connect(self, database: str, client: str) -> bool:
         if self._context is not None:
             result = Result.not_run(ResultCode.MALFORMED_MESSAGE, "already connected")
--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -36,6 +36,7 @@
 WATCH_WAIT = timedelta(seconds=25)  # each waiting watch is one call
 RETRY_MIN = timedelta(milliseconds=150)  # first pause after a failed call
 RETRY_MAX = timedelta(milliseconds=1200)  # well inside the bound for configurations
+RETRY_MAX_STARTING = timedelta(milliseconds=300)  # callers wait for a host without configuration
 _PEERS_ASKED = 2  # peers asked to renew a lease for a host that is cut from the store
 
 
@@ -80,6 +81,10 @@
         else:
             logger.warning("store_lost", extra={"call": call, "error": str(error)})
 
+    def _longer(self, pause: timedelta) -> timedelta:
+        is_starting = self._fleet.configuration is None
+        return min(pause * 2, RETRY_MAX_STARTING if is_starting else RETRY_MAX)
+
     # Registration ------------------------------------------------------------------------------
 
     async def _stay_registered(self) -> None:
@@ -113,7 +118,7 @@
             except StoreUnavailableError as error:
                 self.note_call("register", error)
                 await asyncio.sleep(pause.total_seconds() * self._rng.uniform(0.5, 1.0))
-                pause = min(pause * 2, RETRY_MAX)
+                pause = self._longer(pause)
 
     async def _own_revision(self) -> Revision:
         snapshot = await self._coordinator.read_range(HOSTS_PREFIX)
@@ -216,7 +221,7 @@
                 self.note_call("watch", error)
                 is_current = False
                 await asyncio.sleep(pause.total_seconds() * self._rng.uniform(0.5, 1.0))
-                pause = min(pause * 2, RETRY_MAX)
+                pause = self._longer(pause)
 
 
 def parse_hosts(snapshot: Snapshot) -> dict[HostId, HostRecord]:
--- a/hickorywind/host/succession.py
+++ b/hickorywind/host/succession.py
@@ -192,6 +192,7 @@
         if backend is not None and await accepts_connections(backend.server.address, REACH_TIMEOUT):
             if await self._still_leads(runtime, backend):
                 runtime.set_primary_state(PrimaryState.USABLE)
+                runtime.make_available(primary)
                 return
             logger.warning("primary_lost_lead", extra={"service": service, "backend": primary})
         else:
