Fence silent hosts early and keep fewer connections

Change: silent hosts lose lease and registration before any primary fails; permits last 7 s, renewed each second; the cap is 1.3 even shares, lowered after a refusal; spare connections are given back after 1.5 s; one read at a time probes a replica that was behind.

--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -82,6 +82,8 @@
         """Remember the newest log position seen at this server."""
         if self.known_position is None or position > self.known_position:
             self.known_position = position
+        if self.behind_position is not None and position >= self.behind_position:
+            self.behind_position = None
 
     def note_behind(self, position: LogPosition, now: Instant) -> None:
         """Remember that the server lacked a position."""
@@ -123,7 +125,7 @@
         ticket.number = next(self._numbers)
         server = self._choose(ticket, now)
         if server is not None and not self._is_outranked(ticket, server, now):
-            self._grant(ticket, server)
+            self._grant(ticket, server, now)
             return
         wait = self._expected_wait(ticket)
         if now + wait >= ticket.give_up:
@@ -158,10 +160,13 @@
             server = self._choose(ticket, now)
             if server is not None:
                 self._waiting.remove(ticket)
-                self._grant(ticket, server)
+                self._grant(ticket, server, now)
 
-    def _grant(self, ticket: Ticket, server: Server) -> None:
+    def _grant(self, ticket: Ticket, server: Server, now: Instant) -> None:
         self._starts += 1
+        if server.behind_position is not None:
+            # One read at a time finds out whether the replica has caught up.
+            server.behind_at = now
         server.limit.start()
         ticket.grant(server.backend)
 
--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -23,8 +23,8 @@
 from hickorywind.ports.coordination import LeaseId
 from hickorywind.util.clock import Instant
 
-PERMIT_DURATION = timedelta(seconds=8)  # outlasts the store's usual outages
-PERMIT_RENEWAL_INTERVAL = timedelta(milliseconds=1500)  # five tries within a permit
+PERMIT_DURATION = timedelta(seconds=7)  # outlasts the store's usual outages
+PERMIT_RENEWAL_INTERVAL = timedelta(seconds=1)  # six tries within a permit
 # A permit is treated as longer by whoever waits for it to run out, for clocks that drift.
 PERMIT_DRIFT_MARGIN = timedelta(milliseconds=200)
 
--- a/hickorywind/host/linkpool.py
+++ b/hickorywind/host/linkpool.py
@@ -15,10 +15,11 @@
 logger = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT = timedelta(milliseconds=600)  # a round trip between regions, twice, and a slot
-IDLE_LIMIT = timedelta(seconds=4)  # spare connections are given back to the other hosts
+IDLE_LIMIT = timedelta(milliseconds=1500)  # spare connections are given back to the other hosts
 SURPLUS_IDLE_LIMIT = timedelta(milliseconds=600)  # beyond the even share others need them more
 LIMIT_PAUSE = timedelta(milliseconds=100)  # rest after the server had no connection to give
 LIMIT_PAUSE_MAX = timedelta(milliseconds=800)  # doubled up to this while it stays that way
+REGROWTH_INTERVAL = timedelta(milliseconds=500)  # one connection more is tried for in this time
 
 
 class LinkPool:
@@ -37,6 +38,8 @@
         self._connecting = 0
         self._paused_until: Instant = timedelta(0)
         self._pause = LIMIT_PAUSE
+        self._refused_at: Instant | None = None
+        self._refused_cap = 1
         self._is_closed = False
 
     @property
@@ -48,7 +51,15 @@
         """Tell whether a connection can be had without waiting for another's return."""
         if self._idle:
             return True
-        return self.open_count < self.cap and self._clock.now() >= self._paused_until
+        now = self._clock.now()
+        return self.open_count < self._present_cap(now) and now >= self._paused_until
+
+    def _present_cap(self, now: Instant) -> int:
+        """Return the cap, lowered for a while after the server had no connection to give."""
+        if self._refused_at is None:
+            return self.cap
+        regrown = (now - self._refused_at) // REGROWTH_INTERVAL
+        return min(self.cap, self._refused_cap + regrown)
 
     async def take(self, values: Mapping[str, str]) -> BackendLink:
         """Lend the connection that fits a session best, or open one.
@@ -56,7 +67,8 @@
         Raise ``LinkRefusedError`` or ``LinkLostError`` where none can be had.
         """
         while self._idle:
-            link = min(self._idle, key=lambda each: _misfit(each, values))
+            # Of equals the one used last, so that spare connections age and are given back.
+            link = min(reversed(self._idle), key=lambda each: _misfit(each, values))
             self._idle.remove(link)
             if not link.is_lost:
                 return link
@@ -68,7 +80,9 @@
             link = await BackendLink.open(self.server, self._make_codec(), CONNECT_TIMEOUT)
         except LinkRefusedError as error:
             if error.kind is BackendErrorKind.CONNECTION_LIMIT:
-                self._paused_until = self._clock.now() + self._pause
+                self._refused_at = self._clock.now()
+                self._refused_cap = max(1, len(self._open))
+                self._paused_until = self._refused_at + self._pause
                 self._pause = min(self._pause * 2, LIMIT_PAUSE_MAX)
             logger.info(
                 "backend_connection_refused",
--- a/hickorywind/host/operation.py
+++ b/hickorywind/host/operation.py
@@ -107,7 +107,8 @@
     async def run(self) -> Reply:
         """Return the reply to the caller."""
         result = Result.not_run(ResultCode.NO_PRIMARY, "no attempt was made", _RETRY_HINT_MS)
-        for _ in range(ATTEMPTS):
+        attempts = 0
+        while attempts < ATTEMPTS:
             target = self._target()
             refusal = refuse_unreachable(self._service, target)
             if refusal is not None:
@@ -116,16 +117,15 @@
                 self._route, target, self._arrived, self._context.values, self._excluded
             )
             if isinstance(grant, Result):
-                result = grant
-                if grant.code is ResultCode.BACKEND_UNREACHABLE:
-                    continue
-                break
+                return Failed(grant)
             outcome = await self._attempt(grant, target)
             if not isinstance(outcome, Result):
                 return outcome
             result = outcome
             if not result.retry_allowed:
                 break
+            # A replica that was behind is passed over next time, so this does not spin.
+            attempts += result.code is not ResultCode.REPLICA_BEHIND
         return Failed(result)
 
     def _target(self) -> Target:
@@ -192,6 +192,8 @@
         match kind:
             case BackendErrorKind.BEHIND if after is not None:
                 backend.load.note_behind(after, now)
+                reason = "the replica lacks the position that the read needs"
+                return Result.not_run(ResultCode.REPLICA_BEHIND, reason, _RETRY_HINT_MS)
             case BackendErrorKind.BUSY:
                 backend.load.limit.refused(now)
             case BackendErrorKind.READ_ONLY:
@@ -283,7 +285,8 @@
     async def _start(self) -> Result | None:
         excluded: frozenset[BackendId] = frozenset()
         result = Result.not_run(ResultCode.NO_PRIMARY, "no attempt was made", _RETRY_HINT_MS)
-        for _ in range(ATTEMPTS):
+        attempts = 0
+        while attempts < ATTEMPTS:
             target = self._target()
             refusal = refuse_unreachable(self.service, target)
             if refusal is not None:
@@ -292,14 +295,12 @@
                 self.route, target, self.arrived, self._context.values, excluded
             )
             if isinstance(grant, Result):
-                result = grant
-                if grant.code is ResultCode.BACKEND_UNREACHABLE:
-                    continue
-                return result
+                return grant
             outcome = await self._begin(grant, target)
             if outcome is None:
                 return None
             result = outcome
+            attempts += result.code is not ResultCode.REPLICA_BEHIND
         return result
 
     def _target(self) -> Target:
@@ -339,6 +340,8 @@
         backend.links.give_back(link)
         if answer.error is not None and answer.error.kind is BackendErrorKind.BEHIND and after:
             backend.load.note_behind(after, self.service.clock.now())
+            reason = "the replica lacks the position that the transaction needs"
+            return Result.not_run(ResultCode.REPLICA_BEHIND, reason, _RETRY_HINT_MS)
         if answer.error is not None and answer.error.kind is BackendErrorKind.READ_ONLY:
             self.service.on_suspect(self.service.name, "the primary refuses transactions")
         reason = f"no transaction: {answer.error.text if answer.error else 'wrong state'}"
--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -25,6 +25,7 @@
 GREETING_INTERVAL = timedelta(seconds=1)  # spreads news within the configuration bound
 CALL_TIMEOUT = timedelta(milliseconds=700)  # several round trips between regions
 ALIVE_WINDOW = timedelta(milliseconds=3500)  # three greetings lost in a row
+SILENT_AFTER = timedelta(milliseconds=2500)  # longer than a process takes to restart
 FORGET_AFTER = timedelta(seconds=60)  # a host that left for good is no longer greeted
 _MISSES_UNTIL_RECONNECT = 2  # a connection may be silent while a new one works
 
@@ -124,6 +125,11 @@
         oldest = self._clock.now() - ALIVE_WINDOW
         return tuple(host for host, peer in self._peers.items() if peer.last_heard >= oldest)
 
+    def silent(self) -> tuple[HostRecord, ...]:
+        """Return the hosts that have not answered for a while."""
+        oldest = self._clock.now() - SILENT_AFTER
+        return tuple(peer.record for peer in self._peers.values() if peer.last_heard < oldest)
+
     def staying(self) -> tuple[HostId, ...]:
         """Return the other hosts that answered lately and are not stopping."""
         return tuple(host for host in self.alive() if not self._peers[host].is_leaving)
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -31,8 +31,8 @@
 UNAVAILABLE_PAUSE = timedelta(milliseconds=300)  # before a failed server is tried again
 UNREACHABLE_HINT_MS = 200  # another host can serve the operation at once
 TRANSACTION_END_WAIT = timedelta(milliseconds=1200)  # well inside the drain bound
-LINK_SHARE = 2.0  # uneven load: a host may hold this many times its even share of connections
-LINK_MIN = 4  # what a host may hold however many hosts there are
+LINK_SHARE = 1.3  # uneven load: a host may hold this many times its even share of connections
+LINK_MIN = 2  # what a host may hold however many hosts there are
 
 
 class PrimaryWork(Protocol):
--- a/hickorywind/host/succession.py
+++ b/hickorywind/host/succession.py
@@ -14,6 +14,7 @@
     LeadershipPhase,
     LeadershipRecord,
     VersionedLeadership,
+    decode_host,
     encode_record,
 )
 from hickorywind.host.backendlink import LinkLostError, LinkRefusedError
@@ -53,6 +54,8 @@
 PROMOTION_RESEND = timedelta(milliseconds=1500)  # an order whose answer was lost is repeated
 RECHECK_INTERVAL = timedelta(milliseconds=400)  # between looks at an unreachable primary
 TAKEOVER_AFTER = timedelta(seconds=4)  # a change of primary that makes no progress
+SILENT_AGAIN = timedelta(seconds=15)  # a host that came back and fell silent again
+SILENT_HOSTS_KEY = ServiceName("")  # ranks the hosts for what concerns no service
 STUCK_AFTER = timedelta(seconds=20)  # longer than any change whose promoter makes progress
 STORE_ATTEMPTS = 6  # tries of one write with conditions
 
@@ -85,6 +88,8 @@
         self._rng = rng
         self._tasks: dict[ServiceName, asyncio.Task] = {}
         self._closed_since: dict[ServiceName, tuple[Revision, timedelta]] = {}
+        self._silent_task: asyncio.Task | None = None
+        self._fenced: dict[tuple[HostId, int], timedelta] = {}
         self.is_stopping = False
 
     # Triggers ----------------------------------------------------------------------------------
@@ -124,6 +129,7 @@
             await asyncio.sleep(RECHECK_INTERVAL.total_seconds())
             if self.is_stopping:
                 continue
+            self._fence_silent_hosts()
             for service in list(self._services):
                 if not self._is_working(service):
                     self._look_at(service)
@@ -163,6 +169,60 @@
         hosts = [self._identity.host, *self._peers.staying()]
         return list(rank_members(service, hosts)).index(self._identity.host)
 
+    # Silent hosts -------------------------------------------------------------------------------
+
+    def _fence_silent_hosts(self) -> None:
+        """Begin to end the permits of silent hosts before a primary fails too."""
+        task = self._silent_task
+        if task is not None and not task.done():
+            return
+        now = self._fleet.now()
+        silent = {
+            record.host: record.incarnation
+            for record in self._peers.silent()
+            if self._fenced.get((record.host, record.incarnation), timedelta(0)) < now
+        }
+        if silent and self._rank(SILENT_HOSTS_KEY) == 0:
+            self._silent_task = asyncio.create_task(self._end_silent(silent))
+
+    async def _end_silent(self, silent: dict[HostId, int]) -> None:
+        try:
+            snapshot = await self._coordinator.read_range(HOSTS_PREFIX)
+        except StoreUnavailableError as error:
+            logger.info("hosts_unread", extra={"reason": str(error)})
+            return
+        await asyncio.gather(
+            *(
+                self._end_silent_host(item)
+                for item in snapshot.items
+                if self._is_silent(item, silent)
+            )
+        )
+        again = self._fleet.now() + SILENT_AGAIN
+        self._fenced |= {key: again for key in silent.items()}
+
+    @staticmethod
+    def _is_silent(item: StoredValue, silent: dict[HostId, int]) -> bool:
+        record = decode_host(item.value)
+        return record is not None and silent.get(record.host) == record.incarnation
+
+    async def _end_silent_host(self, item: StoredValue) -> None:
+        """End a host's lease and, once its permit has run out, its registration."""
+        record = decode_host(item.value)
+        fencing = Fencing.from_hosts({record.host})
+        if await is_process_gone(record.address, REACH_TIMEOUT):
+            fencing.settle(record.host, HostStanding.ENDED)
+        else:
+            await self._end_lease(record, fencing)
+        while not fencing.is_complete(self._fleet.now()):
+            await asyncio.sleep(FENCE_POLL.total_seconds())
+        try:
+            await self._coordinator.transact([Condition(item.key, item.revision)], [], [item.key])
+        except StoreUnavailableError as error:
+            logger.info("registration_kept", extra={"peer": record.host, "reason": str(error)})
+            return
+        logger.info("silent_host_removed", extra={"peer": record.host})
+
     # First record ------------------------------------------------------------------------------
 
     async def _initialise(self, service: ServiceName) -> None:
