--- a/hickorywind/host/succession.py
+++ b/hickorywind/host/succession.py
@@ -47,7 +47,7 @@
 RANK_DELAY = timedelta(milliseconds=300)  # a host that is slower than the first choice waits
 CLOSE_TIMEOUT = timedelta(milliseconds=500)  # for a host's word that it stopped
 PLANNED_CLOSE_TIMEOUT = timedelta(milliseconds=2300)  # open transactions may end first
-FENCE_POLL = timedelta(milliseconds=100)  # how often silent hosts are looked at again
+FENCE_POLL = timedelta(milliseconds=300)  # how often silent hosts are looked at again
 CATCH_UP_LIMIT = timedelta(milliseconds=1500)  # for the successor of a planned change
 PROMOTION_LIMIT = timedelta(seconds=4)  # for one promotion to take effect
 PROMOTION_POLL = timedelta(milliseconds=60)  # how often the successor is asked whether it leads
@@ -470,6 +470,11 @@
             if may_return and await self._reopen_if_back(runtime, closed):
                 raise ChangeCancelledError("the primary came back before it was replaced")
             await asyncio.sleep(FENCE_POLL.total_seconds())
+            registered = await self._registered_hosts()
+            for host in list(fencing.waiting):
+                if host not in registered:
+                    # Another host has waited its permit out already.
+                    fencing.settle(host, HostStanding.ENDED)
             if may_return:
                 fencing.is_primary_gone = await self._is_primary_gone(
                     runtime, closed.record.primary
