Look at servers that stall, ask the other hosts at once, reserve connections

Change: 350 ms without any answer starts a look at the server, in parallel with the question to the other hosts; connections to an unreachable server are dropped; a slot is granted together with a reserved connection.

--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -74,6 +74,7 @@
     limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
     is_available: bool = True
     has_connection: Callable[[], bool] = lambda: True
+    reserve_connection: Callable[[], None] = lambda: None
     known_position: LogPosition | None = None
     behind_position: LogPosition | None = None
     behind_at: Instant = timedelta(0)
@@ -167,7 +168,8 @@
         if server.behind_position is not None:
             # One read at a time finds out whether the replica has caught up.
             server.behind_at = now
-        server.limit.start()
+        server.limit.start(now)
+        server.reserve_connection()
         ticket.grant(server.backend)
 
     def _expire(self, now: Instant) -> None:
--- a/hickorywind/host/linkpool.py
+++ b/hickorywind/host/linkpool.py
@@ -18,7 +18,7 @@
 IDLE_LIMIT = timedelta(milliseconds=1500)  # spare connections are given back to the other hosts
 SURPLUS_IDLE_LIMIT = timedelta(milliseconds=600)  # beyond the even share others need them more
 LIMIT_PAUSE = timedelta(milliseconds=100)  # rest after the server had no connection to give
-LIMIT_PAUSE_MAX = timedelta(milliseconds=800)  # doubled up to this while it stays that way
+LIMIT_PAUSE_MAX = timedelta(milliseconds=300)  # doubled up to this while it stays that way
 REGROWTH_INTERVAL = timedelta(milliseconds=500)  # one connection more is tried for in this time
 
 
@@ -36,6 +36,7 @@
         self._idle: list[BackendLink] = []
         self._open: set[BackendLink] = set()
         self._connecting = 0
+        self._reserved = 0
         self._paused_until: Instant = timedelta(0)
         self._pause = LIMIT_PAUSE
         self._refused_at: Instant | None = None
@@ -49,10 +50,15 @@
 
     def has_connection(self) -> bool:
         """Tell whether a connection can be had without waiting for another's return."""
-        if self._idle:
-            return True
         now = self._clock.now()
-        return self.open_count < self._present_cap(now) and now >= self._paused_until
+        spare = len(self._idle)
+        if now >= self._paused_until:
+            spare += max(0, self._present_cap(now) - self.open_count)
+        return spare > self._reserved
+
+    def reserve(self) -> None:
+        """Set a connection aside for an operation that will take it at once."""
+        self._reserved += 1
 
     def _present_cap(self, now: Instant) -> int:
         """Return the cap, lowered for a while after the server had no connection to give."""
@@ -61,6 +67,15 @@
         regrown = (now - self._refused_at) // REGROWTH_INTERVAL
         return min(self.cap, self._refused_cap + regrown)
 
+    def cancel_reservation(self) -> None:
+        """Give up a connection that was set aside and is not taken."""
+        self._reserved -= 1
+
+    async def take_reserved(self, values: Mapping[str, str]) -> BackendLink:
+        """Lend a connection that was set aside; raise like ``take``."""
+        self._reserved -= 1
+        return await self.take(values)
+
     async def take(self, values: Mapping[str, str]) -> BackendLink:
         """Lend the connection that fits a session best, or open one.
 
@@ -133,8 +148,12 @@
             link.close()
 
     def abort(self) -> None:
-        """Close every connection at once."""
+        """Close every connection at once and for good."""
         self._is_closed = True
+        self.drop_all()
+
+    def drop_all(self) -> None:
+        """Close every connection; new ones may be opened."""
         for link in list(self._open):
             link.close()
 
--- a/hickorywind/host/operation.py
+++ b/hickorywind/host/operation.py
@@ -271,7 +271,7 @@
             pinned = self._grant
         else:
             pinned = self._grant
-            pinned.backend.load.limit.start()
+            pinned.backend.load.limit.start(self.last_used)
         if self._on_primary and not self.service.may_finish(pinned.backend):
             self.service.release_slot(pinned.backend)
             self.abandon()
@@ -334,7 +334,7 @@
             if as_primary:
                 self.service.open_at_primary(self)
             self.service.finish_slot(backend, sent)
-            backend.load.limit.start()
+            backend.load.limit.start(self.service.clock.now())
             return None
         self.service.release_slot(backend)
         backend.links.give_back(link)
--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -13,7 +13,7 @@
 
 from hickorywind.failover.leadership import HostRecord
 from hickorywind.host.identity import HostIdentity
-from hickorywind.ids import Address, AvailabilityZone, HostId
+from hickorywind.ids import AvailabilityZone, HostId
 from hickorywind.ports.coordination import LeaseId
 from hickorywind.protocol.channel import Link, Listener
 from hickorywind.protocol.messages import CopyReply, Greeting, GreetingReply, Message
@@ -214,27 +214,3 @@
         """Stop speaking with the other hosts."""
         for host in list(self._peers):
             self._remove(host)
-
-
-async def is_process_gone(address: Address, timeout: timedelta) -> bool:
-    """Tell whether a host that is up refuses connections: its process has ended."""
-    try:
-        async with asyncio.timeout(timeout.total_seconds()):
-            _, writer = await asyncio.open_connection(address.host, address.port)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError):
-        return False
-    writer.close()
-    return False
-
-
-async def accepts_connections(address: Address, timeout: timedelta) -> bool:
-    """Tell whether something accepts TCP connections at an address."""
-    try:
-        async with asyncio.timeout(timeout.total_seconds()):
-            _, writer = await asyncio.open_connection(address.host, address.port)
-    except (OSError, TimeoutError):
-        return False
-    writer.transport.abort()
-    return True
--- a/hickorywind/host/role.py
+++ b/hickorywind/host/role.py
@@ -12,12 +12,12 @@
 
 from hickorywind.host.fleet import Fleet
 from hickorywind.host.identity import HostIdentity
-from hickorywind.host.peers import Peers, accepts_connections
+from hickorywind.host.peers import Peers
 from hickorywind.host.requestlog import RequestLog
 from hickorywind.host.service import DISPATCH_INTERVAL, ServiceRuntime
 from hickorywind.host.session import Session
 from hickorywind.host.storesync import StoreSync
-from hickorywind.host.succession import REACH_TIMEOUT, Succession
+from hickorywind.host.succession import Succession
 from hickorywind.ids import Incarnation, Revision, ServiceName
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.ports.catalog import Topology
@@ -46,6 +46,7 @@
 from hickorywind.settings.host import HostSettings
 from hickorywind.store.interface import StoredValue
 from hickorywind.util.clock import Clock, Instant, milliseconds, to_milliseconds
+from hickorywind.util.sockets import REACH_TIMEOUT, accepts_connections
 
 logger = logging.getLogger(__name__)
 
@@ -168,6 +169,7 @@
         while True:
             await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
             for service in self._services.values():
+                service.check_stalled()
                 service.place_waiting()
 
     async def _keep_house(self) -> None:
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -22,12 +22,14 @@
 from hickorywind.results import Result, ResultCode
 from hickorywind.routing.samples import PositionSamples
 from hickorywind.util.clock import Clock, Instant
+from hickorywind.util.sockets import REACH_TIMEOUT, accepts_connections
 
 logger = logging.getLogger(__name__)
 
 DISPATCH_INTERVAL = timedelta(milliseconds=20)  # bounds how late a waiting operation is refused
 PRIMARY_CHANGE_WAIT = timedelta(seconds=5)  # a change of primary is over within this time
 STATUS_TIMEOUT = timedelta(milliseconds=700)  # a busy slot and a round trip between regions
+STALL_CHECK_INTERVAL = timedelta(milliseconds=500)  # between looks at one stalled server
 UNAVAILABLE_PAUSE = timedelta(milliseconds=300)  # before a failed server is tried again
 UNREACHABLE_HINT_MS = 200  # another host can serve the operation at once
 TRANSACTION_END_WAIT = timedelta(milliseconds=1200)  # well inside the drain bound
@@ -58,6 +60,7 @@
     server: BackendServer
     links: LinkPool
     load: Server
+    next_check: Instant = timedelta(0)
 
 
 @dataclass(slots=True)
@@ -126,6 +129,7 @@
             distance = self._topology.distance(self._zone, server.zone)
             load = Server(server.backend, distance, server.slots)
             load.has_connection = links.has_connection
+            load.reserve_connection = links.reserve
             held = self.backends[server.backend] = Backend(server, links, load)
             self._dispatcher.servers[server.backend] = load
         held.server = server
@@ -239,16 +243,21 @@
         except asyncio.CancelledError:
             self._dispatcher.withdraw(ticket)
             if future.done() and not future.cancelled() and not isinstance(future.result(), Result):
-                self.release_slot(self.backends.get(future.result()))
+                self._cancel_grant(self.backends.get(future.result()))
             raise
 
+    def _cancel_grant(self, backend: Backend | None) -> None:
+        if backend is not None:
+            backend.links.cancel_reservation()
+        self.release_slot(backend)
+
     async def _connect(self, backend_id: BackendId, values: Mapping[str, str]) -> Grant | Result:
         backend = self.backends.get(backend_id)
         if backend is None:
             return Result.not_run(ResultCode.BACKEND_UNREACHABLE, "the backend server left", 50)
         started = self.clock.now()
         try:
-            link = await backend.links.take(values)
+            link = await backend.links.take_reserved(values)
         except (LinkLostError, LinkRefusedError) as error:
             self.release_slot(backend)
             self.note_connection_failure(backend, error)
@@ -273,6 +282,29 @@
         if backend.server.backend == self.current_primary():
             self.on_suspect(self.name, "connecting failed")
 
+    def check_stalled(self) -> None:
+        """Look at backend servers that answer nothing."""
+        now = self.clock.now()
+        for backend in self.backends.values():
+            if now >= backend.next_check and backend.load.limit.is_stalled(now):
+                backend.next_check = now + STALL_CHECK_INTERVAL
+                if backend.server.backend == self.current_primary():
+                    self.on_suspect(self.name, "no answers")
+                else:
+                    asyncio.create_task(self._check_reach(backend))  # noqa: RUF006
+
+    async def _check_reach(self, backend: Backend) -> None:
+        if not await accepts_connections(backend.server.address, REACH_TIMEOUT):
+            self.drop_links(backend, "no answers")
+
+    def drop_links(self, backend: Backend, reason: str) -> None:
+        """Give up all connections to a server that was found unreachable."""
+        logger.warning(
+            "backend_unreachable",
+            extra={"service": self.name, "backend": backend.server.backend, "reason": reason},
+        )
+        backend.links.drop_all()
+
     def make_available(self, backend_id: BackendId) -> None:
         """Use a backend server again, unless it is leaving."""
         backend = self.backends.get(backend_id)
--- a/hickorywind/host/succession.py
+++ b/hickorywind/host/succession.py
@@ -6,6 +6,7 @@
 import logging
 import random
 from datetime import timedelta
+from enum import Enum
 
 from hickorywind.failover.leadership import (
     Fencing,
@@ -20,7 +21,7 @@
 from hickorywind.host.backendlink import LinkLostError, LinkRefusedError
 from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX, Fleet
 from hickorywind.host.identity import HostIdentity
-from hickorywind.host.peers import Peers, accepts_connections, is_process_gone
+from hickorywind.host.peers import Peers
 from hickorywind.host.service import Backend, PrimaryState, ServiceRuntime
 from hickorywind.host.storesync import parse_hosts
 from hickorywind.ids import BackendId, HostId, InstanceRole, Revision, ServiceName
@@ -40,10 +41,10 @@
 from hickorywind.ports.replies import BackendErrorKind, ServerStatus
 from hickorywind.protocol.messages import CloseService, ReachQuery, ReachReply, ServiceClosed
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
+from hickorywind.util.sockets import REACH_TIMEOUT, accepts_connections, is_process_gone
 
 logger = logging.getLogger(__name__)
 
-REACH_TIMEOUT = timedelta(milliseconds=400)  # several round trips between regions
 RANK_DELAY = timedelta(milliseconds=300)  # a host that is slower than the first choice waits
 CLOSE_TIMEOUT = timedelta(milliseconds=500)  # for a host's word that it stopped
 PLANNED_CLOSE_TIMEOUT = timedelta(milliseconds=2300)  # open transactions may end first
@@ -60,6 +61,14 @@
 STORE_ATTEMPTS = 6  # tries of one write with conditions
 
 
+class PrimaryVerdict(Enum):
+    """Say what the other hosts know of a primary."""
+
+    FAILED = "failed"
+    REACHED_BY_OTHERS = "reached_by_others"
+    UNKNOWN = "unknown"
+
+
 class ChangeCancelledError(Exception):
     """Report that a change of primary ended early; the message says why."""
 
@@ -249,7 +258,10 @@
             return
         primary = leadership.record.primary
         backend = runtime.backends.get(primary)
-        if backend is not None and await accepts_connections(backend.server.address, REACH_TIMEOUT):
+        is_reached, verdict = await asyncio.gather(
+            self._reaches(backend), self._peers_agree(runtime, primary)
+        )
+        if is_reached:
             if await self._still_leads(runtime, backend):
                 runtime.set_primary_state(PrimaryState.USABLE)
                 runtime.make_available(primary)
@@ -260,7 +272,11 @@
                 "primary_unreachable",
                 extra={"service": service, "backend": primary, "reason": reason},
             )
-            if not await self._peers_agree(runtime, primary):
+            if backend is not None:
+                runtime.drop_links(backend, reason)
+            if verdict is not PrimaryVerdict.FAILED:
+                if verdict is PrimaryVerdict.REACHED_BY_OTHERS:
+                    runtime.set_primary_state(PrimaryState.UNREACHABLE)
                 return
         rank = self._rank(service)
         if rank:
@@ -290,8 +306,14 @@
     def _decode(backend: Backend, answer) -> ServerStatus | None:
         return backend.links.decode_status(answer)
 
-    async def _peers_agree(self, runtime: ServiceRuntime, primary: BackendId) -> bool:
-        """Ask the other hosts; agree that a primary failed only where none reaches it."""
+    @staticmethod
+    async def _reaches(backend: Backend | None) -> bool:
+        if backend is None:
+            return False
+        return await accepts_connections(backend.server.address, REACH_TIMEOUT)
+
+    async def _peers_agree(self, runtime: ServiceRuntime, primary: BackendId) -> PrimaryVerdict:
+        """Ask the other hosts; a primary has failed only where none reaches it."""
         alive = self._peers.alive()
         calls = [self._peers.call(host, lambda call: ReachQuery(call, primary)) for host in alive]
         replies = [reply for reply in await asyncio.gather(*calls) if isinstance(reply, ReachReply)]
@@ -307,11 +329,10 @@
             },
         )
         if reached:
-            runtime.set_primary_state(PrimaryState.UNREACHABLE)
-            return False
-        if len(replies) * 2 < len(alive):
-            return False
-        return bool(replies) or not alive
+            return PrimaryVerdict.REACHED_BY_OTHERS
+        if len(replies) * 2 < len(alive) or (alive and not replies):
+            return PrimaryVerdict.UNKNOWN
+        return PrimaryVerdict.FAILED
 
     # Replacement -------------------------------------------------------------------------------
 
--- a/hickorywind/util/sockets.py
+++ b/hickorywind/util/sockets.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from datetime import timedelta
 
+from hickorywind.ids import Address
+
 # A silent peer is given up after the idle time and the unanswered probes: 2.5 s.
 KEEPALIVE_IDLE = timedelta(seconds=1)
 KEEPALIVE_INTERVAL = timedelta(seconds=1)
 KEEPALIVE_PROBES = 2
+REACH_TIMEOUT = timedelta(milliseconds=300)  # several round trips between regions
 USER_TIMEOUT = timedelta(milliseconds=2500)  # unacknowledged data gives a connection up
 
 
@@ -21,3 +25,27 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     timeout_ms = USER_TIMEOUT // timedelta(milliseconds=1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
+async def is_process_gone(address: Address, timeout: timedelta) -> bool:
+    """Tell whether a host that is up refuses connections: its process has ended."""
+    try:
+        async with asyncio.timeout(timeout.total_seconds()):
+            _, writer = await asyncio.open_connection(address.host, address.port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
+
+
+async def accepts_connections(address: Address, timeout: timedelta) -> bool:
+    """Tell whether something accepts TCP connections at an address."""
+    try:
+        async with asyncio.timeout(timeout.total_seconds()):
+            _, writer = await asyncio.open_connection(address.host, address.port)
+    except (OSError, TimeoutError):
+        return False
+    writer.transport.abort()
+    return True
