Let no cut-off minority replace a primary; drop positions that were rolled back

Ruled out: leases (every host of the majority renewed in time). Change: a verdict needs half of the hosts heard within the last 11.5 s; a minority fences nobody; a position that the usable primary lacks binds no read any more; a server found unreachable is set aside until it accepts connections.

--- a/hickorywind/host/operation.py
+++ b/hickorywind/host/operation.py
@@ -191,7 +191,7 @@
         now = self._service.clock.now()
         match kind:
             case BackendErrorKind.BEHIND if after is not None:
-                backend.load.note_behind(after, now)
+                note_behind(self._service, backend, self._context, after)
                 reason = "the replica lacks the position that the read needs"
                 return Result.not_run(ResultCode.REPLICA_BEHIND, reason, _RETRY_HINT_MS)
             case BackendErrorKind.BUSY:
@@ -204,6 +204,21 @@
         return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, _RETRY_HINT_MS)
 
 
+def note_behind(
+    service: ServiceRuntime, backend: Backend, context: SessionContext, after: LogPosition
+) -> None:
+    """Learn that a backend server lacks a log position.
+
+    Where even the primary lacks it, a change of primary rolled it back: it binds no read any more.
+    """
+    if service.may_begin(backend):
+        context.floor = None
+        service.samples.clear()
+        logger.info("position_rolled_back", extra={"service": service.name, "position": str(after)})
+        return
+    backend.load.note_behind(after, service.clock.now())
+
+
 async def check_primary(service: ServiceRuntime, grant: Grant) -> Result | None:
     """Return a refusal, and give the grant back, where it does not reach a usable primary."""
     backend, link = grant.backend, grant.link
@@ -339,7 +354,7 @@
         self.service.release_slot(backend)
         backend.links.give_back(link)
         if answer.error is not None and answer.error.kind is BackendErrorKind.BEHIND and after:
-            backend.load.note_behind(after, self.service.clock.now())
+            note_behind(self.service, backend, self._context, after)
             reason = "the replica lacks the position that the transaction needs"
             return Result.not_run(ResultCode.REPLICA_BEHIND, reason, _RETRY_HINT_MS)
         if answer.error is not None and answer.error.kind is BackendErrorKind.READ_ONLY:
--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -11,7 +11,7 @@
 
 import zmq
 
-from hickorywind.failover.leadership import HostRecord
+from hickorywind.failover.leadership import PERMIT_DURATION, HostRecord
 from hickorywind.host.identity import HostIdentity
 from hickorywind.ids import AvailabilityZone, HostId
 from hickorywind.ports.coordination import LeaseId
@@ -26,6 +26,8 @@
 CALL_TIMEOUT = timedelta(milliseconds=700)  # several round trips between regions
 ALIVE_WINDOW = timedelta(milliseconds=3500)  # three greetings lost in a row
 SILENT_AFTER = timedelta(milliseconds=2500)  # longer than a process takes to restart
+# Until a silent host's permit is over, it may be this host that is cut off and not the other.
+EXPECTED_WINDOW = SILENT_AFTER + PERMIT_DURATION + timedelta(seconds=2)
 FORGET_AFTER = timedelta(seconds=60)  # a host that left for good is no longer greeted
 _MISSES_UNTIL_RECONNECT = 2  # a connection may be silent while a new one works
 
@@ -125,6 +127,11 @@
         oldest = self._clock.now() - ALIVE_WINDOW
         return tuple(host for host, peer in self._peers.items() if peer.last_heard >= oldest)
 
+    def expected(self) -> int:
+        """Return how many other hosts answered lately enough to be expected back."""
+        oldest = self._clock.now() - EXPECTED_WINDOW
+        return sum(peer.last_heard >= oldest for peer in self._peers.values())
+
     def silent(self) -> tuple[HostRecord, ...]:
         """Return the hosts that have not answered for a while."""
         oldest = self._clock.now() - SILENT_AFTER
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -100,6 +100,7 @@
         self._dispatcher = Dispatcher(rng)
         self._sampling: asyncio.Task | None = None
         self._closing: Result | None = None
+        self._last_primary: BackendId | None = None
         self._primary_lost_at: Instant | None = None
         self._at_primary: set[PrimaryWork] = set()
 
@@ -132,9 +133,13 @@
             load.reserve_connection = links.reserve
             held = self.backends[server.backend] = Backend(server, links, load)
             self._dispatcher.servers[server.backend] = load
+        was_ready = held.server.state is BackendState.READY
         held.server = server
         held.links.server = server
-        held.load.is_available = server.state is BackendState.READY
+        if server.state is not BackendState.READY:
+            held.load.is_available = False
+        elif not was_ready:
+            held.load.is_available = True
 
     def _drop(self, backend: BackendId) -> None:
         held = self.backends.pop(backend)
@@ -178,6 +183,9 @@
 
     def _note_primary(self) -> None:
         primary = self.fleet.usable_primary(self.name)
+        if primary is not None and primary != self._last_primary:
+            self._last_primary = primary
+            self.samples.clear()
         self._dispatcher.primary = primary
         if primary is not None:
             self._primary_lost_at = None
@@ -274,14 +282,24 @@
         refused = isinstance(error, LinkRefusedError)
         if refused and error.kind is BackendErrorKind.CONNECTION_LIMIT:
             return
-        backend.load.is_available = False
-        loop = asyncio.get_running_loop()
-        loop.call_later(
-            UNAVAILABLE_PAUSE.total_seconds(), self.make_available, backend.server.backend
-        )
+        self._set_aside(backend)
         if backend.server.backend == self.current_primary():
             self.on_suspect(self.name, "connecting failed")
 
+    def _set_aside(self, backend: Backend) -> None:
+        """Use a server no more until it accepts connections again."""
+        if backend.load.is_available:
+            backend.load.is_available = False
+            asyncio.create_task(self._await_reach(backend))  # noqa: RUF006
+
+    async def _await_reach(self, backend: Backend) -> None:
+        await asyncio.sleep(UNAVAILABLE_PAUSE.total_seconds())
+        while self.backends.get(backend.server.backend) is backend:
+            if await accepts_connections(backend.server.address, REACH_TIMEOUT):
+                self.make_available(backend.server.backend)
+                return
+            await asyncio.sleep(STALL_CHECK_INTERVAL.total_seconds())
+
     def check_stalled(self) -> None:
         """Look at backend servers that answer nothing."""
         now = self.clock.now()
@@ -304,12 +322,14 @@
             extra={"service": self.name, "backend": backend.server.backend, "reason": reason},
         )
         backend.links.drop_all()
+        self._set_aside(backend)
 
     def make_available(self, backend_id: BackendId) -> None:
         """Use a backend server again, unless it is leaving."""
         backend = self.backends.get(backend_id)
         if backend is not None:
             backend.load.is_available = backend.server.state is BackendState.READY
+            self.place_waiting()
 
     def refuse_all(self, result: Result) -> None:
         """Refuse every operation that waits, and from now on every new one."""
--- a/hickorywind/host/succession.py
+++ b/hickorywind/host/succession.py
@@ -191,6 +191,8 @@
             for record in self._peers.silent()
             if self._fenced.get((record.host, record.incarnation), timedelta(0)) < now
         }
+        if len(silent) * 2 > self._peers.expected():
+            return
         if silent and self._rank(SILENT_HOSTS_KEY) == 0:
             self._silent_task = asyncio.create_task(self._end_silent(silent))
 
@@ -330,7 +332,9 @@
         )
         if reached:
             return PrimaryVerdict.REACHED_BY_OTHERS
-        if len(replies) * 2 < len(alive) or (alive and not replies):
+        # Hosts that see less than half of the others may be the ones that are cut off.
+        expected = self._peers.expected()
+        if len(replies) * 2 < expected or (expected and not replies):
             return PrimaryVerdict.UNKNOWN
         return PrimaryVerdict.FAILED
 
--- a/hickorywind/routing/samples.py
+++ b/hickorywind/routing/samples.py
@@ -26,6 +26,10 @@
                 return
         self._samples.append((taken, position))
 
+    def clear(self) -> None:
+        """Forget all samples: a new primary may lack what they name."""
+        self._samples.clear()
+
     def position_since(self, oldest: Instant) -> LogPosition | None:
         """Return the position of the oldest sample taken at ``oldest`` or later.
 
