--- a/hickorywind/host/backendlink.py
+++ b/hickorywind/host/backendlink.py
@@ -49,6 +49,7 @@
         self.state = TransactionState.IDLE
         self.idle_since: Instant = timedelta(0)
         self.is_lost = False
+        self.was_closed_here = False
         self.is_verified_primary = False
         self.on_lost: Callable[[BackendLink], None] | None = None
         self._transport: asyncio.Transport | None = None
@@ -135,6 +136,7 @@
 
     def close(self) -> None:
         """Close the connection; an open transaction is rolled back by the backend server."""
+        self.was_closed_here = True
         if self._transport is not None:
             self._transport.abort()
         self.connection_lost(None)
--- a/hickorywind/host/linkpool.py
+++ b/hickorywind/host/linkpool.py
@@ -31,6 +31,7 @@
         self.server = server
         self.cap = 4
         self.even_share = 2
+        self.on_idle_lost: Callable[[], None] = lambda: None
         self._make_codec = make_codec
         self._clock = clock
         self._idle: list[BackendLink] = []
@@ -118,6 +119,8 @@
         self._open.discard(link)
         if link in self._idle:
             self._idle.remove(link)
+            if not link.was_closed_here:
+                self.on_idle_lost()
 
     def give_back(self, link: BackendLink) -> None:
         """Take back a connection; one inside a transaction is closed."""
--- a/hickorywind/host/requestlog.py
+++ b/hickorywind/host/requestlog.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 from hickorywind.host.operation import Transaction
+from hickorywind.host.service import ServiceRuntime
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.ports.catalog import DatabaseName
 from hickorywind.ports.replies import Done, Failed, Relayed, Reply
@@ -43,8 +44,10 @@
         reply: Reply,
         duration: timedelta,
         transaction: Transaction | None,
+        service: ServiceRuntime | None,
+        version: int,
     ) -> None:
-        """Log a request that failed; count any."""
+        """Log a request that failed, with what the host believed then; count any."""
         match reply:
             case Done():
                 return
@@ -68,5 +71,20 @@
                 "reason": reason,
                 "duration_ms": round(to_milliseconds(duration), 1),
                 "in_transaction": transaction is not None,
+                "config_version": version,
+                **({} if service is None else _describe(service)),
             },
         )
+
+
+def _describe(service: ServiceRuntime) -> dict[str, object]:
+    belief = service.believe()
+    return {
+        "service": service.name,
+        "primary": belief.primary,
+        "primary_state": belief.primary_state,
+        "change": belief.change,
+        "permit_ms": belief.permit_ms,
+        "sample_age_ms": belief.sample_age_ms,
+        "waiting": belief.waiting,
+    }
--- a/hickorywind/host/role.py
+++ b/hickorywind/host/role.py
@@ -209,6 +209,17 @@
         self._peers.close()
         await self._adapters.coordinator.close()
 
+    def abort(self) -> None:
+        """Close everything at once, as when the process is killed."""
+        self._succession.close()
+        if self._server is not None:
+            self._server.close()
+        for service in self._services.values():
+            service.close()
+        for session in list(self._sessions):
+            session.abort()
+        self._peers.close()
+
     def _refuse_waiting(self) -> None:
         result = Result.not_run(ResultCode.SHUTTING_DOWN, "the host is stopping", STOP_HINT_MS)
         for service in self._services.values():
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
+from functools import partial
 from typing import Protocol
 
 from hickorywind.admission.dispatch import Dispatcher, OnPrimary, Server, Target, Ticket
@@ -21,7 +22,7 @@
 from hickorywind.ports.replies import Answer, BackendErrorKind
 from hickorywind.results import Result, ResultCode
 from hickorywind.routing.samples import PositionSamples
-from hickorywind.util.clock import Clock, Instant
+from hickorywind.util.clock import Clock, Instant, to_milliseconds
 from hickorywind.util.sockets import REACH_TIMEOUT, accepts_connections
 
 logger = logging.getLogger(__name__)
@@ -29,6 +30,7 @@
 DISPATCH_INTERVAL = timedelta(milliseconds=20)  # bounds how late a waiting operation is refused
 PRIMARY_CHANGE_WAIT = timedelta(seconds=5)  # a change of primary is over within this time
 STATUS_TIMEOUT = timedelta(milliseconds=700)  # a busy slot and a round trip between regions
+IDLE_PRIMARY_CHECK = timedelta(seconds=1)  # leaves time to replace it within five seconds
 STALL_CHECK_INTERVAL = timedelta(milliseconds=500)  # between looks at one stalled server
 UNAVAILABLE_PAUSE = timedelta(milliseconds=300)  # before a failed server is tried again
 UNREACHABLE_HINT_MS = 200  # another host can serve the operation at once
@@ -72,6 +74,21 @@
     started: Instant
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceBelief:
+    """Hold what a host believed of a service when it decided about a request, for logs.
+
+    ``permit_ms`` is the time left of the host's permit; ``sample_age_ms`` is None without a sample.
+    """
+
+    primary: BackendId | None
+    primary_state: PrimaryState
+    change: int
+    permit_ms: int
+    sample_age_ms: int | None
+    waiting: int
+
+
 class ServiceRuntime:
     """Place operations on the backend servers of one service."""
 
@@ -131,6 +148,7 @@
             load = Server(server.backend, distance, server.slots)
             load.has_connection = links.has_connection
             load.reserve_connection = links.reserve
+            links.on_idle_lost = partial(self._note_idle_lost, server.backend)
             held = self.backends[server.backend] = Backend(server, links, load)
             self._dispatcher.servers[server.backend] = load
         was_ready = held.server.state is BackendState.READY
@@ -286,6 +304,11 @@
         if backend.server.backend == self.current_primary():
             self.on_suspect(self.name, "connecting failed")
 
+    def _note_idle_lost(self, backend: BackendId) -> None:
+        """Look at a primary whose idle connection ended: nobody may be using it just now."""
+        if backend == self.current_primary():
+            self.on_suspect(self.name, "an idle connection ended")
+
     def _set_aside(self, backend: Backend) -> None:
         """Use a server no more until it accepts connections again."""
         if backend.load.is_available:
@@ -348,6 +371,27 @@
                 Result.not_run(ResultCode.NO_PRIMARY, reason, UNREACHABLE_HINT_MS)
             )
 
+    def believe(self) -> ServiceBelief:
+        """Return what is believed now."""
+        now = self.fleet.now()
+        leadership = self.fleet.permits.leadership(self.name)
+        newest = self.samples.newest()
+        permit = self.fleet.permits.valid_until - now
+        return ServiceBelief(
+            self.fleet.usable_primary(self.name),
+            self.primary_state,
+            -1 if leadership is None else leadership.record.change,
+            max(0, int(to_milliseconds(permit))),
+            None if newest is None else int(to_milliseconds(now - newest[0])),
+            self.waiting_count,
+        )
+
+    def is_primary_in_use(self) -> bool:
+        """Tell whether nothing speaks against sending work to the primary on record."""
+        backend = self.backends.get(self.current_primary())
+        is_available = backend is None or backend.load.is_available
+        return is_available and self.primary_state is PrimaryState.USABLE
+
     def current_primary(self) -> BackendId | None:
         """Return the primary that the newest record names, usable or not."""
         leadership = self.fleet.permits.leadership(self.name)
@@ -400,14 +444,24 @@
         if self._sampling is None or self._sampling.done():
             self._sampling = asyncio.create_task(self._sample())
 
+    def check_idle_primary(self) -> None:
+        """Ask a primary that nothing was heard from lately: it may have failed unnoticed."""
+        newest = self.samples.newest()
+        if newest is None or self.clock.now() > newest[0] + IDLE_PRIMARY_CHECK:
+            self.refresh_sample()
+
     async def _sample(self) -> None:
         backend = self.primary_backend()
         if backend is None or not backend.links.has_connection():
             return
         try:
-            await self.query_status(backend)
+            answer = await self.query_status(backend)
         except (LinkLostError, LinkRefusedError) as error:
             self.note_connection_failure(backend, error)
+            return
+        status = backend.links.decode_status(answer)
+        if status is not None and status.role is not InstanceRole.PRIMARY:
+            self.on_suspect(self.name, "the primary answers as a replica")
 
     async def query_status(self, backend: Backend) -> Answer:
         """Ask a backend server for its status; raise where it does not answer."""
--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -244,7 +244,20 @@
         if isinstance(request.statement, Commit | Rollback):
             self._transaction = None
         self._reply(reply)
-        self._log.answered(request, self._database, reply, self._clock.now() - arrived, transaction)
+        if isinstance(reply, Done):
+            return
+        route = self._route()
+        service = None if route is None else self._find_service(route.service)
+        configuration = self._fleet.configuration
+        self._log.answered(
+            request,
+            self._database,
+            reply,
+            self._clock.now() - arrived,
+            transaction,
+            service,
+            0 if configuration is None else configuration.version,
+        )
 
     def _reply(self, reply: Reply) -> None:
         self._write(self._codec.encode_reply(reply, self._state()))
--- a/hickorywind/host/succession.py
+++ b/hickorywind/host/succession.py
@@ -69,6 +69,14 @@
     UNKNOWN = "unknown"
 
 
+class LeadCheck(Enum):
+    """Say whether a server that accepts connections still leads."""
+
+    LEADS = "leads"
+    LOST = "lost"
+    UNANSWERED = "unanswered"
+
+
 class ChangeCancelledError(Exception):
     """Report that a change of primary ended early; the message says why."""
 
@@ -157,8 +165,10 @@
             self._start(service, self._investigate(service, "the primary is not registered"))
         elif primary.state is BackendState.LEAVING:
             self._start(service, self._replace_leaving(service, leadership))
-        elif self._services[service].primary_state is not PrimaryState.USABLE:
+        elif not self._services[service].is_primary_in_use():
             self._start(service, self._investigate(service, "the primary was unreachable"))
+        elif self._rank(service) == 0:
+            self._services[service].check_idle_primary()
 
     def _watch_closed(self, service: ServiceName, leadership: VersionedLeadership) -> None:
         """Take a change over whose promoter makes no progress."""
@@ -264,9 +274,11 @@
             self._reaches(backend), self._peers_agree(runtime, primary)
         )
         if is_reached:
-            if await self._still_leads(runtime, backend):
+            check = await self._check_lead(runtime, backend)
+            if check is not LeadCheck.LOST:
                 runtime.set_primary_state(PrimaryState.USABLE)
-                runtime.make_available(primary)
+                if check is LeadCheck.LEADS:
+                    runtime.make_available(primary)
                 return
             logger.warning("primary_lost_lead", extra={"service": service, "backend": primary})
         else:
@@ -288,21 +300,24 @@
         runtime.set_primary_state(PrimaryState.CHANGING)
         await self._replace_failed(runtime, leadership)
 
-    async def _still_leads(self, runtime: ServiceRuntime, backend: Backend) -> bool:
+    async def _check_lead(self, runtime: ServiceRuntime, backend: Backend) -> LeadCheck:
         try:
             answer = await runtime.query_status(backend)
         except LinkRefusedError as error:
             # Another server at its address means that this one is gone.
-            return error.kind is not BackendErrorKind.WRONG_SERVER
+            is_other = error.kind is BackendErrorKind.WRONG_SERVER
+            return LeadCheck.LOST if is_other else LeadCheck.UNANSWERED
         except LinkLostError as error:
             # It accepted a connection, so it runs; its slots may all be busy.
             logger.info(
                 "primary_status_missing",
                 extra={"backend": backend.server.backend, "reason": str(error)},
             )
-            return True
+            return LeadCheck.UNANSWERED
         status = self._decode(backend, answer)
-        return status is None or status.role is InstanceRole.PRIMARY
+        if status is None:
+            return LeadCheck.UNANSWERED
+        return LeadCheck.LEADS if status.role is InstanceRole.PRIMARY else LeadCheck.LOST
 
     @staticmethod
     def _decode(backend: Backend, answer) -> ServerStatus | None:
--- /dev/null
+++ b/hickorywind/report/story.py
@@ -0,0 +1,147 @@
+"""Tell the story of one request from the log lines of several hosts."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+WINDOW = timedelta(seconds=10)  # changes of belief this long before a failure may explain it
+_PAIR = re.compile(r'(?P<key>[^\s=]+)=(?P<value>"(?:[^"\\]|\\.)*"|\S*)')
+_ESCAPES = {"n": "\n", "r": "\r", "t": "\t"}
+_ENDINGS = frozenset({"request_failed", "request_refused"})
+_BELIEFS = frozenset(
+    {
+        "backend_gone",
+        "backend_registered",
+        "backend_unreachable",
+        "configuration_in_force",
+        "drain_started",
+        "fencing_waits",
+        "leadership_changed",
+        "lease_ended",
+        "position_rolled_back",
+        "primary_changed",
+        "primary_checked",
+        "primary_lost_lead",
+        "primary_state",
+        "primary_unreachable",
+        "process_started",
+        "promotion_ordered",
+        "service_closed",
+        "store_lost",
+        "store_regained",
+    }
+)
+_CAUSES: Mapping[str, str] = {
+    "1002": "the caller sent what could not be read",
+    "1003": "the caller sent a message beyond the limit",
+    "1006": "the configuration in force had no route for the database",
+    "1010": "the session had not prepared the statement",
+    "2002": "the queue was too long to serve it in time: more work than slots",
+    "2003": "no backend server was free or usable in time",
+    "2005": "its transaction had been idle too long",
+    "3001": "no primary could be used from this host",
+    "3002": "no backend server held the log position that the session had seen",
+    "3005": "the backend server refused or could not be reached, several times",
+    "4001": "its primary was replaced before the answer came: it may have run",
+    "4002": "the connection to its backend server was lost after sending: it may have run",
+    "4004": "its transaction was rolled back when the connection or the primary was lost",
+    "5002": "its host was stopping",
+    "5003": "its host had not read a configuration yet",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """Hold one parsed line."""
+
+    at: datetime
+    host: str
+    event: str
+    fields: Mapping[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Story:
+    """Hold the lines that explain a request, in order, and its cause.
+
+    ``dropped`` counts lines that the request's hosts say they dropped.
+    """
+
+    lines: tuple[LogLine, ...]
+    cause: str
+    dropped: int
+
+
+@dataclass(frozen=True, slots=True)
+class NoStory:
+    """Say why nothing can be told of a request."""
+
+    reason: str
+
+
+def parse_line(text: str) -> LogLine | None:
+    """Parse a key=value line; None for anything else, such as a truncated line."""
+    fields = {match["key"]: _unquote(match["value"]) for match in _PAIR.finditer(text)}
+    try:
+        at = datetime.fromisoformat(fields["ts"])
+        return LogLine(at, fields["host"], fields["event"], fields)
+    except (KeyError, ValueError):
+        return None
+
+
+def _unquote(value: str) -> str:
+    if not value.startswith('"'):
+        return value
+    return re.sub(r"\\(.)", lambda match: _ESCAPES.get(match[1], match[1]), value[1:-1])
+
+
+def tell_story(request_id: str, texts: Iterable[str]) -> Story | NoStory:
+    """Find what hosts said of a request and believed around it."""
+    dropped = 0
+    lines = []
+    for text in texts:
+        line = parse_line(text)
+        if line is not None:
+            lines.append(line)
+        elif "event=log_lines_dropped" in text:
+            dropped += _dropped_count(text)
+    own = [line for line in lines if line.fields.get("request_id") == request_id]
+    if not own:
+        hint = f"; {dropped} lines were dropped" if dropped else ""
+        return NoStory(f"no line names request {request_id}{hint}: it ran, or its log is missing")
+    around = [line for line in lines if _explains(line, own)]
+    ordered = sorted((*own, *around), key=lambda line: line.at)
+    return Story(tuple(ordered), _find_cause(own), dropped)
+
+
+def _dropped_count(text: str) -> int:
+    match = re.search(r"count=(\d+)", text)
+    return int(match[1]) if match else 0
+
+
+def _explains(line: LogLine, own: list[LogLine]) -> bool:
+    if line.event not in _BELIEFS:
+        return False
+    return any(_is_related(line, end) for end in own if end.event in _ENDINGS)
+
+
+def _is_related(line: LogLine, end: LogLine) -> bool:
+    if not end.at - WINDOW <= line.at <= end.at:
+        return False
+    service = line.fields.get("service")
+    if service is not None:
+        return service == end.fields.get("service")
+    return line.host == end.host
+
+
+def _find_cause(own: list[LogLine]) -> str:
+    for line in reversed(own):
+        code = line.fields.get("code", "")
+        if code in _CAUSES:
+            return f"[{code}] {_CAUSES[code]}"
+        if line.event in _ENDINGS:
+            return f"the backend server answered: {line.fields.get('reason', '')}"
+    return "its lines name no failure"
--- /dev/null
+++ b/hickorywind/ui/explaincommand.py
@@ -0,0 +1,75 @@
+"""Offer ``explain``: tell why a request failed, from the hosts' logs."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+
+from hickorywind.report.story import LogLine, NoStory, Story, tell_story
+from hickorywind.results import ResultCode, UserError
+from hickorywind.ui.console import Console
+from hickorywind.ui.exits import ExitCode
+from hickorywind.ui.options import add_command
+
+
+class StoryLines(msgspec.Struct, frozen=True):
+    """Hold the result for the JSON output."""
+
+    request_id: str
+    lines: tuple[dict[str, str], ...]
+    cause: str
+    dropped: int
+
+
+def add_explain(commands: argparse._SubParsersAction) -> None:
+    """Add ``explain``."""
+    parser = add_command(
+        commands,
+        "explain",
+        "tell why a request failed, from log files",
+        "explain 5c0e7a21d94b36f8 adum-1.log adum-2.log",
+        run_explain,
+    )
+    parser.add_argument("request", metavar="REQUEST_ID")
+    parser.add_argument("files", metavar="FILE", nargs="+")
+
+
+def run_explain(arguments: argparse.Namespace, console: Console) -> int:
+    """Print the story of a request; raise ``UserError`` where there is none."""
+    match tell_story(arguments.request, _read_lines(arguments.files)):
+        case NoStory(reason):
+            raise UserError(ResultCode.SETTINGS_INVALID, reason)
+        case Story(lines, cause, dropped) as story:
+            console.show(
+                _render(story),
+                StoryLines(
+                    arguments.request, tuple(dict(line.fields) for line in lines), cause, dropped
+                ),
+            )
+    return ExitCode.OK
+
+
+def _read_lines(files: list[str]) -> Iterator[str]:
+    for name in files:
+        try:
+            text = Path(name).read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            raise UserError(ResultCode.SETTINGS_INVALID, f"{name}: {error.strerror}") from None
+        yield from text.splitlines()
+
+
+def _render(story: Story) -> str:
+    rows = [_render_line(line) for line in story.lines]
+    if story.dropped:
+        rows.append(f"{story.dropped} log lines were dropped; the story may lack some")
+    rows.append(f"cause: {story.cause}")
+    return "\n".join(rows)
+
+
+def _render_line(line: LogLine) -> str:
+    hidden = {"ts", "host", "event", "level", "logger"}
+    rest = " ".join(f"{key}={value}" for key, value in line.fields.items() if key not in hidden)
+    return f"{line.at.strftime('%H:%M:%S.%f')[:-3]} {line.host} {line.event} {rest}"
--- a/hickorywind/ui/program.py
+++ b/hickorywind/ui/program.py
@@ -14,6 +14,7 @@
 from hickorywind.ui.console import Console, OutputFormat
 from hickorywind.ui.draincommand import add_drain
 from hickorywind.ui.exits import ExitCode, exit_code_for
+from hickorywind.ui.explaincommand import add_explain
 from hickorywind.ui.options import UsageError
 from hickorywind.ui.reportcommands import add_burn, add_record
 from hickorywind.ui.statuscommand import add_status
@@ -46,6 +47,7 @@
     )
     add_status(commands)
     add_drain(commands)
+    add_explain(commands)
     _add_group(commands, "report", "report service-level burn", (add_burn, add_record))
     return parser
 
--- /dev/null
+++ b/standins/lineplatform/group.py
@@ -0,0 +1,207 @@
+"""Run backend servers that speak the platform's line protocol, grouped under one primary."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from hickorywind.ids import Address, BackendId, HostId, ServiceName
+from hickorywind.ports.coordination import FencingToken, PromotionOutcome
+
+
+@dataclass(eq=False)
+class _Connection:
+    writer: asyncio.StreamWriter
+    is_open: bool = False
+    transaction: list[tuple[str, str]] | None = None
+    values: dict[str, str] = field(default_factory=dict)
+    shapes: dict[str, tuple[str, str]] = field(default_factory=dict)
+
+
+class LineServer:
+    """Be one backend server; its switches provoke the failures that a host must bear."""
+
+    def __init__(self, group: LineGroup, backend: str) -> None:
+        self.group = group
+        self.backend = BackendId(backend)
+        self.role = "replica"
+        self.term = 1
+        self.number = 0
+        self.data: dict[str, str] = {}
+        self.is_receiving = True
+        self.is_silent = False
+        self.is_busy = False
+        self.lose_answers = 0
+        self.connection_limit = 100
+        self.statements: list[str] = []
+        self.address = Address("127.0.0.1", 0)
+        self._server: asyncio.Server | None = None
+        self._connections: set[_Connection] = set()
+
+    async def start(self) -> None:
+        """Listen, at the address of the life before where there was one."""
+        self._server = await asyncio.start_server(self._serve, self.address.host, self.address.port)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = Address("127.0.0.1", port)
+
+    async def crash(self) -> None:
+        """End as a killed process does: listener and connections are gone at once."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for connection in list(self._connections):
+            connection.writer.transport.abort()
+        await asyncio.sleep(0)
+
+    @property
+    def position(self) -> str:
+        """Return the end of the log."""
+        return f"{self.term}.{self.number}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = _Connection(writer)
+        self._connections.add(connection)
+        try:
+            while line := await reader.readline():
+                if self.is_silent:
+                    continue
+                reply = self._answer(connection, line.decode().rstrip("\r\n"))
+                if reply is None or self._loses(line):
+                    break
+                writer.write(reply.encode())
+        except ConnectionError:
+            pass
+        finally:
+            self._connections.discard(connection)
+            writer.transport.abort()
+
+    def _loses(self, line: bytes) -> bool:
+        if self.lose_answers and b"QUERY - " not in line and b"CONNECT" not in line:
+            self.lose_answers -= 1
+            return True
+        return False
+
+    def _answer(self, connection: _Connection, line: str) -> str | None:
+        word, _, rest = line.partition(" ")
+        if word == "CONNECT":
+            return self._connect(connection, rest)
+        if word != "QUERY" or not connection.is_open:
+            return None
+        request_id, _, text = rest.partition(" ")
+        body = self._run(connection, request_id, text)
+        state = "I" if connection.transaction is None else "T"
+        return f"{body}READY {state} {self.position}\r\n"
+
+    def _connect(self, connection: _Connection, rest: str) -> str | None:
+        service, _, backend = rest.split(" ")
+        if service != self.group.service or backend != self.backend:
+            connection.writer.write(f"ERROR MISROUTED {self.backend}\r\n".encode())
+            return None
+        if len(self._connections) > self.connection_limit:
+            connection.writer.write(f"ERROR CONNLIMIT {self.backend}\r\n".encode())
+            return None
+        connection.is_open = True
+        return f"READY I {self.position}\r\n"
+
+    def _run(self, connection: _Connection, request_id: str, text: str) -> str:
+        self.statements.append(text)
+        if text.startswith("AFTER "):
+            _, needed, text = text.split(" ", 2)
+            if not self._holds(needed):
+                return f"ERROR LAGGING {self.backend}\r\n"
+        word, _, rest = text.partition(" ")
+        if self.is_busy and word in ("READ", "WRITE", "EXECUTE", "COMMIT"):
+            return f"ERROR BUSY {self.backend}\r\n"
+        match word:
+            case "STATUS":
+                return f"ROW {self.role} {self.term} {self.position} 0 0 1\r\nCOMPLETE -\r\n"
+            case "SET":
+                name, _, value = rest.partition(" ")
+                connection.values[name] = value
+            case "RESET":
+                connection.values.clear()
+                connection.shapes.clear()
+            case "PREPARE":
+                name, mode, shape = rest.split(" ")
+                connection.shapes[name] = (mode, shape)
+            case "EXECUTE":
+                name, _, arguments = rest.partition(" ")
+                if name not in connection.shapes:
+                    return f"ERROR NOSTMT {name}\r\n"
+                mode = connection.shapes[name][0]
+                return self._run(connection, request_id, f"{mode} {arguments}")
+            case "BEGIN":
+                if rest != "READ" and self.role != "primary":
+                    return f"ERROR READONLY {self.backend}\r\n"
+                connection.transaction = []
+            case "ROLLBACK":
+                connection.transaction = None
+            case "COMMIT":
+                self._commit(connection.transaction or [])
+                connection.transaction = None
+                return f"COMPLETE s.{request_id}\r\n"
+            case "READ":
+                settings = ",".join(f"{k}={v}" for k, v in sorted(connection.values.items()))
+                row = f"ROW {self.data.get(rest, 'none')} {settings}".rstrip()
+                return f"{row}\r\nCOMPLETE s.{request_id}\r\n"
+            case "WRITE":
+                return self._write(connection, request_id, rest)
+        return "COMPLETE -\r\n"
+
+    def _write(self, connection: _Connection, request_id: str, rest: str) -> str:
+        if self.role != "primary":
+            return f"ERROR READONLY {self.backend}\r\n"
+        item, _, value = rest.partition(" ")
+        if connection.transaction is None:
+            self._commit([(item, value)])
+        else:
+            connection.transaction.append((item, value))
+        return f"COMPLETE s.{request_id}\r\n"
+
+    def _holds(self, needed: str) -> bool:
+        term, number = needed.split(".")
+        return (self.term, self.number) >= (int(term), int(number))
+
+    def _commit(self, writes: list[tuple[str, str]]) -> None:
+        if not writes:
+            return
+        self.group.commits.extend(writes)
+        self.number += 1
+        for server in self.group.servers.values():
+            if server is self or (server.is_receiving and server.role == "replica"):
+                server.data.update(writes)
+                server.term, server.number = self.term, self.number
+
+
+class LineGroup:
+    """Run the backend servers of one service and carry out promotions."""
+
+    def __init__(self, service: str, names: tuple[str, ...]) -> None:
+        self.service = ServiceName(service)
+        self.servers = {name: LineServer(self, name) for name in names}
+        self.servers[names[0]].role = "primary"
+        self.commits: list[tuple[str, str]] = []
+        self.promotions: list[tuple[str, str, int]] = []
+
+    async def start(self) -> None:
+        """Start all servers."""
+        for server in self.servers.values():
+            await server.start()
+
+    async def stop(self) -> None:
+        """End all servers."""
+        for server in self.servers.values():
+            await server.crash()
+
+    async def promote(
+        self, service: ServiceName, backend: BackendId, holder: HostId, token: FencingToken
+    ) -> PromotionOutcome:
+        """Make a server the primary of the next term, with the log it holds."""
+        self.promotions.append((holder, backend, token))
+        chosen = self.servers[backend]
+        if chosen.role != "primary":
+            for server in self.servers.values():
+                server.role = "replica"
+            chosen.role = "primary"
+            chosen.term = max(server.term for server in self.servers.values()) + 1
+        return PromotionOutcome.ACCEPTED
--- /dev/null
+++ b/standins/lineplatform/httpstore.py
@@ -0,0 +1,133 @@
+"""Serve a memory store with the calls of the platform's store, and the order to promote."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from datetime import timedelta
+from typing import Any
+
+from aiohttp import web
+
+from hickorywind.ids import Revision
+from hickorywind.ports.coordination import (
+    Committed,
+    Condition,
+    Deleted,
+    HistoryLost,
+    LeaseId,
+    Put,
+)
+from hickorywind.store.interface import StoredValue
+from standins.lineplatform.memorystore import MemoryCoordinator, MemoryStore
+
+PAGE_ITEMS = 3  # small, so that tests read several pages
+
+
+class HttpStore:
+    """Answer the platform's calls; ``status`` replaces every answer, ``delay`` holds it back."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.status: int | None = None
+        self.delay = timedelta(0)
+        self.promotions: list[tuple[str, str, str, str]] = []
+        self.promotion_status = 200
+        self._store = store
+        self._client = MemoryCoordinator(store)
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen at an address."""
+        application = web.Application(middlewares=[self._disturb])
+        application.add_routes(
+            [
+                web.get("/-/kv-range", self._range),
+                web.get("/-/kv-watch", self._watch),
+                web.post("/-/kv-txn", self._transact),
+                web.post("/-/kv-lease", self._grant),
+                web.post("/-/kv-keep/{lease}", self._renew),
+                web.delete("/-/kv-lease-end/{lease}", self._end),
+                web.post("/failover", self._promote),
+            ]
+        )
+        self._runner = web.AppRunner(application, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._runner.cleanup()
+
+    @web.middleware
+    async def _disturb(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        if self.status is not None:
+            return web.Response(status=self.status)
+        await asyncio.sleep(self.delay.total_seconds())
+        return await handler(request)
+
+    async def _range(self, request: web.Request) -> web.Response:
+        snapshot = await self._client.read_range(request.query["prefix"])
+        after = request.query.get("after", "")
+        items = sorted((item for item in snapshot.items if item.key > after), key=_key)
+        body = {
+            "items": [_render(item) for item in items[:PAGE_ITEMS]],
+            "has_more": len(items) > PAGE_ITEMS,
+            "as_of": snapshot.as_of,
+        }
+        return web.json_response(body)
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        query = request.query
+        wait = timedelta(milliseconds=int(query["wait_ms"]))
+        result = await self._client.watch(query["prefix"], Revision(int(query["after"])), wait)
+        if isinstance(result, HistoryLost):
+            return web.Response(status=410)
+        events = [
+            (
+                {"key": change.key, "revision": change.revision, "deleted": True}
+                if isinstance(change, Deleted)
+                else _render(change.item)
+            )
+            for change in result.changes
+        ]
+        return web.json_response({"events": events, "as_of": result.as_of})
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        result = await self._store.transact(
+            [Condition(row["key"], Revision(row["revision"])) for row in body["expected_rev"]],
+            [Put(put["key"], base64.b64decode(put["value"])) for put in body["puts"]],
+            body["deletes"],
+        )
+        if isinstance(result, Committed):
+            return web.json_response({"revision": result.revision})
+        return web.json_response({"items": []}, status=412)
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        return web.json_response({"lease": self._store.grant(), "ttl_ms": body["ttl_ms"]})
+
+    async def _renew(self, request: web.Request) -> web.Response:
+        renewed = await self._client.renew_lease(LeaseId(int(request.match_info["lease"])))
+        return web.json_response({"ttl_ms": 1}, status=200 if renewed else 404)
+
+    async def _end(self, request: web.Request) -> web.Response:
+        await self._client.end_lease(LeaseId(int(request.match_info["lease"])))
+        return web.json_response({})
+
+    async def _promote(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        headers = request.headers
+        order = (headers["Lease-Holder"], headers["Fencing-Token"], body["backend"], body["id"])
+        self.promotions.append(order)
+        return web.Response(status=self.promotion_status)
+
+
+def _key(item: StoredValue) -> str:
+    return item.key
+
+
+def _render(item: StoredValue) -> dict[str, Any]:
+    value = base64.b64encode(item.value).decode()
+    revision = item.revision
+    return {"key": item.key, "value": value, "revision": revision, "created": 1, "lease": 0}
--- /dev/null
+++ b/standins/lineplatform/memorystore.py
@@ -0,0 +1,149 @@
+"""Keep a key-value store with leases, conditions and watches in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Sequence
+from datetime import timedelta
+
+from hickorywind.ids import Revision
+from hickorywind.ports.coordination import (
+    Change,
+    Changed,
+    Changes,
+    Committed,
+    Condition,
+    Conflict,
+    Deleted,
+    HistoryLost,
+    LeaseId,
+    Put,
+    Snapshot,
+)
+from hickorywind.store.interface import StoredValue, StoreUnavailableError
+
+
+class MemoryStore:
+    """Hold the items that all clients share."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.items: dict[str, StoredValue] = {}
+        self.history: list[tuple[int, Change]] = []
+        self.forgotten = 0
+        self.leases: set[int] = set()
+        self.changed = asyncio.Condition()
+        self._lease_numbers = itertools.count(1)
+
+    async def put(self, key: str, value: bytes) -> int:
+        """Write an item as the operator or a backend server does."""
+        await self.transact([], [Put(key, value)], [])
+        return self.revision
+
+    async def delete(self, key: str) -> None:
+        """Remove an item."""
+        await self.transact([], [], [key])
+
+    async def transact(
+        self, conditions: Sequence[Condition], puts: Sequence[Put], deletes: Sequence[str]
+    ) -> Committed | Conflict:
+        """Apply all changes if all conditions hold."""
+        for condition in conditions:
+            item = self.items.get(condition.key)
+            if (item.revision if item else 0) != condition.revision:
+                return Conflict()
+        self.revision += 1
+        for put in puts:
+            item = StoredValue(put.key, put.value, Revision(self.revision))
+            self.items[put.key] = item
+            self.history.append((self.revision, Changed(item)))
+        for key in deletes:
+            if self.items.pop(key, None) is not None:
+                self.history.append((self.revision, Deleted(key, Revision(self.revision))))
+        async with self.changed:
+            self.changed.notify_all()
+        return Committed(Revision(self.revision))
+
+    def forget_history(self) -> None:
+        """Drop all changes made so far, as a compaction does."""
+        self.forgotten = self.revision
+        self.history.clear()
+
+    def grant(self) -> LeaseId:
+        """Create a lease."""
+        lease = next(self._lease_numbers)
+        self.leases.add(lease)
+        return LeaseId(lease)
+
+
+class MemoryCoordinator:
+    """Be one host's client of the store; ``is_cut`` makes every call fail."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+        self.is_cut = False
+        self.lose_next_answer = False
+        self.calls: list[str] = []
+
+    def _enter(self, call: str) -> None:
+        self.calls.append(call)
+        if self.is_cut:
+            raise StoreUnavailableError(f"{call}: cut off")
+
+    async def read_range(self, prefix: str) -> Snapshot:
+        """Read all items under a prefix."""
+        self._enter("range")
+        items = tuple(item for key, item in self._store.items.items() if key.startswith(prefix))
+        return Snapshot(items, Revision(self._store.revision))
+
+    async def watch(self, prefix: str, after: Revision, wait: timedelta) -> Changes | HistoryLost:
+        """Wait for changes under a prefix."""
+        self._enter("watch")
+        try:
+            async with asyncio.timeout(wait.total_seconds()), self._store.changed:
+                while not self._news(prefix, after) and after >= self._store.forgotten:
+                    await self._store.changed.wait()
+        except TimeoutError:
+            pass
+        self._enter("watch answer")
+        if after < self._store.forgotten:
+            return HistoryLost()
+        return Changes(self._news(prefix, after), Revision(self._store.revision))
+
+    def _news(self, prefix: str, after: Revision) -> tuple[Change, ...]:
+        news = []
+        for revision, change in self._store.history:
+            key = change.key if isinstance(change, Deleted) else change.item.key
+            if revision > after and key.startswith(prefix):
+                news.append(change)
+        return tuple(news)
+
+    async def transact(
+        self, conditions: Sequence[Condition], puts: Sequence[Put], deletes: Sequence[str] = ()
+    ) -> Committed | Conflict:
+        """Apply all changes if all conditions hold; the answer may get lost."""
+        self._enter("transact")
+        result = await self._store.transact(conditions, puts, deletes)
+        if self.lose_next_answer:
+            self.lose_next_answer = False
+            raise StoreUnavailableError("transact: the answer was lost")
+        return result
+
+    async def grant_lease(self, ttl: timedelta) -> LeaseId:
+        """Create a lease."""
+        self._enter("grant")
+        return self._store.grant()
+
+    async def renew_lease(self, lease: LeaseId) -> bool:
+        """Renew a lease."""
+        self._enter("renew")
+        return lease in self._store.leases
+
+    async def end_lease(self, lease: LeaseId) -> None:
+        """End a lease."""
+        self._enter("end")
+        self._store.leases.discard(lease)
+
+    async def close(self) -> None:
+        """Do nothing."""
--- /dev/null
+++ b/tests/admission/test_concurrency.py
@@ -0,0 +1,60 @@
+import unittest
+from datetime import timedelta
+
+from hickorywind.admission.concurrency import (
+    LIMIT_MAX,
+    LIMIT_MIN,
+    STALL_AFTER,
+    ConcurrencyLimit,
+)
+
+START = timedelta(seconds=10)
+
+
+def run(limit, duration_ms, count, now=START):
+    for _ in range(count):
+        now += timedelta(milliseconds=50)
+        limit.start(now)
+        limit.finish(timedelta(milliseconds=duration_ms), now)
+    return now
+
+
+class ConcurrencyLimitTest(unittest.TestCase):
+    def test_quick_answers_raise_the_limit_to_its_bound(self):
+        limit = ConcurrencyLimit()
+        run(limit, 20, 500)
+        self.assertEqual(limit.limit, LIMIT_MAX)
+
+    def test_queueing_at_the_server_lowers_it_and_recovery_raises_it(self):
+        limit = ConcurrencyLimit()
+        now = run(limit, 20, 100)
+        now = run(limit, 600, 40, now)
+        lowered = limit.limit
+        self.assertLess(lowered, 3)
+        run(limit, 20, 200, now)
+        self.assertGreater(limit.limit, lowered)
+
+    def test_one_statement_is_always_allowed(self):
+        limit = ConcurrencyLimit()
+        for number in range(50):
+            limit.refused(START + timedelta(seconds=number))
+        self.assertEqual(limit.limit, LIMIT_MIN)
+        self.assertTrue(limit.has_room)
+
+    def test_stall_needs_work_in_flight_and_no_answer(self):
+        limit = ConcurrencyLimit()
+        late = START + STALL_AFTER + timedelta(milliseconds=1)
+        self.assertFalse(limit.is_stalled(late))
+        limit.start(START)
+        self.assertTrue(limit.is_stalled(late))
+        limit.start(late)
+        limit.finish(timedelta(milliseconds=5), late)
+        self.assertFalse(limit.is_stalled(late))
+
+    def test_abandoned_statements_free_their_place(self):
+        limit = ConcurrencyLimit()
+        for _ in range(3):
+            limit.start(START)
+        self.assertFalse(limit.has_room)
+        limit.abandon()
+        self.assertTrue(limit.has_room)
--- /dev/null
+++ b/tests/failover/test_leadership.py
@@ -0,0 +1,125 @@
+import unittest
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hickorywind.failover.leadership import (
+    PERMIT_DRIFT_MARGIN,
+    PERMIT_DURATION,
+    Fencing,
+    HostStanding,
+    LeadershipPhase,
+    LeadershipRecord,
+    Permits,
+    VersionedLeadership,
+    decode_host,
+    decode_leadership,
+    encode_record,
+)
+
+SERVICE = "ledger"
+START = timedelta(seconds=100)
+
+
+def versioned(revision, phase=LeadershipPhase.OPEN, primary="i-a", is_planned=False):
+    record = LeadershipRecord(primary, phase, 0, "h1", "i-b", is_planned)
+    return VersionedLeadership(record, revision)
+
+
+class PermitsTest(unittest.TestCase):
+    def setUp(self):
+        self.permits = Permits()
+        self.permits.extend(START)
+        self.permits.learn(SERVICE, versioned(5))
+
+    def usable(self, now=START):
+        return self.permits.usable_primary(SERVICE, now)
+
+    def test_permit_counts_from_the_sending_of_the_proof(self):
+        self.assertEqual(self.usable(START + PERMIT_DURATION - timedelta(milliseconds=1)), "i-a")
+        self.assertIsNone(self.usable(START + PERMIT_DURATION))
+
+    def test_late_proof_never_shortens_a_permit(self):
+        self.permits.extend(START - timedelta(seconds=3))
+        self.assertEqual(self.permits.valid_until, START + PERMIT_DURATION)
+
+    def test_ended_lease_revokes_at_once(self):
+        self.permits.revoke()
+        self.assertIsNone(self.usable())
+
+    def test_closed_record_stops_use(self):
+        self.permits.learn(SERVICE, versioned(6, LeadershipPhase.CLOSED))
+        self.assertIsNone(self.usable())
+
+    def test_veto_outlives_a_stale_open_record(self):
+        self.permits.veto(SERVICE, 8)
+        self.permits.learn(SERVICE, versioned(7))
+        self.assertIsNone(self.usable())
+        self.permits.learn(SERVICE, versioned(9, primary="i-b"))
+        self.assertEqual(self.usable(), "i-b")
+
+    def test_older_record_is_not_taken(self):
+        self.assertFalse(self.permits.learn(SERVICE, versioned(4, primary="i-c")))
+        self.assertEqual(self.usable(), "i-a")
+
+    def test_planned_change_lets_work_end_until_the_veto(self):
+        self.permits.learn(SERVICE, versioned(6, LeadershipPhase.CLOSED, is_planned=True))
+        self.assertIsNone(self.usable())
+        self.assertTrue(self.permits.may_finish(SERVICE, "i-a", START))
+        self.permits.veto(SERVICE, 6)
+        self.assertFalse(self.permits.may_finish(SERVICE, "i-a", START))
+
+    def test_unplanned_change_lets_nothing_end(self):
+        self.permits.learn(SERVICE, versioned(6, LeadershipPhase.CLOSED))
+        self.assertFalse(self.permits.may_finish(SERVICE, "i-a", START))
+
+    def test_held_service_begins_nothing_but_may_finish(self):
+        self.permits.hold(SERVICE, 6)
+        self.assertIsNone(self.usable())
+        self.assertTrue(self.permits.may_finish(SERVICE, "i-a", START))
+
+    def test_records_round_trip_and_bad_bytes_are_none(self):
+        record = versioned(5).record
+        self.assertEqual(decode_leadership(encode_record(record)), record)
+        for data in (b"", b"{}", b"\xff", b'{"primary": 3}'):
+            self.assertIsNone(decode_leadership(data))
+            self.assertIsNone(decode_host(data))
+
+
+class FencingTest(unittest.TestCase):
+    def test_complete_once_every_host_gave_its_word(self):
+        fencing = Fencing.from_hosts({"h1", "h2"})
+        fencing.settle("h1", HostStanding.STOPPED_USING)
+        self.assertFalse(fencing.is_complete(START))
+        fencing.settle("h2", HostStanding.ENDED)
+        self.assertTrue(fencing.is_complete(START))
+
+    def test_silence_settles_nothing(self):
+        fencing = Fencing.from_hosts({"h1"})
+        fencing.settle("h1", HostStanding.SILENT)
+        self.assertFalse(fencing.is_complete(START + timedelta(hours=1)))
+
+    def test_gone_primary_needs_no_word(self):
+        fencing = Fencing.from_hosts({"h1"})
+        fencing.is_primary_gone = True
+        self.assertTrue(fencing.is_complete(START))
+
+    @given(
+        renewal_ms=st.integers(-20_000, 0),
+        travel_ms=st.integers(0, 5_000),
+        drift_ms=st.integers(-150, 150),
+    )
+    def test_no_permit_outlives_the_wait_after_its_lease_ended(
+        self, renewal_ms, travel_ms, drift_ms
+    ):
+        """The store confirms at START; a renewal that it accepted was sent before that."""
+        permits = Permits()
+        permits.extend(START + timedelta(milliseconds=renewal_ms))
+        fencing = Fencing.from_hosts({"h1"})
+        fencing.lease_ended("h1", START + timedelta(milliseconds=travel_ms))
+        now = START
+        while not fencing.is_complete(now):
+            now += timedelta(milliseconds=100)
+        self.assertFalse(permits.is_valid(now + timedelta(milliseconds=drift_ms)))
+        self.assertGreaterEqual(now, START + PERMIT_DURATION + PERMIT_DRIFT_MARGIN)
--- /dev/null
+++ b/tests/host/harness.py
@@ -0,0 +1,182 @@
+"""Run hosts in one process against stand-ins of the platform."""
+
+import asyncio
+import json
+import random
+import socket
+import unittest
+
+from hickorywind.host.role import Adapters, HostRole
+from hickorywind.ids import Incarnation
+from hickorywind.observability.hostmetrics import HostMetrics
+from hickorywind.platform.documents import (
+    BACKENDS_PREFIX,
+    CONFIGURATION_KEY,
+    decode_backend,
+    decode_configuration,
+)
+from hickorywind.platform.lines import LineBackendCodec, LineCallerCodec
+from hickorywind.ports.coordination import DocumentSchema
+from hickorywind.settings.host import HostSettings
+from hickorywind.util.clock import BoottimeClock
+from standins.lineplatform.group import LineGroup
+from standins.lineplatform.memorystore import MemoryCoordinator, MemoryStore
+
+SERVICE = "ledger"
+SERVERS = ("i-a", "i-b", "i-c")
+SCHEMA = DocumentSchema(CONFIGURATION_KEY, BACKENDS_PREFIX, decode_configuration, decode_backend)
+
+
+def configuration(version, databases=("bookings", "views", "orders")):
+    kinds = {
+        "bookings": {"route_type": "primary", "priority": 0},
+        "views": {"route_type": "bounded_staleness", "priority": 1, "max_staleness_ms": 1500},
+        "orders": {"route_type": "read_your_writes", "priority": 2, "max_staleness_ms": 2500},
+    }
+    routes = [
+        {
+            "name": f"r-{name}",
+            "database": name,
+            "backend": SERVICE,
+            "timeout_ms": 1000,
+            "target_latency_ms": 1500,
+            **kinds[name],
+        }
+        for name in databases
+    ]
+    services = [{"name": SERVICE, "max_conns": 40}]
+    return json.dumps(
+        {"version": version, "routes": routes, "backends": services, "limits": {"tx_idle_ms": 800}}
+    ).encode()
+
+
+def registration(server, state="ready", born=1):
+    return json.dumps(
+        {
+            "backend": SERVICE,
+            "address": str(server.address),
+            "zone": "z1",
+            "slots": 3,
+            "state": state,
+            "db_role": server.role,
+            "born": born,
+            "seq": 1,
+        }
+    ).encode()
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class Caller:
+    """Speak the line protocol as a caller does."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        self.number = 0
+
+    @classmethod
+    async def connect(cls, address, database, client="u1"):
+        host, port = address.rsplit(":", 1)
+        caller = cls(*await asyncio.open_connection(host, int(port)))
+        caller.writer.write(f"CONNECT {database} {client}\r\n".encode())
+        caller.greeting = (await caller.reader.readline()).decode().strip()
+        return caller
+
+    async def ask(self, text):
+        """Send a statement and return its lines, without the line ends."""
+        self.number += 1
+        self.writer.write(f"QUERY q{self.number} {text}\r\n".encode())
+        lines = []
+        while True:
+            line = (await self.reader.readline()).decode().strip()
+            lines.append(line)
+            if not line or line.startswith("READY"):
+                return lines
+
+    def close(self):
+        self.writer.transport.abort()
+
+
+class HostCase(unittest.IsolatedAsyncioTestCase):
+    """Start a group of servers, a store and some hosts; stop them at the end."""
+
+    host_count = 1
+
+    async def asyncSetUp(self):
+        self.store = MemoryStore()
+        self.group = LineGroup(SERVICE, SERVERS)
+        await self.group.start()
+        await self.store.put(CONFIGURATION_KEY, configuration(1))
+        for server in self.group.servers.values():
+            await self.register(server)
+        self.hosts = {}
+        for number in range(self.host_count):
+            self.start_host(f"h{number}")
+        await self.wait_until(lambda: all(host.role.is_ready for host in self.hosts.values()))
+        await self.wait_until(self.is_open)
+
+    async def asyncTearDown(self):
+        for host in self.hosts.values():
+            await host.kill()
+        await self.group.stop()
+
+    def is_open(self):
+        return all(host.primary() is not None for host in self.hosts.values())
+
+    async def register(self, server, **changes):
+        await self.store.put(BACKENDS_PREFIX + server.backend, registration(server, **changes))
+
+    def start_host(self, name):
+        self.hosts[name] = RunningHost(name, self.store, self.group)
+
+    async def wait_until(self, condition, seconds=12.0):
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def caller(self, database, host="h0"):
+        caller = await Caller.connect(self.hosts[host].settings.callers_listen, database)
+        self.addCleanup(caller.close)
+        return caller
+
+
+class RunningHost:
+    """Hold one host and its own client of the store."""
+
+    def __init__(self, name, store, group):
+        self.coordinator = MemoryCoordinator(store)
+        self.settings = HostSettings(
+            host=name,
+            availability_zone="z1",
+            region="r1",
+            callers_listen=free_address(),
+            readiness_listen=free_address(),
+            peers_listen=free_address(),
+            metrics_listen=free_address(),
+            store=free_address(),
+            control=free_address(),
+            zones={"z1": "r1"},
+            stop_grace_seconds=2.0,
+        )
+        adapters = Adapters(LineCallerCodec, LineBackendCodec, self.coordinator, group, SCHEMA)
+        clock = BoottimeClock()
+        incarnation = Incarnation(clock.now().microseconds + clock.now().seconds * 1_000_000)
+        metrics = HostMetrics.with_own_registry()
+        self.role = HostRole(
+            self.settings, adapters, clock, incarnation, metrics, random.Random(name)
+        )
+        self.task = asyncio.create_task(self.role.run())
+
+    def primary(self):
+        return self.role._fleet.usable_primary(SERVICE)
+
+    async def kill(self):
+        """End the host without any farewell."""
+        self.task.cancel()
+        await asyncio.wait((self.task,))
+        self.role.abort()
--- /dev/null
+++ b/tests/host/test_succession.py
@@ -0,0 +1,209 @@
+import asyncio
+
+from hickorywind.failover.leadership import (
+    LeadershipPhase,
+    LeadershipRecord,
+    VersionedLeadership,
+    encode_record,
+)
+from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX
+from hickorywind.platform.documents import BACKENDS_PREFIX
+from tests.host.harness import SERVICE, Caller, HostCase
+
+
+class FailoverTest(HostCase):
+    host_count = 3
+
+    def leads(self, backend):
+        return all(host.primary() == backend for host in self.hosts.values())
+
+    async def test_crashed_primary_is_replaced_within_two_seconds(self):
+        caller = await self.caller("bookings")
+        await caller.ask("WRITE kiln 1")
+        await self.group.servers["i-a"].crash()
+        started = asyncio.get_running_loop().time()
+        lines = await caller.ask("WRITE kiln 2")
+        if lines[0].startswith("ERROR"):
+            lines = await caller.ask("WRITE kiln 2")
+        self.assertTrue(lines[0].startswith("COMPLETE"), lines)
+        self.assertLess(asyncio.get_running_loop().time() - started, 2.0)
+        self.assertEqual((await caller.ask("READ kiln"))[0], "ROW 2")
+        holders = {promotion[0] for promotion in self.group.promotions}
+        self.assertEqual(len(holders), 1)
+
+    async def test_fencing_tokens_rise_with_each_change(self):
+        await self.group.servers["i-a"].crash()
+        await self.wait_until(lambda: self.leads("i-b") or self.leads("i-c"))
+        await self.group.servers["i-a"].start()
+        first = self.hosts["h0"].primary()
+        await self.group.servers[first].crash()
+        await self.wait_until(lambda: self.is_open() and self.hosts["h0"].primary() != first)
+        tokens = [promotion[2] for promotion in self.group.promotions]
+        self.assertEqual(tokens, sorted(tokens))
+        self.assertGreater(len(set(tokens)), 1)
+
+    async def test_replica_that_received_most_is_promoted(self):
+        self.group.servers["i-b"].is_receiving = False
+        caller = await self.caller("bookings")
+        await caller.ask("WRITE kiln 1")
+        await self.group.servers["i-a"].crash()
+        await self.wait_until(lambda: self.leads("i-c"))
+
+    async def test_leaving_primary_hands_over_after_its_open_transactions(self):
+        caller = await self.caller("bookings")
+        await caller.ask("BEGIN")
+        await caller.ask("WRITE kiln 1")
+        await self.register(self.group.servers["i-a"], state="draining")
+        await asyncio.sleep(0.3)
+        self.assertEqual(await caller.ask("COMMIT"), ["COMPLETE s.q3", "READY I -"])
+        await self.wait_until(lambda: self.leads("i-b") or self.leads("i-c"), 5.0)
+        self.assertEqual((await caller.ask("READ kiln"))[0], "ROW 1")
+
+    async def test_host_cut_from_the_store_keeps_its_permit_through_a_peer(self):
+        self.hosts["h1"].coordinator.is_cut = True
+        await asyncio.sleep(1.5)
+        permits = self.hosts["h1"].role._fleet.permits
+        before = permits.valid_until
+        await asyncio.sleep(2.0)
+        self.assertGreater(permits.valid_until, before)
+
+    async def test_store_down_for_everyone_stops_nothing_for_five_seconds(self):
+        for host in self.hosts.values():
+            host.coordinator.is_cut = True
+        caller = await self.caller("bookings")
+        for number in range(10):
+            lines = await caller.ask(f"WRITE kiln {number}")
+            self.assertTrue(lines[0].startswith("COMPLETE"), lines)
+            await asyncio.sleep(0.5)
+
+    async def test_ended_lease_revokes_the_permit_until_the_host_has_read_again(self):
+        fleet = self.hosts["h1"].role._fleet
+        sync = self.hosts["h1"].role._sync
+        old = sync._lease
+        self.store.leases.discard(old)
+        await self.wait_until(lambda: sync._lease != old, 3.0)
+        await self.wait_until(lambda: fleet.permits.is_valid(fleet.now()))
+
+    async def test_lost_history_is_read_anew(self):
+        self.store.forget_history()
+        await self.register(self.group.servers["i-b"], born=77)
+        backends = self.hosts["h2"].role._fleet.backends
+        await self.wait_until(lambda: backends["i-b"].started_ms == 77, 3.0)
+
+    async def test_change_whose_promoter_died_is_taken_over(self):
+        record = LeadershipRecord("i-a", LeadershipPhase.CLOSED, 1, "gone-host", "i-b", False)
+        await self.store.put(LEADERSHIP_PREFIX + SERVICE, encode_record(record))
+        await self.wait_until(lambda: self.leads("i-b"), 8.0)
+
+    async def test_killed_host_is_not_waited_for_when_its_process_is_gone(self):
+        await self.hosts.pop("h2").kill()
+        await self.group.servers["i-a"].crash()
+        await self.wait_until(lambda: self.leads("i-b") or self.leads("i-c"), 5.0)
+
+    async def test_killed_host_loses_its_registration(self):
+        await self.hosts.pop("h2").kill()
+        await self.wait_until(lambda: HOSTS_PREFIX + "h2" not in self.store.items, 9.0)
+
+
+class SingleHostTest(HostCase):
+    async def test_replaced_primary_that_comes_back_is_not_used_as_primary(self):
+        caller = await self.caller("bookings")
+        await caller.ask("WRITE kiln 1")
+        await self.group.servers["i-a"].crash()
+        await self.wait_until(lambda: self.hosts["h0"].primary() not in (None, "i-a"))
+        old = self.group.servers["i-a"]
+        old.role = "replica"
+        old.statements.clear()
+        await old.start()
+        await caller.ask("WRITE kiln 2")
+        self.assertEqual((await caller.ask("READ kiln"))[0], "ROW 2")
+        self.assertFalse([text for text in old.statements if text.startswith(("READ", "WRITE"))])
+
+    async def test_position_that_was_rolled_back_binds_no_read(self):
+        for name in ("i-b", "i-c"):
+            self.group.servers[name].is_receiving = False
+        caller = await self.caller("orders")
+        await caller.ask("WRITE x 1")
+        for name in ("i-b", "i-c"):
+            self.group.servers[name].is_receiving = True
+        await self.group.servers["i-a"].crash()
+        await self.wait_until(lambda: self.hosts["h0"].primary() not in (None, "i-a"))
+        new = self.group.servers[self.hosts["h0"].primary()]
+        new.term, new.number = 1, 0  # a log that compares below what the session saw
+        self.assertEqual((await caller.ask("READ x"))[0], "ROW none")
+        self.assertLess(len(new.statements), 60)
+
+    async def test_server_that_accepts_and_closes_is_not_hammered(self):
+        server = self.group.servers["i-a"]
+        address = server.address
+        await server.crash()
+        accepted = []
+
+        async def close(reader, writer):
+            accepted.append(1)
+            writer.transport.abort()
+
+        fake = await asyncio.start_server(close, address.host, address.port)
+        caller = await self.caller("bookings")
+        task = asyncio.create_task(caller.ask("READ kiln"))
+        await asyncio.sleep(1.5)
+        fake.close()
+        task.cancel()
+        self.assertLess(len(accepted), 40)
+
+    async def test_address_taken_over_by_another_server_counts_as_gone(self):
+        server = self.group.servers["i-a"]
+        await server.crash()
+        server.backend = "i-other"
+        await server.start()
+        await self.wait_until(lambda: self.hosts["h0"].primary() not in (None, "i-a"), 4.0)
+
+    async def test_vanished_registration_is_kept_for_the_grace_time(self):
+        backends = self.hosts["h0"].role._fleet.backends
+        await self.store.delete(BACKENDS_PREFIX + "i-c")
+        await asyncio.sleep(1.0)
+        self.assertIn("i-c", backends)
+        await self.wait_until(lambda: "i-c" not in backends, 4.0)
+
+
+class StopTest(HostCase):
+    host_count = 2
+
+    async def test_stopping_host_answers_everything_and_unregisters(self):
+        host = self.hosts["h0"]
+        callers = [await self.caller("bookings") for _ in range(4)]
+        drain = asyncio.create_task(host.role.drain())
+        await asyncio.sleep(0)
+        self.assertFalse(host.role.is_ready)
+        late = await Caller.connect(host.settings.callers_listen, "bookings")
+        self.assertEqual(late.greeting, "READY I -")
+        answers = []
+        for number in range(10):
+            for caller in callers:
+                try:
+                    answers.append((await caller.ask(f"WRITE k {number}"))[-1])
+                except ConnectionError:
+                    answers.append("")
+        await drain
+        complete = [answer for answer in answers if answer]
+        self.assertTrue(set(complete) <= {"READY I -"}, complete)
+        self.assertNotIn(HOSTS_PREFIX + "h0", self.store.items)
+
+    async def test_open_transaction_may_end_during_a_stop(self):
+        caller = await self.caller("bookings")
+        await caller.ask("BEGIN")
+        await caller.ask("WRITE kiln 7")
+        drain = asyncio.create_task(self.hosts["h0"].role.drain())
+        await asyncio.sleep(0.3)
+        self.assertEqual(await caller.ask("COMMIT"), ["COMPLETE s.q3", "READY I -"])
+        await drain
+        self.assertEqual(self.group.commits, [("kiln", "7")])
+
+
+class RecordTest(HostCase):
+    async def test_records_never_go_back(self):
+        permits = self.hosts["h0"].role._fleet.permits
+        known = permits.leadership(SERVICE)
+        older = LeadershipRecord("i-c", LeadershipPhase.OPEN, 0)
+        self.assertFalse(permits.learn(SERVICE, VersionedLeadership(older, known.revision - 1)))
+        self.assertEqual(permits.leadership(SERVICE), known)
--- /dev/null
+++ b/tests/host/test_wholepath.py
@@ -0,0 +1,187 @@
+import asyncio
+import unittest
+
+from tests.host.harness import CONFIGURATION_KEY, HostCase, configuration
+
+
+class WholePathTest(HostCase):
+    async def test_write_then_read_in_each_kind_of_database(self):
+        for database in ("bookings", "orders"):
+            caller = await self.caller(database)
+            self.assertEqual(caller.greeting, "READY I -")
+            written = await caller.ask(f"WRITE {database} fired")
+            self.assertEqual(written, ["COMPLETE s.q1", "READY I -"])
+            read = await caller.ask(f"READ {database}")
+            self.assertEqual(read, ["ROW fired", "COMPLETE s.q2", "READY I -"])
+
+    async def test_unknown_database_is_refused(self):
+        caller = await self.caller("nowhere")
+        self.assertTrue(caller.greeting.startswith("ERROR NODB [1006]"), caller.greeting)
+        self.assertEqual(await caller.reader.read(), b"")
+
+    async def test_removed_route_refuses_the_next_statement(self):
+        caller = await self.caller("orders")
+        await caller.ask("READ x")
+        await self.store.put(CONFIGURATION_KEY, configuration(2, ("bookings",)))
+        await self.wait_until(lambda: self.hosts["h0"].role._fleet.configuration.version == 2)
+        lines = await caller.ask("READ x")
+        self.assertTrue(lines[0].startswith("ERROR NODB"), lines)
+
+    async def test_older_configuration_is_never_taken_back(self):
+        fleet = self.hosts["h0"].role._fleet
+        await self.store.put(CONFIGURATION_KEY, configuration(9))
+        await self.wait_until(lambda: fleet.configuration.version == 9)
+        await self.store.put(CONFIGURATION_KEY, configuration(3))
+        await asyncio.sleep(0.1)
+        self.assertEqual(fleet.configuration.version, 9)
+
+    async def test_unreadable_configuration_leaves_the_old_in_force(self):
+        fleet = self.hosts["h0"].role._fleet
+        await self.store.put(CONFIGURATION_KEY, b"{not json")
+        await self.store.put(CONFIGURATION_KEY, configuration(4))
+        await self.wait_until(lambda: fleet.configuration.version == 4)
+
+    async def test_transaction_keeps_one_connection_and_commits(self):
+        caller = await self.caller("bookings")
+        self.assertEqual(await caller.ask("BEGIN"), ["COMPLETE -", "READY T -"])
+        self.assertEqual(await caller.ask("WRITE kiln 7"), ["COMPLETE s.q2", "READY T -"])
+        other = await self.caller("bookings")
+        self.assertEqual((await other.ask("READ kiln"))[0], "ROW none")
+        self.assertEqual(await caller.ask("COMMIT"), ["COMPLETE s.q3", "READY I -"])
+        self.assertEqual((await other.ask("READ kiln"))[0], "ROW 7")
+
+    async def test_rolled_back_transaction_leaves_nothing(self):
+        caller = await self.caller("bookings")
+        await caller.ask("BEGIN")
+        await caller.ask("WRITE kiln 7")
+        self.assertEqual(await caller.ask("ROLLBACK"), ["COMPLETE -", "READY I -"])
+        self.assertEqual((await caller.ask("READ kiln"))[0], "ROW none")
+
+    async def test_caller_that_leaves_in_a_transaction_is_rolled_back(self):
+        caller = await self.caller("bookings")
+        await caller.ask("BEGIN")
+        await caller.ask("WRITE kiln 7")
+        caller.close()
+        other = await self.caller("bookings")
+        await asyncio.sleep(0.1)
+        self.assertEqual((await other.ask("READ kiln"))[0], "ROW none")
+        self.assertEqual(self.group.commits, [])
+
+    async def test_session_values_follow_the_session(self):
+        first, second = await self.caller("bookings"), await self.caller("bookings")
+        await first.ask("SET lang bengali script")
+        for _ in range(3):
+            self.assertEqual((await first.ask("READ x"))[0], "ROW none lang=bengali script")
+            self.assertEqual((await second.ask("READ x"))[0], "ROW none")
+
+    async def test_prepared_names_of_sessions_do_not_meet(self):
+        first, second = await self.caller("orders"), await self.caller("orders")
+        await first.ask("PREPARE s1 WRITE shapeA")
+        await second.ask("PREPARE s1 READ shapeB")
+        self.assertEqual(await first.ask("EXECUTE s1 crock 4"), ["COMPLETE s.q2", "READY I -"])
+        self.assertEqual((await second.ask("EXECUTE s1 crock"))[0], "ROW 4")
+        await second.ask("DEALLOCATE s1")
+        lines = await second.ask("EXECUTE s1 crock")
+        self.assertTrue(lines[0].startswith("ERROR NOSTMT"), lines)
+
+    async def test_idle_transaction_is_ended_and_told(self):
+        caller = await self.caller("bookings")
+        await caller.ask("BEGIN")
+        await caller.ask("WRITE kiln 7")
+        await asyncio.sleep(1.2)
+        lines = await caller.ask("COMMIT")
+        self.assertTrue(lines[0].startswith("ERROR ABORTED [2005]"), lines)
+        self.assertEqual(lines[-1], "READY I -")
+        self.assertEqual(self.group.commits, [])
+
+    async def test_bad_input_costs_only_its_own_connection(self):
+        bystander = await self.caller("orders")
+        for payload in (b"NONSENSE x\r\n", b"QUERY q1 READ \xff\xfe\r\n", b"QUERY\r\n"):
+            caller = await self.caller("orders")
+            caller.writer.write(payload)
+            answer = (await caller.reader.readline()).decode()
+            self.assertTrue(answer.startswith("ERROR MALFORMED [1002]"), answer)
+        caller = await self.caller("orders")
+        caller.writer.write(b"QUERY q1 WRITE x " + b"y" * 1_100_000)
+        answer = (await caller.reader.readline()).decode()
+        self.assertTrue(answer.startswith("ERROR TOOLARGE [1003]"), answer)
+        self.assertEqual((await bystander.ask("READ x"))[-1], "READY I -")
+
+    async def test_reads_go_to_replicas_with_the_position_they_need(self):
+        caller = await self.caller("orders")
+        await caller.ask("WRITE x 1")
+        for _ in range(6):
+            self.assertEqual((await caller.ask("READ x"))[0], "ROW 1")
+        at_replicas = [
+            text
+            for name in ("i-b", "i-c")
+            for text in self.group.servers[name].statements
+            if "READ x" in text
+        ]
+        self.assertTrue(at_replicas)
+        self.assertTrue(all(text.startswith("AFTER 1.1 ") for text in at_replicas), at_replicas)
+
+    async def test_reads_of_own_writes_survive_replicas_that_receive_nothing(self):
+        for name in ("i-b", "i-c"):
+            self.group.servers[name].is_receiving = False
+        caller = await self.caller("orders")
+        for number in range(5):
+            await caller.ask(f"WRITE x {number}")
+            self.assertEqual((await caller.ask("READ x"))[0], f"ROW {number}")
+
+
+class OutcomeTest(HostCase):
+    async def test_lost_answer_of_a_write_is_in_doubt_and_not_repeated(self):
+        caller = await self.caller("bookings")
+        await caller.ask("READ x")
+        self.group.servers["i-a"].lose_answers = 1
+        lines = await caller.ask("WRITE kiln 7")
+        self.assertTrue(lines[0].startswith("ERROR INDOUBT [4002]"), lines)
+        self.assertEqual(self.group.commits, [("kiln", "7")])
+
+    async def test_lost_answer_of_a_commit_is_in_doubt(self):
+        caller = await self.caller("bookings")
+        await caller.ask("BEGIN")
+        await caller.ask("WRITE kiln 7")
+        self.group.servers["i-a"].lose_answers = 1
+        lines = await caller.ask("COMMIT")
+        self.assertTrue(lines[0].startswith("ERROR INDOUBT [4002]"), lines)
+        self.assertEqual(lines[-1], "READY I -")
+
+    async def test_lost_answer_inside_a_transaction_is_a_proved_abort(self):
+        caller = await self.caller("bookings")
+        await caller.ask("BEGIN")
+        await caller.ask("READ x")
+        self.group.servers["i-a"].lose_answers = 1
+        lines = await caller.ask("WRITE kiln 7")
+        self.assertTrue(lines[0].startswith("ERROR ABORTED [4004]"), lines)
+        self.assertEqual(lines[-1], "READY E -")
+        self.assertEqual(await caller.ask("ROLLBACK"), ["COMPLETE -", "READY I -"])
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.group.commits, [])
+
+    async def test_lost_answer_of_a_read_is_read_elsewhere(self):
+        caller = await self.caller("orders")
+        await caller.ask("WRITE x 1")
+        for server in self.group.servers.values():
+            server.lose_answers = 1
+        self.assertEqual((await caller.ask("READ x"))[0], "ROW 1")
+
+    async def test_silent_server_ends_a_write_at_the_statement_timeout(self):
+        caller = await self.caller("bookings")
+        await caller.ask("READ x")
+        self.group.servers["i-a"].is_silent = True
+        started = asyncio.get_running_loop().time()
+        lines = await caller.ask("WRITE kiln 7")
+        self.assertTrue(lines[0].startswith("ERROR INDOUBT"), lines)
+        self.assertLess(asyncio.get_running_loop().time() - started, 1.5)
+
+    async def test_connection_limit_makes_operations_wait_instead_of_failing(self):
+        self.group.servers["i-a"].connection_limit = 1
+        callers = [await self.caller("bookings") for _ in range(6)]
+        replies = await asyncio.gather(*(each.ask("READ x") for each in callers))
+        self.assertEqual([lines[0] for lines in replies], ["ROW none"] * 6)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,88 @@
+import json
+import unittest
+from datetime import timedelta
+
+from hickorywind.ids import InstanceRole
+from hickorywind.platform.documents import decode_backend, decode_configuration
+from hickorywind.ports.catalog import BackendState, BoundedReads, PrimaryReads, SessionReads
+from hickorywind.store.interface import StoredValue
+
+ROUTE = {
+    "name": "r1",
+    "database": "db1",
+    "prefix": "/",
+    "route_type": "read_your_writes",
+    "timeout_ms": 1000,
+    "target_latency_ms": 4000,
+    "priority": 2,
+    "backend": "ledger",
+    "attempts": 2,
+    "max_staleness_ms": 2500,
+}
+SERVER = {
+    "backend": "ledger",
+    "address": "10.128.0.9:8080",
+    "zone": "adum",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "db_role": "replica",
+    "seq": 4,
+    "born": 1700000000000,
+}
+
+
+def item(value, key="op/config"):
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return StoredValue(key, data, 7)
+
+
+def configuration(**route):
+    return {
+        "version": 7,
+        "routes": [{**ROUTE, **route}],
+        "backends": [{"name": "ledger", "max_conns": 21, "sync_replicas": 0}],
+        "limits": {"tx_idle_ms": 3000},
+    }
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_fields_are_decoded_with_their_units(self):
+        decoded = decode_configuration(item(configuration()))
+        route = decoded.routes["db1"]
+        self.assertEqual(route.service, "ledger")
+        self.assertEqual(route.reads, SessionReads(timedelta(milliseconds=2500)))
+        self.assertEqual(route.statement_timeout, timedelta(seconds=1))
+        self.assertEqual(route.objective, timedelta(seconds=4))
+        self.assertEqual(decoded.connection_limits["ledger"], 21)
+        self.assertEqual(decoded.transaction_idle, timedelta(seconds=3))
+
+    def test_kinds_of_reads(self):
+        bounded = decode_configuration(item(configuration(route_type="bounded_staleness")))
+        self.assertIsInstance(bounded.routes["db1"].reads, BoundedReads)
+        primary = decode_configuration(item(configuration(route_type="primary")))
+        self.assertIsInstance(primary.routes["db1"].reads, PrimaryReads)
+
+    def test_what_can_not_be_read_is_logged_and_left_out(self):
+        for value in (b"\xff", b"[]", configuration(route_type="odd"), {"version": "x"}):
+            with self.assertLogs("hickorywind.platform.documents", "ERROR"):
+                self.assertIsNone(decode_configuration(item(value)))
+
+
+class RegistrationTest(unittest.TestCase):
+    def test_registration(self):
+        server = decode_backend(item(SERVER, "servers/i-1"))
+        self.assertEqual(server.backend, "i-1")
+        self.assertEqual(server.role, InstanceRole.REPLICA)
+        self.assertEqual(server.state, BackendState.READY)
+        draining = decode_backend(item({**SERVER, "state": "draining"}, "servers/i-1"))
+        self.assertEqual(draining.state, BackendState.LEAVING)
+
+    def test_entries_of_other_writers_name_no_server(self):
+        odd = [b"\xff\xfe", b"{}", {**SERVER, "state": "odd"}, {**SERVER, "slots": "3"}]
+        odd += [{**SERVER, "address": "nowhere"}, {**SERVER, "born": 1.5}]
+        odd += [{key: value for key, value in SERVER.items() if key != "zone"}]
+        for value in odd:
+            with self.assertLogs("hickorywind.platform.documents", "WARNING"):
+                self.assertIsNone(decode_backend(item(value, "servers/i-1")), value)
--- /dev/null
+++ b/tests/platform/test_storeclient.py
@@ -0,0 +1,104 @@
+import socket
+import unittest
+from datetime import timedelta
+
+from hickorywind.ids import Address
+from hickorywind.platform.storeclient import PlatformClient
+from hickorywind.ports.coordination import (
+    Changed,
+    Committed,
+    Condition,
+    Conflict,
+    Deleted,
+    HistoryLost,
+    PromotionOutcome,
+    Put,
+)
+from hickorywind.store.interface import StoreUnavailableError
+from standins.lineplatform.httpstore import HttpStore
+from standins.lineplatform.memorystore import MemoryStore
+
+
+class PlatformClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            address = Address(*probe.getsockname())
+        self.store = MemoryStore()
+        self.server = HttpStore(self.store)
+        await self.server.start(address.host, address.port)
+        self.addAsyncCleanup(self.server.stop)
+        self.client = PlatformClient(address, address, timedelta(milliseconds=400))
+        self.addAsyncCleanup(self.client.close)
+
+    async def test_range_reads_all_pages(self):
+        for number in range(8):
+            await self.store.put(f"a/{number}", bytes([number, 255]))
+        await self.store.put("b/0", b"other")
+        snapshot = await self.client.read_range("a/")
+        self.assertEqual([item.key for item in snapshot.items], [f"a/{n}" for n in range(8)])
+        self.assertEqual(snapshot.items[3].value, b"\x03\xff")
+        self.assertEqual(snapshot.as_of, 9)
+
+    async def test_transaction_holds_its_conditions(self):
+        done = await self.client.transact([Condition("k", 0)], [Put("k", b"1")])
+        self.assertIsInstance(done, Committed)
+        again = await self.client.transact([Condition("k", 0)], [Put("k", b"2")])
+        self.assertIsInstance(again, Conflict)
+        gone = await self.client.transact([Condition("k", done.revision)], [], ["k"])
+        self.assertIsInstance(gone, Committed)
+        self.assertEqual(self.store.items, {})
+
+    async def test_watch_returns_changes_and_deletions(self):
+        await self.store.put("k/1", b"1")
+        await self.store.delete("k/1")
+        result = await self.client.watch("k/", 0, timedelta(seconds=1))
+        self.assertIsInstance(result.changes[0], Changed)
+        self.assertIsInstance(result.changes[1], Deleted)
+        empty = await self.client.watch("k/", result.as_of, timedelta(milliseconds=50))
+        self.assertEqual(empty.changes, ())
+
+    async def test_watch_of_forgotten_history_says_so(self):
+        await self.store.put("k/1", b"1")
+        self.store.forget_history()
+        result = await self.client.watch("k/", 0, timedelta(seconds=1))
+        self.assertIsInstance(result, HistoryLost)
+
+    async def test_ended_lease_can_not_be_renewed(self):
+        lease = await self.client.grant_lease(timedelta(seconds=60))
+        self.assertTrue(await self.client.renew_lease(lease))
+        await self.client.end_lease(lease)
+        self.assertFalse(await self.client.renew_lease(lease))
+        await self.client.end_lease(lease)
+
+    async def test_refusals_and_silence_are_one_kind_of_error(self):
+        for status in (429, 500, 503, 403):
+            self.server.status = status
+            with self.assertRaises(StoreUnavailableError):
+                await self.client.read_range("a/")
+            with self.assertRaises(StoreUnavailableError):
+                await self.client.renew_lease(1)
+        self.server.status = None
+        self.server.delay = timedelta(seconds=1)
+        with self.assertRaises(StoreUnavailableError):
+            await self.client.transact([], [Put("k", b"1")])
+
+    async def test_unreadable_answer_is_an_error(self):
+        self.server.status = 200
+        with self.assertRaises(StoreUnavailableError):
+            await self.client.read_range("a/")
+
+    async def test_promotion_carries_holder_and_fence(self):
+        outcome = await self.client.promote("ledger", "i-b", "h1", 42)
+        self.assertEqual(outcome, PromotionOutcome.ACCEPTED)
+        self.assertEqual(self.server.promotions, [("h1", "42", "ledger", "i-b")])
+
+    async def test_promotion_of_a_server_that_is_not_running(self):
+        self.server.promotion_status = 409
+        outcome = await self.client.promote("ledger", "i-b", "h1", 42)
+        self.assertEqual(outcome, PromotionOutcome.NOT_RUNNING)
+
+    async def test_unanswered_promotion_is_unknown(self):
+        self.server.delay = timedelta(seconds=1)
+        outcome = await self.client.promote("ledger", "i-b", "h1", 42)
+        self.assertEqual(outcome, PromotionOutcome.UNKNOWN)
--- /dev/null
+++ b/tests/report/test_story.py
@@ -0,0 +1,42 @@
+import unittest
+
+from hickorywind.report.story import NoStory, parse_line, tell_story
+
+LINES = [
+    "event=primary_unreachable level=warning ts=2026-12-04T10:00:00.000Z host=a service=s1",
+    "event=primary_unreachable level=warning ts=2026-12-04T10:00:00.500Z host=a service=s2",
+    "event=promotion_ordered level=info ts=2026-12-04T10:00:01.000Z host=b service=s1 backend=i-2",
+    "event=store_lost level=warning ts=2026-12-04T10:00:01.500Z host=b call=watch",
+    "event=request_failed level=info ts=2026-12-04T10:00:02.000Z host=a request_id=q7 service=s1"
+    ' code=4001 outcome=unknown reason="the primary \\"x\\" was replaced"',
+    "event=primary_changed level=info ts=2026-12-04T10:00:03.000Z host=b service=s1",
+    "event=store_lost level=warning ts=2026-12-04T09:59:40.000Z host=a call=watch",
+]
+
+
+class StoryTest(unittest.TestCase):
+    def test_story_holds_what_was_believed_before_and_ends_with_the_cause(self):
+        story = tell_story("q7", reversed(LINES))
+        events = [line.event for line in story.lines]
+        self.assertEqual(events, ["primary_unreachable", "promotion_ordered", "request_failed"])
+        self.assertTrue(story.cause.startswith("[4001]"), story.cause)
+
+    def test_quoted_values_are_unquoted(self):
+        line = parse_line(LINES[4])
+        self.assertEqual(line.fields["reason"], 'the primary "x" was replaced')
+
+    def test_unknown_request(self):
+        story = tell_story("nobody", LINES)
+        self.assertIsInstance(story, NoStory)
+
+    def test_truncated_and_foreign_lines_are_passed_over(self):
+        texts = [*LINES, LINES[4][:30], "Traceback (most recent call last):", ""]
+        texts.append("event=log_lines_dropped count=12")
+        story = tell_story("q7", texts)
+        self.assertEqual(len(story.lines), 3)
+        self.assertEqual(story.dropped, 12)
+
+    def test_error_of_a_backend_server_is_the_cause(self):
+        line = LINES[4].replace("code=4001", "code=0").replace("the primary", "FAILED i-1")
+        story = tell_story("q7", [line])
+        self.assertIn("FAILED i-1", story.cause)
--- a/tests/test_layering.py
+++ b/tests/test_layering.py
@@ -49,3 +49,55 @@
             with self.subTest(path=path.name):
                 names = {name.split(".")[0] for name in imported_names(path)}
                 self.assertFalse(names & {"subprocess", "multiprocessing", "uvloop"})
+
+
+class PlatformSeamTest(unittest.TestCase):
+    """The adapter only translates, and nothing else knows the platform's names."""
+
+    WIRE_NAMES = (
+        "kv-txn",
+        "kv-watch",
+        "kv-range",
+        "kv-lease",
+        "kv-keep",
+        "Lease-Holder",
+        "Fencing-Token",
+        "NOSTMT",
+        "MISROUTED",
+        "LAGGING",
+        "INDOUBT",
+        "CONNLIMIT",
+        "db_role",
+        "op/config",
+        "route_type",
+    )
+    DECISIONS = (
+        "hickorywind.admission",
+        "hickorywind.routing",
+        "hickorywind.failover",
+        "hickorywind.placement",
+        "hickorywind.membership",
+    )
+
+    def test_no_module_outside_uses_the_names_of_the_wire(self):
+        for path in sorted(PACKAGE.rglob("*.py")):
+            if path.parent.name == "platform":
+                continue
+            text = path.read_text()
+            with self.subTest(path=path.name):
+                self.assertEqual([name for name in self.WIRE_NAMES if name in text], [])
+
+    def test_only_its_entry_point_joins_the_adapter_and_the_host(self):
+        for path in sorted((PACKAGE / "platform").glob("*.py")):
+            with self.subTest(path=path.name):
+                for name in imported_names(path):
+                    self.assertFalse(name.startswith(self.DECISIONS), name)
+                    if path.name != "__main__.py":
+                        self.assertFalse(name.startswith("hickorywind.host"), name)
+
+    def test_adapter_is_not_imported_by_the_product(self):
+        for path in sorted(PACKAGE.rglob("*.py")):
+            if path.parent.name != "platform":
+                with self.subTest(path=path.name):
+                    for name in imported_names(path):
+                        self.assertFalse(name.startswith("hickorywind.platform"), name)
--- /dev/null
+++ b/tests/ui/test_explaincommand.py
@@ -0,0 +1,39 @@
+import io
+import tempfile
+import unittest
+from contextlib import redirect_stderr, redirect_stdout
+
+from hickorywind.ui.program import run
+from tests.report.test_story import LINES
+
+
+class ExplainTest(unittest.TestCase):
+    def explain(self, request_id, *texts):
+        files = []
+        for text in texts:
+            file = tempfile.NamedTemporaryFile("w", suffix=".log")
+            self.addCleanup(file.close)
+            file.write(text)
+            file.flush()
+            files.append(file.name)
+        out, err = io.StringIO(), io.StringIO()
+        with redirect_stdout(out), redirect_stderr(err):
+            code = run(["explain", request_id, *files])
+        return code, out.getvalue(), err.getvalue()
+
+    def test_story_across_files(self):
+        code, out, _ = self.explain("q7", "\n".join(LINES[:3]), "\n".join(LINES[3:]))
+        self.assertEqual(code, 0)
+        self.assertTrue(out.strip().splitlines()[-1].startswith("cause: [4001]"), out)
+
+    def test_wrong_id_is_one_line(self):
+        code, _, err = self.explain("zz", "\n".join(LINES))
+        self.assertNotEqual(code, 0)
+        self.assertEqual(len(err.strip().splitlines()), 1)
+        self.assertIn("no line names request zz", err)
+
+    def test_missing_file(self):
+        err = io.StringIO()
+        with redirect_stderr(err):
+            self.assertNotEqual(run(["explain", "q", "/nonexistent.log"]), 0)
+        self.assertIn("/nonexistent.log", err.getvalue())
