--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -154,8 +154,8 @@
             if renewed is None:
                 continue
             if not renewed:
+                # Whoever ended the lease waits until the present permit has run out, so it stands.
                 logger.warning("lease_ended", extra={"lease": self._lease})
-                self._fleet.permits.revoke()
                 return
             self._fleet.permits.extend(sent)
 
