Split succession, operation and service by concern

Change: detection, fencer, silenthosts, promotion, leadershipstore, targets, transaction and servicestate are modules of their own; util/tasks keeps background tasks and logs their failures.

--- /dev/null
+++ b/hickorywind/host/fencer.py
@@ -0,0 +1,120 @@
+"""Make sure that no host uses a primary any more before it is replaced."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from datetime import timedelta
+
+from hickorywind.failover.leadership import (
+    Fencing,
+    HostRecord,
+    HostStanding,
+    VersionedLeadership,
+)
+from hickorywind.host.fleet import Fleet
+from hickorywind.host.leadershipstore import LeadershipStore
+from hickorywind.host.peers import Peers
+from hickorywind.host.service import ServiceRuntime
+from hickorywind.ids import BackendId, HostId, Revision
+from hickorywind.protocol.messages import CloseService, ServiceClosed
+from hickorywind.util.sockets import REACH_TIMEOUT, is_process_gone
+
+logger = logging.getLogger(__name__)
+
+CLOSE_TIMEOUT = timedelta(milliseconds=500)  # for a host's word that it stopped
+PLANNED_CLOSE_TIMEOUT = timedelta(milliseconds=2300)  # open transactions may end first
+FENCE_POLL = timedelta(milliseconds=300)  # how often silent hosts are looked at again
+
+
+class Fencer:
+    """Carry out the fencing of one service's primary."""
+
+    def __init__(
+        self, fleet: Fleet, store: LeadershipStore, peers: Peers, own_host: HostId
+    ) -> None:
+        self._fleet = fleet
+        self._store = store
+        self._peers = peers
+        self._own_host = own_host
+
+    async def begin(self, runtime: ServiceRuntime, closed: VersionedLeadership) -> Fencing:
+        """Stop the own use, get the word of all others and end the leases of the silent."""
+        await self.end_own_use(runtime, closed.revision, closed.record.is_planned)
+        hosts = await self._store.registered_hosts()
+        hosts.pop(self._own_host, None)
+        fencing = Fencing.from_hosts(set(hosts))
+        await self._ask_all(runtime, closed, hosts, fencing)
+        for host in list(fencing.waiting):
+            fencing.lease_ended(host, await self._store.end_lease(hosts[host]))
+        await self._look_at_primary(runtime, closed, fencing)
+        return fencing
+
+    async def wait_a_while(
+        self, runtime: ServiceRuntime, closed: VersionedLeadership, fencing: Fencing
+    ) -> None:
+        """Wait once for silent hosts and look at them again."""
+        logger.info(
+            "fencing_waits",
+            extra={"service": runtime.name, "hosts": ",".join(sorted(fencing.waiting))},
+        )
+        await asyncio.sleep(FENCE_POLL.total_seconds())
+        registered = await self._store.registered_hosts()
+        for host in list(fencing.waiting):
+            if host not in registered:
+                # Another host has waited its permit out already.
+                fencing.settle(host, HostStanding.ENDED)
+        silent = {host: registered[host] for host in fencing.waiting}
+        await self._ask_all(runtime, closed, silent, fencing)
+        await self._look_at_primary(runtime, closed, fencing)
+
+    async def _look_at_primary(
+        self, runtime: ServiceRuntime, closed: VersionedLeadership, fencing: Fencing
+    ) -> None:
+        if fencing.waiting and not closed.record.is_planned:
+            fencing.is_primary_gone = await self.is_gone(runtime, closed.record.primary)
+
+    async def is_gone(self, runtime: ServiceRuntime, primary: BackendId) -> bool:
+        """Tell whether a primary's process is proved to have ended."""
+        backend = runtime.backends.get(primary)
+        return backend is not None and await is_process_gone(backend.server.address, REACH_TIMEOUT)
+
+    async def end_own_use(
+        self, runtime: ServiceRuntime, revision: Revision, is_planned: bool
+    ) -> None:
+        """Stop using the primary; where the change is planned, open work may end first."""
+        if is_planned:
+            runtime.refresh()
+            await runtime.end_primary_transactions()
+        self._fleet.permits.veto(runtime.name, revision)
+        runtime.refresh()
+
+    async def _ask_all(
+        self,
+        runtime: ServiceRuntime,
+        closed: VersionedLeadership,
+        hosts: dict[HostId, HostRecord],
+        fencing: Fencing,
+    ) -> None:
+        await asyncio.gather(
+            *(self._ask_to_close(runtime, closed, record, fencing) for record in hosts.values())
+        )
+
+    async def _ask_to_close(
+        self,
+        runtime: ServiceRuntime,
+        closed: VersionedLeadership,
+        record: HostRecord,
+        fencing: Fencing,
+    ) -> None:
+        planned = closed.record.is_planned
+        self._peers.add(record)
+        reply = await self._peers.call(
+            record.host,
+            lambda call: CloseService(call, runtime.name, closed.revision, planned),
+            PLANNED_CLOSE_TIMEOUT if planned else CLOSE_TIMEOUT,
+        )
+        if isinstance(reply, ServiceClosed):
+            fencing.settle(record.host, HostStanding.STOPPED_USING)
+        elif await is_process_gone(record.address, REACH_TIMEOUT):
+            fencing.settle(record.host, HostStanding.ENDED)
--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -19,6 +19,7 @@
 from hickorywind.protocol.messages import CopyReply, Greeting, GreetingReply, Message
 from hickorywind.results import HickorywindError
 from hickorywind.util.clock import Clock, Instant
+from hickorywind.util.tasks import BackgroundTasks
 
 logger = logging.getLogger(__name__)
 
@@ -54,6 +55,7 @@
         self._rng = rng
         self._peers: dict[HostId, Peer] = {}
         self._next_call = 1
+        self._background = BackgroundTasks()
         self._listener: Listener | None = None
         self.answer: Callable[[Message], Awaitable[Message | None]] | None = None
         self.make_greeting: Callable[[int], Greeting] | None = None
@@ -66,7 +68,7 @@
         try:
             while True:
                 received = await self._listener.receive()
-                asyncio.create_task(self._respond(received.peer, received.message))  # noqa: RUF006
+                self._background.start(self._respond(received.peer, received.message))
         finally:
             self._listener.close()
 
@@ -219,5 +221,6 @@
 
     def close(self) -> None:
         """Stop speaking with the other hosts."""
+        self._background.cancel()
         for host in list(self._peers):
             self._remove(host)
--- a/hickorywind/host/requestlog.py
+++ b/hickorywind/host/requestlog.py
@@ -5,8 +5,8 @@
 import logging
 from datetime import timedelta
 
-from hickorywind.host.operation import Transaction
 from hickorywind.host.service import ServiceRuntime
+from hickorywind.host.transaction import Transaction
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.ports.catalog import DatabaseName
 from hickorywind.ports.replies import Done, Failed, Relayed, Reply
--- a/hickorywind/host/role.py
+++ b/hickorywind/host/role.py
@@ -47,6 +47,7 @@
 from hickorywind.store.interface import StoredValue
 from hickorywind.util.clock import Clock, Instant, milliseconds, to_milliseconds
 from hickorywind.util.sockets import REACH_TIMEOUT, accepts_connections
+from hickorywind.util.tasks import BackgroundTasks
 
 logger = logging.getLogger(__name__)
 
@@ -109,11 +110,12 @@
             adapters.promoter,
             self._identity,
             metrics,
-            rng,
+            clock,
         )
         self._request_log = RequestLog(metrics)
         self._server: asyncio.Server | None = None
         self._is_stopping = False
+        self._background = BackgroundTasks()
         self._copying: set[str] = set()
         self._connect_parts()
 
@@ -287,7 +289,7 @@
             copy = self._fleet.copies.get(prefix)
             if copy is not None and copy.changed_at < revision and prefix not in self._copying:
                 self._copying.add(prefix)
-                asyncio.create_task(self._copy(reply, prefix))  # noqa: RUF006
+                self._background.start(self._copy(reply, prefix))
 
     async def _copy(self, reply: GreetingReply, prefix: str) -> None:
         try:
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -6,16 +6,14 @@
 import logging
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from datetime import timedelta
-from enum import Enum
 from functools import partial
-from typing import Protocol
 
 from hickorywind.admission.dispatch import Dispatcher, OnPrimary, Server, Target, Ticket
 from hickorywind.host.backendlink import BackendLink, LinkLostError, LinkRefusedError
 from hickorywind.host.fleet import Fleet
 from hickorywind.host.linkpool import LinkPool
+from hickorywind.host.servicestate import Backend, Grant, PrimaryState, PrimaryWork, ServiceBelief
 from hickorywind.ids import AvailabilityZone, BackendId, InstanceRole, ServiceName
 from hickorywind.ports.catalog import BackendServer, BackendState, Route, Topology
 from hickorywind.ports.codecs import BackendCodec
@@ -24,6 +22,7 @@
 from hickorywind.routing.samples import PositionSamples
 from hickorywind.util.clock import Clock, Instant, to_milliseconds
 from hickorywind.util.sockets import REACH_TIMEOUT, accepts_connections
+from hickorywind.util.tasks import BackgroundTasks
 
 logger = logging.getLogger(__name__)
 
@@ -39,56 +38,6 @@
 LINK_MIN = 2  # what a host may hold however many hosts there are
 
 
-class PrimaryWork(Protocol):
-    """End work that is open at a primary."""
-
-    def abandon(self) -> None:
-        """Roll the work back at once."""
-        ...
-
-
-class PrimaryState(Enum):
-    """Say what this host can expect of the primary of a service."""
-
-    USABLE = "usable"
-    CHANGING = "changing"
-    UNREACHABLE = "unreachable"
-
-
-@dataclass(slots=True)
-class Backend:
-    """Join what belongs to one backend server."""
-
-    server: BackendServer
-    links: LinkPool
-    load: Server
-    next_check: Instant = timedelta(0)
-
-
-@dataclass(slots=True)
-class Grant:
-    """Hold a connection that an operation was given; ``started`` is when it was granted."""
-
-    backend: Backend
-    link: BackendLink
-    started: Instant
-
-
-@dataclass(frozen=True, slots=True)
-class ServiceBelief:
-    """Hold what a host believed of a service when it decided about a request, for logs.
-
-    ``permit_ms`` is the time left of the host's permit; ``sample_age_ms`` is None without a sample.
-    """
-
-    primary: BackendId | None
-    primary_state: PrimaryState
-    change: int
-    permit_ms: int
-    sample_age_ms: int | None
-    waiting: int
-
-
 class ServiceRuntime:
     """Place operations on the backend servers of one service."""
 
@@ -117,6 +66,7 @@
         self._dispatcher = Dispatcher(rng)
         self._sampling: asyncio.Task | None = None
         self._closing: Result | None = None
+        self._background = BackgroundTasks()
         self._last_primary: BackendId | None = None
         self._primary_lost_at: Instant | None = None
         self._at_primary: set[PrimaryWork] = set()
@@ -313,7 +263,7 @@
         """Use a server no more until it accepts connections again."""
         if backend.load.is_available:
             backend.load.is_available = False
-            asyncio.create_task(self._await_reach(backend))  # noqa: RUF006
+            self._background.start(self._await_reach(backend))
 
     async def _await_reach(self, backend: Backend) -> None:
         await asyncio.sleep(UNAVAILABLE_PAUSE.total_seconds())
@@ -332,7 +282,7 @@
                 if backend.server.backend == self.current_primary():
                     self.on_suspect(self.name, "no answers")
                 else:
-                    asyncio.create_task(self._check_reach(backend))  # noqa: RUF006
+                    self._background.start(self._check_reach(backend))
 
     async def _check_reach(self, backend: Backend) -> None:
         if not await accepts_connections(backend.server.address, REACH_TIMEOUT):
@@ -496,7 +446,8 @@
             backend.links.close_idle()
 
     def close(self) -> None:
-        """Close every connection."""
+        """Close every connection and stop looking after the servers."""
+        self._background.cancel()
         for backend in self.backends.values():
             backend.links.abort()
 
--- /dev/null
+++ b/hickorywind/host/servicestate.py
@@ -0,0 +1,65 @@
+"""Define what is held and believed of one database service and its backend servers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import Protocol
+
+from hickorywind.admission.dispatch import Server
+from hickorywind.host.backendlink import BackendLink
+from hickorywind.host.linkpool import LinkPool
+from hickorywind.ids import BackendId
+from hickorywind.ports.catalog import BackendServer
+from hickorywind.util.clock import Instant
+
+
+class PrimaryWork(Protocol):
+    """End work that is open at a primary."""
+
+    def abandon(self) -> None:
+        """Roll the work back at once."""
+        ...
+
+
+class PrimaryState(Enum):
+    """Say what this host can expect of the primary of a service."""
+
+    USABLE = "usable"
+    CHANGING = "changing"
+    UNREACHABLE = "unreachable"
+
+
+@dataclass(slots=True)
+class Backend:
+    """Join what belongs to one backend server."""
+
+    server: BackendServer
+    links: LinkPool
+    load: Server
+    next_check: Instant = timedelta(0)
+
+
+@dataclass(slots=True)
+class Grant:
+    """Hold a connection that an operation was given; ``started`` is when it was granted."""
+
+    backend: Backend
+    link: BackendLink
+    started: Instant
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceBelief:
+    """Hold what a host believed of a service when it decided about a request, for logs.
+
+    ``permit_ms`` is the time left of the host's permit; ``sample_age_ms`` is None without a sample.
+    """
+
+    primary: BackendId | None
+    primary_state: PrimaryState
+    change: int
+    permit_ms: int
+    sample_age_ms: int | None
+    waiting: int
--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -10,9 +10,11 @@
 
 from hickorywind.host.backendlink import PreparedShape
 from hickorywind.host.fleet import Fleet
-from hickorywind.host.operation import Operation, SessionContext, Transaction
+from hickorywind.host.operation import Operation
 from hickorywind.host.requestlog import RequestLog
 from hickorywind.host.service import ServiceRuntime
+from hickorywind.host.targets import SessionContext
+from hickorywind.host.transaction import Transaction
 from hickorywind.ids import AccessMode, ServiceName
 from hickorywind.ports.catalog import DatabaseName, Route
 from hickorywind.ports.codecs import CallerCodec
--- /dev/null
+++ b/hickorywind/util/tasks.py
@@ -0,0 +1,32 @@
+"""Keep background tasks alive and report how they fail."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+
+logger = logging.getLogger(__name__)
+
+
+class BackgroundTasks:
+    """Hold references to running tasks: the event loop alone would let them be collected."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task] = set()
+
+    def start(self, work: Coroutine[None, None, None]) -> None:
+        """Run a coroutine in the background; a failure is logged."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+
+    def _finish(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("background_task_failed", exc_info=task.exception())
+
+    def cancel(self) -> None:
+        """Cancel every task."""
+        for task in list(self._tasks):
+            task.cancel()
