Share ended leases between hosts and make a promoter's store calls through peers

Ruled out: detection and the platform's promotion (1.0 s). Change: a lease known to have ended is not ended again, and hosts hand on in greetings which ended and how long ago; StoreRelay reads, writes and ends leases through up to three peers where the store does not answer. CutPromoterTest fails without the relay.

--- a/hickorywind/host/leadershipstore.py
+++ b/hickorywind/host/leadershipstore.py
@@ -14,21 +14,22 @@
 )
 from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX, Fleet
 from hickorywind.host.peers import Peers
+from hickorywind.host.storerelay import StoreRelay
 from hickorywind.host.storesync import parse_hosts
 from hickorywind.ids import HostId, Revision, ServiceName
 from hickorywind.ports.coordination import (
     Committed,
-    Condition,
-    Coordinator,
-    Put,
+    LeaseId,
     Snapshot,
 )
+from hickorywind.protocol.messages import EndedLease
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
-from hickorywind.util.clock import Instant
+from hickorywind.util.clock import Instant, to_milliseconds
 
 logger = logging.getLogger(__name__)
 
 STORE_ATTEMPTS = 6  # tries of one call that a change of primary can't do without
+ENDED_MEMORY = timedelta(seconds=60)  # longer than any wait for a permit
 STORE_PAUSE = timedelta(milliseconds=200)  # between the tries
 
 
@@ -39,10 +40,11 @@
 class LeadershipStore:
     """Make the store calls that a change of primary needs."""
 
-    def __init__(self, fleet: Fleet, coordinator: Coordinator, peers: Peers) -> None:
+    def __init__(self, fleet: Fleet, relay: StoreRelay, peers: Peers) -> None:
         self._fleet = fleet
-        self._coordinator = coordinator
+        self._relay = relay
         self._peers = peers
+        self._ended: dict[LeaseId, Instant] = {}
 
     async def write(
         self, service: ServiceName, record: LeadershipRecord, revision: Revision
@@ -55,9 +57,7 @@
         value = encode_record(record)
         for attempt in range(STORE_ATTEMPTS):
             try:
-                result = await self._coordinator.transact(
-                    [Condition(key, revision)], [Put(key, value)]
-                )
+                result = await self._relay.write(key, revision, value)
             except StoreUnavailableError as error:
                 logger.warning(
                     "leadership_write_unanswered",
@@ -75,7 +75,7 @@
 
     async def _own_write(self, key: str, value: bytes) -> Revision | None:
         """Find out whether a write whose answer was lost took effect."""
-        snapshot = await self._coordinator.read_range(LEADERSHIP_PREFIX)
+        snapshot = await self._relay.read_range(LEADERSHIP_PREFIX)
         self._fleet.take_snapshot(LEADERSHIP_PREFIX, snapshot, "store")
         for item in snapshot.items:
             if item.key == key and item.value == value:
@@ -97,7 +97,7 @@
 
     async def read_hosts(self) -> dict[HostId, HostRecord]:
         """Return the registered hosts by one call; raise ``StoreUnavailableError``."""
-        return parse_hosts(await self._coordinator.read_range(HOSTS_PREFIX))
+        return parse_hosts(await self._relay.read_range(HOSTS_PREFIX))
 
     async def registered_hosts(self) -> dict[HostId, HostRecord]:
         """Return the registered hosts; raise ``StoreUnavailableError``."""
@@ -109,14 +109,34 @@
                 await asyncio.sleep(STORE_PAUSE.total_seconds())
         raise StoreUnavailableError("the registered hosts could not be read")
 
+    def learn_ended(self, lease: LeaseId, confirmed: Instant) -> None:
+        """Remember when the store had confirmed the end of a lease, by the earliest word."""
+        self._ended[lease] = min(confirmed, self._ended.get(lease, confirmed))
+
+    def ended_leases(self) -> tuple[EndedLease, ...]:
+        """Return the leases that ended lately, for other hosts; forget those of long ago."""
+        now = self._fleet.now()
+        self._ended = {
+            lease: confirmed
+            for lease, confirmed in self._ended.items()
+            if now < confirmed + ENDED_MEMORY
+        }
+        return tuple(
+            EndedLease(lease, int(to_milliseconds(now - confirmed)))
+            for lease, confirmed in self._ended.items()
+        )
+
     async def end_lease(self, record: HostRecord) -> Instant:
         """End a silent host's lease; return when the store had confirmed that.
 
-        Raise ``StoreUnavailableError``.
+        A lease that is known to have ended is not ended again. Raise ``StoreUnavailableError``.
         """
+        known = self._ended.get(record.lease)
+        if known is not None:
+            return known
         for _ in range(STORE_ATTEMPTS):
             try:
-                await self._coordinator.end_lease(record.lease)
+                await self._relay.end_lease(record.lease)
             except StoreUnavailableError as error:
                 logger.warning(
                     "lease_end_failed", extra={"peer": record.host, "reason": str(error)}
@@ -124,5 +144,6 @@
                 await asyncio.sleep(STORE_PAUSE.total_seconds())
                 continue
             logger.info("lease_ended_for_peer", extra={"peer": record.host})
-            return self._fleet.now()
+            self.learn_ended(record.lease, self._fleet.now())
+            return self._ended[record.lease]
         raise StoreUnavailableError("a silent host's lease could not be ended")
--- a/hickorywind/host/role.py
+++ b/hickorywind/host/role.py
@@ -25,6 +25,7 @@
 from hickorywind.ports.coordination import (
     Coordinator,
     DocumentSchema,
+    LeaseId,
     Promoter,
     Snapshot,
 )
@@ -34,6 +35,7 @@
     CopyReply,
     Greeting,
     GreetingReply,
+    LeaseEnd,
     Message,
     PositionSample,
     ReachQuery,
@@ -41,6 +43,8 @@
     RenewalQuery,
     RenewalReply,
     ServiceClosed,
+    StoreRead,
+    StoreWrite,
 )
 from hickorywind.results import Result, ResultCode
 from hickorywind.settings.host import HostSettings
@@ -282,6 +286,10 @@
             if service is not None:
                 # The peer's age counts from a moment after the greeting was sent.
                 service.samples.add(sent - milliseconds(sample.age_ms), sample.position)
+        for ended in reply.ended_leases:
+            # The reply was sent before now, so the end was confirmed at least so long ago.
+            confirmed = self._clock.now() - milliseconds(ended.age_ms)
+            self._succession.store.learn_ended(LeaseId(ended.lease), confirmed)
         self._catch_up(reply)
 
     def _catch_up(self, reply: GreetingReply) -> None:
@@ -325,6 +333,8 @@
                 return ReachReply(call, reached)
             case CloseService(call, service, revision, is_planned):
                 return await self._close_service(call, service, revision, is_planned)
+            case StoreRead() | StoreWrite() | LeaseEnd():
+                return await self._succession.relay.serve(message)
             case RenewalQuery(call, lease):
                 return RenewalReply(call, await self._sync.renew(lease))
         return None
@@ -347,6 +357,7 @@
             self._revisions(),
             tuple(samples),
             self._is_stopping,
+            self._succession.store.ended_leases(),
         )
 
     async def _close_service(
--- a/hickorywind/host/succession.py
+++ b/hickorywind/host/succession.py
@@ -28,6 +28,7 @@
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import PrimaryState
 from hickorywind.host.silenthosts import SilentHosts
+from hickorywind.host.storerelay import StoreRelay
 from hickorywind.ids import BackendId, InstanceRole, Revision, ServiceName
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.placement.rendezvous import rank_members
@@ -66,10 +67,11 @@
         self._identity = identity
         self._metrics = metrics
         self._clock = clock
-        self._store = LeadershipStore(fleet, coordinator, peers)
-        self._fencer = Fencer(fleet, self._store, peers, identity.host)
+        self.relay = StoreRelay(coordinator, peers)
+        self.store = LeadershipStore(fleet, self.relay, peers)
+        self._fencer = Fencer(fleet, self.store, peers, identity.host)
         self._promotion = Promotion(promoter, self._fencer, identity.host, clock)
-        self._silent_hosts = SilentHosts(fleet, coordinator, self._store, peers)
+        self._silent_hosts = SilentHosts(fleet, coordinator, self.store, peers)
         self._tasks: dict[ServiceName, asyncio.Task] = {}
         self._closed_since: dict[ServiceName, tuple[Revision, timedelta]] = {}
         self.is_stopping = False
@@ -176,7 +178,7 @@
         if not await self._wait_for_turn(None, service):
             return
         record = LeadershipRecord(primaries[0], LeadershipPhase.OPEN, 0)
-        await self._store.write(service, record, Revision(0))
+        await self.store.write(service, record, Revision(0))
 
     # Failed primaries --------------------------------------------------------------------------
 
@@ -262,7 +264,7 @@
         runtime.set_primary_state(PrimaryState.CHANGING)
         begun = leadership.record
         record = self._closed_record(begun, begun.candidate, begun.is_planned)
-        closed = await self._store.write(service, record, leadership.revision)
+        closed = await self.store.write(service, record, leadership.revision)
         fencing = await self._fence_wholly(runtime, closed)
         await self._promote_and_open(runtime, closed, fencing)
 
@@ -275,7 +277,7 @@
         if successor is None:
             raise ChangeCancelledError("no backend server can be promoted")
         record = self._closed_record(leadership.record, successor, is_planned)
-        return await self._store.write(runtime.name, record, leadership.revision)
+        return await self.store.write(runtime.name, record, leadership.revision)
 
     def _closed_record(
         self, record: LeadershipRecord, successor: BackendId, is_planned: bool
@@ -312,7 +314,7 @@
         record = LeadershipRecord(primary, LeadershipPhase.OPEN, closed.record.change + 1)
         while True:
             try:
-                await self._store.write(runtime.name, record, closed.revision)
+                await self.store.write(runtime.name, record, closed.revision)
                 break
             except StoreUnavailableError as error:
                 logger.warning(
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -292,6 +292,14 @@
     revisions: dict[str, int]
     samples: tuple[PositionSample, ...]
     is_leaving: bool
+    ended_leases: tuple[EndedLease, ...] = ()
+
+
+class EndedLease(msgspec.Struct, frozen=True, array_like=True):
+    """Say that the store confirmed the end of a host's lease at least ``age_ms`` ago."""
+
+    lease: int
+    age_ms: int
 
 
 class CopyQuery(msgspec.Struct, frozen=True, tag="copy", array_like=True):
@@ -357,6 +365,50 @@
     lease: int
 
 
+class StoreRead(msgspec.Struct, frozen=True, tag="read", array_like=True):
+    """Ask a host that reaches the store to read the items under a prefix."""
+
+    call: int
+    prefix: str
+
+
+class StoreItems(msgspec.Struct, frozen=True, tag="read_ok", array_like=True):
+    """Hand over the items under a prefix, read from the store after the question came."""
+
+    call: int
+    as_of: Revision
+    items: tuple[CopiedItem, ...]
+
+
+class StoreWrite(msgspec.Struct, frozen=True, tag="write", array_like=True):
+    """Ask a host that reaches the store to write an item that last changed at ``after``."""
+
+    call: int
+    key: str
+    after: Revision
+    value: bytes
+
+
+class StoreWritten(msgspec.Struct, frozen=True, tag="write_ok", array_like=True):
+    """Report the revision of a write; None where the item had changed otherwise."""
+
+    call: int
+    revision: Revision | None
+
+
+class LeaseEnd(msgspec.Struct, frozen=True, tag="end", array_like=True):
+    """Ask a host that reaches the store to end a lease."""
+
+    call: int
+    lease: int
+
+
+class LeaseEnded(msgspec.Struct, frozen=True, tag="end_ok", array_like=True):
+    """Say that the store confirmed the end of a lease."""
+
+    call: int
+
+
 class RenewalReply(msgspec.Struct, frozen=True, tag="renew_ok", array_like=True):
     """Say whether the store renewed the lease; None where the store did not answer."""
 
@@ -397,4 +449,10 @@
     | ServiceClosed
     | RenewalQuery
     | RenewalReply
+    | StoreRead
+    | StoreItems
+    | StoreWrite
+    | StoreWritten
+    | LeaseEnd
+    | LeaseEnded
 )
--- a/tests/host/test_succession.py
+++ b/tests/host/test_succession.py
@@ -9,6 +9,7 @@
     encode_record,
 )
 from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX
+from hickorywind.host.leadershipstore import ChangeCancelledError
 from hickorywind.platform.documents import BACKENDS_PREFIX
 from tests.host.harness import SERVICE, Caller, HostCase
 
@@ -248,3 +249,37 @@
 
     def calls(self):
         return [call for host in self.hosts.values() for call in host.coordinator.calls]
+
+    async def test_end_of_a_lease_is_known_to_all_hosts_and_never_too_early(self):
+        await self.wait_until(lambda: "end" in self.calls(), 9.0)
+        confirmed = self.hosts["h0"].role._fleet.now()
+        stores = [host.role._succession.store for host in self.hosts.values()]
+        await self.wait_until(lambda: all(store.ended_leases() for store in stores), 3.0)
+        for store in stores:
+            (ended,) = store.ended_leases()
+            age = self.hosts["h0"].role._fleet.now() - confirmed
+            self.assertLessEqual(ended.age_ms, age.total_seconds() * 1000 + 50)
+
+
+class CutPromoterTest(HostCase):
+    host_count = 3
+
+    async def test_promoter_that_loses_the_store_finishes_through_a_peer(self):
+        primary = self.group.servers["i-a"]
+        await primary.crash()
+        await self.wait_until(lambda: self.group.promotions != [], 5.0)
+        promoter = self.group.promotions[0][0]
+        self.hosts[promoter].coordinator.is_cut = True
+        others = [host for name, host in self.hosts.items() if name != promoter]
+        await self.wait_until(
+            lambda: all(host.primary() not in (None, "i-a") for host in others), 4.0
+        )
+
+    async def test_race_that_a_peer_lost_changes_nothing(self):
+        store = self.hosts["h0"].role._succession.store
+        self.hosts["h0"].coordinator.is_cut = True
+        record = LeadershipRecord("i-c", LeadershipPhase.OPEN, 9)
+        stale = self.hosts["h0"].role._fleet.permits.leadership(SERVICE).revision - 1
+        with self.assertRaises(ChangeCancelledError):
+            await store.write(SERVICE, record, stale)
+        self.assertTrue(all(host.primary() == "i-a" for host in self.hosts.values()))
