Use a leaving primary until its record closes; tell when a change of primary is over

Cause: a primary that announced its leaving got no new work from that moment, 0.4 s and more before its change began; work refused during a change was told to come back after 50 ms; unreadable answers of backend servers and registrations of hosts were dropped without a log line. Change: the primary is used for up to 4 s after its notice, until its record closes; refusals during a change say NO_PRIMARY and one to two seconds; two log lines; hints are named constants.

--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -26,6 +26,7 @@
     timedelta(milliseconds=4),
     timedelta(milliseconds=60),
 )  # first guesses by distance: zone, region, other region
+CHANGE_HINT = timedelta(seconds=1)  # most changes of primary are over within this time
 _HINT_MIN_MS = 50  # shorter hints would bring callers back before anything has changed
 _HINT_SPREAD = 1.0  # callers refused together come back within twice the expected wait
 
@@ -131,7 +132,7 @@
         wait = self._expected_wait(ticket)
         if now + wait >= ticket.give_up:
             reason = "the expected wait outlasts the time the operation may wait"
-            ticket.refuse(self._refusal(ResultCode.WOULD_MISS_DEADLINE, reason, wait))
+            self._refuse(ticket, ResultCode.WOULD_MISS_DEADLINE, reason, wait)
             return
         self._waiting.append(ticket)
 
@@ -178,12 +179,15 @@
             self._waiting.remove(ticket)
             reason = "no backend server could serve the operation in time"
             wait = self._expected_wait(ticket)
-            ticket.refuse(self._refusal(ResultCode.DEADLINE_PASSED, reason, wait))
+            self._refuse(ticket, ResultCode.DEADLINE_PASSED, reason, wait)
 
-    def _refusal(self, code: ResultCode, reason: str, wait: timedelta) -> Result:
+    def _refuse(self, ticket: Ticket, code: ResultCode, reason: str, wait: timedelta) -> None:
+        """Refuse an operation with when to come back: after the queue or a change of primary."""
+        if isinstance(ticket.target, OnPrimary) and self.primary is None:
+            code, reason, wait = ResultCode.NO_PRIMARY, "the primary is being replaced", CHANGE_HINT
         base_ms = max(_HINT_MIN_MS, to_milliseconds(wait))
         hint_ms = round(base_ms * (1 + self._rng.random() * _HINT_SPREAD))
-        return Result.not_run(code, reason, hint_ms)
+        ticket.refuse(Result.not_run(code, reason, hint_ms))
 
     def _ordered(self, now: Instant) -> Iterable[Ticket]:
         ordered = sorted(
--- a/hickorywind/host/backendlink.py
+++ b/hickorywind/host/backendlink.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 from collections.abc import Callable, Mapping
 from datetime import timedelta
@@ -14,6 +15,8 @@
 from hickorywind.util.clock import Instant
 from hickorywind.util.sockets import enable_keepalive
 
+logger = logging.getLogger(__name__)
+
 CLIENT_NAME = "hickorywind"
 
 
@@ -154,7 +157,10 @@
         """Collect answers until all that are expected have come."""
         try:
             self._answers += self.codec.feed(data)
-        except ValueError:
+        except ValueError as error:
+            logger.warning(
+                "backend_message_refused", extra={"backend": self.backend, "reason": str(error)}
+            )
             self.close()
             return
         if self._waiter is not None and len(self._answers) >= self._expected:
--- a/hickorywind/host/operation.py
+++ b/hickorywind/host/operation.py
@@ -5,7 +5,7 @@
 from hickorywind.admission.dispatch import AtPosition, OnPrimary, Target
 from hickorywind.host.backendlink import LinkLostError, PreparedShape
 from hickorywind.host.service import ServiceRuntime
-from hickorywind.host.servicestate import Backend, Grant
+from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, Grant
 from hickorywind.host.targets import (
     ATTEMPTS,
     RETRY_HINT_MS,
@@ -126,7 +126,9 @@
         if self._mode is AccessMode.WRITE:
             return Result.unknown(ResultCode.CONNECTION_LOST, f"the write may have run: {error}")
         self._exclude(backend)
-        return Result.not_run(ResultCode.BACKEND_UNREACHABLE, f"the read failed: {error}", 50)
+        return Result.not_run(
+            ResultCode.BACKEND_UNREACHABLE, f"the read failed: {error}", RETRY_SOON_MS
+        )
 
     def _exclude(self, backend: Backend) -> None:
         # With every other server excluded a read would wait for nothing.
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -13,7 +13,14 @@
 from hickorywind.host.backendlink import BackendLink, LinkLostError, LinkRefusedError
 from hickorywind.host.fleet import Fleet
 from hickorywind.host.linkpool import LinkPool
-from hickorywind.host.servicestate import Backend, Grant, PrimaryState, PrimaryWork, ServiceBelief
+from hickorywind.host.servicestate import (
+    RETRY_SOON_MS,
+    Backend,
+    Grant,
+    PrimaryState,
+    PrimaryWork,
+    ServiceBelief,
+)
 from hickorywind.ids import AvailabilityZone, BackendId, InstanceRole, ServiceName
 from hickorywind.ports.catalog import BackendServer, BackendState, Route, Topology
 from hickorywind.ports.codecs import BackendCodec
@@ -30,6 +37,7 @@
 PRIMARY_CHANGE_WAIT = timedelta(seconds=5)  # a change of primary is over within this time
 STATUS_TIMEOUT = timedelta(milliseconds=700)  # a busy slot and a round trip between regions
 IDLE_PRIMARY_CHECK = timedelta(seconds=1)  # leaves time to replace it within five seconds
+LEAVING_PRIMARY_USE = timedelta(seconds=4)  # well inside the bound for new work at such servers
 STALL_CHECK_INTERVAL = timedelta(milliseconds=500)  # between looks at one stalled server
 UNAVAILABLE_PAUSE = timedelta(milliseconds=300)  # before a failed server is tried again
 UNREACHABLE_HINT_MS = 200  # another host can serve the operation at once
@@ -101,13 +109,22 @@
             links.on_idle_lost = partial(self._note_idle_lost, server.backend)
             held = self.backends[server.backend] = Backend(server, links, load)
             self._dispatcher.servers[server.backend] = load
-        was_ready = held.server.state is BackendState.READY
+        was_usable = self._is_usable(held)
+        if server.state is BackendState.LEAVING and held.leaving_since is None:
+            held.leaving_since = self.clock.now()
+        elif server.state is BackendState.READY:
+            held.leaving_since = None
         held.server = server
         held.links.server = server
-        if server.state is not BackendState.READY:
-            held.load.is_available = False
-        elif not was_ready:
-            held.load.is_available = True
+        if self._is_usable(held) != was_usable:
+            held.load.is_available = not was_usable
+
+    def _is_usable(self, backend: Backend) -> bool:
+        """Tell whether a server may get new work; a leaving primary may until it is replaced."""
+        if backend.leaving_since is None:
+            return True
+        is_primary = backend.server.backend == self.current_primary()
+        return is_primary and self.clock.now() < backend.leaving_since + LEAVING_PRIMARY_USE
 
     def _drop(self, backend: BackendId) -> None:
         held = self.backends.pop(backend)
@@ -230,7 +247,9 @@
     async def _connect(self, backend_id: BackendId, values: Mapping[str, str]) -> Grant | Result:
         backend = self.backends.get(backend_id)
         if backend is None:
-            return Result.not_run(ResultCode.BACKEND_UNREACHABLE, "the backend server left", 50)
+            return Result.not_run(
+                ResultCode.BACKEND_UNREACHABLE, "the backend server left", RETRY_SOON_MS
+            )
         started = self.clock.now()
         try:
             link = await backend.links.take_reserved(values)
@@ -238,7 +257,9 @@
             self.release_slot(backend)
             self.note_connection_failure(backend, error)
             return Result.not_run(
-                ResultCode.BACKEND_UNREACHABLE, f"no connection to the backend server: {error}", 50
+                ResultCode.BACKEND_UNREACHABLE,
+                f"no connection to the backend server: {error}",
+                RETRY_SOON_MS,
             )
         except asyncio.CancelledError:
             self.release_slot(backend)
@@ -301,7 +322,7 @@
         """Use a backend server again, unless it is leaving."""
         backend = self.backends.get(backend_id)
         if backend is not None:
-            backend.load.is_available = backend.server.state is BackendState.READY
+            backend.load.is_available = self._is_usable(backend)
             self.place_waiting()
 
     def refuse_all(self, result: Result) -> None:
@@ -444,6 +465,8 @@
         """Close connections that have not been used for a while."""
         for backend in self.backends.values():
             backend.links.close_idle()
+            if not self._is_usable(backend):
+                backend.load.is_available = False
 
     def close(self) -> None:
         """Close every connection and stop looking after the servers."""
--- a/hickorywind/host/servicestate.py
+++ b/hickorywind/host/servicestate.py
@@ -14,6 +14,8 @@
 from hickorywind.ports.catalog import BackendServer
 from hickorywind.util.clock import Instant
 
+RETRY_SOON_MS = 50  # another server or host can do the work at once
+
 
 class PrimaryWork(Protocol):
     """End work that is open at a primary."""
@@ -39,6 +41,7 @@
     links: LinkPool
     load: Server
     next_check: Instant = timedelta(0)
+    leaving_since: Instant | None = None
 
 
 @dataclass(slots=True)
--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -41,6 +41,7 @@
 
 # A session may wait this long for the first configuration of a host that is starting.
 START_WAIT = timedelta(milliseconds=1500)
+START_HINT_MS = 500  # a host that starts is ready, or another is, within this time
 START_POLL = timedelta(milliseconds=20)  # how often a waiting session looks for it
 LEAVE_QUIET = timedelta(milliseconds=250)  # a stopping host closes sessions this long idle
 PENDING_LIMIT = 64  # requests that a caller may send ahead of the answers
@@ -235,7 +236,9 @@
     def _unknown_database(self) -> Result:
         configuration = self._fleet.configuration
         if configuration is None:
-            return Result.not_run(ResultCode.NOT_READY, "no configuration was read yet", 500)
+            return Result.not_run(
+                ResultCode.NOT_READY, "no configuration was read yet", START_HINT_MS
+            )
         reason = f"no route for this database in version {configuration.version}"
         return Result.not_run(ResultCode.UNKNOWN_SERVICE, reason)
 
@@ -356,7 +359,9 @@
             return self._unknown_database()
         service = self._find_service(route.service)
         if service is None:
-            return Result.not_run(ResultCode.NO_PRIMARY, "the service has no backend server", 500)
+            return Result.not_run(
+                ResultCode.NO_PRIMARY, "the service has no backend server", START_HINT_MS
+            )
         return route, service
 
     async def _run(
--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -137,10 +137,8 @@
             item for item in snapshot.items if item.key.startswith(LEADERSHIP_PREFIX)
         )
         self._fleet.take_snapshot(LEADERSHIP_PREFIX, Snapshot(leadership, snapshot.as_of), "store")
-        for item in hosts:
-            record = decode_host(item.value)
-            if record is not None:
-                self._peers.add(record)
+        for record in parse_hosts(Snapshot(tuple(hosts), snapshot.as_of)).values():
+            self._peers.add(record)
         self._fleet.permits.extend(sent)
 
     async def _renew_until_ended(self) -> None:
@@ -226,5 +224,11 @@
 
 def parse_hosts(snapshot: Snapshot) -> dict[HostId, HostRecord]:
     """Read the registered hosts from a copy of their prefix."""
-    records = (decode_host(item.value) for item in snapshot.items)
-    return {record.host: record for record in records if record is not None}
+    records = {}
+    for item in snapshot.items:
+        record = decode_host(item.value)
+        if record is None:
+            logger.error("host_record_unreadable", extra={"key": item.key})
+        else:
+            records[record.host] = record
+    return records
--- a/hickorywind/host/targets.py
+++ b/hickorywind/host/targets.py
@@ -8,7 +8,7 @@
 from hickorywind.admission.dispatch import AtPosition, OnPrimary, Target
 from hickorywind.host.backendlink import BackendLink, LinkLostError, PreparedShape
 from hickorywind.host.service import ServiceRuntime
-from hickorywind.host.servicestate import Backend, Grant, PrimaryState
+from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, Grant, PrimaryState
 from hickorywind.ids import LogPosition
 from hickorywind.ports.catalog import BoundedReads, PrimaryReads, Route, SessionReads
 from hickorywind.ports.statements import Execute, Request
@@ -97,7 +97,7 @@
     except LinkLostError as error:
         service.release_slot(backend)
         service.note_connection_failure(backend, error)
-        return Result.not_run(ResultCode.BACKEND_UNREACHABLE, f"no primary: {error}", 50)
+        return Result.not_run(ResultCode.BACKEND_UNREACHABLE, f"no primary: {error}", RETRY_SOON_MS)
     if is_primary and service.may_begin(backend):
         return None
     service.release_slot(backend)
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -7,7 +7,7 @@
 from hickorywind.admission.dispatch import AtPosition, OnPrimary, Target
 from hickorywind.host.backendlink import BackendLink, LinkLostError, PreparedShape
 from hickorywind.host.service import ServiceRuntime
-from hickorywind.host.servicestate import Backend, Grant
+from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, Grant
 from hickorywind.host.targets import (
     ATTEMPTS,
     RETRY_HINT_MS,
@@ -129,7 +129,9 @@
         except LinkLostError as error:
             self.service.release_slot(backend)
             self.service.note_connection_failure(backend, error)
-            return Result.not_run(ResultCode.BACKEND_UNREACHABLE, f"no transaction: {error}", 50)
+            return Result.not_run(
+                ResultCode.BACKEND_UNREACHABLE, f"no transaction: {error}", RETRY_SOON_MS
+            )
         answer = answers[-1]
         sampled = as_primary and self.service.may_begin(backend)
         self.service.note_answer(backend, answer, sent, sampled)
--- a/tests/admission/test_dispatch.py
+++ b/tests/admission/test_dispatch.py
@@ -148,6 +148,13 @@
         self.dispatcher.place_waiting(START + timedelta(milliseconds=199))
         self.assertEqual(self.refused, [])
         self.dispatcher.place_waiting(START + timedelta(milliseconds=200))
+        self.assertEqual(self.refused[0].code, ResultCode.NO_PRIMARY)
+        self.assertGreaterEqual(self.refused[0].retry_after_ms, 1_000)
+
+    def test_what_waited_in_vain_for_a_busy_primary_is_refused_at_its_time(self):
+        self.fill()
+        self.ticket(wait_ms=200)
+        self.dispatcher.place_waiting(START + timedelta(milliseconds=200))
         self.assertEqual(self.refused[0].code, ResultCode.DEADLINE_PASSED)
 
     def test_work_for_an_unreachable_primary_is_refused_and_reads_stay(self):
--- a/tests/host/test_succession.py
+++ b/tests/host/test_succession.py
@@ -111,6 +111,31 @@
 
 
 class SingleHostTest(HostCase):
+    async def test_leaving_replica_gets_no_new_work(self):
+        await self.register(self.group.servers["i-b"], state="draining")
+        backends = self.hosts["h0"].role._services[SERVICE].backends
+        await self.wait_until(lambda: not backends["i-b"].load.is_available)
+        self.group.servers["i-b"].statements.clear()
+        caller = await self.caller("views")
+        for _ in range(8):
+            await caller.ask("READ x")
+        self.assertEqual(self.group.servers["i-b"].statements, [])
+
+    async def test_leaving_primary_is_used_until_its_record_closes_and_no_longer(self):
+        for name in ("i-b", "i-c"):
+            await self.group.servers[name].crash()
+            await self.store.delete(BACKENDS_PREFIX + name)
+        await self.register(self.group.servers["i-a"], state="draining")
+        backend = self.hosts["h0"].role._services[SERVICE].backends["i-a"]
+        await self.wait_until(lambda: backend.leaving_since is not None)
+        caller = await self.caller("bookings")
+        self.assertEqual((await caller.ask("WRITE kiln 1"))[0], "COMPLETE s.q1")
+        await self.wait_until(lambda: not backend.load.is_available, 6.0)
+        self.group.servers["i-a"].statements.clear()
+        lines = await caller.ask("WRITE kiln 2")
+        self.assertTrue(lines[0].startswith("ERROR BUSY"), lines)
+        self.assertEqual(self.group.commits, [("kiln", "1")])
+
     async def test_replaced_primary_that_comes_back_is_not_used_as_primary(self):
         caller = await self.caller("bookings")
         await caller.ask("WRITE kiln 1")
