Remove what nothing calls

Cause: a last read of the whole change found Transaction.uses_primary, Session.has_transaction, a set of excluded servers in Transaction._start that was always empty, and encode_step_down of port and codec without a caller. Change: removed; behaviour is as it was.

--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -102,11 +102,6 @@
 
     # Life --------------------------------------------------------------------------------------
 
-    @property
-    def has_transaction(self) -> bool:
-        """Tell whether a transaction is open."""
-        return self._transaction is not None
-
     def open_transaction(self) -> Transaction | None:
         """Return the open transaction."""
         return self._transaction
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -18,7 +18,7 @@
     note_behind,
     refuse_unreachable,
 )
-from hickorywind.ids import AccessMode, BackendId
+from hickorywind.ids import AccessMode
 from hickorywind.ports.catalog import Route
 from hickorywind.ports.replies import (
     Answer,
@@ -57,11 +57,6 @@
         """Tell whether the transaction holds a connection."""
         return self._grant is not None
 
-    @property
-    def uses_primary(self) -> bool:
-        """Tell whether the transaction is open at the primary."""
-        return self._grant is not None and self._on_primary
-
     async def run(
         self, request: Request, mode: AccessMode | None, shape: PreparedShape | None
     ) -> Reply:
@@ -88,7 +83,6 @@
         return Failed(result)
 
     async def _start(self) -> Result | None:
-        excluded: frozenset[BackendId] = frozenset()
         result = Result.not_run(ResultCode.NO_PRIMARY, "no attempt was made", RETRY_HINT_MS)
         attempts = 0
         while attempts < ATTEMPTS:
@@ -97,7 +91,7 @@
             if refusal is not None:
                 return refusal
             grant = await self.service.acquire(
-                self.route, target, self.arrived, self._context.values, excluded
+                self.route, target, self.arrived, self._context.values
             )
             if isinstance(grant, Result):
                 return grant
--- a/hickorywind/platform/lines.py
+++ b/hickorywind/platform/lines.py
@@ -312,10 +312,6 @@
         """Render a query for the server's status."""
         return _query(OWN_REQUEST_ID, "STATUS")
 
-    def encode_step_down(self, term: Term) -> bytes:
-        """Render the order to become a replica."""
-        return _query(OWN_REQUEST_ID, f"STEPDOWN {term}")
-
     def decode_status(self, answer: Answer) -> ServerStatus | None:
         """Read a status row: role, term, position received, then load figures."""
         fields = answer.rows[0].split(" ") if answer.rows else []
--- a/hickorywind/ports/codecs.py
+++ b/hickorywind/ports/codecs.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from hickorywind.ids import BackendId, LogPosition, ServiceName, Term
+from hickorywind.ids import BackendId, LogPosition, ServiceName
 from hickorywind.ports.replies import Answer, BackendError, Reply, ServerStatus, TransactionState
 from hickorywind.ports.statements import CallerEvent
 from hickorywind.results import Result
@@ -80,10 +80,6 @@
         """Render a query for the server's status."""
         ...
 
-    def encode_step_down(self, term: Term) -> bytes:
-        """Render the order to a primary of a lower term to become a replica."""
-        ...
-
     def decode_status(self, answer: Answer) -> ServerStatus | None:
         """Read a status row; None where the answer holds none."""
         ...
