Keep reads in their zone while homes move, and give control connections back

A pool that had been home of a replica kept its watch of the primary for 60 s; with three controllers and the homes of now the backend server's 8 control connections ran out ("too many clients already"); the next home of a replica could not sample the primary, refused bounded reads as TOO_STALE, and the entry marked the replica troubled for all reads, so that reads of any age went over the region link until its budget was spent.

Change: a watch that no task of its service needs ends 2 s after its last use; a refusal for age or floor sets a replica back only for reads that ask for as much.

The budget of a backend server for control connections is still tight (7 of 8 in the example at rest); a change of primary in the midst of a handover may find it full for 2 s.

--- a/hickorywind/entry/executor.py
+++ b/hickorywind/entry/executor.py
@@ -19,7 +19,7 @@
 from hickorywind.protocol.messages import EndTransaction, Execute, TransactionState
 from hickorywind.results import Outcome, Result, ResultCode
 from hickorywind.routing.backoff import spread_ms
-from hickorywind.routing.health import BackendHealth
+from hickorywind.routing.health import BackendHealth, FreshnessDemand
 from hickorywind.routing.linkbudget import LinkBudget
 from hickorywind.routing.retry import RetryBudget, RetryPolicy, speaks_against_backend
 from hickorywind.routing.session import KnownFloor, UnknownFloor
@@ -96,7 +96,9 @@
 
     def choose(self, request: Request) -> tuple[Target, ...]:
         """Return the targets of a request as known now."""
-        need = NeedsPrimary() if request.mode is AccessMode.WRITE else NeedsRead(request.floor)
+        if request.mode is AccessMode.WRITE:
+            return self._chooser.choose(request.service, NeedsPrimary())
+        need = NeedsRead(request.floor, request.max_staleness_ms)
         return self._chooser.choose(request.service, need)
 
     def is_over(self, request: Request) -> bool:
@@ -189,7 +191,7 @@
         )
         started = self._clock.now()
         end = await attempt.run(request.deadline, request.cancel)
-        self._observe(target, end, to_milliseconds(self._clock.now() - started))
+        self._observe(execute, end, to_milliseconds(self._clock.now() - started))
         self._charge_link(target, len(request.frames) + attempt.answer_bytes)
         answer = end.answer
         own_id = execute.transaction_id or execute.request_id
@@ -206,11 +208,18 @@
             wrote=attempt.wrote,
         )
 
-    def _observe(self, target: Target, end: AttemptEnd, duration_ms: float) -> None:
-        if end.result.is_ok:
-            self._health.record_success(target.backend, duration_ms)
-        elif speaks_against_backend(end.result.code):
-            self._health.record_failure(target.backend)
+    def _observe(self, execute: Execute, end: AttemptEnd, duration_ms: float) -> None:
+        backend = execute.backend
+        demand = FreshnessDemand(execute.floor is not None, execute.max_staleness_ms)
+        match end.result.code:
+            case _ if end.result.is_ok:
+                self._health.record_success(backend, duration_ms, demand)
+            case ResultCode.REPLICA_BEHIND:
+                self._health.record_behind(backend)
+            case ResultCode.TOO_STALE:
+                self._health.record_too_stale(backend, execute.max_staleness_ms or 0)
+            case code if speaks_against_backend(code):
+                self._health.record_failure(backend)
 
     def _charge_link(self, target: Target, payload_bytes: int) -> None:
         """Count a request and its answer, which the paid link carries as well."""
--- a/hickorywind/pool/backendtasks.py
+++ b/hickorywind/pool/backendtasks.py
@@ -159,9 +159,19 @@
             if task.is_idle:
                 self._close_later(*self._retired.pop(task))
         for backend, watch in tuple(self._watches.items()):
-            if backend not in self._tasks and now - watch.last_used >= _IDLE_TASK_LIMIT:
+            if backend not in self._tasks and now - watch.last_used >= self._watch_limit(backend):
                 self._close_later(None, self._watches.pop(backend))
 
+    def _watch_limit(self, backend: BackendId) -> timedelta:
+        """Return how long a primary's watch outlasts its last use, short once nobody needs it.
+
+        A backend server keeps room for few control connections, and changes of primary need it.
+        """
+        service = self._directory.service_of(backend)
+        served = {task.service.name for task in self._tasks.values()}
+        is_needed = service is not None and service.name in served
+        return _IDLE_TASK_LIMIT if is_needed else _HANDED_OVER_LIMIT
+
     def _review_task(self, task: BackendTask, now: Instant) -> None:
         instance = self._directory.instance(task.backend)
         service = self._directory.service_of(task.backend)
--- a/hickorywind/routing/retry.py
+++ b/hickorywind/routing/retry.py
@@ -47,8 +47,15 @@
         ResultCode.STALE_TERM,
     )
 )
-# Refusals that say nothing against the backend server itself.
-_HARMLESS = frozenset((ResultCode.NOT_HOME, ResultCode.LINK_BUDGET_SPENT))
+# Refusals that say nothing against the backend server itself, or only for reads as demanding.
+_HARMLESS = frozenset(
+    (
+        ResultCode.NOT_HOME,
+        ResultCode.LINK_BUDGET_SPENT,
+        ResultCode.REPLICA_BEHIND,
+        ResultCode.TOO_STALE,
+    )
+)
 
 
 @dataclass(frozen=True)
@@ -141,5 +148,5 @@
 
 
 def speaks_against_backend(code: ResultCode) -> bool:
-    """Tell whether a result makes other backend servers preferable for a while."""
+    """Tell whether a result makes other backend servers preferable for all work for a while."""
     return code in (_REROUTED | _RETRIED) - _HARMLESS
--- a/hickorywind/routing/targets.py
+++ b/hickorywind/routing/targets.py
@@ -18,7 +18,7 @@
     Term,
 )
 from hickorywind.membership.directory import Directory
-from hickorywind.routing.health import BackendHealth
+from hickorywind.routing.health import BackendHealth, FreshnessDemand
 from hickorywind.routing.session import Floor, KnownFloor, NoFloor, UnknownFloor
 
 
@@ -60,9 +60,13 @@
 
 @dataclass(frozen=True)
 class NeedsRead:
-    """Ask for a backend server to read from, with at least ``floor`` applied."""
+    """Ask for a backend server to read from, with at least ``floor`` applied.
+
+    ``max_staleness_ms`` is the greatest age of data that is accepted, None for any.
+    """
 
     floor: Floor
+    max_staleness_ms: int | None = None
 
 
 Need = NeedsPrimary | NeedsRead
@@ -93,16 +97,19 @@
                 return self._primary(service.name, None)
             case NeedsRead(floor=UnknownFloor()):
                 return self._primary(service.name, None)
-            case NeedsRead(floor=NoFloor()):
-                return self._readers(service, None)
-            case NeedsRead(floor=KnownFloor(position=position)):
-                return self._readers(service, position)
-
-    def _readers(self, service: Service, floor: LogPosition | None) -> tuple[Target, ...]:
+            case NeedsRead(floor=NoFloor(), max_staleness_ms=max_staleness_ms):
+                return self._readers(service, None, max_staleness_ms)
+            case NeedsRead(KnownFloor(position=position), max_staleness_ms):
+                return self._readers(service, position, max_staleness_ms)
+
+    def _readers(
+        self, service: Service, floor: LogPosition | None, max_staleness_ms: int | None
+    ) -> tuple[Target, ...]:
         primary = self._primary(service.name, floor)
         if not self._replica_reads:
             return primary
-        return self._order(self._replicas(service, floor)) + primary
+        demand = FreshnessDemand(floor is not None, max_staleness_ms)
+        return self._order(self._replicas(service, floor), demand) + primary
 
     def _primary(self, service: ServiceName, floor: LogPosition | None) -> tuple[Target, ...]:
         group = self._directory.group(service)
@@ -142,22 +149,23 @@
             return Distance.SAME_REGION
         return Distance.OTHER_REGION
 
-    def _order(self, targets: list[Target]) -> tuple[Target, ...]:
+    def _order(self, targets: list[Target], demand: FreshnessDemand) -> tuple[Target, ...]:
         """Put healthy and near targets first, and of two equal ones the cheaper.
 
         The comparison of two random ones spreads load without herding.
         """
+
+        def class_of(target: Target) -> tuple[bool, Distance]:
+            return (self._health.is_troubled(target.backend, demand), target.distance)
+
         if len(targets) > 1:
             self._rng.shuffle(targets)
-            targets.sort(key=self._class_of)
+            targets.sort(key=class_of)
             first, second = targets[:2]
-            alike = self._class_of(first) == self._class_of(second)
+            alike = class_of(first) == class_of(second)
             if alike and self._cost(second) < self._cost(first):
                 targets[0], targets[1] = second, first
         return tuple(targets)
 
-    def _class_of(self, target: Target) -> tuple[bool, Distance]:
-        return (self._health.is_troubled(target.backend), target.distance)
-
     def _cost(self, target: Target) -> float:
         return self._health.cost_ms(target.backend)
--- /dev/null
+++ b/tests/pool/test_handover.py
@@ -0,0 +1,57 @@
+import asyncio
+import unittest
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from hickorywind.ids import AccessMode, Address, AvailabilityZone, BackendId, HostId, Incarnation
+from hickorywind.protocol.records import MemberRecord, MemberState
+from tests.pool.harness import EntryStub, PoolUnderTest, eventually, running_pool
+
+NEW_HOME = MemberRecord(
+    HostId("pool-2"),
+    AvailabilityZone("z"),
+    Incarnation(1),
+    MemberState.ALIVE,
+    Address("127.0.0.1", 1),
+    pool=Address("127.0.0.1", 1),
+)
+RELEASE_LIMIT_SECONDS = 6.0
+
+
+def control_sessions(server):
+    return sum(1 for session in server.instance.sessions.values() if session.is_control)
+
+
+AT_REPLICA = {"backend": BackendId("b1"), "mode": AccessMode.READ, "max_staleness_ms": 0}
+
+
+@asynccontextmanager
+async def reading_pool():
+    """Yield a group's pool and one that only reads at a replica, comparing with the primary."""
+    async with running_pool(count=3) as (pool, entry), AsyncExitStack() as stack:
+        await entry.run("CREATE TABLE t (id int primary key, v text)")
+        reader = PoolUnderTest(pool.group, pool.directory)
+        await reader.start()
+        stack.push_async_callback(reader.close)
+        reading_entry = EntryStub(reader.address)
+        await reading_entry.start()
+        stack.push_async_callback(reading_entry.close)
+        read = await reading_entry.run("SELECT count(*) FROM t", **AT_REPLICA)
+        if not read.result.is_ok:
+            raise AssertionError(read.result)
+        yield pool
+
+
+class HandoverTest(unittest.IsolatedAsyncioTestCase):
+    async def test_former_home_keeps_no_control_connection_to_the_primary(self) -> None:
+        """A backend server has room for few of them; a change of primary needs that room."""
+        async with reading_pool() as pool:
+            self.assertGreater(control_sessions(pool.group.servers[0]), 0)
+            pool.directory.merge((NEW_HOME,))
+            async with asyncio.timeout(RELEASE_LIMIT_SECONDS):
+                await eventually(lambda: not any(map(control_sessions, pool.group.servers)))
+
+    async def test_home_keeps_its_watch_of_the_primary_between_reads(self) -> None:
+        async with reading_pool() as pool:
+            held = control_sessions(pool.group.servers[0])
+            await asyncio.sleep(RELEASE_LIMIT_SECONDS / 2)
+            self.assertEqual(control_sessions(pool.group.servers[0]), held)
