Wait for an address to be free before a test binds it again

ZeroMQ closes a socket in a thread of its own, so that for a moment after close() the port is still bound.

Ruled out: another process taking the port (the loop fails with nobody else), connections left over (fails without any). The product does not bind an address twice in one process: pool, controller and host bind once at their start, and a new process binds after the old one ended.

Change: wait_until_free in tests.ports, used by the fake controller and the entry's fake pool (which had a loop of its own).

--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -7,7 +7,6 @@
 import unittest
 
 import psycopg
-import zmq
 
 from hickorywind.configuration.model import (
     Configuration,
@@ -42,6 +41,7 @@
 )
 from hickorywind.util.clock import MonotonicClock
 from tests.entry.fakepool import FakePool
+from tests.ports import wait_until_free
 
 SERVICE = ServiceName("signoffs")
 ZONES = ("adum", "suame", "tema")
@@ -162,13 +162,8 @@
         """Kill a pool and start another process in its place."""
         old = self.pools[zone]
         await old.close()
-        async with asyncio.timeout(5):
-            while self.pools[zone] is old:
-                try:
-                    self.pools[zone] = FakePool(old.address, incarnation)
-                except zmq.ZMQError:
-                    # ZeroMQ gives the port back a moment after the socket was closed.
-                    await asyncio.sleep(0.01)
+        await wait_until_free(old.address)
+        self.pools[zone] = FakePool(old.address, incarnation)
 
     async def wait_for(self, condition, timeout_seconds: float = 5.0) -> None:
         async with asyncio.timeout(timeout_seconds):
--- a/tests/membership/test_subscriber.py
+++ b/tests/membership/test_subscriber.py
@@ -18,13 +18,14 @@
 from hickorywind.protocol.messages import BucketDigests, BucketStamps, RecordBatch, Subscribe
 from hickorywind.protocol.records import GroupRecord, MemberRecord, MemberState
 from hickorywind.util.clock import MonotonicClock
-from tests.ports import free_port
+from tests.ports import free_port, wait_until_free
 
 
 class FakeController:
     """Answers as a controller does, from a table of its own."""
 
     def __init__(self, address, records=()):
+        self.address = address
         self.listener = Listener(address)
         self.table = RecordTable()
         self.table.merge(records)
@@ -58,6 +59,7 @@
         self.task.cancel()
         await asyncio.gather(self.task, return_exceptions=True)
         self.listener.close()
+        await wait_until_free(self.address)
 
 
 def group(service, term):
