Listen before importing, so that a restarted host's callers wait instead of being refused

Ruled out: fewer libraries (aiohttp alone is 0.2 s of it; plumbing stays with libraries); a second process that listens (a process starts no other).

Change: hickorywind.platform's entry reads the settings, listens, and imports the rest (platform/program.py) only then; a taken address is an error of one line.

--- a/hickorywind/host/role.py
+++ b/hickorywind/host/role.py
@@ -50,12 +50,12 @@
 from hickorywind.settings.host import HostSettings
 from hickorywind.store.interface import StoredValue
 from hickorywind.util.clock import Clock, Instant, milliseconds, to_milliseconds
+from hickorywind.util.listening import BACKLOG
 from hickorywind.util.sockets import REACH_TIMEOUT, accepts_connections
 from hickorywind.util.tasks import BackgroundTasks
 
 logger = logging.getLogger(__name__)
 
-BACKLOG = 1_024  # callers that reconnect at once after a host was lost
 HOUSEKEEPING_INTERVAL = timedelta(milliseconds=500)  # for idle links and missing registrations
 # After SIGTERM the balancer needs two missed probes, a second apart, to send no more callers.
 ROTATION_WAIT = timedelta(milliseconds=2300)
@@ -83,13 +83,16 @@
         self,
         settings: HostSettings,
         adapters: Adapters,
+        listener: socket.socket,
         clock: Clock,
         incarnation: Incarnation,
         metrics: HostMetrics,
         rng: random.Random,
     ) -> None:
+        """Take the socket at which callers already connect, among the parts of the host."""
         self._settings = settings
         self._adapters = adapters
+        self._listener = listener
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
@@ -142,13 +145,12 @@
             group.create_task(self._succession.patrol())
             group.create_task(self._tick())
             group.create_task(self._keep_house())
-            await self._listen()
+            await self._accept()
 
-    async def _listen(self) -> None:
-        address = self._settings.address("callers_listen")
+    async def _accept(self) -> None:
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._make_session, address.host, address.port, backlog=BACKLOG, family=socket.AF_INET
+            self._make_session, sock=self._listener, backlog=BACKLOG
         )
 
     def _make_session(self) -> Session:
@@ -195,7 +197,7 @@
         grace = timedelta(seconds=self._settings.stop_grace_seconds)
         self._is_stopping = True
         await asyncio.sleep(min(ROTATION_WAIT, grace * TRANSACTION_SHARE).total_seconds())
-        self._server.close()
+        self._stop_accepting()
         for session in list(self._sessions):
             session.leave_when_idle()
         while self._sessions and self._clock.now() < started + grace * EXIT_SHARE:
@@ -215,11 +217,16 @@
         self._peers.close()
         await self._adapters.coordinator.close()
 
+    def _stop_accepting(self) -> None:
+        if self._server is None:
+            self._listener.close()
+        else:
+            self._server.close()
+
     def abort(self) -> None:
         """Close everything at once, as when the process is killed."""
         self._succession.close()
-        if self._server is not None:
-            self._server.close()
+        self._stop_accepting()
         for service in self._services.values():
             service.close()
         for session in list(self._sessions):
--- a/hickorywind/platform/__main__.py
+++ b/hickorywind/platform/__main__.py
@@ -1,39 +1,23 @@
-"""Run a host on the users' platform: ``python3 -m hickorywind.platform``."""
+"""Run a host on the users' platform: ``python3 -m hickorywind.platform``.
+
+Only what is needed to listen is imported here. The rest takes a good part of a second, in which
+callers of a restarted host wait in its queue instead of being refused.
+"""
 
 from __future__ import annotations
 
-import asyncio
-import logging
+import importlib
 import os
-import random
-import signal
+import socket
 import sys
-from datetime import timedelta
 
-from hickorywind.host.role import Adapters, HostRole
-from hickorywind.ids import Incarnation
-from hickorywind.observability.boundedlog import BoundedLogHandler
-from hickorywind.observability.hostmetrics import HostMetrics
-from hickorywind.observability.logs import EventFields, make_formatter
-from hickorywind.platform.documents import (
-    BACKENDS_PREFIX,
-    CONFIGURATION_KEY,
-    decode_backend,
-    decode_configuration,
-)
-from hickorywind.platform.lines import LineBackendCodec, LineCallerCodec
-from hickorywind.platform.readiness import serve_metrics, serve_readiness
-from hickorywind.platform.storeclient import PlatformClient
-from hickorywind.ports.coordination import DocumentSchema
-from hickorywind.results import UserError
+from hickorywind.results import ResultCode, UserError
 from hickorywind.settings.host import HostSettings, load_host_settings
-from hickorywind.util.clock import BoottimeClock
-
-logger = logging.getLogger(__name__)
+from hickorywind.util.listening import open_listener
 
 SETTINGS_VARIABLE = "HICKORYWIND_SETTINGS"
+_PROGRAM = "hickorywind.platform.program"
 _EXIT_WRONG_USE = 2
-_STANDARD_OUTPUT = 1
 
 
 def main() -> int:
@@ -41,83 +25,20 @@
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         settings = load_host_settings(path)
+        listener = _listen(settings)
     except UserError as error:
         print(f"hickorywind: {error}", file=sys.stderr)
         return _EXIT_WRONG_USE
-    metrics = HostMetrics.with_own_registry()
-    _configure_logs(settings, metrics)
-    return asyncio.run(_serve(settings, path, metrics))
-
-
-def _configure_logs(settings: HostSettings, metrics: HostMetrics) -> None:
-    handler = BoundedLogHandler(
-        _STANDARD_OUTPUT,
-        settings.log_bytes_per_second,
-        BoottimeClock(),
-        metrics.log_lines_dropped.inc,
-    )
-    handler.setFormatter(make_formatter(settings.log, EventFields(host=settings.host)))
-    root = logging.getLogger()
-    root.handlers[:] = [handler]
-    root.setLevel(settings.log.level.upper())
-
-
-def _make_adapters(settings: HostSettings) -> Adapters:
-    client = PlatformClient.from_addresses(settings.address("store"), settings.address("control"))
-    schema = DocumentSchema(
-        CONFIGURATION_KEY, BACKENDS_PREFIX, decode_configuration, decode_backend
-    )
-    return Adapters(LineCallerCodec, LineBackendCodec, client, client, schema)
+    program = importlib.import_module(_PROGRAM)
+    return program.run(settings, path, listener)
 
 
-async def _serve(settings: HostSettings, path: str, metrics: HostMetrics) -> int:
-    clock = BoottimeClock()
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, path, settings)
-    incarnation = Incarnation(clock.now() // timedelta(microseconds=1))
-    role = HostRole(
-        settings, _make_adapters(settings), clock, incarnation, metrics, random.Random()
-    )
-    await serve_readiness(settings.address("readiness_listen"), lambda: role.is_ready)
-    await serve_metrics(settings.address("metrics_listen"), metrics.registry)
-    logger.info(
-        "process_started",
-        extra={
-            "incarnation": incarnation,
-            "zone": settings.availability_zone,
-            "store": settings.store,
-        },
-    )
-    running = asyncio.create_task(role.run())
-    stopping = asyncio.create_task(stop.wait())
-    await asyncio.wait((running, stopping), return_when=asyncio.FIRST_COMPLETED)
-    if running.done():
-        logger.error("process_failed", exc_info=running.exception())
-        return 1
-    logger.info("drain_started")
-    await role.drain()
-    logger.info("process_stopped")
-    logging.shutdown()
-    # Tasks that still wait for a silent peer must not delay the exit.
-    os._exit(0)
-
-
-def _reload(path: str, settings: HostSettings) -> None:
+def _listen(settings: HostSettings) -> socket.socket:
     try:
-        fresh = load_host_settings(path)
-    except UserError as error:
-        logger.error("settings_refused", extra={"reason": str(error)})
-        return
-    changed = [key for key in settings.__struct_fields__ if _differs(key, settings, fresh)]
-    logging.getLogger().setLevel(fresh.log.level.upper())
-    logger.info("settings_reloaded", extra={"needs_restart": ",".join(changed) or "nothing"})
-
-
-def _differs(key: str, settings: HostSettings, fresh: HostSettings) -> bool:
-    return getattr(settings, key) != getattr(fresh, key)
+        return open_listener(settings.address("callers_listen"))
+    except OSError as error:
+        reason = f"callers_listen: can't listen at {settings.callers_listen} ({error.strerror})"
+        raise UserError(ResultCode.SETTINGS_INVALID, reason) from None
 
 
 if __name__ == "__main__":
--- a/tests/host/harness.py
+++ b/tests/host/harness.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import random
-import socket
 import unittest
 
 from hickorywind.host.role import Adapters, HostRole
@@ -19,8 +18,10 @@
 from hickorywind.ports.coordination import DocumentSchema
 from hickorywind.settings.host import HostSettings
 from hickorywind.util.clock import BoottimeClock
+from hickorywind.util.listening import open_listener
 from standins.lineplatform.group import LineGroup
 from standins.lineplatform.memorystore import MemoryCoordinator, MemoryStore
+from tests.ports import free_address
 
 SERVICE = "ledger"
 SERVERS = ("i-a", "i-b", "i-c")
@@ -65,12 +66,6 @@
     ).encode()
 
 
-def free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class Caller:
     """Speak the line protocol as a caller does."""
 
@@ -154,12 +149,12 @@
             host=name,
             availability_zone="z1",
             region="r1",
-            callers_listen=free_address(),
-            readiness_listen=free_address(),
-            peers_listen=free_address(),
-            metrics_listen=free_address(),
-            store=free_address(),
-            control=free_address(),
+            callers_listen=str(free_address()),
+            readiness_listen=str(free_address()),
+            peers_listen=str(free_address()),
+            metrics_listen=str(free_address()),
+            store=str(free_address()),
+            control=str(free_address()),
             zones={"z1": "r1"},
             stop_grace_seconds=2.0,
         )
@@ -167,9 +162,9 @@
         clock = BoottimeClock()
         incarnation = Incarnation(clock.now().microseconds + clock.now().seconds * 1_000_000)
         metrics = HostMetrics.with_own_registry()
-        self.role = HostRole(
-            self.settings, adapters, clock, incarnation, metrics, random.Random(name)
-        )
+        listener = open_listener(self.settings.address("callers_listen"))
+        rng = random.Random(name)
+        self.role = HostRole(self.settings, adapters, listener, clock, incarnation, metrics, rng)
         self.task = asyncio.create_task(self.role.run())
 
     def primary(self):
--- a/tests/test_layering.py
+++ b/tests/test_layering.py
@@ -87,12 +87,12 @@
             with self.subTest(path=path.name):
                 self.assertEqual([name for name in self.WIRE_NAMES if name in text], [])
 
-    def test_only_its_entry_point_joins_the_adapter_and_the_host(self):
+    def test_only_its_program_joins_the_adapter_and_the_host(self):
         for path in sorted((PACKAGE / "platform").glob("*.py")):
             with self.subTest(path=path.name):
                 for name in imported_names(path):
                     self.assertFalse(name.startswith(self.DECISIONS), name)
-                    if path.name != "__main__.py":
+                    if path.name != "program.py":
                         self.assertFalse(name.startswith("hickorywind.host"), name)
 
     def test_adapter_is_not_imported_by_the_product(self):
