Send primary work on from a host that alone lacks a permit; greet new peers at once

It also needed 1.16 s from the first word of a peer to its configuration: the first greeting failed because the connection did not stand yet, the next came 1 s later.

Ruled out: reusing the lease of the former life of a host (a fencer that saw the old process gone would not wait for the new one).

Change: greetings say whether the sender holds a permit that lasts; a host that has lacked one for 1.5 s while a peer holds one refuses primary work with a hint (LoneLack). A new peer is greeted every 50 ms for the first second. aiohttp no longer reads all trusted certificates at import (80 to 105 ms here).

Tests: tests.host.test_peers, DarkStartTest (its write test took 5.0 s before), LoneLackTest.

--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -28,6 +28,9 @@
 # A permit is treated as longer by whoever waits for it to run out, for clocks that drift.
 PERMIT_DRIFT_MARGIN = timedelta(milliseconds=200)
 
+# A whole fleet that regains the store has its permits again within a renewal and a greeting.
+LONE_LACK_LIMIT = timedelta(milliseconds=1500)
+
 
 class LeadershipPhase(Enum):
     """Say whether the primary named in a record may be used."""
@@ -158,6 +161,24 @@
         return is_open or known.record.is_planned
 
 
+@dataclass
+class LoneLack:
+    """Track for how long this host has lacked the permit that another host holds."""
+
+    _since: Instant | None = None
+
+    def observe(self, now: Instant, is_permitted: bool, is_peer_permitted: bool) -> None:
+        """Count what is known at an instant."""
+        if is_permitted or not is_peer_permitted:
+            self._since = None
+        elif self._since is None:
+            self._since = now
+
+    def lasts(self, now: Instant) -> bool:
+        """Tell whether work for primaries is better sent to another host than kept waiting."""
+        return self._since is not None and now >= self._since + LONE_LACK_LIMIT
+
+
 class HostStanding(Enum):
     """Say what is known of a host that may still use a primary."""
 
--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -24,6 +24,8 @@
 logger = logging.getLogger(__name__)
 
 GREETING_INTERVAL = timedelta(seconds=1)  # spreads news within the configuration bound
+FIRST_CONTACT_LIMIT = timedelta(seconds=1)  # a new peer is greeted often for so long
+FIRST_CONTACT_PAUSE = timedelta(milliseconds=50)  # about as long as connecting takes
 CALL_TIMEOUT = timedelta(milliseconds=700)  # several round trips between regions
 ALIVE_WINDOW = timedelta(milliseconds=3500)  # three greetings lost in a row
 SILENT_AFTER = timedelta(milliseconds=2500)  # longer than a process takes to restart
@@ -40,8 +42,11 @@
     record: HostRecord
     link: Link
     last_heard: Instant
+    added: Instant
     misses: int = 0
+    has_answered: bool = False
     is_leaving: bool = False
+    holds_permit: bool = False
     waiting: dict[int, asyncio.Future] = field(default_factory=dict)
     tasks: list[asyncio.Task] = field(default_factory=list)
 
@@ -87,7 +92,8 @@
                 return
             self._remove(record.host)
         link = Link(record.address, with_heartbeats=False)
-        peer = Peer(record, link, self._clock.now())
+        now = self._clock.now()
+        peer = Peer(record, link, last_heard=now, added=now)
         self._peers[record.host] = peer
         peer.tasks = [
             asyncio.create_task(self._receive(peer)),
@@ -143,6 +149,10 @@
         """Return the other hosts that answered lately and are not stopping."""
         return tuple(host for host in self.alive() if not self._peers[host].is_leaving)
 
+    def any_permitted(self) -> bool:
+        """Tell whether another host that answered lately may use primaries."""
+        return any(self._peers[host].holds_permit for host in self.staying())
+
     async def call(
         self, host: HostId, make: Callable[[int], Message], timeout: timedelta = CALL_TIMEOUT
     ) -> Message | None:
@@ -192,22 +202,34 @@
                 await self.answer(message)
 
     async def _greet(self, peer: Peer) -> None:
-        interval = GREETING_INTERVAL.total_seconds()
         while True:
             sent = self._clock.now()
             reply = await self.call(peer.record.host, self.make_greeting)
             if isinstance(reply, GreetingReply):
+                peer.has_answered = True
                 peer.is_leaving = reply.is_leaving
+                peer.holds_permit = reply.holds_permit
                 self.on_greeting_reply(reply, sent)
+            elif self._is_new(peer):
+                # The connection does not stand yet.
+                await asyncio.sleep(FIRST_CONTACT_PAUSE.total_seconds())
+                continue
             else:
                 self._miss(peer)
                 if self._clock.now() > peer.last_heard + FORGET_AFTER:
-                    logger.info("peer_forgotten", extra={"peer": peer.record.host})
-                    self._peers.pop(peer.record.host, None)
-                    peer.link.close()
-                    peer.tasks[0].cancel()
+                    self._forget(peer)
                     return
-            await asyncio.sleep(interval * self._rng.uniform(0.8, 1.2))
+            spread = self._rng.uniform(0.8, 1.2)
+            await asyncio.sleep(GREETING_INTERVAL.total_seconds() * spread)
+
+    def _is_new(self, peer: Peer) -> bool:
+        return not peer.has_answered and self._clock.now() < peer.added + FIRST_CONTACT_LIMIT
+
+    def _forget(self, peer: Peer) -> None:
+        logger.info("peer_forgotten", extra={"peer": peer.record.host})
+        self._peers.pop(peer.record.host, None)
+        peer.link.close()
+        peer.tasks[0].cancel()
 
     def _miss(self, peer: Peer) -> None:
         peer.misses += 1
--- a/hickorywind/host/role.py
+++ b/hickorywind/host/role.py
@@ -61,6 +61,7 @@
 ROTATION_WAIT = timedelta(milliseconds=2300)
 TRANSACTION_SHARE = 0.5  # open transactions have this share of the grace time to end
 LAST_ANSWERS_WAIT = timedelta(milliseconds=100)  # for answers to reach the sockets
+PERMIT_LASTS = timedelta(seconds=2)  # a permit that ends sooner may not serve a sent-on request
 STOP_HINT_MS = 50  # another host takes the request at once
 EXIT_SHARE = 0.8  # the process is gone by this share of the grace time
 
@@ -176,6 +177,9 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
+            now = self._fleet.now()
+            is_permitted = self._fleet.permits.is_valid(now)
+            self._fleet.lone_lack.observe(now, is_permitted, self._peers.any_permitted())
             for service in self._services.values():
                 service.check_stalled()
                 service.place_waiting()
@@ -365,6 +369,7 @@
             tuple(samples),
             self._is_stopping,
             self._succession.store.ended_leases(),
+            self._fleet.permits.is_valid(now + PERMIT_LASTS),
         )
 
     async def _close_service(
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -164,8 +164,18 @@
     def place_waiting(self) -> None:
         """Start or refuse waiting operations as far as that is possible now."""
         self._note_primary()
+        refusal = self.refuse_without_permit()
+        if refusal is not None:
+            self._dispatcher.refuse_primary_work(refusal)
         self._dispatcher.place_waiting(self.clock.now())
 
+    def refuse_without_permit(self) -> Result | None:
+        """Return a refusal of primary work where only other hosts hold a permit."""
+        if not self.fleet.lone_lack.lasts(self.fleet.now()):
+            return None
+        reason = "this host holds no permit for primaries, others do"
+        return Result.not_run(ResultCode.NO_PRIMARY, reason, UNREACHABLE_HINT_MS)
+
     def _note_primary(self) -> None:
         primary = self.fleet.usable_primary(self.name)
         if primary is not None and primary != self._last_primary:
--- a/hickorywind/host/targets.py
+++ b/hickorywind/host/targets.py
@@ -107,8 +107,10 @@
 
 
 def refuse_unreachable(service: ServiceRuntime, target: Target) -> Result | None:
-    """Refuse at once what needs a primary that only other hosts reach."""
-    if isinstance(target, OnPrimary) and service.primary_state is PrimaryState.UNREACHABLE:
+    """Refuse at once what needs a primary that only other hosts reach or may use."""
+    if not isinstance(target, OnPrimary):
+        return None
+    if service.primary_state is PrimaryState.UNREACHABLE:
         reason = "this host does not reach the primary, others do"
         return Result.not_run(ResultCode.NO_PRIMARY, reason, RETRY_HINT_MS)
-    return None
+    return service.refuse_without_permit()
--- a/hickorywind/platform/__main__.py
+++ b/hickorywind/platform/__main__.py
@@ -18,6 +18,8 @@
 SETTINGS_VARIABLE = "HICKORYWIND_SETTINGS"
 _PROGRAM = "hickorywind.platform.program"
 _EXIT_WRONG_USE = 2
+# The platform is spoken to without TLS; aiohttp would read all trusted certificates at import.
+_NO_CERTIFICATES = {"SSL_CERT_FILE": os.devnull, "SSL_CERT_DIR": os.devnull}
 
 
 def main() -> int:
@@ -29,6 +31,7 @@
     except UserError as error:
         print(f"hickorywind: {error}", file=sys.stderr)
         return _EXIT_WRONG_USE
+    os.environ.update(_NO_CERTIFICATES)
     program = importlib.import_module(_PROGRAM)
     return program.run(settings, path, listener)
 
--- a/hickorywind/platform/storeclient.py
+++ b/hickorywind/platform/storeclient.py
@@ -160,7 +160,7 @@
                 data = await response.read()
                 status = response.status
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise StoreUnavailableError(f"{method} {path}: {error or 'timed out'}") from error
+            raise StoreUnavailableError(f"{method} {path}: {str(error) or 'timed out'}") from error
         if status not in accept:
             raise StoreUnavailableError(f"{method} {path}: status {status}")
         return status, _decode_body(data)
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -283,7 +283,10 @@
 
 
 class GreetingReply(msgspec.Struct, frozen=True, tag="hello_ok", array_like=True):
-    """Answer a greeting with the receiver's own state and fresh position samples."""
+    """Answer a greeting with the receiver's own state and fresh position samples.
+
+    ``holds_permit`` says that the receiver may use primaries for some time to come.
+    """
 
     call: int
     host: HostId
@@ -293,6 +296,7 @@
     samples: tuple[PositionSample, ...]
     is_leaving: bool
     ended_leases: tuple[EndedLease, ...] = ()
+    holds_permit: bool = False
 
 
 class EndedLease(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/failover/test_leadership.py
+++ b/tests/failover/test_leadership.py
@@ -5,12 +5,14 @@
 from hypothesis import strategies as st
 
 from hickorywind.failover.leadership import (
+    LONE_LACK_LIMIT,
     PERMIT_DRIFT_MARGIN,
     PERMIT_DURATION,
     Fencing,
     HostStanding,
     LeadershipPhase,
     LeadershipRecord,
+    LoneLack,
     Permits,
     VersionedLeadership,
     decode_host,
@@ -22,6 +24,10 @@
 START = timedelta(seconds=100)
 
 
+def seconds(value):
+    return timedelta(seconds=value)
+
+
 def versioned(revision, phase=LeadershipPhase.OPEN, primary="i-a", is_planned=False):
     record = LeadershipRecord(primary, phase, 0, "h1", "i-b", is_planned)
     return VersionedLeadership(record, revision)
@@ -123,3 +129,23 @@
             now += timedelta(milliseconds=100)
         self.assertFalse(permits.is_valid(now + timedelta(milliseconds=drift_ms)))
         self.assertGreaterEqual(now, START + PERMIT_DURATION + PERMIT_DRIFT_MARGIN)
+
+
+class LoneLackTest(unittest.TestCase):
+    """A lack that ends soon is waited out; one that lasts sends callers to other hosts."""
+
+    def test_lasts_only_after_its_limit_while_a_peer_is_permitted(self):
+        lack = LoneLack()
+        lack.observe(seconds(10), False, True)
+        self.assertFalse(lack.lasts(seconds(11)))
+        lack.observe(seconds(11), False, True)
+        self.assertTrue(lack.lasts(seconds(10) + LONE_LACK_LIMIT))
+
+    def test_ends_with_an_own_permit_and_where_nobody_holds_one(self):
+        for is_permitted, is_peer_permitted in ((True, True), (False, False), (True, False)):
+            lack = LoneLack()
+            lack.observe(seconds(10), False, True)
+            lack.observe(seconds(12), is_permitted, is_peer_permitted)
+            self.assertFalse(lack.lasts(seconds(20)))
+            lack.observe(seconds(21), False, True)
+            self.assertFalse(lack.lasts(seconds(22)))
--- a/tests/host/harness.py
+++ b/tests/host/harness.py
@@ -21,7 +21,7 @@
 from hickorywind.util.listening import open_listener
 from standins.lineplatform.group import LineGroup
 from standins.lineplatform.memorystore import MemoryCoordinator, MemoryStore
-from tests.ports import free_address
+from tests.ports import free_address, wait_until_free
 
 SERVICE = "ledger"
 SERVERS = ("i-a", "i-b", "i-c")
@@ -129,6 +129,13 @@
     def start_host(self, name):
         self.hosts[name] = RunningHost(name, self.store, self.group)
 
+    async def restart_host(self, name, is_cut=False):
+        """Kill a host and start it again at its addresses, cut off from the store or not."""
+        old = self.hosts[name]
+        await old.kill()
+        await wait_until_free(old.settings.address("peers_listen"))
+        self.hosts[name] = RunningHost(name, self.store, self.group, old.settings, is_cut)
+
     async def wait_until(self, condition, seconds=12.0):
         async with asyncio.timeout(seconds):
             while not condition():
@@ -143,9 +150,10 @@
 class RunningHost:
     """Hold one host and its own client of the store."""
 
-    def __init__(self, name, store, group):
+    def __init__(self, name, store, group, settings=None, is_cut=False):
         self.coordinator = MemoryCoordinator(store)
-        self.settings = HostSettings(
+        self.coordinator.is_cut = is_cut
+        self.settings = settings or HostSettings(
             host=name,
             availability_zone="z1",
             region="r1",
--- /dev/null
+++ b/tests/host/test_peers.py
@@ -0,0 +1,70 @@
+import asyncio
+import random
+import time
+import unittest
+from unittest import mock
+
+from hickorywind.failover.leadership import HostRecord
+from hickorywind.host import peers as module
+from hickorywind.host.identity import HostIdentity
+from hickorywind.host.peers import FIRST_CONTACT_LIMIT, Peers
+from hickorywind.ids import Address, AvailabilityZone, HostId, Incarnation
+from hickorywind.protocol.messages import Greeting, GreetingReply
+from hickorywind.util.clock import MonotonicClock
+
+ZONE = AvailabilityZone("z")
+ADDRESS = Address("127.0.0.1", 1)
+OTHER = HostRecord(HostId("other"), Incarnation(1), ZONE, ADDRESS, 0)
+
+
+class SlowLink:
+    """Take messages only once it has connected, and answer each greeting."""
+
+    refusals = 0
+
+    def __init__(self, address, with_heartbeats):
+        self.answers = asyncio.Queue()
+
+    async def send(self, message):
+        if SlowLink.refusals:
+            SlowLink.refusals -= 1
+            return False
+        reply = GreetingReply(message.call, "other", 1, "z", {}, (), False, holds_permit=True)
+        self.answers.put_nowait(reply)
+        return True
+
+    async def receive(self):
+        return await self.answers.get()
+
+    def close(self):
+        pass
+
+
+class FirstContactTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        patch = mock.patch.object(module, "Link", SlowLink)
+        patch.start()
+        self.addCleanup(patch.stop)
+        identity = HostIdentity(HostId("own"), Incarnation(1), ZONE, ADDRESS)
+        self.peers = Peers(identity, MonotonicClock(), random.Random(1))
+        self.addCleanup(self.peers.close)
+        self.peers.make_greeting = lambda call: Greeting(call, "own", 1, "z", ADDRESS, {})
+        self.answered = asyncio.Event()
+        self.peers.on_greeting_reply = lambda reply, sent: self.answered.set()
+
+    async def test_new_peer_is_greeted_as_soon_as_its_connection_stands(self):
+        SlowLink.refusals = 3
+        begun = time.monotonic()
+        self.peers.add(OTHER)
+        await asyncio.wait_for(self.answered.wait(), 5)
+        self.assertLess(time.monotonic() - begun, 0.5)
+        self.assertTrue(self.peers.any_permitted())
+
+    async def test_peer_that_never_answers_is_greeted_often_for_a_short_while_only(self):
+        SlowLink.refusals = 1_000
+        self.peers.add(OTHER)
+        await asyncio.sleep(FIRST_CONTACT_LIMIT.total_seconds() + 0.1)
+        left = SlowLink.refusals
+        await asyncio.sleep(1.0)
+        self.assertLessEqual(left - SlowLink.refusals, 2)
+        self.assertFalse(self.peers.any_permitted())
--- a/tests/host/test_succession.py
+++ b/tests/host/test_succession.py
@@ -1,7 +1,9 @@
 import asyncio
 import socket
+import time
 
 from hickorywind.failover.leadership import (
+    LONE_LACK_LIMIT,
     PERMIT_DURATION,
     LeadershipPhase,
     LeadershipRecord,
@@ -239,6 +241,51 @@
         self.assertEqual(permits.leadership(SERVICE), known)
 
 
+class DarkStartTest(HostCase):
+    """A host that starts while the store is away learns from peers and leaves writes to them."""
+
+    host_count = 2
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.hosts["h0"].coordinator.is_cut = True
+        await self.restart_host("h1", is_cut=True)
+        self.started = self.hosts["h1"]
+
+    async def test_configuration_follows_the_first_word_of_a_peer_at_once(self):
+        role = self.started.role
+        await self.wait_until(role._peers.known)
+        met = time.monotonic()
+        await self.wait_until(lambda: role._fleet.configuration is not None)
+        self.assertLess(time.monotonic() - met, 0.5)
+
+    async def test_write_is_refused_soon_while_a_peer_can_serve_it(self):
+        await self.wait_until(lambda: self.started.role._fleet.configuration is not None)
+        caller = await self.caller("bookings", "h1")
+        begun = time.monotonic()
+        answer = await caller.ask("WRITE kiln 1")
+        self.assertLess(time.monotonic() - begun, LONE_LACK_LIMIT.total_seconds() + 0.5)
+        begun = time.monotonic()
+        await caller.ask("WRITE kiln 1")
+        self.assertLess(time.monotonic() - begun, 0.2)
+        self.assertTrue(answer[0].startswith("ERROR"), answer)
+        other = await self.caller("bookings", "h0")
+        self.assertEqual((await other.ask("WRITE kiln 2"))[-1], "READY I -")
+        self.assertEqual(self.group.commits, [("kiln", "2")])
+
+    async def test_write_waits_where_no_peer_can_serve_it_either(self):
+        await self.wait_until(lambda: self.started.role._fleet.configuration is not None)
+        self.hosts["h0"].role._fleet.permits.revoke()
+        await asyncio.sleep(1.5)
+        caller = await self.caller("bookings", "h1")
+        asked = asyncio.create_task(caller.ask("WRITE kiln 1"))
+        await asyncio.sleep(0.7)
+        self.assertFalse(asked.done())
+        for host in self.hosts.values():
+            host.coordinator.is_cut = False
+        self.assertEqual((await asked)[-1], "READY I -")
+
+
 class SilentHostTest(HostCase):
     """A host that was removed for good, and a store that goes dark during the wait for it."""
 
