--- a/hickorywind/platform/__main__.py
+++ b/hickorywind/platform/__main__.py
@@ -13,6 +13,7 @@
 
 from hickorywind.results import ResultCode, UserError
 from hickorywind.settings.host import HostSettings, load_host_settings
+from hickorywind.util.clock import BoottimeClock
 from hickorywind.util.listening import open_listener
 
 SETTINGS_VARIABLE = "HICKORYWIND_SETTINGS"
@@ -24,6 +25,7 @@
 
 def main() -> int:
     """Run the program and return its exit code."""
+    entered = BoottimeClock().now()
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         settings = load_host_settings(path)
@@ -33,7 +35,7 @@
         return _EXIT_WRONG_USE
     os.environ.update(_NO_CERTIFICATES)
     program = importlib.import_module(_PROGRAM)
-    return program.run(settings, path, listener)
+    return program.run(settings, path, listener, entered)
 
 
 def _listen(settings: HostSettings) -> socket.socket:
--- a/hickorywind/platform/program.py
+++ b/hickorywind/platform/program.py
@@ -27,21 +27,22 @@
 from hickorywind.ports.coordination import DocumentSchema
 from hickorywind.results import UserError
 from hickorywind.settings.host import HostSettings, load_host_settings
-from hickorywind.util.clock import BoottimeClock
+from hickorywind.util.clock import BoottimeClock, Instant, to_milliseconds
 
 logger = logging.getLogger(__name__)
 
 _STANDARD_OUTPUT = 1
 
 
-def run(settings: HostSettings, path: str, listener: socket.socket) -> int:
+def run(settings: HostSettings, path: str, listener: socket.socket, entered: Instant) -> int:
     """Serve callers of ``listener`` until SIGTERM and return the exit code.
 
-    ``path`` is that of the settings file, read again at SIGHUP.
+    ``path`` is that of the settings file, read again at SIGHUP; the process was entered at
+    ``entered`` by the clock that runs through suspension.
     """
     metrics = HostMetrics.with_own_registry()
     _configure_logs(settings, metrics)
-    return asyncio.run(_serve(settings, path, listener, metrics))
+    return asyncio.run(_serve(settings, path, listener, entered, metrics))
 
 
 def _configure_logs(settings: HostSettings, metrics: HostMetrics) -> None:
@@ -66,7 +67,11 @@
 
 
 async def _serve(
-    settings: HostSettings, path: str, listener: socket.socket, metrics: HostMetrics
+    settings: HostSettings,
+    path: str,
+    listener: socket.socket,
+    entered: Instant,
+    metrics: HostMetrics,
 ) -> int:
     clock = BoottimeClock()
     stop = asyncio.Event()
@@ -85,6 +90,7 @@
             "incarnation": incarnation,
             "zone": settings.availability_zone,
             "store": settings.store,
+            "startup_ms": round(to_milliseconds(clock.now() - entered)),
         },
     )
     running = asyncio.create_task(role.run())
--- a/tests/platform/test_startup.py
+++ b/tests/platform/test_startup.py
@@ -44,7 +44,7 @@
             with socket.create_connection((self.callers.host, self.callers.port), timeout=1):
                 connected.append(name)
             program = mock.Mock()
-            program.run = lambda settings, path, listener: listener.close() or 7
+            program.run = lambda settings, path, listener, entered: listener.close() or 7
             return program
 
         self.assertEqual(self.start(connect_and_fake), 7)
