Show what a running host believes: hickorywind host

Change: setting status_listen (loopback only, checked) answers HostStatusRequest by the inner protocol; `hickorywind host IP:PORT` prints permit, peers, primaries, queues and servers, or JSON.

Ruled out: telling it at the metrics address, which others reach without keys.

--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -16,9 +16,10 @@
 from hickorywind.ids import AvailabilityZone, HostId
 from hickorywind.ports.coordination import LeaseId
 from hickorywind.protocol.channel import Link, Listener
+from hickorywind.protocol.hoststatus import PeerStatus
 from hickorywind.protocol.messages import CopyReply, Greeting, GreetingReply, Message
 from hickorywind.results import HickorywindError
-from hickorywind.util.clock import Clock, Instant
+from hickorywind.util.clock import Clock, Instant, to_milliseconds
 from hickorywind.util.tasks import BackgroundTasks
 
 logger = logging.getLogger(__name__)
@@ -149,6 +150,20 @@
         """Return the other hosts that answered lately and are not stopping."""
         return tuple(host for host in self.alive() if not self._peers[host].is_leaving)
 
+    def describe(self) -> tuple[PeerStatus, ...]:
+        """Tell what is known of each other host."""
+        now = self._clock.now()
+        return tuple(
+            PeerStatus(
+                host,
+                peer.record.zone,
+                int(to_milliseconds(now - peer.last_heard)),
+                peer.is_leaving,
+                peer.holds_permit,
+            )
+            for host, peer in sorted(self._peers.items())
+        )
+
     def any_permitted(self) -> bool:
         """Tell whether another host that answered lately may use primaries."""
         return any(self._peers[host].holds_permit for host in self.staying())
--- a/hickorywind/host/role.py
+++ b/hickorywind/host/role.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 
 from hickorywind.host.fleet import Fleet
+from hickorywind.host.hoststatus import describe_host, serve_status
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.peers import Peers
 from hickorywind.host.requestlog import RequestLog
@@ -29,6 +30,7 @@
     Promoter,
     Snapshot,
 )
+from hickorywind.protocol.hoststatus import HostStatus
 from hickorywind.protocol.messages import (
     CloseService,
     CopyQuery,
@@ -146,6 +148,9 @@
             group.create_task(self._succession.patrol())
             group.create_task(self._tick())
             group.create_task(self._keep_house())
+            if self._settings.status_listen:
+                address = self._settings.address("status_listen")
+                group.create_task(serve_status(address, self.describe))
             await self._accept()
 
     async def _accept(self) -> None:
@@ -174,6 +179,18 @@
             return False
         return self._fleet.permits.is_valid(self._fleet.now())
 
+    def describe(self) -> HostStatus:
+        """Tell what this host believes now."""
+        return describe_host(
+            self._identity,
+            self._fleet,
+            self._peers,
+            self._services.values(),
+            len(self._sessions),
+            self.is_ready,
+            self._is_stopping,
+        )
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -25,6 +25,7 @@
     Term,
     TransactionId,
 )
+from hickorywind.protocol.hoststatus import HostStatusReply, HostStatusRequest
 from hickorywind.protocol.records import Record
 from hickorywind.results import Result
 
@@ -459,4 +460,6 @@
     | StoreWritten
     | LeaseEnd
     | LeaseEnded
+    | HostStatusRequest
+    | HostStatusReply
 )
--- a/hickorywind/settings/host.py
+++ b/hickorywind/settings/host.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 from pathlib import Path
 
 import msgspec
@@ -19,7 +20,8 @@
     """Hold the settings file of a host process; unknown keys are ignored.
 
     ``stop_grace_seconds`` is the time from SIGTERM until the process is killed.
-    ``log_bytes_per_second`` bounds the volume of the logs.
+    ``log_bytes_per_second`` bounds the volume of the logs. ``status_listen`` is a loopback address
+    where the command line reads the host's state; empty for none.
     """
 
     host: HostId
@@ -34,6 +36,7 @@
     zones: dict[AvailabilityZone, Region]
     stop_grace_seconds: float = 6.0
     log_bytes_per_second: int = 100_000
+    status_listen: str = ""
     log: LogSettings = LogSettings()
 
     def address(self, key: str) -> Address:
@@ -67,6 +70,7 @@
             settings.address(key)
         except ValueError as error:
             raise DocumentError(key, f"expected IP:PORT ({error})") from None
+    _check_status_address(settings)
     if settings.availability_zone not in settings.zones:
         raise DocumentError("zones", "lacks the host's own availability zone")
     if settings.stop_grace_seconds < _GRACE_MIN_SECONDS:
@@ -75,3 +79,14 @@
         raise DocumentError("log_bytes_per_second", "expected a positive number")
     if settings.log.level not in LOG_LEVELS:
         raise DocumentError("log.level", f"expected one of {', '.join(LOG_LEVELS)}")
+
+
+def _check_status_address(settings: HostSettings) -> None:
+    if not settings.status_listen:
+        return
+    try:
+        address = settings.address("status_listen")
+    except ValueError as error:
+        raise DocumentError("status_listen", f"expected IP:PORT ({error})") from None
+    if not ipaddress.IPv4Address(address.host).is_loopback:
+        raise DocumentError("status_listen", "expected a loopback address (it has no keys)")
--- /dev/null
+++ b/hickorywind/ui/hostcommand.py
@@ -0,0 +1,114 @@
+"""Offer ``host``: what one host of the users' platform believes."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+
+from hickorywind.protocol.hoststatus import HostStatus, HostStatusReply, HostStatusRequest
+from hickorywind.report.table import format_table
+from hickorywind.ui.console import Console
+from hickorywind.ui.exits import ExitCode
+from hickorywind.ui.options import add_command, add_timeout_option, timeout_of, to_address
+from hickorywind.ui.reaching import ask_controller
+
+_UNKNOWN = "-"
+
+
+def add_host(commands: argparse._SubParsersAction) -> None:
+    """Add ``host``."""
+    parser = add_command(
+        commands,
+        "host",
+        "show what a host believes: permit, peers, primaries, queues, configuration in force",
+        "host 127.0.0.1:9465",
+        run_host,
+    )
+    parser.add_argument(
+        "address", type=to_address, metavar="IP:PORT", help="status_listen of the host's settings"
+    )
+    add_timeout_option(parser)
+
+
+def run_host(arguments: argparse.Namespace, console: Console) -> int:
+    """Ask a host on this machine for its status and print it."""
+    asking = ask_controller(
+        arguments.address,
+        None,
+        HostStatusRequest(),
+        HostStatusReply,
+        timeout_of(arguments),
+        role="host",
+    )
+    status = asyncio.run(asking).status
+    console.show(format_host(status), status)
+    return ExitCode.OK
+
+
+def format_host(status: HostStatus) -> str:
+    """Render a status as tables for people."""
+    tables = (_format_peers(status), _format_services(status), _format_backends(status))
+    return "\n".join((_format_head(status), *tables))
+
+
+def _format_head(status: HostStatus) -> str:
+    state = "stopping" if status.is_stopping else "ready" if status.is_ready else "not ready"
+    version = status.configuration_version
+    return (
+        f"host {status.host} in {status.availability_zone}: {state},"
+        f" permit for {status.permit_ms} ms, {status.sessions} sessions,"
+        f" configuration {_UNKNOWN if version is None else version}\n"
+    )
+
+
+def _format_peers(status: HostStatus) -> str:
+    rows = [
+        (
+            peer.host,
+            peer.availability_zone,
+            str(peer.heard_ms),
+            _yes(peer.holds_permit),
+            _yes(peer.is_leaving),
+        )
+        for peer in status.peers
+    ]
+    return format_table(("peer", "zone", "heard ms ago", "permit", "leaving"), rows)
+
+
+def _format_services(status: HostStatus) -> str:
+    rows = [
+        (
+            service.service,
+            service.primary or _UNKNOWN,
+            service.primary_state,
+            str(service.change),
+            _UNKNOWN if service.sample_age_ms is None else str(service.sample_age_ms),
+            str(service.waiting),
+        )
+        for service in status.services
+    ]
+    headings = ("service", "usable primary", "state", "change", "sample age ms", "waiting")
+    return format_table(headings, rows)
+
+
+def _format_backends(status: HostStatus) -> str:
+    rows = [
+        (
+            backend.backend,
+            service.service,
+            backend.availability_zone,
+            backend.role,
+            backend.state,
+            _yes(backend.is_available),
+            str(backend.connections),
+            str(backend.in_flight),
+        )
+        for service in status.services
+        for backend in service.backends
+    ]
+    headings = ("backend server", "service", "zone", "role", "state")
+    return format_table((*headings, "available", "connections", "in flight"), rows)
+
+
+def _yes(value: bool) -> str:
+    return "yes" if value else "no"
--- a/hickorywind/ui/reaching.py
+++ b/hickorywind/ui/reaching.py
@@ -40,8 +40,9 @@
     request: Message,
     reply_type: type[Reply],
     timeout: timedelta,
+    role: str = "controller",
 ) -> Reply:
-    """Send one request to a controller and return its answer.
+    """Send one request to a controller, or to another ``role``, and return its answer.
 
     Raise ``UserError`` with ``CONTROLLER_UNREACHABLE`` where none comes in time, and with the
     refusal's own code where it refuses.
@@ -52,7 +53,7 @@
             await _send(link, request)
             return await _receive(link, reply_type)
     except TimeoutError:
-        raise _unreachable(address, timeout) from None
+        raise _unreachable(role, address, timeout) from None
     except HickorywindError as error:
         raise UserError(error.result.code, error.result.reason) from None
     finally:
@@ -73,9 +74,9 @@
                 return reply
 
 
-def _unreachable(address: Address, timeout: timedelta) -> UserError:
+def _unreachable(role: str, address: Address, timeout: timedelta) -> UserError:
     waited_ms = timeout // timedelta(milliseconds=1)
     return UserError(
         ResultCode.CONTROLLER_UNREACHABLE,
-        f"controller {address} did not answer within {waited_ms} ms (address and keys right?)",
+        f"{role} {address} did not answer within {waited_ms} ms (address and keys right?)",
     )
--- a/tests/host/harness.py
+++ b/tests/host/harness.py
@@ -161,6 +161,7 @@
             readiness_listen=str(free_address()),
             peers_listen=str(free_address()),
             metrics_listen=str(free_address()),
+            status_listen=str(free_address()),
             store=str(free_address()),
             control=str(free_address()),
             zones={"z1": "r1"},
--- a/tests/settings/test_host.py
+++ b/tests/settings/test_host.py
@@ -55,6 +55,11 @@
         self.refuse("log_bytes_per_second", log_bytes_per_second=0)
         self.refuse("log.level", log={"level": "loud"})
 
+    def test_status_is_told_on_the_loopback_only(self):
+        self.assertEqual(self.load(status_listen="127.0.0.1:9465").status_listen, "127.0.0.1:9465")
+        self.refuse("status_listen", status_listen="10.1.0.8:9465")
+        self.refuse("status_listen", status_listen="localhost")
+
     def test_missing_file(self):
         with self.assertRaises(UserError):
             load_host_settings("/nonexistent/host.yaml")
