Test promotion orders that are carried out late

Change: tests.host.test_lateorders: an order carried out after the change it belonged to, and one whose answer was lost and which takes effect 2 s later. All hosts follow the true primary within 5 s, no acknowledged write is missing from its log, tokens never fall.

--- /dev/null
+++ b/tests/host/test_lateorders.py
@@ -0,0 +1,89 @@
+import asyncio
+import unittest.mock
+
+from hickorywind.ports.coordination import PromotionOutcome
+from tests.host.harness import SERVICE, HostCase
+
+CHANGE_LIMIT_SECONDS = 5.0
+LATE_SECONDS = 2.0
+
+
+class LateOrderTest(HostCase):
+    """A promotion order may be carried out seconds late, after another one."""
+
+    host_count = 3
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.acknowledged = []
+        self.callers = [await self.caller("bookings", name) for name in self.hosts]
+
+    async def write(self, caller, value):
+        lines = await caller.ask(f"WRITE kiln {value}")
+        if lines[0].startswith("COMPLETE"):
+            self.acknowledged.append(("kiln", str(value)))
+
+    async def write_until_all_succeed(self, first):
+        """Write through every host until each succeeds within one round."""
+        value = first
+        async with asyncio.timeout(CHANGE_LIMIT_SECONDS):
+            while True:
+                before = len(self.acknowledged)
+                for caller in self.callers:
+                    value += 1
+                    await self.write(caller, value)
+                if len(self.acknowledged) == before + len(self.callers):
+                    return
+
+    def leaders(self):
+        return {host.primary() for host in self.hosts.values()}
+
+    def true_primary(self):
+        (primary,) = [
+            each.backend for each in self.group.servers.values() if each.role == "primary"
+        ]
+        return primary
+
+    async def assert_settled(self):
+        """Check that all use the true primary and that its log holds what was acknowledged."""
+        await self.wait_until(lambda: self.leaders() == {self.true_primary()}, CHANGE_LIMIT_SECONDS)
+        self.assertEqual(self.group.commits, self.acknowledged)
+        last = self.group.servers[self.true_primary()].data["kiln"]
+        self.assertEqual(last, self.acknowledged[-1][1])
+        tokens = [promotion[2] for promotion in self.group.promotions]
+        self.assertEqual(tokens, sorted(tokens))
+
+    async def test_order_carried_out_after_the_change_is_followed(self):
+        await self.write_until_all_succeed(0)
+        await self.group.servers["i-a"].crash()
+        await self.write_until_all_succeed(100)
+        await self.group.servers["i-a"].start()
+        replaced = self.true_primary()
+        (other,) = {"i-b", "i-c"} - {replaced}
+        newest = self.group.promotions[-1][2]
+        await self.group.promote(SERVICE, other, "gone", newest)
+        await self.write_until_all_succeed(200)
+        self.assertNotEqual(self.true_primary(), replaced)
+        await self.assert_settled()
+
+    async def test_order_whose_answer_was_lost_takes_effect_late(self):
+        promote = self.group.promote
+        late = []
+
+        async def lose_the_first(service, backend, holder, token):
+            if late:
+                return await promote(service, backend, holder, token)
+
+            async def carry_out():
+                await asyncio.sleep(LATE_SECONDS)
+                await promote(service, backend, holder, token)
+
+            late.append(asyncio.create_task(carry_out()))
+            return PromotionOutcome.UNKNOWN
+
+        with unittest.mock.patch.object(self.group, "promote", lose_the_first):
+            await self.group.servers["i-a"].crash()
+            await self.write_until_all_succeed(0)
+            await asyncio.gather(*late)
+            await self.write_until_all_succeed(100)
+            await self.assert_settled()
