Spread the hints of work sent to other hosts; name the client account in failures

Cause: all work that a host sent on to others at once carried the same hint (200 ms), so its callers came back together; SessionContext kept the client account and nothing read it, though on-call engineers look for failures by account.

Change: the dispatcher builds these refusals with its spread, and the service decides in one place why work is better done elsewhere; request_failed carries client.

--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -27,6 +27,7 @@
     timedelta(milliseconds=60),
 )  # first guesses by distance: zone, region, other region
 CHANGE_HINT = timedelta(seconds=1)  # most changes of primary are over within this time
+ELSEWHERE_HINT = timedelta(milliseconds=150)  # with its spread, time to reach another host
 _HINT_MIN_MS = 50  # shorter hints would bring callers back before anything has changed
 _HINT_SPREAD = 1.0  # callers refused together come back within twice the expected wait
 
@@ -141,11 +142,15 @@
         if ticket in self._waiting:
             self._waiting.remove(ticket)
 
-    def refuse_primary_work(self, result: Result) -> None:
-        """Refuse every waiting operation that only the primary can serve."""
+    def refuse_primary_work(self, reason: str) -> None:
+        """Refuse every waiting operation that only the primary can serve, for other hosts."""
         for ticket in [each for each in self._waiting if isinstance(each.target, OnPrimary)]:
             self._waiting.remove(ticket)
-            ticket.refuse(result)
+            ticket.refuse(self.make_elsewhere(reason))
+
+    def make_elsewhere(self, reason: str) -> Result:
+        """Build a refusal of primary work that another host can serve at once."""
+        return Result.not_run(ResultCode.NO_PRIMARY, reason, self._spread_ms(ELSEWHERE_HINT))
 
     def refuse_all(self, result: Result) -> None:
         """Refuse every waiting operation."""
@@ -185,9 +190,12 @@
         """Refuse an operation with when to come back: after the queue or a change of primary."""
         if isinstance(ticket.target, OnPrimary) and self.primary is None:
             code, reason, wait = ResultCode.NO_PRIMARY, "the primary is being replaced", CHANGE_HINT
+        ticket.refuse(Result.not_run(code, reason, self._spread_ms(wait)))
+
+    def _spread_ms(self, wait: timedelta) -> int:
+        """Return a hint of about ``wait``, spread so that callers don't return together."""
         base_ms = max(_HINT_MIN_MS, to_milliseconds(wait))
-        hint_ms = round(base_ms * (1 + self._rng.random() * _HINT_SPREAD))
-        ticket.refuse(Result.not_run(code, reason, hint_ms))
+        return round(base_ms * (1 + self._rng.random() * _HINT_SPREAD))
 
     def _ordered(self, now: Instant) -> Iterable[Ticket]:
         ordered = sorted(
--- a/hickorywind/host/requestlog.py
+++ b/hickorywind/host/requestlog.py
@@ -41,6 +41,7 @@
         self,
         request: Request,
         database: DatabaseName,
+        client: str,
         reply: Reply,
         duration: timedelta,
         transaction: Transaction | None,
@@ -65,6 +66,7 @@
             extra={
                 "request_id": request.request_id,
                 "database": database,
+                "client": client,
                 "statement": type(request.statement).__name__.lower(),
                 "outcome": outcome,
                 "code": code,
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -40,7 +40,6 @@
 LEAVING_PRIMARY_USE = timedelta(seconds=4)  # well inside the bound for new work at such servers
 STALL_CHECK_INTERVAL = timedelta(milliseconds=500)  # between looks at one stalled server
 UNAVAILABLE_PAUSE = timedelta(milliseconds=300)  # before a failed server is tried again
-UNREACHABLE_HINT_MS = 200  # another host can serve the operation at once
 TRANSACTION_END_WAIT = timedelta(milliseconds=1200)  # well inside the drain bound
 LINK_SHARE = 1.3  # uneven load: a host may hold this many times its even share of connections
 LINK_MIN = 2  # what a host may hold however many hosts there are
@@ -164,17 +163,22 @@
     def place_waiting(self) -> None:
         """Start or refuse waiting operations as far as that is possible now."""
         self._note_primary()
-        refusal = self.refuse_without_permit()
-        if refusal is not None:
-            self._dispatcher.refuse_primary_work(refusal)
+        reason = self._why_elsewhere()
+        if reason is not None:
+            self._dispatcher.refuse_primary_work(reason)
         self._dispatcher.place_waiting(self.clock.now())
 
-    def refuse_without_permit(self) -> Result | None:
-        """Return a refusal of primary work where only other hosts hold a permit."""
-        if not self.fleet.lone_lack.lasts(self.fleet.now()):
-            return None
-        reason = "this host holds no permit for primaries, others do"
-        return Result.not_run(ResultCode.NO_PRIMARY, reason, UNREACHABLE_HINT_MS)
+    def refuse_primary_work(self) -> Result | None:
+        """Return a refusal of primary work where only other hosts can do it now."""
+        reason = self._why_elsewhere()
+        return None if reason is None else self._dispatcher.make_elsewhere(reason)
+
+    def _why_elsewhere(self) -> str | None:
+        if self.primary_state is PrimaryState.UNREACHABLE:
+            return "this host does not reach the primary, others do"
+        if self.fleet.lone_lack.lasts(self.fleet.now()):
+            return "this host holds no permit for primaries, others do"
+        return None
 
     def _note_primary(self) -> None:
         primary = self.fleet.usable_primary(self.name)
@@ -346,11 +350,7 @@
             return
         self.primary_state = state
         logger.info("primary_state", extra={"service": self.name, "state": state})
-        if state is PrimaryState.UNREACHABLE:
-            reason = "this host does not reach the primary, others do"
-            self._dispatcher.refuse_primary_work(
-                Result.not_run(ResultCode.NO_PRIMARY, reason, UNREACHABLE_HINT_MS)
-            )
+        self.place_waiting()
 
     def believe(self) -> ServiceBelief:
         """Return what is believed now."""
--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -252,6 +252,7 @@
         self._log.answered(
             request,
             self._database,
+            self._context.client,
             reply,
             self._clock.now() - arrived,
             transaction,
--- a/hickorywind/host/targets.py
+++ b/hickorywind/host/targets.py
@@ -8,7 +8,7 @@
 from hickorywind.admission.dispatch import AtPosition, OnPrimary, Target
 from hickorywind.host.backendlink import BackendLink, LinkLostError, PreparedShape
 from hickorywind.host.service import ServiceRuntime
-from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, Grant, PrimaryState
+from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, Grant
 from hickorywind.ids import LogPosition
 from hickorywind.ports.catalog import BoundedReads, PrimaryReads, Route, SessionReads
 from hickorywind.ports.statements import Execute, Request
@@ -108,9 +108,4 @@
 
 def refuse_unreachable(service: ServiceRuntime, target: Target) -> Result | None:
     """Refuse at once what needs a primary that only other hosts reach or may use."""
-    if not isinstance(target, OnPrimary):
-        return None
-    if service.primary_state is PrimaryState.UNREACHABLE:
-        reason = "this host does not reach the primary, others do"
-        return Result.not_run(ResultCode.NO_PRIMARY, reason, RETRY_HINT_MS)
-    return service.refuse_without_permit()
+    return service.refuse_primary_work() if isinstance(target, OnPrimary) else None
--- a/tests/admission/test_dispatch.py
+++ b/tests/admission/test_dispatch.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from hickorywind.admission.dispatch import (
+    ELSEWHERE_HINT,
     FLOOR_INTERVAL,
     AtPosition,
     Dispatcher,
@@ -13,6 +14,7 @@
 )
 from hickorywind.ids import LogPosition
 from hickorywind.results import Outcome, Result, ResultCode
+from hickorywind.util.clock import to_milliseconds
 
 START = timedelta(seconds=10)
 POSITION = LogPosition(1, 5)
@@ -163,10 +165,19 @@
             server.is_available = False
         self.ticket()
         self.ticket(target=AtPosition(POSITION))
-        self.dispatcher.refuse_primary_work(self._result())
+        self.dispatcher.refuse_primary_work("others do")
         self.assertEqual(len(self.refused), 1)
         self.assertEqual(self.dispatcher.waiting_count, 1)
 
+    def test_work_sent_elsewhere_does_not_come_back_together(self):
+        self.dispatcher.primary = None
+        for _ in range(20):
+            self.ticket()
+        self.dispatcher.refuse_primary_work("others do")
+        hints = {result.retry_after_ms for result in self.refused}
+        self.assertGreater(len(hints), 10)
+        self.assertGreaterEqual(min(hints), to_milliseconds(ELSEWHERE_HINT))
+
     def test_stopping_refuses_everything(self):
         self.fill()
         self.ticket()
--- a/tests/host/test_wholepath.py
+++ b/tests/host/test_wholepath.py
@@ -19,6 +19,14 @@
         self.assertTrue(caller.greeting.startswith("ERROR NODB [1006]"), caller.greeting)
         self.assertEqual(await caller.reader.read(), b"")
 
+    async def test_failure_is_logged_with_its_client_account(self):
+        caller = await self.caller("bookings")
+        with self.assertLogs("hickorywind.host.requestlog", "INFO") as logs:
+            await caller.ask("EXECUTE nothing 1")
+        (record,) = logs.records
+        self.assertEqual(record.getMessage(), "request_failed")
+        self.assertEqual((record.client, record.request_id), ("u1", "q1"))
+
     async def test_removed_route_refuses_the_next_statement(self):
         caller = await self.caller("orders")
         await caller.ask("READ x")
