--- a/hickorywind/host/operation.py
+++ b/hickorywind/host/operation.py
@@ -3,18 +3,17 @@
 from __future__ import annotations
 
 from hickorywind.admission.dispatch import AtPosition, OnPrimary, Target
+from hickorywind.host.attempts import try_servers
 from hickorywind.host.backendlink import LinkLostError, PreparedShape
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, Grant
 from hickorywind.host.targets import (
-    ATTEMPTS,
     RETRY_HINT_MS,
     SessionContext,
     check_primary,
     choose_target,
     encode_request,
     note_behind,
-    refuse_unreachable,
 )
 from hickorywind.ids import AccessMode, BackendId, LogPosition
 from hickorywind.ports.catalog import Route
@@ -55,27 +54,16 @@
 
     async def run(self) -> Reply:
         """Return the reply to the caller."""
-        result = Result.not_run(ResultCode.NO_PRIMARY, "no attempt was made", RETRY_HINT_MS)
-        attempts = 0
-        while attempts < ATTEMPTS:
-            target = self._target()
-            refusal = refuse_unreachable(self._service, target)
-            if refusal is not None:
-                return Failed(refusal)
-            grant = await self._service.acquire(
-                self._route, target, self._arrived, self._context.values, self._excluded
-            )
-            if isinstance(grant, Result):
-                return Failed(grant)
-            outcome = await self._attempt(grant, target)
-            if not isinstance(outcome, Result):
-                return outcome
-            result = outcome
-            if not result.retry_allowed:
-                break
-            # A replica that was behind is passed over next time, so this does not spin.
-            attempts += result.code is not ResultCode.REPLICA_BEHIND
-        return Failed(result)
+        outcome = await try_servers(
+            self._service,
+            self._route,
+            self._arrived,
+            self._context.values,
+            self._target,
+            self._attempt,
+            lambda: self._excluded,
+        )
+        return Failed(outcome) if isinstance(outcome, Result) else outcome
 
     def _target(self) -> Target:
         if self._mode is AccessMode.WRITE:
--- a/hickorywind/host/targets.py
+++ b/hickorywind/host/targets.py
@@ -17,7 +17,6 @@
 
 logger = logging.getLogger(__name__)
 
-ATTEMPTS = 4  # tries inside the proxy of what is proved not to have run, or only reads
 SAMPLE_REFRESH_SHARE = 0.5  # a sample older than this share of the bound is renewed
 FRESHNESS_MARGIN = milliseconds(40)  # rounding of clocks and timers
 RETRY_HINT_MS = 200  # another host or a little later
@@ -104,8 +103,3 @@
     backend.links.give_back(link)
     reason = "the primary is busy or changed"
     return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, RETRY_HINT_MS)
-
-
-def refuse_unreachable(service: ServiceRuntime, target: Target) -> Result | None:
-    """Refuse at once what needs a primary that only other hosts reach or may use."""
-    return service.refuse_primary_work() if isinstance(target, OnPrimary) else None
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -5,18 +5,17 @@
 import logging
 
 from hickorywind.admission.dispatch import AtPosition, OnPrimary, Target
+from hickorywind.host.attempts import try_servers
 from hickorywind.host.backendlink import BackendLink, LinkLostError, PreparedShape
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, Grant
 from hickorywind.host.targets import (
-    ATTEMPTS,
     RETRY_HINT_MS,
     SessionContext,
     check_primary,
     choose_target,
     encode_request,
     note_behind,
-    refuse_unreachable,
 )
 from hickorywind.ids import AccessMode
 from hickorywind.ports.catalog import Route
@@ -83,24 +82,14 @@
         return Failed(result)
 
     async def _start(self) -> Result | None:
-        result = Result.not_run(ResultCode.NO_PRIMARY, "no attempt was made", RETRY_HINT_MS)
-        attempts = 0
-        while attempts < ATTEMPTS:
-            target = self._target()
-            refusal = refuse_unreachable(self.service, target)
-            if refusal is not None:
-                return refusal
-            grant = await self.service.acquire(
-                self.route, target, self.arrived, self._context.values
-            )
-            if isinstance(grant, Result):
-                return grant
-            outcome = await self._begin(grant, target)
-            if outcome is None:
-                return None
-            result = outcome
-            attempts += result.code is not ResultCode.REPLICA_BEHIND
-        return result
+        return await try_servers(
+            self.service,
+            self.route,
+            self.arrived,
+            self._context.values,
+            self._target,
+            self._begin,
+        )
 
     def _target(self) -> Target:
         if not self.read_only:
