Call the store through peers as soon as it is slow; let waits for permits end by time

The wait for a silent host's permit was over at 14.35, but the loop sat in a read of the registered hosts until 16.6: 1 s for the own call that timed out, then peer after peer, 1.3 s each; opening the record cost 3.4 s in the same way. The store answered some hosts and not others.

Ruled out: the platform's promotion (1.2 s of it), the silent host's lease (ended at 7.15).

A wait for silent hosts ends when their permits have run out, whatever a look at them still waits for.

Tests, both failing before: test_wait_for_a_silent_host_is_not_prolonged_by_a_silent_store, test_silent_store_of_the_promoter_costs_a_fraction_of_a_second. The stand-in store learned to be silent.

--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -209,6 +209,13 @@
         """Count that the store confirmed the end of a host's lease at ``confirmed``."""
         self._ends[host] = confirmed + PERMIT_DURATION + PERMIT_DRIFT_MARGIN
 
+    def time_left(self, now: Instant) -> timedelta | None:
+        """Return after what time the last permit has run out; None where that is not known."""
+        if not self.waiting <= self._ends.keys():
+            return None
+        ends = [self._ends[host] for host in self.waiting]
+        return max([timedelta(0), *(end - now for end in ends)])
+
     def is_complete(self, now: Instant) -> bool:
         """Tell whether no host can use the old primary any more."""
         for host, end in self._ends.items():
--- a/hickorywind/host/fencer.py
+++ b/hickorywind/host/fencer.py
@@ -63,12 +63,19 @@
             extra={"service": runtime.name, "hosts": ",".join(sorted(fencing.waiting))},
         )
         await asyncio.sleep(FENCE_POLL.total_seconds())
-        await self._settle_unregistered(fencing)
         silent = {host: self._records[host] for host in fencing.waiting}
-        await asyncio.gather(
+        looks = asyncio.gather(
+            self._settle_unregistered(fencing),
             self._ask_all(runtime, closed, silent, fencing, CLOSE_TIMEOUT),
             self._look_at_primary(runtime, closed, fencing),
         )
+        left = fencing.time_left(self._fleet.now())
+        try:
+            async with asyncio.timeout(None if left is None else left.total_seconds()):
+                await looks
+        except TimeoutError:
+            # The wait ends by time, whatever the store and the hosts would have said.
+            return
 
     async def _settle_unregistered(self, fencing: Fencing) -> None:
         """Count the hosts whose permits another host has waited out already."""
--- a/hickorywind/host/storerelay.py
+++ b/hickorywind/host/storerelay.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from datetime import timedelta
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from hickorywind.host.peers import Peers
-from hickorywind.ids import Revision
+from hickorywind.ids import HostId, Revision
 from hickorywind.ports.coordination import (
     Committed,
     Condition,
@@ -29,61 +30,80 @@
     StoreWritten,
 )
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
+from hickorywind.util.tasks import BackgroundTasks, first_result
 
 logger = logging.getLogger(__name__)
 
-PEERS_ASKED = 3  # hosts asked, one after the other
+PEERS_ASKED = 3  # hosts asked at once; of a few, one mostly reaches a store that is up
 PEER_TIMEOUT = timedelta(milliseconds=1300)  # one call to the store, and the way to the host
+HEDGE_AFTER = timedelta(milliseconds=300)  # two round trips between regions
 
-Reply = TypeVar("Reply")
+Answer = TypeVar("Answer")
 
 
 class StoreRelay:
-    """Call the store itself, else through a host that reaches it, and serve other hosts."""
+    """Call the store itself and, where it is slow, through other hosts; serve other hosts.
+
+    Calls may reach the store more than once: reads and lease ends bear that, and a write follows
+    the revision that it names, so that a second try ends in a conflict.
+    """
 
     def __init__(self, coordinator: Coordinator, peers: Peers) -> None:
         self._coordinator = coordinator
         self._peers = peers
+        self._turn = 0
+        self._background = BackgroundTasks()
 
     async def read_range(self, prefix: str) -> Snapshot:
         """Read all items under a prefix; raise ``StoreUnavailableError``."""
-        try:
-            return await self._coordinator.read_range(prefix)
-        except StoreUnavailableError as error:
-            reply = await self._ask(lambda call: StoreRead(call, prefix), StoreItems)
-            if reply is None:
-                raise error
-            items = tuple(StoredValue(each.key, each.value, each.revision) for each in reply.items)
-            return Snapshot(items, reply.as_of)
+        return await self._call(
+            self._coordinator.read_range(prefix), lambda call: StoreRead(call, prefix)
+        )
 
     async def write(self, key: str, after: Revision, value: bytes) -> Committed | Conflict:
         """Write an item that last changed at a revision; raise ``StoreUnavailableError``.
 
         A conflict may be with an earlier try of the same write whose answer was lost.
         """
-        try:
-            return await self._coordinator.transact([Condition(key, after)], [Put(key, value)])
-        except StoreUnavailableError as error:
-            reply = await self._ask(lambda call: StoreWrite(call, key, after, value), StoreWritten)
-            if reply is None:
-                raise error
-            return Conflict() if reply.revision is None else Committed(reply.revision)
+        return await self._call(
+            self._coordinator.transact([Condition(key, after)], [Put(key, value)]),
+            lambda call: StoreWrite(call, key, after, value),
+        )
 
     async def end_lease(self, lease: LeaseId) -> None:
         """End a lease; raise ``StoreUnavailableError``."""
-        try:
-            await self._coordinator.end_lease(lease)
-        except StoreUnavailableError as error:
-            if await self._ask(lambda call: LeaseEnd(call, lease), LeaseEnded) is None:
-                raise error
-
-    async def _ask(self, make: Callable[[int], Message], expected: type[Reply]) -> Reply | None:
-        for host in self._peers.staying()[:PEERS_ASKED]:
-            reply = await self._peers.call(host, make, PEER_TIMEOUT)
-            if isinstance(reply, expected):
-                logger.info("store_call_through_peer", extra={"peer": host})
-                return reply
-        return None
+        await self._call(self._end(lease), lambda call: LeaseEnd(call, lease))
+
+    async def _end(self, lease: LeaseId) -> LeaseId:
+        await self._coordinator.end_lease(lease)
+        return lease
+
+    async def _call(
+        self, own: Coroutine[Any, Any, Answer], make: Callable[[int], Message]
+    ) -> Answer:
+        mine = self._background.start(_attempt(own))
+        await asyncio.wait((mine,), timeout=HEDGE_AFTER.total_seconds())
+        if mine.done() and not isinstance(mine.result(), StoreUnavailableError):
+            return mine.result()
+        asked = [self._background.start(self._ask(host, make)) for host in self._next_peers()]
+        answer = await first_result((self._background.start(_drop_error(mine)), *asked))
+        if answer is None:
+            raise await mine
+        return answer
+
+    def _next_peers(self) -> list[HostId]:
+        """Return a few hosts, others each time."""
+        hosts = self._peers.staying()
+        count = min(PEERS_ASKED, len(hosts))
+        self._turn += count
+        return [hosts[(self._turn + offset) % len(hosts)] for offset in range(count)]
+
+    async def _ask(self, host: HostId, make: Callable[[int], Message]) -> Any:
+        reply = await self._peers.call(host, make, PEER_TIMEOUT)
+        answer = _read_reply(reply)
+        if answer is not None:
+            logger.info("store_call_through_peer", extra={"peer": host})
+        return answer
 
     async def serve(self, message: StoreRead | StoreWrite | LeaseEnd) -> Message | None:
         """Make a call for another host; None where the store does not answer this one either."""
@@ -117,3 +137,30 @@
     async def _end_for(self, message: LeaseEnd) -> Message:
         await self._coordinator.end_lease(LeaseId(message.lease))
         return LeaseEnded(message.call)
+
+
+async def _attempt(call: Coroutine[Any, Any, Answer]) -> Answer | StoreUnavailableError:
+    try:
+        return await call
+    except StoreUnavailableError as error:
+        return error
+
+
+async def _drop_error(attempt: asyncio.Task[Answer | StoreUnavailableError]) -> Answer | None:
+    answer = await attempt
+    return None if isinstance(answer, StoreUnavailableError) else answer
+
+
+def _read_reply(reply: Message | None) -> Snapshot | Committed | Conflict | LeaseId | None:
+    """Translate a host's reply into what the store itself would have answered."""
+    match reply:
+        case StoreItems(_, as_of, copied):
+            items = tuple(StoredValue(each.key, each.value, each.revision) for each in copied)
+            return Snapshot(items, as_of)
+        case StoreWritten(_, None):
+            return Conflict()
+        case StoreWritten(_, revision):
+            return Committed(revision)
+        case LeaseEnded():
+            return LeaseId(0)
+    return None
--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -16,6 +16,7 @@
 from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX, OWN_PREFIX, Fleet
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.peers import Peers
+from hickorywind.host.storerelay import HEDGE_AFTER, PEER_TIMEOUT
 from hickorywind.ids import HostId, Revision
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.ports.coordination import (
@@ -29,6 +30,7 @@
 )
 from hickorywind.protocol.messages import RenewalQuery, RenewalReply
 from hickorywind.store.interface import StoreUnavailableError
+from hickorywind.util.tasks import BackgroundTasks, first_result
 
 logger = logging.getLogger(__name__)
 
@@ -61,6 +63,7 @@
         self._lease: LeaseId | None = None
         self._registered_at = Revision(0)
         self._is_reachable = True
+        self._background = BackgroundTasks()
 
     async def run(self) -> None:
         """Stay registered and follow changes until cancelled."""
@@ -146,9 +149,7 @@
         while True:
             await asyncio.sleep(interval * self._rng.uniform(0.8, 1.0))
             sent = self._fleet.now()
-            renewed = await self.renew(self._lease)
-            if renewed is None:
-                sent, renewed = await self._renew_through_peer()
+            renewed = await self._renew_anyhow(self._lease)
             if renewed is None:
                 continue
             if not renewed:
@@ -167,21 +168,23 @@
         self.note_call("renew", None)
         return renewed
 
-    async def _renew_through_peer(self) -> tuple[timedelta, bool | None]:
-        alive = list(self._peers.alive())
-        self._rng.shuffle(alive)
-        sent = self._fleet.now()
-        for host in alive[:_PEERS_ASKED]:
-            sent = self._fleet.now()
-            reply = await self._peers.call(
-                host, lambda call: RenewalQuery(call, self._lease), timedelta(milliseconds=1300)
-            )
-            if isinstance(reply, RenewalReply) and reply.is_renewed is not None:
-                logger.info(
-                    "lease_renewed_by_peer", extra={"peer": host, "renewed": reply.is_renewed}
-                )
-                return sent, reply.is_renewed
-        return sent, None
+    async def _renew_anyhow(self, lease: LeaseId) -> bool | None:
+        """Renew the lease and, where the store is slow, ask other hosts to do it as well."""
+        own = self._background.start(self.renew(lease))
+        await asyncio.wait((own,), timeout=HEDGE_AFTER.total_seconds())
+        if own.done() and own.result() is not None:
+            return own.result()
+        alive = self._peers.alive()
+        hosts = self._rng.sample(alive, min(_PEERS_ASKED, len(alive)))
+        asked = [self._background.start(self._renew_through(host, lease)) for host in hosts]
+        return await first_result((own, *asked))
+
+    async def _renew_through(self, host: HostId, lease: LeaseId) -> bool | None:
+        reply = await self._peers.call(host, lambda call: RenewalQuery(call, lease), PEER_TIMEOUT)
+        if not isinstance(reply, RenewalReply) or reply.is_renewed is None:
+            return None
+        logger.info("lease_renewed_by_peer", extra={"peer": host, "renewed": reply.is_renewed})
+        return reply.is_renewed
 
     async def unregister(self) -> None:
         """Give up the registration: this process uses no primary any more."""
--- a/hickorywind/util/tasks.py
+++ b/hickorywind/util/tasks.py
@@ -4,10 +4,24 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
+from typing import Any, TypeVar
 
 logger = logging.getLogger(__name__)
 
+Result = TypeVar("Result")
+
+
+async def first_result(tasks: Iterable[asyncio.Task[Result | None]]) -> Result | None:
+    """Return the first result that is not None, or None once all are; the others run on."""
+    pending = set(tasks)
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            if task.result() is not None:
+                return task.result()
+    return None
+
 
 class BackgroundTasks:
     """Hold references to running tasks: the event loop alone would let them be collected."""
@@ -15,11 +29,12 @@
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task] = set()
 
-    def start(self, work: Coroutine[None, None, None]) -> None:
+    def start(self, work: Coroutine[Any, Any, Result]) -> asyncio.Task[Result]:
         """Run a coroutine in the background; a failure is logged."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._finish)
+        return task
 
     def _finish(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
--- a/standins/lineplatform/memorystore.py
+++ b/standins/lineplatform/memorystore.py
@@ -23,6 +23,8 @@
 )
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
 
+_CALL_TIMEOUT_SECONDS = 1.0
+
 
 class MemoryStore:
     """Hold the items that all clients share."""
@@ -78,35 +80,42 @@
 
 
 class MemoryCoordinator:
-    """Be one host's client of the store; ``is_cut`` makes every call fail."""
+    """Be one host's client of the store.
+
+    ``is_cut`` makes every call fail at once, ``is_silent`` after its timeout.
+    """
 
     def __init__(self, store: MemoryStore) -> None:
         self._store = store
         self.is_cut = False
+        self.is_silent = False
         self.lose_next_answer = False
         self.calls: list[str] = []
 
-    def _enter(self, call: str) -> None:
+    async def _enter(self, call: str) -> None:
         self.calls.append(call)
+        if self.is_silent:
+            await asyncio.sleep(_CALL_TIMEOUT_SECONDS)
+            raise StoreUnavailableError(f"{call}: timed out")
         if self.is_cut:
             raise StoreUnavailableError(f"{call}: cut off")
 
     async def read_range(self, prefix: str) -> Snapshot:
         """Read all items under a prefix."""
-        self._enter("range")
+        await self._enter("range")
         items = tuple(item for key, item in self._store.items.items() if key.startswith(prefix))
         return Snapshot(items, Revision(self._store.revision))
 
     async def watch(self, prefix: str, after: Revision, wait: timedelta) -> Changes | HistoryLost:
         """Wait for changes under a prefix."""
-        self._enter("watch")
+        await self._enter("watch")
         try:
             async with asyncio.timeout(wait.total_seconds()), self._store.changed:
                 while not self._news(prefix, after) and after >= self._store.forgotten:
                     await self._store.changed.wait()
         except TimeoutError:
             pass
-        self._enter("watch answer")
+        await self._enter("watch answer")
         if after < self._store.forgotten:
             return HistoryLost()
         return Changes(self._news(prefix, after), Revision(self._store.revision))
@@ -123,7 +132,7 @@
         self, conditions: Sequence[Condition], puts: Sequence[Put], deletes: Sequence[str] = ()
     ) -> Committed | Conflict:
         """Apply all changes if all conditions hold; the answer may get lost."""
-        self._enter("transact")
+        await self._enter("transact")
         result = await self._store.transact(conditions, puts, deletes)
         if self.lose_next_answer:
             self.lose_next_answer = False
@@ -132,17 +141,17 @@
 
     async def grant_lease(self, ttl: timedelta) -> LeaseId:
         """Create a lease."""
-        self._enter("grant")
+        await self._enter("grant")
         return self._store.grant()
 
     async def renew_lease(self, lease: LeaseId) -> bool:
         """Renew a lease."""
-        self._enter("renew")
+        await self._enter("renew")
         return lease in self._store.leases
 
     async def end_lease(self, lease: LeaseId) -> None:
         """End a lease."""
-        self._enter("end")
+        await self._enter("end")
         self._store.leases.discard(lease)
 
     async def close(self) -> None:
--- a/tests/host/test_succession.py
+++ b/tests/host/test_succession.py
@@ -1,9 +1,12 @@
 import asyncio
 import socket
 import time
+from datetime import timedelta
+from unittest import mock
 
 from hickorywind.failover.leadership import (
     LONE_LACK_LIMIT,
+    PERMIT_DRIFT_MARGIN,
     PERMIT_DURATION,
     LeadershipPhase,
     LeadershipRecord,
@@ -319,6 +322,14 @@
             host.coordinator.is_cut = False
         await self.wait_until(lambda: self.group.promotions != [], 1.5)
 
+    async def test_wait_for_a_silent_host_is_not_prolonged_by_a_silent_store(self):
+        await self.register(self.group.servers["i-a"], state="draining")
+        await self.wait_until(lambda: "end" in self.calls(), 9.0)
+        for host in self.hosts.values():
+            host.coordinator.is_silent = True
+        limit = PERMIT_DURATION + PERMIT_DRIFT_MARGIN + timedelta(milliseconds=600)
+        await self.wait_until(lambda: self.group.promotions != [], limit.total_seconds())
+
     def calls(self):
         return [call for host in self.hosts.values() for call in host.coordinator.calls]
 
@@ -347,6 +358,21 @@
             lambda: all(host.primary() not in (None, "i-a") for host in others), 4.0
         )
 
+    async def test_silent_store_of_the_promoter_costs_a_fraction_of_a_second(self):
+        promote = self.group.promote
+
+        async def promote_and_silence(service, backend, holder, token):
+            self.hosts[holder].coordinator.is_silent = True
+            return await promote(service, backend, holder, token)
+
+        with mock.patch.object(self.group, "promote", promote_and_silence):
+            await self.group.servers["i-a"].crash()
+            await self.wait_until(lambda: self.group.promotions != [], 5.0)
+            await self.wait_until(lambda: self.primaries() not in ({None}, {"i-a"}), 0.9)
+
+    def primaries(self):
+        return {host.primary() for host in self.hosts.values()}
+
     async def test_race_that_a_peer_lost_changes_nothing(self):
         store = self.hosts["h0"].role._succession.store
         self.hosts["h0"].coordinator.is_cut = True
