Let a leaving primary serve while permits run out that its change would wait for

Ruled out: skipping the wait (a silent host may still read and write at the old primary).

Change: before the record closes, the promoter waits for permits of leases known as ended, at most 2 s, half of what a leaving primary may be used.

--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -27,6 +27,7 @@
 PERMIT_RENEWAL_INTERVAL = timedelta(seconds=1)  # six tries within a permit
 # A permit is treated as longer by whoever waits for it to run out, for clocks that drift.
 PERMIT_DRIFT_MARGIN = timedelta(milliseconds=200)
+PERMIT_END = PERMIT_DURATION + PERMIT_DRIFT_MARGIN  # after the confirmed end of a lease
 
 # A whole fleet that regains the store has its permits again within a renewal and a greeting.
 LONE_LACK_LIMIT = timedelta(milliseconds=1500)
@@ -207,7 +208,7 @@
 
     def lease_ended(self, host: HostId, confirmed: Instant) -> None:
         """Count that the store confirmed the end of a host's lease at ``confirmed``."""
-        self._ends[host] = confirmed + PERMIT_DURATION + PERMIT_DRIFT_MARGIN
+        self._ends[host] = confirmed + PERMIT_END
 
     def time_left(self, now: Instant) -> timedelta | None:
         """Return after what time the last permit has run out; None where that is not known."""
--- a/hickorywind/host/leadershipstore.py
+++ b/hickorywind/host/leadershipstore.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from hickorywind.failover.leadership import (
+    PERMIT_END,
     HostRecord,
     LeadershipRecord,
     VersionedLeadership,
@@ -126,6 +127,12 @@
             for lease, confirmed in self._ended.items()
         )
 
+    def permits_left(self) -> timedelta:
+        """Return after what time the permits of all leases known as ended have run out."""
+        now = self._fleet.now()
+        ends = (confirmed + PERMIT_END for confirmed in self._ended.values())
+        return max([timedelta(0), *(end - now for end in ends)])
+
     async def end_lease(self, record: HostRecord) -> Instant:
         """End a silent host's lease; return when the store had confirmed that.
 
--- a/hickorywind/host/succession.py
+++ b/hickorywind/host/succession.py
@@ -42,6 +42,7 @@
 
 RANK_DELAY = timedelta(milliseconds=300)  # a host that is slower than the first choice waits
 PATROL_INTERVAL = timedelta(milliseconds=400)  # between looks at what no statement shows
+LEAVING_PATIENCE = timedelta(seconds=2)  # leaves half of a leaving primary's use for the change
 TAKEOVER_AFTER = timedelta(seconds=2)  # a change of primary whose promoter is silent
 STUCK_AFTER = timedelta(seconds=20)  # longer than any change whose promoter makes progress
 SILENT_HOSTS_KEY = ServiceName("")  # ranks the hosts for what concerns no service
@@ -252,6 +253,10 @@
         runtime = self._services[service]
         if not await self._wait_for_turn(leadership, service):
             return
+        # The primary serves on while permits run out for which the change would wait.
+        await asyncio.sleep(min(self.store.permits_left(), LEAVING_PATIENCE).total_seconds())
+        if self._fleet.permits.leadership(service) != leadership:
+            return
         closed = await self._close(runtime, leadership, is_planned=True)
         runtime.set_primary_state(PrimaryState.CHANGING)
         fencing = await self._fence_wholly(runtime, closed)
--- a/tests/host/test_succession.py
+++ b/tests/host/test_succession.py
@@ -15,6 +15,7 @@
 )
 from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX
 from hickorywind.host.leadershipstore import ChangeCancelledError
+from hickorywind.host.succession import LEAVING_PATIENCE
 from hickorywind.platform.documents import BACKENDS_PREFIX
 from tests.host.harness import SERVICE, Caller, HostCase
 
@@ -330,6 +331,17 @@
         limit = PERMIT_DURATION + PERMIT_DRIFT_MARGIN + timedelta(milliseconds=600)
         await self.wait_until(lambda: self.group.promotions != [], limit.total_seconds())
 
+    async def test_leaving_primary_serves_while_a_silent_hosts_permit_runs_out(self):
+        await self.wait_until(lambda: "end" in self.calls(), 9.0)
+        await self.register(self.group.servers["i-a"], state="draining")
+        caller = await self.caller("bookings")
+        until = time.monotonic() + LEAVING_PATIENCE.total_seconds() - 0.3
+        while time.monotonic() < until:
+            begun = time.monotonic()
+            self.assertEqual((await caller.ask("WRITE kiln 1"))[-1], "READY I -")
+            self.assertLess(time.monotonic() - begun, 0.5)
+            await asyncio.sleep(0.05)
+
     def calls(self):
         return [call for host in self.hosts.values() for call in host.coordinator.calls]
 
