Give each site and each test run a block of ports of its own

Cause: two runs side by side could pick the same ports between choosing and starting: a site looked whether 440 ports were free and started seconds later.

Before: two sources of one seed chose the same range; after: never (tests.standins.test_ports).

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -8,7 +8,6 @@
 
 import os
 import random
-import socket
 import subprocess
 import sys
 import time
@@ -21,14 +20,13 @@
 from hickorywind.configuration.model import Configuration, Instance, Service
 from hickorywind.configuration.printing import parse_document
 from hickorywind.ids import Address, AvailabilityZone, BackendId, HostId, Role
+from standins.ports import PortBlock, PortSource
 from standins.processes import ManagedProcess
 
-LOOPBACK = "127.0.0.1"
 _BASE_PORT_VARIABLE = "HICKORYWIND_EXAMPLE_BASE_PORT"
 _EXAMPLE_PORT_COUNT = 40
 _SITE_PORT_COUNT = 400
-_FIRST_PORT = 20_000
-_LAST_PORT = 31_000
+_SITE_PORTS = range(20_000, 31_000)
 _STOP_TIMEOUT_SECONDS = 20.0
 _POLL_SECONDS = 0.1
 _ROLES_IN_STOP_ORDER = (Role.ENTRY, Role.POOL, Role.CONTROLLER)
@@ -70,42 +68,6 @@
     metrics: dict[Role, Address]
 
 
-def is_free(port: int) -> bool:
-    """Tell whether a loopback TCP port can be bound."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((LOOPBACK, port))
-        except OSError:
-            return False
-    return True
-
-
-def pick_port_range(rng: random.Random, count: int) -> int:
-    """Return the first of ``count`` free ports in a row."""
-    for _ in range(200):
-        first = rng.randrange(_FIRST_PORT, _LAST_PORT - count)
-        if all(is_free(port) for port in range(first, first + count)):
-            return first
-    raise ClusterError("no free ports")
-
-
-class PortSource:
-    """Hand out free loopback addresses, each once."""
-
-    def __init__(self, rng: random.Random, count: int) -> None:
-        first = pick_port_range(rng, count)
-        self._ports: Iterator[int] = iter(range(first, first + count))
-
-    def reserve(self, count: int) -> int:
-        """Return the first of ``count`` ports in a row, none of them handed out otherwise."""
-        return [next(self._ports) for _ in range(count)][0]
-
-    def next_address(self) -> Address:
-        """Return an address not handed out before."""
-        return Address(LOOPBACK, next(self._ports))
-
-
 @dataclass
 class Cluster:
     """Hold the processes of a site and the files they read."""
@@ -115,6 +77,7 @@
     document_path: Path
     hosts: tuple[HostAddresses, ...]
     store_address: Address
+    ports: PortSource
     processes: dict[str, ManagedProcess] = field(default_factory=dict)
     relay_control: Address | None = None
     variant: DaemonVariant = DaemonVariant()
@@ -131,7 +94,8 @@
     ) -> Cluster:
         """Lay out a site; start nothing yet."""
         rng = rng or random.Random(os.getpid())
-        ports = PortSource(rng, _EXAMPLE_PORT_COUNT + _SITE_PORT_COUNT)
+        size = _EXAMPLE_PORT_COUNT + _SITE_PORT_COUNT
+        ports = PortSource(PortBlock.claim(rng, _SITE_PORTS, size))
         base_port = ports.reserve(_EXAMPLE_PORT_COUNT)
         environment = {_BASE_PORT_VARIABLE: str(base_port)}
         document = run_command(("config", "print", str(script)), environment)
@@ -139,7 +103,7 @@
         document_path.write_text(document)
         configuration = parse_document(document)
         hosts = tuple(_lay_out_hosts(configuration, hosts_per_zone, ports))
-        cluster = cls(folder, configuration, document_path, hosts, ports.next_address())
+        cluster = cls(folder, configuration, document_path, hosts, ports.next_address(), ports)
         cluster.variant = variant or DaemonVariant()
         cluster._add_store()
         cluster._add_backends(faults or Faults(), ports)
@@ -305,6 +269,7 @@
                 code = process.wait(_STOP_TIMEOUT_SECONDS)
                 if code != 0:
                     failures.append(f"{process.name}: exit {code}\n{process.log_tail()}")
+        self.ports.release()
         if failures:
             raise ClusterError("\n".join(failures))
 
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -1,29 +1,38 @@
 """Pick ports for test servers.
 
 They lie below the range from which the system takes ports for outgoing connections, and apart from
-those of ``standins.cluster``; none is handed out twice by one process.
+those of ``standins.cluster``; none is handed out twice by one process, nor to two at a time.
 """
 
 import asyncio
 import random
 
 from hickorywind.ids import Address
-from standins.cluster import LOOPBACK, is_free
+from standins.ports import LOOPBACK, PortBlock, is_free
 
 _PORTS = range(10_000, 19_000)
-_handed_out = set()
+_BLOCK_SIZE = 800
+_blocks = []
+_left = []
 _RELEASE_LIMIT_SECONDS = 10
 
 
 def free_port() -> int:
     """Return a loopback TCP port that was free a moment ago."""
     while True:
-        port = random.choice(_PORTS)
-        if port not in _handed_out and is_free(port):
-            _handed_out.add(port)
+        if not _left:
+            _claim_block()
+        port = _left.pop()
+        if is_free(port):
             return port
 
 
+def _claim_block() -> None:
+    block = PortBlock.claim(random.Random(), _PORTS, _BLOCK_SIZE)
+    _blocks.append(block)
+    _left.extend(random.sample(block.ports, _BLOCK_SIZE))
+
+
 def free_address() -> Address:
     """Return a loopback address whose port was free a moment ago."""
     return Address(LOOPBACK, free_port())
