Give the control client's tests a timeout that answers can meet beside load

Reproduced: of 6 runs of the module beside 16 busy processes one failed in two tests, "did not answer within 0.3 s": the tests give the client 0.3 s of real time also for calls that must succeed.

Ruled out: the product (its own limits are 0.5 to 1.2 s, and a call that is too slow is rightly CallFailed).

Change: the timeout is 2 s; a cut way must still fail within 0.7 s after it (1.0 s with 0.3 before), so the check is as strict.

--- a/tests/groups/test_client.py
+++ b/tests/groups/test_client.py
@@ -13,7 +13,9 @@
 from standins.relay import Relay, Route
 from tests.standins.support import local_address
 
-TIMEOUT = timedelta(milliseconds=300)
+# Long enough for an answer beside load; a cut way must fail as soon after it as before (0.7 s).
+TIMEOUT = timedelta(seconds=2)
+CUT_LIMIT_SECONDS = TIMEOUT.total_seconds() + 0.7
 
 
 class GroupClientTest(unittest.IsolatedAsyncioTestCase):
@@ -62,7 +64,7 @@
         self.relay.cut("way")
         started = time.monotonic()
         self.assertIsInstance(await self.client.status(), CallFailed)
-        self.assertLess(time.monotonic() - started, 1)
+        self.assertLess(time.monotonic() - started, CUT_LIMIT_SECONDS)
         self.relay.heal("way")
         self.assertIsInstance(await self.client.status(), BackendStatus)
 
