--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -56,7 +56,6 @@
     """
 
     rank: int
-    arrived: Instant
     start_by: Instant
     give_up: Instant
     target: Target
--- a/hickorywind/host/attempts.py
+++ b/hickorywind/host/attempts.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from hickorywind.admission.dispatch import OnPrimary, Target
+from hickorywind.admission.dispatch import AtPosition, OnPrimary
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import Grant
-from hickorywind.host.targets import RETRY_HINT_MS
-from hickorywind.ids import BackendId
+from hickorywind.host.targets import (
+    RETRY_HINT_MS,
+    SessionContext,
+    check_primary,
+    choose_target,
+)
+from hickorywind.ids import BackendId, LogPosition
 from hickorywind.ports.catalog import Route
 from hickorywind.results import Result, ResultCode
 from hickorywind.util.clock import Instant
@@ -22,28 +27,32 @@
 async def try_servers(
     service: ServiceRuntime,
     route: Route,
+    context: SessionContext,
     arrived: Instant,
-    values: Mapping[str, str],
-    choose: Callable[[], Target],
-    attempt: Callable[[Grant, Target], Awaitable[Outcome | Result]],
+    needs_primary: bool,
+    attempt: Callable[[Grant, LogPosition | None], Awaitable[Outcome | Result]],
     excluded: Callable[[], frozenset[BackendId]] = frozenset,
 ) -> Outcome | Result:
     """Return the first outcome that is no refusal, or the last refusal.
 
-    ``choose`` names the target of each try, ``attempt`` carries it out, and ``excluded`` names the
-    servers to pass over. A refusal that may not be repeated ends the tries.
+    ``attempt`` carries out one try, at a server that must hold a log position or, with None, at
+    the primary; ``excluded`` names the servers to pass over. A refusal that may not be repeated
+    ends the tries.
     """
     result = Result.not_run(ResultCode.NO_PRIMARY, "no attempt was made", RETRY_HINT_MS)
     attempts = 0
     while attempts < ATTEMPTS:
-        target = choose()
+        target = choose_target(service, route, needs_primary, context.floor, arrived)
+        after = target.position if isinstance(target, AtPosition) else None
         refusal = service.refuse_primary_work() if isinstance(target, OnPrimary) else None
         if refusal is not None:
             return refusal
-        grant = await service.acquire(route, target, arrived, values, excluded())
+        grant = await service.acquire(route, target, arrived, context.values, excluded())
         if isinstance(grant, Result):
             return grant
-        outcome = await attempt(grant, target)
+        outcome = await check_primary(service, grant) if after is None else None
+        if outcome is None:
+            outcome = await attempt(grant, after)
         if not isinstance(outcome, Result):
             return outcome
         result = outcome
--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -62,9 +62,7 @@
 
     def to_message(self, call: int) -> CopyReply:
         """Render the copy for another host."""
-        items = tuple(
-            CopiedItem(item.key, item.value, item.revision) for item in self.items.values()
-        )
+        items = tuple(CopiedItem.from_stored(item) for item in self.items.values())
         return CopyReply(call, self.prefix, self.as_of, items)
 
     def apply(self, changes: tuple[Change, ...], as_of: Revision) -> tuple[Change, ...]:
--- a/hickorywind/host/operation.py
+++ b/hickorywind/host/operation.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from hickorywind.admission.dispatch import AtPosition, OnPrimary, Target
 from hickorywind.host.attempts import try_servers
 from hickorywind.host.backendlink import LinkLostError, PreparedShape
 from hickorywind.host.service import ServiceRuntime
@@ -10,8 +9,6 @@
 from hickorywind.host.targets import (
     RETRY_HINT_MS,
     SessionContext,
-    check_primary,
-    choose_target,
     encode_request,
     note_behind,
 )
@@ -57,26 +54,16 @@
         outcome = await try_servers(
             self._service,
             self._route,
+            self._context,
             self._arrived,
-            self._context.values,
-            self._target,
+            self._mode is AccessMode.WRITE,
             self._attempt,
             lambda: self._excluded,
         )
         return Failed(outcome) if isinstance(outcome, Result) else outcome
 
-    def _target(self) -> Target:
-        if self._mode is AccessMode.WRITE:
-            return OnPrimary()
-        return choose_target(self._service, self._route, self._context.floor, self._arrived)
-
-    async def _attempt(self, grant: Grant, target: Target) -> Reply | Result:
+    async def _attempt(self, grant: Grant, after: LogPosition | None) -> Reply | Result:
         backend, link = grant.backend, grant.link
-        after = target.position if isinstance(target, AtPosition) else None
-        if after is None:
-            refusal = await check_primary(self._service, grant)
-            if refusal is not None:
-                return refusal
         as_primary = link.is_verified_primary and self._service.may_begin(backend)
         setup, count = link.plan_session(self._context.values, self._shape)
         payload = setup + encode_request(link, self._request, self._shape, after)
--- a/hickorywind/host/role.py
+++ b/hickorywind/host/role.py
@@ -50,7 +50,6 @@
 )
 from hickorywind.results import Result, ResultCode
 from hickorywind.settings.host import HostSettings
-from hickorywind.store.interface import StoredValue
 from hickorywind.util.clock import Clock, Instant, milliseconds, to_milliseconds
 from hickorywind.util.listening import BACKLOG
 from hickorywind.util.sockets import REACH_TIMEOUT, accepts_connections
@@ -196,7 +195,9 @@
             await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
             now = self._fleet.now()
             is_permitted = self._fleet.permits.is_valid(now)
-            self._fleet.lone_lack.observe(now, is_permitted, self._peers.any_permitted())
+            # Only a host without a permit has to look at all the others.
+            is_peer_permitted = not is_permitted and self._peers.any_permitted()
+            self._fleet.lone_lack.observe(now, is_permitted, is_peer_permitted)
             for service in self._services.values():
                 service.check_stalled()
                 service.place_waiting()
@@ -339,7 +340,7 @@
         if reply.prefix not in self._fleet.copies:
             logger.warning("copy_of_unknown_prefix", extra={"prefix": reply.prefix})
             return
-        items = tuple(StoredValue(item.key, item.value, item.revision) for item in reply.items)
+        items = tuple(item.to_stored() for item in reply.items)
         self._fleet.take_snapshot(
             reply.prefix, Snapshot(items, Revision(reply.as_of)), f"peer {source}"
         )
@@ -374,8 +375,8 @@
         for name, service in self._services.items():
             newest = service.samples.newest()
             if newest is not None:
-                age_ms = int(to_milliseconds(now - newest[0])) + 1
-                samples.append(PositionSample(name, newest[1], age_ms))
+                age_ms = int(to_milliseconds(now - newest.taken)) + 1
+                samples.append(PositionSample(name, newest.position, age_ms))
         identity = self._identity
         return GreetingReply(
             greeting.call,
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -235,7 +235,6 @@
         future: asyncio.Future[BackendId | Result] = asyncio.get_running_loop().create_future()
         ticket = Ticket(
             rank=route.rank,
-            arrived=arrived,
             start_by=arrived + route.objective * 0.9,
             give_up=give_up,
             target=target,
@@ -363,7 +362,7 @@
             self.primary_state,
             -1 if leadership is None else leadership.record.change,
             max(0, int(to_milliseconds(permit))),
-            None if newest is None else int(to_milliseconds(now - newest[0])),
+            None if newest is None else int(to_milliseconds(now - newest.taken)),
             self.waiting_count,
         )
 
@@ -428,7 +427,7 @@
     def check_idle_primary(self) -> None:
         """Ask a primary that nothing was heard from lately: it may have failed unnoticed."""
         newest = self.samples.newest()
-        if newest is None or self.clock.now() > newest[0] + IDLE_PRIMARY_CHECK:
+        if newest is None or self.clock.now() > newest.taken + IDLE_PRIMARY_CHECK:
             self.refresh_sample()
 
     async def _sample(self) -> None:
--- a/hickorywind/host/storerelay.py
+++ b/hickorywind/host/storerelay.py
@@ -29,8 +29,8 @@
     StoreWrite,
     StoreWritten,
 )
-from hickorywind.store.interface import StoredValue, StoreUnavailableError
-from hickorywind.util.tasks import BackgroundTasks, first_result
+from hickorywind.store.interface import StoreUnavailableError
+from hickorywind.util.tasks import BackgroundTasks, hedge
 
 logger = logging.getLogger(__name__)
 
@@ -38,6 +38,7 @@
 PEER_TIMEOUT = timedelta(milliseconds=1300)  # one call to the store, and the way to the host
 HEDGE_AFTER = timedelta(milliseconds=300)  # two round trips between regions
 
+StoreAnswer = Snapshot | Committed | Conflict | LeaseId
 Answer = TypeVar("Answer")
 
 
@@ -81,14 +82,21 @@
     async def _call(
         self, own: Coroutine[Any, Any, Answer], make: Callable[[int], Message]
     ) -> Answer:
-        mine = self._background.start(_attempt(own))
-        await asyncio.wait((mine,), timeout=HEDGE_AFTER.total_seconds())
-        if mine.done() and not isinstance(mine.result(), StoreUnavailableError):
-            return mine.result()
-        asked = [self._background.start(self._ask(host, make)) for host in self._next_peers()]
-        answer = await first_result((self._background.start(_drop_error(mine)), *asked))
+        errors: list[StoreUnavailableError] = []
+
+        async def ask_store() -> Answer | None:
+            try:
+                return await own
+            except StoreUnavailableError as error:
+                errors.append(error)
+                return None
+
+        def ask_peers() -> list[asyncio.Task[Answer | None]]:
+            return [self._background.start(self._ask(host, make)) for host in self._next_peers()]
+
+        answer = await hedge(self._background.start(ask_store()), HEDGE_AFTER, ask_peers)
         if answer is None:
-            raise await mine
+            raise errors[0]
         return answer
 
     def _next_peers(self) -> list[HostId]:
@@ -98,7 +106,7 @@
         self._turn += count
         return [hosts[(self._turn + offset) % len(hosts)] for offset in range(count)]
 
-    async def _ask(self, host: HostId, make: Callable[[int], Message]) -> Any:
+    async def _ask(self, host: HostId, make: Callable[[int], Message]) -> StoreAnswer | None:
         reply = await self._peers.call(host, make, PEER_TIMEOUT)
         answer = _read_reply(reply)
         if answer is not None:
@@ -124,7 +132,7 @@
 
     async def _read_for(self, message: StoreRead) -> Message:
         snapshot = await self._coordinator.read_range(message.prefix)
-        items = tuple(CopiedItem(item.key, item.value, item.revision) for item in snapshot.items)
+        items = tuple(CopiedItem.from_stored(item) for item in snapshot.items)
         return StoreItems(message.call, snapshot.as_of, items)
 
     async def _write_for(self, message: StoreWrite) -> Message:
@@ -139,24 +147,11 @@
         return LeaseEnded(message.call)
 
 
-async def _attempt(call: Coroutine[Any, Any, Answer]) -> Answer | StoreUnavailableError:
-    try:
-        return await call
-    except StoreUnavailableError as error:
-        return error
-
-
-async def _drop_error(attempt: asyncio.Task[Answer | StoreUnavailableError]) -> Answer | None:
-    answer = await attempt
-    return None if isinstance(answer, StoreUnavailableError) else answer
-
-
-def _read_reply(reply: Message | None) -> Snapshot | Committed | Conflict | LeaseId | None:
+def _read_reply(reply: Message | None) -> StoreAnswer | None:
     """Translate a host's reply into what the store itself would have answered."""
     match reply:
         case StoreItems(_, as_of, copied):
-            items = tuple(StoredValue(each.key, each.value, each.revision) for each in copied)
-            return Snapshot(items, as_of)
+            return Snapshot(tuple(item.to_stored() for item in copied), as_of)
         case StoreWritten(_, None):
             return Conflict()
         case StoreWritten(_, revision):
--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -30,7 +30,7 @@
 )
 from hickorywind.protocol.messages import RenewalQuery, RenewalReply
 from hickorywind.store.interface import StoreUnavailableError
-from hickorywind.util.tasks import BackgroundTasks, first_result
+from hickorywind.util.tasks import BackgroundTasks, hedge
 
 logger = logging.getLogger(__name__)
 
@@ -170,14 +170,13 @@
 
     async def _renew_anyhow(self, lease: LeaseId) -> bool | None:
         """Renew the lease and, where the store is slow, ask other hosts to do it as well."""
-        own = self._background.start(self.renew(lease))
-        await asyncio.wait((own,), timeout=HEDGE_AFTER.total_seconds())
-        if own.done() and own.result() is not None:
-            return own.result()
-        alive = self._peers.alive()
-        hosts = self._rng.sample(alive, min(_PEERS_ASKED, len(alive)))
-        asked = [self._background.start(self._renew_through(host, lease)) for host in hosts]
-        return await first_result((own, *asked))
+
+        def ask_peers() -> list[asyncio.Task[bool | None]]:
+            alive = self._peers.alive()
+            hosts = self._rng.sample(alive, min(_PEERS_ASKED, len(alive)))
+            return [self._background.start(self._renew_through(host, lease)) for host in hosts]
+
+        return await hedge(self._background.start(self.renew(lease)), HEDGE_AFTER, ask_peers)
 
     async def _renew_through(self, host: HostId, lease: LeaseId) -> bool | None:
         reply = await self._peers.call(host, lambda call: RenewalQuery(call, lease), PEER_TIMEOUT)
--- a/hickorywind/host/targets.py
+++ b/hickorywind/host/targets.py
@@ -38,9 +38,15 @@
 
 
 def choose_target(
-    service: ServiceRuntime, route: Route, floor: LogPosition | None, arrived: Instant
+    service: ServiceRuntime,
+    route: Route,
+    needs_primary: bool,
+    floor: LogPosition | None,
+    arrived: Instant,
 ) -> Target:
-    """Choose where a read that arrived at an instant may run."""
+    """Choose where work that arrived at an instant may run."""
+    if needs_primary:
+        return OnPrimary()
     match route.reads:
         case PrimaryReads():
             return OnPrimary()
@@ -52,7 +58,7 @@
     position = service.samples.position_since(oldest)
     newest = service.samples.newest()
     refresh_after = max_staleness * SAMPLE_REFRESH_SHARE
-    if newest is None or service.clock.now() - newest[0] > refresh_after:
+    if newest is None or service.clock.now() - newest.taken > refresh_after:
         service.refresh_sample()
     if position is None:
         return OnPrimary()
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -4,7 +4,6 @@
 
 import logging
 
-from hickorywind.admission.dispatch import AtPosition, OnPrimary, Target
 from hickorywind.host.attempts import try_servers
 from hickorywind.host.backendlink import BackendLink, LinkLostError, PreparedShape
 from hickorywind.host.service import ServiceRuntime
@@ -12,12 +11,10 @@
 from hickorywind.host.targets import (
     RETRY_HINT_MS,
     SessionContext,
-    check_primary,
-    choose_target,
     encode_request,
     note_behind,
 )
-from hickorywind.ids import AccessMode
+from hickorywind.ids import AccessMode, LogPosition
 from hickorywind.ports.catalog import Route
 from hickorywind.ports.replies import (
     Answer,
@@ -44,7 +41,6 @@
         self.has_failed = False
         self.read_only = read_only
         self.arrived = service.clock.now()
-        self.last_used = self.arrived
         self._context = context
         self._grant: Grant | None = None
         self._on_primary = False
@@ -60,7 +56,6 @@
         self, request: Request, mode: AccessMode | None, shape: PreparedShape | None
     ) -> Reply:
         """Run a read, a write or, with no mode, the commit."""
-        self.last_used = self.service.clock.now()
         if self._lost_result is not None:
             return self._fail(self._lost_result)
         if self._grant is None:
@@ -70,7 +65,7 @@
             pinned = self._grant
         else:
             pinned = self._grant
-            pinned.backend.load.limit.start(self.last_used)
+            pinned.backend.load.limit.start(self.service.clock.now())
         if self._on_primary and not self.service.may_finish(pinned.backend):
             self.service.release_slot(pinned.backend)
             self.abandon()
@@ -85,24 +80,14 @@
         return await try_servers(
             self.service,
             self.route,
+            self._context,
             self.arrived,
-            self._context.values,
-            self._target,
+            not self.read_only,
             self._begin,
         )
 
-    def _target(self) -> Target:
-        if not self.read_only:
-            return OnPrimary()
-        return choose_target(self.service, self.route, self._context.floor, self.arrived)
-
-    async def _begin(self, grant: Grant, target: Target) -> Result | None:
+    async def _begin(self, grant: Grant, after: LogPosition | None) -> Result | None:
         backend, link = grant.backend, grant.link
-        after = target.position if isinstance(target, AtPosition) else None
-        if after is None:
-            refusal = await check_primary(self.service, grant)
-            if refusal is not None:
-                return refusal
         as_primary = after is None
         sent = self.service.clock.now()
         setup, count = link.plan_session(self._context.values, None)
@@ -157,7 +142,6 @@
             self._unpin()
             return self._fail(self._lost(mode, error))
         self.service.finish_slot(backend, sent)
-        self.last_used = self.service.clock.now()
         answer = answers[-1]
         as_primary = self._on_primary and self.service.may_begin(backend)
         self.service.note_answer(backend, answer, sent, as_primary)
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -28,6 +28,7 @@
 from hickorywind.protocol.hoststatus import HostStatusReply, HostStatusRequest
 from hickorywind.protocol.records import Record
 from hickorywind.results import Result
+from hickorywind.store.interface import StoredValue
 
 PROTOCOL_VERSION = 1
 
@@ -321,6 +322,15 @@
     value: bytes
     revision: Revision
 
+    @classmethod
+    def from_stored(cls, item: StoredValue) -> CopiedItem:
+        """Render an item as read from the store."""
+        return cls(item.key, item.value, item.revision)
+
+    def to_stored(self) -> StoredValue:
+        """Return the item as the store gave it."""
+        return StoredValue(self.key, self.value, self.revision)
+
 
 class CopyReply(msgspec.Struct, frozen=True, tag="copy_ok", array_like=True):
     """Hand over a copy of the store items under a prefix, current up to a revision.
--- a/hickorywind/settings/host.py
+++ b/hickorywind/settings/host.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from hickorywind.ids import Address, AvailabilityZone, HostId, Region
-from hickorywind.settings.load import LOG_LEVELS, read_text, settings_error
+from hickorywind.settings.load import check_log_level, read_text, settings_error
 from hickorywind.settings.template import LogSettings
 from hickorywind.util.addresses import parse_address
 from hickorywind.util.documents import DocumentError, convert, read_yaml
@@ -66,27 +66,26 @@
 
 def _check(settings: HostSettings) -> None:
     for key in _ADDRESS_KEYS:
-        try:
-            settings.address(key)
-        except ValueError as error:
-            raise DocumentError(key, f"expected IP:PORT ({error})") from None
-    _check_status_address(settings)
+        _check_address(settings, key)
+    if settings.status_listen:
+        _check_status_address(settings)
     if settings.availability_zone not in settings.zones:
         raise DocumentError("zones", "lacks the host's own availability zone")
     if settings.stop_grace_seconds < _GRACE_MIN_SECONDS:
         raise DocumentError("stop_grace_seconds", f"expected at least {_GRACE_MIN_SECONDS}")
     if settings.log_bytes_per_second <= 0:
         raise DocumentError("log_bytes_per_second", "expected a positive number")
-    if settings.log.level not in LOG_LEVELS:
-        raise DocumentError("log.level", f"expected one of {', '.join(LOG_LEVELS)}")
+    check_log_level(settings.log)
 
 
-def _check_status_address(settings: HostSettings) -> None:
-    if not settings.status_listen:
-        return
+def _check_address(settings: HostSettings, key: str) -> Address:
     try:
-        address = settings.address("status_listen")
+        return settings.address(key)
     except ValueError as error:
-        raise DocumentError("status_listen", f"expected IP:PORT ({error})") from None
+        raise DocumentError(key, f"expected IP:PORT ({error})") from None
+
+
+def _check_status_address(settings: HostSettings) -> None:
+    address = _check_address(settings, "status_listen")
     if not ipaddress.IPv4Address(address.host).is_loopback:
         raise DocumentError("status_listen", "expected a loopback address (it has no keys)")
--- a/hickorywind/settings/load.py
+++ b/hickorywind/settings/load.py
@@ -12,12 +12,13 @@
     ControllerSettings,
     DaemonSettings,
     EntrySettings,
+    LogSettings,
     PoolSettings,
 )
 from hickorywind.util.addresses import parse_address
 from hickorywind.util.documents import DocumentError, convert, read_yaml
 
-LOG_LEVELS = ("debug", "info", "warning", "error")
+_LOG_LEVELS = ("debug", "info", "warning", "error")
 _ANY_ADDRESS = "0.0.0.0"
 
 
@@ -65,8 +66,13 @@
     _check_pool(settings.pool)
     _check_controller(settings.controller)
     _check_metrics(settings.metrics_listen)
-    if settings.log.level not in LOG_LEVELS:
-        raise DocumentError("log.level", f"expected one of {', '.join(LOG_LEVELS)}")
+    check_log_level(settings.log)
+
+
+def check_log_level(log: LogSettings) -> None:
+    """Raise ``DocumentError`` for a log level that does not exist."""
+    if log.level not in _LOG_LEVELS:
+        raise DocumentError("log.level", f"expected one of {', '.join(_LOG_LEVELS)}")
 
 
 def _check_name(key: str, value: str) -> None:
--- a/hickorywind/util/tasks.py
+++ b/hickorywind/util/tasks.py
@@ -4,15 +4,16 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
+from datetime import timedelta
 from typing import Any, TypeVar
 
 logger = logging.getLogger(__name__)
 
-Result = TypeVar("Result")
+Value = TypeVar("Value")
 
 
-async def first_result(tasks: Iterable[asyncio.Task[Result | None]]) -> Result | None:
+async def first_result(tasks: Iterable[asyncio.Task[Value | None]]) -> Value | None:
     """Return the first result that is not None, or None once all are; the others run on."""
     pending = set(tasks)
     while pending:
@@ -23,13 +24,25 @@
     return None
 
 
+async def hedge(
+    first: asyncio.Task[Value | None],
+    after: timedelta,
+    start_others: Callable[[], Iterable[asyncio.Task[Value | None]]],
+) -> Value | None:
+    """Return what ``first`` finds, or the others, started where it is slow or finds None."""
+    await asyncio.wait((first,), timeout=after.total_seconds())
+    if first.done() and first.result() is not None:
+        return first.result()
+    return await first_result((first, *start_others()))
+
+
 class BackgroundTasks:
     """Hold references to running tasks: the event loop alone would let them be collected."""
 
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task] = set()
 
-    def start(self, work: Coroutine[Any, Any, Result]) -> asyncio.Task[Result]:
+    def start(self, work: Coroutine[Any, Any, Value]) -> asyncio.Task[Value]:
         """Run a coroutine in the background; a failure is logged."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/tests/admission/test_dispatch.py
+++ b/tests/admission/test_dispatch.py
@@ -32,7 +32,6 @@
     def ticket(self, rank=0, target=None, arrived=START, wait_ms=5_000, objective_ms=1_000):
         ticket = Ticket(
             rank=rank,
-            arrived=arrived,
             start_by=arrived + timedelta(milliseconds=objective_ms),
             give_up=arrived + timedelta(milliseconds=wait_ms),
             target=target or OnPrimary(),
--- a/tests/ui/test_explaincommand.py
+++ b/tests/ui/test_explaincommand.py
@@ -1,10 +1,8 @@
-import io
 import tempfile
 import unittest
-from contextlib import redirect_stderr, redirect_stdout
 
-from hickorywind.ui.program import run
 from tests.report.test_story import LINES
+from tests.ui.running import run_tool
 
 
 class ExplainTest(unittest.TestCase):
@@ -16,10 +14,8 @@
             file.write(text)
             file.flush()
             files.append(file.name)
-        out, err = io.StringIO(), io.StringIO()
-        with redirect_stdout(out), redirect_stderr(err):
-            code = run(["explain", request_id, *files])
-        return code, out.getvalue(), err.getvalue()
+        ran = run_tool("explain", request_id, *files)
+        return ran.code, ran.out, ran.err
 
     def test_story_across_files(self):
         code, out, _ = self.explain("q7", "\n".join(LINES[:3]), "\n".join(LINES[3:]))
@@ -33,7 +29,6 @@
         self.assertIn("no line names request zz", err)
 
     def test_missing_file(self):
-        err = io.StringIO()
-        with redirect_stderr(err):
-            self.assertNotEqual(run(["explain", "q", "/nonexistent.log"]), 0)
-        self.assertIn("/nonexistent.log", err.getvalue())
+        ran = run_tool("explain", "q", "/nonexistent.log")
+        self.assertNotEqual(ran.code, 0)
+        self.assertIn("/nonexistent.log", ran.err)
