--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -130,6 +130,12 @@
         """Return the newest record known."""
         return self._records.get(service)
 
+    def is_superseded(self, service: ServiceName, revision: Revision) -> bool:
+        """Tell whether a record newer than ``revision`` is known, or a host that acts on one."""
+        known = self._records.get(service)
+        newest = Revision(0) if known is None else known.revision
+        return max(newest, self._vetoed.get(service, Revision(0))) > revision
+
     def services(self) -> tuple[ServiceName, ...]:
         """Return the services with a record."""
         return tuple(self._records)
--- a/hickorywind/host/leadershipstore.py
+++ b/hickorywind/host/leadershipstore.py
@@ -32,6 +32,10 @@
 STORE_ATTEMPTS = 6  # tries of one call that a change of primary can't do without
 ENDED_MEMORY = timedelta(seconds=60)  # longer than any wait for a permit
 STORE_PAUSE = timedelta(milliseconds=200)  # between the tries
+TAKEOVER_AFTER = timedelta(seconds=2)  # a change of primary whose promoter is silent
+TURN_AFTER_CLOSE = TAKEOVER_AFTER - timedelta(milliseconds=100)  # clocks may drift
+# Whoever takes a change over waits half a second for a silent promoter's word before it orders.
+TURN_AFTER_READ = timedelta(milliseconds=400)
 
 
 class ChangeCancelledError(Exception):
@@ -46,6 +50,7 @@
         self._relay = relay
         self._peers = peers
         self._ended: dict[LeaseId, Instant] = {}
+        self._written: dict[ServiceName, tuple[Revision, Instant]] = {}
 
     async def write(
         self, service: ServiceName, record: LeadershipRecord, revision: Revision
@@ -56,6 +61,7 @@
         """
         key = LEADERSHIP_PREFIX + service
         value = encode_record(record)
+        begun = self._fleet.now()
         for attempt in range(STORE_ATTEMPTS):
             try:
                 result = await self._relay.write(key, revision, value)
@@ -66,14 +72,36 @@
                 )
                 await asyncio.sleep(STORE_PAUSE.total_seconds())
                 continue
-            if isinstance(result, Committed):
-                return await self._spread(service, record, result.revision)
-            written = await self._own_write(key, value)
-            if written is not None:
-                return await self._spread(service, record, written)
-            raise ChangeCancelledError("another host changed the record first")
+            written = result.revision if isinstance(result, Committed) else None
+            if written is None:
+                written = await self._own_write(key, value)
+            if written is None:
+                raise ChangeCancelledError("another host changed the record first")
+            self._written[service] = (written, begun)
+            return await self._spread(service, record, written)
         raise StoreUnavailableError("the leadership record could not be written")
 
+    async def confirm_turn(self, service: ServiceName, closed: VersionedLeadership) -> None:
+        """Make sure that no host that took the change over can have ordered a promotion yet.
+
+        Raise ``ChangeCancelledError`` where another record followed, and ``StoreUnavailableError``.
+        """
+        self._check_latest(service, closed)
+        revision, begun = self._written.get(service, (Revision(0), timedelta(0)))
+        if revision == closed.revision and self._fleet.now() < begun + TURN_AFTER_CLOSE:
+            return
+        while True:
+            sent = self._fleet.now()
+            snapshot = await self._relay.read_range(LEADERSHIP_PREFIX)
+            self._fleet.take_snapshot(LEADERSHIP_PREFIX, snapshot, "store")
+            self._check_latest(service, closed)
+            if self._fleet.now() < sent + TURN_AFTER_READ:
+                return
+
+    def _check_latest(self, service: ServiceName, closed: VersionedLeadership) -> None:
+        if self._fleet.permits.is_superseded(service, closed.revision):
+            raise ChangeCancelledError("another host went on with the change")
+
     async def _own_write(self, key: str, value: bytes) -> Revision | None:
         """Find out whether a write whose answer was lost took effect."""
         snapshot = await self._relay.read_range(LEADERSHIP_PREFIX)
--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -9,12 +9,14 @@
 from hickorywind.failover.leadership import Fencing, LeadershipRecord, VersionedLeadership
 from hickorywind.host.backendlink import LinkLostError, LinkRefusedError
 from hickorywind.host.fencer import Fencer
+from hickorywind.host.leadershipstore import STORE_PAUSE, LeadershipStore
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import Backend
 from hickorywind.ids import BackendId, HostId, InstanceRole
 from hickorywind.ports.catalog import BackendState
 from hickorywind.ports.coordination import FencingToken, Promoter, PromotionOutcome
 from hickorywind.ports.replies import ServerStatus
+from hickorywind.store.interface import StoreUnavailableError
 from hickorywind.util.clock import Clock
 
 logger = logging.getLogger(__name__)
@@ -76,24 +78,37 @@
 class Promotion:
     """Order the promotion of the candidate of a closed record, and wait for its effect."""
 
-    def __init__(self, promoter: Promoter, fencer: Fencer, own_host: HostId, clock: Clock) -> None:
+    def __init__(
+        self,
+        promoter: Promoter,
+        fencer: Fencer,
+        store: LeadershipStore,
+        own_host: HostId,
+        clock: Clock,
+    ) -> None:
         self._promoter = promoter
         self._fencer = fencer
+        self._store = store
         self._own_host = own_host
         self._clock = clock
 
     async def run(
         self, runtime: ServiceRuntime, closed: VersionedLeadership, fencing: Fencing
     ) -> bool:
-        """Return whether the candidate leads; False where it can't be promoted."""
+        """Return whether the candidate leads; False where it can't be promoted.
+
+        Raise ``ChangeCancelledError`` where another host went on with the change.
+        """
         record = closed.record
         until = self._clock.now() + PROMOTION_LIMIT
         order_at = self._clock.now()
         while self._clock.now() < until:
             if self._clock.now() >= order_at:
-                if await self._order(runtime, closed) is PromotionOutcome.NOT_RUNNING:
+                outcome = await self._order(runtime, closed)
+                if outcome is PromotionOutcome.NOT_RUNNING:
                     return False
-                order_at = self._clock.now() + PROMOTION_RESEND
+                pause = STORE_PAUSE if outcome is None else PROMOTION_RESEND
+                order_at = self._clock.now() + pause
             backend = runtime.backends.get(record.candidate)
             if backend is None:
                 return False
@@ -108,9 +123,18 @@
 
     async def _order(
         self, runtime: ServiceRuntime, closed: VersionedLeadership
-    ) -> PromotionOutcome:
+    ) -> PromotionOutcome | None:
+        """Send the order; None where another host may have sent one by now."""
         candidate = closed.record.candidate
         token = FencingToken(closed.revision)
+        try:
+            await self._store.confirm_turn(runtime.name, closed)
+        except StoreUnavailableError as error:
+            # An order after another host's would carry a token lower than that one's.
+            logger.warning(
+                "promotion_not_ordered", extra={"service": runtime.name, "reason": str(error)}
+            )
+            return None
         outcome = await self._promoter.promote(runtime.name, candidate, self._own_host, token)
         logger.info(
             "promotion_ordered",
--- a/hickorywind/host/succession.py
+++ b/hickorywind/host/succession.py
@@ -17,7 +17,11 @@
 from hickorywind.host.fencer import Fencer
 from hickorywind.host.fleet import Fleet
 from hickorywind.host.identity import HostIdentity
-from hickorywind.host.leadershipstore import ChangeCancelledError, LeadershipStore
+from hickorywind.host.leadershipstore import (
+    TAKEOVER_AFTER,
+    ChangeCancelledError,
+    LeadershipStore,
+)
 from hickorywind.host.peers import Peers
 from hickorywind.host.promotion import (
     Promotion,
@@ -43,7 +47,6 @@
 RANK_DELAY = timedelta(milliseconds=300)  # a host that is slower than the first choice waits
 PATROL_INTERVAL = timedelta(milliseconds=400)  # between looks at what no statement shows
 LEAVING_PATIENCE = timedelta(seconds=2)  # leaves half of a leaving primary's use for the change
-TAKEOVER_AFTER = timedelta(seconds=2)  # a change of primary whose promoter is silent
 STUCK_AFTER = timedelta(seconds=20)  # longer than any change whose promoter makes progress
 SILENT_HOSTS_KEY = ServiceName("")  # ranks the hosts for what concerns no service
 
@@ -71,7 +74,7 @@
         self.relay = StoreRelay(coordinator, peers)
         self.store = LeadershipStore(fleet, self.relay, peers)
         self._fencer = Fencer(fleet, self.store, peers, identity.host)
-        self._promotion = Promotion(promoter, self._fencer, identity.host, clock)
+        self._promotion = Promotion(promoter, self._fencer, self.store, identity.host, clock)
         self._silent_hosts = SilentHosts(fleet, coordinator, self.store, peers)
         self._tasks: dict[ServiceName, asyncio.Task] = {}
         self._closed_since: dict[ServiceName, tuple[Revision, timedelta]] = {}
--- a/standins/lineplatform/memorystore.py
+++ b/standins/lineplatform/memorystore.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        self.is_dark = False
         self.items: dict[str, StoredValue] = {}
         self.history: list[tuple[int, Change]] = []
         self.forgotten = 0
@@ -82,7 +83,8 @@
 class MemoryCoordinator:
     """Be one host's client of the store.
 
-    ``is_cut`` makes every call fail at once, ``is_silent`` after its timeout.
+    ``is_cut`` makes every call fail at once, ``is_silent`` after its timeout, and so does a store
+    that is dark for everyone.
     """
 
     def __init__(self, store: MemoryStore) -> None:
@@ -94,7 +96,7 @@
 
     async def _enter(self, call: str) -> None:
         self.calls.append(call)
-        if self.is_silent:
+        if self.is_silent or self._store.is_dark:
             await asyncio.sleep(_CALL_TIMEOUT_SECONDS)
             raise StoreUnavailableError(f"{call}: timed out")
         if self.is_cut:
--- /dev/null
+++ b/tests/host/histories.py
@@ -0,0 +1,74 @@
+"""Record what callers were told, and check it against what the servers did."""
+
+from collections import Counter
+
+STALENESS_SECONDS = 1.5
+
+
+class History:
+    """Follow the values of items that are only ever counted up, each by one caller."""
+
+    def __init__(self, group, now):
+        self._group = group
+        self._now = now
+        self._acknowledged = {}
+        self._outcomes = {}
+        self._lowered = []
+        self.problems = []
+
+    def note_write(self, item, value, answer):
+        """Note how a write ended; an empty answer is a lost connection."""
+        self._outcomes[item, str(value)] = answer
+        if answer.startswith("COMPLETE"):
+            self._acknowledged.setdefault(item, []).append((self._now(), value))
+
+    def note_promotion(self, data):
+        """Forget what the promoted server does not hold: replication is asynchronous."""
+        for item, acknowledged in self._acknowledged.items():
+            held = int(data.get(item, -1))
+            if acknowledged and acknowledged[-1][1] > held:
+                self._lowered.append((self._now(), item, held))
+                self._acknowledged[item] = [each for each in acknowledged if each[1] <= held]
+
+    def floor(self, item, age_seconds=0.0):
+        """Return the least value that a read sent now may show."""
+        oldest = self._now() - age_seconds
+        values = [value for at, value in self._acknowledged.get(item, ()) if at <= oldest]
+        return values[-1] if values else -1
+
+    def check_read(self, what, item, floor, begun, answer):
+        """Check a row against the floor, as far as no promotion has lost it since."""
+        if not answer.startswith("ROW "):
+            return
+        word = answer.split(" ")[1]
+        value = -1 if word == "none" else int(word)
+        lost = [held for at, name, held in self._lowered if name == item and at >= begun]
+        if value < min([floor, *lost]):
+            self.problems.append(f"{what} read of {item}: {value}, expected {floor} at {begun:.3f}")
+
+    def check_end(self):
+        """Check all writes and promotions once everything has ended."""
+        done = Counter(self._group.commits)
+        stray = Counter(self._group.stray_commits)
+        if stray:
+            self.problems.append(f"written to a replaced primary: {sorted(stray)}")
+        for write, answer in self._outcomes.items():
+            self._check_outcome(write, answer, done[write] + stray[write])
+        self._check_promotions()
+
+    def _check_outcome(self, write, answer, times):
+        is_unknown = answer == "" or answer.startswith("ERROR INDOUBT")
+        if answer.startswith("COMPLETE") and times != 1:
+            self.problems.append(f"{write} acknowledged and done {times} times")
+        elif is_unknown and times > 1:
+            self.problems.append(f"{write} in doubt and done {times} times")
+        elif answer.startswith("ERROR") and not is_unknown and times:
+            self.problems.append(f"{write} answered {answer!r} and done {times} times")
+
+    def _check_promotions(self):
+        tokens = [token for _, _, token in self._group.promotions]
+        if tokens != sorted(tokens):
+            self.problems.append(f"fencing tokens went back: {self._group.promotions}")
+        orders = set(self._group.promotions)
+        if len({token for _, _, token in orders}) != len(orders):
+            self.problems.append(f"two orders under one token: {sorted(orders)}")
