--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -55,13 +55,18 @@
 
 
 class HostRecord(msgspec.Struct, frozen=True):
-    """Register a host in the store until it is known to have ended."""
+    """Register a host in the store until it is known to have ended.
+
+    ``stopped`` holds, by service, the closing record after which this life stopped using the
+    primary, where peers may not have heard so.
+    """
 
     host: HostId
     incarnation: int
     zone: AvailabilityZone
     address: Address
     lease: LeaseId
+    stopped: dict[ServiceName, Revision] = {}
 
 
 def encode_record(record: LeadershipRecord | HostRecord) -> bytes:
@@ -190,6 +195,7 @@
     """Say what is known of a host that may still use a primary."""
 
     SILENT = "silent"
+    ANSWERING = "answering"
     STOPPED_USING = "stopped_using"
     ENDED = "ended"
 
@@ -208,7 +214,7 @@
         return cls(set(hosts))
 
     def settle(self, host: HostId, standing: HostStanding) -> None:
-        """Count a host's word, or the proof that its process has ended."""
+        """Count a host's word, the proof that its process has ended, or that its word will come."""
         if standing is not HostStanding.SILENT:
             self.waiting.discard(host)
 
--- a/hickorywind/host/fencer.py
+++ b/hickorywind/host/fencer.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import logging
+from collections.abc import Coroutine
 from datetime import timedelta
+from typing import Any
 
 from hickorywind.failover.leadership import (
     Fencing,
@@ -16,9 +18,10 @@
 from hickorywind.host.leadershipstore import LeadershipStore
 from hickorywind.host.peers import Peers
 from hickorywind.host.service import ServiceRuntime
-from hickorywind.ids import BackendId, HostId, Revision
+from hickorywind.ids import BackendId, HostId, Revision, ServiceName
 from hickorywind.protocol.messages import CloseService, ServiceClosed
 from hickorywind.store.interface import StoreUnavailableError
+from hickorywind.util.clock import Instant
 from hickorywind.util.sockets import REACH_TIMEOUT, is_process_gone
 
 logger = logging.getLogger(__name__)
@@ -40,6 +43,41 @@
         self._own_host = own_host
         self._records: dict[HostId, HostRecord] = {}
 
+    async def prepare(self, until: Instant) -> bool:
+        """Have the permits of silent hosts run out before a primary that serves is closed.
+
+        Return True when every host answers or can't use a primary any more, or at ``until``, and
+        False at once where most hosts are silent: this one may be cut off. Raise
+        ``StoreUnavailableError``.
+        """
+        hosts = await self._store.registered_hosts()
+        hosts.pop(self._own_host, None)
+        fencing = Fencing.from_hosts(set(hosts))
+        await self._settle_answering(hosts, fencing)
+        if len(fencing.waiting) * 2 > len(hosts):
+            return False
+        ending = [self._end_lease(hosts[host], fencing) for host in fencing.waiting]
+        await asyncio.gather(*ending)
+        while not fencing.is_complete(self._fleet.now()) and self._fleet.now() < until:
+            await asyncio.sleep(FENCE_POLL.total_seconds())
+            await self._settle_answering(hosts, fencing)
+        return True
+
+    async def _settle_answering(self, hosts: dict[HostId, HostRecord], fencing: Fencing) -> None:
+        """Count the hosts that will say at once that they stopped, and those that have ended."""
+
+        async def look(host: HostId) -> None:
+            self._peers.add(hosts[host])
+            if await self._peers.answers(host, CLOSE_TIMEOUT):
+                fencing.settle(host, HostStanding.ANSWERING)
+            elif await is_process_gone(hosts[host].address, REACH_TIMEOUT):
+                fencing.settle(host, HostStanding.ENDED)
+
+        await asyncio.gather(*(look(host) for host in list(fencing.waiting)))
+
+    async def _end_lease(self, record: HostRecord, fencing: Fencing) -> None:
+        fencing.lease_ended(record.host, await self._store.end_lease(record))
+
     async def begin(self, runtime: ServiceRuntime, closed: VersionedLeadership) -> Fencing:
         """Stop the own use, get the word of all others and end the leases of the silent."""
         await self.end_own_use(runtime, closed.revision, closed.record.is_planned)
@@ -48,9 +86,19 @@
         fencing = Fencing.from_hosts(set(hosts))
         self._records |= hosts
         timeout = PLANNED_CLOSE_TIMEOUT if closed.record.is_planned else CLOSE_TIMEOUT
-        await self._ask_all(runtime, closed, hosts, fencing, timeout)
-        for host in list(fencing.waiting):
-            fencing.lease_ended(host, await self._store.end_lease(hosts[host]))
+        silent = {
+            host: record
+            for host, record in hosts.items()
+            if self._store.ended_at(record.lease) is not None
+        }
+        others = {host: record for host, record in hosts.items() if host not in silent}
+        await asyncio.gather(
+            self._ask_all(runtime, closed, others, fencing, timeout),
+            self._ask_all(runtime, closed, silent, fencing, CLOSE_TIMEOUT),
+        )
+        if fencing.waiting and closed.record.is_planned:
+            await self._settle_by_store(runtime.name, closed.revision, fencing)
+        await asyncio.gather(*(self._end_lease(hosts[host], fencing) for host in fencing.waiting))
         await self._look_at_primary(runtime, closed, fencing)
         return fencing
 
@@ -64,21 +112,37 @@
         )
         await asyncio.sleep(FENCE_POLL.total_seconds())
         silent = {host: self._records[host] for host in fencing.waiting}
-        looks = asyncio.gather(
-            self._settle_unregistered(fencing),
+        looks = [
+            self._settle_by_store(runtime.name, closed.revision, fencing),
             self._ask_all(runtime, closed, silent, fencing, CLOSE_TIMEOUT),
             self._look_at_primary(runtime, closed, fencing),
-        )
+        ]
         left = fencing.time_left(self._fleet.now())
         try:
             async with asyncio.timeout(None if left is None else left.total_seconds()):
-                await looks
+                await self._look_until_complete(looks, fencing)
         except TimeoutError:
             # The wait ends by time, whatever the store and the hosts would have said.
             return
 
-    async def _settle_unregistered(self, fencing: Fencing) -> None:
-        """Count the hosts whose permits another host has waited out already."""
+    async def _look_until_complete(
+        self, looks: list[Coroutine[Any, Any, None]], fencing: Fencing
+    ) -> None:
+        """Run looks at silent hosts side by side until one of them completes the fencing."""
+        running = {asyncio.create_task(look) for look in looks}
+        try:
+            while running and not fencing.is_complete(self._fleet.now()):
+                done, running = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
+                for look in done:
+                    look.result()
+        finally:
+            for look in running:
+                look.cancel()
+
+    async def _settle_by_store(
+        self, service: ServiceName, revision: Revision, fencing: Fencing
+    ) -> None:
+        """Count the hosts whose permits another host has waited out, or whose word is stored."""
         try:
             registered = await self._store.read_hosts()
         except StoreUnavailableError as error:
@@ -88,6 +152,8 @@
         for host in list(fencing.waiting):
             if host not in registered:
                 fencing.settle(host, HostStanding.ENDED)
+            elif registered[host].stopped.get(service, Revision(0)) >= revision:
+                fencing.settle(host, HostStanding.STOPPED_USING)
 
     async def _look_at_primary(
         self, runtime: ServiceRuntime, closed: VersionedLeadership, fencing: Fencing
--- a/hickorywind/host/leadershipstore.py
+++ b/hickorywind/host/leadershipstore.py
@@ -7,7 +7,6 @@
 from datetime import timedelta
 
 from hickorywind.failover.leadership import (
-    PERMIT_END,
     HostRecord,
     LeadershipRecord,
     VersionedLeadership,
@@ -155,11 +154,9 @@
             for lease, confirmed in self._ended.items()
         )
 
-    def permits_left(self) -> timedelta:
-        """Return after what time the permits of all leases known as ended have run out."""
-        now = self._fleet.now()
-        ends = (confirmed + PERMIT_END for confirmed in self._ended.values())
-        return max([timedelta(0), *(end - now for end in ends)])
+    def ended_at(self, lease: LeaseId) -> Instant | None:
+        """Return when the store had confirmed the end of a lease; None if it may last."""
+        return self._ended.get(lease)
 
     async def end_lease(self, record: HostRecord) -> Instant:
         """End a silent host's lease; return when the store had confirmed that.
--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -164,6 +164,10 @@
             for host, peer in sorted(self._peers.items())
         )
 
+    def sees_majority(self) -> bool:
+        """Tell whether at least half of the hosts that are expected answered lately."""
+        return len(self.alive()) * 2 >= self.expected()
+
     def any_permitted(self) -> bool:
         """Tell whether another host that answered lately may use primaries."""
         return any(self._peers[host].holds_permit for host in self.staying())
@@ -189,6 +193,10 @@
         finally:
             peer.waiting.pop(number, None)
 
+    async def answers(self, host: HostId, timeout: timedelta) -> bool:
+        """Tell whether a host answers a greeting in time."""
+        return await self.call(host, self.make_greeting, timeout) is not None
+
     async def tell_all(self, message: Message) -> None:
         """Send a message that needs no reply to every host."""
         for peer in list(self._peers.values()):
--- a/hickorywind/host/role.py
+++ b/hickorywind/host/role.py
@@ -17,6 +17,7 @@
 from hickorywind.host.requestlog import RequestLog
 from hickorywind.host.service import DISPATCH_INTERVAL, ServiceRuntime
 from hickorywind.host.session import Session
+from hickorywind.host.storedword import StoredWord
 from hickorywind.host.storesync import StoreSync
 from hickorywind.host.succession import Succession
 from hickorywind.ids import Incarnation, Revision, ServiceName
@@ -121,6 +122,9 @@
             metrics,
             clock,
         )
+        self._stored_word = StoredWord(
+            self._fleet, settings.host, self._end_use, self._sync.note_stopped
+        )
         self._request_log = RequestLog(metrics)
         self._server: asyncio.Server | None = None
         self._is_stopping = False
@@ -136,6 +140,7 @@
         self._fleet.on_backends.append(self._refresh_services)
         self._fleet.on_configuration.append(self._refresh_services)
         self._fleet.on_leadership.append(lambda service: self._refresh_services())
+        self._fleet.on_leadership.append(self._stored_word.consider)
 
     # Life --------------------------------------------------------------------------------------
 
@@ -229,6 +234,7 @@
             await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
         logger.info("sessions_left", extra={"count": len(self._sessions)})
         self._succession.close()
+        self._stored_word.close()
         # Statements that still run end as lost, which lets their sessions answer.
         for service in self._services.values():
             service.close()
@@ -248,6 +254,7 @@
     def abort(self) -> None:
         """Close everything at once, as when the process is killed."""
         self._succession.close()
+        self._stored_word.close()
         self._stop_accepting()
         for service in self._services.values():
             service.close()
@@ -289,6 +296,7 @@
             self._adapters.make_backend_codec,
             self._clock,
             self._rng,
+            milliseconds(self._settings.backend_leaving_ms),
         )
         service.on_suspect = self._succession.suspect
         self._services[name] = service
@@ -393,6 +401,10 @@
     async def _close_service(
         self, call: int, name: ServiceName, revision: Revision, is_planned: bool
     ) -> ServiceClosed:
+        await self._end_use(name, revision, is_planned)
+        return ServiceClosed(call)
+
+    async def _end_use(self, name: ServiceName, revision: Revision, is_planned: bool) -> None:
         service = self._services.get(name)
         if service is None:
             self._fleet.permits.veto(name, revision)
@@ -400,4 +412,3 @@
             self._fleet.permits.hold(name, revision)
             await self._succession.end_own_use(service, revision, is_planned)
         logger.info("service_closed", extra={"service": name, "revision": revision})
-        return ServiceClosed(call)
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -37,7 +37,7 @@
 PRIMARY_CHANGE_WAIT = timedelta(seconds=5)  # a change of primary is over within this time
 STATUS_TIMEOUT = timedelta(milliseconds=700)  # a busy slot and a round trip between regions
 IDLE_PRIMARY_CHECK = timedelta(seconds=1)  # leaves time to replace it within five seconds
-LEAVING_PRIMARY_USE = timedelta(seconds=4)  # well inside the bound for new work at such servers
+LEAVING_USE_SHARE = 0.7  # of a leaving server's time; hosts may learn late that it leaves
 STALL_CHECK_INTERVAL = timedelta(milliseconds=500)  # between looks at one stalled server
 UNAVAILABLE_PAUSE = timedelta(milliseconds=300)  # before a failed server is tried again
 TRANSACTION_END_WAIT = timedelta(milliseconds=1200)  # well inside the drain bound
@@ -57,7 +57,9 @@
         make_codec: Callable[[], BackendCodec],
         clock: Clock,
         rng: random.Random,
+        leaving: timedelta,
     ) -> None:
+        """Serve from a host in ``zone``; a leaving backend server serves on for ``leaving``."""
         self.name = name
         self.fleet = fleet
         self.clock = clock
@@ -74,6 +76,7 @@
         self._sampling: asyncio.Task | None = None
         self._closing: Result | None = None
         self._background = BackgroundTasks()
+        self._leaving_use = leaving * LEAVING_USE_SHARE
         self._last_primary: BackendId | None = None
         self._primary_lost_at: Instant | None = None
         self._at_primary: set[PrimaryWork] = set()
@@ -123,7 +126,12 @@
         if backend.leaving_since is None:
             return True
         is_primary = backend.server.backend == self.current_primary()
-        return is_primary and self.clock.now() < backend.leaving_since + LEAVING_PRIMARY_USE
+        return is_primary and self.clock.now() < self.use_ends(backend)
+
+    def use_ends(self, backend: Backend) -> Instant:
+        """Return until when new work may go to a backend server that is leaving, as primary."""
+        since = self.clock.now() if backend.leaving_since is None else backend.leaving_since
+        return since + self._leaving_use
 
     def _drop(self, backend: BackendId) -> None:
         held = self.backends.pop(backend)
--- /dev/null
+++ b/hickorywind/host/storedword.py
@@ -0,0 +1,48 @@
+"""Say through the store that this host stopped using a primary, where peers may not hear it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from hickorywind.failover.leadership import LeadershipPhase, VersionedLeadership
+from hickorywind.host.fleet import Fleet
+from hickorywind.ids import HostId, Revision, ServiceName
+from hickorywind.util.tasks import BackgroundTasks
+
+WORD_BY_STORE_AFTER = timedelta(seconds=2)  # most changes of primary are over by then
+
+EndUse = Callable[[ServiceName, Revision, bool], Awaitable[None]]
+NoteStopped = Callable[[ServiceName, Revision], Awaitable[None]]
+
+
+class StoredWord:
+    """Watch the changes of primary that other hosts carry out, and answer the slow ones."""
+
+    def __init__(
+        self, fleet: Fleet, own_host: HostId, end_use: EndUse, note_stopped: NoteStopped
+    ) -> None:
+        self._fleet = fleet
+        self._own_host = own_host
+        self._end_use = end_use
+        self._note_stopped = note_stopped
+        self._background = BackgroundTasks()
+
+    def consider(self, service: ServiceName) -> None:
+        """Prepare an answer to the newest record of a service."""
+        leadership = self._fleet.permits.leadership(service)
+        record = leadership.record
+        if record.phase is LeadershipPhase.CLOSED and record.promoter != self._own_host:
+            self._background.start(self._answer_later(service, leadership))
+
+    async def _answer_later(self, service: ServiceName, closed: VersionedLeadership) -> None:
+        await asyncio.sleep(WORD_BY_STORE_AFTER.total_seconds())
+        if self._fleet.permits.leadership(service) != closed:
+            return
+        await self._end_use(service, closed.revision, closed.record.is_planned)
+        await self._note_stopped(service, closed.revision)
+
+    def close(self) -> None:
+        """Answer nothing more."""
+        self._background.cancel()
--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -17,9 +17,10 @@
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.peers import Peers
 from hickorywind.host.storerelay import HEDGE_AFTER, PEER_TIMEOUT
-from hickorywind.ids import HostId, Revision
+from hickorywind.ids import HostId, Revision, ServiceName
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.ports.coordination import (
+    Committed,
     Condition,
     Conflict,
     Coordinator,
@@ -62,6 +63,7 @@
         self._rng = rng
         self._lease: LeaseId | None = None
         self._registered_at = Revision(0)
+        self._stopped: dict[ServiceName, Revision] = {}
         self._is_reachable = True
         self._background = BackgroundTasks()
 
@@ -101,14 +103,7 @@
         while True:
             try:
                 lease = await self._coordinator.grant_lease(LEASE_TTL)
-                identity = self._identity
-                record = HostRecord(
-                    identity.host, identity.incarnation, identity.zone, identity.address, lease
-                )
-                key = HOSTS_PREFIX + identity.host
-                result = await self._coordinator.transact(
-                    [Condition(key, revision)], [Put(key, encode_record(record))]
-                )
+                result = await self._write_record(lease, revision)
                 self.note_call("register", None)
                 if isinstance(result, Conflict):
                     revision = await self._own_revision()
@@ -123,6 +118,45 @@
                 await asyncio.sleep(pause.total_seconds() * self._rng.uniform(0.5, 1.0))
                 pause = self._longer(pause)
 
+    async def _write_record(self, lease: LeaseId, revision: Revision) -> Committed | Conflict:
+        """Write this host's registration where the one of ``revision`` stands."""
+        identity = self._identity
+        record = HostRecord(
+            identity.host,
+            identity.incarnation,
+            identity.zone,
+            identity.address,
+            lease,
+            self._stopped,
+        )
+        key = HOSTS_PREFIX + identity.host
+        return await self._coordinator.transact(
+            [Condition(key, revision)], [Put(key, encode_record(record))]
+        )
+
+    async def note_stopped(self, service: ServiceName, revision: Revision) -> None:
+        """Note in the registration that this host stopped using a primary for good."""
+        self._stopped[service] = revision
+        if self._lease is None:
+            return
+        try:
+            result = await self._write_record(self._lease, self._registered_at)
+        except StoreUnavailableError as error:
+            # The promoter waits until the permit has run out.
+            self.note_call("note_stopped", error)
+            return
+        self.note_call("note_stopped", None)
+        if isinstance(result, Committed):
+            self._registered_at = result.revision
+        logger.info(
+            "stop_noted",
+            extra={
+                "service": service,
+                "revision": revision,
+                "is_stored": isinstance(result, Committed),
+            },
+        )
+
     async def _own_revision(self) -> Revision:
         snapshot = await self._coordinator.read_range(HOSTS_PREFIX)
         key = HOSTS_PREFIX + self._identity.host
--- a/hickorywind/host/succession.py
+++ b/hickorywind/host/succession.py
@@ -46,7 +46,8 @@
 
 RANK_DELAY = timedelta(milliseconds=300)  # a host that is slower than the first choice waits
 PATROL_INTERVAL = timedelta(milliseconds=400)  # between looks at what no statement shows
-LEAVING_PATIENCE = timedelta(seconds=2)  # leaves half of a leaving primary's use for the change
+PLANNED_RANK_DELAY = timedelta(milliseconds=1200)  # greetings tell of ended leases within
+MINORITY_DELAY = timedelta(seconds=3)  # who hears few may be cut off; others go first
 STUCK_AFTER = timedelta(seconds=20)  # longer than any change whose promoter makes progress
 SILENT_HOSTS_KEY = ServiceName("")  # ranks the hosts for what concerns no service
 
@@ -135,12 +136,23 @@
         if primary is None:
             self._start(service, self._investigate(service, "the primary is not registered"))
         elif primary.state is BackendState.LEAVING:
-            self._start(service, self._replace_leaving(service, leadership))
+            self._consider_leaving(service, leadership)
         elif not self._services[service].is_primary_in_use():
             self._start(service, self._investigate(service, "the primary was unreachable"))
         elif self._rank(service) == 0:
             self._services[service].check_idle_primary()
 
+    def _consider_leaving(self, service: ServiceName, leadership: VersionedLeadership) -> None:
+        """Replace a leaving primary, or leave that to those who hear more of the other hosts."""
+        if self._peers.sees_majority() or self._is_late(service, leadership):
+            self._start(service, self._replace_leaving(service, leadership))
+
+    def _is_late(self, service: ServiceName, leadership: VersionedLeadership) -> bool:
+        """Tell whether a leaving primary should have been replaced by now."""
+        runtime = self._services[service]
+        backend = runtime.backends.get(leadership.record.primary)
+        return backend is None or self._fleet.now() > runtime.use_ends(backend) + MINORITY_DELAY
+
     def _watch_closed(self, service: ServiceName, leadership: VersionedLeadership) -> None:
         """Take a change over whose promoter makes no progress."""
         now = self._fleet.now()
@@ -152,6 +164,8 @@
         is_own = promoter == self._identity.host
         is_silent = not is_own and promoter not in self._peers.alive()
         patience = TAKEOVER_AFTER + RANK_DELAY * self._rank(service)
+        if not self._peers.sees_majority():
+            patience += MINORITY_DELAY
         if is_own or (is_silent and now > since + patience) or now > since + STUCK_AFTER:
             self._start(service, self._take_over(service, leadership))
 
@@ -159,9 +173,14 @@
         hosts = [self._identity.host, *self._peers.staying()]
         return list(rank_members(service, hosts)).index(self._identity.host)
 
-    async def _wait_for_turn(self, known: VersionedLeadership | None, service: ServiceName) -> bool:
+    async def _wait_for_turn(
+        self,
+        known: VersionedLeadership | None,
+        service: ServiceName,
+        delay: timedelta = RANK_DELAY,
+    ) -> bool:
         """Let hosts of higher rank go first; return whether nothing has changed since."""
-        await asyncio.sleep((RANK_DELAY * self._rank(service)).total_seconds())
+        await asyncio.sleep((delay * self._rank(service)).total_seconds())
         return self._fleet.permits.leadership(service) == known
 
     async def end_own_use(
@@ -254,10 +273,14 @@
 
     async def _replace_leaving(self, service: ServiceName, leadership: VersionedLeadership) -> None:
         runtime = self._services[service]
-        if not await self._wait_for_turn(leadership, service):
+        if not await self._wait_for_turn(leadership, service, PLANNED_RANK_DELAY):
             return
-        # The primary serves on while permits run out for which the change would wait.
-        await asyncio.sleep(min(self.store.permits_left(), LEAVING_PATIENCE).total_seconds())
+        backend = runtime.backends.get(leadership.record.primary)
+        if backend is not None:
+            # The primary serves on while permits run out for which the change would wait.
+            is_heard = await self._fencer.prepare(runtime.use_ends(backend))
+            if not is_heard and not self._is_late(service, leadership):
+                return
         if self._fleet.permits.leadership(service) != leadership:
             return
         closed = await self._close(runtime, leadership, is_planned=True)
--- a/hickorywind/settings/host.py
+++ b/hickorywind/settings/host.py
@@ -20,6 +20,7 @@
     """Hold the settings file of a host process; unknown keys are ignored.
 
     ``stop_grace_seconds`` is the time from SIGTERM until the process is killed.
+    ``backend_leaving_ms`` is how long a backend server serves on after it was said to leave.
     ``log_bytes_per_second`` bounds the volume of the logs. ``status_listen`` is a loopback address
     where the command line reads the host's state; empty for none.
     """
@@ -35,6 +36,7 @@
     control: str
     zones: dict[AvailabilityZone, Region]
     stop_grace_seconds: float = 6.0
+    backend_leaving_ms: int = 7_000
     log_bytes_per_second: int = 100_000
     status_listen: str = ""
     log: LogSettings = LogSettings()
@@ -73,6 +75,8 @@
         raise DocumentError("zones", "lacks the host's own availability zone")
     if settings.stop_grace_seconds < _GRACE_MIN_SECONDS:
         raise DocumentError("stop_grace_seconds", f"expected at least {_GRACE_MIN_SECONDS}")
+    if settings.backend_leaving_ms <= 0:
+        raise DocumentError("backend_leaving_ms", "expected a positive number")
     if settings.log_bytes_per_second <= 0:
         raise DocumentError("log_bytes_per_second", "expected a positive number")
     check_log_level(settings.log)
--- a/tests/host/histories.py
+++ b/tests/host/histories.py
@@ -14,6 +14,7 @@
         self._acknowledged = {}
         self._outcomes = {}
         self._lowered = []
+        self._times = {}
         self.problems = []
 
     def note_write(self, item, value, answer):
@@ -21,6 +22,7 @@
         self._outcomes[item, str(value)] = answer
         if answer.startswith("COMPLETE"):
             self._acknowledged.setdefault(item, []).append((self._now(), value))
+            self._times.setdefault(item, []).append(self._now())
 
     def note_promotion(self, data):
         """Forget what the promoted server does not hold: replication is asynchronous."""
@@ -36,6 +38,11 @@
         values = [value for at, value in self._acknowledged.get(item, ()) if at <= oldest]
         return values[-1] if values else -1
 
+    def longest_gap(self, item):
+        """Return the longest time in seconds without an acknowledged write."""
+        times = self._times[item]
+        return max(after - before for before, after in zip(times, times[1:], strict=False))
+
     def check_read(self, what, item, floor, begun, answer):
         """Check a row against the floor, as far as no promotion has lost it since."""
         if not answer.startswith("ROW "):
--- a/tests/host/simulation.py
+++ b/tests/host/simulation.py
@@ -29,6 +29,11 @@
 
 def play(schedule, recovery_seconds):
     """Play a schedule and return the problems found."""
+    return play_history(schedule, recovery_seconds).problems
+
+
+def play_history(schedule, recovery_seconds):
+    """Play a schedule and return what callers saw."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         return runner.run(_play(schedule, recovery_seconds))
 
@@ -46,7 +51,7 @@
             await site.recover(recovery_seconds)
         finally:
             await site.stop()
-    return site.history.problems
+    return site.history
 
 
 class Site:
--- /dev/null
+++ b/tests/host/test_gaps.py
@@ -0,0 +1,38 @@
+"""Measure for how long callers can't write while faults and changes of primary come together."""
+
+import unittest
+
+from tests.host.faults import HOST_COUNT, HOST_TROUBLES, LONGEST_MS, Fault, FaultKind
+from tests.host.simulation import play_history
+
+CHANGE_LIMIT_SECONDS = 5.0
+RECOVERY_SECONDS = 15.0
+
+
+class GapCase(unittest.TestCase):
+    def check(self, troubled, *schedule):
+        """Check the callers of all hosts that are not in trouble themselves."""
+        history = play_history(schedule, RECOVERY_SECONDS)
+        self.assertEqual(history.problems, [])
+        for number in range(HOST_COUNT):
+            if number != troubled:
+                gap = history.longest_gap(f"own-h{number}")
+                self.assertLess(gap, CHANGE_LIMIT_SECONDS, f"h{number}")
+
+
+class ChangeBesideTroubledHostTest(GapCase):
+    """A primary is replaced while a host can't say that it has stopped using it."""
+
+    def check_all(self, change):
+        for kind in HOST_TROUBLES:
+            for victim in range(HOST_COUNT):
+                for for_ms in (3_000, LONGEST_MS):
+                    with self.subTest(kind=kind, victim=victim, for_ms=for_ms):
+                        trouble = Fault(kind, 1_500, for_ms, victim)
+                        self.check(victim, trouble, Fault(change, 3_000, LONGEST_MS, 0))
+
+    def test_leaving_primary(self):
+        self.check_all(FaultKind.PRIMARY_LEAVES)
+
+    def test_crashed_primary(self):
+        self.check_all(FaultKind.PRIMARY_CRASHES)
--- a/tests/settings/test_host.py
+++ b/tests/settings/test_host.py
@@ -51,6 +51,7 @@
                 self.refuse(key, **{key: None})
         self.refuse("store", store="nowhere")
         self.refuse("stop_grace_seconds", stop_grace_seconds=0.2)
+        self.refuse("backend_leaving_ms", backend_leaving_ms=0)
         self.refuse("zones", zones={"tema": "x"})
         self.refuse("log_bytes_per_second", log_bytes_per_second=0)
         self.refuse("log.level", log={"level": "loud"})
