--- a/hickorywind/host/attempts.py
+++ b/hickorywind/host/attempts.py
@@ -8,9 +8,9 @@
 from hickorywind.admission.dispatch import AtPosition, OnPrimary
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import Grant
+from hickorywind.host.sessioncontext import SessionContext
 from hickorywind.host.targets import (
     RETRY_HINT_MS,
-    SessionContext,
     check_primary,
     choose_target,
 )
@@ -47,7 +47,7 @@
         refusal = service.refuse_primary_work() if isinstance(target, OnPrimary) else None
         if refusal is not None:
             return refusal
-        grant = await service.acquire(route, target, arrived, context.values, excluded())
+        grant = await service.acquire(route, target, arrived, context, excluded())
         if isinstance(grant, Result):
             return grant
         outcome = await check_primary(service, grant) if after is None else None
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -21,6 +21,7 @@
     PrimaryWork,
     ServiceBelief,
 )
+from hickorywind.host.sessioncontext import SessionContext
 from hickorywind.ids import AvailabilityZone, BackendId, InstanceRole, ServiceName
 from hickorywind.ports.catalog import BackendServer, BackendState, Route, Topology
 from hickorywind.ports.codecs import BackendCodec
@@ -43,6 +44,7 @@
 TRANSACTION_END_WAIT = timedelta(milliseconds=1200)  # well inside the drain bound
 LINK_SHARE = 1.3  # uneven load: a host may hold this many times its even share of connections
 LINK_MIN = 2  # what a host may hold however many hosts there are
+_CALLER_LEFT = Result.not_run(ResultCode.CANCELLED, "the caller has left")
 
 
 class ServiceRuntime:
@@ -214,7 +216,7 @@
         route: Route,
         target: Target,
         arrived: Instant,
-        values: Mapping[str, str],
+        context: SessionContext,
         excluded: frozenset[BackendId] = frozenset(),
     ) -> Grant | Result:
         """Wait for a backend server and a connection; return a refusal where none comes in time."""
@@ -222,10 +224,10 @@
             return self._closing
         give_up = self._give_up(route, target, arrived)
         while True:
-            outcome = await self._queue(route, target, arrived, give_up, excluded)
+            outcome = await self._queue(route, target, arrived, give_up, context, excluded)
             if isinstance(outcome, Result):
                 return outcome
-            grant = await self._connect(outcome, values)
+            grant = await self._connect(outcome, context.values)
             # The server is passed over for a while, so waiting again does not spin.
             if isinstance(grant, Grant) or self.clock.now() >= give_up:
                 return grant
@@ -236,10 +238,13 @@
         target: Target,
         arrived: Instant,
         give_up: Instant,
+        context: SessionContext,
         excluded: frozenset[BackendId],
     ) -> BackendId | Result:
         if self._closing is not None:
             return self._closing
+        if context.has_left:
+            return _CALLER_LEFT
         future: asyncio.Future[BackendId | Result] = asyncio.get_running_loop().create_future()
         ticket = Ticket(
             rank=route.rank,
@@ -252,6 +257,7 @@
         )
         self._note_primary()
         self._dispatcher.submit(ticket, self.clock.now())
+        context.withdraw = partial(self._withdraw, ticket)
         try:
             return await future
         except asyncio.CancelledError:
@@ -259,6 +265,12 @@
             if future.done() and not future.cancelled() and not isinstance(future.result(), Result):
                 self._cancel_grant(self.backends.get(future.result()))
             raise
+        finally:
+            context.withdraw = None
+
+    def _withdraw(self, ticket: Ticket) -> None:
+        self._dispatcher.withdraw(ticket)
+        ticket.refuse(_CALLER_LEFT)
 
     def _cancel_grant(self, backend: Backend | None) -> None:
         if backend is not None:
--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -13,7 +13,7 @@
 from hickorywind.host.operation import Operation
 from hickorywind.host.requestlog import RequestLog
 from hickorywind.host.service import ServiceRuntime
-from hickorywind.host.targets import SessionContext
+from hickorywind.host.sessioncontext import SessionContext
 from hickorywind.host.transaction import Transaction
 from hickorywind.ids import AccessMode, ServiceName
 from hickorywind.ports.catalog import DatabaseName, Route
@@ -97,6 +97,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop serving; a statement under way is ended, its transaction rolled back."""
         self._is_ended = True
+        if self._context is not None:
+            self._context.leave()
         self._wake.set()
         self._on_end(self)
 
--- a/hickorywind/host/targets.py
+++ b/hickorywind/host/targets.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass, field
 
 from hickorywind.admission.dispatch import AtPosition, OnPrimary, Target
 from hickorywind.host.backendlink import BackendLink, LinkLostError, PreparedShape
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, Grant
+from hickorywind.host.sessioncontext import SessionContext
 from hickorywind.ids import LogPosition
 from hickorywind.ports.catalog import BoundedReads, PrimaryReads, Route, SessionReads
 from hickorywind.ports.statements import Execute, Request
@@ -22,21 +22,6 @@
 RETRY_HINT_MS = 200  # another host or a little later
 
 
-@dataclass
-class SessionContext:
-    """Hold what a session carries from statement to statement."""
-
-    client: str
-    values: dict[str, str] = field(default_factory=dict)
-    shapes: dict[str, PreparedShape] = field(default_factory=dict)
-    floor: LogPosition | None = None
-
-    def raise_floor(self, position: LogPosition | None) -> None:
-        """Remember a position that the session's reads must hold from now on."""
-        if position is not None and (self.floor is None or position > self.floor):
-            self.floor = position
-
-
 def choose_target(
     service: ServiceRuntime,
     route: Route,
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -8,9 +8,9 @@
 from hickorywind.host.backendlink import BackendLink, LinkLostError, PreparedShape
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, Grant
+from hickorywind.host.sessioncontext import SessionContext
 from hickorywind.host.targets import (
     RETRY_HINT_MS,
-    SessionContext,
     encode_request,
     note_behind,
 )
--- a/tests/host/test_wholepath.py
+++ b/tests/host/test_wholepath.py
@@ -38,6 +38,18 @@
         time.sleep(1.0)
         self.assertEqual((await answer)[0], "COMPLETE s.q3")
 
+    async def test_statement_that_waits_is_not_run_once_its_caller_has_left(self):
+        permits = self.hosts["h0"].role._fleet.permits
+        permits.revoke()
+        waiting = await self.caller("bookings")
+        waiting.writer.write(b"QUERY q1 WRITE kiln 1\r\n")
+        await asyncio.sleep(0.05)
+        waiting.close()
+        other = await self.caller("bookings")
+        self.assertEqual((await other.ask("WRITE kiln 2"))[0], "COMPLETE s.q1")
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.group.commits, [("kiln", "2")])
+
     async def test_removed_route_refuses_the_next_statement(self):
         caller = await self.caller("orders")
         await caller.ask("READ x")
