--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+JOBS ?= 4
 STAMP := $(VENV)/.installed
 
 .PHONY: install test lint format demo demo-check clean
@@ -21,7 +22,7 @@
 	$(BIN)/ruff check --fix --quiet .
 
 test: install
-	$(BIN)/python -m tests
+	$(BIN)/python -m tests --jobs $(JOBS)
 
 demo: install
 	@$(BIN)/python -m standins.demo
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -9,36 +9,17 @@
 
 import argparse
 import sys
-import time
 import unittest
 from pathlib import Path
 
+from tests.results import TimingResult
+from tests.workers import Findings, list_classes, run_side_by_side
+
 ROOT = Path(__file__).resolve().parent.parent
 INTERMITTENT = "intermittent "
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 
-class TimingResult(unittest.TextTestResult):
-    """Remember how long each test took and which passed."""
-
-    def __init__(self, *args, **kwargs) -> None:
-        super().__init__(*args, **kwargs)
-        self.passed: list[str] = []
-        self.durations: list[tuple[float, str]] = []
-
-    def startTest(self, test) -> None:  # noqa: N802
-        self._started = time.monotonic()
-        super().startTest(test)
-
-    def stopTest(self, test) -> None:  # noqa: N802
-        self.durations.append((time.monotonic() - self._started, test.id()))
-        super().stopTest(test)
-
-    def addSuccess(self, test) -> None:  # noqa: N802
-        super().addSuccess(test)
-        self.passed.append(test.id())
-
-
 def read_known_red() -> dict[str, str]:
     """Map the test ids listed in KNOWN-RED.txt to their lines."""
     if not KNOWN_RED.exists():
@@ -51,30 +32,42 @@
 def main() -> int:
     parser = argparse.ArgumentParser(prog="python -m tests", description=__doc__)
     parser.add_argument("names", nargs="*", help="test names, e.g. tests.test_ids; all by default")
-    parser.add_argument("--verbose", action="store_true")
+    parser.add_argument("--jobs", type=int, default=1, help="processes side by side")
+    parser.add_argument("--verbose", action="store_true", help="name each test (with one job)")
     arguments = parser.parse_args()
-    loader = unittest.TestLoader()
-    if arguments.names:
-        suite = loader.loadTestsFromNames(arguments.names)
+    suite = load_tests(arguments.names)
+    if arguments.jobs > 1:
+        findings = run_side_by_side(list_classes(suite), arguments.jobs)
     else:
-        suite = loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
+        findings = run_here(suite, verbosity=2 if arguments.verbose else 1)
+    return report(findings, whole_run=not arguments.names)
+
+
+def load_tests(names: list[str]) -> unittest.TestSuite:
+    """Load the named tests, or all."""
+    loader = unittest.TestLoader()
+    if names:
+        return loader.loadTestsFromNames(names)
+    return loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
+
+
+def run_here(suite: unittest.TestSuite, verbosity: int) -> Findings:
+    """Run tests one after the other in this process."""
     runner = unittest.TextTestRunner(
-        resultclass=TimingResult, verbosity=2 if arguments.verbose else 1, stream=sys.stdout
+        resultclass=TimingResult, verbosity=verbosity, stream=sys.stdout
     )
-    result = runner.run(suite)
-    return report(result, whole_run=not arguments.names)
+    return Findings.from_result(runner.run(suite))
 
 
-def report(result: TimingResult, whole_run: bool) -> int:
+def report(findings: Findings, whole_run: bool) -> int:
     """Print the slowest tests, the known red ones and the closing line."""
-    for duration, name in sorted(result.durations, reverse=True)[:10]:
+    for duration, name in sorted(findings.durations, reverse=True)[:10]:
         print(f"{duration:7.2f} s  {name}")
-    bad = {test.id() for test, _ in result.failures + result.errors}
-    bad |= {test.id() for test in result.unexpectedSuccesses}
+    bad = findings.failures.keys()
     known = read_known_red()
     for name in sorted(bad & known.keys()):
         print(f"known red: {known[name]}")
-    passed = set(result.passed)
+    passed = set(findings.passed)
     stale = [
         name
         for name in sorted(known.keys() - bad)
@@ -86,7 +79,7 @@
     for name in sorted(unknown_bad):
         print(f"failed: {name}")
     failed = len(unknown_bad) + len(stale)
-    print(f"{len(result.passed)} passed, {failed} failed", flush=True)
+    print(f"{len(findings.passed)} passed, {failed} failed", flush=True)
     return 1 if failed else 0
 
 
--- a/tests/test_knownred.py
+++ b/tests/test_knownred.py
@@ -6,6 +6,8 @@
 from unittest import mock
 
 from tests import __main__ as runner
+from tests.results import TimingResult
+from tests.workers import Findings
 
 
 class KnownRedTest(unittest.TestCase):
@@ -16,7 +18,7 @@
             def test_it(self):
                 self.assertTrue(outcome)
 
-        result = runner.TimingResult(io.StringIO(), False, 0)
+        result = TimingResult(io.StringIO(), False, 0)
         result.stream.writeln = lambda text="": None
         result.stream.flush = lambda: None
         example = Example("test_it")
@@ -26,7 +28,7 @@
                 path = Path(folder) / "KNOWN-RED.txt"
                 path.write_text(listed)
                 with mock.patch.object(runner, "KNOWN_RED", path), redirect_stdout(io.StringIO()):
-                    return runner.report(result, whole_run=True)
+                    return runner.report(Findings.from_result(result), whole_run=True)
 
     def test_failures(self):
         self.assertEqual(self.judge("", False), 1)
--- /dev/null
+++ b/tests/test_workers.py
@@ -0,0 +1,37 @@
+import unittest
+
+from tests import workers
+
+
+class RunUnitTest(unittest.TestCase):
+    def test_class_that_passes(self):
+        found = workers.run_unit("tests.test_ids")
+        self.assertTrue(found.passed)
+        self.assertEqual(found.failures, {})
+        self.assertEqual(len(found.durations), len(found.passed))
+
+    def test_module_that_cannot_be_loaded_fails_under_its_name(self):
+        found = workers.run_unit("tests.no_such_module")
+        self.assertEqual(found.passed, [])
+        (text,) = found.failures.values()
+        self.assertIn("no_such_module", text)
+
+
+class ListClassesTest(unittest.TestCase):
+    def test_each_class_once_and_broken_modules_too(self):
+        loader = unittest.TestLoader()
+        suite = loader.loadTestsFromNames(["tests.test_workers", "tests.no_such_module"])
+        names = workers.list_classes(suite)
+        self.assertIn("tests.test_workers.ListClassesTest", names)
+        self.assertIn("tests.test_workers.RunUnitTest", names)
+        self.assertEqual(len(names), len(set(names)))
+        self.assertTrue(any("no_such_module" in name for name in names), names)
+
+
+class MergeTest(unittest.TestCase):
+    def test_failures_of_all_units_are_kept(self):
+        merged = workers.Findings(["a"], {"b": "why"}, [(0.1, "a"), (0.2, "b")])
+        merged.add(workers.Findings(["c"], {"d": "why"}, [(0.3, "c")]))
+        self.assertEqual(merged.passed, ["a", "c"])
+        self.assertEqual(set(merged.failures), {"b", "d"})
+        self.assertEqual(len(merged.durations), 3)
