--- a/hickorywind/host/backendlink.py
+++ b/hickorywind/host/backendlink.py
@@ -24,6 +24,10 @@
     """Report that a connection ended or stayed silent; what was sent may have run."""
 
 
+class ConnectFailedError(LinkLostError):
+    """Report that a new connection did not come about; nothing was sent on it."""
+
+
 class LinkRefusedError(Exception):
     """Report that a backend server refused a connection; ``kind`` is None without a reason."""
 
@@ -74,7 +78,7 @@
                 answers = await link._send(hello, 1)
         except (OSError, TimeoutError) as error:
             link.close()
-            raise LinkLostError(f"connecting failed: {error or 'timed out'}") from error
+            raise ConnectFailedError(f"connecting failed: {error or 'timed out'}") from error
         except LinkLostError:
             refusal = codec.pending_error
             if refusal is None:
--- a/hickorywind/host/detection.py
+++ b/hickorywind/host/detection.py
@@ -4,19 +4,24 @@
 
 import asyncio
 import logging
+from datetime import timedelta
 from enum import Enum
 
-from hickorywind.host.backendlink import LinkLostError, LinkRefusedError
+from hickorywind.host.backendlink import ConnectFailedError, LinkLostError, LinkRefusedError
 from hickorywind.host.peers import Peers
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import Backend
 from hickorywind.ids import BackendId, InstanceRole
 from hickorywind.ports.replies import BackendErrorKind
-from hickorywind.protocol.messages import ReachQuery, ReachReply
+from hickorywind.protocol.messages import AnswerQuery, AnswerReply, ReachQuery, ReachReply
 from hickorywind.util.sockets import REACH_TIMEOUT, accepts_connections
 
 logger = logging.getLogger(__name__)
 
+SILENCE_LIMIT = timedelta(seconds=1)  # a slow server answers some host sooner
+ANSWER_TIMEOUT = timedelta(milliseconds=700)  # a busy slot and a round trip between regions
+PEER_ANSWER_TIMEOUT = ANSWER_TIMEOUT + timedelta(milliseconds=200)  # and the way to the peer
+
 
 class PrimaryVerdict(Enum):
     """Say what is known of a primary that is suspected.
@@ -40,7 +45,58 @@
     is_reached, others = await asyncio.gather(
         _reaches(backend), _ask_others(runtime, peers, primary)
     )
-    return await _check_lead(runtime, backend) if is_reached else others
+    if not is_reached:
+        return others
+    verdict = await _check_lead(runtime, backend)
+    if verdict is PrimaryVerdict.RUNNING and _is_long_silent(runtime, backend):
+        return await _check_silence(runtime, peers, backend)
+    return verdict
+
+
+def _is_long_silent(runtime: ServiceRuntime, backend: Backend) -> bool:
+    since = backend.silent_since
+    return since is not None and runtime.clock.now() >= since + SILENCE_LIMIT
+
+
+async def has_answered(runtime: ServiceRuntime, backend: Backend) -> bool:
+    """Tell whether a backend server answered anything lately, or does on a new connection."""
+    if runtime.clock.now() < backend.last_answer + SILENCE_LIMIT:
+        return True
+    if _is_long_silent(runtime, backend):
+        return False
+    return await backend.links.answers_anew(ANSWER_TIMEOUT)
+
+
+async def _check_silence(runtime: ServiceRuntime, peers: Peers, backend: Backend) -> PrimaryVerdict:
+    """Find out whether a primary that accepts connections answers nobody: its process hangs."""
+    name = backend.server.backend
+    alive = peers.alive()
+    calls = [
+        peers.call(host, lambda call: AnswerQuery(call, runtime.name, name), PEER_ANSWER_TIMEOUT)
+        for host in alive
+    ]
+    answers_here, *replies = await asyncio.gather(has_answered(runtime, backend), *calls)
+    replies = [reply for reply in replies if isinstance(reply, AnswerReply)]
+    answered = sum(reply.has_answered for reply in replies)
+    logger.info(
+        "primary_silence_checked",
+        extra={
+            "service": runtime.name,
+            "backend": name,
+            "answers_here": answers_here,
+            "peers": len(alive),
+            "replies": len(replies),
+            "answered": answered,
+        },
+    )
+    if answers_here or answered or not _speak_for_most(len(replies), peers.expected()):
+        return PrimaryVerdict.RUNNING
+    return PrimaryVerdict.FAILED
+
+
+def _speak_for_most(reply_count: int, expected: int) -> bool:
+    """Tell whether replies came from half of the other hosts: else this host may be cut off."""
+    return reply_count * 2 >= expected and (reply_count > 0 or expected == 0)
 
 
 async def _reaches(backend: Backend | None) -> bool:
@@ -58,6 +114,8 @@
         return PrimaryVerdict.LOST_LEAD if is_other else PrimaryVerdict.RUNNING
     except LinkLostError as error:
         # It accepted a connection, so it runs; its slots may all be busy.
+        if isinstance(error, ConnectFailedError):
+            backend.silent_since = backend.silent_since or runtime.clock.now()
         logger.info(
             "primary_status_missing",
             extra={"backend": backend.server.backend, "reason": str(error)},
@@ -88,8 +146,5 @@
     )
     if reached:
         return PrimaryVerdict.REACHED_BY_OTHERS
-    # Hosts that see less than half of the others may be the ones that are cut off.
-    expected = peers.expected()
-    if len(replies) * 2 < expected or (expected and not replies):
-        return PrimaryVerdict.UNKNOWN
-    return PrimaryVerdict.FAILED
+    is_shared = _speak_for_most(len(replies), peers.expected())
+    return PrimaryVerdict.FAILED if is_shared else PrimaryVerdict.UNKNOWN
--- a/hickorywind/host/linkpool.py
+++ b/hickorywind/host/linkpool.py
@@ -132,6 +132,21 @@
         link.idle_since = self._clock.now()
         self._idle.append(link)
 
+    async def answers_anew(self, timeout: timedelta) -> bool:
+        """Tell whether the server answers on a new connection; a refusal is an answer."""
+        try:
+            link = await BackendLink.open(self.server, self._make_codec(), timeout)
+        except LinkRefusedError:
+            return True
+        except LinkLostError as error:
+            logger.info(
+                "server_unanswering",
+                extra={"backend": self.server.backend, "reason": str(error)},
+            )
+            return False
+        link.close()
+        return True
+
     def decode_status(self, answer: Answer) -> ServerStatus | None:
         """Read a status row; None where the answer holds none."""
         return self._make_codec().decode_status(answer)
--- a/hickorywind/host/role.py
+++ b/hickorywind/host/role.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from hickorywind.host.detection import has_answered
 from hickorywind.host.fleet import Fleet
 from hickorywind.host.hoststatus import describe_host, serve_status
 from hickorywind.host.identity import HostIdentity
@@ -20,7 +21,7 @@
 from hickorywind.host.storedword import StoredWord
 from hickorywind.host.storesync import StoreSync
 from hickorywind.host.succession import Succession
-from hickorywind.ids import Incarnation, Revision, ServiceName
+from hickorywind.ids import BackendId, Incarnation, Revision, ServiceName
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.ports.catalog import Topology
 from hickorywind.ports.codecs import BackendCodec, CallerCodec
@@ -33,6 +34,8 @@
 )
 from hickorywind.protocol.hoststatus import HostStatus
 from hickorywind.protocol.messages import (
+    AnswerQuery,
+    AnswerReply,
     CloseService,
     CopyQuery,
     CopyReply,
@@ -368,6 +371,8 @@
                     server.address, REACH_TIMEOUT
                 )
                 return ReachReply(call, reached)
+            case AnswerQuery(call, name, backend):
+                return AnswerReply(call, await self._has_answered(name, backend))
             case CloseService(call, service, revision, is_planned):
                 return await self._close_service(call, service, revision, is_planned)
             case StoreRead() | StoreWrite() | LeaseEnd():
@@ -398,6 +403,12 @@
             self._fleet.permits.is_valid(now + PERMIT_LASTS),
         )
 
+    async def _has_answered(self, name: ServiceName, backend: BackendId) -> bool:
+        service = self._services.get(name)
+        held = None if service is None else service.backends.get(backend)
+        # A host that does not know the server can't say that it hangs.
+        return True if held is None else await has_answered(service, held)
+
     async def _close_service(
         self, call: int, name: ServiceName, revision: Revision, is_planned: bool
     ) -> ServiceClosed:
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -314,7 +314,7 @@
             self.on_suspect(self.name, "an idle connection ended")
 
     def _set_aside(self, backend: Backend) -> None:
-        """Use a server no more until it accepts connections again."""
+        """Use a server no more until it answers on a new connection."""
         if backend.load.is_available:
             backend.load.is_available = False
             self._background.start(self._await_reach(backend))
@@ -322,7 +322,7 @@
     async def _await_reach(self, backend: Backend) -> None:
         await asyncio.sleep(UNAVAILABLE_PAUSE.total_seconds())
         while self.backends.get(backend.server.backend) is backend:
-            if await accepts_connections(backend.server.address, REACH_TIMEOUT):
+            if await backend.links.answers_anew(STATUS_TIMEOUT):
                 self.make_available(backend.server.backend)
                 return
             await asyncio.sleep(STALL_CHECK_INTERVAL.total_seconds())
@@ -413,6 +413,8 @@
         self, backend: Backend, answer: Answer, sent: Instant, as_primary: bool
     ) -> None:
         """Learn from an answer: the server's position and, of a primary, a sample."""
+        backend.last_answer = self.clock.now()
+        backend.silent_since = None
         if answer.position is None:
             return
         backend.load.note_position(answer.position)
--- a/hickorywind/host/servicestate.py
+++ b/hickorywind/host/servicestate.py
@@ -35,13 +35,19 @@
 
 @dataclass(slots=True)
 class Backend:
-    """Join what belongs to one backend server."""
+    """Join what belongs to one backend server.
+
+    ``silent_since`` is when it first left a new connection without an answer, if it answered
+    nothing since.
+    """
 
     server: BackendServer
     links: LinkPool
     load: Server
     next_check: Instant = timedelta(0)
     leaving_since: Instant | None = None
+    last_answer: Instant = timedelta(0)
+    silent_since: Instant | None = None
 
 
 @dataclass(slots=True)
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -358,6 +358,21 @@
     is_reachable: bool
 
 
+class AnswerQuery(msgspec.Struct, frozen=True, tag="answers", array_like=True):
+    """Ask whether a backend server that accepts connections answers a peer."""
+
+    call: int
+    service: ServiceName
+    backend: BackendId
+
+
+class AnswerReply(msgspec.Struct, frozen=True, tag="answers_ok", array_like=True):
+    """Say whether a backend server answered anything lately, or on a new connection."""
+
+    call: int
+    has_answered: bool
+
+
 class CloseService(msgspec.Struct, frozen=True, tag="close", array_like=True):
     """Ask a host to stop using the primary of a service; planned changes let work end first."""
 
@@ -460,6 +475,8 @@
     | CopyReply
     | ReachQuery
     | ReachReply
+    | AnswerQuery
+    | AnswerReply
     | CloseService
     | ServiceClosed
     | RenewalQuery
--- a/standins/lineplatform/group.py
+++ b/standins/lineplatform/group.py
@@ -31,6 +31,7 @@
         self.is_receiving = True
         self.is_told = True
         self.is_silent = False
+        self.delay_seconds = 0.0
         self.is_busy = False
         self.lose_answers = 0
         self.connection_limit = 100
@@ -71,6 +72,10 @@
             while line := await reader.readline():
                 if self.is_silent:
                     continue
+                if self.delay_seconds:
+                    await asyncio.sleep(self.delay_seconds)
+                    if writer.transport.is_closing():
+                        break
                 reply = self._answer(connection, line.decode().rstrip("\r\n"))
                 if reply is None or self._loses(line):
                     break
--- a/tests/host/faults.py
+++ b/tests/host/faults.py
@@ -20,6 +20,7 @@
     PRIMARY_CRASHES = "primary crashes and comes back"
     SERVER_SILENT = "server accepts and says nothing"
     PRIMARY_SILENT = "primary accepts and says nothing"
+    PRIMARY_SLOW = "primary answers late"
     SERVER_DEAF = "replica receives nothing"
     PRIMARY_NOT_TOLD = "primary does not hear that it was replaced"
     PRIMARY_LEAVES = "primary is to be replaced by plan"
--- a/tests/host/histories.py
+++ b/tests/host/histories.py
@@ -17,6 +17,10 @@
         self._times = {}
         self.problems = []
 
+    @property
+    def promotions(self):
+        return self._group.promotions
+
     def note_write(self, item, value, answer):
         """Note how a write ended; an empty answer is a lost connection."""
         self._outcomes[item, str(value)] = answer
--- a/tests/host/simulation.py
+++ b/tests/host/simulation.py
@@ -20,6 +20,7 @@
 STEP_SECONDS = 0.12
 PATIENCE_SECONDS = 8.0  # callers leave a connection that answers nothing for so long
 LATE_SECONDS = 1.5
+SLOW_SECONDS = 0.5  # near what a status question may take
 ZONES = {"z0": "r1", "z1": "r1", "z2": "r2"}
 SERVER_ZONES = dict(zip(SERVERS, ZONES, strict=True))
 
@@ -241,6 +242,8 @@
                 return self._switch(server, "is_silent", True)
             case FaultKind.PRIMARY_SILENT:
                 return self._switch(self.group.leader, "is_silent", True)
+            case FaultKind.PRIMARY_SLOW:
+                return self._switch(self.group.leader, "delay_seconds", SLOW_SECONDS, 0.0)
             case FaultKind.SERVER_DEAF:
                 return self._switch(server, "is_receiving", False)
             case FaultKind.PRIMARY_NOT_TOLD:
@@ -272,12 +275,13 @@
             case FaultKind.ORDER_LATE:
                 return self._switch(self, "_late_seconds", LATE_SECONDS)
 
-    def _switch(self, target, attribute, value):
-        before = False if value is True else True if value is False else None
+    def _switch(self, target, attribute, value, normal=None):
+        if normal is None and isinstance(value, bool):
+            normal = not value
         setattr(target, attribute, value)
 
         async def heal():
-            setattr(target, attribute, before)
+            setattr(target, attribute, normal)
             self._catch_up()
 
         return heal
--- a/tests/host/test_gaps.py
+++ b/tests/host/test_gaps.py
@@ -20,6 +20,27 @@
                 self.assertLess(gap, CHANGE_LIMIT_SECONDS, f"h{number}")
 
 
+class SilentPrimaryTest(GapCase):
+    """A primary accepts connections and answers nothing, as a stopped process does."""
+
+    def test_it_is_replaced(self):
+        self.check(None, Fault(FaultKind.PRIMARY_SILENT, 1_500, LONGEST_MS, 0))
+
+    def test_slow_primary_is_not_replaced(self):
+        history = play_history(
+            [Fault(FaultKind.PRIMARY_SLOW, 1_500, LONGEST_MS, 0)], RECOVERY_SECONDS
+        )
+        self.assertEqual(history.problems, [])
+        self.assertEqual(history.promotions, [])
+
+    def test_it_is_replaced_beside_a_silent_replica(self):
+        self.check(
+            None,
+            Fault(FaultKind.PRIMARY_SILENT, 1_500, LONGEST_MS, 0),
+            Fault(FaultKind.SERVER_SILENT, 1_500, LONGEST_MS, 1),
+        )
+
+
 class ChangeBesideTroubledHostTest(GapCase):
     """A primary is replaced while a host can't say that it has stopped using it."""
 
