--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -175,13 +175,13 @@
 
 @dataclass
 class LoneLack:
-    """Track for how long this host has lacked the permit that another host holds."""
+    """Track for how long this host has lacked a permit that another host holds or may hold."""
 
     _since: Instant | None = None
 
-    def observe(self, now: Instant, is_permitted: bool, is_peer_permitted: bool) -> None:
+    def observe(self, now: Instant, is_permitted: bool, others_may_serve: bool) -> None:
         """Count what is known at an instant."""
-        if is_permitted or not is_peer_permitted:
+        if is_permitted or not others_may_serve:
             self._since = None
         elif self._since is None:
             self._since = now
--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -172,6 +172,10 @@
         """Tell whether another host that answered lately may use primaries."""
         return any(self._peers[host].holds_permit for host in self.staying())
 
+    def hears_nobody(self) -> bool:
+        """Tell whether there are other hosts and none answered lately: this one is cut off."""
+        return bool(self._peers) and not self.alive()
+
     async def call(
         self, host: HostId, make: Callable[[int], Message], timeout: timedelta = CALL_TIMEOUT
     ) -> Message | None:
--- a/hickorywind/host/role.py
+++ b/hickorywind/host/role.py
@@ -204,12 +204,15 @@
             now = self._fleet.now()
             is_permitted = self._fleet.permits.is_valid(now)
             # Only a host without a permit has to look at all the others.
-            is_peer_permitted = not is_permitted and self._peers.any_permitted()
-            self._fleet.lone_lack.observe(now, is_permitted, is_peer_permitted)
+            others_may_serve = not is_permitted and self._others_may_serve()
+            self._fleet.lone_lack.observe(now, is_permitted, others_may_serve)
             for service in self._services.values():
                 service.check_stalled()
                 service.place_waiting()
 
+    def _others_may_serve(self) -> bool:
+        return self._peers.any_permitted() or self._peers.hears_nobody()
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL.total_seconds())
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -187,7 +187,7 @@
         if self.primary_state is PrimaryState.UNREACHABLE:
             return "this host does not reach the primary, others do"
         if self.fleet.lone_lack.lasts(self.fleet.now()):
-            return "this host holds no permit for primaries, others do"
+            return "this host holds no permit for primaries, others may"
         return None
 
     def _note_primary(self) -> None:
--- a/tests/failover/test_leadership.py
+++ b/tests/failover/test_leadership.py
@@ -142,10 +142,10 @@
         self.assertTrue(lack.lasts(seconds(10) + LONE_LACK_LIMIT))
 
     def test_ends_with_an_own_permit_and_where_nobody_holds_one(self):
-        for is_permitted, is_peer_permitted in ((True, True), (False, False), (True, False)):
+        for is_permitted, others_may_serve in ((True, True), (False, False), (True, False)):
             lack = LoneLack()
             lack.observe(seconds(10), False, True)
-            lack.observe(seconds(12), is_permitted, is_peer_permitted)
+            lack.observe(seconds(12), is_permitted, others_may_serve)
             self.assertFalse(lack.lasts(seconds(20)))
             lack.observe(seconds(21), False, True)
             self.assertFalse(lack.lasts(seconds(22)))
--- a/tests/host/histories.py
+++ b/tests/host/histories.py
@@ -15,6 +15,8 @@
         self._outcomes = {}
         self._lowered = []
         self._times = {}
+        self._sent = {}
+        self._refusals = {}
         self.problems = []
 
     @property
@@ -24,6 +26,11 @@
     def note_write(self, item, value, answer):
         """Note how a write ended; an empty answer is a lost connection."""
         self._outcomes[item, str(value)] = answer
+        if not answer:
+            self._sent[item] = self._now()
+        elif answer.startswith("ERROR"):
+            took = self._now() - self._sent[item]
+            self._refusals.setdefault(item, []).append((self._now(), took))
         if answer.startswith("COMPLETE"):
             self._acknowledged.setdefault(item, []).append((self._now(), value))
             self._times.setdefault(item, []).append(self._now())
@@ -42,6 +49,10 @@
         values = [value for at, value in self._acknowledged.get(item, ()) if at <= oldest]
         return values[-1] if values else -1
 
+    def refusal_times(self, item):
+        """Return when writes were refused, and after how many seconds each."""
+        return self._refusals.get(item, [])
+
     def longest_gap(self, item):
         """Return the longest time in seconds without an acknowledged write."""
         times = self._times[item]
--- a/tests/host/simulation.py
+++ b/tests/host/simulation.py
@@ -361,7 +361,8 @@
     def _catch_up(self):
         """Let replicas that receive again take what the leader holds."""
         for server in self.group.servers.values():
-            if server is not self.group.leader and server.is_receiving and server.is_told:
+            is_replica = server.is_told or server.role == "replica"
+            if server is not self.group.leader and server.is_receiving and is_replica:
                 server.follow(self.group.leader)
 
     def _lead_and_note(self, chosen):
--- a/tests/host/test_gaps.py
+++ b/tests/host/test_gaps.py
@@ -41,6 +41,18 @@
         )
 
 
+class CutOffHostTest(GapCase):
+    def test_host_that_hears_nobody_sends_writes_on_at_once(self):
+        """Its permit ends 7 s after the cut; callers are refused at once 1.5 s later."""
+        history = play_history(
+            [Fault(FaultKind.HOST_CUT_OFF, 500, LONGEST_MS, 1)], RECOVERY_SECONDS
+        )
+        self.assertEqual(history.problems, [])
+        times = [took for at, took in history.refusal_times("own-h1")]
+        self.assertGreater(len(times), 10)
+        self.assertLess(sorted(times)[len(times) // 2], 0.1)
+
+
 class ChangeBesideTroubledHostTest(GapCase):
     """A primary is replaced while a host can't say that it has stopped using it."""
 
