--- a/tests/pool/test_two_homes.py
+++ b/tests/pool/test_two_homes.py
@@ -27,7 +27,8 @@
             insert = f"INSERT INTO t VALUES ({number}, 'x')"
             runs.append(entries[number % 2].run(insert, session_id=session))
         answers = await asyncio.gather(*runs)
-        self.assertTrue(all(answer.result.is_ok for answer in answers))
+        refused = [answer.result for answer in answers if not answer.result.is_ok]
+        self.assertEqual(refused, [])
         sessions = pool.group.servers[0].instance.sessions.values()
         used = sum(1 for session in sessions if not session.is_control)
         self.assertLessEqual(used, pool.group.servers[0].settings.connections)
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -62,7 +62,8 @@
                 *(self.operator.apply(change, reviewed) for change in changes)
             )
             await set_faults(self.cluster.store_address, StoreFaults())
-            self.assertEqual(sorted(item.exit_code for item in ended), [0, 1])
+            told = [item.error for item in ended]
+            self.assertEqual(sorted(item.exit_code for item in ended), [0, 1], told)
             winner = 0 if ended[0].exit_code == 0 else 1
             won, lost = changes[winner], changes[1 - winner]
             said = ended[1 - winner].error
