--- a/hickorywind/host/detection.py
+++ b/hickorywind/host/detection.py
@@ -9,7 +9,7 @@
 
 from hickorywind.host.backendlink import ConnectFailedError, LinkLostError, LinkRefusedError
 from hickorywind.host.peers import Peers
-from hickorywind.host.service import ServiceRuntime
+from hickorywind.host.service import STATUS_TIMEOUT, ServiceRuntime
 from hickorywind.host.servicestate import SILENCE_LIMIT, Backend
 from hickorywind.ids import BackendId, InstanceRole
 from hickorywind.ports.replies import BackendErrorKind
@@ -18,8 +18,7 @@
 
 logger = logging.getLogger(__name__)
 
-ANSWER_TIMEOUT = timedelta(milliseconds=700)  # a busy slot and a round trip between regions
-PEER_ANSWER_TIMEOUT = ANSWER_TIMEOUT + timedelta(milliseconds=200)  # and the way to the peer
+PEER_ANSWER_TIMEOUT = STATUS_TIMEOUT + timedelta(milliseconds=200)  # and the way to the peer
 
 
 class PrimaryVerdict(Enum):
@@ -59,41 +58,33 @@
         return True
     if backend.is_silent(now):
         return False
-    return await backend.links.answers_anew(ANSWER_TIMEOUT)
+    return await backend.links.answers_anew(STATUS_TIMEOUT)
 
 
 async def _check_silence(runtime: ServiceRuntime, peers: Peers, backend: Backend) -> PrimaryVerdict:
-    """Find out whether a primary that accepts connections answers nobody: its process hangs."""
+    """Find out whether a primary that leaves this host without an answer answers anybody."""
     name = backend.server.backend
     alive = peers.alive()
-    calls = [
-        peers.call(host, lambda call: AnswerQuery(call, runtime.name, name), PEER_ANSWER_TIMEOUT)
-        for host in alive
-    ]
-    answers_here, *replies = await asyncio.gather(has_answered(runtime, backend), *calls)
-    replies = [reply for reply in replies if isinstance(reply, AnswerReply)]
-    answered = sum(reply.has_answered for reply in replies)
+    replies = await peers.call_each(
+        alive, lambda call: AnswerQuery(call, runtime.name, name), PEER_ANSWER_TIMEOUT
+    )
+    answers = [reply for reply in replies if isinstance(reply, AnswerReply)]
+    answered = sum(answer.has_answered for answer in answers)
     logger.info(
         "primary_silence_checked",
         extra={
             "service": runtime.name,
             "backend": name,
-            "answers_here": answers_here,
             "peers": len(alive),
-            "replies": len(replies),
+            "replies": len(answers),
             "answered": answered,
         },
     )
-    if answers_here or answered or not _speak_for_most(len(replies), peers.expected()):
+    if answered or not peers.are_most(len(answers)):
         return PrimaryVerdict.RUNNING
     return PrimaryVerdict.FAILED
 
 
-def _speak_for_most(reply_count: int, expected: int) -> bool:
-    """Tell whether replies came from half of the other hosts: else this host may be cut off."""
-    return reply_count * 2 >= expected and (reply_count > 0 or expected == 0)
-
-
 async def _reaches(backend: Backend | None) -> bool:
     if backend is None:
         return False
@@ -126,20 +117,19 @@
 async def _ask_others(runtime: ServiceRuntime, peers: Peers, primary: BackendId) -> PrimaryVerdict:
     """Ask the other hosts; a primary has failed only where none reaches it."""
     alive = peers.alive()
-    calls = [peers.call(host, lambda call: ReachQuery(call, primary)) for host in alive]
-    replies = [reply for reply in await asyncio.gather(*calls) if isinstance(reply, ReachReply)]
-    reached = sum(reply.is_reachable for reply in replies)
+    replies = await peers.call_each(alive, lambda call: ReachQuery(call, primary))
+    answers = [reply for reply in replies if isinstance(reply, ReachReply)]
+    reached = sum(answer.is_reachable for answer in answers)
     logger.info(
         "primary_checked",
         extra={
             "service": runtime.name,
             "backend": primary,
             "peers": len(alive),
-            "replies": len(replies),
+            "replies": len(answers),
             "reached": reached,
         },
     )
     if reached:
         return PrimaryVerdict.REACHED_BY_OTHERS
-    is_shared = _speak_for_most(len(replies), peers.expected())
-    return PrimaryVerdict.FAILED if is_shared else PrimaryVerdict.UNKNOWN
+    return PrimaryVerdict.FAILED if peers.are_most(len(answers)) else PrimaryVerdict.UNKNOWN
--- a/hickorywind/host/fencer.py
+++ b/hickorywind/host/fencer.py
@@ -50,8 +50,7 @@
         False at once where most hosts are silent: this one may be cut off. Raise
         ``StoreUnavailableError``.
         """
-        hosts = await self._store.registered_hosts()
-        hosts.pop(self._own_host, None)
+        hosts = await self._other_hosts()
         fencing = Fencing.from_hosts(set(hosts))
         await self._settle_answering(hosts, fencing)
         if len(fencing.waiting) * 2 > len(hosts):
@@ -63,6 +62,11 @@
             await self._settle_answering(hosts, fencing)
         return True
 
+    async def _other_hosts(self) -> dict[HostId, HostRecord]:
+        hosts = await self._store.registered_hosts()
+        hosts.pop(self._own_host, None)
+        return hosts
+
     async def _settle_answering(self, hosts: dict[HostId, HostRecord], fencing: Fencing) -> None:
         """Count the hosts that will say at once that they stopped, and those that have ended."""
 
@@ -81,8 +85,7 @@
     async def begin(self, runtime: ServiceRuntime, closed: VersionedLeadership) -> Fencing:
         """Stop the own use, get the word of all others and end the leases of the silent."""
         await self.end_own_use(runtime, closed.revision, closed.record.is_planned)
-        hosts = await self._store.registered_hosts()
-        hosts.pop(self._own_host, None)
+        hosts = await self._other_hosts()
         fencing = Fencing.from_hosts(set(hosts))
         self._records |= hosts
         timeout = PLANNED_CLOSE_TIMEOUT if closed.record.is_planned else CLOSE_TIMEOUT
--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -166,7 +166,11 @@
 
     def sees_majority(self) -> bool:
         """Tell whether at least half of the hosts that are expected answered lately."""
-        return len(self.alive()) * 2 >= self.expected()
+        return self.are_most(len(self.alive()))
+
+    def are_most(self, count: int) -> bool:
+        """Tell whether so many hosts are half of the others: else this one may be cut off."""
+        return count * 2 >= self.expected()
 
     def any_permitted(self) -> bool:
         """Tell whether another host that answered lately may use primaries."""
@@ -197,6 +201,16 @@
         finally:
             peer.waiting.pop(number, None)
 
+    async def call_each(
+        self,
+        hosts: tuple[HostId, ...],
+        make: Callable[[int], Message],
+        timeout: timedelta = CALL_TIMEOUT,
+    ) -> list[Message]:
+        """Send a message to several hosts at once and return the replies that come in time."""
+        replies = await asyncio.gather(*(self.call(host, make, timeout) for host in hosts))
+        return [reply for reply in replies if reply is not None]
+
     async def answers(self, host: HostId, timeout: timedelta) -> bool:
         """Tell whether a host answers a greeting in time."""
         return await self.call(host, self.make_greeting, timeout) is not None
--- a/tests/host/simulation.py
+++ b/tests/host/simulation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import unittest.mock
 
 import hickorywind.host.peers
@@ -98,18 +99,14 @@
 
     def start_host(self, name):
         gate = self.gates[name] = Gate(name)
-        zone = name.replace("h", "z")
-        host = gate.run(
+        make = functools.partial(
             RunningHost,
-            name,
-            self.store,
-            self.group,
-            _settings.get(name),
-            False,
-            self.clock,
-            zone,
-            ZONES,
+            settings=_settings.get(name),
+            clock=self.clock,
+            zone=name.replace("h", "z"),
+            zones=ZONES,
         )
+        host = gate.run(make, name, self.store, self.group)
         _settings[name] = host.settings
         self.hosts[name] = host
 
