Play the tests of hosts in virtual time; a permit can't return after it was given up

The same race was a fault of the product: a renewal in flight while a stopping host unregistered granted its permit again after others had stopped waiting for it, and the host went on renewing and, once its lease ended, would have registered anew. Change: HostTestCase runs on the event loop in virtual time with messages in memory; every bound in seconds stays. A proof sent before a revocation extends nothing; renewals end with the registration. The test of the waiting statement cuts its host off from the store until the caller has left. The test of the command line runs it as a process of its own. Ruled out: a fault in the withdrawal of waiting statements.

--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -110,6 +110,7 @@
     """
 
     valid_until: Instant = timedelta(0)
+    _revoked_at: Instant | None = None
     _records: dict[ServiceName, VersionedLeadership] = field(default_factory=dict)
     _use_stopped_at: dict[ServiceName, Revision] = field(default_factory=dict)
     _new_work_stopped_at: dict[ServiceName, Revision] = field(default_factory=dict)
@@ -118,13 +119,15 @@
         """Extend the permit to ``PERMIT_DURATION`` after ``proof_sent``.
 
         At ``proof_sent`` the request was sent whose answer proved that the lease had not been
-        ended.
+        ended. A proof sent before the permit was revoked has no effect.
         """
-        self.valid_until = max(self.valid_until, proof_sent + PERMIT_DURATION)
+        if self._revoked_at is None or proof_sent > self._revoked_at:
+            self.valid_until = max(self.valid_until, proof_sent + PERMIT_DURATION)
 
-    def revoke(self) -> None:
-        """End the permit at once, because the lease is known to have ended."""
+    def revoke(self, now: Instant) -> None:
+        """End the permit at once, because other hosts will no longer wait for it to expire."""
         self.valid_until = timedelta(0)
+        self._revoked_at = now
 
     def learn(self, service: ServiceName, leadership: VersionedLeadership) -> bool:
         """Store a leadership record; return whether it is newer than the one known."""
--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -65,6 +65,7 @@
         self._registered_at = Revision(0)
         self._stopped_revisions: dict[ServiceName, Revision] = {}
         self._is_reachable = True
+        self._is_unregistered = False
         self._background = BackgroundTasks()
 
     async def run(self) -> None:
@@ -93,7 +94,7 @@
     # Registration ------------------------------------------------------------------------------
 
     async def _maintain_registration(self) -> None:
-        while True:
+        while not self._is_unregistered:
             await self._register()
             await self._renew_until_lease_ends()
 
@@ -185,6 +186,8 @@
         interval = PERMIT_RENEWAL_INTERVAL.total_seconds()
         while True:
             await asyncio.sleep(interval * self._rng.uniform(0.8, 1.0))
+            if self._is_unregistered:
+                return
             sent = self._fleet.now()
             renewed = await self._renew_hedged(self._lease)
             if renewed is None:
@@ -227,7 +230,8 @@
 
     async def unregister(self) -> None:
         """Revoke this host's permit and delete its registration."""
-        self._fleet.permits.revoke()
+        self._is_unregistered = True
+        self._fleet.permits.revoke(self._fleet.now())
         if self._lease is None:
             return
         try:
--- a/tests/failover/test_leadership.py
+++ b/tests/failover/test_leadership.py
@@ -51,9 +51,17 @@
         self.assertEqual(self.permits.valid_until, START + PERMIT_DURATION)
 
     def test_ended_lease_revokes_at_once(self):
-        self.permits.revoke()
+        self.permits.revoke(START)
         self.assertIsNone(self.usable())
 
+    def test_proof_sent_before_a_revocation_grants_nothing(self):
+        revoked = START + timedelta(seconds=2)
+        self.permits.revoke(revoked)
+        self.permits.extend(revoked - timedelta(milliseconds=5))
+        self.assertIsNone(self.usable(revoked))
+        self.permits.extend(revoked + timedelta(milliseconds=5))
+        self.assertEqual(self.usable(revoked), "i-a")
+
     def test_closed_record_stops_use(self):
         self.permits.learn(SERVICE, versioned(6, LeadershipPhase.CLOSED))
         self.assertIsNone(self.usable())
--- a/tests/host/harness.py
+++ b/tests/host/harness.py
@@ -4,7 +4,9 @@
 import json
 import random
 import unittest
+import unittest.mock
 
+import hickorywind.host.peers
 from hickorywind.host.hostruntime import Adapters, HostRuntime
 from hickorywind.ids import Incarnation
 from hickorywind.observability.hostmetrics import HostMetrics
@@ -21,6 +23,8 @@
 from hickorywind.util.listening import open_listener
 from standins.lineplatform.group import LineGroup
 from standins.lineplatform.memorystore import MemoryCoordinationStore, MemoryStore
+from tests.host.memorypeers import MemoryNetwork
+from tests.host.virtualtime import Gate, VirtualClock, VirtualLoop
 from tests.ports import free_address, wait_until_free
 
 SERVICE = "ledger"
@@ -98,8 +102,11 @@
         self.writer.transport.abort()
 
 
-class HostTestCase(unittest.IsolatedAsyncioTestCase):
-    """Test case with a group of servers, a store and ``host_count`` hosts."""
+class RealTimeHostTestCase(unittest.IsolatedAsyncioTestCase):
+    """Test case with a group of servers, a store and ``host_count`` hosts, in real time.
+
+    Only for tests that use other threads or processes; the others play in virtual time.
+    """
 
     host_count = 1
 
@@ -127,8 +134,8 @@
     async def register(self, server, **changes):
         await self.store.put(BACKENDS_PREFIX + server.backend, registration(server, **changes))
 
-    def start_host(self, name):
-        self.hosts[name] = RunningHost(name, self.store, self.group)
+    def start_host(self, name, settings=None, is_cut=False):
+        self.hosts[name] = RunningHost(name, self.store, self.group, settings, is_cut)
 
     async def restart_host(self, name, is_cut=False):
         """Kill a host and start it again at the same addresses.
@@ -138,7 +145,7 @@
         old = self.hosts[name]
         await old.kill()
         await wait_until_free(old.settings.address("peers_listen"))
-        self.hosts[name] = RunningHost(name, self.store, self.group, old.settings, is_cut)
+        self.start_host(name, old.settings, is_cut)
 
     async def wait_until(self, condition, seconds=12.0):
         async with asyncio.timeout(seconds):
@@ -151,6 +158,32 @@
         return caller
 
 
+class HostTestCase(RealTimeHostTestCase):
+    """Test case in virtual time, so that the load of the machine does not change its timing.
+
+    All of a test's code runs in one thread; messages between hosts do not leave the process.
+    """
+
+    def _setupAsyncioRunner(self):  # noqa: N802
+        # IsolatedAsyncioTestCase has no public way to choose the event loop before Python 3.13.
+        self._asyncioRunner = asyncio.Runner(debug=True, loop_factory=VirtualLoop)
+
+    async def asyncSetUp(self):
+        self.loop = asyncio.get_running_loop()
+        network = MemoryNetwork()
+        for name, make in (("Link", network.make_link), ("Listener", network.make_listener)):
+            patch = unittest.mock.patch.object(hickorywind.host.peers, name, make)
+            patch.start()
+            self.addCleanup(patch.stop)
+        await super().asyncSetUp()
+
+    def start_host(self, name, settings=None, is_cut=False):
+        clock = VirtualClock(self.loop)
+        self.hosts[name] = Gate(name).run(
+            RunningHost, name, self.store, self.group, settings, is_cut, clock
+        )
+
+
 class RunningHost:
     """Running host with its own client of the store."""
 
--- a/tests/host/test_endtoend.py
+++ b/tests/host/test_endtoend.py
@@ -1,5 +1,4 @@
 import asyncio
-import time
 import unittest
 
 from tests.host.harness import CONFIGURATION_KEY, HostTestCase, configuration
@@ -35,16 +34,19 @@
         answer = asyncio.create_task(caller.ask("COMMIT"))
         await asyncio.sleep(0)
         # Blocks the whole process for longer than the transaction idle timeout of 800 ms.
-        time.sleep(1.0)
+        self.loop.advance(1.0)
         self.assertEqual((await answer)[0], "COMPLETE s.q3")
 
     async def test_waiting_statement_is_not_run_after_its_caller_disconnects(self):
-        permits = self.hosts["h0"].role._fleet.permits
-        permits.revoke()
+        host = self.hosts["h0"]
+        host.coordinator.is_cut = True
+        host.role._fleet.permits.revoke(host.role._fleet.now())
         waiting = await self.caller("bookings")
         waiting.writer.write(b"QUERY q1 WRITE kiln 1\r\n")
         await asyncio.sleep(0.05)
+        self.assertEqual(self.group.commits, [])
         waiting.close()
+        host.coordinator.is_cut = False
         other = await self.caller("bookings")
         self.assertEqual((await other.ask("WRITE kiln 2"))[0], "COMPLETE s.q1")
         await asyncio.sleep(0.3)
@@ -202,10 +204,10 @@
         caller = await self.caller("bookings")
         await caller.ask("READ x")
         self.group.servers["i-a"].is_silent = True
-        started = asyncio.get_running_loop().time()
+        started = self.loop.time()
         lines = await caller.ask("WRITE kiln 7")
         self.assertTrue(lines[0].startswith("ERROR INDOUBT"), lines)
-        self.assertLess(asyncio.get_running_loop().time() - started, 1.5)
+        self.assertLess(self.loop.time() - started, 1.5)
 
     async def test_operations_wait_at_the_connection_limit_instead_of_failing(self):
         self.group.servers["i-a"].connection_limit = 1
--- a/tests/host/test_failovermanager.py
+++ b/tests/host/test_failovermanager.py
@@ -1,6 +1,5 @@
 import asyncio
 import socket
-import time
 from unittest import mock
 
 from hickorywind.failover.leadership import (
@@ -29,12 +28,12 @@
         caller = await self.caller("bookings")
         await caller.ask("WRITE kiln 1")
         await self.group.servers["i-a"].crash()
-        started = asyncio.get_running_loop().time()
+        started = self.loop.time()
         lines = await caller.ask("WRITE kiln 2")
         if lines[0].startswith("ERROR"):
             lines = await caller.ask("WRITE kiln 2")
         self.assertTrue(lines[0].startswith("COMPLETE"), lines)
-        self.assertLess(asyncio.get_running_loop().time() - started, 2.0)
+        self.assertLess(self.loop.time() - started, 2.0)
         self.assertEqual((await caller.ask("READ kiln"))[0], "ROW 2")
         holders = {promotion[0] for promotion in self.group.promotions}
         self.assertEqual(len(holders), 1)
@@ -224,6 +223,17 @@
         self.assertTrue(set(complete) <= {"READY I -"}, complete)
         self.assertNotIn(HOSTS_PREFIX + "h0", self.store.items)
 
+    async def test_renewal_answered_after_the_registration_was_deleted_grants_no_permit(self):
+        host = self.hosts["h0"]
+        fleet, calls = host.role._fleet, host.coordinator.calls
+        self.store.delay_seconds = 0.2
+        await self.wait_until(lambda: calls[-1] == "renew")
+        await host.role._sync.unregister()
+        for _ in range(300):
+            self.assertFalse(fleet.permits.is_valid(fleet.now()))
+            self.assertNotIn(HOSTS_PREFIX + "h0", self.store.items)
+            await asyncio.sleep(0.01)
+
     async def test_open_transaction_may_end_during_a_stop(self):
         caller = await self.caller("bookings")
         await caller.ask("BEGIN")
@@ -258,19 +268,19 @@
     async def test_configuration_is_copied_at_the_first_contact_with_a_peer(self):
         role = self.started.role
         await self.wait_until(role._peers.known_hosts)
-        met = time.monotonic()
+        met = self.loop.time()
         await self.wait_until(lambda: role._fleet.configuration is not None)
-        self.assertLess(time.monotonic() - met, 0.5)
+        self.assertLess(self.loop.time() - met, 0.5)
 
     async def test_write_is_refused_soon_while_a_peer_can_serve_it(self):
         await self.wait_until(lambda: self.started.role._fleet.configuration is not None)
         caller = await self.caller("bookings", "h1")
-        started = time.monotonic()
+        started = self.loop.time()
         answer = await caller.ask("WRITE kiln 1")
-        self.assertLess(time.monotonic() - started, MISSING_PERMIT_LIMIT.total_seconds() + 0.5)
-        started = time.monotonic()
+        self.assertLess(self.loop.time() - started, MISSING_PERMIT_LIMIT.total_seconds() + 0.5)
+        started = self.loop.time()
         await caller.ask("WRITE kiln 1")
-        self.assertLess(time.monotonic() - started, 0.2)
+        self.assertLess(self.loop.time() - started, 0.2)
         self.assertTrue(answer[0].startswith("ERROR"), answer)
         other = await self.caller("bookings", "h0")
         self.assertEqual((await other.ask("WRITE kiln 2"))[-1], "READY I -")
@@ -278,7 +288,8 @@
 
     async def test_write_waits_where_no_peer_can_serve_it_either(self):
         await self.wait_until(lambda: self.started.role._fleet.configuration is not None)
-        self.hosts["h0"].role._fleet.permits.revoke()
+        fleet = self.hosts["h0"].role._fleet
+        fleet.permits.revoke(fleet.now())
         await asyncio.sleep(1.5)
         caller = await self.caller("bookings", "h1")
         asked = asyncio.create_task(caller.ask("WRITE kiln 1"))
@@ -352,11 +363,11 @@
         await self.register(self.group.servers["i-a"], state="draining")
         caller = await self.caller("bookings")
         leaving_seconds = self.hosts["h0"].settings.backend_leaving_ms / 1000
-        until = time.monotonic() + leaving_seconds * LEAVING_USE_FRACTION - 0.3
-        while time.monotonic() < until:
-            started = time.monotonic()
+        until = self.loop.time() + leaving_seconds * LEAVING_USE_FRACTION - 0.3
+        while self.loop.time() < until:
+            started = self.loop.time()
             self.assertEqual((await caller.ask("WRITE kiln 1"))[-1], "READY I -")
-            self.assertLess(time.monotonic() - started, 0.5)
+            self.assertLess(self.loop.time() - started, 0.5)
             await asyncio.sleep(0.05)
 
     def calls(self):
--- a/tests/host/test_hoststatus.py
+++ b/tests/host/test_hoststatus.py
@@ -1,15 +1,16 @@
 import asyncio
 import json
+import sys
 
 from hickorywind.protocol.channel import Link
 from hickorywind.protocol.messages import Refused, StatusRequest
 from hickorywind.results import ResultCode
-from tests.host.harness import SERVERS, SERVICE, HostTestCase
+from tests.host.harness import SERVERS, SERVICE, RealTimeHostTestCase
 from tests.ports import free_address
 from tests.ui.commandrunner import run_tool
 
 
-class HostStatusTest(HostTestCase):
+class HostStatusTest(RealTimeHostTestCase):
     """Status of a running host in the command line tool."""
 
     host_count = 2
@@ -42,10 +43,17 @@
         self.assertIn("usable primary", ran.out)
 
     async def test_address_without_an_answer_gives_a_one_line_error(self):
-        ran = await asyncio.to_thread(run_tool, "host", free_address(), "--timeout-ms", "100")
-        self.assertEqual(ran.code, 3)
-        self.assertIn("did not answer within 100 ms", ran.err)
-        self.assertEqual(ran.err.count("\n"), 1)
+        # In a process of its own, as the event loop of this one may report slow callbacks on the
+        # standard error that ``run_tool`` captures.
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "hickorywind.ui"),
+            *("host", str(free_address()), "--timeout-ms", "100"),
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, errors = await process.communicate()
+        self.assertEqual(process.returncode, 3)
+        self.assertIn("did not answer within 100 ms", errors.decode())
+        self.assertEqual(errors.decode().count("\n"), 1)
 
     async def test_other_message_is_refused_with_a_result_code(self):
         link = Link(self.hosts["h0"].settings.address("status_listen"))
--- a/tests/host/test_latepromotions.py
+++ b/tests/host/test_latepromotions.py
@@ -6,6 +6,7 @@
 
 CHANGE_LIMIT_SECONDS = 5.0
 PROMOTION_DELAY_SECONDS = 2.0
+ROUND_TRIP_SECONDS = 0.005  # between callers and hosts
 
 
 class LatePromotionTest(HostTestCase):
@@ -32,6 +33,8 @@
                 for caller in self.callers:
                     value += 1
                     await self.write(caller, value)
+                    # Virtual time does not pass while callers retry without a pause.
+                    await asyncio.sleep(ROUND_TRIP_SECONDS)
                 if len(self.acknowledged) == before + len(self.callers):
                     return
 
--- a/tests/host/virtualtime.py
+++ b/tests/host/virtualtime.py
@@ -41,10 +41,11 @@
     def __init__(self):
         super().__init__()
         self._seconds = self.START_SECONDS
-        self._selector = _SkippingSelector(self._selector, self._advance_time)
+        self._selector = _SkippingSelector(self._selector, self.advance)
         self.set_task_factory(_make_task)
 
-    def _advance_time(self, seconds):
+    def advance(self, seconds):
+        """Let time pass without running any task, as if the process were blocked."""
         self._seconds += seconds
 
     def time(self):
