Greet a few neighbours instead of every host

Cause: every host greeted every other one each second and opened a connection to it: 7,310 greetings a second at 86 hosts, 37,830 at 195. Change: membership/neighbours.py chooses 3 hosts of the own zone and one of each other zone on a ring of hashes (all others up to 16 hosts); membership/peertable.py knows who is alive: neighbours by hearing, the others by exception, as neighbours report silent and leaving hosts. Connections to other hosts are opened for a call and closed when unused. Registrations are completed among hosts by revision, so that no host watches them. A verdict on a primary asks the neighbours. A host that was only reported silent is greeted once before its lease is ended. Tried and mended on the way: substitutes of silent neighbours counted as alive from the start of their greeting, so that a cut-off zone saw a majority for 7 s; hosts that registered last stayed unknown to those that did not greet them. Ruled out: the fleet's records by gossip (package membership.gossip) as it is: its overlay reaches other regions by two gateways a zone only, from which a host can't judge whether its own zone is cut off.

--- a/hickorywind/host/detection.py
+++ b/hickorywind/host/detection.py
@@ -78,9 +78,9 @@
 ) -> PrimaryVerdict:
     """Return FAILED if an unresponsive primary answers no peer either, otherwise RUNNING."""
     name = backend.server.backend
-    alive = peers.alive()
+    voters = peers.table.voters()
     replies = await peers.call_each(
-        alive, lambda call: ResponsivenessQuery(call, runtime.name, name), PEER_ANSWER_TIMEOUT
+        voters, lambda call: ResponsivenessQuery(call, runtime.name, name), PEER_ANSWER_TIMEOUT
     )
     answers = [reply for reply in replies if isinstance(reply, ResponsivenessReply)]
     answered = sum(answer.is_responsive for answer in answers)
@@ -89,12 +89,12 @@
         extra={
             "service": runtime.name,
             "backend": name,
-            "peers": len(alive),
+            "peers": len(voters),
             "replies": len(answers),
             "answered": answered,
         },
     )
-    if answered or not peers.is_quorum(len(answers)):
+    if answered or not peers.table.is_quorum(len(answers)):
         return PrimaryVerdict.RUNNING
     return PrimaryVerdict.FAILED
 
@@ -130,8 +130,8 @@
 
 async def _ask_peers(runtime: ServiceRuntime, peers: Peers, primary: BackendId) -> PrimaryVerdict:
     """Ask the peers whether they reach a primary; it has failed only if none of them does."""
-    alive = peers.alive()
-    replies = await peers.call_each(alive, lambda call: ReachQuery(call, primary))
+    voters = peers.table.voters()
+    replies = await peers.call_each(voters, lambda call: ReachQuery(call, primary))
     answers = [reply for reply in replies if isinstance(reply, ReachReply)]
     reached = sum(answer.is_reachable for answer in answers)
     logger.info(
@@ -139,11 +139,11 @@
         extra={
             "service": runtime.name,
             "backend": primary,
-            "peers": len(alive),
+            "peers": len(voters),
             "replies": len(answers),
             "reached": reached,
         },
     )
     if reached:
         return PrimaryVerdict.REACHED_BY_OTHERS
-    return PrimaryVerdict.FAILED if peers.is_quorum(len(answers)) else PrimaryVerdict.UNKNOWN
+    return PrimaryVerdict.FAILED if peers.table.is_quorum(len(answers)) else PrimaryVerdict.UNKNOWN
--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -149,7 +149,7 @@
 
     def _check_leaving_primary(self, service: ServiceName, leadership: VersionedLeadership) -> None:
         """Replace a leaving primary, unless a host that reaches more peers should do it."""
-        if self._peers.sees_majority() or self._is_replacement_overdue(service, leadership):
+        if self._peers.table.sees_majority() or self._is_replacement_overdue(service, leadership):
             self._start_task(service, self._replace_leaving(service, leadership))
 
     def _is_replacement_overdue(
@@ -174,15 +174,15 @@
             return
         promoter = leadership.record.promoter
         is_own = promoter == self._identity.host
-        is_silent = not is_own and promoter not in self._peers.alive()
+        is_silent = not is_own and promoter not in self._peers.table.alive()
         timeout = TAKEOVER_TIMEOUT + RANK_DELAY * self._rank(service)
-        if not self._peers.sees_majority():
+        if not self._peers.table.sees_majority():
             timeout += MINORITY_DELAY
         if is_own or (is_silent and now > since + timeout) or now > since + STUCK_CHANGE_TIMEOUT:
             self._start_task(service, self._take_over(service, leadership))
 
     def _rank(self, service: ServiceName) -> int:
-        hosts = [self._identity.host, *self._peers.active()]
+        hosts = [self._identity.host, *self._peers.table.active()]
         return list(rank_members(service, hosts)).index(self._identity.host)
 
     async def _defer_to_higher_ranks(
--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from hickorywind.failover.leadership import (
+    HostRecord,
     MissingPermitTimer,
     Permits,
     VersionedLeadership,
+    decode_host,
     decode_leadership,
 )
 from hickorywind.ids import BackendId, Revision, ServiceName
@@ -33,6 +35,8 @@
 # Registrations that expired during a store outage are back about two seconds after its end.
 MISSING_BACKEND_GRACE = timedelta(seconds=3)
 
+_BEFORE_FIRST_REVISION = Revision(0)
+
 
 class StoreCopy:
     """Local copy of the store items under one prefix.
@@ -64,9 +68,11 @@
         self.apply(tuple(changes), snapshot.as_of)
         return tuple(changes)
 
-    def to_message(self, call: int) -> CopyReply:
-        """Return the copy as a message for another host."""
-        items = tuple(CopiedItem.from_stored(item) for item in self.items.values())
+    def to_message(self, call: int, after: Revision = _BEFORE_FIRST_REVISION) -> CopyReply:
+        """Return the items that changed after a revision as a message for another host."""
+        items = tuple(
+            CopiedItem.from_stored(item) for item in self.items.values() if item.revision > after
+        )
         return CopyReply(call, self.prefix, self.as_of, items)
 
     def apply(self, changes: tuple[Change, ...], as_of: Revision) -> tuple[Change, ...]:
@@ -112,6 +118,9 @@
             prefix: StoreCopy(prefix)
             for prefix in (schema.configuration_key, schema.backends_prefix, LEADERSHIP_PREFIX)
         }
+        # Read once at registration and then completed from the copies of hosts that read it later;
+        # it holds hosts that have left since.
+        self.host_copy = StoreCopy(HOSTS_PREFIX)
         self.configuration_listeners: list[Callable[[], None]] = []
         self.backend_listeners: list[Callable[[], None]] = []
         self.leadership_listeners: list[Callable[[ServiceName], None]] = []
@@ -124,6 +133,24 @@
         """Return the primary that this host may use now, or None."""
         return self.permits.usable_primary(service, self._clock.now())
 
+    def copy_of(self, prefix: str) -> StoreCopy | None:
+        """Return the copy of a prefix, or None if this host keeps none."""
+        return self.host_copy if prefix == HOSTS_PREFIX else self.copies.get(prefix)
+
+    def copy_revisions(self) -> dict[str, Revision]:
+        """Return by prefix the revision by which hosts compare their copies.
+
+        For registrations it is the one up to which the copy is complete, as no host watches them.
+        """
+        revisions = {prefix: copy.changed_at for prefix, copy in self.copies.items()}
+        return revisions | {HOSTS_PREFIX: self.host_copy.as_of}
+
+    def add_hosts(self, snapshot: Snapshot) -> tuple[HostRecord, ...]:
+        """Add registered hosts to the copy and return the new and changed ones."""
+        written = tuple(ItemWritten(item) for item in snapshot.items)
+        applied = self.host_copy.apply(written, snapshot.as_of)
+        return decode_hosts(change.item for change in applied)
+
     def apply_snapshot(self, prefix: str, snapshot: Snapshot, source: str) -> None:
         """Apply a snapshot of a prefix; ``source`` names the store or peer for the log."""
         self._process_changes(prefix, self.copies[prefix].replace(snapshot), source)
@@ -246,3 +273,15 @@
                 )
                 for listener in self.leadership_listeners:
                     listener(service)
+
+
+def decode_hosts(items: Iterable[StoredValue]) -> tuple[HostRecord, ...]:
+    """Decode registrations of hosts; skip and log invalid ones."""
+    records = []
+    for item in items:
+        record = decode_host(item.value)
+        if record is None:
+            logger.error("host_record_unreadable", extra={"key": item.key})
+        else:
+            records.append(record)
+    return tuple(records)
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -12,7 +12,7 @@
 
 from hickorywind.host.detection import is_responsive
 from hickorywind.host.failovermanager import FailoverManager
-from hickorywind.host.fleet import Fleet
+from hickorywind.host.fleet import HOSTS_PREFIX, Fleet
 from hickorywind.host.hoststatus import describe_host, serve_status
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.peers import Peers
@@ -21,7 +21,7 @@
 from hickorywind.host.session import Session
 from hickorywind.host.storeacknowledger import StoreAcknowledger
 from hickorywind.host.storesync import StoreSync
-from hickorywind.ids import BackendId, Incarnation, Revision, ServiceName
+from hickorywind.ids import BackendId, HostId, Incarnation, Revision, ServiceName
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.ports.catalog import Topology
 from hickorywind.ports.codecs import BackendCodec, CallerCodec
@@ -213,12 +213,13 @@
                 service.dispatch_waiting()
 
     def _others_may_serve(self) -> bool:
-        return self._peers.any_peer_holds_permit() or self._peers.is_isolated()
+        return self._peers.table.any_holds_permit() or self._peers.is_isolated()
 
     async def _run_housekeeping(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL.total_seconds())
             self._fleet.remove_missing_backends()
+            self._peers.maintain()
             for name, service in self._services.items():
                 service.close_idle_connections()
                 self._metrics.waiting.labels(name).set(service.waiting_count)
@@ -293,7 +294,7 @@
         for name in service_names - self._services.keys():
             self._add_service(name)
         for service in self._services.values():
-            service.host_count = 1 + len(self._peers.alive())
+            service.host_count = 1 + len(self._peers.table.alive())
             service.refresh()
         if self._fleet.configuration is not None:
             self._metrics.configuration_version.set(self._fleet.configuration.version)
@@ -314,9 +315,6 @@
 
     # Peers -------------------------------------------------------------------------------------
 
-    def _copy_revisions(self) -> dict[str, int]:
-        return {prefix: copy.changed_at for prefix, copy in self._fleet.copies.items()}
-
     def _make_greeting(self, call: int) -> Greeting:
         identity = self._identity
         return Greeting(
@@ -325,7 +323,7 @@
             identity.incarnation,
             identity.zone,
             identity.address,
-            self._copy_revisions(),
+            self._fleet.copy_revisions(),
         )
 
     def _handle_greeting_reply(self, reply: GreetingReply, sent: Instant) -> None:
@@ -339,43 +337,47 @@
             # The reply was sent before now, so the lease end was confirmed at least that long ago.
             confirmed = self._clock.now() - milliseconds(ended.age_ms)
             self._failover_manager.store.record_lease_end(LeaseId(ended.lease), confirmed)
-        self._fetch_newer_copies(reply)
+        self._fetch_newer_copies(reply.host, reply.revisions)
 
-    def _fetch_newer_copies(self, reply: GreetingReply) -> None:
-        for prefix, revision in reply.revisions.items():
-            copy = self._fleet.copies.get(prefix)
+    def _fetch_newer_copies(self, host: HostId, revisions: dict[str, int]) -> None:
+        own_revisions = self._fleet.copy_revisions()
+        for prefix, revision in revisions.items():
+            own_revision = own_revisions.get(prefix)
             if (
-                copy is not None
-                and copy.changed_at < revision
+                own_revision is not None
+                and own_revision < revision
                 and prefix not in self._copies_in_progress
             ):
                 self._copies_in_progress.add(prefix)
-                self._background.start(self._fetch_copy(reply, prefix))
+                self._background.start(self._fetch_copy(host, prefix))
 
-    async def _fetch_copy(self, reply: GreetingReply, prefix: str) -> None:
+    async def _fetch_copy(self, host: HostId, prefix: str) -> None:
         try:
-            answer = await self._peers.call(reply.host, lambda call: CopyQuery(call, prefix))
+            # Registrations are only added to; of the other items, deletions matter too.
+            after = self._fleet.host_copy.as_of if prefix == HOSTS_PREFIX else Revision(0)
+            answer = await self._peers.call(host, lambda call: CopyQuery(call, prefix, after))
             if isinstance(answer, CopyReply):
-                self._apply_copy(answer, reply.host)
+                self._apply_copy(answer, host)
         finally:
             self._copies_in_progress.discard(prefix)
 
     def _apply_copy(self, reply: CopyReply, source: str) -> None:
-        if reply.prefix not in self._fleet.copies:
-            logger.warning("copy_of_unknown_prefix", extra={"prefix": reply.prefix})
-            return
         items = tuple(item.to_stored() for item in reply.items)
-        self._fleet.apply_snapshot(
-            reply.prefix, Snapshot(items, Revision(reply.as_of)), f"peer {source}"
-        )
+        snapshot = Snapshot(items, Revision(reply.as_of))
+        if reply.prefix == HOSTS_PREFIX:
+            self._peers.add(*self._fleet.add_hosts(snapshot))
+        elif reply.prefix in self._fleet.copies:
+            self._fleet.apply_snapshot(reply.prefix, snapshot, f"peer {source}")
+        else:
+            logger.warning("copy_of_unknown_prefix", extra={"prefix": reply.prefix})
 
     async def _handle_peer_message(self, message: Message) -> Message | None:
         match message:
             case Greeting():
                 return self._reply_to_greeting(message)
-            case CopyQuery(call, prefix):
-                copy = self._fleet.copies.get(prefix)
-                return None if copy is None else copy.to_message(call)
+            case CopyQuery(call, prefix, after):
+                copy = self._fleet.copy_of(prefix)
+                return None if copy is None else copy.to_message(call, after)
             case CopyReply():
                 self._apply_copy(message, "notice")
             case ReachQuery(call, backend):
@@ -396,6 +398,9 @@
 
     def _reply_to_greeting(self, greeting: Greeting) -> GreetingReply:
         self._peers.add_from_greeting(greeting)
+        # A new host is greeted only by those that know it, so the hosts that it greets ask it.
+        registrations = greeting.revisions.get(HOSTS_PREFIX, 0)
+        self._fetch_newer_copies(greeting.host, {HOSTS_PREFIX: registrations})
         now = self._clock.now()
         samples = []
         for name, service in self._services.items():
@@ -409,11 +414,12 @@
             identity.host,
             identity.incarnation,
             identity.zone,
-            self._copy_revisions(),
+            self._fleet.copy_revisions(),
             tuple(samples),
             self._is_stopping,
             self._failover_manager.store.ended_leases(),
             self._fleet.permits.is_valid(now + MIN_PERMIT_REMAINING),
+            self._peers.table.make_reports(),
         )
 
     async def _is_backend_responsive(self, name: ServiceName, backend: BackendId) -> bool:
--- a/hickorywind/host/hoststatus.py
+++ b/hickorywind/host/hoststatus.py
@@ -60,7 +60,7 @@
         permit_ms=max(0, int(to_milliseconds(permit))),
         configuration_version=None if configuration is None else configuration.version,
         sessions=session_count,
-        peers=peers.describe(),
+        peers=peers.table.describe(),
         services=tuple(_describe_service(service) for service in services),
     )
 
--- a/hickorywind/host/leadershipstore.py
+++ b/hickorywind/host/leadershipstore.py
@@ -12,10 +12,9 @@
     VersionedLeadership,
     encode_record,
 )
-from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX, Fleet
+from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX, Fleet, decode_hosts
 from hickorywind.host.peers import Peers
 from hickorywind.host.storerelay import StoreRelay
-from hickorywind.host.storesync import parse_hosts
 from hickorywind.ids import HostId, Revision, ServiceName
 from hickorywind.ports.coordination import (
     Committed,
@@ -136,7 +135,8 @@
 
     async def read_hosts(self) -> dict[HostId, HostRecord]:
         """Read the registered hosts with one store call; raise ``StoreUnavailableError``."""
-        return parse_hosts(await self._relay.read_range(HOSTS_PREFIX))
+        snapshot = await self._relay.read_range(HOSTS_PREFIX)
+        return {record.host: record for record in decode_hosts(snapshot.items)}
 
     async def read_hosts_with_retries(self) -> dict[HostId, HostRecord]:
         """Read the registered hosts, with retries; raise ``StoreUnavailableError``."""
--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -11,15 +11,15 @@
 
 import zmq
 
-from hickorywind.failover.leadership import PERMIT_DURATION, HostRecord
+from hickorywind.failover.leadership import HostRecord
 from hickorywind.host.identity import HostIdentity
 from hickorywind.ids import AvailabilityZone, HostId
+from hickorywind.membership.peertable import PeerState, PeerTable
 from hickorywind.ports.coordination import LeaseId
 from hickorywind.protocol.channel import Link, Listener
-from hickorywind.protocol.hoststatus import PeerStatus
 from hickorywind.protocol.messages import CopyReply, Greeting, GreetingReply, Message
 from hickorywind.results import HickorywindError
-from hickorywind.util.clock import Clock, Instant, to_milliseconds
+from hickorywind.util.clock import Clock, Instant
 from hickorywind.util.tasks import BackgroundTasks
 
 logger = logging.getLogger(__name__)
@@ -28,39 +28,53 @@
 FIRST_CONTACT_LIMIT = timedelta(seconds=1)  # how long a new peer is greeted at the short interval
 FIRST_CONTACT_RETRY_DELAY = timedelta(milliseconds=50)  # about the time to connect
 CALL_TIMEOUT = timedelta(milliseconds=700)  # several round trips between regions
-ALIVE_WINDOW = timedelta(milliseconds=3500)  # longer than three lost greetings in a row
-SILENT_AFTER = timedelta(milliseconds=2500)  # longer than a process takes to restart
-# A silent host counts towards the quorum until its permit has expired: until then this host itself
-# may be the isolated one.
-EXPECTED_WINDOW = SILENT_AFTER + PERMIT_DURATION + timedelta(seconds=2)
 REMOVE_AFTER = timedelta(seconds=60)  # after this silence a host is no longer greeted
 _MISSED_GREETINGS_UNTIL_RECONNECT = 2  # a stalled connection may hide a reachable peer
+_CONNECT_RETRY_DELAY = timedelta(milliseconds=20)  # until a connection opened for a call is up
+_UNUSED_LINK_LIFETIME = timedelta(seconds=30)  # several calls of one primary change
 
 
 @dataclass
 class Peer:
-    """Connection to one other host and what its replies said."""
+    """Connection to one other host, if one is open, and the tasks that use it."""
 
     record: HostRecord
-    link: Link
-    last_heard: Instant
     added_at: Instant
-    missed_greetings: int = 0
+    link: Link | None = None
+    last_call: Instant = timedelta(0)
     has_answered: bool = False
-    is_leaving: bool = False
-    holds_permit: bool = False
     pending_calls: dict[int, asyncio.Future] = field(default_factory=dict)
-    tasks: list[asyncio.Task] = field(default_factory=list)
+    receiver: asyncio.Task | None = None
+    greeter: asyncio.Task | None = None
+
+    def close(self) -> None:
+        """Close the connection and stop greeting."""
+        self.stop_greeting()
+        self.close_link()
+
+    def stop_greeting(self) -> None:
+        """Stop greeting; the connection stays open."""
+        if self.greeter is not None:
+            self.greeter.cancel()
+            self.greeter = None
+
+    def close_link(self) -> None:
+        """Close the connection."""
+        if self.link is not None:
+            self.receiver.cancel()
+            self.link.close()
+            self.link = None
 
 
 class Peers:
-    """Membership of the other hosts, with periodic greetings, calls and replies."""
+    """Connections to the other hosts, with greetings to neighbours, calls and replies."""
 
     def __init__(self, identity: HostIdentity, clock: Clock, rng: random.Random) -> None:
         self._identity = identity
         self._clock = clock
         self._rng = rng
         self._peers: dict[HostId, Peer] = {}
+        self.table = PeerTable(identity.host, identity.zone, clock)
         self._next_call = 1
         self._background = BackgroundTasks()
         self._listener: Listener | None = None
@@ -84,28 +98,38 @@
         if reply is not None:
             await self._listener.send(sender, reply)
 
-    def add(self, record: HostRecord) -> None:
-        """Add a host, or replace an older incarnation of it."""
-        if record.host == self._identity.host:
-            return
-        known = self._peers.get(record.host)
-        if known is not None:
-            if known.record.incarnation >= record.incarnation:
-                return
+    def add(self, *records: HostRecord) -> None:
+        """Add hosts, or replace older incarnations of them."""
+        new = [record for record in records if self._is_new(record)]
+        for record in new:
             self._remove(record.host)
-        link = Link(record.address, with_heartbeats=False)
-        now = self._clock.now()
-        peer = Peer(record, link, last_heard=now, added_at=now)
-        self._peers[record.host] = peer
-        peer.tasks = [
-            asyncio.create_task(self._receive(peer)),
-            asyncio.create_task(self._greet(peer)),
-        ]
-        logger.info(
-            "peer_added",
-            extra={"peer": record.host, "address": record.address, "zone": record.zone},
-        )
-        self.on_membership_change()
+            self._peers[record.host] = Peer(record, added_at=self._clock.now())
+            self.table.add(record)
+            logger.info(
+                "peer_added",
+                extra={"peer": record.host, "address": record.address, "zone": record.zone},
+            )
+        if new:
+            self.update_neighbours()
+            self.on_membership_change()
+
+    def _is_new(self, record: HostRecord) -> bool:
+        known = self._peers.get(record.host)
+        is_newer = known is None or known.record.incarnation < record.incarnation
+        return is_newer and record.host != self._identity.host
+
+    def update_neighbours(self) -> None:
+        """Greet the hosts that are neighbours now, and no others; close unused connections."""
+        chosen = self.table.update_neighbours()
+        unused_since = self._clock.now() - _UNUSED_LINK_LIFETIME
+        for host, peer in self._peers.items():
+            if host in chosen:
+                if peer.greeter is None:
+                    peer.greeter = asyncio.create_task(self._greet(peer))
+                continue
+            peer.stop_greeting()
+            if peer.last_call < unused_since and not peer.pending_calls:
+                peer.close_link()
 
     def add_from_greeting(self, greeting: Greeting) -> None:
         """Add the host that sent a greeting."""
@@ -123,66 +147,24 @@
         )
 
     def _remove(self, host: HostId) -> None:
-        peer = self._peers.pop(host)
-        for task in peer.tasks:
-            task.cancel()
-        peer.link.close()
+        peer = self._peers.pop(host, None)
+        if peer is not None:
+            peer.close()
+        self.table.remove(host)
+
+    def _open_link(self, peer: Peer) -> Link:
+        if peer.link is None:
+            peer.link = Link(peer.record.address, with_heartbeats=False)
+            peer.receiver = asyncio.create_task(self._receive(peer, peer.link))
+        return peer.link
 
     def known_hosts(self) -> tuple[HostRecord, ...]:
         """Return all other hosts that have not been removed."""
         return tuple(peer.record for peer in self._peers.values())
 
-    def alive(self) -> tuple[HostId, ...]:
-        """Return the other hosts heard from within ``ALIVE_WINDOW``."""
-        oldest = self._clock.now() - ALIVE_WINDOW
-        return tuple(host for host, peer in self._peers.items() if peer.last_heard >= oldest)
-
-    def expected_count(self) -> int:
-        """Return how many other hosts count towards the quorum."""
-        oldest = self._clock.now() - EXPECTED_WINDOW
-        return sum(peer.last_heard >= oldest for peer in self._peers.values())
-
-    def silent_hosts(self) -> tuple[HostRecord, ...]:
-        """Return the hosts not heard from for ``SILENT_AFTER``."""
-        oldest = self._clock.now() - SILENT_AFTER
-        return tuple(peer.record for peer in self._peers.values() if peer.last_heard < oldest)
-
-    def active(self) -> tuple[HostId, ...]:
-        """Return the alive other hosts that are not stopping."""
-        return tuple(host for host in self.alive() if not self._peers[host].is_leaving)
-
-    def describe(self) -> tuple[PeerStatus, ...]:
-        """Return the status of each other host."""
-        now = self._clock.now()
-        return tuple(
-            PeerStatus(
-                host,
-                peer.record.zone,
-                int(to_milliseconds(now - peer.last_heard)),
-                peer.is_leaving,
-                peer.holds_permit,
-            )
-            for host, peer in sorted(self._peers.items())
-        )
-
-    def sees_majority(self) -> bool:
-        """Return whether this host and the alive others are a majority of the expected hosts."""
-        return self.is_quorum(len(self.alive()))
-
-    def is_quorum(self, count: int) -> bool:
-        """Return whether this host and ``count`` others are a majority of the expected hosts.
-
-        Otherwise this host itself may be isolated.
-        """
-        return count * 2 >= self.expected_count()
-
-    def any_peer_holds_permit(self) -> bool:
-        """Return whether an active other host holds a permit to use primaries."""
-        return any(self._peers[host].holds_permit for host in self.active())
-
     def is_isolated(self) -> bool:
         """Return whether other hosts are known and none of them is alive."""
-        return bool(self._peers) and not self.alive()
+        return bool(self._peers) and not self.table.alive()
 
     async def call(
         self,
@@ -198,10 +180,14 @@
         self._next_call += 1
         future = asyncio.get_running_loop().create_future()
         peer.pending_calls[call_id] = future
+        peer.last_call = self._clock.now()
+        is_connected = peer.link is not None
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                if not await peer.link.send(make_message(call_id)):
-                    return None
+                while not await self._open_link(peer).send(make_message(call_id)):
+                    if is_connected:
+                        return None
+                    await asyncio.sleep(_CONNECT_RETRY_DELAY.total_seconds())
                 return await future
         except (TimeoutError, zmq.ZMQError):
             return None
@@ -222,14 +208,21 @@
         """Return whether a host answers a greeting in time."""
         return await self.call(host, self.make_greeting, timeout) is not None
 
+    async def answers_first_greeting(self, host: HostId) -> bool:
+        """Return whether a host that is not greeted, and was reported silent, answers this one."""
+        state = self.table.states.get(host)
+        if state is None or state.is_greeted:
+            return False
+        return await self.is_responding(host, CALL_TIMEOUT)
+
     async def broadcast(self, message: Message) -> None:
-        """Send a message without a reply to all other hosts."""
+        """Send a message without a reply to all other hosts with an open connection."""
         for peer in list(self._peers.values()):
-            await peer.link.send(message)
+            if peer.link is not None:
+                await peer.link.send(message)
 
-    async def _receive(self, peer: Peer) -> None:
+    async def _receive(self, peer: Peer, link: Link) -> None:
         while True:
-            link = peer.link
             try:
                 message = await link.receive()
             except HickorywindError as error:
@@ -241,8 +234,7 @@
                 # The socket was closed because a new connection replaced it.
                 await asyncio.sleep(0)
                 continue
-            peer.last_heard = self._clock.now()
-            peer.missed_greetings = 0
+            self.table.record_heard(peer.record.host)
             waiter = peer.pending_calls.get(getattr(message, "call", 0))
             if waiter is not None and not waiter.done():
                 waiter.set_result(message)
@@ -250,45 +242,46 @@
                 await self.handle_message(message)
 
     async def _greet(self, peer: Peer) -> None:
+        state = self.table.states[peer.record.host]
+        self._open_link(peer)
         while True:
             sent = self._clock.now()
             reply = await self.call(peer.record.host, self.make_greeting)
             if isinstance(reply, GreetingReply):
                 peer.has_answered = True
-                peer.is_leaving = reply.is_leaving
-                peer.holds_permit = reply.holds_permit
+                state.is_leaving = reply.is_leaving
+                state.holds_permit = reply.holds_permit
+                self.table.record_reports(reply.reports)
                 self.on_greeting_reply(reply, sent)
             elif self._is_connecting(peer):
                 # The connection is not established yet.
                 await asyncio.sleep(FIRST_CONTACT_RETRY_DELAY.total_seconds())
                 continue
             else:
-                self._record_missed_greeting(peer)
-                if self._clock.now() > peer.last_heard + REMOVE_AFTER:
-                    self._remove_unresponsive(peer)
-                    return
+                self._record_missed_greeting(peer, state)
             jitter = self._rng.uniform(0.8, 1.2)
             await asyncio.sleep(GREETING_INTERVAL.total_seconds() * jitter)
 
     def _is_connecting(self, peer: Peer) -> bool:
         return not peer.has_answered and self._clock.now() < peer.added_at + FIRST_CONTACT_LIMIT
 
-    def _remove_unresponsive(self, peer: Peer) -> None:
-        logger.info("peer_removed", extra={"peer": peer.record.host})
-        self._peers.pop(peer.record.host, None)
-        peer.link.close()
-        peer.tasks[0].cancel()
-
-    def _record_missed_greeting(self, peer: Peer) -> None:
-        peer.missed_greetings += 1
-        if peer.missed_greetings % _MISSED_GREETINGS_UNTIL_RECONNECT:
+    def _record_missed_greeting(self, peer: Peer, state: PeerState) -> None:
+        state.missed_greetings += 1
+        if state.missed_greetings % _MISSED_GREETINGS_UNTIL_RECONNECT:
             return
-        old, peer.link = peer.link, Link(peer.record.address, with_heartbeats=False)
-        old.close()
-        peer.tasks[0].cancel()
-        peer.tasks[0] = asyncio.create_task(self._receive(peer))
+        peer.close_link()
+        self._open_link(peer)
         self.on_membership_change()
 
+    def maintain(self) -> None:
+        """Forget hosts that have been silent for long, and update the neighbours."""
+        oldest = self._clock.now() - REMOVE_AFTER
+        for record in self.table.silent_hosts():
+            if self.table.silent_since(record.host) < oldest:
+                logger.info("peer_removed", extra={"peer": record.host})
+                self._remove(record.host)
+        self.update_neighbours()
+
     def close(self) -> None:
         """Close the connections to all other hosts."""
         self._background.cancel()
--- a/hickorywind/host/silenthosts.py
+++ b/hickorywind/host/silenthosts.py
@@ -48,10 +48,10 @@
         now = self._fleet.now()
         silent = {
             record.host: record.incarnation
-            for record in self._peers.silent_hosts()
+            for record in self._peers.table.silent_hosts()
             if self._skipped_until.get((record.host, record.incarnation), timedelta(0)) < now
         }
-        if len(silent) * 2 > self._peers.expected_count():
+        if len(silent) * 2 > self._peers.table.expected_count():
             return
         if silent and is_first_in_rank:
             self._task = asyncio.create_task(self._fence_all(silent))
@@ -74,6 +74,8 @@
 
     async def _fence_host(self, item: StoredValue, record: HostRecord) -> None:
         """End the lease of a host and, once its permit has expired, delete its registration."""
+        if await self._peers.answers_first_greeting(record.host):
+            return
         fencing = Fencing.from_hosts({record.host})
         if await refuses_connections(record.address, CONNECT_PROBE_TIMEOUT):
             fencing.record_state(record.host, HostFencingState.ENDED)
--- a/hickorywind/host/storerelay.py
+++ b/hickorywind/host/storerelay.py
@@ -109,7 +109,7 @@
 
     def _next_peers(self) -> list[HostId]:
         """Return the next ``RELAY_PEER_COUNT`` hosts in round-robin order."""
-        hosts = self._peers.active()
+        hosts = self._peers.table.active()
         count = min(RELAY_PEER_COUNT, len(hosts))
         self._next_offset += count
         return [hosts[(self._next_offset + offset) % len(hosts)] for offset in range(count)]
--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -10,7 +10,6 @@
 from hickorywind.failover.leadership import (
     PERMIT_RENEWAL_INTERVAL,
     HostRecord,
-    decode_host,
     encode_record,
 )
 from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX, OWN_PREFIX, Fleet
@@ -173,13 +172,12 @@
         """Read hosts and leadership after registration; the first permit starts with this read."""
         sent = self._fleet.now()
         snapshot = await self._coordination_store.read_range(OWN_PREFIX)
-        hosts = [item for item in snapshot.items if item.key.startswith(HOSTS_PREFIX)]
+        hosts = tuple(item for item in snapshot.items if item.key.startswith(HOSTS_PREFIX))
         leadership = tuple(
             item for item in snapshot.items if item.key.startswith(LEADERSHIP_PREFIX)
         )
         self._fleet.apply_snapshot(LEADERSHIP_PREFIX, Snapshot(leadership, snapshot.as_of), "store")
-        for record in parse_hosts(Snapshot(tuple(hosts), snapshot.as_of)).values():
-            self._peers.add(record)
+        self._peers.add(*self._fleet.add_hosts(Snapshot(hosts, snapshot.as_of)))
         self._fleet.permits.extend(sent)
 
     async def _renew_until_lease_ends(self) -> None:
@@ -213,7 +211,7 @@
         """Renew the lease, and through peers as well if the store is slow or fails."""
 
         def ask_peers() -> list[asyncio.Task[bool | None]]:
-            alive = self._peers.alive()
+            alive = self._peers.table.alive()
             hosts = self._rng.sample(alive, min(_RENEWAL_PEER_COUNT, len(alive)))
             return [self._background.start(self._renew_through_peer(host, lease)) for host in hosts]
 
@@ -269,15 +267,3 @@
                 is_current = False
                 await asyncio.sleep(retry_delay.total_seconds() * self._rng.uniform(0.5, 1.0))
                 retry_delay = self._next_retry_delay(retry_delay)
-
-
-def parse_hosts(snapshot: Snapshot) -> dict[HostId, HostRecord]:
-    """Decode the registered hosts in a snapshot; skip and log invalid records."""
-    records = {}
-    for item in snapshot.items:
-        record = decode_host(item.value)
-        if record is None:
-            logger.error("host_record_unreadable", extra={"key": item.key})
-        else:
-            records[record.host] = record
-    return records
--- a/hickorywind/protocol/hoststatus.py
+++ b/hickorywind/protocol/hoststatus.py
@@ -8,13 +8,17 @@
 
 
 class PeerStatus(msgspec.Struct, frozen=True):
-    """Status of another host as of its last message, received ``heard_ms`` ago."""
+    """Status of another host as of its last message, received ``heard_ms`` ago.
+
+    ``heard_ms`` is None for a host that is not greeted: it counts as alive until others report it.
+    """
 
     host: HostId
     availability_zone: AvailabilityZone
-    heard_ms: int
+    heard_ms: int | None
     is_leaving: bool
     holds_permit: bool
+    is_alive: bool = True
 
 
 class BackendServerStatus(msgspec.Struct, frozen=True):
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -287,10 +287,25 @@
     revisions: dict[str, int]
 
 
+class PeerReport(msgspec.Struct, frozen=True, array_like=True):
+    """Exception that a host reports of another one: it is silent, leaving or both.
+
+    It has been silent for ``silent_ms`` (None: it is heard). ``age_ms`` is the time since the host
+    that greets it said so.
+    """
+
+    host: HostId
+    incarnation: Incarnation
+    silent_ms: int | None
+    is_leaving: bool
+    age_ms: int
+
+
 class GreetingReply(msgspec.Struct, frozen=True, tag="hello_ok", array_like=True):
     """Reply to a ``Greeting`` with the replying host's own state and newest position samples.
 
-    ``holds_permit`` says that the replying host may use primaries for some time to come.
+    ``holds_permit`` says that the replying host may use primaries for some time to come;
+    ``reports`` holds what it knows of silent and leaving hosts.
     """
 
     call: int
@@ -302,6 +317,7 @@
     is_leaving: bool
     ended_leases: tuple[EndedLease, ...] = ()
     holds_permit: bool = False
+    reports: tuple[PeerReport, ...] = ()
 
 
 class EndedLease(msgspec.Struct, frozen=True, array_like=True):
@@ -312,10 +328,11 @@
 
 
 class CopyQuery(msgspec.Struct, frozen=True, tag="copy", array_like=True):
-    """Request for a peer's copy of the store items under a prefix."""
+    """Request for a peer's copy of the store items under a prefix that changed after a revision."""
 
     call: int
     prefix: str
+    after: Revision = Revision(0)
 
 
 class CopiedItem(msgspec.Struct, frozen=True, array_like=True):
--- a/hickorywind/ui/hostcommand.py
+++ b/hickorywind/ui/hostcommand.py
@@ -12,6 +12,7 @@
 from hickorywind.ui.exitcodes import ExitCode
 from hickorywind.ui.options import add_command, add_timeout_option, timeout_of, to_address
 
+_NOT_GREETED = "reported"  # known from other hosts only
 _UNKNOWN = "-"
 
 
@@ -66,7 +67,7 @@
         (
             peer.host,
             peer.availability_zone,
-            str(peer.heard_ms),
+            _NOT_GREETED if peer.heard_ms is None else str(peer.heard_ms),
             _format_bool(peer.holds_permit),
             _format_bool(peer.is_leaving),
         )
--- a/tests/host/test_hoststatus.py
+++ b/tests/host/test_hoststatus.py
@@ -22,7 +22,7 @@
     async def test_shows_peers_primaries_and_queues(self):
         await self.caller("bookings")
         peers = self.hosts["h0"].role._peers
-        await self.wait_until(peers.any_peer_holds_permit)
+        await self.wait_until(peers.table.any_holds_permit)
         ran = await self.ask("--output", "json")
         self.assertEqual(ran.code, 0, ran.err)
         status = json.loads(ran.out)
--- /dev/null
+++ b/tests/host/test_largefleet.py
@@ -0,0 +1,109 @@
+"""A fleet in which each host greets only a few others."""
+
+import asyncio
+
+from hickorywind.host.peers import Peers
+from hickorywind.membership.neighbours import (
+    FULL_MESH_SIZE,
+    OTHER_ZONE_NEIGHBOURS,
+    OWN_ZONE_NEIGHBOURS,
+)
+from tests.host.harness import HostTestCase, RunningHost
+from tests.host.virtualtime import Gate, VirtualClock
+
+ZONES = {"z0": "r0", "z1": "r0", "z2": "r1", "z3": "r1"}
+MEASURED_SECONDS = 5
+PRIMARY_CHANGE_SECONDS = 5.0  # the stated limit
+
+
+class LargeFleetTest(HostTestCase):
+    host_count = 2 * FULL_MESH_SIZE
+
+    def start_host(self, name, settings=None, is_cut=False):
+        zone = f"z{int(name[1:]) % len(ZONES)}"
+        clock = VirtualClock(self.loop)
+        self.hosts[name] = Gate(name).run(
+            RunningHost, name, self.store, self.group, settings, is_cut, clock, zone, ZONES
+        )
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.wait_until(self.all_hosts_know_each_other, 5.0)
+
+    def peers(self, host) -> Peers:
+        return host.role._peers
+
+    def all_hosts_know_each_other(self):
+        return all(
+            self.peers(host).table.states.keys() == self.hosts.keys() - {name}
+            for name, host in self.hosts.items()
+        )
+
+    def all_hosts_see_silence_of(self, name):
+        return all(
+            name in {record.host for record in self.peers(host).table.silent_hosts()}
+            for host in self.hosts.values()
+        )
+
+    async def test_greetings_per_host_do_not_grow_with_the_fleet(self):
+        counts = dict.fromkeys(self.hosts, 0)
+        for name, host in self.hosts.items():
+            make = self.peers(host).make_greeting
+
+            def count(call, name=name, make=make):
+                counts[name] += 1
+                return make(call)
+
+            self.peers(host).make_greeting = count
+        await asyncio.sleep(MEASURED_SECONDS)
+        neighbours = OWN_ZONE_NEIGHBOURS + OTHER_ZONE_NEIGHBOURS * (len(ZONES) - 1)
+        # Greetings are up to a fifth of a second early.
+        self.assertLessEqual(max(counts.values()), neighbours * (MEASURED_SECONDS / 0.8 + 1))
+
+    async def test_hosts_that_started_later_become_known_to_all(self):
+        self.start_host("h90")
+        self.start_host("h91")
+        await self.wait_until(self.all_hosts_know_each_other, 5.0)
+
+    async def test_killed_host_is_silent_for_all_and_no_other_is(self):
+        await self.hosts.pop("h5").kill()
+        await self.wait_until(lambda: self.all_hosts_see_silence_of("h5"), 8.0)
+        for host in self.hosts.values():
+            self.assertEqual(len(self.peers(host).table.silent_hosts()), 1)
+
+    async def test_restarted_host_is_alive_for_all(self):
+        await self.restart_host("h5")
+        await self.wait_until(lambda: self.hosts["h5"].primary() is not None)
+        incarnation = self.hosts["h5"].role._identity.incarnation
+        others = [host for name, host in self.hosts.items() if name != "h5"]
+        await self.wait_until(
+            lambda: all(
+                self.peers(host).table.states["h5"].record.incarnation == incarnation
+                and "h5" in self.peers(host).table.alive()
+                for host in others
+            ),
+            6.0,
+        )
+
+    async def test_crashed_primary_is_replaced_in_time(self):
+        caller = await self.caller("bookings")
+        await caller.ask("WRITE kiln 1")
+        await self.group.servers["i-a"].crash()
+        started = self.loop.time()
+        await self.wait_until(
+            lambda: all(host.primary() not in (None, "i-a") for host in self.hosts.values()),
+            PRIMARY_CHANGE_SECONDS,
+        )
+        self.assertLess(self.loop.time() - started, PRIMARY_CHANGE_SECONDS)
+        self.assertEqual(len({holder for holder, _, _ in self.group.promotions}), 1)
+
+    async def test_host_that_is_not_greeted_and_answers_is_not_fenced_on_a_report(self):
+        fenced = [call for host in self.hosts.values() for call in host.coordinator.calls]
+        self.assertNotIn("end", fenced)
+        for host in self.hosts.values():
+            state = self.peers(host).table.states.get("h7")
+            if state is not None and not state.is_greeted:
+                state.reported_at = state.silent_since = host.role._fleet.now()
+        await asyncio.sleep(3.0)
+        calls = [call for host in self.hosts.values() for call in host.coordinator.calls]
+        self.assertNotIn("end", calls)
--- a/tests/host/test_peers.py
+++ b/tests/host/test_peers.py
@@ -58,7 +58,7 @@
         self.peers.add(OTHER)
         await asyncio.wait_for(self.answered.wait(), 5)
         self.assertLess(time.monotonic() - started, 0.5)
-        self.assertTrue(self.peers.any_peer_holds_permit())
+        self.assertTrue(self.peers.table.any_holds_permit())
 
     async def test_peer_that_never_answers_is_greeted_often_only_at_first(self):
         SlowLink.refusals = 1_000
@@ -67,4 +67,4 @@
         left = SlowLink.refusals
         await asyncio.sleep(1.0)
         self.assertLessEqual(left - SlowLink.refusals, 2)
-        self.assertFalse(self.peers.any_peer_holds_permit())
+        self.assertFalse(self.peers.table.any_holds_permit())
