Share a backend server's connections among more hosts than it accepts

Change: admission/retention.py. Where the even share is below two connections, a host keeps an idle connection only as long as it holds 0.6 of its even share on average, from its own rate of statements; a refusal at the limit halves that for a while. A server without an idle connection counts the cost of a new one when a read is placed. A host in which nothing waits or runs wakes up each 100 ms instead of each 20 ms. Ruled out: homes that forward work of other hosts; not needed for these loads, as the servers are a tenth busy; costs a second host in each request's path.

--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -30,6 +30,8 @@
     timedelta(milliseconds=4),
     timedelta(milliseconds=60),
 )
+_CONNECT_WORK = timedelta(milliseconds=12)  # of a slot, for each new connection
+_CONNECT_ROUND_TRIPS = 2  # of TCP and of the protocol's start
 PRIMARY_CHANGE_RETRY_DELAY = timedelta(seconds=1)  # most changes of primary end within it
 OTHER_HOST_RETRY_DELAY = timedelta(milliseconds=150)  # with jitter, time to reach another host
 _MIN_RETRY_DELAY_MS = 50  # with shorter ones callers would retry before anything has changed
@@ -84,6 +86,7 @@
     limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
     is_available: bool = True
     has_connection: Callable[[], bool] = lambda: True
+    has_idle_connection: Callable[[], bool] = lambda: True
     reserve_connection: Callable[[], None] = lambda: None
     known_position: LogPosition | None = None
     missing_position: LogPosition | None = None
@@ -111,8 +114,12 @@
 
     def expected_duration(self) -> timedelta:
         """Estimate the duration of a statement sent to this server now."""
-        measured = max(self.limit.mean_duration, _ASSUMED_ROUND_TRIPS[self.distance])
-        return measured + measured * self.limit.in_flight / (2 * max(1, self.slots))
+        round_trip = _ASSUMED_ROUND_TRIPS[self.distance]
+        measured = max(self.limit.mean_duration, round_trip)
+        duration = measured + measured * self.limit.in_flight / (2 * max(1, self.slots))
+        if self.has_idle_connection():
+            return duration
+        return duration + _CONNECT_WORK + _CONNECT_ROUND_TRIPS * round_trip
 
 
 class Dispatcher:
--- a/hickorywind/host/connectionpool.py
+++ b/hickorywind/host/connectionpool.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 
+from hickorywind.admission.retention import IdleRetention
 from hickorywind.host.backendconnection import (
     BackendConnection,
     ConnectionLostError,
@@ -25,10 +26,6 @@
 
 # Covers two round trips between regions and the wait for a slot.
 CONNECT_TIMEOUT = timedelta(milliseconds=600)
-# All hosts share the server's connection limit, so idle connections are closed for the others.
-IDLE_TIMEOUT = timedelta(milliseconds=1500)
-# For connections beyond the even share, which other hosts need more.
-SURPLUS_IDLE_TIMEOUT = timedelta(milliseconds=600)
 # Pause before a new connection after the server refused one at its connection limit; doubled up to
 # the maximum for each refusal in a row.
 MIN_BACKOFF = timedelta(milliseconds=100)
@@ -40,8 +37,8 @@
 class ConnectionPool:
     """Pool of connections to one backend server.
 
-    ``max_connections`` is this host's own limit; ``fair_share`` is an even share of the server's
-    connection limit among all hosts.
+    ``max_connections`` is this host's own limit; ``retention`` decides how long idle connections
+    are kept.
     """
 
     def __init__(
@@ -49,7 +46,7 @@
     ) -> None:
         self.server = server
         self.max_connections = 4
-        self.fair_share = 2
+        self.retention = IdleRetention()
         self.on_idle_connection_lost: Callable[[], None] = lambda: None
         self._make_codec = make_codec
         self._clock = clock
@@ -76,6 +73,10 @@
             available += max(0, self._current_limit(now) - self.open_count)
         return available > self._reserved
 
+    def has_idle_connection(self) -> bool:
+        """Return whether a connection is available without opening one."""
+        return len(self._idle) > self._reserved
+
     def reserve(self) -> None:
         """Reserve a connection for an operation that acquires it next."""
         self._reserved += 1
@@ -101,6 +102,7 @@
 
         Raise ``ConnectionRejectedError`` or ``ConnectionLostError`` if none can be opened.
         """
+        self.retention.record_use(self._clock.now())
         while self._idle:
             # Prefer the most recently used one, so that surplus connections stay idle and time out.
             connection = min(reversed(self._idle), key=lambda each: _setup_cost(each, values))
@@ -118,6 +120,7 @@
         except ConnectionRejectedError as error:
             if error.kind is BackendErrorKind.CONNECTION_LIMIT:
                 self._limit_reached_at = self._clock.now()
+                self.retention.record_refusal(self._limit_reached_at)
                 self._limit_when_reached = max(1, len(self._open))
                 self._backoff_until = self._limit_reached_at + self._backoff
                 self._backoff = min(self._backoff * 2, MAX_BACKOFF)
@@ -173,11 +176,10 @@
         return self._make_codec().decode_status(answer)
 
     def close_idle(self) -> None:
-        """Close connections whose idle timeout is over; it is shorter above the even share."""
+        """Close connections whose idle timeout is over."""
         now = self._clock.now()
         for connection in list(self._idle):
-            limit = SURPLUS_IDLE_TIMEOUT if self.open_count > self.fair_share else IDLE_TIMEOUT
-            if self.open_count > 1 and connection.idle_since < now - limit:
+            if self.retention.should_close(connection.idle_since, self.open_count, now):
                 connection.close()
 
     def close(self) -> None:
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -17,7 +17,7 @@
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.peers import Peers
 from hickorywind.host.requestlog import RequestLog
-from hickorywind.host.service import DISPATCH_INTERVAL, ServiceRuntime
+from hickorywind.host.service import DISPATCH_INTERVAL, IDLE_DISPATCH_INTERVAL, ServiceRuntime
 from hickorywind.host.session import Session
 from hickorywind.host.storeacknowledger import StoreAcknowledger
 from hickorywind.host.storesync import StoreSync
@@ -202,7 +202,9 @@
 
     async def _run_dispatch_loop(self) -> None:
         while True:
-            await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
+            is_busy = any(service.is_busy for service in self._services.values())
+            interval = DISPATCH_INTERVAL if is_busy else IDLE_DISPATCH_INTERVAL
+            await asyncio.sleep(interval.total_seconds())
             now = self._fleet.now()
             is_permitted = self._fleet.permits.is_valid(now)
             # Checking all peers is only needed while this host has no permit.
@@ -210,6 +212,7 @@
             self._fleet.missing_permit_timer.update(now, is_permitted, others_may_serve)
             for service in self._services.values():
                 service.check_stalled_backends()
+                service.close_scarce_connections()
                 service.dispatch_waiting()
 
     def _others_may_serve(self) -> bool:
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -46,6 +46,8 @@
 
 # Bounds how long after its deadline a waiting operation is refused.
 DISPATCH_INTERVAL = timedelta(milliseconds=20)
+# While nothing waits or runs, so that a host at rest seldom wakes up.
+IDLE_DISPATCH_INTERVAL = timedelta(milliseconds=100)
 PRIMARY_CHANGE_TIMEOUT = timedelta(seconds=5)  # a primary change completes within this time
 # Covers the wait for a busy slot and a round trip between regions.
 STATUS_TIMEOUT = timedelta(milliseconds=700)
@@ -132,6 +134,7 @@
             distance = self._topology.distance(self._zone, server.zone)
             load = ServerState(server.backend, distance, server.slots)
             load.has_connection = connections.has_connection
+            load.has_idle_connection = connections.has_idle_connection
             load.reserve_connection = connections.reserve
             connections.on_idle_connection_lost = partial(
                 self._on_idle_connection_lost, server.backend
@@ -173,10 +176,11 @@
         limit = 0
         if configuration is not None:
             limit = configuration.connection_limits.get(self.name, 0)
-        share = CONNECTION_SHARE_FACTOR * limit / max(1, self.host_count)
+        even_share = limit / max(1, self.host_count)
+        own_limit = max(MIN_CONNECTION_LIMIT, round(CONNECTION_SHARE_FACTOR * even_share))
         for backend in self.backends.values():
-            backend.connections.max_connections = max(MIN_CONNECTION_LIMIT, round(share))
-            backend.connections.fair_share = max(1, limit // max(1, self.host_count))
+            backend.connections.max_connections = own_limit
+            backend.connections.retention.even_share = even_share
 
     def may_start_primary_work(self, backend: Backend) -> bool:
         """Return whether new work may start on a backend server as the primary."""
@@ -191,6 +195,13 @@
         primary = self.fleet.usable_primary(self.name)
         return None if primary is None else self.backends.get(primary)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether an operation waits for a backend server or runs at one."""
+        return self.waiting_count > 0 or any(
+            backend.load.limit.in_flight for backend in self.backends.values()
+        )
+
     @property
     def waiting_count(self) -> int:
         """Number of operations that wait for a backend server."""
@@ -538,6 +549,12 @@
             self.on_primary_suspected(self.name, "the primary answers as a replica")
         return connection.is_verified_primary
 
+    def close_scarce_connections(self) -> None:
+        """Close idle connections to servers that have too few for all hosts."""
+        for backend in self.backends.values():
+            if backend.connections.retention.is_scarce:
+                backend.connections.close_idle()
+
     def close_idle_connections(self) -> None:
         """Close idle connections and stop using servers whose leaving deadline has passed."""
         for backend in self.backends.values():
