Watch the store again only after a pause that grows with the fleet

Cause: each change in the store returned the watch of every host, and each new watch is a store call: a burst of n changes cost n calls a host. Change: after a watch that returned changes the next one waits 5 ms a host, at most 500 ms (leadership records 100 ms). A call to a host without a connection has 300 ms more, for TCP and ZeroMQ to connect between regions: fencing 195 hosts would otherwise end leases of hosts that answer late. Ruled out: watches by a few hosts only; news would take seconds by greetings.

--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -30,6 +30,8 @@
 CALL_TIMEOUT = timedelta(milliseconds=700)  # several round trips between regions
 REMOVE_AFTER = timedelta(seconds=60)  # after this silence a host is no longer greeted
 _MISSED_GREETINGS_UNTIL_RECONNECT = 2  # a stalled connection may hide a reachable peer
+# Added to the timeout of a call that first has to connect: four round trips between regions.
+_CONNECT_ALLOWANCE = timedelta(milliseconds=300)
 _CONNECT_RETRY_DELAY = timedelta(milliseconds=20)  # until a connection opened for a call is up
 _UNUSED_LINK_LIFETIME = timedelta(seconds=30)  # several calls of one primary change
 
@@ -172,7 +174,10 @@
         make_message: Callable[[int], Message],
         timeout: timedelta = CALL_TIMEOUT,
     ) -> Message | None:
-        """Send a message and return the reply, or None if none arrives in time."""
+        """Send a message and return the reply, or None if none arrives in time.
+
+        A call to a host without a connection opens one and waits longer.
+        """
         peer = self._peers.get(host)
         if peer is None:
             return None
@@ -181,11 +186,13 @@
         future = asyncio.get_running_loop().create_future()
         peer.pending_calls[call_id] = future
         peer.last_call = self._clock.now()
-        is_connected = peer.link is not None
+        has_link = peer.link is not None
+        if not has_link:
+            timeout += _CONNECT_ALLOWANCE
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 while not await self._open_link(peer).send(make_message(call_id)):
-                    if is_connected:
+                    if has_link:
                         return None
                     await asyncio.sleep(_CONNECT_RETRY_DELAY.total_seconds())
                 return await future
--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -36,6 +36,12 @@
 
 LEASE_TTL = timedelta(seconds=600)  # the store's maximum: hosts end leases explicitly
 WATCH_TIMEOUT = timedelta(seconds=25)  # long, because each watch costs a store call
+# Pause before the next watch after one that returned changes: changes come in bursts, and each
+# watch of each host is a store call. It grows with the fleet up to a maximum, which is lower for
+# leadership records because callers wait for a change of primary.
+WATCH_PAUSE_PER_HOST = timedelta(milliseconds=5)
+WATCH_PAUSE_MAX = timedelta(milliseconds=500)
+LEADERSHIP_WATCH_PAUSE_MAX = timedelta(milliseconds=100)
 RETRY_DELAY_MIN = timedelta(milliseconds=150)  # after the first failed call
 RETRY_DELAY_MAX = timedelta(milliseconds=1200)  # well below the time limit for new configurations
 RETRY_DELAY_MAX_STARTING = timedelta(milliseconds=300)  # callers wait for the first configuration
@@ -244,6 +250,11 @@
 
     # Copies ------------------------------------------------------------------------------------
 
+    def _watch_pause(self, prefix: str) -> timedelta:
+        host_count = 1 + len(self._peers.table.states)
+        longest = LEADERSHIP_WATCH_PAUSE_MAX if prefix == LEADERSHIP_PREFIX else WATCH_PAUSE_MAX
+        return min(longest, host_count * WATCH_PAUSE_PER_HOST)
+
     async def _follow_prefix(self, prefix: str) -> None:
         copy = self._fleet.copies[prefix]
         retry_delay = RETRY_DELAY_MIN
@@ -262,6 +273,8 @@
                     is_current = False
                     continue
                 self._fleet.apply_changes(prefix, result.changes, result.as_of, "store")
+                if result.changes:
+                    await asyncio.sleep(self._watch_pause(prefix).total_seconds())
             except StoreUnavailableError as error:
                 self.record_call("watch", error)
                 is_current = False
--- a/tests/host/test_largefleet.py
+++ b/tests/host/test_largefleet.py
@@ -13,6 +13,8 @@
 
 ZONES = {"z0": "r0", "z1": "r0", "z2": "r1", "z3": "r1"}
 MEASURED_SECONDS = 5
+BURST_CHANGES = 20
+BURST_SECONDS = 0.5
 PRIMARY_CHANGE_SECONDS = 5.0  # the stated limit
 
 
@@ -60,6 +62,17 @@
         # Greetings are up to a fifth of a second early.
         self.assertLessEqual(max(counts.values()), neighbours * (MEASURED_SECONDS / 0.8 + 1))
 
+    async def test_burst_of_changes_in_the_store_costs_each_host_few_calls(self):
+        before = {name: len(host.coordinator.calls) for name, host in self.hosts.items()}
+        for number in range(BURST_CHANGES):
+            await self.register(self.group.servers["i-b"], born=number + 2)
+            await asyncio.sleep(BURST_SECONDS / BURST_CHANGES)
+        await asyncio.sleep(1.0)
+        for name, host in self.hosts.items():
+            calls = host.coordinator.calls[before[name] :]
+            self.assertLess(calls.count("watch"), BURST_CHANGES / 4)
+            self.assertEqual(host.role._fleet.backends["i-b"].started_at_ms, BURST_CHANGES + 1)
+
     async def test_hosts_that_started_later_become_known_to_all(self):
         self.start_host("h90")
         self.start_host("h91")
