--- a/hickorywind/ui/hostcommand.py
+++ b/hickorywind/ui/hostcommand.py
@@ -5,7 +5,12 @@
 import argparse
 import asyncio
 
-from hickorywind.protocol.hoststatus import HostStatus, HostStatusReply, HostStatusRequest
+from hickorywind.protocol.hoststatus import (
+    HostStatus,
+    HostStatusReply,
+    HostStatusRequest,
+    PeerStatus,
+)
 from hickorywind.report.table import format_table
 from hickorywind.ui.connections import send_request
 from hickorywind.ui.console import Console
@@ -48,7 +53,12 @@
 
 def format_host(status: HostStatus) -> str:
     """Return a host's status as text tables."""
-    tables = (_format_peers(status), _format_services(status), _format_backends(status))
+    tables = (
+        _format_zones(status),
+        _format_peers(status),
+        _format_services(status),
+        _format_backends(status),
+    )
     return "\n".join((_format_head(status), *tables))
 
 
@@ -62,18 +72,39 @@
     )
 
 
+def _format_zones(status: HostStatus) -> str:
+    """Return the number of other hosts by availability zone and state."""
+    by_zone: dict[str, list[PeerStatus]] = {}
+    for peer in status.peers:
+        by_zone.setdefault(peer.availability_zone, []).append(peer)
+    rows = [
+        (
+            zone,
+            str(len(peers)),
+            str(sum(peer.is_alive for peer in peers)),
+            str(sum(peer.is_leaving for peer in peers)),
+            str(sum(peer.heard_ms is not None for peer in peers)),
+        )
+        for zone, peers in sorted(by_zone.items())
+    ]
+    return format_table(("zone", "other hosts", "alive", "leaving", "greeted"), rows)
+
+
 def _format_peers(status: HostStatus) -> str:
+    """Return the hosts that this one greets, and those that are silent or leaving."""
     rows = [
         (
             peer.host,
             peer.availability_zone,
             _NOT_GREETED if peer.heard_ms is None else str(peer.heard_ms),
+            _format_bool(peer.is_alive),
             _format_bool(peer.holds_permit),
             _format_bool(peer.is_leaving),
         )
         for peer in status.peers
+        if peer.heard_ms is not None or not peer.is_alive or peer.is_leaving
     ]
-    return format_table(("peer", "zone", "heard ms ago", "permit", "leaving"), rows)
+    return format_table(("peer", "zone", "heard ms ago", "alive", "permit", "leaving"), rows)
 
 
 def _format_services(status: HostStatus) -> str:
