Say why no primary can be used: not recorded, being replaced, or no permit

Cause: every refusal without a usable primary claimed 'the primary is being replaced', also where this host alone held no permit; 'explain' gave one text for all of them. Change: Permits.absence tells which it is, the dispatcher says it, and 'explain' names the missing permit from the beliefs on the log line. Test: a host cut off from the store refuses with its missing permit (failed before: 'the primary is being replaced').

--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -15,6 +15,7 @@
 from datetime import timedelta
 
 from hickorywind.admission.concurrency import ConcurrencyLimit
+from hickorywind.failover.leadership import PrimaryAbsence
 from hickorywind.ids import BackendId, LogPosition
 from hickorywind.results import Result, ResultCode
 from hickorywind.util.clock import Instant, to_milliseconds
@@ -132,6 +133,7 @@
         self._granted_count = 0
         self.servers: dict[BackendId, ServerState] = {}
         self.primary: BackendId | None = None
+        self.primary_absence = PrimaryAbsence.NOT_RECORDED  # while ``primary`` is None
 
     @property
     def waiting_count(self) -> int:
@@ -210,7 +212,7 @@
         if isinstance(operation.target, OnPrimary) and self.primary is None:
             code, reason, wait = (
                 ResultCode.NO_PRIMARY,
-                "the primary is being replaced",
+                self.primary_absence.value,
                 PRIMARY_CHANGE_RETRY_DELAY,
             )
         operation.refuse(Result.not_run(code, reason, self._jittered_ms(wait)))
--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -102,6 +102,14 @@
     revision: Revision
 
 
+class PrimaryAbsence(Enum):
+    """Why this host may not use the primary of a service; the value is told to callers."""
+
+    NOT_RECORDED = "no primary is recorded yet"
+    CHANGING = "the primary is being replaced"
+    NO_PERMIT = "this host holds no permit for primaries"
+
+
 @dataclass
 class Permits:
     """This host's permit to use primaries, and the leadership records that it knows.
@@ -175,13 +183,28 @@
         known = self._records.get(service)
         if known is None or known.record.phase is not LeadershipPhase.OPEN:
             return None
+        if self._use_stopped_at_or_after(service, known.revision):
+            return None
+        return known.record.primary if self.is_valid(now) else None
+
+    def absence(self, service: ServiceName, now: Instant) -> PrimaryAbsence | None:
+        """Return why this host may not use the primary of a service, or None if it may."""
+        if self.usable_primary(service, now) is not None:
+            return None
+        known = self._records.get(service)
+        if known is None:
+            return PrimaryAbsence.NOT_RECORDED
+        is_closed = known.record.phase is not LeadershipPhase.OPEN
+        if is_closed or self._use_stopped_at_or_after(service, known.revision):
+            return PrimaryAbsence.CHANGING
+        return PrimaryAbsence.NO_PERMIT
+
+    def _use_stopped_at_or_after(self, service: ServiceName, revision: Revision) -> bool:
         stopped_at = max(
             self._use_stopped_at.get(service, Revision(0)),
             self._new_work_stopped_at.get(service, Revision(0)),
         )
-        if stopped_at >= known.revision:
-            return None
-        return known.record.primary if self.is_valid(now) else None
+        return stopped_at >= revision
 
     def may_finish(self, service: ServiceName, backend: BackendId, now: Instant) -> bool:
         """Return whether work begun at a primary may continue and be acknowledged.
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -238,6 +238,9 @@
             self._last_primary = primary
             self.samples.clear()
         self._dispatcher.primary = primary
+        absence = self.fleet.permits.absence(self.name, self.fleet.now())
+        if absence is not None:
+            self._dispatcher.primary_absence = absence
         if primary is not None:
             self._primary_lost_at = None
         elif self._primary_lost_at is None:
--- a/hickorywind/report/explanation.py
+++ b/hickorywind/report/explanation.py
@@ -35,6 +35,7 @@
         "store_regained",
     }
 )
+_NO_PRIMARY = "3001"
 _CAUSE_BY_CODE: Mapping[str, str] = {
     "1002": "the caller sent what could not be read",
     "1003": "the caller sent a message beyond the limit",
@@ -43,7 +44,6 @@
     "2002": "the queue was too long to serve it in time: more work than slots",
     "2003": "no backend server was free or usable in time",
     "2005": "its transaction had been idle too long",
-    "3001": "no primary could be used from this host",
     "3002": "no backend server held the log position that the session had seen",
     "3005": "the backend server refused or could not be reached, several times",
     "4001": "its primary was replaced before the answer came: it may have run",
@@ -145,8 +145,20 @@
 def _find_cause(request_lines: list[LogLine]) -> str:
     for line in reversed(request_lines):
         code = line.fields.get("code", "")
+        if code == _NO_PRIMARY:
+            return f"[{code}] {_explain_missing_primary(line.fields)}"
         if code in _CAUSE_BY_CODE:
             return f"[{code}] {_CAUSE_BY_CODE[code]}"
         if line.event in _FAILURE_EVENTS:
             return f"the backend server answered: {line.fields.get('reason', '')}"
     return "its lines name no failure"
+
+
+def _explain_missing_primary(fields: Mapping[str, str]) -> str:
+    """Return why a host had no primary, from what it believed when it refused the request."""
+    if fields.get("permit_ms") == "0":
+        return (
+            "its host held no permit for primaries: for 7 s it had reached neither the store nor"
+            " another host that did (see store_lost)"
+        )
+    return f"no primary could be used from this host: {fields.get('reason', '')}"
--- a/tests/failover/test_leadership.py
+++ b/tests/failover/test_leadership.py
@@ -14,6 +14,7 @@
     LeadershipRecord,
     MissingPermitTimer,
     Permits,
+    PrimaryAbsence,
     VersionedLeadership,
     decode_host,
     decode_leadership,
@@ -62,6 +63,16 @@
         self.permits.extend(revoked + timedelta(milliseconds=5))
         self.assertEqual(self.usable(revoked), "i-a")
 
+    def test_absence_names_what_is_missing(self):
+        self.assertIsNone(self.permits.absence(SERVICE, START))
+        self.assertIs(self.permits.absence("other", START), PrimaryAbsence.NOT_RECORDED)
+        expired = START + PERMIT_DURATION
+        self.assertIs(self.permits.absence(SERVICE, expired), PrimaryAbsence.NO_PERMIT)
+        self.permits.stop_using(SERVICE, 5)
+        self.assertIs(self.permits.absence(SERVICE, START), PrimaryAbsence.CHANGING)
+        self.permits.learn(SERVICE, versioned(6, LeadershipPhase.CLOSED))
+        self.assertIs(self.permits.absence(SERVICE, expired), PrimaryAbsence.CHANGING)
+
     def test_closed_record_stops_use(self):
         self.permits.learn(SERVICE, versioned(6, LeadershipPhase.CLOSED))
         self.assertIsNone(self.usable())
--- a/tests/host/test_endtoend.py
+++ b/tests/host/test_endtoend.py
@@ -52,6 +52,15 @@
         await asyncio.sleep(0.3)
         self.assertEqual(self.group.commits, [("kiln", "2")])
 
+    async def test_refusal_without_a_permit_does_not_claim_a_change_of_primary(self):
+        host = self.hosts["h0"]
+        host.coordinator.is_cut = True
+        host.role._fleet.permits.revoke(host.role._fleet.now())
+        caller = await self.caller("bookings")
+        lines = await caller.ask("WRITE kiln 1")
+        self.assertIn("this host holds no permit for primaries", lines[0])
+        self.assertEqual(self.group.commits, [])
+
     async def test_removed_route_refuses_the_next_statement(self):
         caller = await self.caller("orders")
         await caller.ask("READ x")
--- a/tests/report/test_explanation.py
+++ b/tests/report/test_explanation.py
@@ -36,6 +36,14 @@
         self.assertEqual(len(explanation.lines), 3)
         self.assertEqual(explanation.dropped, 12)
 
+    def test_missing_primary_names_the_missing_permit_or_the_reason(self):
+        refused = LINES[4].replace("code=4001", "code=3001").replace("s1", "s1 permit_ms=0")
+        self.assertIn("held no permit", explain_request("q7", [refused]).cause)
+        replaced = refused.replace("permit_ms=0", "permit_ms=6100")
+        cause = explain_request("q7", [replaced]).cause
+        self.assertNotIn("permit", cause)
+        self.assertIn('the primary "x" was replaced', cause)
+
     def test_error_of_a_backend_server_is_reported_as_cause(self):
         line = LINES[4].replace("code=4001", "code=0").replace("the primary", "FAILED i-1")
         explanation = explain_request("q7", [line])
