--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -35,7 +35,7 @@
 logger = logging.getLogger(__name__)
 
 LEASE_TTL = timedelta(seconds=600)  # the store's maximum: hosts end leases explicitly
-WATCH_TIMEOUT = timedelta(seconds=25)  # long, because each watch costs a store call
+WATCH_TIMEOUT = timedelta(seconds=30)  # the maximum, because each watch costs a store call
 # Pause before the next watch after one that returned changes: changes come in bursts, and each
 # watch of each host is a store call. It grows with the fleet up to a maximum, which is lower for
 # leadership records because callers wait for a change of primary.
