--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -33,7 +33,7 @@
 from hickorywind.host.servicestate import PrimaryState
 from hickorywind.host.silenthosts import SilentHostFencer
 from hickorywind.host.storerelay import StoreRelay
-from hickorywind.ids import BackendId, InstanceRole, Revision, ServiceName
+from hickorywind.ids import BackendId, HostId, InstanceRole, Revision, ServiceName
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.placement.rendezvous import rank_members
 from hickorywind.ports.catalog import BackendState
@@ -76,6 +76,9 @@
         self.store = LeadershipStore(fleet, self.relay, peers)
         self._fencer = Fencer(fleet, self.store, peers, identity.host)
         self._promotion = Promotion(promoter, self._fencer, self.store, identity.host, clock)
+        # Ranks of this host among itself and ``_ranked_hosts``; each ranking hashes all of them.
+        self._ranked_hosts: tuple[HostId, ...] = ()
+        self._ranks: dict[ServiceName, int] = {}
         self._silent_host_fencer = SilentHostFencer(fleet, coordination_store, self.store, peers)
         self._tasks: dict[ServiceName, asyncio.Task] = {}
         self._closed_since: dict[ServiceName, tuple[Revision, timedelta]] = {}
@@ -182,8 +185,14 @@
             self._start_task(service, self._take_over(service, leadership))
 
     def _rank(self, service: ServiceName) -> int:
-        hosts = [self._identity.host, *self._peers.table.active()]
-        return list(rank_members(service, hosts)).index(self._identity.host)
+        active = self._peers.table.active()
+        if active != self._ranked_hosts:
+            self._ranked_hosts = active
+            self._ranks.clear()
+        if service not in self._ranks:
+            hosts = [self._identity.host, *active]
+            self._ranks[service] = rank_members(service, hosts).index(self._identity.host)
+        return self._ranks[service]
 
     async def _defer_to_higher_ranks(
         self,
