Look only at greeted and reported hosts where a host judges its fleet

Change: PeerTable keeps the few hosts that are greeted or were reported; only these can be silent or leaving.

--- a/hickorywind/membership/peertable.py
+++ b/hickorywind/membership/peertable.py
@@ -50,35 +50,46 @@
     clock: Clock
     states: dict[HostId, PeerState] = field(default_factory=dict)
     _zones_heard: dict[AvailabilityZone, Instant] = field(default_factory=dict)
+    # Hosts that are greeted or were reported. Only these can be silent or leaving, so most methods
+    # look at these few instead of at the whole fleet.
+    _observed: set[HostId] = field(default_factory=set)
 
     def add(self, record: HostRecord) -> PeerState:
         """Add a host, or replace what is known of an older incarnation."""
         now = self.clock.now()
         self._zones_heard.setdefault(record.zone, now)
+        self._observed.discard(record.host)
         state = self.states[record.host] = PeerState(record, now)
         return state
 
     def remove(self, host: HostId) -> None:
         """Forget a host."""
         self.states.pop(host, None)
+        self._observed.discard(host)
 
     def update_neighbours(self) -> frozenset[HostId]:
         """Choose the hosts to greet and return them."""
         zones = {host: state.record.zone for host, state in self.states.items()}
         unresponsive = {
             host
-            for host, state in self.states.items()
+            for host, state in self._observed_states()
             if state.missed_greetings >= MISSED_GREETINGS_UNTIL_UNRESPONSIVE
             or self._is_reported_silent(state)
         }
         chosen = choose_neighbours(self.own_host, self.own_zone, zones, unresponsive)
-        for host, state in self.states.items():
+        for host in self._observed | chosen:
+            state = self.states[host]
             is_greeted = host in chosen
             if is_greeted and not state.is_greeted:
                 state.last_heard = self._assumed_last_heard(state)
             state.is_greeted = is_greeted
+        reported = {host for host, state in self._observed_states() if self._has_report(state)}
+        self._observed = reported | chosen
         return chosen
 
+    def _observed_states(self) -> list[tuple[HostId, PeerState]]:
+        return [(host, self.states[host]) for host in sorted(self._observed)]
+
     def _assumed_last_heard(self, state: PeerState) -> Instant:
         if self._is_reported_silent(state):
             return state.silent_since
@@ -107,6 +118,7 @@
             reported_at = now - milliseconds(report.age_ms)
             if state.reported_at is not None and state.reported_at >= reported_at:
                 continue
+            self._observed.add(report.host)
             state.reported_at = reported_at
             state.is_leaving = report.is_leaving
             silent = report.silent_ms
@@ -120,7 +132,7 @@
         if len(self.states) < FULL_MESH_SIZE or not self.sees_majority():
             return ()
         now = self.clock.now()
-        reports = (self._make_report(host, state, now) for host, state in self.states.items())
+        reports = (self._make_report(host, state, now) for host, state in self._observed_states())
         return tuple(report for report in reports if report is not None)
 
     def _make_report(self, host: HostId, state: PeerState, now: Instant) -> PeerReport | None:
@@ -156,10 +168,14 @@
         """Return the other hosts that are alive as far as this host can tell."""
         oldest = self.clock.now() - ALIVE_WINDOW
         heard_zones = {zone for zone, heard in self._zones_heard.items() if heard >= oldest}
+        alive = {
+            host: self._is_alive(state, oldest, heard_zones)
+            for host, state in self._observed_states()
+        }
         return tuple(
             host
             for host, state in self.states.items()
-            if self._is_alive(state, oldest, heard_zones)
+            if alive.get(host, state.record.zone in heard_zones)
         )
 
     def _is_alive(
@@ -171,14 +187,15 @@
 
     def active(self) -> tuple[HostId, ...]:
         """Return the alive other hosts that are not stopping."""
-        return tuple(host for host in self.alive() if not self._is_leaving(self.states[host]))
+        leaving = {host for host, state in self._observed_states() if self._is_leaving(state)}
+        return tuple(host for host in self.alive() if host not in leaving)
 
     def _is_leaving(self, state: PeerState) -> bool:
         return state.is_leaving and (state.is_greeted or self._has_report(state))
 
     def silent_hosts(self) -> tuple[HostRecord, ...]:
         """Return the hosts that are silent, as heard or as reported."""
-        return tuple(state.record for state in self.states.values() if self._is_silent(state))
+        return tuple(state.record for _, state in self._observed_states() if self._is_silent(state))
 
     def silent_since(self, host: HostId) -> Instant:
         """Return since when a silent host has been silent."""
@@ -187,7 +204,8 @@
 
     def expected_count(self) -> int:
         """Return how many other hosts count towards the majority."""
-        return sum(self._is_expected(state) for state in self.states.values())
+        unexpected = sum(not self._is_expected(state) for _, state in self._observed_states())
+        return len(self.states) - unexpected
 
     def _is_expected(self, state: PeerState) -> bool:
         oldest = self.clock.now() - EXPECTED_WINDOW
@@ -201,20 +219,27 @@
 
     def voters(self) -> tuple[HostId, ...]:
         """Return the alive neighbours, which are asked about a backend server."""
-        return tuple(host for host in self.alive() if self.states[host].is_greeted)
+        oldest = self.clock.now() - ALIVE_WINDOW
+        return tuple(
+            host
+            for host, state in self._observed_states()
+            if state.is_greeted and state.last_heard >= oldest
+        )
 
     def is_quorum(self, count: int) -> bool:
         """Return whether this host and ``count`` neighbours are a majority of the expected ones.
 
         Otherwise this host itself may be isolated.
         """
-        greeted = (state for state in self.states.values() if state.is_greeted)
+        greeted = (state for _, state in self._observed_states() if state.is_greeted)
         return count * 2 >= sum(self._is_expected(state) for state in greeted)
 
     def any_holds_permit(self) -> bool:
         """Return whether an active neighbour holds a permit to use primaries."""
-        states = (self.states[host] for host in self.active())
-        return any(state.is_greeted and state.holds_permit for state in states)
+        return any(
+            self.states[host].holds_permit and not self._is_leaving(self.states[host])
+            for host in self.voters()
+        )
 
     def describe(self) -> tuple[PeerStatus, ...]:
         """Return the status of each other host."""
