Read the store less at a start and after an outage

Cause: at a start the leadership records were read twice, and each host that the store had refused read every prefix again before it watched on. Change: the records read at registration start the watch; a failed watch is repeated from where the copy ended, as a 410 says when that history has gone. Test: a start reads the store three times (four before); a host that regains the store does not read it again (failed before).

--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -35,6 +35,8 @@
 logger = logging.getLogger(__name__)
 
 LEASE_TTL = timedelta(seconds=600)  # the store's maximum: hosts end leases explicitly
+# After this time without a registration the leadership records are read on their own.
+LOAD_TIMEOUT = timedelta(seconds=1)
 WATCH_TIMEOUT = timedelta(seconds=30)  # the maximum, because each watch costs a store call
 # Pause before the next watch after one that returned changes: changes come in bursts, and each
 # watch of each host is a store call. It grows with the fleet up to a maximum, which is lower for
@@ -71,6 +73,7 @@
         self._stopped_revisions: dict[ServiceName, Revision] = {}
         self._is_reachable = True
         self._is_unregistered = False
+        self._is_loaded = asyncio.Event()
         self._background = BackgroundTasks()
 
     async def run(self) -> None:
@@ -185,6 +188,7 @@
         self._fleet.apply_snapshot(LEADERSHIP_PREFIX, Snapshot(leadership, snapshot.as_of), "store")
         self._peers.add(*self._fleet.add_hosts(Snapshot(hosts, snapshot.as_of)))
         self._fleet.permits.extend(sent)
+        self._is_loaded.set()
 
     async def _renew_until_lease_ends(self) -> None:
         interval = PERMIT_RENEWAL_INTERVAL.total_seconds()
@@ -250,6 +254,15 @@
 
     # Copies ------------------------------------------------------------------------------------
 
+    async def _wait_until_loaded(self) -> bool:
+        """Wait until registration has read the leadership records; return False on timeout."""
+        try:
+            async with asyncio.timeout(LOAD_TIMEOUT.total_seconds()):
+                await self._is_loaded.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def _watch_pause(self, prefix: str) -> timedelta:
         host_count = 1 + len(self._peers.table.states)
         longest = LEADERSHIP_WATCH_PAUSE_MAX if prefix == LEADERSHIP_PREFIX else WATCH_PAUSE_MAX
@@ -258,7 +271,7 @@
     async def _follow_prefix(self, prefix: str) -> None:
         copy = self._fleet.copies[prefix]
         retry_delay = RETRY_DELAY_MIN
-        is_current = False
+        is_current = prefix == LEADERSHIP_PREFIX and await self._wait_until_loaded()
         while True:
             try:
                 if not is_current:
@@ -276,7 +289,7 @@
                 if result.changes:
                     await asyncio.sleep(self._watch_pause(prefix).total_seconds())
             except StoreUnavailableError as error:
+                # The copy stays a valid start for the next watch, unless the history has gone.
                 self.record_call("watch", error)
-                is_current = False
                 await asyncio.sleep(retry_delay.total_seconds() * self._rng.uniform(0.5, 1.0))
                 retry_delay = self._next_retry_delay(retry_delay)
--- a/tests/host/test_failovermanager.py
+++ b/tests/host/test_failovermanager.py
@@ -99,6 +99,19 @@
         backends = self.hosts["h2"].role._fleet.backends
         await self.wait_until(lambda: backends["i-b"].started_at_ms == 77, 3.0)
 
+    async def test_store_that_returns_is_watched_on_without_reading_all_again(self):
+        host = self.hosts["h1"]
+        host.coordinator.is_cut = True
+        await self.register(self.group.servers["i-a"])  # ends the waiting watch
+        await asyncio.sleep(4.0)
+        await self.register(self.group.servers["i-b"], born=77)
+        host.coordinator.calls.clear()
+        host.coordinator.is_cut = False
+        backends = host.role._fleet.backends
+        await self.wait_until(lambda: backends["i-b"].started_at_ms == 77, 3.0)
+        await asyncio.sleep(3.0)
+        self.assertNotIn("range", host.coordinator.calls)
+
     async def test_change_whose_promoter_died_is_taken_over(self):
         record = LeadershipRecord("i-a", LeadershipPhase.CLOSED, 1, "gone-host", "i-b", False)
         await self.store.put(LEADERSHIP_PREFIX + SERVICE, encode_record(record))
--- a/tests/host/test_largefleet.py
+++ b/tests/host/test_largefleet.py
@@ -62,6 +62,11 @@
         # Greetings are up to a fifth of a second early.
         self.assertLessEqual(max(counts.values()), neighbours * (MEASURED_SECONDS / 0.8 + 1))
 
+    async def test_start_reads_the_store_three_times(self):
+        for host in self.hosts.values():
+            # Hosts and leadership at once, the configuration, the backend servers.
+            self.assertEqual(host.coordinator.calls.count("range"), 3)
+
     async def test_burst_of_changes_in_the_store_costs_each_host_few_calls(self):
         before = {name: len(host.coordinator.calls) for name, host in self.hosts.items()}
         for number in range(BURST_CHANGES):
