Reconnect after a call that got no answer; count greetings of a substitute from its first

Cause, found on reading the change: a connection opened for a call was used for 30 s more even if it had gone silent, so that a host that is asked again and again (fencing) could seem silent; and a substitute neighbour missed its first greeting while it was still connecting, as the time to connect counted from when the host became known. Change: a call without an answer to a host that is not greeted closes its connection; the time to connect counts from the first greeting. Test: both failed before (1 connection instead of 2; 1 missed greeting instead of 0).

--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -41,7 +41,7 @@
     """Connection to one other host, if one is open, and the tasks that use it."""
 
     record: HostRecord
-    added_at: Instant
+    greeted_since: Instant = timedelta(0)
     link: Link | None = None
     last_call: Instant = timedelta(0)
     has_answered: bool = False
@@ -105,7 +105,7 @@
         new = [record for record in records if self._is_new(record)]
         for record in new:
             self._remove(record.host)
-            self._peers[record.host] = Peer(record, added_at=self._clock.now())
+            self._peers[record.host] = Peer(record)
             self.table.add(record)
             logger.info(
                 "peer_added",
@@ -127,6 +127,7 @@
         for host, peer in self._peers.items():
             if host in chosen:
                 if peer.greeter is None:
+                    peer.greeted_since, peer.has_answered = self._clock.now(), False
                     peer.greeter = asyncio.create_task(self._greet(peer))
                 continue
             peer.stop_greeting()
@@ -197,6 +198,9 @@
                     await asyncio.sleep(_CONNECT_RETRY_DELAY.total_seconds())
                 return await future
         except (TimeoutError, zmq.ZMQError):
+            if peer.greeter is None and len(peer.pending_calls) == 1:
+                # The connection may have gone silent; greeted hosts reconnect in ``_greet``.
+                peer.close_link()
             return None
         finally:
             peer.pending_calls.pop(call_id, None)
@@ -270,7 +274,9 @@
             await asyncio.sleep(GREETING_INTERVAL.total_seconds() * jitter)
 
     def _is_connecting(self, peer: Peer) -> bool:
-        return not peer.has_answered and self._clock.now() < peer.added_at + FIRST_CONTACT_LIMIT
+        return (
+            not peer.has_answered and self._clock.now() < peer.greeted_since + FIRST_CONTACT_LIMIT
+        )
 
     def _record_missed_greeting(self, peer: Peer, state: PeerState) -> None:
         state.missed_greetings += 1
--- a/tests/host/test_peers.py
+++ b/tests/host/test_peers.py
@@ -2,6 +2,7 @@
 import random
 import time
 import unittest
+from datetime import timedelta
 from unittest import mock
 
 from hickorywind.failover.leadership import HostRecord
@@ -68,3 +69,64 @@
         await asyncio.sleep(1.0)
         self.assertLessEqual(left - SlowLink.refusals, 2)
         self.assertFalse(self.peers.table.any_holds_permit())
+
+
+class SparseLink(SlowLink):
+    """Link of a large fleet; hosts with an address in ``silent`` answer nothing."""
+
+    silent = set()
+    opened = []
+
+    def __init__(self, address, with_heartbeats):
+        super().__init__(address, with_heartbeats)
+        self.address = address
+        SparseLink.opened.append(address)
+
+    async def send(self, message):
+        if self.address in SparseLink.silent:
+            return True
+        return await super().send(message)
+
+
+class SparseGreetingTest(unittest.IsolatedAsyncioTestCase):
+    """A host among 40, of which it greets three."""
+
+    async def asyncSetUp(self):
+        SparseLink.silent, SparseLink.opened, SlowLink.refusals = set(), [], 0
+        patch = mock.patch.object(module, "Link", SparseLink)
+        patch.start()
+        self.addCleanup(patch.stop)
+        identity = HostIdentity(HostId("own"), Incarnation(1), ZONE, ADDRESS)
+        self.peers = Peers(identity, MonotonicClock(), random.Random(1))
+        self.addCleanup(self.peers.close)
+        self.peers.make_greeting = lambda call: Greeting(call, "own", 1, "z", ADDRESS, {})
+        self.peers.on_greeting_reply = lambda reply, sent: None
+        self.records = [
+            HostRecord(HostId(f"h{number}"), Incarnation(1), ZONE, Address("127.0.0.1", number), 0)
+            for number in range(2, 41)
+        ]
+        self.peers.add(*self.records)
+        await asyncio.sleep(0.1)
+
+    def greeted(self):
+        return {host for host, state in self.peers.table.states.items() if state.is_greeted}
+
+    async def test_connection_that_went_silent_is_not_used_for_the_next_call(self):
+        record = next(each for each in self.records if each.host not in self.greeted())
+        SparseLink.silent.add(record.address)
+        for _ in range(2):
+            reply = await self.peers.call(
+                record.host, self.peers.make_greeting, timedelta(milliseconds=20)
+            )
+            self.assertIsNone(reply)
+        self.assertEqual(SparseLink.opened.count(record.address), 2)
+
+    async def test_substitute_that_is_still_connecting_has_missed_no_greeting(self):
+        before = self.greeted()
+        await asyncio.sleep(FIRST_CONTACT_LIMIT.total_seconds())
+        SlowLink.refusals = 3
+        self.peers.table.states[sorted(before)[0]].missed_greetings = 2
+        self.peers.update_neighbours()
+        (substitute,) = self.greeted() - before
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.peers.table.states[substitute].missed_greetings, 0)
