Do not pass on the registration of a host that has gone

Cause, found on reading the change: hosts kept registrations of hosts that had left and passed them on to hosts with an older copy, for which such a host counted as alive, as nobody reports it any more. It could rank first and be waited for. Change: a host that is forgotten after its silence leaves the copy too. Test: failed before (h5 in the copies of the others).

--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -14,7 +14,7 @@
     decode_host,
     decode_leadership,
 )
-from hickorywind.ids import BackendId, Revision, ServiceName
+from hickorywind.ids import BackendId, HostId, Revision, ServiceName
 from hickorywind.ports.catalog import BackendServer, ProxyConfiguration
 from hickorywind.ports.coordination import (
     Change,
@@ -118,8 +118,7 @@
             prefix: StoreCopy(prefix)
             for prefix in (schema.configuration_key, schema.backends_prefix, LEADERSHIP_PREFIX)
         }
-        # Read once at registration and then completed from the copies of hosts that read it later;
-        # it holds hosts that have left since.
+        # Read once at registration and then completed from the copies of hosts that read it later.
         self.host_copy = StoreCopy(HOSTS_PREFIX)
         self.configuration_listeners: list[Callable[[], None]] = []
         self.backend_listeners: list[Callable[[], None]] = []
@@ -151,6 +150,10 @@
         applied = self.host_copy.apply(written, snapshot.as_of)
         return decode_hosts(change.item for change in applied)
 
+    def forget_host(self, host: HostId) -> None:
+        """Remove a host that has gone from the copy, so that it is not passed on."""
+        self.host_copy.items.pop(HOSTS_PREFIX + host, None)
+
     def apply_snapshot(self, prefix: str, snapshot: Snapshot, source: str) -> None:
         """Apply a snapshot of a prefix; ``source`` names the store or peer for the log."""
         self._process_changes(prefix, self.copies[prefix].replace(snapshot), source)
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -222,7 +222,8 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL.total_seconds())
             self._fleet.remove_missing_backends()
-            self._peers.maintain()
+            for host in self._peers.maintain():
+                self._fleet.forget_host(host)
             for name, service in self._services.items():
                 service.close_idle_connections()
                 self._metrics.waiting.labels(name).set(service.waiting_count)
--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -286,14 +286,19 @@
         self._open_link(peer)
         self.on_membership_change()
 
-    def maintain(self) -> None:
-        """Forget hosts that have been silent for long, and update the neighbours."""
+    def maintain(self) -> tuple[HostId, ...]:
+        """Forget hosts that have been silent for long and return them; update the neighbours."""
         oldest = self._clock.now() - REMOVE_AFTER
-        for record in self.table.silent_hosts():
-            if self.table.silent_since(record.host) < oldest:
-                logger.info("peer_removed", extra={"peer": record.host})
-                self._remove(record.host)
+        removed = tuple(
+            record.host
+            for record in self.table.silent_hosts()
+            if self.table.silent_since(record.host) < oldest
+        )
+        for host in removed:
+            logger.info("peer_removed", extra={"peer": host})
+            self._remove(host)
         self.update_neighbours()
+        return removed
 
     def close(self) -> None:
         """Close the connections to all other hosts."""
--- a/tests/host/test_largefleet.py
+++ b/tests/host/test_largefleet.py
@@ -1,7 +1,10 @@
 """A fleet in which each host greets only a few others."""
 
 import asyncio
+import unittest.mock
+from datetime import timedelta
 
+import hickorywind.host.peers
 from hickorywind.host.peers import Peers
 from hickorywind.membership.neighbours import (
     FULL_MESH_SIZE,
@@ -15,6 +18,7 @@
 MEASURED_SECONDS = 5
 BURST_CHANGES = 20
 BURST_SECONDS = 0.5
+REMOVED_AFTER = timedelta(seconds=5)
 PRIMARY_CHANGE_SECONDS = 5.0  # the stated limit
 
 
@@ -89,6 +93,14 @@
         for host in self.hosts.values():
             self.assertEqual(len(self.peers(host).table.silent_hosts()), 1)
 
+    async def test_host_that_left_is_not_passed_on_to_hosts_that_start_later(self):
+        with unittest.mock.patch.object(hickorywind.host.peers, "REMOVE_AFTER", REMOVED_AFTER):
+            await self.hosts.pop("h5").kill()
+            await self.wait_until(self.all_hosts_know_each_other, 12.0)
+        for host in self.hosts.values():
+            registered = host.role._fleet.host_copy.to_message(0).items
+            self.assertNotIn("h5", {item.key.rsplit("/")[-1] for item in registered})
+
     async def test_restarted_host_is_alive_for_all(self):
         await self.restart_host("h5")
         await self.wait_until(lambda: self.hosts["h5"].primary() is not None)
--- a/tests/test_layering.py
+++ b/tests/test_layering.py
@@ -11,6 +11,8 @@
     "membership/table.py",
     "membership/directory.py",
     "membership/gossip.py",
+    "membership/neighbours.py",
+    "membership/peertable.py",
 )
 FORBIDDEN = {"asyncio", "socket", "zmq", "grpc", "aetcd", "selectors", "threading"}
 FORBIDDEN_MODULES = {"hickorywind.protocol.channel", "hickorywind.membership.subscriber"}
