--- a/tests/host/test_peers.py
+++ b/tests/host/test_peers.py
@@ -41,15 +41,21 @@
         pass
 
 
+def start_peers(test_case, link):
+    """Return the peers of a host whose connections are instances of ``link``."""
+    patch = mock.patch.object(module, "Link", link)
+    patch.start()
+    test_case.addCleanup(patch.stop)
+    identity = HostIdentity(HostId("own"), Incarnation(1), ZONE, ADDRESS)
+    peers = Peers(identity, MonotonicClock(), random.Random(1))
+    test_case.addCleanup(peers.close)
+    peers.make_greeting = lambda call: Greeting(call, "own", 1, "z", ADDRESS, {})
+    return peers
+
+
 class FirstContactTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        patch = mock.patch.object(module, "Link", SlowLink)
-        patch.start()
-        self.addCleanup(patch.stop)
-        identity = HostIdentity(HostId("own"), Incarnation(1), ZONE, ADDRESS)
-        self.peers = Peers(identity, MonotonicClock(), random.Random(1))
-        self.addCleanup(self.peers.close)
-        self.peers.make_greeting = lambda call: Greeting(call, "own", 1, "z", ADDRESS, {})
+        self.peers = start_peers(self, SlowLink)
         self.answered = asyncio.Event()
         self.peers.on_greeting_reply = lambda reply, sent: self.answered.set()
 
@@ -93,13 +99,7 @@
 
     async def asyncSetUp(self):
         SparseLink.silent, SparseLink.opened, SlowLink.refusals = set(), [], 0
-        patch = mock.patch.object(module, "Link", SparseLink)
-        patch.start()
-        self.addCleanup(patch.stop)
-        identity = HostIdentity(HostId("own"), Incarnation(1), ZONE, ADDRESS)
-        self.peers = Peers(identity, MonotonicClock(), random.Random(1))
-        self.addCleanup(self.peers.close)
-        self.peers.make_greeting = lambda call: Greeting(call, "own", 1, "z", ADDRESS, {})
+        self.peers = start_peers(self, SparseLink)
         self.peers.on_greeting_reply = lambda reply, sent: None
         self.records = [
             HostRecord(HostId(f"h{number}"), Incarnation(1), ZONE, Address("127.0.0.1", number), 0)
