Decode client accounts: keys, quotas and public routes

Cause: nothing in the product knows a client account, though the users' configurations hold them. Change: the catalog has accounts by key and their quotas; a deployment without accounts has None and is served as before. A key held by two accounts identifies none. Measured: unit tests only; nothing uses the accounts yet.

--- a/hickorywind/platform/documents.py
+++ b/hickorywind/platform/documents.py
@@ -18,9 +18,13 @@
     ServiceName,
 )
 from hickorywind.ports.catalog import (
+    AccountId,
+    AccountKey,
+    AccountQuota,
     BackendServer,
     BackendState,
     BoundedStalenessReads,
+    ClientAccounts,
     DatabaseName,
     PrimaryReads,
     PriorityRank,
@@ -51,6 +55,14 @@
     target_latency_ms: float = _DEFAULT_LATENCY_OBJECTIVE_MS
     priority: int = 0
     max_staleness_ms: float = _DEFAULT_MAX_STALENESS_MS
+    public: bool = False
+
+
+class _WireAccount(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    rate_per_s: float | None = None
+    burst: float | None = None
 
 
 class _WireService(msgspec.Struct):
@@ -67,6 +79,7 @@
     routes: list[_WireRoute]
     backends: list[_WireService]
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+    tenants: list[_WireAccount] | None = None  # client accounts
 
 
 class _WireRegistration(msgspec.Struct):
@@ -102,9 +115,41 @@
             {ServiceName(service.name): service.max_conns for service in wire.backends}
         ),
         transaction_idle_timeout=milliseconds(wire.limits.tx_idle_ms),
+        accounts=None if wire.tenants is None else _decode_accounts(wire.tenants),
+    )
+
+
+def _decode_accounts(accounts: list[_WireAccount]) -> ClientAccounts:
+    holders: dict[AccountKey, set[AccountId]] = {}
+    for account in accounts:
+        for key in account.api_keys:
+            holders.setdefault(AccountKey(key), set()).add(AccountId(account.name))
+    shared = {key for key, names in holders.items() if len(names) > 1}
+    if shared:
+        # A key that several accounts hold identifies none of them.
+        logger.error(
+            "keys_ambiguous",
+            extra={"accounts": ",".join(sorted(set().union(*(holders[key] for key in shared))))},
+        )
+    return ClientAccounts(
+        account_by_key=MappingProxyType(
+            {key: next(iter(names)) for key, names in holders.items() if key not in shared}
+        ),
+        quotas=MappingProxyType(
+            {
+                AccountId(account.name): _decode_quota(account)
+                for account in accounts
+                if account.rate_per_s is not None
+            }
+        ),
     )
 
 
+def _decode_quota(account: _WireAccount) -> AccountQuota:
+    burst = account.rate_per_s if account.burst is None else account.burst
+    return AccountQuota(account.rate_per_s, max(1.0, burst))
+
+
 def _decode_route(wire: _WireRoute) -> Route:
     return Route(
         database=DatabaseName(wire.database),
@@ -113,6 +158,7 @@
         statement_timeout=milliseconds(wire.timeout_ms),
         latency_objective=milliseconds(wire.target_latency_ms),
         rank=PriorityRank(wire.priority),
+        is_public=wire.public,
     )
 
 
--- a/hickorywind/ports/catalog.py
+++ b/hickorywind/ports/catalog.py
@@ -20,6 +20,8 @@
 
 DatabaseName = NewType("DatabaseName", str)
 PriorityRank = NewType("PriorityRank", int)
+AccountId = NewType("AccountId", str)
+AccountKey = NewType("AccountKey", str)  # a secret: it is never logged or sent to another process
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +55,8 @@
 
     ``latency_objective`` is the target latency of a whole operation, from its arrival at the host;
     ``statement_timeout`` limits a single statement at a backend server. ``rank`` is the priority
-    of the work; rank 0 is the most urgent.
+    of the work; rank 0 is the most urgent. Callers of a public route need no key of a client
+    account.
     """
 
     database: DatabaseName
@@ -62,6 +65,29 @@
     statement_timeout: timedelta
     latency_objective: timedelta
     rank: PriorityRank
+    is_public: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AccountQuota:
+    """Quota of a client account, in operations summed over all hosts.
+
+    An operation is a statement outside a transaction, or a whole transaction.
+    """
+
+    rate_per_s: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClientAccounts:
+    """Client accounts of a configuration, with the account that holds each key.
+
+    ``quotas`` lacks the accounts that have no limit.
+    """
+
+    account_by_key: Mapping[AccountKey, AccountId]
+    quotas: Mapping[AccountId, AccountQuota]
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +96,8 @@
 
     ``version`` is the version number written in the configuration document, ``revision`` the store
     revision at which it was read; ``connection_limits`` holds, for each service, how many
-    connections one of its backend servers accepts from all hosts together.
+    connections one of its backend servers accepts from all hosts together. ``accounts`` is None if
+    the deployment has no client accounts.
     """
 
     version: int
@@ -78,6 +105,7 @@
     routes: Mapping[DatabaseName, Route]
     connection_limits: Mapping[ServiceName, int]
     transaction_idle_timeout: timedelta
+    accounts: ClientAccounts | None = None
 
 
 class BackendState(Enum):
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,6 +5,7 @@
 from hickorywind.ids import InstanceRole
 from hickorywind.platform.documents import decode_backend, decode_configuration
 from hickorywind.ports.catalog import (
+    AccountQuota,
     BackendState,
     BoundedStalenessReads,
     PrimaryReads,
@@ -52,6 +53,37 @@
     }
 
 
+class AccountsTest(unittest.TestCase):
+    def decode(self, *accounts):
+        return decode_configuration(stored_value(configuration() | {"tenants": list(accounts)}))
+
+    def test_deployment_without_accounts_has_none(self):
+        self.assertIsNone(decode_configuration(stored_value(configuration())).accounts)
+
+    def test_keys_and_quotas_are_decoded(self):
+        first = {"name": "a1", "api_keys": ["k1", "k2"], "rate_per_s": 9, "burst": 4}
+        second = {"name": "a2", "api_keys": [], "priority": 1}
+        accounts = self.decode(first, second).accounts
+        self.assertEqual(accounts.account_by_key, {"k1": "a1", "k2": "a1"})
+        self.assertEqual(accounts.quotas, {"a1": AccountQuota(9.0, 4.0)})
+
+    def test_key_of_two_accounts_identifies_none(self):
+        first = {"name": "a1", "api_keys": ["k1", "k2"], "rate_per_s": 9, "burst": 9}
+        second = {"name": "a2", "api_keys": ["k2"], "rate_per_s": 9, "burst": 9}
+        with self.assertLogs("hickorywind.platform.documents", "ERROR") as logs:
+            accounts = self.decode(first, second).accounts
+        self.assertEqual(accounts.account_by_key, {"k1": "a1"})
+        self.assertNotIn("k2", str(logs.records[0].__dict__))
+
+    def test_burst_allows_one_operation_at_least(self):
+        account = {"name": "a1", "api_keys": ["k1"], "rate_per_s": 0.2, "burst": 0.2}
+        self.assertEqual(self.decode(account).accounts.quotas["a1"].burst, 1.0)
+
+    def test_public_route(self):
+        decoded = decode_configuration(stored_value(configuration(public=True)))
+        self.assertTrue(decoded.routes["db1"].is_public)
+
+
 class ConfigurationTest(unittest.TestCase):
     def test_fields_are_decoded_with_their_units(self):
         decoded = decode_configuration(stored_value(configuration()))
