Identify callers by the keys of their client accounts

Change: a session's key is looked up at connect and before each operation; an unknown or withdrawn key is refused with AUTHENTICATION_FAILED, an open transaction is then rolled back. A backend connection carries the work of one account; at the limit the longest idle one of another account is replaced. Status queries take any idle connection. Keys are neither logged nor sent on. A deployment without accounts is served as before.

--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -17,6 +17,7 @@
 from hickorywind.admission.concurrency import ConcurrencyLimit
 from hickorywind.failover.leadership import PrimaryAbsence
 from hickorywind.ids import BackendId, LogPosition
+from hickorywind.ports.catalog import AccountId
 from hickorywind.results import Result, ResultCode
 from hickorywind.util.clock import Instant, to_milliseconds
 
@@ -61,6 +62,7 @@
     ``rank`` is lower for more urgent operations. ``start_by`` is the last instant at which it can
     start and still meet its objective; at ``give_up_at`` it is refused. One of ``grant`` and
     ``refuse`` is called when the dispatcher has decided. ``excluded`` servers are not used.
+    ``account`` is the client account of the caller; a connection serves one account.
     """
 
     rank: int
@@ -70,6 +72,7 @@
     grant: Callable[[BackendId], None]
     refuse: Callable[[Result], None]
     excluded: frozenset[BackendId] = frozenset()
+    account: AccountId | None = None
     arrival_number: int = 0
 
 
@@ -87,7 +90,7 @@
     limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
     is_available: bool = True
     has_connection: Callable[[], bool] = lambda: True
-    has_idle_connection: Callable[[], bool] = lambda: True
+    has_idle_connection: Callable[[AccountId | None], bool] = lambda account: True
     reserve_connection: Callable[[], None] = lambda: None
     known_position: LogPosition | None = None
     missing_position: LogPosition | None = None
@@ -113,12 +116,12 @@
             return True
         return position < self.missing_position
 
-    def expected_duration(self) -> timedelta:
-        """Estimate the duration of a statement sent to this server now."""
+    def expected_duration(self, account: AccountId | None = None) -> timedelta:
+        """Estimate the duration of a statement of an account sent to this server now."""
         round_trip = _ASSUMED_ROUND_TRIPS[self.distance]
         measured = max(self.limit.mean_duration, round_trip)
         duration = measured + measured * self.limit.in_flight / (2 * max(1, self.slots))
-        if self.has_idle_connection():
+        if self.has_idle_connection(account):
             return duration
         return duration + _CONNECT_WORK + _CONNECT_ROUND_TRIPS * round_trip
 
@@ -251,7 +254,7 @@
         for server in self.servers.values():
             if not self._has_capacity(server) or not self._is_eligible(operation, server, now):
                 continue
-            cost = server.expected_duration()
+            cost = server.expected_duration(operation.account)
             if server.backend == self.primary and not isinstance(operation.target, OnPrimary):
                 cost += PRIMARY_READ_PENALTY
             if cost < best_cost:
--- a/hickorywind/host/backendconnection.py
+++ b/hickorywind/host/backendconnection.py
@@ -52,9 +52,15 @@
 class BackendConnection(asyncio.Protocol):
     """Connection to one backend server that carries one batch of statements at a time."""
 
-    def __init__(self, backend: BackendId, codec: BackendCodec) -> None:
+    def __init__(self, backend: BackendId, codec: BackendCodec, client: str = CLIENT_NAME) -> None:
+        """Create a connection that is not open yet.
+
+        ``client`` is the name under which the backend server knows the connection: that of the
+        client account whose work it carries, or ``CLIENT_NAME``.
+        """
         self.backend = backend
         self.codec = codec
+        self.client = client
         self.session_values: dict[str, str] = {}
         self.prepared_names: set[str] = set()
         self.state = TransactionState.IDLE
@@ -70,17 +76,21 @@
 
     @classmethod
     async def open(
-        cls, server: BackendServer, codec: BackendCodec, timeout: timedelta
+        cls,
+        server: BackendServer,
+        codec: BackendCodec,
+        timeout: timedelta,
+        client: str = CLIENT_NAME,
     ) -> BackendConnection:
         """Open a connection; raise ``ConnectionRejectedError`` or ``ConnectionLostError``."""
         loop = asyncio.get_running_loop()
-        connection = cls(server.backend, codec)
+        connection = cls(server.backend, codec, client)
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 await loop.create_connection(
                     lambda: connection, server.address.host, server.address.port
                 )
-                payload = codec.encode_connect(server.service, CLIENT_NAME, server.backend)
+                payload = codec.encode_connect(server.service, client, server.backend)
                 answers = await connection._send(payload, 1)
         except (OSError, TimeoutError) as error:
             connection.close()
--- a/hickorywind/host/connectionpool.py
+++ b/hickorywind/host/connectionpool.py
@@ -8,11 +8,12 @@
 
 from hickorywind.admission.retention import IdleRetention
 from hickorywind.host.backendconnection import (
+    CLIENT_NAME,
     BackendConnection,
     ConnectionLostError,
     ConnectionRejectedError,
 )
-from hickorywind.ports.catalog import BackendServer
+from hickorywind.ports.catalog import AccountId, BackendServer
 from hickorywind.ports.codecs import BackendCodec
 from hickorywind.ports.replies import (
     Answer,
@@ -35,7 +36,7 @@
 
 
 class ConnectionPool:
-    """Pool of connections to one backend server.
+    """Pool of connections to one backend server, each of which serves one client account.
 
     ``max_connections`` is this host's own limit; ``retention`` decides how long idle connections
     are kept.
@@ -66,16 +67,20 @@
         return len(self._open) + self._connecting
 
     def has_connection(self) -> bool:
-        """Return whether a connection is available without waiting for one to be released."""
+        """Return whether a connection is available without waiting for one to be released.
+
+        An idle connection of another client account counts, as it can be replaced.
+        """
         now = self._clock.now()
         available = len(self._idle)
         if now >= self._backoff_until:
             available += max(0, self._current_limit(now) - self.open_count)
         return available > self._reserved
 
-    def has_idle_connection(self) -> bool:
-        """Return whether a connection is available without opening one."""
-        return len(self._idle) > self._reserved
+    def has_idle_connection(self, account: AccountId | None = None) -> bool:
+        """Return whether a connection for an account is available without opening one."""
+        client = account or CLIENT_NAME
+        return sum(each.client == client for each in self._idle) > self._reserved
 
     def reserve(self) -> None:
         """Reserve a connection for an operation that acquires it next."""
@@ -92,30 +97,45 @@
         """Cancel the reservation of a connection that is not needed."""
         self._reserved -= 1
 
-    async def acquire_reserved(self, values: Mapping[str, str]) -> BackendConnection:
+    async def acquire_reserved(
+        self, values: Mapping[str, str], account: AccountId | None
+    ) -> BackendConnection:
         """Return a reserved connection; raise the errors of ``acquire``."""
         self._reserved -= 1
-        return await self.acquire(values)
+        return await self.acquire(values, account)
 
-    async def acquire(self, values: Mapping[str, str]) -> BackendConnection:
+    async def acquire(
+        self, values: Mapping[str, str], account: AccountId | None = None
+    ) -> BackendConnection:
         """Return the idle connection with the least setup for a session's values, or a new one.
 
         Raise ``ConnectionRejectedError`` or ``ConnectionLostError`` if none can be opened.
         """
         self.retention.record_use(self._clock.now())
-        while self._idle:
+        client = account or CLIENT_NAME
+        own = [each for each in self._idle if each.client == client]
+        if own:
             # Prefer the most recently used one, so that surplus connections stay idle and time out.
-            connection = min(reversed(self._idle), key=lambda each: _setup_cost(each, values))
+            connection = min(reversed(own), key=lambda each: _setup_cost(each, values))
             self._idle.remove(connection)
-            if not connection.is_lost:
-                return connection
-        return await self._connect()
+            return connection
+        if self._idle and self.open_count >= self._current_limit(self._clock.now()):
+            self._idle[0].close()  # the longest idle, of another account
+        return await self._connect(client)
+
+    async def acquire_any(self) -> BackendConnection:
+        """Return any idle connection, or a new one, for a query of the host itself.
+
+        Raise the errors of ``acquire``.
+        """
+        self.retention.record_use(self._clock.now())
+        return self._idle.pop() if self._idle else await self._connect(CLIENT_NAME)
 
-    async def _connect(self) -> BackendConnection:
+    async def _connect(self, client: str) -> BackendConnection:
         self._connecting += 1
         try:
             connection = await BackendConnection.open(
-                self.server, self._make_codec(), CONNECT_TIMEOUT
+                self.server, self._make_codec(), CONNECT_TIMEOUT, client
             )
         except ConnectionRejectedError as error:
             if error.kind is BackendErrorKind.CONNECTION_LIMIT:
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
 
@@ -275,7 +275,7 @@
             )
             if isinstance(outcome, Result):
                 return outcome
-            grant = await self._take_connection(outcome, context.values)
+            grant = await self._take_connection(outcome, context)
             # The server is skipped for a while after a failure, so this loop does not busy-wait.
             if isinstance(grant, Grant) or self.clock.now() >= deadline:
                 return grant
@@ -302,6 +302,7 @@
             grant=lambda backend: _resolve(future, backend),
             refuse=lambda result: _resolve(future, result),
             excluded=excluded,
+            account=context.account,
         )
         self._update_primary()
         self._dispatcher.submit(operation, self.clock.now())
@@ -326,7 +327,7 @@
         self.release_unanswered_slot(backend)
 
     async def _take_connection(
-        self, backend_id: BackendId, values: Mapping[str, str]
+        self, backend_id: BackendId, context: SessionContext
     ) -> Grant | Result:
         backend = self.backends.get(backend_id)
         if backend is None:
@@ -335,7 +336,7 @@
             )
         started = self.clock.now()
         try:
-            connection = await backend.connections.acquire_reserved(values)
+            connection = await backend.connections.acquire_reserved(context.values, context.account)
         except (ConnectionLostError, ConnectionRejectedError) as error:
             self.release_unanswered_slot(backend)
             self.record_connection_failure(backend, error)
@@ -526,7 +527,7 @@
 
         Raise ``ConnectionRejectedError`` or ``ConnectionLostError`` if it does not answer.
         """
-        connection = await backend.connections.acquire({})
+        connection = await backend.connections.acquire_any()
         sent = self.clock.now()
         is_primary = self.fleet.usable_primary(self.name) == backend.server.backend
         answers = await connection.exchange(connection.codec.encode_status(), 1, STATUS_TIMEOUT)
--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -16,7 +16,7 @@
 from hickorywind.host.sessioncontext import SessionContext
 from hickorywind.host.transaction import Transaction
 from hickorywind.ids import AccessMode, ServiceName
-from hickorywind.ports.catalog import DatabaseName, Route
+from hickorywind.ports.catalog import AccountId, AccountKey, DatabaseName, Route
 from hickorywind.ports.codecs import CallerCodec
 from hickorywind.ports.replies import LocalCompletion, ProxyFailure, Reply, TransactionState
 from hickorywind.ports.statements import (
@@ -74,6 +74,7 @@
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._database = DatabaseName("")
+        self._key = AccountKey("")
         self._context: SessionContext | None = None
         self._transaction: Transaction | None = None
         self._is_busy = False
@@ -219,15 +220,29 @@
             self._write(self._codec.encode_refused(result))
             return False
         self._database = DatabaseName(database)
-        if self._route() is None:
-            result = self._unknown_database_result()
-            self._request_log.record_refusal("-", self._database, result)
-            self._write(self._codec.encode_refused(result))
+        self._key = AccountKey(client)
+        refusal = self._unknown_database_result() if self._route() is None else self._identify()
+        if isinstance(refusal, Result):
+            self._request_log.record_refusal("-", self._database, refusal)
+            self._write(self._codec.encode_refused(refusal))
             return False
-        self._context = SessionContext(client)
+        # Where client accounts exist, the caller's name is its key, which must not be logged.
+        has_accounts = self._fleet.configuration.accounts is not None
+        self._context = SessionContext("" if has_accounts else client)
         self._write(self._codec.encode_connected())
         return True
 
+    def _identify(self) -> AccountId | Result | None:
+        """Return the caller's client account, None if it needs none, or a refusal."""
+        configuration, route = self._fleet.configuration, self._route()
+        if configuration.accounts is None or route is None or route.is_public:
+            return None
+        account = configuration.accounts.account_by_key.get(self._key)
+        if account is None:
+            reason = f"no client account holds this key in configuration {configuration.version}"
+            return Result.not_run(ResultCode.AUTHENTICATION_FAILED, reason)
+        return account
+
     def _route(self) -> Route | None:
         configuration = self._fleet.configuration
         return None if configuration is None else configuration.routes.get(self._database)
@@ -241,6 +256,13 @@
         reason = f"no route for this database in configuration version {configuration.version}"
         return Result.not_run(ResultCode.UNKNOWN_SERVICE, reason)
 
+    def _is_key_withdrawn(self) -> bool:
+        """Return whether the account of the open transaction no longer holds the session's key."""
+        accounts, account = self._fleet.configuration.accounts, self._context.account
+        if accounts is None or account is None:
+            return False
+        return accounts.account_by_key.get(self._key) != account
+
     async def _process_request(self, request: Request) -> None:
         arrived = self._clock.now()
         reply = await self._execute(request, arrived)
@@ -256,7 +278,7 @@
         self._request_log.record_reply(
             request,
             self._database,
-            self._context.client,
+            self._context.account or self._context.client,
             reply,
             self._clock.now() - arrived,
             transaction,
@@ -280,6 +302,16 @@
         transaction = self._transaction
         if transaction is not None and transaction.has_failed:
             return await self._end_failed_transaction(request, transaction)
+        if transaction is None:
+            account = self._identify()
+            if isinstance(account, Result):
+                return ProxyFailure(account)
+            self._context.account = account
+        elif self._is_key_withdrawn():
+            await transaction.roll_back()
+            self._transaction = None
+            reason = "the key of this session was withdrawn; its transaction was rolled back"
+            return ProxyFailure(Result.not_run(ResultCode.AUTHENTICATION_FAILED, reason))
         match request.statement:
             case SetValue(name, value):
                 return self._set_value(name, value)
--- a/hickorywind/host/sessioncontext.py
+++ b/hickorywind/host/sessioncontext.py
@@ -7,18 +7,22 @@
 
 from hickorywind.host.backendconnection import StatementTemplate
 from hickorywind.ids import LogPosition
+from hickorywind.ports.catalog import AccountId
 
 
 @dataclass
 class SessionContext:
     """Session values, prepared statements and read floor of one caller session.
 
+    ``client`` names the caller in logs; ``account`` is the client account of the current
+    operation, None where callers need none.
     ``floor`` is the log position that a server must hold to serve the session's reads, or None if
     any will do. ``cancel_wait`` cancels the session's current wait for a backend server; it is None
     while the session does not wait.
     """
 
     client: str
+    account: AccountId | None = None
     values: dict[str, str] = field(default_factory=dict)
     prepared_statements: dict[str, StatementTemplate] = field(default_factory=dict)
     floor: LogPosition | None = None
--- a/standins/lineplatform/group.py
+++ b/standins/lineplatform/group.py
@@ -12,6 +12,7 @@
 @dataclass(eq=False)
 class _Connection:
     writer: asyncio.StreamWriter
+    client: str = ""
     is_open: bool = False
     transaction: list[tuple[str, str]] | None = None
     settings: dict[str, str] = field(default_factory=dict)
@@ -36,6 +37,7 @@
         self.lose_answers = 0
         self.connection_limit = 100
         self.statements: list[str] = []
+        self.clients: dict[str, str] = {}  # client of the connection by request id
         self.address = Address("127.0.0.1", 0)
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
@@ -104,7 +106,7 @@
         return f"{body}READY {state} {self.position}\r\n"
 
     def _connect(self, connection: _Connection, rest: str) -> str | None:
-        service, _, backend = rest.split(" ")
+        service, connection.client, backend = rest.split(" ")
         if service != self.group.service or backend != self.backend:
             connection.writer.write(f"ERROR MISROUTED {self.backend}\r\n".encode())
             return None
@@ -116,6 +118,7 @@
 
     def _run_statement(self, connection: _Connection, request_id: str, text: str) -> str:
         self.statements.append(text)
+        self.clients[request_id] = connection.client
         if text.startswith("AFTER "):
             _, minimum_position, text = text.split(" ", 2)
             if not self._has_position(minimum_position):
