Add client accounts to the operators' configuration

Cause: on the PostgreSQL path nothing tells which users belong to which client account, how their work ranks and how much of it is allowed.

Change: Configuration has accounts (name, users, priority, quota), empty by default, with validation, canonical printing, differences, a builder call and one section per account, so that a change of one account sends one section. Passwords stay in the entry's users_file. A configuration without accounts is encoded as before, without the new key, because earlier versions refuse unknown keys in the stored document.

Nothing uses the accounts yet.

--- a/hickorywind/configuration/builder.py
+++ b/hickorywind/configuration/builder.py
@@ -7,15 +7,18 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Iterable
 from datetime import timedelta
 from typing import Self, TextIO
 
 from hickorywind.configuration.canonical import canonicalize
 from hickorywind.configuration.model import (
+    Account,
     Configuration,
     Instance,
     Limits,
     Objective,
+    Quota,
     RankPolicy,
     ReadKind,
     Service,
@@ -24,7 +27,8 @@
 )
 from hickorywind.configuration.printing import format_document
 from hickorywind.configuration.validate import require_valid
-from hickorywind.ids import AvailabilityZone, BackendId, Rank, Region, ServiceName
+from hickorywind.ids import AvailabilityZone, BackendId, Rank, Region, ServiceName, UserName
+from hickorywind.ports.catalog import AccountId
 from hickorywind.results import ResultCode, UserError
 from hickorywind.util.documents import DocumentError
 
@@ -118,6 +122,7 @@
         self._zones: list[Zone] = []
         self._services: list[ServiceBuilder] = []
         self._limits = Limits()
+        self._accounts: list[Account] = []
 
     def zone(self, name: str, region: str) -> Self:
         """Add an availability zone and its region."""
@@ -146,10 +151,36 @@
         )
         return self
 
+    def account(
+        self,
+        name: str,
+        users: Iterable[str],
+        priority: Rank = Rank.STANDARD,
+        rate_per_s: float | None = None,
+        burst: int | None = None,
+    ) -> Self:
+        """Add a client account; ``rate_per_s`` and ``burst`` are its quota, None for no limit.
+
+        ``priority`` is the rank of requests that name none. Passwords are not part of the
+        configuration. Raise ``UserError`` if only one of the quota's numbers is given.
+        """
+        key = f"accounts[{name}]"
+        if isinstance(users, str):
+            raise UserError(ResultCode.CONFIG_INVALID, f"{key}.users: expected several names")
+        if (rate_per_s is None) != (burst is None):
+            problem = "expected both rate_per_s and burst, or neither"
+            raise UserError(ResultCode.CONFIG_INVALID, f"{key}.quota: {problem}")
+        quota = None if rate_per_s is None or burst is None else Quota(rate_per_s, burst)
+        names = tuple(UserName(user) for user in users)
+        self._accounts.append(Account(AccountId(name), names, priority, quota))
+        return self
+
     def build(self) -> Configuration:
         """Return the validated configuration; raise ``UserError`` that names every problem."""
         services = tuple(builder.build() for builder in self._services)
-        built = Configuration(self._name, tuple(self._zones), services, self._limits)
+        built = Configuration(
+            self._name, tuple(self._zones), services, self._limits, tuple(self._accounts)
+        )
         try:
             configuration = canonicalize(built)
         except DocumentError as error:
--- a/hickorywind/configuration/canonical.py
+++ b/hickorywind/configuration/canonical.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from hickorywind.configuration.model import Configuration, Service
+from hickorywind.configuration.model import Account, Configuration, Service
 from hickorywind.ids import RANKS_BY_URGENCY
 from hickorywind.util.documents import convert
 
@@ -21,9 +21,16 @@
         services=tuple(
             sorted(map(_sort_lists, checked.services), key=lambda service: service.name)
         ),
+        accounts=tuple(
+            sorted(map(_sort_users, checked.accounts), key=lambda account: account.name)
+        ),
     )
 
 
+def _sort_users(account: Account) -> Account:
+    return msgspec.structs.replace(account, users=tuple(sorted(account.users)))
+
+
 def _sort_lists(service: Service) -> Service:
     return msgspec.structs.replace(
         service,
--- a/hickorywind/configuration/difference.py
+++ b/hickorywind/configuration/difference.py
@@ -95,7 +95,9 @@
         yield from _compare_values(f"{path}[{name}]", old_items.get(name), new_items.get(name))
 
 
-def _item_identity(item: dict[str, Any]) -> str:
+def _item_identity(item: dict[str, Any] | str) -> str:
+    if isinstance(item, str):
+        return item
     return next(item[key] for key in _IDENTITY_KEYS if key in item)
 
 
--- a/hickorywind/configuration/model.py
+++ b/hickorywind/configuration/model.py
@@ -15,7 +15,9 @@
     Rank,
     Region,
     ServiceName,
+    UserName,
 )
+from hickorywind.ports.catalog import AccountId
 
 
 class Instance(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -96,6 +98,28 @@
     region: Region
 
 
+class Quota(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Quota of a client account, in operations summed over all entries.
+
+    An operation is a statement outside a transaction, or a whole transaction.
+    """
+
+    rate_per_s: float
+    burst: int
+
+
+class Account(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Client account: the users that belong to it, and how their work is ranked and limited.
+
+    ``priority`` is the rank of requests that name none. An account without ``quota`` has no limit.
+    """
+
+    name: AccountId
+    users: tuple[UserName, ...]
+    priority: Rank = Rank.STANDARD
+    quota: Quota | None = None
+
+
 class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Limits that apply to the whole system.
 
@@ -109,10 +133,16 @@
     message_limit_bytes: int = 16_777_216
 
 
-class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Whole configuration of the system, as operators review and accept it."""
+class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    """Whole configuration of the system, as operators review and accept it.
+
+    A configuration without accounts serves any user. It is encoded without the key ``accounts``,
+    which earlier versions of the program refuse as unknown.
+    """
 
     name: str
     zones: tuple[Zone, ...]
     services: tuple[Service, ...]
-    limits: Limits = Limits()
+    # A factory, because omit_defaults would leave out a shared default object.
+    limits: Limits = msgspec.field(default_factory=Limits)
+    accounts: tuple[Account, ...] = ()
--- a/hickorywind/configuration/sections.py
+++ b/hickorywind/configuration/sections.py
@@ -1,19 +1,24 @@
 """Sections of a configuration, which are gossiped separately.
 
-A change of one database service sends one section to each host, not the whole document.
+A change of one database service or client account sends one section to each host, not the whole
+document.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import TypeVar
 
 import msgspec
 import xxhash
 
-from hickorywind.configuration.model import Configuration, Limits, Service, Zone
+from hickorywind.configuration.model import Account, Configuration, Limits, Service, Zone
+
+T = TypeVar("T", bound=msgspec.Struct)
 
 MAIN_SECTION = "main"
 _SERVICE_PREFIX = "service/"
+_ACCOUNT_PREFIX = "account/"
 
 
 class _MainSection(msgspec.Struct, frozen=True):
@@ -32,6 +37,8 @@
     sections = {MAIN_SECTION: _encode(main)}
     for service in configuration.services:
         sections[_SERVICE_PREFIX + service.name] = _encode(service)
+    for account in configuration.accounts:
+        sections[_ACCOUNT_PREFIX + account.name] = _encode(account)
     return sections
 
 
@@ -41,12 +48,17 @@
     An empty document marks a removed section.
     """
     main = msgspec.json.decode(sections[MAIN_SECTION], type=_MainSection)
-    services = [
-        msgspec.json.decode(document, type=Service)
+    services = _decode_all(sections, _SERVICE_PREFIX, Service)
+    accounts = _decode_all(sections, _ACCOUNT_PREFIX, Account)
+    return Configuration(main.name, main.zones, services, main.limits, accounts)
+
+
+def _decode_all(sections: Mapping[str, str], prefix: str, type_: type[T]) -> tuple[T, ...]:
+    return tuple(
+        msgspec.json.decode(document, type=type_)
         for name, document in sorted(sections.items())
-        if name.startswith(_SERVICE_PREFIX) and document
-    ]
-    return Configuration(main.name, main.zones, tuple(services), main.limits)
+        if name.startswith(prefix) and document
+    )
 
 
 def digest_sections(sections: Mapping[str, str]) -> str:
--- a/hickorywind/configuration/validate.py
+++ b/hickorywind/configuration/validate.py
@@ -2,28 +2,34 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from hickorywind.configuration.model import (
+    Account,
     Configuration,
     Instance,
     Limits,
     Objective,
+    Quota,
     RankPolicy,
     ReadKind,
     Service,
     TransactionLimits,
 )
-from hickorywind.ids import RANKS_BY_URGENCY, Rank
+from hickorywind.ids import RANKS_BY_URGENCY, Rank, UserName
 from hickorywind.observability.latencybuckets import OBJECTIVE_BOUNDS_MS
+from hickorywind.ports.catalog import AccountId
 from hickorywind.results import ResultCode, UserError
 from hickorywind.util.addresses import parse_address
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}\Z")
 _HUNDRED_PERCENT = 100
+_MAX_USER_NAME_BYTES = 63  # PostgreSQL cuts longer names
+OTHER_ACCOUNTS = "other"  # stands in metrics for all accounts that are not named there
 
 
 @dataclass(frozen=True)
@@ -63,6 +69,7 @@
     for service in configuration.services:
         yield from _check_service(service, zones)
     yield from _check_limits(configuration.limits)
+    yield from _check_accounts(configuration.accounts)
 
 
 def _check_zones(configuration: Configuration) -> Iterator[Problem]:
@@ -193,6 +200,42 @@
         yield from _check_positive(f"limits.{key}", getattr(limits, key))
 
 
+def _check_accounts(accounts: tuple[Account, ...]) -> Iterator[Problem]:
+    yield from _check_unique("accounts", (account.name for account in accounts))
+    holders: dict[UserName, AccountId] = {}
+    for account in accounts:
+        path = f"accounts[{account.name}]"
+        yield from _check_name(f"{path}.name", account.name)
+        if account.name == OTHER_ACCOUNTS:
+            yield Problem(f"{path}.name", "is reserved for the accounts that metrics don't name")
+        if not account.users:
+            yield Problem(f"{path}.users", "expected at least one user name")
+        for user in account.users:
+            yield from _check_user_name(f"{path}.users[{user}]", user)
+            if user in holders:
+                yield Problem(f"{path}.users[{user}]", f"is in account {holders[user]!r} already")
+            holders.setdefault(user, account.name)
+        if account.quota is not None:
+            yield from _check_quota(f"{path}.quota", account.quota)
+
+
+def _check_user_name(path: str, name: UserName) -> Iterator[Problem]:
+    if not name.isprintable() or name != name.strip() or not name:
+        yield Problem(path, "expected printable characters without spaces at the ends")
+    if len(name.encode(errors="replace")) > _MAX_USER_NAME_BYTES:
+        yield Problem(path, f"expected at most {_MAX_USER_NAME_BYTES} bytes")
+
+
+def _check_quota(path: str, quota: Quota) -> Iterator[Problem]:
+    # The comparison is false for NaN; JSON, in which sections travel, has no infinity.
+    if not 0 < quota.rate_per_s < math.inf:
+        yield Problem(
+            f"{path}.rate_per_s", f"expected a finite number above 0, got {quota.rate_per_s:g}"
+        )
+    if quota.burst < 1:
+        yield Problem(f"{path}.burst", f"expected at least 1, got {quota.burst}")
+
+
 def _check_unique(path: str, names: Iterable[str]) -> Iterator[Problem]:
     for name, count in sorted(Counter(names).items()):
         if count > 1:
--- a/hickorywind/ids.py
+++ b/hickorywind/ids.py
@@ -13,6 +13,7 @@
 ServiceName = NewType("ServiceName", str)
 BackendId = NewType("BackendId", str)
 SessionId = NewType("SessionId", str)
+UserName = NewType("UserName", str)  # name with which a caller logs in at an entry
 RequestId = NewType("RequestId", int)
 TransactionId = NewType("TransactionId", int)
 Incarnation = NewType("Incarnation", int)
--- a/tests/configuration/samples.py
+++ b/tests/configuration/samples.py
@@ -18,6 +18,14 @@
     return system, service
 
 
+def make_account_configuration():
+    """Return the same configuration with two client accounts, one of them without a quota."""
+    system, _ = make_builders()
+    system.account("workshop", ["office", "Crew"], Rank.URGENT, rate_per_s=50, burst=100)
+    system.account("archive", ["reader"], Rank.BACKGROUND)
+    return system.build()
+
+
 def make_configuration():
     """Return the configuration that ``make_builders`` describes."""
     return make_builders()[0].build()
--- a/tests/configuration/test_builder.py
+++ b/tests/configuration/test_builder.py
@@ -27,6 +27,13 @@
         with self.assertRaisesRegex(UserError, r"services\[0\].instances\[2\].slots"):
             system.build()
 
+    def test_quota_needs_both_numbers_and_users_are_several(self):
+        system, _ = make_builders()
+        for users, values in ((["a"], {"rate_per_s": 1}), (["a"], {"burst": 1}), ("crew", {})):
+            with self.subTest(values=values), self.assertRaisesRegex(UserError, r"accounts\[x\]"):
+                system.account("x", users, **values)
+        self.assertEqual(system.build().accounts, ())
+
     def test_build_names_every_problem(self):
         system, service = make_builders()
         service.rank(Rank.URGENT, 90).instance("ledger-c", "q", "127.0.0.1:2002", 3, 20)
--- a/tests/configuration/test_difference.py
+++ b/tests/configuration/test_difference.py
@@ -4,7 +4,11 @@
 import msgspec
 
 from hickorywind.configuration.difference import Change, ChangeKind, compare, format_changes
-from tests.configuration.samples import make_builders, make_configuration
+from tests.configuration.samples import (
+    make_account_configuration,
+    make_builders,
+    make_configuration,
+)
 
 
 class DifferenceTest(unittest.TestCase):
@@ -45,6 +49,25 @@
         removed = Change(ChangeKind.REMOVED, "zones[b]", '{"name":"b","region":"r"}', "")
         self.assertEqual(compare(before, after), (removed,))
 
+    def test_accounts_are_compared_by_user_name_and_value(self):
+        before = make_account_configuration()
+        archive, workshop = before.accounts
+        quota = msgspec.structs.replace(workshop.quota, burst=200)
+        changed = msgspec.structs.replace(workshop, users=("Crew", "name"), quota=quota)
+        after = msgspec.structs.replace(before, accounts=(changed,))
+        path = "accounts[workshop]"
+        self.assertEqual(
+            [(change.kind, change.path) for change in compare(before, after)],
+            [
+                (ChangeKind.REMOVED, "accounts[archive]"),
+                (ChangeKind.CHANGED, f"{path}.quota.burst"),
+                (ChangeKind.ADDED, f"{path}.users[name]"),
+                (ChangeKind.REMOVED, f"{path}.users[office]"),
+            ],
+        )
+        paths = [change.path for change in compare(make_configuration(), before)]
+        self.assertEqual(paths, ["accounts[archive]", "accounts[workshop]"])
+
     def test_first_configuration_is_all_added(self):
         kinds = {change.kind for change in compare(None, make_configuration())}
         self.assertEqual(kinds, {ChangeKind.ADDED})
--- a/tests/configuration/test_validate.py
+++ b/tests/configuration/test_validate.py
@@ -1,3 +1,4 @@
+import math
 import unittest
 
 import msgspec
@@ -5,14 +6,14 @@
 from hickorywind.configuration.model import Configuration
 from hickorywind.configuration.validate import find_problems, require_valid
 from hickorywind.results import ResultCode, UserError
-from tests.configuration.samples import make_configuration
+from tests.configuration.samples import make_account_configuration, make_configuration
 
 SERVICE = "services[ledger]"
 
 
-def problems_after(change):
+def problems_after(change, make=make_configuration):
     """Return the paths of the problems after ``change`` has modified a valid configuration."""
-    value = msgspec.to_builtins(make_configuration())
+    value = msgspec.to_builtins(make())
     value = msgspec.json.decode(msgspec.json.encode(value))
     change(value, value["services"][0])
     return [problem.path for problem in find_problems(msgspec.convert(value, Configuration))]
@@ -21,6 +22,7 @@
 class ValidateTest(unittest.TestCase):
     def test_good_configuration_has_no_problems(self):
         self.assertEqual(find_problems(make_configuration()), ())
+        self.assertEqual(find_problems(make_account_configuration()), ())
 
     def test_each_rule(self):
         cases = {
@@ -86,6 +88,40 @@
         paths = problems_after(lambda c, s: s["ranks"][0].update(timeout_ms=150))
         self.assertEqual(paths, [f"{SERVICE}.objectives[urgent].latency_ms"])
 
+    def test_each_rule_of_accounts(self):
+        long_name = "é" * 32
+        cases = {
+            "accounts": lambda c, a, w: c["accounts"].append({**a, "users": ["x"]}),
+            "accounts[archive].users": lambda c, a, w: a.update(users=[]),
+            "accounts[workshop].users[reader]": lambda c, a, w: w["users"].append("reader"),
+            "accounts[workshop].users[office]": lambda c, a, w: w["users"].append("office"),
+            f"accounts[archive].users[{long_name}]": lambda c, a, w: a["users"].append(long_name),
+            "accounts[archive].users[]": lambda c, a, w: a["users"].append(""),
+            "accounts[archive].users[a\0]": lambda c, a, w: a["users"].append("a\0"),
+            "accounts[other].name": lambda c, a, w: a.update(name="other"),
+            "accounts[A b].name": lambda c, a, w: a.update(name="A b"),
+            "accounts[workshop].quota.burst": lambda c, a, w: w["quota"].update(burst=0),
+        }
+        for path, change in cases.items():
+            with self.subTest(path):
+                paths = problems_after(
+                    lambda c, s, change=change: change(c, *c["accounts"]),
+                    make_account_configuration,
+                )
+                self.assertEqual(paths, [path])
+
+    def test_rate_of_a_quota_is_finite_and_above_zero(self):
+        configuration = make_account_configuration()
+        archive, workshop = configuration.accounts
+        for rate in (0, -1.0, math.inf, math.nan):
+            quota = msgspec.structs.replace(workshop.quota, rate_per_s=rate)
+            wrong = msgspec.structs.replace(workshop, quota=quota)
+            problems = find_problems(
+                msgspec.structs.replace(configuration, accounts=(archive, wrong))
+            )
+            paths = [problem.path for problem in problems]
+            self.assertEqual(paths, ["accounts[workshop].quota.rate_per_s"])
+
     def test_all_problems_are_reported_with_their_code(self):
         configuration = msgspec.structs.replace(make_configuration(), name="", zones=())
         problems = find_problems(configuration)
--- a/tests/controller/test_config.py
+++ b/tests/controller/test_config.py
@@ -6,6 +6,7 @@
 
 from hickorywind.configuration.acceptance import ChangeEnvelope, ChangeId, encode_envelope
 from hickorywind.configuration.model import (
+    Account,
     Configuration,
     Instance,
     RankPolicy,
@@ -80,6 +81,19 @@
         self.assertEqual([record.key for record in records], ["config/service/q", "config-head"])
         self.assertEqual(self.directory.in_force.configuration, changed)
 
+    def test_change_of_one_account_yields_one_section_and_a_head_record(self):
+        crew, office = Account("crew", ("a",)), Account("office", ("b",))
+        for revision, accounts, sections in (
+            (5, (crew, office), ["main", "service/p", "account/crew", "account/office"]),
+            (6, (Account("crew", ("a", "c")), office), ["account/crew"]),
+            (7, (office,), ["account/crew"]),
+        ):
+            document = msgspec.structs.replace(configuration("p"), accounts=accounts)
+            records = merge_stored(self.builder, self.directory, stored(revision, document))
+            keys = [f"config/{section}" for section in sections]
+            self.assertEqual([record.key for record in records], [*keys, "config-head"])
+            self.assertEqual(self.directory.in_force.configuration, document)
+
     def test_stale_read_and_invalid_document_change_nothing(self):
         merge_stored(self.builder, self.directory, stored(9, configuration("p", "q")))
         self.assertEqual(
