Refuse users without a client account at the entry, and limit accounts

Cause: accounts stood in the configuration, but no entry acted on them.

Change: if the configuration in force has accounts, a user that belongs to none is refused with 1009 when it connects, after its password was checked, and at its next statement outside a transaction if it lost its account later; the reason, in the log too, names the revision and for how long it has been in force here. Requests that name no priority get that of the account. An entry admits its even share of a quota among the entries that are alive or suspect; an operation is a batch outside a transaction or a whole transaction, so no transaction is refused halfway. Refused operations get one turn after the other at the rate of the quota, jittered. Log lines and the new metric hickorywind_account_requests name the account, the metric the 20 largest. Rates below 0.001 per second are refused as mistakes.

--- a/hickorywind/configuration/model.py
+++ b/hickorywind/configuration/model.py
@@ -19,6 +19,8 @@
 )
 from hickorywind.ports.catalog import AccountId
 
+OTHER_ACCOUNTS = AccountId("other")  # metrics count the accounts that they don't name as this one
+
 
 class Instance(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Backend server of a database service.
--- a/hickorywind/configuration/validate.py
+++ b/hickorywind/configuration/validate.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from hickorywind.configuration.model import (
+    OTHER_ACCOUNTS,
     Account,
     Configuration,
     Instance,
@@ -29,7 +30,7 @@
 _NAME = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}\Z")
 _HUNDRED_PERCENT = 100
 _MAX_USER_NAME_BYTES = 63  # PostgreSQL cuts longer names
-OTHER_ACCOUNTS = "other"  # stands in metrics for all accounts that are not named there
+_MIN_RATE_PER_S = 0.001  # one operation in 17 minutes; less is taken for a mistake
 
 
 @dataclass(frozen=True)
@@ -228,9 +229,10 @@
 
 def _check_quota(path: str, quota: Quota) -> Iterator[Problem]:
     # The comparison is false for NaN; JSON, in which sections travel, has no infinity.
-    if not 0 < quota.rate_per_s < math.inf:
+    if not _MIN_RATE_PER_S <= quota.rate_per_s < math.inf:
         yield Problem(
-            f"{path}.rate_per_s", f"expected a finite number above 0, got {quota.rate_per_s:g}"
+            f"{path}.rate_per_s",
+            f"expected a finite number of at least {_MIN_RATE_PER_S}, got {quota.rate_per_s:g}",
         )
     if quota.burst < 1:
         yield Problem(f"{path}.burst", f"expected at least 1, got {quota.burst}")
--- a/hickorywind/entry/context.py
+++ b/hickorywind/entry/context.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from hickorywind.configuration.model import Limits
+from hickorywind.entry.accounts import EntryAccounts
 from hickorywind.entry.executor import Executor
 from hickorywind.membership.directory import Directory
 from hickorywind.util.clock import Clock
@@ -12,10 +13,11 @@
 
 @dataclass(frozen=True)
 class SessionContext:
-    """Executor, directory and clock that all sessions of an entry share."""
+    """Executor, directory, accounts and clock that all sessions of an entry share."""
 
     executor: Executor
     directory: Directory
+    accounts: EntryAccounts
     clock: Clock
 
     @property
--- a/hickorywind/entry/executor.py
+++ b/hickorywind/entry/executor.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from hickorywind.entry.accounts import EntryAccounts
 from hickorywind.entry.attempt import Attempt, AttemptEnd
 from hickorywind.entry.linkregistry import PoolLinkRegistry
 from hickorywind.entry.poollink import PoolLink
@@ -46,6 +47,7 @@
         health: BackendHealth,
         retry_budget: RetryBudget,
         link_budget: LinkBudget,
+        accounts: EntryAccounts,
         clock: Clock,
         rng: random.Random,
         reporter: RequestReporter,
@@ -55,6 +57,7 @@
         self._health = health
         self._retry_budget = retry_budget
         self._link_budget = link_budget
+        self._accounts = accounts
         self._clock = clock
         self._rng = rng
         self._reporter = reporter
@@ -64,16 +67,23 @@
     async def run(self, request: Request) -> FinishedRequest:
         """Run a request and return its final result; raise ``CallerDisconnectedError``."""
         started = self._clock.now()
-        self._retry_budget.count_request()
-        if request.transaction is not None:
-            finished = await self._run_in_transaction(request, request.transaction)
-        else:
-            finished = await RetryLoop(self, request, self._make_retry_policy(request)).run()
+        finished = await self._run_if_admitted(request)
         finished = replace(finished, result=self._add_retry_delay(finished.result))
         duration = self._clock.now() - started
         self._reporter.report_end(request, finished, duration, self._retry_budget.available)
         return finished
 
+    async def _run_if_admitted(self, request: Request) -> FinishedRequest:
+        if request.transaction is not None:
+            # A transaction counted against the quota of its account as it began.
+            self._retry_budget.count_request()
+            return await self._run_in_transaction(request, request.transaction)
+        refusal = self._accounts.admit(request.account) if request.account is not None else None
+        if refusal is not None:
+            return FinishedRequest(refusal)
+        self._retry_budget.count_request()
+        return await RetryLoop(self, request, self._make_retry_policy(request)).run()
+
     async def end_transaction(self, transaction: OpenTransaction) -> None:
         """Ask the pool to roll back a transaction, unless the pool process was replaced."""
         if transaction.link.incarnation == transaction.incarnation:
--- a/hickorywind/entry/planning.py
+++ b/hickorywind/entry/planning.py
@@ -40,10 +40,15 @@
     read_only_transaction: bool
 
 
-def plan_batch(batch: Batch, session_hints: Hints, service: Service) -> Plan:
-    """Return the plan of a batch; raise ``HickorywindError`` with ``BAD_HINT``."""
+def plan_batch(
+    batch: Batch, session_hints: Hints, service: Service, default_rank: Rank = Rank.STANDARD
+) -> Plan:
+    """Return the plan of a batch; raise ``HickorywindError`` with ``BAD_HINT``.
+
+    ``default_rank`` is the rank of a request whose hints name none.
+    """
     hints = batch.hints.merged_over(session_hints)
-    rank = find_rank(service, hints)
+    rank = find_rank(service, hints, default_rank)
     kind = find_read_kind(service, hints)
     statements = batch.statements + batch.bound_statements
     opens = any(isinstance(item, Begin) for item in statements)
--- a/hickorywind/entry/reporting.py
+++ b/hickorywind/entry/reporting.py
@@ -5,6 +5,7 @@
 import logging
 from datetime import timedelta
 
+from hickorywind.entry.accounts import EntryAccounts
 from hickorywind.entry.request import FinishedRequest, Request
 from hickorywind.ids import AccessMode
 from hickorywind.observability.metrics import Metrics
@@ -16,8 +17,9 @@
 class RequestReporter:
     """Reporter that logs one event per request and updates the metrics, if there are any."""
 
-    def __init__(self, metrics: Metrics | None) -> None:
+    def __init__(self, metrics: Metrics | None, accounts: EntryAccounts) -> None:
         self._metrics = metrics
+        self._accounts = accounts
 
     def report_end(
         self,
@@ -34,6 +36,9 @@
         if self._metrics is None:
             return
         self._metrics.record_request(request.service.name, request.rank, result, duration)
+        if request.account is not None:
+            label = self._accounts.metrics_label_of(request.account)
+            self._metrics.record_account_request(label, result)
         self._metrics.retry_budget.set(available_retries)
         target = finished.target
         if result.is_ok and request.mode is AccessMode.READ and target is not None:
@@ -55,8 +60,15 @@
             "reason": finished.result.reason,
             "duration_ms": round(to_milliseconds(duration), 1),
         }
+        if request.account is not None:
+            extra["account"] = request.account
         logger.log(level, "request_ended", extra=extra)
 
+    def drop_unnamed_accounts(self) -> None:
+        """Drop the metrics of accounts that are no longer named there."""
+        if self._metrics is not None:
+            self._metrics.retain_accounts(self._accounts.metrics_labels)
+
     def count_retry(self, request: Request) -> None:
         """Count a retry of a request."""
         if self._metrics is not None:
--- a/hickorywind/entry/request.py
+++ b/hickorywind/entry/request.py
@@ -17,6 +17,7 @@
     SessionId,
     TransactionId,
 )
+from hickorywind.ports.catalog import AccountId
 from hickorywind.postgres.answers import AnswerRewriter
 from hickorywind.protocol.messages import PreparedStatement, TransactionState
 from hickorywind.results import Result
@@ -46,7 +47,8 @@
 
     A ``repeatable`` request may run more than once. ``max_staleness_ms`` limits the age of data;
     ``fallback_staleness_ms`` replaces it when that limit can't be met. A request with
-    ``must_leave_transaction_open`` only succeeds if it leaves a transaction open.
+    ``must_leave_transaction_open`` only succeeds if it leaves a transaction open. ``account`` is
+    None while there are no client accounts.
     """
 
     service: Service
@@ -67,6 +69,7 @@
     transaction: OpenTransaction | None = None
     buffer_limit_bytes: int = WRITE_BUFFER_LIMIT_BYTES
     must_leave_transaction_open: bool = False
+    account: AccountId | None = None
 
 
 @dataclass(frozen=True)
--- a/hickorywind/entry/requestbuilding.py
+++ b/hickorywind/entry/requestbuilding.py
@@ -53,6 +53,7 @@
         transaction=current,
         buffer_limit_bytes=READ_BUFFER_LIMIT_BYTES if is_read else WRITE_BUFFER_LIMIT_BYTES,
         must_leave_transaction_open=plan.opens_transaction and not plan.closes_transaction,
+        account=state.account.name if state.account is not None else None,
     )
 
 
--- a/hickorywind/entry/role.py
+++ b/hickorywind/entry/role.py
@@ -10,6 +10,7 @@
 
 from hickorywind.configuration.model import Limits
 from hickorywind.entry.acceptrate import AcceptRateLimiter
+from hickorywind.entry.accounts import EntryAccounts
 from hickorywind.entry.context import SessionContext
 from hickorywind.entry.executor import Executor
 from hickorywind.entry.linkregistry import PoolLinkRegistry
@@ -58,20 +59,31 @@
         self.retry_budget = RetryBudget(_DEFAULT_LIMITS.retry_budget_percent)
         self.link_budget = LinkBudget(clock, _DEFAULT_LIMITS.link_bytes_per_second)
         self.links = PoolLinkRegistry(EntryHeartbeat(host, incarnation), clock, keys)
-        reporter = RequestReporter(metrics)
+        self.accounts = EntryAccounts(directory, clock, rng, checks_passwords=users is not None)
+        self._reporter = RequestReporter(metrics, self.accounts)
         replica_reads = read_routing is ReadRouting.REPLICAS
         chooser = TargetChooser(directory, zone, health, rng, replica_reads)
         executor = Executor(
-            self.links, chooser, health, self.retry_budget, self.link_budget, clock, rng, reporter
+            self.links,
+            chooser,
+            health,
+            self.retry_budget,
+            self.link_budget,
+            self.accounts,
+            clock,
+            rng,
+            self._reporter,
         )
-        context = SessionContext(executor, directory, clock)
+        context = SessionContext(executor, directory, self.accounts, clock)
         self.server = CallerServer(context, users, rng, metrics, AcceptRateLimiter(clock))
 
     def apply_configuration(self) -> None:
-        """Apply the limits of the configuration in force and open links to the home pools."""
+        """Apply the limits and accounts in force and open links to the home pools."""
         in_force = self.directory.in_force
         if in_force is None:
             return
+        self.accounts.apply()
+        self._reporter.drop_unnamed_accounts()
         limits = in_force.configuration.limits
         self.retry_budget.set_share(limits.retry_budget_percent)
         self.link_budget.set_rate(limits.link_bytes_per_second)
--- a/hickorywind/entry/server.py
+++ b/hickorywind/entry/server.py
@@ -17,7 +17,7 @@
 from hickorywind.entry.refusals import shutting_down_refusal, unknown_service_refusal
 from hickorywind.entry.session import CallerSession
 from hickorywind.entry.sessionstate import SessionState
-from hickorywind.ids import Address, ServiceName, SessionId
+from hickorywind.ids import Address, ServiceName, SessionId, UserName
 from hickorywind.observability.metrics import Metrics
 from hickorywind.postgres.errors import Severity, encode_error
 from hickorywind.postgres.hints import PARAMETER_PREFIX, SESSION_ID, collect_startup_settings
@@ -137,9 +137,10 @@
                 self._cancel_registry.cancel(CancelKey(packet.process_id, packet.secret_key))
                 return
             self._check_admission()
-            user = packet.values.get("user", "")
+            user = UserName(packet.values.get("user", ""))
             await authenticate(reader, writer, user, self._users)
-            state = self._make_session_state(packet)
+            self._context.accounts.require_access(user)
+            state = self._make_session_state(packet, user)
             key = self._cancel_registry.create_key()
             extra_parameters = {PARAMETER_PREFIX + SESSION_ID: state.session_id}
             writer.write(startup_response(packet, key, extra_parameters))
@@ -176,14 +177,14 @@
         wait_ms = jittered_ms(_RETRY_AFTER_MS, self._rng)
         return HickorywindError(Result.not_run(ResultCode.TOO_MANY_CONNECTIONS, reason, wait_ms))
 
-    def _make_session_state(self, packet: StartupParameters) -> SessionState:
+    def _make_session_state(self, packet: StartupParameters, user: UserName) -> SessionState:
         values = packet.values
-        name = values.get("database") or values.get("user", "")
+        name = values.get("database") or user
         if self._context.directory.service(ServiceName(name)) is None:
             raise HickorywindError(unknown_service_refusal(name))
         new_id = SessionId(f"{self._rng.getrandbits(96):024x}")
         return SessionState.from_startup(
-            ServiceName(name), collect_startup_settings(values), new_id
+            ServiceName(name), user, collect_startup_settings(values), new_id
         )
 
     async def _refuse(self, writer: asyncio.StreamWriter, result: Result) -> None:
--- a/hickorywind/entry/session.py
+++ b/hickorywind/entry/session.py
@@ -130,6 +130,9 @@
     # Dispatch of a batch ----------------------------------------------------------------------
 
     async def _serve_batch(self, batch: Batch) -> None:
+        if self._transaction.is_inactive:
+            # A transaction that is open when its user loses access may end.
+            self._state.account = self._context.accounts.require_access(self._state.user)
         self._drop_deallocated_statements()
         if batch.refusal is not None:
             await self._refuse(batch, batch.refusal)
@@ -192,7 +195,7 @@
         self._cancel_signal = CancelSignal()
         try:
             service = self._find_service()
-            plan = plan_batch(batch, self._state.hints, service)
+            plan = plan_batch(batch, self._state.hints, service, self._state.default_rank)
             self._check_request_id(plan)
             request = build_request(
                 self._state,
--- a/hickorywind/entry/sessionstate.py
+++ b/hickorywind/entry/sessionstate.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Mapping
 
-from hickorywind.configuration.model import ReadKind, Service
-from hickorywind.ids import Rank, ServiceName, SessionId
+from hickorywind.configuration.model import Account, ReadKind, Service
+from hickorywind.ids import Rank, ServiceName, SessionId, UserName
 from hickorywind.postgres.answers import command_complete, text_row
 from hickorywind.postgres.batch import LocalStatement
 from hickorywind.postgres.hints import (
@@ -29,12 +29,22 @@
 
 
 class SessionState:
-    """Id, floors and hints of a session, and the names of deallocated prepared statements."""
+    """Id, user, floors and hints of a session, and the names of deallocated prepared statements.
+
+    ``account`` is the client account of the user, None while there are no accounts.
+    """
 
     def __init__(
-        self, service: ServiceName, session_id: SessionId, floors: SessionFloors, hints: Hints
+        self,
+        service: ServiceName,
+        user: UserName,
+        session_id: SessionId,
+        floors: SessionFloors,
+        hints: Hints,
     ) -> None:
         self.service = service
+        self.user = user
+        self.account: Account | None = None
         self.session_id = session_id
         self.floors = floors
         self._startup_hints = hints
@@ -43,7 +53,7 @@
 
     @classmethod
     def from_startup(
-        cls, service: ServiceName, settings: Mapping[str, str], new_id: SessionId
+        cls, service: ServiceName, user: UserName, settings: Mapping[str, str], new_id: SessionId
     ) -> SessionState:
         """Build the state from the startup settings; raise ``BAD_HINT`` or ``BAD_TOKEN``.
 
@@ -58,7 +68,12 @@
         for name, value in settings.items():
             if name not in (SESSION_ID, TOKEN):
                 hints = cls._with_hint(hints, name, value)
-        return cls(service, session_id, floors, hints)
+        return cls(service, user, session_id, floors, hints)
+
+    @property
+    def default_rank(self) -> Rank:
+        """Return the rank of requests that name none."""
+        return self.account.priority if self.account is not None else Rank.STANDARD
 
     @staticmethod
     def _with_hint(hints: Hints, name: str, value: str | None) -> Hints:
@@ -113,13 +128,13 @@
     raise bad_hint_error(f"service {service.name} has no kind of read {hints.read_kind!r}")
 
 
-def find_rank(service: Service, hints: Hints) -> Rank:
+def find_rank(service: Service, hints: Hints, default_rank: Rank) -> Rank:
     """Return the rank of a request; raise ``BAD_HINT`` if the service doesn't offer it."""
     offered_ranks = [policy.rank for policy in service.ranks]
     if hints.priority is None:
         return (
-            Rank.STANDARD
-            if Rank.STANDARD in offered_ranks or not offered_ranks
+            default_rank
+            if default_rank in offered_ranks or not offered_ranks
             else offered_ranks[-1]
         )
     if hints.priority not in offered_ranks:
--- a/hickorywind/observability/metrics.py
+++ b/hickorywind/observability/metrics.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Collection
 from datetime import timedelta
 from wsgiref.simple_server import WSGIServer
 
@@ -39,6 +40,7 @@
         self.registry = registry
         self._request_series: dict[tuple[ServiceName, Rank, Outcome, ResultCode], Counter] = {}
         self._latency_series: dict[tuple[ServiceName, Rank], Histogram] = {}
+        self._account_series: dict[tuple[str, Outcome, ResultCode], Counter] = {}
         self._define_requests()
         self._define_pool()
         self._define_control()
@@ -73,6 +75,13 @@
             "rank_seconds", "The same, of all services", LATENCY_BOUNDS_SECONDS, "rank"
         )
         self._latency_by_rank = {rank: self.rank_latency.labels(rank.value) for rank in Rank}
+        self.account_requests = self._counter(
+            "account_requests",
+            "Requests of a client account ended at this entry",
+            "account",
+            "outcome",
+            "code",
+        )
         self.reads = self._counter(
             "reads", "Reads answered, by role of the backend server", "service", "source"
         )
@@ -147,6 +156,21 @@
             self._latency_histogram(service, rank).observe(seconds)
             self._latency_by_rank[rank].observe(seconds)
 
+    def record_account_request(self, account: str, result: Result) -> None:
+        """Count a request of a client account that ended at an entry."""
+        key = (account, result.outcome, result.code)
+        series = self._account_series.get(key)
+        if series is None:
+            series = self.account_requests.labels(*_account_labels(key))
+            self._account_series[key] = series
+        series.inc()
+
+    def retain_accounts(self, accounts: Collection[str]) -> None:
+        """Remove the series of all accounts but the given ones."""
+        for key in [key for key in self._account_series if key[0] not in accounts]:
+            del self._account_series[key]
+            self.account_requests.remove(*_account_labels(key))
+
     # Cached, because looking up a series by its labels costs more than counting, on every request.
 
     def _request_counter(
@@ -168,6 +192,11 @@
         return series
 
 
+def _account_labels(key: tuple[str, Outcome, ResultCode]) -> tuple[str, str, str]:
+    account, outcome, code = key
+    return account, outcome.value, str(int(code))
+
+
 class MetricsServer:
     """HTTP server for metrics that runs in its own thread until closed."""
 
--- a/tests/configuration/test_validate.py
+++ b/tests/configuration/test_validate.py
@@ -113,7 +113,7 @@
     def test_rate_of_a_quota_is_finite_and_above_zero(self):
         configuration = make_account_configuration()
         archive, workshop = configuration.accounts
-        for rate in (0, -1.0, math.inf, math.nan):
+        for rate in (0, -1.0, 0.0009, math.inf, math.nan):
             quota = msgspec.structs.replace(workshop.quota, rate_per_s=rate)
             wrong = msgspec.structs.replace(workshop, quota=quota)
             problems = find_problems(
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -6,9 +6,11 @@
 import random
 import unittest
 
+import msgspec
 import psycopg
 
 from hickorywind.configuration.model import (
+    Account,
     Configuration,
     Instance,
     Limits,
@@ -32,6 +34,7 @@
     Term,
 )
 from hickorywind.membership.directory import Directory
+from hickorywind.observability.metrics import Metrics
 from hickorywind.protocol.records import (
     ConfigHeadRecord,
     ConfigRecord,
@@ -67,14 +70,20 @@
     configuration: Configuration, pools: dict[str, Address], primary: BackendId = PRIMARY
 ) -> Directory:
     directory = Directory()
-    sections = split_sections(configuration)
-    records = [ConfigRecord(name, Revision(1), text) for name, text in sections.items()]
-    directory.merge([*records, ConfigHeadRecord(Revision(1), digest_sections(sections))])
+    put_in_force(directory, configuration, Revision(1))
     directory.merge([GroupRecord(SERVICE, Term(1), primary)])
     directory.merge(make_member(zone, address) for zone, address in pools.items())
     return directory
 
 
+def put_in_force(directory: Directory, configuration: Configuration, revision: Revision) -> None:
+    sections = split_sections(configuration)
+    held = [record for record in directory.table.records() if isinstance(record, ConfigRecord)]
+    texts = {record.section: "" for record in held} | sections
+    records = [ConfigRecord(name, revision, text) for name, text in texts.items()]
+    directory.merge([*records, ConfigHeadRecord(revision, digest_sections(sections))])
+
+
 def make_member(
     zone: str,
     address: Address | None,
@@ -97,10 +106,13 @@
     timeout_ms = 3_000
     limits: Limits | None = None
     users: dict[str, str] | None = None
+    accounts: tuple[Account, ...] = ()
+    metrics: Metrics | None = None
 
     async def asyncSetUp(self) -> None:
         self.pools = {zone: FakePool(incarnation=10 + i) for i, zone in enumerate(ZONES)}
         configuration = make_configuration(self.limits, self.timeout_ms)
+        configuration = msgspec.structs.replace(configuration, accounts=self.accounts)
         addresses = {zone: pool.address for zone, pool in self.pools.items()}
         self.directory = make_directory(configuration, addresses)
         self.components, self.address = await self.start_entry(1)
@@ -113,7 +125,7 @@
             MonotonicClock(),
             random.Random(seed),
             None,
-            None,
+            self.metrics,
             self.users,
         )
         components.apply_configuration()
