Show client accounts and their quotas in status

Cause: operators could see accounts only in the stored document, not in what a controller acts on.

Change: `hickorywind status` has a table of accounts where there are any, and the JSON output a list `accounts`, empty otherwise.

--- a/hickorywind/ui/overview.py
+++ b/hickorywind/ui/overview.py
@@ -6,9 +6,18 @@
 
 import msgspec
 
-from hickorywind.ids import AvailabilityZone, BackendId, HostId, Revision, ServiceName, Term
+from hickorywind.ids import (
+    AvailabilityZone,
+    BackendId,
+    HostId,
+    Revision,
+    ServiceName,
+    Term,
+    UserName,
+)
 from hickorywind.membership.directory import Directory
 from hickorywind.membership.table import RecordTable
+from hickorywind.ports.catalog import AccountId
 from hickorywind.protocol.messages import StatusReply
 from hickorywind.report.table import format_table
 
@@ -47,6 +56,16 @@
     leaving: bool
 
 
+class AccountRow(msgspec.Struct, frozen=True):
+    """One client account; ``rate_per_s`` and ``burst`` are None if it has no quota."""
+
+    account: AccountId
+    priority: str
+    rate_per_s: float | None
+    burst: int | None
+    users: tuple[UserName, ...]
+
+
 class Overview(msgspec.Struct, frozen=True):
     """Output of ``status``."""
 
@@ -55,6 +74,7 @@
     hosts: tuple[HostRow, ...]
     groups: tuple[GroupRow, ...]
     backends: tuple[BackendRow, ...]
+    accounts: tuple[AccountRow, ...]
 
 
 def make_overview(reply: StatusReply, revisions: Mapping[HostId, Revision]) -> Overview:
@@ -66,6 +86,7 @@
         hosts=_list_hosts(directory, revisions),
         groups=_list_groups(directory),
         backends=_list_backends(directory),
+        accounts=_list_accounts(directory),
     )
 
 
@@ -124,11 +145,28 @@
     )
 
 
+def _list_accounts(directory: Directory) -> tuple[AccountRow, ...]:
+    in_force = directory.in_force
+    accounts = in_force.configuration.accounts if in_force else ()
+    return tuple(
+        AccountRow(
+            account=account.name,
+            priority=account.priority.value,
+            rate_per_s=account.quota.rate_per_s if account.quota else None,
+            burst=account.quota.burst if account.quota else None,
+            users=account.users,
+        )
+        for account in accounts
+    )
+
+
 def format_overview(overview: Overview) -> str:
     """Return the overview as text."""
     store = "reachable" if overview.store_reachable else "not reachable"
     head = f"revision in force {overview.revision_in_force}, store {store} from this controller\n"
-    tables = (_format_hosts(overview), _format_groups(overview), _format_backends(overview))
+    tables = [_format_hosts(overview), _format_groups(overview), _format_backends(overview)]
+    if overview.accounts:
+        tables.append(_format_accounts(overview))
     return "\n".join((head, *tables))
 
 
@@ -168,3 +206,17 @@
         for line in overview.backends
     ]
     return format_table(headings, rows)
+
+
+def _format_accounts(overview: Overview) -> str:
+    rows = [
+        (
+            line.account,
+            line.priority,
+            _UNKNOWN if line.rate_per_s is None else f"{line.rate_per_s:g}",
+            _UNKNOWN if line.burst is None else str(line.burst),
+            str(len(line.users)),
+        )
+        for line in overview.accounts
+    ]
+    return format_table(("account", "priority", "operations/s", "burst", "users"), rows)
--- a/hickorywind/ui/statuscommand.py
+++ b/hickorywind/ui/statuscommand.py
@@ -1,4 +1,4 @@
-"""Command ``status``: members, homes, groups and the revision in force at each host."""
+"""Command ``status``: members, homes, groups, accounts and the revision at each host."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
     parser = add_command(
         commands,
         "status",
-        "show members, homes, groups, terms and the revision in force at each host",
+        "show members, homes, groups, terms, accounts and the revision in force at each host",
         "status --controller 10.0.0.7:7000",
         run_status,
     )
--- a/tests/ui/test_statuscommand.py
+++ b/tests/ui/test_statuscommand.py
@@ -37,15 +37,15 @@
     MemberState,
 )
 from hickorywind.results import Outcome, Result, ResultCode
-from tests.configuration.samples import make_configuration
+from tests.configuration.samples import make_account_configuration, make_configuration
 from tests.ui.commandrunner import run_tool
 
 REVISION = Revision(41)
 UNREACHABLE = Address("127.0.0.1", 1)
 
 
-def make_records(controllers):
-    sections = split_sections(make_configuration())
+def make_records(controllers, configuration=None):
+    sections = split_sections(configuration or make_configuration())
     records = [ConfigRecord(name, REVISION, text) for name, text in sections.items()]
     records.append(ConfigHeadRecord(REVISION, digest_sections(sections)))
     records.append(GroupRecord(ServiceName("ledger"), Term(3), BackendId("ledger-a")))
@@ -150,6 +150,24 @@
         self.assertRegex(result.out, r"(?m)^b2 +b +alive +- ")
         self.assertRegex(result.out, r"(?m)^ledger +3 +ledger-a$")
 
+    def test_accounts_are_shown_with_their_quotas_if_there_are_any(self):
+        self.assertNotIn("account", self.run_at(self.one, "status").out)
+        self.one.records = make_records({"a1": self.one.address}, make_account_configuration())
+        text = self.run_at(self.one, "status").out
+        self.assertRegex(text, r"(?m)^archive +background +- +- +1$")
+        self.assertRegex(text, r"(?m)^workshop +urgent +50 +100 +2$")
+        shown = json.loads(self.run_at(self.one, "status", "--output", "json").out)
+        self.assertEqual(
+            shown["accounts"][1],
+            {
+                "account": "workshop",
+                "priority": "urgent",
+                "rate_per_s": 50.0,
+                "burst": 100,
+                "users": ["Crew", "office"],
+            },
+        )
+
     def test_controller_without_configuration_yet(self):
         result = self.run_at(self.other, "status")
         self.assertEqual(result.code, 0)
