Share quotas among all hosts where none tells whether it has an entry

Cause: a controller whose settings lack the section `entry` publishes no entry address; every entry then took itself for the only one and admitted the whole quota. Quotas were also computed anew at each change of any record.

Change: without any entry address the alive and suspect hosts are counted. Quotas are computed anew only when the accounts or that count change. A test on a running cluster applies accounts with the tool and reads at each entry.

--- a/hickorywind/entry/accounts.py
+++ b/hickorywind/entry/accounts.py
@@ -47,6 +47,7 @@
         self._revision = NO_REVISION
         self._accounts: tuple[Account, ...] = ()
         self._named: frozenset[AccountId] = frozenset()
+        self._entry_count = 0
 
     @property
     def metrics_labels(self) -> frozenset[AccountId]:
@@ -56,7 +57,8 @@
     def apply(self) -> None:
         """Apply the accounts in force and the number of entries that share the quotas."""
         self._apply_if_newer()
-        self._update_limits()
+        if self._accounts and self._count_entries() != self._entry_count:
+            self._update_limits()
 
     def require_access(self, user: UserName) -> Account | None:
         """Return the account of a user, None while there are no accounts.
@@ -101,10 +103,11 @@
             for account in self._accounts
             if account.quota is not None
         }
-        self._limits.update(quotas, self._count_entries())
+        self._entry_count = self._count_entries()
+        self._limits.update(quotas, self._entry_count)
 
     def _count_entries(self) -> int:
-        return sum(
-            member.entry is not None and member.state in (MemberState.ALIVE, MemberState.SUSPECT)
-            for member in self._directory.members
-        )
+        """Return the number of entries; that of all hosts if no host tells whether it has one."""
+        states = (MemberState.ALIVE, MemberState.SUSPECT)
+        hosts = [member for member in self._directory.members if member.state in states]
+        return sum(member.entry is not None for member in hosts) or len(hosts)
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -1,8 +1,13 @@
 import asyncio
+import re
 import statistics
 import time
 from datetime import timedelta
 
+import msgspec
+import psycopg
+
+from hickorywind.configuration.model import Account, Quota
 from hickorywind.ids import Role
 from hickorywind.protocol.channel import Link
 from hickorywind.protocol.messages import RecordBatch, StatusRequest
@@ -155,6 +160,52 @@
             await asyncio.sleep(0.1)
             self.assertEqual(await self.watch.find_entries_without(change), [])
 
+    async def test_accounts_are_in_force_at_every_entry_until_they_are_removed(self):
+        change = Change("accounts")
+        revision, envelope = await self.operator.read_accepted_change()
+        for accounts in ((Account("workshop", ("bench",), quota=Quota(0.01, 6)),), ()):
+            document = msgspec.structs.replace(envelope.document, accounts=accounts)
+            result = await self.operator.apply_document(change, document, revision)
+            self.assertEqual(result.exit_code, 0, result.error)
+            revision = result.revision
+            await self.watch.wait_everywhere(revision, QUIET_LIMIT)
+            controller = str(self.cluster.hosts[0].controller)
+            status = await self.operator.run("status", "--controller", controller)
+            shown = re.search(r"(?m)^workshop +standard +0.01 +6 +1$", status.text)
+            self.assertEqual(bool(shown), bool(accounts), status.text)
+            for host in self.cluster.hosts:
+                numbers = [await self.run_reads(host, "bench", 3) for _ in range(2)]
+                strangers = await self.run_reads(host, "stranger", 1)
+                if accounts:
+                    # Each of the three entries admits a burst of two operations.
+                    self.assertEqual(
+                        (numbers, strangers), ([(2, "2010"), (0, "2010")], (0, "1009"))
+                    )
+                else:
+                    self.assertEqual((numbers, strangers), ([(3, ""), (3, "")], (1, "")))
+
+    async def run_reads(self, host, user, count):
+        """Return how many of some reads a user's new session ran, and the number of the refusal."""
+        done = 0
+        try:
+            async with await self.connect_as(host, user) as connection:
+                for _ in range(count):
+                    await connection.execute("SELECT 1")
+                    done += 1
+        except psycopg.Error as error:
+            return done, re.search(r"\[(\d+)\]", str(error))[1]
+        return done, ""
+
+    async def connect_as(self, host, user):
+        return await psycopg.AsyncConnection.connect(
+            host=host.entry.host,
+            port=host.entry.port,
+            user=user,
+            dbname=self.service.name,
+            sslmode="disable",
+            autocommit=True,
+        )
+
     async def test_late_messages_with_older_records_revert_nothing(self):
         older_records = await self.read_configuration_records()
         change = Change("after-late")
