--- a/hickorywind/membership/peertable.py
+++ b/hickorywind/membership/peertable.py
@@ -164,9 +164,12 @@
 
     # Views -------------------------------------------------------------------------------------
 
-    def alive(self) -> tuple[HostId, ...]:
-        """Return the other hosts that are alive as far as this host can tell."""
-        oldest = self.clock.now() - ALIVE_WINDOW
+    def alive(self, window: timedelta = ALIVE_WINDOW) -> tuple[HostId, ...]:
+        """Return the other hosts that are alive as far as this host can tell.
+
+        Hosts, or their zones, that were not heard within ``window`` don't count.
+        """
+        oldest = self.clock.now() - window
         heard_zones = {zone for zone, heard in self._zones_heard.items() if heard >= oldest}
         alive = {
             host: self._is_alive(state, oldest, heard_zones)
--- a/hickorywind/observability/hostmetrics.py
+++ b/hickorywind/observability/hostmetrics.py
@@ -12,7 +12,7 @@
 
 
 class HostMetrics:
-    """Metrics of requests, store calls, sessions, permits and failovers of one host."""
+    """Metrics of requests, store calls, sessions, permits, failovers and quotas of one host."""
 
     def __init__(self, registry: CollectorRegistry) -> None:
         self.registry = registry
@@ -44,6 +44,17 @@
         self.log_lines_dropped = Counter(
             f"{_PREFIX}_log_lines_dropped", "Log lines dropped", registry=registry
         )
+        self.quota_refusals = Counter(
+            f"{_PREFIX}_quota_refusals",
+            "Operations refused by an account's quota",
+            ("cause",),
+            registry=registry,
+        )
+        self.quota_own_share = Counter(
+            f"{_PREFIX}_quota_own_share",
+            "Operations admitted by this host's own share of a quota",
+            registry=registry,
+        )
         self._request_series: dict[tuple[str, int], Counter] = {}
 
     @classmethod
--- a/hickorywind/protocol/hoststatus.py
+++ b/hickorywind/protocol/hoststatus.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from hickorywind.ids import AvailabilityZone, BackendId, HostId, Incarnation, ServiceName
+from hickorywind.ports.catalog import AccountId
 
 
 class PeerStatus(msgspec.Struct, frozen=True):
@@ -48,6 +49,26 @@
     backends: tuple[BackendServerStatus, ...]
 
 
+class AccountQuotaStatus(msgspec.Struct, frozen=True):
+    """Status of a client account's quota at one host.
+
+    ``tokens`` is what the host's own bucket holds, None if another host is the account's home.
+    ``refused`` counts the operations refused here since ``is_refused`` became true.
+    """
+
+    account: AccountId
+    tokens: float | None
+    is_refused: bool
+    refused: int
+
+
+class QuotaStatus(msgspec.Struct, frozen=True):
+    """Status of the quotas at one host: accounts kept or refused here, homes without a reply."""
+
+    accounts: tuple[AccountQuotaStatus, ...]
+    unreachable_homes: tuple[HostId, ...]
+
+
 class HostStatus(msgspec.Struct, frozen=True):
     """Status of a host; ``configuration_version`` is None until a configuration was read."""
 
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -26,6 +26,7 @@
     Term,
     TransactionId,
 )
+from hickorywind.ports.catalog import AccountId, PriorityRank
 from hickorywind.protocol.hoststatus import HostStatusReply, HostStatusRequest
 from hickorywind.protocol.records import Record
 from hickorywind.results import Result
@@ -466,6 +467,33 @@
     is_renewed: bool | None
 
 
+class QuotaQuery(msgspec.Struct, frozen=True, tag="quota", array_like=True):
+    """Request of ``host`` to the home of a client account for ``wanted`` operations.
+
+    ``is_home_lost`` says that the hosts that would keep the account's quota before the receiver
+    refuse connections, so that the receiver stands in for them.
+    """
+
+    call: int
+    host: HostId
+    account: AccountId
+    rank: PriorityRank
+    wanted: int
+    is_home_lost: bool = False
+
+
+class QuotaReply(msgspec.Struct, frozen=True, tag="quota_ok", array_like=True):
+    """Reply: how many operations may start, or the time until tokens are expected.
+
+    ``wait_ms`` is None if operations were granted. With neither, the replying host knows no quota
+    for the account.
+    """
+
+    call: int
+    granted: int
+    wait_ms: int | None = None
+
+
 Message = (
     Execute
     | Cancel
@@ -507,6 +535,8 @@
     | StoreWriteReply
     | EndLease
     | EndLeaseReply
+    | QuotaQuery
+    | QuotaReply
     | HostStatusRequest
     | HostStatusReply
 )
