--- a/hickorywind/admission/quotas.py
+++ b/hickorywind/admission/quotas.py
@@ -50,7 +50,9 @@
 _RESERVE_PER_RANK_S = 0.1  # of the account's rate, which each less urgent rank leaves
 _RESERVE_PER_RANK = 0.5  # operations, at least that for each rank
 _MAX_RESERVE = 0.4  # of the capacity, left by the least urgent ranks
-_ASKS_PER_S = 300.0  # of all hosts for one refused account; under a tenth of a home's processor
+# After a refusal, in which no tokens are taken in advance: other hosts may need them now.
+_SCARCITY = timedelta(seconds=5)
+_ASKS_PER_S = 300.0  # of all hosts for one refused account; bounds the work of its home
 _MAX_WAIT = timedelta(seconds=2)  # callers that wait longer are lost when the load ends
 _MIN_WAIT = timedelta(milliseconds=50)  # shorter refusals would not spare the home questions
 _WAIT_JITTER = 0.5  # hosts refused together ask again at different times
@@ -351,8 +353,7 @@
         available = bucket.level(now) - reserve
         if available < 1:
             return Exhausted(bucket.wait_for(reserve + 1, now))
-        # Scarce tokens are not given in advance: another host may need them now.
-        count = max(1, min(wanted, MAX_WANTED, int(available / 2)))
+        count = max(1, min(wanted, MAX_WANTED, int(available)))
         bucket.take(count, now)
         return Granted(count)
 
@@ -394,6 +395,7 @@
         self._rng = rng
         self._tokens: deque[Instant] = deque()  # the time at which each lapses
         self._blocked_until: dict[PriorityRank, Instant] = {}
+        self._scarce_until: Instant = timedelta(0)
         self._demand = 0.0  # operations within the demand window, older ones weigh less
         self._demand_at: Instant | None = None
         self._own_share: TokenBucket | None = None
@@ -423,6 +425,8 @@
         if blocked_until > now:
             return Refused(blocked_until - now)
         expected = int(self._recent_demand(now) / _DEMAND_WINDOW_S * _EXPECTED_USE_S)
+        if now < self._scarce_until:
+            expected = 0
         return Ask(min(MAX_WANTED, max(waiting_count, expected)))
 
     def record_granted(self, count: int, asked_at: Instant) -> None:
@@ -436,6 +440,7 @@
         wait = max(wait, timedelta(seconds=host_count / _ASKS_PER_S), _MIN_WAIT)
         wait = min(wait, _MAX_WAIT) * (1 + self._rng.random() * _WAIT_JITTER)
         self._blocked_until[rank] = now + wait
+        self._scarce_until = now + _SCARCITY
 
     def take_own_share(
         self, quota: AccountQuota, slack_operations: float, host_count: int, now: Instant
