--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from hickorywind.host.accountquotas import AccountQuotas
 from hickorywind.host.detection import is_responsive
 from hickorywind.host.failovermanager import FailoverManager
 from hickorywind.host.fleet import HOSTS_PREFIX, Fleet
@@ -44,6 +45,8 @@
     Message,
     PositionSample,
     PrimaryUseStopped,
+    QuotaQuery,
+    QuotaTakeover,
     ReachQuery,
     ReachReply,
     ResponsivenessQuery,
@@ -130,6 +133,15 @@
         self._store_acknowledger = StoreAcknowledger(
             self._fleet, settings.host, self._stop_using_primary, self._sync.record_stopped
         )
+        self._quotas = AccountQuotas(
+            self._identity,
+            self._fleet,
+            self._peers,
+            clock,
+            rng,
+            settings.quota_slack_operations,
+            metrics,
+        )
         self._request_log = RequestLog(metrics)
         self._server: asyncio.Server | None = None
         self._is_stopping = False
@@ -144,6 +156,7 @@
         self._peers.on_membership_change = self._refresh_services
         self._fleet.backend_listeners.append(self._refresh_services)
         self._fleet.configuration_listeners.append(self._refresh_services)
+        self._fleet.configuration_listeners.append(self._quotas.refresh)
         self._fleet.leadership_listeners.append(lambda service: self._refresh_services())
         self._fleet.leadership_listeners.append(self._store_acknowledger.schedule)
 
@@ -172,6 +185,7 @@
         session = Session(
             self._fleet,
             self._services.get,
+            self._quotas.admit,
             self._adapters.make_caller_codec(),
             self._clock,
             self._request_log,
@@ -198,6 +212,7 @@
             len(self._sessions),
             self.is_ready,
             self._is_stopping,
+            self._quotas.describe(),
         )
 
     async def _run_dispatch_loop(self) -> None:
@@ -224,6 +239,7 @@
             self._fleet.remove_missing_backends()
             for host in self._peers.maintain():
                 self._fleet.forget_host(host)
+            self._quotas.refresh()
             for name, service in self._services.items():
                 service.close_idle_connections()
                 self._metrics.waiting.labels(name).set(service.waiting_count)
@@ -248,6 +264,7 @@
         logger.info("sessions_open_at_stop", extra={"count": len(self._sessions)})
         self._failover_manager.close()
         self._store_acknowledger.close()
+        self._quotas.close()
         # Closing the backend connections fails the running statements, so that their sessions
         # can still reply.
         for service in self._services.values():
@@ -269,6 +286,7 @@
         """Close everything at once, as if the process were killed."""
         self._failover_manager.close()
         self._store_acknowledger.close()
+        self._quotas.close()
         self._stop_accepting()
         for service in self._services.values():
             service.close()
@@ -396,6 +414,10 @@
                 return await self._close_service(call, service, revision, is_planned)
             case StoreReadRequest() | StoreWriteRequest() | EndLease():
                 return await self._failover_manager.relay.serve(message)
+            case QuotaQuery():
+                return self._quotas.handle_query(message)
+            case QuotaTakeover():
+                return self._quotas.handle_takeover(message)
             case LeaseRenewalQuery(call, lease):
                 return LeaseRenewalReply(call, await self._sync.renew(lease))
         return None
--- a/hickorywind/host/hoststatus.py
+++ b/hickorywind/host/hoststatus.py
@@ -16,6 +16,7 @@
     HostStatus,
     HostStatusReply,
     HostStatusRequest,
+    QuotaStatus,
     ServiceStatus,
 )
 from hickorywind.protocol.messages import Refused
@@ -47,6 +48,7 @@
     session_count: int,
     is_ready: bool,
     is_stopping: bool,
+    quotas: QuotaStatus,
 ) -> HostStatus:
     """Return the current status of a host."""
     configuration = fleet.configuration
@@ -62,6 +64,7 @@
         sessions=session_count,
         peers=peers.table.describe(),
         services=tuple(_describe_service(service) for service in services),
+        quotas=quotas,
     )
 
 
--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 from hickorywind.host.autocommit import AutocommitStatement
@@ -16,7 +16,13 @@
 from hickorywind.host.sessioncontext import SessionContext
 from hickorywind.host.transaction import Transaction
 from hickorywind.ids import AccessMode, ServiceName
-from hickorywind.ports.catalog import AccountId, AccountKey, DatabaseName, Route
+from hickorywind.ports.catalog import (
+    AccountId,
+    AccountKey,
+    DatabaseName,
+    PriorityRank,
+    Route,
+)
 from hickorywind.ports.codecs import CallerCodec
 from hickorywind.ports.replies import LocalCompletion, ProxyFailure, Reply, TransactionState
 from hickorywind.ports.statements import (
@@ -49,6 +55,8 @@
 SESSION_VALUE_LIMIT = 200  # for each session
 
 ServiceFinder = Callable[[ServiceName], ServiceRuntime | None]
+# Returns None if an operation of a client account may start, or else its refusal.
+Admission = Callable[[AccountId, PriorityRank], Awaitable[Result | None]]
 
 
 class Session(asyncio.Protocol):
@@ -58,6 +66,7 @@
         self,
         fleet: Fleet,
         find_service: ServiceFinder,
+        admit: Admission,
         codec: CallerCodec,
         clock: Clock,
         request_log: RequestLog,
@@ -65,6 +74,7 @@
     ) -> None:
         self._fleet = fleet
         self._find_service = find_service
+        self._admit = admit
         self._codec = codec
         self._clock = clock
         self._request_log = request_log
@@ -329,7 +339,8 @@
             case Commit():
                 if transaction is None:
                     return _malformed_reply("no transaction is open")
-                return await transaction.run(request, None, None)
+                refusal = await self._admit_operation(transaction.route)
+                return refusal or await transaction.run(request, None, None)
             case Access(mode):
                 return await self._run_statement(request, mode, None, arrived)
             case Execute(name, _):
@@ -407,16 +418,34 @@
         arrived: timedelta,
     ) -> Reply:
         if self._transaction is not None:
-            return await self._transaction.run(request, mode, template)
+            refusal = await self._admit_operation(self._transaction.route)
+            return refusal or await self._transaction.run(request, mode, template)
         found = self._find_route_and_service()
         if isinstance(found, Result):
             return ProxyFailure(found)
         route, service = found
+        refusal = await self._admit_operation(route)
+        if refusal is not None:
+            return refusal
         operation = AutocommitStatement(
             service, route, self._context, request, mode, template, arrived
         )
         return await operation.run()
 
+    async def _admit_operation(self, route: Route) -> Reply | None:
+        """Return the refusal of an operation beyond its account's quota, or None.
+
+        A transaction is admitted with its first statement.
+        """
+        account, transaction = self._context.account, self._transaction
+        if account is None or (transaction is not None and transaction.is_admitted):
+            return None
+        refusal = await self._admit(account, route.rank)
+        if transaction is not None:
+            transaction.is_admitted = refusal is None
+            transaction.has_failed = refusal is not None
+        return None if refusal is None else ProxyFailure(refusal)
+
 
 def _malformed_reply(reason: str) -> Reply:
     return ProxyFailure(Result.not_run(ResultCode.MALFORMED_MESSAGE, reason))
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -46,6 +46,7 @@
         self.service = service
         self.route = route
         self.has_failed = False
+        self.is_admitted = False  # by the quota of the caller's client account
         self.read_only = read_only
         self.arrived = service.clock.now()
         self._context = context
--- a/hickorywind/protocol/hoststatus.py
+++ b/hickorywind/protocol/hoststatus.py
@@ -82,6 +82,7 @@
     sessions: int
     peers: tuple[PeerStatus, ...]
     services: tuple[ServiceStatus, ...]
+    quotas: QuotaStatus = QuotaStatus((), ())
 
 
 class HostStatusRequest(msgspec.Struct, frozen=True, tag="host", array_like=True):
--- a/hickorywind/settings/host.py
+++ b/hickorywind/settings/host.py
@@ -23,6 +23,7 @@
     ``backend_leaving_ms`` is how long a backend server continues to serve after it is marked as
     leaving. ``log_bytes_per_second`` limits the volume of the logs. ``status_listen`` is a
     loopback address where the command line reads the host's state; empty for none.
+    ``quota_slack_operations`` is what the deployment accepts beyond the quota of a client account.
     """
 
     host: HostId
@@ -39,6 +40,7 @@
     backend_leaving_ms: int = 7_000
     log_bytes_per_second: int = 100_000
     status_listen: str = ""
+    quota_slack_operations: int = 0
     log: LogSettings = LogSettings()
 
     def address(self, key: str) -> Address:
@@ -79,6 +81,8 @@
         raise DocumentError("backend_leaving_ms", "expected a positive number")
     if settings.log_bytes_per_second <= 0:
         raise DocumentError("log_bytes_per_second", "expected a positive number")
+    if settings.quota_slack_operations < 0:
+        raise DocumentError("quota_slack_operations", "expected a number that is not negative")
     check_log_level(settings.log)
 
 
--- a/hickorywind/ui/hostcommand.py
+++ b/hickorywind/ui/hostcommand.py
@@ -10,6 +10,7 @@
     HostStatusReply,
     HostStatusRequest,
     PeerStatus,
+    QuotaStatus,
 )
 from hickorywind.report.table import format_table
 from hickorywind.ui.connections import send_request
@@ -59,6 +60,8 @@
         _format_services(status),
         _format_backends(status),
     )
+    if status.quotas.accounts:
+        tables = (*tables, _format_quotas(status.quotas))
     return "\n".join((_format_head(status), *tables))
 
 
@@ -142,5 +145,23 @@
     return format_table((*headings, "available", "connections", "in flight"), rows)
 
 
+def _format_quotas(quotas: QuotaStatus) -> str:
+    """Return the client accounts whose quota this host keeps or that it refuses now."""
+    rows = [
+        (
+            account.account,
+            _UNKNOWN if account.tokens is None else str(account.tokens),
+            _format_bool(account.is_refused),
+            str(account.refused),
+        )
+        for account in quotas.accounts
+    ]
+    table = format_table(("client account", "tokens here", "refused now", "refused"), rows)
+    unreachable = ", ".join(quotas.unreachable_homes)
+    return table + (
+        f"\nhosts that keep quotas and don't answer: {unreachable}\n" if unreachable else ""
+    )
+
+
 def _format_bool(value: bool) -> str:
     return "yes" if value else "no"
--- a/tests/host/test_accounts.py
+++ b/tests/host/test_accounts.py
@@ -1,15 +1,17 @@
+import asyncio
 import json
 
+from hickorywind.admission.quotas import QUOTA_SETTLING_TIME
 from hickorywind.platform.documents import CONFIGURATION_KEY
 from tests.host.harness import Caller, HostTestCase, configuration
 
 
-def with_accounts(version, accounts, public=()):
+def with_accounts(version, accounts, public=(), rate_per_s=100):
     document = json.loads(configuration(version))
     for route in document["routes"]:
         route["public"] = route["database"] in public
     document["tenants"] = [
-        {"name": name, "api_keys": keys, "rate_per_s": 100, "burst": 100}
+        {"name": name, "api_keys": keys, "rate_per_s": rate_per_s, "burst": rate_per_s}
         for name, keys in accounts.items()
     ]
     return json.dumps(document).encode()
@@ -20,13 +22,16 @@
         await super().asyncSetUp()
         await self.configure(2, {"acme": ["k1", "k2"], "globex": ["k3"]}, public=("views",))
 
-    async def configure(self, version, accounts, public=()):
-        await self.store.put(CONFIGURATION_KEY, with_accounts(version, accounts, public))
+    async def configure(self, version, accounts, public=(), rate_per_s=100):
+        document = with_accounts(version, accounts, public, rate_per_s)
+        await self.store.put(CONFIGURATION_KEY, document)
         await self.wait_until(
             lambda: all(
                 host.role._fleet.configuration.version == version for host in self.hosts.values()
             )
         )
+        # The quota of an account that is new to its home begins without tokens.
+        await asyncio.sleep(QUOTA_SETTLING_TIME.total_seconds())
 
     async def connect(self, database, key):
         caller = await Caller.connect(self.hosts["h0"].settings.callers_listen, database, key)
@@ -90,6 +95,26 @@
         await self.wait_until(lambda: self.hosts["h0"].role._fleet.configuration.version == 3)
         self.assertTrue((await writer.ask("COMMIT"))[0].startswith("COMPLETE"))
 
+    async def test_operations_beyond_the_quota_are_refused_before_they_run(self):
+        await self.configure(3, {"acme": ["k1"], "globex": ["k3"]}, rate_per_s=5)
+        caller, other = await self.connect("bookings", "k1"), await self.connect("bookings", "k3")
+        replies = [(await caller.ask(f"WRITE kiln {value}"))[0] for value in range(30)]
+        refused = [reply for reply in replies if not reply.startswith("COMPLETE")]
+        self.assertEqual(len(self.group.commits), 30 - len(refused))
+        self.assertGreaterEqual(len(self.group.commits), 5)
+        self.assertGreaterEqual(len(refused), 15)
+        for reply in refused:
+            self.assertRegex(reply, r"ERROR BUSY \[2010\] .*retry_after_ms=\d+")
+        self.assertTrue((await other.ask("WRITE kiln 99"))[0].startswith("COMPLETE"))
+
+    async def test_transaction_counts_as_one_operation(self):
+        await self.configure(3, {"acme": ["k1"]}, rate_per_s=5)
+        caller = await self.connect("bookings", "k1")
+        await caller.ask("BEGIN")
+        for value in range(12):
+            self.assertTrue((await caller.ask(f"WRITE kiln {value}"))[0].startswith("COMPLETE"))
+        self.assertTrue((await caller.ask("COMMIT"))[0].startswith("COMPLETE"))
+
     async def test_many_accounts_share_a_server_with_few_connections(self):
         """24 accounts call through one host in turn at servers of 3 connections each."""
         for server in self.group.servers.values():
