Let a few hosts of each zone watch the store for the others

Change: with store_watchers_per_zone two hosts of each zone watch; the others take changes from their neighbours' greetings (leadership records are passed on at once) while the store was heard of through them within 4 s, and watch themselves otherwise.

--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -13,7 +13,7 @@
 from hickorywind.host.accountquotas import AccountQuotas
 from hickorywind.host.detection import is_responsive
 from hickorywind.host.failovermanager import FailoverManager
-from hickorywind.host.fleet import HOSTS_PREFIX, Fleet
+from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX, Fleet
 from hickorywind.host.hoststatus import describe_host, serve_status
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.peers import Peers
@@ -23,6 +23,8 @@
 from hickorywind.host.storeacknowledger import StoreAcknowledger
 from hickorywind.host.storesync import StoreSync
 from hickorywind.ids import BackendId, HostId, Incarnation, Revision, ServiceName
+from hickorywind.membership.neighbours import FULL_MESH_SIZE
+from hickorywind.membership.storewatch import StoreWatchDuty
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.ports.catalog import Topology
 from hickorywind.ports.codecs import BackendCodec, CallerCodec
@@ -117,8 +119,15 @@
         self._services: dict[ServiceName, ServiceRuntime] = {}
         self._sessions: set[Session] = set()
         self._peers = Peers(self._identity, clock, rng)
+        self._watch_duty = StoreWatchDuty(settings.host, settings.store_watchers_per_zone)
         self._sync = StoreSync(
-            self._fleet, adapters.coordination_store, self._identity, self._peers, metrics, rng
+            self._fleet,
+            adapters.coordination_store,
+            self._identity,
+            self._peers,
+            metrics,
+            rng,
+            self._watch_duty,
         )
         self._failover_manager = FailoverManager(
             self._fleet,
@@ -159,6 +168,7 @@
         self._fleet.configuration_listeners.append(self._quotas.refresh)
         self._fleet.leadership_listeners.append(lambda service: self._refresh_services())
         self._fleet.leadership_listeners.append(self._store_acknowledger.schedule)
+        self._fleet.leadership_listeners.append(self._pass_leadership_on)
 
     # Lifecycle ---------------------------------------------------------------------------------
 
@@ -240,6 +250,7 @@
             for host in self._peers.maintain():
                 self._fleet.forget_host(host)
             self._quotas.refresh()
+            self._update_watch_duty()
             for name, service in self._services.items():
                 service.close_idle_connections()
                 self._metrics.waiting.labels(name).set(service.waiting_count)
@@ -359,19 +370,44 @@
             # The reply was sent before now, so the lease end was confirmed at least that long ago.
             confirmed = self._clock.now() - milliseconds(ended.age_ms)
             self._failover_manager.store.record_lease_end(LeaseId(ended.lease), confirmed)
-        self._fetch_newer_copies(reply.host, reply.revisions)
+        is_up_to_date = self._fetch_newer_copies(reply.host, reply.revisions)
+        if is_up_to_date and reply.store_contact_ms is not None:
+            self._watch_duty.record_reported_contact(sent - milliseconds(reply.store_contact_ms))
+
+    def _update_watch_duty(self) -> None:
+        if not self._sync.is_loaded:
+            return
+        table = self._peers.table
+        own_zone = [
+            host for host in table.active() if table.states[host].record.zone == self._identity.zone
+        ]
+        self._watch_duty.update(own_zone, 1 + len(table.states))
 
-    def _fetch_newer_copies(self, host: HostId, revisions: dict[str, int]) -> None:
+    @property
+    def _shares_watches(self) -> bool:
+        """Whether only some of the hosts watch the store."""
+        is_large = len(self._peers.table.states) >= FULL_MESH_SIZE
+        return is_large and self._settings.store_watchers_per_zone > 0
+
+    def _pass_leadership_on(self, service: ServiceName) -> None:
+        """Send changed leadership records to the hosts that don't watch the store themselves."""
+        if self._shares_watches:
+            copy = self._fleet.copies[LEADERSHIP_PREFIX]
+            self._background.start(self._peers.broadcast(copy.to_message(0)))
+
+    def _fetch_newer_copies(self, host: HostId, revisions: dict[str, int]) -> bool:
+        """Start to fetch the copies that another host has newer; return whether it has none."""
+        is_up_to_date = True
         own_revisions = self._fleet.copy_revisions()
         for prefix, revision in revisions.items():
             own_revision = own_revisions.get(prefix)
-            if (
-                own_revision is not None
-                and own_revision < revision
-                and prefix not in self._copies_in_progress
-            ):
+            if own_revision is None or own_revision >= revision:
+                continue
+            is_up_to_date &= prefix == HOSTS_PREFIX
+            if prefix not in self._copies_in_progress:
                 self._copies_in_progress.add(prefix)
                 self._background.start(self._fetch_copy(host, prefix))
+        return is_up_to_date
 
     async def _fetch_copy(self, host: HostId, prefix: str) -> None:
         try:
@@ -424,9 +460,11 @@
 
     def _reply_to_greeting(self, greeting: Greeting) -> GreetingReply:
         self._peers.add_from_greeting(greeting)
-        # A new host is greeted only by those that know it, so the hosts that it greets ask it.
-        registrations = greeting.revisions.get(HOSTS_PREFIX, 0)
-        self._fetch_newer_copies(greeting.host, {HOSTS_PREFIX: registrations})
+        revisions = greeting.revisions
+        if not self._shares_watches:
+            # A new host is greeted only by those that know it, so the hosts that it greets ask it.
+            revisions = {HOSTS_PREFIX: revisions.get(HOSTS_PREFIX, 0)}
+        self._fetch_newer_copies(greeting.host, revisions)
         now = self._clock.now()
         samples = []
         for name, service in self._services.items():
@@ -435,6 +473,7 @@
                 age_ms = int(to_milliseconds(now - newest.taken_at)) + 1
                 samples.append(PositionSample(name, newest.position, age_ms))
         identity = self._identity
+        contact_age = self._watch_duty.contact_age(now)
         return GreetingReply(
             greeting.call,
             identity.host,
@@ -446,6 +485,7 @@
             self._failover_manager.store.ended_leases(),
             self._fleet.permits.is_valid(now + MIN_PERMIT_REMAINING),
             self._peers.table.make_reports(),
+            None if contact_age is None else int(to_milliseconds(contact_age)) + 1,
         )
 
     async def _is_backend_responsive(self, name: ServiceName, backend: BackendId) -> bool:
--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -17,6 +17,7 @@
 from hickorywind.host.peers import Peers
 from hickorywind.host.storerelay import HEDGE_DELAY, RELAY_TIMEOUT
 from hickorywind.ids import HostId, Revision, ServiceName
+from hickorywind.membership.storewatch import StoreWatchDuty
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.ports.coordination import (
     Committed,
@@ -47,6 +48,7 @@
 RETRY_DELAY_MIN = timedelta(milliseconds=150)  # after the first failed call
 RETRY_DELAY_MAX = timedelta(milliseconds=1200)  # well below the time limit for new configurations
 RETRY_DELAY_MAX_STARTING = timedelta(milliseconds=300)  # callers wait for the first configuration
+WATCH_DUTY_INTERVAL = timedelta(milliseconds=250)  # between two looks at who watches the store
 _RENEWAL_PEER_COUNT = 2  # peers asked to renew the lease of a host that can't reach the store
 
 
@@ -61,6 +63,7 @@
         peers: Peers,
         metrics: HostMetrics,
         rng: random.Random,
+        watch_duty: StoreWatchDuty,
     ) -> None:
         self._fleet = fleet
         self._coordination_store = coordination_store
@@ -68,6 +71,7 @@
         self._peers = peers
         self._metrics = metrics
         self._rng = rng
+        self._watch_duty = watch_duty
         self._lease: LeaseId | None = None
         self._registered_at = Revision(0)
         self._stopped_revisions: dict[ServiceName, Revision] = {}
@@ -99,6 +103,11 @@
         is_starting = self._fleet.configuration is None
         return min(retry_delay * 2, RETRY_DELAY_MAX_STARTING if is_starting else RETRY_DELAY_MAX)
 
+    @property
+    def is_loaded(self) -> bool:
+        """Whether this host is registered and has read the other hosts."""
+        return self._is_loaded.is_set()
+
     # Registration ------------------------------------------------------------------------------
 
     async def _maintain_registration(self) -> None:
@@ -188,6 +197,7 @@
         self._fleet.apply_snapshot(LEADERSHIP_PREFIX, Snapshot(leadership, snapshot.as_of), "store")
         self._peers.add(*self._fleet.add_hosts(Snapshot(hosts, snapshot.as_of)))
         self._fleet.permits.extend(sent)
+        self._watch_duty.record_own_contact(sent)
         self._is_loaded.set()
 
     async def _renew_until_lease_ends(self) -> None:
@@ -206,6 +216,8 @@
                 logger.warning("lease_ended", extra={"lease": self._lease})
                 return
             self._fleet.permits.extend(sent)
+            if self._watch_duty.should_watch(sent):
+                self._watch_duty.record_own_contact(sent)
 
     async def renew(self, lease: LeaseId) -> bool | None:
         """Renew a lease; return False if it has ended, None if the store does not answer."""
@@ -273,11 +285,17 @@
         retry_delay = RETRY_DELAY_MIN
         is_current = prefix == LEADERSHIP_PREFIX and await self._wait_until_loaded()
         while True:
+            if is_current and not self._watch_duty.should_watch(self._fleet.now()):
+                await asyncio.sleep(WATCH_DUTY_INTERVAL.total_seconds())
+                continue
             try:
                 if not is_current:
+                    sent = self._fleet.now()
                     snapshot = await self._coordination_store.read_range(prefix)
                     self._fleet.apply_snapshot(prefix, snapshot, "store")
                     is_current = True
+                    self._watch_duty.record_own_contact(sent)
+                    continue
                 result = await self._coordination_store.watch(prefix, copy.as_of, WATCH_TIMEOUT)
                 self.record_call("watch", None)
                 retry_delay = RETRY_DELAY_MIN
--- /dev/null
+++ b/hickorywind/membership/storewatch.py
@@ -0,0 +1,69 @@
+"""Which hosts watch the store, and when a host that does not may rely on the others.
+
+Answers the load of a large fleet: each change in the store answers the watch of every host, which
+then opens the next one, so that a change costs as many store calls as there are hosts. Here a few
+hosts of each availability zone watch, and the others take changes from their neighbours' copies. A
+host relies on the others only while it knows that one of them was in contact with the store a
+moment ago; otherwise it watches itself.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from datetime import timedelta
+
+from hickorywind.ids import HostId
+from hickorywind.membership.neighbours import FULL_MESH_SIZE
+from hickorywind.placement.rendezvous import rank_members
+from hickorywind.util.clock import Instant
+
+# Covers a lost greeting on the way from a watcher over two other hosts, and leaves most of the time
+# that a configuration has to come into force.
+NEWS_LIMIT = timedelta(seconds=4)
+_RANK_KEY = "watch-store"
+
+
+class StoreWatchDuty:
+    """Decision of one host whether it watches the store itself.
+
+    ``watchers_per_zone`` of 0 makes every host watch.
+    """
+
+    def __init__(self, own_host: HostId, watchers_per_zone: int) -> None:
+        self._own_host = own_host
+        self._watchers_per_zone = watchers_per_zone
+        self._is_watcher = not watchers_per_zone  # until the hosts of the zone are known
+        self._zone_hosts: frozenset[HostId] | None = None
+        self._contact_at: Instant | None = None
+
+    def update(self, zone_hosts: Collection[HostId], fleet_size: int) -> None:
+        """Apply the alive other hosts of the own zone and the number of all hosts."""
+        hosts = frozenset((self._own_host, *zone_hosts))
+        if not self._watchers_per_zone or fleet_size <= FULL_MESH_SIZE:
+            self._is_watcher, self._zone_hosts = True, None
+        elif hosts != self._zone_hosts:
+            self._zone_hosts = hosts
+            watchers = rank_members(_RANK_KEY, hosts)[: self._watchers_per_zone]
+            self._is_watcher = self._own_host in watchers
+
+    def record_own_contact(self, answered_at: Instant) -> None:
+        """Record that this host's copies were current at an instant, by the store's own answer."""
+        self._record(answered_at)
+
+    def record_reported_contact(self, contact_at: Instant) -> None:
+        """Record a contact that another host reported, whose copies are no newer than the own."""
+        self._record(contact_at)
+
+    def _record(self, contact_at: Instant) -> None:
+        if self._contact_at is None or contact_at > self._contact_at:
+            self._contact_at = contact_at
+
+    def contact_age(self, now: Instant) -> timedelta | None:
+        """Return the age of the newest contact with the store, for other hosts, or None."""
+        return None if self._contact_at is None else max(timedelta(0), now - self._contact_at)
+
+    def should_watch(self, now: Instant) -> bool:
+        """Return whether this host has to watch the store itself."""
+        if self._is_watcher or self._contact_at is None:
+            return True
+        return now > self._contact_at + NEWS_LIMIT
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -306,7 +306,8 @@
     """Reply to a ``Greeting`` with the replying host's own state and newest position samples.
 
     ``holds_permit`` says that the replying host may use primaries for some time to come;
-    ``reports`` holds what it knows of silent and leaving hosts.
+    ``reports`` holds what it knows of silent and leaving hosts. ``store_contact_ms`` is the age of
+    the newest contact with the store that its copies reflect, None if it knows of none.
     """
 
     call: int
@@ -319,6 +320,7 @@
     ended_leases: tuple[EndedLease, ...] = ()
     holds_permit: bool = False
     reports: tuple[PeerReport, ...] = ()
+    store_contact_ms: int | None = None
 
 
 class EndedLease(msgspec.Struct, frozen=True, array_like=True):
--- a/hickorywind/settings/host.py
+++ b/hickorywind/settings/host.py
@@ -23,7 +23,9 @@
     ``backend_leaving_ms`` is how long a backend server continues to serve after it is marked as
     leaving. ``log_bytes_per_second`` limits the volume of the logs. ``status_listen`` is a
     loopback address where the command line reads the host's state; empty for none.
-    ``quota_slack_operations`` is what the deployment accepts beyond the quota of a client account.
+    ``store_watchers_per_zone`` is how many hosts of an availability zone watch the store for the
+    others in a large fleet; 0 means that every host does. ``quota_slack_operations`` is what the
+    deployment accepts beyond the quota of a client account.
     """
 
     host: HostId
@@ -40,6 +42,7 @@
     backend_leaving_ms: int = 7_000
     log_bytes_per_second: int = 100_000
     status_listen: str = ""
+    store_watchers_per_zone: int = 0
     quota_slack_operations: int = 0
     log: LogSettings = LogSettings()
 
@@ -81,8 +84,9 @@
         raise DocumentError("backend_leaving_ms", "expected a positive number")
     if settings.log_bytes_per_second <= 0:
         raise DocumentError("log_bytes_per_second", "expected a positive number")
-    if settings.quota_slack_operations < 0:
-        raise DocumentError("quota_slack_operations", "expected a number that is not negative")
+    for key in ("store_watchers_per_zone", "quota_slack_operations"):
+        if getattr(settings, key) < 0:
+            raise DocumentError(key, "expected a number that is not negative")
     check_log_level(settings.log)
 
 
--- a/tests/host/harness.py
+++ b/tests/host/harness.py
@@ -170,7 +170,7 @@
 
     async def asyncSetUp(self):
         self.loop = asyncio.get_running_loop()
-        network = MemoryNetwork()
+        network = self.network = MemoryNetwork()
         for name, make in (("Link", network.make_link), ("Listener", network.make_listener)):
             patch = unittest.mock.patch.object(hickorywind.host.peers, name, make)
             patch.start()
@@ -188,7 +188,16 @@
     """Running host with its own client of the store."""
 
     def __init__(
-        self, name, store, group, settings=None, is_cut=False, clock=None, zone="z1", zones=ZONES
+        self,
+        name,
+        store,
+        group,
+        settings=None,
+        is_cut=False,
+        clock=None,
+        zone="z1",
+        zones=ZONES,
+        watchers=0,
     ):
         self.coordinator = MemoryCoordinationStore(store)
         self.coordinator.is_cut = is_cut
@@ -205,6 +214,7 @@
             control=str(free_address()),
             zones=dict(zones),
             stop_grace_seconds=2.0,
+            store_watchers_per_zone=watchers,
         )
         adapters = Adapters(LineCallerCodec, LineBackendCodec, self.coordinator, group, SCHEMA)
         clock = clock or BoottimeClock()
--- a/tests/host/test_largefleet.py
+++ b/tests/host/test_largefleet.py
@@ -11,7 +11,8 @@
     OTHER_ZONE_NEIGHBOURS,
     OWN_ZONE_NEIGHBOURS,
 )
-from tests.host.harness import HostTestCase, RunningHost
+from hickorywind.platform.documents import CONFIGURATION_KEY
+from tests.host.harness import HostTestCase, RunningHost, configuration
 from tests.host.virtualtime import Gate, VirtualClock
 
 ZONES = {"z0": "r0", "z1": "r0", "z2": "r1", "z3": "r1"}
@@ -20,16 +21,27 @@
 BURST_SECONDS = 0.5
 REMOVED_AFTER = timedelta(seconds=5)
 PRIMARY_CHANGE_SECONDS = 5.0  # the stated limit
+APPLY_SECONDS = 6.0  # the stated limit for a new configuration
 
 
 class LargeFleetTest(HostTestCase):
     host_count = 2 * FULL_MESH_SIZE
+    watchers_per_zone = 0
 
     def start_host(self, name, settings=None, is_cut=False):
         zone = f"z{int(name[1:]) % len(ZONES)}"
         clock = VirtualClock(self.loop)
         self.hosts[name] = Gate(name).run(
-            RunningHost, name, self.store, self.group, settings, is_cut, clock, zone, ZONES
+            RunningHost,
+            name,
+            self.store,
+            self.group,
+            settings,
+            is_cut,
+            clock,
+            zone,
+            ZONES,
+            self.watchers_per_zone,
         )
 
     async def asyncSetUp(self):
@@ -137,3 +149,54 @@
         await asyncio.sleep(3.0)
         calls = [call for host in self.hosts.values() for call in host.coordinator.calls]
         self.assertNotIn("end", calls)
+
+
+class SharedWatchTest(LargeFleetTest):
+    """The same with two hosts of each zone that watch the store for the others."""
+
+    watchers_per_zone = 2
+
+    async def test_changes_cost_calls_of_the_watchers_only_and_reach_all_hosts(self):
+        await asyncio.sleep(MEASURED_SECONDS)
+        before = {name: len(host.coordinator.calls) for name, host in self.hosts.items()}
+        for version in (2, 3):
+            await self.store.put(CONFIGURATION_KEY, configuration(version))
+            started = self.loop.time()
+            await self.wait_until(lambda version=version: self.all_have(version), APPLY_SECONDS)
+            self.assertLess(self.loop.time() - started, APPLY_SECONDS)
+        watching = {
+            name
+            for name, host in self.hosts.items()
+            if "watch" in host.coordinator.calls[before[name] :]
+        }
+        self.assertLessEqual(len(watching), self.watchers_per_zone * len(ZONES))
+
+    def all_have(self, version):
+        fleets = [host.role._fleet for host in self.hosts.values()]
+        return all(fleet.configuration.version == version for fleet in fleets)
+
+    async def test_changes_reach_all_hosts_when_watchers_of_all_zones_are_refused(self):
+        """One watcher of the whole fleet still reaches the store."""
+        await asyncio.sleep(MEASURED_SECONDS)
+        watchers = [
+            name
+            for name, host in self.hosts.items()
+            if host.role._watch_duty.should_watch(host.role._fleet.now())
+        ]
+        for name in watchers[1:]:
+            self.hosts[name].coordinator.is_cut = True
+        await self.store.put(CONFIGURATION_KEY, configuration(2))
+        await self.wait_until(lambda: self.all_have(2), APPLY_SECONDS)
+
+    async def test_host_that_hears_no_other_watches_itself(self):
+        await asyncio.sleep(MEASURED_SECONDS)
+        name = next(
+            name
+            for name, host in self.hosts.items()
+            if not host.role._watch_duty.should_watch(host.role._fleet.now())
+        )
+        self.network.cut_from.add(name)
+        self.network.cut_to.add(name)
+        await self.store.put(CONFIGURATION_KEY, configuration(2))
+        fleet = self.hosts[name].role._fleet
+        await self.wait_until(lambda: fleet.configuration.version == 2, APPLY_SECONDS)
--- /dev/null
+++ b/tests/membership/test_storewatch.py
@@ -0,0 +1,56 @@
+import unittest
+from datetime import timedelta
+
+from hickorywind.membership.neighbours import FULL_MESH_SIZE
+from hickorywind.membership.storewatch import NEWS_LIMIT, StoreWatchDuty
+
+START = timedelta(seconds=100)
+ZONE = [f"h{number}" for number in range(20)]
+MILLISECOND = timedelta(milliseconds=1)
+
+
+def duty_of(host, hosts=ZONE, fleet_size=100, watchers=2):
+    duty = StoreWatchDuty(host, watchers)
+    duty.update([other for other in hosts if other != host], fleet_size)
+    duty.record_own_contact(START)
+    return duty
+
+
+def watchers_among(hosts, **changes):
+    return {host for host in hosts if duty_of(host, hosts, **changes).should_watch(START)}
+
+
+class StoreWatchDutyTest(unittest.TestCase):
+    def test_two_hosts_of_a_zone_watch(self):
+        self.assertEqual(len(watchers_among(ZONE)), 2)
+
+    def test_next_host_takes_the_place_of_a_watcher_that_ended(self):
+        watchers = watchers_among(ZONE)
+        ended = min(watchers)
+        left = watchers_among([host for host in ZONE if host != ended])
+        self.assertEqual(len(left), 2)
+        self.assertTrue(watchers - {ended} < left)
+
+    def test_all_hosts_watch_in_a_small_fleet_or_without_the_setting(self):
+        self.assertEqual(watchers_among(ZONE, fleet_size=FULL_MESH_SIZE), set(ZONE))
+        self.assertEqual(watchers_among(ZONE, watchers=0), set(ZONE))
+
+    def test_host_watches_itself_while_it_has_no_recent_news_of_the_store(self):
+        host = min(set(ZONE) - watchers_among(ZONE))
+        duty = duty_of(host)
+        self.assertFalse(duty.should_watch(START + NEWS_LIMIT))
+        self.assertTrue(duty.should_watch(START + NEWS_LIMIT + MILLISECOND))
+        duty.record_reported_contact(START + timedelta(seconds=3))
+        self.assertFalse(duty.should_watch(START + timedelta(seconds=5)))
+
+    def test_host_without_any_contact_reads_the_store_itself(self):
+        self.assertTrue(StoreWatchDuty("h0", 2).should_watch(START))
+
+    def test_older_reports_don_t_replace_newer_ones(self):
+        duty = duty_of("h0")
+        duty.record_reported_contact(START - timedelta(seconds=1))
+        self.assertEqual(duty.contact_age(START), timedelta(0))
+
+
+if __name__ == "__main__":
+    unittest.main()
