--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -24,8 +24,10 @@
 LOWEST_RANK_INTERVAL = 8  # one in so many starts goes to the least urgent rank that waits
 # Added to the expected duration of reads at the primary: keeps its slots for work that needs it.
 PRIMARY_READ_PENALTY = timedelta(milliseconds=40)
-# Time for which reads of a position avoid a replica that had not applied it.
+# Time for which reads of a position avoid a replica that had not applied it; doubled up to the
+# maximum each time that it still lags, because every refused read costs the replica a slot.
 LAG_RECHECK_INTERVAL = timedelta(milliseconds=250)
+LAG_RECHECK_INTERVAL_MAX = timedelta(seconds=2)
 # Least expected duration of a statement by distance: same zone, same region, other region.
 _ASSUMED_ROUND_TRIPS = (
     timedelta(milliseconds=1),
@@ -95,6 +97,7 @@
     known_position: LogPosition | None = None
     missing_position: LogPosition | None = None
     missing_checked_at: Instant = timedelta(0)
+    lag_recheck_interval: timedelta = LAG_RECHECK_INTERVAL
 
     def record_position(self, position: LogPosition) -> None:
         """Record a log position that the server has applied."""
@@ -102,17 +105,24 @@
             self.known_position = position
         if self.missing_position is not None and position >= self.missing_position:
             self.missing_position = None
+            self.lag_recheck_interval = LAG_RECHECK_INTERVAL
 
     def record_missing_position(self, position: LogPosition, now: Instant) -> None:
         """Record that the server had not applied a log position."""
         self.missing_position = position
         self.missing_checked_at = now
 
+    def start_lag_check(self, now: Instant) -> None:
+        """Let one read check whether the server has caught up; the others wait for longer."""
+        self.missing_checked_at = now
+        self.lag_recheck_interval = min(LAG_RECHECK_INTERVAL_MAX, self.lag_recheck_interval * 2)
+
     def has_probably_applied(self, position: LogPosition, now: Instant) -> bool:
         """Return whether the server is likely to have applied a log position by now."""
         if self.known_position is not None and self.known_position >= position:
             return True
-        if self.missing_position is None or now > self.missing_checked_at + LAG_RECHECK_INTERVAL:
+        recheck_at = self.missing_checked_at + self.lag_recheck_interval
+        if self.missing_position is None or now > recheck_at:
             return True
         return position < self.missing_position
 
@@ -194,8 +204,7 @@
     def _grant(self, operation: QueuedOperation, server: ServerState, now: Instant) -> None:
         self._granted_count += 1
         if server.missing_position is not None:
-            # One read per interval probes whether the replica has caught up.
-            server.missing_checked_at = now
+            server.start_lag_check(now)
         server.limit.start(now)
         server.reserve_connection()
         operation.grant(server.backend)
--- a/hickorywind/admission/retention.py
+++ b/hickorywind/admission/retention.py
@@ -21,7 +21,9 @@
 # For connections beyond the even share, which other hosts need more.
 SURPLUS_IDLE_TIMEOUT = timedelta(milliseconds=600)
 MIN_IDLE_TIMEOUT = timedelta(milliseconds=40)  # the next waiting statement takes it in this time
-_KEPT_FRACTION = 0.6  # of the even share; the rest is for connections in use
+# Of the even share. Operations at the primary hold a connection for several round trips between
+# regions, and transactions for as long as their callers rest, so most of the limit is left to them.
+_KEPT_FRACTION = 0.25
 _RATE_WINDOW_S = 5.0  # smooths the uneven arrivals of one host's few statements
 _DECREASE = 0.5  # factor after a refusal
 _DECREASE_INTERVAL = timedelta(milliseconds=250)  # refusals within it count once
--- a/tests/admission/test_dispatch.py
+++ b/tests/admission/test_dispatch.py
@@ -77,6 +77,24 @@
         probes = Counter(backend for _, backend in self.granted[1:])
         self.assertEqual(probes, Counter({"i-b": 1, "i-c": 1}))
 
+    def test_lagging_replicas_are_checked_less_and_less_often(self):
+        """Reads arrive for 8 s while both replicas lag and the primary has no connection left."""
+        self.dispatcher.servers["i-a"].has_connection = lambda: False
+        checks = 0
+        for step in range(160):
+            now = START + step * timedelta(milliseconds=50)
+            self.submit(target=AtPosition(POSITION), arrived=now)
+            for _, backend in self.granted:
+                checks += 1
+                server = self.dispatcher.servers[backend]
+                server.limit.finish_without_answer()
+                server.record_missing_position(POSITION, now)
+            self.granted.clear()
+        self.assertLess(checks, 20)
+        server = self.dispatcher.servers["i-b"]
+        server.record_position(POSITION)
+        self.assertTrue(server.has_probably_applied(POSITION, START + timedelta(seconds=8)))
+
     def test_replica_that_was_behind_serves_reads_of_older_positions(self):
         self.dispatcher.servers["i-b"].record_missing_position(POSITION, START)
         self.submit(target=AtPosition(LogPosition(1, 2)))
