Run reads at the home of a backend server where hosts outnumber its connections

Change: with share_reads, the home of a server, a host in its zone, runs the reads of all others, reports how long reads take there, and gives its position samples to the others. Writes and transactions stay on connections of their own host.

--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -29,7 +29,7 @@
 LAG_RECHECK_INTERVAL = timedelta(milliseconds=250)
 LAG_RECHECK_INTERVAL_MAX = timedelta(seconds=2)
 # Least expected duration of a statement by distance: same zone, same region, other region.
-_ASSUMED_ROUND_TRIPS = (
+ROUND_TRIPS = (
     timedelta(milliseconds=1),
     timedelta(milliseconds=4),
     timedelta(milliseconds=60),
@@ -128,7 +128,7 @@
 
     def expected_duration(self, account: AccountId | None = None) -> timedelta:
         """Estimate the duration of a statement of an account sent to this server now."""
-        round_trip = _ASSUMED_ROUND_TRIPS[self.distance]
+        round_trip = ROUND_TRIPS[self.distance]
         measured = max(self.limit.mean_duration, round_trip)
         duration = measured + measured * self.limit.in_flight / (2 * max(1, self.slots))
         if self.has_idle_connection(account):
@@ -270,13 +270,38 @@
                 best, best_cost = server, cost
         return best
 
+    def eligible_servers(
+        self, target: Target, excluded: frozenset[BackendId], now: Instant
+    ) -> list[ServerState]:
+        """Return the servers that may run an operation, whether they have capacity or not."""
+        return [
+            server
+            for server in self.servers.values()
+            if server.backend not in excluded and self._may_serve(target, server, now)
+        ]
+
+    def expected_duration(self, backend: BackendId) -> timedelta:
+        """Return how long a new operation at a server is expected to take, waiting included."""
+        server = self.servers.get(backend)
+        if server is None:
+            return timedelta(0)
+        capacity = max(1.0, server.limit.max_in_flight)
+        return server.expected_duration() + server.limit.mean_duration * (
+            len(self._waiting) / capacity
+        )
+
     def _has_capacity(self, server: ServerState) -> bool:
         return server.is_available and server.limit.has_capacity and server.has_connection()
 
     def _is_eligible(self, operation: QueuedOperation, server: ServerState, now: Instant) -> bool:
-        if not server.is_available or server.backend in operation.excluded:
+        if server.backend in operation.excluded:
+            return False
+        return self._may_serve(operation.target, server, now)
+
+    def _may_serve(self, target: Target, server: ServerState, now: Instant) -> bool:
+        if not server.is_available:
             return False
-        match operation.target:
+        match target:
             case OnPrimary():
                 return server.backend == self.primary
             case AtPosition(position):
--- a/hickorywind/admission/retention.py
+++ b/hickorywind/admission/retention.py
@@ -20,6 +20,8 @@
 IDLE_TIMEOUT = timedelta(milliseconds=1500)
 # For connections beyond the even share, which other hosts need more.
 SURPLUS_IDLE_TIMEOUT = timedelta(milliseconds=600)
+# A home has a part of the limit for itself, and few of its connections serve one client account.
+HOME_IDLE_TIMEOUT = timedelta(seconds=10)
 MIN_IDLE_TIMEOUT = timedelta(milliseconds=40)  # the next waiting statement takes it in this time
 # Of the even share. Operations at the primary hold a connection for several round trips between
 # regions, and transactions for as long as their callers rest, so most of the limit is left to them.
@@ -33,11 +35,13 @@
 class IdleRetention:
     """Idle timeouts of one host's connections to one backend server.
 
-    ``even_share`` is the server's connection limit divided by the number of hosts.
+    ``even_share`` is the part of the server's connection limit that hosts share, divided by their
+    number. A home of the server runs the reads of all hosts, and keeps its connections for longer.
     """
 
     def __init__(self) -> None:
         self.even_share = KEEP_LAST_SHARE
+        self.is_home = False
         self._uses = 0.0  # within the rate window, older ones weigh less
         self._used_at: Instant | None = None
         self._factor = 1.0
@@ -46,7 +50,7 @@
     @property
     def is_scarce(self) -> bool:
         """Whether the hosts can't keep a connection each."""
-        return self.even_share < KEEP_LAST_SHARE
+        return not self.is_home and self.even_share < KEEP_LAST_SHARE
 
     def record_use(self, now: Instant) -> None:
         """Count a statement that took a connection."""
@@ -78,6 +82,8 @@
 
     def should_close(self, idle_since: Instant, open_count: int, now: Instant) -> bool:
         """Return whether to close an idle connection while ``open_count`` are open."""
+        if self.is_home:
+            return now > idle_since + HOME_IDLE_TIMEOUT
         if self.is_scarce:
             return now >= idle_since + self._scarce_timeout(now)
         timeout = SURPLUS_IDLE_TIMEOUT if open_count > int(self.even_share) else IDLE_TIMEOUT
--- a/hickorywind/host/autocommit.py
+++ b/hickorywind/host/autocommit.py
@@ -51,18 +51,30 @@
 
     async def run(self) -> Reply:
         """Run the statement and return the reply to the caller."""
+        if self._mode is AccessMode.READ and self._service.shares_reads:
+            reply = await self._service.reads.run(
+                self._service,
+                self._route,
+                self._context,
+                self._request,
+                self._template,
+                self._arrived,
+            )
+            if reply is not None:
+                return reply
         outcome = await run_with_retries(
             self._service,
             self._route,
             self._context,
             self._arrived,
             self._mode is AccessMode.WRITE,
-            self._attempt,
+            self.attempt,
             lambda: self._excluded,
         )
         return ProxyFailure(outcome) if isinstance(outcome, Result) else outcome
 
-    async def _attempt(self, grant: Grant, min_position: LogPosition | None) -> Reply | Result:
+    async def attempt(self, grant: Grant, min_position: LogPosition | None) -> Reply | Result:
+        """Run the statement once on a granted connection; return a refusal if it did not run."""
         backend, connection = grant.backend, grant.connection
         is_position_sample = (
             connection.is_verified_primary and self._service.may_start_primary_work(backend)
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -20,6 +20,7 @@
 from hickorywind.host.requestlog import RequestLog
 from hickorywind.host.service import DISPATCH_INTERVAL, IDLE_DISPATCH_INTERVAL, ServiceRuntime
 from hickorywind.host.session import Session
+from hickorywind.host.sharedreads import SharedReads
 from hickorywind.host.storeacknowledger import StoreAcknowledger
 from hickorywind.host.storesync import StoreSync
 from hickorywind.ids import BackendId, HostId, Incarnation, Revision, ServiceName
@@ -45,6 +46,7 @@
     LeaseRenewalQuery,
     LeaseRenewalReply,
     Message,
+    PositionQuery,
     PositionSample,
     PrimaryUseStopped,
     QuotaQuery,
@@ -53,6 +55,7 @@
     ReachReply,
     ResponsivenessQuery,
     ResponsivenessReply,
+    SharedRead,
     StopPrimaryUse,
     StoreReadRequest,
     StoreWriteRequest,
@@ -151,6 +154,9 @@
             settings.quota_slack_operations,
             metrics,
         )
+        self._reads = SharedReads(
+            self._identity, self._peers, self._services.get, clock, rng, metrics
+        )
         self._request_log = RequestLog(metrics)
         self._server: asyncio.Server | None = None
         self._is_stopping = False
@@ -251,7 +257,9 @@
                 self._fleet.forget_host(host)
             self._quotas.refresh()
             self._update_watch_duty()
+            self._reads.refresh()
             for name, service in self._services.items():
+                service.update_connection_limits()
                 service.close_idle_connections()
                 self._metrics.waiting.labels(name).set(service.waiting_count)
             permit_remaining = self._fleet.permits.valid_until - self._fleet.now()
@@ -276,6 +284,7 @@
         self._failover_manager.close()
         self._store_acknowledger.close()
         self._quotas.close()
+        self._reads.close()
         # Closing the backend connections fails the running statements, so that their sessions
         # can still reply.
         for service in self._services.values():
@@ -298,6 +307,7 @@
         self._failover_manager.close()
         self._store_acknowledger.close()
         self._quotas.close()
+        self._reads.close()
         self._stop_accepting()
         for service in self._services.values():
             service.close()
@@ -326,6 +336,7 @@
             service_names |= self._fleet.configuration.connection_limits.keys()
         for name in service_names - self._services.keys():
             self._add_service(name)
+        self._reads.refresh()
         for service in self._services.values():
             service.host_count = 1 + len(self._peers.table.alive())
             service.refresh()
@@ -344,6 +355,7 @@
             milliseconds(self._settings.backend_leaving_ms),
         )
         service.on_primary_suspected = self._failover_manager.report_suspect
+        service.reads = self._reads if self._settings.share_reads else None
         self._services[name] = service
 
     # Peers -------------------------------------------------------------------------------------
@@ -450,6 +462,10 @@
                 return await self._close_service(call, service, revision, is_planned)
             case StoreReadRequest() | StoreWriteRequest() | EndLease():
                 return await self._failover_manager.relay.serve(message)
+            case SharedRead():
+                return await self._reads.serve(message)
+            case PositionQuery():
+                return await self._reads.serve_position(message)
             case QuotaQuery():
                 return self._quotas.handle_query(message)
             case QuotaTakeover():
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
+from typing import TYPE_CHECKING
 
 from hickorywind.admission.dispatch import (
     Dispatcher,
@@ -16,6 +17,7 @@
     ServerState,
     Target,
 )
+from hickorywind.admission.retention import KEEP_LAST_SHARE
 from hickorywind.host.backendconnection import (
     BackendConnection,
     ConnectionLostError,
@@ -33,6 +35,7 @@
 )
 from hickorywind.host.sessioncontext import SessionContext
 from hickorywind.ids import AvailabilityZone, BackendId, InstanceRole, ServiceName
+from hickorywind.placement.readhomes import HOME_CONNECTION_SHARE
 from hickorywind.ports.catalog import BackendServer, BackendState, Route, Topology
 from hickorywind.ports.codecs import BackendCodec
 from hickorywind.ports.replies import Answer, BackendErrorKind
@@ -42,6 +45,9 @@
 from hickorywind.util.sockets import CONNECT_PROBE_TIMEOUT, accepts_connections
 from hickorywind.util.tasks import BackgroundTasks
 
+if TYPE_CHECKING:
+    from hickorywind.host.sharedreads import SharedReads
+
 logger = logging.getLogger(__name__)
 
 # Bounds how long after its deadline a waiting operation is refused.
@@ -95,6 +101,8 @@
         self.primary_state = PrimaryState.USABLE
         self.on_primary_suspected: Callable[[ServiceName, str], None] = lambda service, reason: None
         self.host_count = 1
+        self.reads: SharedReads | None = None
+        self.shares_reads = False  # whether homes run the reads of all hosts
         self._topology = topology
         self._zone = zone
         self._make_codec = make_codec
@@ -124,7 +132,7 @@
                 self._remove_backend(backend_id)
         for server in current.values():
             self._update_backend(server)
-        self._set_connection_limits()
+        self.update_connection_limits()
         self.dispatch_waiting()
 
     def _update_backend(self, server: BackendServer) -> None:
@@ -171,16 +179,23 @@
         self._dispatcher.servers.pop(backend_id, None)
         backend.connections.close()
 
-    def _set_connection_limits(self) -> None:
+    def update_connection_limits(self) -> None:
+        """Apply the configured limit, the number of hosts, and whose home this host is."""
         configuration = self.fleet.configuration
         limit = 0
         if configuration is not None:
             limit = configuration.connection_limits.get(self.name, 0)
         even_share = limit / max(1, self.host_count)
+        self.shares_reads = self.reads is not None and 0 < even_share < KEEP_LAST_SHARE
+        home_share = round(limit * HOME_CONNECTION_SHARE) if self.shares_reads else 0
+        even_share = (limit - home_share) / max(1, self.host_count)
         own_limit = max(MIN_CONNECTION_LIMIT, round(CONNECTION_SHARE_FACTOR * even_share))
         for backend in self.backends.values():
-            backend.connections.max_connections = own_limit
-            backend.connections.retention.even_share = even_share
+            is_home = self.shares_reads and self.reads.is_home_of(backend)
+            connections = backend.connections
+            connections.max_connections = max(own_limit, home_share) if is_home else own_limit
+            connections.retention.even_share = even_share
+            connections.retention.is_home = is_home
 
     def may_start_primary_work(self, backend: Backend) -> bool:
         """Return whether new work may start on a backend server as the primary."""
@@ -202,6 +217,20 @@
             backend.load.limit.in_flight for backend in self.backends.values()
         )
 
+    @property
+    def primary(self) -> BackendId | None:
+        """Primary that this host may use now, or None."""
+        return self.fleet.usable_primary(self.name)
+
+    def eligible_servers(self, target: Target, excluded: frozenset[BackendId]) -> list[ServerState]:
+        """Return the servers on which an operation may run, busy ones included."""
+        self._update_primary()
+        return self._dispatcher.eligible_servers(target, excluded, self.clock.now())
+
+    def expected_read_duration(self, backend: Backend) -> timedelta:
+        """Return how long the next read at a server is expected to take here."""
+        return self._dispatcher.expected_duration(backend.server.backend)
+
     @property
     def waiting_count(self) -> int:
         """Number of operations that wait for a backend server."""
@@ -246,7 +275,7 @@
         elif self._primary_lost_at is None:
             self._primary_lost_at = self.clock.now()
 
-    def _wait_deadline(self, route: Route, target: Target, arrived: Instant) -> Instant:
+    def wait_deadline(self, route: Route, target: Target, arrived: Instant) -> Instant:
         """Return the instant until which an operation may wait.
 
         Work for the primary may wait for a primary change to complete, but no longer than
@@ -268,7 +297,7 @@
         """Wait for a backend server and a connection; return a refusal if none is free in time."""
         if self._closed_result is not None:
             return self._closed_result
-        deadline = self._wait_deadline(route, target, arrived)
+        deadline = self.wait_deadline(route, target, arrived)
         while True:
             outcome = await self._wait_for_backend(
                 route, target, arrived, deadline, context, excluded
@@ -503,6 +532,11 @@
         if self._sampling_task is None or self._sampling_task.done():
             self._sampling_task = asyncio.create_task(self._sample_primary())
 
+    async def sample_position(self) -> None:
+        """Query the primary's log position, or wait for a query that is running."""
+        self.refresh_position_sample()
+        await asyncio.wait((self._sampling_task,))
+
     def check_idle_primary(self) -> None:
         """Query a primary that has not answered lately; it may have failed unnoticed."""
         newest = self.samples.newest()
@@ -510,6 +544,8 @@
             self.refresh_position_sample()
 
     async def _sample_primary(self) -> None:
+        if self.shares_reads and await self.reads.fetch_position(self):
+            return
         backend = self.usable_primary_backend()
         if backend is None or not backend.connections.has_connection():
             return
--- /dev/null
+++ b/hickorywind/host/sharedreads.py
@@ -0,0 +1,328 @@
+"""Reads that the home of a backend server runs for other hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from datetime import timedelta
+
+from hickorywind.admission.dispatch import AtPosition, OnPrimary, ServerState, Target
+from hickorywind.host.autocommit import AutocommitStatement
+from hickorywind.host.backendconnection import StatementTemplate
+from hickorywind.host.identity import HostIdentity
+from hickorywind.host.peers import Peers
+from hickorywind.host.service import ServiceRuntime
+from hickorywind.host.servicestate import Backend
+from hickorywind.host.sessioncontext import SessionContext
+from hickorywind.host.targets import check_primary, choose_target, record_missing_position
+from hickorywind.ids import AccessMode, BackendId, HostId, ServiceName
+from hickorywind.observability.hostmetrics import HostMetrics
+from hickorywind.placement.readhomes import ReadHomes, ReportedLoads, choose_server
+from hickorywind.ports.catalog import (
+    AccountId,
+    DatabaseName,
+    PrimaryReads,
+    PriorityRank,
+    Route,
+)
+from hickorywind.ports.replies import (
+    Answer,
+    BackendError,
+    BackendErrorKind,
+    ProxyFailure,
+    RelayedAnswer,
+    Reply,
+    TransactionState,
+)
+from hickorywind.ports.statements import Access, Execute, Request
+from hickorywind.protocol.messages import (
+    PositionQuery,
+    PositionReply,
+    PositionSample,
+    SharedRead,
+    SharedReadReply,
+)
+from hickorywind.results import Result, ResultCode
+from hickorywind.util.clock import Clock, Instant, milliseconds, to_milliseconds
+from hickorywind.util.tasks import BackgroundTasks
+
+logger = logging.getLogger(__name__)
+
+MAX_HOMES_ASKED = 3  # for one read; then this host runs it on a connection of its own
+# Without an answer for this time a home is asked whether it is alive; most reads take less.
+SILENCE_CHECK_DELAY = timedelta(milliseconds=350)
+SILENCE_CHECK_TIMEOUT = timedelta(milliseconds=250)  # several round trips between regions
+# Of a position sample that a home gives to others: bounds the queries of its primary.
+POSITION_MAX_AGE = timedelta(milliseconds=100)
+_ANSWER_ALLOWANCE = timedelta(milliseconds=200)  # for the answer's way back after the read's time
+
+
+class SharedReads:
+    """Reads of this host that homes run, and reads that this host runs as a home."""
+
+    def __init__(
+        self,
+        identity: HostIdentity,
+        peers: Peers,
+        find_service: Callable[[ServiceName], ServiceRuntime | None],
+        clock: Clock,
+        rng: random.Random,
+        metrics: HostMetrics,
+    ) -> None:
+        self._identity = identity
+        self._peers = peers
+        self._find_service = find_service
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._homes = ReadHomes()
+        self._loads = ReportedLoads()
+        self._background = BackgroundTasks()
+
+    def refresh(self) -> None:
+        """Apply the hosts that are alive now."""
+        table = self._peers.table
+        zones = {host: table.states[host].record.zone for host in table.active()}
+        self._homes.update(zones | {self._identity.host: self._identity.zone})
+
+    def is_home_of(self, backend: Backend) -> bool:
+        """Return whether this host is the home of a backend server."""
+        server = backend.server
+        home = self._homes.home_of(server.backend, server.zone, self._clock.now())
+        return home == self._identity.host
+
+    # Reads of this host's callers --------------------------------------------------------------
+
+    async def run(
+        self,
+        service: ServiceRuntime,
+        route: Route,
+        context: SessionContext,
+        request: Request,
+        template: StatementTemplate | None,
+        arrived: Instant,
+    ) -> Reply | None:
+        """Run a read at the home of a server; return None if this host has to run it itself."""
+        tried: frozenset[BackendId] = frozenset()
+        while len(tried) < MAX_HOMES_ASKED and not context.has_disconnected:
+            target = choose_target(service, route, False, context.floor, arrived)
+            now = self._clock.now()
+            servers = service.eligible_servers(target, tried)
+            server = choose_server(servers, service.primary, self._loads, now, self._rng)
+            if server is None:
+                return None
+            backend = service.backends[server.backend]
+            home = self._homes.home_of(server.backend, backend.server.zone, now)
+            if home is None or home == self._identity.host:
+                return None
+            if isinstance(target, AtPosition) and server.missing_position is not None:
+                server.start_lag_check(now)
+            deadline = service.wait_deadline(route, target, arrived)
+            reply = await self._ask(
+                home,
+                deadline - now,
+                self._make_read(service, route, context, request, template, server, target),
+            )
+            if reply is None:
+                self._homes.record_silence(home, self._clock.now())
+                logger.info("read_home_silent", extra={"peer": home, "backend": server.backend})
+            else:
+                answer = self._accept(service, backend, context, target, reply, now)
+                if answer is not None:
+                    return answer
+            tried |= {server.backend}
+        return None
+
+    def _make_read(
+        self,
+        service: ServiceRuntime,
+        route: Route,
+        context: SessionContext,
+        request: Request,
+        template: StatementTemplate | None,
+        server: ServerState,
+        target: Target,
+    ) -> Callable[[int, int], SharedRead]:
+        arguments = request.statement.arguments if isinstance(request.statement, Execute) else ""
+
+        def make(call: int, remaining_ms: int) -> SharedRead:
+            return SharedRead(
+                call,
+                request.request_id,
+                service.name,
+                server.backend,
+                context.account,
+                route.rank,
+                request.text if template is None else arguments,
+                None if template is None else template.text,
+                context.values,
+                target.position if isinstance(target, AtPosition) else None,
+                remaining_ms,
+                int(to_milliseconds(route.statement_timeout)),
+            )
+
+        return make
+
+    async def _ask(
+        self, home: HostId, remaining: timedelta, make: Callable[[int, int], SharedRead]
+    ) -> SharedReadReply | None:
+        """Return a home's reply, or None once it is found not to answer."""
+        remaining_ms = int(to_milliseconds(remaining))
+        question = self._background.start(
+            self._peers.call(
+                home, lambda call: make(call, remaining_ms), remaining + _ANSWER_ALLOWANCE
+            )
+        )
+        try:
+            while True:
+                await asyncio.wait((question,), timeout=SILENCE_CHECK_DELAY.total_seconds())
+                if question.done():
+                    reply = question.result()
+                    return reply if isinstance(reply, SharedReadReply) else None
+                if not await self._peers.is_responding(home, SILENCE_CHECK_TIMEOUT):
+                    return None
+        finally:
+            question.cancel()
+
+    def _accept(
+        self,
+        service: ServiceRuntime,
+        backend: Backend,
+        context: SessionContext,
+        target: Target,
+        reply: SharedReadReply,
+        sent: Instant,
+    ) -> Reply | None:
+        """Return the reply to the caller, or None if the read should run elsewhere."""
+        now = self._clock.now()
+        self._loads.record(backend.server.backend, milliseconds(reply.expected_ms), now)
+        if reply.refusal is not None:
+            if reply.refusal.code is ResultCode.REPLICA_BEHIND and isinstance(target, AtPosition):
+                record_missing_position(service, backend, context, target.position)
+            return None
+        error = None
+        if reply.error_kind is not None:
+            error = BackendError(BackendErrorKind(reply.error_kind), reply.error_text)
+        answer = Answer(
+            reply.rows, reply.completion_tag, error, TransactionState.IDLE, reply.position
+        )
+        is_primary = service.may_start_primary_work(backend)
+        service.record_answer(backend, answer, sent, reply.is_from_primary and is_primary)
+        self._metrics.shared_reads.labels("asked").inc()
+        return RelayedAnswer(answer)
+
+    async def fetch_position(self, service: ServiceRuntime) -> bool:
+        """Add a position sample that the home of the primary has; return whether it gave one."""
+        backend = service.usable_primary_backend()
+        if backend is None:
+            return False
+        server, sent = backend.server, self._clock.now()
+        home = self._homes.home_of(server.backend, server.zone, sent)
+        if home is None or home == self._identity.host:
+            return False
+        reply = await self._peers.call(
+            home, lambda call: PositionQuery(call, service.name, server.backend)
+        )
+        if not isinstance(reply, PositionReply) or reply.sample is None:
+            return False
+        if service.may_start_primary_work(backend):
+            taken_at = sent - milliseconds(reply.sample.age_ms)
+            service.samples.add(taken_at, reply.sample.position)
+        return True
+
+    # Reads of other hosts ----------------------------------------------------------------------
+
+    async def serve(self, read: SharedRead) -> SharedReadReply:
+        """Run a read of another host at a backend server and return its answer or a refusal."""
+        service = self._find_service(read.service)
+        backend = None if service is None else service.backends.get(read.backend)
+        if backend is None:
+            reason = "this host does not know the backend server"
+            return _refuse(read, Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason), 0)
+        self._metrics.shared_reads.labels("served").inc()
+        route = Route(
+            DatabaseName(""),
+            service.name,
+            PrimaryReads(),
+            milliseconds(read.timeout_ms),
+            milliseconds(read.remaining_ms),
+            PriorityRank(read.rank),
+        )
+        account = None if read.account is None else AccountId(read.account)
+        context = SessionContext("", account, dict(read.values))
+        reply = await self._run(service, backend, route, context, read)
+        expected_ms = int(to_milliseconds(service.expected_read_duration(backend)))
+        match reply:
+            case RelayedAnswer(answer):
+                is_from_primary = read.min_position is None
+                error = answer.error
+                return SharedReadReply(
+                    read.call,
+                    None,
+                    answer.rows,
+                    answer.completion_tag,
+                    None if error is None else error.kind.value,
+                    "" if error is None else error.text,
+                    answer.position,
+                    is_from_primary and service.may_start_primary_work(backend),
+                    expected_ms,
+                )
+            case ProxyFailure(result):
+                return _refuse(read, result, expected_ms)
+
+    async def _run(
+        self,
+        service: ServiceRuntime,
+        backend: Backend,
+        route: Route,
+        context: SessionContext,
+        read: SharedRead,
+    ) -> Reply:
+        arrived = self._clock.now()
+        target = OnPrimary() if read.min_position is None else AtPosition(read.min_position)
+        others = frozenset(service.backends) - {read.backend}
+        if isinstance(target, OnPrimary) and not service.may_start_primary_work(backend):
+            reason = "this host does not use the server as the primary"
+            return ProxyFailure(Result.not_run(ResultCode.NO_PRIMARY, reason))
+        grant = await service.acquire(route, target, arrived, context, others)
+        if isinstance(grant, Result):
+            return ProxyFailure(grant)
+        if isinstance(target, OnPrimary):
+            refusal = await check_primary(service, grant)
+            if refusal is not None:
+                return ProxyFailure(refusal)
+        if read.template is None:
+            template, statement = None, Access(AccessMode.READ)
+        else:
+            template = StatementTemplate(AccessMode.READ, read.template)
+            statement = Execute("", read.text)
+        request = Request(read.request_id, statement, read.text)
+        operation = AutocommitStatement(
+            service, route, context, request, AccessMode.READ, template, arrived
+        )
+        outcome = await operation.attempt(grant, read.min_position)
+        return ProxyFailure(outcome) if isinstance(outcome, Result) else outcome
+
+    async def serve_position(self, query: PositionQuery) -> PositionReply:
+        """Return a sample of the primary's position that is younger than ``POSITION_MAX_AGE``."""
+        service = self._find_service(query.service)
+        if service is None or service.primary != query.primary:
+            return PositionReply(query.call, None)
+        newest = service.samples.newest()
+        if newest is None or self._clock.now() > newest.taken_at + POSITION_MAX_AGE:
+            await service.sample_position()
+            newest = service.samples.newest()
+        if newest is None or service.primary != query.primary:
+            return PositionReply(query.call, None)
+        age_ms = int(to_milliseconds(self._clock.now() - newest.taken_at)) + 1
+        return PositionReply(query.call, PositionSample(service.name, newest.position, age_ms))
+
+    def close(self) -> None:
+        """End the questions under way."""
+        self._background.cancel()
+
+
+def _refuse(read: SharedRead, result: Result, expected_ms: int) -> SharedReadReply:
+    return SharedReadReply(read.call, result, (), "", None, "", None, False, expected_ms)
--- a/hickorywind/observability/hostmetrics.py
+++ b/hickorywind/observability/hostmetrics.py
@@ -55,6 +55,12 @@
             "Operations admitted by this host's own share of a quota",
             registry=registry,
         )
+        self.shared_reads = Counter(
+            f"{_PREFIX}_shared_reads",
+            "Reads run by the home of a backend server for another host",
+            ("side",),
+            registry=registry,
+        )
         self._request_series: dict[tuple[str, int], Counter] = {}
 
     @classmethod
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -509,6 +509,61 @@
     call: int
 
 
+class SharedRead(msgspec.Struct, frozen=True, tag="sread", array_like=True):
+    """Request to the home of a backend server to run a read there for a caller of the sender.
+
+    ``text`` is the statement, or the arguments of a prepared one whose text is ``template``.
+    ``values`` are the session's values. The server has to hold ``min_position``; None asks for the
+    primary. The read may wait for ``remaining_ms`` and take ``timeout_ms`` at the server.
+    """
+
+    call: int
+    request_id: str
+    service: ServiceName
+    backend: BackendId
+    account: str | None
+    rank: int
+    text: str
+    template: str | None
+    values: dict[str, str]
+    min_position: LogPosition | None
+    remaining_ms: int
+    timeout_ms: int
+
+
+class SharedReadReply(msgspec.Struct, frozen=True, tag="sread_ok", array_like=True):
+    """Reply to a ``SharedRead``: the server's answer, or a refusal if the read did not run.
+
+    ``is_from_primary`` says that the home used the server as the primary before and after the read.
+    ``expected_ms`` is how long the home expects the next read at the server to take.
+    """
+
+    call: int
+    refusal: Result | None
+    rows: tuple[str, ...]
+    completion_tag: str
+    error_kind: str | None
+    error_text: str
+    position: LogPosition | None
+    is_from_primary: bool
+    expected_ms: int
+
+
+class PositionQuery(msgspec.Struct, frozen=True, tag="pos", array_like=True):
+    """Request to the home of a service's primary for a recent sample of its log position."""
+
+    call: int
+    service: ServiceName
+    primary: BackendId
+
+
+class PositionReply(msgspec.Struct, frozen=True, tag="pos_ok", array_like=True):
+    """Reply to a ``PositionQuery``; no sample if the home does not use this server as primary."""
+
+    call: int
+    sample: PositionSample | None
+
+
 Message = (
     Execute
     | Cancel
@@ -550,6 +605,10 @@
     | StoreWriteReply
     | EndLease
     | EndLeaseReply
+    | SharedRead
+    | SharedReadReply
+    | PositionQuery
+    | PositionReply
     | QuotaQuery
     | QuotaReply
     | QuotaTakeover
--- a/hickorywind/settings/host.py
+++ b/hickorywind/settings/host.py
@@ -24,8 +24,9 @@
     leaving. ``log_bytes_per_second`` limits the volume of the logs. ``status_listen`` is a
     loopback address where the command line reads the host's state; empty for none.
     ``store_watchers_per_zone`` is how many hosts of an availability zone watch the store for the
-    others in a large fleet; 0 means that every host does. ``quota_slack_operations`` is what the
-    deployment accepts beyond the quota of a client account.
+    others in a large fleet; 0 means that every host does. ``share_reads`` lets one host in the zone
+    of each backend server run the reads of all hosts, where these outnumber its connections.
+    ``quota_slack_operations`` is what the deployment accepts beyond the quota of a client account.
     """
 
     host: HostId
@@ -43,6 +44,7 @@
     log_bytes_per_second: int = 100_000
     status_listen: str = ""
     store_watchers_per_zone: int = 0
+    share_reads: bool = False
     quota_slack_operations: int = 0
     log: LogSettings = LogSettings()
 
--- a/tests/host/harness.py
+++ b/tests/host/harness.py
@@ -152,8 +152,8 @@
             while not condition():
                 await asyncio.sleep(0.01)
 
-    async def caller(self, database, host="h0"):
-        caller = await Caller.connect(self.hosts[host].settings.callers_listen, database)
+    async def caller(self, database, host="h0", client="u1"):
+        caller = await Caller.connect(self.hosts[host].settings.callers_listen, database, client)
         self.addCleanup(caller.close)
         return caller
 
@@ -197,7 +197,7 @@
         clock=None,
         zone="z1",
         zones=ZONES,
-        watchers=0,
+        changes=None,
     ):
         self.coordinator = MemoryCoordinationStore(store)
         self.coordinator.is_cut = is_cut
@@ -214,7 +214,7 @@
             control=str(free_address()),
             zones=dict(zones),
             stop_grace_seconds=2.0,
-            store_watchers_per_zone=watchers,
+            **(changes or {}),
         )
         adapters = Adapters(LineCallerCodec, LineBackendCodec, self.coordinator, group, SCHEMA)
         clock = clock or BoottimeClock()
--- a/tests/host/test_largefleet.py
+++ b/tests/host/test_largefleet.py
@@ -41,7 +41,7 @@
             clock,
             zone,
             ZONES,
-            self.watchers_per_zone,
+            {"store_watchers_per_zone": self.watchers_per_zone},
         )
 
     async def asyncSetUp(self):
