Open a leadership record only in a new term; use primaries only in the recorded one

Cause: a promotion counted as done once the candidate called itself primary. A former primary that had come back in its old term did so before the accepted order took effect, so the record opened it at once and all hosts sent it writes, which it ran in its old term though another server had led since. Hosts checked the role alone, too.

Change: LeadershipRecord.term (0 in records of older processes): open, the primary's term; closed, the newest term known to have ended. A promotion has taken effect when the candidate leads above that and not below any term seen since. Connections count as those to the primary, and give position samples, only in the recorded term or above; a lower one is LOST_LEAD; the old primary is reopened only in the record's term. The choice of the successor is a decision without I/O (failover/succession.py). Beyond the plain rule, since the platform answers an order for its present primary with 200 and changes nothing: a server that leads in a term that no host used (late promotion) is taken, with the term before as the ended one; a claim of the recorded term under another name yields to replicas that have its log within 0.5 s and is not ordered twice; a claim of an older term comes last. Otherwise such a server would block the change for ever.

The stand-in group got promotion_delay_seconds.

--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -20,7 +20,15 @@
 
 import msgspec
 
-from hickorywind.ids import Address, AvailabilityZone, BackendId, HostId, Revision, ServiceName
+from hickorywind.ids import (
+    Address,
+    AvailabilityZone,
+    BackendId,
+    HostId,
+    Revision,
+    ServiceName,
+    Term,
+)
 from hickorywind.ports.coordination import LeaseId
 from hickorywind.util.clock import Instant
 
@@ -48,6 +56,10 @@
 
     While the record is closed, the host ``promoter`` is replacing the primary by the backend server
     ``candidate``. ``change`` counts the primary changes begun for the service.
+
+    ``term`` of an open record is the term in which the primary leads, or 0 if that is unknown.
+    ``term`` of a closed record is the newest term known to have ended: only a server that leads in
+    a higher one may become primary. Records that follow each other never have a lower term.
     """
 
     primary: BackendId
@@ -56,6 +68,7 @@
     promoter: HostId = HostId("")
     candidate: BackendId = BackendId("")
     is_planned: bool = False
+    term: Term = Term(0)
 
 
 class HostRecord(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/hickorywind/failover/succession.py
@@ -0,0 +1,76 @@
+"""Choice of the successor of a primary, and of the term above which it must lead.
+
+A server that was primary, failed and came back may call itself primary in its old term although
+another one led since. Its role alone therefore proves nothing; its term must be new.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from hickorywind.ids import BackendId, InstanceRole, Term
+from hickorywind.ports.replies import ServerStatus
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """Backend server that could become primary, with its status; ``distance`` is to this host."""
+
+    backend: BackendId
+    status: ServerStatus
+    distance: float
+
+
+@dataclass(frozen=True, slots=True)
+class KnownTerms:
+    """Terms known of a service whose primary is to be replaced.
+
+    Hosts may have used a primary in terms up to ``used``, which is 0 if that is unknown. ``newest``
+    is the highest term that a record, a status or a log position of the service has shown.
+    """
+
+    used: Term
+    newest: Term
+
+    def is_new_leader(self, status: ServerStatus) -> bool:
+        """Return whether a server leads in the newest term, which no host has used.
+
+        Its promotion took effect late. Each term has one leader, so this one is the present one.
+        """
+        is_newest = status.term == self.newest > self.used > 0
+        return status.role is InstanceRole.PRIMARY and is_newest
+
+    def claims_old_lead(self, status: ServerStatus) -> bool:
+        """Return whether a server calls itself primary in a term that does not prove it."""
+        return status.role is InstanceRole.PRIMARY and not self.is_new_leader(status)
+
+    def ended_term(self, successor: ServerStatus) -> Term:
+        """Return the term above which a successor with a given status must lead."""
+        return Term(self.newest - 1) if self.is_new_leader(successor) else self.newest
+
+    def choose_successor(
+        self, candidates: Iterable[Candidate], passed_over: BackendId | None = None
+    ) -> Candidate | None:
+        """Return the candidate with the most advanced log, or None without candidates.
+
+        A new leader comes first. A server that claims an old lead comes after equally advanced
+        replicas, as the platform does not give a new term to a server that it takes for primary;
+        it comes last if a newer term is known, or if it is ``passed_over`` for having stayed in its
+        old term when it was to be promoted.
+        """
+
+        def preference(candidate: Candidate) -> tuple:
+            status = candidate.status
+            claims_old_lead = self.claims_old_lead(status)
+            is_last = status.term < self.newest or candidate.backend == passed_over
+            return (
+                self.is_new_leader(status),
+                not (claims_old_lead and is_last),
+                status.received_position,
+                not claims_old_lead,
+                -candidate.distance,
+                candidate.backend,
+            )
+
+        return max(candidates, key=preference, default=None)
--- a/hickorywind/host/autocommit.py
+++ b/hickorywind/host/autocommit.py
@@ -64,9 +64,7 @@
 
     async def _attempt(self, grant: Grant, min_position: LogPosition | None) -> Reply | Result:
         backend, connection = grant.backend, grant.connection
-        is_position_sample = (
-            connection.is_verified_primary and self._service.may_start_primary_work(backend)
-        )
+        is_position_sample = self._service.may_sample(backend, connection)
         setup, count = connection.encode_session_setup(self._context.values, self._template)
         payload = setup + encode_request(connection, self._request, self._template, min_position)
         sent = self._service.clock.now()
--- a/hickorywind/host/backendconnection.py
+++ b/hickorywind/host/backendconnection.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 
-from hickorywind.ids import AccessMode, BackendId
+from hickorywind.ids import AccessMode, BackendId, Term
 from hickorywind.ports.catalog import BackendServer
 from hickorywind.ports.codecs import BackendCodec
 from hickorywind.ports.replies import Answer, BackendErrorKind, TransactionState
@@ -61,7 +61,8 @@
         self.idle_since: Instant = timedelta(0)
         self.is_lost = False
         self.closed_locally = False
-        self.is_verified_primary = False
+        # Term in which the server led when it last gave its status here; None as a replica.
+        self.primary_term: Term | None = None
         self.on_lost: Callable[[BackendConnection], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._answers: list[Answer] = []
--- a/hickorywind/host/detection.py
+++ b/hickorywind/host/detection.py
@@ -15,7 +15,7 @@
 from hickorywind.host.peers import Peers
 from hickorywind.host.service import STATUS_TIMEOUT, ServiceRuntime
 from hickorywind.host.servicestate import UNRESPONSIVE_AFTER, Backend
-from hickorywind.ids import BackendId, InstanceRole
+from hickorywind.ids import BackendId
 from hickorywind.ports.replies import BackendErrorKind
 from hickorywind.protocol.messages import (
     ReachQuery,
@@ -33,10 +33,11 @@
 class PrimaryVerdict(Enum):
     """Result of the check of a suspected primary.
 
-    ``LEADS``: its status says that it is primary; ``RUNNING``: it accepts connections but gave no
-    status; ``LOST_LEAD``: it is a replica, or another server uses its address; ``FAILED``: neither
-    this host nor a quorum of its peers reaches it or gets an answer; ``REACHED_BY_OTHERS``: only
-    peers reach it; ``UNKNOWN``: this host does not reach it and too few peers replied.
+    ``LEADS``: its status says that it is primary in the recorded term or a later one; ``RUNNING``:
+    it accepts connections but gave no status; ``LOST_LEAD``: it is a replica, or primary in an
+    older term, or another server uses its address; ``FAILED``: neither this host nor a quorum of
+    its peers reaches it or gets an answer; ``REACHED_BY_OTHERS``: only peers reach it; ``UNKNOWN``:
+    this host does not reach it and too few peers replied.
     """
 
     LEADS = "leads"
@@ -124,7 +125,7 @@
     status = backend.connections.decode_status(answer)
     if status is None:
         return PrimaryVerdict.RUNNING
-    leads = status.role is InstanceRole.PRIMARY
+    leads = runtime.leads_as_recorded(backend, status.leading_term)
     return PrimaryVerdict.LEADS if leads else PrimaryVerdict.LOST_LEAD
 
 
--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -25,6 +25,7 @@
 from hickorywind.host.peers import Peers
 from hickorywind.host.promotion import (
     Promotion,
+    PromotionFailure,
     choose_successor,
     query_server,
     wait_for_catch_up,
@@ -33,7 +34,7 @@
 from hickorywind.host.servicestate import PrimaryState
 from hickorywind.host.silenthosts import SilentHostFencer
 from hickorywind.host.storerelay import StoreRelay
-from hickorywind.ids import BackendId, HostId, InstanceRole, Revision, ServiceName
+from hickorywind.ids import BackendId, HostId, InstanceRole, Revision, ServiceName, Term
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.placement.rendezvous import rank_members
 from hickorywind.ports.catalog import BackendState
@@ -224,9 +225,18 @@
             return
         if not await self._defer_to_higher_ranks(None, service):
             return
-        record = LeadershipRecord(primaries[0], LeadershipPhase.OPEN, 0)
+        term = await self._query_leading_term(self._services[service], primaries[0])
+        record = LeadershipRecord(
+            primaries[0], LeadershipPhase.OPEN, 0, term=Term(0) if term is None else term
+        )
         await self.store.write(service, record, Revision(0))
 
+    async def _query_leading_term(self, runtime: ServiceRuntime, primary: BackendId) -> Term | None:
+        """Return the term in which a server calls itself primary, or None."""
+        backend = runtime.backends.get(primary)
+        status = None if backend is None else await query_server(runtime, backend)
+        return None if status is None else status.leading_term
+
     # Failed primaries --------------------------------------------------------------------------
 
     async def _investigate(self, service: ServiceName, reason: str) -> None:
@@ -291,10 +301,10 @@
             backend.server.address, CONNECT_PROBE_TIMEOUT
         ):
             return False
-        status = await query_server(runtime, backend)
-        if status is None or status.role is not InstanceRole.PRIMARY:
+        term = await self._query_leading_term(runtime, closed.record.primary)
+        if term is None or term < max(closed.record.term, runtime.newest_term):
             return False
-        await self._open(runtime, closed, closed.record.primary)
+        await self._open(runtime, closed, closed.record.primary, term)
         return True
 
     # Planned changes and changes started by other hosts ----------------------------------------
@@ -325,7 +335,8 @@
         runtime = self._services[service]
         runtime.set_primary_state(PrimaryState.CHANGING)
         previous = leadership.record
-        record = self._closed_record(previous, previous.candidate, previous.is_planned)
+        term = Term(max(previous.term, runtime.used_term))
+        record = self._closed_record(previous, previous.candidate, previous.is_planned, term)
         closed = await self.store.write(service, record, leadership.revision)
         fencing = await self._fence_completely(runtime, closed)
         await self._promote_and_open(runtime, closed, fencing)
@@ -333,16 +344,25 @@
     # Steps -------------------------------------------------------------------------------------
 
     async def _close(
-        self, runtime: ServiceRuntime, leadership: VersionedLeadership, is_planned: bool
+        self,
+        runtime: ServiceRuntime,
+        leadership: VersionedLeadership,
+        is_planned: bool,
+        passed_over: BackendId | None = None,
     ) -> VersionedLeadership:
-        successor = await choose_successor(runtime, leadership.record.primary)
-        if successor is None:
+        chosen = await choose_successor(runtime, leadership.record, self._clock, passed_over)
+        if chosen is None:
             raise PrimaryChangeCancelledError("no backend server can be promoted")
-        record = self._closed_record(leadership.record, successor, is_planned)
+        successor, ended_term = chosen
+        record = self._closed_record(leadership.record, successor, is_planned, ended_term)
         return await self.store.write(runtime.name, record, leadership.revision)
 
     def _closed_record(
-        self, record: LeadershipRecord, successor: BackendId, is_planned: bool
+        self,
+        record: LeadershipRecord,
+        successor: BackendId,
+        is_planned: bool,
+        ended_term: Term,
     ) -> LeadershipRecord:
         return LeadershipRecord(
             record.primary,
@@ -351,6 +371,7 @@
             self._identity.host,
             successor,
             is_planned,
+            ended_term,
         )
 
     async def _fence_completely(
@@ -364,19 +385,30 @@
     async def _promote_and_open(
         self, runtime: ServiceRuntime, closed: VersionedLeadership, fencing: Fencing
     ) -> None:
-        while not await self._promotion.run(runtime, closed, fencing):
-            closed = await self._close(runtime, closed, is_planned=False)
+        while True:
+            outcome = await self._promotion.run(runtime, closed, fencing)
+            if not isinstance(outcome, PromotionFailure):
+                break
+            has_no_effect = outcome is PromotionFailure.NO_EFFECT
+            passed_over = closed.record.candidate if has_no_effect else None
+            closed = await self._close(runtime, closed, False, passed_over)
         while not fencing.is_complete(self._clock.now()):
             # The old primary ran again before the promotion took effect, so silent hosts may have
             # used it: wait until their permits have expired.
             await self._fencer.poll(runtime, closed, fencing)
-        await self._open(runtime, closed, closed.record.candidate)
+        await self._open(runtime, closed, closed.record.candidate, outcome)
         self._metrics.failovers.inc()
 
     async def _open(
-        self, runtime: ServiceRuntime, closed: VersionedLeadership, primary: BackendId
+        self,
+        runtime: ServiceRuntime,
+        closed: VersionedLeadership,
+        primary: BackendId,
+        term: Term,
     ) -> None:
-        record = LeadershipRecord(primary, LeadershipPhase.OPEN, closed.record.change + 1)
+        record = LeadershipRecord(
+            primary, LeadershipPhase.OPEN, closed.record.change + 1, term=term
+        )
         while True:
             try:
                 await self.store.write(runtime.name, record, closed.revision)
@@ -386,7 +418,10 @@
                     "leadership_not_opened", extra={"service": runtime.name, "reason": str(error)}
                 )
         runtime.set_primary_state(PrimaryState.USABLE)
-        logger.info("primary_changed", extra={"service": runtime.name, "backend": primary})
+        logger.info(
+            "primary_changed",
+            extra={"service": runtime.name, "backend": primary, "term": term},
+        )
 
     def close(self) -> None:
         """Cancel all primary changes and start no more."""
--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -270,6 +270,7 @@
                         "primary": record.primary,
                         "phase": record.phase,
                         "change": record.change,
+                        "term": record.term,
                         "revision": item.revision,
                         "source": source,
                     },
--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -5,14 +5,16 @@
 import asyncio
 import logging
 from datetime import timedelta
+from enum import Enum
 
 from hickorywind.failover.leadership import Fencing, LeadershipRecord, VersionedLeadership
+from hickorywind.failover.succession import Candidate, KnownTerms
 from hickorywind.host.backendconnection import ConnectionLostError, ConnectionRejectedError
 from hickorywind.host.fencer import Fencer
 from hickorywind.host.leadershipstore import STORE_RETRY_DELAY, LeadershipStore
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import Backend
-from hickorywind.ids import BackendId, HostId, InstanceRole
+from hickorywind.ids import BackendId, HostId, Term
 from hickorywind.ports.catalog import BackendState
 from hickorywind.ports.coordination import FencingToken, Promoter, PromotionOutcome
 from hickorywind.ports.replies import ServerStatus
@@ -23,7 +25,10 @@
 
 CATCH_UP_TIMEOUT = timedelta(milliseconds=1500)  # for the successor in a planned change
 PROMOTION_TIMEOUT = timedelta(seconds=4)  # until one promotion takes effect
-PROMOTION_POLL_INTERVAL = timedelta(milliseconds=60)  # between queries of the successor's role
+PROMOTION_POLL_INTERVAL = timedelta(milliseconds=60)  # between queries of the successor's status
+# For a replica to receive the log of a server that claims an old lead, so that it can be promoted
+# instead; log entries cross regions in a fraction of this.
+OLD_LEAD_CATCH_UP_TIMEOUT = timedelta(milliseconds=500)
 PROMOTION_RESEND_INTERVAL = timedelta(milliseconds=1500)  # the order or its answer may be lost
 STATUS_ATTEMPTS = 2  # a server without a free slot gives no status; a retry mostly gets one
 STATUS_RETRY_DELAY = timedelta(milliseconds=50)
@@ -47,20 +52,46 @@
     return None
 
 
-async def choose_successor(runtime: ServiceRuntime, old_primary: BackendId) -> BackendId | None:
-    """Return the replica that received the most log, or None if no replica answers."""
-    candidates = [
+async def choose_successor(
+    runtime: ServiceRuntime,
+    record: LeadershipRecord,
+    clock: Clock,
+    passed_over: BackendId | None = None,
+) -> tuple[BackendId, Term] | None:
+    """Return the successor of a primary and the term above which it must lead.
+
+    Return None if no candidate answers. If the best one claims an old lead, replicas get
+    ``OLD_LEAD_CATCH_UP_TIMEOUT`` to receive its log, and are then preferred.
+    """
+    deadline = clock.now() + OLD_LEAD_CATCH_UP_TIMEOUT
+    while True:
+        candidates = await _query_candidates(runtime, record.primary)
+        terms = KnownTerms(
+            Term(max(record.term, runtime.used_term)), Term(max(record.term, runtime.newest_term))
+        )
+        chosen = terms.choose_successor(candidates, passed_over)
+        if chosen is None:
+            return None
+        may_be_overtaken = terms.claims_old_lead(chosen.status) and any(
+            not terms.claims_old_lead(candidate.status) for candidate in candidates
+        )
+        if not may_be_overtaken or clock.now() >= deadline:
+            return chosen.backend, terms.ended_term(chosen.status)
+        await asyncio.sleep(PROMOTION_POLL_INTERVAL.total_seconds())
+
+
+async def _query_candidates(runtime: ServiceRuntime, old_primary: BackendId) -> list[Candidate]:
+    backends = [
         backend
         for backend in runtime.backends.values()
         if backend.server.backend != old_primary and backend.server.state is BackendState.READY
     ]
-    statuses = await asyncio.gather(*(query_server(runtime, candidate) for candidate in candidates))
-    answered = [
-        (status.received_position, -backend.load.distance, backend.server.backend)
-        for backend, status in zip(candidates, statuses, strict=True)
+    statuses = await asyncio.gather(*(query_server(runtime, backend) for backend in backends))
+    return [
+        Candidate(backend.server.backend, status, backend.load.distance)
+        for backend, status in zip(backends, statuses, strict=True)
         if status is not None
     ]
-    return max(answered)[-1] if answered else None
 
 
 async def wait_for_catch_up(
@@ -83,6 +114,18 @@
         await asyncio.sleep(PROMOTION_POLL_INTERVAL.total_seconds())
 
 
+class PromotionFailure(Enum):
+    """Why a candidate did not become primary.
+
+    ``NOT_ORDERED``: another host may have taken over the change; ``NOT_RUNNING``: the candidate has
+    gone; ``NO_EFFECT``: it did not lead in a new term in time after an order.
+    """
+
+    NOT_ORDERED = "not_ordered"
+    NOT_RUNNING = "not_running"
+    NO_EFFECT = "no_effect"
+
+
 class Promotion:
     """Promotion of the candidate that a closed leadership record names."""
 
@@ -102,31 +145,33 @@
 
     async def run(
         self, runtime: ServiceRuntime, closed: VersionedLeadership, fencing: Fencing
-    ) -> bool:
-        """Order the promotion and wait until the candidate is primary.
+    ) -> Term | PromotionFailure:
+        """Order the promotion, wait until the candidate leads in a new term and return that term.
 
-        Return False if it did not become primary: the caller must write a new closed record and try
-        again. Raise ``PrimaryChangeCancelledError`` if another host took over the change.
+        An accepted order alone proves nothing. After a failure the caller must write a new closed
+        record and try again. Raise ``PrimaryChangeCancelledError`` if another host took over the
+        change.
         """
         record = closed.record
         deadline = self._clock.now() + PROMOTION_TIMEOUT
         next_order_at = self._clock.now()
-        has_ordered = False
+        has_ordered = was_sent = has_logged_old_lead = False
         while self._clock.now() < deadline:
             if self._clock.now() >= next_order_at:
                 if not has_ordered and not self._store.is_exclusive(runtime.name, closed):
                     # Writing the record again gives this host a new exclusive period by one store
                     # call, longer than the one that a read gives.
-                    return False
+                    return PromotionFailure.NOT_ORDERED
                 outcome = await self._order(runtime, closed)
                 if outcome is PromotionOutcome.NOT_RUNNING:
-                    return False
+                    return PromotionFailure.NOT_RUNNING
                 has_ordered = True
+                was_sent |= outcome is not None
                 delay = STORE_RETRY_DELAY if outcome is None else PROMOTION_RESEND_INTERVAL
                 next_order_at = self._clock.now() + delay
             backend = runtime.backends.get(record.candidate)
             if backend is None:
-                return False
+                return PromotionFailure.NOT_RUNNING
             status = await query_server(runtime, backend)
             if fencing.is_primary_gone:
                 # If the old primary runs again before the promotion takes effect, silent hosts
@@ -134,10 +179,23 @@
                 fencing.is_primary_gone = await self._fencer.has_primary_exited(
                     runtime, record.primary
                 )
-            if status is not None and status.role is InstanceRole.PRIMARY:
-                return True
+            led = None if status is None else status.leading_term
+            if led is not None and led > record.term and led >= runtime.newest_term:
+                return led
+            if led is not None and not has_logged_old_lead:
+                has_logged_old_lead = True
+                logger.warning(
+                    "candidate_leads_in_old_term",
+                    extra={
+                        "service": runtime.name,
+                        "backend": record.candidate,
+                        "term": led,
+                        "ended_term": record.term,
+                        "newest_term": runtime.newest_term,
+                    },
+                )
             await asyncio.sleep(PROMOTION_POLL_INTERVAL.total_seconds())
-        return False
+        return PromotionFailure.NO_EFFECT if was_sent else PromotionFailure.NOT_ORDERED
 
     async def _order(
         self, runtime: ServiceRuntime, closed: VersionedLeadership
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -16,6 +16,7 @@
     ServerState,
     Target,
 )
+from hickorywind.failover.leadership import LeadershipPhase
 from hickorywind.host.backendconnection import (
     BackendConnection,
     ConnectionLostError,
@@ -32,10 +33,10 @@
     ServiceView,
 )
 from hickorywind.host.sessioncontext import SessionContext
-from hickorywind.ids import AvailabilityZone, BackendId, InstanceRole, ServiceName
+from hickorywind.ids import AvailabilityZone, BackendId, ServiceName, Term
 from hickorywind.ports.catalog import BackendServer, BackendState, Route, Topology
 from hickorywind.ports.codecs import BackendCodec
-from hickorywind.ports.replies import Answer, BackendErrorKind
+from hickorywind.ports.replies import Answer, BackendErrorKind, ServerStatus
 from hickorywind.results import Result, ResultCode
 from hickorywind.routing.samples import PositionSamples
 from hickorywind.util.clock import Clock, Instant, to_milliseconds
@@ -62,6 +63,7 @@
 # Load is uneven, so a host may hold this multiple of its even share of the connections.
 CONNECTION_SHARE_FACTOR = 1.3
 MIN_CONNECTION_LIMIT = 2  # connections that a host may hold regardless of the number of hosts
+NOT_LEADING = "the primary answers as a replica or in an old term"
 _CALLER_DISCONNECTED = Result.not_run(ResultCode.CANCELLED, "the caller disconnected")
 
 
@@ -69,6 +71,8 @@
     """Backend servers, operation queue and position samples of one database service.
 
     ``on_primary_suspected`` is called with the service and a reason if the primary may have failed.
+    ``newest_term`` is the highest term seen in statuses and log positions of the backend servers,
+    ``used_term`` the highest one in which this host found the usable primary to lead.
     """
 
     def __init__(
@@ -92,6 +96,8 @@
         self.clock = clock
         self.backends: dict[BackendId, Backend] = {}
         self.samples = PositionSamples()
+        self.newest_term = Term(0)
+        self.used_term = Term(0)
         self.primary_state = PrimaryState.USABLE
         self.on_primary_suspected: Callable[[ServiceName, str], None] = lambda service, reason: None
         self.host_count = 1
@@ -190,6 +196,12 @@
         """Return whether work that started on a backend server as the primary may complete."""
         return self.fleet.permits.may_finish(self.name, backend.server.backend, self.fleet.now())
 
+    def may_sample(self, backend: Backend, connection: BackendConnection) -> bool:
+        """Return whether answers to work sent now on a connection are position samples."""
+        return self.may_start_primary_work(backend) and self.is_verified_primary(
+            backend, connection
+        )
+
     def usable_primary_backend(self) -> Backend | None:
         """Return the primary, or None if this host may not use one now."""
         primary = self.fleet.usable_primary(self.name)
@@ -454,6 +466,24 @@
         leadership = self.fleet.permits.leadership(self.name)
         return None if leadership is None else leadership.record.primary
 
+    def leads_as_recorded(self, backend: Backend, term: Term | None) -> bool:
+        """Return whether a server that leads in a term, or in none, may be used as the primary.
+
+        A primary that was replaced and came back may call itself primary in its old term.
+        """
+        return term is not None and term >= self._recorded_term(backend.server.backend)
+
+    def _recorded_term(self, backend: BackendId) -> Term:
+        leadership = self.fleet.permits.leadership(self.name)
+        if leadership is None or leadership.record.primary != backend:
+            return Term(0)
+        is_open = leadership.record.phase is LeadershipPhase.OPEN
+        return leadership.record.term if is_open else Term(0)
+
+    def is_verified_primary(self, backend: Backend, connection: BackendConnection) -> bool:
+        """Return whether a connection is known to reach a primary of the recorded term."""
+        return self.leads_as_recorded(backend, connection.primary_term)
+
     def release_unanswered_slot(self, backend: Backend | None) -> None:
         """Release the slot of a statement that got no answer or was not sent."""
         if backend is not None:
@@ -474,6 +504,7 @@
         if answer.position is None:
             return
         backend.load.record_position(answer.position)
+        self.newest_term = max(self.newest_term, answer.position.term)
         if is_position_sample:
             self.samples.add(sent, answer.position)
 
@@ -518,8 +549,8 @@
             self.record_connection_failure(backend, error)
             return
         status = backend.connections.decode_status(answer)
-        if status is not None and status.role is not InstanceRole.PRIMARY:
-            self.on_primary_suspected(self.name, "the primary answers as a replica")
+        if status is not None and not self.leads_as_recorded(backend, status.leading_term):
+            self.on_primary_suspected(self.name, NOT_LEADING)
 
     async def query_status(self, backend: Backend) -> Answer:
         """Return a backend server's answer to a status query.
@@ -532,25 +563,38 @@
         answers = await connection.exchange(connection.codec.encode_status(), 1, STATUS_TIMEOUT)
         backend.connections.release(connection)
         status = backend.connections.decode_status(answers[0])
-        connection.is_verified_primary = status is not None and status.role is InstanceRole.PRIMARY
-        is_primary = is_primary and connection.is_verified_primary
+        self._record_status(backend, connection, status)
+        is_primary = is_primary and self.is_verified_primary(backend, connection)
         self.record_answer(backend, answers[0], sent, is_primary)
         return answers[0]
 
+    def _record_status(
+        self, backend: Backend, connection: BackendConnection, status: ServerStatus | None
+    ) -> None:
+        connection.primary_term = None if status is None else status.leading_term
+        if status is None:
+            return
+        self.newest_term = max(self.newest_term, status.term, status.received_position.term)
+        is_used = self.fleet.usable_primary(self.name) == backend.server.backend
+        if is_used and self.is_verified_primary(backend, connection):
+            self.used_term = max(self.used_term, status.term)
+
     async def verify_primary(self, backend: Backend, connection: BackendConnection) -> bool:
-        """Return whether a connection reaches a server in the primary role.
+        """Return whether a connection reaches a primary of the recorded term.
 
-        It is checked once for each connection, as a restarted server may have become a replica.
+        It is checked once for each connection and term, as a restarted server may have become a
+        replica, or may call itself primary in a term that has ended.
         Raise ``ConnectionLostError`` if the server does not answer.
         """
-        if connection.is_verified_primary:
+        if self.is_verified_primary(backend, connection):
             return True
         answers = await connection.exchange(connection.codec.encode_status(), 1, STATUS_TIMEOUT)
         status = backend.connections.decode_status(answers[0])
-        connection.is_verified_primary = status is not None and status.role is InstanceRole.PRIMARY
-        if status is not None and not connection.is_verified_primary:
-            self.on_primary_suspected(self.name, "the primary answers as a replica")
-        return connection.is_verified_primary
+        self._record_status(backend, connection, status)
+        is_primary = self.is_verified_primary(backend, connection)
+        if status is not None and not is_primary:
+            self.on_primary_suspected(self.name, NOT_LEADING)
+        return is_primary
 
     def close_scarce_connections(self) -> None:
         """Close idle connections to servers that have too few for all hosts."""
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -109,7 +109,7 @@
                 ResultCode.BACKEND_UNREACHABLE, f"begin failed: {error}", RETRY_SOON_MS
             )
         answer = answers[-1]
-        is_position_sample = on_primary and self.service.may_start_primary_work(backend)
+        is_position_sample = on_primary and self.service.may_sample(backend, connection)
         self.service.record_answer(backend, answer, sent, is_position_sample)
         if answer.is_ok and answer.state is TransactionState.OPEN:
             self._grant = grant
@@ -158,7 +158,7 @@
             return self._fail(self._connection_lost_result(mode, error))
         self.service.release_answered_slot(backend, sent)
         answer = answers[-1]
-        is_position_sample = self._runs_on_primary and self.service.may_start_primary_work(backend)
+        is_position_sample = self._runs_on_primary and self.service.may_sample(backend, connection)
         self.service.record_answer(backend, answer, sent, is_position_sample)
         if mode is None:
             return self._complete_commit(backend, connection, answer)
--- a/hickorywind/ports/replies.py
+++ b/hickorywind/ports/replies.py
@@ -87,6 +87,11 @@
     term: Term
     received_position: LogPosition
 
+    @property
+    def leading_term(self) -> Term | None:
+        """Term in which the server calls itself primary; None for a replica."""
+        return self.term if self.role is InstanceRole.PRIMARY else None
+
 
 @dataclass(frozen=True, slots=True)
 class RelayedAnswer:
--- a/standins/lineplatform/group.py
+++ b/standins/lineplatform/group.py
@@ -206,6 +206,7 @@
         self.commits: list[tuple[str, str]] = []
         self.commits_of_former_primary: list[tuple[str, str]] = []
         self.promotions: list[tuple[str, str, int]] = []
+        self.promotion_delay_seconds = 0.0
 
     async def start(self) -> None:
         """Start all backend servers."""
@@ -220,12 +221,24 @@
     async def promote(
         self, service: ServiceName, backend: BackendId, holder: HostId, token: FencingToken
     ) -> PromotionOutcome:
-        """Record a promotion order and, if the backend server runs, make it the primary."""
+        """Record a promotion order and, if the backend server runs, make it the primary.
+
+        With ``promotion_delay_seconds`` an accepted order takes effect that much later, unless the
+        server does not run then.
+        """
         self.promotions.append((holder, backend, token))
         new_primary = self.servers[backend]
         if not new_primary.is_running:
             return PromotionOutcome.NOT_RUNNING
-        self.make_primary(new_primary)
+        if not self.promotion_delay_seconds:
+            self.make_primary(new_primary)
+            return PromotionOutcome.ACCEPTED
+
+        def take_effect() -> None:
+            if new_primary.is_running:
+                self.make_primary(new_primary)
+
+        asyncio.get_running_loop().call_later(self.promotion_delay_seconds, take_effect)
         return PromotionOutcome.ACCEPTED
 
     def make_primary(self, new_primary: LineServer) -> None:
