Count refusals for one cause as one when a server is set back

Cause: BackendHealth doubled a server's backoff with each refusal, so 6 sessions whose writes were refused for 0.3 s by a leaving primary set it back for 5 s instead of 250 ms (traced in LeavingTest: 22 refusals with 3006 in 320 ms at one entry, 2 runs of 2). Writes have no other server, so they go on adding to it. Reads of the zone then went elsewhere for up to 5 s, and each later single failure set the server back by 5 s again. If that fell into the last seconds of LeavingTest's load, the read of test_leaving_replica ran elsewhere (known red). Change: refusals within a backoff don't extend it; it doubles when a refusal follows its end.

--- a/hickorywind/routing/health.py
+++ b/hickorywind/routing/health.py
@@ -30,18 +30,23 @@
 
 @dataclass
 class _Backoff:
-    """Period of lower preference that doubles with each refusal in a row."""
+    """Period of lower preference that doubles each time a refusal follows its end.
 
-    refusals: int = 0
+    Refusals within a period do not extend it: requests that run at the same time, and writes that
+    have no other server, are refused many times for one cause.
+    """
+
+    periods: int = 0
     until: Instant = timedelta(0)
 
-    def extend(self, now: Instant) -> None:
-        backoff = min(_INITIAL_BACKOFF * 2 ** min(self.refusals, 10), _MAX_BACKOFF)
-        self.refusals += 1
-        self.until = now + backoff
+    def record_refusal(self, now: Instant) -> None:
+        if now < self.until:
+            return
+        self.until = now + min(_INITIAL_BACKOFF * 2 ** min(self.periods, 10), _MAX_BACKOFF)
+        self.periods += 1
 
     def reset(self) -> None:
-        self.refusals = 0
+        self.periods = 0
         self.until = timedelta(0)
 
 
@@ -85,11 +90,11 @@
 
     def record_failure(self, backend: BackendId) -> None:
         """Record a failure, or a refusal that another backend server would not give."""
-        self._record_of(backend).failing.extend(self._clock.now())
+        self._record_of(backend).failing.record_refusal(self._clock.now())
 
     def record_behind(self, backend: BackendId) -> None:
         """Record that the data did not contain the log position that a read required."""
-        self._record_of(backend).behind.extend(self._clock.now())
+        self._record_of(backend).behind.record_refusal(self._clock.now())
 
     def record_too_stale(self, backend: BackendId, max_staleness_ms: int) -> None:
         """Record that the data could not be proven to be at most ``max_staleness_ms`` old."""
@@ -97,7 +102,7 @@
         now = self._clock.now()
         if record.stale.until <= now or max_staleness_ms > record.max_missed_staleness_ms:
             record.max_missed_staleness_ms = max_staleness_ms
-        record.stale.extend(now)
+        record.stale.record_refusal(now)
 
     def is_deprioritized(
         self, backend: BackendId, requirement: FreshnessRequirement = NO_REQUIREMENT
