Require no log position of batches that can't show data

Cause: psycopg prepares a statement with a batch of Parse and Sync. BEGIN READ ONLY alone at a replica fails in the same way. Change: reads outside a transaction that execute nothing but a single BEGIN have no position. The replica is still chosen and waited for by the floor, and reads that follow are checked.

--- a/hickorywind/pool/batches.py
+++ b/hickorywind/pool/batches.py
@@ -8,6 +8,7 @@
 
 _BEGIN_KEYWORDS = (b"begin", b"start transaction")
 _END_KEYWORDS = (b"commit", b"end", b"rollback", b"abort")
+_EXECUTING_KINDS = (b"Q", b"E", b"F")
 _FIRST_STATEMENT_BYTES = 4_096
 
 
@@ -30,6 +31,12 @@
     return len(_statements(frames)) == 1
 
 
+def shows_no_data(frames: Sequence[Frame]) -> bool:
+    """Return whether a batch executes nothing but at most a single BEGIN."""
+    executes = any(frame.kind in _EXECUTING_KINDS for frame in frames)
+    return not executes or is_single_begin(frames)
+
+
 def _first_statement(frames: Sequence[Frame]) -> bytes:
     """Return the start of the first statement in lower case, without leading comments."""
     for frame in frames:
--- a/hickorywind/pool/requests.py
+++ b/hickorywind/pool/requests.py
@@ -18,7 +18,7 @@
 )
 from hickorywind.pool.answers import AnswerStream
 from hickorywind.pool.backendconnection import BackendConnection
-from hickorywind.pool.batches import leaves_transaction_open
+from hickorywind.pool.batches import leaves_transaction_open, shows_no_data
 from hickorywind.postgres.frames import Frame, FrameSplitter, FrameTooLargeError
 from hickorywind.protocol.channel import PeerId
 from hickorywind.protocol.messages import Execute
@@ -68,7 +68,8 @@
     ``applied_at_start`` are the last known role, term and applied position of the backend server
     when the request was started. ``connection`` is set while the batch runs.
     ``joined_transaction`` is set once the batch is counted in the transaction that it continues.
-    ``position`` is the log position that the backend server reported after the batch.
+    ``position`` is the log position that the backend server reported after the batch, None if the
+    batch can't show data.
     """
 
     key: RequestKey
@@ -125,6 +126,15 @@
             return False
         return leaves_transaction_open(self.frames)
 
+    @property
+    def is_read_without_data(self) -> bool:
+        """Return whether the request is a read outside a transaction that can't show data.
+
+        After such a batch the backend server reports no position, so the last one known is older.
+        """
+        is_outside_transaction = self.message.transaction_id is None
+        return not self.is_write and is_outside_transaction and shows_no_data(self.frames)
+
     def to_waiting_request(self) -> WaitingRequest:
         """Return the request in the form that the admission queue takes."""
         message = self.message
--- a/hickorywind/pool/runner.py
+++ b/hickorywind/pool/runner.py
@@ -97,7 +97,7 @@
             return _connection_lost(request, str(error))
         finally:
             request.connection = None
-            request.position = connection.position
+            request.position = None if request.is_read_without_data else connection.position
             self._transactions.return_connection(request, connection)
 
     async def _get_connection(self, request: PoolRequest) -> BackendConnection | None:
--- a/tests/pool/test_reads.py
+++ b/tests/pool/test_reads.py
@@ -4,6 +4,7 @@
 from hickorywind.ids import AccessMode, BackendId, LogPosition, SessionId, Term
 from hickorywind.protocol.records import GroupRecord
 from hickorywind.results import Outcome, ResultCode
+from tests.pool import extended
 from tests.pool.harness import SERVICE, running_pool
 
 TABLE = "CREATE TABLE t (id int primary key, v text)"
@@ -70,6 +71,24 @@
             unbounded = await entry.run(READ, **AT_REPLICA)
             self.assertEqual(unbounded.rows, ["0"])
 
+    async def test_batch_that_shows_no_data_needs_no_newer_position(self) -> None:
+        async with running_pool(count=3) as (_, entry):
+            await entry.run(TABLE)
+            await entry.run(READ, **AT_REPLICA)
+            written = await entry.run("INSERT INTO t VALUES (1, 'a')")
+            for batch in (
+                extended.parse("p1", READ) + extended.describe("S", "p1") + extended.SYNC,
+                "BEGIN READ ONLY",
+            ):
+                answer = await entry.run(batch, floor=written.end.position, **AT_REPLICA)
+                self.assertTrue(answer.result.is_ok, answer.result)
+                self.assertIsNone(answer.end.position)
+            key = answer.end.transaction_id
+            read = await entry.run(
+                READ, floor=written.end.position, transaction_id=key, **AT_REPLICA
+            )
+            self.assertEqual(read.rows, ["1"])
+
     async def test_answer_behind_a_floor_from_a_lost_log_tail_is_not_released(self) -> None:
         async with running_pool(count=3) as (_, entry):
             await entry.run(TABLE)
