Read the configuration again when one read of it fails

Cause: the only way to exit code 3 of config apply is a failed read while no write is in doubt, and one such read ended it: before the swap, or after the swap had already been refused because another change came first. The loser of the race was then told "the store did not answer, apply again later" instead of who won. Ruled out: the swap (its lost answers are resolved), the history (only logged), the fake store. Change: up to 2 failed reads are repeated after the usual delay of 500 ms; with more it ends with 7003 as before. In an outage the tool now says so after 3 reads instead of 1.

--- a/hickorywind/configuration/acceptance.py
+++ b/hickorywind/configuration/acceptance.py
@@ -30,6 +30,7 @@
 _DECOMPRESSED_LIMIT_BYTES = 67_108_864
 _JSON_START = b"{"
 _ATTEMPT_LIMIT = 8
+_READ_RETRY_LIMIT = 2  # a read changes nothing, and one late answer is not yet an outage
 _RETRY_DELAY = timedelta(milliseconds=500)
 
 
@@ -177,6 +178,7 @@
         self._base_change: ChangeId | None = None
         self._in_doubt = False
         self._attempts = 0
+        self._failed_reads = 0
 
     def start(self) -> Action:
         """Return the first action."""
@@ -243,9 +245,11 @@
     def on_read_failed(self) -> Action:
         """Return the next action after a failed read."""
         self._attempts += 1
-        if not self._in_doubt or self._attempts > _ATTEMPT_LIMIT:
-            return self._give_up(None)
-        return ReadCurrent(_RETRY_DELAY)
+        self._failed_reads += 1
+        must_resolve = self._in_doubt and self._attempts <= _ATTEMPT_LIMIT
+        if must_resolve or self._failed_reads <= _READ_RETRY_LIMIT:
+            return ReadCurrent(_RETRY_DELAY)
+        return self._give_up(None)
 
     def _give_up(self, current: StoredEnvelope | None) -> Finished:
         verdict = Verdict.UNKNOWN if self._in_doubt else Verdict.UNAVAILABLE
