--- a/tests/entry/test_wholepath.py
+++ b/tests/entry/test_wholepath.py
@@ -192,7 +192,8 @@
 
     async def test_concurrent_sessions_receive_their_own_answers(self):
         async def work(number: int) -> None:
-            connection = await self.connect()
+            # How fast this process gets through 60 writes is not what the test is about.
+            connection = await self.connect(timeout_ms="60000")
             for step in range(5):
                 key = number * 100 + step
                 await connection.execute("INSERT INTO t VALUES (%s, %s)", (key, str(key)))
--- a/tests/pool/harness.py
+++ b/tests/pool/harness.py
@@ -268,11 +268,13 @@
 class PoolUnderTest:
     """Pool that runs in this process, with its listener, dispatcher and workers."""
 
-    def __init__(self, group: BackendGroup, directory: Directory, connect=connect_control) -> None:
+    def __init__(
+        self, group: BackendGroup, directory: Directory, connect=connect_control, clock=None
+    ) -> None:
         self.group = group
         self.directory = directory
         self.address = Address("127.0.0.1", free_port())
-        clock = MonotonicClock()
+        clock = clock or MonotonicClock()
         self.registry = WorkerRegistry(
             HOST,
             directory,
@@ -308,7 +310,9 @@
 
 
 @asynccontextmanager
-async def running_pool(count=1, connect=connect_control, limits=None, slots=3, **settings):
+async def running_pool(
+    count=1, connect=connect_control, limits=None, slots=3, clock=None, **settings
+):
     """Start a database group, a pool and an entry stub; yield the pool and the entry stub."""
     async with AsyncExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
@@ -316,7 +320,7 @@
         await group.start()
         stack.push_async_callback(group.close)
         directory = make_directory(make_service(group, slots=slots, **(limits or {})))
-        pool = PoolUnderTest(group, directory, connect)
+        pool = PoolUnderTest(group, directory, connect, clock)
         await pool.start()
         stack.push_async_callback(pool.close)
         entry = EntryStub(pool.address)
--- a/tests/pool/test_reads.py
+++ b/tests/pool/test_reads.py
@@ -1,11 +1,13 @@
 import asyncio
 import unittest
+from datetime import timedelta
 
 from hickorywind.ids import AccessMode, BackendId, LogPosition, SessionId, Term
 from hickorywind.protocol.records import GroupRecord
 from hickorywind.results import Outcome, ResultCode
+from hickorywind.util.clock import ManualClock
 from tests.pool import extended
-from tests.pool.harness import SERVICE, running_pool
+from tests.pool.harness import SERVICE, eventually, running_pool
 
 TABLE = "CREATE TABLE t (id int primary key, v text)"
 READ = "SELECT count(*) FROM t"
@@ -24,15 +26,20 @@
 
 class ReplicaReadTest(unittest.IsolatedAsyncioTestCase):
     async def test_replica_read_waits_until_the_floor_is_applied(self) -> None:
-        async with running_pool(count=3) as (pool, entry):
+        # Moved by hand, so that a slow machine does not use up the 250 ms that a pool waits.
+        clock = ManualClock()
+        async with running_pool(count=3, clock=clock) as (pool, entry):
             await entry.run(TABLE)
             await entry.run(READ, **AT_REPLICA)
             await pause_apply(pool, 1)
             written = await entry.run("INSERT INTO t VALUES (1, 'a')")
-            asyncio.get_running_loop().call_later(
-                0.1, lambda: asyncio.ensure_future(resume_apply(pool, 1))
-            )
-            read = await entry.run(READ, floor=written.end.position, **AT_REPLICA)
+            reading = asyncio.create_task(entry.run(READ, floor=written.end.position, **AT_REPLICA))
+            await asyncio.sleep(0.1)
+            clock.advance(timedelta(milliseconds=100))
+            await asyncio.sleep(0.1)
+            self.assertFalse(reading.done())
+            await resume_apply(pool, 1)
+            read = await reading
             self.assertEqual(read.rows, ["1"])
             self.assertTrue(read.end.position.contains(written.end.position))
 
@@ -165,7 +172,9 @@
             await asyncio.sleep(0.2)
             message = entry.make_request("INSERT INTO t VALUES (1, 'a')")
             await entry.link.send(message)
-            await asyncio.sleep(0.1)
+            # A primary that is replaced while a write still runs closes its connection.
+            (worker,) = pool.registry.workers()
+            await eventually(lambda: worker._monitor._proofs.pending_count == 1)
             pool.group.servers[0].instance.member.accept_term(Term(5), "other", 0)
             answer = await entry.collect(message.request_id)
             self.assertEqual(answer.result.code, ResultCode.COMMIT_UNPROVEN)
