--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -79,6 +79,7 @@
 MIN_PERMIT_REMAINING = timedelta(seconds=2)
 STOP_RETRY_AFTER_MS = 50  # another host can serve the request at once
 EXIT_GRACE_FRACTION = 0.8  # of the grace time, after which open sessions are closed
+UNREGISTER_GRACE_FRACTION = 0.9  # of the grace time, after which the store isn't waited for
 
 
 @dataclass(frozen=True)
@@ -292,10 +293,19 @@
         await asyncio.sleep(FLUSH_WAIT.total_seconds())
         for session in list(self._sessions):
             session.abort()
-        await self._sync.unregister()
+        await self._unregister(started + grace * UNREGISTER_GRACE_FRACTION)
         self._peers.close()
         await self._adapters.coordination_store.close()
 
+    async def _unregister(self, deadline: Instant) -> None:
+        left = max(timedelta(0), deadline - self._clock.now())
+        try:
+            async with asyncio.timeout(left.total_seconds()):
+                await self._sync.unregister()
+        except TimeoutError:
+            # Its permit is revoked all the same; others take the entry for a host that has ended.
+            logger.info("unregister_failed", extra={"error": "the grace time is nearly over"})
+
     def _stop_accepting(self) -> None:
         if self._server is None:
             self._listener.close()
