Refuse shared reads at once that the home's server can't serve, and others after half a second

Cause: found in review: a home queued such reads until their deadline, and the asking host waited although another server could have served them. Measured: tests.host.test_sharedreads.

--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -305,11 +305,16 @@
         arrived: Instant,
         context: SessionContext,
         excluded: frozenset[BackendId] = frozenset(),
+        wait_limit: timedelta = timedelta.max,
     ) -> Grant | Result:
-        """Wait for a backend server and a connection; return a refusal if none is free in time."""
+        """Wait for a backend server and a connection; return a refusal if none is free in time.
+
+        The wait ends after ``wait_limit`` or at the deadline of the route, whichever is sooner.
+        """
         if self._closed_result is not None:
             return self._closed_result
         deadline = self.wait_deadline(route, target, arrived)
+        deadline = arrived + min(deadline - arrived, wait_limit)
         while True:
             outcome = await self._wait_for_backend(
                 route, target, arrived, deadline, context, excluded
--- a/hickorywind/host/sharedreads.py
+++ b/hickorywind/host/sharedreads.py
@@ -56,6 +56,8 @@
 SILENCE_CHECK_TIMEOUT = timedelta(milliseconds=250)  # several round trips between regions
 # Of a position sample that a home gives to others: bounds the queries of its primary.
 POSITION_MAX_AGE = timedelta(milliseconds=100)
+# Reads that would wait longer at their server go to another one.
+HOME_WAIT_LIMIT = timedelta(milliseconds=500)
 _ANSWER_ALLOWANCE = timedelta(milliseconds=200)  # for the answer's way back after the read's time
 
 
@@ -283,10 +285,10 @@
         arrived = self._clock.now()
         target = OnPrimary() if read.min_position is None else AtPosition(read.min_position)
         others = frozenset(service.backends) - {read.backend}
-        if isinstance(target, OnPrimary) and not service.may_start_primary_work(backend):
-            reason = "this host does not use the server as the primary"
-            return ProxyFailure(Result.not_run(ResultCode.NO_PRIMARY, reason))
-        grant = await service.acquire(route, target, arrived, context, others)
+        if not service.eligible_servers(target, others):
+            return ProxyFailure(_ineligible_result(target, backend))
+        wait_limit = min(HOME_WAIT_LIMIT, milliseconds(read.remaining_ms))
+        grant = await service.acquire(route, target, arrived, context, others, wait_limit)
         if isinstance(grant, Result):
             return ProxyFailure(grant)
         if isinstance(target, OnPrimary):
@@ -324,5 +326,14 @@
         self._background.cancel()
 
 
+def _ineligible_result(target: Target, backend: Backend) -> Result:
+    if isinstance(target, OnPrimary):
+        reason = "this host does not use the server as the primary"
+        return Result.not_run(ResultCode.NO_PRIMARY, reason)
+    if not backend.load.is_available:
+        return Result.not_run(ResultCode.BACKEND_UNREACHABLE, "the server is not in use here")
+    return Result.not_run(ResultCode.REPLICA_BEHIND, "the replica lacked the log position lately")
+
+
 def _refuse(read: SharedRead, result: Result, expected_ms: int) -> SharedReadReply:
     return SharedReadReply(read.call, result, (), "", None, "", None, False, expected_ms)
--- a/tests/host/test_sharedreads.py
+++ b/tests/host/test_sharedreads.py
@@ -1,7 +1,10 @@
 import asyncio
 import json
 
+from hickorywind.ids import LogPosition
 from hickorywind.platform.documents import CONFIGURATION_KEY
+from hickorywind.protocol.messages import SharedRead
+from hickorywind.results import ResultCode
 from tests.host.harness import SERVICE, HostTestCase, RunningHost, configuration
 from tests.host.test_accounts import with_accounts
 from tests.host.virtualtime import Gate, VirtualClock
@@ -102,6 +105,23 @@
             await asyncio.sleep(0.05)
         self.assertGreater(value, 20)
 
+    async def test_home_refuses_at_once_what_its_server_can_not_serve(self):
+        await (await self.caller("bookings")).ask("WRITE kiln 1")
+        home = self.hosts[self.home_of("i-b")].role
+        backend = home._services[SERVICE].backends["i-b"]
+        backend.load.record_missing_position(LogPosition(1, 9), home._clock.now())
+        for position, code in (
+            (LogPosition(1, 9), ResultCode.REPLICA_BEHIND),
+            (None, ResultCode.NO_PRIMARY),
+        ):
+            read = SharedRead(
+                1, "q", SERVICE, "i-b", None, 0, "READ kiln", None, {}, position, 3000, 1000
+            )
+            started = self.loop.time()
+            reply = await home._reads.serve(read)
+            self.assertEqual(reply.refusal.code, code)
+            self.assertEqual(self.loop.time(), started)
+
     async def test_accounts_stay_on_connections_of_their_own(self):
         await self.configure(json.loads(with_accounts(3, {"acme": ["k1"], "globex": ["k3"]})))
         expected = {}
