Run a read that a server failed at another one, and prefer servers that don't fail reads

Change: one further server runs such a read; a server that failed one gets reads for 0.5 to 4 s only if no other can run them. A read that ran is never reported as not run.

--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -26,6 +26,11 @@
 PRIMARY_READ_PENALTY = timedelta(milliseconds=40)
 # Time for which reads of a position avoid a replica that had not applied it; doubled up to the
 # maximum each time that it still lags, because every refused read costs the replica a slot.
+# Added to the expected duration of reads at a server that failed one lately: it gets such reads
+# only while no other server can run them.
+FAILING_PENALTY = timedelta(seconds=1)
+FAILING_TIME = timedelta(milliseconds=500)  # after a failed read; doubled by each one that follows
+FAILING_TIME_MAX = timedelta(seconds=4)
 LAG_RECHECK_INTERVAL = timedelta(milliseconds=250)
 LAG_RECHECK_INTERVAL_MAX = timedelta(seconds=2)
 # Least expected duration of a statement by distance: same zone, same region, other region.
@@ -98,6 +103,24 @@
     missing_position: LogPosition | None = None
     missing_checked_at: Instant = timedelta(0)
     lag_recheck_interval: timedelta = LAG_RECHECK_INTERVAL
+    failing_until: Instant = timedelta(0)
+    failing_time: timedelta = FAILING_TIME
+
+    def record_failed_read(self, now: Instant) -> None:
+        """Record that the server ran a read and failed it, and let others run reads for a while."""
+        if now >= self.failing_until:
+            self.failing_until = now + self.failing_time
+            self.failing_time = min(FAILING_TIME_MAX, self.failing_time * 2)
+
+    def record_successful_read(self, now: Instant) -> None:
+        """Record that the server ran a read well after it was given another chance."""
+        if now >= self.failing_until:
+            self.failing_time = FAILING_TIME
+
+    def read_penalty(self, is_primary: bool, now: Instant) -> timedelta:
+        """Return what is added to the expected duration of a read that other servers may run."""
+        penalty = PRIMARY_READ_PENALTY if is_primary else timedelta(0)
+        return penalty + FAILING_PENALTY if now < self.failing_until else penalty
 
     def record_position(self, position: LogPosition) -> None:
         """Record a log position that the server has applied."""
@@ -264,8 +287,8 @@
             if not self._has_capacity(server) or not self._is_eligible(operation, server, now):
                 continue
             cost = server.expected_duration(operation.account)
-            if server.backend == self.primary and not isinstance(operation.target, OnPrimary):
-                cost += PRIMARY_READ_PENALTY
+            if not isinstance(operation.target, OnPrimary):
+                cost += server.read_penalty(server.backend == self.primary, now)
             if cost < best_cost:
                 best, best_cost = server, cost
         return best
--- a/hickorywind/host/autocommit.py
+++ b/hickorywind/host/autocommit.py
@@ -5,7 +5,7 @@
 from hickorywind.host.backendconnection import ConnectionLostError, StatementTemplate
 from hickorywind.host.retries import run_with_retries
 from hickorywind.host.service import ServiceRuntime
-from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, Grant
+from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, FailedRead, Grant
 from hickorywind.host.sessioncontext import SessionContext
 from hickorywind.host.targets import (
     RETRY_AFTER_MS,
@@ -48,6 +48,7 @@
         self._template = template
         self._arrived = arrived
         self._excluded: frozenset[BackendId] = frozenset()
+        self._failed_answer: Answer | None = None  # of a read that a server ran and failed
 
     async def run(self) -> Reply:
         """Run the statement and return the reply to the caller."""
@@ -60,8 +61,14 @@
                 self._template,
                 self._arrived,
             )
-            if reply is not None:
-                return reply
+            match reply:
+                case None:
+                    pass
+                case FailedRead(backend, answer):
+                    self._failed_answer = answer
+                    self._exclude(backend)
+                case _:
+                    return reply
         outcome = await run_with_retries(
             self._service,
             self._route,
@@ -71,7 +78,19 @@
             self.attempt,
             lambda: self._excluded,
         )
-        return ProxyFailure(outcome) if isinstance(outcome, Result) else outcome
+        return self._make_reply(outcome)
+
+    def _make_reply(self, outcome: Reply | Result) -> Reply:
+        if not isinstance(outcome, Result):
+            return outcome
+        if self._failed_answer is not None:
+            # A read that a server ran and failed must not be reported as not run.
+            return RelayedAnswer(self._failed_answer)
+        return ProxyFailure(outcome)
+
+    async def run_once(self, grant: Grant, min_position: LogPosition | None) -> Reply:
+        """Run the statement on a granted connection, without a retry elsewhere."""
+        return self._make_reply(await self.attempt(grant, min_position))
 
     async def attempt(self, grant: Grant, min_position: LogPosition | None) -> Reply | Result:
         """Run the statement once on a granted connection; return a refusal if it did not run."""
@@ -99,7 +118,21 @@
     def abandon(self) -> None:
         """Do nothing: a single statement can't be rolled back once it was sent."""
 
+    def _handle_failed_read(
+        self, backend: Backend, answer: Answer, min_position: LogPosition | None, now: Instant
+    ) -> Reply | Result:
+        """Let another server run a read that one has failed, unless only the primary may."""
+        backend.load.record_failed_read(now)
+        if min_position is None or self._failed_answer is not None:
+            return RelayedAnswer(answer)
+        self._failed_answer = answer
+        self._exclude(backend.server.backend)
+        reason = f"the backend server failed the read: {answer.error.text}"
+        return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, RETRY_SOON_MS)
+
     def _handle_success(self, backend: Backend, answer: Answer) -> Reply | Result:
+        if self._mode is AccessMode.READ:
+            backend.load.record_successful_read(self._service.clock.now())
         if self._mode is AccessMode.WRITE:
             if not self._service.may_finish_primary_work(backend):
                 reason = "the primary was replaced before the answer arrived"
@@ -112,23 +145,25 @@
         self._service.record_connection_failure(backend, error)
         if self._mode is AccessMode.WRITE:
             return Result.unknown(ResultCode.CONNECTION_LOST, f"the write may have run: {error}")
-        self._exclude(backend)
+        self._exclude(backend.server.backend)
         return Result.not_run(
             ResultCode.BACKEND_UNREACHABLE, f"the read failed: {error}", RETRY_SOON_MS
         )
 
-    def _exclude(self, backend: Backend) -> None:
+    def _exclude(self, backend: BackendId) -> None:
         # Keep one server: with all of them excluded, the read would wait in vain.
         if len(self._excluded) + 1 < len(self._service.backends):
-            self._excluded |= {backend.server.backend}
+            self._excluded |= {backend}
 
     def _handle_error(
         self, backend: Backend, answer: Answer, min_position: LogPosition | None
     ) -> Reply | Result:
         kind = answer.error.kind
+        now = self._service.clock.now()
+        if kind is BackendErrorKind.FAILED and self._mode is AccessMode.READ:
+            return self._handle_failed_read(backend, answer, min_position, now)
         if kind not in NOT_RUN_ERROR_KINDS:
             return RelayedAnswer(answer)
-        now = self._service.clock.now()
         match kind:
             case BackendErrorKind.BEHIND if min_position is not None:
                 record_missing_position(self._service, backend, self._context, min_position)
@@ -139,6 +174,6 @@
             case BackendErrorKind.READ_ONLY:
                 self._service.on_primary_suspected(self._service.name, "the primary refuses writes")
             case _:
-                self._exclude(backend)
+                self._exclude(backend.server.backend)
         reason = f"the backend server refused: {answer.error.text}"
         return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, RETRY_AFTER_MS)
--- a/hickorywind/host/servicestate.py
+++ b/hickorywind/host/servicestate.py
@@ -12,6 +12,7 @@
 from hickorywind.host.connectionpool import ConnectionPool
 from hickorywind.ids import BackendId
 from hickorywind.ports.catalog import BackendServer
+from hickorywind.ports.replies import Answer
 from hickorywind.util.clock import Instant
 
 RETRY_SOON_MS = 50  # another server or host can serve the request at once
@@ -81,6 +82,14 @@
     started: Instant
 
 
+@dataclass(frozen=True, slots=True)
+class FailedRead:
+    """Answer of a server that ran a read and failed it, so that another one should run it."""
+
+    backend: BackendId
+    answer: Answer
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceView:
     """State of a service as a host saw it when it decided about a request, for logs.
--- a/hickorywind/host/sharedreads.py
+++ b/hickorywind/host/sharedreads.py
@@ -14,7 +14,7 @@
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.peers import Peers
 from hickorywind.host.service import ServiceRuntime
-from hickorywind.host.servicestate import Backend
+from hickorywind.host.servicestate import Backend, FailedRead
 from hickorywind.host.sessioncontext import SessionContext
 from hickorywind.host.targets import check_primary, choose_target, record_missing_position
 from hickorywind.ids import AccessMode, BackendId, HostId, ServiceName
@@ -105,20 +105,25 @@
         request: Request,
         template: StatementTemplate | None,
         arrived: Instant,
-    ) -> Reply | None:
-        """Run a read at the home of a server; return None if this host has to run it itself."""
+    ) -> Reply | FailedRead | None:
+        """Run a read at the home of a server.
+
+        Return None if this host has to run it itself, or ``FailedRead`` if a server has failed it
+        before.
+        """
         tried: frozenset[BackendId] = frozenset()
+        failed: FailedRead | None = None
         while len(tried) < MAX_HOMES_ASKED and not context.has_disconnected:
             target = choose_target(service, route, False, context.floor, arrived)
             now = self._clock.now()
             servers = service.eligible_servers(target, tried)
             server = choose_server(servers, service.primary, self._loads, now, self._rng)
             if server is None:
-                return None
+                return failed
             backend = service.backends[server.backend]
             home = self._homes.home_of(server.backend, backend.server.zone, now)
             if home is None or home == self._identity.host:
-                return None
+                return failed
             if isinstance(target, AtPosition) and server.missing_position is not None:
                 server.start_lag_check(now)
             deadline = service.wait_deadline(route, target, arrived)
@@ -132,10 +137,30 @@
                 logger.info("read_home_silent", extra={"peer": home, "backend": server.backend})
             else:
                 answer = self._accept(service, backend, context, target, reply, now)
-                if answer is not None:
+                if answer is not None and not self._may_repeat(server, answer, target, failed, now):
                     return answer
+                if answer is not None:
+                    failed = FailedRead(server.backend, answer.answer)
             tried |= {server.backend}
-        return None
+        return failed
+
+    def _may_repeat(
+        self,
+        server: ServerState,
+        reply: RelayedAnswer,
+        target: Target,
+        failed: FailedRead | None,
+        now: Instant,
+    ) -> bool:
+        """Return whether another server should run a read that this one has failed."""
+        error = reply.answer.error
+        if error is None:
+            server.record_successful_read(now)
+            return False
+        if error.kind is not BackendErrorKind.FAILED:
+            return False
+        server.record_failed_read(now)
+        return isinstance(target, AtPosition) and failed is None
 
     def _make_read(
         self,
@@ -196,8 +221,8 @@
         target: Target,
         reply: SharedReadReply,
         sent: Instant,
-    ) -> Reply | None:
-        """Return the reply to the caller, or None if the read should run elsewhere."""
+    ) -> RelayedAnswer | None:
+        """Return the server's answer, or None if it did not run the read."""
         now = self._clock.now()
         self._loads.record(backend.server.backend, milliseconds(reply.expected_ms), now)
         if reply.refusal is not None:
@@ -304,8 +329,7 @@
         operation = AutocommitStatement(
             service, route, context, request, AccessMode.READ, template, arrived
         )
-        outcome = await operation.attempt(grant, read.min_position)
-        return ProxyFailure(outcome) if isinstance(outcome, Result) else outcome
+        return await operation.run_once(grant, read.min_position)
 
     async def serve_position(self, query: PositionQuery) -> PositionReply:
         """Return a sample of the primary's position that is younger than ``POSITION_MAX_AGE``."""
--- a/hickorywind/placement/readhomes.py
+++ b/hickorywind/placement/readhomes.py
@@ -15,7 +15,7 @@
 from datetime import timedelta
 from functools import lru_cache
 
-from hickorywind.admission.dispatch import PRIMARY_READ_PENALTY, ROUND_TRIPS, ServerState
+from hickorywind.admission.dispatch import ROUND_TRIPS, ServerState
 from hickorywind.ids import AvailabilityZone, BackendId, HostId
 from hickorywind.placement.rendezvous import rank_members
 from hickorywind.util.clock import Instant
@@ -91,13 +91,14 @@
 ) -> ServerState | None:
     """Return the server at which a read is expected to end first, or None if there are none.
 
-    A read at the primary counts as longer, to keep its slots for work that needs it.
+    A read at the primary counts as longer, to keep its slots for work that needs it, and one at a
+    server that failed a read lately.
     """
 
     def cost(server: ServerState) -> timedelta:
         duration = loads.expected_duration(server.backend, now)
         duration *= 1 + _CHOICE_JITTER * rng.random()
-        penalty = PRIMARY_READ_PENALTY if server.backend == primary else timedelta(0)
+        penalty = server.read_penalty(server.backend == primary, now)
         return ROUND_TRIPS[server.distance] + duration + penalty
 
     return min(servers, key=cost, default=None)
--- a/standins/lineplatform/group.py
+++ b/standins/lineplatform/group.py
@@ -34,6 +34,7 @@
         self.is_silent = False
         self.delay_seconds = 0.0
         self.is_busy = False
+        self.fails_reads = False
         self.lose_answers = 0
         self.connection_limit = 100
         self.statements: list[str] = []
@@ -154,6 +155,8 @@
                 self._commit(connection.transaction or [])
                 connection.transaction = None
                 return f"COMPLETE s.{request_id}\r\n"
+            case "READ" if self.fails_reads:
+                return f"ERROR FAILED {self.backend}\r\n"
             case "READ":
                 settings = ",".join(f"{k}={v}" for k, v in sorted(connection.settings.items()))
                 row = f"ROW {self.data.get(rest, 'none')} {settings}".rstrip()
--- a/tests/admission/test_dispatch.py
+++ b/tests/admission/test_dispatch.py
@@ -95,6 +95,25 @@
         server.record_position(POSITION)
         self.assertTrue(server.has_probably_applied(POSITION, START + timedelta(seconds=8)))
 
+    def test_server_that_fails_reads_gets_them_only_when_no_other_can_run_them(self):
+        """A replica fails every read for 10 s; each of its failures costs a caller a second run."""
+        failures = 0
+        for step in range(500):
+            now = START + step * timedelta(milliseconds=20)
+            self.submit(target=AtPosition(POSITION), arrived=now)
+            for _, backend in self.granted:
+                server = self.dispatcher.servers[backend]
+                server.limit.finish(timedelta(milliseconds=5), now)
+                if backend == "i-b":
+                    failures += 1
+                    server.record_failed_read(now)
+            self.granted.clear()
+        self.assertLess(failures, 8)
+        for name in ("i-a", "i-c"):
+            self.dispatcher.servers[name].is_available = False
+        self.submit(target=AtPosition(POSITION), arrived=now)
+        self.assertEqual(self.granted[-1][1], "i-b")
+
     def test_replica_that_was_behind_serves_reads_of_older_positions(self):
         self.dispatcher.servers["i-b"].record_missing_position(POSITION, START)
         self.submit(target=AtPosition(LogPosition(1, 2)))
--- a/tests/host/test_endtoend.py
+++ b/tests/host/test_endtoend.py
@@ -1,6 +1,7 @@
 import asyncio
 import unittest
 
+from hickorywind.admission.dispatch import FAILING_TIME_MAX
 from tests.host.harness import CONFIGURATION_KEY, HostTestCase, configuration
 
 
@@ -173,6 +174,19 @@
 
 
 class OutcomeTest(HostTestCase):
+    async def test_read_that_a_replica_failed_is_run_at_another_server(self):
+        await (await self.caller("bookings")).ask("WRITE kiln 1")
+        caller = await self.caller("views")
+        for name in ("i-b", "i-c"):
+            self.group.servers[name].fails_reads = True
+            for _ in range(5):
+                self.assertEqual((await caller.ask("READ kiln"))[0], "ROW 1")
+            await asyncio.sleep(FAILING_TIME_MAX.total_seconds())
+            self.group.servers[name].fails_reads = False
+        for server in self.group.servers.values():
+            server.fails_reads = True
+        self.assertTrue((await caller.ask("READ kiln"))[0].startswith("ERROR FAILED"))
+
     async def test_lost_answer_to_a_write_is_in_doubt_and_not_retried(self):
         caller = await self.caller("bookings")
         await caller.ask("READ x")
--- a/tests/host/test_sharedreads.py
+++ b/tests/host/test_sharedreads.py
@@ -122,6 +122,17 @@
             self.assertEqual(reply.refusal.code, code)
             self.assertEqual(self.loop.time(), started)
 
+    async def test_read_that_a_server_failed_is_run_at_another_one(self):
+        await (await self.caller("bookings")).ask("WRITE kiln 1")
+        callers = [await self.caller("views", name) for name in self.hosts]
+        self.group.servers["i-b"].fails_reads = True
+        for _ in range(5):
+            for caller in callers:
+                self.assertEqual((await caller.ask("READ kiln"))[0], "ROW 1")
+        for server in self.group.servers.values():
+            server.fails_reads = True
+        self.assertTrue((await callers[0].ask("READ kiln"))[0].startswith("ERROR FAILED"))
+
     async def test_accounts_stay_on_connections_of_their_own(self):
         await self.configure(json.loads(with_accounts(3, {"acme": ["k1"], "globex": ["k3"]})))
         expected = {}
