--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real host processes under faults that are injected from outside them."""
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,174 @@
+"""Promises that the soak checks, and the faults beside which each of them holds."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from hickorywind.results import Outcome
+from hickorywind_bench.checker import Guarantee, check_history
+from hickorywind_bench.history import History
+from soak.plan import HARMLESS_KINDS, HOST_KINDS, PLANNED_KINDS, Fault, FaultKind
+from soak.platform import LEAVING_S, SoakGroup, StatementRun
+
+CONTACT_S = 5.0  # a host is in touch after this time without a fault (contact_ms)
+LOSS_SLACK_S = 0.2  # a request may cross the close of its connection (loss_slack_ms)
+CONFIG_APPLY_S = 4.0  # a configuration is in force by then (config_apply_ms)
+LEAVING_SLACK_S = 0.5  # a statement may be on its way
+MAX_DETAILS = 20  # violations of one promise that a report shows
+
+
+class Promise(Enum):
+    """Promise of the pages beyond those of ``Guarantee``."""
+
+    ONE_PRIMARY_ACKNOWLEDGES = "a replaced primary acknowledges no write"
+    ONE_PROMOTER = "fencing tokens rise, one holder each"
+    ACCEPTED_IS_ANSWERED = "a request that was accepted is answered around planned work"
+    STOPS_WITHIN_GRACE = "a stopped host ends within its grace"
+    STAYS_UP = "no process ends by itself"
+    LEFT_SERVER_UNUSED = "a server that left is not used"
+    REMOVED_ROUTE_REFUSED = "a removed route is refused, an added one is served"
+    SESSION_STATE_KEPT = "a session sees its own values"
+    SIGNED_ANSWER = "a success carries the signature of its own request"
+    SERVICE_RETURNS = "service returns after the last fault"
+
+
+@dataclass(frozen=True)
+class Finding:
+    """Violation of a promise at a time of the run."""
+
+    at_s: float
+    promise: str
+    detail: str
+
+
+@dataclass
+class _Disturbance:
+    fault: Fault
+    host: str | None  # None: concerns every host
+    from_s: float
+    until_s: float = float("inf")
+
+
+class Disturbances:
+    """Record of the faults that were in force, by the time of the run."""
+
+    def __init__(self) -> None:
+        self._all: list[_Disturbance] = []
+
+    def begin(self, fault: Fault, host: str, now_s: float) -> _Disturbance:
+        """Record that a fault begins; ``host`` matters only for faults of one host."""
+        concerned = host if fault.kind in HOST_KINDS else None
+        begun = _Disturbance(fault, concerned, now_s)
+        self._all.append(begun)
+        return begun
+
+    def is_calm(
+        self, host: str | None, since_s: float, ignored: tuple[FaultKind, ...] = ()
+    ) -> bool:
+        """Return whether no fault concerned a host (None: any host) after ``since_s``."""
+        return not any(
+            each.until_s >= since_s
+            and each.fault.kind not in HARMLESS_KINDS
+            and each.fault.kind not in ignored
+            and (host is None or each.host in (None, host))
+            for each in self._all
+        )
+
+
+class PromiseChecker:
+    """Checker of what callers, backend servers and the platform see."""
+
+    def __init__(self, disturbances: Disturbances, group: SoakGroup) -> None:
+        self.history = History()
+        self.findings: list[Finding] = []
+        self.stray_count = 0
+        self.now_s: Callable[[], float] = lambda: 0.0
+        self.started_s = 0.0
+        self._disturbances = disturbances
+        self._group = group
+        self._hosts_by_request: dict[str, list[str]] = {}
+        self._holders: dict[int, str] = {}
+        group.on_statement = self.handle_statement
+        group.on_promotion = self.handle_promotion
+
+    def report(self, promise: Promise | Guarantee, detail: str) -> None:
+        """Record a violation."""
+        at_s = round(self.now_s() - self.started_s, 3)
+        self.findings.append(Finding(at_s, promise.value, detail))
+
+    def handle_statement(self, run: StatementRun) -> None:
+        """Check the arrival of a caller's statement at a backend server."""
+        self._hosts_by_request.setdefault(run.request_id, []).append(run.host)
+        if run.leaving_since_s is None:
+            return
+        late_s = self.now_s() - run.leaving_since_s - LEAVING_S
+        ignored = (FaultKind.PRIMARY_LEAVES, FaultKind.HOST_STOPPED, FaultKind.HOST_KILLED)
+        calm_since = run.leaving_since_s - CONTACT_S
+        if late_s > LEAVING_SLACK_S and self._disturbances.is_calm(run.host, calm_since, ignored):
+            detail = f"{run.request_id} from {run.host} at {run.backend}, {late_s:.2f} s late"
+            self.report(Promise.LEFT_SERVER_UNUSED, detail)
+
+    def handle_promotion(self, holder: str, token: int) -> None:
+        """Check the fencing token of an order to promote."""
+        if token < max(self._holders, default=token):
+            self.report(Promise.ONE_PROMOTER, f"{holder} promotes with {token} after a higher one")
+        if self._holders.setdefault(token, holder) != holder:
+            self.report(Promise.ONE_PROMOTER, f"{holder} and {self._holders[token]} use {token}")
+
+    def handle_cut_request(self, host: str, request_id: str, sent_s: float, reason: str) -> None:
+        """Check a request that got no complete answer."""
+        was_passed_on = request_id in self._hosts_by_request
+        is_due = was_passed_on or self.now_s() - sent_s > LOSS_SLACK_S
+        calm_since = sent_s - CONTACT_S
+        if is_due and self._disturbances.is_calm(None, calm_since, PLANNED_KINDS):
+            detail = f"{request_id} at {host}, sent {self.now_s() - sent_s:.3f} s ago: {reason}"
+            detail += ", passed on" if was_passed_on else ""
+            self.report(Promise.ACCEPTED_IS_ANSWERED, detail)
+
+    def handle_optional_route(
+        self, host: str, is_there: bool, changed_s: float, sent_s: float, answer: str
+    ) -> None:
+        """Check an answer for the route that is added and removed."""
+        ignored = (FaultKind.HOST_STOPPED, FaultKind.HOST_KILLED, FaultKind.PRIMARY_LEAVES)
+        if sent_s < changed_s + CONFIG_APPLY_S:
+            return
+        if not self._disturbances.is_calm(host, changed_s - CONTACT_S, ignored):
+            return
+        if answer.startswith("ERROR NODB") if is_there else answer.startswith(("ROW", "COMPLETE")):
+            state = "added" if is_there else "removed"
+            detail = f"{host} answers {answer!r} {sent_s - changed_s:.2f} s after it was {state}"
+            self.report(Promise.REMOVED_ROUTE_REFUSED, detail)
+
+    def finish(self) -> None:
+        """Check the history against the logs of the servers."""
+        self._check_runs()
+        excused = self._group.rolled_back | {
+            element for _, element in self._group.commits_of_former_primary
+        }
+        final = {key: tuple(text.split(",")) for key, text in self._group.primary.data.items()}
+        judged = History(
+            [each for each in self.history.appends if each.element not in excused],
+            [
+                replace(each, elements=tuple(e for e in each.elements if e not in excused))
+                for each in self.history.reads
+            ],
+            final,
+        )
+        for violation in check_history(judged):
+            self.report(violation.guarantee, violation.detail)
+
+    def _check_runs(self) -> None:
+        strays = Counter(element for _, element in self._group.commits_of_former_primary)
+        runs = strays + Counter(element for _, element in self._group.commits)
+        self.stray_count = strays.total()
+        for append in self.history.appends:
+            count = runs[append.element]
+            if append.outcome is Outcome.NOT_RUN and count:
+                self.report(Guarantee.NOT_RUN_HOLDS, f"{append} ran {count} times")
+            if count > 1:
+                self.report(Guarantee.AT_MOST_ONCE, f"{append} ran {count} times")
+            if append.outcome is Outcome.RAN and strays[append.element]:
+                self.report(Promise.ONE_PRIMARY_ACKNOWLEDGES, str(append))
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,166 @@
+"""Plan of the faults of one run, drawn from its seed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+MIN_FAULT_S = 0.3
+MAX_FAULT_S = 7.0  # longer than a permit is in force, so that fencing completes
+MAX_PAUSE_IN_SERIES_S = 1.2  # short enough that the faults of a series overlap
+SERIES_INTERVAL_S = 3.5  # average time between the starts of two series
+_MAX_SERIES_LENGTH = 4
+_FIRST_FAULT_S = 0.5
+
+
+class LinkEnd(Enum):
+    """What the harmed links of a host lead to."""
+
+    STORE = "store"
+    SERVERS = "backend servers"
+    PEERS = "other hosts"
+    ALL = "everything"
+
+
+class FaultKind(Enum):
+    """Kind of fault that the soak injects from outside the host processes."""
+
+    HOST_STOPPED = "host gets SIGTERM and is started again"
+    HOST_PAUSED = "host is paused by SIGSTOP"
+    HOST_KILLED = "host is killed by SIGKILL and started again"
+    LINK_DELAYED = "links of a host are slow"
+    LINK_RESET = "connections on links of a host are reset"
+    LINK_CUT_OUTWARD = "links of a host pass nothing outward"
+    LINK_CUT_INWARD = "links of a host pass nothing inward"
+    LINK_SILENT = "links of a host pass nothing"
+    STORE_SILENT = "store answers nobody and runs what it got later"
+    STORE_SLOW = "store answers late"
+    STORE_BUSY = "store refuses calls with 429 or 503"
+    STORE_ANSWER_LOST = "store runs calls and their answers are lost"
+    STORE_HISTORY_LOST = "store discards the history of changes"
+    CONFIGURATION_CHANGED = "operators change routes and time limits"
+    PRIMARY_CRASHES = "primary crashes and comes back"
+    PRIMARY_LEAVES = "primary leaves by plan and a new server takes its address"
+    PRIMARY_SILENT = "primary accepts and says nothing"
+    PRIMARY_SLOW = "primary answers late"
+    FORMER_PRIMARY_NOT_TOLD = "replaced primary learns late that it was replaced"
+    SERVER_CRASHES = "server crashes and comes back"
+    SERVER_LAGS = "replica receives nothing"
+    ANSWERS_LOST = "servers run statements and close without the answer"
+    ANSWERS_MALFORMED = "servers send answers that break the protocol"
+    PROMOTION_ANSWER_LOST = "promotion takes effect and its answer is lost"
+    MALFORMED_INPUT = "malformed messages to a host and in the store"
+
+
+PLANNED_KINDS = (
+    FaultKind.HOST_STOPPED,
+    FaultKind.CONFIGURATION_CHANGED,
+    FaultKind.PRIMARY_LEAVES,
+    FaultKind.MALFORMED_INPUT,
+)
+LINK_KINDS = (
+    FaultKind.LINK_DELAYED,
+    FaultKind.LINK_RESET,
+    FaultKind.LINK_CUT_OUTWARD,
+    FaultKind.LINK_CUT_INWARD,
+    FaultKind.LINK_SILENT,
+)
+STORE_KINDS = (
+    FaultKind.STORE_SILENT,
+    FaultKind.STORE_SLOW,
+    FaultKind.STORE_BUSY,
+    FaultKind.STORE_ANSWER_LOST,
+)
+HOST_KINDS = (FaultKind.HOST_STOPPED, FaultKind.HOST_PAUSED, FaultKind.HOST_KILLED, *LINK_KINDS)
+# Faults that have neither end nor effect on what a host can reach.
+HARMLESS_KINDS = (
+    FaultKind.CONFIGURATION_CHANGED,
+    FaultKind.MALFORMED_INPUT,
+    FaultKind.STORE_HISTORY_LOST,
+)
+
+
+@dataclass(frozen=True)
+class Fault:
+    """Fault that starts ``at_s`` into the run and lasts ``for_s``.
+
+    ``host`` and ``server`` are numbers; ``link_end`` selects the links of that host.
+    """
+
+    kind: FaultKind
+    at_s: float
+    for_s: float
+    host: int = 0
+    server: int = 0
+    link_end: LinkEnd = LinkEnd.ALL
+
+    @property
+    def until_s(self) -> float:
+        """Return when the fault ends."""
+        return self.at_s + self.for_s
+
+
+class Theme(Enum):
+    """Choice of the kinds of faults of one run."""
+
+    PLANNED = "planned work only"
+    MIXED = "all kinds"
+    HAND_OVER = "changes of primary beside harmed hosts"
+
+
+_KINDS_BY_THEME = {
+    Theme.PLANNED: PLANNED_KINDS,
+    Theme.MIXED: tuple(FaultKind),
+    Theme.HAND_OVER: (
+        FaultKind.PRIMARY_CRASHES,
+        FaultKind.PRIMARY_LEAVES,
+        FaultKind.PRIMARY_SILENT,
+        FaultKind.FORMER_PRIMARY_NOT_TOLD,
+        FaultKind.PROMOTION_ANSWER_LOST,
+        *HOST_KINDS,
+        *STORE_KINDS,
+    ),
+}
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Faults of one run in the order of their starts."""
+
+    seed: int
+    host_count: int
+    theme: Theme
+    faults: tuple[Fault, ...]
+
+    @classmethod
+    def from_seed(
+        cls, seed: int, duration_s: float, host_count: int, server_count: int = 3
+    ) -> Plan:
+        """Draw a plan whose faults start within ``duration_s``."""
+        rng = random.Random(seed)
+        theme = rng.choice(list(Theme))
+        faults: list[Fault] = []
+        start_s = _FIRST_FAULT_S
+        while start_s < duration_s:
+            faults += _draw_series(rng, theme, start_s, host_count, server_count)
+            start_s += rng.expovariate(1 / SERIES_INTERVAL_S)
+        kept = [fault for fault in faults if fault.at_s < duration_s]
+        return cls(seed, host_count, theme, tuple(sorted(kept, key=lambda fault: fault.at_s)))
+
+
+def _draw_series(
+    rng: random.Random, theme: Theme, start_s: float, host_count: int, server_count: int
+) -> Iterator[Fault]:
+    host = rng.randrange(host_count)  # most faults of a series meet one host
+    for _ in range(rng.randint(1, _MAX_SERIES_LENGTH)):
+        yield Fault(
+            kind=rng.choice(_KINDS_BY_THEME[theme]),
+            at_s=round(start_s, 2),
+            for_s=round(rng.uniform(MIN_FAULT_S, MAX_FAULT_S), 2),
+            host=host if rng.random() < 0.7 else rng.randrange(host_count),
+            server=rng.randrange(server_count),
+            link_end=rng.choice(list(LinkEnd)),
+        )
+        start_s += rng.uniform(0, MAX_PAUSE_IN_SERIES_S)
--- /dev/null
+++ b/soak/platform.py
@@ -0,0 +1,387 @@
+"""Stand-in platform of the soak: backend servers, store and operators, with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import Any
+
+from aiohttp import web
+
+from hickorywind.ids import Address, BackendId, HostId, Revision, ServiceName
+from hickorywind.platform.documents import BACKENDS_PREFIX, CONFIGURATION_KEY
+from hickorywind.ports.coordination import (
+    ChangeBatch,
+    Committed,
+    Condition,
+    Conflict,
+    FencingToken,
+    HistoryCompacted,
+    ItemWritten,
+    LeaseId,
+    PromotionOutcome,
+    Put,
+    Snapshot,
+)
+from hickorywind.store.interface import StoredValue
+from soak.relay import replace_addresses
+from standins.lineplatform.group import LineGroup, LineServer
+from standins.lineplatform.httpstore import HttpStore
+from standins.lineplatform.memorystore import MemoryCoordinationStore, MemoryStore
+
+SERVICE = "ledger"
+STATEMENT_S = 0.002  # keeps statements in flight while faults strike
+PROMOTION_S = 0.3  # from the order until the new primary leads
+DEMOTION_S = 1.0  # until a replaced primary learns of it
+ENTRY_EXPIRY_S = 1.5  # three heartbeat intervals without a sign of a crashed server
+LEAVING_S = 3.0  # how long a leaving server serves after its report, told to the hosts
+LEAVING_EXTRA_S = 1.5  # "a little longer", in which nobody may use it
+MAX_STALENESS_S = {"bookings": 0.0, "views": 1.5, "orders": 2.5}
+OPTIONAL_DATABASE = "extra"  # its route is added and removed
+_BUSY_STATUSES = (429, 503)
+_MALFORMED_ANSWER = "ROW \r\nNONSENSE 1 2\r\n"
+
+
+class ListData(dict):
+    """Items whose values are comma-separated lists that each write extends."""
+
+    def update(self, writes: Any) -> None:
+        """Append the value of each write to its item's list."""
+        if isinstance(writes, Mapping):
+            super().update(writes)
+            return
+        for item, value in writes:
+            self[item] = f"{self[item]},{value}" if item in self else value
+
+
+@dataclass(frozen=True)
+class StatementRun:
+    """Arrival of a caller's statement at a backend server."""
+
+    request_id: str
+    host: str
+    backend: BackendId
+    leaving_since_s: float | None
+
+
+class SoakServer(LineServer):
+    """Backend server that keeps lists, reports its role and records what reaches it."""
+
+    def __init__(self, group: SoakGroup, name: str) -> None:
+        super().__init__(group, name)
+        self.data = ListData()
+        self.delay_seconds = STATEMENT_S
+        self.malformed_answers = 0
+        self.leaving_since_s: float | None = None
+        self.born = 1
+
+    def _answer(self, connection: Any, line: str) -> str | None:
+        word, _, rest = line.partition(" ")
+        request_id = rest.partition(" ")[0]
+        if word == "QUERY" and request_id != "-":
+            port = connection.writer.get_extra_info("peername")[1]
+            host = self.group.sources.get(port, "")
+            run = StatementRun(request_id, host, self.backend, self.leaving_since_s)
+            self.group.on_statement(run)
+        answer = super()._answer(connection, line)
+        if word == "QUERY" and request_id != "-" and self.malformed_answers:
+            self.malformed_answers -= 1
+            return _MALFORMED_ANSWER
+        return answer
+
+    def _run_statement(self, connection: Any, request_id: str, text: str) -> str:
+        if text == "COMMIT" and connection.transaction and self.role != "primary":
+            connection.transaction = None
+            return f"ERROR READONLY {self.backend}\r\n"
+        return super()._run_statement(connection, request_id, text)
+
+    def follow(self, primary: LineServer) -> None:
+        """Become a replica with the primary's lists."""
+        super().follow(primary)
+        self.data = ListData(primary.data)
+
+    def registration(self, zone: str) -> bytes:
+        """Return the entry that the server writes into the store."""
+        return json.dumps(
+            {
+                "backend": SERVICE,
+                "address": str(self.address),
+                "zone": zone,
+                "version": "1",
+                "slots": 8,
+                "state": "ready" if self.leaving_since_s is None else "draining",
+                "db_role": self.role,
+                "born": self.born,
+                "seq": 1,
+            }
+        ).encode()
+
+
+class SoakGroup(LineGroup):
+    """Servers of the service, whose replaced primaries learn late of a promotion."""
+
+    def __init__(self, names: tuple[str, ...], store: MemoryStore, sources: dict[int, str]):
+        super().__init__(SERVICE, names)
+        self.servers = {name: SoakServer(self, name) for name in names}
+        self.primary = self.servers[names[0]]
+        self.primary.role = "primary"
+        self.sources = sources
+        self.on_statement: Callable[[StatementRun], None] = lambda run: None
+        self.on_promotion: Callable[[str, int], None] = lambda holder, token: None
+        self.rolled_back: set[str] = set()
+        self.demotion_s = DEMOTION_S
+        self.is_promotion_answer_lost = False
+        self._store = store
+        self._tasks: set[asyncio.Task] = set()
+
+    def start_task(self, work: Any) -> None:
+        """Run a coroutine in the background."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def register(self, server: SoakServer) -> None:
+        """Write the server's entry into the store."""
+        zone = f"z{list(self.servers.values()).index(server)}"
+        await self._store.put(BACKENDS_PREFIX + server.backend, server.registration(zone))
+
+    async def promote(
+        self, service: ServiceName, backend: BackendId, holder: HostId, token: FencingToken
+    ) -> PromotionOutcome:
+        """Make a running server the primary shortly after the order."""
+        self.on_promotion(holder, token)
+        self.promotions.append((holder, backend, token))
+        running = [each for each in self.servers.values() if each.is_running]
+        chosen = next((each for each in running if each.backend == backend), None)
+        if chosen is None or service != SERVICE:
+            return PromotionOutcome.NOT_RUNNING
+        self.start_task(self._lead_soon(chosen, token))
+        return PromotionOutcome.ACCEPTED
+
+    async def _lead_soon(self, chosen: SoakServer, token: FencingToken) -> None:
+        await asyncio.sleep(PROMOTION_S)
+        if chosen.is_running and token == max(each[2] for each in self.promotions):
+            self.make_primary(chosen)
+
+    def make_primary(self, new_primary: SoakServer) -> None:
+        """Let a server lead the next term; the old primary learns of it later."""
+        old = self.primary
+        if new_primary is old:
+            return
+        for item, elements in old.data.items():
+            held = new_primary.data.get(item, "").split(",")
+            self.rolled_back.update(set(elements.split(",")) - set(held))
+        learns = {server: server.learns_of_promotions for server in self.servers.values()}
+        for server in self.servers.values():
+            server.learns_of_promotions = server is not old
+        super().make_primary(new_primary)
+        for server, value in learns.items():
+            server.learns_of_promotions = value
+            if server not in (old, new_primary) and server.is_receiving:
+                server.follow(new_primary)
+        self.start_task(self.register(new_primary))
+        if old.is_running:
+            self.start_task(self._demote_later(old))
+
+    async def _demote_later(self, old: SoakServer) -> None:
+        await asyncio.sleep(self.demotion_s)
+        if old is not self.primary and old.role == "primary":
+            old.follow(self.primary)
+            await self.register(old)
+
+    async def crash_and_expire(self, server: SoakServer) -> None:
+        """Crash a server; its entry expires if it stays away."""
+        await server.crash()
+        self.start_task(self._expire(server, server.born))
+
+    async def _expire(self, server: SoakServer, born: int) -> None:
+        await asyncio.sleep(ENTRY_EXPIRY_S)
+        if not server.is_running and server.born == born:
+            await self._store.delete(BACKENDS_PREFIX + server.backend)
+
+    async def restart(self, server: SoakServer) -> None:
+        """Start a crashed server, as a replica if another leads."""
+        if server.is_running:
+            return
+        if server is not self.primary:
+            server.follow(self.primary)
+        server.born += 1
+        await server.start()
+        await self.register(server)
+
+    async def leave(self, server: SoakServer) -> bool:
+        """Let a server leave by plan; return False if it is not there to leave."""
+        if not server.is_running or server.leaving_since_s is not None:
+            return False
+        server.leaving_since_s = asyncio.get_running_loop().time()
+        await self.register(server)
+        await asyncio.sleep(LEAVING_S + LEAVING_EXTRA_S)
+        await server.crash()
+        await self._store.delete(BACKENDS_PREFIX + server.backend)
+        return True
+
+    async def replace(self, server: SoakServer, backend: str) -> None:
+        """Start a new server with the log and at the address of one that left."""
+        server.backend = BackendId(backend)
+        server.leaving_since_s = None
+        await self.restart(server)
+
+
+class StoreMode(Enum):
+    """Way in which the store treats calls."""
+
+    HEALTHY = "healthy"
+    SILENT = "silent, runs calls later"
+    SLOW = "slow"
+    BUSY = "busy"
+    ANSWER_LOST = "answer lost"
+
+
+class StoreState:
+    """Faults of the store and of its control interface that all hosts see."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.modes: list[StoreMode] = []
+
+    @property
+    def mode(self) -> StoreMode:
+        """Return the treatment of the calls by the newest fault."""
+        return self.modes[-1] if self.modes else StoreMode.HEALTHY
+
+
+class StoreFront(HttpStore):
+    """Store as one host sees it: the addresses in it are those of the host's own relay links."""
+
+    def __init__(self, store: MemoryStore, state: StoreState, group: SoakGroup) -> None:
+        super().__init__(store)
+        self.view: dict[bytes, bytes] = {}  # relay address by true address
+        self._state = state
+        self._group = group
+        self._shared_store = store
+        self._store = self  # calls that write go through ``transact``
+        self._client = _ViewClient(store, self.view)
+
+    def grant(self) -> LeaseId:
+        """Create a lease."""
+        return self._shared_store.grant()
+
+    async def transact(
+        self, conditions: list[Condition], puts: list[Put], deletes: list[str]
+    ) -> Committed | Conflict:
+        """Write with the true addresses."""
+        true_addresses = {relayed: true for true, relayed in self.view.items()}
+        puts = [Put(put.key, replace_addresses(put.value, true_addresses)) for put in puts]
+        return await self._shared_store.transact(conditions, puts, deletes)
+
+    @web.middleware
+    async def _apply_faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        rng = self._state.rng
+        match self._state.mode:
+            case StoreMode.SILENT:
+                while self._state.mode is StoreMode.SILENT:
+                    await asyncio.sleep(0.05)
+                if request.method == "POST":
+                    await handler(request)
+                return _lose_answer(request)
+            case StoreMode.SLOW:
+                await asyncio.sleep(rng.uniform(0.2, 1.5))
+            case StoreMode.BUSY if rng.random() < 0.8:
+                return web.Response(status=rng.choice(_BUSY_STATUSES))
+            case StoreMode.ANSWER_LOST if rng.random() < 0.5:
+                await handler(request)
+                return _lose_answer(request)
+        response = await handler(request)
+        if request.path == "/failover" and self._group.is_promotion_answer_lost:
+            return _lose_answer(request)
+        return response
+
+    async def _promote(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        holder, token = request.headers["Lease-Holder"], int(request.headers["Fencing-Token"])
+        outcome = await self._group.promote(
+            ServiceName(body["backend"]), BackendId(body["id"]), HostId(holder), FencingToken(token)
+        )
+        return web.Response(status=409 if outcome is PromotionOutcome.NOT_RUNNING else 200)
+
+
+def _lose_answer(request: web.Request) -> web.Response:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+class _ViewClient(MemoryCoordinationStore):
+    """Reader of the store that replaces addresses for one host."""
+
+    def __init__(self, store: MemoryStore, view: Mapping[bytes, bytes]) -> None:
+        super().__init__(store)
+        self._view = view
+
+    async def read_range(self, prefix: str) -> Snapshot:
+        snapshot = await super().read_range(prefix)
+        return Snapshot(tuple(self._translate(item) for item in snapshot.items), snapshot.as_of)
+
+    async def watch(
+        self, prefix: str, after: Revision, wait: timedelta
+    ) -> ChangeBatch | HistoryCompacted:
+        result = await super().watch(prefix, after, wait)
+        if isinstance(result, HistoryCompacted):
+            return result
+        changes = tuple(
+            ItemWritten(self._translate(each.item)) if isinstance(each, ItemWritten) else each
+            for each in result.changes
+        )
+        return ChangeBatch(changes, result.as_of)
+
+    def _translate(self, item: StoredValue) -> StoredValue:
+        value = replace_addresses(item.value, self._view)
+        return StoredValue(item.key, value, item.revision)
+
+
+class Operators:
+    """Operators that change the configuration and know since when it holds."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+        self._version = 0
+        self.has_optional_route = False
+        self.changed_at_s = 0.0  # when the optional route was last added or removed
+
+    async def change(self, rng: random.Random) -> None:
+        """Write the next version; half of them add or remove the optional route."""
+        self._version += rng.randint(1, 4)
+        toggles = rng.random() < 0.5
+        self.has_optional_route ^= toggles
+        databases = [*MAX_STALENESS_S, *([OPTIONAL_DATABASE] if self.has_optional_route else [])]
+        routes = [_make_route(each, rng.choice((900, 1000, 1100))) for each in databases]
+        services = [{"name": SERVICE, "max_conns": 90}]
+        document = {"version": self._version, "routes": routes, "backends": services}
+        document["limits"] = {"tx_idle_ms": 1500}
+        await self._store.put(CONFIGURATION_KEY, json.dumps(document).encode())
+        if toggles:
+            self.changed_at_s = asyncio.get_running_loop().time()
+
+
+def _make_route(database: str, timeout_ms: int) -> dict[str, Any]:
+    kinds = {"views": "bounded_staleness", "orders": "read_your_writes"}
+    return {
+        "name": f"r-{database}",
+        "database": database,
+        "backend": SERVICE,
+        "route_type": kinds.get(database, "primary"),
+        "timeout_ms": timeout_ms,
+        "target_latency_ms": 1500,
+        "priority": list(MAX_STALENESS_S).index(database) if database in MAX_STALENESS_S else 1,
+        "max_staleness_ms": MAX_STALENESS_S.get(database, 0) * 1000 or 1000,
+    }
+
+
+def relayed_addresses(true: Mapping[str, Address], relayed: Mapping[str, Address]) -> dict:
+    """Return the relay address by the true address of each target, as bytes."""
+    return {str(true[name]).encode(): str(each).encode() for name, each in relayed.items()}
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,396 @@
+"""One run of the soak: stand-ins, host processes, callers, and the faults of a plan."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+from soak.callers import Directory, SoakCaller, probe, watch_optional_route
+from soak.checks import Disturbances, Promise, PromiseChecker
+from soak.hosts import GRACE_S, HostAddresses, HostProcess, translate_peer_links
+from soak.malformed import send_malformed
+from soak.plan import LINK_KINDS, STORE_KINDS, Fault, FaultKind, Plan
+from soak.platform import (
+    DEMOTION_S,
+    MAX_STALENESS_S,
+    STATEMENT_S,
+    Operators,
+    SoakGroup,
+    StoreFront,
+    StoreMode,
+    StoreState,
+    relayed_addresses,
+)
+from soak.relay import Direction, RelayLink
+from standins.lineplatform.memorystore import MemoryStore
+from standins.ports import PortBlock, PortSource
+
+RECOVERY_S = 15.0  # a permit expires, then a primary change and its takeover
+START_LIMIT_S = 20.0
+SLOW_ANSWER_S = 0.5
+LINK_DELAY_S = (0.02, 0.4)
+SERVERS = ("i-a", "i-b", "i-c")
+_PORTS = range(31_000, 32_700)  # apart from tests.ports, standins.cluster and ephemeral ports
+_BLOCK_SIZE = 84  # five hosts with five peers' and servers' links each
+_POLL_S = 0.05
+_STORE_STOP_LIMIT_S = 0.5
+_STORE_MODES = {
+    FaultKind.STORE_SILENT: StoreMode.SILENT,
+    FaultKind.STORE_SLOW: StoreMode.SLOW,
+    FaultKind.STORE_BUSY: StoreMode.BUSY,
+    FaultKind.STORE_ANSWER_LOST: StoreMode.ANSWER_LOST,
+}
+
+EndFault = Callable[[], Awaitable[None]]
+
+
+class SoakRun:
+    """Processes, stand-ins and callers of one run."""
+
+    def __init__(self, plan: Plan, duration_s: float, folder: Path) -> None:
+        self.plan = plan
+        self.folder = folder
+        self.callers: list[SoakCaller] = []
+        self.now_s = asyncio.get_running_loop().time
+        self._duration_s = duration_s
+        self._rng = random.Random(plan.seed)
+        self._store = MemoryStore()
+        self._store_state = StoreState(self._rng)
+        self._sources: dict[int, str] = {}
+        self._group = SoakGroup(SERVERS, self._store, self._sources)
+        self._disturbances = Disturbances()
+        self.checker = PromiseChecker(self._disturbances, self._group)
+        self.checker.now_s = self.now_s
+        self._operators = Operators(self._store)
+        self._ports = PortSource(PortBlock.claim(random.Random(), _PORTS, _BLOCK_SIZE))
+        self._hosts: dict[str, HostProcess] = {}
+        self._fronts: list[StoreFront] = []
+        self._tasks: list[asyncio.Task] = []
+        self._names = 0
+
+    async def run(self) -> None:
+        """Play the plan; the findings are in ``checker``."""
+        try:
+            await self._start()
+            self.checker.started_s = self.now_s()
+            async with asyncio.TaskGroup() as group:
+                for fault in self.plan.faults:
+                    group.create_task(self._inject(fault))
+                await asyncio.sleep(self._duration_s)
+            await self._check_recovery()
+            await self._stop_hosts()
+            self.checker.finish()
+        finally:
+            await self._clean_up()
+
+    @property
+    def promotion_count(self) -> int:
+        """Return the number of orders to promote."""
+        return len(self._group.promotions)
+
+    @property
+    def rolled_back_count(self) -> int:
+        """Return the number of writes that a promoted server lacked."""
+        return len(self._group.rolled_back)
+
+    # Start and stop ----------------------------------------------------------------------------
+
+    async def _start(self) -> None:
+        for server in self._group.servers.values():
+            server.address = self._ports.next_address()
+        await self._group.start()
+        await self._operators.change(self._rng)
+        for server in self._group.servers.values():
+            await self._group.register(server)
+        for number in range(self.plan.host_count):
+            host = HostProcess(number, HostAddresses.from_ports(self._ports), self.folder)
+            self._hosts[host.name] = host
+        await self._open_links()
+        for host in self._hosts.values():
+            host.write_settings()
+            host.start()
+        await self._wait_until_open(START_LIMIT_S)
+        self._start_callers()
+        self._start_task(self._watch_processes())
+        self._start_task(self._match_links_to_processes())
+
+    async def _open_links(self) -> None:
+        servers = {name: server.address for name, server in self._group.servers.items()}
+        peers = {name: host.addresses.peers for name, host in self._hosts.items()}
+        for host in self._hosts.values():
+            front = StoreFront(self._store, self._store_state, self._group)
+            self._fronts.append(front)
+            front_address = self._ports.next_address()
+            await front.start(front_address.host, front_address.port)
+            targets = {"store": front_address, **servers, **peers}
+            del targets[host.name]
+            for name, target in targets.items():
+                link = RelayLink(self._ports.next_address(), target, self._sources, host.name)
+                host.links[name] = link
+                await link.open()
+            relayed = {name: link.listen for name, link in host.links.items() if name != "store"}
+            front.view.update(relayed_addresses({**servers, **peers}, relayed))
+        for first, second, addresses in translate_peer_links(self._hosts, {**servers, **peers}):
+            self._hosts[first].links[second].addresses[Direction.OUTWARD] = addresses
+            self._hosts[second].links[first].addresses[Direction.INWARD] = addresses
+
+    def _start_callers(self) -> None:
+        directory = Directory({name: host.addresses.callers for name, host in self._hosts.items()})
+        for name, host in self._hosts.items():
+            for database in MAX_STALENESS_S:
+                for number in range(2):
+                    caller_name = f"{name}.{database}.{number}"
+                    caller = SoakCaller(caller_name, name, database, directory, self.checker)
+                    self.callers.append(caller)
+                    self._start_task(caller.run())
+            callers = host.addresses.callers
+            self._start_task(watch_optional_route(name, callers, self._operators, self.checker))
+
+    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    async def _wait_until_open(self, limit_s: float) -> None:
+        for name in self._hosts:
+            for database in MAX_STALENESS_S:
+                await self._wait_for_answer(name, database, limit_s)
+
+    async def _wait_for_answer(self, name: str, database: str, limit_s: float) -> None:
+        host, text, until_s = self._hosts[name], "READ probe", self.now_s() + limit_s
+        answers: list[str] = []
+        while not answers or not answers[-1].startswith("ROW") or not await host.is_ready():
+            if self.now_s() > until_s:
+                detail = f"{database} at {name} after {limit_s} s: {answers[-3:]}"
+                self.checker.report(Promise.SERVICE_RETURNS, detail)
+                return
+            self._names += 1
+            request_id = f"probe-{self._names}"
+            answers.append(await probe(name, host.addresses.callers, database, request_id, text))
+            await asyncio.sleep(_POLL_S)
+
+    async def _check_recovery(self) -> None:
+        checks = [
+            self._wait_for_answer(name, database, RECOVERY_S)
+            for name in self._hosts
+            for database in MAX_STALENESS_S
+        ]
+        checks += [self._wait_for_write(name) for name in self._hosts]
+        await asyncio.gather(*checks)
+
+    async def _wait_for_write(self, name: str) -> None:
+        host, until_s, answers = self._hosts[name], self.now_s() + RECOVERY_S, [""]
+        while not answers[-1].startswith("COMPLETE"):
+            if self.now_s() > until_s:
+                detail = f"no write at {name} after {RECOVERY_S} s: {answers[-3:]}"
+                self.checker.report(Promise.SERVICE_RETURNS, detail)
+                return
+            self._names += 1
+            text = f"WRITE probe-{name} probe:{self._names}"
+            request_id = f"probe-{self._names}"
+            answers.append(await probe(name, host.addresses.callers, "bookings", request_id, text))
+            await asyncio.sleep(_POLL_S)
+
+    async def _stop_hosts(self) -> None:
+        """Stop all hosts by plan while the callers go on."""
+        stop = Fault(FaultKind.HOST_STOPPED, 0, 0)
+        for name, host in self._hosts.items():
+            self._disturbances.begin(stop, name, self.now_s())
+            host.terminate(self.now_s())
+        await self._wait_for_ends(list(self._hosts.values()))
+
+    async def _wait_for_ends(self, hosts: list[HostProcess]) -> None:
+        for host in hosts:
+            while host.stopping_since_s is not None:
+                await asyncio.sleep(_POLL_S)
+
+    async def _clean_up(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for host in self._hosts.values():
+            if host.process.is_running:
+                host.kill()
+            for link in host.links.values():
+                link.close()
+                link.reset()
+        await self._group.stop()
+        for front in self._fronts:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(front.stop(), _STORE_STOP_LIMIT_S)
+        self._ports.release()
+
+    # Watching ----------------------------------------------------------------------------------
+
+    async def _watch_processes(self) -> None:
+        while True:
+            await asyncio.sleep(_POLL_S)
+            for host in self._hosts.values():
+                self._check_process(host)
+
+    def _check_process(self, host: HostProcess) -> None:
+        if host.is_expected_to_run and not host.process.is_running:
+            self.checker.report(Promise.STAYS_UP, f"{host.name}: {host.process.log_tail(5)}")
+            host.start()
+        if host.stopping_since_s is None:
+            return
+        stopping_s = self.now_s() - host.stopping_since_s
+        if not host.process.is_running:
+            host.stopping_since_s = None
+            code = host.process.wait(0)
+            if code != 0:
+                detail = f"{host.name}: exit code {code}: {host.process.log_tail(5)}"
+                self.checker.report(Promise.STAYS_UP, detail)
+        elif stopping_s > GRACE_S + _POLL_S:
+            # A paused process can't stop; the platform kills it as any other.
+            if host.pause_count == 0:
+                detail = f"{host.name}: {host.process.log_tail(5)}"
+                self.checker.report(Promise.STOPS_WITHIN_GRACE, detail)
+            host.kill()
+
+    async def _match_links_to_processes(self) -> None:
+        """Refuse connections to processes that are gone, as the kernel would."""
+        while True:
+            for host in self._hosts.values():
+                for name, link in host.links.items():
+                    if self._is_running(name):
+                        await link.open()
+                    else:
+                        link.close()
+            await asyncio.sleep(_POLL_S / 10)
+
+    def _is_running(self, target: str) -> bool:
+        if target in self._hosts:
+            return self._hosts[target].process.is_running
+        return target == "store" or self._group.servers[target].is_running
+
+    # Faults ------------------------------------------------------------------------------------
+
+    async def _inject(self, fault: Fault) -> None:
+        await asyncio.sleep(fault.at_s)
+        host = self._hosts[f"h{fault.host}"]
+        disturbance = self._disturbances.begin(fault, host.name, self.now_s())
+        end_fault = await self._begin(fault, host)
+        await asyncio.sleep(max(0.0, self.checker.started_s + fault.until_s - self.now_s()))
+        if end_fault is not None:
+            await end_fault()
+        disturbance.until_s = self.now_s()
+
+    async def _begin(self, fault: Fault, host: HostProcess) -> EndFault | None:
+        group = self._group
+        server = group.servers[SERVERS[fault.server]]
+        if fault.kind in LINK_KINDS:
+            return self._harm_links(fault, host.select_links(fault.link_end, SERVERS))
+        if fault.kind in STORE_KINDS:
+            return self._set_store_mode(_STORE_MODES[fault.kind])
+        match fault.kind:
+            case FaultKind.HOST_STOPPED:
+                return await self._stop_and_restart(host)
+            case FaultKind.HOST_KILLED:
+                host.kill()
+                return _undo(self._restart, host)
+            case FaultKind.HOST_PAUSED:
+                host.pause()
+                return _undo(host.resume)
+            case FaultKind.STORE_HISTORY_LOST:
+                self._store.compact_history()
+            case FaultKind.CONFIGURATION_CHANGED:
+                await self._operators.change(self._rng)
+            case FaultKind.PRIMARY_CRASHES:
+                primary = group.primary
+                await group.crash_and_expire(primary)
+                return _undo(self._restart_server, primary)
+            case FaultKind.SERVER_CRASHES:
+                await group.crash_and_expire(server)
+                return _undo(self._restart_server, server)
+            case FaultKind.PRIMARY_LEAVES:
+                primary = group.primary
+                self._names += 1
+                if await group.leave(primary):
+                    return _undo(group.replace, primary, f"{primary.backend}-{self._names}")
+            case FaultKind.PRIMARY_SILENT:
+                return _set(group.primary, "is_silent", True, False)
+            case FaultKind.PRIMARY_SLOW:
+                return _set(group.primary, "delay_seconds", SLOW_ANSWER_S, STATEMENT_S)
+            case FaultKind.FORMER_PRIMARY_NOT_TOLD:
+                return _set(group, "demotion_s", DEMOTION_S + fault.for_s, DEMOTION_S)
+            case FaultKind.SERVER_LAGS if server is not group.primary:
+                return self._stop_receiving(server)
+            case FaultKind.ANSWERS_LOST:
+                return _set(group.primary, "lose_answers", self._rng.randint(1, 20), 0)
+            case FaultKind.ANSWERS_MALFORMED:
+                return _set(server, "malformed_answers", self._rng.randint(1, 5), 0)
+            case FaultKind.PROMOTION_ANSWER_LOST:
+                return _set(group, "is_promotion_answer_lost", True, False)
+            case FaultKind.MALFORMED_INPUT:
+                self._names += 1
+                await send_malformed(self._rng, host.addresses, self._store, self._names)
+        return None
+
+    def _harm_links(self, fault: Fault, links: list[RelayLink]) -> EndFault:
+        held = {
+            FaultKind.LINK_CUT_OUTWARD: (Direction.OUTWARD,),
+            FaultKind.LINK_CUT_INWARD: (Direction.INWARD,),
+            FaultKind.LINK_SILENT: tuple(Direction),
+        }.get(fault.kind, ())
+        delay_s = self._rng.uniform(*LINK_DELAY_S) if fault.kind is FaultKind.LINK_DELAYED else 0.0
+        for link in links:
+            link.delay_s += delay_s
+            if fault.kind is FaultKind.LINK_RESET:
+                link.reset()
+            for direction in held:
+                link.hold(direction)
+
+        async def end_fault() -> None:
+            for link in links:
+                link.delay_s = max(0.0, link.delay_s - delay_s)
+                if fault.kind is FaultKind.LINK_RESET:
+                    link.reset()
+                for direction in held:
+                    link.release(direction)
+
+        return end_fault
+
+    def _set_store_mode(self, mode: StoreMode) -> EndFault:
+        self._store_state.modes.append(mode)
+        return _undo(self._store_state.modes.remove, mode)
+
+    async def _stop_and_restart(self, host: HostProcess) -> EndFault:
+        if host.is_expected_to_run:
+            host.terminate(self.now_s())
+            await self._wait_for_ends([host])
+        return _undo(self._restart, host)
+
+    def _restart(self, host: HostProcess) -> None:
+        if not host.process.is_running:
+            host.start()
+
+    async def _restart_server(self, server: Any) -> None:
+        if server.leaving_since_s is None:
+            await self._group.restart(server)
+
+    def _stop_receiving(self, server: Any) -> EndFault:
+        server.is_receiving = False
+
+        async def end_fault() -> None:
+            server.is_receiving = True
+            if server.role == "replica":
+                server.follow(self._group.primary)
+
+        return end_fault
+
+
+def _undo(function: Callable[..., Any], *arguments: Any) -> EndFault:
+    async def end_fault() -> None:
+        result = function(*arguments)
+        if isinstance(result, Awaitable):
+            await result
+
+    return end_fault
+
+
+def _set(target: Any, attribute: str, value: Any, normal: Any) -> EndFault:
+    setattr(target, attribute, value)
+    return _undo(setattr, target, attribute, normal)
