Soak: relay links between hosts replace ports in text, JSON and MessagePack

Cause: hosts learned each other's true addresses from JSON arrays and MessagePack, past the relay. Change: ports are replaced in all three forms. Conclusion: all links of a host pass its relay.

--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -14,7 +14,7 @@
 from hickorywind.platform.__main__ import SETTINGS_VARIABLE
 from soak.plan import LinkEnd
 from soak.platform import LEAVING_S
-from soak.relay import RelayLink
+from soak.relay import Direction, RelayLink
 from standins.ports import PortSource
 from standins.processes import ManagedProcess
 
@@ -137,21 +137,18 @@
             return False
 
 
-def translate_peer_links(
-    hosts: Mapping[str, HostProcess], targets: Mapping[str, Address]
-) -> list[tuple[str, str, dict[bytes, bytes]]]:
-    """Return, for each pair of hosts, the addresses that the second uses by those of the first.
+def translate_peer_links(hosts: Mapping[str, HostProcess], targets: Mapping[str, Address]) -> None:
+    """Let each host learn from another only addresses of its own links.
 
-    A host names others by the addresses of its own links, which only it may use.
+    A host names others by the addresses of its links, which only it may use.
     """
 
-    def view(host: str, target: str) -> bytes:
+    def view(host: str, target: str) -> int:
         link = hosts[host].links.get(target)
-        return str(targets[target] if link is None else link.listen).encode()
-
-    return [
-        (first, second, {view(first, target): view(second, target) for target in targets})
-        for first in hosts
-        for second in hosts
-        if first != second
-    ]
+        return targets[target].port if link is None else link.listen.port
+
+    for first in hosts:
+        for second in hosts.keys() - {first}:
+            outward = {view(first, target): view(second, target) for target in targets}
+            hosts[first].links[second].ports[Direction.OUTWARD] = outward
+            hosts[second].links[first].ports[Direction.INWARD] = outward
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -13,7 +13,7 @@
 
 from aiohttp import web
 
-from hickorywind.ids import Address, BackendId, HostId, Revision, ServiceName
+from hickorywind.ids import BackendId, HostId, Revision, ServiceName
 from hickorywind.platform.documents import BACKENDS_PREFIX, CONFIGURATION_KEY
 from hickorywind.ports.coordination import (
     ChangeBatch,
@@ -29,7 +29,7 @@
     Snapshot,
 )
 from hickorywind.store.interface import StoredValue
-from soak.relay import replace_addresses
+from soak.relay import replace_ports
 from standins.lineplatform.group import LineGroup, LineServer
 from standins.lineplatform.httpstore import HttpStore
 from standins.lineplatform.memorystore import MemoryCoordinationStore, MemoryStore
@@ -260,7 +260,7 @@
 
     def __init__(self, store: MemoryStore, state: StoreState, group: SoakGroup) -> None:
         super().__init__(store)
-        self.view: dict[bytes, bytes] = {}  # relay address by true address
+        self.view: dict[int, int] = {}  # port of the relay link by true port
         self._state = state
         self._group = group
         self._shared_store = store
@@ -275,8 +275,8 @@
         self, conditions: list[Condition], puts: list[Put], deletes: list[str]
     ) -> Committed | Conflict:
         """Write with the true addresses."""
-        true_addresses = {relayed: true for true, relayed in self.view.items()}
-        puts = [Put(put.key, replace_addresses(put.value, true_addresses)) for put in puts]
+        true_ports = {relayed: true for true, relayed in self.view.items()}
+        puts = [Put(put.key, replace_ports(put.value, true_ports)) for put in puts]
         return await self._shared_store.transact(conditions, puts, deletes)
 
     @web.middleware
@@ -319,7 +319,7 @@
 class _ViewClient(MemoryCoordinationStore):
     """Reader of the store that replaces addresses for one host."""
 
-    def __init__(self, store: MemoryStore, view: Mapping[bytes, bytes]) -> None:
+    def __init__(self, store: MemoryStore, view: Mapping[int, int]) -> None:
         super().__init__(store)
         self._view = view
 
@@ -340,7 +340,7 @@
         return ChangeBatch(changes, result.as_of)
 
     def _translate(self, item: StoredValue) -> StoredValue:
-        value = replace_addresses(item.value, self._view)
+        value = replace_ports(item.value, self._view)
         return StoredValue(item.key, value, item.revision)
 
 
@@ -380,8 +380,3 @@
         "priority": list(MAX_STALENESS_S).index(database) if database in MAX_STALENESS_S else 1,
         "max_staleness_ms": MAX_STALENESS_S.get(database, 0) * 1000 or 1000,
     }
-
-
-def relayed_addresses(true: Mapping[str, Address], relayed: Mapping[str, Address]) -> dict:
-    """Return the relay address by the true address of each target, as bytes."""
-    return {str(true[name]).encode(): str(each).encode() for name, each in relayed.items()}
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -15,9 +15,10 @@
 _CHUNK_BYTES = 65_536
 _LINGER_NONE = struct.pack("ii", 1, 0)  # closing sends RST instead of FIN
 _PEER_UNREACHABLE_S = 3.0  # after this silence a platform drops a connection
-# All addresses of a run have the same length, so that they can be replaced within a stream.
-_ADDRESS = re.compile(rb"127\.0\.0\.1:\d{5}")
-_ADDRESS_START = re.compile(rb"127\.0\.0\.1:\d{0,4}\Z")
+# Loopback addresses as text, in JSON and in MessagePack. All ports of a run have five digits and
+# two bytes, so that they can be replaced within a stream.
+_ADDRESS = re.compile(rb'(127\.0\.0\.1)(?:(:|",)(\d{5})|(\xcd)(..))', re.DOTALL)
+_ADDRESS_START = re.compile(rb'127\.0\.0\.1(?:(?::|",?)\d{0,4}|\xcd.?)?\Z', re.DOTALL)
 
 
 class Direction(Enum):
@@ -27,9 +28,18 @@
     INWARD = "to the host"
 
 
-def replace_addresses(data: bytes, addresses: Mapping[bytes, bytes]) -> bytes:
-    """Return ``data`` with each known address replaced by the one that its reader is to use."""
-    return _ADDRESS.sub(lambda match: addresses.get(match[0], match[0]), data)
+def replace_ports(data: bytes, ports: Mapping[int, int]) -> bytes:
+    """Return ``data`` with the port of each known address replaced."""
+
+    def replace(match: re.Match[bytes]) -> bytes:
+        host, separator, digits, marker, packed = match.groups()
+        if digits:
+            port = int(digits)
+            return host + separator + str(ports.get(port, port)).encode()
+        port = int.from_bytes(packed, "big")
+        return host + marker + ports.get(port, port).to_bytes(2, "big")
+
+    return _ADDRESS.sub(replace, data)
 
 
 class RelayLink:
@@ -38,7 +48,7 @@
     def __init__(self, listen: Address, target: Address, sources: dict[int, str], host: str):
         self.listen = listen
         self.delay_s = 0.0
-        self.addresses: dict[Direction, dict[bytes, bytes]] = {each: {} for each in Direction}
+        self.ports: dict[Direction, dict[int, int]] = {each: {} for each in Direction}
         self._target = target
         self._sources = sources  # host by the port from which its relay connects
         self._host = host
@@ -119,7 +129,7 @@
             data, pending = pending + data, b""
             if start := _ADDRESS_START.search(data):
                 data, pending = data[: start.start()], data[start.start() :]
-            writer.write(replace_addresses(data, self.addresses[direction]))
+            writer.write(replace_ports(data, self.ports[direction]))
             await writer.drain()
         await self._passing[direction].wait()
         # No half-closed connections: the end of one direction ends both.
--- a/soak/run.py
+++ b/soak/run.py
@@ -23,7 +23,6 @@
     StoreFront,
     StoreMode,
     StoreState,
-    relayed_addresses,
 )
 from soak.relay import Direction, RelayLink
 from standins.lineplatform.memorystore import MemoryStore
@@ -132,11 +131,14 @@
                 link = RelayLink(self._ports.next_address(), target, self._sources, host.name)
                 host.links[name] = link
                 await link.open()
-            relayed = {name: link.listen for name, link in host.links.items() if name != "store"}
-            front.view.update(relayed_addresses({**servers, **peers}, relayed))
-        for first, second, addresses in translate_peer_links(self._hosts, {**servers, **peers}):
-            self._hosts[first].links[second].addresses[Direction.OUTWARD] = addresses
-            self._hosts[second].links[first].addresses[Direction.INWARD] = addresses
+            front.view.update(
+                {
+                    target.port: host.links[name].listen.port
+                    for name, target in targets.items()
+                    if name != "store"
+                }
+            )
+        translate_peer_links(self._hosts, {**servers, **peers})
 
     def _start_callers(self) -> None:
         directory = Directory({name: host.addresses.callers for name, host in self._hosts.items()})
