Soak: faults of all kinds; hand-over series with an old primary that is not told

Cause: only planned work was played; no write ever met a replaced primary. Change: link, store, server and host faults; a hand-over series harms a host, delays what the old primary learns and changes the primary; closed sockets are no error; the grace is the platform's 6 s.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import logging
 import sys
 from dataclasses import replace
 from pathlib import Path
@@ -22,6 +23,8 @@
     parser.add_argument("--hosts", type=int, default=4, choices=(2, 3, 4, 5))
     parser.add_argument("--out", type=Path, default=Path("out/soak"), help="folder of the reports")
     arguments = parser.parse_args()
+    # Requests of hosts that end are no events of the soak.
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     failed = []
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         plan = Plan.from_seed(seed, arguments.minutes * 60, arguments.hosts)
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -18,7 +18,7 @@
 from standins.ports import PortSource
 from standins.processes import ManagedProcess
 
-GRACE_S = 4.0  # from SIGTERM until the host must have ended
+GRACE_S = 6.0  # from SIGTERM until the platform kills the host (grace_s)
 ZONES = {"z0": "r1", "z1": "r1", "z2": "r2"}
 _LOG_BYTES_PER_S = 1_000_000  # nothing that explains a finding is left out
 _CONNECT_LIMIT_S = 0.5
@@ -51,6 +51,7 @@
         self.is_expected_to_run = False
         self.stopping_since_s: float | None = None
         self.pause_count = 0
+        self.was_paused = False  # at some time since SIGTERM
         self._settings_path = folder / f"{self.name}.yaml"
         self.process = ManagedProcess(
             self.name,
@@ -90,6 +91,7 @@
         """Send SIGTERM."""
         self.is_expected_to_run = False
         self.stopping_since_s = now_s
+        self.was_paused = self.pause_count > 0
         self.process.send(signal.SIGTERM)
 
     def kill(self) -> None:
@@ -101,6 +103,7 @@
     def pause(self) -> None:
         """Pause the process; several pauses may overlap."""
         self.pause_count += 1
+        self.was_paused = True
         self.process.freeze()
 
     def resume(self) -> None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -43,6 +43,7 @@
     CONFIGURATION_CHANGED = "operators change routes and time limits"
     PRIMARY_CRASHES = "primary crashes and comes back"
     PRIMARY_LEAVES = "primary leaves by plan and a new server takes its address"
+    PRIMARY_CUT_OFF = "all hosts, or all but one, do not reach the primary"
     PRIMARY_SILENT = "primary accepts and says nothing"
     PRIMARY_SLOW = "primary answers late"
     FORMER_PRIMARY_NOT_TOLD = "replaced primary learns late that it was replaced"
@@ -73,6 +74,12 @@
     FaultKind.STORE_BUSY,
     FaultKind.STORE_ANSWER_LOST,
 )
+CHANGE_KINDS = (
+    FaultKind.PRIMARY_CRASHES,
+    FaultKind.PRIMARY_LEAVES,
+    FaultKind.PRIMARY_CUT_OFF,
+    FaultKind.PRIMARY_SILENT,
+)
 HOST_KINDS = (FaultKind.HOST_STOPPED, FaultKind.HOST_PAUSED, FaultKind.HOST_KILLED, *LINK_KINDS)
 # Faults that have neither end nor effect on what a host can reach.
 HARMLESS_KINDS = (
@@ -114,10 +121,7 @@
     Theme.PLANNED: PLANNED_KINDS,
     Theme.MIXED: tuple(FaultKind),
     Theme.HAND_OVER: (
-        FaultKind.PRIMARY_CRASHES,
-        FaultKind.PRIMARY_LEAVES,
-        FaultKind.PRIMARY_SILENT,
-        FaultKind.FORMER_PRIMARY_NOT_TOLD,
+        *CHANGE_KINDS,
         FaultKind.PROMOTION_ANSWER_LOST,
         *HOST_KINDS,
         *STORE_KINDS,
@@ -154,9 +158,14 @@
     rng: random.Random, theme: Theme, start_s: float, host_count: int, server_count: int
 ) -> Iterator[Fault]:
     host = rng.randrange(host_count)  # most faults of a series meet one host
-    for _ in range(rng.randint(1, _MAX_SERIES_LENGTH)):
+    kinds = list(rng.choices(_KINDS_BY_THEME[theme], k=rng.randint(1, _MAX_SERIES_LENGTH)))
+    if theme is Theme.HAND_OVER:
+        # A host that may act for the old primary, and an old primary that lets it.
+        kinds[:1] = [rng.choice(HOST_KINDS), FaultKind.FORMER_PRIMARY_NOT_TOLD]
+        kinds.append(rng.choice(CHANGE_KINDS))
+    for kind in kinds:
         yield Fault(
-            kind=rng.choice(_KINDS_BY_THEME[theme]),
+            kind=kind,
             at_s=round(start_s, 2),
             for_s=round(rng.uniform(MIN_FAULT_S, MAX_FAULT_S), 2),
             host=host if rng.random() < 0.7 else rng.randrange(host_count),
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -281,6 +281,10 @@
 
     @web.middleware
     async def _apply_faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        try:
+            await request.read()
+        except ConnectionError:
+            return _lose_answer(request)
         rng = self._state.rng
         match self._state.mode:
             case StoreMode.SILENT:
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import re
 import socket
 import struct
@@ -76,9 +77,10 @@
     def reset(self) -> None:
         """Reset all connections."""
         for writer in list(self._writers):
-            writer.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE
-            )
+            with contextlib.suppress(OSError):  # it may be closed already
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE
+                )
             writer.transport.abort()
 
     def hold(self, direction: Direction) -> None:
@@ -110,7 +112,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._pump(reader, target_writer, Direction.OUTWARD))
                 group.create_task(self._pump(target_reader, writer, Direction.INWARD))
-        except* OSError:
+        except* (OSError, asyncio.CancelledError):
             pass
         finally:
             for each in (writer, target_writer):
--- a/soak/run.py
+++ b/soak/run.py
@@ -247,7 +247,7 @@
                 self.checker.report(Promise.STAYS_UP, detail)
         elif stopping_s > GRACE_S + _POLL_S:
             # A paused process can't stop; the platform kills it as any other.
-            if host.pause_count == 0:
+            if not host.was_paused:
                 detail = f"{host.name}: {host.process.log_tail(5)}"
                 self.checker.report(Promise.STOPS_WITHIN_GRACE, detail)
             host.kill()
@@ -312,6 +312,10 @@
                 self._names += 1
                 if await group.leave(primary):
                     return _undo(group.replace, primary, f"{primary.backend}-{self._names}")
+            case FaultKind.PRIMARY_CUT_OFF:
+                cut = [each for each in self._hosts.values() if fault.server == 0 or each != host]
+                name = next(each for each in SERVERS if group.servers[each] is group.primary)
+                return self._hold_links([each.links[name] for each in cut], tuple(Direction))
             case FaultKind.PRIMARY_SILENT:
                 return _set(group.primary, "is_silent", True, False)
             case FaultKind.PRIMARY_SLOW:
@@ -332,29 +336,48 @@
         return None
 
     def _harm_links(self, fault: Fault, links: list[RelayLink]) -> EndFault:
-        held = {
-            FaultKind.LINK_CUT_OUTWARD: (Direction.OUTWARD,),
-            FaultKind.LINK_CUT_INWARD: (Direction.INWARD,),
-            FaultKind.LINK_SILENT: tuple(Direction),
-        }.get(fault.kind, ())
-        delay_s = self._rng.uniform(*LINK_DELAY_S) if fault.kind is FaultKind.LINK_DELAYED else 0.0
+        match fault.kind:
+            case FaultKind.LINK_DELAYED:
+                return self._delay_links(links)
+            case FaultKind.LINK_CUT_OUTWARD:
+                return self._hold_links(links, (Direction.OUTWARD,))
+            case FaultKind.LINK_CUT_INWARD:
+                return self._hold_links(links, (Direction.INWARD,))
+            case FaultKind.LINK_SILENT:
+                return self._hold_links(links, tuple(Direction))
+        return self._reset_links(links)
+
+    def _delay_links(self, links: list[RelayLink]) -> EndFault:
+        delay_s = self._rng.uniform(*LINK_DELAY_S)
         for link in links:
             link.delay_s += delay_s
-            if fault.kind is FaultKind.LINK_RESET:
-                link.reset()
-            for direction in held:
-                link.hold(direction)
 
         async def end_fault() -> None:
             for link in links:
                 link.delay_s = max(0.0, link.delay_s - delay_s)
-                if fault.kind is FaultKind.LINK_RESET:
-                    link.reset()
-                for direction in held:
-                    link.release(direction)
 
         return end_fault
 
+    def _hold_links(self, links: list[RelayLink], directions: tuple[Direction, ...]) -> EndFault:
+        held = [(link, direction) for link in links for direction in directions]
+        for link, direction in held:
+            link.hold(direction)
+
+        async def end_fault() -> None:
+            for link, direction in held:
+                link.release(direction)
+
+        return end_fault
+
+    def _reset_links(self, links: list[RelayLink]) -> EndFault:
+        async def reset() -> None:
+            for link in links:
+                link.reset()
+
+        for link in links:
+            link.reset()
+        return reset
+
     def _set_store_mode(self, mode: StoreMode) -> EndFault:
         self._store_state.modes.append(mode)
         return _undo(self._store_state.modes.remove, mode)
