--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,13 @@
 VENV := .venv
 BIN := $(VENV)/bin
 JOBS ?= 4
+SEEDS ?= 5
+MINUTES ?= 0.33
+HOSTS ?= 4
 PROPERTY_TESTS := $(subst /,.,$(basename $(shell grep -rl --include='test_*.py' '^from hypothesis' tests)))
 STAMP := $(VENV)/.installed
 
-.PHONY: install test fuzz lint format demo demo-check clean
+.PHONY: install test fuzz soak soak-regressions lint format demo demo-check clean
 
 install: $(STAMP)
 
@@ -28,6 +31,12 @@
 fuzz: install
 	HYPOTHESIS_PROFILE=fuzz $(BIN)/python -m tests --jobs $(JOBS) $(PROPERTY_TESTS)
 
+soak: install
+	$(BIN)/python -m soak --seeds $(SEEDS) --minutes $(MINUTES) --hosts $(HOSTS)
+
+soak-regressions: install
+	$(BIN)/python -m soak --regressions
+
 demo: install
 	@$(BIN)/python -m standins.demo
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,8 +4,12 @@
 
 import argparse
 import asyncio
+import json
 import logging
+import secrets
+import signal
 import sys
+from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
 
@@ -13,31 +17,54 @@
 from soak.report import Report
 from soak.run import SoakRun
 
+_SEEDS = Path(__file__).with_name("seeds.txt")
+_MAX_SEED = 1_000_000
+
 
 def main() -> int:
-    """Run one seed after the other and return 1 if any has a finding."""
+    """Play seeds, or plans of earlier reports, and return 1 if any has a finding."""
     parser = argparse.ArgumentParser(prog="python -m soak", description=__doc__)
-    parser.add_argument("--seed", type=int, required=True, help="first seed")
+    parser.add_argument("--seed", type=int, help="first seed; by default drawn")
     parser.add_argument("--seeds", type=int, default=1, help="number of consecutive seeds")
-    parser.add_argument("--minutes", type=float, default=0.4, help="time with faults per seed")
+    parser.add_argument("--minutes", type=float, default=0.33, help="time with faults per seed")
     parser.add_argument("--hosts", type=int, default=4, choices=(2, 3, 4, 5))
+    parser.add_argument("--regressions", action="store_true", help="play soak/seeds.txt")
+    parser.add_argument("--plan", type=Path, help="play the plan in a report.json")
     parser.add_argument("--out", type=Path, default=Path("out/soak"), help="folder of the reports")
     arguments = parser.parse_args()
     # Requests of hosts that end are no events of the soak.
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     failed = []
-    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
-        plan = Plan.from_seed(seed, arguments.minutes * 60, arguments.hosts)
-        folder = arguments.out / f"seed-{seed}"
-        report = run_plan(plan, arguments.minutes * 60, folder)
+    cases = list(_list_cases(arguments))
+    for plan, duration_s in cases:
+        folder = arguments.out / f"seed-{plan.seed}"
+        report = run_plan(plan, duration_s, folder)
         report.write(folder)
         print(report.to_text(), flush=True)
-        failed += [seed] if report.findings else []
-    if arguments.seeds > 1:
-        print(f"{arguments.seeds} seeds, {len(failed)} with findings: {failed}")
+        failed += [plan.seed] if report.findings else []
+    print(f"{len(cases)} seeds, {len(failed)} with findings: {failed}")
     return 1 if failed else 0
 
 
+def _list_cases(arguments: argparse.Namespace) -> Iterator[tuple[Plan, float]]:
+    if arguments.plan is not None:
+        document = json.loads(arguments.plan.read_text())
+        yield Plan.from_document(document), document["duration_s"]
+        return
+    if arguments.regressions:
+        for line in _SEEDS.read_text().splitlines():
+            if line and not line.startswith("#"):
+                seed, minutes, hosts = line.partition("|")[0].split()
+                yield Plan.from_seed(int(seed), float(minutes) * 60, int(hosts)), 60 * float(
+                    minutes
+                )
+        return
+    first = secrets.randbelow(_MAX_SEED) if arguments.seed is None else arguments.seed
+    for seed in range(first, first + arguments.seeds):
+        duration_s = arguments.minutes * 60
+        yield Plan.from_seed(seed, duration_s, arguments.hosts), duration_s
+
+
 def run_plan(plan: Plan, duration_s: float, folder: Path) -> Report:
     """Play a plan for at least ``duration_s``, with logs in ``folder``, and return its report."""
     folder.mkdir(parents=True, exist_ok=True)
@@ -47,6 +74,8 @@
 
 
 async def _play(plan: Plan, duration_s: float, folder: Path) -> Report:
+    # SIGTERM must not leave host processes behind.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     run = SoakRun(plan, duration_s, folder)
     await run.run()
     started_s = run.checker.started_s
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
+from typing import Any
 
 MIN_FAULT_S = 0.3
 MAX_FAULT_S = 7.0  # longer than a permit is in force, so that fencing completes
@@ -153,6 +154,21 @@
         kept = [fault for fault in faults if fault.at_s < duration_s]
         return cls(seed, host_count, theme, tuple(sorted(kept, key=lambda fault: fault.at_s)))
 
+    @classmethod
+    def from_document(cls, document: dict[str, Any]) -> Plan:
+        """Return the plan in a report, so that it can be played again after the drawing changed."""
+        faults = tuple(
+            Fault(
+                **{
+                    **fault,
+                    "kind": FaultKind[fault["kind"]],
+                    "link_end": LinkEnd[fault["link_end"]],
+                }
+            )
+            for fault in document["faults"]
+        )
+        return cls(document["seed"], document["hosts"], Theme(document["theme"]), faults)
+
 
 def _draw_series(
     rng: random.Random, theme: Theme, start_s: float, host_count: int, server_count: int
--- /dev/null
+++ b/tests/soak/test_plan.py
@@ -0,0 +1,41 @@
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from soak.plan import CHANGE_KINDS, FaultKind, Plan, Theme
+from soak.report import Report
+
+
+class PlanTest(unittest.TestCase):
+    def test_same_seed_gives_the_same_plan(self):
+        self.assertEqual(Plan.from_seed(7, 30, 4), Plan.from_seed(7, 30, 4))
+        self.assertNotEqual(Plan.from_seed(7, 30, 4).faults, Plan.from_seed(8, 30, 4).faults)
+
+    def test_many_seeds_draw_every_kind_and_faults_that_overlap(self):
+        plans = [Plan.from_seed(seed, 30, 4) for seed in range(60)]
+        drawn = {fault.kind for plan in plans for fault in plan.faults}
+        self.assertEqual(drawn, set(FaultKind))
+        overlapping = [
+            plan
+            for plan in plans
+            if any(
+                later.at_s < fault.until_s
+                for fault, later in zip(plan.faults, plan.faults[1:], strict=False)
+            )
+        ]
+        self.assertGreater(len(overlapping), 50)
+        for plan in plans:
+            self.assertTrue(all(fault.at_s < 30 and fault.host < 4 for fault in plan.faults))
+
+    def test_hand_over_changes_the_primary_beside_a_harmed_host(self):
+        plans = [Plan.from_seed(seed, 30, 4) for seed in range(40)]
+        for plan in (plan for plan in plans if plan.theme is Theme.HAND_OVER):
+            self.assertTrue(any(fault.kind in CHANGE_KINDS for fault in plan.faults), plan.seed)
+
+    def test_report_holds_the_plan_to_play_it_again(self):
+        plan = Plan.from_seed(7, 30, 4)
+        with tempfile.TemporaryDirectory() as folder:
+            Report(plan, 30.0, (), (), 0, 0, 0).write(Path(folder))
+            text = (Path(folder) / "report.json").read_text()
+        self.assertEqual(Plan.from_document(json.loads(text)), plan)
--- /dev/null
+++ b/tests/soak/test_run.py
@@ -0,0 +1,45 @@
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from soak.__main__ import run_plan
+from soak.checks import Promise
+from soak.plan import Fault, FaultKind, LinkEnd, Plan, Theme
+from soak.run import SoakRun
+
+DURATION_S = 3.0
+
+
+class ShortSoakTest(unittest.TestCase):
+    """Short run with host processes; ``python -m soak`` plays longer ones."""
+
+    def test_planned_and_unplanned_faults_keep_the_promises(self):
+        faults = (
+            Fault(FaultKind.LINK_CUT_INWARD, 0.3, 1.0, host=0, link_end=LinkEnd.PEERS),
+            Fault(FaultKind.CONFIGURATION_CHANGED, 0.5, 0.1),
+            Fault(FaultKind.PRIMARY_CRASHES, 0.6, 2.0),
+            Fault(FaultKind.HOST_PAUSED, 0.8, 0.7, host=1),
+            Fault(FaultKind.MALFORMED_INPUT, 1.0, 0.1),
+            Fault(FaultKind.ANSWERS_LOST, 2.0, 0.5),
+            Fault(FaultKind.HOST_KILLED, 2.2, 0.5, host=0),
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            plan = Plan(1, 2, Theme.MIXED, faults)
+            report = run_plan(plan, DURATION_S, Path(folder))
+        self.assertEqual(report.findings, (), report.to_text())
+        self.assertGreater(report.counts()["served"], 200)
+        self.assertGreater(report.promotion_count, 0)
+
+
+class EndedProcessTest(unittest.IsolatedAsyncioTestCase):
+    async def test_process_that_ends_by_itself_is_found_and_started_again(self):
+        with tempfile.TemporaryDirectory() as folder:
+            run = SoakRun(Plan(1, 2, Theme.MIXED, ()), DURATION_S, Path(folder))
+            playing = asyncio.create_task(run.run())
+            while not run.callers:
+                await asyncio.sleep(0.05)
+            run._hosts["h0"].process.kill()
+            await playing
+        self.assertEqual({each.promise for each in run.checker.findings}, {Promise.STAYS_UP.value})
+        self.assertFalse(any(host.process.is_running for host in run._hosts.values()))
