Soak: SIGTERM during the start of a process is no end by itself

Change: that code is accepted before the process has logged that it serves. Measured: the finding is the soak's own fault; the log of that start is empty.

--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -52,6 +52,7 @@
         self.stopping_since_s: float | None = None
         self.pause_count = 0
         self.was_paused = False  # at some time since SIGTERM
+        self._log_start = 0
         self._settings_path = folder / f"{self.name}.yaml"
         self.process = ManagedProcess(
             self.name,
@@ -83,10 +84,17 @@
 
     def start(self) -> None:
         """Start the process."""
+        path = self.process.log_path
+        self._log_start = path.stat().st_size if path.exists() else 0
         self.process.start()
         self.is_expected_to_run = True
         self.stopping_since_s = None
 
+    @property
+    def has_started(self) -> bool:
+        """Return whether the current process has logged that it serves."""
+        return b"event=process_started" in self.process.log_path.read_bytes()[self._log_start :]
+
     def terminate(self, now_s: float) -> None:
         """Send SIGTERM."""
         self.is_expected_to_run = False
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+import signal
 from collections.abc import Awaitable, Callable, Coroutine
 from datetime import UTC, datetime
 from pathlib import Path
@@ -251,7 +252,8 @@
         if not host.process.is_running:
             host.stopping_since_s = None
             code = host.process.wait(0)
-            if code != 0:
+            # Before the process handles signals, SIGTERM ends it at once; it has read no request.
+            if code != 0 and (code != -signal.SIGTERM or host.has_started):
                 detail = f"{host.name}: exit code {code}: {host.process.log_tail(5)}"
                 self.checker.report(Promise.STAYS_UP, detail)
         elif stopping_s > GRACE_S + _POLL_S:
