--- a/soak/run.py
+++ b/soak/run.py
@@ -216,10 +216,11 @@
     async def _clean_up(self) -> None:
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        for host in self._hosts.values():
+        for host in self._hosts.values():  # first, so that no error leaves one behind
             if host.process.is_running:
                 host.kill()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for host in self._hosts.values():
             for link in host.links.values():
                 link.close()
                 link.reset()
