--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -135,8 +135,15 @@
         self.missing_position = position
         self.missing_checked_at = now
 
-    def start_lag_check(self, now: Instant) -> None:
-        """Let one read check whether the server has caught up; the others wait for longer."""
+    def start_lag_check(self, target: Target, now: Instant) -> None:
+        """Let one read of a missing position check whether the server has it by now.
+
+        The others avoid the server until the next check, for longer than before.
+        """
+        if self.missing_position is None or not isinstance(target, AtPosition):
+            return
+        if target.position < self.missing_position:
+            return
         self.missing_checked_at = now
         self.lag_recheck_interval = min(LAG_RECHECK_INTERVAL_MAX, self.lag_recheck_interval * 2)
 
@@ -226,8 +233,7 @@
 
     def _grant(self, operation: QueuedOperation, server: ServerState, now: Instant) -> None:
         self._granted_count += 1
-        if server.missing_position is not None:
-            server.start_lag_check(now)
+        server.start_lag_check(operation.target, now)
         server.limit.start(now)
         server.reserve_connection()
         operation.grant(server.backend)
--- a/hickorywind/host/sharedreads.py
+++ b/hickorywind/host/sharedreads.py
@@ -124,14 +124,12 @@
             home = self._homes.home_of(server.backend, backend.server.zone, now)
             if home is None or home == self._identity.host:
                 return failed
-            if isinstance(target, AtPosition) and server.missing_position is not None:
-                server.start_lag_check(now)
-            deadline = service.wait_deadline(route, target, arrived)
-            reply = await self._ask(
-                home,
-                deadline - now,
-                self._make_read(service, route, context, request, template, server, target),
-            )
+            remaining = service.wait_deadline(route, target, arrived) - now
+            if remaining <= timedelta(0):
+                return failed
+            server.start_lag_check(target, now)
+            read = self._make_read(service, route, context, request, template, server, target)
+            reply = await self._ask(home, remaining, read)
             if reply is None:
                 self._homes.record_silence(home, self._clock.now())
                 logger.info("read_home_silent", extra={"peer": home, "backend": server.backend})
