Report a contact with the store only where a watching host reached it itself

Cause: found in review: a lease renewed by a peer counted as the watcher's own contact. Measured: tests.host.test_largefleet.SharedWatchTest passes.

--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -216,17 +216,18 @@
                 logger.warning("lease_ended", extra={"lease": self._lease})
                 return
             self._fleet.permits.extend(sent)
-            if self._watch_duty.should_watch(sent):
-                self._watch_duty.record_own_contact(sent)
 
     async def renew(self, lease: LeaseId) -> bool | None:
         """Renew a lease; return False if it has ended, None if the store does not answer."""
+        sent = self._fleet.now()
         try:
             renewed = await self._coordination_store.renew_lease(lease)
         except StoreUnavailableError as error:
             self.record_call("renew", error)
             return None
         self.record_call("renew", None)
+        if self._watch_duty.should_watch(sent):
+            self._watch_duty.record_own_contact(sent)
         return renewed
 
     async def _renew_hedged(self, lease: LeaseId) -> bool | None:
