Take large configurations from the store, not from hosts of other zones

Change: each host watches the configuration itself; in fleets that share watches it is copied from the own zone only, unless the store can't be reached, with 3 s for the answer.

--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -108,6 +108,7 @@
 
     def __init__(self, schema: DocumentSchema, clock: Clock) -> None:
         self._schema = schema
+        self.configuration_key = schema.configuration_key
         self._clock = clock
         self.permits = Permits()
         self.missing_permit_timer = MissingPermitTimer()
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -16,7 +16,7 @@
 from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX, Fleet
 from hickorywind.host.hoststatus import describe_host, serve_status
 from hickorywind.host.identity import HostIdentity
-from hickorywind.host.peers import Peers
+from hickorywind.host.peers import CALL_TIMEOUT, Peers
 from hickorywind.host.requestlog import RequestLog
 from hickorywind.host.service import DISPATCH_INTERVAL, IDLE_DISPATCH_INTERVAL, ServiceRuntime
 from hickorywind.host.session import Session
@@ -79,6 +79,9 @@
 MIN_PERMIT_REMAINING = timedelta(seconds=2)
 STOP_RETRY_AFTER_MS = 50  # another host can serve the request at once
 EXIT_GRACE_FRACTION = 0.8  # of the grace time, after which open sessions are closed
+# A copy of a large configuration takes a second on the slowest links; a second request sooner would
+# slow both down.
+CONFIGURATION_COPY_TIMEOUT = timedelta(seconds=3)
 UNREGISTER_GRACE_FRACTION = 0.9  # of the grace time, after which the store isn't waited for
 
 
@@ -425,17 +428,35 @@
             own_revision = own_revisions.get(prefix)
             if own_revision is None or own_revision >= revision:
                 continue
-            is_up_to_date &= prefix == HOSTS_PREFIX
+            if prefix == self._fleet.configuration_key and not self._may_copy_configuration(host):
+                continue
+            is_up_to_date &= prefix not in (HOSTS_PREFIX, self._fleet.configuration_key)
             if prefix not in self._copies_in_progress:
                 self._copies_in_progress.add(prefix)
                 self._background.start(self._fetch_copy(host, prefix))
         return is_up_to_date
 
+    def _may_copy_configuration(self, host: HostId) -> bool:
+        """Return whether to copy the configuration from another host.
+
+        It may be large, so in a large fleet it comes from the store, or from the own zone if that
+        answers first.
+        """
+        if not self._shares_watches or not self._sync.is_store_reachable:
+            return True
+        state = self._peers.table.states.get(host)
+        return state is not None and state.record.zone == self._identity.zone
+
     async def _fetch_copy(self, host: HostId, prefix: str) -> None:
         try:
             # Registrations are only added to; of the other items, deletions matter too.
             after = self._fleet.host_copy.as_of if prefix == HOSTS_PREFIX else Revision(0)
-            answer = await self._peers.call(host, lambda call: CopyQuery(call, prefix, after))
+            is_large = prefix == self._fleet.configuration_key and self._shares_watches
+            answer = await self._peers.call(
+                host,
+                lambda call: CopyQuery(call, prefix, after),
+                CONFIGURATION_COPY_TIMEOUT if is_large else CALL_TIMEOUT,
+            )
             if isinstance(answer, CopyReply):
                 self._apply_copy(answer, host)
         finally:
