--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -428,7 +428,7 @@
             own_revision = own_revisions.get(prefix)
             if own_revision is None or own_revision >= revision:
                 continue
-            if prefix == self._fleet.configuration_key and not self._may_copy_configuration(host):
+            if prefix == self._fleet.configuration_key and not self._may_copy_configuration():
                 continue
             is_up_to_date &= prefix not in (HOSTS_PREFIX, self._fleet.configuration_key)
             if prefix not in self._copies_in_progress:
@@ -436,16 +436,13 @@
                 self._background.start(self._fetch_copy(host, prefix))
         return is_up_to_date
 
-    def _may_copy_configuration(self, host: HostId) -> bool:
+    def _may_copy_configuration(self) -> bool:
         """Return whether to copy the configuration from another host.
 
-        It may be large, so in a large fleet it comes from the store, or from the own zone if that
-        answers first.
+        In a large fleet it comes from the store if that answers: copies of a large one would fill
+        the hosts' links, and greetings would be lost.
         """
-        if not self._shares_watches or not self._sync.is_store_reachable:
-            return True
-        state = self._peers.table.states.get(host)
-        return state is not None and state.record.zone == self._identity.zone
+        return not self._shares_watches or not self._sync.is_store_reachable
 
     async def _fetch_copy(self, host: HostId, prefix: str) -> None:
         try:
