Read large configurations by progress, from few hosts, and pass them on deflated within zones

Change: an answer of the store has to begin within the timeout and then to make progress, with a limit that grows with the announced size. Copies between hosts are deflated where the receiver asks for it, and a new configuration is announced to neighbours at once. A host that is no longer a watcher ends its waiting watches.

--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -68,10 +68,14 @@
         self.apply(tuple(changes), snapshot.as_of)
         return tuple(changes)
 
-    def to_message(self, call: int, after: Revision = _BEFORE_FIRST_REVISION) -> CopyReply:
+    def to_message(
+        self, call: int, after: Revision = _BEFORE_FIRST_REVISION, deflates: bool = False
+    ) -> CopyReply:
         """Return the items that changed after a revision as a message for another host."""
         items = tuple(
-            CopiedItem.from_stored(item) for item in self.items.values() if item.revision > after
+            CopiedItem.from_stored(item, deflates)
+            for item in self.items.values()
+            if item.revision > after
         )
         return CopyReply(call, self.prefix, self.as_of, items)
 
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -63,6 +63,7 @@
 from hickorywind.results import Result, ResultCode
 from hickorywind.settings.host import HostSettings
 from hickorywind.util.clock import Clock, Instant, milliseconds, to_milliseconds
+from hickorywind.util.deflate import DeflatedDataError
 from hickorywind.util.listening import BACKLOG
 from hickorywind.util.sockets import CONNECT_PROBE_TIMEOUT, accepts_connections
 from hickorywind.util.tasks import BackgroundTasks
@@ -169,6 +170,7 @@
         self._register_callbacks()
 
     def _register_callbacks(self) -> None:
+        self._sync.on_loaded = self._update_watch_duty
         self._peers.handle_message = self._handle_peer_message
         self._peers.make_greeting = self._make_greeting
         self._peers.on_greeting_reply = self._handle_greeting_reply
@@ -176,6 +178,7 @@
         self._fleet.backend_listeners.append(self._refresh_services)
         self._fleet.configuration_listeners.append(self._refresh_services)
         self._fleet.configuration_listeners.append(self._quotas.refresh)
+        self._fleet.configuration_listeners.append(self._announce_configuration)
         self._fleet.leadership_listeners.append(lambda service: self._refresh_services())
         self._fleet.leadership_listeners.append(self._store_acknowledger.schedule)
         self._fleet.leadership_listeners.append(self._pass_leadership_on)
@@ -406,7 +409,10 @@
         own_zone = [
             host for host in table.active() if table.states[host].record.zone == self._identity.zone
         ]
+        was_watcher = self._watch_duty.is_watcher
         self._watch_duty.update(own_zone, 1 + len(table.states))
+        if was_watcher and not self._watch_duty.is_watcher:
+            self._sync.end_watches()
 
     @property
     def _shares_watches(self) -> bool:
@@ -428,21 +434,29 @@
             own_revision = own_revisions.get(prefix)
             if own_revision is None or own_revision >= revision:
                 continue
-            if prefix == self._fleet.configuration_key and not self._may_copy_configuration():
+            is_up_to_date &= prefix == HOSTS_PREFIX
+            if prefix == self._fleet.configuration_key and not self._may_copy_configuration(host):
                 continue
-            is_up_to_date &= prefix not in (HOSTS_PREFIX, self._fleet.configuration_key)
             if prefix not in self._copies_in_progress:
                 self._copies_in_progress.add(prefix)
                 self._background.start(self._fetch_copy(host, prefix))
         return is_up_to_date
 
-    def _may_copy_configuration(self) -> bool:
+    def _may_copy_configuration(self, host: HostId) -> bool:
         """Return whether to copy the configuration from another host.
 
-        In a large fleet it comes from the store if that answers: copies of a large one would fill
-        the hosts' links, and greetings would be lost.
+        In a large fleet it comes from hosts of the own zone, where some read it from the store:
+        copies of a large one would fill the links between regions.
         """
-        return not self._shares_watches or not self._sync.is_store_reachable
+        if not self._shares_watches or not self._sync.is_store_reachable:
+            return True
+        state = self._peers.table.states.get(host)
+        return state is not None and state.record.zone == self._identity.zone
+
+    def _announce_configuration(self) -> None:
+        """Let neighbours that don't watch the store fetch a configuration at once."""
+        if self._shares_watches:
+            self._background.start(self._peers.broadcast(self._make_greeting(0)))
 
     async def _fetch_copy(self, host: HostId, prefix: str) -> None:
         try:
@@ -451,7 +465,7 @@
             is_large = prefix == self._fleet.configuration_key and self._shares_watches
             answer = await self._peers.call(
                 host,
-                lambda call: CopyQuery(call, prefix, after),
+                lambda call: CopyQuery(call, prefix, after, accepts_deflated=True),
                 CONFIGURATION_COPY_TIMEOUT if is_large else CALL_TIMEOUT,
             )
             if isinstance(answer, CopyReply):
@@ -460,7 +474,11 @@
             self._copies_in_progress.discard(prefix)
 
     def _apply_copy(self, reply: CopyReply, source: str) -> None:
-        items = tuple(item.to_stored() for item in reply.items)
+        try:
+            items = tuple(item.to_stored() for item in reply.items)
+        except DeflatedDataError as error:
+            logger.warning("copy_unreadable", extra={"prefix": reply.prefix, "error": str(error)})
+            return
         snapshot = Snapshot(items, Revision(reply.as_of))
         if reply.prefix == HOSTS_PREFIX:
             self._peers.add(*self._fleet.add_hosts(snapshot))
@@ -473,9 +491,9 @@
         match message:
             case Greeting():
                 return self._reply_to_greeting(message)
-            case CopyQuery(call, prefix, after):
+            case CopyQuery(call, prefix, after, accepts_deflated):
                 copy = self._fleet.copy_of(prefix)
-                return None if copy is None else copy.to_message(call, after)
+                return None if copy is None else copy.to_message(call, after, accepts_deflated)
             case CopyReply():
                 self._apply_copy(message, "notice")
             case ReachQuery(call, backend):
--- a/hickorywind/membership/storewatch.py
+++ b/hickorywind/membership/storewatch.py
@@ -20,6 +20,8 @@
 # Covers a lost greeting on the way from a watcher over two other hosts, and leaves most of the time
 # that a configuration has to come into force.
 NEWS_LIMIT = timedelta(seconds=4)
+# Of a copy that a starting host reads although others may have to read it too.
+SMALL_COPY_BYTES = 64 * 1024
 _RANK_KEY = "watch-store"
 
 
@@ -46,6 +48,16 @@
             watchers = rank_members(_RANK_KEY, hosts)[: self._watchers_per_zone]
             self._is_watcher = self._own_host in watchers
 
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this host is one of those that watch the store for the others."""
+        return self._is_watcher
+
+    @property
+    def first_read_limit_bytes(self) -> int | None:
+        """Limit of a read of a whole copy, beyond which it may come from a watcher, or None."""
+        return None if self._is_watcher else SMALL_COPY_BYTES
+
     def record_own_contact(self, answered_at: Instant) -> None:
         """Record that this host's copies were current at an instant, by the store's own answer."""
         self._record(answered_at)
--- a/hickorywind/platform/storeclient.py
+++ b/hickorywind/platform/storeclient.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import binascii
 import json
@@ -28,6 +29,7 @@
     PromotionOutcome,
     Put,
     Snapshot,
+    SnapshotTooLargeError,
 )
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
 from hickorywind.util.sockets import enable_keepalive
@@ -35,12 +37,18 @@
 logger = logging.getLogger(__name__)
 
 CALL_TIMEOUT = timedelta(seconds=1)  # a healthy store answers within milliseconds
+# Of an answer whose size is announced; below this rate a link is as good as down.
+MIN_ANSWER_BYTES_PER_SECOND = 64 * 1024
 WATCH_TIMEOUT_MARGIN = timedelta(seconds=2)  # added to the wait that a watch requests
 _MAX_PAGES = 100  # limit of one range read
 
 
 class PlatformClient:
-    """Client of the store and the platform's control interface over pooled connections."""
+    """Client of the store and the platform's control interface over pooled connections.
+
+    A call fails if its answer does not begin, or then makes no progress, within the timeout. A
+    large answer on a slow link takes longer as a whole.
+    """
 
     def __init__(self, store: Address, control: Address, call_timeout: timedelta) -> None:
         self._store_url = f"http://{store}"
@@ -58,13 +66,16 @@
         """Close the connections."""
         await self._session.close()
 
-    async def read_range(self, prefix: str) -> Snapshot:
-        """Read all items under a prefix; its ``as_of`` is the revision of the first page."""
+    async def read_range(self, prefix: str, max_bytes: int | None = None) -> Snapshot:
+        """Read all items under a prefix; its ``as_of`` is the revision of the first page.
+
+        Raise ``SnapshotTooLargeError`` if a page is announced with more than ``max_bytes``.
+        """
         items: list[StoredValue] = []
         as_of: int | None = None
         query = {"prefix": prefix}
         for _ in range(_MAX_PAGES):
-            _, body = await self._call("GET", "/-/kv-range", query, accepted_statuses=(200,))
+            _, body = await self._call("GET", "/-/kv-range", query, (200,), max_bytes=max_bytes)
             items += [_decode_item(item) for item in _required_field(body, "items")]
             as_of = _required_field(body, "as_of") if as_of is None else as_of
             if not _required_field(body, "has_more") or not _required_field(body, "items"):
@@ -154,20 +165,25 @@
         timeout: timedelta | None = None,
         headers: dict[str, str] | None = None,
         base_url: str | None = None,
+        max_bytes: int | None = None,
     ) -> tuple[int, dict[str, Any]]:
-        client_timeout = aiohttp.ClientTimeout(
-            total=(timeout or self._call_timeout).total_seconds()
-        )
+        first_byte_timeout = timeout or self._call_timeout
         try:
-            async with self._session.request(
-                method,
-                (base_url or self._store_url) + path,
-                params=query,
-                json=body,
-                timeout=client_timeout,
-                headers=headers,
-            ) as response:
-                data = await response.read()
+            async with (
+                asyncio.timeout(first_byte_timeout.total_seconds()) as time_limit,
+                self._session.request(
+                    method,
+                    (base_url or self._store_url) + path,
+                    params=query,
+                    json=body,
+                    timeout=_NO_TIMEOUT,
+                    headers=headers,
+                ) as response,
+            ):
+                if max_bytes is not None and (response.content_length or 0) > max_bytes:
+                    response.close()
+                    raise SnapshotTooLargeError(response.content_length)
+                data = await self._read_answer(response, time_limit)
                 status = response.status
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise StoreUnavailableError(f"{method} {path}: {str(error) or 'timed out'}") from error
@@ -175,6 +191,24 @@
             raise StoreUnavailableError(f"{method} {path}: status {status}")
         return status, _decode_body(data)
 
+    async def _read_answer(
+        self, response: aiohttp.ClientResponse, time_limit: asyncio.Timeout
+    ) -> bytes:
+        """Read an answer and extend the time limit with each part that arrives."""
+        now = asyncio.get_running_loop().time
+        call_timeout = self._call_timeout.total_seconds()
+        size = response.content_length or 0
+        last_moment = now() + call_timeout + size / MIN_ANSWER_BYTES_PER_SECOND
+        parts = []
+        time_limit.reschedule(min(last_moment, now() + call_timeout))
+        async for part in response.content.iter_any():
+            parts.append(part)
+            time_limit.reschedule(min(last_moment, now() + call_timeout))
+        return b"".join(parts)
+
+
+_NO_TIMEOUT = aiohttp.ClientTimeout(total=None)  # ``PlatformClient`` sets its own
+
 
 def _open_socket(address_info: tuple) -> socket.socket:
     family, kind, protocol, *_ = address_info
--- a/hickorywind/ports/coordination.py
+++ b/hickorywind/ports/coordination.py
@@ -83,6 +83,14 @@
     """Outcome of a store transaction whose conditions did not hold; it changed nothing."""
 
 
+class SnapshotTooLargeError(Exception):
+    """A read was abandoned because its answer has more bytes than the reader wanted."""
+
+    def __init__(self, size_bytes: int) -> None:
+        super().__init__(f"{size_bytes} bytes")
+        self.size_bytes = size_bytes
+
+
 class PromotionOutcome(Enum):
     """Platform's answer to a promotion order."""
 
@@ -97,8 +105,11 @@
     Every call raises ``StoreUnavailableError`` if the store does not answer.
     """
 
-    async def read_range(self, prefix: str) -> Snapshot:
-        """Return all items under a prefix; each page of the read is linearizable by itself."""
+    async def read_range(self, prefix: str, max_bytes: int | None = None) -> Snapshot:
+        """Return all items under a prefix; each page of the read is linearizable by itself.
+
+        Raise ``SnapshotTooLargeError`` as soon as an answer is known to exceed ``max_bytes``.
+        """
         ...
 
     async def watch(
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -31,8 +31,11 @@
 from hickorywind.protocol.records import Record
 from hickorywind.results import Result
 from hickorywind.store.interface import StoredValue
+from hickorywind.util.deflate import deflate, inflate
 
 PROTOCOL_VERSION = 1
+MIN_DEFLATED_BYTES = 4096  # smaller values are registrations and leadership records
+MAX_VALUE_BYTES = 16 * 1024 * 1024  # far above what stores accept for one item
 
 
 class PreparedStatement(msgspec.Struct, frozen=True, array_like=True):
@@ -336,23 +339,31 @@
     call: int
     prefix: str
     after: Revision = Revision(0)
+    accepts_deflated: bool = False
 
 
 class CopiedItem(msgspec.Struct, frozen=True, array_like=True):
-    """Store item within a copy."""
+    """Store item within a copy; a large value may be deflated."""
 
     key: str
     value: bytes
     revision: Revision
+    is_deflated: bool = False
 
     @classmethod
-    def from_stored(cls, item: StoredValue) -> CopiedItem:
-        """Convert an item as read from the store."""
-        return cls(item.key, item.value, item.revision)
+    def from_stored(cls, item: StoredValue, deflates: bool = False) -> CopiedItem:
+        """Convert an item as read from the store, and deflate a large value if wanted."""
+        if not deflates or len(item.value) < MIN_DEFLATED_BYTES:
+            return cls(item.key, item.value, item.revision)
+        return cls(item.key, deflate(item.value), item.revision, True)
 
     def to_stored(self) -> StoredValue:
-        """Return the item in the form in which it was read from the store."""
-        return StoredValue(self.key, self.value, self.revision)
+        """Return the item in the form in which it was read from the store.
+
+        Raise ``DeflatedDataError`` if its value can't be inflated.
+        """
+        value = inflate(self.value, MAX_VALUE_BYTES) if self.is_deflated else self.value
+        return StoredValue(self.key, value, self.revision)
 
 
 class CopyReply(msgspec.Struct, frozen=True, tag="copy_ok", array_like=True):
--- a/standins/lineplatform/httpstore.py
+++ b/standins/lineplatform/httpstore.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import json
 from datetime import timedelta
 from typing import Any
 
@@ -28,11 +29,13 @@
     """HTTP server of the platform's store and promotion calls.
 
     If set, ``status`` is the status code of every response; ``delay`` delays every response.
+    ``part_delays`` splits answers to range reads into as many parts, each sent after its delay.
     """
 
     def __init__(self, store: MemoryStore) -> None:
         self.status: int | None = None
         self.delay = timedelta(0)
+        self.part_delays: tuple[timedelta, ...] = ()
         self.promotions: list[tuple[str, str, str, str]] = []
         self.promotion_status = 200
         self._store = store
@@ -68,7 +71,7 @@
         await asyncio.sleep(self.delay.total_seconds())
         return await handler(request)
 
-    async def _range(self, request: web.Request) -> web.Response:
+    async def _range(self, request: web.Request) -> web.StreamResponse:
         snapshot = await self._client.read_range(request.query["prefix"])
         after = request.query.get("after", "")
         items = sorted((item for item in snapshot.items if item.key > after), key=_key)
@@ -77,7 +80,18 @@
             "has_more": len(items) > PAGE_ITEMS,
             "as_of": snapshot.as_of,
         }
-        return web.json_response(body)
+        if not self.part_delays:
+            return web.json_response(body)
+        return await self._send_in_parts(request, json.dumps(body).encode())
+
+    async def _send_in_parts(self, request: web.Request, data: bytes) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Length": str(len(data))})
+        await response.prepare(request)
+        size = -(-len(data) // len(self.part_delays))
+        for number, delay in enumerate(self.part_delays):
+            await asyncio.sleep(delay.total_seconds())
+            await response.write(data[number * size : (number + 1) * size])
+        return response
 
     async def _watch(self, request: web.Request) -> web.Response:
         query = request.query
--- a/tests/host/memorypeers.py
+++ b/tests/host/memorypeers.py
@@ -20,6 +20,7 @@
         self.listeners = {}
         self.cut_from = set()
         self.cut_to = set()
+        self.bytes_sent = 0
 
     def make_link(self, address, with_heartbeats=True):
         """Return a link; replaces the class ``Link`` of the hosts."""
@@ -54,6 +55,7 @@
         if listener is None or self._is_closed:
             return False
         data = encode(message)
+        self._network.bytes_sent += len(data)
         self._network.deliver(self.host, listener.host, listener.inbox.put_nowait, (self, data))
         return True
 
@@ -91,6 +93,7 @@
 
     async def send(self, peer, message):
         data = encode(message)
+        self._network.bytes_sent += len(data)
         self._network.deliver(self.host, peer.host, peer.enqueue, data)
         return True
 
--- a/tests/platform/test_storeclient.py
+++ b/tests/platform/test_storeclient.py
@@ -1,3 +1,4 @@
+import asyncio
 import socket
 import unittest
 from datetime import timedelta
@@ -13,6 +14,7 @@
     ItemWritten,
     PromotionOutcome,
     Put,
+    SnapshotTooLargeError,
 )
 from hickorywind.store.interface import StoreUnavailableError
 from standins.lineplatform.httpstore import HttpStore
@@ -40,6 +42,34 @@
         self.assertEqual(snapshot.items[3].value, b"\x03\xff")
         self.assertEqual(snapshot.as_of, 9)
 
+    async def test_large_answer_on_a_slow_link_is_read_as_long_as_it_makes_progress(self):
+        await self.store.put("a/0", bytes(200_000))
+        self.server.part_delays = (timedelta(milliseconds=150),) * 6  # 900 ms, the timeout is 400
+        snapshot = await self.client.read_range("a/")
+        self.assertEqual(len(snapshot.items[0].value), 200_000)
+
+    async def test_answer_that_stops_making_progress_fails_in_time(self):
+        await self.store.put("a/0", bytes(200_000))
+        self.server.part_delays = (timedelta(0), timedelta(seconds=1.5))
+        async with asyncio.timeout(1.0):
+            with self.assertRaises(StoreUnavailableError):
+                await self.client.read_range("a/")
+
+    async def test_answer_slower_than_any_working_link_fails(self):
+        """Parts that trickle in for ever must not hold a call up."""
+        await self.store.put("a/0", bytes(10))
+        self.server.part_delays = (timedelta(milliseconds=100),) * 50
+        async with asyncio.timeout(2.0):
+            with self.assertRaises(StoreUnavailableError):
+                await self.client.read_range("a/")
+
+    async def test_answer_over_the_wanted_size_is_abandoned_at_its_start(self):
+        await self.store.put("a/0", bytes(200_000))
+        self.server.part_delays = (timedelta(0), timedelta(seconds=1.5))
+        async with asyncio.timeout(1.0):
+            with self.assertRaises(SnapshotTooLargeError):
+                await self.client.read_range("a/", max_bytes=64_000)
+
     async def test_transaction_commits_only_if_its_conditions_hold(self):
         done = await self.client.transact([Condition("k", 0)], [Put("k", b"1")])
         self.assertIsInstance(done, Committed)
