--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -13,7 +13,13 @@
     HostRecord,
     encode_record,
 )
-from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX, OWN_PREFIX, Fleet
+from hickorywind.host.fleet import (
+    HOSTS_PREFIX,
+    LEADERSHIP_PREFIX,
+    OWN_PREFIX,
+    Fleet,
+    StoreCopy,
+)
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.peers import Peers
 from hickorywind.host.storerelay import HEDGE_DELAY, RELAY_TIMEOUT
@@ -21,6 +27,7 @@
 from hickorywind.membership.storewatch import StoreWatchDuty
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.ports.coordination import (
+    AnswerTooLargeError,
     ChangeBatch,
     Committed,
     Condition,
@@ -30,7 +37,6 @@
     LeaseId,
     Put,
     Snapshot,
-    SnapshotTooLargeError,
 )
 from hickorywind.protocol.messages import LeaseRenewalQuery, LeaseRenewalReply
 from hickorywind.store.interface import StoreUnavailableError
@@ -299,38 +305,51 @@
 
     async def _read_prefix(self, prefix: str) -> None:
         """Read all items under a prefix, a large first copy only if no other host passes it on."""
-        is_first = not self._fleet.copies[prefix].as_of
-        limit = self._watch_duty.first_read_limit_bytes if is_first else None
+        copy = self._fleet.copies[prefix]
+        limit = None if copy.as_of else self._watch_duty.answer_limit_bytes
         sent = self._fleet.now()
         try:
             snapshot = await self._coordination_store.read_range(prefix, limit)
-        except SnapshotTooLargeError as error:
-            logger.info("large_copy_awaited", extra={"prefix": prefix, "bytes": error.size_bytes})
-            if await self._receive_copy(prefix, error.size_bytes):
+        except AnswerTooLargeError as error:
+            if await self._receive_copy(copy, error.size_bytes):
                 return
             sent = self._fleet.now()
             snapshot = await self._coordination_store.read_range(prefix)
         self._fleet.apply_snapshot(prefix, snapshot, "store")
         self._watch_duty.record_own_contact(sent)
 
-    async def _receive_copy(self, prefix: str, size_bytes: int) -> bool:
-        """Wait for a copy of a prefix from another host; return False if this one has to read it.
+    async def _receive_copy(self, copy: StoreCopy, size_bytes: int) -> bool:
+        """Wait until another host has passed a large copy on.
 
-        That is known once the registered hosts are.
+        Return False if this host has to read it, which is known once the registered hosts are.
         """
-        copy = self._fleet.copies[prefix]
-        if not await self._wait_until_loaded():
-            return False
+        logger.info("large_copy_awaited", extra={"prefix": copy.prefix, "bytes": size_bytes})
+        known = copy.as_of
         wait = LARGE_COPY_WAIT + timedelta(seconds=size_bytes / LARGE_COPY_BYTES_PER_SECOND)
         until = self._fleet.now() + wait * self._rng.uniform(0.8, 1.0)
-        while not copy.as_of and self._fleet.now() < until and not self._watch_duty.is_watcher:
+        while copy.as_of == known and self._fleet.now() < until:
+            if self.is_loaded and self._watch_duty.reads_large_copies:
+                break
             await asyncio.sleep(LARGE_COPY_CHECK_INTERVAL.total_seconds())
-        return bool(copy.as_of)
+        return copy.as_of > known
 
-    async def _watch(self, prefix: str, after: Revision) -> ChangeBatch | HistoryCompacted | None:
-        """Return the changes under a prefix, or None if ``end_watches`` ended the wait for them."""
+    async def _watch(self, copy: StoreCopy) -> ChangeBatch | HistoryCompacted | None:
+        """Return the changes after a copy, or None if they came from another host meanwhile.
+
+        That happens with large changes, and when ``end_watches`` ends the wait for a change.
+        """
+        try:
+            return await self._watch_while_on_duty(copy, self._watch_duty.answer_limit_bytes)
+        except AnswerTooLargeError as error:
+            if await self._receive_copy(copy, error.size_bytes):
+                return None
+            return await self._watch_while_on_duty(copy, None)
+
+    async def _watch_while_on_duty(
+        self, copy: StoreCopy, max_bytes: int | None
+    ) -> ChangeBatch | HistoryCompacted | None:
         watch = asyncio.create_task(
-            self._coordination_store.watch(prefix, after, WATCH_TIMEOUT), name=f"watch {prefix}"
+            self._coordination_store.watch(copy.prefix, copy.as_of, WATCH_TIMEOUT, max_bytes)
         )
         self._watches.add(watch)
         try:
@@ -358,7 +377,7 @@
                     await self._read_prefix(prefix)
                     is_current = True
                     continue
-                result = await self._watch(prefix, copy.as_of)
+                result = await self._watch(copy)
                 if result is None:
                     continue
                 self.record_call("watch", None)
--- a/hickorywind/membership/storewatch.py
+++ b/hickorywind/membership/storewatch.py
@@ -20,7 +20,7 @@
 # Covers a lost greeting on the way from a watcher over two other hosts, and leaves most of the time
 # that a configuration has to come into force.
 NEWS_LIMIT = timedelta(seconds=4)
-# Of a copy that a starting host reads although others may have to read it too.
+# Answers up to this size are read by each host that needs them.
 SMALL_COPY_BYTES = 64 * 1024
 _RANK_KEY = "watch-store"
 
@@ -35,6 +35,7 @@
         self._own_host = own_host
         self._watchers_per_zone = watchers_per_zone
         self._is_watcher = not watchers_per_zone  # until the hosts of the zone are known
+        self._reads_large_copies = self._is_watcher
         self._zone_hosts: frozenset[HostId] | None = None
         self._contact_at: Instant | None = None
 
@@ -43,10 +44,12 @@
         hosts = frozenset((self._own_host, *zone_hosts))
         if not self._watchers_per_zone or fleet_size <= FULL_MESH_SIZE:
             self._is_watcher, self._zone_hosts = True, None
+            self._reads_large_copies = True
         elif hosts != self._zone_hosts:
             self._zone_hosts = hosts
             watchers = rank_members(_RANK_KEY, hosts)[: self._watchers_per_zone]
             self._is_watcher = self._own_host in watchers
+            self._reads_large_copies = self._own_host == watchers[0]
 
     @property
     def is_watcher(self) -> bool:
@@ -54,9 +57,14 @@
         return self._is_watcher
 
     @property
-    def first_read_limit_bytes(self) -> int | None:
-        """Limit of a read of a whole copy, beyond which it may come from a watcher, or None."""
-        return None if self._is_watcher else SMALL_COPY_BYTES
+    def reads_large_copies(self) -> bool:
+        """Whether large answers of the store are read by this host, for the others of its zone."""
+        return self._reads_large_copies
+
+    @property
+    def answer_limit_bytes(self) -> int | None:
+        """Limit of answers of the store, beyond which another host reads them, or None."""
+        return None if self._reads_large_copies else SMALL_COPY_BYTES
 
     def record_own_contact(self, answered_at: Instant) -> None:
         """Record that this host's copies were current at an instant, by the store's own answer."""
--- a/hickorywind/platform/storeclient.py
+++ b/hickorywind/platform/storeclient.py
@@ -16,6 +16,7 @@
 
 from hickorywind.ids import Address, BackendId, HostId, Revision, ServiceName
 from hickorywind.ports.coordination import (
+    AnswerTooLargeError,
     Change,
     ChangeBatch,
     Committed,
@@ -29,7 +30,6 @@
     PromotionOutcome,
     Put,
     Snapshot,
-    SnapshotTooLargeError,
 )
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
 from hickorywind.util.sockets import enable_keepalive
@@ -37,6 +37,8 @@
 logger = logging.getLogger(__name__)
 
 CALL_TIMEOUT = timedelta(seconds=1)  # a healthy store answers within milliseconds
+# Between two parts of an answer: those of other hosts may be ahead of it on a link that they share.
+PROGRESS_TIMEOUT = timedelta(seconds=3)
 # Of an answer whose size is announced; below this rate a link is as good as down.
 MIN_ANSWER_BYTES_PER_SECOND = 64 * 1024
 WATCH_TIMEOUT_MARGIN = timedelta(seconds=2)  # added to the wait that a watch requests
@@ -46,7 +48,7 @@
 class PlatformClient:
     """Client of the store and the platform's control interface over pooled connections.
 
-    A call fails if its answer does not begin, or then makes no progress, within the timeout. A
+    A call fails if its answer does not begin within the timeout, or then stops making progress. A
     large answer on a slow link takes longer as a whole.
     """
 
@@ -69,7 +71,7 @@
     async def read_range(self, prefix: str, max_bytes: int | None = None) -> Snapshot:
         """Read all items under a prefix; its ``as_of`` is the revision of the first page.
 
-        Raise ``SnapshotTooLargeError`` if a page is announced with more than ``max_bytes``.
+        Raise ``AnswerTooLargeError`` if a page is announced with more than ``max_bytes``.
         """
         items: list[StoredValue] = []
         as_of: int | None = None
@@ -84,13 +86,18 @@
         return Snapshot(tuple(items), Revision(as_of or 0))
 
     async def watch(
-        self, prefix: str, after: Revision, wait: timedelta
+        self, prefix: str, after: Revision, wait: timedelta, max_bytes: int | None = None
     ) -> ChangeBatch | HistoryCompacted:
-        """Return the changes under a prefix after a revision, waiting up to ``wait`` for one."""
+        """Return the changes under a prefix after a revision, waiting up to ``wait`` for one.
+
+        Raise ``AnswerTooLargeError`` if the answer is announced with more than ``max_bytes``.
+        """
         wait_ms = wait // timedelta(milliseconds=1)
         query = {"prefix": prefix, "after": str(after), "wait_ms": str(wait_ms)}
         timeout = wait + WATCH_TIMEOUT_MARGIN
-        status, body = await self._call("GET", "/-/kv-watch", query, (200, 410), timeout=timeout)
+        status, body = await self._call(
+            "GET", "/-/kv-watch", query, (200, 410), timeout=timeout, max_bytes=max_bytes
+        )
         if status == 410:
             return HistoryCompacted()
         changes = tuple(_decode_change(event) for event in _required_field(body, "events"))
@@ -182,7 +189,7 @@
             ):
                 if max_bytes is not None and (response.content_length or 0) > max_bytes:
                     response.close()
-                    raise SnapshotTooLargeError(response.content_length)
+                    raise AnswerTooLargeError(response.content_length)
                 data = await self._read_answer(response, time_limit)
                 status = response.status
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
@@ -196,14 +203,15 @@
     ) -> bytes:
         """Read an answer and extend the time limit with each part that arrives."""
         now = asyncio.get_running_loop().time
-        call_timeout = self._call_timeout.total_seconds()
+        progress_timeout = PROGRESS_TIMEOUT.total_seconds()
         size = response.content_length or 0
-        last_moment = now() + call_timeout + size / MIN_ANSWER_BYTES_PER_SECOND
+        last_moment = now() + self._call_timeout.total_seconds()
+        last_moment += size / MIN_ANSWER_BYTES_PER_SECOND
         parts = []
-        time_limit.reschedule(min(last_moment, now() + call_timeout))
+        time_limit.reschedule(min(last_moment, now() + progress_timeout))
         async for part in response.content.iter_any():
             parts.append(part)
-            time_limit.reschedule(min(last_moment, now() + call_timeout))
+            time_limit.reschedule(min(last_moment, now() + progress_timeout))
         return b"".join(parts)
 
 
--- a/hickorywind/ports/coordination.py
+++ b/hickorywind/ports/coordination.py
@@ -83,8 +83,8 @@
     """Outcome of a store transaction whose conditions did not hold; it changed nothing."""
 
 
-class SnapshotTooLargeError(Exception):
-    """A read was abandoned because its answer has more bytes than the reader wanted."""
+class AnswerTooLargeError(Exception):
+    """A call was abandoned because its answer has more bytes than the caller wanted."""
 
     def __init__(self, size_bytes: int) -> None:
         super().__init__(f"{size_bytes} bytes")
@@ -108,16 +108,17 @@
     async def read_range(self, prefix: str, max_bytes: int | None = None) -> Snapshot:
         """Return all items under a prefix; each page of the read is linearizable by itself.
 
-        Raise ``SnapshotTooLargeError`` as soon as an answer is known to exceed ``max_bytes``.
+        Raise ``AnswerTooLargeError`` as soon as an answer is known to exceed ``max_bytes``.
         """
         ...
 
     async def watch(
-        self, prefix: str, after: Revision, wait: timedelta
+        self, prefix: str, after: Revision, wait: timedelta, max_bytes: int | None = None
     ) -> ChangeBatch | HistoryCompacted:
         """Return the changes under a prefix after a revision.
 
-        If there are none, wait for one and return an empty batch after ``wait``.
+        If there are none, wait for one and return an empty batch after ``wait``. Raise
+        ``AnswerTooLargeError`` as soon as the answer is known to exceed ``max_bytes``.
         """
         ...
 
--- a/standins/lineplatform/memorystore.py
+++ b/standins/lineplatform/memorystore.py
@@ -9,6 +9,7 @@
 
 from hickorywind.ids import Revision
 from hickorywind.ports.coordination import (
+    AnswerTooLargeError,
     Change,
     ChangeBatch,
     Committed,
@@ -20,7 +21,6 @@
     LeaseId,
     Put,
     Snapshot,
-    SnapshotTooLargeError,
 )
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
 
@@ -115,14 +115,13 @@
         """Return all items whose keys start with a prefix."""
         await self._begin_call("range")
         items = tuple(item for key, item in self._store.items.items() if key.startswith(prefix))
-        size = sum(len(item.value) for item in items)
-        if max_bytes is not None and size > max_bytes:
-            raise SnapshotTooLargeError(size)
-        await self._transfer(size)
+        await self._transfer(sum(len(item.value) for item in items), max_bytes)
         return Snapshot(items, Revision(self._store.revision))
 
-    async def _transfer(self, size: int) -> None:
+    async def _transfer(self, size: int, max_bytes: int | None) -> None:
         """Wait until the link, which carries one answer after the other, has carried one."""
+        if max_bytes is not None and size > max_bytes:
+            raise AnswerTooLargeError(size)
         self._store.bytes_read += size
         if self._store.bytes_per_second is None:
             return
@@ -132,7 +131,7 @@
         await asyncio.sleep(self._store.link_free_at - now)
 
     async def watch(
-        self, prefix: str, after: Revision, wait: timedelta
+        self, prefix: str, after: Revision, wait: timedelta, max_bytes: int | None = None
     ) -> ChangeBatch | HistoryCompacted:
         """Return the changes under a prefix after a revision; wait for one up to ``wait``."""
         await self._begin_call("watch")
@@ -150,7 +149,7 @@
             return HistoryCompacted()
         batch = ChangeBatch(self._changes_after(prefix, after), Revision(self._store.revision))
         written = [each.item for each in batch.changes if isinstance(each, ItemWritten)]
-        await self._transfer(sum(len(item.value) for item in written))
+        await self._transfer(sum(len(item.value) for item in written), max_bytes)
         return batch
 
     def _changes_after(self, prefix: str, after: Revision) -> tuple[Change, ...]:
--- a/tests/platform/test_storeclient.py
+++ b/tests/platform/test_storeclient.py
@@ -2,10 +2,13 @@
 import socket
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from hickorywind.ids import Address
+from hickorywind.platform import storeclient
 from hickorywind.platform.storeclient import PlatformClient
 from hickorywind.ports.coordination import (
+    AnswerTooLargeError,
     Committed,
     Condition,
     Conflict,
@@ -14,7 +17,6 @@
     ItemWritten,
     PromotionOutcome,
     Put,
-    SnapshotTooLargeError,
 )
 from hickorywind.store.interface import StoreUnavailableError
 from standins.lineplatform.httpstore import HttpStore
@@ -30,6 +32,9 @@
         self.server = HttpStore(self.store)
         await self.server.start(address.host, address.port)
         self.addAsyncCleanup(self.server.stop)
+        patch = mock.patch.object(storeclient, "PROGRESS_TIMEOUT", timedelta(milliseconds=400))
+        patch.start()
+        self.addCleanup(patch.stop)
         self.client = PlatformClient(address, address, timedelta(milliseconds=400))
         self.addAsyncCleanup(self.client.close)
 
@@ -67,7 +72,7 @@
         await self.store.put("a/0", bytes(200_000))
         self.server.part_delays = (timedelta(0), timedelta(seconds=1.5))
         async with asyncio.timeout(1.0):
-            with self.assertRaises(SnapshotTooLargeError):
+            with self.assertRaises(AnswerTooLargeError):
                 await self.client.read_range("a/", max_bytes=64_000)
 
     async def test_transaction_commits_only_if_its_conditions_hold(self):
