--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -47,6 +47,10 @@
 LEASE_TTL = timedelta(seconds=600)  # the store's maximum: hosts end leases explicitly
 # After this time without a registration the leadership records are read on their own.
 LOAD_TIMEOUT = timedelta(seconds=1)
+# For the answer to a read of a whole copy to begin; doubled up to the maximum after each failure,
+# because what abandoned reads have queued on a slow link would hold up the next one.
+READ_TIMEOUT = timedelta(seconds=1)
+READ_TIMEOUT_MAX = timedelta(seconds=4)
 WATCH_TIMEOUT = timedelta(seconds=30)  # the maximum, because each watch costs a store call
 # Pause before the next watch after one that returned changes: changes come in bursts, and each
 # watch of each host is a store call. It grows with the fleet up to a maximum, which is lower for
@@ -303,18 +307,18 @@
         longest = LEADERSHIP_WATCH_PAUSE_MAX if prefix == LEADERSHIP_PREFIX else WATCH_PAUSE_MAX
         return min(longest, host_count * WATCH_PAUSE_PER_HOST)
 
-    async def _read_prefix(self, prefix: str) -> None:
+    async def _read_prefix(self, prefix: str, timeout: timedelta) -> None:
         """Read all items under a prefix, a large first copy only if no other host passes it on."""
         copy = self._fleet.copies[prefix]
         limit = None if copy.as_of else self._watch_duty.answer_limit_bytes
         sent = self._fleet.now()
         try:
-            snapshot = await self._coordination_store.read_range(prefix, limit)
+            snapshot = await self._coordination_store.read_range(prefix, limit, timeout)
         except AnswerTooLargeError as error:
             if await self._receive_copy(copy, error.size_bytes):
                 return
             sent = self._fleet.now()
-            snapshot = await self._coordination_store.read_range(prefix)
+            snapshot = await self._coordination_store.read_range(prefix, timeout=timeout)
         self._fleet.apply_snapshot(prefix, snapshot, "store")
         self._watch_duty.record_own_contact(sent)
 
@@ -366,16 +370,19 @@
 
     async def _follow_prefix(self, prefix: str) -> None:
         copy = self._fleet.copies[prefix]
-        retry_delay = RETRY_DELAY_MIN
+        retry_delay, timeout = RETRY_DELAY_MIN, READ_TIMEOUT
         is_current = prefix == LEADERSHIP_PREFIX and await self._wait_until_loaded()
+        if prefix == self._fleet.configuration_key and self._watch_duty.is_shared:
+            # A large configuration must not delay the registration on a slow link.
+            await self._wait_until_loaded()
         while True:
             if is_current and not self._watch_duty.should_watch(self._fleet.now()):
                 await asyncio.sleep(WATCH_DUTY_INTERVAL.total_seconds())
                 continue
             try:
                 if not is_current:
-                    await self._read_prefix(prefix)
-                    is_current = True
+                    await self._read_prefix(prefix, timeout)
+                    is_current, timeout = True, READ_TIMEOUT
                     continue
                 result = await self._watch(copy)
                 if result is None:
@@ -394,3 +401,4 @@
                 self.record_call("watch", error)
                 await asyncio.sleep(retry_delay.total_seconds() * self._rng.uniform(0.5, 1.0))
                 retry_delay = self._next_retry_delay(retry_delay)
+                timeout = min(timeout * 2, READ_TIMEOUT_MAX)
--- a/hickorywind/membership/storewatch.py
+++ b/hickorywind/membership/storewatch.py
@@ -56,6 +56,11 @@
         """Whether this host is one of those that watch the store for the others."""
         return self._is_watcher
 
+    @property
+    def is_shared(self) -> bool:
+        """Whether hosts of a large fleet rely on the watches of others."""
+        return self._watchers_per_zone > 0
+
     @property
     def reads_large_copies(self) -> bool:
         """Whether large answers of the store are read by this host, for the others of its zone."""
--- a/hickorywind/platform/storeclient.py
+++ b/hickorywind/platform/storeclient.py
@@ -68,16 +68,20 @@
         """Close the connections."""
         await self._session.close()
 
-    async def read_range(self, prefix: str, max_bytes: int | None = None) -> Snapshot:
+    async def read_range(
+        self, prefix: str, max_bytes: int | None = None, timeout: timedelta | None = None
+    ) -> Snapshot:
         """Read all items under a prefix; its ``as_of`` is the revision of the first page.
 
-        Raise ``AnswerTooLargeError`` if a page is announced with more than ``max_bytes``.
+        An answer has to begin within ``timeout``, by default that of all calls. Raise ``AnswerTooLargeError`` if a page is announced with more than ``max_bytes``.
         """
         items: list[StoredValue] = []
         as_of: int | None = None
         query = {"prefix": prefix}
         for _ in range(_MAX_PAGES):
-            _, body = await self._call("GET", "/-/kv-range", query, (200,), max_bytes=max_bytes)
+            _, body = await self._call(
+                "GET", "/-/kv-range", query, (200,), timeout=timeout, max_bytes=max_bytes
+            )
             items += [_decode_item(item) for item in _required_field(body, "items")]
             as_of = _required_field(body, "as_of") if as_of is None else as_of
             if not _required_field(body, "has_more") or not _required_field(body, "items"):
--- a/hickorywind/ports/coordination.py
+++ b/hickorywind/ports/coordination.py
@@ -105,10 +105,12 @@
     Every call raises ``StoreUnavailableError`` if the store does not answer.
     """
 
-    async def read_range(self, prefix: str, max_bytes: int | None = None) -> Snapshot:
+    async def read_range(
+        self, prefix: str, max_bytes: int | None = None, timeout: timedelta | None = None
+    ) -> Snapshot:
         """Return all items under a prefix; each page of the read is linearizable by itself.
 
-        Raise ``AnswerTooLargeError`` as soon as an answer is known to exceed ``max_bytes``.
+        An answer has to begin within ``timeout``, or the client's own one. Raise ``AnswerTooLargeError`` as soon as an answer is known to exceed ``max_bytes``.
         """
         ...
 
--- a/standins/lineplatform/memorystore.py
+++ b/standins/lineplatform/memorystore.py
@@ -111,7 +111,9 @@
         if self.is_cut:
             raise StoreUnavailableError(f"{call}: cut off")
 
-    async def read_range(self, prefix: str, max_bytes: int | None = None) -> Snapshot:
+    async def read_range(
+        self, prefix: str, max_bytes: int | None = None, timeout: timedelta | None = None
+    ) -> Snapshot:
         """Return all items whose keys start with a prefix."""
         await self._begin_call("range")
         items = tuple(item for key, item in self._store.items.items() if key.startswith(prefix))
