Call the store and serve probes by h11 instead of aiohttp, without garbage collection during imports (trial)

Hypothesis: after the loss of all hosts callers wait for imports; aiohttp and what it imports are a third of them.

--- a/hickorywind/host/connectionpool.py
+++ b/hickorywind/host/connectionpool.py
@@ -153,8 +153,6 @@
             self._connecting -= 1
         self._backoff = MIN_BACKOFF
         self._open.add(connection)
-        # The server accepted one more than when it refused, so the next one may be tried at once.
-        self._limit_when_reached = max(self._limit_when_reached, len(self._open)) + 1
         connection.on_lost = self._remove
         if self._is_closed:
             connection.close()
--- a/hickorywind/platform/__main__.py
+++ b/hickorywind/platform/__main__.py
@@ -8,10 +8,12 @@
 
 from __future__ import annotations
 
+import gc
 import importlib
 import os
 import socket
 import sys
+from types import ModuleType
 
 from hickorywind.results import ResultCode, UserError
 from hickorywind.settings.host import HostSettings, load_host_settings
@@ -21,8 +23,6 @@
 SETTINGS_VARIABLE = "HICKORYWIND_SETTINGS"
 _PROGRAM_MODULE = "hickorywind.platform.program"
 _EXIT_USAGE_ERROR = 2
-# Connections to the platform use no TLS; aiohttp would read all trusted certificates at import.
-_NO_TRUSTED_CERTIFICATES = {"SSL_CERT_FILE": os.devnull, "SSL_CERT_DIR": os.devnull}
 
 
 def main() -> int:
@@ -35,11 +35,19 @@
     except UserError as error:
         print(f"hickorywind: {error}", file=sys.stderr)
         return _EXIT_USAGE_ERROR
-    os.environ.update(_NO_TRUSTED_CERTIFICATES)
-    program = importlib.import_module(_PROGRAM_MODULE)
+    program = _import_program()
     return program.run(settings, settings_path, listener, entered_at)
 
 
+def _import_program() -> ModuleType:
+    """Import the rest of the program, without searching its modules for garbage."""
+    gc.disable()
+    program = importlib.import_module(_PROGRAM_MODULE)
+    gc.freeze()
+    gc.enable()
+    return program
+
+
 def _listen(settings: HostSettings) -> socket.socket:
     try:
         return open_listener(settings.address("callers_listen"))
--- a/hickorywind/platform/httpendpoints.py
+++ b/hickorywind/platform/httpendpoints.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Callable
 
-from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 
 from hickorywind.ids import Address
+from hickorywind.util.httpserver import HttpServer, Page
 
 READINESS_PATH = "/-/readiness"
 METRICS_PATH = "/metrics"
@@ -15,29 +15,25 @@
 _STATUS_NOT_READY = 503
 
 
-async def serve_readiness(address: Address, is_ready: Callable[[], bool]) -> web.AppRunner:
+async def serve_readiness(address: Address, is_ready: Callable[[], bool]) -> HttpServer:
     """Serve readiness probes at an address; raise OSError if the address is in use."""
+    return await _serve(
+        address,
+        READINESS_PATH,
+        lambda: Page(_STATUS_READY if is_ready() else _STATUS_NOT_READY),
+    )
 
-    async def handle_request(request: web.Request) -> web.Response:
-        return web.Response(status=_STATUS_READY if is_ready() else _STATUS_NOT_READY)
 
-    return await _serve(address, READINESS_PATH, handle_request)
-
-
-async def serve_metrics(address: Address, registry: CollectorRegistry) -> web.AppRunner:
+async def serve_metrics(address: Address, registry: CollectorRegistry) -> HttpServer:
     """Serve the metrics of a registry as text; raise OSError if the address is in use."""
-
-    async def handle_request(request: web.Request) -> web.Response:
-        headers = {"Content-Type": CONTENT_TYPE_LATEST}
-        return web.Response(body=generate_latest(registry), headers=headers)
-
-    return await _serve(address, METRICS_PATH, handle_request)
+    return await _serve(
+        address,
+        METRICS_PATH,
+        lambda: Page(200, generate_latest(registry), CONTENT_TYPE_LATEST),
+    )
 
 
-async def _serve(address: Address, path: str, handle_request: Callable) -> web.AppRunner:
-    application = web.Application()
-    application.router.add_get(path, handle_request)
-    runner = web.AppRunner(application, access_log=None)
-    await runner.setup()
-    await web.TCPSite(runner, address.host, address.port).start()
-    return runner
+async def _serve(address: Address, path: str, make_page: Callable[[], Page]) -> HttpServer:
+    server = HttpServer({path: make_page})
+    await server.start(address)
+    return server
--- a/hickorywind/platform/storeclient.py
+++ b/hickorywind/platform/storeclient.py
@@ -2,17 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import base64
 import binascii
 import json
 import logging
-import socket
 from collections.abc import Sequence
 from datetime import timedelta
 from typing import Any
-
-import aiohttp
+from urllib.parse import urlencode
 
 from hickorywind.ids import Address, BackendId, HostId, Revision, ServiceName
 from hickorywind.ports.coordination import (
@@ -32,15 +29,11 @@
     Snapshot,
 )
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
-from hickorywind.util.sockets import enable_keepalive
+from hickorywind.util.httpclient import HttpAnswerTooLargeError, HttpCallError, HttpClient
 
 logger = logging.getLogger(__name__)
 
 CALL_TIMEOUT = timedelta(seconds=1)  # a healthy store answers within milliseconds
-# Between two parts of an answer: those of other hosts may be ahead of it on a link that they share.
-PROGRESS_TIMEOUT = timedelta(seconds=3)
-# Of an answer whose size is announced; below this rate a link is as good as down.
-MIN_ANSWER_BYTES_PER_SECOND = 64 * 1024
 WATCH_TIMEOUT_MARGIN = timedelta(seconds=2)  # added to the wait that a watch requests
 _MAX_PAGES = 100  # limit of one range read
 
@@ -53,27 +46,27 @@
     """
 
     def __init__(self, store: Address, control: Address, call_timeout: timedelta) -> None:
-        self._store_url = f"http://{store}"
-        self._control_url = f"http://{control}"
+        self._store = store
+        self._control = control
         self._call_timeout = call_timeout
-        connector = aiohttp.TCPConnector(limit=0, socket_factory=_open_socket)
-        self._session = aiohttp.ClientSession(connector=connector)
+        self._client = HttpClient()
 
     @classmethod
     def from_addresses(cls, store: Address, control: Address) -> PlatformClient:
-        """Build a client with the default timeout; requires a running event loop."""
+        """Build a client with the default timeout."""
         return cls(store, control, CALL_TIMEOUT)
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._session.close()
+        await self._client.close()
 
     async def read_range(
         self, prefix: str, max_bytes: int | None = None, timeout: timedelta | None = None
     ) -> Snapshot:
         """Read all items under a prefix; its ``as_of`` is the revision of the first page.
 
-        An answer has to begin within ``timeout``, by default that of all calls. Raise ``AnswerTooLargeError`` if a page is announced with more than ``max_bytes``.
+        An answer has to begin within ``timeout``, by default that of all calls. Raise
+        ``AnswerTooLargeError`` if a page is announced with more than ``max_bytes``.
         """
         items: list[StoredValue] = []
         as_of: int | None = None
@@ -156,7 +149,7 @@
                 body=body,
                 accepted_statuses=(200, 202, 204, 409),
                 headers=headers,
-                base_url=self._control_url,
+                address=self._control,
             )
         except StoreUnavailableError as error:
             logger.warning(
@@ -175,58 +168,27 @@
         body: dict[str, Any] | None = None,
         timeout: timedelta | None = None,
         headers: dict[str, str] | None = None,
-        base_url: str | None = None,
+        address: Address | None = None,
         max_bytes: int | None = None,
     ) -> tuple[int, dict[str, Any]]:
-        first_byte_timeout = timeout or self._call_timeout
+        target = path if query is None else f"{path}?{urlencode(query)}"
         try:
-            async with (
-                asyncio.timeout(first_byte_timeout.total_seconds()) as time_limit,
-                self._session.request(
-                    method,
-                    (base_url or self._store_url) + path,
-                    params=query,
-                    json=body,
-                    timeout=_NO_TIMEOUT,
-                    headers=headers,
-                ) as response,
-            ):
-                if max_bytes is not None and (response.content_length or 0) > max_bytes:
-                    response.close()
-                    raise AnswerTooLargeError(response.content_length)
-                data = await self._read_answer(response, time_limit)
-                status = response.status
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise StoreUnavailableError(f"{method} {path}: {str(error) or 'timed out'}") from error
-        if status not in accepted_statuses:
-            raise StoreUnavailableError(f"{method} {path}: status {status}")
-        return status, _decode_body(data)
-
-    async def _read_answer(
-        self, response: aiohttp.ClientResponse, time_limit: asyncio.Timeout
-    ) -> bytes:
-        """Read an answer and extend the time limit with each part that arrives."""
-        now = asyncio.get_running_loop().time
-        progress_timeout = PROGRESS_TIMEOUT.total_seconds()
-        size = response.content_length or 0
-        last_moment = now() + self._call_timeout.total_seconds()
-        last_moment += size / MIN_ANSWER_BYTES_PER_SECOND
-        parts = []
-        time_limit.reschedule(min(last_moment, now() + progress_timeout))
-        async for part in response.content.iter_any():
-            parts.append(part)
-            time_limit.reschedule(min(last_moment, now() + progress_timeout))
-        return b"".join(parts)
-
-
-_NO_TIMEOUT = aiohttp.ClientTimeout(total=None)  # ``PlatformClient`` sets its own
-
-
-def _open_socket(address_info: tuple) -> socket.socket:
-    family, kind, protocol, *_ = address_info
-    opened = socket.socket(family, kind, protocol)
-    enable_keepalive(opened)
-    return opened
+            answer = await self._client.call(
+                address or self._store,
+                method,
+                target,
+                timeout or self._call_timeout,
+                headers,
+                b"" if body is None else json.dumps(body).encode(),
+                max_bytes,
+            )
+        except HttpCallError as error:
+            raise StoreUnavailableError(str(error)) from error
+        except HttpAnswerTooLargeError as error:
+            raise AnswerTooLargeError(error.size_bytes) from error
+        if answer.status not in accepted_statuses:
+            raise StoreUnavailableError(f"{method} {path}: status {answer.status}")
+        return answer.status, _decode_body(answer.body)
 
 
 def _decode_body(data: bytes) -> dict[str, Any]:
--- a/hickorywind/ports/coordination.py
+++ b/hickorywind/ports/coordination.py
@@ -110,7 +110,8 @@
     ) -> Snapshot:
         """Return all items under a prefix; each page of the read is linearizable by itself.
 
-        An answer has to begin within ``timeout``, or the client's own one. Raise ``AnswerTooLargeError`` as soon as an answer is known to exceed ``max_bytes``.
+        An answer has to begin within ``timeout``, or the client's own one. Raise
+        ``AnswerTooLargeError`` as soon as an answer is known to exceed ``max_bytes``.
         """
         ...
 
--- /dev/null
+++ b/hickorywind/util/httpclient.py
@@ -0,0 +1,193 @@
+"""Small HTTP/1.1 client for calls to a few addresses, over connections that are kept.
+
+It imports little, since a restarted host serves nobody until its modules are loaded.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+
+import h11
+
+from hickorywind.ids import Address
+from hickorywind.util.sockets import enable_keepalive
+
+# Between two parts of an answer: those of other hosts may be ahead of it on a link that they share.
+PROGRESS_TIMEOUT = timedelta(seconds=3)
+# Of an answer whose size is announced; below this rate a link is as good as down.
+MIN_ANSWER_BYTES_PER_SECOND = 64 * 1024
+_READ_BYTES = 64 * 1024
+
+
+class HttpCallError(Exception):
+    """A call got no answer, or one that is no HTTP/1.1."""
+
+
+class HttpAnswerTooLargeError(Exception):
+    """An answer is announced with more bytes than the caller wanted."""
+
+    def __init__(self, size_bytes: int) -> None:
+        super().__init__(f"{size_bytes} bytes")
+        self.size_bytes = size_bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """Status code and body of an answer."""
+
+    status: int
+    body: bytes
+
+
+class HttpClient:
+    """Client that keeps the connections of completed calls for later ones."""
+
+    def __init__(self) -> None:
+        self._idle: dict[Address, list[_Connection]] = {}
+        self._open: set[_Connection] = set()
+
+    async def call(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        timeout: timedelta,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"",
+        max_bytes: int | None = None,
+    ) -> HttpAnswer:
+        """Send a request and return its answer.
+
+        The answer has to begin within ``timeout`` and then to make progress; a large one on a slow
+        link takes longer as a whole. Raise ``HttpCallError``, or ``HttpAnswerTooLargeError`` once
+        an answer is announced with more than ``max_bytes``.
+        """
+        connection: _Connection | None = None
+        try:
+            async with asyncio.timeout(timeout.total_seconds()) as time_limit:
+                connection = self._take_idle(address) or await self._connect(address)
+                await connection.send(address, method, target, headers or {}, body)
+                answer = await connection.receive(time_limit, timeout, max_bytes)
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            raise HttpCallError(f"{method} {target}: {str(error) or 'timed out'}") from error
+        finally:
+            if connection is not None:
+                self._give_back(address, connection)
+        return answer
+
+    async def _connect(self, address: Address) -> _Connection:
+        connection = _Connection(*await asyncio.open_connection(address.host, address.port))
+        self._open.add(connection)
+        return connection
+
+    def _take_idle(self, address: Address) -> _Connection | None:
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_usable:
+                return connection
+            self._close(connection)
+        return None
+
+    def _give_back(self, address: Address, connection: _Connection) -> None:
+        if connection.prepare_next_call():
+            self._idle.setdefault(address, []).append(connection)
+        else:
+            self._close(connection)
+
+    def _close(self, connection: _Connection) -> None:
+        self._open.discard(connection)
+        connection.close()
+
+    async def close(self) -> None:
+        """Close all connections; calls under way fail."""
+        for connection in list(self._open):
+            self._close(connection)
+
+
+class _Connection:
+    """Connection that carries one call at a time."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        enable_keepalive(writer.get_extra_info("socket"))
+        self._reader = reader
+        self._writer = writer
+        self._protocol = h11.Connection(h11.CLIENT)
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the peer has not closed the connection, as far as is known."""
+        return not self._reader.at_eof() and not self._writer.is_closing()
+
+    async def send(
+        self, address: Address, method: str, target: str, headers: Mapping[str, str], body: bytes
+    ) -> None:
+        """Send a request."""
+        all_headers = {"Host": str(address), **headers}
+        if body:
+            all_headers |= {
+                "Content-Type": "application/json",
+                "Content-Length": str(len(body)),
+            }
+        parts = [
+            self._protocol.send(
+                h11.Request(method=method, target=target, headers=list(all_headers.items()))
+            )
+        ]
+        if body:
+            parts.append(self._protocol.send(h11.Data(data=body)))
+        parts.append(self._protocol.send(h11.EndOfMessage()))
+        self._writer.write(b"".join(part for part in parts if part))
+        await self._writer.drain()
+
+    async def receive(
+        self, time_limit: asyncio.Timeout, timeout: timedelta, max_bytes: int | None
+    ) -> HttpAnswer:
+        """Return the answer; extend the time limit with each part of it that arrives."""
+        now = asyncio.get_running_loop().time
+        response = await self._next_event()
+        while isinstance(response, h11.InformationalResponse):
+            response = await self._next_event()
+        if not isinstance(response, h11.Response):
+            raise ConnectionResetError("the connection was closed without an answer")
+        size = _announced_size(response)
+        if max_bytes is not None and size > max_bytes:
+            raise HttpAnswerTooLargeError(size)
+        last_moment = now() + timeout.total_seconds() + size / MIN_ANSWER_BYTES_PER_SECOND
+        parts = []
+        while True:
+            progress_until = now() + PROGRESS_TIMEOUT.total_seconds()
+            time_limit.reschedule(min(last_moment, progress_until))
+            match await self._next_event():
+                case h11.Data(data=data):
+                    parts.append(data)
+                case _:
+                    return HttpAnswer(response.status_code, b"".join(parts))
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            event = self._protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._protocol.receive_data(await self._reader.read(_READ_BYTES))
+
+    def prepare_next_call(self) -> bool:
+        """Return whether the connection can carry another call."""
+        if self._protocol.our_state is not h11.DONE or self._protocol.their_state is not h11.DONE:
+            return False
+        self._protocol.start_next_cycle()
+        return self.is_usable
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._writer.transport.abort()
+
+
+def _announced_size(response: h11.Response) -> int:
+    for name, value in response.headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
--- a/tests/platform/test_startup.py
+++ b/tests/platform/test_startup.py
@@ -14,7 +14,7 @@
 from hickorywind.platform import __main__ as program_main
 from tests.ports import free_address
 
-SLOW_TO_IMPORT = {"aiohttp", "asyncio", "prometheus_client", "zmq", "hickorywind.host"}
+SLOW_TO_IMPORT = {"aiohttp", "h11", "asyncio", "prometheus_client", "zmq", "hickorywind.host"}
 
 
 class StartupTest(unittest.TestCase):
--- a/tests/platform/test_storeclient.py
+++ b/tests/platform/test_storeclient.py
@@ -5,7 +5,6 @@
 from unittest import mock
 
 from hickorywind.ids import Address
-from hickorywind.platform import storeclient
 from hickorywind.platform.storeclient import PlatformClient
 from hickorywind.ports.coordination import (
     AnswerTooLargeError,
@@ -19,6 +18,7 @@
     Put,
 )
 from hickorywind.store.interface import StoreUnavailableError
+from hickorywind.util import httpclient
 from standins.lineplatform.httpstore import HttpStore
 from standins.lineplatform.memorystore import MemoryStore
 
@@ -32,7 +32,7 @@
         self.server = HttpStore(self.store)
         await self.server.start(address.host, address.port)
         self.addAsyncCleanup(self.server.stop)
-        patch = mock.patch.object(storeclient, "PROGRESS_TIMEOUT", timedelta(milliseconds=400))
+        patch = mock.patch.object(httpclient, "PROGRESS_TIMEOUT", timedelta(milliseconds=400))
         patch.start()
         self.addCleanup(patch.stop)
         self.client = PlatformClient(address, address, timedelta(milliseconds=400))
