--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -60,6 +60,9 @@
     ``term`` of an open record is the term in which the primary leads, or 0 if that is unknown.
     ``term`` of a closed record is the newest term known to have ended: only a server that leads in
     a higher one may become primary. Records that follow each other never have a lower term.
+
+    ``stopped`` names hosts that stopped using the primary before they wrote a closed record of this
+    change: the promoter, and former ones whose change it took over. Nobody waits for their permits.
     """
 
     primary: BackendId
@@ -69,6 +72,7 @@
     candidate: BackendId = BackendId("")
     is_planned: bool = False
     term: Term = Term(0)
+    stopped: tuple[HostId, ...] = ()
 
 
 class HostRecord(msgspec.Struct, frozen=True):
@@ -161,12 +165,20 @@
     def stop_using(self, service: ServiceName, revision: Revision) -> None:
         """Forbid use of the primary until a record newer than ``revision`` opens it.
 
-        ``revision`` is that of the closed record.
+        ``revision`` is that of the closed record, or of the open one that this host is about to
+        close.
         """
         self._use_stopped_at[service] = max(
             revision, self._use_stopped_at.get(service, Revision(0))
         )
 
+    def has_stopped_using(self, service: ServiceName) -> bool:
+        """Return whether this host stopped using the primary that the newest record opens."""
+        known = self._records.get(service)
+        if known is None or known.record.phase is not LeadershipPhase.OPEN:
+            return False
+        return self._use_stopped_at.get(service, Revision(0)) >= known.revision
+
     def stop_new_work(self, service: ServiceName, revision: Revision) -> None:
         """Forbid new work at the primary until a record newer than ``revision`` opens it."""
         self._new_work_stopped_at[service] = max(
--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -49,6 +49,7 @@
 CHECK_INTERVAL = timedelta(milliseconds=400)  # between the checks of all services
 PLANNED_RANK_DELAY = timedelta(milliseconds=1200)  # greetings spread ended leases in this time
 MINORITY_DELAY = timedelta(seconds=3)  # a host that reaches few peers may be isolated
+PROMOTER_PROBE_TIMEOUT = timedelta(milliseconds=700)  # several round trips between regions
 STUCK_CHANGE_TIMEOUT = timedelta(seconds=20)  # longer than any change that makes progress
 SILENT_HOSTS_RANK_KEY = ServiceName("")  # ranks the hosts for work that is not of one service
 
@@ -148,6 +149,8 @@
             self._check_leaving_primary(service, leadership)
         elif not self._services[service].is_primary_healthy():
             self._start_task(service, self._investigate(service, "the primary was unreachable"))
+        elif self._fleet.permits.has_stopped_using(service):
+            self._start_task(service, self._renew_record(service, leadership))
         elif self._rank(service) == 0:
             self._services[service].check_idle_primary()
 
@@ -176,14 +179,36 @@
         if revision != leadership.revision:
             self._closed_since[service] = (leadership.revision, now)
             return
-        promoter = leadership.record.promoter
-        is_own = promoter == self._identity.host
-        is_silent = not is_own and promoter not in self._peers.table.alive()
         timeout = TAKEOVER_TIMEOUT + RANK_DELAY * self._rank(service)
         if not self._peers.table.sees_majority():
             timeout += MINORITY_DELAY
-        if is_own or (is_silent and now > since + timeout) or now > since + STUCK_CHANGE_TIMEOUT:
+        is_own = leadership.record.promoter == self._identity.host
+        if is_own or now > since + STUCK_CHANGE_TIMEOUT:
             self._start_task(service, self._take_over(service, leadership))
+        elif now > since + timeout:
+            self._start_task(service, self._take_over_if_silent(service, leadership))
+
+    async def _take_over_if_silent(
+        self, service: ServiceName, leadership: VersionedLeadership
+    ) -> None:
+        """Take over a primary change if its promoter does not answer.
+
+        Taking over from one that is only slow is safe and costs time, so it is asked first.
+        """
+        promoter = leadership.record.promoter
+        is_alive = promoter in self._peers.table.alive()
+        if is_alive and await self._peers.is_responding(promoter, PROMOTER_PROBE_TIMEOUT):
+            return
+        if self._fleet.permits.leadership(service) == leadership:
+            await self._take_over(service, leadership)
+
+    async def _renew_record(self, service: ServiceName, leadership: VersionedLeadership) -> None:
+        """Open the record of a healthy primary again, which this host failed to close.
+
+        The write that was to close it may still take effect, until a newer revision prevents that.
+        """
+        await self.store.write(service, leadership.record, leadership.revision)
+        logger.info("leadership_renewed", extra={"service": service})
 
     def _rank(self, service: ServiceName) -> int:
         active = self._peers.table.active()
@@ -336,6 +361,8 @@
         runtime.set_primary_state(PrimaryState.CHANGING)
         previous = leadership.record
         term = Term(max(previous.term, runtime.used_term))
+        if not previous.is_planned:
+            self._fleet.permits.stop_using(service, leadership.revision)
         record = self._closed_record(previous, previous.candidate, previous.is_planned, term)
         closed = await self.store.write(service, record, leadership.revision)
         fencing = await self._fence_completely(runtime, closed)
@@ -354,6 +381,8 @@
         if chosen is None:
             raise PrimaryChangeCancelledError("no backend server can be promoted")
         successor, ended_term = chosen
+        if not is_planned:
+            self._fleet.permits.stop_using(runtime.name, leadership.revision)
         record = self._closed_record(leadership.record, successor, is_planned, ended_term)
         return await self.store.write(runtime.name, record, leadership.revision)
 
@@ -364,6 +393,12 @@
         is_planned: bool,
         ended_term: Term,
     ) -> LeadershipRecord:
+        """Return the closed record that follows another one.
+
+        In a change that is not planned, this host has stopped using the primary already.
+        """
+        stopped = record.stopped if record.phase is LeadershipPhase.CLOSED else ()
+        own = () if is_planned or self._identity.host in stopped else (self._identity.host,)
         return LeadershipRecord(
             record.primary,
             LeadershipPhase.CLOSED,
@@ -372,6 +407,7 @@
             successor,
             is_planned,
             ended_term,
+            stopped + own,
         )
 
     async def _fence_completely(
--- a/tests/host/test_failovermanager.py
+++ b/tests/host/test_failovermanager.py
@@ -11,12 +11,15 @@
     VersionedLeadership,
     encode_record,
 )
+from hickorywind.host.fencer import Fencer
 from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX
 from hickorywind.host.leadershipstore import PrimaryChangeCancelledError
 from hickorywind.host.service import LEAVING_USE_FRACTION
 from hickorywind.platform.documents import BACKENDS_PREFIX
 from tests.host.harness import SERVICE, Caller, HostTestCase
 
+PRIMARY_CHANGE_SECONDS = 5.0  # the stated limit
+
 
 class FailoverTest(HostTestCase):
     host_count = 3
@@ -117,6 +120,48 @@
         await self.store.put(LEADERSHIP_PREFIX + SERVICE, encode_record(record))
         await self.wait_until(lambda: self.all_hosts_use("i-b"), 8.0)
 
+    async def test_promoter_that_goes_silent_is_not_waited_for(self):
+        """It stopped using the primary before it closed the record, which says so.
+
+        Nothing proves that the process of the primary has ended.
+        """
+        promoters = []
+        start = Fencer.start
+
+        async def cut_first_promoter_off(fencer, runtime, closed):
+            name = closed.record.promoter
+            if not promoters:
+                promoters.append(name)
+                self.network.cut_from.add(name)
+                self.network.cut_to.add(name)
+                self.hosts[name].coordinator.is_cut = True
+                await asyncio.sleep(60.0)
+            return await start(fencer, runtime, closed)
+
+        has_exited = mock.patch.object(Fencer, "has_primary_exited", mock.AsyncMock(return_value=0))
+        with has_exited, mock.patch.object(Fencer, "start", cut_first_promoter_off):
+            await self.group.servers["i-a"].crash()
+            await self.wait_until(lambda: promoters)
+            started = self.loop.time()
+            others = [host for name, host in self.hosts.items() if name not in promoters]
+            await self.wait_until(
+                lambda: all(host.primary() not in (None, "i-a") for host in others), 15.0
+            )
+        self.assertLess(self.loop.time() - started, PRIMARY_CHANGE_SECONDS)
+
+    async def test_host_that_failed_to_close_a_record_uses_the_primary_again(self):
+        """The write that was to close it can no longer take effect then."""
+        manager = self.hosts["h0"].role._failover_manager
+        fleet = self.hosts["h0"].role._fleet
+        before = fleet.permits.leadership(SERVICE)
+        fleet.permits.stop_using(SERVICE, before.revision)
+        self.assertIsNone(self.hosts["h0"].primary())
+        await self.wait_until(lambda: self.hosts["h0"].primary() == "i-a", 2.0)
+        self.assertGreater(fleet.permits.leadership(SERVICE).revision, before.revision)
+        with self.assertRaises(PrimaryChangeCancelledError):
+            closed = LeadershipRecord("i-a", LeadershipPhase.CLOSED, 0, "h0", "i-b")
+            await manager.store.write(SERVICE, closed, before.revision)
+
     async def test_killed_host_is_not_waited_for_when_its_process_is_gone(self):
         await self.hosts.pop("h2").kill()
         await self.group.servers["i-a"].crash()
