--- a/hickorywind/admission/retention.py
+++ b/hickorywind/admission/retention.py
@@ -16,9 +16,11 @@
 
 # From this even share on, a host keeps its last connection: all of them take half of the limit.
 KEEP_LAST_SHARE = 2.0
-# For connections up to the even share.
+# Of the even share. A server keeps the connections of hosts that lost power for some seconds, so
+# that all hosts can connect again only if they held half of its limit.
+_KEPT_SHARE = 0.5
+# For connections up to that part of the even share, and beyond it.
 IDLE_TIMEOUT = timedelta(milliseconds=1500)
-# For connections beyond the even share, which other hosts need more.
 SURPLUS_IDLE_TIMEOUT = timedelta(milliseconds=600)
 # A home has a part of the limit for itself, and few of its connections serve one client account.
 HOME_IDLE_TIMEOUT = timedelta(seconds=10)
@@ -86,5 +88,6 @@
             return now > idle_since + HOME_IDLE_TIMEOUT
         if self.is_scarce:
             return now >= idle_since + self._scarce_timeout(now)
-        timeout = SURPLUS_IDLE_TIMEOUT if open_count > int(self.even_share) else IDLE_TIMEOUT
+        kept_count = max(1, int(self.even_share * _KEPT_SHARE))
+        timeout = SURPLUS_IDLE_TIMEOUT if open_count > kept_count else IDLE_TIMEOUT
         return open_count > 1 and now > idle_since + timeout
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -165,6 +165,8 @@
         self._request_log = RequestLog(metrics)
         self._server: asyncio.Server | None = None
         self._is_stopping = False
+        self._created_at = clock.now()
+        self._configured_after: timedelta | None = None
         self._background = BackgroundTasks()
         self._copies_in_progress: set[str] = set()
         self._register_callbacks()
@@ -358,6 +360,9 @@
             service.refresh()
         if self._fleet.configuration is not None:
             self._metrics.configuration_version.set(self._fleet.configuration.version)
+            if self._configured_after is None:
+                self._configured_after = self._clock.now() - self._created_at
+                self._metrics.configured_after_seconds.set(self._configured_after.total_seconds())
 
     def _add_service(self, name: ServiceName) -> None:
         service = ServiceRuntime(
--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -319,6 +319,8 @@
                 return
             sent = self._fleet.now()
             snapshot = await self._coordination_store.read_range(prefix, timeout=timeout)
+        self._metrics.store_copy_seconds.inc((self._fleet.now() - sent).total_seconds())
+        self._metrics.store_copy_bytes.inc(sum(len(item.value) for item in snapshot.items))
         self._fleet.apply_snapshot(prefix, snapshot, "store")
         self._watch_duty.record_own_contact(sent)
 
--- a/hickorywind/observability/hostmetrics.py
+++ b/hickorywind/observability/hostmetrics.py
@@ -28,6 +28,21 @@
         self.store_calls = Counter(
             f"{_PREFIX}_store_calls", "Calls to the store", ("call", "outcome"), registry=registry
         )
+        self.store_copy_bytes = Counter(
+            f"{_PREFIX}_store_copy_bytes",
+            "Bytes of whole copies read from the store",
+            registry=registry,
+        )
+        self.store_copy_seconds = Counter(
+            f"{_PREFIX}_store_copy_seconds",
+            "Time spent reading whole copies from the store",
+            registry=registry,
+        )
+        self.configured_after_seconds = Gauge(
+            f"{_PREFIX}_configured_after_seconds",
+            "Time from the start of the process to its first configuration in force",
+            registry=registry,
+        )
         self.sessions = Gauge(f"{_PREFIX}_sessions", "Caller sessions open", registry=registry)
         self.configuration_version = Gauge(
             f"{_PREFIX}_configuration_version", "Configuration in force", registry=registry
