--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -450,11 +450,14 @@
     def _may_copy_configuration(self, host: HostId) -> bool:
         """Return whether to copy the configuration from another host.
 
-        In a large fleet it comes from hosts of the own zone, where some read it from the store:
-        copies of a large one would fill the links between regions.
+        In a large fleet it comes from hosts of the own zone, where one reads it from the store:
+        copies of a large one would fill the links between regions. The reader itself may take its
+        first one from anywhere, as a deflated copy mostly arrives before the store's answer.
         """
         if not self._shares_watches or not self._sync.is_store_reachable:
             return True
+        if self._fleet.configuration is None and self._watch_duty.reads_large_copies:
+            return True
         state = self._peers.table.states.get(host)
         return state is not None and state.record.zone == self._identity.zone
 
