--- a/hickorywind/admission/retention.py
+++ b/hickorywind/admission/retention.py
@@ -16,9 +16,13 @@
 
 # From this even share on, a host keeps its last connection: all of them take half of the limit.
 KEEP_LAST_SHARE = 2.0
-# Of the even share. A server keeps the connections of hosts that lost power for some seconds, so
-# that all hosts can connect again only if they held half of its limit.
-_KEPT_SHARE = 0.5
+# A server keeps the connections of hosts that lost power for this time, so that all hosts can
+# connect again only if they held, and then want, a part of its limit.
+FORMER_CONNECTIONS_LIFETIME = timedelta(seconds=3)
+_KEPT_SHARE = 0.5  # of the even share
+# Load is uneven, so a host may hold this multiple of its even share of the connections.
+_MOST_SHARE = 1.3
+_MIN_CONNECTION_LIMIT = 2  # regardless of the number of hosts
 # For connections up to that part of the even share, and beyond it.
 IDLE_TIMEOUT = timedelta(milliseconds=1500)
 SURPLUS_IDLE_TIMEOUT = timedelta(milliseconds=600)
@@ -34,6 +38,17 @@
 _GROWTH_PER_SECOND = 0.25  # of the lowered factor, while there is no refusal
 
 
+def connection_limit(even_share: float, running_for: timedelta) -> int:
+    """Return how many connections to one server a host may hold.
+
+    A host that has just started leaves room for the others, which may have started with it while
+    the server still keeps the connections of their former processes.
+    """
+    if running_for < FORMER_CONNECTIONS_LIFETIME:
+        return max(1, int(even_share * _KEPT_SHARE))
+    return max(_MIN_CONNECTION_LIMIT, round(even_share * _MOST_SHARE))
+
+
 class IdleRetention:
     """Idle timeouts of one host's connections to one backend server.
 
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -17,7 +17,7 @@
     ServerState,
     Target,
 )
-from hickorywind.admission.retention import KEEP_LAST_SHARE
+from hickorywind.admission.retention import KEEP_LAST_SHARE, connection_limit
 from hickorywind.failover.leadership import LeadershipPhase
 from hickorywind.host.backendconnection import (
     BackendConnection,
@@ -66,9 +66,6 @@
 STALL_CHECK_INTERVAL = timedelta(milliseconds=500)  # between two checks of one stalled server
 FIRST_PROBE_DELAY = timedelta(milliseconds=300)  # before a failed server is probed
 TRANSACTION_DRAIN_TIMEOUT = timedelta(milliseconds=1200)  # well below the drain time limit
-# Load is uneven, so a host may hold this multiple of its even share of the connections.
-CONNECTION_SHARE_FACTOR = 1.3
-MIN_CONNECTION_LIMIT = 2  # connections that a host may hold regardless of the number of hosts
 NOT_LEADING = "the primary answers as a replica or in an old term"
 _CALLER_DISCONNECTED = Result.not_run(ResultCode.CANCELLED, "the caller disconnected")
 
@@ -118,6 +115,7 @@
         self._closed_result: Result | None = None
         self._background = BackgroundTasks()
         self._leaving_use_duration = leaving_duration * LEAVING_USE_FRACTION
+        self._created_at = clock.now()
         self._last_primary: BackendId | None = None
         self._primary_lost_at: Instant | None = None
         self._primary_work: set[PrimaryWork] = set()
@@ -195,7 +193,7 @@
         self.shares_reads = self.reads is not None and 0 < even_share < KEEP_LAST_SHARE
         home_share = round(limit * HOME_CONNECTION_SHARE) if self.shares_reads else 0
         even_share = (limit - home_share) / max(1, self.host_count)
-        own_limit = max(MIN_CONNECTION_LIMIT, round(CONNECTION_SHARE_FACTOR * even_share))
+        own_limit = connection_limit(even_share, self.clock.now() - self._created_at)
         for backend in self.backends.values():
             is_home = self.shares_reads and self.reads.is_home_of(backend)
             connections = backend.connections
--- a/tests/admission/test_retention.py
+++ b/tests/admission/test_retention.py
@@ -5,11 +5,13 @@
 from datetime import timedelta
 
 from hickorywind.admission.retention import (
+    FORMER_CONNECTIONS_LIFETIME,
     IDLE_TIMEOUT,
     KEEP_LAST_SHARE,
     MIN_IDLE_TIMEOUT,
     SURPLUS_IDLE_TIMEOUT,
     IdleRetention,
+    connection_limit,
 )
 
 START = timedelta(seconds=100)
@@ -37,6 +39,14 @@
             retention.should_close(START, 5, START + SURPLUS_IDLE_TIMEOUT + MILLISECOND)
         )
 
+    def test_hosts_that_start_at_once_all_connect_beside_their_former_connections(self):
+        """7 hosts and 16 connections: the former processes held half, and all connect again."""
+        even_share = 16 / 7
+        former = 7 * connection_limit(even_share, timedelta(0))
+        self.assertLessEqual(former + 7 * connection_limit(even_share, timedelta(0)), 16)
+        later = connection_limit(even_share, FORMER_CONNECTIONS_LIFETIME)
+        self.assertGreater(later, connection_limit(even_share, timedelta(0)))
+
     def make_scarce(self, uses_per_s):
         """Return a retention with 1.2 connections for the host, after ten seconds of use."""
         retention = IdleRetention()
