Refuse callers that wait in the listen queue when an entry stops, instead of resetting them; take a dead promoter's change over sooner

Change: it accepts them first, so that they get 5002. Test: reset before, refusal after. Second: a closed record counts from when it became known, not from the next check, and its promoter is asked before the time to take over is due, not after it.

--- a/hickorywind/entry/server.py
+++ b/hickorywind/entry/server.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import logging
+import os
 import random
+import socket
 from collections.abc import Mapping
 from datetime import timedelta
 
@@ -78,6 +80,7 @@
         """
         self._draining = True
         if self._server is not None:
+            await self._accept_pending()
             self._server.close()
         deadline = self._context.clock.now() + timeout
         while self._tasks and self._context.clock.now() < deadline:
@@ -86,6 +89,23 @@
             await asyncio.wait(set(self._tasks), timeout=_DRAIN_POLL_INTERVAL.total_seconds())
         await self.close()
 
+    async def _accept_pending(self) -> None:
+        """Accept the connections that wait in the listen queue, so that they get a refusal.
+
+        Closing the listening socket would reset them.
+        """
+        loop = asyncio.get_running_loop()
+        for listener in self._server.sockets:
+            pending = socket.socket(fileno=os.dup(listener.fileno()))
+            with pending:
+                while True:
+                    try:
+                        connection, _ = pending.accept()
+                    except BlockingIOError:
+                        break
+                    connection.setblocking(False)
+                    await loop.connect_accepted_socket(self._make_protocol, connection)
+
     async def close(self) -> None:
         """Close all connections without waiting for running requests."""
         if self._server is not None:
--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -40,7 +40,7 @@
 from hickorywind.ports.catalog import BackendState
 from hickorywind.ports.coordination import CoordinationStore, Promoter
 from hickorywind.store.interface import StoreUnavailableError
-from hickorywind.util.clock import Clock
+from hickorywind.util.clock import Clock, Instant
 from hickorywind.util.sockets import CONNECT_PROBE_TIMEOUT, accepts_connections
 
 logger = logging.getLogger(__name__)
@@ -175,23 +175,33 @@
     ) -> None:
         """Take over a primary change whose promoter has failed or makes no progress."""
         now = self._fleet.now()
-        revision, since = self._closed_since.get(service, (Revision(0), now))
-        if revision != leadership.revision:
-            self._closed_since[service] = (leadership.revision, now)
-            return
-        timeout = TAKEOVER_TIMEOUT + RANK_DELAY * self._rank(service)
+        since = self._record_closing(service, leadership)
+        due = since + TAKEOVER_TIMEOUT + RANK_DELAY * self._rank(service)
         if not self._peers.table.sees_majority():
-            timeout += MINORITY_DELAY
+            due += MINORITY_DELAY
         is_own = leadership.record.promoter == self._identity.host
         if is_own or now > since + STUCK_CHANGE_TIMEOUT:
             self._start_task(service, self._take_over(service, leadership))
-        elif now > since + timeout:
-            self._start_task(service, self._take_over_if_silent(service, leadership))
+        elif now > due - PROMOTER_PROBE_TIMEOUT:
+            self._start_task(service, self._take_over_if_silent(service, leadership, due))
+
+    def record_closing(self, service: ServiceName) -> None:
+        """Record when a closed record became known, for taking over its change."""
+        leadership = self._fleet.permits.leadership(service)
+        if leadership is not None and leadership.record.phase is LeadershipPhase.CLOSED:
+            self._record_closing(service, leadership)
+
+    def _record_closing(self, service: ServiceName, leadership: VersionedLeadership) -> Instant:
+        revision, since = self._closed_since.get(service, (Revision(0), self._fleet.now()))
+        if revision != leadership.revision:
+            since = self._fleet.now()
+            self._closed_since[service] = (leadership.revision, since)
+        return since
 
     async def _take_over_if_silent(
-        self, service: ServiceName, leadership: VersionedLeadership
+        self, service: ServiceName, leadership: VersionedLeadership, due: Instant
     ) -> None:
-        """Take over a primary change if its promoter does not answer.
+        """Take over a primary change at ``due`` if its promoter does not answer.
 
         Taking over from one that is only slow is safe and costs time, so it is asked first.
         """
@@ -199,6 +209,7 @@
         is_alive = promoter in self._peers.table.alive()
         if is_alive and await self._peers.is_responding(promoter, PROMOTER_PROBE_TIMEOUT):
             return
+        await asyncio.sleep(max(0.0, (due - self._fleet.now()).total_seconds()))
         if self._fleet.permits.leadership(service) == leadership:
             await self._take_over(service, leadership)
 
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -182,6 +182,7 @@
         self._fleet.configuration_listeners.append(self._quotas.refresh)
         self._fleet.configuration_listeners.append(self._announce_configuration)
         self._fleet.leadership_listeners.append(lambda service: self._refresh_services())
+        self._fleet.leadership_listeners.append(self._failover_manager.record_closing)
         self._fleet.leadership_listeners.append(self._store_acknowledger.schedule)
         self._fleet.leadership_listeners.append(self._pass_leadership_on)
 
--- a/tests/entry/test_server.py
+++ b/tests/entry/test_server.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 import struct
 from datetime import timedelta
 from unittest import mock
@@ -219,6 +220,19 @@
         self.assertEqual([text for text in refused if "[5002]" not in text], [])
         self.assertEqual(len(self.primary_pool.executed), len(answered))
 
+    async def test_drain_refuses_callers_that_the_entry_has_not_accepted_yet(self):
+        """Their connections are established by the system and would be reset at the stop."""
+        waiting = [
+            socket.create_connection((self.address.host, self.address.port)) for _ in range(3)
+        ]
+        for connection in waiting:
+            self.addCleanup(connection.close)
+            connection.sendall(STARTUP)
+        await self.components.server.drain(timedelta(seconds=5))
+        for connection in waiting:
+            connection.settimeout(5)
+            self.assertIn(b"[5002]", connection.recv(4096))
+
     async def test_drain_lets_an_open_transaction_finish(self):
         reader, writer = await self.open_raw(STARTUP, Query("BEGIN").to_wire())
         await reader.readuntil(ready_for_query(TransactionState.ACTIVE))
