--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -69,7 +69,8 @@
     ``rank`` is lower for more urgent operations. ``start_by`` is the last instant at which it can
     start and still meet its objective; at ``give_up_at`` it is refused. One of ``grant`` and
     ``refuse`` is called when the dispatcher has decided. ``excluded`` servers are not used.
-    ``account`` is the client account of the caller; a connection serves one account.
+    ``account`` is the client account of the caller; a connection serves one account. ``retarget``
+    chooses the target of a read anew; ``target`` is the one that holds when ``grant`` is called.
     """
 
     rank: int
@@ -80,6 +81,7 @@
     refuse: Callable[[Result], None]
     excluded: frozenset[BackendId] = frozenset()
     account: AccountId | None = None
+    retarget: Callable[[], Target] | None = None
     arrival_number: int = 0
 
 
@@ -202,6 +204,19 @@
         if operation in self._waiting:
             self._waiting.remove(operation)
 
+    def retarget_reads(self) -> bool:
+        """Choose the targets of waiting reads that need the primary anew.
+
+        Called when the primary has told its log position: after a start or a change of primary
+        every read waits for the primary, and the replicas are idle. Return whether any changed.
+        """
+        has_changed = False
+        for operation in self._waiting:
+            if operation.retarget is not None and isinstance(operation.target, OnPrimary):
+                operation.target = operation.retarget()
+                has_changed |= not isinstance(operation.target, OnPrimary)
+        return has_changed
+
     def refuse_primary_operations(self, reason: str) -> None:
         """Refuse the waiting operations that need the primary, so that callers try other hosts."""
         for operation in [each for each in self._waiting if isinstance(each.target, OnPrimary)]:
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -399,7 +399,7 @@
             if service is not None:
                 # The peer computed the age after the greeting was sent, so counting it back
                 # from ``sent`` never makes the sample too recent.
-                service.samples.add(sent - milliseconds(sample.age_ms), sample.position)
+                service.add_sample(sent - milliseconds(sample.age_ms), sample.position)
         for ended in reply.ended_leases:
             # The reply was sent before now, so the lease end was confirmed at least that long ago.
             confirmed = self._clock.now() - milliseconds(ended.age_ms)
--- a/hickorywind/host/retries.py
+++ b/hickorywind/host/retries.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from hickorywind.admission.dispatch import AtPosition, OnPrimary
+from hickorywind.admission.dispatch import OnPrimary, Target
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import Grant
 from hickorywind.host.sessioncontext import SessionContext
@@ -39,20 +39,26 @@
     ``excluded`` returns the servers to skip. A refusal that doesn't allow a retry is returned at
     once.
     """
+
+    def choose() -> Target:
+        return choose_target(service, route, needs_primary, context.floor, arrived)
+
     result = Result.not_run(ResultCode.NO_PRIMARY, "no attempt was made", RETRY_AFTER_MS)
     attempts = 0
     while attempts < MAX_ATTEMPTS:
-        target = choose_target(service, route, needs_primary, context.floor, arrived)
-        min_position = target.position if isinstance(target, AtPosition) else None
+        target = choose()
         refusal = service.primary_work_refusal() if isinstance(target, OnPrimary) else None
         if refusal is not None:
             return refusal
-        grant = await service.acquire(route, target, arrived, context, excluded())
+        retarget = None if needs_primary else choose
+        grant = await service.acquire(
+            route, target, arrived, context, excluded(), retarget=retarget
+        )
         if isinstance(grant, Result):
             return grant
-        outcome = await check_primary(service, grant) if min_position is None else None
+        outcome = await check_primary(service, grant) if grant.min_position is None else None
         if outcome is None:
-            outcome = await attempt(grant, min_position)
+            outcome = await attempt(grant, grant.min_position)
         if not isinstance(outcome, Result):
             return outcome
         result = outcome
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -35,7 +35,7 @@
     ServiceView,
 )
 from hickorywind.host.sessioncontext import SessionContext
-from hickorywind.ids import AvailabilityZone, BackendId, ServiceName, Term
+from hickorywind.ids import AvailabilityZone, BackendId, LogPosition, ServiceName, Term
 from hickorywind.placement.readhomes import HOME_CONNECTION_SHARE
 from hickorywind.ports.catalog import BackendServer, BackendState, Route, Topology
 from hickorywind.ports.codecs import BackendCodec
@@ -304,10 +304,12 @@
         context: SessionContext,
         excluded: frozenset[BackendId] = frozenset(),
         wait_limit: timedelta = timedelta.max,
+        retarget: Callable[[], Target] | None = None,
     ) -> Grant | Result:
         """Wait for a backend server and a connection; return a refusal if none is free in time.
 
         The wait ends after ``wait_limit`` or at the deadline of the route, whichever is sooner.
+        ``retarget`` chooses the target of a read anew while it waits.
         """
         if self._closed_result is not None:
             return self._closed_result
@@ -315,11 +317,12 @@
         deadline = arrived + min(deadline - arrived, wait_limit)
         while True:
             outcome = await self._wait_for_backend(
-                route, target, arrived, deadline, context, excluded
+                route, target, arrived, deadline, context, excluded, retarget
             )
             if isinstance(outcome, Result):
                 return outcome
-            grant = await self._take_connection(outcome, context)
+            backend_id, target = outcome
+            grant = await self._take_connection(backend_id, target, context)
             # The server is skipped for a while after a failure, so this loop does not busy-wait.
             if isinstance(grant, Grant) or self.clock.now() >= deadline:
                 return grant
@@ -332,7 +335,8 @@
         deadline: Instant,
         context: SessionContext,
         excluded: frozenset[BackendId],
-    ) -> BackendId | Result:
+        retarget: Callable[[], Target] | None,
+    ) -> tuple[BackendId, Target] | Result:
         if self._closed_result is not None:
             return self._closed_result
         if context.has_disconnected:
@@ -347,12 +351,14 @@
             refuse=lambda result: _resolve(future, result),
             excluded=excluded,
             account=context.account,
+            retarget=retarget,
         )
         self._update_primary()
         self._dispatcher.submit(operation, self.clock.now())
         context.cancel_wait = partial(self._cancel_operation, operation)
         try:
-            return await future
+            decision = await future
+            return decision if isinstance(decision, Result) else (decision, operation.target)
         except asyncio.CancelledError:
             self._dispatcher.withdraw(operation)
             if future.done() and not future.cancelled() and not isinstance(future.result(), Result):
@@ -371,7 +377,7 @@
         self.release_unanswered_slot(backend)
 
     async def _take_connection(
-        self, backend_id: BackendId, context: SessionContext
+        self, backend_id: BackendId, target: Target, context: SessionContext
     ) -> Grant | Result:
         backend = self.backends.get(backend_id)
         if backend is None:
@@ -392,7 +398,7 @@
         except asyncio.CancelledError:
             self.release_unanswered_slot(backend)
             raise
-        return Grant(backend, connection, started)
+        return Grant(backend, connection, started, target)
 
     def record_connection_failure(self, backend: Backend, error: Exception) -> None:
         """Record a failed connection and stop using the server; report a failing primary.
@@ -539,7 +545,12 @@
         backend.load.record_position(answer.position)
         self.newest_term = max(self.newest_term, answer.position.term)
         if is_position_sample:
-            self.samples.add(sent, answer.position)
+            self.add_sample(sent, answer.position)
+
+    def add_sample(self, taken_at: Instant, position: LogPosition) -> None:
+        """Add a position sample and start the waiting reads that it lets run at replicas."""
+        if self.samples.add(taken_at, position) and self._dispatcher.retarget_reads():
+            self.dispatch_waiting()
 
     # Planned primary changes --------------------------------------------------------------------
 
--- a/hickorywind/host/servicestate.py
+++ b/hickorywind/host/servicestate.py
@@ -7,10 +7,10 @@
 from enum import Enum
 from typing import Protocol
 
-from hickorywind.admission.dispatch import ServerState
+from hickorywind.admission.dispatch import AtPosition, ServerState, Target
 from hickorywind.host.backendconnection import BackendConnection
 from hickorywind.host.connectionpool import ConnectionPool
-from hickorywind.ids import BackendId
+from hickorywind.ids import BackendId, LogPosition
 from hickorywind.ports.catalog import BackendServer
 from hickorywind.ports.replies import Answer
 from hickorywind.util.clock import Instant
@@ -75,11 +75,17 @@
 
 @dataclass(slots=True)
 class Grant:
-    """Connection granted to an operation at ``started``."""
+    """Connection granted at ``started`` to an operation with a target."""
 
     backend: Backend
     connection: BackendConnection
     started: Instant
+    target: Target
+
+    @property
+    def min_position(self) -> LogPosition | None:
+        """Log position that the server must hold, or None if it is used as the primary."""
+        return self.target.position if isinstance(self.target, AtPosition) else None
 
 
 @dataclass(frozen=True, slots=True)
--- a/hickorywind/host/sharedreads.py
+++ b/hickorywind/host/sharedreads.py
@@ -254,7 +254,7 @@
             return False
         if service.may_start_primary_work(backend):
             taken_at = sent - milliseconds(reply.sample.age_ms)
-            service.samples.add(taken_at, reply.sample.position)
+            service.add_sample(taken_at, reply.sample.position)
         return True
 
     # Reads of other hosts ----------------------------------------------------------------------
--- a/hickorywind/routing/samples.py
+++ b/hickorywind/routing/samples.py
@@ -26,11 +26,15 @@
     def __init__(self) -> None:
         self._samples: deque[SampledPosition] = deque(maxlen=MAX_SAMPLES)
 
-    def add(self, taken_at: Instant, position: LogPosition) -> None:
-        """Add a sample; ``taken_at`` is when the primary was queried, not when it answered."""
+    def add(self, taken_at: Instant, position: LogPosition) -> bool:
+        """Add a sample, unless one just as recent is known; return whether it was added.
+
+        ``taken_at`` is when the primary was queried, not when it answered.
+        """
         if self._samples and taken_at < self._samples[-1].taken_at + MIN_SAMPLE_INTERVAL:
-            return
+            return False
         self._samples.append(SampledPosition(taken_at, position))
+        return True
 
     def clear(self) -> None:
         """Remove all samples: the log of a new primary may not contain their positions."""
--- a/tests/admission/test_dispatch.py
+++ b/tests/admission/test_dispatch.py
@@ -51,6 +51,33 @@
             limit.start(START)
 
 
+class RetargetTest(DispatcherCase):
+    """Load: after a start all reads wait for the primary, as its log position is not known yet."""
+
+    def wait_for_primary(self, retarget):
+        operation = self.submit()
+        operation.retarget = retarget
+        return operation
+
+    def test_waiting_reads_run_at_replicas_once_the_position_is_known(self):
+        self.fill()
+        for _ in range(4):
+            self.wait_for_primary(lambda: AtPosition(POSITION))
+        self.assertEqual(self.granted, [])
+        self.assertTrue(self.dispatcher.retarget_reads())
+        self.dispatcher.dispatch_waiting(START)
+        self.assertEqual({backend for _, backend in self.granted}, {"i-b", "i-c"})
+        self.assertEqual(len(self.granted), 4)
+
+    def test_work_that_only_the_primary_can_run_stays(self):
+        self.fill()
+        write, read = self.wait_for_primary(None), self.wait_for_primary(OnPrimary)
+        self.assertFalse(self.dispatcher.retarget_reads())
+        self.dispatcher.dispatch_waiting(START)
+        self.assertEqual(self.granted, [])
+        self.assertEqual((write.target, read.target), (OnPrimary(), OnPrimary()))
+
+
 class ServerChoiceTest(DispatcherCase):
     def test_primary_operations_go_to_the_primary_only(self):
         for _ in range(9):
--- a/tests/host/test_endtoend.py
+++ b/tests/host/test_endtoend.py
@@ -15,6 +15,23 @@
             read = await caller.ask(f"READ {database}")
             self.assertEqual(read, ["ROW fired", "COMPLETE s.q2", "READY I -"])
 
+    async def test_reads_that_wait_for_the_primary_run_at_replicas_once_its_position_is_known(self):
+        """After a start no position is known, so all reads need the primary at first."""
+        service = self.hosts["h0"].role._services["ledger"]
+        callers = [await self.caller("views") for _ in range(30)]
+        service.samples.clear()
+        for server in self.group.servers.values():
+            server.delay_seconds = 0.1
+            server.statements.clear()
+        started = self.loop.time()
+        answers = await asyncio.gather(*(caller.ask("READ x") for caller in callers))
+        self.assertEqual({answer[0] for answer in answers}, {"ROW none"})
+        # The primary alone takes 30 reads, 3 at a time: 1 s.
+        self.assertLess(self.loop.time() - started, 0.8)
+        for name in ("i-b", "i-c"):
+            reads = [text for text in self.group.servers[name].statements if "READ x" in text]
+            self.assertGreater(len(reads), 5)
+
     async def test_unknown_database_is_refused(self):
         caller = await self.caller("nowhere")
         self.assertTrue(caller.greeting.startswith("ERROR NODB [1006]"), caller.greeting)
