Let a started host hold one connection more each half second (trial)

Hypothesis: hosts far from a server run 16 statements a second over one connection; 96 waited at one of them .5 s after the start, while the leftover connections of the former processes were fewer than the limit allows for.

--- a/hickorywind/admission/retention.py
+++ b/hickorywind/admission/retention.py
@@ -16,10 +16,12 @@
 
 # From this even share on, a host keeps its last connection: all of them take half of the limit.
 KEEP_LAST_SHARE = 2.0
-# A server keeps the connections of hosts that lost power for this time, so that all hosts can
-# connect again only if they held, and then want, a part of its limit.
-FORMER_CONNECTIONS_LIFETIME = timedelta(seconds=3)
-_KEPT_SHARE = 0.5  # of the even share
+# Of the even share. A server keeps the connections of hosts that lost power for some seconds, so
+# that all hosts can connect again only if they held, and at first want, a part of its limit.
+_KEPT_SHARE = 0.5
+# A host that has started may hold one connection more in each interval; by then the others have
+# theirs, and refusals at the server's limit lengthen it.
+START_GROWTH_INTERVAL = timedelta(milliseconds=500)
 # Load is uneven, so a host may hold this multiple of its even share of the connections.
 _MOST_SHARE = 1.3
 _MIN_CONNECTION_LIMIT = 2  # regardless of the number of hosts
@@ -44,9 +46,9 @@
     A host that has just started leaves room for the others, which may have started with it while
     the server still keeps the connections of their former processes.
     """
-    if running_for < FORMER_CONNECTIONS_LIFETIME:
-        return max(1, int(even_share * _KEPT_SHARE))
-    return max(_MIN_CONNECTION_LIMIT, round(even_share * _MOST_SHARE))
+    first = max(1, int(even_share * _KEPT_SHARE))
+    most = max(_MIN_CONNECTION_LIMIT, round(even_share * _MOST_SHARE))
+    return min(most, first + running_for // START_GROWTH_INTERVAL)
 
 
 class IdleRetention:
--- a/tests/admission/test_retention.py
+++ b/tests/admission/test_retention.py
@@ -5,10 +5,10 @@
 from datetime import timedelta
 
 from hickorywind.admission.retention import (
-    FORMER_CONNECTIONS_LIFETIME,
     IDLE_TIMEOUT,
     KEEP_LAST_SHARE,
     MIN_IDLE_TIMEOUT,
+    START_GROWTH_INTERVAL,
     SURPLUS_IDLE_TIMEOUT,
     IdleRetention,
     connection_limit,
@@ -44,8 +44,10 @@
         even_share = 16 / 7
         former = 7 * connection_limit(even_share, timedelta(0))
         self.assertLessEqual(former + 7 * connection_limit(even_share, timedelta(0)), 16)
-        later = connection_limit(even_share, FORMER_CONNECTIONS_LIFETIME)
-        self.assertGreater(later, connection_limit(even_share, timedelta(0)))
+        limits = [connection_limit(even_share, n * START_GROWTH_INTERVAL) for n in range(9)]
+        self.assertEqual(limits, sorted(limits))
+        self.assertEqual(limits[0] + 1, limits[1])
+        self.assertEqual(limits[-1], connection_limit(even_share, timedelta(minutes=1)))
 
     def make_scarce(self, uses_per_s):
         """Return a retention with 1.2 connections for the host, after ten seconds of use."""
