--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -506,11 +506,7 @@
             case CopyReply():
                 self._apply_copy(message, "notice")
             case ReachQuery(call, backend):
-                server = self._fleet.backends.get(backend)
-                reached = server is not None and await accepts_connections(
-                    server.address, CONNECT_PROBE_TIMEOUT
-                )
-                return ReachReply(call, reached)
+                return ReachReply(call, await self._reaches(backend))
             case ResponsivenessQuery(call, name, backend):
                 return ResponsivenessReply(call, await self._is_backend_responsive(name, backend))
             case StopPrimaryUse(call, service, revision, is_planned):
@@ -559,6 +555,21 @@
             None if contact_age is None else int(to_milliseconds(contact_age)) + 1,
         )
 
+    async def _reaches(self, backend: BackendId) -> bool:
+        """Return whether a backend server accepts connections; suspect a primary that does not.
+
+        So the host of the first rank, which is to replace it, need not notice the failure itself.
+        """
+        server = self._fleet.backends.get(backend)
+        if server is None:
+            return False
+        if await accepts_connections(server.address, CONNECT_PROBE_TIMEOUT):
+            return True
+        service = self._services.get(server.service)
+        if service is not None and service.recorded_primary() == backend:
+            self._failover_manager.report_suspect(server.service, "a peer can't reach it either")
+        return False
+
     async def _is_backend_responsive(self, name: ServiceName, backend: BackendId) -> bool:
         service = self._services.get(name)
         backend_state = None if service is None else service.backends.get(backend)
--- a/tests/host/test_failovermanager.py
+++ b/tests/host/test_failovermanager.py
@@ -16,6 +16,7 @@
 from hickorywind.host.leadershipstore import PrimaryChangeCancelledError
 from hickorywind.host.service import LEAVING_USE_FRACTION
 from hickorywind.platform.documents import BACKENDS_PREFIX
+from hickorywind.protocol.messages import ReachQuery
 from tests.host.harness import SERVICE, Caller, HostTestCase
 
 PRIMARY_CHANGE_SECONDS = 5.0  # the stated limit
@@ -149,6 +150,22 @@
             )
         self.assertLess(self.loop.time() - started, PRIMARY_CHANGE_SECONDS)
 
+    async def test_host_that_a_peer_asks_about_a_failed_primary_checks_it_too(self):
+        """The host that is to replace the primary may have no work there that would fail."""
+        role = self.hosts["h1"].role
+        with mock.patch.object(role._failover_manager, "report_suspect") as report:
+            for server in ("i-a", "i-b"):
+                await role._handle_peer_message(ReachQuery(1, server))
+            report.assert_not_called()
+            await self.group.servers["i-a"].crash()
+            await self.group.servers["i-b"].crash()
+            report.reset_mock()
+            reply = await role._handle_peer_message(ReachQuery(2, "i-b"))
+            self.assertFalse(reply.is_reachable)
+            report.assert_not_called()
+            await role._handle_peer_message(ReachQuery(3, "i-a"))
+            self.assertEqual(report.call_args.args[0], SERVICE)
+
     async def test_host_that_failed_to_close_a_record_uses_the_primary_again(self):
         """The write that was to close it can no longer take effect then."""
         manager = self.hosts["h0"].role._failover_manager
