Break the import circle of host/: services know the homes of servers by a protocol

tests.test_layering checks that modules of host/ import each other in one direction; before, service, sharedreads, targets, retries and autocommit imported each other. Behaviour unchanged.

--- a/hickorywind/host/autocommit.py
+++ b/hickorywind/host/autocommit.py
@@ -53,8 +53,8 @@
     async def run(self) -> Reply:
         """Run the statement and return the reply to the caller."""
         if self._mode is AccessMode.READ and self._service.shares_reads:
-            reply = await self._service.reads.run(
-                self._service,
+            reply = await self._service.homes.run(
+                self._service.name,
                 self._route,
                 self._context,
                 self._request,
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -377,7 +377,7 @@
             milliseconds(self._settings.backend_leaving_ms),
         )
         service.on_primary_suspected = self._failover_manager.report_suspect
-        service.reads = self._reads if self._settings.share_reads else None
+        service.homes = self._reads if self._settings.share_reads else None
         self._services[name] = service
 
     # Peers -------------------------------------------------------------------------------------
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
-from typing import TYPE_CHECKING
 
 from hickorywind.admission.dispatch import (
     Dispatcher,
@@ -29,6 +28,7 @@
 from hickorywind.host.servicestate import (
     RETRY_SOON_MS,
     Backend,
+    BackendHomes,
     Grant,
     PrimaryState,
     PrimaryWork,
@@ -46,9 +46,6 @@
 from hickorywind.util.sockets import CONNECT_PROBE_TIMEOUT, accepts_connections
 from hickorywind.util.tasks import BackgroundTasks
 
-if TYPE_CHECKING:
-    from hickorywind.host.sharedreads import SharedReads
-
 logger = logging.getLogger(__name__)
 
 # Bounds how long after its deadline a waiting operation is refused.
@@ -104,7 +101,7 @@
         self.primary_state = PrimaryState.USABLE
         self.on_primary_suspected: Callable[[ServiceName, str], None] = lambda service, reason: None
         self.host_count = 1
-        self.reads: SharedReads | None = None
+        self.homes: BackendHomes | None = None
         self.shares_reads = False  # whether homes run the reads of all hosts
         self._topology = topology
         self._zone = zone
@@ -190,12 +187,12 @@
         if configuration is not None:
             limit = configuration.connection_limits.get(self.name, 0)
         even_share = limit / max(1, self.host_count)
-        self.shares_reads = self.reads is not None and 0 < even_share < KEEP_LAST_SHARE
+        self.shares_reads = self.homes is not None and 0 < even_share < KEEP_LAST_SHARE
         home_share = round(limit * HOME_CONNECTION_SHARE) if self.shares_reads else 0
         even_share = (limit - home_share) / max(1, self.host_count)
         own_limit = connection_limit(even_share, self.clock.now() - self._created_at)
         for backend in self.backends.values():
-            is_home = self.shares_reads and self.reads.is_home_of(backend)
+            is_home = self.shares_reads and self.homes.is_home_of(backend)
             connections = backend.connections
             connections.max_connections = max(own_limit, home_share) if is_home else own_limit
             connections.retention.even_share = even_share
@@ -589,7 +586,7 @@
             self.refresh_position_sample()
 
     async def _sample_primary(self) -> None:
-        if self.shares_reads and await self.reads.fetch_position(self):
+        if self.shares_reads and await self.homes.fetch_position(self.name):
             return
         backend = self.usable_primary_backend()
         if backend is None or not backend.connections.has_connection():
--- a/hickorywind/host/servicestate.py
+++ b/hickorywind/host/servicestate.py
@@ -8,11 +8,13 @@
 from typing import Protocol
 
 from hickorywind.admission.dispatch import AtPosition, ServerState, Target
-from hickorywind.host.backendconnection import BackendConnection
+from hickorywind.host.backendconnection import BackendConnection, StatementTemplate
 from hickorywind.host.connectionpool import ConnectionPool
-from hickorywind.ids import BackendId, LogPosition
-from hickorywind.ports.catalog import BackendServer
-from hickorywind.ports.replies import Answer
+from hickorywind.host.sessioncontext import SessionContext
+from hickorywind.ids import BackendId, LogPosition, ServiceName
+from hickorywind.ports.catalog import BackendServer, Route
+from hickorywind.ports.replies import Answer, Reply
+from hickorywind.ports.statements import Request
 from hickorywind.util.clock import Instant
 
 RETRY_SOON_MS = 50  # another server or host can serve the request at once
@@ -73,6 +75,33 @@
         return now >= self.unanswered_since + UNRESPONSIVE_AFTER
 
 
+class BackendHomes(Protocol):
+    """Homes of backend servers, at which other hosts run reads."""
+
+    def is_home_of(self, backend: Backend) -> bool:
+        """Return whether this host is the home of a backend server."""
+        ...
+
+    async def fetch_position(self, service: ServiceName) -> bool:
+        """Fetch a position sample from the home of the primary; return whether it gave one."""
+        ...
+
+    async def run(
+        self,
+        service: ServiceName,
+        route: Route,
+        context: SessionContext,
+        request: Request,
+        template: StatementTemplate | None,
+        arrived: Instant,
+    ) -> Reply | FailedRead | None:
+        """Run a read at the home of a server, or return None if this host has to run it itself.
+
+        ``FailedRead`` means that a server has failed it.
+        """
+        ...
+
+
 @dataclass(slots=True)
 class Grant:
     """Connection granted at ``started`` to an operation with a target."""
--- a/hickorywind/host/sharedreads.py
+++ b/hickorywind/host/sharedreads.py
@@ -99,7 +99,7 @@
 
     async def run(
         self,
-        service: ServiceRuntime,
+        service_name: ServiceName,
         route: Route,
         context: SessionContext,
         request: Request,
@@ -111,6 +111,7 @@
         Return None if this host has to run it itself, or ``FailedRead`` if a server has failed it
         before.
         """
+        service = self._find_service(service_name)
         tried: frozenset[BackendId] = frozenset()
         failed: FailedRead | None = None
         while len(tried) < MAX_HOMES_ASKED and not context.has_disconnected:
@@ -238,8 +239,9 @@
         self._metrics.shared_reads.labels("asked").inc()
         return RelayedAnswer(answer)
 
-    async def fetch_position(self, service: ServiceRuntime) -> bool:
+    async def fetch_position(self, service_name: ServiceName) -> bool:
         """Add a position sample that the home of the primary has; return whether it gave one."""
+        service = self._find_service(service_name)
         backend = service.usable_primary_backend()
         if backend is None:
             return False
--- a/tests/test_layering.py
+++ b/tests/test_layering.py
@@ -53,6 +53,19 @@
                 self.assertFalse(names & {"subprocess", "multiprocessing", "uvloop"})
 
 
+class HostPackageTest(unittest.TestCase):
+    def test_modules_of_a_host_import_each_other_in_one_direction(self):
+        imports = {
+            f"hickorywind.host.{path.stem}": set(imported_names(path))
+            for path in sorted((PACKAGE / "host").glob("*.py"))
+        }
+        pending = {name: names & imports.keys() for name, names in imports.items()}
+        while leaves := [name for name, names in pending.items() if not names & pending.keys()]:
+            for name in leaves:
+                del pending[name]
+        self.assertEqual(sorted(pending), [], "modules in an import circle, or that use one")
+
+
 class PlatformAdapterTest(unittest.TestCase):
     """Only the adapter uses the platform's wire names, and it makes no decisions itself."""
 
