Open a record again only where this host itself failed to close it

A host that was asked to stop knows the revision of the closed record, which is newer than the open one that it still sees; it made a store call that could only conflict.

--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -172,12 +172,15 @@
             revision, self._use_stopped_at.get(service, Revision(0))
         )
 
-    def has_stopped_using(self, service: ServiceName) -> bool:
-        """Return whether this host stopped using the primary that the newest record opens."""
+    def has_failed_to_close(self, service: ServiceName) -> bool:
+        """Return whether this host stopped using a primary whose record is still open.
+
+        A host that was asked to stop knows the revision of the closed record, which is newer.
+        """
         known = self._records.get(service)
         if known is None or known.record.phase is not LeadershipPhase.OPEN:
             return False
-        return self._use_stopped_at.get(service, Revision(0)) >= known.revision
+        return self._use_stopped_at.get(service) == known.revision
 
     def stop_new_work(self, service: ServiceName, revision: Revision) -> None:
         """Forbid new work at the primary until a record newer than ``revision`` opens it."""
--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -149,7 +149,7 @@
             self._check_leaving_primary(service, leadership)
         elif not self._services[service].is_primary_healthy():
             self._start_task(service, self._investigate(service, "the primary was unreachable"))
-        elif self._fleet.permits.has_stopped_using(service):
+        elif self._fleet.permits.has_failed_to_close(service):
             self._start_task(service, self._renew_record(service, leadership))
         elif self._rank(service) == 0:
             self._services[service].check_idle_primary()
--- a/tests/failover/test_leadership.py
+++ b/tests/failover/test_leadership.py
@@ -47,6 +47,20 @@
         self.assertEqual(self.usable(START + PERMIT_DURATION - timedelta(milliseconds=1)), "i-a")
         self.assertIsNone(self.usable(START + PERMIT_DURATION))
 
+    def test_host_knows_that_it_failed_to_close_a_record_until_a_newer_one_follows(self):
+        self.assertFalse(self.permits.has_failed_to_close(SERVICE))
+        self.permits.stop_using(SERVICE, 5)
+        self.assertIsNone(self.usable())
+        self.assertTrue(self.permits.has_failed_to_close(SERVICE))
+        self.permits.learn(SERVICE, versioned(6))
+        self.assertFalse(self.permits.has_failed_to_close(SERVICE))
+        self.assertEqual(self.usable(), "i-a")
+
+    def test_host_that_was_asked_to_stop_has_not_failed_to_close_the_record(self):
+        self.permits.stop_using(SERVICE, 7)
+        self.assertIsNone(self.usable())
+        self.assertFalse(self.permits.has_failed_to_close(SERVICE))
+
     def test_late_proof_never_shortens_a_permit(self):
         self.permits.extend(START - timedelta(seconds=3))
         self.assertEqual(self.permits.valid_until, START + PERMIT_DURATION)
