--- a/hickorywind/report/explanation.py
+++ b/hickorywind/report/explanation.py
@@ -11,7 +11,7 @@
 EXPLANATION_WINDOW = timedelta(seconds=10)
 _PAIR = re.compile(r'(?P<key>[^\s=]+)=(?P<value>"(?:[^"\\]|\\.)*"|\S*)')
 _ESCAPES = {"n": "\n", "r": "\r", "t": "\t"}
-_FAILURE_EVENTS = frozenset({"request_failed", "request_refused"})
+FAILURE_EVENTS = frozenset({"request_failed", "request_refused"})
 _STATE_EVENTS = frozenset(
     {
         "backend_gone",
@@ -108,7 +108,7 @@
         if line is not None:
             lines.append(line)
         elif "event=log_lines_dropped" in text:
-            dropped += _dropped_count(text)
+            dropped += count_dropped(text)
     request_lines = [line for line in lines if line.fields.get("request_id") == request_id]
     if not request_lines:
         hint = f"; {dropped} lines were dropped" if dropped else ""
@@ -120,7 +120,8 @@
     return RequestExplanation(tuple(ordered), _find_cause(request_lines), dropped)
 
 
-def _dropped_count(text: str) -> int:
+def count_dropped(text: str) -> int:
+    """Return how many lines a host dropped, as a line about that says."""
     match = re.search(r"count=(\d+)", text)
     return int(match[1]) if match else 0
 
@@ -129,7 +130,7 @@
     if line.event not in _STATE_EVENTS:
         return False
     return any(
-        _is_related(line, failure) for failure in request_lines if failure.event in _FAILURE_EVENTS
+        _is_related(line, failure) for failure in request_lines if failure.event in FAILURE_EVENTS
     )
 
 
@@ -144,16 +145,24 @@
 
 def _find_cause(request_lines: list[LogLine]) -> str:
     for line in reversed(request_lines):
-        code = line.fields.get("code", "")
-        if code == _NO_PRIMARY:
-            return f"[{code}] {_explain_missing_primary(line.fields)}"
-        if code in _CAUSE_BY_CODE:
-            return f"[{code}] {_CAUSE_BY_CODE[code]}"
-        if line.event in _FAILURE_EVENTS:
-            return f"the backend server answered: {line.fields.get('reason', '')}"
+        cause = describe_cause(line)
+        if cause is not None:
+            return cause
     return "its lines name no failure"
 
 
+def describe_cause(line: LogLine) -> str | None:
+    """Return why a request was refused or failed, or None if a line does not tell."""
+    code = line.fields.get("code", "")
+    if code == _NO_PRIMARY:
+        return f"[{code}] {_explain_missing_primary(line.fields)}"
+    if code in _CAUSE_BY_CODE:
+        return f"[{code}] {_CAUSE_BY_CODE[code]}"
+    if line.event in FAILURE_EVENTS:
+        return f"the backend server answered: {line.fields.get('reason', '')}"
+    return None
+
+
 def _explain_missing_primary(fields: Mapping[str, str]) -> str:
     """Return why a host had no primary, from what it believed when it refused the request."""
     if fields.get("permit_ms") == "0":
--- a/hickorywind/ui/explaincommand.py
+++ b/hickorywind/ui/explaincommand.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import argparse
-from collections.abc import Iterator
-from pathlib import Path
 
 import msgspec
 
@@ -17,6 +15,7 @@
 from hickorywind.results import ResultCode, UserError
 from hickorywind.ui.console import Console
 from hickorywind.ui.exitcodes import ExitCode
+from hickorywind.ui.logfiles import read_lines
 from hickorywind.ui.options import add_command
 
 
@@ -44,7 +43,7 @@
 
 def run_explain(arguments: argparse.Namespace, console: Console) -> int:
     """Print the log lines of a request and its cause; raise ``UserError`` if none name it."""
-    match explain_request(arguments.request, _read_lines(arguments.files)):
+    match explain_request(arguments.request, read_lines(arguments.files)):
         case NoExplanation(reason):
             raise UserError(ResultCode.SETTINGS_INVALID, reason)
         case RequestExplanation(lines, cause, dropped) as explanation:
@@ -57,15 +56,6 @@
     return ExitCode.OK
 
 
-def _read_lines(files: list[str]) -> Iterator[str]:
-    for name in files:
-        try:
-            text = Path(name).read_text(encoding="utf-8", errors="replace")
-        except OSError as error:
-            raise UserError(ResultCode.SETTINGS_INVALID, f"{name}: {error.strerror}") from None
-        yield from text.splitlines()
-
-
 def _render(explanation: RequestExplanation) -> str:
     rows = [_render_line(line) for line in explanation.lines]
     if explanation.dropped:
--- a/hickorywind/ui/program.py
+++ b/hickorywind/ui/program.py
@@ -16,6 +16,7 @@
 from hickorywind.ui.exitcodes import ExitCode, exit_code_for
 from hickorywind.ui.explaincommand import add_explain
 from hickorywind.ui.hostcommand import add_host
+from hickorywind.ui.lossescommand import add_losses
 from hickorywind.ui.options import UsageError
 from hickorywind.ui.reportcommands import add_burn, add_record
 from hickorywind.ui.statuscommand import add_status
@@ -49,6 +50,7 @@
     add_status(commands)
     add_drain(commands)
     add_explain(commands)
+    add_losses(commands)
     add_host(commands)
     _add_group(commands, "report", "report service-level burn", (add_burn, add_record))
     return parser
