--- a/hickorywind/report/explanation.py
+++ b/hickorywind/report/explanation.py
@@ -44,6 +44,7 @@
     "2002": "the queue was too long to serve it in time: more work than slots",
     "2003": "no backend server was free or usable in time",
     "2005": "its transaction had been idle too long",
+    "2008": "its caller closed the connection before it was answered",
     "3002": "no backend server held the log position that the session had seen",
     "3005": "the backend server refused or could not be reached, several times",
     "4001": "its primary was replaced before the answer came: it may have run",
