--- a/hickorywind/entry/server.py
+++ b/hickorywind/entry/server.py
@@ -35,6 +35,8 @@
 _RETRY_AFTER_MS = 1_000
 _DRAIN_POLL_INTERVAL = timedelta(milliseconds=50)
 _CLOSE_TIMEOUT = timedelta(seconds=1)
+# Of the event loop, from accepting a connection until the task that serves it exists.
+_ACCEPT_ITERATIONS = 5
 
 
 class CallerServer:
@@ -79,22 +81,30 @@
         Sessions that are still open after ``timeout`` are closed with their requests running.
         """
         self._draining = True
+        self._stop_idle_sessions()
         if self._server is not None:
             await self._accept_pending()
             self._server.close()
         deadline = self._context.clock.now() + timeout
         while self._tasks and self._context.clock.now() < deadline:
-            for session in tuple(self._sessions):
-                session.stop_when_idle()
+            self._stop_idle_sessions()
             await asyncio.wait(set(self._tasks), timeout=_DRAIN_POLL_INTERVAL.total_seconds())
         await self.close()
 
+    def _stop_idle_sessions(self) -> None:
+        for session in tuple(self._sessions):
+            session.stop_when_idle()
+
     async def _accept_pending(self) -> None:
         """Accept the connections that wait in the listen queue, so that they get a refusal.
 
         Closing the listening socket would reset them.
         """
         loop = asyncio.get_running_loop()
+        for listener in self._server.sockets:
+            loop.remove_reader(listener.fileno())
+        for _ in range(_ACCEPT_ITERATIONS):
+            await asyncio.sleep(0)
         for listener in self._server.sockets:
             pending = socket.socket(fileno=os.dup(listener.fileno()))
             with pending:
