--- a/hickorywind/admission/retention.py
+++ b/hickorywind/admission/retention.py
@@ -1,10 +1,13 @@
-"""How long a host keeps idle connections to a backend server whose connection limit hosts share.
+"""How many connections to a backend server a host holds, and how long it keeps idle ones.
 
 Answers the load of a large fleet: more hosts than connections. If each host kept one connection
 that it seldom uses, the server would refuse those that need one. If each closed it after every
 statement, the server would spend its slots on new connections. So each host keeps idle connections
 for as long as it holds its even share on average: at a rate of r statements a second and a timeout
 of t it holds about r * t connections. Refusals at the limit shorten the timeout for a while.
+
+And that of a whole fleet that starts at once after a power cut, while servers still count the
+connections of its former processes: hosts keep half of the limit free, and begin with few.
 """
 
 from __future__ import annotations
@@ -16,11 +19,9 @@
 
 # From this even share on, a host keeps its last connection: all of them take half of the limit.
 KEEP_LAST_SHARE = 2.0
-# Of the even share. A server keeps the connections of hosts that lost power for some seconds, so
-# that all hosts can connect again only if they held, and at first want, a part of its limit.
+# Of the even share: what a host keeps for long, and what it begins with.
 _KEPT_SHARE = 0.5
-# A host that has started may hold one connection more in each interval; by then the others have
-# theirs, and refusals at the server's limit lengthen it.
+# In which a started host may hold one connection more; by then the others have their first one.
 START_GROWTH_INTERVAL = timedelta(milliseconds=500)
 # Load is uneven, so a host may hold this multiple of its even share of the connections.
 _MOST_SHARE = 1.3
--- a/hickorywind/util/deflate.py
+++ b/hickorywind/util/deflate.py
@@ -5,7 +5,7 @@
 import zlib
 from functools import lru_cache
 
-_LEVEL = 3  # configurations shrink to a tenth, in a few milliseconds for a megabyte
+_LEVEL = 3  # little processor time, which a host that starts has least of
 
 
 class DeflatedDataError(Exception):
