--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -34,6 +34,7 @@
 
 PERMIT_DURATION = timedelta(seconds=7)  # outlasts the store's usual outages
 PERMIT_RENEWAL_INTERVAL = timedelta(seconds=1)  # six attempts within a permit
+FRESH_PROOF_AGE = PERMIT_RENEWAL_INTERVAL * 1.5  # one renewal and its answer
 # Added by a host that waits for the permit of another one to expire, because clocks drift.
 PERMIT_DRIFT_MARGIN = timedelta(milliseconds=200)
 # From the confirmed end of a lease until its permit has certainly expired.
@@ -149,6 +150,10 @@
         if self._revoked_at is None or proof_sent > self._revoked_at:
             self.valid_until = max(self.valid_until, proof_sent + PERMIT_DURATION)
 
+    def has_fresh_proof(self, now: Instant) -> bool:
+        """Return whether the store has answered a renewal of about the last interval."""
+        return now < self.valid_until - PERMIT_DURATION + FRESH_PROOF_AGE
+
     def revoke(self, now: Instant) -> None:
         """End the permit at once, because other hosts will no longer wait for it to expire."""
         self.valid_until = timedelta(0)
--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -372,9 +372,13 @@
         runtime.set_primary_state(PrimaryState.CHANGING)
         previous = leadership.record
         term = Term(max(previous.term, runtime.used_term))
+        stopped = _formerly_stopped(previous)
         if not previous.is_planned:
             self._fleet.permits.stop_using(service, leadership.revision)
-        record = self._closed_record(previous, previous.candidate, previous.is_planned, term)
+            stopped = self._stopped_hosts(previous)
+        record = self._closed_record(
+            previous, previous.candidate, previous.is_planned, term, stopped
+        )
         closed = await self.store.write(service, record, leadership.revision)
         fencing = await self._fence_completely(runtime, closed)
         await self._promote_and_open(runtime, closed, fencing)
@@ -392,9 +396,14 @@
         if chosen is None:
             raise PrimaryChangeCancelledError("no backend server can be promoted")
         successor, ended_term = chosen
-        if not is_planned:
+        record = leadership.record
+        # While the store is silent nobody can replace the primary, which may come back meanwhile.
+        if not is_planned and self._fleet.permits.has_fresh_proof(self._clock.now()):
             self._fleet.permits.stop_using(runtime.name, leadership.revision)
-        record = self._closed_record(leadership.record, successor, is_planned, ended_term)
+            stopped = self._stopped_hosts(record)
+        else:
+            stopped = _formerly_stopped(record)
+        record = self._closed_record(record, successor, is_planned, ended_term, stopped)
         return await self.store.write(runtime.name, record, leadership.revision)
 
     def _closed_record(
@@ -403,13 +412,8 @@
         successor: BackendId,
         is_planned: bool,
         ended_term: Term,
+        stopped: tuple[HostId, ...],
     ) -> LeadershipRecord:
-        """Return the closed record that follows another one.
-
-        In a change that is not planned, this host has stopped using the primary already.
-        """
-        stopped = record.stopped if record.phase is LeadershipPhase.CLOSED else ()
-        own = () if is_planned or self._identity.host in stopped else (self._identity.host,)
         return LeadershipRecord(
             record.primary,
             LeadershipPhase.CLOSED,
@@ -418,9 +422,13 @@
             successor,
             is_planned,
             ended_term,
-            stopped + own,
+            stopped,
         )
 
+    def _stopped_hosts(self, record: LeadershipRecord) -> tuple[HostId, ...]:
+        """Return the hosts, this one included, that stopped using a primary for its change."""
+        return tuple(dict.fromkeys((*_formerly_stopped(record), self._identity.host)))
+
     async def _fence_completely(
         self, runtime: ServiceRuntime, closed: VersionedLeadership
     ) -> Fencing:
@@ -475,3 +483,8 @@
         self.is_stopping = True
         for task in self._tasks.values():
             task.cancel()
+
+
+def _formerly_stopped(record: LeadershipRecord) -> tuple[HostId, ...]:
+    """Return the hosts that stopped using a primary for the change that a record belongs to."""
+    return record.stopped if record.phase is LeadershipPhase.CLOSED else ()
--- a/tests/host/test_failovermanager.py
+++ b/tests/host/test_failovermanager.py
@@ -150,6 +150,24 @@
             )
         self.assertLess(self.loop.time() - started, PRIMARY_CHANGE_SECONDS)
 
+    async def test_primary_that_comes_back_is_used_again_while_the_store_is_silent(self):
+        """Nobody could close its record, so no host may have stopped using it for that."""
+        caller = await self.caller("bookings")
+        await caller.ask("WRITE kiln 1")
+        for host in self.hosts.values():
+            host.coordinator.is_silent = True
+        await asyncio.sleep(2.0)
+        await self.group.servers["i-a"].crash()
+        await asyncio.sleep(1.5)
+        self.group.servers["i-a"].role = "primary"
+        await self.group.servers["i-a"].start()
+        restarted = self.loop.time()
+        answer = [""]
+        while not answer[0].startswith("COMPLETE"):
+            self.assertLess(self.loop.time() - restarted, 1.5, answer)
+            answer = await caller.ask("WRITE kiln 2")
+            await asyncio.sleep(0.05)
+
     async def test_host_that_a_peer_asks_about_a_failed_primary_checks_it_too(self):
         """The host that is to replace the primary may have no work there that would fail."""
         role = self.hosts["h1"].role
