Set pool tests up with statements that must succeed; bound the ports of a test process

None of these checked the answer to their CREATE TABLE: refused once on a busy machine, every later statement ended in an SQL error, which is relayed with code 0. Change: set-up statements are repeated while a refusal proves that they did not run, and must succeed; a test process holds two blocks and uses ports again; a command's test collects garbage first. Bounds and checks unchanged.

--- a/tests/pool/harness.py
+++ b/tests/pool/harness.py
@@ -54,6 +54,7 @@
     Refused,
 )
 from hickorywind.protocol.records import ConfigHeadRecord, ConfigRecord, GroupRecord
+from hickorywind.results import Outcome
 from hickorywind.util.clock import MonotonicClock
 from standins.backend.server import BackendServer
 from standins.backend.settings import BackendSettings, Peer
@@ -220,6 +221,21 @@
         await self.link.send(message)
         return await self.collect(message.request_id)
 
+    async def set_up(self, sql: str, **fields) -> CollectedAnswer:
+        """Run a statement that a test builds on; raise ``AssertionError`` if it fails.
+
+        A refusal that proves that it did not run is repeated: on a slow machine the pool may not
+        have found the primary yet, or refuses for a while because its process was stalled.
+        """
+        async with asyncio.timeout(10):
+            while True:
+                answer = await self.run(sql, remaining_ms=10_000, **fields)
+                if answer.result.is_ok and "E" not in answer.kinds:
+                    return answer
+                if answer.result.is_ok or answer.result.outcome is not Outcome.NOT_RUN:
+                    raise AssertionError(f"set-up failed: {answer.result} {answer.kinds!r}")
+                await asyncio.sleep(0.05)
+
     async def close(self) -> None:
         for task in self._tasks:
             task.cancel()
--- a/tests/pool/test_dispatch.py
+++ b/tests/pool/test_dispatch.py
@@ -62,7 +62,7 @@
 
     async def test_duplicate_request_is_not_run(self) -> None:
         async with running_pool() as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             message = entry.make_request("INSERT INTO t VALUES (1, 'a')")
             await entry.link.send(message)
             await entry.link.send(message)
@@ -251,7 +251,7 @@
 
     async def test_open_transaction_finishes_at_the_former_address(self) -> None:
         async with running_pool(count=2) as (pool, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             key = (await entry.run("BEGIN")).end.transaction_id
             await entry.run("INSERT INTO t VALUES (1, 'a')", transaction_id=key)
             apply_configuration(
--- a/tests/pool/test_idempotency.py
+++ b/tests/pool/test_idempotency.py
@@ -12,7 +12,7 @@
 class IdempotentWriteTest(unittest.IsolatedAsyncioTestCase):
     async def test_second_run_with_a_key_returns_the_first_answer(self) -> None:
         async with running_pool() as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             add = "INSERT INTO t SELECT count(*) + 1, 'a' FROM t"
             first = await entry.run(add, idempotency_key="k'1")
             self.assertEqual(first.result.code, ResultCode.OK)
@@ -24,7 +24,7 @@
 
     async def test_extended_protocol_is_replayed_message_by_message(self) -> None:
         async with running_pool() as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             batch = extended.parse("", "INSERT INTO t VALUES ($1, 'a')") + extended.bind("", ("1",))
             batch += extended.describe() + extended.execute() + extended.SYNC
             first = await entry.run(batch, idempotency_key="k")
@@ -34,7 +34,7 @@
 
     async def test_sql_error_is_relayed_and_leaves_the_key_unused(self) -> None:
         async with running_pool() as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             await entry.run(INSERT)
             failed = await entry.run(INSERT, idempotency_key="k")
             self.assertEqual(failed.kinds, "EZ")
@@ -45,7 +45,7 @@
 
     async def test_concurrent_requests_with_one_key_run_once(self) -> None:
         async with running_pool() as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             add = "INSERT INTO t SELECT count(*) + 1, 'a' FROM t"
             messages = [entry.make_request(add, idempotency_key="k") for _ in range(3)]
             for message in messages:
@@ -57,7 +57,7 @@
 
     async def test_transaction_opened_with_a_key_commits_once(self) -> None:
         async with running_pool() as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             begun = await entry.run("BEGIN", idempotency_key="k")
             key = begun.end.transaction_id
             self.assertEqual(begun.kinds, "CZ")
@@ -70,7 +70,7 @@
 
     async def test_rolled_back_transaction_leaves_its_key_unused(self) -> None:
         async with running_pool() as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             for _ in range(2):
                 begun = await entry.run("BEGIN", idempotency_key="k")
                 self.assertEqual((begun.kinds, begun.result.code), ("CZ", ResultCode.OK))
@@ -78,7 +78,7 @@
 
     async def test_batch_that_holds_a_whole_transaction_runs_once(self) -> None:
         async with running_pool() as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             batch = "BEGIN; INSERT INTO t SELECT count(*) + 1, 'a' FROM t; COMMIT"
             first = await entry.run(batch, idempotency_key="k")
             self.assertEqual(first.result.code, ResultCode.OK)
@@ -89,7 +89,7 @@
 
     async def test_batch_that_leaves_a_transaction_with_statements_open_is_not_run(self) -> None:
         async with running_pool() as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             pipelined = b"".join(
                 extended.parse("", sql) + extended.bind() + extended.execute()
                 for sql in ("BEGIN", INSERT)
--- a/tests/pool/test_reads.py
+++ b/tests/pool/test_reads.py
@@ -29,7 +29,7 @@
         # Moved by hand, so that a slow machine does not use up the 250 ms that a pool waits.
         clock = ManualClock()
         async with running_pool(count=3, clock=clock) as (pool, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             await entry.run(READ, **AT_REPLICA)
             await pause_apply(pool, 1)
             written = await entry.run("INSERT INTO t VALUES (1, 'a')")
@@ -45,7 +45,7 @@
 
     async def test_replica_behind_the_floor_is_refused_as_not_run(self) -> None:
         async with running_pool(count=3) as (pool, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             await pause_apply(pool, 1)
             written = await entry.run("INSERT INTO t VALUES (1, 'a')")
             read = await entry.run(READ, floor=written.end.position, **AT_REPLICA)
@@ -55,7 +55,7 @@
 
     async def test_bounded_read_sees_every_write_older_than_its_bound(self) -> None:
         async with running_pool(count=3) as (pool, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             await entry.run("INSERT INTO t VALUES (1, 'a')")
             read = await entry.run(READ, max_staleness_ms=0, **AT_REPLICA)
             self.assertEqual(read.rows, ["1"])
@@ -68,7 +68,7 @@
 
     async def test_bounded_reads_are_refused_once_the_primary_is_silent(self) -> None:
         async with running_pool(count=3) as (pool, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             fresh = await entry.run(READ, max_staleness_ms=300, **AT_REPLICA)
             self.assertTrue(fresh.result.is_ok)
             await pool.group.servers[0].close()
@@ -80,7 +80,7 @@
 
     async def test_batch_that_shows_no_data_needs_no_newer_position(self) -> None:
         async with running_pool(count=3) as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             await entry.run(READ, **AT_REPLICA)
             written = await entry.run("INSERT INTO t VALUES (1, 'a')")
             for batch in (
@@ -98,7 +98,7 @@
 
     async def test_answer_behind_a_floor_from_a_lost_log_tail_is_not_released(self) -> None:
         async with running_pool(count=3) as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             floor = LogPosition(Term(9), 1)
             read = await entry.run(READ, floor=floor, mode=AccessMode.READ)
             self.assertFalse(read.result.is_ok)
@@ -108,7 +108,7 @@
 class CutOffPrimaryTest(unittest.IsolatedAsyncioTestCase):
     async def test_write_without_a_majority_is_never_acknowledged(self) -> None:
         async with running_pool(count=3) as (pool, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             for server in pool.group.servers[1:]:
                 await server.close()
             written = await entry.run("INSERT INTO t VALUES (1, 'a')", remaining_ms=600)
@@ -118,7 +118,7 @@
 
     async def test_write_is_abandoned_as_soon_as_another_primary_is_known(self) -> None:
         async with running_pool(count=3) as (pool, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             for server in pool.group.servers[1:]:
                 await server.close()
             message = entry.make_request("INSERT INTO t VALUES (1, 'a')", remaining_ms=8_000)
@@ -134,7 +134,7 @@
 
     async def test_write_is_refused_once_the_majority_is_known_to_be_silent(self) -> None:
         async with running_pool(count=3) as (pool, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             for server in pool.group.servers[1:]:
                 await server.close()
             await asyncio.sleep(1.6)
@@ -145,7 +145,7 @@
 
     async def test_read_of_data_without_commit_proof_is_not_released(self) -> None:
         async with running_pool(count=3) as (pool, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             for server in pool.group.servers[1:]:
                 await server.close()
             await entry.run("INSERT INTO t VALUES (1, 'a')", remaining_ms=300)
@@ -155,7 +155,7 @@
 
     async def test_bounded_read_at_a_primary_without_majority_is_refused(self) -> None:
         async with running_pool(count=3) as (pool, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             bounded = {"mode": AccessMode.READ, "max_staleness_ms": 200}
             self.assertTrue((await entry.run(READ, **bounded)).result.is_ok)
             for server in pool.group.servers[1:]:
@@ -166,7 +166,7 @@
 
     async def test_write_at_a_primary_replaced_before_the_commit_proof_is_unknown(self) -> None:
         async with running_pool(count=3) as (pool, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             for server in pool.group.servers[1:]:
                 server.instance.member.ship_lag_ms = 60_000
             await asyncio.sleep(0.2)
@@ -182,7 +182,7 @@
 
     async def test_concurrent_writes_of_many_sessions_are_all_acknowledged(self) -> None:
         async with running_pool(count=3) as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             messages = [
                 entry.make_request(
                     f"INSERT INTO t VALUES ({n}, 'a')", session_id=SessionId(f"s{n}")
--- a/tests/pool/test_transactions.py
+++ b/tests/pool/test_transactions.py
@@ -13,7 +13,7 @@
 class TransactionTest(unittest.IsolatedAsyncioTestCase):
     async def test_batches_of_a_transaction_share_an_exclusive_connection(self) -> None:
         async with running_pool() as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             first = await entry.run("BEGIN")
             self.assertIs(first.end.transaction_state, TransactionState.ACTIVE)
             key = first.end.transaction_id
@@ -46,7 +46,7 @@
 
     async def test_end_transaction_rolls_back_and_frees_the_lock(self) -> None:
         async with running_pool() as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             key = (await entry.run("BEGIN")).end.transaction_id
             await entry.run("INSERT INTO t VALUES (1, 'lost')", transaction_id=key)
             await entry.link.send(EndTransaction(key))
@@ -58,7 +58,7 @@
 
     async def test_idle_transaction_is_rolled_back(self) -> None:
         async with running_pool(limits={"idle_timeout_ms": 200}) as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             key = (await entry.run("BEGIN")).end.transaction_id
             await entry.run("INSERT INTO t VALUES (1, 'lost')", transaction_id=key)
             await asyncio.sleep(0.4)
@@ -85,7 +85,7 @@
 
     async def test_flush_pins_the_connection_until_sync(self) -> None:
         async with running_pool() as (_, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             insert = extended.parse("", "INSERT INTO t VALUES (1, 'x')") + extended.bind()
             part = await entry.run(insert + extended.execute() + extended.FLUSH)
             self.assertEqual(part.kinds, "12C")
@@ -99,7 +99,7 @@
     async def test_transaction_of_a_dead_entry_is_rolled_back(self) -> None:
         # A long idle timeout, so that only the silence of the entry can end the transaction.
         async with running_pool(limits={"idle_timeout_ms": 60_000}) as (pool, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             other = EntryStub(pool.address, "entry-2")
             await other.start()
             key = (await other.run("BEGIN")).end.transaction_id
@@ -111,7 +111,7 @@
 
     async def test_open_transaction_continues_while_the_backend_server_leaves(self) -> None:
         async with running_pool() as (pool, entry):
-            await entry.run(TABLE)
+            await entry.set_up(TABLE)
             key = (await entry.run("BEGIN")).end.transaction_id
             pool.group.servers[0].instance.leaving = True
             await asyncio.sleep(0.7)
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -1,7 +1,8 @@
 """Allocation of ports for test servers.
 
 The ports are below the operating system's range of ephemeral ports and outside those of
-``standins.cluster``. A process uses each port once, and no two processes use one at a time.
+``standins.cluster``. No two processes use one at a time. A process uses a port again only after all
+others of its ``_BLOCK_LIMIT`` blocks, so that the processes of a run don't take all blocks.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 
 _PORTS = range(10_000, 19_000)
 _BLOCK_SIZE = 800
+_BLOCK_LIMIT = 2
 _blocks = []
 _unused_ports = []
 _RELEASE_TIMEOUT_SECONDS = 10
@@ -28,7 +30,10 @@
 
 
 def _claim_block() -> None:
-    block = PortBlock.claim(random.Random(), _PORTS, _BLOCK_SIZE)
+    if len(_blocks) < _BLOCK_LIMIT:
+        block = PortBlock.claim(random.Random(), _PORTS, _BLOCK_SIZE)
+    else:
+        block = _blocks.pop(0)
     _blocks.append(block)
     _unused_ports.extend(random.sample(block.ports, _BLOCK_SIZE))
 
--- a/tests/ui/commandrunner.py
+++ b/tests/ui/commandrunner.py
@@ -1,6 +1,7 @@
 """Run the command-line tool inside the test process."""
 
 import contextlib
+import gc
 import io
 from dataclasses import dataclass
 
@@ -17,7 +18,11 @@
 
 
 def run_tool(*arguments):
-    """Run one command; a usage error of argparse counts as its exit code."""
+    """Run one command; a usage error of argparse counts as its exit code.
+
+    What earlier tests left behind is collected first, as Python reports it on the error output.
+    """
+    gc.collect()
     out, err = io.StringIO(), io.StringIO()
     with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
         try:
--- a/tests/ui/test_program.py
+++ b/tests/ui/test_program.py
@@ -34,7 +34,7 @@
             for arguments in (("status",), ("config", "show")):
                 result = run_tool(*arguments)
                 self.assertEqual(result.code, 2)
-                self.assertEqual(len(result.err.splitlines()), 1)
+                self.assertEqual(len(result.err.splitlines()), 1, result.err)
 
     def test_internal_error_logs_its_traceback(self):
         with mock.patch("hickorywind.ui.configcommands.find_problems", side_effect=KeyError("x")):
