--- a/tests/host/test_schedules.py
+++ b/tests/host/test_schedules.py
@@ -17,8 +17,11 @@
 
 
 class ScheduleTest(unittest.TestCase):
+    has_holders = False
+
     def check(self, schedule, recovery_seconds=RECOVERY_SECONDS):
-        self.assertEqual(run_schedule(schedule, recovery_seconds), [], schedule)
+        problems = run_schedule(schedule, recovery_seconds, self.has_holders)
+        self.assertEqual(problems, [], schedule)
 
     def test_cluster_without_faults_serves(self):
         self.check([], SINGLE_FAULT_SECONDS)
@@ -36,6 +39,12 @@
         self.check(schedule)
 
 
+class HolderScheduleTest(ScheduleTest):
+    """The same schedules where two hosts run the work of all at the primary."""
+
+    has_holders = True
+
+
 class FoundScheduleTest(unittest.TestCase):
     """Schedules that once failed, each with its cause."""
 
