--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -177,8 +177,7 @@
         self._arrival_numbers = itertools.count()
         self._granted_count = 0
         self.servers: dict[BackendId, ServerState] = {}
-        self.primary: BackendId | None = None  # that this host may use for ``OnPrimary``
-        self.known_primary: BackendId | None = None  # that this host or others use
+        self.primary: BackendId | None = None
         self.primary_absence = PrimaryAbsence.NOT_RECORDED  # while ``primary`` is None
 
     @property
@@ -230,12 +229,6 @@
             ResultCode.NO_PRIMARY, reason, self._jittered_ms(OTHER_HOST_RETRY_DELAY)
         )
 
-    def build_primary_refusal(self, reason: str) -> Result:
-        """Return a refusal of work for a primary that can be used after a change of it."""
-        return Result.not_run(
-            ResultCode.NO_PRIMARY, reason, self._jittered_ms(PRIMARY_CHANGE_RETRY_DELAY)
-        )
-
     def refuse_all(self, result: Result) -> None:
         """Refuse every waiting operation with ``result``."""
         waiting, self._waiting = self._waiting, []
@@ -316,14 +309,11 @@
                 continue
             cost = server.expected_duration(operation.account)
             if not isinstance(operation.target, OnPrimary):
-                cost += server.read_penalty(self._is_primary(server), now)
+                cost += server.read_penalty(server.backend == self.primary, now)
             if cost < best_cost:
                 best, best_cost = server, cost
         return best
 
-    def _is_primary(self, server: ServerState) -> bool:
-        return server.backend in (self.primary, self.known_primary)
-
     def eligible_servers(
         self, target: Target, excluded: frozenset[BackendId], now: Instant
     ) -> list[ServerState]:
--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -10,14 +10,10 @@
 Silent hosts need not be waited for once the old primary's process is known to have ended: hosts
 verify the role on each new connection to a primary, and a crashed server restarts as a replica once
 another one leads.
-
-A record may name a few hosts as *holders* of the primary. Then only they use it and run the work of
-all hosts there, and only they, and former holders that may still finish work, have to confirm.
 """
 
 from __future__ import annotations
 
-from collections.abc import Collection
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
@@ -43,20 +39,12 @@
 PERMIT_DRIFT_MARGIN = timedelta(milliseconds=200)
 # From the confirmed end of a lease until its permit has certainly expired.
 PERMIT_END_DELAY = PERMIT_DURATION + PERMIT_DRIFT_MARGIN
-# A write is acknowledged only if its reply was on the way from the holder for less than this, and a
-# holder confirms that it stopped only so long after its last such reply, so that no write is
-# acknowledged after a promotion that may have lost it.
-REPLY_TRANSIT_LIMIT = timedelta(milliseconds=250)
 
 # After a store outage all hosts have permits again within this time: one renewal and one message
 # exchange between hosts.
 MISSING_PERMIT_LIMIT = timedelta(milliseconds=1500)
 
 
-# Stands for all hosts among former holders, until each is known to have seen who the holders are.
-EVERY_HOST = HostId("*")
-
-
 class LeadershipPhase(Enum):
     """Whether the primary named in a leadership record may be used."""
 
@@ -76,9 +64,6 @@
 
     ``stopped`` names hosts that stopped using the primary before they wrote a closed record of this
     change: the promoter, and former ones whose change it took over. Nobody waits for their permits.
-
-    ``holders`` are the hosts that may use the primary, all hosts if it is empty. Hosts among
-    ``former_holders`` were holders earlier and may still finish the work that they began.
     """
 
     primary: BackendId
@@ -89,18 +74,6 @@
     is_planned: bool = False
     term: Term = Term(0)
     stopped: tuple[HostId, ...] = ()
-    holders: tuple[HostId, ...] = ()
-    former_holders: tuple[HostId, ...] = ()
-
-    def may_be_used_by(self, host: HostId) -> bool:
-        """Return whether a host may begin work at the primary while the record is open."""
-        return not self.holders or host in self.holders
-
-    def users(self, hosts: Collection[HostId]) -> set[HostId]:
-        """Return those of the given hosts that may begin or finish work at the primary."""
-        if not self.holders or EVERY_HOST in self.former_holders:
-            return set(hosts)
-        return set(hosts) & {*self.holders, *self.former_holders}
 
 
 class HostRecord(msgspec.Struct, frozen=True):
@@ -153,7 +126,6 @@
     NOT_RECORDED = "no primary is recorded yet"
     CHANGING = "the primary is being replaced"
     NO_PERMIT = "this host holds no permit for primaries"
-    HELD_BY_OTHERS = "other hosts run the work for the primary"
 
 
 @dataclass
@@ -168,7 +140,6 @@
     _records: dict[ServiceName, VersionedLeadership] = field(default_factory=dict)
     _use_stopped_at: dict[ServiceName, Revision] = field(default_factory=dict)
     _new_work_stopped_at: dict[ServiceName, Revision] = field(default_factory=dict)
-    own_host: HostId = HostId("")
 
     def extend(self, proof_sent: Instant) -> None:
         """Extend the permit to ``PERMIT_DURATION`` after ``proof_sent``.
@@ -240,24 +211,14 @@
         """Return whether the permit is valid, regardless of the leadership records."""
         return now < self.valid_until
 
-    def open_record(self, service: ServiceName) -> LeadershipRecord | None:
-        """Return the newest record of a service if its primary may be used, by whichever hosts."""
+    def usable_primary(self, service: ServiceName, now: Instant) -> BackendId | None:
+        """Return the primary of a service that this host may use now, or None."""
         known = self._records.get(service)
         if known is None or known.record.phase is not LeadershipPhase.OPEN:
             return None
-        return None if self._use_stopped_at_or_after(service, known.revision) else known.record
-
-    def usable_primary(self, service: ServiceName, now: Instant) -> BackendId | None:
-        """Return the primary of a service that this host may use now, or None."""
-        record = self.open_record(service)
-        if record is None or not record.may_be_used_by(self.own_host):
+        if self._use_stopped_at_or_after(service, known.revision):
             return None
-        return record.primary if self.is_valid(now) else None
-
-    def is_held_by_others(self, service: ServiceName) -> bool:
-        """Return whether only other hosts run work at the primary of a service."""
-        known = self._records.get(service)
-        return known is not None and not known.record.may_be_used_by(self.own_host)
+        return known.record.primary if self.is_valid(now) else None
 
     def absence(self, service: ServiceName, now: Instant) -> PrimaryAbsence | None:
         """Return why this host may not use the primary of a service, or None if it may."""
@@ -269,8 +230,6 @@
         is_closed = known.record.phase is not LeadershipPhase.OPEN
         if is_closed or self._use_stopped_at_or_after(service, known.revision):
             return PrimaryAbsence.CHANGING
-        if self.is_held_by_others(service):
-            return PrimaryAbsence.HELD_BY_OTHERS
         return PrimaryAbsence.NO_PERMIT
 
     def _use_stopped_at_or_after(self, service: ServiceName, revision: Revision) -> bool:
@@ -288,8 +247,6 @@
         known = self._records.get(service)
         if known is None or known.record.primary != backend or not self.is_valid(now):
             return False
-        if self.own_host not in known.record.users((self.own_host,)):
-            return False
         if self._use_stopped_at.get(service, Revision(0)) >= known.revision:
             return False
         is_open = known.record.phase is LeadershipPhase.OPEN
--- a/hickorywind/host/autocommit.py
+++ b/hickorywind/host/autocommit.py
@@ -23,7 +23,7 @@
     Reply,
 )
 from hickorywind.ports.statements import Request
-from hickorywind.results import Outcome, Result, ResultCode
+from hickorywind.results import Result, ResultCode
 from hickorywind.util.clock import Instant
 
 
@@ -69,43 +69,16 @@
                     self._exclude(backend)
                 case _:
                     return reply
-        while True:
-            outcome = await self._run_here(self._mode is AccessMode.WRITE)
-            if not self._should_relay(outcome):
-                return self._make_reply(outcome)
-            relayed = await self._service.relay.run_statement(
-                self._service.name,
-                self._route,
-                self._context,
-                self._request,
-                self._template,
-                self._arrived,
-            )
-            if relayed is not None:
-                return relayed
-
-    def _should_relay(self, outcome: Reply | Result) -> bool:
-        """Return whether the statement did not run here because only other hosts may run it."""
-        if not isinstance(outcome, Result) or outcome.outcome is not Outcome.NOT_RUN:
-            return False
-        if self._service.relay is None or self._context.has_disconnected:
-            return False
-        return self._service.is_held_by_others and outcome.code is ResultCode.NO_PRIMARY
-
-    async def run_at_primary(self) -> Reply:
-        """Run the statement at the primary for another host, which holds no primary itself."""
-        return self._make_reply(await self._run_here(needs_primary=True))
-
-    async def _run_here(self, needs_primary: bool) -> Reply | Result:
-        return await run_with_retries(
+        outcome = await run_with_retries(
             self._service,
             self._route,
             self._context,
             self._arrived,
-            needs_primary,
+            self._mode is AccessMode.WRITE,
             self.attempt,
             lambda: self._excluded,
         )
+        return self._make_reply(outcome)
 
     def _make_reply(self, outcome: Reply | Result) -> Reply:
         if not isinstance(outcome, Result):
@@ -177,10 +150,6 @@
             ResultCode.BACKEND_UNREACHABLE, f"the read failed: {error}", RETRY_SOON_MS
         )
 
-    def _is_missing_at_primary(self, backend: Backend, min_position: LogPosition | None) -> bool:
-        is_primary = backend.server.backend == self._service.open_primary
-        return min_position is not None and is_primary and self._service.is_held_by_others
-
     def _exclude(self, backend: BackendId) -> None:
         # Keep one server: with all of them excluded, the read would wait in vain.
         if len(self._excluded) + 1 < len(self._service.backends):
@@ -196,9 +165,6 @@
         if kind not in NOT_RUN_ERROR_KINDS:
             return RelayedAnswer(answer)
         match kind:
-            case BackendErrorKind.BEHIND if self._is_missing_at_primary(backend, min_position):
-                reason = "the primary lacks the log position; a holder knows whether it is lost"
-                return Result.not_run(ResultCode.NO_PRIMARY, reason)
             case BackendErrorKind.BEHIND if min_position is not None:
                 record_missing_position(self._service, backend, self._context, min_position)
                 reason = "the replica lacks the log position that the read requires"
--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -16,7 +16,6 @@
 from hickorywind.host.detection import PrimaryVerdict, check_primary
 from hickorywind.host.fencer import Fencer
 from hickorywind.host.fleet import Fleet
-from hickorywind.host.holderduty import HolderDuty
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.leadershipstore import (
     TAKEOVER_TIMEOUT,
@@ -83,7 +82,6 @@
         self._ranked_hosts: tuple[HostId, ...] = ()
         self._ranks: dict[ServiceName, int] = {}
         self._silent_host_fencer = SilentHostFencer(fleet, coordination_store, self.store, peers)
-        self._holder_duty = HolderDuty(fleet, self.store, peers, identity)
         self._tasks: dict[ServiceName, asyncio.Task] = {}
         self._closed_since: dict[ServiceName, tuple[Revision, timedelta]] = {}
         self.is_stopping = False
@@ -155,10 +153,6 @@
             self._start_task(service, self._renew_record(service, leadership))
         elif self._rank(service) == 0:
             self._services[service].check_idle_primary()
-            if self._holder_duty.is_due(leadership, self._services[service]):
-                self._start_task(
-                    service, self._holder_duty.run(leadership, self._services[service])
-                )
 
     def _check_leaving_primary(self, service: ServiceName, leadership: VersionedLeadership) -> None:
         """Replace a leaving primary, unless a host that reaches more peers should do it."""
@@ -346,19 +340,7 @@
         term = await self._query_leading_term(runtime, closed.record.primary)
         if term is None or term < max(closed.record.term, runtime.newest_term):
             return False
-        # Not all users of the primary have stopped, so who they are stays recorded.
-        await self._open(
-            runtime,
-            closed,
-            LeadershipRecord(
-                closed.record.primary,
-                LeadershipPhase.OPEN,
-                closed.record.change + 1,
-                term=term,
-                holders=closed.record.holders,
-                former_holders=closed.record.former_holders,
-            ),
-        )
+        await self._open(runtime, closed, closed.record.primary, term)
         return True
 
     # Planned changes and changes started by other hosts ----------------------------------------
@@ -372,7 +354,7 @@
             # The primary keeps serving until the permits of silent hosts have expired. Closing the
             # record first would stop writes for that time.
             has_majority = await self._fencer.await_silent_permits(
-                leadership.record, runtime.leaving_deadline(backend)
+                runtime.leaving_deadline(backend)
             )
             if not has_majority and not self._is_replacement_overdue(service, leadership):
                 return
@@ -441,8 +423,6 @@
             is_planned,
             ended_term,
             stopped,
-            record.holders,
-            record.former_holders,
         )
 
     def _stopped_hosts(self, record: LeadershipRecord) -> tuple[HostId, ...]:
@@ -471,26 +451,19 @@
             # The old primary ran again before the promotion took effect, so silent hosts may have
             # used it: wait until their permits have expired.
             await self._fencer.poll(runtime, closed, fencing)
-        candidate = closed.record.candidate
-        await self._open(
-            runtime,
-            closed,
-            LeadershipRecord(
-                candidate,
-                LeadershipPhase.OPEN,
-                closed.record.change + 1,
-                term=outcome,
-                holders=self._holder_duty.choose(runtime, candidate),
-            ),
-        )
+        await self._open(runtime, closed, closed.record.candidate, outcome)
         self._metrics.failovers.inc()
 
     async def _open(
         self,
         runtime: ServiceRuntime,
         closed: VersionedLeadership,
-        record: LeadershipRecord,
+        primary: BackendId,
+        term: Term,
     ) -> None:
+        record = LeadershipRecord(
+            primary, LeadershipPhase.OPEN, closed.record.change + 1, term=term
+        )
         while True:
             try:
                 await self.store.write(runtime.name, record, closed.revision)
@@ -502,7 +475,7 @@
         runtime.set_primary_state(PrimaryState.USABLE)
         logger.info(
             "primary_changed",
-            extra={"service": runtime.name, "backend": record.primary, "term": record.term},
+            extra={"service": runtime.name, "backend": primary, "term": term},
         )
 
     def close(self) -> None:
--- a/hickorywind/host/fencer.py
+++ b/hickorywind/host/fencer.py
@@ -12,7 +12,6 @@
     Fencing,
     HostFencingState,
     HostRecord,
-    LeadershipRecord,
     VersionedLeadership,
 )
 from hickorywind.host.fleet import Fleet
@@ -44,14 +43,14 @@
         self._own_host = own_host
         self._records: dict[HostId, HostRecord] = {}
 
-    async def await_silent_permits(self, record: LeadershipRecord, deadline: Instant) -> bool:
-        """End the leases of silent users of a primary and wait until their permits have expired.
+    async def await_silent_permits(self, deadline: Instant) -> bool:
+        """End the leases of silent hosts and wait until their permits have expired.
 
         Called while the primary still serves. Return True once each host answers or can't use a
         primary any more, or at ``deadline``. Return False at once if most hosts are silent: this
         host may be isolated. Raise ``StoreUnavailableError``.
         """
-        hosts = await self._other_users(record)
+        hosts = await self._other_hosts()
         fencing = Fencing.from_hosts(set(hosts))
         await self._probe_pending_hosts(hosts, fencing)
         if len(fencing.pending_hosts) * 2 > len(hosts):
@@ -63,11 +62,10 @@
             await self._probe_pending_hosts(hosts, fencing)
         return True
 
-    async def _other_users(self, record: LeadershipRecord) -> dict[HostId, HostRecord]:
-        """Return the other registered hosts that may use the primary of a record."""
+    async def _other_hosts(self) -> dict[HostId, HostRecord]:
         hosts = await self._store.read_hosts_with_retries()
         hosts.pop(self._own_host, None)
-        return {host: hosts[host] for host in record.users(hosts)}
+        return hosts
 
     async def _probe_pending_hosts(self, hosts: dict[HostId, HostRecord], fencing: Fencing) -> None:
         """Stop waiting for hosts that answer a greeting or whose process has exited."""
@@ -87,7 +85,7 @@
     async def start(self, runtime: ServiceRuntime, closed: VersionedLeadership) -> Fencing:
         """Stop using the primary, ask the other hosts to stop, and end leases of silent hosts."""
         await self.stop_using_primary(runtime, closed.revision, closed.record.is_planned)
-        hosts = await self._other_users(closed.record)
+        hosts = await self._other_hosts()
         fencing = Fencing.from_hosts(set(hosts))
         self._records |= hosts
         timeout = PLANNED_CLOSE_TIMEOUT if closed.record.is_planned else CLOSE_TIMEOUT
@@ -186,8 +184,6 @@
             await runtime.drain_primary_work()
         self._fleet.permits.stop_using(runtime.name, revision)
         runtime.refresh()
-        if not is_planned:
-            await runtime.await_relayed_replies()
 
     async def _request_closes(
         self,
--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -110,11 +110,11 @@
 class Fleet:
     """State of the fleet, decoded from the copies of the store, with change listeners."""
 
-    def __init__(self, schema: DocumentSchema, clock: Clock, own_host: HostId) -> None:
+    def __init__(self, schema: DocumentSchema, clock: Clock) -> None:
         self._schema = schema
         self.configuration_key = schema.configuration_key
         self._clock = clock
-        self.permits = Permits(own_host=own_host)
+        self.permits = Permits()
         self.missing_permit_timer = MissingPermitTimer()
         self.configuration: ProxyConfiguration | None = None
         self.backends: dict[BackendId, BackendServer] = {}
@@ -137,11 +137,6 @@
         """Return the primary that this host may use now, or None."""
         return self.permits.usable_primary(service, self._clock.now())
 
-    def open_primary(self, service: ServiceName) -> BackendId | None:
-        """Return the primary that this host or others may use now, or None."""
-        record = self.permits.open_record(service)
-        return None if record is None else record.primary
-
     def copy_of(self, prefix: str) -> StoreCopy | None:
         """Return the copy of a prefix, or None if this host keeps none."""
         return self.host_copy if prefix == HOSTS_PREFIX else self.copies.get(prefix)
@@ -281,7 +276,6 @@
                         "phase": record.phase,
                         "change": record.change,
                         "term": record.term,
-                        "holders": ",".join(record.holders),
                         "revision": item.revision,
                         "source": source,
                     },
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -17,7 +17,6 @@
 from hickorywind.host.hoststatus import describe_host, serve_status
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.peers import CALL_TIMEOUT, Peers
-from hickorywind.host.primaryrelay import PrimaryRelay
 from hickorywind.host.requestlog import RequestLog
 from hickorywind.host.service import DISPATCH_INTERVAL, IDLE_DISPATCH_INTERVAL, ServiceRuntime
 from hickorywind.host.session import Session
@@ -46,15 +45,9 @@
     GreetingReply,
     LeaseRenewalQuery,
     LeaseRenewalReply,
-    LivenessQuery,
-    LivenessReply,
     Message,
     PositionQuery,
     PositionSample,
-    PrimaryStep,
-    PrimaryStepWithdrawal,
-    PrimaryUseQuery,
-    PrimaryUseReply,
     PrimaryUseStopped,
     QuotaQuery,
     QuotaTakeover,
@@ -130,7 +123,7 @@
             settings.availability_zone,
             settings.address("peers_listen"),
         )
-        self._fleet = Fleet(adapters.schema, clock, settings.host)
+        self._fleet = Fleet(adapters.schema, clock)
         self._services: dict[ServiceName, ServiceRuntime] = {}
         self._sessions: set[Session] = set()
         self._peers = Peers(self._identity, clock, rng)
@@ -169,7 +162,6 @@
         self._reads = SharedReads(
             self._identity, self._peers, self._services.get, clock, rng, metrics
         )
-        self._relay = PrimaryRelay(self._identity, self._peers, self._services.get, clock, metrics)
         self._request_log = RequestLog(metrics)
         self._server: asyncio.Server | None = None
         self._is_stopping = False
@@ -254,7 +246,6 @@
             is_busy = any(service.is_busy for service in self._services.values())
             interval = DISPATCH_INTERVAL if is_busy else IDLE_DISPATCH_INTERVAL
             await asyncio.sleep(interval.total_seconds())
-            self._relay.record_turn()
             now = self._fleet.now()
             is_permitted = self._fleet.permits.is_valid(now)
             # Checking all peers is only needed while this host has no permit.
@@ -281,9 +272,6 @@
                 service.update_connection_limits()
                 service.close_idle_connections()
                 self._metrics.waiting.labels(name).set(service.waiting_count)
-            if self._fleet.configuration is not None:
-                idle_timeout = self._fleet.configuration.transaction_idle_timeout
-                await self._relay.end_orphans(idle_timeout)
             permit_remaining = self._fleet.permits.valid_until - self._fleet.now()
             self._metrics.permit_seconds.set(permit_remaining.total_seconds())
             self._metrics.sessions.set(len(self._sessions))
@@ -292,22 +280,21 @@
         """Stop accepting callers and close all sessions within the grace time."""
         started = self._clock.now()
         grace = timedelta(seconds=self._settings.stop_grace_seconds)
-        self._is_stopping = self._relay.is_stopping = True
+        self._is_stopping = True
         await asyncio.sleep(min(BALANCER_WAIT, grace * TRANSACTION_GRACE_FRACTION).total_seconds())
         self._stop_accepting()
         for session in list(self._sessions):
             session.close_when_idle()
-        while self._has_work and self._clock.now() < started + grace * EXIT_GRACE_FRACTION:
+        while self._sessions and self._clock.now() < started + grace * EXIT_GRACE_FRACTION:
             if self._clock.now() >= started + grace * TRANSACTION_GRACE_FRACTION:
                 self._abort_idle_transactions()
-                await self._relay.end_idle()
                 self._refuse_waiting()
             await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
         logger.info("sessions_open_at_stop", extra={"count": len(self._sessions)})
         self._failover_manager.close()
         self._store_acknowledger.close()
         self._quotas.close()
-        self._relay.close()
+        self._reads.close()
         # Closing the backend connections fails the running statements, so that their sessions
         # can still reply.
         for service in self._services.values():
@@ -319,10 +306,6 @@
         self._peers.close()
         await self._adapters.coordination_store.close()
 
-    @property
-    def _has_work(self) -> bool:
-        return bool(self._sessions) or self._relay.held_count > 0
-
     async def _unregister(self, deadline: Instant) -> None:
         left = max(timedelta(0), deadline - self._clock.now())
         try:
@@ -343,7 +326,7 @@
         self._failover_manager.close()
         self._store_acknowledger.close()
         self._quotas.close()
-        self._relay.close()
+        self._reads.close()
         self._stop_accepting()
         for service in self._services.values():
             service.close()
@@ -395,7 +378,6 @@
         )
         service.on_primary_suspected = self._failover_manager.report_suspect
         service.homes = self._reads if self._settings.share_reads else None
-        service.relay = self._relay
         self._services[name] = service
 
     # Peers -------------------------------------------------------------------------------------
@@ -533,16 +515,6 @@
                 return await self._failover_manager.relay.serve(message)
             case SharedRead():
                 return await self._reads.serve(message)
-            case PrimaryStep():
-                return await self._relay.serve(message)
-            case LivenessQuery(call):
-                return LivenessReply(call)
-            case PrimaryStepWithdrawal():
-                self._relay.withdraw(message)
-            case PrimaryUseQuery(call, name, revision):
-                service = self._services.get(name)
-                has_ended = service is not None and service.has_ended_primary_use(revision)
-                return PrimaryUseReply(call, has_ended)
             case PositionQuery():
                 return await self._reads.serve_position(message)
             case QuotaQuery():
--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -17,14 +17,7 @@
 from hickorywind.membership.peertable import PeerState, PeerTable
 from hickorywind.ports.coordination import LeaseId
 from hickorywind.protocol.channel import Link, Listener
-from hickorywind.protocol.messages import (
-    CopyReply,
-    Greeting,
-    GreetingReply,
-    LivenessQuery,
-    LivenessReply,
-    Message,
-)
+from hickorywind.protocol.messages import CopyReply, Greeting, GreetingReply, Message
 from hickorywind.results import HickorywindError
 from hickorywind.util.clock import Clock, Instant
 from hickorywind.util.tasks import BackgroundTasks
@@ -34,9 +27,6 @@
 GREETING_INTERVAL = timedelta(seconds=1)  # spreads a new configuration within its time limit
 FIRST_CONTACT_LIMIT = timedelta(seconds=1)  # how long a new peer is greeted at the short interval
 FIRST_CONTACT_RETRY_DELAY = timedelta(milliseconds=50)  # about the time to connect
-# Without a reply for this time a host that works on a question is asked whether it is alive.
-SILENCE_CHECK_DELAY = timedelta(milliseconds=350)
-SILENCE_CHECK_TIMEOUT = timedelta(milliseconds=250)  # several round trips between regions
 CALL_TIMEOUT = timedelta(milliseconds=700)  # several round trips between regions
 REMOVE_AFTER = timedelta(seconds=60)  # after this silence a host is no longer greeted
 _MISSED_GREETINGS_UNTIL_RECONNECT = 2  # a stalled connection may hide a reachable peer
@@ -46,14 +36,6 @@
 _UNUSED_LINK_LIFETIME = timedelta(seconds=30)  # several calls of one primary change
 
 
-@dataclass(slots=True)
-class CallOutcome:
-    """Reply to a call, or None; ``was_sent`` says whether the message may have arrived."""
-
-    reply: Message | None = None
-    was_sent: bool = False
-
-
 @dataclass
 class Peer:
     """Connection to one other host, if one is open, and the tasks that use it."""
@@ -197,20 +179,9 @@
 
         A call to a host without a connection opens one and waits longer.
         """
-        outcome = CallOutcome()
-        await self._call(host, make_message, timeout, outcome)
-        return outcome.reply
-
-    async def _call(
-        self,
-        host: HostId,
-        make_message: Callable[[int], Message],
-        timeout: timedelta,
-        outcome: CallOutcome,
-    ) -> None:
         peer = self._peers.get(host)
         if peer is None:
-            return
+            return None
         call_id = self._next_call
         self._next_call += 1
         future = asyncio.get_running_loop().create_future()
@@ -221,20 +192,16 @@
             timeout += _CONNECT_ALLOWANCE
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                while True:
-                    # While it is being sent it may arrive, also if this task is cancelled now.
-                    outcome.was_sent = True
-                    outcome.was_sent = await self._open_link(peer).send(make_message(call_id))
-                    if outcome.was_sent:
-                        break
+                while not await self._open_link(peer).send(make_message(call_id)):
                     if has_link:
-                        return
+                        return None
                     await asyncio.sleep(_CONNECT_RETRY_DELAY.total_seconds())
-                outcome.reply = await future
+                return await future
         except (TimeoutError, zmq.ZMQError):
             if peer.greeter is None and len(peer.pending_calls) == 1:
                 # The connection may have gone silent; greeted hosts reconnect in ``_greet``.
                 peer.close_link()
+            return None
         finally:
             peer.pending_calls.pop(call_id, None)
 
@@ -252,35 +219,6 @@
         """Return whether a host answers a greeting in time."""
         return await self.call(host, self.make_greeting, timeout) is not None
 
-    def incarnation_of(self, host: HostId) -> int:
-        """Return the newest incarnation known of a host, 0 for an unknown one."""
-        peer = self._peers.get(host)
-        return 0 if peer is None else peer.record.incarnation
-
-    async def notify(self, host: HostId, message: Message) -> None:
-        """Send a message without a reply to a host, if a connection to it is open."""
-        peer = self._peers.get(host)
-        if peer is not None and peer.link is not None:
-            await peer.link.send(message)
-
-    async def ask(
-        self, host: HostId, make_message: Callable[[int], Message], timeout: timedelta
-    ) -> CallOutcome:
-        """Call a host for a reply that may take long; give up once the host does not answer."""
-        outcome = CallOutcome()
-        question = self._background.start(self._call(host, make_message, timeout, outcome))
-        try:
-            while True:
-                await asyncio.wait((question,), timeout=SILENCE_CHECK_DELAY.total_seconds())
-                if question.done() or not await self._is_alive(host):
-                    return outcome
-        finally:
-            question.cancel()
-
-    async def _is_alive(self, host: HostId) -> bool:
-        reply = await self.call(host, LivenessQuery, SILENCE_CHECK_TIMEOUT)
-        return isinstance(reply, LivenessReply)
-
     async def answers_first_greeting(self, host: HostId) -> bool:
         """Return whether a host that is not greeted, and was reported silent, answers this one."""
         state = self.table.states.get(host)
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -17,11 +17,7 @@
     Target,
 )
 from hickorywind.admission.retention import KEEP_LAST_SHARE, connection_limit
-from hickorywind.failover.leadership import (
-    REPLY_TRANSIT_LIMIT,
-    LeadershipPhase,
-    PrimaryAbsence,
-)
+from hickorywind.failover.leadership import LeadershipPhase
 from hickorywind.host.backendconnection import (
     BackendConnection,
     ConnectionLostError,
@@ -36,23 +32,10 @@
     Grant,
     PrimaryState,
     PrimaryWork,
-    PrimaryWorkRelay,
     ServiceView,
 )
 from hickorywind.host.sessioncontext import SessionContext
-from hickorywind.ids import (
-    AvailabilityZone,
-    BackendId,
-    HostId,
-    LogPosition,
-    Revision,
-    ServiceName,
-    Term,
-)
-from hickorywind.placement.primaryholders import (
-    HOLDERS_CONNECTION_SHARE,
-    READ_HOME_CONNECTION_SHARE,
-)
+from hickorywind.ids import AvailabilityZone, BackendId, LogPosition, ServiceName, Term
 from hickorywind.placement.readhomes import HOME_CONNECTION_SHARE
 from hickorywind.ports.catalog import BackendServer, BackendState, Route, Topology
 from hickorywind.ports.codecs import BackendCodec
@@ -133,8 +116,6 @@
         self._last_primary: BackendId | None = None
         self._primary_lost_at: Instant | None = None
         self._primary_work: set[PrimaryWork] = set()
-        self.relay: PrimaryWorkRelay | None = None
-        self._last_relayed_write: Instant | None = None
 
     # Backend servers ---------------------------------------------------------------------------
 
@@ -216,23 +197,6 @@
             connections.max_connections = max(own_limit, home_share) if is_home else own_limit
             connections.retention.even_share = even_share
             connections.retention.is_home = is_home
-        self._update_holder_limit(limit)
-
-    def _update_holder_limit(self, limit: int) -> None:
-        """Let a holder of the primary keep the connections for the work of all hosts."""
-        record = self.fleet.permits.open_record(self.name)
-        backend = None if record is None else self.backends.get(record.primary)
-        if backend is None or not record.holders:
-            return
-        connections = backend.connections
-        if not self.is_held_by_others:
-            share = limit * HOLDERS_CONNECTION_SHARE / len(record.holders)
-            connections.retention.is_home = True
-        elif connections.retention.is_home:
-            share = limit * READ_HOME_CONNECTION_SHARE
-        else:
-            share = 1.0
-        connections.max_connections = max(1, round(share))
 
     def may_start_primary_work(self, backend: Backend) -> bool:
         """Return whether new work may start on a backend server as the primary."""
@@ -248,33 +212,6 @@
             backend, connection
         )
 
-    @property
-    def is_held_by_others(self) -> bool:
-        """Whether only other hosts run the work at the primary."""
-        return self.fleet.permits.is_held_by_others(self.name)
-
-    @property
-    def holders(self) -> tuple[HostId, ...]:
-        """Hosts that run the work of all hosts at the primary, none if each runs its own."""
-        known = self.fleet.permits.leadership(self.name)
-        return () if known is None else known.record.holders
-
-    @property
-    def open_primary(self) -> BackendId | None:
-        """Primary that this host or others may use now, or None."""
-        return self.fleet.open_primary(self.name)
-
-    def has_ended_primary_use(self, revision: Revision) -> bool:
-        """Return whether this host is no holder by a record and has no work at the primary."""
-        known = self.fleet.permits.leadership(self.name)
-        if known is None or known.revision < revision:
-            return False
-        return self.is_held_by_others and not self._primary_work
-
-    def distances_from(self, zone: AvailabilityZone) -> Callable[[AvailabilityZone], int]:
-        """Return the function that tells how far a zone is from the given one."""
-        return partial(self._topology.distance, zone)
-
     def usable_primary_backend(self) -> Backend | None:
         """Return the primary, or None if this host may not use one now."""
         primary = self.fleet.usable_primary(self.name)
@@ -324,13 +261,7 @@
         reason = self._redirect_reason()
         return None if reason is None else self._dispatcher.build_other_host_refusal(reason)
 
-    def build_primary_refusal(self, reason: str) -> Result:
-        """Return a refusal of work for a primary that no host can use now."""
-        return self._dispatcher.build_primary_refusal(reason)
-
     def _redirect_reason(self) -> str | None:
-        if self.is_held_by_others:
-            return PrimaryAbsence.HELD_BY_OTHERS.value
         if self.primary_state is PrimaryState.UNREACHABLE:
             return "this host can't reach the primary, other hosts can"
         if self.fleet.missing_permit_timer.has_expired(self.fleet.now()):
@@ -339,14 +270,10 @@
 
     def _update_primary(self) -> None:
         primary = self.fleet.usable_primary(self.name)
-        known_primary = self.fleet.open_primary(self.name)
-        if known_primary is not None and known_primary != self._last_primary:
-            self._last_primary = known_primary
+        if primary is not None and primary != self._last_primary:
+            self._last_primary = primary
             self.samples.clear()
         self._dispatcher.primary = primary
-        self._dispatcher.known_primary = known_primary
-        if self.is_held_by_others:
-            primary = known_primary
         absence = self.fleet.permits.absence(self.name, self.fleet.now())
         if absence is not None:
             self._dispatcher.primary_absence = absence
@@ -640,16 +567,6 @@
         for transaction in list(self._primary_work):
             transaction.abandon()
 
-    def record_relayed_write(self) -> None:
-        """Record that the success of another host's write is reported to it now."""
-        self._last_relayed_write = self.clock.now()
-
-    async def await_relayed_replies(self) -> None:
-        """Wait until no other host acknowledges a write any more that this host reported."""
-        if self._last_relayed_write is not None:
-            left = self._last_relayed_write + REPLY_TRANSIT_LIMIT - self.clock.now()
-            await asyncio.sleep(max(0.0, left.total_seconds()))
-
     # Position samples --------------------------------------------------------------------------
 
     def refresh_position_sample(self) -> None:
--- a/hickorywind/host/servicestate.py
+++ b/hickorywind/host/servicestate.py
@@ -11,7 +11,7 @@
 from hickorywind.host.backendconnection import BackendConnection, StatementTemplate
 from hickorywind.host.connectionpool import ConnectionPool
 from hickorywind.host.sessioncontext import SessionContext
-from hickorywind.ids import AccessMode, BackendId, LogPosition, ServiceName
+from hickorywind.ids import BackendId, LogPosition, ServiceName
 from hickorywind.ports.catalog import BackendServer, Route
 from hickorywind.ports.replies import Answer, Reply
 from hickorywind.ports.statements import Request
@@ -102,42 +102,6 @@
         ...
 
 
-class PrimaryWorkRelay(Protocol):
-    """Road to the holders of primaries for work of hosts that are none."""
-
-    async def run_statement(
-        self,
-        service: ServiceName,
-        route: Route,
-        context: SessionContext,
-        request: Request,
-        template: StatementTemplate | None,
-        arrived: Instant,
-    ) -> Reply | None:
-        """Run a statement at a holder, or return None if this host has to run it itself."""
-        ...
-
-    def open_transaction(
-        self, service: ServiceName, route: Route, context: SessionContext, read_only: bool
-    ) -> RelayedWork:
-        """Return a transaction that begins at a holder with its first statement."""
-        ...
-
-
-class RelayedWork(Protocol):
-    """Transaction of a caller of this host at a holder of the primary."""
-
-    async def run(
-        self, request: Request, mode: AccessMode | None, template: StatementTemplate | None
-    ) -> Reply | None:
-        """Run a step, a commit if ``mode`` is None; return None if this host has to begin it."""
-        ...
-
-    def roll_back(self) -> None:
-        """Let the holder roll the transaction back."""
-        ...
-
-
 @dataclass(slots=True)
 class Grant:
     """Connection granted at ``started`` to an operation with a target."""
--- a/hickorywind/host/sharedreads.py
+++ b/hickorywind/host/sharedreads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import random
 from collections.abc import Callable
@@ -19,7 +20,6 @@
 from hickorywind.ids import AccessMode, BackendId, HostId, ServiceName
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.placement.readhomes import ReadHomes, ReportedLoads, choose_server
-from hickorywind.placement.rendezvous import owner_of
 from hickorywind.ports.catalog import (
     AccountId,
     DatabaseName,
@@ -46,10 +46,14 @@
 )
 from hickorywind.results import Result, ResultCode
 from hickorywind.util.clock import Clock, Instant, milliseconds, to_milliseconds
+from hickorywind.util.tasks import BackgroundTasks
 
 logger = logging.getLogger(__name__)
 
 MAX_HOMES_ASKED = 3  # for one read; then this host runs it on a connection of its own
+# Without an answer for this time a home is asked whether it is alive; most reads take less.
+SILENCE_CHECK_DELAY = timedelta(milliseconds=350)
+SILENCE_CHECK_TIMEOUT = timedelta(milliseconds=250)  # several round trips between regions
 # Of a position sample that a home gives to others: bounds the queries of its primary.
 POSITION_MAX_AGE = timedelta(milliseconds=100)
 # Reads that would wait longer at their server go to another one.
@@ -77,6 +81,7 @@
         self._metrics = metrics
         self._homes = ReadHomes()
         self._loads = ReportedLoads()
+        self._background = BackgroundTasks()
 
     def refresh(self) -> None:
         """Apply the hosts that are alive now."""
@@ -111,11 +116,9 @@
         failed: FailedRead | None = None
         while len(tried) < MAX_HOMES_ASKED and not context.has_disconnected:
             target = choose_target(service, route, False, context.floor, arrived)
-            if isinstance(target, OnPrimary) and service.holders:
-                return failed
             now = self._clock.now()
             servers = service.eligible_servers(target, tried)
-            server = choose_server(servers, service.open_primary, self._loads, now, self._rng)
+            server = choose_server(servers, service.primary, self._loads, now, self._rng)
             if server is None:
                 return failed
             backend = service.backends[server.backend]
@@ -193,10 +196,21 @@
     ) -> SharedReadReply | None:
         """Return a home's reply, or None once it is found not to answer."""
         remaining_ms = int(to_milliseconds(remaining))
-        outcome = await self._peers.ask(
-            home, lambda call: make(call, remaining_ms), remaining + _ANSWER_ALLOWANCE
+        question = self._background.start(
+            self._peers.call(
+                home, lambda call: make(call, remaining_ms), remaining + _ANSWER_ALLOWANCE
+            )
         )
-        return outcome.reply if isinstance(outcome.reply, SharedReadReply) else None
+        try:
+            while True:
+                await asyncio.wait((question,), timeout=SILENCE_CHECK_DELAY.total_seconds())
+                if question.done():
+                    reply = question.result()
+                    return reply if isinstance(reply, SharedReadReply) else None
+                if not await self._peers.is_responding(home, SILENCE_CHECK_TIMEOUT):
+                    return None
+        finally:
+            question.cancel()
 
     def _accept(
         self,
@@ -220,7 +234,7 @@
         answer = Answer(
             reply.rows, reply.completion_tag, error, TransactionState.IDLE, reply.position
         )
-        is_primary = service.open_primary == backend.server.backend
+        is_primary = service.may_start_primary_work(backend)
         service.record_answer(backend, answer, sent, reply.is_from_primary and is_primary)
         self._metrics.shared_reads.labels("asked").inc()
         return RelayedAnswer(answer)
@@ -228,13 +242,11 @@
     async def fetch_position(self, service_name: ServiceName) -> bool:
         """Add a position sample that the home of the primary has; return whether it gave one."""
         service = self._find_service(service_name)
-        backend = service.backends.get(service.open_primary)
-        if backend is None or (service.holders and not service.is_held_by_others):
+        backend = service.usable_primary_backend()
+        if backend is None:
             return False
         server, sent = backend.server, self._clock.now()
         home = self._homes.home_of(server.backend, server.zone, sent)
-        if service.holders:
-            home = owner_of(self._identity.host, service.holders)
         if home is None or home == self._identity.host:
             return False
         reply = await self._peers.call(
@@ -242,7 +254,7 @@
         )
         if not isinstance(reply, PositionReply) or reply.sample is None:
             return False
-        if service.open_primary == server.backend:
+        if service.may_start_primary_work(backend):
             taken_at = sent - milliseconds(reply.sample.age_ms)
             service.add_sample(taken_at, reply.sample.position)
         return True
@@ -333,6 +345,10 @@
         age_ms = int(to_milliseconds(self._clock.now() - newest.taken_at)) + 1
         return PositionReply(query.call, PositionSample(service.name, newest.position, age_ms))
 
+    def close(self) -> None:
+        """End the questions under way."""
+        self._background.cancel()
+
 
 def _ineligible_result(target: Target, backend: Backend) -> Result:
     if isinstance(target, OnPrimary):
--- a/hickorywind/host/storeacknowledger.py
+++ b/hickorywind/host/storeacknowledger.py
@@ -40,11 +40,7 @@
         """Schedule an acknowledgement if another host has closed the record of a service."""
         leadership = self._fleet.permits.leadership(service)
         record = leadership.record
-        is_user = self._own_host in record.users((self._own_host,))
-        is_closed_by_other = (
-            record.phase is LeadershipPhase.CLOSED and record.promoter != self._own_host
-        )
-        if is_user and is_closed_by_other:
+        if record.phase is LeadershipPhase.CLOSED and record.promoter != self._own_host:
             self._background.start(self._acknowledge_later(service, leadership))
 
     async def _acknowledge_later(self, service: ServiceName, closed: VersionedLeadership) -> None:
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -11,7 +11,7 @@
 )
 from hickorywind.host.retries import run_with_retries
 from hickorywind.host.service import ServiceRuntime
-from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, Grant, RelayedWork
+from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, Grant
 from hickorywind.host.sessioncontext import SessionContext
 from hickorywind.host.targets import (
     RETRY_AFTER_MS,
@@ -54,14 +54,11 @@
         self._runs_on_primary = False
         self._has_written = False
         self._abort_result: Result | None = None
-        self.needs_primary = not read_only
-        self.is_held = False  # for a caller of another host
-        self._relayed: RelayedWork | None = None  # at a holder of the primary
 
     @property
     def is_pinned(self) -> bool:
         """Whether the transaction holds a backend connection."""
-        return self._grant is not None or self._relayed is not None
+        return self._grant is not None
 
     async def run(
         self, request: Request, mode: AccessMode | None, template: StatementTemplate | None
@@ -69,15 +66,8 @@
         """Run a read or a write, or commit if ``mode`` is None, and return the reply."""
         if self._abort_result is not None:
             return self._fail(self._abort_result)
-        if self._relayed is not None:
-            return await self._run_relayed(request, mode, template)
         if self._grant is None:
             refusal = await self._acquire_connection()
-            if refusal is not None and self._should_relay(refusal):
-                self._relayed = self.service.relay.open_transaction(
-                    self.service.name, self.route, self._context, self.read_only
-                )
-                return await self._run_relayed(request, mode, template)
             if refusal is not None:
                 return self._fail(refusal)
             pinned = self._grant
@@ -90,27 +80,6 @@
             return self._fail(self._abort_result)
         return await self._relay(pinned, request, mode, template)
 
-    def _should_relay(self, refusal: Result) -> bool:
-        """Return whether the transaction can't begin here as other hosts hold the primary."""
-        if self.service.relay is None or self._context.has_disconnected or self.is_held:
-            return False
-        return self.service.is_held_by_others and refusal.code is ResultCode.NO_PRIMARY
-
-    async def _run_relayed(
-        self, request: Request, mode: AccessMode | None, template: StatementTemplate | None
-    ) -> Reply:
-        reply = await self._relayed.run(request, mode, template)
-        match reply:
-            case None:
-                # This host became a holder while the transaction waited to begin.
-                self._relayed = None
-                return await self.run(request, mode, template)
-            case RelayedAnswer(answer) if mode is not None:
-                self.has_failed = answer.state is not TransactionState.OPEN
-            case ProxyFailure():
-                self.has_failed = True
-        return reply
-
     def _fail(self, result: Result) -> Reply:
         self.has_failed = True
         return ProxyFailure(result)
@@ -121,7 +90,7 @@
             self.route,
             self._context,
             self.arrived,
-            self.needs_primary,
+            not self.read_only,
             self._begin,
         )
 
@@ -223,9 +192,6 @@
 
     async def roll_back(self) -> None:
         """Roll the transaction back and return its connection to the pool."""
-        if self._relayed is not None:
-            self._relayed.roll_back()
-            return
         pinned = self._unpin()
         if pinned is None:
             return
--- a/hickorywind/observability/hostmetrics.py
+++ b/hickorywind/observability/hostmetrics.py
@@ -76,12 +76,6 @@
             ("side",),
             registry=registry,
         )
-        self.primary_work = Counter(
-            f"{_PREFIX}_primary_work",
-            "Statements and transaction steps sent to a holder of a primary, or run as one",
-            ("side",),
-            registry=registry,
-        )
         self._request_series: dict[tuple[str, int], Counter] = {}
 
     @classmethod
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -560,105 +560,6 @@
     expected_ms: int
 
 
-class PrimaryStepKind(Enum):
-    """What a ``PrimaryStep`` does: a statement, or the end of a transaction."""
-
-    READ = "read"
-    WRITE = "write"
-    COMMIT = "commit"
-    ROLLBACK = "rollback"
-
-
-class PrimaryStep(msgspec.Struct, frozen=True, tag="pstep", array_like=True):
-    """Request to a holder of a service's primary to run a step of a caller's operation there.
-
-    ``transaction`` numbers the open transactions of one incarnation of the sender; 0 is a statement
-    outside of transactions. ``is_first`` opens the transaction, ``is_read_only`` says of which
-    kind. ``text`` is the statement, or the arguments of a prepared one whose text is ``template``.
-    ``values`` are the session's values. The operation arrived ``age_ms`` before the step was sent
-    and should take ``objective_ms``; the step may take ``timeout_ms`` at the server. ``number``
-    identifies the step among those of the sender.
-    """
-
-    call: int
-    sender: HostId
-    incarnation: int
-    number: int
-    service: ServiceName
-    transaction: int
-    is_first: bool
-    is_read_only: bool
-    kind: PrimaryStepKind
-    request_id: str
-    account: str | None
-    rank: int
-    text: str
-    template: str | None
-    values: dict[str, str]
-    age_ms: int
-    objective_ms: int
-    timeout_ms: int
-
-
-class PrimaryStepReply(msgspec.Struct, frozen=True, tag="pstep_ok", array_like=True):
-    """Reply to a ``PrimaryStep``: the answer of the primary, or how the step failed.
-
-    ``state`` is the transaction state after the step. ``primary`` is the server that answered, or
-    None; ``is_sample`` says that the holder used it as the primary before and after the step.
-    ``held_ms`` is the time from the step's arrival at the holder until the reply was sent.
-    """
-
-    call: int
-    failure: Result | None
-    rows: tuple[str, ...] = ()
-    completion_tag: str = ""
-    error_kind: str | None = None
-    error_text: str = ""
-    state: str = "idle"
-    position: LogPosition | None = None
-    primary: BackendId | None = None
-    is_sample: bool = False
-    held_ms: int = 0
-
-
-class PrimaryStepWithdrawal(msgspec.Struct, frozen=True, tag="pstep_end", array_like=True):
-    """Notice that the sender of a ``PrimaryStep`` has given up: it should no longer be started."""
-
-    sender: HostId
-    incarnation: int
-    number: int
-
-
-class LivenessQuery(msgspec.Struct, frozen=True, tag="alive", array_like=True):
-    """Question whether a host answers at all, much smaller than a greeting."""
-
-    call: int
-
-
-class LivenessReply(msgspec.Struct, frozen=True, tag="alive_ok", array_like=True):
-    """Reply to a ``LivenessQuery``."""
-
-    call: int
-
-
-class PrimaryUseQuery(msgspec.Struct, frozen=True, tag="puse", array_like=True):
-    """Question whether a host that is no holder has ended its own work at a primary.
-
-    ``revision`` is that of the leadership record that names the holders.
-    """
-
-    call: int
-    service: ServiceName
-    revision: Revision
-
-
-class PrimaryUseReply(msgspec.Struct, frozen=True, tag="puse_ok", array_like=True):
-    """Reply to a ``PrimaryUseQuery``."""
-
-    call: int
-    has_ended: bool
-
-
 class PositionQuery(msgspec.Struct, frozen=True, tag="pos", array_like=True):
     """Request to the home of a service's primary for a recent sample of its log position."""
 
@@ -716,13 +617,6 @@
     | EndLease
     | EndLeaseReply
     | SharedRead
-    | PrimaryStep
-    | PrimaryStepReply
-    | PrimaryStepWithdrawal
-    | LivenessQuery
-    | LivenessReply
-    | PrimaryUseQuery
-    | PrimaryUseReply
     | SharedReadReply
     | PositionQuery
     | PositionReply
