--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -179,6 +179,8 @@
         self.servers: dict[BackendId, ServerState] = {}
         self.primary: BackendId | None = None
         self.primary_absence = PrimaryAbsence.NOT_RECORDED  # while ``primary`` is None
+        # Until then operations wait for a primary while ``primary`` is None.
+        self.absence_deadline: Instant | None = None
 
     @property
     def waiting_count(self) -> int:
@@ -193,7 +195,7 @@
             self._grant(operation, server, now)
             return
         wait = self._expected_wait(operation)
-        if now + wait >= operation.give_up_at:
+        if now + wait >= operation.give_up_at or self._has_waited_for_primary(operation, now):
             reason = "the expected wait exceeds the time that the operation may wait"
             self._refuse(operation, ResultCode.WOULD_MISS_DEADLINE, reason, wait)
             return
@@ -254,13 +256,26 @@
         operation.grant(server.backend)
 
     def _refuse_expired(self, now: Instant) -> None:
-        expired = [operation for operation in self._waiting if now >= operation.give_up_at]
+        expired = [
+            operation
+            for operation in self._waiting
+            if now >= operation.give_up_at or self._has_waited_for_primary(operation, now)
+        ]
         for operation in expired:
             self._waiting.remove(operation)
             reason = "no backend server could serve the operation in time"
             wait = self._expected_wait(operation)
             self._refuse(operation, ResultCode.DEADLINE_PASSED, reason, wait)
 
+    def _has_waited_for_primary(self, operation: QueuedOperation, now: Instant) -> bool:
+        """Return whether the primary, which an operation needs, has been absent for too long.
+
+        Once there is one again, operations that still have time run instead of being refused.
+        """
+        if self.primary is not None or not isinstance(operation.target, OnPrimary):
+            return False
+        return self.absence_deadline is not None and now >= self.absence_deadline
+
     def _refuse(
         self, operation: QueuedOperation, code: ResultCode, reason: str, wait: timedelta
     ) -> None:
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -281,17 +281,15 @@
             self._primary_lost_at = None
         elif self._primary_lost_at is None:
             self._primary_lost_at = self.clock.now()
+            self._dispatcher.absence_deadline = self._primary_lost_at + PRIMARY_CHANGE_TIMEOUT
 
-    def wait_deadline(self, route: Route, target: Target, arrived: Instant) -> Instant:
+    def wait_deadline(self, route: Route, arrived: Instant) -> Instant:
         """Return the instant until which an operation may wait.
 
-        Work for the primary may wait for a primary change to complete, but no longer than
+        Work for the primary may wait for a primary change to complete. The dispatcher refuses it
         ``PRIMARY_CHANGE_TIMEOUT`` after the primary was lost.
         """
-        wait_limit = max(route.latency_objective, PRIMARY_CHANGE_TIMEOUT)
-        if isinstance(target, OnPrimary) and self._primary_lost_at is not None:
-            return min(arrived + wait_limit, self._primary_lost_at + PRIMARY_CHANGE_TIMEOUT)
-        return arrived + wait_limit
+        return arrived + max(route.latency_objective, PRIMARY_CHANGE_TIMEOUT)
 
     async def acquire(
         self,
@@ -310,7 +308,7 @@
         """
         if self._closed_result is not None:
             return self._closed_result
-        deadline = self.wait_deadline(route, target, arrived)
+        deadline = self.wait_deadline(route, arrived)
         deadline = arrived + min(deadline - arrived, wait_limit)
         while True:
             outcome = await self._wait_for_backend(
--- a/hickorywind/host/sharedreads.py
+++ b/hickorywind/host/sharedreads.py
@@ -127,7 +127,7 @@
             home = self._homes.home_of(server.backend, backend.server.zone, now)
             if home is None or home == self._identity.host:
                 return failed
-            remaining = service.wait_deadline(route, target, arrived) - now
+            remaining = service.wait_deadline(route, arrived) - now
             if remaining <= timedelta(0):
                 return failed
             server.start_lag_check(target, now)
--- a/tests/admission/test_dispatch.py
+++ b/tests/admission/test_dispatch.py
@@ -250,3 +250,33 @@
     @staticmethod
     def _result():
         return Result.not_run(ResultCode.NO_PRIMARY, "x", 100)
+
+
+class ReturnedPrimaryTest(DispatcherCase):
+    """Load: operations of some seconds wait for a primary, and it returns just before the limit."""
+
+    def test_operations_that_still_have_time_run_once_the_primary_is_back(self):
+        self.dispatcher.primary = None
+        self.dispatcher.absence_deadline = START + timedelta(seconds=5)
+        back_at = START + timedelta(milliseconds=4_900)
+        for number in range(30):
+            self.submit(arrived=START + timedelta(milliseconds=150 * number))
+        self.dispatcher.primary = "i-a"
+        self.dispatcher.dispatch_waiting(back_at)
+        now = back_at
+        while len(self.granted) + len(self.refused) < 30:
+            now += timedelta(milliseconds=20)
+            self.finish("i-a", now)
+        # The first one arrived 5 s ago; the others are served within their own time.
+        self.assertLessEqual(len(self.refused), 1)
+
+    def test_operations_are_refused_once_the_primary_was_absent_for_long(self):
+        self.dispatcher.primary = None
+        self.dispatcher.absence_deadline = START + timedelta(seconds=2)
+        self.submit()
+        self.dispatcher.dispatch_waiting(START + timedelta(milliseconds=1_900))
+        self.assertEqual(self.refused, [])
+        self.dispatcher.dispatch_waiting(START + timedelta(seconds=2))
+        self.submit(arrived=START + timedelta(seconds=3))
+        self.assertEqual([each.code for each in self.refused], [ResultCode.NO_PRIMARY] * 2)
+        self.assertTrue(all(each.retry_after_ms for each in self.refused))
