--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -11,7 +11,6 @@
 
 from hickorywind.admission.dispatch import (
     Dispatcher,
-    OnPrimary,
     QueuedOperation,
     ServerState,
     Target,
