--- a/hickorywind/host/leadershipstore.py
+++ b/hickorywind/host/leadershipstore.py
@@ -30,7 +30,7 @@
 STORE_ATTEMPTS = 6  # per store call that a primary change depends on
 ENDED_LEASE_RETENTION = timedelta(seconds=60)  # longer than any wait for a permit to expire
 STORE_RETRY_DELAY = timedelta(milliseconds=200)
-TAKEOVER_TIMEOUT = timedelta(seconds=2)  # until a change whose promoter is silent is taken over
+TAKEOVER_TIMEOUT = timedelta(milliseconds=1400)  # until a silent promoter's change is taken over
 EXCLUSIVE_AFTER_CLOSE = TAKEOVER_TIMEOUT - timedelta(milliseconds=100)  # clocks may drift
 # A host that takes over a change waits half a second for the silent promoter to acknowledge before
 # it orders a promotion.
