Run reads elsewhere while a home is not connected (trial)

Change: a read asks a home only over a connection on which something was heard; connecting goes on beside it.

--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -17,7 +17,13 @@
 from hickorywind.membership.peertable import PeerState, PeerTable
 from hickorywind.ports.coordination import LeaseId
 from hickorywind.protocol.channel import Link, Listener
-from hickorywind.protocol.messages import CopyReply, Greeting, GreetingReply, Message
+from hickorywind.protocol.messages import (
+    CopyReply,
+    Greeting,
+    GreetingReply,
+    LivenessQuery,
+    Message,
+)
 from hickorywind.results import HickorywindError
 from hickorywind.util.clock import Clock, Instant
 from hickorywind.util.tasks import BackgroundTasks
@@ -28,6 +34,7 @@
 FIRST_CONTACT_LIMIT = timedelta(seconds=1)  # how long a new peer is greeted at the short interval
 FIRST_CONTACT_RETRY_DELAY = timedelta(milliseconds=50)  # about the time to connect
 CALL_TIMEOUT = timedelta(milliseconds=700)  # several round trips between regions
+CONNECT_TIMEOUT = timedelta(milliseconds=500)  # for a host that starts; then it is tried again
 REMOVE_AFTER = timedelta(seconds=60)  # after this silence a host is no longer greeted
 _MISSED_GREETINGS_UNTIL_RECONNECT = 2  # a stalled connection may hide a reachable peer
 # Added to the timeout of a call that first has to connect: four round trips between regions.
@@ -45,6 +52,8 @@
     link: Link | None = None
     last_call: Instant = timedelta(0)
     has_answered: bool = False
+    is_connected: bool = False  # whether anything was heard over the connection
+    connector: asyncio.Task | None = None
     pending_calls: dict[int, asyncio.Future] = field(default_factory=dict)
     receiver: asyncio.Task | None = None
     greeter: asyncio.Task | None = None
@@ -66,6 +75,7 @@
             self.receiver.cancel()
             self.link.close()
             self.link = None
+            self.is_connected = False
 
 
 class Peers:
@@ -219,6 +229,19 @@
         """Return whether a host answers a greeting in time."""
         return await self.call(host, self.make_greeting, timeout) is not None
 
+    def is_connected(self, host: HostId) -> bool:
+        """Return whether a host has answered over the present connection; else connect to it.
+
+        Answers the load of a fleet that starts at once: work that may run elsewhere doesn't wait
+        for a host that is registered and has not started yet.
+        """
+        peer = self._peers.get(host)
+        if peer is None:
+            return False
+        if not peer.is_connected and (peer.connector is None or peer.connector.done()):
+            peer.connector = self._background.start(self.call(host, LivenessQuery, CONNECT_TIMEOUT))
+        return peer.is_connected
+
     async def answers_first_greeting(self, host: HostId) -> bool:
         """Return whether a host that is not greeted, and was reported silent, answers this one."""
         state = self.table.states.get(host)
@@ -245,6 +268,7 @@
                 # The socket was closed because a new connection replaced it.
                 await asyncio.sleep(0)
                 continue
+            peer.is_connected = True
             self.table.record_heard(peer.record.host)
             waiter = peer.pending_calls.get(getattr(message, "call", 0))
             if waiter is not None and not waiter.done():
--- a/hickorywind/host/sharedreads.py
+++ b/hickorywind/host/sharedreads.py
@@ -127,6 +127,9 @@
             home = self._homes.home_of(server.backend, backend.server.zone, now)
             if home is None or home == self._identity.host:
                 return failed
+            if not self._peers.is_connected(home):
+                tried |= {server.backend}
+                continue
             remaining = service.wait_deadline(route, arrived) - now
             if remaining <= timedelta(0):
                 return failed
--- a/tests/host/test_sharedreads.py
+++ b/tests/host/test_sharedreads.py
@@ -10,6 +10,7 @@
 from tests.host.virtualtime import Gate, VirtualClock
 
 CONNECTIONS = 10  # of each server, for six hosts
+UNCONNECTED_LIMIT_SECONDS = 0.1  # for a read whose home this host has not heard yet
 SILENCE_LIMIT_SECONDS = 1.0  # for a read whose home is silent
 
 
@@ -89,6 +90,21 @@
             self.assertLess(self.loop.time() - started, SILENCE_LIMIT_SECONDS)
             await asyncio.sleep(0.1)
 
+    async def test_reads_of_a_started_host_do_not_wait_for_hosts_that_have_not_started(self):
+        """Load: a whole fleet starts at once, and the homes of its servers start last."""
+        await (await self.caller("bookings")).ask("WRITE kiln 1")
+        for name in self.hosts:
+            self.network.cut_from.add(name)
+            self.network.cut_to.add(name)
+        self.start_host("h9")
+        started_host = self.hosts["h9"].role
+        await self.wait_until(lambda: started_host.is_ready and started_host._services)
+        caller = await self.caller("views", "h9")
+        for _ in range(5):
+            started = self.loop.time()
+            self.assertEqual((await caller.ask("READ kiln"))[0], "ROW 1")
+            self.assertLess(self.loop.time() - started, UNCONNECTED_LIMIT_SECONDS)
+
     async def test_read_at_the_primary_is_not_run_at_one_that_was_replaced(self):
         callers = [await self.caller("bookings", name) for name in self.hosts]
         await callers[0].ask("WRITE kiln 1")
