--- a/hickorywind/host/silenthosts.py
+++ b/hickorywind/host/silenthosts.py
@@ -14,15 +14,22 @@
 from hickorywind.ids import HostId
 from hickorywind.ports.coordination import Condition, CoordinationStore
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
+from hickorywind.util.clock import Instant
 from hickorywind.util.sockets import CONNECT_PROBE_TIMEOUT, refuses_connections
 
 logger = logging.getLogger(__name__)
 
+# For which the result of a probe holds, while the store can't be read.
+PROBE_LIFETIME = timedelta(seconds=5)
 REFENCE_DELAY = timedelta(seconds=15)  # for a host that stays silent or falls silent again
 
 
 class SilentHostFencer:
-    """Fencer of the hosts that do not answer, unless this host itself may be isolated."""
+    """Fencer of the hosts that do not answer, unless this host itself may be isolated.
+
+    Answers the load of a store that is away while hosts are lost: they are probed meanwhile, so
+    that their leases end as soon as the store is back, and their permits soon after.
+    """
 
     def __init__(
         self,
@@ -37,6 +44,7 @@
         self._peers = peers
         self._task: asyncio.Task | None = None
         self._skipped_until: dict[tuple[HostId, int], timedelta] = {}
+        self._probes: dict[tuple[HostId, int], tuple[Instant, HostFencingState]] = {}
 
     def start_fencing(self, is_first_in_rank: bool) -> None:
         """Fence the hosts that are silent now in a background task.
@@ -57,6 +65,8 @@
             self._task = asyncio.create_task(self._fence_all(silent))
 
     async def _fence_all(self, silent: dict[HostId, int]) -> None:
+        self._probes = {key: self._probes[key] for key in silent.items() if key in self._probes}
+        await asyncio.gather(*(self._probe(key) for key in silent.items()))
         try:
             snapshot = await self._coordination_store.read_range(HOSTS_PREFIX)
             await asyncio.gather(
@@ -74,12 +84,12 @@
 
     async def _fence_host(self, item: StoredValue, record: HostRecord) -> None:
         """End the lease of a host and, once its permit has expired, delete its registration."""
-        if await self._peers.answers_first_greeting(record.host):
+        _, state = self._probes.get((record.host, record.incarnation), (None, None))
+        if state is None or state is HostFencingState.ANSWERING:
             return
         fencing = Fencing.from_hosts({record.host})
-        if await refuses_connections(record.address, CONNECT_PROBE_TIMEOUT):
-            fencing.record_state(record.host, HostFencingState.ENDED)
-        else:
+        fencing.record_state(record.host, state)
+        if state is HostFencingState.SILENT:
             fencing.record_lease_end(record.host, await self._store.end_lease(record))
         while not fencing.is_complete(self._fleet.now()):
             await asyncio.sleep(FENCING_POLL_INTERVAL.total_seconds())
@@ -88,6 +98,21 @@
         )
         logger.info("silent_host_removed", extra={"peer": record.host})
 
+    async def _probe(self, key: tuple[HostId, int]) -> None:
+        """Find out whether a host answers or its process has ended, unless that is known."""
+        now = self._fleet.now()
+        probed_at, _ = self._probes.get(key, (None, None))
+        known = self._peers.table.states.get(key[0])
+        if known is None or (probed_at is not None and now < probed_at + PROBE_LIFETIME):
+            return
+        if await self._peers.answers_first_greeting(key[0]):
+            state = HostFencingState.ANSWERING
+        elif await refuses_connections(known.record.address, CONNECT_PROBE_TIMEOUT):
+            state = HostFencingState.ENDED
+        else:
+            state = HostFencingState.SILENT
+        self._probes[key] = (self._fleet.now(), state)
+
 
 def _decode_if_silent(item: StoredValue, silent: dict[HostId, int]) -> HostRecord | None:
     record = decode_host(item.value)
--- a/tests/host/test_largefleet.py
+++ b/tests/host/test_largefleet.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 import hickorywind.host.peers
+from hickorywind.host.failovermanager import SILENT_HOSTS_RANK_KEY
 from hickorywind.host.peers import Peers
 from hickorywind.membership.neighbours import (
     FULL_MESH_SIZE,
@@ -24,6 +25,7 @@
 BURST_CHANGES = 20
 BURST_SECONDS = 0.5
 REMOVED_AFTER = timedelta(seconds=5)
+LEASE_END_SECONDS = 0.6  # one check of the silent hosts and two store calls
 PRIMARY_CHANGE_SECONDS = 5.0  # the stated limit
 APPLY_SECONDS = 6.0  # the stated limit for a new configuration
 RECOVERY_SECONDS = 12.0  # the stated limit for serving again after the loss of all hosts
@@ -117,6 +119,28 @@
         self.start_host("h91")
         await self.wait_until(self.all_hosts_know_each_other, 5.0)
 
+    async def test_lease_of_a_silent_host_ends_as_soon_as_the_store_is_back(self):
+        """Load: hosts are lost while the store is away, and a primary soon after."""
+        ranked = {
+            host.role._failover_manager._rank(SILENT_HOSTS_RANK_KEY): host
+            for host in self.hosts.values()
+        }
+        states = self.peers(ranked[0]).table.states
+        name = next(name for name in states if not states[name].is_greeted)
+        self.network.cut_from.add(name)
+        self.network.cut_to.add(name)
+        gone = self.hosts[name]
+        for each in self.hosts.values():
+            each.coordinator.is_cut = True
+        await asyncio.sleep(6.0)
+        for each in self.hosts.values():
+            each.coordinator.is_cut = each is gone
+            each.coordinator.calls.clear()
+        await self.wait_until(
+            lambda: any("end" in each.coordinator.calls for each in self.hosts.values()),
+            LEASE_END_SECONDS,
+        )
+
     async def test_killed_host_is_silent_for_all_and_no_other_is(self):
         await self.hosts.pop("h5").kill()
         await self.wait_until(lambda: self.all_hosts_see_silence_of("h5"), 8.0)
