--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -229,11 +229,11 @@
         """Return whether a host answers a greeting in time."""
         return await self.call(host, self.make_greeting, timeout) is not None
 
-    def is_connected(self, host: HostId) -> bool:
-        """Return whether a host has answered over the present connection; else connect to it.
+    def ensure_connected(self, host: HostId) -> bool:
+        """Return whether a host was heard over its connection; if not, connect to it.
 
-        Answers the load of a fleet that starts at once: work that may run elsewhere doesn't wait
-        for a host that is registered and has not started yet.
+        It doesn't wait. Answers the load of a fleet that starts at once: work that may run
+        elsewhere need not wait for a host that is registered and has not started yet.
         """
         peer = self._peers.get(host)
         if peer is None:
--- a/hickorywind/host/sharedreads.py
+++ b/hickorywind/host/sharedreads.py
@@ -127,7 +127,7 @@
             home = self._homes.home_of(server.backend, backend.server.zone, now)
             if home is None or home == self._identity.host:
                 return failed
-            if not self._peers.is_connected(home):
+            if not self._peers.ensure_connected(home):
                 tried |= {server.backend}
                 continue
             remaining = service.wait_deadline(route, arrived) - now
--- a/hickorywind/host/silenthosts.py
+++ b/hickorywind/host/silenthosts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from dataclasses import dataclass
 from datetime import timedelta
 
 from hickorywind.failover.leadership import Fencing, HostFencingState, HostRecord, decode_host
@@ -19,11 +20,19 @@
 
 logger = logging.getLogger(__name__)
 
-# For which the result of a probe holds, while the store can't be read.
+# For which the result of a probe holds while the store can't be read.
 PROBE_LIFETIME = timedelta(seconds=5)
 REFENCE_DELAY = timedelta(seconds=15)  # for a host that stays silent or falls silent again
 
 
+@dataclass(frozen=True, slots=True)
+class _Probe:
+    """What a probe found out about a host, and when."""
+
+    state: HostFencingState
+    ended_at: Instant
+
+
 class SilentHostFencer:
     """Fencer of the hosts that do not answer, unless this host itself may be isolated.
 
@@ -44,7 +53,7 @@
         self._peers = peers
         self._task: asyncio.Task | None = None
         self._skipped_until: dict[tuple[HostId, int], timedelta] = {}
-        self._probes: dict[tuple[HostId, int], tuple[Instant, HostFencingState]] = {}
+        self._probes: dict[tuple[HostId, int], _Probe] = {}
 
     def start_fencing(self, is_first_in_rank: bool) -> None:
         """Fence the hosts that are silent now in a background task.
@@ -84,12 +93,12 @@
 
     async def _fence_host(self, item: StoredValue, record: HostRecord) -> None:
         """End the lease of a host and, once its permit has expired, delete its registration."""
-        _, state = self._probes.get((record.host, record.incarnation), (None, None))
-        if state is None or state is HostFencingState.ANSWERING:
+        probe = self._probes.get((record.host, record.incarnation))
+        if probe is None or probe.state is HostFencingState.ANSWERING:
             return
         fencing = Fencing.from_hosts({record.host})
-        fencing.record_state(record.host, state)
-        if state is HostFencingState.SILENT:
+        fencing.record_state(record.host, probe.state)
+        if probe.state is HostFencingState.SILENT:
             fencing.record_lease_end(record.host, await self._store.end_lease(record))
         while not fencing.is_complete(self._fleet.now()):
             await asyncio.sleep(FENCING_POLL_INTERVAL.total_seconds())
@@ -100,18 +109,20 @@
 
     async def _probe(self, key: tuple[HostId, int]) -> None:
         """Find out whether a host answers or its process has ended, unless that is known."""
-        now = self._fleet.now()
-        probed_at, _ = self._probes.get(key, (None, None))
-        known = self._peers.table.states.get(key[0])
-        if known is None or (probed_at is not None and now < probed_at + PROBE_LIFETIME):
+        host, _ = key
+        probe = self._probes.get(key)
+        if probe is not None and self._fleet.now() < probe.ended_at + PROBE_LIFETIME:
+            return
+        peer = self._peers.table.states.get(host)
+        if peer is None:
             return
-        if await self._peers.answers_first_greeting(key[0]):
+        if await self._peers.answers_first_greeting(host):
             state = HostFencingState.ANSWERING
-        elif await refuses_connections(known.record.address, CONNECT_PROBE_TIMEOUT):
+        elif await refuses_connections(peer.record.address, CONNECT_PROBE_TIMEOUT):
             state = HostFencingState.ENDED
         else:
             state = HostFencingState.SILENT
-        self._probes[key] = (self._fleet.now(), state)
+        self._probes[key] = _Probe(state, self._fleet.now())
 
 
 def _decode_if_silent(item: StoredValue, silent: dict[HostId, int]) -> HostRecord | None:
