Log what a caller misses when the host closes its connection

session_cut names the reason and what was open: requests decoded and unanswered, unsent bytes of replies, unread input, the transaction's state, the time since the last input. hickorywind_host_sessions_closed counts all connections that the host closes. No change of logic.

--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -17,7 +17,7 @@
 from hickorywind.host.hoststatus import describe_host, serve_status
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.peers import CALL_TIMEOUT, Peers
-from hickorywind.host.requestlog import RequestLog
+from hickorywind.host.requestlog import CutReason, RequestLog
 from hickorywind.host.service import DISPATCH_INTERVAL, IDLE_DISPATCH_INTERVAL, ServiceRuntime
 from hickorywind.host.session import Session
 from hickorywind.host.sharedreads import SharedReads
@@ -303,7 +303,7 @@
             service.close()
         await asyncio.sleep(FLUSH_WAIT.total_seconds())
         for session in list(self._sessions):
-            session.abort()
+            session.abort(CutReason.GRACE_OVER)
         await self._unregister(started + grace * UNREGISTER_GRACE_FRACTION)
         self._peers.close()
         await self._adapters.coordination_store.close()
@@ -333,7 +333,7 @@
         for service in self._services.values():
             service.close()
         for session in list(self._sessions):
-            session.abort()
+            session.abort(CutReason.ABORTED)
         self._peers.close()
 
     def _refuse_waiting(self) -> None:
@@ -347,7 +347,7 @@
         for session in list(self._sessions):
             transaction = session.open_transaction()
             if transaction is not None and not session.is_busy:
-                session.abort()
+                session.abort(CutReason.IDLE_TRANSACTION)
 
     # Services ----------------------------------------------------------------------------------
 
--- a/hickorywind/host/requestlog.py
+++ b/hickorywind/host/requestlog.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.transaction import Transaction
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.ports.catalog import DatabaseName
-from hickorywind.ports.replies import LocalCompletion, ProxyFailure, RelayedAnswer, Reply
+from hickorywind.ports.replies import (
+    LocalCompletion,
+    ProxyFailure,
+    RelayedAnswer,
+    Reply,
+    TransactionState,
+)
 from hickorywind.ports.statements import Request
 from hickorywind.results import Result
 from hickorywind.util.clock import to_milliseconds
@@ -17,6 +25,33 @@
 logger = logging.getLogger(__name__)
 
 
+class CutReason(Enum):
+    """Why a host closed the connection of a caller."""
+
+    QUIET = "quiet"  # asked to close, and no request came for a while
+    IDLE_TRANSACTION = "idle_transaction"  # the time that transactions have to end is over
+    GRACE_OVER = "grace_over"
+    ABORTED = "aborted"  # the host ends at once
+
+
+@dataclass(frozen=True)
+class SessionCut:
+    """What a caller may miss when the host closes its connection."""
+
+    reason: CutReason
+    unanswered: int  # requests that were decoded and have no reply
+    unsent_bytes: int  # of replies
+    has_unread_input: bool
+    state: TransactionState
+    since_input: timedelta
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether the caller misses nothing."""
+        is_idle = self.state is TransactionState.IDLE
+        return is_idle and not (self.unanswered or self.unsent_bytes or self.has_unread_input)
+
+
 class RequestLog:
     """Log of request outcomes: a line for each failed request and a count of all."""
 
@@ -37,6 +72,24 @@
             },
         )
 
+    def record_cut(self, database: DatabaseName, cut: SessionCut) -> None:
+        """Count a connection that the host closes; log it if the caller may miss something."""
+        self._metrics.sessions_closed.labels(cut.reason.value, str(cut.is_clean).lower()).inc()
+        if cut.is_clean:
+            return
+        logger.info(
+            "session_cut",
+            extra={
+                "database": database,
+                "reason": cut.reason.value,
+                "unanswered": cut.unanswered,
+                "unsent_bytes": cut.unsent_bytes,
+                "unread_input": cut.has_unread_input,
+                "state": cut.state.value,
+                "since_input_ms": round(to_milliseconds(cut.since_input), 1),
+            },
+        )
+
     def record_reply(
         self,
         request: Request,
--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -11,7 +11,7 @@
 from hickorywind.host.autocommit import AutocommitStatement
 from hickorywind.host.backendconnection import StatementTemplate
 from hickorywind.host.fleet import Fleet
-from hickorywind.host.requestlog import RequestLog
+from hickorywind.host.requestlog import CutReason, RequestLog, SessionCut
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.sessioncontext import SessionContext
 from hickorywind.host.transaction import Transaction
@@ -42,6 +42,7 @@
 )
 from hickorywind.results import Result, ResultCode
 from hickorywind.util.clock import Clock
+from hickorywind.util.sockets import has_unread_input
 
 logger = logging.getLogger(__name__)
 
@@ -90,6 +91,7 @@
         self._is_busy = False
         self._close_requested = False
         self._is_disconnected = False
+        self._last_input_at = clock.now()
 
     # Callbacks of the transport ----------------------------------------------------------------
 
@@ -101,6 +103,7 @@
     def data_received(self, data: bytes) -> None:
         """Decode and queue the caller's requests; pause reading if too many are queued."""
         self._pending += self._codec.feed(data)
+        self._last_input_at = self._clock.now()
         if len(self._pending) > PIPELINE_LIMIT:
             self._transport.pause_reading()
         self._wake.set()
@@ -129,11 +132,26 @@
         self._close_requested = True
         self._wake.set()
 
-    def abort(self) -> None:
+    def abort(self, reason: CutReason) -> None:
         """Close the connection at once."""
         if self._transport is not None:
+            self._log_cut(reason)
             self._transport.abort()
 
+    def _log_cut(self, reason: CutReason) -> None:
+        """Log what the caller may miss if its connection is closed now, unless it is nothing."""
+        if self._is_disconnected:
+            return
+        cut = SessionCut(
+            reason,
+            len(self._pending) + self._is_busy,
+            self._transport.get_write_buffer_size(),
+            has_unread_input(self._transport.get_extra_info("socket")),
+            self._state(),
+            self._clock.now() - self._last_input_at,
+        )
+        self._request_log.record_cut(self._database, cut)
+
     async def _serve(self) -> None:
         try:
             while not self._is_disconnected:
@@ -180,6 +198,7 @@
             async with asyncio.timeout(QUIET_PERIOD.total_seconds()):
                 await self._wake.wait()
         except TimeoutError:
+            self._log_cut(CutReason.QUIET)
             return False
         return True
 
--- a/hickorywind/observability/hostmetrics.py
+++ b/hickorywind/observability/hostmetrics.py
@@ -44,6 +44,12 @@
             registry=registry,
         )
         self.sessions = Gauge(f"{_PREFIX}_sessions", "Caller sessions open", registry=registry)
+        self.sessions_closed = Counter(
+            f"{_PREFIX}_sessions_closed",
+            "Caller connections closed by this host",
+            ("reason", "clean"),
+            registry=registry,
+        )
         self.configuration_version = Gauge(
             f"{_PREFIX}_configuration_version", "Configuration in force", registry=registry
         )
--- a/hickorywind/util/sockets.py
+++ b/hickorywind/util/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from datetime import timedelta
 
@@ -52,3 +53,10 @@
         return False
     writer.transport.abort()
     return True
+
+
+def has_unread_input(sock: socket.socket) -> bool:
+    """Return whether received bytes, or the end of the stream, wait in a socket's buffer."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
