Announce the end of a session instead of closing it

What callers saw: around a planned stop of their host, requests without an answer.

Change: the host sends an error without a request, on which callers close their session (the platform's protocol and PostgreSQL's 57P01 both know this). Whatever crosses it is answered: the notice is its error, the reply is completed as not run, and the end is announced again. The listen queue is accepted before the socket is closed, new sessions know the stage of the stop, new work is refused at once after half of the grace time, and the last replies may take until .85 of it.

Ruled out: closing after each reply (the next request may be under way); closing the write side first (what crosses can be read but not answered).

Evidence: tests.host.test_sessionend, 8 of 9 failed before, none now.

--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -17,10 +17,11 @@
 from hickorywind.host.hoststatus import describe_host, serve_status
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.peers import CALL_TIMEOUT, Peers
-from hickorywind.host.requestlog import CutReason, RequestLog
+from hickorywind.host.requestlog import RequestLog
 from hickorywind.host.service import DISPATCH_INTERVAL, IDLE_DISPATCH_INTERVAL, ServiceRuntime
 from hickorywind.host.session import Session
 from hickorywind.host.sharedreads import SharedReads
+from hickorywind.host.stopstage import StopStage, make_shutdown_refusal
 from hickorywind.host.storeacknowledger import StoreAcknowledger
 from hickorywind.host.storesync import StoreSync
 from hickorywind.ids import BackendId, HostId, Incarnation, Revision, ServiceName
@@ -62,11 +63,10 @@
     StoreReadRequest,
     StoreWriteRequest,
 )
-from hickorywind.results import Result, ResultCode
 from hickorywind.settings.host import HostSettings
 from hickorywind.util.clock import Clock, Instant, milliseconds, to_milliseconds
 from hickorywind.util.deflate import DeflatedDataError
-from hickorywind.util.listening import BACKLOG
+from hickorywind.util.listening import BACKLOG, accept_waiting
 from hickorywind.util.sockets import CONNECT_PROBE_TIMEOUT, accepts_connections
 from hickorywind.util.tasks import BackgroundTasks
 
@@ -80,8 +80,8 @@
 FLUSH_WAIT = timedelta(milliseconds=100)  # for the last replies to be written to the sockets
 # A permit that ends sooner may be over before a redirected request arrives here.
 MIN_PERMIT_REMAINING = timedelta(seconds=2)
-STOP_RETRY_AFTER_MS = 50  # another host can serve the request at once
-EXIT_GRACE_FRACTION = 0.8  # of the grace time, after which open sessions are closed
+EXIT_GRACE_FRACTION = 0.8  # of the grace time, after which running statements are given up
+REPLY_GRACE_FRACTION = 0.85  # of the grace time, until which the last replies may be written
 # A copy of a large configuration takes a second on the slowest links; a second request sooner would
 # slow both down.
 CONFIGURATION_COPY_TIMEOUT = timedelta(seconds=3)
@@ -167,6 +167,7 @@
         self._request_log = RequestLog(metrics)
         self._server: asyncio.Server | None = None
         self._is_stopping = False
+        self._stop_stage = StopStage.SERVING
         self._created_at = clock.now()
         self._configured_after: timedelta | None = None
         self._background = BackgroundTasks()
@@ -219,6 +220,7 @@
             self._request_log,
             self._sessions.discard,
         )
+        session.advance_stop(self._stop_stage)
         self._sessions.add(session)
         self._metrics.sessions.set(len(self._sessions))
         return session
@@ -279,18 +281,21 @@
             self._metrics.sessions.set(len(self._sessions))
 
     async def drain(self) -> None:
-        """Stop accepting callers and close all sessions within the grace time."""
+        """Stop accepting callers and end all sessions within the grace time.
+
+        A session ends with a notice on which its caller closes it; until then what the caller sends
+        is answered.
+        """
         started = self._clock.now()
         grace = timedelta(seconds=self._settings.stop_grace_seconds)
         self._is_stopping = True
         await asyncio.sleep(min(BALANCER_WAIT, grace * TRANSACTION_GRACE_FRACTION).total_seconds())
+        await self._accept_waiting()
         self._stop_accepting()
-        for session in list(self._sessions):
-            session.close_when_idle()
+        self._enter_stop_stage(StopStage.CLOSING_QUIET)
         while self._sessions and self._clock.now() < started + grace * EXIT_GRACE_FRACTION:
             if self._clock.now() >= started + grace * TRANSACTION_GRACE_FRACTION:
-                self._abort_idle_transactions()
-                self._refuse_waiting()
+                self._refuse_new_work()
             await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
         logger.info("sessions_open_at_stop", extra={"count": len(self._sessions)})
         self._failover_manager.close()
@@ -301,9 +306,9 @@
         # can still reply.
         for service in self._services.values():
             service.close()
-        await asyncio.sleep(FLUSH_WAIT.total_seconds())
+        await self._write_last_replies(started + grace * REPLY_GRACE_FRACTION)
         for session in list(self._sessions):
-            session.abort(CutReason.GRACE_OVER)
+            session.close()
         await self._unregister(started + grace * UNREGISTER_GRACE_FRACTION)
         self._peers.close()
         await self._adapters.coordination_store.close()
@@ -317,6 +322,31 @@
             # Its permit is revoked all the same; others take the entry for a host that has ended.
             logger.info("unregister_failed", extra={"error": "the grace time is nearly over"})
 
+    def _enter_stop_stage(self, stage: StopStage) -> None:
+        if stage is self._stop_stage:
+            return
+        self._stop_stage = stage
+        for session in list(self._sessions):
+            session.advance_stop(stage)
+
+    def _refuse_new_work(self) -> None:
+        self._enter_stop_stage(StopStage.REFUSING)
+        for session in list(self._sessions):
+            session.end_idle_transaction()
+        for service in self._services.values():
+            service.refuse_all(make_shutdown_refusal())
+
+    async def _write_last_replies(self, deadline: Instant) -> None:
+        await asyncio.sleep(FLUSH_WAIT.total_seconds())
+        while any(not session.is_settled for session in self._sessions):
+            if self._clock.now() >= deadline:
+                return
+            await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
+
+    async def _accept_waiting(self) -> None:
+        if self._server is not None:
+            await accept_waiting(self._listener, self._make_session)
+
     def _stop_accepting(self) -> None:
         if self._server is None:
             self._listener.close()
@@ -333,22 +363,9 @@
         for service in self._services.values():
             service.close()
         for session in list(self._sessions):
-            session.abort(CutReason.ABORTED)
+            session.abort()
         self._peers.close()
 
-    def _refuse_waiting(self) -> None:
-        result = Result.not_run(
-            ResultCode.SHUTTING_DOWN, "the host is stopping", STOP_RETRY_AFTER_MS
-        )
-        for service in self._services.values():
-            service.refuse_all(result)
-
-    def _abort_idle_transactions(self) -> None:
-        for session in list(self._sessions):
-            transaction = session.open_transaction()
-            if transaction is not None and not session.is_busy:
-                session.abort(CutReason.IDLE_TRANSACTION)
-
     # Services ----------------------------------------------------------------------------------
 
     def _refresh_services(self) -> None:
--- a/hickorywind/host/requestlog.py
+++ b/hickorywind/host/requestlog.py
@@ -5,7 +5,6 @@
 import logging
 from dataclasses import dataclass
 from datetime import timedelta
-from enum import Enum
 
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.transaction import Transaction
@@ -25,20 +24,10 @@
 logger = logging.getLogger(__name__)
 
 
-class CutReason(Enum):
-    """Why a host closed the connection of a caller."""
-
-    QUIET = "quiet"  # asked to close, and no request came for a while
-    IDLE_TRANSACTION = "idle_transaction"  # the time that transactions have to end is over
-    GRACE_OVER = "grace_over"
-    ABORTED = "aborted"  # the host ends at once
-
-
 @dataclass(frozen=True)
 class SessionCut:
     """What a caller may miss when the host closes its connection."""
 
-    reason: CutReason
     unanswered: int  # requests that were decoded and have no reply
     unsent_bytes: int  # of replies
     has_unread_input: bool
@@ -74,14 +63,13 @@
 
     def record_cut(self, database: DatabaseName, cut: SessionCut) -> None:
         """Count a connection that the host closes; log it if the caller may miss something."""
-        self._metrics.sessions_closed.labels(cut.reason.value, str(cut.is_clean).lower()).inc()
+        self._metrics.sessions_closed.labels(str(cut.is_clean).lower()).inc()
         if cut.is_clean:
             return
         logger.info(
             "session_cut",
             extra={
                 "database": database,
-                "reason": cut.reason.value,
                 "unanswered": cut.unanswered,
                 "unsent_bytes": cut.unsent_bytes,
                 "unread_input": cut.has_unread_input,
--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -11,9 +11,10 @@
 from hickorywind.host.autocommit import AutocommitStatement
 from hickorywind.host.backendconnection import StatementTemplate
 from hickorywind.host.fleet import Fleet
-from hickorywind.host.requestlog import CutReason, RequestLog, SessionCut
+from hickorywind.host.requestlog import RequestLog, SessionCut
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.sessioncontext import SessionContext
+from hickorywind.host.stopstage import StopStage, make_shutdown_abort, make_shutdown_refusal
 from hickorywind.host.transaction import Transaction
 from hickorywind.ids import AccessMode, ServiceName
 from hickorywind.ports.catalog import (
@@ -50,7 +51,7 @@
 CONFIGURATION_TIMEOUT = timedelta(milliseconds=1500)
 STARTUP_RETRY_AFTER_MS = 500  # within this time a starting host, or another one, is ready
 CONFIGURATION_POLL_INTERVAL = timedelta(milliseconds=20)
-QUIET_PERIOD = timedelta(milliseconds=250)  # a stopping host closes sessions idle for this long
+QUIET_PERIOD = timedelta(milliseconds=250)  # a stopping host ends sessions idle for this long
 PIPELINE_LIMIT = 64  # unanswered requests of a caller after which the host stops reading
 PREPARED_STATEMENT_LIMIT = 1_000  # for each session
 SESSION_VALUE_LIMIT = 200  # for each session
@@ -89,7 +90,9 @@
         self._context: SessionContext | None = None
         self._transaction: Transaction | None = None
         self._is_busy = False
-        self._close_requested = False
+        self._stop_stage = StopStage.SERVING
+        self._has_announced_end = False
+        self._is_notice_pending = False  # sent, and not yet the error of a request's reply
         self._is_disconnected = False
         self._last_input_at = clock.now()
 
@@ -118,32 +121,44 @@
 
     # Lifecycle ---------------------------------------------------------------------------------
 
-    def open_transaction(self) -> Transaction | None:
-        """Return the open transaction, or None."""
-        return self._transaction
-
     @property
     def is_busy(self) -> bool:
         """Whether a request is being processed or is queued."""
         return self._is_busy or bool(self._pending)
 
-    def close_when_idle(self) -> None:
-        """Close the session as soon as it has no open request or transaction."""
-        self._close_requested = True
+    @property
+    def is_settled(self) -> bool:
+        """Whether all requests that were read have their whole reply written to the socket."""
+        unsent_bytes = 0 if self._transport is None else self._transport.get_write_buffer_size()
+        return not self.is_busy and not unsent_bytes
+
+    def advance_stop(self, stage: StopStage) -> None:
+        """Enter a stage of the host's stop."""
+        self._stop_stage = stage
         self._wake.set()
 
-    def abort(self, reason: CutReason) -> None:
+    def end_idle_transaction(self) -> None:
+        """Roll back an open transaction without a request, and announce the session's end."""
+        if self._transaction is None or self.is_busy or self._has_announced_end:
+            return
+        result = make_shutdown_abort()
+        self._transaction.abort(result)
+        self._transaction.has_failed = True
+        self._announce_end(result)
+
+    def abort(self) -> None:
         """Close the connection at once."""
         if self._transport is not None:
-            self._log_cut(reason)
             self._transport.abort()
 
-    def _log_cut(self, reason: CutReason) -> None:
-        """Log what the caller may miss if its connection is closed now, unless it is nothing."""
-        if self._is_disconnected:
-            return
+    def close(self) -> None:
+        """Close the connection; log what the caller may miss."""
+        if self._transport is not None and not self._is_disconnected:
+            self._log_cut()
+            self._transport.close()
+
+    def _log_cut(self) -> None:
         cut = SessionCut(
-            reason,
             len(self._pending) + self._is_busy,
             self._transport.get_write_buffer_size(),
             has_unread_input(self._transport.get_extra_info("socket")),
@@ -157,14 +172,14 @@
             while not self._is_disconnected:
                 if not self._pending:
                     self._wake.clear()
-                    if not await self._wait_for_request():
-                        break
+                    await self._wait_for_request()
                     continue
                 event = self._pending.popleft()
                 if not self._pending and self._transport is not None:
                     self._transport.resume_reading()
                 self._is_busy = True
-                is_open = await self._handle(event)
+                handle = self._handle_after_notice if self._is_notice_pending else self._handle
+                is_open = await handle(event)
                 self._is_busy = False
                 if not is_open:
                     break
@@ -173,16 +188,14 @@
         finally:
             await self._close()
 
-    def _may_close(self) -> bool:
-        return self._close_requested and self._transaction is None
-
-    async def _wait_for_request(self) -> bool:
-        """Wait for a request; return False if the session should be closed instead."""
-        if self._may_close():
-            return await self._wait_quiet_period()
+    async def _wait_for_request(self) -> None:
+        if self._may_end():
+            if self._refuses_new_work() or await self._is_quiet():
+                self._announce_end(make_shutdown_refusal())
+            return
         if self._transaction is None or not self._transaction.is_pinned:
             await self._wake.wait()
-            return True
+            return
         limit = self._transaction_idle_timeout()
         try:
             async with asyncio.timeout(limit.total_seconds()):
@@ -191,15 +204,49 @@
             # After the process was suspended, a request that arrived in time is seen only now.
             if not self._wake.is_set():
                 await self._transaction.expire()
-        return True
 
-    async def _wait_quiet_period(self) -> bool:
+    # End of a stopping host's sessions ---------------------------------------------------------
+
+    def _may_end(self) -> bool:
+        is_stopping = self._stop_stage is not StopStage.SERVING
+        return is_stopping and self._transaction is None and not self._is_notice_pending
+
+    def _refuses_new_work(self) -> bool:
+        is_refusing = self._stop_stage is StopStage.REFUSING or self._has_announced_end
+        return is_refusing and self._transaction is None
+
+    async def _is_quiet(self) -> bool:
         try:
             async with asyncio.timeout(QUIET_PERIOD.total_seconds()):
                 await self._wake.wait()
         except TimeoutError:
-            self._log_cut(CutReason.QUIET)
-            return False
+            pass
+        # A request may have been decoded in the same iteration of the event loop as the timeout.
+        return not self._wake.is_set()
+
+    def _announce_end(self, result: Result) -> None:
+        """Tell the caller to close the session.
+
+        The host doesn't close it itself, as that would cut off a request that is on its way. Such a
+        request takes the notice for its error, so the end is announced once more after its reply.
+        """
+        self._has_announced_end = self._is_notice_pending = True
+        self._write(self._codec.encode_end_notice(result))
+
+    async def _handle_after_notice(self, event: CallerEvent) -> bool:
+        """Reply to what the caller sent before it saw the notice; return whether to go on."""
+        self._is_notice_pending = False
+        match event:
+            case Request(request_id, statement):
+                pass
+            case MalformedInput(request_id, _, False):
+                statement = None
+            case _:
+                return False
+        self._request_log.record_refusal(request_id, self._database, make_shutdown_refusal())
+        if isinstance(statement, Commit | Rollback):
+            self._transaction = None
+        self._write(self._codec.encode_notice_completion(self._state()))
         return True
 
     def _transaction_idle_timeout(self) -> timedelta:
@@ -234,6 +281,11 @@
                 result = Result.not_run(ResultCode.MALFORMED_MESSAGE, "no session is open yet")
                 self._write(self._codec.encode_refused(result))
                 return False
+            case Request(request_id, _) if self._refuses_new_work():
+                result = make_shutdown_refusal()
+                self._request_log.record_refusal(request_id, self._database, result)
+                self._reply(ProxyFailure(result))
+                return True
             case Request():
                 await self._process_request(event)
                 return True
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -213,9 +213,16 @@
         return pinned
 
     def abandon(self) -> None:
-        """Close the connection at once, which makes the backend server roll back."""
+        """Roll back, as this host may no longer use the primary."""
         reason = "this host may no longer use the primary; the transaction was rolled back"
-        self._abort_result = Result.not_run(ResultCode.TRANSACTION_LOST, reason, RETRY_AFTER_MS)
+        self.abort(Result.not_run(ResultCode.TRANSACTION_LOST, reason, RETRY_AFTER_MS))
+
+    def abort(self, result: Result) -> None:
+        """Close the connection at once, which makes the backend server roll back.
+
+        The reply to the caller's next statement is ``result``.
+        """
+        self._abort_result = result
         pinned = self._unpin()
         if pinned is not None:
             pinned.connection.close()
--- a/hickorywind/observability/hostmetrics.py
+++ b/hickorywind/observability/hostmetrics.py
@@ -46,8 +46,8 @@
         self.sessions = Gauge(f"{_PREFIX}_sessions", "Caller sessions open", registry=registry)
         self.sessions_closed = Counter(
             f"{_PREFIX}_sessions_closed",
-            "Caller connections closed by this host",
-            ("reason", "clean"),
+            "Caller connections closed by this host at the end of its grace time",
+            ("clean",),
             registry=registry,
         )
         self.configuration_version = Gauge(
--- a/hickorywind/platform/lineprotocol.py
+++ b/hickorywind/platform/lineprotocol.py
@@ -135,14 +135,14 @@
 
     def encode_reply(self, reply: Reply, state: TransactionState) -> bytes:
         """Encode a reply with the session's state; callers get no log positions."""
-        ready = f"READY {_LETTER_BY_STATE[state]} -\r\n"
+        ready = _render_ready(state)
         match reply:
             case LocalCompletion():
                 text = f"COMPLETE -\r\n{ready}"
             case RelayedAnswer(answer):
                 text = _render_answer(answer) + ready
             case ProxyFailure(result):
-                text = f"ERROR {_error_code(result)} {_render_error_text(result)}\r\n{ready}"
+                text = _render_error(result) + ready
         return text.encode("utf-8")
 
     def encode_connected(self) -> bytes:
@@ -151,7 +151,23 @@
 
     def encode_refused(self, result: Result) -> bytes:
         """Encode the refusal of a session, after which the connection is closed."""
-        return f"ERROR {_error_code(result)} {_render_error_text(result)}\r\n".encode()
+        return _render_error(result).encode()
+
+    def encode_end_notice(self, result: Result) -> bytes:
+        """Encode the error that tells a caller without an open request to close its session."""
+        return _render_error(result).encode()
+
+    def encode_notice_completion(self, state: TransactionState) -> bytes:
+        """Encode the end of the reply to a request that crossed the notice."""
+        return _render_ready(state).encode()
+
+
+def _render_ready(state: TransactionState) -> str:
+    return f"READY {_LETTER_BY_STATE[state]} -\r\n"
+
+
+def _render_error(result: Result) -> str:
+    return f"ERROR {_error_code(result)} {_render_error_text(result)}\r\n"
 
 
 def _render_answer(answer: Answer) -> str:
--- a/hickorywind/ports/codecs.py
+++ b/hickorywind/ports/codecs.py
@@ -31,6 +31,17 @@
         """Encode the message that refuses a session; the connection is closed after it."""
         ...
 
+    def encode_end_notice(self, result: Result) -> bytes:
+        """Encode the error that tells a caller without an open request to close its session.
+
+        A caller whose next request crosses the notice takes it for the error of that request.
+        """
+        ...
+
+    def encode_notice_completion(self, state: TransactionState) -> bytes:
+        """Encode the end of the reply to a request that crossed the notice, after its error."""
+        ...
+
     def encode_reply(self, reply: Reply, state: TransactionState) -> bytes:
         """Encode the reply to a statement and the session's transaction state after it."""
         ...
--- a/tests/host/test_sessionend.py
+++ b/tests/host/test_sessionend.py
@@ -73,9 +73,9 @@
         self.assertEqual(await self.loop.sock_recv(client, 100), b"READY I -\r\n")
 
     async def test_commit_that_crosses_the_end_of_an_idle_transaction_is_told_that_it_ended(self):
+        await self.client.ask("BEGIN")
         self.stop()
         await asyncio.sleep(REFUSES_NEW_WORK_SECONDS - 0.1)
-        await self.client.ask("BEGIN")
         await self.client.ask("WRITE x 1")
         await asyncio.sleep(0.2)
         answer = await self.client.ask("COMMIT")
@@ -84,9 +84,9 @@
         self.assertEqual(self.group.commits, [])
 
     async def test_rollback_of_a_failed_transaction_is_answered(self):
+        await self.client.ask("BEGIN")
         self.stop()
         await asyncio.sleep(REFUSES_NEW_WORK_SECONDS - 0.1)
-        await self.client.ask("BEGIN")
         await self.client.ask("EXECUTE unknown x")
         await asyncio.sleep(0.2)
         self.assertEqual((await self.client.ask("ROLLBACK"))[-1], "READY I -")
