Answer a request that meets an internal error

Before: the test's caller reads the end of the stream; after: ERROR INDOUBT, READY, and the next write runs.

--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -346,7 +346,10 @@
 
     async def _process_request(self, request: Request) -> None:
         arrived = self._clock.now()
-        reply = await self._execute(request, arrived)
+        try:
+            reply = await self._execute(request, arrived)
+        except Exception:
+            reply = self._handle_internal_error()
         transaction = self._transaction
         if isinstance(request.statement, Commit | Rollback):
             self._transaction = None
@@ -367,6 +370,15 @@
             0 if configuration is None else configuration.version,
         )
 
+    def _handle_internal_error(self) -> Reply:
+        """Log the current exception; end the transaction, as its state is not known."""
+        logger.exception("session_failed", extra={"database": self._database})
+        result = Result.unknown(ResultCode.INTERNAL, "internal error; see the log of this host")
+        if self._transaction is not None:
+            self._transaction.abort(result)
+            self._transaction.has_failed = True
+        return ProxyFailure(result)
+
     def _reply(self, reply: Reply) -> None:
         self._write(self._codec.encode_reply(reply, self._state()))
 
--- a/tests/host/test_endtoend.py
+++ b/tests/host/test_endtoend.py
@@ -1,7 +1,9 @@
 import asyncio
 import unittest
+import unittest.mock
 
 from hickorywind.admission.dispatch import FAILING_TIME_MAX
+from hickorywind.host.autocommit import AutocommitStatement
 from tests.host.harness import CONFIGURATION_KEY, HostTestCase, configuration
 
 
@@ -127,6 +129,15 @@
         self.assertEqual((await other.ask("READ kiln"))[0], "ROW none")
         self.assertEqual(self.group.commits, [])
 
+    async def test_internal_error_leaves_no_request_without_an_answer(self):
+        caller = await self.caller("bookings")
+        with unittest.mock.patch.object(AutocommitStatement, "run", side_effect=KeyError("x")):
+            with self.assertLogs("hickorywind.host.session", "ERROR"):
+                answer = await caller.ask("WRITE x 1")
+        self.assertEqual(answer[0].split(" ")[:2], ["ERROR", "INDOUBT"])
+        self.assertEqual(answer[1:], ["READY I -"])
+        self.assertEqual((await caller.ask("WRITE x 2"))[0], "COMPLETE s.q2")
+
     async def test_session_values_apply_only_to_their_session(self):
         first, second = await self.caller("bookings"), await self.caller("bookings")
         await first.ask("SET lang bengali script")
