Answer reads that a home still runs when their host gives up

What callers saw: a read that the home of a backend server runs for their host ends without an answer when the host stops and the time for running statements is over (0.8 of the grace time): the connection is just closed. Such a read has been passed on to a backend server, so it is lost by the platform's rule, and all sites run with share_reads.

Cause: SharedReads.close() cancels the questions to homes, and the session's task awaits such a question: the cancellation escaped into it and ended it, past every reply.

Change: a cancelled question counts as no reply, and a closed SharedReads asks no other home, so that the read is refused as not run by the closed service. Questions to quota homes are no longer cancelled before the replies are written; they time out long before.

Evidence: the new test reads the end of the stream before, 'READY I -' after.

--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -300,7 +300,6 @@
         logger.info("sessions_open_at_stop", extra={"count": len(self._sessions)})
         self._failover_manager.close()
         self._store_acknowledger.close()
-        self._quotas.close()
         self._reads.close()
         # Closing the backend connections fails the running statements, so that their sessions
         # can still reply.
@@ -309,6 +308,8 @@
         await self._write_last_replies(started + grace * REPLY_GRACE_FRACTION)
         for session in list(self._sessions):
             session.close()
+        # Sessions wait for the answers of quota homes, which come or time out before.
+        self._quotas.close()
         await self._unregister(started + grace * UNREGISTER_GRACE_FRACTION)
         self._peers.close()
         await self._adapters.coordination_store.close()
--- a/hickorywind/host/sharedreads.py
+++ b/hickorywind/host/sharedreads.py
@@ -84,6 +84,7 @@
         self._homes = ReadHomes()
         self._loads = ReportedLoads()
         self._background = BackgroundTasks()
+        self._is_closed = False
 
     def refresh(self) -> None:
         """Apply the hosts that are alive now."""
@@ -117,6 +118,8 @@
         tried: frozenset[BackendId] = frozenset()
         failed: FailedRead | None = None
         while len(tried) < MAX_HOMES_ASKED and not context.has_disconnected:
+            if self._is_closed:
+                return failed
             target = choose_target(service, route, False, context.floor, arrived)
             now = self._clock.now()
             servers = service.eligible_servers(target, tried)
@@ -136,10 +139,10 @@
             server.start_lag_check(target, now)
             read = self._make_read(service, route, context, request, template, server, target)
             reply = await self._ask(home, remaining, read)
-            if reply is None:
+            if reply is None and not self._is_closed:
                 self._homes.record_silence(home, self._clock.now())
                 logger.info("read_home_silent", extra={"peer": home, "backend": server.backend})
-            else:
+            elif reply is not None:
                 answer = self._accept(service, backend, context, target, reply, now)
                 if answer is not None and not self._may_repeat(server, answer, target, failed, now):
                     return answer
@@ -209,6 +212,8 @@
         try:
             while True:
                 await asyncio.wait((question,), timeout=SILENCE_CHECK_DELAY.total_seconds())
+                if question.cancelled():
+                    return None  # this host gives up what it still asks
                 if question.done():
                     reply = question.result()
                     return reply if isinstance(reply, SharedReadReply) else None
@@ -358,7 +363,8 @@
         return PositionReply(query.call, PositionSample(service.name, newest.position, age_ms))
 
     def close(self) -> None:
-        """End the questions under way."""
+        """End the questions under way and ask no more."""
+        self._is_closed = True
         self._background.cancel()
 
 
--- a/tests/host/test_sharedreads.py
+++ b/tests/host/test_sharedreads.py
@@ -5,9 +5,8 @@
 from hickorywind.platform.documents import CONFIGURATION_KEY
 from hickorywind.protocol.messages import SharedRead
 from hickorywind.results import ResultCode
-from tests.host.harness import SERVICE, HostTestCase, RunningHost, configuration
+from tests.host.harness import SERVICE, HostTestCase, configuration
 from tests.host.test_accounts import with_accounts
-from tests.host.virtualtime import Gate, VirtualClock
 
 CONNECTIONS = 10  # of each server, for six hosts
 UNCONNECTED_LIMIT_SECONDS = 0.1  # for a read whose home this host has not heard yet
@@ -16,15 +15,7 @@
 
 class SharedReadsTest(HostTestCase):
     host_count = 6
-
-    def start_host(self, name, settings=None, is_cut=False):
-        clock = VirtualClock(self.loop)
-        changes = {"share_reads": True}
-        self.hosts[name] = Gate(name).run(
-            lambda: RunningHost(
-                name, self.store, self.group, settings, is_cut, clock, changes=changes
-            )
-        )
+    settings_changes = {"share_reads": True}
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -77,6 +68,22 @@
         plain = await self.caller("orders", "h1")
         self.assertEqual((await plain.ask("READ kiln"))[0], "ROW 1")
 
+    async def test_read_that_a_home_still_runs_when_its_host_gives_up_is_answered(self):
+        document = json.loads(configuration(3))
+        for route in document["routes"]:
+            route["timeout_ms"] = 10_000
+        await self.configure(document)
+        homes = {self.home_of(backend) for backend in self.group.servers}
+        name = next(name for name in self.hosts if name not in homes)
+        caller = await self.caller("orders", name)
+        await caller.ask("READ kiln")
+        for server in self.group.servers.values():
+            server.delay_seconds = 2 * self.hosts[name].settings.stop_grace_seconds
+        answer = asyncio.create_task(caller.ask("READ kiln"))
+        await asyncio.sleep(0.1)
+        await self.hosts[name].role.drain()
+        self.assertEqual((await answer)[-1], "READY I -")
+
     async def test_reads_go_on_when_a_home_is_silent_or_killed(self):
         await (await self.caller("bookings")).ask("WRITE kiln 1")
         silent = self.home_of("i-b")
