Let open transactions of a stopping host run until 0.7 of its grace time

The one traced: a statement of a transaction ran from 20.370 to 20.478 s on front-asokwa-12 (SIGTERM at 17.442), was answered, and the transaction was ended as idle at the next tick, 3 s after the signal; 91 transactions ended so.

Cause: transactions that go on were ended together with the refusal of new work, although nothing needs their end before running statements are given up at 0.8 of the grace time.

Change: TRANSACTION_GRACE_FRACTION .7, and a fraction of its own, still .5, for the refusal of new work.

--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -76,7 +76,8 @@
 HOUSEKEEPING_INTERVAL = timedelta(milliseconds=500)
 # After SIGTERM the load balancer sends callers until it has missed two probes, a second apart.
 BALANCER_WAIT = timedelta(milliseconds=2300)
-TRANSACTION_GRACE_FRACTION = 0.5  # of the grace time, for open transactions to end
+NEW_WORK_GRACE_FRACTION = 0.5  # of the grace time, after which new operations are refused
+TRANSACTION_GRACE_FRACTION = 0.7  # of the grace time, for open transactions to end
 FLUSH_WAIT = timedelta(milliseconds=100)  # for the last replies to be written to the sockets
 # A permit that ends sooner may be over before a redirected request arrives here.
 MIN_PERMIT_REMAINING = timedelta(seconds=2)
@@ -289,13 +290,16 @@
         started = self._clock.now()
         grace = timedelta(seconds=self._settings.stop_grace_seconds)
         self._is_stopping = True
-        await asyncio.sleep(min(BALANCER_WAIT, grace * TRANSACTION_GRACE_FRACTION).total_seconds())
+        await asyncio.sleep(min(BALANCER_WAIT, grace * NEW_WORK_GRACE_FRACTION).total_seconds())
         await self._accept_waiting()
         self._stop_accepting()
         self._enter_stop_stage(StopStage.CLOSING_QUIET)
         while self._sessions and self._clock.now() < started + grace * EXIT_GRACE_FRACTION:
-            if self._clock.now() >= started + grace * TRANSACTION_GRACE_FRACTION:
+            spent = self._clock.now() - started
+            if spent >= grace * NEW_WORK_GRACE_FRACTION:
                 self._refuse_new_work()
+            if spent >= grace * TRANSACTION_GRACE_FRACTION:
+                self._end_idle_transactions()
             await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
         logger.info("sessions_open_at_stop", extra={"count": len(self._sessions)})
         self._failover_manager.close()
@@ -332,11 +336,13 @@
 
     def _refuse_new_work(self) -> None:
         self._enter_stop_stage(StopStage.REFUSING)
-        for session in list(self._sessions):
-            session.end_idle_transaction()
         for service in self._services.values():
             service.refuse_all(make_shutdown_refusal())
 
+    def _end_idle_transactions(self) -> None:
+        for session in list(self._sessions):
+            session.end_idle_transaction()
+
     async def _write_last_replies(self, deadline: Instant) -> None:
         await asyncio.sleep(FLUSH_WAIT.total_seconds())
         while any(not session.is_settled for session in self._sessions):
