Answer requests that outlast the stop of their host

What callers would see: a request that still runs when a stopping host closes its connections, at 0.85 of the grace time, ends without an answer.

Cause: service.close() ends only what is sent on a connection of a backend server that is still known. It doesn't reach a statement pinned to a server that was removed (registration gone for 3 s), a connection that is being opened (600 ms), a wait for a quota home, or a request that waits behind one of these. The session was then closed with its request open.

Change: Session.close() answers the current request as unknown (4002) and those behind it as not run, and runs none of them. A reply that comes later is dropped, also where the transport still flushes.

Evidence: the new test reads the end of the stream before, both replies after.

--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -14,7 +14,12 @@
 from hickorywind.host.requestlog import RequestLog, SessionCut
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.sessioncontext import SessionContext
-from hickorywind.host.stopstage import StopStage, make_shutdown_abort, make_shutdown_refusal
+from hickorywind.host.stopstage import (
+    StopStage,
+    make_shutdown_abort,
+    make_shutdown_cut,
+    make_shutdown_refusal,
+)
 from hickorywind.host.transaction import Transaction
 from hickorywind.ids import AccessMode, ServiceName
 from hickorywind.ports.catalog import (
@@ -89,7 +94,7 @@
         self._key = AccountKey("")
         self._context: SessionContext | None = None
         self._transaction: Transaction | None = None
-        self._is_busy = False
+        self._current: CallerEvent | None = None  # being processed
         self._stop_stage = StopStage.SERVING
         self._has_announced_end = False
         self._is_notice_pending = False  # sent, and not yet the error of a request's reply
@@ -124,7 +129,7 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request is being processed or is queued."""
-        return self._is_busy or bool(self._pending)
+        return self._current is not None or bool(self._pending)
 
     @property
     def is_settled(self) -> bool:
@@ -152,14 +157,33 @@
             self._transport.abort()
 
     def close(self) -> None:
-        """Close the connection; log what the caller may miss."""
+        """Reply to open requests and close the connection; log what the caller may miss."""
         if self._transport is not None and not self._is_disconnected:
             self._log_cut()
+            self._give_up_requests()
             self._transport.close()
 
+    def _give_up_requests(self) -> None:
+        """Reply to the current request that its outcome is unknown, and don't run the others."""
+        waiting = [event for event in self._pending if isinstance(event, Request)]
+        self._pending.clear()
+        if not isinstance(self._current, Request):
+            return
+        result = make_shutdown_cut()
+        self._request_log.record_refusal(self._current.request_id, self._database, result)
+        if isinstance(self._current.statement, Commit | Rollback):
+            self._transaction = None
+        elif self._transaction is not None:
+            self._transaction.has_failed = True
+        self._reply(ProxyFailure(result))
+        for request in waiting:
+            refusal = make_shutdown_refusal()
+            self._request_log.record_refusal(request.request_id, self._database, refusal)
+            self._reply(ProxyFailure(refusal))
+
     def _log_cut(self) -> None:
         cut = SessionCut(
-            len(self._pending) + self._is_busy,
+            len(self._pending) + (self._current is not None),
             self._transport.get_write_buffer_size(),
             has_unread_input(self._transport.get_extra_info("socket")),
             self._state(),
@@ -177,10 +201,10 @@
                 event = self._pending.popleft()
                 if not self._pending and self._transport is not None:
                     self._transport.resume_reading()
-                self._is_busy = True
+                self._current = event
                 handle = self._handle_after_notice if self._is_notice_pending else self._handle
                 is_open = await handle(event)
-                self._is_busy = False
+                self._current = None
                 if not is_open:
                     break
         except Exception:
@@ -388,7 +412,7 @@
         return TransactionState.FAILED if self._transaction.has_failed else TransactionState.OPEN
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._is_disconnected:
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
     async def _execute(self, request: Request, arrived: timedelta) -> Reply:
--- a/hickorywind/host/stopstage.py
+++ b/hickorywind/host/stopstage.py
@@ -26,3 +26,9 @@
     """Return the result of an idle transaction that a stopping host ends."""
     reason = "the host is stopping; the transaction was rolled back"
     return Result.not_run(ResultCode.TRANSACTION_LOST, reason, STOP_RETRY_AFTER_MS)
+
+
+def make_shutdown_cut() -> Result:
+    """Return the result of a request that still runs when a stopping host closes its session."""
+    reason = "the host stopped before the backend server answered"
+    return Result.unknown(ResultCode.CONNECTION_LOST, reason)
--- a/tests/host/test_sessionend.py
+++ b/tests/host/test_sessionend.py
@@ -1,6 +1,8 @@
 import asyncio
 import socket
+import unittest.mock
 
+from hickorywind.host.autocommit import AutocommitStatement
 from tests.host.harness import HostTestCase
 
 GRACE_SECONDS = 6.0
@@ -112,6 +114,16 @@
             answer = await self.client.ask("READ x")
         self.assertEqual(answer[-1], "READY I -")
 
+    async def test_requests_still_open_when_the_connection_is_closed_are_answered(self):
+        self.stop()
+        never = asyncio.Event().wait
+        with unittest.mock.patch.object(AutocommitStatement, "run", side_effect=never):
+            self.client.writer.write(b"QUERY a WRITE x 1\r\nQUERY b WRITE x 2\r\n")
+            lines = (await self.client.reader.read()).decode().splitlines()
+        self.assertEqual(lines[0][:20], "ERROR INDOUBT [4002]")
+        self.assertEqual(lines[2][: len(REFUSED)], REFUSED)
+        self.assertEqual(lines[1::2], ["READY I -"] * 2)
+
     async def test_session_is_closed_once_its_caller_has_left(self):
         self.stop()
         self.assertEqual((await self.client.reader.readline())[: len(REFUSED)].decode(), REFUSED)
