Refuse waiting requests also where a late event loop skips that stage

What callers would see: at the stop of a host whose event loop is late, requests that wait for a backend server end without an answer, all of them.

Cause: new work is refused inside the loop of the drain, from 0.5 to 0.8 of the grace time. An iteration that is late by more than that span (1.8 s of 6 s, 0.3 s of 1 s), or by 2.5 s at the wait for the load balancer, skips it: services are closed, but never told to refuse, so reads are retried on closed pools and what waits stays in the queue until the connections are closed. A host that has no sessions never refuses the reads that other hosts ask of it either.

Change: refuse once more after the loop, before the connections are closed.

--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -301,6 +301,8 @@
             if spent >= grace * TRANSACTION_GRACE_FRACTION:
                 self._end_idle_transactions()
             await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
+        # A late event loop may have passed the time in which the loop does this.
+        self._refuse_new_work()
         logger.info("sessions_open_at_stop", extra={"count": len(self._sessions)})
         self._failover_manager.close()
         self._store_acknowledger.close()
--- a/tests/host/test_sessionend.py
+++ b/tests/host/test_sessionend.py
@@ -1,9 +1,11 @@
 import asyncio
+import json
 import socket
 import unittest.mock
 
 from hickorywind.host.autocommit import AutocommitStatement
-from tests.host.harness import HostTestCase
+from hickorywind.platform.documents import CONFIGURATION_KEY
+from tests.host.harness import HostTestCase, configuration
 
 GRACE_SECONDS = 6.0
 ASKED_TO_CLOSE_SECONDS = 2.3  # after SIGTERM
@@ -114,6 +116,22 @@
             answer = await self.client.ask("READ x")
         self.assertEqual(answer[-1], "READY I -")
 
+    async def test_late_event_loop_refuses_what_waits_for_a_backend_server(self):
+        document = json.loads(configuration(2))
+        for route in document["routes"]:
+            route["timeout_ms"] = route["target_latency_ms"] = 2 * GRACE_SECONDS * 1000
+        await self.store.put(CONFIGURATION_KEY, json.dumps(document).encode())
+        callers = [await self.caller("bookings") for _ in range(20)]
+        for caller in callers:
+            await caller.ask("READ x")
+        self.group.servers["i-a"].delay_seconds = 2 * GRACE_SECONDS
+        answers = [asyncio.create_task(caller.ask("READ x")) for caller in callers]
+        self.stop()
+        await asyncio.sleep(ASKED_TO_CLOSE_SECONDS - 0.1)
+        self.loop.advance(GRACE_SECONDS / 2)
+        refusals = {lines[0][: len(REFUSED)] for lines in await asyncio.gather(*answers)}
+        self.assertEqual(refusals, {REFUSED})
+
     async def test_requests_still_open_when_the_connection_is_closed_are_answered(self):
         self.stop()
         never = asyncio.Event().wait
