Go on with the stop where a waiting connection can't be accepted

What callers would see: all requests of a stopping host end without an answer, as its process ends by itself.

Cause: accept_waiting took only BlockingIOError; ConnectionAbortedError (a caller that left the listen queue) or a lack of descriptors or memory escaped from drain(), and from the process. asyncio's own accept loop handles these.

Change: an aborted connection is skipped, any other error ends the accepting and not the stop.

Evidence: the new test failed before with the ConnectionAbortedError out of drain(); it passes.

--- a/hickorywind/util/listening.py
+++ b/hickorywind/util/listening.py
@@ -37,7 +37,9 @@
     while True:
         try:
             connection, _ = listener.accept()
-        except BlockingIOError:
-            return
+        except ConnectionAbortedError:
+            continue
+        except OSError:
+            return  # the queue is empty, or the process has no descriptor left
         connection.setblocking(False)
         await loop.connect_accepted_socket(make_protocol, connection)
--- a/tests/host/test_sessionend.py
+++ b/tests/host/test_sessionend.py
@@ -1,4 +1,5 @@
 import asyncio
+import errno
 import json
 import socket
 import unittest.mock
@@ -86,6 +87,15 @@
         client.send(b"CONNECT bookings u1\r\n")
         self.assertEqual(await self.loop.sock_recv(client, 100), b"READY I -\r\n")
 
+    async def test_connection_that_cannot_be_accepted_does_not_end_the_stop(self):
+        self.stop()
+        await asyncio.sleep(0)
+        errors = [ConnectionAbortedError(), OSError(errno.EMFILE, "too many open files")]
+        with unittest.mock.patch.object(socket.socket, "accept", side_effect=errors):
+            await asyncio.sleep(ASKED_TO_CLOSE_SECONDS + QUIET_SECONDS / 2)
+        self.assertEqual((await self.client.ask("READ x"))[-1], "READY I -")
+        await self.stopping
+
     async def test_commit_that_crosses_the_end_of_an_idle_transaction_is_told_that_it_ended(self):
         await self.keep_transaction_open(ENDS_TRANSACTIONS_SECONDS - 0.1)
         await asyncio.sleep(0.2)
