Don't import asyncio before a starting host listens

What operators would see: a restarted host listens later, so that callers are refused meanwhile.

Change: accept_waiting moves to util/sockets.py, which the start doesn't import. No change of logic.

Evidence: tests.platform.test_startup failed before, passes; tests.host.test_sessionend passes.

--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -66,8 +66,12 @@
 from hickorywind.settings.host import HostSettings
 from hickorywind.util.clock import Clock, Instant, milliseconds, to_milliseconds
 from hickorywind.util.deflate import DeflatedDataError
-from hickorywind.util.listening import BACKLOG, accept_waiting
-from hickorywind.util.sockets import CONNECT_PROBE_TIMEOUT, accepts_connections
+from hickorywind.util.listening import BACKLOG
+from hickorywind.util.sockets import (
+    CONNECT_PROBE_TIMEOUT,
+    accept_waiting,
+    accepts_connections,
+)
 from hickorywind.util.tasks import BackgroundTasks
 
 logger = logging.getLogger(__name__)
--- a/hickorywind/util/listening.py
+++ b/hickorywind/util/listening.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
-from collections.abc import Callable
 
 from hickorywind.ids import Address
 
@@ -23,23 +21,3 @@
         listener.close()
         raise
     return listener
-
-
-async def accept_waiting(
-    listener: socket.socket, make_protocol: Callable[[], asyncio.Protocol]
-) -> None:
-    """Accept the connections in the listen queue of a server that is about to be closed.
-
-    Closing the listening socket would reset them.
-    """
-    loop = asyncio.get_running_loop()
-    loop.remove_reader(listener.fileno())
-    while True:
-        try:
-            connection, _ = listener.accept()
-        except ConnectionAbortedError:
-            continue
-        except OSError:
-            return  # the queue is empty, or the process has no descriptor left
-        connection.setblocking(False)
-        await loop.connect_accepted_socket(make_protocol, connection)
--- a/hickorywind/util/sockets.py
+++ b/hickorywind/util/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 import socket
+from collections.abc import Callable
 from datetime import timedelta
 
 from hickorywind.ids import Address
@@ -60,3 +61,23 @@
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLIN)
     return bool(poll.poll(0))
+
+
+async def accept_waiting(
+    listener: socket.socket, make_protocol: Callable[[], asyncio.Protocol]
+) -> None:
+    """Accept the connections in the listen queue of a server that is about to be closed.
+
+    Closing the listening socket would reset them.
+    """
+    loop = asyncio.get_running_loop()
+    loop.remove_reader(listener.fileno())
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except ConnectionAbortedError:
+            continue
+        except OSError:
+            return  # the queue is empty, or the process has no descriptor left
+        connection.setblocking(False)
+        await loop.connect_accepted_socket(make_protocol, connection)
