Ignore the reload signal until a starting host handles it

What operators would see: a host that gets SIGHUP while it starts ends, with all callers that wait in its listen queue.

Cause: the handler is installed once the rest of the program is imported; until then the default action ends the process. This takes a good part of a second, and more on a host with little processor time.

Change: SIGHUP is ignored from the beginning of main. A change of the settings file that arrives meanwhile takes effect with the next SIGHUP; only the log level depends on it.

Evidence: the new test got -1 before.

--- a/hickorywind/platform/__main__.py
+++ b/hickorywind/platform/__main__.py
@@ -11,6 +11,7 @@
 import gc
 import importlib
 import os
+import signal
 import socket
 import sys
 from types import ModuleType
@@ -28,6 +29,8 @@
 def main() -> int:
     """Run the program and return its exit code."""
     entered_at = BoottimeClock().now()
+    # Until the program handles it: a changed settings file must not end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     settings_path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         settings = load_host_settings(settings_path)
--- a/tests/platform/test_startup.py
+++ b/tests/platform/test_startup.py
@@ -58,6 +58,18 @@
         self.assertEqual(SLOW_TO_IMPORT & set(completed.stdout.split()), set(), completed.stderr)
         self.assertIn("hickorywind.settings.host", completed.stdout.split())
 
+    def test_reload_signal_during_the_import_does_not_end_the_process(self):
+        code = (
+            "import os, signal, sys, types; from hickorywind.platform import __main__ as program\n"
+            "program._import_program = lambda: os.kill(os.getpid(), signal.SIGHUP) or "
+            "types.SimpleNamespace(run=lambda *arguments: 7)\n"
+            "sys.exit(program.main())"
+        )
+        environment = os.environ | {program_main.SETTINGS_VARIABLE: str(self.path)}
+        self.assertEqual(
+            subprocess.run([sys.executable, "-c", code], env=environment).returncode, 7
+        )
+
     def test_address_in_use_is_reported_in_one_line(self):
         with socket.socket() as occupied, contextlib.redirect_stderr(io.StringIO()) as errors:
             occupied.bind((self.callers_address.host, self.callers_address.port))
