Answer requests that are read together with undecodable bytes

What a caller would see: of requests that it sends in one piece, those before a message that is not UTF-8 are never answered; it gets MALFORMED and the end of the connection.

Cause: the lines that were complete before the undecodable one were lost with the exception.

Change: they are decoded and answered first.

Evidence: the new test got one event of two before ('not enough values to unpack').

--- a/hickorywind/platform/lineprotocol.py
+++ b/hickorywind/platform/lineprotocol.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from hickorywind.ids import (
     AccessMode,
     BackendId,
@@ -96,19 +98,18 @@
         self._pending = bytearray()
         self.is_overlong = False
 
-    def feed(self, data: bytes) -> list[str]:
-        """Return the lines completed by ``data``; raise ``UnicodeDecodeError`` if not UTF-8."""
+    def feed(self, data: bytes) -> Iterator[str]:
+        """Yield the lines completed by ``data``; raise ``UnicodeDecodeError`` if not UTF-8."""
         self._pending += data
-        lines = []
         while (end := self._pending.find(_LINE_END)) >= 0:
             if end > MAX_MESSAGE_BYTES:
                 self.is_overlong = True
                 break
-            lines.append(bytes(self._pending[:end]).decode("utf-8"))
+            line = bytes(self._pending[:end])
             del self._pending[: end + len(_LINE_END)]
+            yield line.decode("utf-8")
         if len(self._pending) > MAX_MESSAGE_BYTES:
             self.is_overlong = True
-        return lines
 
 
 class LineCallerCodec:
@@ -122,11 +123,14 @@
         """Parse bytes and return the events that they complete."""
         if self._has_failed:
             return []
+        events = []
         try:
-            events = [_parse_message(line) for line in self._buffer.feed(data)]
+            for line in self._buffer.feed(data):
+                events.append(_parse_message(line))
         except UnicodeDecodeError:
             self._has_failed = True
-            return [MalformedInput(PROXY_REQUEST_ID, "the message is not UTF-8 text", True)]
+            reason = "the message is not UTF-8 text"
+            return [*events, MalformedInput(PROXY_REQUEST_ID, reason, True)]
         if self._buffer.is_overlong:
             self._has_failed = True
             reason = f"the message exceeds {MAX_MESSAGE_BYTES} bytes"
--- a/tests/platform/test_lineprotocol.py
+++ b/tests/platform/test_lineprotocol.py
@@ -72,6 +72,11 @@
     def test_the_proxys_request_id_is_refused(self):
         self.assertIsInstance(self.feed_one(b"QUERY - READ x\r\n"), MalformedInput)
 
+    def test_request_read_together_with_undecodable_bytes_is_not_dropped(self):
+        request, malformed = LineCallerCodec().feed(b"QUERY q READ x\r\nQUERY r READ \xff\r\n")
+        self.assertEqual(request.text, "READ x")
+        self.assertTrue(malformed.is_fatal)
+
     def test_line_break_within_a_message_is_refused(self):
         event = self.feed_one(b"QUERY q WRITE x a\nQUERY r WRITE x b\r\n")
         self.assertTrue(event.is_fatal)
