Log the result that a caller got where its request crossed the notice

What operators saw: request_refused with 5002 for a COMMIT whose caller was told 4004 by the notice before.

Change: the session keeps the notice that it sent instead of a flag, and logs and counts its result. The choice of the handler moves into _handle.

Evidence: the test of the COMMIT that crosses the end of its transaction checks the logged code: 5002 before, 4004 now.

--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -97,7 +97,7 @@
         self._current: CallerEvent | None = None  # being processed
         self._stop_stage = StopStage.SERVING
         self._has_announced_end = False
-        self._is_notice_pending = False  # sent, and not yet the error of a request's reply
+        self._notice: Result | None = None  # sent, and not yet the error of a request's reply
         self._is_disconnected = False
         self._last_input_at = clock.now()
 
@@ -202,8 +202,7 @@
                 if not self._pending and self._transport is not None:
                     self._transport.resume_reading()
                 self._current = event
-                handle = self._handle_after_notice if self._is_notice_pending else self._handle
-                is_open = await handle(event)
+                is_open = await self._handle(event)
                 self._current = None
                 if not is_open:
                     break
@@ -233,7 +232,7 @@
 
     def _may_end(self) -> bool:
         is_stopping = self._stop_stage is not StopStage.SERVING
-        return is_stopping and self._transaction is None and not self._is_notice_pending
+        return is_stopping and self._transaction is None and self._notice is None
 
     def _refuses_new_work(self) -> bool:
         is_refusing = self._stop_stage is StopStage.REFUSING or self._has_announced_end
@@ -254,22 +253,20 @@
         The host doesn't close it itself, as that would cut off a request that is on its way. Such a
         request takes the notice for its error, so the end is announced once more after its reply.
         """
-        self._has_announced_end = self._is_notice_pending = True
+        self._has_announced_end = True
+        self._notice = result
         self._write(self._codec.encode_end_notice(result))
 
-    async def _handle_after_notice(self, event: CallerEvent) -> bool:
+    def _handle_after_notice(self, event: CallerEvent, notice: Result) -> bool:
         """Reply to what the caller sent before it saw the notice; return whether to go on."""
-        self._is_notice_pending = False
         match event:
-            case Request(request_id, statement):
+            case Request(request_id, Commit() | Rollback()):
+                self._transaction = None
+            case Request(request_id, _) | MalformedInput(request_id, _, False):
                 pass
-            case MalformedInput(request_id, _, False):
-                statement = None
             case _:
                 return False
-        self._request_log.record_refusal(request_id, self._database, make_shutdown_refusal())
-        if isinstance(statement, Commit | Rollback):
-            self._transaction = None
+        self._request_log.record_refusal(request_id, self._database, notice)
         self._write(self._codec.encode_notice_completion(self._state()))
         return True
 
@@ -286,6 +283,10 @@
     # Requests ----------------------------------------------------------------------------------
 
     async def _handle(self, event: CallerEvent) -> bool:
+        """Process what the caller sent; return whether the session goes on."""
+        if self._notice is not None:
+            notice, self._notice = self._notice, None
+            return self._handle_after_notice(event, notice)
         match event:
             case Connect(database, client):
                 await self._wait_for_configuration()
--- a/tests/host/test_sessionend.py
+++ b/tests/host/test_sessionend.py
@@ -6,6 +6,7 @@
 
 from hickorywind.host.autocommit import AutocommitStatement
 from hickorywind.platform.documents import CONFIGURATION_KEY
+from hickorywind.results import ResultCode
 from tests.host.harness import HostTestCase, configuration
 
 GRACE_SECONDS = 6.0
@@ -99,7 +100,9 @@
     async def test_commit_that_crosses_the_end_of_an_idle_transaction_is_told_that_it_ended(self):
         await self.keep_transaction_open(ENDS_TRANSACTIONS_SECONDS - 0.1)
         await asyncio.sleep(0.2)
-        answer = await self.client.ask("COMMIT")
+        with self.assertLogs("hickorywind.host.requestlog", "INFO") as logs:
+            answer = await self.client.ask("COMMIT")
+        self.assertEqual(logs.records[0].code, ResultCode.TRANSACTION_LOST)
         self.assertEqual(answer[0][:13], "ERROR ABORTED")
         self.assertEqual(answer[1:], ["READY I -"])
         self.assertEqual(self.group.commits, [])
