Answer requests that are decoded just before the connection is closed

A request that was decoded and that the session's task hasn't begun when the drain closes the connection was dropped; where a notice was sent before, its reply lacks the end.

Change: Session.close() answers these too, the first after a notice by completing it.

--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -165,21 +165,25 @@
 
     def _give_up_requests(self) -> None:
         """Reply to the current request that its outcome is unknown, and don't run the others."""
-        waiting = [event for event in self._pending if isinstance(event, Request)]
-        self._pending.clear()
-        if not isinstance(self._current, Request):
+        waiting, self._pending = self._pending, deque()
+        if self._context is None:
             return
+        if isinstance(self._current, Request):
+            self._give_up(self._current)
+        for event in waiting:
+            if self._notice is not None:
+                self._handle_after_notice(event)
+            elif isinstance(event, Request):
+                self._refuse_at_stop(event)
+
+    def _give_up(self, request: Request) -> None:
         result = make_shutdown_cut()
-        self._request_log.record_refusal(self._current.request_id, self._database, result)
-        if isinstance(self._current.statement, Commit | Rollback):
+        self._request_log.record_refusal(request.request_id, self._database, result)
+        if isinstance(request.statement, Commit | Rollback):
             self._transaction = None
         elif self._transaction is not None:
             self._transaction.has_failed = True
         self._reply(ProxyFailure(result))
-        for request in waiting:
-            refusal = make_shutdown_refusal()
-            self._request_log.record_refusal(request.request_id, self._database, refusal)
-            self._reply(ProxyFailure(refusal))
 
     def _log_cut(self) -> None:
         cut = SessionCut(
@@ -257,8 +261,9 @@
         self._notice = result
         self._write(self._codec.encode_end_notice(result))
 
-    def _handle_after_notice(self, event: CallerEvent, notice: Result) -> bool:
+    def _handle_after_notice(self, event: CallerEvent) -> bool:
         """Reply to what the caller sent before it saw the notice; return whether to go on."""
+        notice, self._notice = self._notice, None
         match event:
             case Request(request_id, Commit() | Rollback()):
                 self._transaction = None
@@ -285,8 +290,7 @@
     async def _handle(self, event: CallerEvent) -> bool:
         """Process what the caller sent; return whether the session goes on."""
         if self._notice is not None:
-            notice, self._notice = self._notice, None
-            return self._handle_after_notice(event, notice)
+            return self._handle_after_notice(event)
         match event:
             case Connect(database, client):
                 await self._wait_for_configuration()
@@ -306,15 +310,18 @@
                 result = Result.not_run(ResultCode.MALFORMED_MESSAGE, "no session is open yet")
                 self._write(self._codec.encode_refused(result))
                 return False
-            case Request(request_id, _) if self._refuses_new_work():
-                result = make_shutdown_refusal()
-                self._request_log.record_refusal(request_id, self._database, result)
-                self._reply(ProxyFailure(result))
+            case Request() if self._refuses_new_work():
+                self._refuse_at_stop(event)
                 return True
             case Request():
                 await self._process_request(event)
                 return True
 
+    def _refuse_at_stop(self, request: Request) -> None:
+        result = make_shutdown_refusal()
+        self._request_log.record_refusal(request.request_id, self._database, result)
+        self._reply(ProxyFailure(result))
+
     async def _wait_for_configuration(self) -> None:
         until = self._clock.now() + CONFIGURATION_TIMEOUT
         while self._fleet.configuration is None and self._clock.now() < until:
--- a/tests/host/test_sessionend.py
+++ b/tests/host/test_sessionend.py
@@ -120,6 +120,18 @@
         await asyncio.sleep(0.2)
         self.assertEqual((await self.client.ask("ROLLBACK"))[-1], "READY I -")
 
+    async def test_requests_decoded_just_before_the_connection_is_closed_are_answered(self):
+        self.stop()
+        self.assertEqual((await self.client.reader.readline())[: len(REFUSED)].decode(), REFUSED)
+        (session,) = self.host.role._sessions
+        session.data_received(b"QUERY a WRITE x 1\r\nQUERY b WRITE x 2\r\n")
+        session.close()
+        lines = (await self.client.reader.read()).decode().splitlines()
+        self.assertEqual(
+            [line[: len(REFUSED)] for line in lines], ["READY I -", REFUSED, "READY I -"]
+        )
+        self.assertEqual(self.group.commits, [])
+
     async def test_session_that_is_never_quiet_ends_without_an_unanswered_request(self):
         self.stop()
         answer = await self.client.ask("READ x")
