End idle transactions also where a late event loop skips that stage

What callers would see: a COMMIT that reaches a stopping host after 0.8 of the grace time is answered INDOUBT, though it never left the host: an iteration that is late by 0.6 s (of 6 s) skips the span from 0.7 to 0.8 in which idle transactions are ended with a notice, and their connections are closed without one. The caller may not repeat such an operation.

Change: end them once more after the loop.

--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -307,6 +307,7 @@
             await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
         # A late event loop may have passed the time in which the loop does this.
         self._refuse_new_work()
+        self._end_idle_transactions()
         logger.info("sessions_open_at_stop", extra={"count": len(self._sessions)})
         self._failover_manager.close()
         self._store_acknowledger.close()
--- a/tests/host/test_sessionend.py
+++ b/tests/host/test_sessionend.py
@@ -157,6 +157,13 @@
         refusals = {lines[0][: len(REFUSED)] for lines in await asyncio.gather(*answers)}
         self.assertEqual(refusals, {REFUSED})
 
+    async def test_late_event_loop_ends_an_idle_transaction_with_a_notice(self):
+        await self.keep_transaction_open(ENDS_TRANSACTIONS_SECONDS - 0.1)
+        self.loop.advance(GRACE_SECONDS * 0.8 - ENDS_TRANSACTIONS_SECONDS + 0.1)
+        await asyncio.sleep(0.05)
+        answer = await self.client.ask("COMMIT")
+        self.assertEqual((answer[0][:13], answer[1:]), ("ERROR ABORTED", ["READY I -"]))
+
     async def test_requests_still_open_when_the_connection_is_closed_are_answered(self):
         self.stop()
         never = asyncio.Event().wait
