--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -66,8 +66,12 @@
 from hickorywind.settings.host import HostSettings
 from hickorywind.util.clock import Clock, Instant, milliseconds, to_milliseconds
 from hickorywind.util.deflate import DeflatedDataError
-from hickorywind.util.listening import BACKLOG, accept_waiting
-from hickorywind.util.sockets import CONNECT_PROBE_TIMEOUT, accepts_connections
+from hickorywind.util.listening import BACKLOG
+from hickorywind.util.sockets import (
+    CONNECT_PROBE_TIMEOUT,
+    accept_waiting,
+    accepts_connections,
+)
 from hickorywind.util.tasks import BackgroundTasks
 
 logger = logging.getLogger(__name__)
@@ -301,6 +305,9 @@
             if spent >= grace * TRANSACTION_GRACE_FRACTION:
                 self._end_idle_transactions()
             await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
+        # A late event loop may have passed the time in which the loop does this.
+        self._refuse_new_work()
+        self._end_idle_transactions()
         logger.info("sessions_open_at_stop", extra={"count": len(self._sessions)})
         self._failover_manager.close()
         self._store_acknowledger.close()
