Leave out malformed store entries of other writers instead of ending the host

Operators saw: another writer left one odd entry among those of the backend servers, very deeply nested, with a number too large or with a port out of range; the processes that read the list ended again and again, or stopped following it.

Cause: each reader listed the errors that it expected of its decoder. RecursionError (nesting, also in a field that is not read) and OverflowError (a duration beyond timedelta, an integer that MessagePack can't hold, a port that connect() refuses) were not among them and left the task that follows the store, or struck later, far from the reader. Class: data of another writer is decoded without one place that says what is valid and what an invalid one raises.

Change: hickorywind.util.decoding decodes and converts, and turns every failure into MalformedDataError with a reason of bounded length; its types bound ports, IPv4 numbers, durations, names and counters (revisions, terms, incarnations, leases), so that what passes can be encoded, compared and connected to. Readers of the store's documents use it. An item that is malformed is logged with key and reason and left out; the others are applied. Records of hosts and leadership raise instead of returning None, so that their log lines carry the reason.

The address and counter types also bound the messages between processes. The simulated fleets of hickorywind_bench gave host 0 port 0, which no process can listen at; their ports begin with 1 now.

--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
@@ -25,12 +26,14 @@
     AvailabilityZone,
     BackendId,
     HostId,
+    Incarnation,
     Revision,
     ServiceName,
     Term,
 )
 from hickorywind.ports.coordination import LeaseId
 from hickorywind.util.clock import Instant
+from hickorywind.util.decoding import NAME, CounterValue, decode
 
 PERMIT_DURATION = timedelta(seconds=7)  # outlasts the store's usual outages
 PERMIT_RENEWAL_INTERVAL = timedelta(seconds=1)  # six attempts within a permit
@@ -68,7 +71,7 @@
 
     primary: BackendId
     phase: LeadershipPhase
-    change: int
+    change: CounterValue
     promoter: HostId = HostId("")
     candidate: BackendId = BackendId("")
     is_planned: bool = False
@@ -83,33 +86,31 @@
     stopped using the primary. It is written where peers may not have received the confirmation.
     """
 
-    host: HostId
-    incarnation: int
-    zone: AvailabilityZone
+    host: Annotated[HostId, NAME]
+    incarnation: Incarnation
+    zone: Annotated[AvailabilityZone, NAME]
     address: Address
     lease: LeaseId
     stopped: dict[ServiceName, Revision] = {}
 
 
+_leadership_decoder = msgspec.json.Decoder(LeadershipRecord)
+_host_decoder = msgspec.json.Decoder(HostRecord)
+
+
 def encode_record(record: LeadershipRecord | HostRecord) -> bytes:
     """Encode a record for the store."""
     return msgspec.json.encode(record)
 
 
-def decode_leadership(value: bytes) -> LeadershipRecord | None:
-    """Decode a leadership record; return None if it is malformed."""
-    try:
-        return msgspec.json.decode(value, type=LeadershipRecord)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
+def decode_leadership(value: bytes) -> LeadershipRecord:
+    """Decode a leadership record; raise ``MalformedDataError``."""
+    return decode(_leadership_decoder, value)
 
 
-def decode_host(value: bytes) -> HostRecord | None:
-    """Decode a host's registration; return None if it is malformed."""
-    try:
-        return msgspec.json.decode(value, type=HostRecord)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
+def decode_host(value: bytes) -> HostRecord:
+    """Decode a host's registration; raise ``MalformedDataError``."""
+    return decode(_host_decoder, value)
 
 
 @dataclass(frozen=True, slots=True)
--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -26,6 +26,7 @@
 from hickorywind.protocol.messages import CopiedItem, CopyReply
 from hickorywind.store.interface import StoredValue
 from hickorywind.util.clock import Clock, Instant
+from hickorywind.util.decoding import MalformedDataError
 
 logger = logging.getLogger(__name__)
 
@@ -263,9 +264,12 @@
                 continue
             item = change.item
             service = ServiceName(item.key.removeprefix(LEADERSHIP_PREFIX))
-            record = decode_leadership(item.value)
-            if record is None:
-                logger.error("leadership_unreadable", extra={"service": service})
+            try:
+                record = decode_leadership(item.value)
+            except MalformedDataError as error:
+                logger.error(
+                    "leadership_unreadable", extra={"service": service, "error": str(error)}
+                )
                 continue
             if self.permits.learn(service, VersionedLeadership(record, item.revision)):
                 logger.info(
@@ -288,9 +292,8 @@
     """Decode registrations of hosts; skip and log invalid ones."""
     records = []
     for item in items:
-        record = decode_host(item.value)
-        if record is None:
-            logger.error("host_record_unreadable", extra={"key": item.key})
-        else:
-            records.append(record)
+        try:
+            records.append(decode_host(item.value))
+        except MalformedDataError as error:
+            logger.error("host_record_unreadable", extra={"key": item.key, "error": str(error)})
     return tuple(records)
--- a/hickorywind/host/silenthosts.py
+++ b/hickorywind/host/silenthosts.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from hickorywind.failover.leadership import Fencing, HostFencingState, HostRecord, decode_host
+from hickorywind.failover.leadership import Fencing, HostFencingState, HostRecord
 from hickorywind.host.fencer import FENCING_POLL_INTERVAL
-from hickorywind.host.fleet import HOSTS_PREFIX, Fleet
+from hickorywind.host.fleet import HOSTS_PREFIX, Fleet, decode_hosts
 from hickorywind.host.leadershipstore import LeadershipStore
 from hickorywind.host.peers import Peers
 from hickorywind.ids import HostId
@@ -82,7 +82,8 @@
                 *(
                     self._fence_host(item, record)
                     for item in snapshot.items
-                    if (record := _decode_if_silent(item, silent)) is not None
+                    for record in decode_hosts((item,))
+                    if silent.get(record.host) == record.incarnation
                 )
             )
         except StoreUnavailableError as error:
@@ -123,9 +124,3 @@
         else:
             state = HostFencingState.SILENT
         self._probes[key] = _Probe(state, self._fleet.now())
-
-
-def _decode_if_silent(item: StoredValue, silent: dict[HostId, int]) -> HostRecord | None:
-    record = decode_host(item.value)
-    is_silent = record is not None and silent.get(record.host) == record.incarnation
-    return record if is_silent else None
--- a/hickorywind/ids.py
+++ b/hickorywind/ids.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from hickorywind.util.decoding import CounterValue, Ipv4Text, Port
+
 HostId = NewType("HostId", str)
 AvailabilityZone = NewType("AvailabilityZone", str)
 Region = NewType("Region", str)
@@ -16,9 +18,9 @@
 UserName = NewType("UserName", str)  # name with which a caller logs in at an entry
 RequestId = NewType("RequestId", int)
 TransactionId = NewType("TransactionId", int)
-Incarnation = NewType("Incarnation", int)
-Term = NewType("Term", int)
-Revision = NewType("Revision", int)
+Incarnation = NewType("Incarnation", CounterValue)
+Term = NewType("Term", CounterValue)
+Revision = NewType("Revision", CounterValue)
 
 
 class Rank(Enum):
@@ -57,8 +59,8 @@
 class Address(msgspec.Struct, frozen=True, order=True, array_like=True):
     """IP address and port of a TCP endpoint."""
 
-    host: str
-    port: int
+    host: Ipv4Text
+    port: Port
 
     @classmethod
     def from_text(cls, text: str) -> Address:
@@ -80,7 +82,7 @@
     """
 
     term: Term
-    offset: int
+    offset: CounterValue
 
     @classmethod
     def from_text(cls, text: str) -> LogPosition:
--- a/hickorywind/platform/documents.py
+++ b/hickorywind/platform/documents.py
@@ -5,12 +5,11 @@
 import logging
 from datetime import timedelta
 from types import MappingProxyType
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
 from hickorywind.ids import (
-    Address,
     AvailabilityZone,
     BackendId,
     InstanceRole,
@@ -36,6 +35,14 @@
 from hickorywind.store.interface import StoredValue
 from hickorywind.util.addresses import parse_address
 from hickorywind.util.clock import milliseconds
+from hickorywind.util.decoding import (
+    NAME,
+    CounterValue,
+    MalformedDataError,
+    Milliseconds,
+    convert,
+    decode,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -45,37 +52,40 @@
 _DEFAULT_MAX_STALENESS_MS = 1_000  # if the route sets no bound
 _DEFAULT_STATEMENT_TIMEOUT_MS = 2_000  # if the route sets no statement timeout
 _DEFAULT_LATENCY_OBJECTIVE_MS = 2_000  # if the route sets no latency target
+_LAST_UNIX_MS = 253_402_300_799_999  # in the year 9999; greater ones are of another unit
+
+_OperationCount = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 
 
 class _WireRoute(msgspec.Struct):
     database: str
-    backend: str  # name of the service, not of a backend server
+    backend: Annotated[str, NAME]  # name of the service, not of a backend server
     route_type: Literal["primary", "bounded_staleness", "read_your_writes"]
-    timeout_ms: float = _DEFAULT_STATEMENT_TIMEOUT_MS
-    target_latency_ms: float = _DEFAULT_LATENCY_OBJECTIVE_MS
-    priority: int = 0
-    max_staleness_ms: float = _DEFAULT_MAX_STALENESS_MS
+    timeout_ms: Milliseconds = _DEFAULT_STATEMENT_TIMEOUT_MS
+    target_latency_ms: Milliseconds = _DEFAULT_LATENCY_OBJECTIVE_MS
+    priority: CounterValue = 0
+    max_staleness_ms: Milliseconds = _DEFAULT_MAX_STALENESS_MS
     public: bool = False
 
 
 class _WireAccount(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    rate_per_s: float | None = None
-    burst: float | None = None
+    rate_per_s: _OperationCount | None = None
+    burst: _OperationCount | None = None
 
 
 class _WireService(msgspec.Struct):
-    name: str
-    max_conns: int
+    name: Annotated[str, NAME]
+    max_conns: CounterValue
 
 
 class _WireLimits(msgspec.Struct):
-    tx_idle_ms: float = 3_000
+    tx_idle_ms: Milliseconds = 3_000
 
 
 class _WireConfiguration(msgspec.Struct):
-    version: int
+    version: CounterValue
     routes: list[_WireRoute]
     backends: list[_WireService]
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
@@ -83,12 +93,12 @@
 
 
 class _WireRegistration(msgspec.Struct):
-    backend: str  # name of the service that the backend server belongs to
+    backend: Annotated[str, NAME]  # name of the service that the backend server belongs to
     address: str
-    zone: str
-    slots: int
+    zone: Annotated[str, NAME]
+    slots: CounterValue
     state: Literal["ready", "draining"]
-    born: int
+    born: Annotated[int, msgspec.Meta(ge=0, le=_LAST_UNIX_MS)]
     db_role: Literal["primary", "replica"] = "replica"
 
 
@@ -96,11 +106,15 @@
 _registration_decoder = msgspec.json.Decoder(_WireRegistration)
 
 
+def _check_name(text: str) -> str:
+    return msgspec.convert(text, Annotated[str, NAME])
+
+
 def decode_configuration(item: StoredValue) -> ProxyConfiguration | None:
     """Decode the operators' configuration; log an error and return None if it is invalid."""
     try:
-        wire = _configuration_decoder.decode(item.value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        wire = decode(_configuration_decoder, item.value)
+    except MalformedDataError as error:
         logger.error(
             "configuration_unreadable", extra={"revision": item.revision, "error": str(error)}
         )
@@ -176,14 +190,15 @@
 def decode_backend(item: StoredValue) -> BackendServer | None:
     """Decode a backend server's registration; log a warning and return None if it is invalid."""
     try:
-        wire = _registration_decoder.decode(item.value)
-        address: Address = parse_address(wire.address)
-    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as error:
+        wire = decode(_registration_decoder, item.value)
+        address = convert(wire.address, parse_address)
+        backend = convert(item.key.removeprefix(BACKENDS_PREFIX), _check_name)
+    except MalformedDataError as error:
         logger.warning("registration_unreadable", extra={"key": item.key, "error": str(error)})
         return None
     is_ready = wire.state == "ready"
     return BackendServer(
-        backend=BackendId(item.key.removeprefix(BACKENDS_PREFIX)),
+        backend=BackendId(backend),
         service=ServiceName(wire.backend),
         address=address,
         zone=AvailabilityZone(wire.zone),
--- a/hickorywind/ports/coordination.py
+++ b/hickorywind/ports/coordination.py
@@ -11,8 +11,9 @@
 from hickorywind.ids import BackendId, HostId, Revision, ServiceName
 from hickorywind.ports.catalog import BackendServer, ProxyConfiguration
 from hickorywind.store.interface import StoredValue
+from hickorywind.util.decoding import CounterValue
 
-LeaseId = NewType("LeaseId", int)
+LeaseId = NewType("LeaseId", CounterValue)
 FencingToken = NewType("FencingToken", int)
 
 
--- a/hickorywind_bench/slopes/configuration.py
+++ b/hickorywind_bench/slopes/configuration.py
@@ -51,7 +51,7 @@
             _ZONE_NAMES[index % len(_ZONE_NAMES)],
             Incarnation(0),
             MemberState.ALIVE,
-            Address("10.0.0.0", index),
+            Address("10.0.0.0", index + 1),
         )
         for index in range(hosts)
     ]
--- a/hickorywind_bench/slopes/fleet.py
+++ b/hickorywind_bench/slopes/fleet.py
@@ -59,11 +59,11 @@
         identity = HostIdentity(
             HostId(f"h{index}"),
             self._zone_of(index),
-            Address("10.0.0.0", index),
+            Address("10.0.0.0", index + 1),
         )
         directory = Directory()
         self.setup(directory)
-        seeds = [Address("10.0.0.0", seed) for seed in range(_SEED_COUNT)]
+        seeds = [Address("10.0.0.0", seed + 1) for seed in range(_SEED_COUNT)]
         rng = random.Random(self.rng.random())
         self.gossipers[index] = Gossiper(identity, Incarnation(incarnation), directory, rng, seeds)
         self.stopped.discard(index)
@@ -93,7 +93,7 @@
         for action in actions:
             match action.target:
                 case ToAddress(address):
-                    target = address.port
+                    target = address.port - 1
                 case ToPeer(peer):
                     target = int(peer)
             data = encode(action.message)
--- a/hickorywind_bench/slopes/membership.py
+++ b/hickorywind_bench/slopes/membership.py
@@ -59,7 +59,7 @@
             _ZONE_NAMES[index % len(_ZONE_NAMES)],
             Incarnation(1),
             MemberState.ALIVE,
-            Address("10.0.0.0", index),
+            Address("10.0.0.0", index + 1),
         )
         for index in range(hosts)
     ]
--- a/tests/failover/test_leadership.py
+++ b/tests/failover/test_leadership.py
@@ -20,6 +20,7 @@
     decode_leadership,
     encode_record,
 )
+from hickorywind.util.decoding import MalformedDataError
 
 SERVICE = "ledger"
 START = timedelta(seconds=100)
@@ -118,12 +119,13 @@
         self.assertIsNone(self.usable())
         self.assertTrue(self.permits.may_finish(SERVICE, "i-a", START))
 
-    def test_records_round_trip_and_bad_bytes_are_none(self):
+    def test_records_round_trip_and_bad_bytes_are_malformed(self):
         record = versioned(5).record
         self.assertEqual(decode_leadership(encode_record(record)), record)
         for data in (b"", b"{}", b"\xff", b'{"primary": 3}'):
-            self.assertIsNone(decode_leadership(data))
-            self.assertIsNone(decode_host(data))
+            for decode in (decode_leadership, decode_host):
+                with self.assertRaises(MalformedDataError):
+                    decode(data)
 
 
 class FencingTest(unittest.TestCase):
--- /dev/null
+++ b/tests/host/test_malformedentries.py
@@ -0,0 +1,144 @@
+"""Store entries of another writer that no host can use, beside those that all hosts need."""
+
+import asyncio
+import json
+
+from hickorywind.failover.leadership import LeadershipPhase, LeadershipRecord, encode_record
+from hickorywind.host.fleet import HOSTS_PREFIX
+from hickorywind.ids import Revision
+from hickorywind.platform.documents import BACKENDS_PREFIX, CONFIGURATION_KEY
+from tests.host.harness import SERVICE, HostTestCase, configuration, registration
+
+DEEP = b"[" * 50_000 + b"]" * 50_000
+HUGE = b"9" * 400  # greater than any float
+
+
+class MalformedEntryCase(HostTestCase):
+    host_count = 2
+
+    def entries(self):
+        """Return registrations that name no usable server, by class of fault."""
+        good = registration(self.group.servers["i-b"])
+        document = json.loads(good)
+        return {
+            "nested deeply in an unread field": good[:-1] + b', "x": ' + DEEP + b"}",
+            "nested deeply in a read field": good.replace(b'"z1"', DEEP),
+            "nested deeply": DEEP,
+            "slots too large": good.replace(b'"slots": 3', b'"slots": ' + HUGE),
+            "slots infinite": good.replace(b'"slots": 3', b'"slots": 1e400'),
+            "start too late": good.replace(b'"born": 1', b'"born": ' + HUGE),
+            "port too large": _with_port(document, "99999999999"),
+            "port zero": _with_port(document, "0"),
+            "not UTF-8": good.replace(b"z1", b"\xff\xfe"),
+            "lone surrogate": good.replace(b"z1", b"\\ud800"),
+            "line break in a name": good.replace(b'"ledger"', b'"ledger x\\r\\nQUERY"'),
+            "empty name": good.replace(b'"ledger"', b'""'),
+            "list": b"[]",
+            "empty": b"",
+        }
+
+    async def put_all(self):
+        for number, value in enumerate(self.entries().values()):
+            await self.store.put(f"{BACKENDS_PREFIX}i-odd{number}", value)
+        await self.store.put(f"{BACKENDS_PREFIX}i odd\r\n", registration(self.group.servers["i-b"]))
+
+    async def check_follows(self, host):
+        """Check that a host serves, uses the other servers alone and follows later changes."""
+        fleet = self.hosts[host].role._fleet
+        await self.wait_until(lambda: self.hosts[host].role.is_ready)
+        await self.wait_until(lambda: len(fleet.backends) == len(self.group.servers))
+        self.assertEqual(set(fleet.backends), set(self.group.servers))
+        await self.register(self.group.servers["i-c"], born=2)
+        await self.wait_until(lambda: fleet.backends["i-c"].started_at_ms == 2)
+        await self.store.put(CONFIGURATION_KEY, configuration(9))
+        await self.wait_until(lambda: fleet.configuration.version == 9)
+        await self.wait_until(lambda: self.hosts[host].primary() is not None)
+        caller = await self.caller("bookings", host)
+        self.assertEqual((await caller.ask("WRITE kiln 7"))[0], "COMPLETE s.q1")
+        self.assertFalse(self.hosts[host].task.done())
+
+
+class RegistrationTest(MalformedEntryCase):
+    async def test_host_that_starts_beside_malformed_entries_uses_the_others(self):
+        await self.put_all()
+        self.start_host("h2")
+        await self.check_follows("h2")
+
+    async def test_host_follows_the_store_past_each_malformed_entry(self):
+        for fault, value in self.entries().items():
+            with self.subTest(fault):
+                await self.store.put(BACKENDS_PREFIX + "i-odd", value)
+                await asyncio.sleep(1)
+                for host in self.hosts.values():
+                    self.assertFalse(host.task.done())
+        await self.check_follows("h0")
+
+    async def test_host_that_gets_malformed_entries_from_a_peer_uses_the_others(self):
+        await self.put_all()
+        await asyncio.sleep(1)
+        await self.restart_host("h1", is_cut=True)
+        fleet = self.hosts["h1"].role._fleet
+        await self.wait_until(lambda: set(fleet.backends) == set(self.group.servers))
+        self.hosts["h1"].coordinator.is_cut = False
+        await self.check_follows("h1")
+
+
+class ConfigurationTest(MalformedEntryCase):
+    async def test_configuration_beyond_any_range_keeps_the_current_one_in_force(self):
+        good = configuration(2)
+        for value in (
+            good[:-1] + b', "x": ' + DEEP + b"}",
+            good.replace(b'"timeout_ms": 1000', b'"timeout_ms": 1e300'),
+            good.replace(b'"timeout_ms": 1000', b'"timeout_ms": ' + HUGE),
+            good.replace(b'"version": 2', b'"version": ' + HUGE),
+            good.replace(b'"max_conns": 40', b'"max_conns": ' + HUGE),
+        ):
+            await self.store.put(CONFIGURATION_KEY, value)
+            await asyncio.sleep(1)
+        for host in self.hosts.values():
+            self.assertFalse(host.task.done())
+            self.assertEqual(host.role._fleet.configuration.version, 1)
+        await self.check_follows("h0")
+
+
+class HostRegistrationTest(MalformedEntryCase):
+    async def test_malformed_registration_of_a_host_neither_stops_greetings_nor_a_new_primary(self):
+        good = {"host": "h9", "incarnation": 1, "zone": "z1", "address": ["127.0.0.1", 1]}
+        for number, changes in enumerate(
+            (
+                {"incarnation": 2**70},
+                {"lease": 2**70},
+                {"address": ["127.0.0.1", 99_999]},
+                {"address": ["no host", 0]},
+                {"stopped": {SERVICE: -(2**70)}},
+            )
+        ):
+            record = {"lease": 5, **good, "host": f"h9{number}", **changes}
+            await self.store.put(f"{HOSTS_PREFIX}h9{number}", json.dumps(record).encode())
+        await self.store.put(HOSTS_PREFIX + "h99", b'{"x": ' + DEEP + b"}")
+        self.start_host("h2")
+        await self.check_follows("h2")
+        await asyncio.sleep(3)
+        for name, host in self.hosts.items():
+            alive = set(host.role._peers.table.alive())
+            self.assertEqual(alive, self.hosts.keys() - {name})
+        await self.group.primary.crash()
+        await self.wait_until(lambda: self.group.promotions)
+
+
+class LeadershipTest(MalformedEntryCase):
+    async def test_malformed_leadership_record_of_another_service_stops_nothing(self):
+        key = "hickorywind/services/other"
+        await self.store.put(key, b'{"x": ' + DEEP + b"}")
+        record = encode_record(LeadershipRecord("i-x", LeadershipPhase.OPEN, 2))
+        await self.store.put(key, record.replace(b'"change":2', b'"change":' + HUGE))
+        await asyncio.sleep(1)
+        self.assertIsNone(self.hosts["h0"].role._fleet.permits.leadership("other"))
+        self.assertGreater(
+            self.hosts["h0"].role._fleet.copies["hickorywind/services/"].as_of, Revision(0)
+        )
+        await self.check_follows("h0")
+
+
+def _with_port(document, port):
+    return json.dumps({**document, "address": f"127.0.0.1:{port}"}).encode()
