Count a backend server whose entry becomes unreadable as unregistered

Seen: an entry that was valid and is overwritten with one that can't be read left its server in use at every host that had read it before, for as long as the entry stayed, and unknown to every host that started later. Hosts with the same store thus disagreed about which servers there are, and a server that had left behind such an entry was used on.

Cause: only deletions started the grace time after which a server counts as gone; an unreadable write was ignored.

A server that writes its entry again within that time is not interrupted. The last valid configuration stays in force as before: without one nothing can be served.

Before: test_entry_that_becomes_malformed_names_no_server_until_it_is_valid_again fails with TimeoutError (the server is still in use after 12 s of virtual time). After: it passes, with tests.host.test_endtoend.

--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -211,14 +211,14 @@
                 case ItemWritten(item):
                     self._apply_backend(item, source)
                 case ItemDeleted(key, _):
-                    backend = BackendId(key.removeprefix(self._schema.backends_prefix))
-                    if backend in self.backends:
-                        self._missing_since.setdefault(backend, self._clock.now())
+                    self._record_missing_backend(key)
         self._notify_backend_listeners()
 
     def _apply_backend(self, item: StoredValue, source: str) -> None:
         decoded = self._schema.decode_backend(item)
         if decoded is None:
+            # Hosts that start now don't know what the entry held before.
+            self._record_missing_backend(item.key)
             return
         self._missing_since.pop(decoded.backend, None)
         known = self.backends.get(decoded.backend)
@@ -239,8 +239,13 @@
             },
         )
 
+    def _record_missing_backend(self, key: str) -> None:
+        backend = BackendId(key.removeprefix(self._schema.backends_prefix))
+        if backend in self.backends:
+            self._missing_since.setdefault(backend, self._clock.now())
+
     def remove_missing_backends(self) -> None:
-        """Remove backend servers that have been unregistered for ``MISSING_BACKEND_GRACE``."""
+        """Remove backend servers without a valid registration for ``MISSING_BACKEND_GRACE``."""
         now = self._clock.now()
         removed = [
             key
--- a/tests/host/test_malformedentries.py
+++ b/tests/host/test_malformedentries.py
@@ -4,7 +4,7 @@
 import json
 
 from hickorywind.failover.leadership import LeadershipPhase, LeadershipRecord, encode_record
-from hickorywind.host.fleet import HOSTS_PREFIX
+from hickorywind.host.fleet import HOSTS_PREFIX, MISSING_BACKEND_GRACE
 from hickorywind.ids import Revision
 from hickorywind.platform.documents import BACKENDS_PREFIX, CONFIGURATION_KEY
 from tests.host.harness import SERVICE, HostTestCase, configuration, registration
@@ -82,6 +82,16 @@
         self.hosts["h1"].coordinator.is_cut = False
         await self.check_follows("h1")
 
+    async def test_entry_that_becomes_malformed_names_no_server_until_it_is_valid_again(self):
+        fleets = [host.role._fleet for host in self.hosts.values()]
+        key = BACKENDS_PREFIX + "i-c"
+        await self.store.put(key, DEEP)
+        await asyncio.sleep(MISSING_BACKEND_GRACE.total_seconds() / 2)
+        self.assertTrue(all("i-c" in fleet.backends for fleet in fleets))
+        await self.wait_until(lambda: not any("i-c" in fleet.backends for fleet in fleets))
+        await self.register(self.group.servers["i-c"])
+        await self.wait_until(lambda: all("i-c" in fleet.backends for fleet in fleets))
+
 
 class ConfigurationTest(MalformedEntryCase):
     async def test_configuration_beyond_any_range_keeps_the_current_one_in_force(self):
