Decode the items of a store answer one by one

Seen while looking for the cause of odd entries elsewhere: an item of a range or watch without a value or revision raised KeyError or TypeError, and an answer that is nested deeply RecursionError. None of them is StoreUnavailableError, so they end the task that follows the store, and with it the host; repeated with each read, as the item stays. Whether the platform's store ever returns such an item is not known; its values come from any writer, and base64 was the only fault handled.

Change: each item is checked and converted by itself. One without a usable key or revision is logged (item_unreadable) and left out, the others are used; a page whose last item has no key can't be continued and is an unavailable store, as is an answer that can't be decoded at all. Keys that can't be encoded as UTF-8 again are left out, since they could not be passed on to other hosts.

Before: test_item_that_can_not_be_decoded_is_left_out_and_the_others_are_read fails with KeyError: 'value'; test_malformed_response_is_an_unavailable_store fails for 5 of 9 bodies (RecursionError, TypeError, KeyError; as_of of 1e400 was accepted). After: both pass.

--- a/hickorywind/platform/storeclient.py
+++ b/hickorywind/platform/storeclient.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import json
 import logging
 from collections.abc import Sequence
@@ -11,6 +10,8 @@
 from typing import Any
 from urllib.parse import urlencode
 
+import msgspec
+
 from hickorywind.ids import Address, BackendId, HostId, Revision, ServiceName
 from hickorywind.ports.coordination import (
     AnswerTooLargeError,
@@ -29,6 +30,7 @@
     Snapshot,
 )
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
+from hickorywind.util.decoding import MalformedDataError, convert
 from hickorywind.util.httpclient import HttpAnswerTooLargeError, HttpCallError, HttpClient
 
 logger = logging.getLogger(__name__)
@@ -38,6 +40,15 @@
 _MAX_PAGES = 100  # limit of one range read
 
 
+class _WireItem(msgspec.Struct):
+    """Item of the store, or the deletion of one, which has no value."""
+
+    key: str
+    revision: Revision
+    value: str | None = None
+    deleted: Any = False
+
+
 class PlatformClient:
     """Client of the store and the platform's control interface over pooled connections.
 
@@ -75,11 +86,17 @@
             _, body = await self._call(
                 "GET", "/-/kv-range", query, (200,), timeout=timeout, max_bytes=max_bytes
             )
-            items += [_decode_item(item) for item in _required_field(body, "items")]
-            as_of = _required_field(body, "as_of") if as_of is None else as_of
-            if not _required_field(body, "has_more") or not _required_field(body, "items"):
+            rows = _required_field(body, "items", list)
+            items += [
+                change.item for change in _decode_changes(rows) if isinstance(change, ItemWritten)
+            ]
+            as_of = _required_field(body, "as_of", Revision) if as_of is None else as_of
+            if not _required_field(body, "has_more", Any) or not rows:
                 break
-            query = {"prefix": prefix, "after": items[-1].key}
+            last_key = _key_of(rows[-1])
+            if last_key is None:
+                raise StoreUnavailableError("invalid response: the last item has no key")
+            query = {"prefix": prefix, "after": last_key}
         return Snapshot(tuple(items), Revision(as_of or 0))
 
     async def watch(
@@ -97,8 +114,8 @@
         )
         if status == 410:
             return HistoryCompacted()
-        changes = tuple(_decode_change(event) for event in _required_field(body, "events"))
-        return ChangeBatch(changes, Revision(_required_field(body, "as_of")))
+        changes = _decode_changes(_required_field(body, "events", list))
+        return ChangeBatch(changes, _required_field(body, "as_of", Revision))
 
     async def transact(
         self, conditions: Sequence[Condition], puts: Sequence[Put], deletes: Sequence[str] = ()
@@ -118,14 +135,14 @@
             "POST", "/-/kv-txn", body=body, accepted_statuses=(200, 412)
         )
         return (
-            Conflict() if status == 412 else Committed(Revision(_required_field(reply, "revision")))
+            Conflict() if status == 412 else Committed(_required_field(reply, "revision", Revision))
         )
 
     async def grant_lease(self, ttl: timedelta) -> LeaseId:
         """Create a lease that ends after ``ttl`` without a renewal."""
         body = {"ttl_ms": ttl // timedelta(milliseconds=1)}
         _, reply = await self._call("POST", "/-/kv-lease", body=body, accepted_statuses=(200,))
-        return LeaseId(_required_field(reply, "lease"))
+        return _required_field(reply, "lease", LeaseId)
 
     async def renew_lease(self, lease: LeaseId) -> bool:
         """Renew a lease; return False if it has ended."""
@@ -171,7 +188,7 @@
         address: Address | None = None,
         max_bytes: int | None = None,
     ) -> tuple[int, dict[str, Any]]:
-        target = path if query is None else f"{path}?{urlencode(query)}"
+        target = path if query is None else f"{path}?{urlencode(query, errors='surrogatepass')}"
         try:
             answer = await self._client.call(
                 address or self._store,
@@ -195,28 +212,47 @@
     if not data:
         return {}
     try:
-        body = json.loads(data)
-    except ValueError as error:
+        body = convert(data, json.loads)
+    except MalformedDataError as error:
         raise StoreUnavailableError(f"invalid response: {error}") from error
     return body if isinstance(body, dict) else {}
 
 
-def _required_field(body: dict[str, Any], name: str) -> Any:
+def _required_field(body: dict[str, Any], name: str, type_: Any) -> Any:
     if name not in body:
         raise StoreUnavailableError(f"invalid response: {name} is missing")
-    return body[name]
+    try:
+        return convert(body[name], lambda value: msgspec.convert(value, type_))
+    except MalformedDataError as error:
+        raise StoreUnavailableError(f"invalid response: {name}: {error}") from error
 
 
-def _decode_item(item: dict[str, Any]) -> StoredValue:
-    try:
-        value = base64.b64decode(item["value"], validate=True)
-    except (binascii.Error, ValueError) as error:
-        logger.warning("item_unreadable", extra={"key": item["key"], "error": str(error)})
-        value = b""
-    return StoredValue(item["key"], value, Revision(item["revision"]))
+def _decode_changes(rows: list[Any]) -> tuple[Change, ...]:
+    """Decode items and deletions each by itself; skip and log invalid ones."""
+    changes = []
+    for row in rows:
+        try:
+            changes.append(convert(row, _to_change))
+        except MalformedDataError as error:
+            logger.warning("item_unreadable", extra={"key": _key_of(row), "error": str(error)})
+    return tuple(changes)
+
 
+def _key_of(row: Any) -> str | None:
+    key = row.get("key") if isinstance(row, dict) else None
+    return key if isinstance(key, str) else None
 
-def _decode_change(event: dict[str, Any]) -> Change:
-    if event.get("deleted"):
-        return ItemDeleted(event["key"], Revision(event["revision"]))
-    return ItemWritten(_decode_item(event))
+
+def _to_change(row: Any) -> Change:
+    wire = msgspec.convert(row, _WireItem)
+    wire.key.encode()  # raises an error for lone surrogates, which can't be passed on
+    if wire.deleted:
+        return ItemDeleted(wire.key, wire.revision)
+    if wire.value is None:
+        raise ValueError("value is missing")
+    try:
+        value = base64.b64decode(wire.value, validate=True)
+    except ValueError as error:
+        logger.warning("item_unreadable", extra={"key": wire.key, "error": str(error)})
+        value = b""  # the item exists and replaces the one before
+    return ItemWritten(StoredValue(wire.key, value, wire.revision))
--- a/tests/platform/test_storeclient.py
+++ b/tests/platform/test_storeclient.py
@@ -1,4 +1,5 @@
 import asyncio
+import json
 import socket
 import unittest
 from datetime import timedelta
@@ -16,9 +17,11 @@
     ItemWritten,
     PromotionOutcome,
     Put,
+    Snapshot,
 )
-from hickorywind.store.interface import StoreUnavailableError
+from hickorywind.store.interface import StoredValue, StoreUnavailableError
 from hickorywind.util import httpclient
+from hickorywind.util.httpclient import HttpAnswer
 from standins.lineplatform.httpstore import HttpStore
 from standins.lineplatform.memorystore import MemoryStore
 
@@ -38,6 +41,15 @@
         self.client = PlatformClient(address, address, timedelta(milliseconds=400))
         self.addAsyncCleanup(self.client.close)
 
+    def answer(self, body):
+        """Let each call be answered with a body, JSON text or an object."""
+        text = body if isinstance(body, str) else json.dumps(body)
+        answer = HttpAnswer(200, text.encode("latin-1"))
+        call = mock.AsyncMock(return_value=answer)
+        patch = mock.patch.object(httpclient.HttpClient, "call", call)
+        patch.start()
+        self.addCleanup(patch.stop)
+
     async def test_range_reads_all_pages(self):
         for number in range(8):
             await self.store.put(f"a/{number}", bytes([number, 255]))
@@ -123,6 +135,29 @@
         with self.assertRaises(StoreUnavailableError):
             await self.client.read_range("a/")
 
+    async def test_item_that_can_not_be_decoded_is_left_out_and_the_others_are_read(self):
+        good = {"key": "a/9", "value": "AQ==", "revision": 4}
+        rows = [{}, [], None, {"key": "a/1"}, {**good, "value": None}, {**good, "revision": 2**64}]
+        rows += [{**good, "key": 3}, {**good, "key": "\ud800"}, {**good, "revision": float("nan")}]
+        rows += [{"deleted": True}, {**good, "key": "a/8", "value": "="}, good]
+        self.answer({"items": rows, "has_more": False, "events": rows, "as_of": 7})
+        with self.assertLogs("hickorywind.platform.storeclient", "WARNING"):
+            snapshot = await self.client.read_range("a/")
+            batch = await self.client.watch("a/", 0, timedelta(seconds=1))
+        items = [StoredValue("a/8", b"", 4), StoredValue("a/9", b"\x01", 4)]
+        self.assertEqual(snapshot, Snapshot(tuple(items), 7))
+        self.assertEqual(batch.changes, tuple(map(ItemWritten, items)))
+
+    async def test_malformed_response_is_an_unavailable_store(self):
+        deep = "[" * 50_000 + "]" * 50_000
+        bodies = [deep, f'{{"items": {deep}}}', '{"items": 1, "as_of": 1, "has_more": false}']
+        bodies += ['{"items": [], "as_of": 1e400, "has_more": false}', "[]", "\xff", "NaN"]
+        bodies += ['{"items": [{}], "as_of": 1, "has_more": true}', '{"as_of": ' + "9" * 5000]
+        for body in bodies:
+            self.answer(body)
+            with self.subTest(body[:40]), self.assertRaises(StoreUnavailableError):
+                await self.client.read_range("a/")
+
     async def test_promotion_carries_lease_holder_and_fencing_token(self):
         outcome = await self.client.promote("ledger", "i-b", "h1", 42)
         self.assertEqual(outcome, PromotionOutcome.ACCEPTED)
