Limit the numbers of a configuration to what processes can compute with

Seen in a test: a configuration of the PostgreSQL path with timeout_ms of 10^20 is accepted, comes into force at every process (test_malformed_configuration_keeps_the_one_in_force before the change: "AssertionError: 6 != 5"), and each timedelta made of it raises OverflowError. No process was run with such a document; that its requests would fail is only inferred.

Cause: validation had lower limits alone, but for percentages.

Change: numbers are at most 10^12 (as milliseconds 31 years), checked where operators review a document and again where a controller reads one.

Before: test_numbers_have_an_upper_limit fails for its 5 fields ("Lists differ: [] != [...]"), and the rate 1e13 of a quota is accepted. After: tests.configuration passes.

--- a/hickorywind/configuration/validate.py
+++ b/hickorywind/configuration/validate.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import re
 from collections import Counter
 from collections.abc import Iterable, Iterator
@@ -29,6 +28,7 @@
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}\Z")
 _HUNDRED_PERCENT = 100
+_NUMBER_MAX = 10**12  # milliseconds of it are 31 years, far below the limit of timedelta
 _MAX_USER_NAME_BYTES = 63  # PostgreSQL cuts longer names
 _MIN_RATE_PER_S = 0.001  # one operation in 17 minutes; less is taken for a mistake
 
@@ -114,6 +114,7 @@
     except ValueError:
         yield Problem(f"{path}.address", f"expected IP:PORT, got {instance.address!r}")
     yield from _check_positive(f"{path}.slots", instance.slots)
+    yield from _check_not_huge(f"{path}.connections", instance.connections)
     if pool_connection_limit(instance) <= instance.slots:
         yield Problem(
             f"{path}.connections",
@@ -154,12 +155,14 @@
     yield from _check_name(f"{path}.name", kind.name)
     if kind.max_staleness_ms < 0:
         yield Problem(f"{path}.max_staleness_ms", "expected 0 or more milliseconds")
+    yield from _check_not_huge(f"{path}.max_staleness_ms", kind.max_staleness_ms)
     fallback = kind.fallback_staleness_ms
     if fallback is not None and fallback < kind.max_staleness_ms:
         yield Problem(
             f"{path}.fallback_staleness_ms",
             f"expected at least max_staleness_ms ({kind.max_staleness_ms}), got {fallback}",
         )
+    yield from _check_not_huge(f"{path}.fallback_staleness_ms", fallback or 0)
 
 
 def _check_objectives(path: str, service: Service) -> Iterator[Problem]:
@@ -229,13 +232,14 @@
 
 def _check_quota(path: str, quota: Quota) -> Iterator[Problem]:
     # The comparison is false for NaN; JSON, in which sections travel, has no infinity.
-    if not _MIN_RATE_PER_S <= quota.rate_per_s < math.inf:
+    if not _MIN_RATE_PER_S <= quota.rate_per_s <= _NUMBER_MAX:
         yield Problem(
             f"{path}.rate_per_s",
-            f"expected a finite number of at least {_MIN_RATE_PER_S}, got {quota.rate_per_s:g}",
+            f"expected a number from {_MIN_RATE_PER_S} to {_NUMBER_MAX}, got {quota.rate_per_s:g}",
         )
     if quota.burst < 1:
         yield Problem(f"{path}.burst", f"expected at least 1, got {quota.burst}")
+    yield from _check_not_huge(f"{path}.burst", quota.burst)
 
 
 def _check_unique(path: str, names: Iterable[str]) -> Iterator[Problem]:
@@ -254,6 +258,12 @@
 def _check_positive(path: str, value: int) -> Iterator[Problem]:
     if value <= 0:
         yield Problem(path, f"expected more than 0, got {value}")
+    yield from _check_not_huge(path, value)
+
+
+def _check_not_huge(path: str, value: float) -> Iterator[Problem]:
+    if value > _NUMBER_MAX:
+        yield Problem(path, f"expected at most {_NUMBER_MAX}")
 
 
 def _check_percent(path: str, value: int) -> Iterator[Problem]:
--- a/tests/configuration/test_validate.py
+++ b/tests/configuration/test_validate.py
@@ -77,6 +77,25 @@
             with self.subTest(path):
                 self.assertEqual(problems_after(change), [path])
 
+    def test_numbers_have_an_upper_limit(self):
+        cases = {
+            "ranks[urgent].timeout_ms": lambda s: s["ranks"][0].update(timeout_ms=10**20),
+            "ranks[urgent].queue_limit": lambda s: s["ranks"][0].update(queue_limit=10**20),
+            "transactions.idle_timeout_ms": lambda s: s["transactions"].update(
+                idle_timeout_ms=10**20
+            ),
+            "read_kinds[views].max_staleness_ms": lambda s: s["read_kinds"][0].update(
+                max_staleness_ms=10**20, fallback_staleness_ms=None
+            ),
+            "instances[ledger-b].connections": lambda s: s["instances"][1].update(
+                connections=10**20
+            ),
+        }
+        for path, change in cases.items():
+            with self.subTest(path):
+                paths = problems_after(lambda c, s, change=change: change(s))
+                self.assertEqual(paths, [f"{SERVICE}.{path}"])
+
     def test_floors_add_up_to_at_most_100_percent(self):
         def raise_floor(percent):
             return lambda c, s: s["ranks"][0].update(floor_percent=percent)
@@ -113,7 +132,7 @@
     def test_rate_of_a_quota_is_finite_and_above_zero(self):
         configuration = make_account_configuration()
         archive, workshop = configuration.accounts
-        for rate in (0, -1.0, 0.0009, math.inf, math.nan):
+        for rate in (0, -1.0, 0.0009, 1e13, math.inf, math.nan):
             quota = msgspec.structs.replace(workshop.quota, rate_per_s=rate)
             wrong = msgspec.structs.replace(workshop, quota=quota)
             problems = find_problems(
