Refuse malformed entries and messages instead of ending a controller

Messages are decoded by one function in all processes, so hosts, entries and pools end likewise; anyone who reaches the port can send one; - when an entry of the platform's list names a controller at an address that can't be connected to (ExceptionGroup ... zmq.error.ZMQError: Invalid argument (addr='tcp://no host:5')). As the entry stays in the list, the process that is started again ends again.

Change: the platform's list, stored configurations and their history, sections, messages between processes, status of backend servers and session tokens are decoded by hickorywind.util.decoding. Durations and counters in them have limits, so that they can be subtracted from an instant and passed on. The address of a controller has to be an IPv4 number with a port from 1 to 65535. A message that is refused is answered with MALFORMED_MESSAGE as before.

Before: the three tests of tests.controller.test_malformedinput fail as above; of tests.util.test_decoding 4 tests fail (RecursionError; OverflowError: Python int too large to convert to C int, can't serialize ints < -2**63 or > 2**64 - 1). After: they pass, as do tests of controller, entry, ui, pool, admission, configuration, routing, protocol, groups, failover and membership.

--- a/hickorywind/configuration/acceptance.py
+++ b/hickorywind/configuration/acceptance.py
@@ -19,6 +19,7 @@
 from hickorywind.configuration.model import Configuration
 from hickorywind.ids import Revision
 from hickorywind.results import ResultCode, UserError
+from hickorywind.util.decoding import MalformedDataError, decode
 
 ChangeId = NewType("ChangeId", str)
 
@@ -54,6 +55,9 @@
     document: Configuration
 
 
+_envelope_decoder = msgspec.json.Decoder(ChangeEnvelope)
+
+
 @dataclass(frozen=True)
 class StoredEnvelope:
     """Envelope and the store revision at which it was written."""
@@ -81,8 +85,8 @@
 def decode_envelope(data: bytes) -> ChangeEnvelope:
     """Decode an envelope; raise ``UserError`` with ``CONFIG_INVALID`` for malformed data."""
     try:
-        return msgspec.json.decode(_decompress(data), type=ChangeEnvelope)
-    except (msgspec.MsgspecError, zlib.error) as error:
+        return decode(_envelope_decoder, _decompress(data))
+    except (MalformedDataError, zlib.error) as error:
         raise UserError(
             ResultCode.CONFIG_INVALID, f"stored configuration is malformed: {error}"
         ) from None
--- a/hickorywind/configuration/history.py
+++ b/hickorywind/configuration/history.py
@@ -12,6 +12,7 @@
 from hickorywind.configuration.acceptance import ChangeEnvelope, ChangeId
 from hickorywind.configuration.difference import Change
 from hickorywind.ids import Revision
+from hickorywind.util.decoding import MalformedDataError, decode
 
 ENTRY_LIMIT = 100
 CHANGE_LINE_LIMIT = 30
@@ -75,6 +76,9 @@
     return tuple(ordered[-ENTRY_LIMIT:])
 
 
+_history_decoder = msgspec.json.Decoder(tuple[HistoryEntry, ...])
+
+
 def encode_history(entries: tuple[HistoryEntry, ...]) -> bytes:
     """Encode a history as JSON."""
     return msgspec.json.encode(entries, order="deterministic")
@@ -83,6 +87,6 @@
 def decode_history(data: bytes) -> tuple[HistoryEntry, ...]:
     """Decode a history; return an empty one for malformed data."""
     try:
-        return msgspec.json.decode(data, type=tuple[HistoryEntry, ...])
-    except msgspec.MsgspecError:
+        return decode(_history_decoder, data)
+    except MalformedDataError:
         return ()
--- a/hickorywind/configuration/sections.py
+++ b/hickorywind/configuration/sections.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from hickorywind.configuration.model import Account, Configuration, Limits, Service, Zone
+from hickorywind.util.decoding import decode
 
 T = TypeVar("T", bound=msgspec.Struct)
 
@@ -27,6 +28,11 @@
     limits: Limits
 
 
+_main_decoder = msgspec.json.Decoder(_MainSection)
+_service_decoder = msgspec.json.Decoder(Service)
+_account_decoder = msgspec.json.Decoder(Account)
+
+
 def _encode(value: msgspec.Struct) -> str:
     return msgspec.json.encode(value, order="deterministic").decode()
 
@@ -43,19 +49,21 @@
 
 
 def join_sections(sections: Mapping[str, str]) -> Configuration:
-    """Rebuild a configuration; raise ``msgspec.MsgspecError`` or ``KeyError`` for bad sections.
+    """Rebuild a configuration; raise ``MalformedDataError`` or ``KeyError`` for bad sections.
 
     An empty document marks a removed section.
     """
-    main = msgspec.json.decode(sections[MAIN_SECTION], type=_MainSection)
-    services = _decode_all(sections, _SERVICE_PREFIX, Service)
-    accounts = _decode_all(sections, _ACCOUNT_PREFIX, Account)
+    main = decode(_main_decoder, sections[MAIN_SECTION].encode())
+    services = _decode_all(sections, _SERVICE_PREFIX, _service_decoder)
+    accounts = _decode_all(sections, _ACCOUNT_PREFIX, _account_decoder)
     return Configuration(main.name, main.zones, services, main.limits, accounts)
 
 
-def _decode_all(sections: Mapping[str, str], prefix: str, type_: type[T]) -> tuple[T, ...]:
+def _decode_all(
+    sections: Mapping[str, str], prefix: str, decoder: msgspec.json.Decoder[T]
+) -> tuple[T, ...]:
     return tuple(
-        msgspec.json.decode(document, type=type_)
+        decode(decoder, document.encode())
         for name, document in sorted(sections.items())
         if name.startswith(prefix) and document
     )
--- a/hickorywind/controller/platformlist.py
+++ b/hickorywind/controller/platformlist.py
@@ -11,6 +11,8 @@
 from hickorywind.membership.directory import Directory
 from hickorywind.protocol.records import LeavingRecord
 from hickorywind.store.interface import StoredValue
+from hickorywind.util.addresses import parse_address
+from hickorywind.util.decoding import MalformedDataError, convert, decode
 
 logger = logging.getLogger(__name__)
 
@@ -25,6 +27,9 @@
     controller: str | None = None
 
 
+_entry_decoder = msgspec.json.Decoder(PlatformEntry)
+
+
 class PlatformList:
     """Source of hints from the platform's list: controllers to contact and leaving backend servers.
 
@@ -45,7 +50,7 @@
             entry = _decode(stored)
             if entry is None:
                 continue
-            address = _controller_address(entry)
+            address = _controller_address(stored.key, entry)
             if address is not None:
                 addresses.append(address)
             if self._used_revisions.get(stored.key) != stored.revision and _is_configured(
@@ -60,18 +65,19 @@
     if not stored.value:
         return None
     try:
-        return msgspec.json.decode(stored.value, type=PlatformEntry)
-    except msgspec.MsgspecError as error:
+        return decode(_entry_decoder, stored.value)
+    except MalformedDataError as error:
         logger.warning("platform_entry_refused", extra={"key": stored.key, "reason": str(error)})
         return None
 
 
-def _controller_address(entry: PlatformEntry) -> Address | None:
+def _controller_address(key: str, entry: PlatformEntry) -> Address | None:
     if entry.controller is None or entry.state == LEAVING_STATE:
         return None
     try:
-        return Address.from_text(entry.controller)
-    except ValueError:
+        return convert(entry.controller, parse_address)
+    except MalformedDataError as error:
+        logger.warning("platform_entry_refused", extra={"key": key, "reason": str(error)})
         return None
 
 
--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -32,8 +32,9 @@
     Term,
 )
 from hickorywind.ports.coordination import LeaseId
+from hickorywind.util.addresses import parse_address
 from hickorywind.util.clock import Instant
-from hickorywind.util.decoding import NAME, CounterValue, decode
+from hickorywind.util.decoding import NAME, CounterValue, convert, decode
 
 PERMIT_DURATION = timedelta(seconds=7)  # outlasts the store's usual outages
 PERMIT_RENEWAL_INTERVAL = timedelta(seconds=1)  # six attempts within a permit
@@ -110,7 +111,9 @@
 
 def decode_host(value: bytes) -> HostRecord:
     """Decode a host's registration; raise ``MalformedDataError``."""
-    return decode(_host_decoder, value)
+    record = decode(_host_decoder, value)
+    convert(str(record.address), parse_address)
+    return record
 
 
 @dataclass(frozen=True, slots=True)
--- a/hickorywind/groups/client.py
+++ b/hickorywind/groups/client.py
@@ -18,6 +18,7 @@
 from hickorywind.groups.connection import ControlConnection, ServerError
 from hickorywind.groups.status import REFUSED_SQLSTATE, BackendStatus
 from hickorywind.ids import Address, LogPosition, Term
+from hickorywind.util.decoding import MalformedDataError, decode
 
 CONTROL_USER = "hickorywind_control"
 
@@ -25,12 +26,14 @@
     OSError,
     asyncio.IncompleteReadError,
     PygwireError,
-    msgspec.MsgspecError,
+    MalformedDataError,
     struct.error,
     UnicodeDecodeError,
     IndexError,
 )
 
+_status_decoder = msgspec.json.Decoder(BackendStatus)
+
 
 @dataclass(frozen=True)
 class CallRefused:
@@ -136,7 +139,7 @@
                 self._address, self._user, self._password
             )
         text = await self._connection.query_value(sql)
-        return msgspec.json.decode(text, type=BackendStatus)
+        return decode(_status_decoder, text)
 
 
 def _quote(text: str) -> str:
--- a/hickorywind/groups/status.py
+++ b/hickorywind/groups/status.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from hickorywind.ids import BackendId, InstanceRole, LogPosition, ServiceName, Term
+from hickorywind.util.decoding import ComputedMilliseconds, CounterValue
 
 REFUSED_SQLSTATE = "55000"
 POSITION_PARAMETER = "platform.position"
@@ -30,7 +31,7 @@
 
     backend: BackendId
     received: LogPosition
-    silence_ms: float
+    silence_ms: ComputedMilliseconds
 
 
 class BackendStatus(msgspec.Struct, frozen=True):
@@ -52,9 +53,9 @@
     received: LogPosition
     committed: LogPosition
     applied: LogPosition
-    silence_ms: float
+    silence_ms: ComputedMilliseconds
     leaving: bool
-    connections_used: int
-    connections_limit: int
+    connections_used: CounterValue
+    connections_limit: CounterValue
     peers: tuple[ReplicaProgress, ...] = ()
-    open_transactions: int = 0
+    open_transactions: CounterValue = 0
--- a/hickorywind/ids.py
+++ b/hickorywind/ids.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from hickorywind.util.decoding import CounterValue, Ipv4Text, Port
+from hickorywind.util.decoding import CounterValue, Port
 
 HostId = NewType("HostId", str)
 AvailabilityZone = NewType("AvailabilityZone", str)
@@ -59,7 +59,7 @@
 class Address(msgspec.Struct, frozen=True, order=True, array_like=True):
     """IP address and port of a TCP endpoint."""
 
-    host: Ipv4Text
+    host: str
     port: Port
 
     @classmethod
--- a/hickorywind/membership/directory.py
+++ b/hickorywind/membership/directory.py
@@ -6,8 +6,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-import msgspec
-
 from hickorywind.configuration.model import Configuration, Instance, Service
 from hickorywind.configuration.sections import digest_sections, join_sections
 from hickorywind.ids import AvailabilityZone, BackendId, HostId, Region, Revision, ServiceName
@@ -22,6 +20,7 @@
     MemberState,
     Record,
 )
+from hickorywind.util.decoding import MalformedDataError
 
 logger = logging.getLogger(__name__)
 
@@ -107,7 +106,7 @@
             return
         try:
             configuration = join_sections(sections)
-        except (msgspec.MsgspecError, KeyError) as error:
+        except (MalformedDataError, KeyError) as error:
             logger.error("config_refused", extra={"revision": head.revision, "error": str(error)})
             return
         self._activate(ConfigurationInForce(head.revision, configuration))
--- a/hickorywind/protocol/codec.py
+++ b/hickorywind/protocol/codec.py
@@ -6,6 +6,8 @@
 
 from hickorywind.protocol.messages import PROTOCOL_VERSION, Message
 from hickorywind.results import HickorywindError, Outcome, Result, ResultCode
+from hickorywind.util.decoding import MalformedDataError
+from hickorywind.util.decoding import decode as decode_data
 
 _VERSION_BYTE = bytes((PROTOCOL_VERSION,))
 _encoder = msgspec.msgpack.Encoder()
@@ -28,8 +30,8 @@
             ResultCode.VERSION_REFUSED, f"protocol version {data[:1].hex()} is not supported"
         )
     try:
-        return _decoder.decode(memoryview(data)[1:])
-    except msgspec.MsgspecError as error:
+        return decode_data(_decoder, memoryview(data)[1:])
+    except MalformedDataError as error:
         raise _not_run_error(
             ResultCode.MALFORMED_MESSAGE, f"can't decode message: {error}"
         ) from error
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -31,6 +31,7 @@
 from hickorywind.protocol.records import Record
 from hickorywind.results import Result
 from hickorywind.store.interface import StoredValue
+from hickorywind.util.decoding import ComputedMilliseconds, WholeMilliseconds
 from hickorywind.util.deflate import deflate, inflate
 
 PROTOCOL_VERSION = 1
@@ -74,12 +75,12 @@
     backend: BackendId
     rank: Rank
     mode: AccessMode
-    remaining_ms: int
+    remaining_ms: WholeMilliseconds
     frames: bytes
     transaction_id: TransactionId | None = None
     expected_term: Term | None = None
     floor: LogPosition | None = None
-    max_staleness_ms: int | None = None
+    max_staleness_ms: WholeMilliseconds | None = None
     idempotency_key: str | None = None
     prepared: tuple[PreparedStatement, ...] = ()
 
@@ -149,8 +150,8 @@
     transaction_state: TransactionState
     transaction_id: TransactionId | None = None
     position: LogPosition | None = None
-    queued_ms: float = 0.0
-    service_ms: float = 0.0
+    queued_ms: ComputedMilliseconds = 0.0
+    service_ms: ComputedMilliseconds = 0.0
 
 
 class CancelResult(msgspec.Struct, frozen=True, tag="cr", array_like=True):
@@ -277,7 +278,7 @@
 
     service: ServiceName
     position: LogPosition
-    age_ms: int
+    age_ms: WholeMilliseconds
 
 
 class Greeting(msgspec.Struct, frozen=True, tag="hello", array_like=True):
@@ -300,9 +301,9 @@
 
     host: HostId
     incarnation: Incarnation
-    silent_ms: int | None
+    silent_ms: WholeMilliseconds | None
     is_leaving: bool
-    age_ms: int
+    age_ms: WholeMilliseconds
 
 
 class GreetingReply(msgspec.Struct, frozen=True, tag="hello_ok", array_like=True):
@@ -323,14 +324,14 @@
     ended_leases: tuple[EndedLease, ...] = ()
     holds_permit: bool = False
     reports: tuple[PeerReport, ...] = ()
-    store_contact_ms: int | None = None
+    store_contact_ms: WholeMilliseconds | None = None
 
 
 class EndedLease(msgspec.Struct, frozen=True, array_like=True):
     """Lease whose end the store confirmed at least ``age_ms`` ago."""
 
     lease: int
-    age_ms: int
+    age_ms: WholeMilliseconds
 
 
 class CopyQuery(msgspec.Struct, frozen=True, tag="copy", array_like=True):
@@ -504,7 +505,7 @@
 
     call: int
     granted: int
-    wait_ms: int | None = None
+    wait_ms: WholeMilliseconds | None = None
 
 
 class QuotaTakeover(msgspec.Struct, frozen=True, tag="quota_home", array_like=True):
@@ -538,8 +539,8 @@
     template: str | None
     values: dict[str, str]
     min_position: LogPosition | None
-    remaining_ms: int
-    timeout_ms: int
+    remaining_ms: WholeMilliseconds
+    timeout_ms: WholeMilliseconds
 
 
 class SharedReadReply(msgspec.Struct, frozen=True, tag="sread_ok", array_like=True):
@@ -557,7 +558,7 @@
     error_text: str
     position: LogPosition | None
     is_from_primary: bool
-    expected_ms: int
+    expected_ms: WholeMilliseconds
 
 
 class LivenessQuery(msgspec.Struct, frozen=True, tag="alive", array_like=True):
--- a/hickorywind/routing/session.py
+++ b/hickorywind/routing/session.py
@@ -15,6 +15,7 @@
 
 from hickorywind.ids import LogPosition, ServiceName, Term
 from hickorywind.results import HickorywindError, Outcome, Result, ResultCode
+from hickorywind.util.decoding import MalformedDataError, decode
 
 _TOKEN_PREFIX = "hw1."  # noqa: S105
 _CHECKSUM_BYTES = 8
@@ -120,8 +121,8 @@
 
 
 class _TokenBody(msgspec.Struct, array_like=True):
-    positions: dict[str, tuple[int, int]]
-    uncertain: tuple[str, ...]
+    positions: dict[ServiceName, LogPosition]
+    uncertain: tuple[ServiceName, ...]
 
 
 _decoder = msgspec.msgpack.Decoder(_TokenBody)
@@ -129,7 +130,7 @@
 
 def encode_token(content: TokenContent) -> str:
     """Encode a token as versioned text with a checksum and without white space."""
-    positions = {name: (at.term, at.offset) for name, at in sorted(content.positions.items())}
+    positions = dict(sorted(content.positions.items()))
     body = msgspec.msgpack.encode(_TokenBody(positions, tuple(sorted(content.uncertain))))
     return _TOKEN_PREFIX + base64.urlsafe_b64encode(_checksum(body) + body).decode().rstrip("=")
 
@@ -152,18 +153,12 @@
 
 def _decode_body(body: bytes) -> TokenContent:
     try:
-        decoded = _decoder.decode(body)
-    except msgspec.MsgspecError:
+        decoded = decode(_decoder, body)
+    except MalformedDataError:
         raise _bad_token("content is malformed") from None
     if len(decoded.positions) + len(decoded.uncertain) > _MAX_SERVICES:
         raise _bad_token("too many services")
-    if any(term < 0 or offset < 0 for term, offset in decoded.positions.values()):
-        raise _bad_token("negative log position")
-    positions = {
-        ServiceName(name): LogPosition(Term(term), offset)
-        for name, (term, offset) in decoded.positions.items()
-    }
-    return TokenContent(positions, frozenset(ServiceName(name) for name in decoded.uncertain))
+    return TokenContent(decoded.positions, frozenset(decoded.uncertain))
 
 
 def _checksum(body: bytes) -> bytes:
--- a/hickorywind/util/decoding.py
+++ b/hickorywind/util/decoding.py
@@ -21,15 +21,16 @@
 # Revisions, terms and other numbers that are compared, incremented and passed on.
 CounterValue = Annotated[int, msgspec.Meta(ge=0, le=_INT64_MAX)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=_DURATION_MAX_MS)]
-WholeMilliseconds = Annotated[int, msgspec.Meta(ge=-_DURATION_MAX_MS, le=_DURATION_MAX_MS)]
+# Durations that other processes compute, which may be negative.
+_COMPUTED_MS = msgspec.Meta(ge=-_DURATION_MAX_MS, le=_DURATION_MAX_MS)
+ComputedMilliseconds = Annotated[float, _COMPUTED_MS]
+WholeMilliseconds = Annotated[int, _COMPUTED_MS]
 # Without spaces and line breaks, which would end a field or a message of a line protocol.
 NAME = msgspec.Meta(
     min_length=1,
     max_length=_NAME_MAX_CHARACTERS,
     pattern=r"^[^\s\x00-\x1f\x7f-\x9f\ud800-\udfff]+\Z",
 )
-_OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
-Ipv4Text = Annotated[str, msgspec.Meta(pattern=rf"^{_OCTET}(\.{_OCTET}){{3}}\Z")]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 
 # RecursionError: deep nesting, also in fields that are not read.
