Take log positions and terms that no message can carry for unknown ones

Seen in a test with two hosts: the primary reports the position 1.10^30. A status whose term is a digit that int() refuses ("²"), or has over 4,300 digits, raises ValueError in the tasks that ask for it.

Cause: positions were checked by str.isdigit, which says neither that int() takes the text nor how large the number is.

Change: one function parses the counters in texts, of at most 18 ASCII digits. Positions and statuses beyond that are unknown, as other malformed ones are; on the PostgreSQL path the connection fails.

Before: test_log_position_beyond_any_range_is_not_passed_on fails (no host is alive for the other), as do test_positions and test_status_with_a_number_out_of_range_is_no_status (ValueError: invalid literal for int() with base 10: '²'). After: they pass, as do the tests of pool.

--- a/hickorywind/ids.py
+++ b/hickorywind/ids.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from hickorywind.util.decoding import CounterValue, Port
+from hickorywind.util.decoding import CounterValue, Port, parse_counter
 
 HostId = NewType("HostId", str)
 AvailabilityZone = NewType("AvailabilityZone", str)
@@ -87,10 +87,11 @@
     @classmethod
     def from_text(cls, text: str) -> LogPosition:
         """Parse ``TERM/OFFSET``; raise ValueError for any other text."""
-        term, separator, offset = text.partition("/")
-        if not separator or not term.isdigit() or not offset.isdigit():
+        term_text, _, offset_text = text.partition("/")
+        term, offset = parse_counter(term_text), parse_counter(offset_text)
+        if term is None or offset is None:
             raise ValueError(f"expected TERM/OFFSET, got {text!r}")
-        return cls(Term(int(term)), int(offset))
+        return cls(Term(term), offset)
 
     def contains(self, position: LogPosition) -> bool:
         """Return whether a log committed up to this position contains the entry at ``position``."""
--- a/hickorywind/platform/lineprotocol.py
+++ b/hickorywind/platform/lineprotocol.py
@@ -38,6 +38,7 @@
     Terminate,
 )
 from hickorywind.results import Outcome, Result, ResultCode
+from hickorywind.util.decoding import parse_counter
 
 MAX_MESSAGE_BYTES = 1_048_576  # limit of the protocol
 PROXY_REQUEST_ID = "-"  # marks statements that the proxy itself sends
@@ -78,10 +79,9 @@
 
 def parse_position(text: str) -> LogPosition | None:
     """Parse ``TERM.NUMBER``; return None for ``-`` and any other text."""
-    term, separator, number = text.partition(".")
-    if not separator or not term.isdigit() or not number.isdigit():
-        return None
-    return LogPosition(Term(int(term)), int(number))
+    term_text, _, number_text = text.partition(".")
+    term, number = parse_counter(term_text), parse_counter(number_text)
+    return None if term is None or number is None else LogPosition(Term(term), number)
 
 
 def render_position(position: LogPosition) -> str:
@@ -325,12 +325,12 @@
     def decode_status(self, answer: Answer) -> ServerStatus | None:
         """Decode a status row: role, term, received position, then load figures; else None."""
         fields = answer.rows[0].split(" ") if answer.rows else []
-        if len(fields) < 3 or fields[0] not in ("primary", "replica") or not fields[1].isdigit():
+        if len(fields) < 3 or fields[0] not in ("primary", "replica"):
             return None
-        received = parse_position(fields[2])
-        if received is None:
+        term, received = parse_counter(fields[1]), parse_position(fields[2])
+        if term is None or received is None:
             return None
-        return ServerStatus(InstanceRole(fields[0]), Term(int(fields[1])), received)
+        return ServerStatus(InstanceRole(fields[0]), Term(term), received)
 
 
 def _encode_query(request_id: str, text: str) -> bytes:
--- a/hickorywind/pool/backendconnection.py
+++ b/hickorywind/pool/backendconnection.py
@@ -131,7 +131,11 @@
         name, value, *_ = bytes(frame.payload).split(b"\0")
         if name.decode(errors="replace") != POSITION_PARAMETER:
             return False
-        self.position = LogPosition.from_text(value.decode())
+        try:
+            self.position = LogPosition.from_text(value.decode())
+        except ValueError as error:
+            self.is_broken = True
+            raise ConnectionFailedError(str(error)) from error
         return True
 
     async def _receive(self) -> list[Frame]:
--- a/hickorywind/util/decoding.py
+++ b/hickorywind/util/decoding.py
@@ -15,6 +15,7 @@
 
 _INT64_MAX = 2**63 - 1
 _DURATION_MAX_MS = 100 * 365 * 24 * 3600 * 1000  # sums stay far below the limit of timedelta
+_COUNTER_MAX_DIGITS = 18  # of a number that 64 bits hold
 _NAME_MAX_CHARACTERS = 200
 _REASON_MAX_CHARACTERS = 200
 
@@ -59,6 +60,12 @@
         raise _malformed(error) from None
 
 
+def parse_counter(text: str) -> int | None:
+    """Parse a number of ASCII digits; return None for any other text and for large numbers."""
+    is_counter = text.isascii() and text.isdigit() and len(text) <= _COUNTER_MAX_DIGITS
+    return int(text) if is_counter else None
+
+
 def _malformed(error: Exception) -> MalformedDataError:
     is_too_deep = isinstance(error, RecursionError)
     reason = "nested too deeply" if is_too_deep else str(error)
--- a/tests/host/test_malformedentries.py
+++ b/tests/host/test_malformedentries.py
@@ -152,3 +152,15 @@
 
 def _with_port(document, port):
     return json.dumps({**document, "address": f"127.0.0.1:{port}"}).encode()
+
+
+class PositionTest(MalformedEntryCase):
+    async def test_log_position_beyond_any_range_is_not_passed_on(self):
+        """A host that can't encode its replies to greetings is silent for all others."""
+        self.group.primary.log_offset = 10**30
+        caller = await self.caller("bookings")
+        await caller.ask("READ kiln")
+        await asyncio.sleep(10)
+        for name, host in self.hosts.items():
+            self.assertEqual(set(host.role._peers.table.alive()), self.hosts.keys() - {name})
+            self.assertFalse(host.task.done())
--- a/tests/platform/test_lineprotocol.py
+++ b/tests/platform/test_lineprotocol.py
@@ -167,5 +167,13 @@
 
     def test_positions(self):
         self.assertEqual(parse_position(render_position(LogPosition(2, 5))), LogPosition(2, 5))
-        for text in ("-", "3", "3.", ".4", "a.b", "3.4.5"):
+        too_large = ("3." + "9" * 19, "9" * 5_000 + ".1")
+        for text in ("-", "3", "3.", ".4", "a.b", "3.4.5", "3.\u00b2", *too_large):
             self.assertIsNone(parse_position(text))
+
+    def test_status_with_a_number_out_of_range_is_no_status(self):
+        codec = LineBackendCodec()
+        for term in ("\u00b2", "9" * 19, "9" * 5_000, "-1"):
+            line = f"ROW replica {term} 3.9 0 12 2 17\r\nCOMPLETE -\r\nREADY I 3.4\r\n"
+            (answer,) = codec.feed(line.encode())
+            self.assertIsNone(codec.decode_status(answer))
--- a/tests/test_ids.py
+++ b/tests/test_ids.py
@@ -15,7 +15,7 @@
         self.assertFalse(LogPosition(Term(3), 9).contains(floor))
 
     def test_bad_text_is_refused(self):
-        for text in ("", "3", "3/", "/4", "a/b", "-1/2"):
+        for text in ("", "3", "3/", "/4", "a/b", "-1/2", "3/\u00b2", "3/" + "9" * 19):
             with self.subTest(text=text), self.assertRaises(ValueError):
                 LogPosition.from_text(text)
 
