Read store keys of other writers that are not UTF-8

Seen in a test: a key under the prefix of the platform's list that is not UTF-8 raises UnicodeDecodeError in the client of the store, in reads and watches. That is no StoreUnavailableError, so by the code it leaves the controller's task for the store and ends the process, at each start again; the whole process was not run.

Change: such bytes appear as \xNN in the key. The entry is then judged by its value, like any other.

Before: test_key_of_another_writer_that_is_not_utf8_hides_no_other_key fails with "UnicodeDecodeError: 'utf-8' codec can't decode byte 0xff in position 3: invalid start byte". After: tests.store passes.

--- a/hickorywind/store/etcd.py
+++ b/hickorywind/store/etcd.py
@@ -161,7 +161,8 @@
 
 
 def _to_stored_value(value: Any) -> StoredValue:
-    return StoredValue(value.key.decode(), value.value, Revision(value.mod_revision))
+    key = value.key.decode(errors="backslashreplace")  # other writers use any bytes
+    return StoredValue(key, value.value, Revision(value.mod_revision))
 
 
 def _range_start(prefix: str) -> bytes:
--- a/tests/store/test_etcd.py
+++ b/tests/store/test_etcd.py
@@ -4,6 +4,8 @@
 import unittest
 from datetime import timedelta
 
+from aetcd import rpc
+
 from hickorywind.ids import Address, Revision
 from hickorywind.store.etcd import EtcdStore
 from hickorywind.store.interface import (
@@ -59,6 +61,20 @@
         self.assertEqual(await self.store.get("/a"), StoredValue("/a", b"3", result.revision))
         self.assertIs(await self.swap("/a", stored.revision, b"4"), SwapOutcome.CONFLICT)
 
+    async def test_key_of_another_writer_that_is_not_utf8_hides_no_other_key(self):
+        channel = rpc.insecure_channel(str(self.server.address))
+        self.addAsyncCleanup(channel.close)
+        seen = self.start_watch("/b/")
+        await asyncio.sleep(0.1)
+        for key in (b"/b/\xff", b"/b/1"):
+            await rpc.KVStub(channel).Put(rpc.PutRequest(key=key, value=b"x"))
+        found = await self.store.get_prefix("/b/")
+        self.assertEqual([value.key for value in found], ["/b/1", "/b/\\xff"])
+        async with asyncio.timeout(5):
+            while len(seen) < 2:
+                await asyncio.sleep(0.02)
+        self.assertEqual([value.key for value in seen], ["/b/\\xff", "/b/1"])
+
     async def test_write_whose_answer_is_lost_has_an_unknown_outcome(self):
         for index, kind in enumerate(LostAnswer):
             await set_faults(self.server.address, Faults(lose_answers=1, lost_answer=kind))
