Soak: write nested and out-of-range entries, and send messages past the version byte

The malformed entries of the soak had wrong types and missing fields, but no deep nesting and no value out of range, and its malformed messages to a host began with a byte that is no protocol version, so that none of them ever reached the decoder.

--- a/soak/malformed.py
+++ b/soak/malformed.py
@@ -11,6 +11,7 @@
 
 from hickorywind.ids import Address
 from hickorywind.platform.documents import BACKENDS_PREFIX
+from hickorywind.protocol.messages import PROTOCOL_VERSION
 from soak.hosts import HostAddresses
 from standins.lineplatform.memorystore import MemoryStore
 
@@ -25,13 +26,31 @@
     b"GET / HTTP/1.1\r\n\r\n",
 )
 _HTTP_MESSAGES = (b"\x00\x01\r\n\r\n", b"GET /-/readiness HTTP/9.9\r\n\r\n", b"POST / HTTP/1.1\r\n")
-_PEER_BODIES = (b"", b"\x80", b"\xc1" * 20, b"\x93\x01\x02\x03", b"{}", bytes(range(256)))
+_NESTED = b"[" * 5_000 + b"]" * 5_000
+_VERSION = bytes((PROTOCOL_VERSION,))
+_PEER_BODIES = (
+    *(b"", b"\x80", b"\xc1" * 20, b"\x93\x01\x02\x03", b"{}", bytes(range(256))),
+    # The others are refused at their first byte.
+    *(_VERSION + body for body in (b"", b"\x80", b"\xc1", b"\x93\x01\x02\x03")),
+    _VERSION + b"\x93\xa5alive\x01" + b"\x91" * 5_000 + b"\x90",
+    _VERSION + b"\x92\xa5alive\xcf" + b"\xff" * 8,
+)
+_ENTRY = (
+    b'{"backend": "ledger", "address": "127.0.0.1:1", "zone": "z0", "slots": 1, "born": 1,'
+    b' "state": "ready"}'
+)
 _ENTRIES = (
     b"\xff\xfe",
     b"[]",
     b'{"backend": "ledger"}',
     b'{"backend": "ledger", "address": "nowhere", "zone": 3, "state": "ready", "born": "x"}',
     b'{"backend": 1, "address": "127.0.0.1:1", "zone": "z0", "slots": -1, "state": "gone"}',
+    _NESTED,
+    _ENTRY.replace(b"}", b', "x": ' + _NESTED + b"}"),
+    _ENTRY.replace(b':1"', b':99999999999"'),
+    _ENTRY.replace(b'"born": 1', b'"born": ' + b"9" * 400),
+    _ENTRY.replace(b'"slots": 1', b'"slots": 1e400'),
+    _ENTRY.replace(b"ledger", b"ledger x\\r\\nQUERY"),
 )
 _READ_LIMIT_S = 0.3
 
