--- a/hickorywind/ids.py
+++ b/hickorywind/ids.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from hickorywind.util.decoding import CounterValue, Port, parse_counter
+
 HostId = NewType("HostId", str)
 AvailabilityZone = NewType("AvailabilityZone", str)
 Region = NewType("Region", str)
@@ -16,9 +18,9 @@
 UserName = NewType("UserName", str)  # name with which a caller logs in at an entry
 RequestId = NewType("RequestId", int)
 TransactionId = NewType("TransactionId", int)
-Incarnation = NewType("Incarnation", int)
-Term = NewType("Term", int)
-Revision = NewType("Revision", int)
+Incarnation = NewType("Incarnation", CounterValue)
+Term = NewType("Term", CounterValue)
+Revision = NewType("Revision", CounterValue)
 
 
 class Rank(Enum):
@@ -58,7 +60,7 @@
     """IP address and port of a TCP endpoint."""
 
     host: str
-    port: int
+    port: Port
 
     @classmethod
     def from_text(cls, text: str) -> Address:
@@ -80,15 +82,16 @@
     """
 
     term: Term
-    offset: int
+    offset: CounterValue
 
     @classmethod
     def from_text(cls, text: str) -> LogPosition:
         """Parse ``TERM/OFFSET``; raise ValueError for any other text."""
-        term, separator, offset = text.partition("/")
-        if not separator or not term.isdigit() or not offset.isdigit():
+        term_text, _, offset_text = text.partition("/")
+        term, offset = parse_counter(term_text), parse_counter(offset_text)
+        if term is None or offset is None:
             raise ValueError(f"expected TERM/OFFSET, got {text!r}")
-        return cls(Term(int(term)), int(offset))
+        return cls(Term(term), offset)
 
     def contains(self, position: LogPosition) -> bool:
         """Return whether a log committed up to this position contains the entry at ``position``."""
