Soak: planned stops before idle callers and of hosts with little processor time

Cause: the soak could not see it. Its callers paused 50 ms, so that no session was ever quiet for the 250 ms after which a stopping host closes it; its hosts always had the processor time they wanted; and a request cut within 200 ms of sending was excused, whatever the host had done with it. Callers close a session on a message without a request, and take one that crosses a request for its answer. Two promises of our own, without a time limit: a request that a process has read is answered unless the process is killed, and a stop crosses no request. The kernel tells them apart: it resets a connection that is closed with unread bytes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,7 +15,7 @@
 
 from soak.plan import Plan
 from soak.report import Report
-from soak.run import SoakRun
+from soak.run import MAX_HOST_COUNT, SoakRun
 
 _SEEDS = Path(__file__).with_name("seeds.txt")
 _MAX_SEED = 1_000_000
@@ -27,7 +27,7 @@
     parser.add_argument("--seed", type=int, help="first seed; by default drawn")
     parser.add_argument("--seeds", type=int, default=1, help="number of consecutive seeds")
     parser.add_argument("--minutes", type=float, default=0.33, help="time with faults per seed")
-    parser.add_argument("--hosts", type=int, default=4, choices=(2, 3, 4, 5))
+    parser.add_argument("--hosts", type=int, default=4, choices=range(2, MAX_HOST_COUNT + 1))
     parser.add_argument("--regressions", action="store_true", help="play soak/seeds.txt")
     parser.add_argument("--plan", type=Path, help="play the plan in a report.json")
     parser.add_argument("--out", type=Path, default=Path("out/soak"), help="folder of the reports")
@@ -90,6 +90,8 @@
         run.rolled_back_count,
         run.promotion_count,
         run.checker.stalls.longest_s,
+        sum(caller.announcement_count for caller in run.callers),
+        tuple(run.checker.cuts),
     )
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,23 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
 import random
+import socket
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 
 from hickorywind.ids import Address, SessionId
 from hickorywind.results import Outcome
 from hickorywind_bench.checker import Guarantee
 from hickorywind_bench.history import Append, Read
-from soak.checks import Promise, PromiseChecker
+from soak.checks import CutKind, CutRequest, Promise, PromiseChecker
 from soak.platform import MAX_STALENESS_S, OPTIONAL_DATABASE, Operators
 
 ANSWER_LIMIT_S = 8.0  # callers close a connection without an answer
 CONNECT_LIMIT_S = 2.0  # callers close a connection that is not accepted by then
 PAUSE_S = 0.05  # between two operations of a session
 RETRY_PAUSE_S = 0.15  # after a refusal
+IDLE_PAUSE_S = (0.2, 3.0)  # between two operations of an idle session
+TRANSACTION_PAUSE_S = 0.9  # longest pause in a transaction of an idle session, below tx_idle_ms
+_TCP_CLOSE_WAIT = 8  # tcpi_state of a connection that the other end has closed
 ELEMENTS_PER_KEY = 40  # keeps rows short in long runs
 # These codes promise that nothing of the attempt is kept.
 NOT_RUN_CODES = frozenset(
@@ -30,6 +34,22 @@
 class ConnectionEndedError(Exception):
     """Error raised when a connection ends, with or without a request under way."""
 
+    def __init__(self, reason: str, kind: CutKind = CutKind.UNREAD) -> None:
+        super().__init__(reason)
+        self.kind = kind
+
+
+class EndAnnouncedError(Exception):
+    """Error raised on a message while no request is outstanding; the caller closes the session."""
+
+
+class Pace(Enum):
+    """How a caller spreads its operations over time and sessions."""
+
+    BUSY = "many operations in each session"
+    IDLE = "long pauses between the operations of a session"
+    SINGLE = "one operation in each session"
+
 
 @dataclass(frozen=True)
 class Answered:
@@ -74,7 +94,7 @@
                 connection = cls(host, *streams)
                 streams[1].write(f"CONNECT {database} soak\r\n".encode())
                 greeting = await connection._read_line()
-        except (OSError, TimeoutError) as error:
+        except (EOFError, OSError, TimeoutError) as error:
             raise ConnectionEndedError(str(error)) from None
         if not greeting.startswith("READY"):
             connection.close()
@@ -84,9 +104,20 @@
     async def _read_line(self) -> str:
         line = await self._reader.readline()
         if not line.endswith(b"\r\n"):
-            raise ConnectionResetError("closed")
+            raise EOFError("closed")
         return line.decode().rstrip("\r\n")
 
+    async def wait(self, seconds: float) -> None:
+        """Wait between two requests; raise an error if the host announces its end or closes."""
+        try:
+            async with asyncio.timeout(seconds):
+                line = await self._read_line()
+        except TimeoutError:
+            return
+        except (EOFError, OSError) as error:
+            raise ConnectionEndedError(str(error)) from None
+        raise EndAnnouncedError(line)
+
     async def ask(self, request_id: str, text: str) -> Answer:
         """Send a statement and return its answer; raise ``ConnectionEndedError`` without one."""
         lines: list[str] = []
@@ -96,11 +127,28 @@
                 while not (line := await self._read_line()).startswith("READY"):
                     lines.append(line)
         except TimeoutError:
-            raise ConnectionEndedError(f"no answer in {ANSWER_LIMIT_S} s") from None
+            reason = f"no answer in {ANSWER_LIMIT_S} s"
+            raise ConnectionEndedError(reason, CutKind.LATE) from None
+        except EOFError as error:
+            kind = CutKind.READ if self._was_all_read() else CutKind.UNREAD
+            raise ConnectionEndedError(str(error), kind) from None
         except OSError as error:
             raise ConnectionEndedError(str(error)) from None
         return Answer(tuple(lines), line.split(" ")[1])
 
+    def _was_all_read(self) -> bool:
+        """Return whether the host's process had read all bytes when it closed the connection.
+
+        The kernel resets a connection that is closed before all is read, or written to afterwards.
+        """
+        connected = self._writer.get_extra_info("socket")
+        try:
+            return (
+                connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == _TCP_CLOSE_WAIT
+            )
+        except OSError:
+            return False
+
     def close(self) -> None:
         """Abort the connection."""
         self._writer.transport.abort()
@@ -118,11 +166,19 @@
     """Caller that writes lists of its own and reads its own and those of others."""
 
     def __init__(
-        self, name: str, home: str, database: str, directory: Directory, checker: PromiseChecker
+        self,
+        name: str,
+        home: str,
+        database: str,
+        directory: Directory,
+        checker: PromiseChecker,
+        pace: Pace = Pace.BUSY,
     ) -> None:
         self.name = name
         self.database = database
         self.answered: list[Answered] = []
+        self.announcement_count = 0
+        self._pace = pace
         self._home = home
         self._directory = directory
         self._checker = checker
@@ -130,6 +186,7 @@
         self._numbers = itertools.count()
         self._elements = itertools.count()
         self._connection_count = 0
+        self._connected_s = 0.0
         self._session = SessionId("")
         self._connection: Connection | None = None
 
@@ -137,31 +194,46 @@
         """Work until cancelled; after a connection has ended, reconnect, mostly elsewhere."""
         host = self._home
         while True:
-            with contextlib.suppress(ConnectionEndedError):
+            stopping = None
+            try:
                 await self._run_session(host)
-            self._record(host, Outcome.UNKNOWN, False)
+            except ConnectionEndedError:
+                self._record(host, Outcome.UNKNOWN, False)
+            except EndAnnouncedError:
+                self.announcement_count += 1
+                stopping = host
             if self._connection is not None:
                 self._connection.close()
                 self._connection = None
-            host = self._rng.choice([self._home, *self._directory.addresses])
-            await asyncio.sleep(RETRY_PAUSE_S)
+            if self._pace is Pace.SINGLE:
+                await asyncio.sleep(self._rng.uniform(*IDLE_PAUSE_S))
+            elif stopping is None:
+                await asyncio.sleep(RETRY_PAUSE_S)
+            hosts = [self._home, *self._directory.addresses]
+            host = self._rng.choice([each for each in hosts if each != stopping])
 
     async def _run_session(self, host: str) -> None:
         address = self._directory.addresses[host]
+        self._connected_s = self._checker.now_s()
         self._connection = await Connection.open(host, address, self.database)
         self._connection_count += 1
         self._session = SessionId(f"{self.name}.{self._connection_count}")
         await self._ask(f"SET tag {self._session}")
         while True:
             is_served = await self._run_operation()
-            await asyncio.sleep(PAUSE_S if is_served else RETRY_PAUSE_S)
+            if self._pace is Pace.SINGLE:
+                return
+            pause_s = PAUSE_S if is_served else RETRY_PAUSE_S
+            if self._pace is Pace.IDLE:
+                pause_s = self._rng.uniform(*IDLE_PAUSE_S)
+            await self._connection.wait(pause_s)
 
     async def _run_operation(self) -> bool:
         others = [key for name, key in self._directory.keys.items() if name != self.name]
         choice = self._rng.random()
         if self.database != "views" and choice < 0.3:
             return await self._write()
-        if self.database == "bookings" and choice < 0.4:
+        if self.database == "bookings" and choice < (0.4 if self._pace is Pace.BUSY else 0.6):
             return await self._write_transaction()
         own = self._directory.keys.get(self.name)
         if own and choice < 0.7:
@@ -176,8 +248,16 @@
         try:
             answer = await self._connection.ask(request_id, text)
         except ConnectionEndedError as error:
-            host = self._connection.host
-            self._checker.handle_cut_request(host, request_id, sent_s, f"{text}: {error}")
+            cut = CutRequest(
+                self._connection.host,
+                request_id,
+                self._connected_s,
+                sent_s,
+                self._checker.now_s(),
+                f"{text}: {error}",
+                error.kind,
+            )
+            self._checker.handle_cut_request(cut)
             raise
         self._record(self._connection.host, answer.outcome, answer.outcome is Outcome.RAN)
         if answer.outcome is Outcome.RAN and text.split(" ")[0] in ("READ", "WRITE", "COMMIT"):
@@ -205,6 +285,7 @@
 
     async def _write_transaction(self) -> bool:
         writes = [self._next_element() for _ in range(2)]
+        longest_s = PAUSE_S if self._pace is Pace.BUSY else TRANSACTION_PAUSE_S
         invoked, outcome = self._now(), Outcome.NOT_RUN  # until the commit is sent
         try:
             for text in ("BEGIN", *(f"WRITE {key} {element}" for key, element in writes)):
@@ -213,7 +294,7 @@
                     if answer.state != "I":
                         await self._ask("ROLLBACK")
                     return False
-                await asyncio.sleep(self._rng.uniform(0, PAUSE_S))
+                await self._connection.wait(self._rng.uniform(0, longest_s))
             outcome = Outcome.UNKNOWN
             outcome = (await self._ask("COMMIT"))[1].outcome
         finally:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,8 +15,10 @@
 
 CONTACT_S = 5.0  # a host is in touch after this time without a fault (contact_ms)
 LOSS_SLACK_S = 0.2  # a request may cross the close of its connection (loss_slack_ms)
+GRACE_S = 6.0  # from SIGTERM until the platform kills a host (grace_s)
 CONFIG_APPLY_S = 4.0  # a configuration is in force by then (config_apply_ms)
 LEAVING_SLACK_S = 0.5  # a statement may be on its way
+END_NOTICE_S = 1.0  # the soak notices the end of a process by then
 STALL_TICK_S = 0.01
 STALL_S = 0.08  # well below ``LOSS_SLACK_S``
 MAX_DETAILS = 20  # violations of one promise that a report shows
@@ -28,6 +30,8 @@
     ONE_PRIMARY_ACKNOWLEDGES = "a replaced primary acknowledges no write"
     ONE_PROMOTER = "fencing tokens rise, one holder each"
     ACCEPTED_IS_ANSWERED = "a request that was accepted is answered around planned work"
+    READ_IS_ANSWERED = "a request that a process has read is answered unless it is killed"
+    STOP_CROSSES_NO_REQUEST = "a stop crosses no request of a caller that follows announcements"
     STOPS_WITHIN_GRACE = "a stopped host ends within its grace"
     STAYS_UP = "no process ends by itself"
     LEFT_SERVER_UNUSED = "a server that left is not used"
@@ -37,6 +41,32 @@
     SERVICE_RETURNS = "service returns after the last fault"
 
 
+class CutKind(Enum):
+    """How a request ended that got no complete answer."""
+
+    READ = "all that was sent was read before the close"
+    UNREAD = "the request crossed the close"
+    LATE = "the caller gave up"
+
+
+@dataclass(frozen=True)
+class CutRequest:
+    """Request without a complete answer."""
+
+    host: str
+    request_id: str
+    connected_s: float
+    sent_s: float
+    ended_s: float
+    reason: str
+    kind: CutKind
+
+    def describe(self) -> str:
+        """Return the request, how long before its connection ended it was sent, and the reason."""
+        age_s = self.ended_s - self.sent_s
+        return f"{self.request_id} at {self.host}, sent {age_s:.3f} s before: {self.reason}"
+
+
 @dataclass(frozen=True)
 class Finding:
     """Violation of a promise at a time of the run."""
@@ -79,6 +109,15 @@
             for each in self._all
         )
 
+    def had_pause(self, host: str, since_s: float) -> bool:
+        """Return whether a host was paused at some time since ``since_s``."""
+        return any(
+            each.host == host
+            and each.fault.kind is FaultKind.HOST_PAUSED
+            and each.until_s >= since_s
+            for each in self._all
+        )
+
 
 class StallMonitor:
     """Record of the times at which the soak itself did not run, so that its clock can't judge."""
@@ -108,6 +147,7 @@
         self.history = History()
         self.findings: list[Finding] = []
         self.stray_count = 0
+        self.cuts: list[CutRequest] = []
         self.stalls = StallMonitor()
         self.now_s: Callable[[], float] = lambda: 0.0
         self.started_s = 0.0
@@ -115,6 +155,7 @@
         self._group = group
         self._hosts_by_request: dict[str, list[str]] = {}
         self._holders: dict[int, str] = {}
+        self._killed_s: dict[str, list[float]] = {}
         group.on_statement = self.handle_statement
         group.on_promotion = self.handle_promotion
 
@@ -142,17 +183,21 @@
         if self._holders.setdefault(token, holder) != holder:
             self.report(Promise.ONE_PROMOTER, f"{holder} and {self._holders[token]} use {token}")
 
-    def handle_cut_request(self, host: str, request_id: str, sent_s: float, reason: str) -> None:
+    def handle_kill(self, host: str) -> None:
+        """Record that a process ended in another way than by a planned stop."""
+        self._killed_s.setdefault(host, []).append(self.now_s())
+
+    def handle_cut_request(self, cut: CutRequest) -> None:
         """Check a request that got no complete answer."""
-        was_passed_on = request_id in self._hosts_by_request
+        self.cuts.append(cut)
+        was_passed_on = cut.request_id in self._hosts_by_request
         # While the soak stood still, the close of the connection may have waited to be read.
-        is_timed = not self.stalls.has_stalled(sent_s, self.now_s())
-        is_due = was_passed_on or (is_timed and self.now_s() - sent_s > LOSS_SLACK_S)
-        calm_since = sent_s - CONTACT_S
+        is_timed = not self.stalls.has_stalled(cut.sent_s, cut.ended_s)
+        is_due = was_passed_on or (is_timed and cut.ended_s - cut.sent_s > LOSS_SLACK_S)
+        calm_since = cut.sent_s - CONTACT_S
         if is_due and self._disturbances.is_calm(None, calm_since, PLANNED_KINDS):
-            detail = f"{request_id} at {host}, sent {self.now_s() - sent_s:.3f} s ago: {reason}"
-            detail += ", passed on" if was_passed_on else ""
-            self.report(Promise.ACCEPTED_IS_ANSWERED, detail)
+            passed_on = ", passed on" if was_passed_on else ""
+            self.report(Promise.ACCEPTED_IS_ANSWERED, f"{cut.describe()}{passed_on}")
 
     def handle_optional_route(
         self, host: str, is_there: bool, changed_s: float, sent_s: float, answer: str
@@ -171,6 +216,7 @@
     def finish(self) -> None:
         """Check the history against the logs of the servers."""
         self._check_runs()
+        self._check_cuts()
         excused = self._group.rolled_back | {
             element for _, element in self._group.commits_of_former_primary
         }
@@ -186,6 +232,26 @@
         for violation in check_history(judged):
             self.report(violation.guarantee, violation.detail)
 
+    def _check_cuts(self) -> None:
+        """Check the requests whose connections ended, except those of killed processes.
+
+        A process that wakes up at the end of its grace time can't announce its end any more.
+        """
+        for cut in self.cuts:
+            if self._was_killed(cut) or cut.kind is CutKind.LATE:
+                continue
+            promise = Promise.READ_IS_ANSWERED
+            if cut.kind is CutKind.UNREAD:
+                if self._disturbances.had_pause(cut.host, cut.sent_s - GRACE_S):
+                    continue
+                promise = Promise.STOP_CROSSES_NO_REQUEST
+            at_s = round(cut.ended_s - self.started_s, 3)
+            self.findings.append(Finding(at_s, promise.value, cut.describe()))
+
+    def _was_killed(self, cut: CutRequest) -> bool:
+        killed_s, until_s = self._killed_s.get(cut.host, []), cut.ended_s + END_NOTICE_S
+        return any(cut.connected_s <= each <= until_s for each in killed_s)
+
     def _check_runs(self) -> None:
         strays = Counter(element for _, element in self._group.commits_of_former_primary)
         runs = strays + Counter(element for _, element in self._group.commits)
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import signal
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -12,13 +12,13 @@
 
 from hickorywind.ids import Address
 from hickorywind.platform.__main__ import SETTINGS_VARIABLE
+from soak.checks import GRACE_S
 from soak.plan import LinkEnd
 from soak.platform import LEAVING_S
 from soak.relay import Direction, RelayLink
 from standins.ports import PortSource
 from standins.processes import ManagedProcess
 
-GRACE_S = 6.0  # from SIGTERM until the platform kills the host (grace_s)
 ZONES = {"z0": "r1", "z1": "r1", "z2": "r2"}
 _LOG_BYTES_PER_S = 1_000_000  # nothing that explains a finding is left out
 _CONNECT_LIMIT_S = 0.5
@@ -48,11 +48,13 @@
         self.zone = f"z{number % len(ZONES)}"
         self.addresses = addresses
         self.links: dict[str, RelayLink] = {}  # by name of the target
+        self.on_kill: Callable[[str], None] = lambda name: None
         self.is_expected_to_run = False
         self.stopping_since_s: float | None = None
         self.pause_count = 0
         self.was_paused = False  # at some time since SIGTERM
         self._log_start = 0
+        self._reload_count = 0
         self._settings_path = folder / f"{self.name}.yaml"
         self.process = ManagedProcess(
             self.name,
@@ -78,9 +80,11 @@
             "zones": ZONES,
             "stop_grace_seconds": GRACE_S,
             "backend_leaving_ms": round(LEAVING_S * 1000),
-            "log_bytes_per_second": _LOG_BYTES_PER_S,
+            "log_bytes_per_second": _LOG_BYTES_PER_S + self._reload_count,
         }
-        self._settings_path.write_text(yaml.safe_dump(settings, sort_keys=False))
+        written = self._settings_path.with_suffix(".new")
+        written.write_text(yaml.safe_dump(settings, sort_keys=False))
+        written.rename(self._settings_path)
 
     def start(self) -> None:
         """Start the process."""
@@ -104,6 +108,7 @@
 
     def kill(self) -> None:
         """Kill the process."""
+        self.on_kill(self.name)
         self.is_expected_to_run = False
         self.stopping_since_s = None
         self.process.kill()
@@ -114,11 +119,32 @@
         self.was_paused = True
         self.process.freeze()
 
+    async def starve(self, stopped_s: float, running_s: float) -> None:
+        """Leave the process little processor time until cancelled."""
+        try:
+            while True:
+                self.process.freeze()
+                await asyncio.sleep(stopped_s)
+                self._thaw()
+                await asyncio.sleep(running_s)
+        finally:
+            self._thaw()
+
+    def _thaw(self) -> None:
+        if self.pause_count == 0:
+            self.process.thaw()
+
+    def reload_settings(self) -> None:
+        """Change the settings file, and send SIGHUP if the process handles signals."""
+        self._reload_count += 1
+        self.write_settings()
+        if self.process.is_running and self.has_started:
+            self.process.send(signal.SIGHUP)
+
     def resume(self) -> None:
         """Undo one pause."""
         self.pause_count -= 1
-        if self.pause_count == 0:
-            self.process.thaw()
+        self._thaw()
 
     def select_links(self, end: LinkEnd, servers: Iterable[str]) -> list[RelayLink]:
         """Return the links of the host to one kind of target."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,7 +12,11 @@
 MAX_FAULT_S = 7.0  # longer than a permit is in force, so that fencing completes
 MAX_PAUSE_IN_SERIES_S = 1.2  # short enough that the faults of a series overlap
 SERIES_INTERVAL_S = 3.5  # average time between the starts of two series
+STOPS_SEED_INTERVAL = 4  # each fourth seed plays ``Theme.STOPS``
 _MAX_SERIES_LENGTH = 4
+_MAX_STOP_INTERVAL_S = 2.0  # between the stops of a series, each of which takes up to six seconds
+_STARVATION_LEAD_S = 1.0  # before a stop
+_IDLE_CALLERS = (4, 20, 60, 100)  # for each host
 _FIRST_FAULT_S = 0.5
 
 
@@ -54,6 +58,8 @@
     ANSWERS_MALFORMED = "servers send answers that break the protocol"
     PROMOTION_ANSWER_LOST = "promotion takes effect and its answer is lost"
     MALFORMED_INPUT = "malformed messages to a host and in the store"
+    HOST_STARVED = "host gets little processor time"
+    HOST_RELOADED = "host gets SIGHUP after its settings file was changed"
 
 
 PLANNED_KINDS = (
@@ -81,12 +87,20 @@
     FaultKind.PRIMARY_CUT_OFF,
     FaultKind.PRIMARY_SILENT,
 )
-HOST_KINDS = (FaultKind.HOST_STOPPED, FaultKind.HOST_PAUSED, FaultKind.HOST_KILLED, *LINK_KINDS)
+HARMED_HOST_KINDS = (
+    FaultKind.HOST_STOPPED,
+    FaultKind.HOST_PAUSED,
+    FaultKind.HOST_KILLED,
+    *LINK_KINDS,
+)
+STOP_KINDS = (FaultKind.HOST_STARVED, FaultKind.HOST_RELOADED)  # beside planned stops
+HOST_KINDS = (*HARMED_HOST_KINDS, *STOP_KINDS)  # concern one host
 # Faults that have neither end nor effect on what a host can reach.
 HARMLESS_KINDS = (
     FaultKind.CONFIGURATION_CHANGED,
     FaultKind.MALFORMED_INPUT,
     FaultKind.STORE_HISTORY_LOST,
+    FaultKind.HOST_RELOADED,
 )
 
 
@@ -116,15 +130,17 @@
     PLANNED = "planned work only"
     MIXED = "all kinds"
     HAND_OVER = "changes of primary beside harmed hosts"
+    STOPS = "planned stops of many hosts with many callers"
 
 
+_DRAWN_THEMES = (Theme.PLANNED, Theme.MIXED, Theme.HAND_OVER)
 _KINDS_BY_THEME = {
     Theme.PLANNED: PLANNED_KINDS,
-    Theme.MIXED: tuple(FaultKind),
+    Theme.MIXED: tuple(kind for kind in FaultKind if kind not in STOP_KINDS),
     Theme.HAND_OVER: (
         *CHANGE_KINDS,
         FaultKind.PROMOTION_ANSWER_LOST,
-        *HOST_KINDS,
+        *HARMED_HOST_KINDS,
         *STORE_KINDS,
     ),
 }
@@ -138,6 +154,7 @@
     host_count: int
     theme: Theme
     faults: tuple[Fault, ...]
+    idle_callers: int = 0  # for each host, beside the busy ones
 
     @classmethod
     def from_seed(
@@ -145,14 +162,21 @@
     ) -> Plan:
         """Draw a plan whose faults start within ``duration_s``."""
         rng = random.Random(seed)
-        theme = rng.choice(list(Theme))
+        theme = rng.choice(_DRAWN_THEMES)
+        if seed % STOPS_SEED_INTERVAL == STOPS_SEED_INTERVAL - 1:
+            theme = Theme.STOPS
         faults: list[Fault] = []
         start_s = _FIRST_FAULT_S
         while start_s < duration_s:
-            faults += _draw_series(rng, theme, start_s, host_count, server_count)
+            if theme is Theme.STOPS:
+                faults += _draw_stops(rng, start_s, host_count)
+            else:
+                faults += _draw_series(rng, theme, start_s, host_count, server_count)
             start_s += rng.expovariate(1 / SERIES_INTERVAL_S)
         kept = [fault for fault in faults if fault.at_s < duration_s]
-        return cls(seed, host_count, theme, tuple(sorted(kept, key=lambda fault: fault.at_s)))
+        idle_callers = rng.choice(_IDLE_CALLERS) if theme is Theme.STOPS else min(_IDLE_CALLERS)
+        faults = sorted(kept, key=lambda fault: fault.at_s)
+        return cls(seed, host_count, theme, tuple(faults), idle_callers)
 
     @classmethod
     def from_document(cls, document: dict[str, Any]) -> Plan:
@@ -167,7 +191,8 @@
             )
             for fault in document["faults"]
         )
-        return cls(document["seed"], document["hosts"], Theme(document["theme"]), faults)
+        theme, idle_callers = Theme(document["theme"]), document.get("idle_callers", 0)
+        return cls(document["seed"], document["hosts"], theme, faults, idle_callers)
 
 
 def _draw_series(
@@ -177,7 +202,7 @@
     kinds = list(rng.choices(_KINDS_BY_THEME[theme], k=rng.randint(1, _MAX_SERIES_LENGTH)))
     if theme is Theme.HAND_OVER:
         # A host that may act for the old primary, and an old primary that lets it.
-        kinds[:1] = [rng.choice(HOST_KINDS), FaultKind.FORMER_PRIMARY_NOT_TOLD]
+        kinds[:1] = [rng.choice(HARMED_HOST_KINDS), FaultKind.FORMER_PRIMARY_NOT_TOLD]
         kinds.append(rng.choice(CHANGE_KINDS))
     for kind in kinds:
         yield Fault(
@@ -189,3 +214,25 @@
             link_end=rng.choice(list(LinkEnd)),
         )
         start_s += rng.uniform(0, MAX_PAUSE_IN_SERIES_S)
+
+
+def _draw_stops(rng: random.Random, start_s: float, host_count: int) -> Iterator[Fault]:
+    """Stop some hosts or all, at once or in turn, beside SIGHUP and changes of configuration."""
+    hosts = rng.sample(range(host_count), rng.randint(1, host_count))
+    interval_s = rng.choice((0.0, rng.uniform(0, _MAX_STOP_INTERVAL_S)))
+    for host in hosts:
+        if rng.random() < 0.5:
+            lead_s = rng.uniform(0, min(_STARVATION_LEAD_S, start_s))
+            length_s = lead_s + rng.uniform(3, MAX_FAULT_S)
+            yield _make_fault(FaultKind.HOST_STARVED, start_s - lead_s, length_s, host)
+        down_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        yield _make_fault(FaultKind.HOST_STOPPED, start_s, down_s, host)
+        if rng.random() < 0.3:
+            kind = rng.choice((FaultKind.HOST_RELOADED, FaultKind.CONFIGURATION_CHANGED))
+            at_s = start_s + rng.uniform(0, MAX_FAULT_S)
+            yield _make_fault(kind, at_s, MIN_FAULT_S, rng.randrange(host_count))
+        start_s += interval_s
+
+
+def _make_fault(kind: FaultKind, at_s: float, for_s: float, host: int) -> Fault:
+    return Fault(kind, round(at_s, 2), round(for_s, 2), host)
--- a/soak/report.py
+++ b/soak/report.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from soak.callers import Answered
-from soak.checks import MAX_DETAILS, Finding
+from soak.checks import MAX_DETAILS, CutKind, CutRequest, Finding
 from soak.plan import Fault, Plan
 
 _BUCKET_S = 0.25
@@ -28,6 +28,8 @@
     rolled_back_count: int
     promotion_count: int
     longest_stall_s: float  # of the soak itself
+    announcement_count: int = 0  # sessions whose host announced its end
+    cuts: tuple[CutRequest, ...] = ()
 
     def counts(self) -> dict[str, int]:
         """Return the number of operations by how they ended."""
@@ -35,17 +37,25 @@
         outcomes = Counter(each.outcome.value for each in self.answered if not each.is_success)
         return {"served": served, **outcomes}
 
+    def cut_counts(self) -> dict[CutKind, int]:
+        """Return the number of requests without a complete answer, also of killed processes."""
+        counts = Counter(cut.kind for cut in self.cuts)
+        return {kind: counts[kind] for kind in CutKind}
+
     def to_text(self) -> str:
         """Return a few lines for the terminal."""
         plan = self.plan
+        cuts = ", ".join(f"{count} {kind.value}" for kind, count in self.cut_counts().items())
         lines = [
-            f"seed {plan.seed}: {plan.host_count} hosts, {self.duration_s:.0f} s from "
+            f"seed {plan.seed}: {plan.host_count} hosts with {plan.idle_callers} idle callers each,"
+            f" {self.duration_s:.0f} s from "
             f"{self.started_at:%H:%M:%S.%f}, "
             f"{len(plan.faults)} faults ({plan.theme.value}), "
             f"{self.promotion_count} orders to promote, {self.counts()}, "
             f"{self.stray_count} writes at replaced primaries, "
             f"{self.rolled_back_count} rolled back, soak stalled {self.longest_stall_s:.2f} s, "
-            f"{len(self.findings)} findings"
+            f"{len(self.findings)} findings",
+            f"  {self.announcement_count} ends announced; requests without an answer: {cuts}",
         ]
         by_promise = Counter(finding.promise for finding in self.findings)
         lines += [f"  {count} x {promise}" for promise, count in by_promise.items()]
@@ -60,12 +70,15 @@
             "duration_s": self.duration_s,
             "started_at": self.started_at.isoformat(),
             "theme": self.plan.theme.value,
+            "idle_callers": self.plan.idle_callers,
             "faults": [_fault_document(fault) for fault in self.plan.faults],
             "counts": self.counts(),
             "promotions": self.promotion_count,
             "writes_at_replaced_primaries": self.stray_count,
             "rolled_back": self.rolled_back_count,
             "longest_stall_s": self.longest_stall_s,
+            "announced_ends": self.announcement_count,
+            "cuts": {kind.name: count for kind, count in self.cut_counts().items()},
             "findings": [asdict(finding) for finding in self.findings],
         }
         (folder / "report.json").write_text(json.dumps(document, indent=1) + "\n")
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,9 +11,9 @@
 from pathlib import Path
 from typing import Any
 
-from soak.callers import Directory, SoakCaller, probe, watch_optional_route
-from soak.checks import STALL_TICK_S, Disturbances, Promise, PromiseChecker
-from soak.hosts import GRACE_S, HostAddresses, HostProcess, translate_peer_links
+from soak.callers import Directory, Pace, SoakCaller, probe, watch_optional_route
+from soak.checks import GRACE_S, STALL_TICK_S, Disturbances, Promise, PromiseChecker
+from soak.hosts import HostAddresses, HostProcess, translate_peer_links
 from soak.malformed import send_malformed
 from soak.plan import LINK_KINDS, STORE_KINDS, Fault, FaultKind, Plan
 from soak.platform import (
@@ -34,10 +34,13 @@
 START_LIMIT_S = 20.0
 SLOW_ANSWER_S = 0.5
 LINK_DELAY_S = (0.02, 0.4)
+STARVED_STOPPED_S = (0.1, 0.3)  # a starved host stands still this long
+STARVED_RUNNING_S = 0.05  # and runs this long, in turn
 SERVERS = ("i-a", "i-b", "i-c")
 # Apart from tests.ports, tests.standins.test_ports, standins.cluster and ephemeral ports.
 _PORTS = range(31_300, 32_700)
-_BLOCK_SIZE = 84  # five hosts with five peers' and servers' links each
+MAX_HOST_COUNT = 8
+_BLOCK_SIZE = 140  # eight hosts with 11 links each
 _POLL_S = 0.05
 _STORE_STOP_LIMIT_S = 0.5
 _STORE_MODES = {
@@ -112,6 +115,7 @@
             await self._group.register(server)
         for number in range(self.plan.host_count):
             host = HostProcess(number, HostAddresses.from_ports(self._ports), self.folder)
+            host.on_kill = self.checker.handle_kill
             self._hosts[host.name] = host
         await self._open_links()
         for host in self._hosts.values():
@@ -149,12 +153,17 @@
     def _start_callers(self) -> None:
         directory = Directory({name: host.addresses.callers for name, host in self._hosts.items()})
         for name, host in self._hosts.items():
-            for database in MAX_STALENESS_S:
-                for number in range(2):
-                    caller_name = f"{name}.{database}.{number}"
-                    caller = SoakCaller(caller_name, name, database, directory, self.checker)
-                    self.callers.append(caller)
-                    self._start_task(caller.run())
+            databases = list(MAX_STALENESS_S)
+            paces = [(database, Pace.BUSY) for database in databases * 2]
+            paces += [
+                (databases[number % len(databases)], Pace.IDLE if number % 4 else Pace.SINGLE)
+                for number in range(self.plan.idle_callers)
+            ]
+            for number, (database, pace) in enumerate(paces):
+                caller_name = f"{name}.{database}.{number}"
+                caller = SoakCaller(caller_name, name, database, directory, self.checker, pace)
+                self.callers.append(caller)
+                self._start_task(caller.run())
             callers = host.addresses.callers
             self._start_task(watch_optional_route(name, callers, self._operators, self.checker))
 
@@ -247,6 +256,7 @@
     def _check_process(self, host: HostProcess) -> None:
         if host.is_expected_to_run and not host.process.is_running:
             self.checker.report(Promise.STAYS_UP, f"{host.name}: {host.process.log_tail(5)}")
+            self.checker.handle_kill(host.name)
             host.start()
         if host.stopping_since_s is None:
             return
@@ -254,6 +264,8 @@
         if not host.process.is_running:
             host.stopping_since_s = None
             code = host.process.wait(0)
+            if code != 0:
+                self.checker.handle_kill(host.name)
             # Before the process handles signals, SIGTERM ends it at once; it has read no request.
             if code != 0 and (code != -signal.SIGTERM or host.has_started):
                 detail = f"{host.name}: exit code {code}: {host.process.log_tail(5)}"
@@ -309,6 +321,11 @@
             case FaultKind.HOST_PAUSED:
                 host.pause()
                 return _undo(host.resume)
+            case FaultKind.HOST_STARVED:
+                work = host.starve(self._rng.uniform(*STARVED_STOPPED_S), STARVED_RUNNING_S)
+                return _undo(asyncio.create_task(work).cancel)
+            case FaultKind.HOST_RELOADED:
+                host.reload_settings()
             case FaultKind.STORE_HISTORY_LOST:
                 self._store.compact_history()
             case FaultKind.CONFIGURATION_CHANGED:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -4,7 +4,7 @@
 from hickorywind.results import Outcome
 from hickorywind_bench.checker import Guarantee
 from hickorywind_bench.history import Append, Read
-from soak.checks import CONFIG_APPLY_S, Disturbances, Promise, PromiseChecker
+from soak.checks import CONFIG_APPLY_S, CutKind, CutRequest, Disturbances, Promise, PromiseChecker
 from soak.plan import Fault, FaultKind
 from soak.platform import LEAVING_S, SoakGroup, StatementRun
 from standins.lineplatform.memorystore import MemoryStore
@@ -31,6 +31,10 @@
     def disturb(self, kind, host="h0", at_s=NOW_S - 1):
         return self.disturbances.begin(Fault(kind, 0, 1), host, at_s)
 
+    def cut(self, request_id, sent_s, kind=CutKind.LATE):
+        cut = CutRequest("h0", request_id, sent_s - 0.1, sent_s, NOW_S, "closed", kind)
+        self.checker.handle_cut_request(cut)
+
     def expect(self, *promises):
         self.checker.finish()
         found = [finding.promise for finding in self.checker.findings]
@@ -94,11 +98,11 @@
     def test_planned_stop_that_cuts_an_accepted_request(self):
         self.disturb(FaultKind.HOST_STOPPED)
         self.checker.stalls.tick(NOW_S)
-        self.checker.handle_cut_request("h0", "q1", NOW_S - 0.1, "closed")
+        self.cut("q1", NOW_S - 0.1)
         self.assertEqual(self.checker.findings, [])  # it may have crossed the close
         self.checker.handle_statement(StatementRun("q2", "h0", "i-a", None))
-        self.checker.handle_cut_request("h0", "q2", NOW_S - 0.1, "closed")
-        self.checker.handle_cut_request("h0", "q3", NOW_S - 0.3, "closed")
+        self.cut("q2", NOW_S - 0.1)
+        self.cut("q3", NOW_S - 0.3)
         self.expect(Promise.ACCEPTED_IS_ANSWERED)
         self.assertEqual(len(self.checker.findings), 2)
 
@@ -106,12 +110,25 @@
         self.disturb(FaultKind.HOST_STOPPED)
         for tick_s in (NOW_S - 1, NOW_S - 0.01):
             self.checker.stalls.tick(tick_s)
-        self.checker.handle_cut_request("h0", "q1", NOW_S - 0.3, "closed")
+        self.cut("q1", NOW_S - 0.3)
         self.expect()
 
     def test_request_that_is_cut_beside_a_kill_promises_nothing(self):
         self.disturb(FaultKind.HOST_KILLED)
-        self.checker.handle_cut_request("h0", "q1", NOW_S - 3, "closed")
+        self.cut("q1", NOW_S - 3)
+        self.expect()
+
+    def test_request_that_a_starved_host_had_read_before_it_stopped(self):
+        self.disturb(FaultKind.HOST_STARVED)
+        self.disturb(FaultKind.HOST_STOPPED)
+        self.cut("q1", NOW_S, CutKind.READ)
+        self.cut("q2", NOW_S, CutKind.UNREAD)
+        self.expect(Promise.READ_IS_ANSWERED, Promise.STOP_CROSSES_NO_REQUEST)
+
+    def test_killed_host_owes_no_answer(self):
+        for kind in (CutKind.READ, CutKind.UNREAD):
+            self.cut("q1", NOW_S - 0.1, kind)
+        self.checker.handle_kill("h0")
         self.expect()
 
     def test_server_that_left_is_used_by_a_restarted_host(self):
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -34,6 +34,10 @@
         for plan in (plan for plan in plans if plan.theme is Theme.HAND_OVER):
             self.assertTrue(any(fault.kind in CHANGE_KINDS for fault in plan.faults), plan.seed)
 
+    def test_each_fourth_seed_stops_hosts_before_idle_callers(self):
+        themes = [Plan.from_seed(seed, 30, 4).theme is Theme.STOPS for seed in range(8)]
+        self.assertEqual(themes, [False, False, False, True] * 2)
+
     def test_report_holds_the_plan_to_play_it_again(self):
         plan = Plan.from_seed(7, 30, 4)
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -32,6 +32,20 @@
         self.assertGreater(report.promotion_count, 0)
 
 
+class PlannedStopTest(unittest.TestCase):
+    def test_stops_of_starved_and_other_hosts_lose_no_request_of_idle_callers(self):
+        faults = (
+            Fault(FaultKind.HOST_STARVED, 0.1, 7.0, host=0),
+            Fault(FaultKind.HOST_STOPPED, 0.2, 0.3, host=0),
+            Fault(FaultKind.HOST_STOPPED, 0.5, 0.3, host=1),
+            Fault(FaultKind.HOST_RELOADED, 1.0, 0.1, host=1),
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            plan = Plan(1, 3, Theme.STOPS, faults, idle_callers=60)
+            report = run_plan(plan, DURATION_S, Path(folder))
+        self.assertEqual(report.findings, (), report.to_text())
+
+
 class EndedProcessTest(unittest.IsolatedAsyncioTestCase):
     async def test_process_that_ends_by_itself_is_found_and_started_again(self):
         with tempfile.TemporaryDirectory() as folder:
