Soak: openings of sessions, and answers that break the protocol

Callers saw: a CONNECT can meet a stop as a request can, and an error without a request is now a message of the protocol, beside which anything else is wrong. Cause: the soak counted neither. It also left the connections of refused CONNECTs to the garbage collector. Change: a CONNECT that a process has read is to be answered like a request; one that crosses the close is counted, not a finding, for its caller can't know of the stop. Each request has one answer, and only an error comes without a request. Connections that fail are closed. Conclusion: the checks of the soak cover what the announcement of a session's end may do.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -34,7 +34,8 @@
 class ConnectionEndedError(Exception):
     """Error raised when a connection ends, with or without a request under way."""
 
-    def __init__(self, reason: str, kind: CutKind = CutKind.UNREAD) -> None:
+    def __init__(self, reason: str, kind: CutKind | None = None) -> None:
+        """``kind`` says what became of a request that was under way."""
         super().__init__(reason)
         self.kind = kind
 
@@ -68,6 +69,12 @@
     lines: tuple[str, ...]
     state: str
 
+    @property
+    def is_well_formed(self) -> bool:
+        """Return whether rows, if any, are followed by one completion or error."""
+        kinds = [line.partition(" ")[0] for line in self.lines]
+        return kinds[-1:] in (["COMPLETE"], ["ERROR"]) and set(kinds[:-1]) <= {"ROW"}
+
     @property
     def outcome(self) -> Outcome:
         """Return what the answer says about whether the request ran."""
@@ -91,16 +98,32 @@
         try:
             async with asyncio.timeout(CONNECT_LIMIT_S):
                 streams = await asyncio.open_connection(address.host, address.port)
-                connection = cls(host, *streams)
-                streams[1].write(f"CONNECT {database} soak\r\n".encode())
-                greeting = await connection._read_line()
-        except (EOFError, OSError, TimeoutError) as error:
+        except (OSError, TimeoutError) as error:
             raise ConnectionEndedError(str(error)) from None
-        if not greeting.startswith("READY"):
+        connection = cls(host, *streams)
+        try:
+            await connection._connect(database)
+        except ConnectionEndedError:
             connection.close()
-            raise ConnectionEndedError(greeting)
+            raise
         return connection
 
+    async def _connect(self, database: str) -> None:
+        try:
+            self._writer.write(f"CONNECT {database} soak\r\n".encode())
+            async with asyncio.timeout(CONNECT_LIMIT_S):
+                greeting = await self._read_line()
+        except TimeoutError:
+            reason = f"no answer in {CONNECT_LIMIT_S} s"
+            raise ConnectionEndedError(reason, CutKind.LATE) from None
+        except EOFError as error:
+            kind = CutKind.READ if self._was_all_read() else CutKind.UNREAD_CONNECT
+            raise ConnectionEndedError(str(error), kind) from None
+        except OSError as error:
+            raise ConnectionEndedError(str(error), CutKind.UNREAD_CONNECT) from None
+        if not greeting.startswith("READY"):
+            raise ConnectionEndedError(greeting)
+
     async def _read_line(self) -> str:
         line = await self._reader.readline()
         if not line.endswith(b"\r\n"):
@@ -133,7 +156,7 @@
             kind = CutKind.READ if self._was_all_read() else CutKind.UNREAD
             raise ConnectionEndedError(str(error), kind) from None
         except OSError as error:
-            raise ConnectionEndedError(str(error)) from None
+            raise ConnectionEndedError(str(error), CutKind.UNREAD) from None
         return Answer(tuple(lines), line.split(" ")[1])
 
     def _was_all_read(self) -> bool:
@@ -199,7 +222,11 @@
                 await self._run_session(host)
             except ConnectionEndedError:
                 self._record(host, Outcome.UNKNOWN, False)
-            except EndAnnouncedError:
+            except EndAnnouncedError as error:
+                if not str(error).startswith("ERROR "):
+                    self._checker.report(
+                        Promise.PROTOCOL_KEPT, f"{host} without a request: {error}"
+                    )
                 self.announcement_count += 1
                 stopping = host
             if self._connection is not None:
@@ -215,7 +242,13 @@
     async def _run_session(self, host: str) -> None:
         address = self._directory.addresses[host]
         self._connected_s = self._checker.now_s()
-        self._connection = await Connection.open(host, address, self.database)
+        try:
+            self._connection = await Connection.open(host, address, self.database)
+        except ConnectionEndedError as error:
+            if error.kind is not None:
+                cut = self._make_cut(host, "CONNECT", self._connected_s, "", error)
+                self._checker.cuts.append(cut)
+            raise
         self._connection_count += 1
         self._session = SessionId(f"{self.name}.{self._connection_count}")
         await self._ask(f"SET tag {self._session}")
@@ -248,23 +281,26 @@
         try:
             answer = await self._connection.ask(request_id, text)
         except ConnectionEndedError as error:
-            cut = CutRequest(
-                self._connection.host,
-                request_id,
-                self._connected_s,
-                sent_s,
-                self._checker.now_s(),
-                f"{text}: {error}",
-                error.kind,
-            )
+            cut = self._make_cut(self._connection.host, request_id, sent_s, text, error)
             self._checker.handle_cut_request(cut)
             raise
+        if not answer.is_well_formed:
+            self._checker.report(Promise.PROTOCOL_KEPT, f"{request_id} {text}: {answer}")
+            raise ConnectionEndedError("malformed answer")
         self._record(self._connection.host, answer.outcome, answer.outcome is Outcome.RAN)
         if answer.outcome is Outcome.RAN and text.split(" ")[0] in ("READ", "WRITE", "COMMIT"):
             if answer.lines[-1] != f"COMPLETE s.{request_id}":
                 self._checker.report(Promise.SIGNED_ANSWER, f"{request_id} {text}: {answer.lines}")
         return request_id, answer
 
+    def _make_cut(
+        self, host: str, request_id: str, sent_s: float, text: str, error: ConnectionEndedError
+    ) -> CutRequest:
+        now_s, reason = self._checker.now_s(), f"{text}: {error}"
+        return CutRequest(
+            host, request_id, self._connected_s, sent_s, now_s, reason, error.kind or CutKind.LATE
+        )
+
     def _record(self, host: str, outcome: Outcome, is_success: bool) -> None:
         self.answered.append(Answered(self._checker.now_s(), host, outcome, is_success))
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -38,6 +38,7 @@
     REMOVED_ROUTE_REFUSED = "a removed route is refused, an added one is served"
     SESSION_STATE_KEPT = "a session sees its own values"
     SIGNED_ANSWER = "a success carries the signature of its own request"
+    PROTOCOL_KEPT = "each request gets one answer, and only an error comes without a request"
     SERVICE_RETURNS = "service returns after the last fault"
 
 
@@ -47,11 +48,12 @@
     READ = "all that was sent was read before the close"
     UNREAD = "the request crossed the close"
     LATE = "the caller gave up"
+    UNREAD_CONNECT = "the opening of a session crossed the close"
 
 
 @dataclass(frozen=True)
 class CutRequest:
-    """Request without a complete answer."""
+    """Request, or opening of a session, without a complete answer."""
 
     host: str
     request_id: str
@@ -238,7 +240,8 @@
         A process that wakes up at the end of its grace time can't announce its end any more.
         """
         for cut in self.cuts:
-            if self._was_killed(cut) or cut.kind is CutKind.LATE:
+            # Callers that open a session know nothing of the stop.
+            if self._was_killed(cut) or cut.kind in (CutKind.LATE, CutKind.UNREAD_CONNECT):
                 continue
             promise = Promise.READ_IS_ANSWERED
             if cut.kind is CutKind.UNREAD:
--- a/tests/soak/test_callers.py
+++ b/tests/soak/test_callers.py
@@ -3,7 +3,7 @@
 import unittest
 
 from hickorywind.ids import Address
-from soak.callers import Connection, ConnectionEndedError, EndAnnouncedError
+from soak.callers import Answer, Connection, ConnectionEndedError, EndAnnouncedError
 from soak.checks import CutKind
 
 
@@ -74,3 +74,8 @@
         connection = await self.connect(announce)
         answer = await connection.ask("q1", "READ x")
         self.assertEqual(answer.lines, ("ERROR BUSY stopping",))
+        self.assertTrue(answer.is_well_formed)
+
+    def test_two_answers_to_one_request_break_the_protocol(self):
+        for lines in ((), ("ROW x",), ("ERROR BUSY stopping", "COMPLETE -")):
+            self.assertFalse(Answer(lines, "I").is_well_formed, lines)
