--- a/hickorywind/host/requestlog.py
+++ b/hickorywind/host/requestlog.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import dataclass
 from datetime import timedelta
 
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.transaction import Transaction
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.ports.catalog import DatabaseName
-from hickorywind.ports.replies import LocalCompletion, ProxyFailure, RelayedAnswer, Reply
+from hickorywind.ports.replies import (
+    LocalCompletion,
+    ProxyFailure,
+    RelayedAnswer,
+    Reply,
+    TransactionState,
+)
 from hickorywind.ports.statements import Request
 from hickorywind.results import Result
 from hickorywind.util.clock import to_milliseconds
@@ -17,6 +24,23 @@
 logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True)
+class SessionCut:
+    """What a caller may miss when the host closes its connection."""
+
+    unanswered: int  # requests that were decoded and have no reply
+    unsent_bytes: int  # of replies
+    has_unread_input: bool
+    state: TransactionState
+    since_input: timedelta
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether the caller misses nothing."""
+        is_idle = self.state is TransactionState.IDLE
+        return is_idle and not (self.unanswered or self.unsent_bytes or self.has_unread_input)
+
+
 class RequestLog:
     """Log of request outcomes: a line for each failed request and a count of all."""
 
@@ -37,6 +61,23 @@
             },
         )
 
+    def record_cut(self, database: DatabaseName, cut: SessionCut) -> None:
+        """Count a connection that the host closes; log it if the caller may miss something."""
+        self._metrics.sessions_closed.labels(str(cut.is_clean).lower()).inc()
+        if cut.is_clean:
+            return
+        logger.info(
+            "session_cut",
+            extra={
+                "database": database,
+                "unanswered": cut.unanswered,
+                "unsent_bytes": cut.unsent_bytes,
+                "unread_input": cut.has_unread_input,
+                "state": cut.state.value,
+                "since_input_ms": round(to_milliseconds(cut.since_input), 1),
+            },
+        )
+
     def record_reply(
         self,
         request: Request,
