Soak: keep requests without an answer in the report

Cause: report.json counted them, which did not say where the openings of sessions were reset. Change: each is listed with its times.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -63,6 +63,15 @@
     reason: str
     kind: CutKind
 
+    def count_from(self, started_s: float) -> CutRequest:
+        """Return the request with times that count from the start of the run."""
+        return replace(
+            self,
+            connected_s=self.connected_s - started_s,
+            sent_s=self.sent_s - started_s,
+            ended_s=self.ended_s - started_s,
+        )
+
     def describe(self) -> str:
         """Return the request, how long before its connection ended it was sent, and the reason."""
         age_s = self.ended_s - self.sent_s
--- a/soak/report.py
+++ b/soak/report.py
@@ -78,7 +78,8 @@
             "rolled_back": self.rolled_back_count,
             "longest_stall_s": self.longest_stall_s,
             "announced_ends": self.announcement_count,
-            "cuts": {kind.name: count for kind, count in self.cut_counts().items()},
+            "cut_counts": {kind.name: count for kind, count in self.cut_counts().items()},
+            "cuts": [{**asdict(cut), "kind": cut.kind.name} for cut in self.cuts],
             "findings": [asdict(finding) for finding in self.findings],
         }
         (folder / "report.json").write_text(json.dumps(document, indent=1) + "\n")
