Soak: a stopping host leaves open transactions half of its grace time

Callers may see: a session ended in the middle of a transaction although its time is not over. The users' rule gives a transaction that is open at SIGTERM the first half of the grace time. Cause: the soak did not check it; a caller followed the announcement of the end and began anew. Change: an announcement while a transaction is open is checked against the time of SIGTERM.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -330,7 +330,11 @@
                     if answer.state != "I":
                         await self._ask("ROLLBACK")
                     return False
-                await self._connection.wait(self._rng.uniform(0, longest_s))
+                try:
+                    await self._connection.wait(self._rng.uniform(0, longest_s))
+                except EndAnnouncedError:
+                    self._checker.handle_ended_transaction(self._connection.host)
+                    raise
             outcome = Outcome.UNKNOWN
             outcome = (await self._ask("COMMIT"))[1].outcome
         finally:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -32,6 +32,7 @@
     ACCEPTED_IS_ANSWERED = "a request that was accepted is answered around planned work"
     READ_IS_ANSWERED = "a request that a process has read is answered unless it is killed"
     STOP_CROSSES_NO_REQUEST = "a stop crosses no request of a caller that follows announcements"
+    TRANSACTIONS_HAVE_TIME = "an open transaction has half of the grace time to end"
     STOPS_WITHIN_GRACE = "a stopped host ends within its grace"
     STAYS_UP = "no process ends by itself"
     LEFT_SERVER_UNUSED = "a server that left is not used"
@@ -162,6 +163,7 @@
         self.stalls = StallMonitor()
         self.now_s: Callable[[], float] = lambda: 0.0
         self.started_s = 0.0
+        self.stopping_since_s: Callable[[str], float | None] = lambda host: None
         self._disturbances = disturbances
         self._group = group
         self._hosts_by_request: dict[str, list[str]] = {}
@@ -210,6 +212,13 @@
             passed_on = ", passed on" if was_passed_on else ""
             self.report(Promise.ACCEPTED_IS_ANSWERED, f"{cut.describe()}{passed_on}")
 
+    def handle_ended_transaction(self, host: str) -> None:
+        """Check the announcement of a session's end while a transaction is open."""
+        since_s = self.stopping_since_s(host)
+        if since_s is not None and self.now_s() - since_s < GRACE_S / 2:
+            detail = f"{host} ends one {self.now_s() - since_s:.3f} s after SIGTERM"
+            self.report(Promise.TRANSACTIONS_HAVE_TIME, detail)
+
     def handle_optional_route(
         self, host: str, is_there: bool, changed_s: float, sent_s: float, answer: str
     ) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -71,6 +71,7 @@
         self._disturbances = Disturbances()
         self.checker = PromiseChecker(self._disturbances, self._group)
         self.checker.now_s = self.now_s
+        self.checker.stopping_since_s = lambda name: self._hosts[name].stopping_since_s
         self._operators = Operators(self._store)
         self._ports = PortSource(PortBlock.claim(random.Random(), _PORTS, _BLOCK_SIZE))
         self._hosts: dict[str, HostProcess] = {}
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -125,6 +125,12 @@
         self.cut("q2", NOW_S, CutKind.UNREAD)
         self.expect(Promise.READ_IS_ANSWERED, Promise.STOP_CROSSES_NO_REQUEST)
 
+    def test_transaction_that_a_stopping_host_ends_early(self):
+        for since_s, expected in ((None, 0), (NOW_S - 3.1, 0), (NOW_S - 2.9, 1)):
+            self.checker.stopping_since_s = lambda host, since_s=since_s: since_s
+            self.checker.handle_ended_transaction("h0")
+            self.assertEqual(len(self.checker.findings), expected, since_s)
+
     def test_killed_host_owes_no_answer(self):
         for kind in (CutKind.READ, CutKind.UNREAD):
             self.cut("q1", NOW_S - 0.1, kind)
