Soak: shorter tests of the callers' connections

Change: one table for the three ways in which a connection ends; same assertions but for the separate names. Conclusion: nothing is checked less.

--- a/tests/soak/test_callers.py
+++ b/tests/soak/test_callers.py
@@ -8,14 +8,17 @@
 
 
 class ConnectionTest(unittest.IsolatedAsyncioTestCase):
-    """What a caller learns from the end of its connection."""
-
-    async def connect(self, serve_session):
+    async def connect(self, lines, reads_request):
         async def serve(reader, writer):
             await reader.readline()
-            writer.write(b"READY I -\r\n")
+            writer.writelines((b"READY I -\r\n", lines))
             with contextlib.suppress(ConnectionError):
-                await serve_session(reader, writer)
+                if reads_request is None:
+                    writer.transport.pause_reading()
+                    await asyncio.sleep(0.1)
+                elif reads_request:
+                    await reader.readline()
+                    writer.write(b"READY I -\r\n" if lines else b"ROW half")
             writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
@@ -26,52 +29,23 @@
         self.addCleanup(connection.close)
         return connection
 
-    async def ask_until_end(self, connection):
-        with self.assertRaises(ConnectionEndedError) as caught:
-            await connection.ask("q1", "READ x")
-        return caught.exception.kind
-
-    async def test_request_that_was_read_before_the_close(self):
-        async def read_and_close(reader, writer):
-            await reader.readline()
-            writer.write(b"ROW half")
-
-        connection = await self.connect(read_and_close)
-        self.assertIs(await self.ask_until_end(connection), CutKind.READ)
-
-    async def test_request_that_was_not_read_before_the_close(self):
-        async def close_unread(reader, writer):
-            writer.transport.pause_reading()
-            await asyncio.sleep(0.1)
-
-        connection = await self.connect(close_unread)
-        self.assertIs(await self.ask_until_end(connection), CutKind.UNREAD)
-
-    async def test_request_that_was_sent_after_the_close(self):
-        async def close(reader, writer):
-            pass
-
-        connection = await self.connect(close)
-        await asyncio.sleep(0.05)
-        self.assertIs(await self.ask_until_end(connection), CutKind.UNREAD)
-
-    async def test_message_without_a_request_ends_the_session(self):
-        async def announce(reader, writer):
-            writer.write(b"ERROR BUSY stopping\r\n")
-            await reader.read()
-
-        connection = await self.connect(announce)
+    async def test_close_tells_whether_a_request_was_read(self):
+        for reads_request, expected in (
+            (True, CutKind.READ),
+            (None, CutKind.UNREAD),  # closed with unread bytes
+            (False, CutKind.UNREAD),  # closed before the request was sent
+        ):
+            connection = await self.connect(b"", reads_request)
+            await asyncio.sleep(0.05)
+            with self.assertRaises(ConnectionEndedError) as caught:
+                await connection.ask("q1", "READ x")
+            self.assertIs(caught.exception.kind, expected, reads_request)
+
+    async def test_error_without_a_request_ends_the_session_and_answers_one_that_crosses_it(self):
+        connection = await self.connect(b"ERROR BUSY stopping\r\n", True)
         with self.assertRaises(EndAnnouncedError):
             await connection.wait(2.0)
-
-    async def test_message_that_crosses_a_request_is_its_answer(self):
-        async def announce(reader, writer):
-            writer.write(b"ERROR BUSY stopping\r\n")
-            await reader.readline()
-            writer.write(b"READY I -\r\n")
-            await reader.read()
-
-        connection = await self.connect(announce)
+        connection = await self.connect(b"ERROR BUSY stopping\r\n", True)
         answer = await connection.ask("q1", "READ x")
         self.assertEqual(answer.lines, ("ERROR BUSY stopping",))
         self.assertTrue(answer.is_well_formed)
