--- /dev/null
+++ b/tests/soak/test_callers.py
@@ -0,0 +1,55 @@
+import asyncio
+import contextlib
+import unittest
+
+from hickorywind.ids import Address
+from soak.callers import Answer, Connection, ConnectionEndedError, EndAnnouncedError
+from soak.checks import CutKind
+
+
+class ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def connect(self, lines, reads_request):
+        async def serve(reader, writer):
+            await reader.readline()
+            writer.writelines((b"READY I -\r\n", lines))
+            with contextlib.suppress(ConnectionError):
+                if reads_request is None:
+                    writer.transport.pause_reading()
+                    await asyncio.sleep(0.1)
+                elif reads_request:
+                    await reader.readline()
+                    writer.write(b"READY I -\r\n" if lines else b"ROW half")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addAsyncCleanup(asyncio.sleep, 0.02)  # the server's tasks end
+        self.addCleanup(server.close)
+        address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        connection = await Connection.open("h0", address, "bookings")
+        self.addCleanup(connection.close)
+        return connection
+
+    async def test_close_tells_whether_a_request_was_read(self):
+        for reads_request, expected in (
+            (True, CutKind.READ),
+            (None, CutKind.UNREAD),  # closed with unread bytes
+            (False, CutKind.UNREAD),  # closed before the request was sent
+        ):
+            connection = await self.connect(b"", reads_request)
+            await asyncio.sleep(0.05)
+            with self.assertRaises(ConnectionEndedError) as caught:
+                await connection.ask("q1", "READ x")
+            self.assertIs(caught.exception.kind, expected, reads_request)
+
+    async def test_error_without_a_request_ends_the_session_and_answers_one_that_crosses_it(self):
+        connection = await self.connect(b"ERROR BUSY stopping\r\n", True)
+        with self.assertRaises(EndAnnouncedError):
+            await connection.wait(2.0)
+        connection = await self.connect(b"ERROR BUSY stopping\r\n", True)
+        answer = await connection.ask("q1", "READ x")
+        self.assertEqual(answer.lines, ("ERROR BUSY stopping",))
+        self.assertTrue(answer.is_well_formed)
+
+    def test_two_answers_to_one_request_break_the_protocol(self):
+        for lines in ((), ("ROW x",), ("ERROR BUSY stopping", "COMPLETE -")):
+            self.assertFalse(Answer(lines, "I").is_well_formed, lines)
