Keep answers about the whole fleet until it changes

Cause: what a host does at rest grew with the fleet. Each greeting that it answers, each check of the services and each housekeeping round listed all hosts again (`PeerTable.alive`, `active`), chose its neighbours anew by sorting all hosts of each zone, and placed the reads anew. In a profile of 200 hosts in one process at rest these were 22 of 53 s.

Change: the table keeps these answers with what they were computed from: the zones heard, and the few hosts that are greeted or reported. Adding or removing a host drops them. `SharedReads` places reads anew only for a new tuple of active hosts. Answers are unchanged; the test compares them with new ones after each of 300 random changes, and fails without the invalidation.

--- a/hickorywind/host/sharedreads.py
+++ b/hickorywind/host/sharedreads.py
@@ -84,11 +84,16 @@
         self._homes = ReadHomes()
         self._loads = ReportedLoads()
         self._background = BackgroundTasks()
+        self._active: tuple[HostId, ...] | None = None
 
     def refresh(self) -> None:
         """Apply the hosts that are alive now."""
         table = self._peers.table
-        zones = {host: table.states[host].record.zone for host in table.active()}
+        active = table.active()
+        if active is self._active:
+            return
+        self._active = active
+        zones = {host: table.states[host].record.zone for host in active}
         self._homes.update(zones | {self._identity.host: self._identity.zone})
 
     def is_home_of(self, backend: Backend) -> bool:
--- a/hickorywind/membership/peertable.py
+++ b/hickorywind/membership/peertable.py
@@ -41,6 +41,26 @@
     silent_since: Instant | None = None
 
 
+@dataclass(frozen=True)
+class _Neighbours:
+    unresponsive: set[HostId]
+    hosts: frozenset[HostId]
+
+
+@dataclass(frozen=True)
+class _Alive:
+    heard_zones: set[AvailabilityZone]
+    observed: dict[HostId, bool]
+    hosts: tuple[HostId, ...]
+
+
+@dataclass(frozen=True)
+class _Active:
+    alive: tuple[HostId, ...]
+    leaving: set[HostId]
+    hosts: tuple[HostId, ...]
+
+
 @dataclass
 class PeerTable:
     """Other hosts of the fleet and what is known of them."""
@@ -53,6 +73,12 @@
     # Hosts that are greeted or were reported. Only these can be silent or leaving, so most methods
     # look at these few instead of at the whole fleet.
     _observed: set[HostId] = field(default_factory=set)
+    # Answers that take the whole fleet into account, and what they were computed from: a fleet
+    # seldom changes, and each greeting asks for them.
+    _zones: dict[HostId, AvailabilityZone] = field(default_factory=dict)
+    _neighbours: _Neighbours | None = None
+    _alive: dict[timedelta, _Alive] = field(default_factory=dict)  # by window
+    _active: _Active | None = None
 
     def add(self, record: HostRecord) -> PeerState:
         """Add a host, or replace what is known of an older incarnation."""
@@ -60,23 +86,33 @@
         self._zones_heard.setdefault(record.zone, now)
         self._observed.discard(record.host)
         state = self.states[record.host] = PeerState(record, now)
+        self._zones[record.host] = record.zone
+        self._forget_answers()
         return state
 
     def remove(self, host: HostId) -> None:
         """Forget a host."""
         self.states.pop(host, None)
         self._observed.discard(host)
+        self._zones.pop(host, None)
+        self._forget_answers()
+
+    def _forget_answers(self) -> None:
+        self._neighbours = None
+        self._alive.clear()
 
     def update_neighbours(self) -> frozenset[HostId]:
         """Choose the hosts to greet and return them."""
-        zones = {host: state.record.zone for host, state in self.states.items()}
         unresponsive = {
             host
             for host, state in self._observed_states()
             if state.missed_greetings >= MISSED_GREETINGS_UNTIL_UNRESPONSIVE
             or self._is_reported_silent(state)
         }
-        chosen = choose_neighbours(self.own_host, self.own_zone, zones, unresponsive)
+        if self._neighbours is None or self._neighbours.unresponsive != unresponsive:
+            chosen = choose_neighbours(self.own_host, self.own_zone, self._zones, unresponsive)
+            self._neighbours = _Neighbours(unresponsive, chosen)
+        chosen = self._neighbours.hosts
         for host in self._observed | chosen:
             state = self.states[host]
             is_greeted = host in chosen
@@ -167,19 +203,24 @@
     def alive(self, window: timedelta = ALIVE_WINDOW) -> tuple[HostId, ...]:
         """Return the other hosts that are alive as far as this host can tell.
 
-        Hosts, or their zones, that were not heard within ``window`` don't count.
+        Hosts, or their zones, that were not heard within ``window`` don't count. The same tuple is
+        returned until the answer changes.
         """
         oldest = self.clock.now() - window
         heard_zones = {zone for zone, heard in self._zones_heard.items() if heard >= oldest}
-        alive = {
+        observed = {
             host: self._is_alive(state, oldest, heard_zones)
             for host, state in self._observed_states()
         }
-        return tuple(
-            host
-            for host, state in self.states.items()
-            if alive.get(host, state.record.zone in heard_zones)
-        )
+        known = self._alive.get(window)
+        if known is None or known.heard_zones != heard_zones or known.observed != observed:
+            hosts = tuple(
+                host
+                for host, zone in self._zones.items()
+                if observed.get(host, zone in heard_zones)
+            )
+            known = self._alive[window] = _Alive(heard_zones, observed, hosts)
+        return known.hosts
 
     def _is_alive(
         self, state: PeerState, oldest: Instant, heard_zones: set[AvailabilityZone]
@@ -189,9 +230,17 @@
         return state.record.zone in heard_zones and not self._is_reported_silent(state)
 
     def active(self) -> tuple[HostId, ...]:
-        """Return the alive other hosts that are not stopping."""
+        """Return the alive other hosts that are not stopping.
+
+        The same tuple is returned until the answer changes.
+        """
         leaving = {host for host, state in self._observed_states() if self._is_leaving(state)}
-        return tuple(host for host in self.alive() if host not in leaving)
+        alive = self.alive()
+        known = self._active
+        if known is None or known.alive is not alive or known.leaving != leaving:
+            hosts = tuple(host for host in alive if host not in leaving)
+            known = self._active = _Active(alive, leaving, hosts)
+        return known.hosts
 
     def _is_leaving(self, state: PeerState) -> bool:
         return state.is_leaving and (state.is_greeted or self._has_report(state))
--- a/tests/host/test_largefleet.py
+++ b/tests/host/test_largefleet.py
@@ -9,11 +9,13 @@
 import hickorywind.host.peers
 from hickorywind.host.failovermanager import SILENT_HOSTS_RANK_KEY
 from hickorywind.host.peers import Peers
+from hickorywind.membership import peertable
 from hickorywind.membership.neighbours import (
     FULL_MESH_SIZE,
     OTHER_ZONE_NEIGHBOURS,
     OWN_ZONE_NEIGHBOURS,
 )
+from hickorywind.placement.readhomes import ReadHomes
 from hickorywind.platform.documents import CONFIGURATION_KEY
 from hickorywind.protocol.messages import CopyQuery
 from tests.host.harness import HostTestCase, RunningHost, configuration
@@ -98,6 +100,15 @@
         # Greetings are up to a fifth of a second early.
         self.assertLessEqual(max(counts.values()), neighbours * (MEASURED_SECONDS / 0.8 + 1))
 
+    async def test_hosts_at_rest_do_not_place_reads_and_neighbours_anew(self):
+        await asyncio.sleep(MEASURED_SECONDS)
+        with (
+            unittest.mock.patch.object(ReadHomes, "update") as place_reads,
+            unittest.mock.patch.object(peertable, "choose_neighbours") as choose,
+        ):
+            await asyncio.sleep(MEASURED_SECONDS)
+        self.assertEqual((place_reads.call_count, choose.call_count), (0, 0))
+
     async def test_start_reads_the_store_three_times(self):
         for host in self.hosts.values():
             # Hosts and leadership at once, the configuration, the backend servers.
--- a/tests/membership/test_peertable.py
+++ b/tests/membership/test_peertable.py
@@ -1,8 +1,12 @@
+import random
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from hickorywind.failover.leadership import HostRecord
 from hickorywind.ids import Address, Incarnation
+from hickorywind.membership import peertable
+from hickorywind.membership.neighbours import choose_neighbours
 from hickorywind.membership.peertable import (
     ALIVE_WINDOW,
     EXPECTED_WINDOW,
@@ -141,6 +145,54 @@
         self.pass_time(ALIVE_WINDOW + SECOND, {f"z{number}" for number in range(ZONE_COUNT)})
         self.assertEqual(self.table.alive(), ())
 
+    def test_fleet_at_rest_costs_no_work_for_all_of_its_hosts(self):
+        alive, active = self.table.alive(), self.table.active()
+        with mock.patch.object(peertable, "choose_neighbours") as choose:
+            self.pass_time(30 * SECOND)
+        self.assertEqual(choose.call_count, 0)
+        self.assertIs(self.table.alive(), alive)
+        self.assertIs(self.table.active(), active)
+
+    def test_answers_follow_each_change_of_the_fleet(self):
+        rng = random.Random(1)
+        for _ in range(300):
+            number = rng.randrange(1, FLEET_SIZE)
+            host, zone = f"h{number}", zone_of(rng.randrange(ZONE_COUNT))
+            match rng.randrange(5):
+                case 0:
+                    self.table.remove(host)
+                case 1:
+                    address = Address("127.0.0.1", number)
+                    self.table.add(HostRecord(host, Incarnation(1), zone, address, 1))
+                case 2:
+                    self.report(host, rng.choice((None, 3000)), is_leaving=rng.random() < 0.5)
+                case _:
+                    self.pass_silently(rng.random() * 2, zone)
+            self.assert_answers_are_current()
+
+    def pass_silently(self, seconds, zone):
+        """Let time pass in which only the greeted hosts of one zone are heard, once."""
+        self.clock.time += timedelta(seconds=seconds)
+        for host in self.table.update_neighbours():
+            state = self.table.states[host]
+            if state.record.zone == zone:
+                self.table.record_heard(host)
+            else:
+                state.missed_greetings += 1
+
+    def assert_answers_are_current(self):
+        self.table.update_neighbours()
+        neighbours = self.table._neighbours
+        zones = {host: state.record.zone for host, state in self.table.states.items()}
+        chosen = choose_neighbours("h0", "z0", zones, neighbours.unresponsive)
+        self.assertEqual(neighbours.hosts, chosen)
+        answers = self.table.alive(), self.table.alive(SECOND), self.table.active()
+        self.table._forget_answers()
+        self.table._active = None
+        self.assertEqual(
+            answers, (self.table.alive(), self.table.alive(SECOND), self.table.active())
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
