Move the end of a stopping host's sessions to a module of its own

SessionDrain holds the stages; HostRuntime keeps the order in which its parts are closed. No change of behaviour; the tests of the stop pass unchanged.

--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -20,8 +20,8 @@
 from hickorywind.host.requestlog import RequestLog
 from hickorywind.host.service import DISPATCH_INTERVAL, IDLE_DISPATCH_INTERVAL, ServiceRuntime
 from hickorywind.host.session import Session
+from hickorywind.host.sessiondrain import NEW_WORK_FRACTION, SessionDrain
 from hickorywind.host.sharedreads import SharedReads
-from hickorywind.host.stopstage import StopStage, make_shutdown_refusal
 from hickorywind.host.storeacknowledger import StoreAcknowledger
 from hickorywind.host.storesync import StoreSync
 from hickorywind.ids import BackendId, HostId, Incarnation, Revision, ServiceName
@@ -80,13 +80,8 @@
 HOUSEKEEPING_INTERVAL = timedelta(milliseconds=500)
 # After SIGTERM the load balancer sends callers until it has missed two probes, a second apart.
 BALANCER_WAIT = timedelta(milliseconds=2300)
-NEW_WORK_GRACE_FRACTION = 0.5  # of the grace time, after which new operations are refused
-TRANSACTION_GRACE_FRACTION = 0.7  # of the grace time, for open transactions to end
-FLUSH_WAIT = timedelta(milliseconds=100)  # for the last replies to be written to the sockets
 # A permit that ends sooner may be over before a redirected request arrives here.
 MIN_PERMIT_REMAINING = timedelta(seconds=2)
-EXIT_GRACE_FRACTION = 0.8  # of the grace time, after which running statements are given up
-REPLY_GRACE_FRACTION = 0.85  # of the grace time, until which the last replies may be written
 # A copy of a large configuration takes a second on the slowest links; a second request sooner would
 # slow both down.
 CONFIGURATION_COPY_TIMEOUT = timedelta(seconds=3)
@@ -172,7 +167,8 @@
         self._request_log = RequestLog(metrics)
         self._server: asyncio.Server | None = None
         self._is_stopping = False
-        self._stop_stage = StopStage.SERVING
+        self._grace = timedelta(seconds=settings.stop_grace_seconds)
+        self._drain = SessionDrain(self._sessions, self._services, clock, self._grace)
         self._created_at = clock.now()
         self._configured_after: timedelta | None = None
         self._background = BackgroundTasks()
@@ -225,7 +221,7 @@
             self._request_log,
             self._sessions.discard,
         )
-        session.advance_stop(self._stop_stage)
+        session.advance_stop(self._drain.stage)
         self._sessions.add(session)
         self._metrics.sessions.set(len(self._sessions))
         return session
@@ -286,29 +282,13 @@
             self._metrics.sessions.set(len(self._sessions))
 
     async def drain(self) -> None:
-        """Stop accepting callers and end all sessions within the grace time.
-
-        A session ends with a notice on which its caller closes it; until then what the caller sends
-        is answered.
-        """
+        """Stop accepting callers and end all sessions within the grace time."""
         started = self._clock.now()
-        grace = timedelta(seconds=self._settings.stop_grace_seconds)
         self._is_stopping = True
-        await asyncio.sleep(min(BALANCER_WAIT, grace * NEW_WORK_GRACE_FRACTION).total_seconds())
+        await asyncio.sleep(min(BALANCER_WAIT, self._grace * NEW_WORK_FRACTION).total_seconds())
         await self._accept_waiting()
         self._stop_accepting()
-        self._enter_stop_stage(StopStage.CLOSING_QUIET)
-        while self._sessions and self._clock.now() < started + grace * EXIT_GRACE_FRACTION:
-            spent = self._clock.now() - started
-            if spent >= grace * NEW_WORK_GRACE_FRACTION:
-                self._refuse_new_work()
-            if spent >= grace * TRANSACTION_GRACE_FRACTION:
-                self._end_idle_transactions()
-            await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
-        # A late event loop may have passed the time in which the loop does this.
-        self._refuse_new_work()
-        self._end_idle_transactions()
-        logger.info("sessions_open_at_stop", extra={"count": len(self._sessions)})
+        await self._drain.end_sessions(started)
         self._failover_manager.close()
         self._store_acknowledger.close()
         self._reads.close()
@@ -316,12 +296,10 @@
         # can still reply.
         for service in self._services.values():
             service.close()
-        await self._write_last_replies(started + grace * REPLY_GRACE_FRACTION)
-        for session in list(self._sessions):
-            session.close()
+        await self._drain.close_sessions(started)
         # Sessions wait for the answers of quota homes, which come or time out before.
         self._quotas.close()
-        await self._unregister(started + grace * UNREGISTER_GRACE_FRACTION)
+        await self._unregister(started + self._grace * UNREGISTER_GRACE_FRACTION)
         self._peers.close()
         await self._adapters.coordination_store.close()
 
@@ -334,29 +312,6 @@
             # Its permit is revoked all the same; others take the entry for a host that has ended.
             logger.info("unregister_failed", extra={"error": "the grace time is nearly over"})
 
-    def _enter_stop_stage(self, stage: StopStage) -> None:
-        if stage is self._stop_stage:
-            return
-        self._stop_stage = stage
-        for session in list(self._sessions):
-            session.advance_stop(stage)
-
-    def _refuse_new_work(self) -> None:
-        self._enter_stop_stage(StopStage.REFUSING)
-        for service in self._services.values():
-            service.refuse_all(make_shutdown_refusal())
-
-    def _end_idle_transactions(self) -> None:
-        for session in list(self._sessions):
-            session.end_idle_transaction()
-
-    async def _write_last_replies(self, deadline: Instant) -> None:
-        await asyncio.sleep(FLUSH_WAIT.total_seconds())
-        while any(not session.is_settled for session in self._sessions):
-            if self._clock.now() >= deadline:
-                return
-            await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
-
     async def _accept_waiting(self) -> None:
         if self._server is not None:
             await accept_waiting(self._listener, self._make_session)
