Test that a malformed session token with a right checksum is refused

On the test fails: positions beyond 2^63 are accepted ("HickorywindError not raised"), and a nested body raised RecursionError in a probe of the decoder.

--- a/tests/routing/test_session.py
+++ b/tests/routing/test_session.py
@@ -1,5 +1,8 @@
+import base64
 import unittest
 
+import msgspec
+import xxhash
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -82,6 +85,17 @@
                 decode_token(candidate)
             self.assertIs(caught.exception.result.code, ResultCode.BAD_TOKEN)
 
+    def test_token_that_a_caller_made_with_a_right_checksum_is_refused_if_malformed(self):
+        deep = b"\x91" * 5_000 + b"\x90"
+        bodies = [msgspec.msgpack.encode([{"a": [1, 2**64 - 1]}, []]), b"\x93\x80\x90" + deep, deep]
+        for body in bodies:
+            checksum = xxhash.xxh3_64_digest(b"hw1." + body)
+            token = "hw1." + base64.urlsafe_b64encode(checksum + body).decode().rstrip("=")
+            with self.assertRaises(HickorywindError) as caught:
+                decode_token(token)
+            self.assertIs(caught.exception.result.code, ResultCode.BAD_TOKEN)
+            self.assertIn("malformed", caught.exception.result.reason)
+
     def test_every_changed_character_is_detected(self):
         token = encode_token(TokenContent({A: at(3, 12345)}))
         for index in range(len(token)):
