--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -26,6 +26,7 @@
 from hickorywind.protocol.messages import CopiedItem, CopyReply
 from hickorywind.store.interface import StoredValue
 from hickorywind.util.clock import Clock, Instant
+from hickorywind.util.decoding import MalformedDataError
 
 logger = logging.getLogger(__name__)
 
@@ -210,14 +211,14 @@
                 case ItemWritten(item):
                     self._apply_backend(item, source)
                 case ItemDeleted(key, _):
-                    backend = BackendId(key.removeprefix(self._schema.backends_prefix))
-                    if backend in self.backends:
-                        self._missing_since.setdefault(backend, self._clock.now())
+                    self._record_missing_backend(key)
         self._notify_backend_listeners()
 
     def _apply_backend(self, item: StoredValue, source: str) -> None:
         decoded = self._schema.decode_backend(item)
         if decoded is None:
+            # Hosts that start now don't know what the entry held before.
+            self._record_missing_backend(item.key)
             return
         self._missing_since.pop(decoded.backend, None)
         known = self.backends.get(decoded.backend)
@@ -238,8 +239,13 @@
             },
         )
 
+    def _record_missing_backend(self, key: str) -> None:
+        backend = BackendId(key.removeprefix(self._schema.backends_prefix))
+        if backend in self.backends:
+            self._missing_since.setdefault(backend, self._clock.now())
+
     def remove_missing_backends(self) -> None:
-        """Remove backend servers that have been unregistered for ``MISSING_BACKEND_GRACE``."""
+        """Remove backend servers without a valid registration for ``MISSING_BACKEND_GRACE``."""
         now = self._clock.now()
         removed = [
             key
@@ -263,9 +269,12 @@
                 continue
             item = change.item
             service = ServiceName(item.key.removeprefix(LEADERSHIP_PREFIX))
-            record = decode_leadership(item.value)
-            if record is None:
-                logger.error("leadership_unreadable", extra={"service": service})
+            try:
+                record = decode_leadership(item.value)
+            except MalformedDataError as error:
+                logger.error(
+                    "leadership_unreadable", extra={"service": service, "error": str(error)}
+                )
                 continue
             if self.permits.learn(service, VersionedLeadership(record, item.revision)):
                 logger.info(
@@ -288,9 +297,8 @@
     """Decode registrations of hosts; skip and log invalid ones."""
     records = []
     for item in items:
-        record = decode_host(item.value)
-        if record is None:
-            logger.error("host_record_unreadable", extra={"key": item.key})
-        else:
-            records.append(record)
+        try:
+            records.append(decode_host(item.value))
+        except MalformedDataError as error:
+            logger.error("host_record_unreadable", extra={"key": item.key, "error": str(error)})
     return tuple(records)
--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -14,7 +14,12 @@
 from hickorywind.host.requestlog import RequestLog, SessionCut
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.sessioncontext import SessionContext
-from hickorywind.host.stopstage import StopStage, make_shutdown_abort, make_shutdown_refusal
+from hickorywind.host.stopstage import (
+    StopStage,
+    make_shutdown_abort,
+    make_shutdown_cut,
+    make_shutdown_refusal,
+)
 from hickorywind.host.transaction import Transaction
 from hickorywind.ids import AccessMode, ServiceName
 from hickorywind.ports.catalog import (
@@ -89,10 +94,10 @@
         self._key = AccountKey("")
         self._context: SessionContext | None = None
         self._transaction: Transaction | None = None
-        self._is_busy = False
+        self._current: CallerEvent | None = None  # being processed
         self._stop_stage = StopStage.SERVING
         self._has_announced_end = False
-        self._is_notice_pending = False  # sent, and not yet the error of a request's reply
+        self._notice: Result | None = None  # sent, and not yet the error of a request's reply
         self._is_disconnected = False
         self._last_input_at = clock.now()
 
@@ -124,7 +129,7 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request is being processed or is queued."""
-        return self._is_busy or bool(self._pending)
+        return self._current is not None or bool(self._pending)
 
     @property
     def is_settled(self) -> bool:
@@ -152,14 +157,37 @@
             self._transport.abort()
 
     def close(self) -> None:
-        """Close the connection; log what the caller may miss."""
+        """Reply to open requests and close the connection; log what the caller may miss."""
         if self._transport is not None and not self._is_disconnected:
             self._log_cut()
+            self._give_up_requests()
             self._transport.close()
 
+    def _give_up_requests(self) -> None:
+        """Reply to the current request that its outcome is unknown, and don't run the others."""
+        waiting, self._pending = self._pending, deque()
+        if self._context is None:
+            return
+        if isinstance(self._current, Request):
+            self._give_up(self._current)
+        for event in waiting:
+            if self._notice is not None:
+                self._handle_after_notice(event)
+            elif isinstance(event, Request):
+                self._refuse_at_stop(event)
+
+    def _give_up(self, request: Request) -> None:
+        result = make_shutdown_cut()
+        self._request_log.record_refusal(request.request_id, self._database, result)
+        if isinstance(request.statement, Commit | Rollback):
+            self._transaction = None
+        elif self._transaction is not None:
+            self._transaction.has_failed = True
+        self._reply(ProxyFailure(result))
+
     def _log_cut(self) -> None:
         cut = SessionCut(
-            len(self._pending) + self._is_busy,
+            len(self._pending) + (self._current is not None),
             self._transport.get_write_buffer_size(),
             has_unread_input(self._transport.get_extra_info("socket")),
             self._state(),
@@ -177,10 +205,9 @@
                 event = self._pending.popleft()
                 if not self._pending and self._transport is not None:
                     self._transport.resume_reading()
-                self._is_busy = True
-                handle = self._handle_after_notice if self._is_notice_pending else self._handle
-                is_open = await handle(event)
-                self._is_busy = False
+                self._current = event
+                is_open = await self._handle(event)
+                self._current = None
                 if not is_open:
                     break
         except Exception:
@@ -209,7 +236,7 @@
 
     def _may_end(self) -> bool:
         is_stopping = self._stop_stage is not StopStage.SERVING
-        return is_stopping and self._transaction is None and not self._is_notice_pending
+        return is_stopping and self._transaction is None and self._notice is None
 
     def _refuses_new_work(self) -> bool:
         is_refusing = self._stop_stage is StopStage.REFUSING or self._has_announced_end
@@ -230,22 +257,21 @@
         The host doesn't close it itself, as that would cut off a request that is on its way. Such a
         request takes the notice for its error, so the end is announced once more after its reply.
         """
-        self._has_announced_end = self._is_notice_pending = True
+        self._has_announced_end = True
+        self._notice = result
         self._write(self._codec.encode_end_notice(result))
 
-    async def _handle_after_notice(self, event: CallerEvent) -> bool:
+    def _handle_after_notice(self, event: CallerEvent) -> bool:
         """Reply to what the caller sent before it saw the notice; return whether to go on."""
-        self._is_notice_pending = False
+        notice, self._notice = self._notice, None
         match event:
-            case Request(request_id, statement):
+            case Request(request_id, Commit() | Rollback()):
+                self._transaction = None
+            case Request(request_id, _) | MalformedInput(request_id, _, False):
                 pass
-            case MalformedInput(request_id, _, False):
-                statement = None
             case _:
                 return False
-        self._request_log.record_refusal(request_id, self._database, make_shutdown_refusal())
-        if isinstance(statement, Commit | Rollback):
-            self._transaction = None
+        self._request_log.record_refusal(request_id, self._database, notice)
         self._write(self._codec.encode_notice_completion(self._state()))
         return True
 
@@ -262,6 +288,9 @@
     # Requests ----------------------------------------------------------------------------------
 
     async def _handle(self, event: CallerEvent) -> bool:
+        """Process what the caller sent; return whether the session goes on."""
+        if self._notice is not None:
+            return self._handle_after_notice(event)
         match event:
             case Connect(database, client):
                 await self._wait_for_configuration()
@@ -281,15 +310,18 @@
                 result = Result.not_run(ResultCode.MALFORMED_MESSAGE, "no session is open yet")
                 self._write(self._codec.encode_refused(result))
                 return False
-            case Request(request_id, _) if self._refuses_new_work():
-                result = make_shutdown_refusal()
-                self._request_log.record_refusal(request_id, self._database, result)
-                self._reply(ProxyFailure(result))
+            case Request() if self._refuses_new_work():
+                self._refuse_at_stop(event)
                 return True
             case Request():
                 await self._process_request(event)
                 return True
 
+    def _refuse_at_stop(self, request: Request) -> None:
+        result = make_shutdown_refusal()
+        self._request_log.record_refusal(request.request_id, self._database, result)
+        self._reply(ProxyFailure(result))
+
     async def _wait_for_configuration(self) -> None:
         until = self._clock.now() + CONFIGURATION_TIMEOUT
         while self._fleet.configuration is None and self._clock.now() < until:
@@ -388,7 +420,7 @@
         return TransactionState.FAILED if self._transaction.has_failed else TransactionState.OPEN
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._is_disconnected:
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
     async def _execute(self, request: Request, arrived: timedelta) -> Reply:
--- a/hickorywind/platform/lineprotocol.py
+++ b/hickorywind/platform/lineprotocol.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from hickorywind.ids import (
     AccessMode,
     BackendId,
@@ -38,6 +40,7 @@
     Terminate,
 )
 from hickorywind.results import Outcome, Result, ResultCode
+from hickorywind.util.decoding import parse_counter
 
 MAX_MESSAGE_BYTES = 1_048_576  # limit of the protocol
 PROXY_REQUEST_ID = "-"  # marks statements that the proxy itself sends
@@ -78,10 +81,9 @@
 
 def parse_position(text: str) -> LogPosition | None:
     """Parse ``TERM.NUMBER``; return None for ``-`` and any other text."""
-    term, separator, number = text.partition(".")
-    if not separator or not term.isdigit() or not number.isdigit():
-        return None
-    return LogPosition(Term(int(term)), int(number))
+    term_text, _, number_text = text.partition(".")
+    term, number = parse_counter(term_text), parse_counter(number_text)
+    return None if term is None or number is None else LogPosition(Term(term), number)
 
 
 def render_position(position: LogPosition) -> str:
@@ -96,19 +98,18 @@
         self._pending = bytearray()
         self.is_overlong = False
 
-    def feed(self, data: bytes) -> list[str]:
-        """Return the lines completed by ``data``; raise ``UnicodeDecodeError`` if not UTF-8."""
+    def feed(self, data: bytes) -> Iterator[str]:
+        """Yield the lines completed by ``data``; raise ``UnicodeDecodeError`` if not UTF-8."""
         self._pending += data
-        lines = []
         while (end := self._pending.find(_LINE_END)) >= 0:
             if end > MAX_MESSAGE_BYTES:
                 self.is_overlong = True
                 break
-            lines.append(bytes(self._pending[:end]).decode("utf-8"))
+            line = bytes(self._pending[:end])
             del self._pending[: end + len(_LINE_END)]
+            yield line.decode("utf-8")
         if len(self._pending) > MAX_MESSAGE_BYTES:
             self.is_overlong = True
-        return lines
 
 
 class LineCallerCodec:
@@ -122,11 +123,14 @@
         """Parse bytes and return the events that they complete."""
         if self._has_failed:
             return []
+        events = []
         try:
-            events = [_parse_message(line) for line in self._buffer.feed(data)]
+            for line in self._buffer.feed(data):
+                events.append(_parse_message(line))
         except UnicodeDecodeError:
             self._has_failed = True
-            return [MalformedInput(PROXY_REQUEST_ID, "the message is not UTF-8 text", True)]
+            reason = "the message is not UTF-8 text"
+            return [*events, MalformedInput(PROXY_REQUEST_ID, reason, True)]
         if self._buffer.is_overlong:
             self._has_failed = True
             reason = f"the message exceeds {MAX_MESSAGE_BYTES} bytes"
@@ -341,12 +345,12 @@
     def decode_status(self, answer: Answer) -> ServerStatus | None:
         """Decode a status row: role, term, received position, then load figures; else None."""
         fields = answer.rows[0].split(" ") if answer.rows else []
-        if len(fields) < 3 or fields[0] not in ("primary", "replica") or not fields[1].isdigit():
+        if len(fields) < 3 or fields[0] not in ("primary", "replica"):
             return None
-        received = parse_position(fields[2])
-        if received is None:
+        term, received = parse_counter(fields[1]), parse_position(fields[2])
+        if term is None or received is None:
             return None
-        return ServerStatus(InstanceRole(fields[0]), Term(int(fields[1])), received)
+        return ServerStatus(InstanceRole(fields[0]), Term(term), received)
 
 
 def _encode_query(request_id: str, text: str) -> bytes:
