Give callers until 0.85 of the grace time to leave after their last replies

What callers could see: a session whose transaction had failed was closed 0.19 s after its last answer, with the caller's ROLLBACK under way, although callers have until 0.85 of the grace time (5.1 of 6 s).

Cause: the last wait ended once all replies were written, 100 ms after running statements were given up. Change: it ends when the callers have left, or at 0.85. Sessions without a request leave by the notice anyhow.

--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -131,12 +131,6 @@
         """Whether a request is being processed or is queued."""
         return self._current is not None or bool(self._pending)
 
-    @property
-    def is_settled(self) -> bool:
-        """Whether all requests that were read have their whole reply written to the socket."""
-        unsent_bytes = 0 if self._transport is None else self._transport.get_write_buffer_size()
-        return not self.is_busy and not unsent_bytes
-
     def advance_stop(self, stage: StopStage) -> None:
         """Enter a stage of the host's stop."""
         self._stop_stage = stage
--- a/hickorywind/host/sessiondrain.py
+++ b/hickorywind/host/sessiondrain.py
@@ -19,8 +19,7 @@
 NEW_WORK_FRACTION = 0.5  # after which new operations are refused
 TRANSACTION_FRACTION = 0.7  # for open transactions to end
 STATEMENT_FRACTION = 0.8  # after which running statements are given up
-REPLY_FRACTION = 0.85  # until which the last replies may be written
-FLUSH_WAIT = timedelta(milliseconds=100)  # for the last replies to be written to the sockets
+REPLY_FRACTION = 0.85  # until which callers may read the last replies and leave
 
 
 class SessionDrain:
@@ -58,11 +57,8 @@
         logger.info("sessions_open_at_stop", extra={"count": len(self._sessions)})
 
     async def close_sessions(self, started: Instant) -> None:
-        """Wait until the last replies are written, and close all connections."""
-        await asyncio.sleep(FLUSH_WAIT.total_seconds())
-        while not all(session.is_settled for session in self._sessions):
-            if not self._is_before(started, REPLY_FRACTION):
-                break
+        """Give callers time to read their last replies and leave, then close all connections."""
+        while self._sessions and self._is_before(started, REPLY_FRACTION):
             await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
         for session in list(self._sessions):
             session.close()
