Entry: answers no longer wait in a process that may end

Callers of an entry that stopped could lose the end of an answer that the session had already counted as given.

Cause: CallerStream.write waits only while the transport's buffer is over its high-water mark (64 KiB). Up to that much of an answer was still in the process when the session counted as idle. A stop then wrote its FATAL error, waited 1 s, and the process ended with what a slow caller had not taken.

Change: the high-water mark is 0, so that a write ends when the operating system has taken all bytes; a session with an unsent answer is a session with a running request, for which the drain waits.

Evidence: test_write_waits_until_no_byte_is_left_in_the_process, socket buffer of 4 KiB, 50,000 bytes: before "AssertionError: True is not false" (the write had returned at once), now passes.

--- a/hickorywind/entry/callerstream.py
+++ b/hickorywind/entry/callerstream.py
@@ -49,6 +49,8 @@
     ) -> None:
         self._reader = reader
         self._writer = writer
+        # A written answer must not wait in this process, which may end at any time afterwards.
+        writer.transport.set_write_buffer_limits(high=0)
         self._splitter = FrameSplitter(limit_bytes)
         self._frames: deque[Frame] = deque()
         self._idle_read_task: asyncio.Task | None = None
@@ -113,7 +115,7 @@
             self._idle_read_task = None
 
     async def write(self, data: bytes) -> None:
-        """Write and wait until the send buffer drains.
+        """Write and wait until the operating system has taken all data.
 
         Raise ``CallerDisconnectedError`` on a lost connection or after ``WRITE_TIMEOUT``.
         """
