Entry: a message received before the stop of its session is served

A stopping entry refused requests that it had already received: FATAL 5002, outcome not_run. The refusal was true, but the request was sent before the close and needless to refuse.

When the message arrives in the same iteration of the event loop (a late loop, little processor time), its bytes are in the StreamReader while the session's task has not run yet; cancelling the read dropped them.

Change: stop_if_idle leaves a read alone whose data is already there; the next call decides again. The two ways of reading are one function now.

Evidence: test_message_received_before_a_stop_is_returned: before "StreamStoppedError", now passes.

--- a/hickorywind/entry/callerstream.py
+++ b/hickorywind/entry/callerstream.py
@@ -25,6 +25,11 @@
 
     on_disconnect: Callable[[], None] | None = None
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Return whether data or the end of the stream was received but not read yet."""
+        return bool(self._buffer) or self._eof
+
     def feed_eof(self) -> None:
         """Handle the end of the incoming stream."""
         super().feed_eof()
@@ -53,23 +58,24 @@
         writer.transport.set_write_buffer_limits(high=0)
         self._splitter = FrameSplitter(limit_bytes)
         self._frames: deque[Frame] = deque()
-        self._idle_read_task: asyncio.Task | None = None
+        self._read_task: asyncio.Task | None = None
+        self._is_read_idle = False
         self._stopping = False
 
-    @property
-    def is_idle(self) -> bool:
-        """Return whether the stream waits for the first byte of a message."""
-        return self._idle_read_task is not None
-
     def set_disconnect_callback(self, callback: Callable[[], None]) -> None:
         """Set the function that is called when the caller disconnects."""
         self._reader.on_disconnect = callback
 
-    def stop(self) -> None:
+    def stop_if_idle(self) -> None:
         """Make ``next_frame`` raise ``StreamStoppedError`` if it waits for a new message."""
-        if self._idle_read_task is not None:
+        if self._is_read_idle and not self._reader.has_unread_data:
+            self.stop()
+
+    def stop(self) -> None:
+        """Make ``next_frame`` raise ``StreamStoppedError`` if it waits, even inside a batch."""
+        if self._read_task is not None:
             self._stopping = True
-            self._idle_read_task.cancel()
+            self._read_task.cancel()
 
     async def next_frame(self, inside_batch: bool) -> Frame | None:
         """Return the next message, or None if the caller has disconnected.
@@ -78,10 +84,8 @@
         ``HickorywindError`` for an error that ends the connection, and ``StreamStoppedError``.
         """
         while not self._frames:
-            if inside_batch or self._splitter.buffered_bytes:
-                data = await self._read_with_timeout()
-            else:
-                data = await self._read_when_idle()
+            is_idle = not inside_batch and not self._splitter.buffered_bytes
+            data = await self._read(None if is_idle else MESSAGE_TIMEOUT)
             if not data:
                 return None
             self._frames.extend(self._split(data))
@@ -93,26 +97,25 @@
         except FrameTooLargeError as error:
             raise _fatal_error(ResultCode.MESSAGE_TOO_LARGE, str(error)) from None
 
-    async def _read_with_timeout(self) -> bytes:
+    async def _read(self, timeout: timedelta | None) -> bytes:
+        task = self._read_task = asyncio.current_task()
+        self._is_read_idle = timeout is None
         try:
-            async with asyncio.timeout(MESSAGE_TIMEOUT.total_seconds()):
+            async with asyncio.timeout(None if timeout is None else timeout.total_seconds()):
                 return await self._reader.read(_READ_BYTES)
         except TimeoutError:
+            if timeout is None:
+                raise  # of the connection
             reason = "timeout while receiving a message or the rest of a batch"
             raise _fatal_error(ResultCode.MALFORMED_MESSAGE, reason) from None
-
-    async def _read_when_idle(self) -> bytes:
-        task = asyncio.current_task()
-        self._idle_read_task = task
-        try:
-            return await self._reader.read(_READ_BYTES)
         except asyncio.CancelledError:
             if not self._stopping or task is None:
                 raise
             task.uncancel()
             raise StreamStoppedError from None
         finally:
-            self._idle_read_task = None
+            self._read_task = None
+            self._is_read_idle = False
 
     async def write(self, data: bytes) -> None:
         """Write and wait until the operating system has taken all data.
--- a/hickorywind/entry/session.py
+++ b/hickorywind/entry/session.py
@@ -87,7 +87,7 @@
         if self._stop_requested_at is None:
             self._stop_requested_at = now
         if self._is_between_requests and now - self._last_answered_at >= _IDLE_TIME_AFTER_ANSWER:
-            self._stream.stop()
+            self._stream.stop_if_idle()
 
     @property
     def _is_between_requests(self) -> bool:
--- a/tests/entry/test_callerstream.py
+++ b/tests/entry/test_callerstream.py
@@ -2,9 +2,12 @@
 import socket
 import unittest
 
+from pygwire.messages import Query
+
 from hickorywind.entry.callerstream import CallerReader, CallerStream
 
 LIMIT_BYTES = 1_048_576
+QUERY = Query("SELECT 1").to_wire()
 
 
 class CallerStreamTest(unittest.IsolatedAsyncioTestCase):
@@ -22,6 +25,17 @@
         writer = asyncio.StreamWriter(transport, protocol, self.reader, loop)
         self.stream = CallerStream(self.reader, writer, LIMIT_BYTES)
 
+    async def start_reading(self, inside_batch: bool) -> asyncio.Task:
+        reading = asyncio.create_task(self.stream.next_frame(inside_batch))
+        await asyncio.sleep(0)
+        return reading
+
+    async def test_message_received_before_a_stop_is_returned(self):
+        reading = await self.start_reading(inside_batch=False)
+        self.reader.feed_data(QUERY)
+        self.stream.stop_if_idle()
+        self.assertEqual((await reading).kind, b"Q")
+
     async def test_write_waits_until_no_byte_is_left_in_the_process(self):
         data = b"x" * 50_000
         writing = asyncio.create_task(self.stream.write(data))
