Entry: what callers wait for at the end of the drain timeout is answered

Callers of a stopping entry whose transaction was still open, whose batch was half sent or whose request still ran when entry.drain_timeout_ms was over saw their connection end without any message: a request without an answer, and no word on whether it ran.

Cause: the drain ended with close(), which cancels the sessions' tasks. A cancelled task only sent its pool a Cancel and closed the connection; the code that writes FATAL errors was skipped.

Change: before close(), each session is asked to end. A session that waits for its caller ends with FATAL 5002 (not_run, retry elsewhere), which also answers a COMMIT that crosses it; its transaction is rolled back, so that not_run is true. A running request is cancelled and gets its outcome: its own answer if it arrives within 500 ms, FATAL 5002 if the pool had not started it, otherwise 2008 with outcome unknown.

A caller that takes no bytes of a long answer is still cut off at that time.

--- a/hickorywind/entry/attempt.py
+++ b/hickorywind/entry/attempt.py
@@ -50,21 +50,30 @@
     """Signal by which another task cancels the request that a session is running."""
 
     def __init__(self) -> None:
-        self.is_set = False
+        self._event: CancelRequested | None = None
         self._inbox: RequestInbox | None = None
 
+    @property
+    def is_set(self) -> bool:
+        """Return whether the request was cancelled."""
+        return self._event is not None
+
     def attach(self, inbox: RequestInbox | None) -> None:
         """Set the inbox of the running attempt, or None when no attempt is running."""
         self._inbox = inbox
-        if inbox is not None and self.is_set:
-            inbox.put(CancelRequested())
+        if inbox is not None and self._event is not None:
+            inbox.put(self._event)
+
+    def set(self, outcome_timeout: timedelta | None = None) -> None:
+        """Cancel the running request; further attempts of it are cancelled immediately.
 
-    def set(self) -> None:
-        """Cancel the running request; further attempts of it are cancelled immediately."""
-        if not self.is_set:
-            self.is_set = True
+        Its outcome is unknown if none is received within ``outcome_timeout``.
+        """
+        is_more_urgent = outcome_timeout is not None
+        if self._event is None or (is_more_urgent and self._event.outcome_timeout is None):
+            self._event = CancelRequested(outcome_timeout)
             if self._inbox is not None:
-                self._inbox.put(CancelRequested())
+                self._inbox.put(self._event)
 
 
 @dataclass(frozen=True)
@@ -127,6 +136,7 @@
 
     async def _handle_events(self, inbox: RequestInbox, deadline: Instant) -> AttemptEnd:
         cancel_code: ResultCode | None = None
+        ends_at_deadline = False
         while True:
             event = await self._next_event(inbox, deadline)
             match event:
@@ -141,15 +151,17 @@
                     return AttemptEnd(self._pool_lost_result(inbox, reason))
                 case PartsMissing():
                     logger.debug("answer_incomplete", extra={"request_id": inbox.request_id})
-                case CancelRequested():
+                case CancelRequested(outcome_timeout=timeout):
                     cancel_code = await self._send_cancel(ResultCode.CANCELLED)
+                    if timeout is not None:
+                        deadline = min(deadline, self._clock.now() + timeout)
+                        ends_at_deadline = True
                 case CancelResult(result=result) if cancel_code is not None:
                     if result.outcome is Outcome.NOT_RUN and not self.has_sent_answer_bytes:
                         reason = "cancelled before it started"
                         return AttemptEnd(Result(cancel_code, Outcome.NOT_RUN, reason))
-                case None if cancel_code is ResultCode.DEADLINE_PASSED:
-                    reason = "the deadline passed while the request was at its pool"
-                    return AttemptEnd(Result.unknown(cancel_code, reason))
+                case None if ends_at_deadline:
+                    return AttemptEnd(_unknown_after_cancel(cancel_code))
                 case None if self._clock.now() < deadline:
                     return AttemptEnd(
                         self._pool_lost_result(inbox, "parts of the answer are missing")
@@ -157,6 +169,7 @@
                 case None:
                     cancel_code = await self._send_cancel(ResultCode.DEADLINE_PASSED)
                     deadline = self._clock.now() + _CANCEL_TIMEOUT
+                    ends_at_deadline = True
 
     async def _send_cancel(self, code: ResultCode) -> ResultCode:
         await self._link.send(Cancel(self._execute.request_id))
@@ -225,5 +238,10 @@
         return Result.unknown(ResultCode.POOL_LOST, reason)
 
 
+def _unknown_after_cancel(code: ResultCode) -> Result:
+    cause = "the deadline passed" if code is ResultCode.DEADLINE_PASSED else "it was cancelled"
+    return Result.unknown(code, f"{cause} while the request was at its pool")
+
+
 def _left_no_transaction_open(end: AnswerEnd) -> bool:
     return end.transaction_state is TransactionState.IDLE
--- a/hickorywind/entry/inbox.py
+++ b/hickorywind/entry/inbox.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from datetime import timedelta
 
 from hickorywind.ids import RequestId
 from hickorywind.protocol.messages import AnswerEnd, AnswerPart, CancelResult
@@ -18,7 +19,12 @@
 
 @dataclass(frozen=True)
 class CancelRequested:
-    """Event: the caller cancels the request."""
+    """Event: the request is cancelled.
+
+    ``outcome_timeout`` limits the wait for its outcome; None stands for the request's deadline.
+    """
+
+    outcome_timeout: timedelta | None = None
 
 
 @dataclass(frozen=True)
--- a/hickorywind/entry/retryloop.py
+++ b/hickorywind/entry/retryloop.py
@@ -82,7 +82,9 @@
 
     async def _try_target(self, target: Target) -> FinishedRequest:
         if self._request.cancel.is_set:
-            return FinishedRequest(Result.not_run(ResultCode.CANCELLED, "cancelled by the caller"))
+            return FinishedRequest(
+                Result.not_run(ResultCode.CANCELLED, "cancelled before it was sent")
+            )
         if self._runner.has_deadline_passed(self._request):
             reason = "the deadline passed before a backend server was found"
             return FinishedRequest(Result.not_run(ResultCode.DEADLINE_PASSED, reason))
--- a/hickorywind/entry/server.py
+++ b/hickorywind/entry/server.py
@@ -35,6 +35,7 @@
 _RETRY_AFTER_MS = 1_000
 _DRAIN_POLL_INTERVAL = timedelta(milliseconds=50)
 _CLOSE_TIMEOUT = timedelta(seconds=1)
+_END_TIMEOUT = timedelta(seconds=2)
 # Of the event loop, from accepting a connection until the task that serves it exists.
 _ACCEPT_ITERATIONS = 5
 
@@ -78,7 +79,7 @@
     async def drain(self, timeout: timedelta) -> None:
         """Stop accepting connections, let transactions and requests finish, then close sessions.
 
-        Sessions that are still open after ``timeout`` are closed with their requests running.
+        Sessions that are still open after ``timeout`` end with their requests cancelled.
         """
         self._draining = True
         self._stop_idle_sessions()
@@ -89,8 +90,15 @@
         while self._tasks and self._context.clock.now() < deadline:
             self._stop_idle_sessions()
             await asyncio.wait(set(self._tasks), timeout=_DRAIN_POLL_INTERVAL.total_seconds())
+        await self._end_sessions()
         await self.close()
 
+    async def _end_sessions(self) -> None:
+        for session in tuple(self._sessions):
+            session.end()
+        if self._tasks:
+            await asyncio.wait(set(self._tasks), timeout=_END_TIMEOUT.total_seconds())
+
     def _stop_idle_sessions(self) -> None:
         for session in tuple(self._sessions):
             session.stop_when_idle()
--- a/hickorywind/entry/session.py
+++ b/hickorywind/entry/session.py
@@ -43,6 +43,7 @@
 _TERMINATE = b"X"
 _IDLE_TIME_AFTER_ANSWER = timedelta(milliseconds=200)
 _MAX_SERVING_TIME_AFTER_STOP = timedelta(seconds=1)
+_OUTCOME_TIMEOUT_AT_END = timedelta(milliseconds=500)
 
 
 class CallerSession:
@@ -56,6 +57,7 @@
         self._transaction = SessionTransaction(context.executor)
         self._cancel_signal: CancelSignal | None = None
         self._stop_requested_at: Instant | None = None
+        self._must_end = False
         self._last_answered_at = context.clock.now()
 
     async def run(self) -> None:
@@ -89,12 +91,22 @@
         if self._is_between_requests and now - self._last_answered_at >= _IDLE_TIME_AFTER_ANSWER:
             self._stream.stop_if_idle()
 
+    def end(self) -> None:
+        """End the session now, with an answer to what the caller waits for.
+
+        A running request is cancelled and its outcome reported; a transaction is rolled back.
+        """
+        self._must_end = True
+        if self._cancel_signal is not None:
+            self._cancel_signal.set(_OUTCOME_TIMEOUT_AT_END)
+        self._stream.stop()
+
     @property
     def _is_between_requests(self) -> bool:
         return self._transaction.is_inactive and self._builder.is_empty
 
     async def _serve_batches(self) -> None:
-        while True:
+        while not self._must_end:
             frame = await self._stream.next_frame(inside_batch=not self._builder.is_empty)
             if frame is None or frame.kind == _TERMINATE:
                 return
@@ -103,6 +115,7 @@
             if batch is not None:
                 await self._serve_batch(batch)
                 self._last_answered_at = self._context.clock.now()
+        raise StreamStoppedError
 
     def _check_stop_deadline(self) -> None:
         """Raise ``StreamStoppedError`` for a new request long after the stop was requested.
@@ -262,6 +275,9 @@
         self, batch: Batch, plan: Plan, finished: FinishedRequest, token: bytes
     ) -> None:
         result = finished.result
+        is_cancelled = result.code is ResultCode.CANCELLED
+        if self._must_end and is_cancelled and result.outcome is Outcome.NOT_RUN:
+            raise StreamStoppedError
         in_transaction = self._transaction.current is not None
         if in_transaction and not plan.closes_transaction:
             result = transaction_lost_result(result)
--- a/tests/entry/test_callerstream.py
+++ b/tests/entry/test_callerstream.py
@@ -4,7 +4,7 @@
 
 from pygwire.messages import Query
 
-from hickorywind.entry.callerstream import CallerReader, CallerStream
+from hickorywind.entry.callerstream import CallerReader, CallerStream, StreamStoppedError
 
 LIMIT_BYTES = 1_048_576
 QUERY = Query("SELECT 1").to_wire()
@@ -36,6 +36,15 @@
         self.stream.stop_if_idle()
         self.assertEqual((await reading).kind, b"Q")
 
+    async def test_stop_ends_the_wait_for_the_rest_of_a_batch(self):
+        reading = await self.start_reading(inside_batch=True)
+        self.stream.stop_if_idle()
+        await asyncio.sleep(0)
+        self.assertFalse(reading.done())
+        self.stream.stop()
+        with self.assertRaises(StreamStoppedError):
+            await reading
+
     async def test_write_waits_until_no_byte_is_left_in_the_process(self):
         data = b"x" * 50_000
         writing = asyncio.create_task(self.stream.write(data))
