Entry: callers that are logging in are told of the stop

A connection on which nothing had been sent yet, or no password, when its entry began to drain kept the drain waiting up to its whole timeout (10 s) and was then closed without a message.

Cause: only sessions hear of a stop; a connection becomes one after the startup. The startup checked for the drain once, before the password, so that a caller could also log in and be sent away 200 ms later.

Change: a drain shortens running startups to 1 s, after which the caller gets FATAL 5002; a connection accepted during the drain starts with that limit, and the drain is checked again after the password.

Evidence: StartupDuringDrainTest: before, the drain (timeout 10 s) had not ended after 4 s, "TimeoutError"; now it ends within 4 s and both connections read "code=5002 outcome=not_run retry=yes".

--- a/hickorywind/entry/server.py
+++ b/hickorywind/entry/server.py
@@ -7,7 +7,8 @@
 import os
 import random
 import socket
-from collections.abc import Mapping
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
 from datetime import timedelta
 
 from hickorywind.entry.acceptrate import AcceptRateLimiter
@@ -30,6 +31,7 @@
 logger = logging.getLogger(__name__)
 
 _STARTUP_TIMEOUT = timedelta(seconds=10)
+_STARTUP_TIMEOUT_IN_DRAIN = timedelta(seconds=1)
 _BACKLOG = 1_024
 _READ_LIMIT_BYTES = 65_536
 _RETRY_AFTER_MS = 1_000
@@ -60,6 +62,7 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._sessions: set[CallerSession] = set()
+        self._startup_timeouts: set[asyncio.Timeout] = set()
         self._draining = False
 
     async def start(self, address: Address) -> Address:
@@ -82,6 +85,7 @@
         Sessions that are still open after ``timeout`` end with their requests cancelled.
         """
         self._draining = True
+        self._shorten_startups()
         self._stop_idle_sessions()
         if self._server is not None:
             await self._accept_pending()
@@ -169,7 +173,7 @@
 
     async def _open_session(self, reader: CallerReader, writer: asyncio.StreamWriter) -> None:
         await self._limit_accept_rate()
-        async with asyncio.timeout(_STARTUP_TIMEOUT.total_seconds()):
+        async with self._startup_timeout():
             packet = await read_startup(reader, writer)
             if isinstance(packet, CancellationRequest):
                 self._cancel_registry.cancel(CancelKey(packet.process_id, packet.secret_key))
@@ -177,6 +181,7 @@
             self._check_admission()
             user = UserName(packet.values.get("user", ""))
             await authenticate(reader, writer, user, self._users)
+            self._check_draining()
             self._context.accounts.require_access(user)
             state = self._make_session_state(packet, user)
             key = self._cancel_registry.create_key()
@@ -192,6 +197,27 @@
             self._sessions.discard(session)
             self._cancel_registry.remove(key)
 
+    @asynccontextmanager
+    async def _startup_timeout(self) -> AsyncIterator[None]:
+        """Limit the time of a startup; a drain shortens it and tells the caller."""
+        limit = _STARTUP_TIMEOUT_IN_DRAIN if self._draining else _STARTUP_TIMEOUT
+        try:
+            async with asyncio.timeout(limit.total_seconds()) as timeout:
+                self._startup_timeouts.add(timeout)
+                try:
+                    yield
+                finally:
+                    self._startup_timeouts.discard(timeout)
+        except TimeoutError:
+            self._check_draining()
+            raise
+
+    def _shorten_startups(self) -> None:
+        limit = asyncio.get_running_loop().time() + _STARTUP_TIMEOUT_IN_DRAIN.total_seconds()
+        for timeout in self._startup_timeouts:
+            if not timeout.expired():
+                timeout.reschedule(min(limit, timeout.when()))
+
     async def _limit_accept_rate(self) -> None:
         wait = self._accept_limiter.reserve()
         if wait is None:
@@ -199,9 +225,12 @@
         if wait:
             await asyncio.sleep(wait.total_seconds())
 
-    def _check_admission(self) -> None:
+    def _check_draining(self) -> None:
         if self._draining:
             raise HickorywindError(shutting_down_refusal())
+
+    def _check_admission(self) -> None:
+        self._check_draining()
         in_force = self._context.directory.in_force
         if in_force is None:
             reason = "no configuration is in force yet"
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -85,3 +85,16 @@
         answer = await self.read_all(reader)
         self.assertTrue(answer.startswith(command_complete("COMMIT")))
         self.assertIn(NOT_RUN, answer)
+
+
+class StartupDuringDrainTest(RawTestCase):
+    users = {"crew": "brush"}
+
+    async def test_connections_that_have_not_logged_in_are_told(self):
+        silent, _ = await self.open_raw()
+        without_password, _ = await self.open_raw(STARTUP)
+        await asyncio.sleep(0.05)
+        async with asyncio.timeout(4):
+            await self.components.server.drain(timedelta(seconds=10))
+        for reader in (silent, without_password):
+            self.assertIn(NOT_RUN, await self.read_all(reader))
