Pool: agree the end of a drain with the entries

A write that reached a stopping pool in its last moments ended as 4003 with outcome unknown although the pool had not even read it; answers that ZeroMQ had not sent yet were dropped (LINGER 0).

Cause: the pool closed its socket once it had been idle and without new requests for 200 ms, at the earliest 600 ms after it announced its drain. That says nothing about an entry which has not read the announcement (a stalled process, a slow link), nor about what is under way. Entries ignored the flag `draining` of the heartbeat and went on sending until the directory named another home.

Change: a draining pool numbers the steps of its drain in its heartbeats, and entries confirm each step at once. Messages of a link keep their order, so step 1 confirmed means that no new request follows, and step 2, sent after the last answer, that all answers have arrived. An entry that knows of the drain refuses requests for that pool itself (5001, not_run), as the pool would. Silent entries are dropped after 2 s as before; entries that confirm nothing (former versions) are waited for 3 s. Two fields with defaults at the end of the heartbeats, so versions can be mixed.

Evidence: test_request_sent_before_its_entry_knows_of_the_drain_is_answered and test_entry_that_confirmed_the_drain_of_a_pool_sends_it_no_new_request: before, both ended in TimeoutError (no answer within 10 s; the request was sent and executed), now they pass.

The check of the dispatcher's flag in test_dispatch sets it through advance_drain now; what it checks is the same.

--- a/hickorywind/entry/executor.py
+++ b/hickorywind/entry/executor.py
@@ -134,6 +134,10 @@
             self._health.record_failure(target.backend)
             reason = f"no heartbeat from the pool at {target.pool}"
             return FinishedRequest(Result.not_run(ResultCode.POOL_UNREACHABLE, reason))
+        if link.draining:
+            self._health.record_failure(target.backend)
+            reason = f"the pool at {target.pool} is draining"
+            return FinishedRequest(Result.not_run(ResultCode.DRAINING, reason, 0))
         execute = self._make_execute(request, incarnation, target)
         execute = msgspec.structs.replace(
             execute,
--- a/hickorywind/entry/poollink.py
+++ b/hickorywind/entry/poollink.py
@@ -6,6 +6,8 @@
 import logging
 from datetime import timedelta
 
+import msgspec
+
 from hickorywind.entry.inbox import LinkLost, RequestInbox
 from hickorywind.ids import Address, Incarnation, RequestId
 from hickorywind.protocol.channel import ChannelKeys, Link
@@ -36,7 +38,8 @@
     """Link to one pool.
 
     ``incarnation`` identifies the pool process at the other end; it is None until the first
-    heartbeat arrives and while the pool is lost. All pending requests receive ``LinkLost`` when
+    heartbeat arrives and while the pool is lost. A pool that is ``draining`` must get no requests
+    but those in open transactions. All pending requests receive ``LinkLost`` when
     the pool is silent for too long, when its connection is lost and when the pool has restarted.
     """
 
@@ -140,6 +143,13 @@
                 continue
             self._last_heard_at = self._clock.now()
             self._handle(message)
+            await self._confirm_drain_step(message)
+
+    async def _confirm_drain_step(self, message: Message) -> None:
+        if isinstance(message, PoolHeartbeat) and message.drain_step:
+            await self._link.send(
+                msgspec.structs.replace(self._heartbeat, drain_step=message.drain_step)
+            )
 
     def _handle(self, message: Message) -> None:
         match message:
--- a/hickorywind/pool/dispatch.py
+++ b/hickorywind/pool/dispatch.py
@@ -47,6 +47,8 @@
 _REFUSAL_PERIOD_AFTER_STALL = timedelta(milliseconds=200)
 _QUIET_PERIOD = timedelta(milliseconds=200)
 _RETRY_AFTER_MS = 100
+# Silent entries are removed before; entries of former versions confirm nothing.
+_CONFIRMATION_TIMEOUT = timedelta(seconds=3)
 
 
 class WorkerLookup(Protocol):
@@ -92,7 +94,8 @@
         self._last_sweep_at = clock.now()
         self._last_request_at = clock.now()
         self._refuse_until: Instant | None = None
-        self.draining = False
+        self._drain_step = 0
+        self._drain_step_at = clock.now()
 
     async def run(self) -> None:
         """Receive and send messages and detect silent entries until cancelled."""
@@ -119,12 +122,27 @@
         """Remove and return the next message to send; raise ``asyncio.QueueEmpty`` if none."""
         return self._outbox.get_nowait()
 
-    def start_draining(self) -> None:
-        """Refuse new requests from now on and announce the drain to all entries."""
-        self.draining = True
+    @property
+    def draining(self) -> bool:
+        """Return whether new requests are refused."""
+        return self._drain_step > 0
+
+    def advance_drain(self) -> None:
+        """Refuse new requests from now on and ask all entries to confirm the next drain step."""
+        self._drain_step += 1
+        self._drain_step_at = self._clock.now()
         for entry_id in self.entries.entry_ids:
             self._outbox.put_nowait((entry_id, self._heartbeat()))
 
+    @property
+    def is_drain_confirmed(self) -> bool:
+        """Return whether all entries confirmed the current drain step or had time to do so.
+
+        Those that confirmed it have received all that was sent before it.
+        """
+        waited = self._clock.now() - self._drain_step_at
+        return self.entries.have_confirmed(self._drain_step) or waited >= _CONFIRMATION_TIMEOUT
+
     @property
     def is_quiet(self) -> bool:
         """Return whether no message waits to be sent and no request arrived recently."""
@@ -132,7 +150,7 @@
         return self._outbox.empty() and quiet_period >= _QUIET_PERIOD
 
     def _heartbeat(self) -> PoolHeartbeat:
-        return PoolHeartbeat(self._host, self._incarnation, self.draining)
+        return PoolHeartbeat(self._host, self._incarnation, self.draining, self._drain_step)
 
     async def _sweep_loop(self) -> None:
         while True:
@@ -173,8 +191,11 @@
                 key = TransactionKey(entry_id, transaction_id)
                 for worker in self._registry.workers():
                     worker.inbox.put_nowait(RollbackRequested(key))
-            case EntryHeartbeat(host, incarnation):
+            case EntryHeartbeat(host, incarnation, drain_step):
                 self.entries.identify(received.peer, host, incarnation, now)
+                if drain_step:
+                    self.entries.confirm_drain_step(entry_id, drain_step)
+                    return
                 self._outbox.put_nowait((received.peer, self._heartbeat()))
             case _:
                 logger.warning("unexpected_message", extra={"peer": received.peer.hex()})
--- a/hickorywind/pool/entries.py
+++ b/hickorywind/pool/entries.py
@@ -17,6 +17,7 @@
 class _Entry:
     current_peer: PeerId
     last_heard_at: Instant
+    confirmed_drain_step: int = 0
 
 
 class EntryTable:
@@ -63,6 +64,15 @@
         if peer != entry_id:
             self._entries.pop(peer, None)
 
+    def confirm_drain_step(self, entry_id: PeerId, step: int) -> None:
+        """Record that an entry confirmed a step of this pool's drain."""
+        if entry_id in self._entries:
+            self._entries[entry_id].confirmed_drain_step = step
+
+    def have_confirmed(self, step: int) -> bool:
+        """Return whether all entries confirmed a step of this pool's drain."""
+        return all(entry.confirmed_drain_step >= step for entry in self._entries.values())
+
     def peer_of(self, entry_id: PeerId) -> PeerId:
         """Return the current peer of an entry, to which messages for it are sent."""
         entry = self._entries.get(entry_id)
--- a/hickorywind/pool/role.py
+++ b/hickorywind/pool/role.py
@@ -6,6 +6,7 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
 
@@ -24,7 +25,9 @@
 logger = logging.getLogger(__name__)
 
 _DRAIN_POLL_INTERVAL_SECONDS = 0.02
-_DRAIN_ANNOUNCEMENT_SECONDS = 0.6
+# For the directory to name other homes.
+_DRAIN_ANNOUNCEMENT = timedelta(milliseconds=600)
+_LAST_ANSWERS_TIMEOUT = timedelta(seconds=3)
 _RECONCILE_INTERVAL_SECONDS = 0.5
 _CONTROL_TIMEOUT = timedelta(milliseconds=500)
 
@@ -111,22 +114,38 @@
 
     async def drain(self) -> None:
         """Refuse new requests, finish the open ones within the drain timeout, and end ``run``."""
-        self._dispatcher.start_draining()
+        self._dispatcher.advance_drain()
         self._subscriber.draining = True
         pool = self._settings.pool or PoolSettings("")
-        timeout = milliseconds(pool.drain_timeout_ms).total_seconds()
-        try:
-            async with asyncio.timeout(timeout):
-                await self._wait_until_idle()
-        except TimeoutError:
+        timeout = milliseconds(pool.drain_timeout_ms)
+        if not await _wait_until(self._is_finished, timeout, _DRAIN_ANNOUNCEMENT):
             logger.warning("drain_timeout", extra={"timeout_ms": pool.drain_timeout_ms})
+        # Answers that were sent may still be under way.
+        self._dispatcher.advance_drain()
+        await _wait_until(lambda: self._dispatcher.is_drain_confirmed, _LAST_ANSWERS_TIMEOUT)
         self._drained.set()
 
-    async def _wait_until_idle(self) -> None:
-        """Wait until entries have learned of the drain and no request or transaction is open."""
-        await asyncio.sleep(_DRAIN_ANNOUNCEMENT_SECONDS)
-        while not self._registry.all_idle or not self._dispatcher.is_quiet:
-            await asyncio.sleep(_DRAIN_POLL_INTERVAL_SECONDS)
+    def _is_finished(self) -> bool:
+        """Return whether no request or transaction is open and no entry may send new ones."""
+        return (
+            self._registry.all_idle
+            and self._dispatcher.is_quiet
+            and self._dispatcher.is_drain_confirmed
+        )
+
+
+async def _wait_until(
+    condition: Callable[[], bool], timeout: timedelta, delay: timedelta = timedelta(0)
+) -> bool:
+    """Wait for a condition, first checked after ``delay``; return False after the timeout."""
+    try:
+        async with asyncio.timeout(timeout.total_seconds()):
+            await asyncio.sleep(delay.total_seconds())
+            while not condition():
+                await asyncio.sleep(_DRAIN_POLL_INTERVAL_SECONDS)
+    except TimeoutError:
+        return False
+    return True
 
 
 def _raise_first_error(tasks: list[asyncio.Task]) -> None:
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -104,18 +104,24 @@
 
 
 class EntryHeartbeat(msgspec.Struct, frozen=True, tag="eh", array_like=True):
-    """Heartbeat of an entry; a pool rolls back the transactions of an entry that stops sending."""
+    """Heartbeat of an entry; a pool rolls back the transactions of an entry that stops sending.
+
+    A ``drain_step`` other than 0 confirms that step of the pool's drain: all that the pool sent
+    before it has arrived, and no request follows except in open transactions.
+    """
 
     host: HostId
     incarnation: Incarnation
+    drain_step: int = 0
 
 
 class PoolHeartbeat(msgspec.Struct, frozen=True, tag="ph", array_like=True):
-    """Reply to an ``EntryHeartbeat``."""
+    """Reply to an ``EntryHeartbeat``; entries confirm each ``drain_step`` other than 0 at once."""
 
     host: HostId
     incarnation: Incarnation
     draining: bool
+    drain_step: int = 0
 
 
 class AnswerPart(msgspec.Struct, frozen=True, tag="ap", array_like=True):
--- a/tests/entry/fakepool.py
+++ b/tests/entry/fakepool.py
@@ -80,6 +80,7 @@
         self.cancel_handler: Callable[[FakePool, PeerId, Cancel], Awaitable[None]] | None = None
         self.position = LogPosition(Term(1), 1)
         self.sends_heartbeats = True
+        self.drain_step = 0
         self._tasks: set[asyncio.Task] = set()
         self._main = asyncio.create_task(self._run())
         self._open: dict[int, TransactionState] = {}
@@ -89,9 +90,11 @@
             received = await self._listener.receive()
             self.received.append(received.message)
             match received.message:
-                case EntryHeartbeat():
+                case EntryHeartbeat(drain_step=0):
                     if self.sends_heartbeats:
-                        heartbeat = PoolHeartbeat(HostId("pool"), self.incarnation, False)
+                        heartbeat = PoolHeartbeat(
+                            HostId("pool"), self.incarnation, self.drain_step > 0, self.drain_step
+                        )
                         await self.send(received.peer, heartbeat)
                 case Execute() as execute:
                     self.executed.append(execute)
@@ -99,7 +102,7 @@
                 case Cancel() as cancel:
                     if self.cancel_handler is not None:
                         self._spawn(self.cancel_handler(self, received.peer, cancel))
-                case AnswerCredit() | EndTransaction():
+                case EntryHeartbeat() | AnswerCredit() | EndTransaction():
                     pass
 
     def _spawn(self, work: Awaitable[None]) -> None:
--- a/tests/entry/test_outcomes.py
+++ b/tests/entry/test_outcomes.py
@@ -1,11 +1,18 @@
 import asyncio
 import os
 import socket
+from unittest import mock
 
 import psycopg
 
-from hickorywind.ids import AccessMode, LogPosition, Term
-from hickorywind.protocol.messages import AnswerEnd, AnswerPart, Cancel, TransactionState
+from hickorywind.ids import AccessMode, HostId, LogPosition, Term
+from hickorywind.protocol.messages import (
+    AnswerEnd,
+    AnswerPart,
+    Cancel,
+    EntryHeartbeat,
+    TransactionState,
+)
 from hickorywind.results import Result, ResultCode
 from tests.entry.fakepool import FakePool, text_answer
 from tests.entry.harness import FAR_REPLICA, PRIMARY, EntryTestCase
@@ -143,6 +150,16 @@
             await connection.execute(f"/* hickorywind timeout_ms=500 */ {WRITE}")
         self.assertIn("outcome=not_run", detail(caught.exception))
 
+    async def test_entry_that_confirmed_the_drain_of_a_pool_sends_it_no_new_request(self):
+        connection = await self.connect()
+        self.primary_pool.drain_step = 1
+        confirmed = EntryHeartbeat(HostId("entry-1"), mock.ANY, 1)
+        await self.wait_for(lambda: confirmed in self.primary_pool.received)
+        with self.assertRaises(psycopg.OperationalError) as caught:
+            await connection.execute(f"/* hickorywind timeout_ms=300 */ {WRITE}")
+        self.assertIn("code=5001 outcome=not_run", detail(caught.exception))
+        self.assertEqual(self.primary_pool.executed, [])
+
     async def test_transaction_is_lost_with_its_pool(self):
         connection = await self.connect()
         await connection.execute("BEGIN")
--- a/tests/pool/harness.py
+++ b/tests/pool/harness.py
@@ -10,6 +10,8 @@
 from datetime import timedelta
 from pathlib import Path
 
+from msgspec.structs import replace
+
 from hickorywind.configuration.model import (
     Configuration,
     Instance,
@@ -165,6 +167,7 @@
         self.refused: list[Refused] = []
         self.sends_heartbeats = True
         self.pool_is_draining = False
+        self.confirms_drain = True
         self._ids = itertools.count(1)
         self._tasks: list[asyncio.Task] = []
 
@@ -190,6 +193,8 @@
                 case PoolHeartbeat():
                     self.incarnation = message.incarnation
                     self.pool_is_draining = message.draining
+                    if message.drain_step and self.confirms_drain:
+                        await self.link.send(replace(self.heartbeat, drain_step=message.drain_step))
                 case Refused():
                     self.refused.append(message)
                 case AnswerPart() | AnswerEnd() | CancelResult():
--- a/tests/pool/test_dispatch.py
+++ b/tests/pool/test_dispatch.py
@@ -116,7 +116,7 @@
     async def test_draining_pool_finishes_transactions_but_takes_no_new_work(self) -> None:
         async with running_pool() as (pool, entry):
             key = (await entry.run("BEGIN")).end.transaction_id
-            pool.dispatcher.draining = True
+            pool.dispatcher.advance_drain()
             refused = await entry.run("SELECT 1", session_id=SessionId("s2"))
             self.assertEqual(refused.result.code, ResultCode.DRAINING)
             self.assertFalse(pool.registry.all_idle)
--- a/tests/pool/test_role.py
+++ b/tests/pool/test_role.py
@@ -22,7 +22,9 @@
 )
 
 
-class PoolRoleTest(unittest.IsolatedAsyncioTestCase):
+class RoleTestCase(unittest.IsolatedAsyncioTestCase):
+    drain_timeout_ms = 5_000
+
     async def asyncSetUp(self) -> None:
         self.stack = AsyncExitStack()
         folder = self.stack.enter_context(tempfile.TemporaryDirectory())
@@ -37,7 +39,7 @@
                 AvailabilityZone("z"),
                 Region("r"),
                 Role.POOL,
-                pool=PoolSettings(str(self.address), drain_timeout_ms=5_000),
+                pool=PoolSettings(str(self.address), drain_timeout_ms=self.drain_timeout_ms),
             ),
             MonotonicClock(),
             random.Random(1),
@@ -56,6 +58,8 @@
         await asyncio.gather(self.running, return_exceptions=True)
         await self.stack.aclose()
 
+
+class PoolRoleTest(RoleTestCase):
     async def test_drain_finishes_work_in_flight_and_refuses_the_rest(self) -> None:
         await self.entry.run("SELECT 1", mode=AccessMode.READ)
         message = self.entry.make_request("SELECT 2", mode=AccessMode.READ)
@@ -78,6 +82,17 @@
         sessions = self.group.servers[0].instance.sessions
         await eventually(lambda: not sessions)
 
+    async def test_request_sent_before_its_entry_knows_of_the_drain_is_answered(self) -> None:
+        self.entry.confirms_drain = False
+        draining = asyncio.create_task(self.role.drain())
+        await asyncio.sleep(1.5)
+        refused = await self.entry.run("SELECT 3", mode=AccessMode.READ)
+        self.assertEqual(refused.result.code, ResultCode.DRAINING)
+        self.assertFalse(draining.done())
+        self.entry.confirms_drain = True
+        async with asyncio.timeout(3):
+            await self.running
+
     async def test_metrics_show_running_and_queued_requests(self) -> None:
         for _ in range(4):
             message = self.entry.make_request("SELECT 1", mode=AccessMode.READ)
