Pool: a drain does not wait for entries that have ended

Where entry and pool of a host stop together, the drain of the pool waited up to 2 s for the entry that had just ended: its silence, not its closed connection, took it out of the table.

Change: a heartbeat that can't be sent, as the entry is not connected, counts as confirmed.

Evidence: test_drain_does_not_wait_for_an_entry_that_has_ended: before, TimeoutError after 1.5 s; now passes.

--- a/hickorywind/pool/dispatch.py
+++ b/hickorywind/pool/dispatch.py
@@ -116,7 +116,10 @@
     async def _send_loop(self) -> None:
         while True:
             entry_id, message = await self._outbox.get()
-            await self._listener.send(self.entries.peer_of(entry_id), message)
+            is_sent = await self._listener.send(self.entries.peer_of(entry_id), message)
+            if not is_sent and isinstance(message, PoolHeartbeat):
+                # A disconnected entry has no request under way.
+                self.entries.confirm_drain_step(entry_id, message.drain_step)
 
     def pop_outgoing(self) -> tuple[PeerId, Message]:
         """Remove and return the next message to send; raise ``asyncio.QueueEmpty`` if none."""
--- a/tests/pool/test_role.py
+++ b/tests/pool/test_role.py
@@ -93,6 +93,12 @@
         async with asyncio.timeout(3):
             await self.running
 
+    async def test_drain_does_not_wait_for_an_entry_that_has_ended(self) -> None:
+        await self.entry.close()
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(1.5):
+            await self.role.drain()
+
     async def test_metrics_show_running_and_queued_requests(self) -> None:
         for _ in range(4):
             message = self.entry.make_request("SELECT 1", mode=AccessMode.READ)
