Pool: requests still open at the drain timeout are answered

Requests that a stopping pool still held at the end of pool.drain_timeout_ms got no answer. Their entries noticed the lost connection and reported 4003 with outcome unknown, also for requests that only waited in the queue.

Cause: the drain ended with closing the workers, which cancels the tasks of running requests and drops the queues.

Change: the workers answer first. What was not started is refused (5001, not_run, may be sent elsewhere at once), what runs is abandoned as 4003 unknown, open transactions are rolled back, so that a later COMMIT is refused as not_run. The second step of the drain then waits until the entries have these answers.

--- a/hickorywind/pool/backendworker.py
+++ b/hickorywind/pool/backendworker.py
@@ -23,6 +23,7 @@
 from hickorywind.pool.events import (
     CancelRequested,
     ConfigurationChanged,
+    DrainTimedOut,
     EntryPresumedDead,
     Event,
     RequestArrived,
@@ -208,6 +209,8 @@
                 self._abandon_requests_of(entry_id)
             case ConfigurationChanged(service, instance):
                 self._apply_configuration(service, instance)
+            case DrainTimedOut():
+                self._end_requests()
             case Tick():
                 self._tick()
 
@@ -344,6 +347,18 @@
                     self._runner.abandon(request, ResultCode.CANCELLED)
         self._transactions.roll_back_all_of(entry_id)
 
+    def _end_requests(self) -> None:
+        """Answer all requests and roll back all transactions; what was not started did not run."""
+        for request in tuple(self._requests.values()):
+            if request.started_at is not None:
+                code = ResultCode.POOL_LOST if request.may_have_run else ResultCode.DRAINING
+                self._runner.abandon(request, code)
+            elif not request.answer.has_ended:
+                self._queue.withdraw(request.key, self._clock.now())
+                reason = "the pool stops before the request was started"
+                self._refuse(request, Result.not_run(ResultCode.DRAINING, reason, 0))
+        self._transactions.roll_back_all()
+
     # Periodic work -------------------------------------------------------------------------------
 
     def _tick(self) -> None:
--- a/hickorywind/pool/events.py
+++ b/hickorywind/pool/events.py
@@ -59,6 +59,11 @@
     instance: Instance
 
 
+@dataclass(frozen=True, slots=True)
+class DrainTimedOut:
+    """End of the time that a stopping pool gives the requests that it holds."""
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Periodic event to check deadlines, idle times and the status of the backend server."""
@@ -72,5 +77,6 @@
     | RollbackRequested
     | EntryPresumedDead
     | ConfigurationChanged
+    | DrainTimedOut
     | Tick
 )
--- a/hickorywind/pool/opentransactions.py
+++ b/hickorywind/pool/opentransactions.py
@@ -98,6 +98,11 @@
             if key.entry_id == entry_id:
                 self.roll_back(key)
 
+    def roll_back_all(self) -> None:
+        """Roll back all transactions."""
+        for key in self._table.keys:
+            self.roll_back(key)
+
     def roll_back_idle(self) -> Sequence[TransactionKey]:
         """Roll back the transactions that exceeded the idle timeout and return their keys."""
         idle = self._table.timed_out_keys(self._clock.now())
--- a/hickorywind/pool/role.py
+++ b/hickorywind/pool/role.py
@@ -120,6 +120,7 @@
         timeout = milliseconds(pool.drain_timeout_ms)
         if not await _wait_until(self._is_finished, timeout, _DRAIN_ANNOUNCEMENT):
             logger.warning("drain_timeout", extra={"timeout_ms": pool.drain_timeout_ms})
+            await self._registry.end_requests()
         # Answers that were sent may still be under way.
         self._dispatcher.advance_drain()
         await _wait_until(lambda: self._dispatcher.is_drain_confirmed, _LAST_ANSWERS_TIMEOUT)
--- a/hickorywind/pool/workerregistry.py
+++ b/hickorywind/pool/workerregistry.py
@@ -16,6 +16,7 @@
 from hickorywind.pool.backendmonitor import BackendMonitor, ControlClient
 from hickorywind.pool.backendworker import BackendWorker, WorkerDependencies
 from hickorywind.pool.dispatch import check_expected_term, unknown_backend_refusal
+from hickorywind.pool.events import DrainTimedOut
 from hickorywind.pool.requests import TransactionKey
 from hickorywind.protocol.messages import Execute
 from hickorywind.results import Result, ResultCode
@@ -208,6 +209,13 @@
         """Return whether all workers are idle."""
         return all(worker.is_idle for worker in self.workers())
 
+    async def end_requests(self) -> None:
+        """Make all workers answer the requests that they hold and roll back open transactions."""
+        for worker in self.workers():
+            worker.inbox.put_nowait(DrainTimedOut())
+        while not all(worker.inbox.empty() for worker in self.workers()):
+            await asyncio.sleep(0)
+
     async def close(self) -> None:
         """Stop all workers and close all monitors."""
         for backend in {*self._workers, *self._monitors}:
--- a/tests/pool/test_role.py
+++ b/tests/pool/test_role.py
@@ -106,3 +106,30 @@
         slots = self.metrics.busy_slots.labels("b0")
         length = self.metrics.queue_length.labels("b0", "standard")
         await eventually(lambda: (slots._value.get(), length._value.get()) == (3, 1))
+
+
+class DrainTimeoutTest(RoleTestCase):
+    drain_timeout_ms = 700
+
+    async def test_requests_still_open_at_the_drain_timeout_are_answered(self) -> None:
+        await self.entry.set_up("CREATE TABLE t (a INT)")
+        messages = [self.entry.make_request("INSERT INTO t VALUES (1)") for _ in range(12)]
+        for message in messages:
+            await self.entry.link.send(message)
+        await asyncio.sleep(0.1)
+        await self.role.drain()
+        answers = [await self.entry.collect(message.request_id) for message in messages]
+        failed = {answer.result.outcome: answer.result.code for answer in answers[3:]}
+        self.assertEqual(failed[Outcome.NOT_RUN], ResultCode.DRAINING)
+        self.assertEqual(failed[Outcome.UNKNOWN], ResultCode.POOL_LOST)
+
+    async def test_commit_after_the_drain_timeout_is_not_run(self) -> None:
+        begun = await self.entry.set_up("BEGIN")
+        self.entry.confirms_drain = False
+        draining = asyncio.create_task(self.role.drain())
+        await asyncio.sleep(1)
+        answer = await self.entry.run("COMMIT", transaction_id=begun.end.transaction_id)
+        self.assertEqual(answer.result.code, ResultCode.TRANSACTION_LOST)
+        self.assertIs(answer.result.outcome, Outcome.NOT_RUN)
+        self.entry.confirms_drain = True
+        await draining
