Tests: a stall of the test process is no stall of the pool under test

When that process gets no processor time for over 1 s, the pool rightly refuses requests for 200 ms (2003, not_run).

Change: the pool's clock in the harness leaves out the time in which the process did not run. Checks and bounds are as before; what a pool does after a stall is checked with a clock moved by hand (StalledPoolTest).

--- a/tests/pool/harness.py
+++ b/tests/pool/harness.py
@@ -57,7 +57,7 @@
 )
 from hickorywind.protocol.records import ConfigHeadRecord, ConfigRecord, GroupRecord
 from hickorywind.results import Outcome
-from hickorywind.util.clock import MonotonicClock
+from hickorywind.util.clock import Instant, MonotonicClock
 from standins.backend.server import BackendServer
 from standins.backend.settings import BackendSettings, Peer
 from tests.ports import free_port
@@ -286,6 +286,22 @@
             await asyncio.sleep(0.01)
 
 
+class UninterruptedClock:
+    """Monotonic clock that leaves out the time in which the test process did not run."""
+
+    max_step = timedelta(milliseconds=250)
+
+    def __init__(self) -> None:
+        self._clock = MonotonicClock()
+        self._read_at = self._now = self._clock.now()
+
+    def now(self) -> Instant:
+        read_at = self._clock.now()
+        self._now += min(read_at - self._read_at, self.max_step)
+        self._read_at = read_at
+        return self._now
+
+
 class PoolUnderTest:
     """Pool that runs in this process, with its listener, dispatcher and workers."""
 
@@ -295,7 +311,7 @@
         self.group = group
         self.directory = directory
         self.address = Address("127.0.0.1", free_port())
-        clock = clock or MonotonicClock()
+        clock = clock or UninterruptedClock()
         self.registry = WorkerRegistry(
             HOST,
             directory,
