Tests: wait for a pool's link before the pool is closed

test_write_that_was_never_sent_is_not_run was known red: 4003, unknown instead of not_run, once.

Cause: it closed the pool and waited until the link knew no pool. The link of an entry that has just started knows none either, so the wait could end at once. A first heartbeat that arrives afterwards makes the pool known, and the write is sent while the closed connection is not noticed yet: unknown is then the true outcome.

Change: the test waits first until the link knows the pool, so that it checks what its name says.

--- a/tests/entry/test_outcomes.py
+++ b/tests/entry/test_outcomes.py
@@ -142,10 +142,10 @@
 
     async def test_write_that_was_never_sent_is_not_run(self):
         connection = await self.connect()
+        link = self.components.links.get(self.primary_pool.address)
+        await self.wait_for(lambda: link.incarnation is not None)
         await self.primary_pool.close()
-        await self.wait_for(
-            lambda: self.components.links.get(self.primary_pool.address).incarnation is None
-        )
+        await self.wait_for(lambda: link.incarnation is None)
         with self.assertRaises(psycopg.OperationalError) as caught:
             await connection.execute(f"/* hickorywind timeout_ms=500 */ {WRITE}")
         self.assertIn("outcome=not_run", detail(caught.exception))
