Entry: a caller that leaves the listen queue does not end the drain

What callers would see: all sessions of a stopping entry end unanswered, as an error of accept() (a caller that left the listen queue, or no descriptor left) escapes from the drain.

Evidence: the new test got the ConnectionAbortedError out of drain() before; it passes.

--- a/hickorywind/entry/server.py
+++ b/hickorywind/entry/server.py
@@ -27,6 +27,7 @@
 from hickorywind.postgres.startup import CancellationRequest, StartupParameters
 from hickorywind.results import HickorywindError, Result, ResultCode
 from hickorywind.routing.backoff import jittered_ms
+from hickorywind.util.sockets import accept_waiting
 
 logger = logging.getLogger(__name__)
 
@@ -118,15 +119,8 @@
         for _ in range(_ACCEPT_ITERATIONS):
             await asyncio.sleep(0)
         for listener in self._server.sockets:
-            pending = socket.socket(fileno=os.dup(listener.fileno()))
-            with pending:
-                while True:
-                    try:
-                        connection, _ = pending.accept()
-                    except BlockingIOError:
-                        break
-                    connection.setblocking(False)
-                    await loop.connect_accepted_socket(self._make_protocol, connection)
+            with socket.socket(fileno=os.dup(listener.fileno())) as pending:
+                await accept_waiting(pending, self._make_protocol)
 
     async def close(self) -> None:
         """Close all connections without waiting for running requests."""
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -1,4 +1,6 @@
 import asyncio
+import socket
+import unittest.mock
 from datetime import timedelta
 
 from pygwire.messages import Parse, Query
@@ -44,6 +46,15 @@
         self.assertEqual(len(self.primary_pool.executed), 1)
         await self.wait_for(lambda: self.primary_pool.messages_of(EndTransaction))
 
+    async def test_connection_that_cannot_be_accepted_does_not_end_the_drain(self):
+        reader, _ = await self.open_session()
+        errors = [ConnectionAbortedError(), BlockingIOError()]
+        with unittest.mock.patch.object(socket.socket, "accept", side_effect=errors):
+            draining = asyncio.create_task(self.drain())
+            await asyncio.sleep(0.1)
+        await draining
+        self.assertIn(NOT_RUN, await self.read_all(reader))
+
     async def test_half_a_batch_is_refused(self):
         reader, _ = await self.open_session(Parse("", "SELECT 1").to_wire())
         await asyncio.sleep(0.05)
