Let a late event loop write the last replies before connections are closed

What callers would see: at the stop of a host whose event loop is late by more than 0.85 of the grace time, INDOUBT for reads that never ran.

Cause: nothing was left of the time for the last replies, and sessions were closed before their tasks could write them.

--- a/hickorywind/host/sessiondrain.py
+++ b/hickorywind/host/sessiondrain.py
@@ -20,6 +20,8 @@
 TRANSACTION_FRACTION = 0.7  # for open transactions to end
 STATEMENT_FRACTION = 0.8  # after which running statements are given up
 REPLY_FRACTION = 0.85  # until which callers may read the last replies and leave
+# Also for a late event loop: the sessions' tasks have to write these replies.
+MIN_REPLY_WAIT = timedelta(milliseconds=100)
 
 
 class SessionDrain:
@@ -58,7 +60,8 @@
 
     async def close_sessions(self, started: Instant) -> None:
         """Give callers time to read their last replies and leave, then close all connections."""
-        while self._sessions and self._is_before(started, REPLY_FRACTION):
+        until = max(started + self._grace * REPLY_FRACTION, self._clock.now() + MIN_REPLY_WAIT)
+        while self._sessions and self._clock.now() < until:
             await asyncio.sleep(DISPATCH_INTERVAL.total_seconds())
         for session in list(self._sessions):
             session.close()
