--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -46,11 +46,16 @@
 
 
 def load_tests(names: list[str]) -> unittest.TestSuite:
-    """Load the named tests, or all tests without names."""
+    """Load the named tests, those of named packages, or all tests without names."""
     loader = unittest.TestLoader()
-    if names:
-        return loader.loadTestsFromNames(names)
-    return loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
+    suite = unittest.TestSuite()
+    for name in names or ["tests"]:
+        folder = ROOT / name.replace(".", "/")
+        if folder.is_dir():
+            suite.addTests(loader.discover(str(folder), top_level_dir=str(ROOT)))
+        else:
+            suite.addTests(loader.loadTestsFromName(name))
+    return suite
 
 
 def run_here(suite: unittest.TestSuite, verbosity: int) -> RunResults:
--- a/tests/test_knownred.py
+++ b/tests/test_knownred.py
@@ -42,3 +42,13 @@
 
     def test_entry_of_a_test_that_is_gone(self):
         self.assertEqual(self.run_report("intermittent tests.example.test_gone | x", True), 1)
+
+
+class LoadingTest(unittest.TestCase):
+    def test_name_of_a_package_stands_for_its_modules(self):
+        modules = [
+            f"tests.util.{path.stem}" for path in (runner.ROOT / "tests/util").glob("test_*")
+        ]
+        expected = runner.load_tests(modules).countTestCases()
+        self.assertGreater(expected, len(modules))
+        self.assertEqual(runner.load_tests(["tests.util"]).countTestCases(), expected)
