--- a/review/lab/store.py
+++ b/review/lab/store.py
@@ -7,12 +7,15 @@
 import itertools
 import json
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from copy import deepcopy
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, unquote, urlsplit
 
 PAGE_ITEMS = 500
+READS_PER_S, WRITES_PER_S = 2000, 400  # of all hosts together; calls beyond get 429
+RENEWAL_PRICE = 0.1  # of a read
 ANSWER_S = 0.004
 _FIRST_REVISION = 10
 _FIRST_LEASE = 1000
@@ -60,6 +63,7 @@
         self._lease_ids = itertools.count(_FIRST_LEASE)
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: list[asyncio.Task] = []
+        self.calls: dict[int, Counter[str]] = {}  # by second: reads, writes and refused ones
 
     async def start(self, host: str) -> tuple[str, str]:
         """Listen at two free ports; return the addresses of the store and of the control."""
@@ -164,6 +168,8 @@
         self, method: str, target: str, headers: dict[str, str], body: bytes
     ) -> tuple[int, dict]:
         parts = urlsplit(target)
+        if not self._admit(method, parts.path):
+            return 429, {}
         query = {key: values[0] for key, values in parse_qs(parts.query).items()}
         document = json.loads(body) if body else {}
         match method, parts.path.split("/")[1:]:
@@ -196,6 +202,18 @@
                 return status, {}
         return 404, {}
 
+    def _admit(self, method: str, path: str) -> bool:
+        if path == "/failover":
+            return True
+        is_renewal = path.startswith("/-/kv-keep/")
+        kind = "reads" if method == "GET" or is_renewal else "writes"
+        counts = self.calls.setdefault(int(time.monotonic()), Counter())
+        if counts[kind] >= (READS_PER_S if kind == "reads" else WRITES_PER_S):
+            counts["refused"] += 1
+            return False
+        counts[kind] += RENEWAL_PRICE if is_renewal else 1
+        return True
+
     def _range(self, query: dict[str, str]) -> dict:
         prefix, after = unquote(query["prefix"]), query.get("after", "")
         items = sorted(
