--- a/review/3/case.py
+++ b/review/1/case.py
@@ -6,7 +6,7 @@
 import contextlib
 import time
 
-from lab.caller import Caller, Closed, Record
+from lab.caller import Caller, ClosedError, Record
 from lab.case import has_trouble, run_case
 from lab.database import Group, Server
 from lab.fleet import CannotRunError, Fleet, configuration
@@ -24,7 +24,7 @@
     """Write one row after the other; a caller opens a new session where one ended."""
     number = 0
     while True:
-        with contextlib.suppress(Closed):
+        with contextlib.suppress(ClosedError):
             caller = await Caller.open(address, DATABASE)
             try:
                 while True:
--- a/review/lab/caller.py
+++ b/review/lab/caller.py
@@ -29,7 +29,7 @@
         self._path.write_text("\n".join(lines) + "\n")
 
 
-class Closed(Exception):
+class ClosedError(Exception):
     """The connection ended before the answer was complete."""
 
 
@@ -56,18 +56,18 @@
 
     @classmethod
     async def open(cls, address: str, database: str, limit: int = 2 << 20) -> Caller:
-        """Open a session; raise ``Closed`` if it is refused."""
+        """Open a session; raise ``ClosedError`` if it is refused."""
         host, _, port = address.partition(":")
         try:
             streams = await asyncio.open_connection(host, int(port), limit=limit)
         except OSError as error:
-            raise Closed(str(error)) from None
+            raise ClosedError(str(error)) from None
         caller = cls(*streams)
         caller.writer.write(f"CONNECT {database} caller\r\n".encode())
         line = await caller._read_line()
         if not line.startswith("READY"):
             caller.close()
-            raise Closed(line)
+            raise ClosedError(line)
         return caller
 
     async def _read_line(self) -> str:
@@ -75,9 +75,9 @@
             async with asyncio.timeout(15):
                 line = await self._reader.readline()
         except (OSError, TimeoutError) as error:
-            raise Closed(str(error)) from None
+            raise ClosedError(str(error)) from None
         if not line.endswith(b"\r\n"):
-            raise Closed("ended")
+            raise ClosedError("ended")
         return line.decode().rstrip("\r\n")
 
     async def ask(self, text: str) -> Answer:
@@ -86,7 +86,7 @@
         try:
             self.writer.write(f"QUERY {request_id} {text}\r\n".encode())
         except OSError as error:
-            raise Closed(str(error)) from None
+            raise ClosedError(str(error)) from None
         lines = []
         while not (line := await self._read_line()).startswith("READY"):
             lines.append(line)
--- a/review/lab/database.py
+++ b/review/lab/database.py
@@ -167,7 +167,9 @@
         deliveries = [asyncio.create_task(each.receive(entry, number)) for each in others]
         self.group.tasks.update(deliveries)
         if self.group.sync_replicas:
-            while not any(len(each.log) >= number and each.log[number - 1] is entry for each in others):
+            while not any(
+                len(each.log) >= number and each.log[number - 1] is entry for each in others
+            ):
                 await asyncio.sleep(RECEIVE_S / 2)
 
     # Statements --------------------------------------------------------------------------------
@@ -252,7 +254,9 @@
                 name, _, arguments = rest.partition(" ")
                 if name not in session.prepared:
                     return f"ERROR NOSTMT {name}\r\n"
-                return await self._run(session, request_id, f"{session.prepared[name][0]} {arguments}")
+                return await self._run(
+                    session, request_id, f"{session.prepared[name][0]} {arguments}"
+                )
         return done
 
 
--- a/review/lab/store.py
+++ b/review/lab/store.py
@@ -21,7 +21,7 @@
 _FIRST_LEASE = 1000
 
 
-class Dropped(Exception):
+class DroppedError(Exception):
     """Raised by a handler whose caller gets no answer and no more on this connection."""
 
 
@@ -155,10 +155,9 @@
                 data = json.dumps(answer).encode()
                 writer.write(
                     f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\n"
-                    f"Store-Era: {self.era}\r\nContent-Length: {len(data)}\r\n\r\n".encode()
-                    + data
+                    f"Store-Era: {self.era}\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data
                 )
-        except (OSError, asyncio.IncompleteReadError, Dropped):
+        except (OSError, asyncio.IncompleteReadError, DroppedError):
             pass
         finally:
             self._writers.discard(writer)
@@ -232,11 +231,15 @@
         era, until = self.era, time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             if era != self.era:
-                raise Dropped
+                raise DroppedError
             if after > self.contents.revision:
                 return 410, {}
             events = [
-                {"key": key, "revision": revision, "deleted": True} if item is None else _render(item)
+                (
+                    {"key": key, "revision": revision, "deleted": True}
+                    if item is None
+                    else _render(item)
+                )
                 for revision, key, item in self.contents.history
                 if revision > after and key.startswith(prefix)
             ]
