--- a/review/lab/case.py
+++ b/review/lab/case.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import os
+import signal
+import sys
 import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -22,6 +24,7 @@
 def run_case(file: str, play: Callable[[Record], Awaitable[list[str]]]) -> None:
     """Run a case, which returns how the rule was broken; write the record and exit."""
     record = Record(Path(file).parent)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # ends the hosts first
     try:
         faults = asyncio.run(asyncio.wait_for(play(record), TIME_LIMIT_S))
     except Exception:
