Review: cases read TROUBLE themselves, stand-ins beside the report, a line for each entry

Each run has a loopback address of its own: one of five runs of review/5 beside other scripts could not run, as a host found its port taken.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,14 +4,16 @@
 
 import asyncio
 import contextlib
+import os
 import time
 
-from lab.caller import Caller, ClosedError, Record
-from lab.case import has_trouble, run_case
-from lab.database import Group, Server
-from lab.fleet import CannotRunError, Fleet, configuration
-from lab.store import Store
+from caller import Caller, ClosedError, Record
+from frame import run_case
+from host_processes import LOOPBACK, CannotRunError, Fleet, configuration
+from standin_servers import Group, Server
+from standin_store import Store
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # whether to play the disruption
 SERVICE, DATABASE = "ledger-db", "signoff"
 DRAIN_S = 7.0  # drain_ms
 DEAF_S = 6.5
@@ -58,8 +60,8 @@
 async def play(record: Record) -> list[str]:
     """Play the case and return the broken promises."""
     store = Store()
-    addresses = await store.start("127.0.0.1")
-    group = Group(SERVICE, "127.0.0.1", store, sync_replicas=1)
+    addresses = await store.start(LOOPBACK)
+    group = Group(SERVICE, LOOPBACK, store, sync_replicas=1)
     primary, leaving, deaf = (
         group.add(name, zone) for name, zone in (("i-a", "adum"), ("i-b", "suame"), ("i-c", "tema"))
     )
@@ -88,7 +90,7 @@
             raise CannotRunError("no write was acknowledged")
         replacement = asyncio.create_task(release(leaving, group, record))
         await asyncio.sleep(1)
-        if has_trouble():
+        if HAS_TROUBLE:
             deaf.is_deaf = True
             record.add(f"{deaf.name} receives nothing from now on")
             await asyncio.sleep(DEAF_S - CRASH_S)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,14 +4,16 @@
 
 import asyncio
 import contextlib
+import os
 import time
 
-from lab.caller import Caller, ClosedError, Record
-from lab.case import has_trouble, run_case
-from lab.database import Group
-from lab.fleet import CannotRunError, Fleet, configuration
-from lab.store import Store
+from caller import Caller, ClosedError, Record
+from frame import run_case
+from host_processes import LOOPBACK, CannotRunError, Fleet, configuration
+from standin_servers import Group
+from standin_store import Store
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # whether to play the disruption
 SERVICE, DATABASE = "ledger-db", "signoff"
 DRAIN_S = 7.0
 AWAY_S = 1.0
@@ -66,8 +68,8 @@
 async def play(record: Record) -> list[str]:
     """Play the case and return the broken promises."""
     store = Store()
-    addresses = await store.start("127.0.0.1")
-    group = Group(SERVICE, "127.0.0.1", store)
+    addresses = await store.start(LOOPBACK)
+    group = Group(SERVICE, LOOPBACK, store)
     primary = group.add("i-a", "adum")
     for name, zone in (("i-b", "suame"), ("i-c", "tema")):
         group.add(name, zone)
@@ -93,7 +95,7 @@
             while not group.promotions:
                 await asyncio.sleep(0.05)
         await asyncio.sleep(1)
-        if has_trouble():
+        if HAS_TROUBLE:
             record.add(f"the store goes away at revision {store.contents.revision}")
             store.go_away()
             await asyncio.sleep(AWAY_S)
@@ -108,7 +110,7 @@
         await store.delete("servers/i-a")
         record.add("i-a has ended")
         await asyncio.sleep(4)
-        if has_trouble():
+        if HAS_TROUBLE:
             await kill_all(fleet, record)
             await asyncio.sleep(12)
         for writer in writers:
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=review exec python3 review/2/case.py
+export TROUBLE="${TROUBLE:-1}" PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=review
+exec python3 review/2/case.py
--- a/review/lab/case.py
+++ b/review/frame.py
@@ -10,17 +10,12 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from lab.caller import Record
+from caller import Record
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 TIME_LIMIT_S = 115.0
 
 
-def has_trouble() -> bool:
-    """Return whether the script plays the disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def run_case(file: str, play: Callable[[Record], Awaitable[list[str]]]) -> None:
     """Run a case, which returns how the rule was broken; write the record and exit."""
     record = Record(Path(file).parent)
--- a/review/lab/fleet.py
+++ b/review/host_processes.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import itertools
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -12,9 +15,11 @@
 import tomllib
 from pathlib import Path
 
-ROOT = Path(__file__).parents[2]
+ROOT = Path(__file__).parents[1]
 ZONES = {"adum": "ashanti", "suame": "ashanti", "tema": "greater-accra"}
-LOOPBACK = "127.0.0.1"
+# A loopback address of this run's own: no other process takes a port of it between two uses.
+LOOPBACK = ".".join(["127", *(str(random.randint(1, 254)) for _ in range(3))])
+_ports = itertools.count(20_001)
 START_LIMIT_S = 20.0
 
 
@@ -23,10 +28,12 @@
 
 
 def free_address() -> str:
-    """Return a loopback address with a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return f"{LOOPBACK}:{probe.getsockname()[1]}"
+    """Return an address of this run with a port that is free and was not returned before."""
+    while True:
+        port = next(_ports)
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind((LOOPBACK, port))
+            return f"{LOOPBACK}:{port}"
 
 
 class HostProcess:
--- a/review/lab/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins of the platform for the scripts of this review, with the standard library alone."""
--- a/review/lab/database.py
+++ b/review/standin_servers.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from lab.store import Store
+from standin_store import Store
 
 HEARTBEAT_S = 1.2
 RECEIVE_S = 0.002  # until a replica has received a commit
