--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -29,9 +29,11 @@
     Incarnation,
     Revision,
     ServiceName,
+    StoreEra,
     Term,
 )
-from hickorywind.ports.coordination import LeaseId
+from hickorywind.ports.coordination import Lease, LeaseId
+from hickorywind.store.era import era_of
 from hickorywind.util.addresses import parse_address
 from hickorywind.util.clock import Instant
 from hickorywind.util.decoding import NAME, CounterValue, convert, decode
@@ -68,6 +70,8 @@
 
     ``stopped`` names hosts that stopped using the primary before they wrote a closed record of this
     change: the promoter, and former ones whose change it took over. Nobody waits for their permits.
+
+    ``era`` is that of the store when the record was written.
     """
 
     primary: BackendId
@@ -78,6 +82,7 @@
     is_planned: bool = False
     term: Term = Term(0)
     stopped: tuple[HostId, ...] = ()
+    era: StoreEra = StoreEra(0)
 
 
 class HostRecord(msgspec.Struct, frozen=True):
@@ -85,6 +90,7 @@
 
     ``stopped`` holds, by service, the revision of the closed record after which this incarnation
     stopped using the primary. It is written where peers may not have received the confirmation.
+    ``era`` is that of the store when it granted the lease.
     """
 
     host: Annotated[HostId, NAME]
@@ -93,6 +99,12 @@
     address: Address
     lease: LeaseId
     stopped: dict[ServiceName, Revision] = {}
+    era: StoreEra = StoreEra(0)
+
+    @property
+    def granted(self) -> Lease:
+        """Lease with the era in which the store granted it."""
+        return Lease(self.lease, self.era)
 
 
 _leadership_decoder = msgspec.json.Decoder(LeadershipRecord)
@@ -123,6 +135,14 @@
     record: LeadershipRecord
     revision: Revision
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the record was written in the era of the store in which it was read.
+
+        A store that came back from an older copy may hold a record that names a former primary.
+        """
+        return self.record.era == era_of(self.revision)
+
 
 class PrimaryAbsence(Enum):
     """Why this host may not use the primary of a service; the value is told to callers."""
@@ -142,6 +162,7 @@
     valid_until: Instant = timedelta(0)
     _revoked_at: Instant | None = None
     _records: dict[ServiceName, VersionedLeadership] = field(default_factory=dict)
+    _unconfirmed: dict[ServiceName, VersionedLeadership] = field(default_factory=dict)
     _use_stopped_at: dict[ServiceName, Revision] = field(default_factory=dict)
     _new_work_stopped_at: dict[ServiceName, Revision] = field(default_factory=dict)
 
@@ -164,13 +185,30 @@
         self._revoked_at = now
 
     def learn(self, service: ServiceName, leadership: VersionedLeadership) -> bool:
-        """Store a leadership record; return whether it is newer than the one known."""
-        known = self._records.get(service)
-        if known is not None and known.revision >= leadership.revision:
+        """Store a leadership record if it is newer than the one known; return whether it is in use.
+
+        An unconfirmed one is kept apart and changes nothing until a confirmed one replaces it: the
+        host that writes that one waits for all permits of the earlier era.
+        """
+        if self._newest_revision(service) >= leadership.revision:
+            return False
+        if not leadership.is_confirmed:
+            self._unconfirmed[service] = leadership
             return False
+        self._unconfirmed.pop(service, None)
         self._records[service] = leadership
         return True
 
+    def forget(self, service: ServiceName, removed_at: Revision) -> None:
+        """Forget the records of a service that the store does not hold in a later era."""
+        if era_of(removed_at) > era_of(self._newest_revision(service)):
+            self._records.pop(service, None)
+            self._unconfirmed.pop(service, None)
+
+    def _newest_revision(self, service: ServiceName) -> Revision:
+        known = (self._records.get(service), self._unconfirmed.get(service))
+        return max((each.revision for each in known if each is not None), default=Revision(0))
+
     def stop_using(self, service: ServiceName, revision: Revision) -> None:
         """Forbid use of the primary until a record newer than ``revision`` opens it.
 
@@ -198,13 +236,16 @@
         )
 
     def leadership(self, service: ServiceName) -> VersionedLeadership | None:
-        """Return the newest leadership record known of a service."""
+        """Return the newest confirmed leadership record known of a service."""
         return self._records.get(service)
 
+    def unconfirmed(self, service: ServiceName) -> VersionedLeadership | None:
+        """Return the record that the store holds of a service, if it has to be confirmed."""
+        return self._unconfirmed.get(service)
+
     def is_superseded(self, service: ServiceName, revision: Revision) -> bool:
         """Return whether a record newer than ``revision``, or a host that acts on one, is known."""
-        known = self._records.get(service)
-        newest = Revision(0) if known is None else known.revision
+        newest = self._newest_revision(service)
         return max(newest, self._use_stopped_at.get(service, Revision(0))) > revision
 
     def services(self) -> tuple[ServiceName, ...]:
--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -7,7 +7,10 @@
 from collections.abc import Coroutine
 from datetime import timedelta
 
+import msgspec
+
 from hickorywind.failover.leadership import (
+    PERMIT_END_DELAY,
     Fencing,
     LeadershipPhase,
     LeadershipRecord,
@@ -27,6 +30,7 @@
     Promotion,
     PromotionFailure,
     choose_successor,
+    find_leader,
     query_server,
     wait_for_catch_up,
 )
@@ -39,6 +43,7 @@
 from hickorywind.placement.rendezvous import rank_members
 from hickorywind.ports.catalog import BackendState
 from hickorywind.ports.coordination import CoordinationStore, Promoter
+from hickorywind.ports.replies import ServerStatus
 from hickorywind.store.interface import StoreUnavailableError
 from hickorywind.util.clock import Clock, Instant
 from hickorywind.util.sockets import CONNECT_PROBE_TIMEOUT, accepts_connections
@@ -83,7 +88,8 @@
         self._ranks: dict[ServiceName, int] = {}
         self._silent_host_fencer = SilentHostFencer(fleet, coordination_store, self.store, peers)
         self._tasks: dict[ServiceName, asyncio.Task] = {}
-        self._closed_since: dict[ServiceName, tuple[Revision, timedelta]] = {}
+        # When the closed or unconfirmed record of a service became known.
+        self._known_since: dict[ServiceName, tuple[Revision, timedelta]] = {}
         self.is_stopping = False
 
     # Triggers ----------------------------------------------------------------------------------
@@ -135,13 +141,19 @@
 
     def _check_service(self, service: ServiceName) -> None:
         leadership = self._fleet.permits.leadership(service)
+        unconfirmed = self._fleet.permits.unconfirmed(service)
+        if unconfirmed is not None:
+            # Hosts may hold permits of the store's earlier era, unknown to this one.
+            if self._fleet.now() >= self._record_known(service, unconfirmed) + PERMIT_END_DELAY:
+                self._start_task(service, self._confirm_record(service, unconfirmed))
+            return
         if leadership is None:
             self._start_task(service, self._record_initial_primary(service))
             return
         if leadership.record.phase is LeadershipPhase.CLOSED:
             self._check_unfinished_change(service, leadership)
             return
-        self._closed_since.pop(service, None)
+        self._known_since.pop(service, None)
         primary = self._fleet.backends.get(leadership.record.primary)
         if primary is None:
             self._start_task(service, self._investigate(service, "the primary is not registered"))
@@ -175,7 +187,7 @@
     ) -> None:
         """Take over a primary change whose promoter has failed or makes no progress."""
         now = self._fleet.now()
-        since = self._record_closing(service, leadership)
+        since = self._record_known(service, leadership)
         due = since + TAKEOVER_TIMEOUT + RANK_DELAY * self._rank(service)
         if not self._peers.table.sees_majority():
             due += MINORITY_DELAY
@@ -189,13 +201,14 @@
         """Record when a closed record became known, for taking over its change."""
         leadership = self._fleet.permits.leadership(service)
         if leadership is not None and leadership.record.phase is LeadershipPhase.CLOSED:
-            self._record_closing(service, leadership)
+            self._record_known(service, leadership)
 
-    def _record_closing(self, service: ServiceName, leadership: VersionedLeadership) -> Instant:
-        revision, since = self._closed_since.get(service, (Revision(0), self._fleet.now()))
+    def _record_known(self, service: ServiceName, leadership: VersionedLeadership) -> Instant:
+        """Return since when a record is known, from the first call with it."""
+        revision, since = self._known_since.get(service, (Revision(0), self._fleet.now()))
         if revision != leadership.revision:
             since = self._fleet.now()
-            self._closed_since[service] = (leadership.revision, since)
+            self._known_since[service] = (leadership.revision, since)
         return since
 
     async def _take_over_if_silent(
@@ -261,18 +274,24 @@
             return
         if not await self._defer_to_higher_ranks(None, service):
             return
-        term = await self._query_leading_term(self._services[service], primaries[0])
-        record = LeadershipRecord(
-            primaries[0], LeadershipPhase.OPEN, 0, term=Term(0) if term is None else term
-        )
+        status = await self._query_status(self._services[service], primaries[0])
+        if status is not None and status.role is not InstanceRole.PRIMARY:
+            return  # its registration is outdated
+        term = Term(0) if status is None else status.term
+        record = LeadershipRecord(primaries[0], LeadershipPhase.OPEN, 0, term=term)
         await self.store.write(service, record, Revision(0))
 
     async def _query_leading_term(self, runtime: ServiceRuntime, primary: BackendId) -> Term | None:
         """Return the term in which a server calls itself primary, or None."""
-        backend = runtime.backends.get(primary)
-        status = None if backend is None else await query_server(runtime, backend)
+        status = await self._query_status(runtime, primary)
         return None if status is None else status.leading_term
 
+    async def _query_status(
+        self, runtime: ServiceRuntime, server: BackendId
+    ) -> ServerStatus | None:
+        backend = runtime.backends.get(server)
+        return None if backend is None else await query_server(runtime, backend)
+
     # Failed primaries --------------------------------------------------------------------------
 
     async def _investigate(self, service: ServiceName, reason: str) -> None:
@@ -280,6 +299,8 @@
         leadership = self._fleet.permits.leadership(service)
         if leadership is None or leadership.record.phase is LeadershipPhase.CLOSED:
             return
+        if self._fleet.permits.unconfirmed(service) is not None:
+            return  # nobody can replace the primary before that record is confirmed
         primary = leadership.record.primary
         verdict = await check_primary(runtime, self._peers, primary)
         self._apply_verdict(runtime, primary, verdict, reason)
@@ -383,6 +404,48 @@
         fencing = await self._fence_completely(runtime, closed)
         await self._promote_and_open(runtime, closed, fencing)
 
+    # Store restored from an older copy -----------------------------------------------------------
+
+    async def _confirm_record(self, service: ServiceName, unconfirmed: VersionedLeadership) -> None:
+        """Replace a record that a restored store brought back by one of its new era.
+
+        Such a record may name a former primary, so the servers themselves are asked who leads. The
+        hosts that know the primary of the earlier era use it until they are asked to stop.
+        """
+        runtime = self._services[service]
+        known = self._fleet.permits.leadership(service) or unconfirmed
+        previous = max(
+            known.record, unconfirmed.record, key=lambda record: (record.change, record.term)
+        )
+        if previous.promoter != self._identity.host:
+            await asyncio.sleep((RANK_DELAY * self._rank(service)).total_seconds())
+        if self._fleet.permits.unconfirmed(service) != unconfirmed:
+            return
+        leader = await find_leader(runtime, previous)
+        if leader is not None:
+            candidate, ended_term = leader, Term(runtime.newest_term - 1)
+            previous = msgspec.structs.replace(previous, primary=leader)
+        elif previous.phase is LeadershipPhase.CLOSED:
+            # An order of its promoter may still take effect.
+            candidate, ended_term = previous.candidate, Term(max(previous.term, runtime.used_term))
+        else:
+            any_server = msgspec.structs.replace(previous, primary=BackendId(""))
+            chosen = await choose_successor(runtime, any_server, self._clock)
+            if chosen is None:
+                raise PrimaryChangeCancelledError("no backend server can be promoted")
+            candidate, ended_term = chosen
+        # Planned, so that open transactions may end and silent hosts are waited for.
+        record = self._closed_record(previous, candidate, True, ended_term, ())
+        closed = await self.store.write(service, record, unconfirmed.revision)
+        runtime.set_primary_state(PrimaryState.CHANGING)
+        fencing = await self._fence_completely(runtime, closed)
+        term = await self._query_leading_term(runtime, candidate)
+        if term is not None and term > ended_term and term >= runtime.newest_term:
+            await self._open(runtime, closed, candidate, term)
+        else:
+            await self._promote_and_open(runtime, closed, fencing)
+        logger.info("leadership_confirmed", extra={"service": service, "backend": candidate})
+
     # Steps -------------------------------------------------------------------------------------
 
     async def _close(
--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -265,32 +265,39 @@
 
     def _apply_leadership(self, applied: tuple[Change, ...], source: str) -> None:
         for change in applied:
-            if not isinstance(change, ItemWritten):
-                continue
-            item = change.item
-            service = ServiceName(item.key.removeprefix(LEADERSHIP_PREFIX))
-            try:
-                record = decode_leadership(item.value)
-            except MalformedDataError as error:
-                logger.error(
-                    "leadership_unreadable", extra={"service": service, "error": str(error)}
-                )
-                continue
-            if self.permits.learn(service, VersionedLeadership(record, item.revision)):
-                logger.info(
-                    "leadership_changed",
-                    extra={
-                        "service": service,
-                        "primary": record.primary,
-                        "phase": record.phase,
-                        "change": record.change,
-                        "term": record.term,
-                        "revision": item.revision,
-                        "source": source,
-                    },
-                )
-                for listener in self.leadership_listeners:
-                    listener(service)
+            match change:
+                case ItemWritten(item):
+                    self._apply_record(item, source)
+                case ItemDeleted(key, revision):
+                    service = ServiceName(key.removeprefix(LEADERSHIP_PREFIX))
+                    self.permits.forget(service, revision)
+
+    def _apply_record(self, item: StoredValue, source: str) -> None:
+        service = ServiceName(item.key.removeprefix(LEADERSHIP_PREFIX))
+        try:
+            record = decode_leadership(item.value)
+        except MalformedDataError as error:
+            logger.error("leadership_unreadable", extra={"service": service, "error": str(error)})
+            return
+        leadership = VersionedLeadership(record, item.revision)
+        is_in_use = self.permits.learn(service, leadership)
+        if not is_in_use and self.permits.unconfirmed(service) != leadership:
+            return
+        logger.info(
+            "leadership_changed" if is_in_use else "leadership_unconfirmed",
+            extra={
+                "service": service,
+                "primary": record.primary,
+                "phase": record.phase,
+                "change": record.change,
+                "term": record.term,
+                "revision": item.revision,
+                "source": source,
+            },
+        )
+        if is_in_use:
+            for listener in self.leadership_listeners:
+                listener(service)
 
 
 def decode_hosts(items: Iterable[StoredValue]) -> tuple[HostRecord, ...]:
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -33,6 +33,7 @@
 from hickorywind.ports.coordination import (
     CoordinationStore,
     DocumentSchema,
+    Lease,
     LeaseId,
     Promoter,
     Snapshot,
@@ -391,7 +392,8 @@
         for ended in reply.ended_leases:
             # The reply was sent before now, so the lease end was confirmed at least that long ago.
             confirmed = self._clock.now() - milliseconds(ended.age_ms)
-            self._failover_manager.store.record_lease_end(LeaseId(ended.lease), confirmed)
+            lease = Lease(LeaseId(ended.lease), ended.era)
+            self._failover_manager.store.record_lease_end(lease, confirmed)
         is_up_to_date = self._fetch_newer_copies(reply.host, reply.revisions)
         if is_up_to_date and reply.store_contact_ms is not None:
             self._watch_duty.record_reported_contact(sent - milliseconds(reply.store_contact_ms))
@@ -511,8 +513,9 @@
                 return self._quotas.handle_query(message)
             case QuotaTakeover():
                 return self._quotas.handle_takeover(message)
-            case LeaseRenewalQuery(call, lease):
-                return LeaseRenewalReply(call, await self._sync.renew(lease))
+            case LeaseRenewalQuery(call, lease, era):
+                renewed = await self._sync.renew(Lease(LeaseId(lease), era))
+                return LeaseRenewalReply(call, renewed)
         return None
 
     def _reply_to_greeting(self, greeting: Greeting) -> GreetingReply:
--- a/hickorywind/host/leadershipstore.py
+++ b/hickorywind/host/leadershipstore.py
@@ -6,6 +6,8 @@
 import logging
 from datetime import timedelta
 
+import msgspec
+
 from hickorywind.failover.leadership import (
     HostRecord,
     LeadershipRecord,
@@ -18,10 +20,11 @@
 from hickorywind.ids import HostId, Revision, ServiceName
 from hickorywind.ports.coordination import (
     Committed,
-    LeaseId,
+    Lease,
     Snapshot,
 )
 from hickorywind.protocol.messages import EndedLease
+from hickorywind.store.era import era_of
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
 from hickorywind.util.clock import Instant, to_milliseconds
 
@@ -48,7 +51,7 @@
         self._fleet = fleet
         self._relay = relay
         self._peers = peers
-        self._lease_ends: dict[LeaseId, Instant] = {}
+        self._lease_ends: dict[Lease, Instant] = {}
         self._written: dict[ServiceName, tuple[Revision, Instant]] = {}
 
     async def write(
@@ -60,6 +63,8 @@
         ``StoreUnavailableError``.
         """
         key = LEADERSHIP_PREFIX + service
+        era = era_of(revision or self._fleet.copies[LEADERSHIP_PREFIX].as_of)
+        record = msgspec.structs.replace(record, era=era)
         value = encode_record(record)
         started = self._fleet.now()
         for attempt in range(STORE_ATTEMPTS):
@@ -77,6 +82,8 @@
                 written = await self._find_own_write(key, value)
             if written is None:
                 raise PrimaryChangeCancelledError("another host wrote the leadership record first")
+            if era_of(written) != era:
+                raise PrimaryChangeCancelledError("the store came back from an older copy")
             self._written[service] = (written, started)
             return await self._broadcast(service, record, written)
         raise StoreUnavailableError("the leadership record could not be written")
@@ -148,7 +155,7 @@
                 await asyncio.sleep(STORE_RETRY_DELAY.total_seconds())
         raise StoreUnavailableError("the registered hosts could not be read")
 
-    def record_lease_end(self, lease: LeaseId, confirmed: Instant) -> None:
+    def record_lease_end(self, lease: Lease, confirmed: Instant) -> None:
         """Record when the store had confirmed the end of a lease; keep the earliest time."""
         self._lease_ends[lease] = min(confirmed, self._lease_ends.get(lease, confirmed))
 
@@ -161,11 +168,11 @@
             if now < confirmed + ENDED_LEASE_RETENTION
         }
         return tuple(
-            EndedLease(lease, int(to_milliseconds(now - confirmed)))
+            EndedLease(lease.id, int(to_milliseconds(now - confirmed)), lease.era)
             for lease, confirmed in self._lease_ends.items()
         )
 
-    def lease_ended_at(self, lease: LeaseId) -> Instant | None:
+    def lease_ended_at(self, lease: Lease) -> Instant | None:
         """Return when the store had confirmed the end of a lease; None if it may be in force."""
         return self._lease_ends.get(lease)
 
@@ -174,12 +181,12 @@
 
         No call is made for a lease that is known to have ended. Raise ``StoreUnavailableError``.
         """
-        known = self._lease_ends.get(record.lease)
+        known = self._lease_ends.get(record.granted)
         if known is not None:
             return known
         for _ in range(STORE_ATTEMPTS):
             try:
-                await self._relay.end_lease(record.lease)
+                await self._relay.end_lease(record.granted)
             except StoreUnavailableError as error:
                 logger.warning(
                     "lease_end_failed", extra={"peer": record.host, "reason": str(error)}
@@ -187,6 +194,6 @@
                 await asyncio.sleep(STORE_RETRY_DELAY.total_seconds())
                 continue
             logger.info("lease_ended_for_peer", extra={"peer": record.host})
-            self.record_lease_end(record.lease, self._fleet.now())
-            return self._lease_ends[record.lease]
+            self.record_lease_end(record.granted, self._fleet.now())
+            return self._lease_ends[record.granted]
         raise StoreUnavailableError("the lease of a silent host could not be ended")
--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -7,7 +7,12 @@
 from datetime import timedelta
 from enum import Enum
 
-from hickorywind.failover.leadership import Fencing, LeadershipRecord, VersionedLeadership
+from hickorywind.failover.leadership import (
+    Fencing,
+    LeadershipPhase,
+    LeadershipRecord,
+    VersionedLeadership,
+)
 from hickorywind.failover.succession import Candidate, KnownTerms
 from hickorywind.host.backendconnection import ConnectionLostError, ConnectionRejectedError
 from hickorywind.host.fencer import Fencer
@@ -80,6 +85,19 @@
         await asyncio.sleep(PROMOTION_POLL_INTERVAL.total_seconds())
 
 
+async def find_leader(runtime: ServiceRuntime, record: LeadershipRecord) -> BackendId | None:
+    """Return the server that leads in the newest term, unless the record says that it has ended."""
+    backends = list(runtime.backends.values())
+    statuses = await asyncio.gather(*(query_server(runtime, backend) for backend in backends))
+    newest = max(runtime.newest_term, record.term)
+    if record.phase is LeadershipPhase.CLOSED and newest == record.term:
+        return None
+    for backend, status in zip(backends, statuses, strict=True):
+        if status is not None and status.leading_term == newest:
+            return backend.server.backend
+    return None
+
+
 async def _query_candidates(runtime: ServiceRuntime, old_primary: BackendId) -> list[Candidate]:
     backends = [
         backend
--- a/hickorywind/host/storerelay.py
+++ b/hickorywind/host/storerelay.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any, TypeVar
 
@@ -15,6 +16,7 @@
     Condition,
     Conflict,
     CoordinationStore,
+    Lease,
     LeaseId,
     Put,
     Snapshot,
@@ -38,7 +40,13 @@
 RELAY_TIMEOUT = timedelta(milliseconds=1300)  # one store call and the round trip to the peer
 HEDGE_DELAY = timedelta(milliseconds=300)  # two round trips between regions
 
-StoreAnswer = Snapshot | Committed | Conflict | LeaseId
+
+@dataclass(frozen=True, slots=True)
+class LeaseEnded:
+    """Answer of the store: a lease has ended."""
+
+
+StoreAnswer = Snapshot | Committed | Conflict | LeaseEnded
 Answer = TypeVar("Answer")
 
 
@@ -76,13 +84,15 @@
             lambda call: StoreWriteRequest(call, key, expected_revision, value),
         )
 
-    async def end_lease(self, lease: LeaseId) -> None:
+    async def end_lease(self, lease: Lease) -> None:
         """End a lease; raise ``StoreUnavailableError``."""
-        await self._call(self._end_lease_at_store(lease), lambda call: EndLease(call, lease))
+        await self._call(
+            self._end_lease_at_store(lease), lambda call: EndLease(call, lease.id, lease.era)
+        )
 
-    async def _end_lease_at_store(self, lease: LeaseId) -> LeaseId:
+    async def _end_lease_at_store(self, lease: Lease) -> LeaseEnded:
         await self._coordination_store.end_lease(lease)
-        return lease
+        return LeaseEnded()
 
     async def _call(
         self, store_call: Coroutine[Any, Any, Answer], make_message: Callable[[int], Message]
@@ -157,7 +167,7 @@
         return StoreWriteReply(message.call, revision)
 
     async def _end_lease_for_peer(self, message: EndLease) -> Message:
-        await self._coordination_store.end_lease(LeaseId(message.lease))
+        await self._coordination_store.end_lease(Lease(LeaseId(message.lease), message.era))
         return EndLeaseReply(message.call)
 
 
@@ -171,5 +181,5 @@
         case StoreWriteReply(_, revision):
             return Committed(revision)
         case EndLeaseReply():
-            return LeaseId(0)
+            return LeaseEnded()
     return None
--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -34,11 +34,12 @@
     Conflict,
     CoordinationStore,
     HistoryCompacted,
-    LeaseId,
+    Lease,
     Put,
     Snapshot,
 )
 from hickorywind.protocol.messages import LeaseRenewalQuery, LeaseRenewalReply
+from hickorywind.store.era import era_of
 from hickorywind.store.interface import StoreUnavailableError
 from hickorywind.util.tasks import BackgroundTasks, hedge
 
@@ -90,7 +91,7 @@
         self._metrics = metrics
         self._rng = rng
         self._watch_duty = watch_duty
-        self._lease: LeaseId | None = None
+        self._lease: Lease | None = None
         self._registered_at = Revision(0)
         self._stopped_revisions: dict[ServiceName, Revision] = {}
         self._is_reachable = True
@@ -124,6 +125,9 @@
         else:
             logger.warning("store_lost", extra={"call": call, "error": str(error)})
 
+    async def _pause(self, retry_delay: timedelta) -> None:
+        await asyncio.sleep(retry_delay.total_seconds() * self._rng.uniform(0.5, 1.0))
+
     def _next_retry_delay(self, retry_delay: timedelta) -> timedelta:
         is_starting = self._fleet.configuration is None
         return min(retry_delay * 2, RETRY_DELAY_MAX_STARTING if is_starting else RETRY_DELAY_MAX)
@@ -151,17 +155,19 @@
                 if isinstance(result, Conflict):
                     revision = await self._read_own_revision()
                     continue
+                if era_of(result.revision) != lease.era:
+                    raise StoreUnavailableError("the store came back from an older copy")
                 self._lease = lease
                 self._registered_at = result.revision
                 await self._load_fleet()
-                logger.info("host_registered", extra={"lease": lease})
+                logger.info("host_registered", extra={"lease": lease.id})
                 return
             except StoreUnavailableError as error:
                 self.record_call("register", error)
-                await asyncio.sleep(retry_delay.total_seconds() * self._rng.uniform(0.5, 1.0))
+                await self._pause(retry_delay)
                 retry_delay = self._next_retry_delay(retry_delay)
 
-    async def _write_record(self, lease: LeaseId, revision: Revision) -> Committed | Conflict:
+    async def _write_record(self, lease: Lease, revision: Revision) -> Committed | Conflict:
         """Write this host's registration if it last changed at ``revision`` (0: does not exist)."""
         identity = self._identity
         record = HostRecord(
@@ -169,8 +175,9 @@
             identity.incarnation,
             identity.zone,
             identity.address,
-            lease,
+            lease.id,
             self._stopped_revisions,
+            lease.era,
         )
         key = HOSTS_PREFIX + identity.host
         return await self._coordination_store.transact(
@@ -239,11 +246,11 @@
             if not renewed:
                 # The host that ended the lease waits until this permit has expired, so the permit
                 # stays valid.
-                logger.warning("lease_ended", extra={"lease": self._lease})
+                logger.warning("lease_ended", extra={"lease": self._lease.id})
                 return
             self._fleet.permits.extend(sent)
 
-    async def renew(self, lease: LeaseId) -> bool | None:
+    async def renew(self, lease: Lease) -> bool | None:
         """Renew a lease; return False if it has ended, None if the store does not answer."""
         sent = self._fleet.now()
         try:
@@ -256,7 +263,7 @@
             self._watch_duty.record_own_contact(sent)
         return renewed
 
-    async def _renew_hedged(self, lease: LeaseId) -> bool | None:
+    async def _renew_hedged(self, lease: Lease) -> bool | None:
         """Renew the lease, and through peers as well if the store is slow or fails."""
 
         def ask_peers() -> list[asyncio.Task[bool | None]]:
@@ -266,9 +273,9 @@
 
         return await hedge(self._background.start(self.renew(lease)), HEDGE_DELAY, ask_peers)
 
-    async def _renew_through_peer(self, host: HostId, lease: LeaseId) -> bool | None:
+    async def _renew_through_peer(self, host: HostId, lease: Lease) -> bool | None:
         reply = await self._peers.call(
-            host, lambda call: LeaseRenewalQuery(call, lease), RELAY_TIMEOUT
+            host, lambda call: LeaseRenewalQuery(call, lease.id, lease.era), RELAY_TIMEOUT
         )
         if not isinstance(reply, LeaseRenewalReply) or reply.is_renewed is None:
             return None
@@ -390,17 +397,17 @@
                 if result is None:
                     continue
                 self.record_call("watch", None)
-                retry_delay = RETRY_DELAY_MIN
                 if isinstance(result, HistoryCompacted):
                     logger.info("store_history_lost", extra={"prefix": prefix})
                     is_current = False
                     continue
+                retry_delay = RETRY_DELAY_MIN
                 self._fleet.apply_changes(prefix, result.changes, result.as_of, "store")
                 if result.changes:
                     await asyncio.sleep(self._watch_pause(prefix).total_seconds())
             except StoreUnavailableError as error:
                 # The copy stays a valid start for the next watch, unless the history has gone.
                 self.record_call("watch", error)
-                await asyncio.sleep(retry_delay.total_seconds() * self._rng.uniform(0.5, 1.0))
+                await self._pause(retry_delay)
                 retry_delay = self._next_retry_delay(retry_delay)
                 timeout = min(timeout * 2, READ_TIMEOUT_MAX)
--- a/hickorywind/ids.py
+++ b/hickorywind/ids.py
@@ -20,7 +20,8 @@
 TransactionId = NewType("TransactionId", int)
 Incarnation = NewType("Incarnation", CounterValue)
 Term = NewType("Term", CounterValue)
-Revision = NewType("Revision", CounterValue)
+Revision = NewType("Revision", CounterValue)  # with the era, see ``hickorywind.store.era``
+StoreEra = NewType("StoreEra", CounterValue)  # 0 for a store without eras
 
 
 class Rank(Enum):
--- a/hickorywind/platform/storeclient.py
+++ b/hickorywind/platform/storeclient.py
@@ -6,13 +6,14 @@
 import json
 import logging
 from collections.abc import Sequence
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 from urllib.parse import urlencode
 
 import msgspec
 
-from hickorywind.ids import Address, BackendId, HostId, Revision, ServiceName
+from hickorywind.ids import Address, BackendId, HostId, Revision, ServiceName, StoreEra
 from hickorywind.ports.coordination import (
     AnswerTooLargeError,
     Change,
@@ -24,13 +25,15 @@
     HistoryCompacted,
     ItemDeleted,
     ItemWritten,
+    Lease,
     LeaseId,
     PromotionOutcome,
     Put,
     Snapshot,
 )
+from hickorywind.store.era import era_of, make_revision, number_of
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
-from hickorywind.util.decoding import MalformedDataError, convert
+from hickorywind.util.decoding import MalformedDataError, convert, parse_counter
 from hickorywind.util.httpclient import HttpAnswerTooLargeError, HttpCallError, HttpClient
 
 logger = logging.getLogger(__name__)
@@ -38,6 +41,7 @@
 CALL_TIMEOUT = timedelta(seconds=1)  # a healthy store answers within milliseconds
 WATCH_TIMEOUT_MARGIN = timedelta(seconds=2)  # added to the wait that a watch requests
 _MAX_PAGES = 100  # limit of one range read
+_ERA_HEADER = "store-era"
 
 
 class _WireItem(msgspec.Struct):
@@ -49,6 +53,23 @@
     deleted: Any = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """Answer of the platform; ``era`` is that of the store."""
+
+    status: int
+    body: dict[str, Any]
+    era: StoreEra
+
+    def revision(self, name: str) -> Revision:
+        """Return the revision in a field of the body; raise ``StoreUnavailableError``."""
+        number = _required_field(self.body, name, int)
+        try:
+            return make_revision(number, self.era)
+        except ValueError as error:
+            raise StoreUnavailableError(f"invalid response: {name}: {error}") from error
+
+
 class PlatformClient:
     """Client of the store and the platform's control interface over pooled connections.
 
@@ -61,6 +82,7 @@
         self._control = control
         self._call_timeout = call_timeout
         self._client = HttpClient()
+        self._era = StoreEra(0)  # the newest one in which the store has answered
 
     @classmethod
     def from_addresses(cls, store: Address, control: Address) -> PlatformClient:
@@ -80,24 +102,26 @@
         ``AnswerTooLargeError`` if a page is announced with more than ``max_bytes``.
         """
         items: list[StoredValue] = []
-        as_of: int | None = None
+        as_of: Revision | None = None
         query = {"prefix": prefix}
         for _ in range(_MAX_PAGES):
-            _, body = await self._call(
+            answer = await self._call(
                 "GET", "/-/kv-range", query, (200,), timeout=timeout, max_bytes=max_bytes
             )
-            rows = _required_field(body, "items", list)
-            items += [
-                change.item for change in _decode_changes(rows) if isinstance(change, ItemWritten)
-            ]
-            as_of = _required_field(body, "as_of", Revision) if as_of is None else as_of
-            if not _required_field(body, "has_more", Any) or not rows:
+            rows = _required_field(answer.body, "items", list)
+            changes = _decode_changes(rows, answer.era)
+            items += [change.item for change in changes if isinstance(change, ItemWritten)]
+            if as_of is None:
+                as_of = answer.revision("as_of")
+            elif era_of(as_of) != answer.era:
+                raise StoreUnavailableError("the store came back from an older copy during a read")
+            if not _required_field(answer.body, "has_more", Any) or not rows:
                 break
             last_key = _key_of(rows[-1])
             if last_key is None:
                 raise StoreUnavailableError("invalid response: the last item has no key")
             query = {"prefix": prefix, "after": last_key}
-        return Snapshot(tuple(items), Revision(as_of or 0))
+        return Snapshot(tuple(items), as_of)
 
     async def watch(
         self, prefix: str, after: Revision, wait: timedelta, max_bytes: int | None = None
@@ -107,23 +131,30 @@
         Raise ``AnswerTooLargeError`` if the answer is announced with more than ``max_bytes``.
         """
         wait_ms = wait // timedelta(milliseconds=1)
-        query = {"prefix": prefix, "after": str(after), "wait_ms": str(wait_ms)}
+        query = {"prefix": prefix, "after": str(number_of(after)), "wait_ms": str(wait_ms)}
         timeout = wait + WATCH_TIMEOUT_MARGIN
-        status, body = await self._call(
+        answer = await self._call(
             "GET", "/-/kv-watch", query, (200, 410), timeout=timeout, max_bytes=max_bytes
         )
-        if status == 410:
+        if answer.status == 410 or answer.era != era_of(after):
             return HistoryCompacted()
-        changes = _decode_changes(_required_field(body, "events", list))
-        return ChangeBatch(changes, _required_field(body, "as_of", Revision))
+        changes = _decode_changes(_required_field(answer.body, "events", list), answer.era)
+        return ChangeBatch(changes, answer.revision("as_of"))
 
     async def transact(
         self, conditions: Sequence[Condition], puts: Sequence[Put], deletes: Sequence[str] = ()
     ) -> Committed | Conflict:
-        """Apply all puts and deletes atomically if all conditions hold."""
+        """Apply all puts and deletes atomically if all conditions hold.
+
+        A condition with a revision of an earlier era does not hold.
+        """
+        eras = {era_of(condition.revision) for condition in conditions if condition.revision}
+        if any(era < self._era for era in eras):
+            return Conflict()
         body = {
             "expected_rev": [
-                {"key": condition.key, "revision": condition.revision} for condition in conditions
+                {"key": condition.key, "revision": number_of(condition.revision)}
+                for condition in conditions
             ],
             "puts": [
                 {"key": put.key, "value": base64.b64encode(put.value).decode(), "lease": 0}
@@ -131,27 +162,34 @@
             ],
             "deletes": list(deletes),
         }
-        status, reply = await self._call(
-            "POST", "/-/kv-txn", body=body, accepted_statuses=(200, 412)
-        )
-        return (
-            Conflict() if status == 412 else Committed(_required_field(reply, "revision", Revision))
-        )
-
-    async def grant_lease(self, ttl: timedelta) -> LeaseId:
+        answer = await self._call("POST", "/-/kv-txn", body=body, accepted_statuses=(200, 412))
+        if answer.status == 412:
+            return Conflict()
+        if any(era != answer.era for era in eras):
+            # The item has an equal revision in the new era, by chance or since before the copy.
+            raise StoreUnavailableError("the store came back from an older copy during a write")
+        return Committed(answer.revision("revision"))
+
+    async def grant_lease(self, ttl: timedelta) -> Lease:
         """Create a lease that ends after ``ttl`` without a renewal."""
         body = {"ttl_ms": ttl // timedelta(milliseconds=1)}
-        _, reply = await self._call("POST", "/-/kv-lease", body=body, accepted_statuses=(200,))
-        return _required_field(reply, "lease", LeaseId)
-
-    async def renew_lease(self, lease: LeaseId) -> bool:
-        """Renew a lease; return False if it has ended."""
-        status, _ = await self._call("POST", f"/-/kv-keep/{lease}", accepted_statuses=(200, 404))
-        return status == 200
-
-    async def end_lease(self, lease: LeaseId) -> None:
+        answer = await self._call("POST", "/-/kv-lease", body=body, accepted_statuses=(200,))
+        return Lease(_required_field(answer.body, "lease", LeaseId), answer.era)
+
+    async def renew_lease(self, lease: Lease) -> bool:
+        """Renew a lease; return False if it has ended, at the latest with its era."""
+        if lease.era < self._era:
+            return False
+        path = f"/-/kv-keep/{lease.id}"
+        answer = await self._call("POST", path, accepted_statuses=(200, 404))
+        return answer.status == 200 and answer.era == lease.era
+
+    async def end_lease(self, lease: Lease) -> None:
         """End a lease; it is no error if the lease has ended already."""
-        await self._call("DELETE", f"/-/kv-lease-end/{lease}", accepted_statuses=(200, 204, 404))
+        if lease.era < self._era:
+            return
+        path = f"/-/kv-lease-end/{lease.id}"
+        await self._call("DELETE", path, accepted_statuses=(200, 204, 404))
 
     async def promote(
         self, service: ServiceName, backend: BackendId, holder: HostId, token: FencingToken
@@ -160,7 +198,7 @@
         headers = {"Lease-Holder": holder, "Fencing-Token": str(token)}
         body = {"backend": service, "id": backend}  # the platform calls the service "backend"
         try:
-            status, _ = await self._call(
+            answer = await self._call(
                 "POST",
                 "/failover",
                 body=body,
@@ -174,7 +212,8 @@
                 extra={"service": service, "backend": backend, "error": str(error)},
             )
             return PromotionOutcome.UNKNOWN
-        return PromotionOutcome.NOT_RUNNING if status == 409 else PromotionOutcome.ACCEPTED
+        is_rejected = answer.status == 409
+        return PromotionOutcome.NOT_RUNNING if is_rejected else PromotionOutcome.ACCEPTED
 
     async def _call(
         self,
@@ -187,7 +226,7 @@
         headers: dict[str, str] | None = None,
         address: Address | None = None,
         max_bytes: int | None = None,
-    ) -> tuple[int, dict[str, Any]]:
+    ) -> _Answer:
         target = path if query is None else f"{path}?{urlencode(query, errors='surrogatepass')}"
         try:
             answer = await self._client.call(
@@ -203,9 +242,15 @@
             raise StoreUnavailableError(str(error)) from error
         except HttpAnswerTooLargeError as error:
             raise AnswerTooLargeError(error.size_bytes) from error
+        # An answer without the header, as from something in front of the store, has the known era.
+        era = StoreEra(parse_counter(answer.headers.get(_ERA_HEADER, "")) or self._era)
+        if era > self._era:
+            if self._era:
+                logger.warning("store_restored", extra={"era": era, "previous_era": self._era})
+            self._era = era
         if answer.status not in accepted_statuses:
             raise StoreUnavailableError(f"{method} {path}: status {answer.status}")
-        return answer.status, _decode_body(answer.body)
+        return _Answer(answer.status, _decode_body(answer.body), era)
 
 
 def _decode_body(data: bytes) -> dict[str, Any]:
@@ -227,12 +272,12 @@
         raise StoreUnavailableError(f"invalid response: {name}: {error}") from error
 
 
-def _decode_changes(rows: list[Any]) -> tuple[Change, ...]:
+def _decode_changes(rows: list[Any], era: StoreEra) -> tuple[Change, ...]:
     """Decode items and deletions each by itself; skip and log invalid ones."""
     changes = []
     for row in rows:
         try:
-            changes.append(convert(row, _to_change))
+            changes.append(convert(row, lambda row: _to_change(row, era)))
         except MalformedDataError as error:
             logger.warning("item_unreadable", extra={"key": _key_of(row), "error": str(error)})
     return tuple(changes)
@@ -243,11 +288,12 @@
     return key if isinstance(key, str) else None
 
 
-def _to_change(row: Any) -> Change:
+def _to_change(row: Any, era: StoreEra) -> Change:
     wire = msgspec.convert(row, _WireItem)
+    revision = make_revision(wire.revision, era)
     wire.key.encode()  # raises an error for lone surrogates, which can't be passed on
     if wire.deleted:
-        return ItemDeleted(wire.key, wire.revision)
+        return ItemDeleted(wire.key, revision)
     if wire.value is None:
         raise ValueError("value is missing")
     try:
@@ -255,4 +301,4 @@
     except ValueError as error:
         logger.warning("item_unreadable", extra={"key": wire.key, "error": str(error)})
         value = b""  # the item exists and replaces the one before
-    return ItemWritten(StoredValue(wire.key, value, wire.revision))
+    return ItemWritten(StoredValue(wire.key, value, revision))
--- a/hickorywind/ports/coordination.py
+++ b/hickorywind/ports/coordination.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from typing import NewType, Protocol
 
-from hickorywind.ids import BackendId, HostId, Revision, ServiceName
+from hickorywind.ids import BackendId, HostId, Revision, ServiceName, StoreEra
 from hickorywind.ports.catalog import BackendServer, ProxyConfiguration
 from hickorywind.store.interface import StoredValue
 from hickorywind.util.decoding import CounterValue
@@ -17,6 +17,14 @@
 FencingToken = NewType("FencingToken", int)
 
 
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """Lease of the store, which gives ids out again in a later era."""
+
+    id: LeaseId
+    era: StoreEra = StoreEra(0)
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """All items under a key prefix, including every change up to revision ``as_of``."""
@@ -103,7 +111,8 @@
 class CoordinationStore(Protocol):
     """Client of the platform's coordination store.
 
-    Every call raises ``StoreUnavailableError`` if the store does not answer.
+    Every call raises ``StoreUnavailableError`` if the store does not answer. Revisions carry the
+    era of the store, see ``hickorywind.store.era``.
     """
 
     async def read_range(
@@ -121,26 +130,32 @@
     ) -> ChangeBatch | HistoryCompacted:
         """Return the changes under a prefix after a revision.
 
-        If there are none, wait for one and return an empty batch after ``wait``. Raise
-        ``AnswerTooLargeError`` as soon as the answer is known to exceed ``max_bytes``.
+        If there are none, wait for one and return an empty batch after ``wait``. A revision of an
+        earlier era gives ``HistoryCompacted``. Raise ``AnswerTooLargeError`` as soon as the answer
+        is known to exceed ``max_bytes``.
         """
         ...
 
     async def transact(
         self, conditions: Sequence[Condition], puts: Sequence[Put], deletes: Sequence[str] = ()
     ) -> Committed | Conflict:
-        """Apply all writes and deletes atomically if all conditions hold."""
+        """Apply all writes and deletes atomically if all conditions hold.
+
+        A condition with a revision of an earlier era does not hold. Raise
+        ``StoreUnavailableError`` if the store came back from an older copy during the call: it may
+        have taken effect there.
+        """
         ...
 
-    async def grant_lease(self, ttl: timedelta) -> LeaseId:
+    async def grant_lease(self, ttl: timedelta) -> Lease:
         """Create a lease that ends ``ttl`` after its last renewal."""
         ...
 
-    async def renew_lease(self, lease: LeaseId) -> bool:
-        """Renew a lease; return False if it has already ended."""
+    async def renew_lease(self, lease: Lease) -> bool:
+        """Renew a lease; return False if it has already ended, at the latest with its era."""
         ...
 
-    async def end_lease(self, lease: LeaseId) -> None:
+    async def end_lease(self, lease: Lease) -> None:
         """Revoke a lease; it can't be renewed after this returns."""
         ...
 
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -23,6 +23,7 @@
     Revision,
     ServiceName,
     SessionId,
+    StoreEra,
     Term,
     TransactionId,
 )
@@ -338,6 +339,7 @@
 
     lease: int
     age_ms: WholeMilliseconds
+    era: StoreEra = StoreEra(0)
 
 
 class CopyQuery(msgspec.Struct, frozen=True, tag="copy", array_like=True):
@@ -434,6 +436,7 @@
 
     call: int
     lease: int
+    era: StoreEra = StoreEra(0)
 
 
 class StoreReadRequest(msgspec.Struct, frozen=True, tag="read", array_like=True):
@@ -472,6 +475,7 @@
 
     call: int
     lease: int
+    era: StoreEra = StoreEra(0)
 
 
 class EndLeaseReply(msgspec.Struct, frozen=True, tag="end_ok", array_like=True):
--- a/hickorywind/util/httpclient.py
+++ b/hickorywind/util/httpclient.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 import h11
@@ -36,10 +36,11 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
-    """Status code and body of an answer."""
+    """Status code, body and headers of an answer; names of headers are in lower case."""
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 class HttpClient:
@@ -165,7 +166,11 @@
                 case h11.Data(data=data):
                     parts.append(data)
                 case _:
-                    return HttpAnswer(response.status_code, b"".join(parts))
+                    headers = {
+                        name.decode("latin-1"): value.decode("latin-1")
+                        for name, value in response.headers
+                    }
+                    return HttpAnswer(response.status_code, b"".join(parts), headers)
 
     async def _next_event(self) -> h11.Event:
         while True:
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -13,7 +13,7 @@
 
 from aiohttp import web
 
-from hickorywind.ids import BackendId, HostId, Revision, ServiceName
+from hickorywind.ids import BackendId, HostId, Revision, ServiceName, StoreEra
 from hickorywind.platform.documents import BACKENDS_PREFIX, CONFIGURATION_KEY
 from hickorywind.ports.coordination import (
     ChangeBatch,
@@ -267,6 +267,11 @@
         self._store = self  # calls that write go through ``transact``
         self._client = _ViewClient(store, self.view)
 
+    @property
+    def era(self) -> StoreEra:
+        """Return the era of the store."""
+        return self._shared_store.era
+
     def grant(self) -> LeaseId:
         """Create a lease."""
         return self._shared_store.grant()
--- a/standins/lineplatform/httpstore.py
+++ b/standins/lineplatform/httpstore.py
@@ -16,9 +16,11 @@
     Condition,
     HistoryCompacted,
     ItemDeleted,
+    Lease,
     LeaseId,
     Put,
 )
+from hickorywind.store.era import make_revision, number_of
 from hickorywind.store.interface import StoredValue
 from standins.lineplatform.memorystore import MemoryCoordinationStore, MemoryStore
 
@@ -45,6 +47,7 @@
     async def start(self, host: str, port: int) -> None:
         """Start listening at an address."""
         application = web.Application(middlewares=[self._apply_faults])
+        application.on_response_prepare.append(self._add_era)
         application.add_routes(
             [
                 web.get("/-/kv-range", self._range),
@@ -71,6 +74,10 @@
         await asyncio.sleep(self.delay.total_seconds())
         return await handler(request)
 
+    async def _add_era(self, request: web.Request, response: web.StreamResponse) -> None:
+        if self._store.era:
+            response.headers["Store-Era"] = str(self._store.era)
+
     async def _range(self, request: web.Request) -> web.StreamResponse:
         snapshot = await self._client.read_range(request.query["prefix"])
         after = request.query.get("after", "")
@@ -78,7 +85,7 @@
         body = {
             "items": [_render(item) for item in items[:PAGE_ITEMS]],
             "has_more": len(items) > PAGE_ITEMS,
-            "as_of": snapshot.as_of,
+            "as_of": number_of(snapshot.as_of),
         }
         if not self.part_delays:
             return web.json_response(body)
@@ -96,18 +103,19 @@
     async def _watch(self, request: web.Request) -> web.Response:
         query = request.query
         wait = timedelta(milliseconds=int(query["wait_ms"]))
-        result = await self._client.watch(query["prefix"], Revision(int(query["after"])), wait)
+        after = make_revision(int(query["after"]), self._store.era)
+        result = await self._client.watch(query["prefix"], after, wait)
         if isinstance(result, HistoryCompacted):
             return web.Response(status=410)
         events = [
             (
-                {"key": change.key, "revision": change.revision, "deleted": True}
+                {"key": change.key, "revision": number_of(change.revision), "deleted": True}
                 if isinstance(change, ItemDeleted)
                 else _render(change.item)
             )
             for change in result.changes
         ]
-        return web.json_response({"events": events, "as_of": result.as_of})
+        return web.json_response({"events": events, "as_of": number_of(result.as_of)})
 
     async def _transact(self, request: web.Request) -> web.Response:
         body = await request.json()
@@ -125,13 +133,16 @@
         return web.json_response({"lease": self._store.grant(), "ttl_ms": body["ttl_ms"]})
 
     async def _renew(self, request: web.Request) -> web.Response:
-        renewed = await self._client.renew_lease(LeaseId(int(request.match_info["lease"])))
+        renewed = await self._client.renew_lease(self._lease(request))
         return web.json_response({"ttl_ms": 1}, status=200 if renewed else 404)
 
     async def _end(self, request: web.Request) -> web.Response:
-        await self._client.end_lease(LeaseId(int(request.match_info["lease"])))
+        await self._client.end_lease(self._lease(request))
         return web.json_response({})
 
+    def _lease(self, request: web.Request) -> Lease:
+        return Lease(LeaseId(int(request.match_info["lease"])), self._store.era)
+
     async def _promote(self, request: web.Request) -> web.Response:
         body = await request.json()
         headers = request.headers
@@ -146,5 +157,5 @@
 
 def _render(item: StoredValue) -> dict[str, Any]:
     value = base64.b64encode(item.value).decode()
-    revision = item.revision
+    revision = number_of(item.revision)
     return {"key": item.key, "value": value, "revision": revision, "created": 1, "lease": 0}
--- a/standins/lineplatform/memorystore.py
+++ b/standins/lineplatform/memorystore.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 from collections.abc import Sequence
+from copy import deepcopy
 from datetime import timedelta
+from typing import Any
 
-from hickorywind.ids import Revision
+from hickorywind.ids import Revision, StoreEra
 from hickorywind.ports.coordination import (
     AnswerTooLargeError,
     Change,
@@ -18,20 +19,27 @@
     HistoryCompacted,
     ItemDeleted,
     ItemWritten,
+    Lease,
     LeaseId,
     Put,
     Snapshot,
 )
+from hickorywind.store.era import era_of, make_revision, number_of
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
 
 _CALL_TIMEOUT_SECONDS = 1.0
+_KEPT = ("revision", "items", "history", "compacted_revision", "leases", "next_lease")
 
 
 class MemoryStore:
-    """Items, leases and change history shared by all clients."""
+    """Items, leases and change history shared by all clients.
+
+    Revisions in it are the store's own numbers, without the era.
+    """
 
     def __init__(self) -> None:
         self.revision = 0
+        self.era = StoreEra(0)  # of a store without eras
         self.is_unavailable = False
         self.delay_seconds = 0.0
         self.bytes_per_second: float | None = (
@@ -44,7 +52,19 @@
         self.compacted_revision = 0
         self.leases: set[int] = set()
         self.changed = asyncio.Condition()
-        self._lease_numbers = itertools.count(1)
+        self.next_lease = 1
+
+    def copy(self) -> dict[str, Any]:
+        """Return a copy of all that the store keeps, for ``restore``."""
+        return deepcopy({name: getattr(self, name) for name in _KEPT})
+
+    async def restore(self, copy: dict[str, Any]) -> None:
+        """Come back with the contents of a copy, in the next era if the store has eras."""
+        for name, value in deepcopy(copy).items():
+            setattr(self, name, value)
+        self.era = StoreEra(self.era + 1 if self.era else 0)
+        async with self.changed:
+            self.changed.notify_all()
 
     async def put(self, key: str, value: bytes) -> int:
         """Write an item without conditions and return the new revision."""
@@ -82,7 +102,8 @@
 
     def grant(self) -> LeaseId:
         """Create a lease and return its id."""
-        lease = next(self._lease_numbers)
+        lease = self.next_lease
+        self.next_lease += 1
         self.leases.add(lease)
         return LeaseId(lease)
 
@@ -91,7 +112,7 @@
     """Store client of one host, with injected faults.
 
     While ``is_cut`` is set, every call fails at once; while ``is_silent`` or the store's
-    ``is_unavailable`` is set, every call fails after its timeout.
+    ``is_unavailable`` is set, every call fails after its timeout. Revisions carry the store's era.
     """
 
     def __init__(self, store: MemoryStore) -> None:
@@ -116,9 +137,18 @@
     ) -> Snapshot:
         """Return all items whose keys start with a prefix."""
         await self._begin_call("range")
-        items = tuple(item for key, item in self._store.items.items() if key.startswith(prefix))
+        items = tuple(
+            self._qualify(item) for key, item in self._store.items.items() if key.startswith(prefix)
+        )
+        as_of = self._in_era(self._store.revision)
         await self._transfer(sum(len(item.value) for item in items), max_bytes)
-        return Snapshot(items, Revision(self._store.revision))
+        return Snapshot(items, as_of)
+
+    def _in_era(self, number: int) -> Revision:
+        return make_revision(number, self._store.era)
+
+    def _qualify(self, item: StoredValue) -> StoredValue:
+        return StoredValue(item.key, item.value, self._in_era(item.revision))
 
     async def _transfer(self, size: int, max_bytes: int | None) -> None:
         """Wait until the link, which carries one answer after the other, has carried one."""
@@ -139,27 +169,34 @@
         await self._begin_call("watch")
         try:
             async with asyncio.timeout(wait.total_seconds()), self._store.changed:
-                while (
-                    not self._changes_after(prefix, after)
-                    and after >= self._store.compacted_revision
-                ):
+                while self._has_history(after) and not self._changes_after(prefix, after):
                     await self._store.changed.wait()
         except TimeoutError:
             pass
         await self._begin_call("watch answer")
-        if after < self._store.compacted_revision:
+        if not self._has_history(after):
             return HistoryCompacted()
-        batch = ChangeBatch(self._changes_after(prefix, after), Revision(self._store.revision))
+        batch = ChangeBatch(self._changes_after(prefix, after), self._in_era(self._store.revision))
         written = [each.item for each in batch.changes if isinstance(each, ItemWritten)]
         await self._transfer(sum(len(item.value) for item in written), max_bytes)
         return batch
 
+    def _has_history(self, after: Revision) -> bool:
+        is_of_this_era = era_of(after) == self._store.era
+        return is_of_this_era and (
+            self._store.compacted_revision <= number_of(after) <= self._store.revision
+        )
+
     def _changes_after(self, prefix: str, after: Revision) -> tuple[Change, ...]:
-        changes = []
+        changes: list[Change] = []
         for revision, change in self._store.history:
-            key = change.key if isinstance(change, ItemDeleted) else change.item.key
-            if revision > after and key.startswith(prefix):
-                changes.append(change)
+            if revision <= number_of(after):
+                continue
+            match change:
+                case ItemWritten(item) if item.key.startswith(prefix):
+                    changes.append(ItemWritten(self._qualify(item)))
+                case ItemDeleted(key, _) if key.startswith(prefix):
+                    changes.append(ItemDeleted(key, self._in_era(revision)))
         return tuple(changes)
 
     async def transact(
@@ -167,26 +204,36 @@
     ) -> Committed | Conflict:
         """Apply all puts and deletes if all conditions hold; lose the answer if so configured."""
         await self._begin_call("transact")
-        result = await self._store.transact(conditions, puts, deletes)
+        revisions = [condition.revision for condition in conditions if condition.revision]
+        if any(era_of(revision) != self._store.era for revision in revisions):
+            return Conflict()
+        result = await self._store.transact(
+            [Condition(each.key, Revision(number_of(each.revision))) for each in conditions],
+            puts,
+            deletes,
+        )
         if self.lose_next_answer:
             self.lose_next_answer = False
             raise StoreUnavailableError("transact: the answer was lost")
-        return result
+        if isinstance(result, Conflict):
+            return result
+        return Committed(self._in_era(result.revision))
 
-    async def grant_lease(self, ttl: timedelta) -> LeaseId:
-        """Create a lease and return its id."""
+    async def grant_lease(self, ttl: timedelta) -> Lease:
+        """Create a lease."""
         await self._begin_call("grant")
-        return self._store.grant()
+        return Lease(self._store.grant(), self._store.era)
 
-    async def renew_lease(self, lease: LeaseId) -> bool:
+    async def renew_lease(self, lease: Lease) -> bool:
         """Return whether the lease still exists; leases of this store never expire."""
         await self._begin_call("renew")
-        return lease in self._store.leases
+        return lease.era == self._store.era and lease.id in self._store.leases
 
-    async def end_lease(self, lease: LeaseId) -> None:
+    async def end_lease(self, lease: Lease) -> None:
         """Delete a lease."""
         await self._begin_call("end")
-        self._store.leases.discard(lease)
+        if lease.era == self._store.era:
+            self._store.leases.discard(lease.id)
 
     async def close(self) -> None:
         """Do nothing; the client has no connection to close."""
--- a/tests/host/harness.py
+++ b/tests/host/harness.py
@@ -9,7 +9,7 @@
 
 import hickorywind.host.peers
 from hickorywind.host.hostruntime import Adapters, HostRuntime
-from hickorywind.ids import Incarnation
+from hickorywind.ids import Incarnation, StoreEra
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.platform.documents import (
     BACKENDS_PREFIX,
@@ -110,9 +110,11 @@
     """
 
     host_count = 1
+    store_era = 0
 
     async def asyncSetUp(self):
         self.store = MemoryStore()
+        self.store.era = StoreEra(self.store_era)
         self.group = LineGroup(SERVICE, SERVERS)
         await self.group.start()
         await self.store.put(CONFIGURATION_KEY, configuration(1))
--- a/tests/host/simulation.py
+++ b/tests/host/simulation.py
@@ -358,7 +358,7 @@
 
     async def _revoke_lease(self, name):
         sync = self.hosts[name].role._sync
-        self.store.leases.discard(sync._lease)
+        self.store.leases.discard(sync._lease.id)
 
         async def end_fault():
             pass
--- a/tests/host/test_failovermanager.py
+++ b/tests/host/test_failovermanager.py
@@ -91,7 +91,7 @@
         fleet = self.hosts["h1"].role._fleet
         sync = self.hosts["h1"].role._sync
         old = sync._lease
-        self.store.leases.discard(old)
+        self.store.leases.discard(old.id)
         while sync._lease == old:
             self.assertTrue(fleet.permits.is_valid(fleet.now()))
             await asyncio.sleep(0.01)
--- a/tests/platform/test_storeclient.py
+++ b/tests/platform/test_storeclient.py
@@ -15,6 +15,7 @@
     HistoryCompacted,
     ItemDeleted,
     ItemWritten,
+    Lease,
     PromotionOutcome,
     Put,
     Snapshot,
@@ -118,13 +119,87 @@
         self.assertFalse(await self.client.renew_lease(lease))
         await self.client.end_lease(lease)
 
+    async def restore(self, *keys):
+        """Come back from a copy of now after writes under other keys; write ``keys`` anew."""
+        copy = self.store.copy()
+        for number in range(8):
+            await self.store.put(f"other/{number}", b"")
+        token = await self.client.transact([], [Put("token", b"")])
+        await self.store.restore(copy)
+        for key in keys:
+            await self.store.put(key, b"written again")
+        return token.revision
+
+    async def test_revision_of_a_write_after_a_restore_is_higher(self):
+        """Guards review/2: the revision is the fencing token of failover orders."""
+        self.store.era = 1
+        before = await self.restore()
+        written = await self.client.transact([], [Put("token", b"")])
+        self.assertGreater(written.revision, before)
+
+    async def test_watch_after_a_revision_of_an_earlier_era_has_no_history(self):
+        self.store.era = 1
+        await self.store.put("k/1", b"1")
+        snapshot = await self.client.read_range("k/")
+        await self.restore("k/1", "k/2")
+        result = await self.client.watch("k/", snapshot.as_of, timedelta(seconds=1))
+        self.assertIsInstance(result, HistoryCompacted)
+
+    async def test_condition_with_a_revision_of_an_earlier_era_does_not_hold(self):
+        self.store.era = 1
+        copy = self.store.copy()
+        written = await self.client.transact([Condition("k", 0)], [Put("k", b"lost")])
+        await self.store.restore(copy)
+        await self.store.put("k", b"other")  # at the same revision, which is given out again
+        condition = [Condition("k", written.revision)]
+        with self.assertRaises(StoreUnavailableError):  # the client doesn't know of the new era
+            await self.client.transact(condition, [Put("k", b"1")])
+        self.assertEqual(await self.client.transact(condition, [Put("k", b"2")]), Conflict())
+        self.assertNotEqual(self.store.items["k"].value, b"2")
+
+    async def test_lease_of_an_earlier_era_can_not_be_renewed(self):
+        self.store.era = 1
+        copy = self.store.copy()
+        lease = await self.client.grant_lease(timedelta(seconds=60))
+        await self.store.restore(copy)
+        self.assertEqual(self.store.grant(), lease.id)
+        self.assertFalse(await self.client.renew_lease(lease))
+        await self.client.end_lease(lease)
+        self.assertIn(lease.id, self.store.leases)
+
+    async def test_read_over_a_restore_fails(self):
+        self.store.era = 1
+        for number in range(8):
+            await self.store.put(f"a/{number}", b"1")
+        copy = self.store.copy()
+        call = self.client._call
+
+        async def restore_after(*arguments, **options):
+            answer = await call(*arguments, **options)
+            await self.store.restore(copy)
+            return answer
+
+        with mock.patch.object(self.client, "_call", restore_after):
+            with self.assertRaises(StoreUnavailableError):
+                await self.client.read_range("a/")
+
+    async def test_answer_without_a_readable_era_has_the_known_one(self):
+        self.store.era = 3
+        await self.store.put("k/1", b"1")
+        known = await self.client.read_range("k/")
+        for header in ({}, {"store-era": "x"}, {"store-era": "-1"}):
+            body = json.dumps({"items": [], "has_more": False, "as_of": 1}).encode()
+            call = mock.AsyncMock(return_value=HttpAnswer(200, body, header))
+            with mock.patch.object(httpclient.HttpClient, "call", call):
+                self.assertEqual((await self.client.read_range("k/")).as_of, known.as_of)
+
     async def test_error_statuses_and_timeouts_raise_the_same_error(self):
         for status in (429, 500, 503, 403):
             self.server.status = status
             with self.assertRaises(StoreUnavailableError):
                 await self.client.read_range("a/")
             with self.assertRaises(StoreUnavailableError):
-                await self.client.renew_lease(1)
+                await self.client.renew_lease(Lease(1))
         self.server.status = None
         self.server.delay = timedelta(seconds=1)
         with self.assertRaises(StoreUnavailableError):
