Pause between reads of a store whose history stays lost

Cause: a 410 to a watch led to a read, and the read to the same watch, without any pause. With eras this can't last; it still did for a store that goes back without saying so.

Change: from the second 410 without an answered watch between, the usual delay between retries.

--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -380,6 +380,7 @@
     async def _follow_prefix(self, prefix: str) -> None:
         copy = self._fleet.copies[prefix]
         retry_delay, timeout = RETRY_DELAY_MIN, READ_TIMEOUT
+        was_reread = False  # because the store had no history, and no watch was answered since
         is_current = prefix == LEADERSHIP_PREFIX and await self._wait_until_loaded()
         if prefix == self._fleet.configuration_key and self._watch_duty.is_shared:
             # A large configuration must not delay the registration on a slow link.
@@ -399,9 +400,13 @@
                 self.record_call("watch", None)
                 if isinstance(result, HistoryCompacted):
                     logger.info("store_history_lost", extra={"prefix": prefix})
-                    is_current = False
+                    if was_reread:
+                        # Reading again did not help, and each attempt costs two store calls.
+                        await self._pause(retry_delay)
+                        retry_delay = self._next_retry_delay(retry_delay)
+                    is_current, was_reread = False, True
                     continue
-                retry_delay = RETRY_DELAY_MIN
+                retry_delay, was_reread = RETRY_DELAY_MIN, False
                 self._fleet.apply_changes(prefix, result.changes, result.as_of, "store")
                 if result.changes:
                     await asyncio.sleep(self._watch_pause(prefix).total_seconds())
--- a/tests/host/test_storerestore.py
+++ b/tests/host/test_storerestore.py
@@ -213,3 +213,16 @@
     async def test_era_is_kept_with_the_revision(self):
         leadership = self.hosts["h0"].role._fleet.permits.leadership(SERVICE)
         self.assertEqual(era_of(leadership.revision), 1)
+
+
+class StoreWithoutErasTest(NewEraTest):
+    """A store that goes back without telling is not believed, and not called without a pause."""
+
+    store_era = 0
+
+    async def test_changes_of_the_new_era_come_into_force_at_once(self):
+        self.assertEqual(self.store.era, 0)
+
+    async def test_era_is_kept_with_the_revision(self):
+        leadership = self.hosts["h0"].role._fleet.permits.leadership(SERVICE)
+        self.assertEqual(era_of(leadership.revision), 0)
