Promote only a server that holds what synchronous replicas acknowledged

Cause: only servers registered as ready were candidates, so a leaving replica with every commit was passed over for one that had received nothing; sync_replicas was not read at all.

Change: all registered servers are asked for their status. With sync_replicas k a server is promoted only if fewer than k replicas gave none, and it is chosen again once the last host has stopped using the primary. A leaving primary's record is closed only after a successor has received what the primary held. With asynchronous replication a leaving replica comes first only if the others lack more of what this host knows to be acknowledged. The stand-in of the servers no longer acknowledges what too few replicas receive.

Why it works: of replicas of which fewer than k are missing, one has received each acknowledged commit, and logs are prefixes of each other, so the most advanced one holds all of them.

--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -17,7 +17,7 @@
     VersionedLeadership,
 )
 from hickorywind.host.detection import PrimaryVerdict, check_primary
-from hickorywind.host.fencer import Fencer
+from hickorywind.host.fencer import FENCING_POLL_INTERVAL, Fencer
 from hickorywind.host.fleet import Fleet
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.leadershipstore import (
@@ -27,6 +27,7 @@
 )
 from hickorywind.host.peers import Peers
 from hickorywind.host.promotion import (
+    CatchUp,
     Promotion,
     PromotionFailure,
     choose_successor,
@@ -348,8 +349,36 @@
             if await self._reopen_if_recovered(runtime, closed):
                 raise PrimaryChangeCancelledError("the primary recovered before it was replaced")
             await self._fencer.poll(runtime, closed, fencing)
+        if runtime.sync_replicas:
+            closed = await self._require_complete_log(runtime, closed, may_reopen=True)
         await self._promote_and_open(runtime, closed, fencing)
 
+    async def _require_complete_log(
+        self, runtime: ServiceRuntime, closed: VersionedLeadership, may_reopen: bool = False
+    ) -> VersionedLeadership:
+        """Return a closed record whose candidate holds all acknowledged commits.
+
+        Commits may have been acknowledged until the last host had stopped using the primary, and a
+        replica that may hold the only copy of one may not answer. Wait for it until it is no longer
+        registered or, if no promotion was ordered yet, until the primary is back.
+        """
+        candidate = closed.record.candidate
+        while True:
+            try:
+                chosen, _ = await choose_successor(
+                    runtime, closed.record, self._clock, preferred=candidate
+                )
+                return closed if chosen == candidate else await self._close(runtime, closed, False)
+            except PrimaryChangeCancelledError as error:
+                if self._fleet.permits.is_superseded(runtime.name, closed.revision):
+                    raise
+                logger.warning(
+                    "successor_unproven", extra={"service": runtime.name, "reason": str(error)}
+                )
+            if may_reopen and await self._reopen_if_recovered(runtime, closed):
+                raise PrimaryChangeCancelledError("the primary recovered before it was replaced")
+            await asyncio.sleep(FENCING_POLL_INTERVAL.total_seconds())
+
     async def _reopen_if_recovered(
         self, runtime: ServiceRuntime, closed: VersionedLeadership
     ) -> bool:
@@ -381,10 +410,21 @@
                 return
         if self._fleet.permits.leadership(service) != leadership:
             return
+        record = leadership.record
+        if runtime.sync_replicas:
+            # A successor that receives nothing would only stop the service until it is given up.
+            successor, _ = await choose_successor(runtime, record, self._clock, is_planned=True)
+            state = await wait_for_catch_up(runtime, record.primary, successor, self._clock)
+            if state is CatchUp.BEHIND:
+                raise PrimaryChangeCancelledError("the successor lacks acknowledged commits")
         closed = await self._close(runtime, leadership, is_planned=True)
         runtime.set_primary_state(PrimaryState.CHANGING)
         fencing = await self._fence_completely(runtime, closed)
-        await wait_for_catch_up(runtime, closed.record, self._clock)
+        state = await wait_for_catch_up(
+            runtime, record.primary, closed.record.candidate, self._clock
+        )
+        if runtime.sync_replicas and state is not CatchUp.COMPLETE:
+            closed = await self._require_complete_log(runtime, closed)
         await self._promote_and_open(runtime, closed, fencing)
 
     async def _take_over(self, service: ServiceName, leadership: VersionedLeadership) -> None:
@@ -402,6 +442,8 @@
         )
         closed = await self.store.write(service, record, leadership.revision)
         fencing = await self._fence_completely(runtime, closed)
+        if runtime.sync_replicas:
+            closed = await self._require_complete_log(runtime, closed)
         await self._promote_and_open(runtime, closed, fencing)
 
     # Store restored from an older copy -----------------------------------------------------------
@@ -430,10 +472,7 @@
             candidate, ended_term = previous.candidate, Term(max(previous.term, runtime.used_term))
         else:
             any_server = msgspec.structs.replace(previous, primary=BackendId(""))
-            chosen = await choose_successor(runtime, any_server, self._clock)
-            if chosen is None:
-                raise PrimaryChangeCancelledError("no backend server can be promoted")
-            candidate, ended_term = chosen
+            candidate, ended_term = await choose_successor(runtime, any_server, self._clock)
         # Planned, so that open transactions may end and silent hosts are waited for.
         record = self._closed_record(previous, candidate, True, ended_term, ())
         closed = await self.store.write(service, record, unconfirmed.revision)
@@ -443,6 +482,8 @@
         if term is not None and term > ended_term and term >= runtime.newest_term:
             await self._open(runtime, closed, candidate, term)
         else:
+            if runtime.sync_replicas:
+                closed = await self._require_complete_log(runtime, closed)
             await self._promote_and_open(runtime, closed, fencing)
         logger.info("leadership_confirmed", extra={"service": service, "backend": candidate})
 
@@ -455,11 +496,10 @@
         is_planned: bool,
         passed_over: BackendId | None = None,
     ) -> VersionedLeadership:
-        chosen = await choose_successor(runtime, leadership.record, self._clock, passed_over)
-        if chosen is None:
-            raise PrimaryChangeCancelledError("no backend server can be promoted")
-        successor, ended_term = chosen
         record = leadership.record
+        successor, ended_term = await choose_successor(
+            runtime, record, self._clock, is_planned=is_planned, passed_over=passed_over
+        )
         # While the store is silent nobody can replace the primary, which may come back meanwhile.
         if not is_planned and self._fleet.permits.has_fresh_proof(self._clock.now()):
             self._fleet.permits.stop_using(runtime.name, leadership.revision)
--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Sequence
 from datetime import timedelta
 from enum import Enum
 
@@ -13,13 +14,17 @@
     LeadershipRecord,
     VersionedLeadership,
 )
-from hickorywind.failover.succession import Candidate, KnownTerms
+from hickorywind.failover.succession import Candidate, KnownTerms, ReplicaSurvey
 from hickorywind.host.backendconnection import ConnectionLostError, ConnectionRejectedError
 from hickorywind.host.fencer import Fencer
-from hickorywind.host.leadershipstore import STORE_RETRY_DELAY, LeadershipStore
+from hickorywind.host.leadershipstore import (
+    STORE_RETRY_DELAY,
+    LeadershipStore,
+    PrimaryChangeCancelledError,
+)
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import Backend
-from hickorywind.ids import BackendId, HostId, Term
+from hickorywind.ids import BackendId, HostId, LogPosition, Term
 from hickorywind.ports.catalog import BackendState
 from hickorywind.ports.coordination import FencingToken, Promoter, PromotionOutcome
 from hickorywind.ports.replies import ServerStatus
@@ -61,22 +66,34 @@
     runtime: ServiceRuntime,
     record: LeadershipRecord,
     clock: Clock,
+    *,
+    is_planned: bool = False,
     passed_over: BackendId | None = None,
-) -> tuple[BackendId, Term] | None:
+    preferred: BackendId | None = None,
+) -> tuple[BackendId, Term]:
     """Return the successor of a primary and the term above which it must lead.
 
-    Return None if no candidate answers. If the best one claims an old lead, replicas get
-    ``OLD_LEAD_CATCH_UP_TIMEOUT`` to receive its log, and are then preferred.
+    If the best candidate claims an old lead, replicas get ``OLD_LEAD_CATCH_UP_TIMEOUT`` to receive
+    its log, and are then preferred. The successor of a primary that runs catches up with it; any
+    other one has to hold what was acknowledged. Raise ``PrimaryChangeCancelledError`` if no
+    candidate answers, or if one that does not answer may hold more acknowledged commits.
     """
     deadline = clock.now() + OLD_LEAD_CATCH_UP_TIMEOUT
     while True:
-        candidates = await _query_candidates(runtime, record.primary)
+        survey = await _survey_replicas(runtime, record.primary)
+        candidates = survey.candidates
+        if not is_planned and not survey.covers_acknowledged(runtime.sync_replicas):
+            missing = ",".join(sorted(survey.unanswered))
+            raise PrimaryChangeCancelledError(
+                f"replicas that may hold acknowledged commits do not answer: {missing}"
+            )
         terms = KnownTerms(
             Term(max(record.term, runtime.used_term)), Term(max(record.term, runtime.newest_term))
         )
-        chosen = terms.choose_successor(candidates, passed_over)
+        acknowledged = None if is_planned else _acknowledged_position(runtime, candidates)
+        chosen = terms.choose_successor(candidates, passed_over, acknowledged, preferred)
         if chosen is None:
-            return None
+            raise PrimaryChangeCancelledError("no backend server can be promoted")
         may_be_overtaken = terms.claims_old_lead(chosen.status) and any(
             not terms.claims_old_lead(candidate.status) for candidate in candidates
         )
@@ -98,38 +115,75 @@
     return None
 
 
-async def _query_candidates(runtime: ServiceRuntime, old_primary: BackendId) -> list[Candidate]:
+async def _survey_replicas(runtime: ServiceRuntime, old_primary: BackendId) -> ReplicaSurvey:
+    """Query all registered servers but the old primary, leaving ones too: they receive its log."""
     backends = [
-        backend
-        for backend in runtime.backends.values()
-        if backend.server.backend != old_primary and backend.server.state is BackendState.READY
+        backend for backend in runtime.backends.values() if backend.server.backend != old_primary
     ]
     statuses = await asyncio.gather(*(query_server(runtime, backend) for backend in backends))
-    return [
-        Candidate(backend.server.backend, status, backend.load.distance)
-        for backend, status in zip(backends, statuses, strict=True)
-        if status is not None
-    ]
+    answers = list(zip(backends, statuses, strict=True))
+    return ReplicaSurvey(
+        tuple(
+            Candidate(
+                backend.server.backend,
+                status,
+                backend.load.distance,
+                backend.server.state is BackendState.LEAVING,
+            )
+            for backend, status in answers
+            if status is not None
+        ),
+        tuple(backend.server.backend for backend, status in answers if status is None),
+    )
+
+
+def _acknowledged_position(
+    runtime: ServiceRuntime, candidates: Sequence[Candidate]
+) -> LogPosition | None:
+    """Return a position up to which a successor should hold the log, or None if that is unknown.
+
+    With synchronous replicas the most advanced of them holds all acknowledged commits, so that any
+    difference between two logs matters.
+    """
+    if runtime.sync_replicas:
+        return max((each.status.received_position for each in candidates), default=None)
+    newest = runtime.samples.newest()
+    return None if newest is None else newest.position
+
+
+class CatchUp(Enum):
+    """Whether a successor has received the whole log of a primary that runs.
+
+    ``UNKNOWN``: the primary or the successor gives no status.
+    """
+
+    COMPLETE = "complete"
+    BEHIND = "behind"
+    UNKNOWN = "unknown"
 
 
 async def wait_for_catch_up(
-    runtime: ServiceRuntime, record: LeadershipRecord, clock: Clock
-) -> None:
-    """Wait until the successor has received the whole log of the leaving primary.
+    runtime: ServiceRuntime, primary: BackendId, successor: BackendId, clock: Clock
+) -> CatchUp:
+    """Wait until the successor has received what the primary holds now.
 
     Return early if the primary gives no status, and at the latest after ``CATCH_UP_TIMEOUT``.
     """
     deadline = clock.now() + CATCH_UP_TIMEOUT
-    old = runtime.backends.get(record.primary)
-    new = runtime.backends.get(record.candidate)
+    state = CatchUp.UNKNOWN
+    old = runtime.backends.get(primary)
+    new = runtime.backends.get(successor)
     while old is not None and new is not None and clock.now() < deadline:
         old_status = await query_server(runtime, old)
         new_status = await query_server(runtime, new)
-        if old_status is None or (
-            new_status is not None and new_status.received_position >= old_status.received_position
-        ):
-            return
+        if old_status is None:
+            return CatchUp.UNKNOWN
+        if new_status is not None:
+            if new_status.received_position >= old_status.received_position:
+                return CatchUp.COMPLETE
+            state = CatchUp.BEHIND
         await asyncio.sleep(PROMOTION_POLL_INTERVAL.total_seconds())
+    return state
 
 
 class PromotionFailure(Enum):
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -216,6 +216,12 @@
         primary = self.fleet.usable_primary(self.name)
         return None if primary is None else self.backends.get(primary)
 
+    @property
+    def sync_replicas(self) -> int:
+        """Number of replicas that have received a commit when the primary acknowledges it."""
+        configuration = self.fleet.configuration
+        return 0 if configuration is None else configuration.sync_replicas.get(self.name, 0)
+
     @property
     def is_busy(self) -> bool:
         """Whether an operation waits for a backend server or runs at one."""
--- a/hickorywind/platform/documents.py
+++ b/hickorywind/platform/documents.py
@@ -78,6 +78,7 @@
 class _WireService(msgspec.Struct):
     name: Annotated[str, NAME]
     max_conns: CounterValue
+    sync_replicas: CounterValue = 0
 
 
 class _WireLimits(msgspec.Struct):
@@ -130,6 +131,9 @@
         ),
         transaction_idle_timeout=milliseconds(wire.limits.tx_idle_ms),
         accounts=None if wire.tenants is None else _decode_accounts(wire.tenants),
+        sync_replicas=MappingProxyType(
+            {ServiceName(service.name): service.sync_replicas for service in wire.backends}
+        ),
     )
 
 
--- a/hickorywind/ports/catalog.py
+++ b/hickorywind/ports/catalog.py
@@ -96,8 +96,9 @@
 
     ``version`` is the version number written in the configuration document, ``revision`` the store
     revision at which it was read; ``connection_limits`` holds, for each service, how many
-    connections one of its backend servers accepts from all hosts together. ``accounts`` is None if
-    the deployment has no client accounts.
+    connections one of its backend servers accepts from all hosts together, and ``sync_replicas``
+    how many replicas have received a commit when it is acknowledged, if any. ``accounts`` is None
+    if the deployment has no client accounts.
     """
 
     version: int
@@ -106,6 +107,7 @@
     connection_limits: Mapping[ServiceName, int]
     transaction_idle_timeout: timedelta
     accounts: ClientAccounts | None = None
+    sync_replicas: Mapping[ServiceName, int] = field(default_factory=dict)
 
 
 class BackendState(Enum):
--- a/standins/lineplatform/group.py
+++ b/standins/lineplatform/group.py
@@ -103,6 +103,8 @@
             return None
         request_id, _, text = rest.partition(" ")
         body = self._run_statement(connection, request_id, text)
+        if body is None:
+            return None
         state = "I" if connection.transaction is None else "T"
         return f"{body}READY {state} {self.position}\r\n"
 
@@ -117,7 +119,7 @@
         connection.is_open = True
         return f"READY I {self.position}\r\n"
 
-    def _run_statement(self, connection: _Connection, request_id: str, text: str) -> str:
+    def _run_statement(self, connection: _Connection, request_id: str, text: str) -> str | None:
         self.statements.append(text)
         self.clients[request_id] = connection.client
         if text.startswith("AFTER "):
@@ -152,9 +154,8 @@
             case "ROLLBACK":
                 connection.transaction = None
             case "COMMIT":
-                self._commit(connection.transaction or [])
-                connection.transaction = None
-                return f"COMPLETE s.{request_id}\r\n"
+                writes, connection.transaction = connection.transaction or [], None
+                return f"COMPLETE s.{request_id}\r\n" if self._commit(writes) else None
             case "READ" if self.fails_reads:
                 return f"ERROR FAILED {self.backend}\r\n"
             case "READ":
@@ -165,14 +166,14 @@
                 return self._write(connection, request_id, rest)
         return "COMPLETE -\r\n"
 
-    def _write(self, connection: _Connection, request_id: str, rest: str) -> str:
+    def _write(self, connection: _Connection, request_id: str, rest: str) -> str | None:
         if self.role != "primary":
             return f"ERROR READONLY {self.backend}\r\n"
         item, _, value = rest.partition(" ")
-        if connection.transaction is None:
-            self._commit([(item, value)])
-        else:
+        if connection.transaction is not None:
             connection.transaction.append((item, value))
+        elif not self._commit([(item, value)]):
+            return None
         return f"COMPLETE s.{request_id}\r\n"
 
     def _has_position(self, minimum_position: str) -> bool:
@@ -185,20 +186,29 @@
         self.data = dict(primary.data)
         self.term, self.log_offset = primary.term, primary.log_offset
 
-    def _commit(self, writes: list[tuple[str, str]]) -> None:
+    def _commit(self, writes: list[tuple[str, str]]) -> bool:
+        """Commit writes; return False if too few replicas receive them to acknowledge them."""
         if not writes:
-            return
+            return True
         if self is not self.group.primary:
             self.group.commits_of_former_primary.extend(writes)
             self.data.update(writes)
             self.log_offset += 1
-            return
-        self.group.commits.extend(writes)
+            return True
         self.log_offset += 1
-        for server in self.group.servers.values():
-            if server is self or (server.is_receiving and server.role == "replica"):
-                server.data.update(writes)
-                server.term, server.log_offset = self.term, self.log_offset
+        self.data.update(writes)
+        replicas = [
+            server
+            for server in self.group.servers.values()
+            if server is not self and server.is_receiving and server.role == "replica"
+        ]
+        for server in replicas:
+            server.data.update(writes)
+            server.term, server.log_offset = self.term, self.log_offset
+        if len(replicas) < self.group.sync_replicas:
+            return False
+        self.group.commits.extend(writes)
+        return True
 
 
 class LineGroup:
@@ -213,6 +223,7 @@
         self.commits_of_former_primary: list[tuple[str, str]] = []
         self.promotions: list[tuple[str, str, int]] = []
         self.promotion_delay_seconds = 0.0
+        self.sync_replicas = 0  # that have to receive a commit before it is acknowledged
 
     async def start(self) -> None:
         """Start all backend servers."""
--- a/tests/host/harness.py
+++ b/tests/host/harness.py
@@ -34,7 +34,7 @@
 SCHEMA = DocumentSchema(CONFIGURATION_KEY, BACKENDS_PREFIX, decode_configuration, decode_backend)
 
 
-def configuration(version, databases=("bookings", "views", "orders")):
+def configuration(version, databases=("bookings", "views", "orders"), sync_replicas=0):
     kinds = {
         "bookings": {"route_type": "primary", "priority": 0},
         "views": {"route_type": "bounded_staleness", "priority": 1, "max_staleness_ms": 1500},
@@ -51,7 +51,7 @@
         }
         for name in databases
     ]
-    services = [{"name": SERVICE, "max_conns": 40}]
+    services = [{"name": SERVICE, "max_conns": 40, "sync_replicas": sync_replicas}]
     return json.dumps(
         {"version": version, "routes": routes, "backends": services, "limits": {"tx_idle_ms": 800}}
     ).encode()
