Send watches anew once a silent store answers again

Cause: a watch that is sent to a silent store is never answered, its connection lives on, and the host waits for 32 s. The answered renewals of each second did not end that wait, and in fleets of more than 16 hosts they even counted as news of the store for the hosts that don't watch.

Change: a call without an answer makes the waiting watches doubtful, the next answered call sends them again. The renewal that ends a silence doesn't count as news. Kept connections are closed after a call without an answer. Watches last 27 to 30 s at random. The store stand-in swallows watches as the platform's store does.

--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -40,7 +40,7 @@
 )
 from hickorywind.protocol.messages import LeaseRenewalQuery, LeaseRenewalReply
 from hickorywind.store.era import era_of
-from hickorywind.store.interface import StoreUnavailableError
+from hickorywind.store.interface import StoreSilentError, StoreUnavailableError
 from hickorywind.util.tasks import BackgroundTasks, hedge
 
 logger = logging.getLogger(__name__)
@@ -53,6 +53,9 @@
 READ_TIMEOUT = timedelta(seconds=1)
 READ_TIMEOUT_MAX = timedelta(seconds=4)
 WATCH_TIMEOUT = timedelta(seconds=30)  # the maximum, because each watch costs a store call
+# Fraction by which watches are shorter at random: the hosts of a fleet that started or heard of a
+# change together must not all send their next watch in the same moment, and lose it together.
+WATCH_TIMEOUT_SPREAD = 0.1
 # Pause before the next watch after one that returned changes: changes come in bursts, and each
 # watch of each host is a store call. It grows with the fleet up to a maximum, which is lower for
 # leadership records because callers wait for a change of primary.
@@ -95,6 +98,7 @@
         self._registered_at = Revision(0)
         self._stopped_revisions: dict[ServiceName, Revision] = {}
         self._is_reachable = True
+        self._was_silent = False  # whether a call went unanswered and none was answered since
         self._is_unregistered = False
         self._watches: set[asyncio.Task] = set()
         self.on_loaded: Callable[[], None] = lambda: None
@@ -114,9 +118,18 @@
                 group.create_task(self._follow_prefix(prefix))
 
     def record_call(self, call: str, error: Exception | None) -> None:
-        """Count a store call, and log when the store becomes unreachable or reachable again."""
+        """Count a store call, and log when the store becomes unreachable or reachable again.
+
+        Once a store that was silent answers again, all watches are sent anew: it may never answer
+        those that were sent meanwhile, and nothing else shows that before they time out.
+        """
         self._metrics.store_calls.labels(call, "ok" if error is None else "failed").inc()
         is_reachable = error is None
+        if isinstance(error, StoreSilentError):
+            self._was_silent = True
+        elif is_reachable and self._was_silent:
+            self._was_silent = False
+            self.end_watches()
         if is_reachable == self._is_reachable:
             return
         self._is_reachable = is_reachable
@@ -258,8 +271,10 @@
         except StoreUnavailableError as error:
             self.record_call("renew", error)
             return None
+        # After a silence the watches of this host may have been lost until then.
+        are_watches_sound = not self._was_silent
         self.record_call("renew", None)
-        if self._watch_duty.should_watch(sent):
+        if are_watches_sound and self._watch_duty.should_watch(sent):
             self._watch_duty.record_own_contact(sent)
         return renewed
 
@@ -361,8 +376,9 @@
     async def _watch_while_on_duty(
         self, copy: StoreCopy, max_bytes: int | None
     ) -> ChangeBatch | HistoryCompacted | None:
+        wait = WATCH_TIMEOUT * self._rng.uniform(1.0 - WATCH_TIMEOUT_SPREAD, 1.0)
         watch = asyncio.create_task(
-            self._coordination_store.watch(copy.prefix, copy.as_of, WATCH_TIMEOUT, max_bytes)
+            self._coordination_store.watch(copy.prefix, copy.as_of, wait, max_bytes)
         )
         self._watches.add(watch)
         try:
@@ -373,7 +389,7 @@
             watch.cancel()
 
     def end_watches(self) -> None:
-        """End the waiting watches of a host whose copies come from other hosts from now on."""
+        """End the waiting watches; those that are still this host's duty are sent anew."""
         for watch in self._watches:
             watch.cancel()
 
--- a/hickorywind/platform/storeclient.py
+++ b/hickorywind/platform/storeclient.py
@@ -32,9 +32,14 @@
     Snapshot,
 )
 from hickorywind.store.era import era_of, make_revision, number_of
-from hickorywind.store.interface import StoredValue, StoreUnavailableError
+from hickorywind.store.interface import StoredValue, StoreSilentError, StoreUnavailableError
 from hickorywind.util.decoding import MalformedDataError, convert, parse_counter
-from hickorywind.util.httpclient import HttpAnswerTooLargeError, HttpCallError, HttpClient
+from hickorywind.util.httpclient import (
+    HttpAnswerTooLargeError,
+    HttpCallError,
+    HttpClient,
+    HttpTimeoutError,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -238,6 +243,8 @@
                 b"" if body is None else json.dumps(body).encode(),
                 max_bytes,
             )
+        except HttpTimeoutError as error:
+            raise StoreSilentError(str(error)) from error
         except HttpCallError as error:
             raise StoreUnavailableError(str(error)) from error
         except HttpAnswerTooLargeError as error:
--- a/hickorywind/store/interface.py
+++ b/hickorywind/store/interface.py
@@ -41,6 +41,10 @@
     """Error raised when the store did not answer in time or refused the call."""
 
 
+class StoreSilentError(StoreUnavailableError):
+    """Error raised when the store did not answer in time."""
+
+
 class Store(Protocol):
     """Key-value store with compare-and-swap and watches; each call has a timeout and no retry."""
 
--- a/hickorywind/util/httpclient.py
+++ b/hickorywind/util/httpclient.py
@@ -26,6 +26,10 @@
     """A call got no answer, or one that is no HTTP/1.1."""
 
 
+class HttpTimeoutError(HttpCallError):
+    """A call got no answer in time."""
+
+
 class HttpAnswerTooLargeError(Exception):
     """An answer is announced with more bytes than the caller wanted."""
 
@@ -64,7 +68,8 @@
 
         The answer has to begin within ``timeout`` and then to make progress; a large one on a slow
         link takes longer as a whole. Raise ``HttpCallError``, or ``HttpAnswerTooLargeError`` once
-        an answer is announced with more than ``max_bytes``.
+        an answer is announced with more than ``max_bytes``. After ``HttpTimeoutError`` later calls
+        use new connections: those that were kept may have gone silent too.
         """
         connection: _Connection | None = None
         try:
@@ -72,8 +77,11 @@
                 connection = self._take_idle(address) or await self._connect(address)
                 await connection.send(address, method, target, headers or {}, body)
                 answer = await connection.receive(time_limit, timeout, max_bytes)
-        except (OSError, TimeoutError, h11.ProtocolError) as error:
-            raise HttpCallError(f"{method} {target}: {str(error) or 'timed out'}") from error
+        except TimeoutError as error:
+            self._close_idle(address)
+            raise HttpTimeoutError(f"{method} {target}: timed out") from error
+        except (OSError, h11.ProtocolError) as error:
+            raise HttpCallError(f"{method} {target}: {error}") from error
         finally:
             if connection is not None:
                 self._give_back(address, connection)
@@ -93,6 +101,10 @@
             self._close(connection)
         return None
 
+    def _close_idle(self, address: Address) -> None:
+        for connection in self._idle.pop(address, []):
+            self._close(connection)
+
     def _give_back(self, address: Address, connection: _Connection) -> None:
         if connection.prepare_next_call():
             self._idle.setdefault(address, []).append(connection)
--- a/standins/lineplatform/memorystore.py
+++ b/standins/lineplatform/memorystore.py
@@ -25,9 +25,10 @@
     Snapshot,
 )
 from hickorywind.store.era import era_of, make_revision, number_of
-from hickorywind.store.interface import StoredValue, StoreUnavailableError
+from hickorywind.store.interface import StoredValue, StoreSilentError, StoreUnavailableError
 
 _CALL_TIMEOUT_SECONDS = 1.0
+_WATCH_TIMEOUT_MARGIN_SECONDS = 2.0
 _KEPT = ("revision", "items", "history", "compacted_revision", "leases", "next_lease")
 
 
@@ -111,8 +112,9 @@
 class MemoryCoordinationStore:
     """Store client of one host, with injected faults.
 
-    While ``is_cut`` is set, every call fails at once; while ``is_silent`` or the store's
-    ``is_unavailable`` is set, every call fails after its timeout. Revisions carry the store's era.
+    While ``is_cut`` is set, every call fails at once. Calls that are sent or were to be answered
+    while ``is_silent`` or the store's ``is_unavailable`` is set get no answer and fail after their
+    timeout, watches some time after their wait. Revisions carry the store's era.
     """
 
     def __init__(self, store: MemoryStore) -> None:
@@ -122,11 +124,11 @@
         self.lose_next_answer = False
         self.calls: list[str] = []
 
-    async def _begin_call(self, call: str) -> None:
+    async def _begin_call(self, call: str, timeout_seconds: float = _CALL_TIMEOUT_SECONDS) -> None:
         self.calls.append(call)
         if self.is_silent or self._store.is_unavailable:
-            await asyncio.sleep(_CALL_TIMEOUT_SECONDS)
-            raise StoreUnavailableError(f"{call}: timed out")
+            await asyncio.sleep(timeout_seconds)
+            raise StoreSilentError(f"{call}: timed out")
         if self._store.delay_seconds:
             await asyncio.sleep(self._store.delay_seconds)
         if self.is_cut:
@@ -166,14 +168,16 @@
         self, prefix: str, after: Revision, wait: timedelta, max_bytes: int | None = None
     ) -> ChangeBatch | HistoryCompacted:
         """Return the changes under a prefix after a revision; wait for one up to ``wait``."""
-        await self._begin_call("watch")
+        now = asyncio.get_running_loop().time
+        deadline = now() + wait.total_seconds() + _WATCH_TIMEOUT_MARGIN_SECONDS
+        await self._begin_call("watch", deadline - now())
         try:
             async with asyncio.timeout(wait.total_seconds()), self._store.changed:
                 while self._has_history(after) and not self._changes_after(prefix, after):
                     await self._store.changed.wait()
         except TimeoutError:
             pass
-        await self._begin_call("watch answer")
+        await self._begin_call("watch answer", deadline - now())
         if not self._has_history(after):
             return HistoryCompacted()
         batch = ChangeBatch(self._changes_after(prefix, after), self._in_era(self._store.revision))
--- a/tests/host/test_largefleet.py
+++ b/tests/host/test_largefleet.py
@@ -31,6 +31,9 @@
 PRIMARY_CHANGE_SECONDS = 5.0  # the stated limit
 APPLY_SECONDS = 6.0  # the stated limit for a new configuration
 RECOVERY_SECONDS = 12.0  # the stated limit for serving again after the loss of all hosts
+SILENCE_SECONDS = 4.4  # as on the standard days
+QUIET_SECONDS = 9.6  # from the end of the silence to the next change, beyond ``contact_ms``
+WATCHES_AFTER_SILENCE = 6  # of each host, two for each prefix
 FIVE_MBIT_PER_SECOND = 5_000_000 / 8
 FIFTEEN_MBIT_PER_SECOND = 15_000_000 / 8
 
@@ -224,6 +227,24 @@
         }
         self.assertLessEqual(len(watching), self.watchers_per_zone * len(ZONES))
 
+    async def test_watches_that_a_silent_store_swallowed_are_sent_again(self):
+        """Guards review/3: the renewals of a deaf watcher were taken for news of the store."""
+        await asyncio.sleep(MEASURED_SECONDS)
+        await self.store.put(CONFIGURATION_KEY, configuration(2))
+        await self.wait_until(lambda: self.all_have_configuration(2), APPLY_SECONDS)
+        for host in self.hosts.values():
+            host.coordinator.is_silent = True
+            host.role._sync.end_watches()
+        await asyncio.sleep(SILENCE_SECONDS)
+        for host in self.hosts.values():
+            host.coordinator.is_silent = False
+            host.coordinator.calls.clear()
+        await asyncio.sleep(QUIET_SECONDS)
+        calls = [host.coordinator.calls.count("watch") for host in self.hosts.values()]
+        self.assertLessEqual(max(calls), WATCHES_AFTER_SILENCE)
+        await self.store.put(CONFIGURATION_KEY, configuration(3))
+        await self.wait_until(lambda: self.all_have_configuration(3), APPLY_SECONDS)
+
     def all_know(self, born):
         fleets = [host.role._fleet for host in self.hosts.values()]
         return all(fleet.backends["i-b"].started_at_ms == born for fleet in fleets)
--- /dev/null
+++ b/tests/util/test_httpclient.py
@@ -0,0 +1,49 @@
+import asyncio
+import unittest
+from datetime import timedelta
+
+from hickorywind.ids import Address
+from hickorywind.util.httpclient import HttpClient, HttpTimeoutError
+
+TIMEOUT = timedelta(milliseconds=300)
+
+
+class SilentConnectionsTest(unittest.IsolatedAsyncioTestCase):
+    """Connections that go silent for good, while new ones work."""
+
+    async def asyncSetUp(self):
+        self.is_silent_from_now_on = False
+        self.silent = set()
+        self.open = set()
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        self.address = Address(*server.sockets[0].getsockname())
+        self.client = HttpClient()
+        self.addAsyncCleanup(self.client.close)
+
+    async def serve(self, reader, writer):
+        self.open.add(writer)
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                await asyncio.sleep(0.01)
+                if writer not in self.silent:
+                    writer.write(b"HTTP/1.1 200 -\r\nContent-Length: 0\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.open.discard(writer)
+            writer.close()
+
+    def call(self):
+        return self.client.call(self.address, "GET", "/", TIMEOUT)
+
+    async def test_one_unanswered_call_shows_the_silence_of_all_kept_connections(self):
+        """Guards review/3 on another path: a watch must not be sent on a dead connection."""
+        await asyncio.gather(*(self.call() for _ in range(4)))
+        self.assertEqual(len(self.open), 4)
+        self.silent |= self.open
+        with self.assertRaises(HttpTimeoutError):
+            await self.call()
+        for _ in range(4):
+            self.assertEqual((await self.call()).status, 200)
