--- a/soak/platform.py
+++ b/soak/platform.py
@@ -297,7 +297,11 @@
                     await asyncio.sleep(0.05)
                 if request.method == "POST":
                     await handler(request)
-                return _lose_answer(request)
+                    return _lose_answer(request)
+                # Reads and watches get no answer, on a connection that lives on.
+                while request.transport is not None:
+                    await asyncio.sleep(0.2)
+                return web.Response()
             case StoreMode.SLOW:
                 await asyncio.sleep(rng.uniform(0.2, 1.5))
             case StoreMode.BUSY if rng.random() < 0.8:
