Use a leaving primary again if its successor can't be shown to hold its log

Cause: only the change of a failed primary looked whether the primary is back. Change: the change of a leaving one does too; no promotion is ordered before. The ended term of a confirmed record is never negative.

Evidence: LeavingPrimaryTest.test_primary_is_used_again_if_no_successor_is_known_to_hold_its_log fails without the change; tests.host.test_syncreplicas 8 passed.

--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -424,7 +424,7 @@
             runtime, record.primary, closed.record.candidate, self._clock
         )
         if runtime.sync_replicas and state is not CatchUp.COMPLETE:
-            closed = await self._require_complete_log(runtime, closed)
+            closed = await self._require_complete_log(runtime, closed, may_reopen=True)
         await self._promote_and_open(runtime, closed, fencing)
 
     async def _take_over(self, service: ServiceName, leadership: VersionedLeadership) -> None:
@@ -465,7 +465,7 @@
             return
         leader = await find_leader(runtime, previous)
         if leader is not None:
-            candidate, ended_term = leader, Term(runtime.newest_term - 1)
+            candidate, ended_term = leader, Term(max(0, runtime.newest_term - 1))
             previous = msgspec.structs.replace(previous, primary=leader)
         elif previous.phase is LeadershipPhase.CLOSED:
             # An order of its promoter may still take effect.
--- a/tests/host/test_syncreplicas.py
+++ b/tests/host/test_syncreplicas.py
@@ -110,6 +110,29 @@
 
 
 class LeavingPrimaryTest(SyncReplicaTestCase):
+    async def test_silent_replica_does_not_hold_up_a_successor_that_has_caught_up(self):
+        self.deaf.is_silent = True
+        await self.register(self.primary, state="draining")
+        await self.wait_until(lambda: self.group.primary is self.second, CHANGE_SECONDS)
+        self.assert_holds_all(self.second)
+
+    async def test_primary_is_used_again_if_no_successor_is_known_to_hold_its_log(self):
+        """The successor falls behind and the other replica falls silent once the record closes."""
+        closed = []
+
+        def fall_behind(service):
+            if self.record().phase is LeadershipPhase.CLOSED and not closed:
+                closed.append(self.record())
+                self.second.is_receiving, self.deaf.is_silent = False, True
+                self.primary.log_offset += 1
+
+        self.hosts["h0"].role._fleet.leadership_listeners.append(fall_behind)
+        await self.register(self.primary, state="draining")
+        await self.wait_until(
+            lambda: closed and self.record().phase is LeadershipPhase.OPEN, 2 * CHANGE_SECONDS
+        )
+        self.assertEqual((self.record().primary, self.promoted()), (self.primary.backend, []))
+
     async def test_primary_stays_until_a_successor_has_received_its_log(self):
         for server in (self.second, self.deaf):
             server.is_receiving = False
