--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -281,23 +281,21 @@
             return
         leadership = VersionedLeadership(record, item.revision)
         is_in_use = self.permits.learn(service, leadership)
-        if not is_in_use and self.permits.unconfirmed(service) != leadership:
-            return
-        logger.info(
-            "leadership_changed" if is_in_use else "leadership_unconfirmed",
-            extra={
-                "service": service,
-                "primary": record.primary,
-                "phase": record.phase,
-                "change": record.change,
-                "term": record.term,
-                "revision": item.revision,
-                "source": source,
-            },
-        )
+        details = {
+            "service": service,
+            "primary": record.primary,
+            "phase": record.phase,
+            "change": record.change,
+            "term": record.term,
+            "revision": item.revision,
+            "source": source,
+        }
         if is_in_use:
+            logger.info("leadership_changed", extra=details)
             for listener in self.leadership_listeners:
                 listener(service)
+        elif self.permits.unconfirmed(service) == leadership:
+            logger.info("leadership_unconfirmed", extra=details)
 
 
 def decode_hosts(items: Iterable[StoredValue]) -> tuple[HostRecord, ...]:
