--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -102,7 +102,7 @@
     era: StoreEra = StoreEra(0)
 
     @property
-    def granted(self) -> Lease:
+    def granted_lease(self) -> Lease:
         """Lease with the era in which the store granted it."""
         return Lease(self.lease, self.era)
 
--- a/hickorywind/host/fencer.py
+++ b/hickorywind/host/fencer.py
@@ -92,7 +92,7 @@
         silent = {
             host: record
             for host, record in hosts.items()
-            if self._store.lease_ended_at(record.granted) is not None
+            if self._store.lease_ended_at(record.granted_lease) is not None
         }
         others = {host: record for host, record in hosts.items() if host not in silent}
         await asyncio.gather(
--- a/hickorywind/host/leadershipstore.py
+++ b/hickorywind/host/leadershipstore.py
@@ -181,12 +181,12 @@
 
         No call is made for a lease that is known to have ended. Raise ``StoreUnavailableError``.
         """
-        known = self._lease_ends.get(record.granted)
+        known = self._lease_ends.get(record.granted_lease)
         if known is not None:
             return known
         for _ in range(STORE_ATTEMPTS):
             try:
-                await self._relay.end_lease(record.granted)
+                await self._relay.end_lease(record.granted_lease)
             except StoreUnavailableError as error:
                 logger.warning(
                     "lease_end_failed", extra={"peer": record.host, "reason": str(error)}
@@ -194,6 +194,6 @@
                 await asyncio.sleep(STORE_RETRY_DELAY.total_seconds())
                 continue
             logger.info("lease_ended_for_peer", extra={"peer": record.host})
-            self.record_lease_end(record.granted, self._fleet.now())
-            return self._lease_ends[record.granted]
+            self.record_lease_end(record.granted_lease, self._fleet.now())
+            return self._lease_ends[record.granted_lease]
         raise StoreUnavailableError("the lease of a silent host could not be ended")
