--- a/hickorywind/host/accountquotas.py
+++ b/hickorywind/host/accountquotas.py
@@ -273,8 +273,8 @@
             return None
         if self._reachable.record_reply(home):
             logger.info("quota_home_reachable", extra={"peer": home})
-        if reply.granted_lease > 0:
-            return Granted(reply.granted_lease)
+        if reply.granted > 0:
+            return Granted(reply.granted)
         return NotKept() if reply.wait_ms is None else Exhausted(milliseconds(reply.wait_ms))
 
     def _record_failure(self, home: HostId) -> None:
--- a/tests/admission/test_dispatch.py
+++ b/tests/admission/test_dispatch.py
@@ -26,7 +26,7 @@
         self.dispatcher.primary = "i-a"
         for name, distance in (("i-a", 0), ("i-b", 1), ("i-c", 2)):
             self.dispatcher.servers[name] = ServerState(name, distance, 3)
-        self.granted_lease = []
+        self.granted = []
         self.refused = []
 
     def submit(self, rank=0, target=None, arrived=START, wait_ms=5_000, objective_ms=1_000):
@@ -35,7 +35,7 @@
             start_by=arrived + timedelta(milliseconds=objective_ms),
             give_up_at=arrived + timedelta(milliseconds=wait_ms),
             target=target or OnPrimary(),
-            grant=lambda backend: self.granted_lease.append((rank, backend)),
+            grant=lambda backend: self.granted.append((rank, backend)),
             refuse=lambda result: self.refused.append(result),
         )
         self.dispatcher.submit(operation, arrived)
@@ -63,18 +63,18 @@
         self.fill()
         for _ in range(4):
             self.wait_for_primary(lambda: AtPosition(POSITION))
-        self.assertEqual(self.granted_lease, [])
+        self.assertEqual(self.granted, [])
         self.assertTrue(self.dispatcher.retarget_reads())
         self.dispatcher.dispatch_waiting(START)
-        self.assertEqual({backend for _, backend in self.granted_lease}, {"i-b", "i-c"})
-        self.assertEqual(len(self.granted_lease), 4)
+        self.assertEqual({backend for _, backend in self.granted}, {"i-b", "i-c"})
+        self.assertEqual(len(self.granted), 4)
 
     def test_work_that_only_the_primary_can_run_stays(self):
         self.fill()
         write, read = self.wait_for_primary(None), self.wait_for_primary(OnPrimary)
         self.assertFalse(self.dispatcher.retarget_reads())
         self.dispatcher.dispatch_waiting(START)
-        self.assertEqual(self.granted_lease, [])
+        self.assertEqual(self.granted, [])
         self.assertEqual((write.target, read.target), (OnPrimary(), OnPrimary()))
 
 
@@ -82,13 +82,13 @@
     def test_primary_operations_go_to_the_primary_only(self):
         for _ in range(9):
             self.submit()
-        self.assertEqual({backend for _, backend in self.granted_lease}, {"i-a"})
-        self.assertEqual(len(self.granted_lease), 3)
+        self.assertEqual({backend for _, backend in self.granted}, {"i-a"})
+        self.assertEqual(len(self.granted), 3)
 
     def test_reads_prefer_a_near_replica_and_then_use_other_servers(self):
         for _ in range(9):
             self.submit(target=AtPosition(POSITION))
-        order = [backend for _, backend in self.granted_lease]
+        order = [backend for _, backend in self.granted]
         self.assertEqual(order[0], "i-b")
         self.assertEqual(set(order), {"i-a", "i-b", "i-c"})
 
@@ -96,12 +96,12 @@
         for name in ("i-b", "i-c"):
             self.dispatcher.servers[name].record_missing_position(POSITION, START)
         self.submit(target=AtPosition(POSITION))
-        self.assertEqual(self.granted_lease[-1][1], "i-a")
+        self.assertEqual(self.granted[-1][1], "i-a")
         self.fill("i-a")
         later = START + timedelta(milliseconds=300)
         for _ in range(6):
             self.submit(target=AtPosition(POSITION), arrived=later)
-        probes = Counter(backend for _, backend in self.granted_lease[1:])
+        probes = Counter(backend for _, backend in self.granted[1:])
         self.assertEqual(probes, Counter({"i-b": 1, "i-c": 1}))
 
     def test_lagging_replicas_are_checked_less_and_less_often(self):
@@ -111,12 +111,12 @@
         for step in range(160):
             now = START + step * timedelta(milliseconds=50)
             self.submit(target=AtPosition(POSITION), arrived=now)
-            for _, backend in self.granted_lease:
+            for _, backend in self.granted:
                 checks += 1
                 server = self.dispatcher.servers[backend]
                 server.limit.finish_without_answer()
                 server.record_missing_position(POSITION, now)
-            self.granted_lease.clear()
+            self.granted.clear()
         self.assertLess(checks, 20)
         server = self.dispatcher.servers["i-b"]
         server.record_position(POSITION)
@@ -128,29 +128,29 @@
         for step in range(500):
             now = START + step * timedelta(milliseconds=20)
             self.submit(target=AtPosition(POSITION), arrived=now)
-            for _, backend in self.granted_lease:
+            for _, backend in self.granted:
                 server = self.dispatcher.servers[backend]
                 server.limit.finish(timedelta(milliseconds=5), now)
                 if backend == "i-b":
                     failures += 1
                     server.record_failed_read(now)
-            self.granted_lease.clear()
+            self.granted.clear()
         self.assertLess(failures, 8)
         for name in ("i-a", "i-c"):
             self.dispatcher.servers[name].is_available = False
         self.submit(target=AtPosition(POSITION), arrived=now)
-        self.assertEqual(self.granted_lease[-1][1], "i-b")
+        self.assertEqual(self.granted[-1][1], "i-b")
 
     def test_replica_that_was_behind_serves_reads_of_older_positions(self):
         self.dispatcher.servers["i-b"].record_missing_position(POSITION, START)
         self.submit(target=AtPosition(LogPosition(1, 2)))
-        self.assertEqual(self.granted_lease[-1][1], "i-b")
+        self.assertEqual(self.granted[-1][1], "i-b")
 
     def test_nothing_is_granted_without_a_connection(self):
         for server in self.dispatcher.servers.values():
             server.has_connection = lambda: False
         self.submit(target=AtPosition(POSITION))
-        self.assertEqual(self.granted_lease, [])
+        self.assertEqual(self.granted, [])
 
     def test_each_grant_reserves_a_connection(self):
         reserved = []
@@ -159,7 +159,7 @@
         server.reserve_connection = lambda: reserved.append(1)
         for _ in range(4):
             self.submit()
-        self.assertEqual(len(self.granted_lease), 1)
+        self.assertEqual(len(self.granted), 1)
 
 
 class OrderTest(DispatcherCase):
@@ -173,7 +173,7 @@
                 self.submit(rank=2, wait_ms=60_000, objective_ms=50_000)
         for _ in range(120):
             self.finish("i-a")
-        served = Counter(rank for rank, _ in self.granted_lease)
+        served = Counter(rank for rank, _ in self.granted)
         self.assertGreaterEqual(served[0], 80)
         self.assertGreaterEqual(served[1] + served[2], 120 // LOWEST_RANK_INTERVAL - 1)
 
@@ -183,7 +183,7 @@
         late = START + timedelta(milliseconds=500)
         self.submit(rank=2, arrived=late)
         self.finish("i-a", late)
-        self.assertEqual(self.granted_lease[-1][0], 2)
+        self.assertEqual(self.granted[-1][0], 2)
 
     def test_new_operation_does_not_overtake_one_waiting_for_the_same_server(self):
         self.fill()
@@ -191,7 +191,7 @@
         limit = self.dispatcher.servers["i-a"].limit
         limit.in_flight -= 1
         self.submit(rank=2)
-        self.assertEqual(self.granted_lease, [])
+        self.assertEqual(self.granted, [])
 
 
 class RefusalTest(DispatcherCase):
@@ -264,7 +264,7 @@
         self.dispatcher.primary = "i-a"
         self.dispatcher.dispatch_waiting(back_at)
         now = back_at
-        while len(self.granted_lease) + len(self.refused) < 30:
+        while len(self.granted) + len(self.refused) < 30:
             now += timedelta(milliseconds=20)
             self.finish("i-a", now)
         # The first one arrived 5 s ago; the others are served within their own time.
