Log refused session setup, unexpected backend messages and cut statements

A host now says when a backend server refuses a statement that sets up a session, does not know a statement prepared on the connection, sends bytes that belong to no statement, and when a connection is given up with part of a statement unsent. No logic changes.

--- a/hickorywind/host/backendconnection.py
+++ b/hickorywind/host/backendconnection.py
@@ -122,8 +122,23 @@
             self.close()
             raise
         self.state = answers[-1].state
+        self._log_refusals(answers)
         return answers
 
+    def _log_refusals(self, answers: list[Answer]) -> None:
+        for answer in answers[:-1]:
+            if answer.error is not None:
+                logger.warning(
+                    "session_setup_refused",
+                    extra={"backend": self.backend, "reason": answer.error.text},
+                )
+        error = answers[-1].error
+        if error is not None and error.kind is BackendErrorKind.UNKNOWN_STATEMENT:
+            logger.warning(
+                "prepared_statement_unknown",
+                extra={"backend": self.backend, "reason": error.text},
+            )
+
     async def _send(self, payload: bytes, answer_count: int) -> list[Answer]:
         if self.is_lost or self._transport is None:
             raise ConnectionLostError("the connection was already lost")
@@ -165,6 +180,12 @@
         """Close the connection; an open transaction is rolled back by the backend server."""
         self.closed_locally = True
         if self._transport is not None:
+            unsent_bytes = self._transport.get_write_buffer_size()
+            if unsent_bytes:
+                logger.info(
+                    "backend_statement_cut",
+                    extra={"backend": self.backend, "unsent_bytes": unsent_bytes},
+                )
             self._transport.abort()
         self.connection_lost(None)
 
@@ -179,6 +200,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Decode answers and complete the exchange once all expected answers have arrived."""
+        if self._waiter is None or self._waiter.done():
+            logger.warning(
+                "backend_message_unexpected",
+                extra={"backend": self.backend, "bytes": len(data), "answers": 0},
+            )
         try:
             self._answers += self.codec.feed(data)
         except ValueError as error:
@@ -188,6 +214,15 @@
             self.close()
             return
         if self._waiter is not None and len(self._answers) >= self._expected_count:
+            if len(self._answers) > self._expected_count:
+                logger.warning(
+                    "backend_message_unexpected",
+                    extra={
+                        "backend": self.backend,
+                        "bytes": len(data),
+                        "answers": len(self._answers) - self._expected_count,
+                    },
+                )
             if not self._waiter.done():
                 self._waiter.set_result(self._answers)
 
