--- a/standins/lineplatform/group.py
+++ b/standins/lineplatform/group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from hickorywind.ids import Address, BackendId, HostId, ServiceName
@@ -15,6 +16,7 @@
     client: str = ""
     is_open: bool = False
     transaction: list[tuple[str, str]] | None = None
+    has_failed: bool = False  # the transaction, which only its end can leave
     settings: dict[str, str] = field(default_factory=dict)
     prepared_statements: dict[str, tuple[str, str]] = field(default_factory=dict)
 
@@ -37,6 +39,8 @@
         self.fails_reads = False
         self.lose_answers = 0
         self.connection_limit = 100
+        # Returns the error code with which a statement text is refused, or None.
+        self.refuse: Callable[[str], str | None] = lambda text: None
         self.statements: list[str] = []
         self.clients: dict[str, str] = {}  # client of the connection by request id
         self.address = Address("127.0.0.1", 0)
@@ -105,7 +109,9 @@
         body = self._run_statement(connection, request_id, text)
         if body is None:
             return None
-        state = "I" if connection.transaction is None else "T"
+        state = "I"
+        if connection.transaction is not None:
+            state = "E" if connection.has_failed else "T"
         return f"{body}READY {state} {self.position}\r\n"
 
     def _connect(self, connection: _Connection, rest: str) -> str | None:
@@ -127,6 +133,11 @@
             if not self._has_position(minimum_position):
                 return f"ERROR LAGGING {self.backend}\r\n"
         word, _, rest = text.partition(" ")
+        if connection.has_failed and word not in ("COMMIT", "ROLLBACK"):
+            return "ERROR MALFORMED the transaction has failed\r\n"
+        if (code := self.refuse(text)) is not None:
+            connection.has_failed = connection.transaction is not None
+            return f"ERROR {code} {self.backend}\r\n"
         if self.is_busy and word in ("READ", "WRITE", "EXECUTE", "COMMIT"):
             return f"ERROR BUSY {self.backend}\r\n"
         match word:
@@ -152,7 +163,10 @@
                     return f"ERROR READONLY {self.backend}\r\n"
                 connection.transaction = []
             case "ROLLBACK":
-                connection.transaction = None
+                connection.transaction, connection.has_failed = None, False
+            case "COMMIT" if connection.has_failed:
+                connection.transaction, connection.has_failed = None, False
+                return "ERROR ABORTED the transaction had failed\r\n"
             case "COMMIT":
                 writes, connection.transaction = connection.transaction or [], None
                 return f"COMPLETE s.{request_id}\r\n" if self._commit(writes) else None
