Confirm a connection's session setup before a statement runs on it

Cause: SET, RESET and PREPARE were recorded as done when they were encoded, were sent in one write with the caller's statement, and of the answers only the last was read. One refusal made the host's belief about the connection wrong for every session that used it later.

A connection now holds what the server's answers have confirmed (host/sessionstate.py). A statement is sent after its setup is confirmed; a refused setup means that the statement did not run, and it is retried where that is safe. BEGIN goes with its setup in one round trip, as no statement of a caller runs before its answers are read. After an answer that proves nothing (FAILED, TIMEOUT, other), after a rollback of a transaction that changed the session, and after NOSTMT the next setup begins with RESET. A write whose setup lost its connection is now told that it did not run.

--- a/hickorywind/host/autocommit.py
+++ b/hickorywind/host/autocommit.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
-from hickorywind.host.backendconnection import ConnectionLostError, StatementTemplate
+from hickorywind.host.backendconnection import ConnectionLostError
 from hickorywind.host.retries import run_with_retries
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, FailedRead, Grant
 from hickorywind.host.sessioncontext import SessionContext
+from hickorywind.host.sessionstate import StatementTemplate
 from hickorywind.host.targets import (
     RETRY_AFTER_MS,
     encode_request,
     record_missing_position,
+    set_up_session,
 )
 from hickorywind.ids import AccessMode, BackendId, LogPosition
 from hickorywind.ports.catalog import Route
@@ -94,15 +96,21 @@
 
     async def attempt(self, grant: Grant, min_position: LogPosition | None) -> Reply | Result:
         """Run the statement once on a granted connection; return a refusal if it did not run."""
+        refusal = await set_up_session(
+            self._service, self._route, grant, self._context, self._template
+        )
+        if refusal is not None:
+            if min_position is not None:
+                self._exclude(grant.backend.server.backend)
+            return refusal
         backend, connection = grant.backend, grant.connection
         is_position_sample = self._service.may_sample(backend, connection)
-        setup, count = connection.encode_session_setup(self._context.values, self._template)
-        payload = setup + encode_request(connection, self._request, self._template, min_position)
+        payload = encode_request(connection, self._request, self._template, min_position)
         sent = self._service.clock.now()
         if self._mode is AccessMode.WRITE:
             self._service.add_primary_work(self)
         try:
-            answers = await connection.exchange(payload, count + 1, self._route.statement_timeout)
+            answers = await connection.exchange(payload, 1, self._route.statement_timeout)
         except ConnectionLostError as error:
             return self._handle_connection_loss(backend, error)
         finally:
@@ -173,6 +181,8 @@
                 backend.load.limit.record_refusal(now)
             case BackendErrorKind.READ_ONLY:
                 self._service.on_primary_suspected(self._service.name, "the primary refuses writes")
+            case BackendErrorKind.UNKNOWN_STATEMENT:
+                pass  # the connection's next setup prepares it
             case _:
                 self._exclude(backend.server.backend)
         reason = f"the backend server refused: {answer.error.text}"
--- a/hickorywind/host/backendconnection.py
+++ b/hickorywind/host/backendconnection.py
@@ -8,10 +8,11 @@
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 
-from hickorywind.ids import AccessMode, BackendId, Term
+from hickorywind.host.sessionstate import SessionState, SetupStep, StatementTemplate, encode_steps
+from hickorywind.ids import BackendId, Term
 from hickorywind.ports.catalog import BackendServer
 from hickorywind.ports.codecs import BackendCodec
-from hickorywind.ports.replies import Answer, BackendErrorKind, TransactionState
+from hickorywind.ports.replies import Answer, BackendError, BackendErrorKind, TransactionState
 from hickorywind.util.clock import Instant
 from hickorywind.util.sockets import enable_keepalive
 
@@ -36,19 +37,6 @@
         self.kind = kind
 
 
-class StatementTemplate:
-    """Template of a prepared statement.
-
-    On a backend connection the statement is prepared under a name that is derived from its mode and
-    text, so that sessions with different names for it can share the connection.
-    """
-
-    def __init__(self, mode: AccessMode, text: str) -> None:
-        self.is_write = mode is AccessMode.WRITE
-        self.text = text
-        self.name_on_connection = ("w" if self.is_write else "r") + text
-
-
 class BackendConnection(asyncio.Protocol):
     """Connection to one backend server that carries one batch of statements at a time."""
 
@@ -61,8 +49,7 @@
         self.backend = backend
         self.codec = codec
         self.client = client
-        self.session_values: dict[str, str] = {}
-        self.prepared_names: set[str] = set()
+        self.session = SessionState()
         self.state = TransactionState.IDLE
         self.idle_since: Instant = timedelta(0)
         self.is_lost = False
@@ -122,22 +109,51 @@
             self.close()
             raise
         self.state = answers[-1].state
-        self._log_refusals(answers)
-        return answers
-
-    def _log_refusals(self, answers: list[Answer]) -> None:
-        for answer in answers[:-1]:
-            if answer.error is not None:
-                logger.warning(
-                    "session_setup_refused",
-                    extra={"backend": self.backend, "reason": answer.error.text},
-                )
         error = answers[-1].error
         if error is not None and error.kind is BackendErrorKind.UNKNOWN_STATEMENT:
+            self.session.doubt()
             logger.warning(
                 "prepared_statement_unknown",
                 extra={"backend": self.backend, "reason": error.text},
             )
+        return answers
+
+    async def set_up(
+        self, values: Mapping[str, str], template: StatementTemplate | None, timeout: timedelta
+    ) -> BackendError | None:
+        """Give the connection a session's values and statement; return the server's refusal.
+
+        Only after None does the connection hold them. Raise ``ConnectionLostError`` if an answer
+        is missing.
+        """
+        steps = self.session.plan(values, template)
+        if not steps:
+            return None
+        payload = encode_steps(self.codec, steps)
+        answers = await self.exchange(payload, len(steps), timeout)
+        return self._record_setup(steps, answers)
+
+    async def begin(
+        self, values: Mapping[str, str], payload: bytes, timeout: timedelta
+    ) -> tuple[BackendError | None, Answer]:
+        """Set up a session and begin a transaction in one round trip.
+
+        Return the server's refusal of the setup, if any, and its answer to ``payload``. Raise
+        ``ConnectionLostError`` if an answer is missing.
+        """
+        steps = self.session.plan(values, None)
+        payload = encode_steps(self.codec, steps) + payload
+        answers = await self.exchange(payload, len(steps) + 1, timeout)
+        return self._record_setup(steps, answers[:-1]), answers[-1]
+
+    def _record_setup(self, steps: list[SetupStep], answers: list[Answer]) -> BackendError | None:
+        refusal = self.session.record_answers(steps, answers)
+        if refusal is not None:
+            logger.warning(
+                "session_setup_refused",
+                extra={"backend": self.backend, "reason": refusal.text},
+            )
+        return refusal
 
     async def _send(self, payload: bytes, answer_count: int) -> list[Answer]:
         if self.is_lost or self._transport is None:
@@ -151,31 +167,6 @@
         finally:
             self._waiter = None
 
-    def encode_session_setup(
-        self, values: Mapping[str, str], template: StatementTemplate | None
-    ) -> tuple[bytes, int]:
-        """Encode the statements that give the connection a session's values and statement.
-
-        Return the bytes and the number of answers to expect. The bytes must be sent: the
-        connection records the values and the prepared statement as set.
-        """
-        parts = []
-        if not self.session_values.keys() <= values.keys():
-            parts.append(self.codec.encode_reset())
-            self.session_values = {}
-            self.prepared_names = set()
-        for name, value in values.items():
-            if self.session_values.get(name) != value:
-                parts.append(self.codec.encode_set(name, value))
-                self.session_values[name] = value
-        if template is not None and template.name_on_connection not in self.prepared_names:
-            prepare = self.codec.encode_prepare(
-                template.name_on_connection, template.is_write, template.text
-            )
-            parts.append(prepare)
-            self.prepared_names.add(template.name_on_connection)
-        return b"".join(parts), len(parts)
-
     def close(self) -> None:
         """Close the connection; an open transaction is rolled back by the backend server."""
         self.closed_locally = True
--- a/hickorywind/host/connectionpool.py
+++ b/hickorywind/host/connectionpool.py
@@ -116,7 +116,7 @@
         own = [each for each in self._idle if each.client == client]
         if own:
             # Prefer the most recently used one, so that surplus connections stay idle and time out.
-            connection = min(reversed(own), key=lambda each: _setup_cost(each, values))
+            connection = min(reversed(own), key=lambda each: each.session.cost(values))
             self._idle.remove(connection)
             return connection
         if self._idle and self.open_count >= self._current_limit(self._clock.now()):
@@ -217,9 +217,3 @@
         """Close all connections at once; the pool may open new ones."""
         for connection in list(self._open):
             connection.close()
-
-
-def _setup_cost(connection: BackendConnection, values: Mapping[str, str]) -> int:
-    if not connection.session_values.keys() <= values.keys():
-        return 2 + len(connection.prepared_names)  # a reset drops the prepared statements
-    return 0 if connection.session_values == values else 1
--- a/hickorywind/host/servicestate.py
+++ b/hickorywind/host/servicestate.py
@@ -8,9 +8,10 @@
 from typing import Protocol
 
 from hickorywind.admission.dispatch import AtPosition, ServerState, Target
-from hickorywind.host.backendconnection import BackendConnection, StatementTemplate
+from hickorywind.host.backendconnection import BackendConnection
 from hickorywind.host.connectionpool import ConnectionPool
 from hickorywind.host.sessioncontext import SessionContext
+from hickorywind.host.sessionstate import StatementTemplate
 from hickorywind.ids import BackendId, LogPosition, ServiceName
 from hickorywind.ports.catalog import BackendServer, Route
 from hickorywind.ports.replies import Answer, Reply
--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -9,11 +9,11 @@
 from datetime import timedelta
 
 from hickorywind.host.autocommit import AutocommitStatement
-from hickorywind.host.backendconnection import StatementTemplate
 from hickorywind.host.fleet import Fleet
 from hickorywind.host.requestlog import RequestLog, SessionCut
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.sessioncontext import SessionContext
+from hickorywind.host.sessionstate import StatementTemplate
 from hickorywind.host.stopstage import (
     StopStage,
     make_shutdown_abort,
--- a/hickorywind/host/sessioncontext.py
+++ b/hickorywind/host/sessioncontext.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from hickorywind.host.backendconnection import StatementTemplate
+from hickorywind.host.sessionstate import StatementTemplate
 from hickorywind.ids import LogPosition
 from hickorywind.ports.catalog import AccountId
 
--- /dev/null
+++ b/hickorywind/host/sessionstate.py
@@ -0,0 +1,126 @@
+"""Session values and prepared statements that a backend connection is known to hold."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from hickorywind.ids import AccessMode
+from hickorywind.ports.codecs import BackendCodec
+from hickorywind.ports.replies import NOT_RUN_ERROR_KINDS, Answer, BackendError
+
+
+class StatementTemplate:
+    """Template of a prepared statement.
+
+    On a backend connection the statement is prepared under a name that is derived from its mode and
+    text, so that sessions with different names for it can share the connection.
+    """
+
+    def __init__(self, mode: AccessMode, text: str) -> None:
+        self.is_write = mode is AccessMode.WRITE
+        self.text = text
+        self.name_on_connection = ("w" if self.is_write else "r") + text
+
+
+@dataclass(frozen=True, slots=True)
+class ResetStep:
+    """Reset of all session values and prepared statements."""
+
+
+@dataclass(frozen=True, slots=True)
+class SetStep:
+    """Assignment of one session value."""
+
+    name: str
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class PrepareStep:
+    """Preparation of one statement."""
+
+    template: StatementTemplate
+
+
+SetupStep = ResetStep | SetStep | PrepareStep
+
+
+@dataclass(slots=True)
+class SessionState:
+    """Session state of a backend connection, as the server's answers have confirmed it.
+
+    ``is_certain`` is False after a statement that may or may not have changed the state; the next
+    setup then begins with a reset.
+    """
+
+    values: dict[str, str] = field(default_factory=dict)
+    prepared_names: set[str] = field(default_factory=set)
+    is_certain: bool = True
+
+    def plan(
+        self, values: Mapping[str, str], template: StatementTemplate | None
+    ) -> list[SetupStep]:
+        """Return the steps that give the connection a session's values and statement."""
+        steps: list[SetupStep] = []
+        held, prepared_names = self.values, self.prepared_names
+        if self._needs_reset(values):
+            steps.append(ResetStep())
+            held, prepared_names = {}, set()
+        steps += [SetStep(name, value) for name, value in values.items() if held.get(name) != value]
+        if template is not None and template.name_on_connection not in prepared_names:
+            steps.append(PrepareStep(template))
+        return steps
+
+    def record_answers(
+        self, steps: Sequence[SetupStep], answers: Sequence[Answer]
+    ) -> BackendError | None:
+        """Apply the steps that the server confirmed; return its first refusal or failure."""
+        first_error = None
+        for step, answer in zip(steps, answers, strict=True):
+            if answer.error is None:
+                self._apply(step)
+                continue
+            first_error = first_error or answer.error
+            if answer.error.kind not in NOT_RUN_ERROR_KINDS:
+                self.doubt()
+        return first_error
+
+    def doubt(self) -> None:
+        """Record that the server may hold another state, so that the next setup resets it."""
+        self.is_certain = False
+
+    def cost(self, values: Mapping[str, str]) -> int:
+        """Return the relative effort of giving the connection a session's values."""
+        if self._needs_reset(values):
+            return 2 + len(self.prepared_names)  # a reset drops the prepared statements
+        return 0 if self.values == values else 1
+
+    def _needs_reset(self, values: Mapping[str, str]) -> bool:
+        return not self.is_certain or not self.values.keys() <= values.keys()
+
+    def _apply(self, step: SetupStep) -> None:
+        match step:
+            case ResetStep():
+                self.values, self.prepared_names, self.is_certain = {}, set(), True
+            case SetStep(name, value):
+                self.values[name] = value
+            case PrepareStep(template):
+                self.prepared_names.add(template.name_on_connection)
+
+
+def encode_steps(codec: BackendCodec, steps: Sequence[SetupStep]) -> bytes:
+    """Encode the statements that carry out the steps of a setup."""
+    return b"".join(_encode_step(codec, step) for step in steps)
+
+
+def _encode_step(codec: BackendCodec, step: SetupStep) -> bytes:
+    match step:
+        case ResetStep():
+            return codec.encode_reset()
+        case SetStep(name, value):
+            return codec.encode_set(name, value)
+        case PrepareStep(template):
+            return codec.encode_prepare(
+                template.name_on_connection, template.is_write, template.text
+            )
--- a/hickorywind/host/sharedreads.py
+++ b/hickorywind/host/sharedreads.py
@@ -10,12 +10,12 @@
 
 from hickorywind.admission.dispatch import AtPosition, OnPrimary, ServerState, Target
 from hickorywind.host.autocommit import AutocommitStatement
-from hickorywind.host.backendconnection import StatementTemplate
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.peers import Peers
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import Backend, FailedRead
 from hickorywind.host.sessioncontext import SessionContext
+from hickorywind.host.sessionstate import StatementTemplate
 from hickorywind.host.targets import check_primary, choose_target, record_missing_position
 from hickorywind.ids import AccessMode, BackendId, HostId, ServiceName
 from hickorywind.observability.hostmetrics import HostMetrics
--- a/hickorywind/host/targets.py
+++ b/hickorywind/host/targets.py
@@ -8,13 +8,14 @@
 from hickorywind.host.backendconnection import (
     BackendConnection,
     ConnectionLostError,
-    StatementTemplate,
 )
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, Grant
 from hickorywind.host.sessioncontext import SessionContext
+from hickorywind.host.sessionstate import StatementTemplate
 from hickorywind.ids import LogPosition
 from hickorywind.ports.catalog import BoundedStalenessReads, PrimaryReads, ReadYourWrites, Route
+from hickorywind.ports.replies import BackendError, BackendErrorKind
 from hickorywind.ports.statements import Execute, Request
 from hickorywind.results import Result, ResultCode
 from hickorywind.util.clock import Instant, milliseconds
@@ -115,3 +116,47 @@
     backend.connections.release(connection)
     reason = "the server is no longer a usable primary"
     return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, RETRY_AFTER_MS)
+
+
+async def set_up_session(
+    service: ServiceRuntime,
+    route: Route,
+    grant: Grant,
+    context: SessionContext,
+    template: StatementTemplate | None,
+) -> Result | None:
+    """Give a granted connection a session's values and statement before it runs anything.
+
+    If that fails, return a refusal and release the grant's slot and connection.
+    """
+    backend, connection = grant.backend, grant.connection
+    try:
+        error = await connection.set_up(context.values, template, route.statement_timeout)
+    except ConnectionLostError as lost:
+        service.release_unanswered_slot(backend)
+        service.record_connection_failure(backend, lost)
+        return Result.not_run(
+            ResultCode.BACKEND_UNREACHABLE, f"setting up the session failed: {lost}", RETRY_SOON_MS
+        )
+    # The setup takes a round trip, in which the caller may leave and the primary may change.
+    if error is None and context.has_disconnected:
+        reason = "the caller disconnected"
+    elif error is not None:
+        reason = f"the backend server refused the session's setup: {error.text}"
+        record_setup_refusal(service, backend, error)
+    elif grant.min_position is None and not service.may_start_primary_work(backend):
+        reason = "the server is no longer a usable primary"
+    else:
+        return None
+    service.release_unanswered_slot(backend)
+    backend.connections.release(connection)
+    return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, RETRY_AFTER_MS)
+
+
+def record_setup_refusal(service: ServiceRuntime, backend: Backend, error: BackendError) -> None:
+    """Record what the refusal of a session's setup shows of a backend server."""
+    match error.kind:
+        case BackendErrorKind.BUSY:
+            backend.load.limit.record_refusal(service.clock.now())
+        case BackendErrorKind.READ_ONLY if backend.server.backend == service.recorded_primary():
+            service.on_primary_suspected(service.name, "the primary refuses a session's setup")
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -7,16 +7,17 @@
 from hickorywind.host.backendconnection import (
     BackendConnection,
     ConnectionLostError,
-    StatementTemplate,
 )
 from hickorywind.host.retries import run_with_retries
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, Grant
 from hickorywind.host.sessioncontext import SessionContext
+from hickorywind.host.sessionstate import StatementTemplate
 from hickorywind.host.targets import (
     RETRY_AFTER_MS,
     encode_request,
     record_missing_position,
+    record_setup_refusal,
 )
 from hickorywind.ids import AccessMode, LogPosition
 from hickorywind.ports.catalog import Route
@@ -53,6 +54,7 @@
         self._grant: Grant | None = None
         self._runs_on_primary = False
         self._has_written = False
+        self._has_changed_session = False  # session values or statements, on its connection
         self._abort_result: Result | None = None
 
     @property
@@ -74,6 +76,9 @@
         else:
             pinned = self._grant
             pinned.backend.load.limit.start(self.service.clock.now())
+        refusal = await self._set_up(pinned, template)
+        if refusal is not None:
+            return self._fail(refusal)
         if self._runs_on_primary and not self.service.may_finish_primary_work(pinned.backend):
             self.service.release_unanswered_slot(pinned.backend)
             self.abandon()
@@ -99,20 +104,20 @@
         # Operations that only the primary can run require no minimum log position.
         on_primary = min_position is None
         sent = self.service.clock.now()
-        setup, count = connection.encode_session_setup(self._context.values, None)
-        payload = setup + connection.codec.encode_begin(self.read_only, min_position)
+        payload = connection.codec.encode_begin(self.read_only, min_position)
         try:
-            answers = await connection.exchange(payload, count + 1, self.route.statement_timeout)
+            refusal, answer = await connection.begin(
+                self._context.values, payload, self.route.statement_timeout
+            )
         except ConnectionLostError as error:
             self.service.release_unanswered_slot(backend)
             self.service.record_connection_failure(backend, error)
             return Result.not_run(
                 ResultCode.BACKEND_UNREACHABLE, f"begin failed: {error}", RETRY_SOON_MS
             )
-        answer = answers[-1]
         is_position_sample = on_primary and self.service.may_sample(backend, connection)
         self.service.record_answer(backend, answer, sent, is_position_sample)
-        if answer.is_ok and answer.state is TransactionState.OPEN:
+        if refusal is None and answer.is_ok and answer.state is TransactionState.OPEN:
             self._grant = grant
             self._runs_on_primary = on_primary
             if on_primary:
@@ -123,6 +128,10 @@
             return None
         self.service.release_unanswered_slot(backend)
         backend.connections.release(connection)
+        if refusal is not None:
+            record_setup_refusal(self.service, backend, refusal)
+            reason = f"the backend server refused the session's setup: {refusal.text}"
+            return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, RETRY_AFTER_MS)
         if (
             answer.error is not None
             and answer.error.kind is BackendErrorKind.BEHIND
@@ -138,6 +147,32 @@
         reason = f"begin failed: {answer.error.text if answer.error else 'unexpected state'}"
         return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, RETRY_AFTER_MS)
 
+    async def _set_up(self, pinned: Grant, template: StatementTemplate | None) -> Result | None:
+        """Give the connection the session's values and statement; end the transaction on failure.
+
+        The values may have changed since the transaction began.
+        """
+        connection, backend = pinned.connection, pinned.backend
+        has_changes = bool(connection.session.plan(self._context.values, template))
+        self._has_changed_session |= has_changes
+        try:
+            error = await connection.set_up(
+                self._context.values, template, self.route.statement_timeout
+            )
+        except ConnectionLostError as lost:
+            self.service.release_unanswered_slot(backend)
+            self.service.record_connection_failure(backend, lost)
+            self._unpin()
+            reason = f"the transaction was rolled back: {lost}"
+            return Result.not_run(ResultCode.TRANSACTION_LOST, reason, RETRY_AFTER_MS)
+        if error is None:
+            return None
+        self.service.release_unanswered_slot(backend)
+        record_setup_refusal(self.service, backend, error)
+        reason = f"the backend server refused the session's setup: {error.text}"
+        self.abort(Result.not_run(ResultCode.TRANSACTION_LOST, reason, RETRY_AFTER_MS))
+        return self._abort_result
+
     async def _relay(
         self,
         pinned: Grant,
@@ -146,12 +181,11 @@
         template: StatementTemplate | None,
     ) -> Reply:
         connection, backend = pinned.connection, pinned.backend
-        setup, count = connection.encode_session_setup(self._context.values, template)
-        payload = setup + encode_request(connection, request, template, None)
+        payload = encode_request(connection, request, template, None)
         sent = self.service.clock.now()
         self._has_written |= mode is AccessMode.WRITE
         try:
-            answers = await connection.exchange(payload, count + 1, self.route.statement_timeout)
+            answers = await connection.exchange(payload, 1, self.route.statement_timeout)
         except ConnectionLostError as error:
             self.service.release_unanswered_slot(backend)
             self.service.record_connection_failure(backend, error)
@@ -163,6 +197,12 @@
         self.service.record_answer(backend, answer, sent, is_position_sample)
         if mode is None:
             return self._complete_commit(backend, connection, answer)
+        if answer.error is not None and answer.error.kind is BackendErrorKind.UNKNOWN_STATEMENT:
+            reason = (
+                "the backend server lost the prepared statement; the transaction was rolled back"
+            )
+            self.abort(Result.not_run(ResultCode.TRANSACTION_LOST, reason, RETRY_AFTER_MS))
+            return self._fail(self._abort_result)
         self.has_failed = answer.state is not TransactionState.OPEN
         return RelayedAnswer(answer)
 
@@ -180,6 +220,8 @@
     ) -> Reply:
         may_finish = self.service.may_finish_primary_work(backend)
         self._unpin()
+        if not answer.is_ok:
+            self._doubt_session(connection)
         backend.connections.release(connection)
         if answer.is_ok and self._has_written:
             if not may_finish:
@@ -195,6 +237,7 @@
         pinned = self._unpin()
         if pinned is None:
             return
+        self._doubt_session(pinned.connection)
         try:
             await pinned.connection.exchange(
                 pinned.connection.codec.encode_rollback(), 1, self.route.statement_timeout
@@ -207,6 +250,11 @@
         pinned.backend.connections.release(pinned.connection)
         self.service.dispatch_waiting()
 
+    def _doubt_session(self, connection: BackendConnection) -> None:
+        """Allow for a server that rolls back session values with the transaction that set them."""
+        if self._has_changed_session:
+            connection.session.doubt()
+
     def _unpin(self) -> Grant | None:
         pinned, self._grant = self._grant, None
         self.service.remove_primary_work(self)
