End a backend connection that receives a message of no statement

Cause: bytes that arrived while no statement was under way stayed in the codec and joined the next answer; of more answers than statements the last was taken, so that state and error came from a message that belonged to none.

Such a message now ends the connection, and a statement under way gets no answer rather than one that may be another's.

--- a/hickorywind/host/backendconnection.py
+++ b/hickorywind/host/backendconnection.py
@@ -190,32 +190,36 @@
             enable_keepalive(sock)
 
     def data_received(self, data: bytes) -> None:
-        """Decode answers and complete the exchange once all expected answers have arrived."""
-        if self._waiter is None or self._waiter.done():
-            logger.warning(
-                "backend_message_unexpected",
-                extra={"backend": self.backend, "bytes": len(data), "answers": 0},
-            )
+        """Decode answers and complete the exchange once all expected answers have arrived.
+
+        A message that belongs to no statement ends the connection, as it would be taken for the
+        answer to the next one.
+        """
         try:
-            self._answers += self.codec.feed(data)
+            answers = self.codec.feed(data)
         except ValueError as error:
             logger.warning(
                 "backend_message_malformed", extra={"backend": self.backend, "reason": str(error)}
             )
             self.close()
             return
-        if self._waiter is not None and len(self._answers) >= self._expected_count:
-            if len(self._answers) > self._expected_count:
-                logger.warning(
-                    "backend_message_unexpected",
-                    extra={
-                        "backend": self.backend,
-                        "bytes": len(data),
-                        "answers": len(self._answers) - self._expected_count,
-                    },
-                )
-            if not self._waiter.done():
-                self._waiter.set_result(self._answers)
+        is_awaited = self._waiter is not None and not self._waiter.done()
+        self._answers += answers
+        surplus = len(self._answers) - self._expected_count if is_awaited else len(answers)
+        if not is_awaited or surplus > 0:
+            self._end_out_of_step(len(data), surplus)
+        elif surplus == 0:
+            self._waiter.set_result(self._answers)
+            if self.codec.has_partial_answer:
+                self._end_out_of_step(len(data), 0)
+
+    def _end_out_of_step(self, byte_count: int, surplus: int) -> None:
+        logger.warning(
+            "backend_message_unexpected",
+            extra={"backend": self.backend, "bytes": byte_count, "answers": surplus},
+        )
+        self._transport.abort()
+        self.connection_lost(ConnectionError("unexpected message"))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange that waits for an answer, if any, and report the loss."""
--- a/hickorywind/platform/lineprotocol.py
+++ b/hickorywind/platform/lineprotocol.py
@@ -98,6 +98,11 @@
         self._pending = bytearray()
         self.is_overlong = False
 
+    @property
+    def has_partial_line(self) -> bool:
+        """Whether bytes wait for the end of their line."""
+        return bool(self._pending)
+
     def feed(self, data: bytes) -> Iterator[str]:
         """Yield the lines completed by ``data``; raise ``UnicodeDecodeError`` if not UTF-8."""
         self._pending += data
@@ -292,6 +297,12 @@
         """Return an error without a final state after it, as when a connection is refused."""
         return self._error
 
+    @property
+    def has_partial_answer(self) -> bool:
+        """Whether bytes have arrived that complete no answer yet."""
+        has_fields = bool(self._rows or self._completion_tag or self._error)
+        return has_fields or self._buffer.has_partial_line
+
     def _complete_answer(self, state: TransactionState, position: LogPosition | None) -> Answer:
         answer = Answer(tuple(self._rows), self._completion_tag, self._error, state, position)
         self._rows = []
--- a/hickorywind/ports/codecs.py
+++ b/hickorywind/ports/codecs.py
@@ -65,6 +65,11 @@
         """
         ...
 
+    @property
+    def has_partial_answer(self) -> bool:
+        """Whether bytes have arrived that complete no answer yet."""
+        ...
+
     def encode_connect(self, service: ServiceName, client: str, backend: BackendId) -> bytes:
         """Encode the startup message, which the server refuses unless it is ``backend``."""
         ...
--- /dev/null
+++ b/tests/host/test_backendconnection.py
@@ -0,0 +1,89 @@
+import asyncio
+import unittest
+from datetime import timedelta
+
+from hickorywind.host.backendconnection import BackendConnection, ConnectionLostError
+from hickorywind.ids import Address, BackendId, InstanceRole, ServiceName
+from hickorywind.platform.lineprotocol import LineBackendCodec
+from hickorywind.ports.catalog import BackendServer, BackendState
+
+TIMEOUT = timedelta(seconds=1)
+GREETING = b"READY I -\r\n"
+ANSWER = b"ROW 1\r\nCOMPLETE s.q1\r\nREADY I -\r\n"
+READ = b"QUERY q1 READ x\r\n"
+
+
+class ScriptedServerTestCase(unittest.IsolatedAsyncioTestCase):
+    async def connect(self, *script):
+        """Connect to a server that answers each line with the next bytes of a script."""
+        self.script = [GREETING, *script]
+        listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.addCleanup(listener.close)
+        connection = await BackendConnection.open(
+            BackendServer(
+                BackendId("i-a"),
+                ServiceName("s"),
+                Address("127.0.0.1", listener.sockets[0].getsockname()[1]),
+                "z1",
+                BackendState.READY,
+                3,
+                InstanceRole.PRIMARY,
+                1,
+            ),
+            LineBackendCodec(),
+            TIMEOUT,
+        )
+        self.addCleanup(connection.close)
+        return connection
+
+    async def _serve(self, reader, writer):
+        self.writer = writer
+        self.addCleanup(writer.transport.abort)
+        while self.script and await reader.readline():
+            writer.write(self.script.pop(0))
+
+    async def wait_until(self, condition):
+        async with asyncio.timeout(1.0):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+
+class OutOfStepTest(ScriptedServerTestCase):
+    async def test_error_of_no_statement_is_not_the_error_of_the_next_one(self):
+        connection = await self.connect(ANSWER)
+        self.writer.write(b"ERROR BUSY i-a\r\n")
+        with self.assertLogs("hickorywind.host.backendconnection", "WARNING") as logs:
+            await self.wait_until(lambda: connection.is_lost)
+        self.assertEqual(logs.records[0].getMessage(), "backend_message_unexpected")
+
+    async def test_half_a_message_of_no_statement_ends_the_connection(self):
+        connection = await self.connect(ANSWER)
+        self.writer.write(b"RO")
+        await self.wait_until(lambda: connection.is_lost)
+
+    async def test_answer_too_many_is_not_taken_for_the_last_one(self):
+        connection = await self.connect(ANSWER + b"COMPLETE -\r\nREADY T -\r\n")
+        with self.assertRaises(ConnectionLostError):
+            await connection.exchange(READ, 1, TIMEOUT)
+        self.assertTrue(connection.is_lost)
+
+    async def test_row_behind_an_answer_does_not_join_the_next_one(self):
+        connection = await self.connect(ANSWER + b"ROW 2\r\n", ANSWER)
+        (answer,) = await connection.exchange(READ, 1, TIMEOUT)
+        self.assertEqual(answer.rows, ("1",))
+        self.assertTrue(connection.is_lost)
+
+    async def test_answer_in_many_pieces_is_whole(self):
+        connection = await self.connect(ANSWER[:3])
+        exchange = asyncio.create_task(connection.exchange(READ, 1, TIMEOUT))
+        await self.wait_until(lambda: not self.script)
+        for number in range(3, len(ANSWER)):
+            self.writer.write(ANSWER[number : number + 1])
+            await asyncio.sleep(0.001)
+        (answer,) = await exchange
+        self.assertEqual((answer.rows, answer.completion_tag), (("1",), "s.q1"))
+        self.assertFalse(connection.is_lost)
+
+
+if __name__ == "__main__":
+    unittest.main()
