Reset a backend connection that is given up in the middle of a statement

Cause: when a statement timed out or a transaction was abandoned while part of its statement was still unsent, the connection ended in order behind half a line. A server that reads lines to the end of a stream takes that for a statement, as our own stand-in does. The bytes already in the kernel were also still delivered.

Such a connection is now reset, and what was not sent is dropped. Test: test_statement_that_was_sent_in_part_is_not_ended_in_order failed before (the server read half a line and an orderly end), passes now. Only statements larger than the socket's buffer are concerned; no users' case is known to be one.

--- a/hickorywind/host/backendconnection.py
+++ b/hickorywind/host/backendconnection.py
@@ -14,7 +14,7 @@
 from hickorywind.ports.codecs import BackendCodec
 from hickorywind.ports.replies import Answer, BackendError, BackendErrorKind, TransactionState
 from hickorywind.util.clock import Instant
-from hickorywind.util.sockets import enable_keepalive
+from hickorywind.util.sockets import enable_keepalive, reset_on_close
 
 logger = logging.getLogger(__name__)
 
@@ -177,6 +177,10 @@
                     "backend_statement_cut",
                     extra={"backend": self.backend, "unsent_bytes": unsent_bytes},
                 )
+                # A server could take half a statement before an orderly end for a whole one.
+                sock = self._transport.get_extra_info("socket")
+                if sock is not None:
+                    reset_on_close(sock)
             self._transport.abort()
         self.connection_lost(None)
 
--- a/hickorywind/util/sockets.py
+++ b/hickorywind/util/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 import socket
+import struct
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -32,6 +33,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
+def reset_on_close(sock: socket.socket) -> None:
+    """Let the close of a socket reset its connection and drop what was not sent."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 async def refuses_connections(address: Address, timeout: timedelta) -> bool:
     """Return whether connections are refused: the host is up, but its process has ended."""
     try:
--- a/tests/host/test_backendconnection.py
+++ b/tests/host/test_backendconnection.py
@@ -37,7 +37,7 @@
         return connection
 
     async def _serve(self, reader, writer):
-        self.writer = writer
+        self.reader, self.writer = reader, writer
         self.addCleanup(writer.transport.abort)
         while self.script and await reader.readline():
             writer.write(self.script.pop(0))
@@ -85,5 +85,16 @@
         self.assertFalse(connection.is_lost)
 
 
+class CutStatementTest(ScriptedServerTestCase):
+    async def test_statement_that_was_sent_in_part_is_not_ended_in_order(self):
+        connection = await self.connect()
+        payload = b"QUERY q1 WRITE x " + b"y" * 8_000_000 + b"\r\n"
+        with self.assertRaises(ConnectionLostError):
+            await connection.exchange(payload, 1, timedelta(milliseconds=50))
+        with self.assertRaises(ConnectionResetError):
+            while await self.reader.read(1_000_000):
+                pass
+
+
 if __name__ == "__main__":
     unittest.main()
