Name prepared statements on a backend connection by number

Cause: a template's text was part of its name on the backend connection. The last field of PREPARE extends to the end of the line and may hold blanks: the server took the first word for the name and refused the rest, and EXECUTE could then meet another session's template of that name, with one argument too many. Long templates were sent twice and could exceed the size of a message.

A connection now numbers its templates and never uses a number again, also if it is not known whether a preparation took effect. No load with blanks in templates was seen.

--- a/hickorywind/host/sessionstate.py
+++ b/hickorywind/host/sessionstate.py
@@ -10,17 +10,21 @@
 from hickorywind.ports.replies import NOT_RUN_ERROR_KINDS, Answer, BackendError
 
 
+@dataclass(frozen=True, slots=True)
 class StatementTemplate:
     """Template of a prepared statement.
 
-    On a backend connection the statement is prepared under a name that is derived from its mode and
-    text, so that sessions with different names for it can share the connection.
+    Each backend connection has names of its own for templates, so that sessions with different
+    names for one can share the connection.
     """
 
-    def __init__(self, mode: AccessMode, text: str) -> None:
-        self.is_write = mode is AccessMode.WRITE
-        self.text = text
-        self.name_on_connection = ("w" if self.is_write else "r") + text
+    mode: AccessMode
+    text: str
+
+    @property
+    def is_write(self) -> bool:
+        """Whether the statement writes."""
+        return self.mode is AccessMode.WRITE
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,8 +42,9 @@
 
 @dataclass(frozen=True, slots=True)
 class PrepareStep:
-    """Preparation of one statement."""
+    """Preparation of one statement under a name of the connection."""
 
+    name: str
     template: StatementTemplate
 
 
@@ -55,21 +60,24 @@
     """
 
     values: dict[str, str] = field(default_factory=dict)
-    prepared_names: set[str] = field(default_factory=set)
+    names: dict[StatementTemplate, str] = field(default_factory=dict)
     is_certain: bool = True
+    _last_number: int = 0
 
     def plan(
         self, values: Mapping[str, str], template: StatementTemplate | None
     ) -> list[SetupStep]:
         """Return the steps that give the connection a session's values and statement."""
         steps: list[SetupStep] = []
-        held, prepared_names = self.values, self.prepared_names
+        held, names = self.values, self.names
         if self._needs_reset(values):
             steps.append(ResetStep())
-            held, prepared_names = {}, set()
+            held, names = {}, {}
         steps += [SetStep(name, value) for name, value in values.items() if held.get(name) != value]
-        if template is not None and template.name_on_connection not in prepared_names:
-            steps.append(PrepareStep(template))
+        if template is not None and template not in names:
+            # Never a name from before, which an unconfirmed preparation may have taken.
+            self._last_number += 1
+            steps.append(PrepareStep(f"p{self._last_number}", template))
         return steps
 
     def record_answers(
@@ -93,7 +101,7 @@
     def cost(self, values: Mapping[str, str]) -> int:
         """Return the relative effort of giving the connection a session's values."""
         if self._needs_reset(values):
-            return 2 + len(self.prepared_names)  # a reset drops the prepared statements
+            return 2 + len(self.names)  # a reset drops the prepared statements
         return 0 if self.values == values else 1
 
     def _needs_reset(self, values: Mapping[str, str]) -> bool:
@@ -102,11 +110,11 @@
     def _apply(self, step: SetupStep) -> None:
         match step:
             case ResetStep():
-                self.values, self.prepared_names, self.is_certain = {}, set(), True
+                self.values, self.names, self.is_certain = {}, {}, True
             case SetStep(name, value):
                 self.values[name] = value
-            case PrepareStep(template):
-                self.prepared_names.add(template.name_on_connection)
+            case PrepareStep(name, template):
+                self.names[template] = name
 
 
 def encode_steps(codec: BackendCodec, steps: Sequence[SetupStep]) -> bytes:
@@ -120,7 +128,5 @@
             return codec.encode_reset()
         case SetStep(name, value):
             return codec.encode_set(name, value)
-        case PrepareStep(template):
-            return codec.encode_prepare(
-                template.name_on_connection, template.is_write, template.text
-            )
+        case PrepareStep(name, template):
+            return codec.encode_prepare(name, template.is_write, template.text)
--- a/hickorywind/host/targets.py
+++ b/hickorywind/host/targets.py
@@ -67,10 +67,10 @@
     template: StatementTemplate | None,
     min_position: LogPosition | None,
 ) -> bytes:
-    """Encode a read or write for a backend connection."""
+    """Encode a read or write for a backend connection on which its statement is prepared."""
     match request.statement:
         case Execute(_, arguments):
-            name = template.name_on_connection if template is not None else ""
+            name = connection.session.names[template]
             return connection.codec.encode_execute(
                 request.request_id, name, arguments, min_position
             )
--- a/standins/lineplatform/group.py
+++ b/standins/lineplatform/group.py
@@ -9,6 +9,8 @@
 from hickorywind.ids import Address, BackendId, HostId, ServiceName
 from hickorywind.ports.coordination import FencingToken, PromotionOutcome
 
+MAX_LINE_BYTES = 1_048_576
+
 
 @dataclass(eq=False)
 class _Connection:
@@ -49,7 +51,9 @@
 
     async def start(self) -> None:
         """Start listening, after a restart at the same address as before."""
-        self._server = await asyncio.start_server(self._serve, self.address.host, self.address.port)
+        self._server = await asyncio.start_server(
+            self._serve, self.address.host, self.address.port, limit=MAX_LINE_BYTES
+        )
         port = self._server.sockets[0].getsockname()[1]
         self.address = Address("127.0.0.1", port)
 
@@ -150,7 +154,9 @@
                 connection.settings.clear()
                 connection.prepared_statements.clear()
             case "PREPARE":
-                name, mode, template = rest.split(" ")
+                name, mode, template = rest.split(" ", 2)
+                if mode not in ("READ", "WRITE"):
+                    return "ERROR MALFORMED unknown mode\r\n"
                 connection.prepared_statements[name] = (mode, template)
             case "EXECUTE":
                 name, _, arguments = rest.partition(" ")
--- a/tests/host/test_sessionsetup.py
+++ b/tests/host/test_sessionsetup.py
@@ -106,5 +106,21 @@
         self.assertEqual((await caller.ask("EXECUTE s1 x"))[0], "ROW none")
 
 
+class StatementNamesTest(HostTestCase):
+    async def test_template_with_blanks_is_not_taken_for_another_one(self):
+        caller = await self.caller("bookings")
+        await caller.ask("PREPARE s1 WRITE q")
+        await caller.ask("PREPARE s2 WRITE q kiln")
+        self.assertEqual((await caller.ask("EXECUTE s1 oven 1"))[0], "COMPLETE s.q3")
+        self.assertEqual((await caller.ask("EXECUTE s2 oven 2"))[0], "COMPLETE s.q4")
+        self.assertEqual(self.group.commits, [("oven", "1"), ("oven", "2")])
+
+    async def test_template_as_long_as_a_message_allows_is_prepared(self):
+        caller = await self.caller("bookings")
+        template = "q" * 600_000
+        await caller.ask(f"PREPARE s1 READ {template}")
+        self.assertEqual((await caller.ask("EXECUTE s1 x"))[0], "ROW none")
+
+
 if __name__ == "__main__":
     unittest.main()
