Apply registrations of a server whose clock went back between two starts

Cause: a registration with a smaller start time than the known one was ignored, and with it every later one of the server, draining too. The start time comes from the clock of the server's machine; the store's revision had ordered the registrations already.

--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -224,8 +224,7 @@
         known = self.backends.get(decoded.backend)
         if known == decoded:
             return
-        if known is not None and decoded.started_at_ms < known.started_at_ms:
-            return
+        # The store orders registrations; the server's clock may have gone back between two starts.
         self.backends[decoded.backend] = decoded
         logger.info(
             "backend_registered",
