Run no more requests of a caller who does not take the replies

Cause: a session wrote replies without looking at what the transport still held. Of the queued requests only the number was bounded.

The next request now waits until replies are taken; meanwhile the host reads no more from that caller, and a transaction expires as if its caller were idle. Who takes nothing for 10 s is disconnected (2011). Queued requests are bounded by bytes too.

--- a/hickorywind/host/session.py
+++ b/hickorywind/host/session.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 
 from hickorywind.host.autocommit import AutocommitStatement
+from hickorywind.host.callerflow import CallerFlow
 from hickorywind.host.fleet import Fleet
 from hickorywind.host.requestlog import RequestLog, SessionCut
 from hickorywind.host.service import ServiceRuntime
@@ -57,7 +58,7 @@
 STARTUP_RETRY_AFTER_MS = 500  # within this time a starting host, or another one, is ready
 CONFIGURATION_POLL_INTERVAL = timedelta(milliseconds=20)
 QUIET_PERIOD = timedelta(milliseconds=250)  # a stopping host ends sessions idle for this long
-PIPELINE_LIMIT = 64  # unanswered requests of a caller after which the host stops reading
+UNREAD_REPLY_TIMEOUT = timedelta(seconds=10)  # for a caller who takes nothing of its replies
 PREPARED_STATEMENT_LIMIT = 1_000  # for each session
 SESSION_VALUE_LIMIT = 200  # for each session
 
@@ -87,7 +88,9 @@
         self._request_log = request_log
         self._on_end = on_end
         self._transport: asyncio.Transport | None = None
+        self._flow = CallerFlow()
         self._pending: deque[CallerEvent] = deque()
+        self._pending_bytes = 0
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._database = DatabaseName("")
@@ -106,21 +109,32 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and start processing requests."""
         self._transport = transport
+        self._flow.open(transport)
         self._task = asyncio.create_task(self._serve())
 
     def data_received(self, data: bytes) -> None:
         """Decode and queue the caller's requests; pause reading if too many are queued."""
-        self._pending += self._codec.feed(data)
+        events = self._codec.feed(data)
+        self._pending += events
+        self._pending_bytes += sum(_text_size(event) for event in events)
         self._last_input_at = self._clock.now()
-        if len(self._pending) > PIPELINE_LIMIT:
-            self._transport.pause_reading()
+        self._flow.update_queue(len(self._pending), self._pending_bytes)
         self._wake.set()
 
+    def pause_writing(self) -> None:
+        """Run no more requests of a caller who does not take the replies."""
+        self._flow.pause_writing()
+
+    def resume_writing(self) -> None:
+        """Go on with the requests of a caller who takes replies again."""
+        self._flow.resume_writing()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop processing: cancel a waiting statement and roll back an open transaction."""
         self._is_disconnected = True
         if self._context is not None:
             self._context.mark_disconnected()
+        self._flow.resume_writing()
         self._wake.set()
         self._on_end(self)
 
@@ -159,7 +173,7 @@
 
     def _give_up_requests(self) -> None:
         """Reply to the current request that its outcome is unknown, and don't run the others."""
-        waiting, self._pending = self._pending, deque()
+        waiting, self._pending, self._pending_bytes = self._pending, deque(), 0
         if self._context is None:
             return
         if isinstance(self._current, Request):
@@ -196,19 +210,39 @@
                     self._wake.clear()
                     await self._wait_for_request()
                     continue
-                event = self._pending.popleft()
-                if not self._pending and self._transport is not None:
-                    self._transport.resume_reading()
-                self._current = event
+                self._current = event = self._pending.popleft()
+                self._pending_bytes -= _text_size(event)
+                self._flow.update_queue(len(self._pending), self._pending_bytes)
                 is_open = await self._handle(event)
                 self._current = None
-                if not is_open:
+                if not is_open or not await self._wait_until_replies_are_taken():
                     break
         except Exception:
             logger.exception("session_failed", extra={"database": self._database})
         finally:
             await self._close()
 
+    async def _wait_until_replies_are_taken(self) -> bool:
+        """Wait for a caller who does not read; return False if it takes nothing for too long.
+
+        Meanwhile it holds no more than a caller who sends nothing.
+        """
+        if self._flow.can_write:
+            return True
+        if self._transaction is not None and self._transaction.is_pinned:
+            if await self._flow.wait_until_writable(self._transaction_idle_timeout()):
+                return True
+            await self._transaction.expire()
+        unsent_bytes = self._transport.get_write_buffer_size()
+        while not await self._flow.wait_until_writable(UNREAD_REPLY_TIMEOUT):
+            before, unsent_bytes = unsent_bytes, self._transport.get_write_buffer_size()
+            if unsent_bytes >= before:
+                result = Result.not_run(ResultCode.SLOW_READER, "the caller takes no replies")
+                self._request_log.record_refusal("-", self._database, result)
+                self._transport.abort()
+                return False
+        return True
+
     async def _wait_for_request(self) -> None:
         if self._may_end():
             if self._refuses_new_work() or await self._is_quiet():
@@ -556,5 +590,9 @@
         return None if refusal is None else ProxyFailure(refusal)
 
 
+def _text_size(event: CallerEvent) -> int:
+    return len(event.text) if isinstance(event, Request) else 0
+
+
 def _malformed_reply(reason: str) -> Reply:
     return ProxyFailure(Result.not_run(ResultCode.MALFORMED_MESSAGE, reason))
--- a/hickorywind/results.py
+++ b/hickorywind/results.py
@@ -47,6 +47,7 @@
     CANCELLED = 2008
     LINK_BUDGET_SPENT = 2009
     QUOTA_EXCEEDED = 2010
+    SLOW_READER = 2011
     # 3xxx: routing and freshness
     NO_PRIMARY = 3001
     REPLICA_BEHIND = 3002
@@ -141,6 +142,7 @@
     ResultCode.CANCELLED: "57014",
     ResultCode.LINK_BUDGET_SPENT: "53400",
     ResultCode.QUOTA_EXCEEDED: "53400",
+    ResultCode.SLOW_READER: "53400",
     ResultCode.COMMIT_UNPROVEN: "40003",
     ResultCode.CONNECTION_LOST: "40003",
     ResultCode.POOL_LOST: "40003",
