Set up a transaction's first statement with BEGIN; after a rollback redo only its setup

A transaction's first EXECUTE cost a round trip of its own for PREPARE, and a rollback after a setup inside the transaction made the next session's setup begin with RESET, which drops every prepared statement of the connection.

The first statement's template now goes with BEGIN. After a rollback only the values and names that were set inside the transaction are set again.

--- a/hickorywind/host/backendconnection.py
+++ b/hickorywind/host/backendconnection.py
@@ -134,14 +134,18 @@
         return self._record_setup(steps, answers)
 
     async def begin(
-        self, values: Mapping[str, str], payload: bytes, timeout: timedelta
+        self,
+        values: Mapping[str, str],
+        template: StatementTemplate | None,
+        payload: bytes,
+        timeout: timedelta,
     ) -> tuple[BackendError | None, Answer]:
         """Set up a session and begin a transaction in one round trip.
 
         Return the server's refusal of the setup, if any, and its answer to ``payload``. Raise
         ``ConnectionLostError`` if an answer is missing.
         """
-        steps = self.session.plan(values, None)
+        steps = self.session.plan(values, template)
         payload = encode_steps(self.codec, steps) + payload
         answers = await self.exchange(payload, len(steps) + 1, timeout)
         return self._record_setup(steps, answers[:-1]), answers[-1]
--- a/hickorywind/host/sessionstate.py
+++ b/hickorywind/host/sessionstate.py
@@ -55,11 +55,11 @@
 class SessionState:
     """Session state of a backend connection, as the server's answers have confirmed it.
 
-    ``is_certain`` is False after a statement that may or may not have changed the state; the next
-    setup then begins with a reset.
+    A value is None if the server may hold any. ``is_certain`` is False after a statement that may
+    or may not have changed the state; the next setup then begins with a reset.
     """
 
-    values: dict[str, str] = field(default_factory=dict)
+    values: dict[str, str | None] = field(default_factory=dict)
     names: dict[StatementTemplate, str] = field(default_factory=dict)
     is_certain: bool = True
     _last_number: int = 0
@@ -98,6 +98,17 @@
         """Record that the server may hold another state, so that the next setup resets it."""
         self.is_certain = False
 
+    def forget(self, steps: Sequence[SetupStep]) -> None:
+        """Allow for a server that has undone steps with the transaction that they ran in."""
+        for step in steps:
+            match step:
+                case ResetStep():
+                    self.doubt()
+                case SetStep(name, _):
+                    self.values[name] = None
+                case PrepareStep(_, template):
+                    self.names.pop(template, None)
+
     def cost(self, values: Mapping[str, str]) -> int:
         """Return the relative effort of giving the connection a session's values."""
         if self._needs_reset(values):
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -12,7 +12,7 @@
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import RETRY_SOON_MS, Backend, Grant
 from hickorywind.host.sessioncontext import SessionContext
-from hickorywind.host.sessionstate import StatementTemplate
+from hickorywind.host.sessionstate import SetupStep, StatementTemplate
 from hickorywind.host.targets import (
     RETRY_AFTER_MS,
     encode_request,
@@ -54,7 +54,7 @@
         self._grant: Grant | None = None
         self._runs_on_primary = False
         self._has_written = False
-        self._has_changed_session = False  # session values or statements, on its connection
+        self._setup_steps: list[SetupStep] = []  # since it began
         self._abort_result: Result | None = None
 
     @property
@@ -69,7 +69,7 @@
         if self._abort_result is not None:
             return self._fail(self._abort_result)
         if self._grant is None:
-            refusal = await self._acquire_connection()
+            refusal = await self._acquire_connection(template)
             if refusal is not None:
                 return self._fail(refusal)
             pinned = self._grant
@@ -89,17 +89,25 @@
         self.has_failed = True
         return ProxyFailure(result)
 
-    async def _acquire_connection(self) -> Result | None:
+    async def _acquire_connection(self, template: StatementTemplate | None) -> Result | None:
+        async def begin(grant: Grant, min_position: LogPosition | None) -> Result | None:
+            return await self._begin(grant, min_position, template)
+
         return await run_with_retries(
             self.service,
             self.route,
             self._context,
             self.arrived,
             not self.read_only,
-            self._begin,
+            begin,
         )
 
-    async def _begin(self, grant: Grant, min_position: LogPosition | None) -> Result | None:
+    async def _begin(
+        self,
+        grant: Grant,
+        min_position: LogPosition | None,
+        template: StatementTemplate | None,
+    ) -> Result | None:
         backend, connection = grant.backend, grant.connection
         # Operations that only the primary can run require no minimum log position.
         on_primary = min_position is None
@@ -107,7 +115,7 @@
         payload = connection.codec.encode_begin(self.read_only, min_position)
         try:
             refusal, answer = await connection.begin(
-                self._context.values, payload, self.route.statement_timeout
+                self._context.values, template, payload, self.route.statement_timeout
             )
         except ConnectionLostError as error:
             self.service.release_unanswered_slot(backend)
@@ -153,8 +161,7 @@
         The values may have changed since the transaction began.
         """
         connection, backend = pinned.connection, pinned.backend
-        has_changes = bool(connection.session.plan(self._context.values, template))
-        self._has_changed_session |= has_changes
+        self._setup_steps += connection.session.plan(self._context.values, template)
         try:
             error = await connection.set_up(
                 self._context.values, template, self.route.statement_timeout
@@ -221,7 +228,7 @@
         may_finish = self.service.may_finish_primary_work(backend)
         self._unpin()
         if not answer.is_ok:
-            self._doubt_session(connection)
+            connection.session.forget(self._setup_steps)
         backend.connections.release(connection)
         if answer.is_ok and self._has_written:
             if not may_finish:
@@ -237,7 +244,7 @@
         pinned = self._unpin()
         if pinned is None:
             return
-        self._doubt_session(pinned.connection)
+        pinned.connection.session.forget(self._setup_steps)
         try:
             await pinned.connection.exchange(
                 pinned.connection.codec.encode_rollback(), 1, self.route.statement_timeout
@@ -250,11 +257,6 @@
         pinned.backend.connections.release(pinned.connection)
         self.service.dispatch_waiting()
 
-    def _doubt_session(self, connection: BackendConnection) -> None:
-        """Allow for a server that rolls back session values with the transaction that set them."""
-        if self._has_changed_session:
-            connection.session.doubt()
-
     def _unpin(self) -> Grant | None:
         pinned, self._grant = self._grant, None
         self.service.remove_primary_work(self)
