Pool: log refused session setup and connections lost under a request

The pool neither logged that a server refused what the pool itself prepares or closes for a session, nor that a connection was lost or answered what can't be its request's. Now session_setup_refused (address, statement, sqlstate) and backend_connection_lost (backend, request_id, reason) do. error_field moves to replies, which needs it.

--- a/hickorywind/pool/backendconnection.py
+++ b/hickorywind/pool/backendconnection.py
@@ -11,7 +11,7 @@
 from hickorywind.groups.status import POSITION_PARAMETER
 from hickorywind.ids import Address, LogPosition
 from hickorywind.pool import frontend
-from hickorywind.pool.replies import OutgoingMessage, ReplyTracker
+from hickorywind.pool.replies import OutgoingMessage, ReplyTracker, error_field
 from hickorywind.pool.statementcache import PreparedStatementCache
 from hickorywind.postgres.frames import Frame, FrameSplitter, FrameTooLargeError
 from hickorywind.protocol.messages import PreparedStatement, TransactionState
@@ -24,6 +24,7 @@
 _AUTH_OK = 0
 _AUTH_CLEARTEXT = 3
 _CANCEL_TIMEOUT_SECONDS = 1.0
+_SETUP_STATEMENTS = {b"P": "prepare", b"C": "deallocate"}
 
 
 @dataclass(frozen=True)
@@ -48,14 +49,6 @@
         self.sqlstate = sqlstate
 
 
-def error_field(frame: Frame, field: bytes) -> str:
-    """Return one field of an ErrorResponse, or an empty string if it is absent."""
-    for part in bytes(frame.payload).split(b"\0"):
-        if part[:1] == field:
-            return part[1:].decode(errors="replace")
-    return ""
-
-
 class BackendConnection:
     """Connection that runs one batch after the other until it is broken or closed.
 
@@ -174,6 +167,17 @@
         self._statements.record_confirmed(tracker.prepared_names, tracker.closed_names)
         self._skips_until_sync = tracker.skips_until_sync
         self.is_broken = False
+        self._log_refused_setup(tracker)
+
+    def _log_refused_setup(self, tracker: ReplyTracker) -> None:
+        if tracker.refused_setup is None:
+            return
+        extra = {
+            "address": str(self._login.address),
+            "statement": _SETUP_STATEMENTS[tracker.refused_setup.frame.kind],
+            "sqlstate": tracker.refused_code,
+        }
+        logger.info("session_setup_refused", extra=extra)
 
     def _send(self, batch: Sequence[OutgoingMessage]) -> None:
         try:
--- a/hickorywind/pool/execution.py
+++ b/hickorywind/pool/execution.py
@@ -5,7 +5,7 @@
 from hickorywind.admission.commitconfirmation import Confirmed, PendingCommit
 from hickorywind.admission.freshness import ReadConstraints
 from hickorywind.ids import InstanceRole, LogPosition
-from hickorywind.pool.backendconnection import BackendConnection, error_field
+from hickorywind.pool.backendconnection import BackendConnection
 from hickorywind.pool.backendmonitor import BackendMonitor
 from hickorywind.pool.batches import is_single_begin
 from hickorywind.pool.freshnesschecker import max_staleness
@@ -15,6 +15,7 @@
     IdempotentWrite,
     already_committed_replies,
 )
+from hickorywind.pool.replies import error_field
 from hickorywind.pool.requests import PoolRequest
 from hickorywind.postgres.frames import Frame
 from hickorywind.protocol.messages import TransactionState
--- a/hickorywind/pool/idempotency.py
+++ b/hickorywind/pool/idempotency.py
@@ -13,7 +13,8 @@
 
 from hickorywind.pool import frontend
 from hickorywind.pool.answers import AnswerStream
-from hickorywind.pool.backendconnection import BackendConnection, error_field
+from hickorywind.pool.backendconnection import BackendConnection
+from hickorywind.pool.replies import error_field
 from hickorywind.postgres.frames import Frame
 from hickorywind.protocol.messages import PreparedStatement, TransactionState
 from hickorywind.results import Outcome, Result, ResultCode
--- a/hickorywind/pool/replies.py
+++ b/hickorywind/pool/replies.py
@@ -30,6 +30,14 @@
 }
 
 
+def error_field(frame: Frame, field: bytes) -> str:
+    """Return one field of an ErrorResponse, or an empty string if it is absent."""
+    for part in bytes(frame.payload).split(b"\0"):
+        if part[:1] == field:
+            return part[1:].decode(errors="replace")
+    return ""
+
+
 @dataclass(frozen=True, slots=True)
 class OutgoingMessage:
     """Frontend message to send, and how to handle its reply.
@@ -49,6 +57,8 @@
 
     ``skips_until_sync`` is set if an earlier batch failed and no Sync was sent since.
     ``prepared_names`` and ``closed_names`` are the statement names that replies confirmed.
+    ``refused_setup`` is the message of the pool itself that the backend server answered with an
+    error, and ``refused_code`` the SQLSTATE of that error.
     """
 
     def __init__(self, batch: Iterable[OutgoingMessage], skips_until_sync: bool = False) -> None:
@@ -56,6 +66,8 @@
         self.skips_until_sync = skips_until_sync
         self.prepared_names: list[str] = []
         self.closed_names: list[str] = []
+        self.refused_setup: OutgoingMessage | None = None
+        self.refused_code = ""
         for outgoing in batch:
             self._expect(outgoing)
 
@@ -77,7 +89,7 @@
         if frame.kind in _ASYNCHRONOUS_KINDS or not self._pending:
             return frame.kind != b"A"
         if frame.kind == _ERROR:
-            return self._accept_error()
+            return self._accept_error(frame)
         head = self._pending[0]
         if frame.kind in _COMPLETED_BY[head.frame.kind]:
             if head.frame.kind == b"Q" and frame.kind != _READY:
@@ -92,8 +104,11 @@
         if outgoing.prepared_name is not None:
             self.prepared_names.append(outgoing.prepared_name)
 
-    def _accept_error(self) -> bool:
+    def _accept_error(self, frame: Frame) -> bool:
         """Stop expecting replies to the messages that are skipped after an error."""
+        if self._pending[0].hides_reply:
+            self.refused_setup = self._pending[0]
+            self.refused_code = error_field(frame, b"C")
         if self._pending[0].frame.kind in (b"Q", b"F", b"S"):
             return True
         while self._pending and self._pending[0].frame.kind != b"S":
--- a/hickorywind/pool/runner.py
+++ b/hickorywind/pool/runner.py
@@ -94,6 +94,12 @@
                 return Result.not_run(ResultCode.CANCELLED, "abandoned before it was started")
             return await run_batch(request, connection)
         except ConnectionFailedError as error:
+            extra = {
+                "backend": request.message.backend,
+                "request_id": request.key.request_id,
+                "reason": str(error),
+            }
+            logger.info("backend_connection_lost", extra=extra)
             return _connection_lost(request, str(error))
         finally:
             request.connection = None
