Pool: messages received between batches are not taken for the next answer

The error of a server that shuts down (57P01, then the connection closes) became the answer to a statement that the server never read, reported as 4002 with outcome unknown; behind the end of an answer it reached the caller as an error of a statement that had succeeded.

Cause: a connection counted as lost once the end of the stream was reached, which is not so while a message is unread. Nothing looked at what had arrived since the last batch, and the reply tracker relayed messages that no reply can be.

Change: when a connection is given back, taken or idle, what it received is handled: ParameterStatus, NoticeResponse and NotificationResponse may come at any time and are left out of answers; after any other message the connection is closed (event backend_message_unexpected). Within a batch, a message that can't be a reply to the message answered next fails the connection instead of waiting for the deadline.

Conclusion: which answer belongs to which session was derived from the order of bytes alone. A surplus answer that arrives after the next batch was sent can still not be told from its answer where the kinds of messages agree.

--- a/hickorywind/pool/backendconnection.py
+++ b/hickorywind/pool/backendconnection.py
@@ -11,7 +11,13 @@
 from hickorywind.groups.status import POSITION_PARAMETER
 from hickorywind.ids import Address, LogPosition
 from hickorywind.pool import frontend
-from hickorywind.pool.replies import OutgoingMessage, ReplyTracker, error_field
+from hickorywind.pool.replies import (
+    ASYNCHRONOUS_KINDS,
+    OutgoingMessage,
+    ReplyTracker,
+    UnexpectedReplyError,
+    error_field,
+)
 from hickorywind.pool.statementcache import PreparedStatementCache
 from hickorywind.postgres.frames import Frame, FrameSplitter, FrameTooLargeError
 from hickorywind.protocol.messages import PreparedStatement, TransactionState
@@ -49,6 +55,26 @@
         self.sqlstate = sqlstate
 
 
+class _Reader(asyncio.StreamReader):
+    """Stream reader whose received bytes can be taken without waiting."""
+
+    def take_received(self) -> bytes:
+        """Remove and return the bytes that were received and not read yet."""
+        data = bytes(self._buffer)
+        self._buffer.clear()
+        self._maybe_resume_transport()
+        return data
+
+
+async def _connect(address: Address) -> tuple[_Reader, asyncio.StreamWriter]:
+    loop = asyncio.get_running_loop()
+    reader = _Reader(limit=_READ_SIZE_BYTES, loop=loop)
+    transport, protocol = await loop.create_connection(
+        lambda: asyncio.StreamReaderProtocol(reader, loop=loop), address.host, address.port
+    )
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
 class BackendConnection:
     """Connection that runs one batch after the other until it is broken or closed.
 
@@ -58,7 +84,7 @@
 
     def __init__(self, login: Login, streams: tuple) -> None:
         self._login = login
-        self._reader: asyncio.StreamReader = streams[0]
+        self._reader: _Reader = streams[0]
         self._writer: asyncio.StreamWriter = streams[1]
         self._splitter = FrameSplitter(_FRAME_LIMIT_BYTES)
         self._statements = PreparedStatementCache()
@@ -67,13 +93,14 @@
         self.transaction_state = TransactionState.IDLE
         self.position: LogPosition | None = None
         self.is_broken = False
+        self._has_surplus_messages = False
         self._cancel_sent = False
 
     @classmethod
     async def open(cls, login: Login) -> BackendConnection:
         """Connect and log in; raise ``ConnectionFailedError`` if either fails."""
         try:
-            streams = await asyncio.open_connection(login.address.host, login.address.port)
+            streams = await _connect(login.address)
         except OSError as error:
             raise ConnectionFailedError(str(error)) from error
         connection = cls(login, streams)
@@ -190,10 +217,36 @@
     def _select_relayed(self, frames: Sequence[Frame], tracker: ReplyTracker) -> list[Frame]:
         relayed = []
         for frame in frames:
-            if self._handle_reply(frame, tracker):
+            if tracker.is_complete:
+                self._handle_unsolicited(frame)
+            elif self._handle_reply(frame, tracker):
                 relayed.append(frame)
         return relayed
 
+    def _handle_unsolicited(self, frame: Frame) -> None:
+        """Handle a message received between two batches."""
+        if frame.kind == b"S":
+            self._read_parameter_status(frame)
+        if frame.kind in ASYNCHRONOUS_KINDS:
+            return
+        self._has_surplus_messages = True
+        extra = {
+            "address": str(self._login.address),
+            "kind": frame.kind.decode(errors="replace"),
+            "sqlstate": error_field(frame, b"C") if frame.kind == b"E" else "",
+        }
+        logger.info("backend_message_unexpected", extra=extra)
+
+    def _receive_unsolicited(self) -> None:
+        try:
+            for frame in self._splitter.feed(self._reader.take_received()):
+                self._handle_unsolicited(frame)
+        except (FrameTooLargeError, ValueError, ConnectionFailedError):
+            self._has_surplus_messages = True
+        kind = self._splitter.incomplete_kind
+        if kind and kind not in ASYNCHRONOUS_KINDS:
+            self._has_surplus_messages = True
+
     def _handle_reply(self, frame: Frame, tracker: ReplyTracker) -> bool:
         match frame.kind:
             case b"S" if self._read_parameter_status(frame):
@@ -203,7 +256,10 @@
             case b"G" | b"W":
                 self._writer.write(frontend.copy_fail("COPY is not supported"))
                 return False
-        return tracker.accept(frame)
+        try:
+            return tracker.accept(frame)
+        except UnexpectedReplyError as error:
+            raise ConnectionFailedError(str(error)) from error
 
     async def run_simple(self, sql: str) -> list[Frame]:
         """Run a query of the pool itself and return all its replies."""
@@ -222,8 +278,14 @@
 
     @property
     def is_disconnected(self) -> bool:
-        """Return whether either side has closed the connection."""
-        return self._reader.at_eof() or self._writer.is_closing()
+        """Return whether the connection, on which no batch runs, can take no further batch.
+
+        Either side has closed it, or the backend server sent messages that belong to no batch, so
+        that the next answer could not be told from them.
+        """
+        self._receive_unsolicited()
+        is_closed = self._reader.at_eof() or self._writer.is_closing()
+        return is_closed or self._has_surplus_messages
 
     async def cancel_running(self) -> None:
         """Ask the backend server to cancel the statement that this connection runs.
--- a/hickorywind/pool/replies.py
+++ b/hickorywind/pool/replies.py
@@ -15,7 +15,8 @@
 
 _READY = b"Z"
 _ERROR = b"E"
-_ASYNCHRONOUS_KINDS = (b"S", b"N", b"A")
+# Kinds of the messages that a backend server may send at any time.
+ASYNCHRONOUS_KINDS = (b"S", b"N", b"A")
 
 # Kinds of the replies that complete a frontend message of a given kind.
 _COMPLETED_BY: dict[bytes, tuple[bytes, ...]] = {
@@ -28,6 +29,17 @@
     b"Q": (_READY,),
     b"F": (_READY,),
 }
+# Kinds of the further messages that may precede them.
+_PRECEDED_BY: dict[bytes, tuple[bytes, ...]] = {
+    b"D": (b"t",),
+    b"E": (b"D", b"H", b"d", b"c"),
+    b"Q": (b"T", b"D", b"C", b"I", b"H", b"d", b"c"),
+    b"F": (b"V",),
+}
+
+
+class UnexpectedReplyError(Exception):
+    """Backend message that can't be a reply to the message that is answered next."""
 
 
 def error_field(frame: Frame, field: bytes) -> str:
@@ -85,17 +97,24 @@
         return not self._pending
 
     def accept(self, frame: Frame) -> bool:
-        """Match a backend message and return whether to relay it to the caller."""
-        if frame.kind in _ASYNCHRONOUS_KINDS or not self._pending:
+        """Match a backend message and return whether to relay it to the caller.
+
+        Raise ``UnexpectedReplyError`` if it is not a reply to the message that is answered next.
+        """
+        if frame.kind in ASYNCHRONOUS_KINDS:
             return frame.kind != b"A"
+        if not self._pending:
+            raise UnexpectedReplyError(f"message {frame.kind!r} after the end of the answer")
         if frame.kind == _ERROR:
             return self._accept_error(frame)
         head = self._pending[0]
         if frame.kind in _COMPLETED_BY[head.frame.kind]:
-            if head.frame.kind == b"Q" and frame.kind != _READY:
-                return True
             self._pending.popleft()
             self._record_names(head)
+        elif frame.kind not in _PRECEDED_BY.get(head.frame.kind, ()):
+            raise UnexpectedReplyError(
+                f"message {frame.kind!r} in reply to message {head.frame.kind!r}"
+            )
         return not head.hides_reply
 
     def _record_names(self, outgoing: OutgoingMessage) -> None:
--- a/hickorywind/postgres/frames.py
+++ b/hickorywind/postgres/frames.py
@@ -44,6 +44,11 @@
         """Return the number of buffered bytes, which belong to an incomplete message."""
         return len(self._buffer) - self._start
 
+    @property
+    def incomplete_kind(self) -> bytes:
+        """Return the type byte of the incomplete message, or no bytes without one."""
+        return bytes(self._buffer[self._start : self._start + 1])
+
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Add received bytes and yield each complete message; raise ``FrameTooLargeError``."""
         self._buffer += data
