Pool: a transaction whose connection ended while idle is lost before its next batch

What callers saw: the server ends the session of an idle transaction (idle_in_transaction_session_timeout, an administrator, a restart at its address). The COMMIT after that was reported as 4002 with outcome unknown, and the callers had to find out themselves whether it had committed.

Cause: only connections of the pool were checked before a batch was sent, not those pinned by transactions. The batch was written to a closed connection, which can't be told from one that is lost while it runs.

Change: the connection of a transaction is checked like an idle one; if it is lost, the transaction is rolled back and the batch refused as 4004, not run, before a byte is sent.

Evidence: test_commit_after_the_server_ended_the_idle_session_is_not_run. Before: ResultCode.CONNECTION_LOST instead of TRANSACTION_LOST; after: passes.

--- a/hickorywind/pool/opentransactions.py
+++ b/hickorywind/pool/opentransactions.py
@@ -34,6 +34,14 @@
         """Return the connection pinned by a transaction, or None if it is not open."""
         return self._pinned_connections.get(key)
 
+    def usable_connection_of(self, key: TransactionKey) -> BackendConnection | None:
+        """Return the connection pinned by a transaction; roll back one whose connection is lost."""
+        connection = self._pinned_connections.get(key)
+        if connection is not None and connection.is_disconnected:
+            self.roll_back(key)
+            return None
+        return connection
+
     def join(self, request: PoolRequest, key: TransactionKey) -> Result | None:
         """Register a batch in its transaction; return a refusal if the transaction is not open."""
         if self._table.begin_batch(key, request.message.session_id):
--- a/hickorywind/pool/runner.py
+++ b/hickorywind/pool/runner.py
@@ -108,7 +108,7 @@
 
     async def _get_connection(self, request: PoolRequest) -> BackendConnection | None:
         if request.transaction_key is not None:
-            return self._transactions.connection_of(request.transaction_key)
+            return self._transactions.usable_connection_of(request.transaction_key)
         return await self._connections.acquire()
 
     def _finish(self, request: PoolRequest, result: Result) -> None:
--- a/tests/pool/test_transactions.py
+++ b/tests/pool/test_transactions.py
@@ -5,7 +5,7 @@
 from hickorywind.protocol.messages import EndTransaction, TransactionState
 from hickorywind.results import Outcome, ResultCode
 from tests.pool import extended
-from tests.pool.harness import EntryStub, running_pool
+from tests.pool.harness import EntryStub, eventually, running_pool
 
 TABLE = "CREATE TABLE t (id int primary key, v text)"
 
@@ -122,3 +122,16 @@
             self.assertTrue((await entry.run(insert, transaction_id=key)).result.is_ok)
             self.assertTrue((await entry.run("COMMIT", transaction_id=key)).result.is_ok)
             self.assertEqual(pool.registry.workers()[0].backend, BackendId("b0"))
+
+    async def test_commit_after_the_server_ended_the_idle_session_is_not_run(self) -> None:
+        async with running_pool() as (pool, entry):
+            await entry.set_up(TABLE)
+            key = (await entry.run("BEGIN")).end.transaction_id
+            await entry.run("INSERT INTO t VALUES (1, 'lost')", transaction_id=key)
+            sessions = pool.group.servers[0].instance.sessions
+            (pid,) = [pid for pid, session in sessions.items() if session.holds_write_lock]
+            sessions[pid].abort()
+            await eventually(lambda: pid not in sessions)
+            late = await entry.run("COMMIT", transaction_id=key)
+            self.assertEqual(late.result.code, ResultCode.TRANSACTION_LOST)
+            self.assertIs(late.result.outcome, Outcome.NOT_RUN)
