Pool: a connection is kept from reuse before the cancel request leaves

Cause: the connection was marked as not reusable in the task that sends the cancel request, which starts after the answer was handled. By then the connection had been given back, and the cancel request left for a connection that another session used.

Change: the mark is set when the cancellation is decided; the task only sends it.

Evidence: CancelTest of tests.pool.test_runner, both tests. Before: the connection was handed out again ("unexpectedly identical"); after: they pass, as do tests.pool.test_dispatch and test_frozen_backend.

--- a/hickorywind/pool/backendconnection.py
+++ b/hickorywind/pool/backendconnection.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import struct
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Coroutine, Sequence
 from dataclasses import dataclass
 
 from hickorywind.groups.status import POSITION_PARAMETER
@@ -287,13 +287,16 @@
         is_closed = self._reader.at_eof() or self._writer.is_closing()
         return is_closed or self._has_surplus_messages
 
-    async def cancel_running(self) -> None:
-        """Ask the backend server to cancel the statement that this connection runs.
+    def cancel_running(self) -> Coroutine[None, None, None]:
+        """Return a coroutine that asks the backend server to cancel the running statement.
 
-        Errors are ignored. The cancellation may take effect late and hit a later statement, so the
-        connection won't serve another session.
+        The cancellation may take effect late and hit a later statement, so from this call on the
+        connection won't serve another session. Errors are ignored.
         """
         self._cancel_sent = True
+        return self._send_cancel()
+
+    async def _send_cancel(self) -> None:
         if self._cancel_key is None:
             return
         address = self._login.address
--- a/hickorywind/pool/runner.py
+++ b/hickorywind/pool/runner.py
@@ -160,16 +160,22 @@
             result = Result.not_run(code, "abandoned before it was started")
         request.answer.end(result)
         if request.connection is not None:
-            self._spawn(self._stop_running(request, request.connection))
+            cancellation = request.connection.cancel_running()
+            self._spawn(self._stop_running(request, request.connection, cancellation))
         else:
             self._transactions.roll_back(request.transaction_key or request.new_transaction_key)
 
-    async def _stop_running(self, request: PoolRequest, connection: BackendConnection) -> None:
+    async def _stop_running(
+        self,
+        request: PoolRequest,
+        connection: BackendConnection,
+        cancellation: Coroutine[None, None, None],
+    ) -> None:
         """Cancel an abandoned request at the backend server.
 
         The connection is closed if the request still runs after the grace period.
         """
-        await connection.cancel_running()
+        await cancellation
         await asyncio.sleep(_CANCEL_GRACE_SECONDS)
         if request.connection is connection:
             self._connections.discard(connection)
