Entry: a message changes the session once its reply passes to the caller

DEALLOCATE was carried out after the batch, so that a statement prepared behind it in the same batch was unknown.

Cause: names of statements and portals and the settings were recorded when the message was read, and names were removed when the batch was run; neither looked at how the batch ended.

Change: the builder lists the changes of a batch, each with the reply that completes it. If the batch ends with an error, the changes whose replies the caller has not got are undone: all of them if the error is hickorywind's own, otherwise those behind the replies that the answer holds. DEALLOCATE is carried out in its place among the messages.

Evidence: tests.entry.test_wholepath.

--- a/hickorywind/entry/executor.py
+++ b/hickorywind/entry/executor.py
@@ -225,6 +225,7 @@
             incarnation=execute.pool_incarnation,
             target=target,
             has_error=rewriter.has_error,
+            reply_count=rewriter.reply_count,
             has_sent_answer_bytes=attempt.has_sent_answer_bytes,
         )
 
--- a/hickorywind/entry/request.py
+++ b/hickorywind/entry/request.py
@@ -78,8 +78,9 @@
 
     ``state`` is the transaction state after the request. ``request_id`` is that of the last
     attempt; ``link``, ``incarnation`` and ``target`` tell where it ran and locate a transaction
-    that it opened. ``has_error`` is true if the backend server itself reported an error,
-    ``has_sent_answer_bytes`` if bytes of the answer were sent to the caller.
+    that it opened. ``has_error`` is true if the backend server itself reported an error, after the
+    replies to ``reply_count`` messages of the batch. ``has_sent_answer_bytes`` is true if bytes of
+    the answer were sent to the caller.
     """
 
     result: Result
@@ -91,4 +92,5 @@
     incarnation: Incarnation | None = None
     target: Target | None = None
     has_error: bool = False
+    reply_count: int = 0
     has_sent_answer_bytes: bool = False
--- a/hickorywind/entry/session.py
+++ b/hickorywind/entry/session.py
@@ -146,7 +146,6 @@
         if self._transaction.is_inactive:
             # A transaction that is open when its user loses access may end.
             self._state.account = self._context.accounts.require_access(self._state.user)
-        self._drop_deallocated_statements()
         if batch.refusal is not None:
             await self._refuse(batch, batch.refusal)
         elif self._transaction.failed and not batch.is_local:
@@ -158,11 +157,6 @@
         else:
             await self._run_at_pool(batch)
 
-    def _drop_deallocated_statements(self) -> None:
-        for name in self._state.deallocated:
-            self._builder.forget_statements(name)
-        self._state.deallocated.clear()
-
     def _must_end_implicit_transaction(self, batch: Batch) -> bool:
         return self._transaction.is_implicit and batch.terminator is not BatchTerminator.FLUSH
 
@@ -184,6 +178,7 @@
         await self._end_with_error(batch, encode_error(result))
 
     async def _end_with_error(self, batch: Batch, error: bytes) -> None:
+        self._builder.undo_changes(batch, reply_count=0)
         self._reset_after_error(batch)
         await self._end_batch(batch, error)
 
@@ -246,6 +241,7 @@
             return
         self._transaction.record_end(batch, plan, finished)
         if finished.has_error:
+            self._builder.undo_changes(batch, finished.reply_count)
             self._reset_after_error(batch)
         elif self._transaction.is_inactive:
             self._builder.forget_portals()
--- a/hickorywind/entry/sessionstate.py
+++ b/hickorywind/entry/sessionstate.py
@@ -29,7 +29,7 @@
 
 
 class SessionState:
-    """Id, user, floors and hints of a session, and the names of deallocated prepared statements.
+    """Id, user, floors and hints of a session.
 
     ``account`` is the client account of the user, None while there are no accounts.
     """
@@ -49,7 +49,6 @@
         self.floors = floors
         self._startup_hints = hints
         self.hints = hints
-        self.deallocated: list[str | None] = []
 
     @classmethod
     def from_startup(
@@ -92,7 +91,6 @@
             case ShowHint(name=name):
                 return text_row(self._show(name)) + command_complete("SHOW")
             case Deallocate(name=name):
-                self.deallocated.append(name)
                 return command_complete("DEALLOCATE ALL" if name is None else "DEALLOCATE")
             case NoOperation(tag=tag):
                 return command_complete(tag)
--- a/hickorywind/postgres/answers.py
+++ b/hickorywind/postgres/answers.py
@@ -108,12 +108,14 @@
 
     Drops ReadyForQuery and ParameterStatus, which the entry sends itself. Messages after the last
     row are buffered until ``finish``, so that the caller sees no CommandComplete before the pool
-    has reported the outcome of the request.
+    has reported the outcome of the request. ``reply_count`` is the number of messages whose replies
+    are complete.
     """
 
     def __init__(self, replies: Iterable[Reply]) -> None:
         self._replies = deque(replies)
         self._pending = bytearray()
+        self.reply_count = 0
         self.has_error = False
         self.has_output = False
 
@@ -161,10 +163,12 @@
         self._pending += frame
         if self._replies and kind in self._replies[0].final_message_types:
             self._replies.popleft()
+            self.reply_count += 1
 
     def _append_local_replies(self) -> None:
         while self._replies and isinstance(self._replies[0], LocalReply):
             self._pending += self._replies.popleft().data
+            self.reply_count += 1
 
     def finish(self) -> bytes:
         """Return the buffered bytes of an answer whose request succeeded."""
--- a/hickorywind/postgres/batch.py
+++ b/hickorywind/postgres/batch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -32,6 +33,17 @@
     FLUSH = "flush"
 
 
+@dataclass(frozen=True)
+class SessionChange:
+    """Change of the session's state by a message, which holds once its reply was sent.
+
+    ``reply_index`` is the index of that reply in the batch; ``undo`` takes the change back.
+    """
+
+    reply_index: int
+    undo: Callable[[], None]
+
+
 @dataclass
 class Batch:
     """Messages to forward, replies of the entry, and statements of one batch.
@@ -40,7 +52,8 @@
     ``prepared`` holds the prepared statements that the batch uses, by backend name;
     ``parsed_names`` are the names of those whose Parse message is in ``frames``. ``refusal`` is
     set where the batch must not run. ``executes_on_backend`` states whether any message of the
-    batch binds, describes or executes a portal at a backend server.
+    batch binds, describes or executes a portal at a backend server. ``changes`` are those of the
+    session's state, in order.
     """
 
     terminator: BatchTerminator = BatchTerminator.SYNC
@@ -54,6 +67,7 @@
     refusal: Result | None = None
     executes_on_backend: bool = False
     size_bytes: int = 0
+    changes: list[SessionChange] = field(default_factory=list)
 
     @property
     def is_local(self) -> bool:
--- a/hickorywind/postgres/batchbuilder.py
+++ b/hickorywind/postgres/batchbuilder.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from hickorywind.postgres.answers import (
@@ -23,7 +24,13 @@
     Reply,
     describe_text_column,
 )
-from hickorywind.postgres.batch import LOCAL_STATEMENT_TYPES, Batch, BatchTerminator, LocalStatement
+from hickorywind.postgres.batch import (
+    LOCAL_STATEMENT_TYPES,
+    Batch,
+    BatchTerminator,
+    LocalStatement,
+    SessionChange,
+)
 from hickorywind.postgres.classifier import classify
 from hickorywind.postgres.frames import Frame
 from hickorywind.postgres.hints import Hints, bad_hint_error, split_comment
@@ -53,7 +60,12 @@
 
 
 class LocalStatementHandler(Protocol):
-    """Interface that executes statements concerning only the session."""
+    """Interface that executes statements concerning only the session.
+
+    ``hints`` are the settings of the session, which such statements change.
+    """
+
+    hints: Hints
 
     def answer(self, statement: LocalStatement) -> bytes:
         """Execute a statement and return its rows and CommandComplete as wire bytes.
@@ -86,12 +98,14 @@
         """Remove all portals, because their transaction ended."""
         self._portals.clear()
 
-    def forget_statements(self, name: str | None) -> None:
-        """Remove one prepared statement, or all of them where ``name`` is None."""
-        if name is None:
-            self._prepared_statements.clear()
-        else:
-            self._prepared_statements.pop(name, None)
+    def undo_changes(self, batch: Batch, reply_count: int) -> None:
+        """Undo the changes of messages after the first ``reply_count``, because the batch failed.
+
+        A backend server skips the messages behind an error, so they must not change the session.
+        """
+        for change in reversed(batch.changes):
+            if change.reply_index >= reply_count:
+                change.undo()
 
     def add(self, frame: Frame) -> Batch | None:
         """Add a message and return the batch that it completes, or None.
@@ -145,8 +159,8 @@
                 case UnsupportedStatement(code=code, reason=reason):
                     batch.refusal = Result.not_run(code, reason)
                 case SetHint() | ShowHint() | Deallocate() | NoOperation():
-                    answer = self._describe_local(statement) + self._answerer.answer(statement)
-                    batch.replies.append(LocalReply(answer))
+                    answer = self._execute_local(batch, statement)
+                    batch.replies.append(LocalReply(self._describe_local(statement) + answer))
                 case _:
                     batch.frames += frame.data
                     batch.executes_on_backend = True
@@ -159,6 +173,35 @@
             return describe_text_column(statement.name)
         return b""
 
+    def _execute_local(self, batch: Batch, statement: LocalStatement) -> bytes:
+        match statement:
+            case SetHint():
+                hints = self._answerer.hints
+                self._record_change(batch, lambda: setattr(self._answerer, "hints", hints))
+            case Deallocate(name=None):
+                prepared = dict(self._prepared_statements)
+                self._prepared_statements.clear()
+                self._record_change(batch, lambda: self._prepared_statements.update(prepared))
+            case Deallocate(name=name):
+                self._assign(batch, self._prepared_statements, name, None)
+        return self._answerer.answer(statement)
+
+    def _record_change(self, batch: Batch, undo: Callable[[], None]) -> None:
+        batch.changes.append(SessionChange(len(batch.replies), undo))
+
+    def _assign(
+        self,
+        batch: Batch,
+        names: dict[str, SessionPreparedStatement],
+        name: str,
+        prepared: SessionPreparedStatement | None,
+    ) -> SessionPreparedStatement | None:
+        """Assign a name, or remove it where ``prepared`` is None; return what it stood for."""
+        previous = names.get(name)
+        _set_or_remove(names, name, prepared)
+        self._record_change(batch, lambda: _set_or_remove(names, name, previous))
+        return previous
+
     # Extended protocol ------------------------------------------------------------------------
 
     def _add_extended(self, frame: Frame) -> None:
@@ -201,7 +244,7 @@
         ):
             reason = f"a session holds at most {_PREPARED_STATEMENT_LIMIT} prepared statements"
             raise HickorywindError(Result.not_run(ResultCode.SESSION_LIMIT, reason))
-        self._prepared_statements[name] = prepared
+        self._assign(self._batch, self._prepared_statements, name, prepared)
         if isinstance(prepared.statement, Begin):
             # Pools recognize from the Parse message in the batch that a transaction will be opened.
             self._batch.parsed_names.add(prepared.definition.name)
@@ -226,7 +269,7 @@
     def _process_bind(self, frame: Frame) -> None:
         portal, name = read_bind_names(frame)
         prepared = self._find_statement(name)
-        self._portals[portal] = prepared
+        self._assign(self._batch, self._portals, portal, prepared)
         if isinstance(prepared.statement, LOCAL_STATEMENT_TYPES):
             self._batch.replies.append(LocalReply(BIND_COMPLETE))
             return
@@ -267,7 +310,7 @@
             batch.statements.append(prepared.statement)
             batch.hints = _merge_hints(batch.hints, prepared.hints)
             if isinstance(prepared.statement, LOCAL_STATEMENT_TYPES):
-                answer = self._answerer.answer(prepared.statement)
+                answer = self._execute_local(batch, prepared.statement)
                 batch.replies.append(LocalReply(answer))
                 return
         batch.executes_on_backend = True
@@ -276,16 +319,27 @@
     def _process_close(self, frame: Frame) -> None:
         kind, name = read_target(frame)
         if kind == b"S":
-            self._prepared_statements.pop(name, None)
+            self._assign(self._batch, self._prepared_statements, name, None)
             self._batch.replies.append(LocalReply(CLOSE_COMPLETE))
             return
-        prepared = self._portals.pop(name, None)
+        prepared = self._assign(self._batch, self._portals, name, None)
         if prepared is None or isinstance(prepared.statement, LOCAL_STATEMENT_TYPES):
             self._batch.replies.append(LocalReply(CLOSE_COMPLETE))
             return
         self._forward(frame.data, CLOSE_REPLY)
 
 
+def _set_or_remove(
+    names: dict[str, SessionPreparedStatement],
+    name: str,
+    prepared: SessionPreparedStatement | None,
+) -> None:
+    if prepared is None:
+        names.pop(name, None)
+    else:
+        names[name] = prepared
+
+
 def _describe_result(statement: LocalStatement) -> bytes:
     return describe_text_column(statement.name) if isinstance(statement, ShowHint) else NO_DATA
 
--- a/tests/entry/test_wholepath.py
+++ b/tests/entry/test_wholepath.py
@@ -10,8 +10,12 @@
 
 from hickorywind.entry.role import EntryComponents
 from hickorywind.ids import Address, AvailabilityZone, HostId, Incarnation, Revision
+from hickorywind.pool.backendconnection import BackendConnection, Login
+from hickorywind.postgres.answers import text_row
+from hickorywind.postgres.frames import FrameSplitter
 from hickorywind.protocol.records import MemberRecord, MemberState
 from hickorywind.util.clock import MonotonicClock
+from tests.pool import extended
 from tests.pool.harness import HOST, SERVICE, running_pool
 
 
@@ -121,6 +125,43 @@
                     await connection.execute("INSERT INTO t VALUES (%s, 'x')", (number,))
         self.assertEqual(await self.rows(connection, "SELECT count(*) FROM t"), [(0,)])
 
+    async def test_session_is_unchanged_by_statements_behind_an_error_in_a_pipeline(self):
+        connection = await self.connect()
+        with self.assertRaises(psycopg.errors.DivisionByZero):
+            async with connection.pipeline():
+                await connection.execute("SELECT 1 / 0")
+                await connection.execute("SET hickorywind.timeout_ms = 77")
+        self.assertEqual(await self.rows(connection, "SHOW hickorywind.timeout_ms"), [("",)])
+        await connection.execute("SET hickorywind.timeout_ms = 4000")
+        found = await self.rows(connection, "SHOW hickorywind.timeout_ms")
+        self.assertEqual(found, [("4000",)])
+
+    async def exchange(self, client: BackendConnection, *parts: bytes) -> list[bytes]:
+        """Send messages and return the replies."""
+        frames = list(FrameSplitter(1 << 20).feed(b"".join(parts)))
+        return [frame.data async for replies in client.exchange(frames) for frame in replies]
+
+    async def test_statement_name_is_unchanged_by_messages_behind_an_error(self):
+        client = await BackendConnection.open(Login(self.address, "crew", SERVICE))
+        self.addCleanup(client.abort)
+        await self.exchange(client, extended.parse("a", "SELECT 'old'"), extended.SYNC)
+        failing = (extended.parse("", "SELECT 1 / 0"), extended.bind(), extended.execute())
+        skipped = (extended.close("a"), extended.parse("a", "SELECT 'new'"))
+        await self.exchange(client, *failing, *skipped, extended.SYNC)
+        run = (extended.bind("a"), extended.execute(), extended.SYNC)
+        self.assertIn(text_row("old"), await self.exchange(client, *run))
+
+    async def test_statement_prepared_behind_a_deallocate_in_one_batch_is_known(self):
+        client = await BackendConnection.open(Login(self.address, "crew", SERVICE))
+        self.addCleanup(client.abort)
+        await self.exchange(
+            client,
+            *(extended.parse("", "DEALLOCATE ALL"), extended.bind(), extended.execute()),
+            *(extended.parse("a", "SELECT 'known'"), extended.SYNC),
+        )
+        run = (extended.bind("a"), extended.execute(), extended.SYNC)
+        self.assertIn(text_row("known"), await self.exchange(client, *run))
+
     async def test_request_id_makes_a_write_run_once(self):
         first = await self.connect()
         second = await self.connect(await self.start_entry(2))
--- a/tests/postgres/test_batchbuilder.py
+++ b/tests/postgres/test_batchbuilder.py
@@ -18,14 +18,15 @@
 from hickorywind.postgres.batch import BatchTerminator
 from hickorywind.postgres.batchbuilder import BatchBuilder
 from hickorywind.postgres.frames import Frame, FrameSplitter
-from hickorywind.postgres.statementkinds import (
-    Write,
-)
+from hickorywind.postgres.hints import NO_HINTS
+from hickorywind.postgres.statementkinds import Read, Write
 from hickorywind.protocol.messages import TransactionState
 from hickorywind.results import HickorywindError, ResultCode
 
 
 class _StatementHandler:
+    hints = NO_HINTS
+
     def answer(self, statement):
         return command_complete("LOCAL")
 
@@ -74,6 +75,23 @@
         (batch,) = self.add(Describe("S", "a"), Sync())
         self.assertIs(batch.refusal.code, ResultCode.UNKNOWN_PREPARED_STATEMENT)
 
+    def test_messages_behind_an_error_change_no_prepared_statement(self):
+        self.add(Parse("kept", "SELECT 1"), Parse("closed", "SELECT 2"), Sync())
+        (batch,) = self.add(
+            *(Parse("new", "SELECT 3"), Bind("", "new"), Execute()),
+            *(Close("S", "kept"), Parse("kept", "DELETE FROM t"), Close("S", "closed")),
+            *(Parse("skipped", "SELECT 4"), Parse("all", "DEALLOCATE ALL")),
+            *(Bind("", "all"), Execute(), Sync()),
+        )
+        self.builder.undo_changes(batch, reply_count=2)
+        (batch,) = self.add(
+            *(Bind("", "kept"), Execute(), Bind("", "closed"), Execute()),
+            *(Bind("", "new"), Execute(), Sync()),
+        )
+        self.assertEqual((batch.refusal, batch.statements), (None, [Read()] * 3))
+        (batch,) = self.add(Bind("", "skipped"), Sync())
+        self.assertIs(batch.refusal.code, ResultCode.UNKNOWN_PREPARED_STATEMENT)
+
     def test_messages_are_ignored_from_a_refusal_to_sync(self):
         batches = self.add(Parse("", "LISTEN a"), Flush(), Bind(), Execute(), Sync())
         self.assertEqual(
@@ -141,6 +159,12 @@
         rewriter = AnswerRewriter([LocalReply(b"<1>"), EXECUTE_REPLY])
         error = b"E\0\0\0\5\0"
         self.assertEqual(rewriter.feed(error + self.ready) + rewriter.finish(), error)
+        self.assertEqual(rewriter.reply_count, 0)
+
+    def test_replies_before_an_error_are_counted(self):
+        rewriter = AnswerRewriter([LocalReply(b"<1>"), EXECUTE_REPLY, LocalReply(b"<2>")])
+        rewriter.feed(command_complete("A") + b"E\0\0\0\5\0" + self.ready)
+        self.assertEqual(rewriter.reply_count, 2)
 
     def test_incomplete_messages_are_refused(self):
         for data in (b"D", b"D\0\0\0\xff", b"D\0\0\0\0"):
