Pool: the end of a transaction stops the batch that is opening it

Cause: a pool recorded the end of a transaction, although the batch that opens it was still running. The batch then left the transaction open at the server, and the pool opened its record again, for an entry that knew nothing of it any more.

Change: the end of a transaction also stops the request with its id, which opens it: a queued one is refused, a running one is abandoned, so that its connection is closed and not pinned.

Evidence: test_end_transaction_stops_the_batch_that_opens_it.

--- a/hickorywind/pool/backendworker.py
+++ b/hickorywind/pool/backendworker.py
@@ -14,7 +14,7 @@
 from hickorywind.admission.scheduler import AdmissionPolicy, AdmissionQueue
 from hickorywind.admission.transactions import TransactionTable
 from hickorywind.configuration.model import Instance, Service
-from hickorywind.ids import AccessMode, BackendId, InstanceRole, Term
+from hickorywind.ids import AccessMode, BackendId, InstanceRole, RequestId, Term
 from hickorywind.observability.metrics import Metrics
 from hickorywind.pool.backendconnection import Login
 from hickorywind.pool.backendmetrics import BackendMetrics, LoadSnapshot
@@ -204,7 +204,7 @@
             case CancelRequested(key):
                 self._cancel(key)
             case RollbackRequested(key):
-                self._transactions.roll_back(key)
+                self._roll_back(key)
             case EntryPresumedDead(entry_id):
                 self._abandon_requests_of(entry_id)
             case ConfigurationChanged(service, instance):
@@ -339,12 +339,22 @@
             result = self._runner.cancel(request)
         request.answer.send_cancel_result(result)
 
+    def _roll_back(self, key: TransactionKey) -> None:
+        """Roll back a transaction, also one that a batch which still runs is about to open."""
+        self._transactions.roll_back(key)
+        opening = self._requests.get(RequestKey(key.entry_id, RequestId(key.transaction_id)))
+        if opening is not None:
+            self._stop_request(opening)
+
+    def _stop_request(self, request: PoolRequest) -> None:
+        self._cancel(request.key)
+        if request.started_at is not None:
+            self._runner.abandon(request, ResultCode.CANCELLED)
+
     def _abandon_requests_of(self, entry_id: PeerId) -> None:
         for request in tuple(self._requests.values()):
             if request.key.entry_id == entry_id:
-                self._cancel(request.key)
-                if request.started_at is not None:
-                    self._runner.abandon(request, ResultCode.CANCELLED)
+                self._stop_request(request)
         self._transactions.roll_back_all_of(entry_id)
 
     def _end_requests(self) -> None:
--- a/tests/pool/test_transactions.py
+++ b/tests/pool/test_transactions.py
@@ -1,7 +1,7 @@
 import asyncio
 import unittest
 
-from hickorywind.ids import BackendId, SessionId
+from hickorywind.ids import BackendId, SessionId, TransactionId
 from hickorywind.protocol.messages import EndTransaction, TransactionState
 from hickorywind.results import Outcome, ResultCode
 from tests.pool import extended
@@ -56,6 +56,20 @@
             late = await entry.run("COMMIT", transaction_id=key)
             self.assertEqual(late.result.code, ResultCode.TRANSACTION_LOST)
 
+    async def test_end_transaction_stops_the_batch_that_opens_it(self) -> None:
+        limits = {"idle_timeout_ms": 60_000}
+        async with running_pool(limits=limits, statement_time_ms=300) as (pool, entry):
+            await entry.set_up(TABLE)
+            opening = entry.make_request("BEGIN; INSERT INTO t VALUES (1, 'lost')")
+            await entry.link.send(opening)
+            (worker,) = pool.registry.workers()
+            await eventually(lambda: worker.busy_slots)
+            await entry.link.send(EndTransaction(TransactionId(opening.request_id)))
+            stopped = await entry.collect(opening.request_id)
+            inserted = await entry.run("INSERT INTO t VALUES (1, 'kept')")
+            self.assertEqual((inserted.result.code, inserted.kinds), (ResultCode.OK, "CZ"))
+            self.assertIs(stopped.result.outcome, Outcome.UNKNOWN)
+
     async def test_idle_transaction_is_rolled_back(self) -> None:
         async with running_pool(limits={"idle_timeout_ms": 200}) as (_, entry):
             await entry.set_up(TABLE)
