Entry: end the transaction of a request whose end no session gets

Cause: a session learns of its transaction from the whole answer. A caller whose connection is reset before that leaves none that would end the transaction, and after an unknown end only a request with a BEGIN of its own was followed by the end of the transaction, and only for its last attempt.

Change: the attempt itself asks its pool to end the transaction that the request may open, where the caller is gone or the outcome unknown. SessionTransaction.roll_back_failed_begin, which did so for a part of the cases, is left out.

Evidence: tests.entry.test_outcomes, test_transaction_opened_for_a_caller_that_is_gone_is_ended and test_transaction_that_a_query_with_an_unknown_end_may_have_opened_is_ended.

--- a/hickorywind/entry/attempt.py
+++ b/hickorywind/entry/attempt.py
@@ -18,6 +18,7 @@
     RequestInbox,
 )
 from hickorywind.entry.poollink import PoolLink
+from hickorywind.ids import TransactionId
 from hickorywind.postgres.answers import AnswerRewriter, MalformedAnswerError
 from hickorywind.protocol.messages import (
     AnswerCredit,
@@ -25,6 +26,7 @@
     AnswerPart,
     Cancel,
     CancelResult,
+    EndTransaction,
     Execute,
     TransactionState,
 )
@@ -118,7 +120,8 @@
     async def run(self, deadline: Instant, cancel: CancelSignal) -> AttemptEnd:
         """Run the attempt and return its result.
 
-        Cancel the request and raise ``CallerDisconnectedError`` if the caller disconnects.
+        Cancel the request and raise ``CallerDisconnectedError`` if the caller disconnects. If the
+        outcome is unknown, the pool is asked to end the transaction that the request may open.
         """
         inbox = self._link.open_inbox(self._execute.request_id)
         try:
@@ -126,14 +129,23 @@
                 reason = f"no connection to the pool at {self._link.address}"
                 return AttemptEnd(Result.not_run(ResultCode.POOL_UNREACHABLE, reason))
             cancel.attach(inbox)
-            return await self._handle_events(inbox, deadline)
+            end = await self._handle_events(inbox, deadline)
+            if end.result.outcome is Outcome.UNKNOWN:
+                await self._end_new_transaction()
+            return end
         except (CallerDisconnectedError, asyncio.CancelledError):
             await self._link.send(Cancel(self._execute.request_id))
+            await self._end_new_transaction()
             raise
         finally:
             cancel.attach(None)
             self._link.close_inbox(self._execute.request_id)
 
+    async def _end_new_transaction(self) -> None:
+        # The session, which learns of a transaction from a whole answer, can't end this one.
+        if self._execute.transaction_id is None:
+            await self._link.send(EndTransaction(TransactionId(self._execute.request_id)))
+
     async def _handle_events(self, inbox: RequestInbox, deadline: Instant) -> AttemptEnd:
         cancel_code: ResultCode | None = None
         ends_at_deadline = False
--- a/hickorywind/entry/session.py
+++ b/hickorywind/entry/session.py
@@ -277,8 +277,6 @@
         in_transaction = self._transaction.current is not None
         if in_transaction and not plan.closes_transaction:
             result = transaction_lost_result(result)
-        if not in_transaction:
-            await self._transaction.roll_back_failed_begin(batch, plan, finished)
         await self._transaction.fail()
         if plan.closes_transaction:
             self._transaction.clear()
--- a/hickorywind/entry/transaction.py
+++ b/hickorywind/entry/transaction.py
@@ -61,13 +61,6 @@
         self.failed = current.explicit
         await self._executor.end_transaction(current)
 
-    async def roll_back_failed_begin(
-        self, batch: Batch, plan: Plan, finished: FinishedRequest
-    ) -> None:
-        """Roll back the transaction that a failed BEGIN may have left open."""
-        if plan.opens_transaction and finished.link is not None:
-            await self._executor.end_transaction(_make_open_transaction(batch, plan, finished))
-
     def clear(self) -> None:
         """Reset to no transaction."""
         self.current = None
--- a/tests/entry/test_outcomes.py
+++ b/tests/entry/test_outcomes.py
@@ -1,15 +1,17 @@
 import asyncio
 import os
 import socket
+import struct
 from unittest import mock
 
 import psycopg
 
-from hickorywind.ids import AccessMode, HostId, LogPosition, Term
+from hickorywind.ids import AccessMode, HostId, LogPosition, Term, TransactionId
 from hickorywind.protocol.messages import (
     AnswerEnd,
     AnswerPart,
     Cancel,
+    EndTransaction,
     EntryHeartbeat,
     TransactionState,
 )
@@ -24,6 +26,14 @@
     pass
 
 
+def reset_connection(connection: psycopg.AsyncConnection) -> None:
+    """Close a connection in the way of a caller that was killed with unread data."""
+    caller = socket.socket(fileno=os.dup(connection.pgconn.socket))
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    caller.close()
+    connection.pgconn.finish()
+
+
 def detail(error: psycopg.Error) -> str:
     return error.diag.message_detail
 
@@ -232,6 +242,35 @@
         with self.assertRaises(psycopg.OperationalError):
             await running
 
+    async def test_transaction_opened_for_a_caller_that_is_gone_is_ended(self):
+        waiting = []
+
+        async def keep_waiting(pool, peer, execute):
+            waiting.append((peer, execute))
+
+        connection = await self.connect()
+        self.primary_pool.handler = keep_waiting
+        begin = asyncio.create_task(connection.execute("BEGIN"))
+        await self.wait_for(lambda: waiting)
+        reset_connection(connection)
+        await asyncio.gather(begin, return_exceptions=True)
+        await asyncio.sleep(0.05)
+        peer, execute = waiting[0]
+        frames, state = self.primary_pool.reply(execute)
+        await self.primary_pool.answer(peer, execute, frames, state)
+        ended = EndTransaction(TransactionId(execute.request_id))
+        await self.wait_for(lambda: ended in self.primary_pool.received)
+
+    async def test_transaction_that_a_query_with_an_unknown_end_may_have_opened_is_ended(self):
+        connection = await self.connect()
+        self.primary_pool.handler = never_answer
+        text = f"/* hickorywind timeout_ms=100 */ BEGIN; {WRITE}"
+        with self.assertRaises(psycopg.Error):
+            await connection.execute(text)
+        (execute,) = self.primary_pool.executed
+        ended = EndTransaction(TransactionId(execute.request_id))
+        await self.wait_for(lambda: ended in self.primary_pool.received)
+
     async def test_retry_after_an_unknown_attempt_never_ends_as_not_run(self):
         async def report_unknown_then_refuse(pool, peer, execute):
             if len(pool.executed) == 1:
