Pool: a statement that one batch prepares twice is closed in between

What callers saw: of two transactions that one batch of the extended protocol holds, the second failed with 42P05, prepared statement already exists, which a server without hickorywind does not answer to unnamed statements.

Cause: the Parse of BEGIN is forwarded under a shared name each time. Whether the name has to be closed before was taken from the names confirmed before the batch, without those that the batch itself prepares.

Change: the names that exist after each message of the batch are followed while the batch is put together.

Evidence: test_two_transactions_in_one_batch of tests.entry.test_wholepath. Before: replies b'12C12C12CESZ'; after: six times b'12C', as expected. test_second_parse_of_a_name_in_one_batch_closes_the_first_statement shows it for the cache alone.

--- a/hickorywind/pool/statementcache.py
+++ b/hickorywind/pool/statementcache.py
@@ -30,6 +30,21 @@
     return payload[1:].rstrip(b"\0").decode(errors="surrogateescape")
 
 
+def _expand(frame: Frame, expected: set[str]) -> list[OutgoingMessage]:
+    """Return a caller's message, after the Close of a statement that its Parse replaces.
+
+    ``expected`` are the names that exist once the messages before have been processed.
+    """
+    if frame.kind == b"P":
+        name = parse_statement_name(frame)
+        replaced = [_close_message(name)] if name and name in expected else []
+        expected.add(name)
+        return [*replaced, OutgoingMessage(frame, prepared_name=name or None)]
+    if frame.kind == b"C":
+        return [OutgoingMessage(frame, closed_name=_closed_statement_name(frame))]
+    return [OutgoingMessage(frame)]
+
+
 class PreparedStatementCache:
     """Names of the statements prepared on one connection, least recently used first."""
 
@@ -53,6 +68,7 @@
                 self._names.move_to_end(statement.name)
         wanted = {statement.name for statement in prepared}
         batch = [_close_message(name) for name in self._names_to_evict(len(missing), wanted)]
+        expected = set(self._names) | wanted
         batch.extend(
             OutgoingMessage(
                 Frame(b"P", item.parse_frame), hides_reply=True, prepared_name=item.name
@@ -60,7 +76,7 @@
             for item in missing
         )
         for frame in frames:
-            batch.extend(self._expand(frame))
+            batch.extend(_expand(frame, expected))
         return batch
 
     def _names_to_evict(self, extra: int, wanted: set[str]) -> list[str]:
@@ -68,15 +84,6 @@
         unwanted = [name for name in self._names if name not in wanted]
         return unwanted[: max(count, 0)]
 
-    def _expand(self, frame: Frame) -> list[OutgoingMessage]:
-        if frame.kind == b"P":
-            name = parse_statement_name(frame)
-            replaced = [_close_message(name)] if name and name in self._names else []
-            return [*replaced, OutgoingMessage(frame, prepared_name=name or None)]
-        if frame.kind == b"C":
-            return [OutgoingMessage(frame, closed_name=_closed_statement_name(frame))]
-        return [OutgoingMessage(frame)]
-
     def record_confirmed(self, prepared_names: Iterable[str], closed_names: Iterable[str]) -> None:
         """Update the cache with the names that replies confirmed as prepared or closed."""
         for name in closed_names:
--- a/tests/entry/test_wholepath.py
+++ b/tests/entry/test_wholepath.py
@@ -162,6 +162,16 @@
         run = (extended.bind("a"), extended.execute(), extended.SYNC)
         self.assertIn(text_row("known"), await self.exchange(client, *run))
 
+    async def test_two_transactions_in_one_batch(self):
+        client = await BackendConnection.open(Login(self.address, "crew", SERVICE))
+        self.addCleanup(client.abort)
+        texts = [f"INSERT INTO t VALUES ({number}, 'x')" for number in (1, 2)]
+        texts = [text for insert in texts for text in ("BEGIN", insert, "COMMIT")]
+        parts = [extended.parse("", text) + extended.bind() + extended.execute() for text in texts]
+        replies = await self.exchange(client, *parts, extended.SYNC)
+        kinds = b"".join(reply[:1] for reply in replies if reply[:1] != b"S")
+        self.assertEqual(kinds, b"12C" * 6 + b"Z")
+
     async def test_request_id_makes_a_write_run_once(self):
         first = await self.connect()
         second = await self.connect(await self.start_entry(2))
--- a/tests/pool/test_replies.py
+++ b/tests/pool/test_replies.py
@@ -95,6 +95,10 @@
         cache.record_confirmed(tracker.prepared_names, tracker.closed_names)
         self.assertIn("s", cache)
 
+    def test_second_parse_of_a_name_in_one_batch_closes_the_first_statement(self) -> None:
+        batch = PreparedStatementCache().add_missing([parse_frame("s"), parse_frame("s")], ())
+        self.assertEqual([item.frame.kind for item in batch], [b"P", b"C", b"P"])
+
     def test_least_recently_used_statement_is_evicted(self) -> None:
         cache = PreparedStatementCache(limit=2)
         cache.record_confirmed(["a", "b"], [])
