Pool: a prepared statement that the server refused is prepared again

What callers saw: after ALTER TABLE a prepared SELECT * failed with 0A000, "cached plan must not change result type", and went on failing for all sessions that met the same backend connection. Closing and preparing the statement again, as drivers do, did not help: it gets the same shared name, which counted as prepared. The same holds for 26000 where the server has lost the statement.

Cause: a name was kept as prepared for as long as the connection lived, whatever the server answered to its use.

Change: the statements that a failed batch used from earlier batches are doubtful; before its next use on this connection a doubtful one is closed and prepared again in the same batch, which costs no round trip.

Ruled out: special treatment of single SQLSTATEs, which would leave out the codes of other servers.

Evidence: tests.pool.test_statementcache.

Conclusion: each connection learns of it by itself, so a caller may meet the error once for each connection of the pool.

--- a/hickorywind/pool/backendconnection.py
+++ b/hickorywind/pool/backendconnection.py
@@ -192,6 +192,10 @@
             if relayed:
                 yield relayed
         self._statements.record_confirmed(tracker.prepared_names, tracker.closed_names)
+        if tracker.has_error:
+            self._statements.record_error(
+                item.name for item in prepared if item.name not in tracker.prepared_names
+            )
         self._skips_until_sync = tracker.skips_until_sync
         self.is_broken = False
         self._log_refused_setup(tracker)
--- a/hickorywind/pool/replies.py
+++ b/hickorywind/pool/replies.py
@@ -69,8 +69,8 @@
 
     ``skips_until_sync`` is set if an earlier batch failed and no Sync was sent since.
     ``prepared_names`` and ``closed_names`` are the statement names that replies confirmed.
-    ``refused_setup`` is the message of the pool itself that the backend server answered with an
-    error, and ``refused_code`` the SQLSTATE of that error.
+    ``has_error`` is set once an ErrorResponse arrived. ``refused_setup`` is the message of the pool
+    itself that the backend server answered with an error, and ``refused_code`` its SQLSTATE.
     """
 
     def __init__(self, batch: Iterable[OutgoingMessage], skips_until_sync: bool = False) -> None:
@@ -78,6 +78,7 @@
         self.skips_until_sync = skips_until_sync
         self.prepared_names: list[str] = []
         self.closed_names: list[str] = []
+        self.has_error = False
         self.refused_setup: OutgoingMessage | None = None
         self.refused_code = ""
         for outgoing in batch:
@@ -125,6 +126,7 @@
 
     def _accept_error(self, frame: Frame) -> bool:
         """Stop expecting replies to the messages that are skipped after an error."""
+        self.has_error = True
         if self._pending[0].hides_reply:
             self.refused_setup = self._pending[0]
             self.refused_code = error_field(frame, b"C")
--- a/hickorywind/pool/statementcache.py
+++ b/hickorywind/pool/statementcache.py
@@ -46,11 +46,16 @@
 
 
 class PreparedStatementCache:
-    """Names of the statements prepared on one connection, least recently used first."""
+    """Names of the statements prepared on one connection, least recently used first.
+
+    A doubtful statement is one that the backend server may refuse to run, e.g. because the table
+    that it reads was altered. It is prepared anew before its next use.
+    """
 
     def __init__(self, limit: int = _STATEMENT_LIMIT) -> None:
         self._limit = limit
         self._names: OrderedDict[str, None] = OrderedDict()
+        self._doubtful: set[str] = set()
 
     def __contains__(self, name: str) -> bool:
         return name in self._names
@@ -63,17 +68,19 @@
         Missing statements are prepared first; least recently used ones are closed to make room.
         """
         missing = [statement for statement in prepared if statement.name not in self._names]
+        doubtful = [statement for statement in prepared if statement.name in self._doubtful]
         for statement in prepared:
             if statement.name in self._names:
                 self._names.move_to_end(statement.name)
         wanted = {statement.name for statement in prepared}
         batch = [_close_message(name) for name in self._names_to_evict(len(missing), wanted)]
+        batch.extend(_close_message(statement.name) for statement in doubtful)
         expected = set(self._names) | wanted
         batch.extend(
             OutgoingMessage(
                 Frame(b"P", item.parse_frame), hides_reply=True, prepared_name=item.name
             )
-            for item in missing
+            for item in (*missing, *doubtful)
         )
         for frame in frames:
             batch.extend(_expand(frame, expected))
@@ -88,5 +95,10 @@
         """Update the cache with the names that replies confirmed as prepared or closed."""
         for name in closed_names:
             self._names.pop(name, None)
+            self._doubtful.discard(name)
         for name in prepared_names:
             self._names[name] = None
+
+    def record_error(self, names: Iterable[str]) -> None:
+        """Mark statements that a failed batch used as doubtful."""
+        self._doubtful.update(name for name in names if name in self._names)
