Pool: a transaction with a request id is begun again as its caller began it

What callers saw: the first transaction with a request_id at a database group ran with the defaults of the server, whatever isolation level or mode its BEGIN asked for.

Cause: where the table of keys is missing, the transaction is rolled back, the table created, and the transaction begun again by a plain BEGIN. What the caller had set by its own was taken as still in force.

Change: the caller's batch is run again; if the server refuses it, the caller gets that error.

Evidence: FirstKeyTest of tests.pool.test_idempotency. Before: 'BEGIN; INSERT INTO hickorywind_requests' followed the creation instead of 'BEGIN ISOLATION LEVEL SERIALIZABLE'; after: passes, as do the other tests of the module.

--- a/hickorywind/pool/backendconnection.py
+++ b/hickorywind/pool/backendconnection.py
@@ -267,11 +267,13 @@
 
     async def run_simple(self, sql: str) -> list[Frame]:
         """Run a query of the pool itself and return all its replies."""
-        frame = Frame(b"Q", frontend.query(sql))
-        replies: list[Frame] = []
-        async for part in self.exchange((frame,)):
-            replies.extend(part)
-        return replies
+        return await self.run((Frame(b"Q", frontend.query(sql)),))
+
+    async def run(
+        self, frames: Sequence[Frame], prepared: Sequence[PreparedStatement] = ()
+    ) -> list[Frame]:
+        """Run one batch and return all replies to relay."""
+        return [frame async for part in self.exchange(frames, prepared) for frame in part]
 
     @property
     def is_reusable(self) -> bool:
--- a/hickorywind/pool/execution.py
+++ b/hickorywind/pool/execution.py
@@ -74,7 +74,8 @@
     result = await _run_without_key(request, connection)
     if not result.is_ok or connection.transaction_state is not TransactionState.ACTIVE:
         return result
-    match await IdempotentWrite(connection, key).claim_open_transaction():
+    write = IdempotentWrite(connection, key)
+    match await write.claim_open_transaction(request.frames, request.message.prepared):
         case AlreadyRecorded():
             request.answer.discard_buffered()
             await request.answer.write(already_committed_replies(key))
--- a/hickorywind/pool/idempotency.py
+++ b/hickorywind/pool/idempotency.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from hickorywind.pool import frontend
@@ -51,6 +51,8 @@
 
 
 ClaimResult = Claimed | AlreadyRecorded | ClaimFailed
+# Begins the caller's transaction; returns the ErrorResponse if that is refused.
+_Begin = Callable[[], Awaitable[Frame | None]]
 
 
 def _first_error(frames: Iterable[Frame]) -> Frame | None:
@@ -86,7 +88,7 @@
         self, frames: Sequence[Frame], prepared: Sequence[PreparedStatement], answer: AnswerStream
     ) -> Result:
         """Run the batch and write its replies to ``answer``; leave the connection idle."""
-        match await self._claim(begin="BEGIN; "):
+        match await self._claim("BEGIN; "):
             case Claimed():
                 return await self._run_claimed(frames, prepared, answer)
             case AlreadyRecorded(tag):
@@ -100,11 +102,19 @@
                 await answer.write((error, _READY_IDLE))
         return Result.ok()
 
-    async def claim_open_transaction(self) -> ClaimResult:
-        """Record the key in the transaction that was just begun on the connection."""
-        return await self._claim(begin="", tag="COMMIT")
+    async def claim_open_transaction(
+        self, frames: Sequence[Frame], prepared: Sequence[PreparedStatement]
+    ) -> ClaimResult:
+        """Record the key in the transaction that the batch has just begun on the connection."""
 
-    async def _claim(self, begin: str, tag: str = _UNFINISHED_TAG) -> ClaimResult:
+        async def begin_again() -> Frame | None:
+            return _first_error(await self._connection.run(frames, prepared))
+
+        return await self._claim("", "COMMIT", begin_again)
+
+    async def _claim(
+        self, begin: str, tag: str = _UNFINISHED_TAG, begin_again: _Begin | None = None
+    ) -> ClaimResult:
         replies = await self._connection.run_simple(begin + _insert_sql(self._key, tag))
         error = _first_error(replies)
         if error is None:
@@ -114,7 +124,7 @@
         if sqlstate == _UNIQUE_VIOLATION:
             return await self._look_up_tag(error)
         if sqlstate == _UNDEFINED_TABLE:
-            return await self._create_and_claim(error, begin, tag)
+            return await self._create_and_claim(error, begin, tag, begin_again)
         return ClaimFailed(error)
 
     async def _look_up_tag(self, error: Frame) -> ClaimResult:
@@ -125,13 +135,16 @@
         tag = _first_value(replies)
         return ClaimFailed(error) if tag is None else AlreadyRecorded(tag)
 
-    async def _create_and_claim(self, error: Frame, begin: str, tag: str) -> ClaimResult:
+    async def _create_and_claim(
+        self, error: Frame, begin: str, tag: str, begin_again: _Begin | None
+    ) -> ClaimResult:
         created = await self._connection.run_simple(_CREATE_SQL)
         if _first_error(created) is not None:
             return ClaimFailed(error)
-        replies = await self._connection.run_simple(
-            (begin or "BEGIN; ") + _insert_sql(self._key, tag)
-        )
+        refusal = await begin_again() if begin_again is not None else None
+        if refusal is not None:
+            return ClaimFailed(refusal)
+        replies = await self._connection.run_simple(begin + _insert_sql(self._key, tag))
         error = _first_error(replies)
         if error is None:
             return Claimed()
--- a/tests/pool/test_idempotency.py
+++ b/tests/pool/test_idempotency.py
@@ -1,14 +1,44 @@
 import unittest
 
-from hickorywind.pool.backendconnection import error_field
+from hickorywind.pool.backendconnection import BackendConnection, error_field
+from hickorywind.pool.frontend import message, query
+from hickorywind.pool.idempotency import Claimed, IdempotentWrite
+from hickorywind.postgres.frames import Frame
 from hickorywind.results import Outcome, ResultCode
 from tests.pool import extended
 from tests.pool.harness import running_pool
+from tests.pool.scriptedbackend import ScriptedBackend, complete, error
 
 TABLE = "CREATE TABLE t (id int primary key, v text)"
 INSERT = "INSERT INTO t VALUES (1, 'a')"
 
 
+class FirstKeyTest(unittest.IsolatedAsyncioTestCase):
+    """A backend server that lacks the table of keys."""
+
+    async def respond(self, frame, writer) -> None:
+        sql = bytes(frame.payload).rstrip(b"\0").decode()
+        if sql.startswith("INSERT") and self.backend.queries.count(sql) == 1:
+            writer.write(error("42P01") + message(b"Z", b"E"))
+        else:
+            is_open = sql.startswith(("BEGIN", "INSERT"))
+            writer.write(complete(sql) + message(b"Z", b"T" if is_open else b"I"))
+
+    async def test_transaction_is_begun_again_as_its_caller_began_it(self) -> None:
+        begin = "BEGIN ISOLATION LEVEL SERIALIZABLE"
+        frames = (Frame(b"Q", query(begin)),)
+        async with ScriptedBackend(self.respond) as self.backend:
+            connection = await BackendConnection.open(self.backend.login)
+            self.addCleanup(connection.abort)
+            await connection.run_simple(begin)
+            claim = IdempotentWrite(connection, "k").claim_open_transaction(frames, ())
+            self.assertIsInstance(await claim, Claimed)
+            statements = [sql.split(" (")[0] for sql in self.backend.queries]
+            insert = "INSERT INTO hickorywind_requests"
+            create = "CREATE TABLE IF NOT EXISTS hickorywind_requests"
+            self.assertEqual(statements, [begin, insert, "ROLLBACK", create, begin, insert])
+
+
 class IdempotentWriteTest(unittest.IsolatedAsyncioTestCase):
     async def test_second_run_with_a_key_returns_the_first_answer(self) -> None:
         async with running_pool() as (_, entry):
