Entry: a request id does not cover strings of statements that roll back

What callers saw: "ROLLBACK; INSERT ..." with a request_id was acknowledged and ran again each time it was sent.

Cause: the pool records the id in a transaction of its own around the statements and takes an id whose transaction the statements ended themselves as committed. After a ROLLBACK it is gone, and what follows commits without it.

Change: such a string is refused with BAD_HINT, like the other forms in which the id can't be recorded with what it names.

Evidence: test_request_id_of_a_string_that_rolls_its_transaction_back_is_refused. Before: "InvalidParameterValue not raised", and 3 rows instead of 0; a trial at the pool alone: the same request run twice, OK both times, 2 rows. After: passes, as do all of tests.entry.test_wholepath and tests.postgres.test_classifier.

Conclusion: same class, the end of a transaction taken as known without the server's word.

--- a/hickorywind/entry/planning.py
+++ b/hickorywind/entry/planning.py
@@ -76,8 +76,11 @@
     """Raise ``BAD_HINT`` if a pool can't record the transaction under one request id.
 
     A pool sees whole statement texts in simple queries only, so in the extended protocol only a
-    BEGIN without other statements may carry an id.
+    BEGIN without other statements may carry an id. The id is recorded in the first transaction of
+    a simple query; what runs after that was rolled back would run without it.
     """
+    if any(isinstance(item, Write) and item.contains_rollback for item in statements):
+        raise bad_hint_error("request_id can't cover a string of statements with ROLLBACK")
     is_begin_alone = all(isinstance(item, Begin) for item in statements)
     if batch.terminator is not BatchTerminator.QUERY and not is_begin_alone:
         raise bad_hint_error("in the extended protocol request_id can't cover BEGIN or COMMIT")
--- a/hickorywind/postgres/classifier.py
+++ b/hickorywind/postgres/classifier.py
@@ -83,7 +83,8 @@
     contains_control = any(
         isinstance(statement, Begin | Commit | Rollback) for statement in statements
     )
-    return Write("multiple", contains_control)
+    contains_rollback = any(isinstance(statement, Rollback) for statement in statements)
+    return Write("multiple", contains_control, contains_rollback)
 
 
 def _classify_statement(tokens: Sequence[Token]) -> Statement:
--- a/hickorywind/postgres/statementkinds.py
+++ b/hickorywind/postgres/statementkinds.py
@@ -23,11 +23,13 @@
 class Write:
     """One or several statements that may change data.
 
-    ``contains_transaction_control`` states that BEGIN, COMMIT or ROLLBACK is one of several.
+    ``contains_transaction_control`` states that BEGIN, COMMIT or ROLLBACK is one of several,
+    ``contains_rollback`` that ROLLBACK is.
     """
 
     verb: str
     contains_transaction_control: bool = False
+    contains_rollback: bool = False
 
 
 @dataclass(frozen=True)
--- a/tests/entry/test_wholepath.py
+++ b/tests/entry/test_wholepath.py
@@ -208,6 +208,15 @@
             await connection.execute(text.format(number))
         self.assertEqual(await self.rows(connection, "SELECT a FROM t"), [(1,)])
 
+    async def test_request_id_of_a_string_that_rolls_its_transaction_back_is_refused(self):
+        connection = await self.connect()
+        text = "/* hickorywind request_id=a */ {}; INSERT INTO t SELECT count(*), 'x' FROM t"
+        for ending in ("ROLLBACK", "BEGIN; ABORT", "COMMIT; BEGIN; ROLLBACK"):
+            for _ in range(2):
+                with self.subTest(ending), self.assertRaises(psycopg.errors.InvalidParameterValue):
+                    await connection.execute(text.format(ending))
+        self.assertEqual(await self.rows(connection, "SELECT count(*) FROM t"), [(0,)])
+
     async def test_large_answers(self):
         connection = await self.connect()
         await connection.execute("INSERT INTO t VALUES (1, %s)", ("x" * 1000,))
