--- a/hickorywind/pool/execution.py
+++ b/hickorywind/pool/execution.py
@@ -5,7 +5,7 @@
 from hickorywind.admission.commitconfirmation import Confirmed, PendingCommit
 from hickorywind.admission.freshness import ReadConstraints
 from hickorywind.ids import InstanceRole, LogPosition
-from hickorywind.pool.backendconnection import BackendConnection, error_field
+from hickorywind.pool.backendconnection import BackendConnection
 from hickorywind.pool.backendmonitor import BackendMonitor
 from hickorywind.pool.batches import is_single_begin
 from hickorywind.pool.freshnesschecker import max_staleness
@@ -15,6 +15,7 @@
     IdempotentWrite,
     already_committed_replies,
 )
+from hickorywind.pool.replies import error_field
 from hickorywind.pool.requests import PoolRequest
 from hickorywind.postgres.frames import Frame
 from hickorywind.protocol.messages import TransactionState
@@ -73,7 +74,8 @@
     result = await _run_without_key(request, connection)
     if not result.is_ok or connection.transaction_state is not TransactionState.ACTIVE:
         return result
-    match await IdempotentWrite(connection, key).claim_open_transaction():
+    write = IdempotentWrite(connection, key)
+    match await write.claim_open_transaction(request.frames, request.message.prepared):
         case AlreadyRecorded():
             request.answer.discard_buffered()
             await request.answer.write(already_committed_replies(key))
--- a/hickorywind/pool/runner.py
+++ b/hickorywind/pool/runner.py
@@ -94,6 +94,12 @@
                 return Result.not_run(ResultCode.CANCELLED, "abandoned before it was started")
             return await run_batch(request, connection)
         except ConnectionFailedError as error:
+            extra = {
+                "backend": request.message.backend,
+                "request_id": request.key.request_id,
+                "reason": str(error),
+            }
+            logger.info("backend_connection_lost", extra=extra)
             return _connection_lost(request, str(error))
         finally:
             request.connection = None
@@ -102,7 +108,7 @@
 
     async def _get_connection(self, request: PoolRequest) -> BackendConnection | None:
         if request.transaction_key is not None:
-            return self._transactions.connection_of(request.transaction_key)
+            return self._transactions.usable_connection_of(request.transaction_key)
         return await self._connections.acquire()
 
     def _finish(self, request: PoolRequest, result: Result) -> None:
@@ -154,16 +160,22 @@
             result = Result.not_run(code, "abandoned before it was started")
         request.answer.end(result)
         if request.connection is not None:
-            self._spawn(self._stop_running(request, request.connection))
+            cancellation = request.connection.cancel_running()
+            self._spawn(self._stop_running(request, request.connection, cancellation))
         else:
             self._transactions.roll_back(request.transaction_key or request.new_transaction_key)
 
-    async def _stop_running(self, request: PoolRequest, connection: BackendConnection) -> None:
+    async def _stop_running(
+        self,
+        request: PoolRequest,
+        connection: BackendConnection,
+        cancellation: Coroutine[None, None, None],
+    ) -> None:
         """Cancel an abandoned request at the backend server.
 
         The connection is closed if the request still runs after the grace period.
         """
-        await connection.cancel_running()
+        await cancellation
         await asyncio.sleep(_CANCEL_GRACE_SECONDS)
         if request.connection is connection:
             self._connections.discard(connection)
--- a/tests/entry/test_wholepath.py
+++ b/tests/entry/test_wholepath.py
@@ -10,8 +10,12 @@
 
 from hickorywind.entry.role import EntryComponents
 from hickorywind.ids import Address, AvailabilityZone, HostId, Incarnation, Revision
+from hickorywind.pool.backendconnection import BackendConnection, Login
+from hickorywind.postgres.answers import text_row
+from hickorywind.postgres.frames import FrameSplitter
 from hickorywind.protocol.records import MemberRecord, MemberState
 from hickorywind.util.clock import MonotonicClock
+from tests.pool import extended
 from tests.pool.harness import HOST, SERVICE, running_pool
 
 
@@ -121,6 +125,53 @@
                     await connection.execute("INSERT INTO t VALUES (%s, 'x')", (number,))
         self.assertEqual(await self.rows(connection, "SELECT count(*) FROM t"), [(0,)])
 
+    async def test_session_is_unchanged_by_statements_behind_an_error_in_a_pipeline(self):
+        connection = await self.connect()
+        with self.assertRaises(psycopg.errors.DivisionByZero):
+            async with connection.pipeline():
+                await connection.execute("SELECT 1 / 0")
+                await connection.execute("SET hickorywind.timeout_ms = 77")
+        self.assertEqual(await self.rows(connection, "SHOW hickorywind.timeout_ms"), [("",)])
+        await connection.execute("SET hickorywind.timeout_ms = 4000")
+        found = await self.rows(connection, "SHOW hickorywind.timeout_ms")
+        self.assertEqual(found, [("4000",)])
+
+    async def exchange(self, client: BackendConnection, *parts: bytes) -> list[bytes]:
+        """Send messages and return the replies."""
+        frames = list(FrameSplitter(1 << 20).feed(b"".join(parts)))
+        return [frame.data async for replies in client.exchange(frames) for frame in replies]
+
+    async def test_statement_name_is_unchanged_by_messages_behind_an_error(self):
+        client = await BackendConnection.open(Login(self.address, "crew", SERVICE))
+        self.addCleanup(client.abort)
+        await self.exchange(client, extended.parse("a", "SELECT 'old'"), extended.SYNC)
+        failing = (extended.parse("", "SELECT 1 / 0"), extended.bind(), extended.execute())
+        skipped = (extended.close("a"), extended.parse("a", "SELECT 'new'"))
+        await self.exchange(client, *failing, *skipped, extended.SYNC)
+        run = (extended.bind("a"), extended.execute(), extended.SYNC)
+        self.assertIn(text_row("old"), await self.exchange(client, *run))
+
+    async def test_statement_prepared_behind_a_deallocate_in_one_batch_is_known(self):
+        client = await BackendConnection.open(Login(self.address, "crew", SERVICE))
+        self.addCleanup(client.abort)
+        await self.exchange(
+            client,
+            *(extended.parse("", "DEALLOCATE ALL"), extended.bind(), extended.execute()),
+            *(extended.parse("a", "SELECT 'known'"), extended.SYNC),
+        )
+        run = (extended.bind("a"), extended.execute(), extended.SYNC)
+        self.assertIn(text_row("known"), await self.exchange(client, *run))
+
+    async def test_two_transactions_in_one_batch(self):
+        client = await BackendConnection.open(Login(self.address, "crew", SERVICE))
+        self.addCleanup(client.abort)
+        texts = [f"INSERT INTO t VALUES ({number}, 'x')" for number in (1, 2)]
+        texts = [text for insert in texts for text in ("BEGIN", insert, "COMMIT")]
+        parts = [extended.parse("", text) + extended.bind() + extended.execute() for text in texts]
+        replies = await self.exchange(client, *parts, extended.SYNC)
+        kinds = b"".join(reply[:1] for reply in replies if reply[:1] != b"S")
+        self.assertEqual(kinds, b"12C" * 6 + b"Z")
+
     async def test_request_id_makes_a_write_run_once(self):
         first = await self.connect()
         second = await self.connect(await self.start_entry(2))
@@ -157,6 +208,15 @@
             await connection.execute(text.format(number))
         self.assertEqual(await self.rows(connection, "SELECT a FROM t"), [(1,)])
 
+    async def test_request_id_of_a_string_that_rolls_its_transaction_back_is_refused(self):
+        connection = await self.connect()
+        text = "/* hickorywind request_id=a */ {}; INSERT INTO t SELECT count(*), 'x' FROM t"
+        for ending in ("ROLLBACK", "BEGIN; ABORT", "COMMIT; BEGIN; ROLLBACK"):
+            for _ in range(2):
+                with self.subTest(ending), self.assertRaises(psycopg.errors.InvalidParameterValue):
+                    await connection.execute(text.format(ending))
+        self.assertEqual(await self.rows(connection, "SELECT count(*) FROM t"), [(0,)])
+
     async def test_large_answers(self):
         connection = await self.connect()
         await connection.execute("INSERT INTO t VALUES (1, %s)", ("x" * 1000,))
--- a/tests/pool/test_transactions.py
+++ b/tests/pool/test_transactions.py
@@ -1,11 +1,11 @@
 import asyncio
 import unittest
 
-from hickorywind.ids import BackendId, SessionId
+from hickorywind.ids import BackendId, SessionId, TransactionId
 from hickorywind.protocol.messages import EndTransaction, TransactionState
 from hickorywind.results import Outcome, ResultCode
 from tests.pool import extended
-from tests.pool.harness import EntryStub, running_pool
+from tests.pool.harness import EntryStub, eventually, running_pool
 
 TABLE = "CREATE TABLE t (id int primary key, v text)"
 
@@ -56,6 +56,20 @@
             late = await entry.run("COMMIT", transaction_id=key)
             self.assertEqual(late.result.code, ResultCode.TRANSACTION_LOST)
 
+    async def test_end_transaction_stops_the_batch_that_opens_it(self) -> None:
+        limits = {"idle_timeout_ms": 60_000}
+        async with running_pool(limits=limits, statement_time_ms=300) as (pool, entry):
+            await entry.set_up(TABLE)
+            opening = entry.make_request("BEGIN; INSERT INTO t VALUES (1, 'lost')")
+            await entry.link.send(opening)
+            (worker,) = pool.registry.workers()
+            await eventually(lambda: worker.busy_slots)
+            await entry.link.send(EndTransaction(TransactionId(opening.request_id)))
+            stopped = await entry.collect(opening.request_id)
+            inserted = await entry.run("INSERT INTO t VALUES (1, 'kept')")
+            self.assertEqual((inserted.result.code, inserted.kinds), (ResultCode.OK, "CZ"))
+            self.assertIs(stopped.result.outcome, Outcome.UNKNOWN)
+
     async def test_idle_transaction_is_rolled_back(self) -> None:
         async with running_pool(limits={"idle_timeout_ms": 200}) as (_, entry):
             await entry.set_up(TABLE)
@@ -122,3 +136,16 @@
             self.assertTrue((await entry.run(insert, transaction_id=key)).result.is_ok)
             self.assertTrue((await entry.run("COMMIT", transaction_id=key)).result.is_ok)
             self.assertEqual(pool.registry.workers()[0].backend, BackendId("b0"))
+
+    async def test_commit_after_the_server_ended_the_idle_session_is_not_run(self) -> None:
+        async with running_pool() as (pool, entry):
+            await entry.set_up(TABLE)
+            key = (await entry.run("BEGIN")).end.transaction_id
+            await entry.run("INSERT INTO t VALUES (1, 'lost')", transaction_id=key)
+            sessions = pool.group.servers[0].instance.sessions
+            (pid,) = [pid for pid, session in sessions.items() if session.holds_write_lock]
+            sessions[pid].abort()
+            await eventually(lambda: pid not in sessions)
+            late = await entry.run("COMMIT", transaction_id=key)
+            self.assertEqual(late.result.code, ResultCode.TRANSACTION_LOST)
+            self.assertIs(late.result.outcome, Outcome.NOT_RUN)
