Log what a host knew of the configuration when it refuses a database as unknown

Seen by callers: one host of a fleet of 86 refused a database as unknown that others served. Its log could not tell whether its copy was behind, whether it knew so, or whether the copy was new.

Each refusal with code 1006, of a new session or in an open one, now shows version, revision, source and age of the configuration, the age of the last contact with the store that showed no newer copy, whether the host watches the store itself, and the newer revision that it has heard of, if any. A host that hears of a newer copy logs copy_behind, and copy_caught_up with the time until it had it. No decision changed.

--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from datetime import timedelta
 
 from hickorywind.failover.leadership import (
@@ -15,6 +16,7 @@
     decode_leadership,
 )
 from hickorywind.ids import BackendId, HostId, Revision, ServiceName
+from hickorywind.membership.copylag import CopyLag
 from hickorywind.ports.catalog import BackendServer, ProxyConfiguration
 from hickorywind.ports.coordination import (
     Change,
@@ -25,7 +27,7 @@
 )
 from hickorywind.protocol.messages import CopiedItem, CopyReply
 from hickorywind.store.interface import StoredValue
-from hickorywind.util.clock import Clock, Instant
+from hickorywind.util.clock import Clock, Instant, to_milliseconds
 from hickorywind.util.decoding import MalformedDataError
 
 logger = logging.getLogger(__name__)
@@ -108,6 +110,23 @@
         return True
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationState:
+    """Configuration in force at this host, and whether a newer one is known.
+
+    ``source`` is the store or the peer that it came from, ``age`` the time since it came into
+    force. ``newer_revision`` is the newest revision that other hosts have and this one lacks, if
+    any; ``behind`` is the time since this host first heard of a newer one.
+    """
+
+    version: int
+    revision: Revision
+    source: str
+    age: timedelta
+    newer_revision: Revision | None
+    behind: timedelta | None
+
+
 class Fleet:
     """State of the fleet, decoded from the copies of the store, with change listeners."""
 
@@ -118,6 +137,9 @@
         self.permits = Permits()
         self.missing_permit_timer = MissingPermitTimer()
         self.configuration: ProxyConfiguration | None = None
+        self._configuration_source = ""
+        self._configured_at: Instant = timedelta(0)
+        self._lag = CopyLag()
         self.backends: dict[BackendId, BackendServer] = {}
         self._missing_since: dict[BackendId, Instant] = {}
         self.copies = {
@@ -150,6 +172,53 @@
         revisions = {prefix: copy.changed_at for prefix, copy in self.copies.items()}
         return revisions | {HOSTS_PREFIX: self.host_copy.as_of}
 
+    def configuration_state(self) -> ConfigurationState | None:
+        """Return the state of the configuration in force, or None if there is none."""
+        if self.configuration is None:
+            return None
+        now = self._clock.now()
+        return ConfigurationState(
+            self.configuration.version,
+            self.configuration.revision,
+            self._configuration_source,
+            now - self._configured_at,
+            self._lag.newest_missing(self.configuration_key),
+            self._lag.age(self.configuration_key, now),
+        )
+
+    def record_peer_revision(self, prefix: str, revision: Revision, peer: HostId) -> None:
+        """Record that another host has a newer copy of a prefix than this one."""
+        copy = self.copies[prefix]
+        if self._lag.record_heard(prefix, revision, self._clock.now()):
+            logger.log(
+                self._lag_log_level(prefix),
+                "copy_behind",
+                extra={
+                    "prefix": prefix,
+                    "revision": copy.changed_at,
+                    "newer_revision": revision,
+                    "peer": peer,
+                },
+            )
+
+    def _record_caught_up(self, copy: StoreCopy, source: str) -> None:
+        behind = self._lag.record_copied(copy.prefix, copy.as_of, self._clock.now())
+        if behind is not None:
+            logger.log(
+                self._lag_log_level(copy.prefix),
+                "copy_caught_up",
+                extra={
+                    "prefix": copy.prefix,
+                    "revision": copy.changed_at,
+                    "behind_ms": round(to_milliseconds(behind)),
+                    "source": source,
+                },
+            )
+
+    def _lag_log_level(self, prefix: str) -> int:
+        # Other copies change often, e.g. while backend servers start.
+        return logging.INFO if prefix == self.configuration_key else logging.DEBUG
+
     def add_hosts(self, snapshot: Snapshot) -> tuple[HostRecord, ...]:
         """Add registered hosts to the copy and return the new and changed ones."""
         written = tuple(ItemWritten(item) for item in snapshot.items)
@@ -162,13 +231,17 @@
 
     def apply_snapshot(self, prefix: str, snapshot: Snapshot, source: str) -> None:
         """Apply a snapshot of a prefix; ``source`` names the store or peer for the log."""
-        self._process_changes(prefix, self.copies[prefix].replace(snapshot), source)
+        copy = self.copies[prefix]
+        self._process_changes(prefix, copy.replace(snapshot), source)
+        self._record_caught_up(copy, source)
 
     def apply_changes(
         self, prefix: str, changes: tuple[Change, ...], as_of: Revision, source: str
     ) -> None:
         """Apply changes under a prefix; ``source`` names the store or peer for the log."""
-        self._process_changes(prefix, self.copies[prefix].apply(changes, as_of), source)
+        copy = self.copies[prefix]
+        self._process_changes(prefix, copy.apply(changes, as_of), source)
+        self._record_caught_up(copy, source)
 
     def _process_changes(self, prefix: str, applied: tuple[Change, ...], source: str) -> None:
         if not applied:
@@ -193,6 +266,7 @@
                 logger.warning("configuration_outdated", extra={"version": decoded.version})
                 continue
             self.configuration = decoded
+            self._configuration_source, self._configured_at = source, self._clock.now()
             logger.info(
                 "configuration_in_force",
                 extra={
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -17,7 +17,7 @@
 from hickorywind.host.hoststatus import describe_host, serve_status
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.peers import CALL_TIMEOUT, Peers
-from hickorywind.host.requestlog import RequestLog
+from hickorywind.host.requestlog import ConfigurationEvidence, RequestLog
 from hickorywind.host.service import DISPATCH_INTERVAL, IDLE_DISPATCH_INTERVAL, ServiceRuntime
 from hickorywind.host.session import Session
 from hickorywind.host.sessiondrain import NEW_WORK_FRACTION, SessionDrain
@@ -165,7 +165,7 @@
         self._reads = SharedReads(
             self._identity, self._peers, self._services.get, clock, rng, metrics
         )
-        self._request_log = RequestLog(metrics)
+        self._request_log = RequestLog(metrics, self._configuration_evidence)
         self._server: asyncio.Server | None = None
         self._is_stopping = False
         self._grace = timedelta(seconds=settings.stop_grace_seconds)
@@ -234,6 +234,14 @@
             return False
         return self._fleet.permits.is_valid(self._fleet.now())
 
+    def _configuration_evidence(self) -> ConfigurationEvidence:
+        now = self._fleet.now()
+        return ConfigurationEvidence(
+            self._fleet.configuration_state(),
+            self._watch_duty.contact_age(now),
+            self._watch_duty.should_watch(now),
+        )
+
     def describe(self) -> HostStatus:
         """Return the host's current status."""
         return describe_host(
@@ -430,7 +438,9 @@
             own_revision = own_revisions.get(prefix)
             if own_revision is None or own_revision >= revision:
                 continue
-            is_up_to_date &= prefix == HOSTS_PREFIX
+            if prefix != HOSTS_PREFIX:
+                is_up_to_date = False
+                self._fleet.record_peer_revision(prefix, Revision(revision), host)
             if prefix == self._fleet.configuration_key and not self._may_copy_configuration(host):
                 continue
             if prefix not in self._copies_in_progress:
--- a/hickorywind/host/requestlog.py
+++ b/hickorywind/host/requestlog.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
+from hickorywind.host.fleet import ConfigurationState
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.transaction import Transaction
 from hickorywind.observability.hostmetrics import HostMetrics
@@ -18,7 +20,7 @@
     TransactionState,
 )
 from hickorywind.ports.statements import Request
-from hickorywind.results import Result
+from hickorywind.results import Result, ResultCode
 from hickorywind.util.clock import to_milliseconds
 
 logger = logging.getLogger(__name__)
@@ -41,11 +43,27 @@
         return is_idle and not (self.unanswered or self.unsent_bytes or self.has_unread_input)
 
 
+@dataclass(frozen=True)
+class ConfigurationEvidence:
+    """What a host knows about its configuration when it refuses a database as unknown.
+
+    ``contact_age`` is the age of the last contact with the store that its copies reflect, None if
+    there was none; ``watches_store`` whether the host watches the store itself.
+    """
+
+    state: ConfigurationState | None
+    contact_age: timedelta | None
+    watches_store: bool
+
+
 class RequestLog:
     """Log of request outcomes: a line for each failed request and a count of all."""
 
-    def __init__(self, metrics: HostMetrics) -> None:
+    def __init__(
+        self, metrics: HostMetrics, configuration_evidence: Callable[[], ConfigurationEvidence]
+    ) -> None:
         self._metrics = metrics
+        self._configuration_evidence = configuration_evidence
 
     def record_refusal(self, request_id: str, database: DatabaseName, result: Result) -> None:
         """Log and count a request or session that was refused before it was routed."""
@@ -58,9 +76,15 @@
                 "outcome": result.outcome,
                 "code": int(result.code),
                 "reason": result.reason,
+                **self._evidence_fields(int(result.code)),
             },
         )
 
+    def _evidence_fields(self, code: int) -> dict[str, object]:
+        if code != ResultCode.UNKNOWN_SERVICE:
+            return {}
+        return _configuration_fields(self._configuration_evidence())
+
     def record_cut(self, database: DatabaseName, cut: SessionCut) -> None:
         """Count a connection that the host closes; log it if the caller may miss something."""
         self._metrics.sessions_closed.labels(str(cut.is_clean).lower()).inc()
@@ -118,6 +142,7 @@
                 "duration_ms": round(to_milliseconds(duration), 1),
                 "in_transaction": transaction is not None,
                 "config_version": version,
+                **self._evidence_fields(code),
                 **({} if service is None else _service_fields(service)),
             },
         )
@@ -134,3 +159,25 @@
         "sample_age_ms": view.sample_age_ms,
         "waiting": view.waiting,
     }
+
+
+def _configuration_fields(evidence: ConfigurationEvidence) -> dict[str, object]:
+    fields: dict[str, object] = {
+        "store_contact_ms": _whole_milliseconds(evidence.contact_age),
+        "watches_store": evidence.watches_store,
+    }
+    state = evidence.state
+    if state is None:
+        return fields
+    return fields | {
+        "config_version": state.version,
+        "config_revision": state.revision,
+        "config_source": state.source,
+        "config_age_ms": _whole_milliseconds(state.age),
+        "newer_revision": state.newer_revision,
+        "behind_ms": _whole_milliseconds(state.behind),
+    }
+
+
+def _whole_milliseconds(duration: timedelta | None) -> int | None:
+    return None if duration is None else round(to_milliseconds(duration))
--- a/hickorywind/report/explanation.py
+++ b/hickorywind/report/explanation.py
@@ -18,6 +18,8 @@
         "backend_registered",
         "backend_unreachable",
         "configuration_in_force",
+        "copy_behind",
+        "copy_caught_up",
         "drain_started",
         "fencing_waits",
         "leadership_changed",
--- a/tests/host/test_endtoend.py
+++ b/tests/host/test_endtoend.py
@@ -47,6 +47,27 @@
         self.assertEqual(record.getMessage(), "request_failed")
         self.assertEqual((record.client, record.request_id), ("u1", "q1"))
 
+    async def test_refusals_of_an_unknown_database_show_the_configuration_and_its_age(self):
+        open_session = await self.caller("views")
+        await self.store.put(CONFIGURATION_KEY, configuration(2, ("bookings",)))
+        fleet = self.hosts["h0"].role._fleet
+        await self.wait_until(lambda: fleet.configuration.version == 2)
+        await asyncio.sleep(0.5)
+        with self.assertLogs("hickorywind.host.requestlog", "INFO") as logs:
+            await open_session.ask("READ kiln")
+            await self.caller("views")
+        self.assertEqual([each.msg for each in logs.records], ["request_failed", "request_refused"])
+        for record in logs.records:
+            self.assertEqual(record.code, 1006)
+            self.assertEqual(record.config_version, 2)
+            self.assertEqual(record.config_revision, fleet.configuration.revision)
+            self.assertEqual(record.config_source, "store")
+            self.assertAlmostEqual(record.config_age_ms, 500, delta=50)
+            self.assertLessEqual(record.store_contact_ms, 1_100)
+            self.assertTrue(record.watches_store)
+            self.assertIsNone(record.newer_revision)
+            self.assertIsNone(record.behind_ms)
+
     async def test_statement_that_arrives_while_the_host_process_is_blocked_is_not_too_late(self):
         caller = await self.caller("bookings")
         await caller.ask("BEGIN")
--- a/tests/host/test_largefleet.py
+++ b/tests/host/test_largefleet.py
@@ -341,3 +341,15 @@
         await self.register(self.group.servers["i-b"], born=2)
         fleet = self.hosts[name].role._fleet
         await self.wait_until(lambda: fleet.backends["i-b"].started_at_ms == 2, APPLY_SECONDS)
+
+    async def test_host_that_hears_of_a_newer_configuration_logs_how_long_it_lacks_it(self):
+        await asyncio.sleep(MEASURED_SECONDS)
+        with self.assertLogs("hickorywind.host.fleet", "INFO") as logs:
+            await self.store.put(CONFIGURATION_KEY, configuration(2))
+            await self.wait_until(lambda: self.all_have_configuration(2), APPLY_SECONDS)
+        behind = [each for each in logs.records if each.msg == "copy_behind"]
+        caught_up = [each for each in logs.records if each.msg == "copy_caught_up"]
+        self.assertEqual(len(behind), len(caught_up))
+        self.assertGreaterEqual(len(behind), len(self.hosts) // 2)
+        self.assertEqual({each.newer_revision for each in behind}, {self.store.revision})
+        self.assertLess(max(each.behind_ms for each in caught_up), 1000 * APPLY_SECONDS)
