Three schedules in which hosts of a large fleet miss a configuration for 6 s

In each, the hosts that miss it are in touch with the store and with other hosts.

- Two watchers of a zone get no answer to their watches, while their renewals are answered.
The others hear of the newer configuration from other zones, copy it from none of them and rely on the watchers.
- The watches of all watchers are refused, while their renewals are answered.
- Connections that a host opened for calls went silent unnoticed.
It asks one host at a time for its copy and waits for 3 s.

The stand-ins gain lost answers of watches, refused reads, and connections between hosts that go silent.

--- a/standins/lineplatform/memorystore.py
+++ b/standins/lineplatform/memorystore.py
@@ -114,13 +114,17 @@
 
     While ``is_cut`` is set, every call fails at once. Calls that are sent or were to be answered
     while ``is_silent`` or the store's ``is_unavailable`` is set get no answer and fail after their
-    timeout, watches some time after their wait. Revisions carry the store's era.
+    timeout, watches some time after their wait. While ``is_deaf`` is set, watches that wait get no
+    answer, as if it were lost, and while ``refuses_reads`` is set, reads and watches fail at once;
+    other calls are answered. Revisions carry the store's era.
     """
 
     def __init__(self, store: MemoryStore) -> None:
         self._store = store
         self.is_cut = False
         self.is_silent = False
+        self.is_deaf = False
+        self.refuses_reads = False
         self.lose_next_answer = False
         self.calls: list[str] = []
 
@@ -131,7 +135,7 @@
             raise StoreSilentError(f"{call}: timed out")
         if self._store.delay_seconds:
             await asyncio.sleep(self._store.delay_seconds)
-        if self.is_cut:
+        if self.is_cut or (self.refuses_reads and call in ("range", "watch")):
             raise StoreUnavailableError(f"{call}: cut off")
 
     async def read_range(
@@ -177,6 +181,9 @@
                     await self._store.changed.wait()
         except TimeoutError:
             pass
+        if self.is_deaf:
+            await asyncio.sleep(deadline - now())
+            raise StoreSilentError("watch: timed out")
         await self._begin_call("watch answer", deadline - now())
         if not self._has_history(after):
             return HistoryCompacted()
--- a/tests/host/memorypeers.py
+++ b/tests/host/memorypeers.py
@@ -41,7 +41,7 @@
 
 
 class MemoryLink:
-    """Connection to the host at an address."""
+    """Connection to the host at an address; it carries nothing while ``is_silent`` is set."""
 
     def __init__(self, network, host, address):
         self.host = host
@@ -49,18 +49,21 @@
         self._address = address
         self._inbox = asyncio.Queue()
         self._is_closed = False
+        self.is_silent = False
 
     async def send(self, message):
         listener = self._network.listeners.get(self._address)
         if listener is None or self._is_closed:
             return False
+        if self.is_silent:
+            return True
         data = encode(message)
         self._network.bytes_sent += len(data)
         self._network.deliver(self.host, listener.host, listener.inbox.put_nowait, (self, data))
         return True
 
     def enqueue(self, data):
-        if not self._is_closed:
+        if not self._is_closed and not self.is_silent:
             self._inbox.put_nowait(data)
 
     async def receive(self):
--- a/tests/host/test_largefleet.py
+++ b/tests/host/test_largefleet.py
@@ -17,7 +17,7 @@
 )
 from hickorywind.placement.readhomes import ReadHomes
 from hickorywind.platform.documents import CONFIGURATION_KEY
-from hickorywind.protocol.messages import CopyQuery
+from hickorywind.protocol.messages import CopyQuery, LivenessQuery
 from tests.host.harness import HostTestCase, RunningHost, configuration
 from tests.host.virtualtime import Gate, VirtualClock
 from tests.ports import wait_until_free
@@ -353,3 +353,41 @@
         self.assertGreaterEqual(len(behind), len(self.hosts) // 2)
         self.assertEqual({each.newer_revision for each in behind}, {self.store.revision})
         self.assertLess(max(each.behind_ms for each in caught_up), 1000 * APPLY_SECONDS)
+
+    async def test_zone_whose_watchers_are_deaf_gets_a_configuration_in_time(self):
+        """Guards issue 48: hosts that knew of a newer configuration relied on deaf watchers."""
+        await asyncio.sleep(MEASURED_SECONDS)
+        for name, host in self.hosts.items():
+            if self.zone_of(name) == "z1" and host.role._watch_duty.is_watcher:
+                host.coordinator.is_deaf = True
+        await self.store.put(CONFIGURATION_KEY, configuration(2))
+        await self.wait_until(lambda: self.all_have_configuration(2), APPLY_SECONDS)
+
+    async def test_hosts_do_not_rely_on_watchers_whose_watches_are_refused(self):
+        """Guards issue 48: renewals of leases alone counted as news of the store."""
+        await asyncio.sleep(MEASURED_SECONDS)
+        for host in self.hosts.values():
+            if host.role._watch_duty.is_watcher:
+                host.coordinator.refuses_reads = True
+                host.role._sync.end_watches()
+        await asyncio.sleep(1.0)
+        await self.store.put(CONFIGURATION_KEY, configuration(2))
+        await self.wait_until(lambda: self.all_have_configuration(2), APPLY_SECONDS)
+
+    async def test_connections_that_went_silent_unused_do_not_hold_up_a_configuration(self):
+        """Guards issue 48: one copy at a time was asked for, of hosts that didn't answer."""
+        for name, host in self.hosts.items():
+            for other in self.peers(host).table.active():
+                other_states = self.peers(self.hosts[other]).table.states
+                is_greeted = self.peers(host).table.states[other].is_greeted
+                if self.zone_of(other) == self.zone_of(name) and not is_greeted:
+                    if other_states[name].is_greeted:
+                        call = self.peers(host).call(other, LivenessQuery)
+                        await Gate(name).run(asyncio.create_task, call)
+                        self.peers(host)._peers[other].link.is_silent = True
+        await asyncio.sleep(APPLY_SECONDS)
+        await self.store.put(CONFIGURATION_KEY, large_configuration(2, 200_000))
+        await self.wait_until(lambda: self.all_have_configuration(2), APPLY_SECONDS)
+
+    def zone_of(self, name):
+        return self.hosts[name].settings.availability_zone
