Count as contact with the store only what shows that a copy is current

What callers would see: a database that was added is refused as unknown by all hosts of a fleet of more than 16, for as long as the store refuses the reads and watches of the watchers and answers their renewals.

Cause: one instant stood for all copies of a host, and any renewal that the store answered moved it, also while no watch waited at the store. So did the read of another prefix, and a host's first read, which has no configuration. The others take such a host for news of the store and don't watch it. Class: a proof of life taken for a proof that nothing was missed.

Now each prefix has its own contact: when its watch was sent or its read, once answered and applied, and the sending of a renewal before and after which the same watch waited. Each prefix is watched by its own contact; what a host tells others is the oldest.

--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -130,7 +130,9 @@
         self._services: dict[ServiceName, ServiceRuntime] = {}
         self._sessions: set[Session] = set()
         self._peers = Peers(self._identity, clock, rng)
-        self._watch_duty = StoreWatchDuty(settings.host, settings.store_watchers_per_zone)
+        self._watch_duty = StoreWatchDuty(
+            settings.host, settings.store_watchers_per_zone, self._fleet.copies
+        )
         self._sync = StoreSync(
             self._fleet,
             adapters.coordination_store,
@@ -239,7 +241,7 @@
         return ConfigurationEvidence(
             self._fleet.configuration_state(),
             self._watch_duty.contact_age(now),
-            self._watch_duty.should_watch(now),
+            self._watch_duty.should_watch(self._fleet.configuration_key, now),
         )
 
     def describe(self) -> HostStatus:
--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -41,6 +41,7 @@
 from hickorywind.protocol.messages import LeaseRenewalQuery, LeaseRenewalReply
 from hickorywind.store.era import era_of
 from hickorywind.store.interface import StoreSilentError, StoreUnavailableError
+from hickorywind.util.clock import Instant
 from hickorywind.util.tasks import BackgroundTasks, hedge
 
 logger = logging.getLogger(__name__)
@@ -100,7 +101,7 @@
         self._is_reachable = True
         self._was_silent = False  # whether a call went unanswered and none was answered since
         self._is_unregistered = False
-        self._watches: set[asyncio.Task] = set()
+        self._watches: dict[str, asyncio.Task] = {}  # that wait, by prefix
         self.on_loaded: Callable[[], None] = lambda: None
         self._is_loaded = asyncio.Event()
         self._background = BackgroundTasks()
@@ -242,7 +243,7 @@
         self._fleet.apply_snapshot(LEADERSHIP_PREFIX, Snapshot(leadership, snapshot.as_of), "store")
         self._peers.add(*self._fleet.add_hosts(Snapshot(hosts, snapshot.as_of)))
         self._fleet.permits.extend(sent)
-        self._watch_duty.record_own_contact(sent)
+        self._watch_duty.record_own_contact(LEADERSHIP_PREFIX, sent)
         self._is_loaded.set()
         self.on_loaded()
 
@@ -266,6 +267,7 @@
     async def renew(self, lease: Lease) -> bool | None:
         """Renew a lease; return False if it has ended, None if the store does not answer."""
         sent = self._fleet.now()
+        watches = dict(self._watches)
         try:
             renewed = await self._coordination_store.renew_lease(lease)
         except StoreUnavailableError as error:
@@ -274,10 +276,16 @@
         # After a silence the watches of this host may have been lost until then.
         are_watches_sound = not self._was_silent
         self.record_call("renew", None)
-        if are_watches_sound and self._watch_duty.should_watch(sent):
-            self._watch_duty.record_own_contact(sent)
+        if are_watches_sound:
+            self._record_quiet_watches(watches, sent)
         return renewed
 
+    def _record_quiet_watches(self, watches: dict[str, asyncio.Task], asked_at: Instant) -> None:
+        """Record that watches which still wait had no change to answer with at an instant."""
+        for prefix, watch in watches.items():
+            if self._watches.get(prefix) is watch and not watch.done():
+                self._watch_duty.record_own_contact(prefix, asked_at)
+
     async def _renew_hedged(self, lease: Lease) -> bool | None:
         """Renew the lease, and through peers as well if the store is slow or fails."""
 
@@ -344,7 +352,7 @@
         self._metrics.store_copy_seconds.inc((self._fleet.now() - sent).total_seconds())
         self._metrics.store_copy_bytes.inc(sum(len(item.value) for item in snapshot.items))
         self._fleet.apply_snapshot(prefix, snapshot, "store")
-        self._watch_duty.record_own_contact(sent)
+        self._watch_duty.record_own_contact(prefix, sent)
 
     async def _receive_copy(self, copy: StoreCopy, size_bytes: int) -> bool:
         """Wait until another host has passed a large copy on.
@@ -380,17 +388,17 @@
         watch = asyncio.create_task(
             self._coordination_store.watch(copy.prefix, copy.as_of, wait, max_bytes)
         )
-        self._watches.add(watch)
+        self._watches[copy.prefix] = watch
         try:
             await asyncio.wait((watch,))
             return None if watch.cancelled() else watch.result()
         finally:
-            self._watches.discard(watch)
+            del self._watches[copy.prefix]
             watch.cancel()
 
     def end_watches(self) -> None:
         """End the waiting watches; those that are still this host's duty are sent anew."""
-        for watch in self._watches:
+        for watch in self._watches.values():
             watch.cancel()
 
     async def _follow_prefix(self, prefix: str) -> None:
@@ -402,7 +410,7 @@
             # A large configuration must not delay the registration on a slow link.
             await self._wait_until_loaded()
         while True:
-            if is_current and not self._watch_duty.should_watch(self._fleet.now()):
+            if is_current and not self._watch_duty.should_watch(prefix, self._fleet.now()):
                 await asyncio.sleep(WATCH_DUTY_INTERVAL.total_seconds())
                 continue
             try:
@@ -410,6 +418,7 @@
                     await self._read_prefix(prefix, timeout)
                     is_current, timeout = True, READ_TIMEOUT
                     continue
+                sent = self._fleet.now()
                 result = await self._watch(copy)
                 if result is None:
                     continue
@@ -424,6 +433,7 @@
                     continue
                 retry_delay, was_reread = RETRY_DELAY_MIN, False
                 self._fleet.apply_changes(prefix, result.changes, result.as_of, "store")
+                self._watch_duty.record_own_contact(prefix, sent)
                 if result.changes:
                     await asyncio.sleep(self._watch_pause(prefix).total_seconds())
             except StoreUnavailableError as error:
--- a/hickorywind/membership/storewatch.py
+++ b/hickorywind/membership/storewatch.py
@@ -28,16 +28,17 @@
 class StoreWatchDuty:
     """Decision of one host whether it watches the store itself.
 
-    ``watchers_per_zone`` of 0 makes every host watch.
+    ``watchers_per_zone`` of 0 makes every host watch. ``prefixes`` are those of the host's copies.
     """
 
-    def __init__(self, own_host: HostId, watchers_per_zone: int) -> None:
+    def __init__(self, own_host: HostId, watchers_per_zone: int, prefixes: Collection[str]) -> None:
         self._own_host = own_host
         self._watchers_per_zone = watchers_per_zone
         self._is_watcher = not watchers_per_zone  # until the hosts of the zone are known
         self._reads_large_copies = self._is_watcher
         self._zone_hosts: frozenset[HostId] | None = None
-        self._contact_at: Instant | None = None
+        # At these instants the copy of each prefix was current.
+        self._contacts: dict[str, Instant | None] = dict.fromkeys(prefixes)
 
     def update(self, zone_hosts: Collection[HostId], fleet_size: int) -> None:
         """Apply the alive other hosts of the own zone and the number of all hosts."""
@@ -71,24 +72,28 @@
         """Limit of answers of the store, beyond which another host reads them, or None."""
         return None if self._reads_large_copies else SMALL_COPY_BYTES
 
-    def record_own_contact(self, answered_at: Instant) -> None:
-        """Record that this host's copies were current at an instant, by the store's own answer."""
-        self._record(answered_at)
+    def record_own_contact(self, prefix: str, answered_at: Instant) -> None:
+        """Record that the copy of a prefix was current at an instant, by the store's own answer."""
+        self._record(prefix, answered_at)
 
     def record_reported_contact(self, contact_at: Instant) -> None:
         """Record a contact that another host reported, whose copies are no newer than the own."""
-        self._record(contact_at)
+        for prefix in self._contacts:
+            self._record(prefix, contact_at)
 
-    def _record(self, contact_at: Instant) -> None:
-        if self._contact_at is None or contact_at > self._contact_at:
-            self._contact_at = contact_at
+    def _record(self, prefix: str, contact_at: Instant) -> None:
+        known = self._contacts[prefix]
+        if known is None or contact_at > known:
+            self._contacts[prefix] = contact_at
 
     def contact_age(self, now: Instant) -> timedelta | None:
-        """Return the age of the newest contact with the store, for other hosts, or None."""
-        return None if self._contact_at is None else max(timedelta(0), now - self._contact_at)
-
-    def should_watch(self, now: Instant) -> bool:
-        """Return whether this host has to watch the store itself."""
-        if self._is_watcher or self._contact_at is None:
+        """Return the time since all copies were current, for other hosts, or None if unknown."""
+        contacts = self._contacts.values()
+        return None if None in contacts else max(timedelta(0), now - min(contacts))
+
+    def should_watch(self, prefix: str, now: Instant) -> bool:
+        """Return whether this host has to watch a prefix of the store itself."""
+        contact_at = self._contacts[prefix]
+        if self._is_watcher or contact_at is None:
             return True
-        return now > self._contact_at + NEWS_LIMIT
+        return now > contact_at + NEWS_LIMIT
--- a/tests/host/test_largefleet.py
+++ b/tests/host/test_largefleet.py
@@ -317,7 +317,7 @@
         watchers = [
             name
             for name, host in self.hosts.items()
-            if host.role._watch_duty.should_watch(host.role._fleet.now())
+            if host.role._watch_duty.should_watch(CONFIGURATION_KEY, host.role._fleet.now())
         ]
         for name in watchers[1:]:
             self.hosts[name].coordinator.is_cut = True
@@ -334,7 +334,7 @@
         name = next(
             name
             for name, host in self.hosts.items()
-            if not host.role._watch_duty.should_watch(host.role._fleet.now())
+            if not host.role._watch_duty.should_watch(CONFIGURATION_KEY, host.role._fleet.now())
         )
         self.network.cut_from.add(name)
         self.network.cut_to.add(name)
--- a/tests/host/test_silentstore.py
+++ b/tests/host/test_silentstore.py
@@ -65,7 +65,7 @@
         await self.change_all()
         await asyncio.sleep(1.0)
         coordinator = self.hosts["h0"].coordinator
-        waiting = set(self.hosts["h0"].role._sync._watches)
+        waiting = dict(self.hosts["h0"].role._sync._watches)
         coordinator.is_cut = True
         await asyncio.sleep(SILENCE_SECONDS)
         coordinator.is_cut = False
--- a/tests/membership/test_storewatch.py
+++ b/tests/membership/test_storewatch.py
@@ -7,17 +7,21 @@
 START = timedelta(seconds=100)
 ZONE = [f"h{number}" for number in range(20)]
 MILLISECOND = timedelta(milliseconds=1)
+CONFIGURATION, SERVERS = PREFIXES = ("op/config", "servers/")
 
 
 def duty_of(host, hosts=ZONE, fleet_size=100, watchers=2):
-    duty = StoreWatchDuty(host, watchers)
+    duty = StoreWatchDuty(host, watchers, PREFIXES)
     duty.update([other for other in hosts if other != host], fleet_size)
-    duty.record_own_contact(START)
+    for prefix in PREFIXES:
+        duty.record_own_contact(prefix, START)
     return duty
 
 
 def watchers_among(hosts, **changes):
-    return {host for host in hosts if duty_of(host, hosts, **changes).should_watch(START)}
+    return {
+        host for host in hosts if duty_of(host, hosts, **changes).should_watch(CONFIGURATION, START)
+    }
 
 
 class StoreWatchDutyTest(unittest.TestCase):
@@ -38,13 +42,27 @@
     def test_host_watches_itself_while_it_has_no_recent_news_of_the_store(self):
         host = min(set(ZONE) - watchers_among(ZONE))
         duty = duty_of(host)
-        self.assertFalse(duty.should_watch(START + NEWS_LIMIT))
-        self.assertTrue(duty.should_watch(START + NEWS_LIMIT + MILLISECOND))
+        self.assertFalse(duty.should_watch(CONFIGURATION, START + NEWS_LIMIT))
+        self.assertTrue(duty.should_watch(CONFIGURATION, START + NEWS_LIMIT + MILLISECOND))
         duty.record_reported_contact(START + timedelta(seconds=3))
-        self.assertFalse(duty.should_watch(START + timedelta(seconds=5)))
+        self.assertFalse(duty.should_watch(CONFIGURATION, START + timedelta(seconds=5)))
 
     def test_host_without_any_contact_reads_the_store_itself(self):
-        self.assertTrue(StoreWatchDuty("h0", 2).should_watch(START))
+        self.assertTrue(StoreWatchDuty("h0", 2, PREFIXES).should_watch(CONFIGURATION, START))
+
+    def test_each_prefix_is_watched_once_its_own_copy_has_no_recent_proof(self):
+        host = min(set(ZONE) - watchers_among(ZONE))
+        duty = duty_of(host)
+        duty.record_own_contact(SERVERS, START + NEWS_LIMIT)
+        self.assertEqual(duty.contact_age(START + NEWS_LIMIT), NEWS_LIMIT)
+        later = START + NEWS_LIMIT + MILLISECOND
+        self.assertTrue(duty.should_watch(CONFIGURATION, later))
+        self.assertFalse(duty.should_watch(SERVERS, later))
+
+    def test_copy_that_was_never_shown_current_leaves_no_contact(self):
+        duty = StoreWatchDuty("h0", 2, PREFIXES)
+        duty.record_own_contact(SERVERS, START)
+        self.assertIsNone(duty.contact_age(START))
 
     def test_older_reports_don_t_replace_newer_ones(self):
         duty = duty_of("h0")
