Let a host that knows that its configuration is old no longer rely on others

What callers would see: a database that was added is refused as unknown by all hosts of one availability zone for up to 30 s, while other zones serve it.

Cause: the two watchers of the zone wait for watches whose answers are lost, while their renewals are answered, which counts as news of the store. The other hosts of the zone, and the watchers themselves, hear of the newer configuration from hosts of other zones, may copy it from none of them and don't ask the store. Class: a host that has evidence against its copy goes on trusting those that vouch for it.

A host that has known of a newer copy for 1.5 s now watches the prefix itself. Watchers may then copy a configuration from any zone, other hosts after 3 s, so that a large one does not cross the links between regions many times. A watch that waits 1.5 s after its host got, from another one, a change that it should have answered with, is ended and sent anew (watch_deaf), and does not count as contact meanwhile. Without such a host nothing is sent: no call more at rest.

--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -183,7 +183,7 @@
             self._configuration_source,
             now - self._configured_at,
             self._lag.newest_missing(self.configuration_key),
-            self._lag.age(self.configuration_key, now),
+            self.behind(self.configuration_key),
         )
 
     def record_peer_revision(self, prefix: str, revision: Revision, peer: HostId) -> None:
@@ -201,6 +201,10 @@
                 },
             )
 
+    def behind(self, prefix: str) -> timedelta | None:
+        """Return for how long this host has known of a newer copy that it lacks, or None."""
+        return self._lag.age(prefix, self._clock.now())
+
     def _record_caught_up(self, copy: StoreCopy, source: str) -> None:
         behind = self._lag.record_copied(copy.prefix, copy.as_of, self._clock.now())
         if behind is not None:
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -237,11 +237,11 @@
         return self._fleet.permits.is_valid(self._fleet.now())
 
     def _configuration_evidence(self) -> ConfigurationEvidence:
-        now = self._fleet.now()
+        now, key = self._fleet.now(), self._fleet.configuration_key
         return ConfigurationEvidence(
             self._fleet.configuration_state(),
             self._watch_duty.contact_age(now),
-            self._watch_duty.should_watch(self._fleet.configuration_key, now),
+            self._watch_duty.should_watch(key, now, self._fleet.behind(key)),
         )
 
     def describe(self) -> HostStatus:
@@ -283,6 +283,7 @@
                 self._fleet.forget_host(host)
             self._quotas.refresh()
             self._update_watch_duty()
+            self._sync.end_deaf_watches()
             self._reads.refresh()
             for name, service in self._services.items():
                 service.update_connection_limits()
@@ -455,12 +456,16 @@
 
         In a large fleet it comes from hosts of the own zone, where one reads it from the store:
         copies of a large one would fill the links between regions. The reader itself may take its
-        first one from anywhere, as a deflated copy mostly arrives before the store's answer.
+        first one from anywhere, as a deflated copy mostly arrives before the store's answer, and so
+        may hosts that their zone leaves without a newer one.
         """
         if not self._shares_watches or not self._sync.is_store_reachable:
             return True
         if self._fleet.configuration is None and self._watch_duty.reads_large_copies:
             return True
+        behind = self._fleet.behind(self._fleet.configuration_key)
+        if self._watch_duty.may_copy_from_other_zones(behind):
+            return True
         state = self._peers.table.states.get(host)
         return state is not None and state.record.zone == self._identity.zone
 
--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -6,6 +6,7 @@
 import logging
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
 
 from hickorywind.failover.leadership import (
@@ -24,7 +25,7 @@
 from hickorywind.host.peers import Peers
 from hickorywind.host.storerelay import HEDGE_DELAY, RELAY_TIMEOUT
 from hickorywind.ids import HostId, Revision, ServiceName
-from hickorywind.membership.storewatch import StoreWatchDuty
+from hickorywind.membership.storewatch import BEHIND_LIMIT, StoreWatchDuty
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.ports.coordination import (
     AnswerTooLargeError,
@@ -75,6 +76,18 @@
 _RENEWAL_PEER_COUNT = 2  # peers asked to renew the lease of a host that can't reach the store
 
 
+@dataclass
+class _WaitingWatch:
+    """Watch that waits for changes after a revision.
+
+    ``overtaken_at`` is when it was first seen to lack a change that another host passed on.
+    """
+
+    task: asyncio.Task
+    after: Revision
+    overtaken_at: Instant | None = None
+
+
 class StoreSync:
     """Periodic store calls of this host: registration, lease renewal and watches."""
 
@@ -101,7 +114,7 @@
         self._is_reachable = True
         self._was_silent = False  # whether a call went unanswered and none was answered since
         self._is_unregistered = False
-        self._watches: dict[str, asyncio.Task] = {}  # that wait, by prefix
+        self._watches: dict[str, _WaitingWatch] = {}  # by prefix
         self.on_loaded: Callable[[], None] = lambda: None
         self._is_loaded = asyncio.Event()
         self._background = BackgroundTasks()
@@ -280,10 +293,11 @@
             self._record_quiet_watches(watches, sent)
         return renewed
 
-    def _record_quiet_watches(self, watches: dict[str, asyncio.Task], asked_at: Instant) -> None:
+    def _record_quiet_watches(self, watches: dict[str, _WaitingWatch], asked_at: Instant) -> None:
         """Record that watches which still wait had no change to answer with at an instant."""
         for prefix, watch in watches.items():
-            if self._watches.get(prefix) is watch and not watch.done():
+            is_waiting = self._watches.get(prefix) is watch and not watch.task.done()
+            if is_waiting and not self._is_overtaken(prefix, watch):
                 self._watch_duty.record_own_contact(prefix, asked_at)
 
     async def _renew_hedged(self, lease: Lease) -> bool | None:
@@ -388,7 +402,7 @@
         watch = asyncio.create_task(
             self._coordination_store.watch(copy.prefix, copy.as_of, wait, max_bytes)
         )
-        self._watches[copy.prefix] = watch
+        self._watches[copy.prefix] = _WaitingWatch(watch, copy.as_of)
         try:
             await asyncio.wait((watch,))
             return None if watch.cancelled() else watch.result()
@@ -399,7 +413,27 @@
     def end_watches(self) -> None:
         """End the waiting watches; those that are still this host's duty are sent anew."""
         for watch in self._watches.values():
-            watch.cancel()
+            watch.task.cancel()
+
+    def end_deaf_watches(self) -> None:
+        """End the watches that did not answer with a change which other hosts passed on."""
+        now = self._fleet.now()
+        for prefix, watch in self._watches.items():
+            if not self._is_overtaken(prefix, watch):
+                continue
+            if watch.overtaken_at is None:
+                watch.overtaken_at = now
+            elif now >= watch.overtaken_at + BEHIND_LIMIT and not watch.task.done():
+                logger.info("watch_deaf", extra={"prefix": prefix, "after": watch.after})
+                watch.task.cancel()
+
+    def _is_overtaken(self, prefix: str, watch: _WaitingWatch) -> bool:
+        """Return whether the copy has a change that the watch should answer with."""
+        return self._fleet.copies[prefix].changed_at > watch.after
+
+    def _should_watch(self, prefix: str) -> bool:
+        behind = self._fleet.behind(prefix)
+        return self._watch_duty.should_watch(prefix, self._fleet.now(), behind)
 
     async def _follow_prefix(self, prefix: str) -> None:
         copy = self._fleet.copies[prefix]
@@ -410,7 +444,7 @@
             # A large configuration must not delay the registration on a slow link.
             await self._wait_until_loaded()
         while True:
-            if is_current and not self._watch_duty.should_watch(prefix, self._fleet.now()):
+            if is_current and not self._should_watch(prefix):
                 await asyncio.sleep(WATCH_DUTY_INTERVAL.total_seconds())
                 continue
             try:
--- a/hickorywind/membership/storewatch.py
+++ b/hickorywind/membership/storewatch.py
@@ -20,6 +20,11 @@
 # Covers a lost greeting on the way from a watcher over two other hosts, and leaves most of the time
 # that a configuration has to come into force.
 NEWS_LIMIT = timedelta(seconds=4)
+# A host that has heard of a newer copy and lacks it for this long no longer relies on the others.
+BEHIND_LIMIT = timedelta(milliseconds=1500)
+# The hosts of a zone that do not watch take a configuration from another zone only later: by then
+# its watchers mostly have it, and many copies would fill the links between regions.
+OTHER_ZONE_COPY_LIMIT = 2 * BEHIND_LIMIT
 # Answers up to this size are read by each host that needs them.
 SMALL_COPY_BYTES = 64 * 1024
 _RANK_KEY = "watch-store"
@@ -91,9 +96,20 @@
         contacts = self._contacts.values()
         return None if None in contacts else max(timedelta(0), now - min(contacts))
 
-    def should_watch(self, prefix: str, now: Instant) -> bool:
-        """Return whether this host has to watch a prefix of the store itself."""
+    def may_copy_from_other_zones(self, behind: timedelta | None) -> bool:
+        """Return whether a host that has been behind for so long may copy from any zone."""
+        if behind is None:
+            return False
+        return behind > (BEHIND_LIMIT if self._is_watcher else OTHER_ZONE_COPY_LIMIT)
+
+    def should_watch(self, prefix: str, now: Instant, behind: timedelta | None = None) -> bool:
+        """Return whether this host has to watch a prefix of the store itself.
+
+        ``behind`` is how long it has known that another host has a newer copy, None if none has.
+        """
         contact_at = self._contacts[prefix]
         if self._is_watcher or contact_at is None:
             return True
+        if behind is not None and behind > BEHIND_LIMIT:
+            return True
         return now > contact_at + NEWS_LIMIT
--- a/tests/host/test_largefleet.py
+++ b/tests/host/test_largefleet.py
@@ -31,6 +31,7 @@
 PRIMARY_CHANGE_SECONDS = 5.0  # the stated limit
 APPLY_SECONDS = 6.0  # the stated limit for a new configuration
 RECOVERY_SECONDS = 12.0  # the stated limit for serving again after the loss of all hosts
+NEWS_SECONDS = 4.0  # for which hosts rely on the last contact of others with the store
 SILENCE_SECONDS = 4.4  # as on the standard days
 QUIET_SECONDS = 9.6  # from the end of the silence to the next change, beyond ``contact_ms``
 WATCHES_AFTER_SILENCE = 6  # of each host, two for each prefix
@@ -363,6 +364,16 @@
         await self.store.put(CONFIGURATION_KEY, configuration(2))
         await self.wait_until(lambda: self.all_have_configuration(2), APPLY_SECONDS)
 
+    async def test_watch_that_missed_a_change_from_another_host_is_sent_anew(self):
+        await asyncio.sleep(MEASURED_SECONDS)
+        deaf = next(h for h in self.hosts.values() if h.role._watch_duty.is_watcher)
+        deaf.coordinator.is_deaf = True
+        await self.store.put(CONFIGURATION_KEY, configuration(2))
+        await self.wait_until(lambda: self.all_have_configuration(2), APPLY_SECONDS)
+        deaf.coordinator.is_deaf = False
+        deaf.coordinator.calls.clear()
+        await self.wait_until(lambda: "watch" in deaf.coordinator.calls, NEWS_SECONDS)
+
     async def test_hosts_do_not_rely_on_watchers_whose_watches_are_refused(self):
         """Guards issue 48: renewals of leases alone counted as news of the store."""
         await asyncio.sleep(MEASURED_SECONDS)
--- a/tests/membership/test_storewatch.py
+++ b/tests/membership/test_storewatch.py
@@ -2,7 +2,12 @@
 from datetime import timedelta
 
 from hickorywind.membership.neighbours import FULL_MESH_SIZE
-from hickorywind.membership.storewatch import NEWS_LIMIT, StoreWatchDuty
+from hickorywind.membership.storewatch import (
+    BEHIND_LIMIT,
+    NEWS_LIMIT,
+    OTHER_ZONE_COPY_LIMIT,
+    StoreWatchDuty,
+)
 
 START = timedelta(seconds=100)
 ZONE = [f"h{number}" for number in range(20)]
@@ -64,6 +69,16 @@
         duty.record_own_contact(SERVERS, START)
         self.assertIsNone(duty.contact_age(START))
 
+    def test_host_that_stays_behind_watches_itself_and_copies_from_any_zone(self):
+        watchers = watchers_among(ZONE)
+        watcher, other = duty_of(min(watchers)), duty_of(min(set(ZONE) - watchers))
+        self.assertFalse(other.should_watch(CONFIGURATION, START, BEHIND_LIMIT))
+        self.assertTrue(other.should_watch(CONFIGURATION, START, BEHIND_LIMIT + MILLISECOND))
+        for duty, limit in ((watcher, BEHIND_LIMIT), (other, OTHER_ZONE_COPY_LIMIT)):
+            self.assertFalse(duty.may_copy_from_other_zones(None))
+            self.assertFalse(duty.may_copy_from_other_zones(limit))
+            self.assertTrue(duty.may_copy_from_other_zones(limit + MILLISECOND))
+
     def test_older_reports_don_t_replace_newer_ones(self):
         duty = duty_of("h0")
         duty.record_reported_contact(START - timedelta(seconds=1))
