Ask another host for its copy while the first one does not answer

What callers would see: a host that hears of a new configuration from healthy neighbours refuses an added database as unknown for longer than the limit.

Cause: a host asks one other at a time for its copy and waits 3 s for a configuration. Connections that it opened for calls may have gone silent since, which nothing shows before they are used; each one that it tries costs 3 s, during which no other host is asked. Class: one slow peer holds up what any other could give.

After 1 s without a copy the next host that shows a newer one is asked too.

--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -86,6 +86,8 @@
 # A copy of a large configuration takes a second on the slowest links; a second request sooner would
 # slow both down.
 CONFIGURATION_COPY_TIMEOUT = timedelta(seconds=3)
+# After this time without a copy another host is asked as well.
+COPY_HEDGE_DELAY = timedelta(seconds=1)
 UNREGISTER_GRACE_FRACTION = 0.9  # of the grace time, after which the store isn't waited for
 
 
@@ -175,7 +177,8 @@
         self._created_at = clock.now()
         self._configured_after: timedelta | None = None
         self._background = BackgroundTasks()
-        self._copies_in_progress: set[str] = set()
+        # By prefix and host, when it was asked for its copy.
+        self._copies_in_progress: dict[str, dict[HostId, Instant]] = {}
         self._register_callbacks()
 
     def _register_callbacks(self) -> None:
@@ -446,11 +449,18 @@
                 self._fleet.record_peer_revision(prefix, Revision(revision), host)
             if prefix == self._fleet.configuration_key and not self._may_copy_configuration(host):
                 continue
-            if prefix not in self._copies_in_progress:
-                self._copies_in_progress.add(prefix)
-                self._background.start(self._fetch_copy(host, prefix))
+            self._start_fetch(host, prefix)
         return is_up_to_date
 
+    def _start_fetch(self, host: HostId, prefix: str) -> None:
+        """Ask a host for its copy, unless it or, a moment ago, another one was asked."""
+        now = self._fleet.now()
+        asked = self._copies_in_progress.setdefault(prefix, {})
+        if host in asked or any(now < at + COPY_HEDGE_DELAY for at in asked.values()):
+            return
+        asked[host] = now
+        self._background.start(self._fetch_copy(host, prefix))
+
     def _may_copy_configuration(self, host: HostId) -> bool:
         """Return whether to copy the configuration from another host.
 
@@ -487,7 +497,7 @@
             if isinstance(answer, CopyReply):
                 self._apply_copy(answer, host)
         finally:
-            self._copies_in_progress.discard(prefix)
+            del self._copies_in_progress[prefix][host]
 
     def _apply_copy(self, reply: CopyReply, source: str) -> None:
         try:
