--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -17,7 +17,7 @@
 from hickorywind.host.hoststatus import describe_host, serve_status
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.peers import CALL_TIMEOUT, Peers
-from hickorywind.host.requestlog import RequestLog
+from hickorywind.host.requestlog import ConfigurationEvidence, RequestLog
 from hickorywind.host.service import DISPATCH_INTERVAL, IDLE_DISPATCH_INTERVAL, ServiceRuntime
 from hickorywind.host.session import Session
 from hickorywind.host.sessiondrain import NEW_WORK_FRACTION, SessionDrain
@@ -86,6 +86,8 @@
 # A copy of a large configuration takes a second on the slowest links; a second request sooner would
 # slow both down.
 CONFIGURATION_COPY_TIMEOUT = timedelta(seconds=3)
+# After this time without a copy another host is asked as well.
+COPY_HEDGE_DELAY = timedelta(seconds=1)
 UNREGISTER_GRACE_FRACTION = 0.9  # of the grace time, after which the store isn't waited for
 
 
@@ -130,7 +132,9 @@
         self._services: dict[ServiceName, ServiceRuntime] = {}
         self._sessions: set[Session] = set()
         self._peers = Peers(self._identity, clock, rng)
-        self._watch_duty = StoreWatchDuty(settings.host, settings.store_watchers_per_zone)
+        self._watch_duty = StoreWatchDuty(
+            settings.host, settings.store_watchers_per_zone, self._fleet.copies
+        )
         self._sync = StoreSync(
             self._fleet,
             adapters.coordination_store,
@@ -165,7 +169,7 @@
         self._reads = SharedReads(
             self._identity, self._peers, self._services.get, clock, rng, metrics
         )
-        self._request_log = RequestLog(metrics)
+        self._request_log = RequestLog(metrics, self._configuration_evidence)
         self._server: asyncio.Server | None = None
         self._is_stopping = False
         self._grace = timedelta(seconds=settings.stop_grace_seconds)
@@ -173,7 +177,8 @@
         self._created_at = clock.now()
         self._configured_after: timedelta | None = None
         self._background = BackgroundTasks()
-        self._copies_in_progress: set[str] = set()
+        # By prefix and host, when it was asked for its copy.
+        self._copies_in_progress: dict[str, dict[HostId, Instant]] = {}
         self._register_callbacks()
 
     def _register_callbacks(self) -> None:
@@ -234,6 +239,14 @@
             return False
         return self._fleet.permits.is_valid(self._fleet.now())
 
+    def _configuration_evidence(self) -> ConfigurationEvidence:
+        now, key = self._fleet.now(), self._fleet.configuration_key
+        return ConfigurationEvidence(
+            self._fleet.configuration_state(),
+            self._watch_duty.contact_age(now),
+            self._watch_duty.should_watch(key, now, self._fleet.behind(key)),
+        )
+
     def describe(self) -> HostStatus:
         """Return the host's current status."""
         return describe_host(
@@ -273,6 +286,7 @@
                 self._fleet.forget_host(host)
             self._quotas.refresh()
             self._update_watch_duty()
+            self._sync.end_deaf_watches()
             self._reads.refresh()
             for name, service in self._services.items():
                 service.update_connection_limits()
@@ -430,25 +444,38 @@
             own_revision = own_revisions.get(prefix)
             if own_revision is None or own_revision >= revision:
                 continue
-            is_up_to_date &= prefix == HOSTS_PREFIX
+            if prefix != HOSTS_PREFIX:
+                is_up_to_date = False
+                self._fleet.record_peer_revision(prefix, Revision(revision), host)
             if prefix == self._fleet.configuration_key and not self._may_copy_configuration(host):
                 continue
-            if prefix not in self._copies_in_progress:
-                self._copies_in_progress.add(prefix)
-                self._background.start(self._fetch_copy(host, prefix))
+            self._start_fetch(host, prefix)
         return is_up_to_date
 
+    def _start_fetch(self, host: HostId, prefix: str) -> None:
+        """Ask a host for its copy, unless it or, a moment ago, another one was asked."""
+        now = self._fleet.now()
+        asked = self._copies_in_progress.setdefault(prefix, {})
+        if host in asked or any(now < at + COPY_HEDGE_DELAY for at in asked.values()):
+            return
+        asked[host] = now
+        self._background.start(self._fetch_copy(host, prefix))
+
     def _may_copy_configuration(self, host: HostId) -> bool:
         """Return whether to copy the configuration from another host.
 
         In a large fleet it comes from hosts of the own zone, where one reads it from the store:
         copies of a large one would fill the links between regions. The reader itself may take its
-        first one from anywhere, as a deflated copy mostly arrives before the store's answer.
+        first one from anywhere, as a deflated copy mostly arrives before the store's answer, and so
+        may hosts that their zone leaves without a newer one.
         """
         if not self._shares_watches or not self._sync.is_store_reachable:
             return True
         if self._fleet.configuration is None and self._watch_duty.reads_large_copies:
             return True
+        behind = self._fleet.behind(self._fleet.configuration_key)
+        if self._watch_duty.may_copy_from_other_zones(behind):
+            return True
         state = self._peers.table.states.get(host)
         return state is not None and state.record.zone == self._identity.zone
 
@@ -470,7 +497,7 @@
             if isinstance(answer, CopyReply):
                 self._apply_copy(answer, host)
         finally:
-            self._copies_in_progress.discard(prefix)
+            del self._copies_in_progress[prefix][host]
 
     def _apply_copy(self, reply: CopyReply, source: str) -> None:
         try:
--- a/hickorywind/membership/storewatch.py
+++ b/hickorywind/membership/storewatch.py
@@ -20,6 +20,11 @@
 # Covers a lost greeting on the way from a watcher over two other hosts, and leaves most of the time
 # that a configuration has to come into force.
 NEWS_LIMIT = timedelta(seconds=4)
+# A host that has heard of a newer copy and lacks it for this long no longer relies on the others.
+BEHIND_LIMIT = timedelta(milliseconds=1500)
+# The hosts of a zone that do not watch take a configuration from another zone only later: by then
+# its watchers mostly have it, and many copies would fill the links between regions.
+OTHER_ZONE_COPY_LIMIT = 2 * BEHIND_LIMIT
 # Answers up to this size are read by each host that needs them.
 SMALL_COPY_BYTES = 64 * 1024
 _RANK_KEY = "watch-store"
@@ -28,16 +33,17 @@
 class StoreWatchDuty:
     """Decision of one host whether it watches the store itself.
 
-    ``watchers_per_zone`` of 0 makes every host watch.
+    ``watchers_per_zone`` of 0 makes every host watch. ``prefixes`` are those of the host's copies.
     """
 
-    def __init__(self, own_host: HostId, watchers_per_zone: int) -> None:
+    def __init__(self, own_host: HostId, watchers_per_zone: int, prefixes: Collection[str]) -> None:
         self._own_host = own_host
         self._watchers_per_zone = watchers_per_zone
         self._is_watcher = not watchers_per_zone  # until the hosts of the zone are known
         self._reads_large_copies = self._is_watcher
         self._zone_hosts: frozenset[HostId] | None = None
-        self._contact_at: Instant | None = None
+        # At these instants the copy of each prefix was current.
+        self._contacts: dict[str, Instant | None] = dict.fromkeys(prefixes)
 
     def update(self, zone_hosts: Collection[HostId], fleet_size: int) -> None:
         """Apply the alive other hosts of the own zone and the number of all hosts."""
@@ -71,24 +77,39 @@
         """Limit of answers of the store, beyond which another host reads them, or None."""
         return None if self._reads_large_copies else SMALL_COPY_BYTES
 
-    def record_own_contact(self, answered_at: Instant) -> None:
-        """Record that this host's copies were current at an instant, by the store's own answer."""
-        self._record(answered_at)
+    def record_own_contact(self, prefix: str, answered_at: Instant) -> None:
+        """Record that the copy of a prefix was current at an instant, by the store's own answer."""
+        self._record(prefix, answered_at)
 
     def record_reported_contact(self, contact_at: Instant) -> None:
         """Record a contact that another host reported, whose copies are no newer than the own."""
-        self._record(contact_at)
+        for prefix in self._contacts:
+            self._record(prefix, contact_at)
 
-    def _record(self, contact_at: Instant) -> None:
-        if self._contact_at is None or contact_at > self._contact_at:
-            self._contact_at = contact_at
+    def _record(self, prefix: str, contact_at: Instant) -> None:
+        known = self._contacts[prefix]
+        if known is None or contact_at > known:
+            self._contacts[prefix] = contact_at
 
     def contact_age(self, now: Instant) -> timedelta | None:
-        """Return the age of the newest contact with the store, for other hosts, or None."""
-        return None if self._contact_at is None else max(timedelta(0), now - self._contact_at)
-
-    def should_watch(self, now: Instant) -> bool:
-        """Return whether this host has to watch the store itself."""
-        if self._is_watcher or self._contact_at is None:
+        """Return the time since all copies were current, for other hosts, or None if unknown."""
+        contacts = self._contacts.values()
+        return None if None in contacts else max(timedelta(0), now - min(contacts))
+
+    def may_copy_from_other_zones(self, behind: timedelta | None) -> bool:
+        """Return whether a host that has been behind for so long may copy from any zone."""
+        if behind is None:
+            return False
+        return behind > (BEHIND_LIMIT if self._is_watcher else OTHER_ZONE_COPY_LIMIT)
+
+    def should_watch(self, prefix: str, now: Instant, behind: timedelta | None = None) -> bool:
+        """Return whether this host has to watch a prefix of the store itself.
+
+        ``behind`` is how long it has known that another host has a newer copy, None if none has.
+        """
+        contact_at = self._contacts[prefix]
+        if self._is_watcher or contact_at is None:
+            return True
+        if behind is not None and behind > BEHIND_LIMIT:
             return True
-        return now > self._contact_at + NEWS_LIMIT
+        return now > contact_at + NEWS_LIMIT
--- a/tests/host/test_largefleet.py
+++ b/tests/host/test_largefleet.py
@@ -17,7 +17,7 @@
 )
 from hickorywind.placement.readhomes import ReadHomes
 from hickorywind.platform.documents import CONFIGURATION_KEY
-from hickorywind.protocol.messages import CopyQuery
+from hickorywind.protocol.messages import CopyQuery, LivenessQuery
 from tests.host.harness import HostTestCase, RunningHost, configuration
 from tests.host.virtualtime import Gate, VirtualClock
 from tests.ports import wait_until_free
@@ -31,6 +31,7 @@
 PRIMARY_CHANGE_SECONDS = 5.0  # the stated limit
 APPLY_SECONDS = 6.0  # the stated limit for a new configuration
 RECOVERY_SECONDS = 12.0  # the stated limit for serving again after the loss of all hosts
+NEWS_SECONDS = 4.0  # for which hosts rely on the last contact of others with the store
 SILENCE_SECONDS = 4.4  # as on the standard days
 QUIET_SECONDS = 9.6  # from the end of the silence to the next change, beyond ``contact_ms``
 WATCHES_AFTER_SILENCE = 6  # of each host, two for each prefix
@@ -317,7 +318,7 @@
         watchers = [
             name
             for name, host in self.hosts.items()
-            if host.role._watch_duty.should_watch(host.role._fleet.now())
+            if host.role._watch_duty.should_watch(CONFIGURATION_KEY, host.role._fleet.now())
         ]
         for name in watchers[1:]:
             self.hosts[name].coordinator.is_cut = True
@@ -334,10 +335,70 @@
         name = next(
             name
             for name, host in self.hosts.items()
-            if not host.role._watch_duty.should_watch(host.role._fleet.now())
+            if not host.role._watch_duty.should_watch(CONFIGURATION_KEY, host.role._fleet.now())
         )
         self.network.cut_from.add(name)
         self.network.cut_to.add(name)
         await self.register(self.group.servers["i-b"], born=2)
         fleet = self.hosts[name].role._fleet
         await self.wait_until(lambda: fleet.backends["i-b"].started_at_ms == 2, APPLY_SECONDS)
+
+    async def test_host_that_hears_of_a_newer_configuration_logs_how_long_it_lacks_it(self):
+        await asyncio.sleep(MEASURED_SECONDS)
+        with self.assertLogs("hickorywind.host.fleet", "INFO") as logs:
+            await self.store.put(CONFIGURATION_KEY, configuration(2))
+            await self.wait_until(lambda: self.all_have_configuration(2), APPLY_SECONDS)
+        behind = [each for each in logs.records if each.msg == "copy_behind"]
+        caught_up = [each for each in logs.records if each.msg == "copy_caught_up"]
+        self.assertEqual(len(behind), len(caught_up))
+        self.assertGreaterEqual(len(behind), len(self.hosts) // 2)
+        self.assertEqual({each.newer_revision for each in behind}, {self.store.revision})
+        self.assertLess(max(each.behind_ms for each in caught_up), 1000 * APPLY_SECONDS)
+
+    async def test_zone_whose_watchers_are_deaf_gets_a_configuration_in_time(self):
+        """Guards issue 48: hosts that knew of a newer configuration relied on deaf watchers."""
+        await asyncio.sleep(MEASURED_SECONDS)
+        for name, host in self.hosts.items():
+            if self.zone_of(name) == "z1" and host.role._watch_duty.is_watcher:
+                host.coordinator.is_deaf = True
+        await self.store.put(CONFIGURATION_KEY, configuration(2))
+        await self.wait_until(lambda: self.all_have_configuration(2), APPLY_SECONDS)
+
+    async def test_watch_that_missed_a_change_from_another_host_is_sent_anew(self):
+        await asyncio.sleep(MEASURED_SECONDS)
+        deaf = next(h for h in self.hosts.values() if h.role._watch_duty.is_watcher)
+        deaf.coordinator.is_deaf = True
+        await self.store.put(CONFIGURATION_KEY, configuration(2))
+        await self.wait_until(lambda: self.all_have_configuration(2), APPLY_SECONDS)
+        deaf.coordinator.is_deaf = False
+        deaf.coordinator.calls.clear()
+        await self.wait_until(lambda: "watch" in deaf.coordinator.calls, NEWS_SECONDS)
+
+    async def test_hosts_do_not_rely_on_watchers_whose_watches_are_refused(self):
+        """Guards issue 48: renewals of leases alone counted as news of the store."""
+        await asyncio.sleep(MEASURED_SECONDS)
+        for host in self.hosts.values():
+            if host.role._watch_duty.is_watcher:
+                host.coordinator.refuses_reads = True
+                host.role._sync.end_watches()
+        await asyncio.sleep(1.0)
+        await self.store.put(CONFIGURATION_KEY, configuration(2))
+        await self.wait_until(lambda: self.all_have_configuration(2), APPLY_SECONDS)
+
+    async def test_connections_that_went_silent_unused_do_not_hold_up_a_configuration(self):
+        """Guards issue 48: one copy at a time was asked for, of hosts that didn't answer."""
+        for name, host in self.hosts.items():
+            for other in self.peers(host).table.active():
+                other_states = self.peers(self.hosts[other]).table.states
+                is_greeted = self.peers(host).table.states[other].is_greeted
+                if self.zone_of(other) == self.zone_of(name) and not is_greeted:
+                    if other_states[name].is_greeted:
+                        call = self.peers(host).call(other, LivenessQuery)
+                        await Gate(name).run(asyncio.create_task, call)
+                        self.peers(host)._peers[other].link.is_silent = True
+        await asyncio.sleep(APPLY_SECONDS)
+        await self.store.put(CONFIGURATION_KEY, large_configuration(2, 200_000))
+        await self.wait_until(lambda: self.all_have_configuration(2), APPLY_SECONDS)
+
+    def zone_of(self, name):
+        return self.hosts[name].settings.availability_zone
