--- a/tests/entry/test_wholepath.py
+++ b/tests/entry/test_wholepath.py
@@ -19,11 +19,15 @@
 from tests.pool.harness import HOST, SERVICE, running_pool
 
 
-class WholePathTest(unittest.IsolatedAsyncioTestCase):
+class WholePathTestCase(unittest.IsolatedAsyncioTestCase):
+    """Test case with an entry, a pool and a database group with the table ``t``."""
+
+    pool_options = {"count": 3}
+
     async def asyncSetUp(self):
         self.stack = AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
-        self.pool, _ = await self.stack.enter_async_context(running_pool(count=3))
+        self.pool, _ = await self.stack.enter_async_context(running_pool(**self.pool_options))
         self.pool.directory.merge([self.member()])
         self.address = await self.start_entry(1)
         writer = await self.connect()
@@ -68,6 +72,8 @@
     async def rows(self, connection, text, params=None):
         return await (await connection.execute(text, params)).fetchall()
 
+
+class WholePathTest(WholePathTestCase):
     async def test_every_write_is_visible_immediately_also_through_another_entry(self):
         first = await self.connect()
         other = await self.start_entry(2)
