--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,9 +6,11 @@
 import itertools
 import random
 import socket
+import struct
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
+from typing import NoReturn
 
 from hickorywind.ids import Address, SessionId
 from hickorywind.results import Outcome
@@ -16,6 +18,14 @@
 from hickorywind_bench.history import Append, Read
 from soak.checks import CutKind, CutRequest, Promise, PromiseChecker
 from soak.platform import MAX_STALENESS_S, OPTIONAL_DATABASE, Operators
+from soak.servers import MAX_MESSAGE_BYTES, PADDING_MARK
+from soak.statements import (
+    CallerSession,
+    CallerTransaction,
+    Shape,
+    StatementChecker,
+    StatementPromise,
+)
 
 ANSWER_LIMIT_S = 8.0  # callers close a connection without an answer
 CONNECT_LIMIT_S = 2.0  # callers close a connection that is not accepted by then
@@ -23,7 +33,19 @@
 RETRY_PAUSE_S = 0.15  # after a refusal
 IDLE_PAUSE_S = (0.2, 3.0)  # between two operations of an idle session
 TRANSACTION_PAUSE_S = 0.9  # longest pause in a transaction of an idle session, below tx_idle_ms
+MAX_TRANSACTION_STATEMENTS = 10  # beside BEGIN and the end, which makes a dozen
+VALUE_NAMES = ("lang", "zone", "mode", "path")
+STATEMENT_NAMES = ("s1", "s2", "s3")  # the same for all callers
+SHAPES = ("q1", "q2", "q2c", "q3", "rq1", "wq1")
+_SESSION_CHANGE_SHARE = 0.15  # of operations
+_PREPARED_SHARE = 0.5  # of reads and writes, if a prepared statement fits
+_LEAVING_SHARE = 0.08  # of transactions
+_ROLLBACK_SHARE = 0.15
+_LARGE_SHARE, _LARGE_BYTES = 0.04, (1_000, 60_000)
+_HUGE_SHARE, _HUGE_BYTES = 0.002, (900_000, MAX_MESSAGE_BYTES - 500)
+_LINGER_NONE = struct.pack("ii", 1, 0)  # closing sends RST instead of FIN
 _TCP_CLOSE_WAIT = 8  # tcpi_state of a connection that the other end has closed
+MAX_SHOWN_TEXT = 100  # of a statement in a report
 ELEMENTS_PER_KEY = 40  # keeps rows short in long runs
 # These codes promise that nothing of the attempt is kept.
 NOT_RUN_CODES = frozenset(
@@ -44,6 +66,19 @@
     """Error raised on a message while no request is outstanding; the caller closes the session."""
 
 
+class LeftError(Exception):
+    """Error raised when a caller has left on purpose."""
+
+
+class Leaving(Enum):
+    """How a caller leaves inside a transaction."""
+
+    CLOSE = "closes the connection"
+    RESET = "resets the connection"
+    HALF_LINE = "closes the connection after half a statement"
+    UNANSWERED = "closes the connection after a statement, without its answer"
+
+
 class Pace(Enum):
     """How a caller spreads its operations over time and sessions."""
 
@@ -97,7 +132,9 @@
         """Open a session; raise ``ConnectionEndedError`` with the reason if it is not accepted."""
         try:
             async with asyncio.timeout(CONNECT_LIMIT_S):
-                streams = await asyncio.open_connection(address.host, address.port)
+                streams = await asyncio.open_connection(
+                    address.host, address.port, limit=2 * MAX_MESSAGE_BYTES
+                )
         except (OSError, TimeoutError) as error:
             raise ConnectionEndedError(str(error)) from None
         connection = cls(host, *streams)
@@ -176,6 +213,19 @@
         """Abort the connection."""
         self._writer.transport.abort()
 
+    def leave(self, leaving: Leaving, request_id: str, text: str) -> None:
+        """Close the connection; ``text`` is a statement that is under way."""
+        line = f"QUERY {request_id} {text}\r\n".encode()
+        match leaving:
+            case Leaving.RESET:
+                connected = self._writer.get_extra_info("socket")
+                connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+            case Leaving.HALF_LINE:
+                self._writer.write(line[: len(line) // 2])
+            case Leaving.UNANSWERED:
+                self._writer.write(line)
+        self.close()
+
 
 class Directory:
     """Addresses of the hosts and the keys that sessions write now."""
@@ -211,6 +261,7 @@
         self._connection_count = 0
         self._connected_s = 0.0
         self._session = SessionId("")
+        self._state = CallerSession()
         self._connection: Connection | None = None
 
     async def run(self) -> None:
@@ -222,6 +273,8 @@
                 await self._run_session(host)
             except ConnectionEndedError:
                 self._record(host, Outcome.UNKNOWN, False)
+            except LeftError:
+                pass
             except EndAnnouncedError as error:
                 if not str(error).startswith("ERROR "):
                     self._checker.report(
@@ -251,7 +304,10 @@
             raise
         self._connection_count += 1
         self._session = SessionId(f"{self.name}.{self._connection_count}")
-        await self._ask(f"SET tag {self._session}")
+        self._state = CallerSession()
+        await self._change(f"SET tag {self._session}")
+        while self._rng.random() < 0.5:
+            await self._change_session()
         while True:
             is_served = await self._run_operation()
             if self._pace is Pace.SINGLE:
@@ -262,37 +318,103 @@
             await self._connection.wait(pause_s)
 
     async def _run_operation(self) -> bool:
+        if self._rng.random() < _SESSION_CHANGE_SHARE:
+            await self._change_session()
         others = [key for name, key in self._directory.keys.items() if name != self.name]
         choice = self._rng.random()
         if self.database != "views" and choice < 0.3:
             return await self._write()
         if self.database == "bookings" and choice < (0.4 if self._pace is Pace.BUSY else 0.6):
-            return await self._write_transaction()
+            return await self._run_transaction(is_read_only=False)
         own = self._directory.keys.get(self.name)
+        if choice > 0.9 and (own or others):
+            return await self._run_transaction(is_read_only=True)
         if own and choice < 0.7:
             return await self._read(own)
         return await self._read(self._rng.choice(others)) if others else True
 
+    # Session state -----------------------------------------------------------------------------
+
+    async def _change_session(self) -> None:
+        """Set a value, or prepare or deallocate a statement, under names that others use too."""
+        rng, state = self._rng, self._state
+        match rng.choice(("SET", "PREPARE", "PREPARE", "DEALLOCATE")):
+            case "SET":
+                value = f"{rng.choice('abc')}{rng.randrange(3)}" + " x" * rng.randrange(2)
+                if rng.random() < _LARGE_SHARE:
+                    value += "v" * rng.randrange(4_000)
+                await self._change(f"SET {rng.choice(VALUE_NAMES)} {value}")
+            case "PREPARE":
+                name, mode = rng.choice(STATEMENT_NAMES), rng.choice(("READ", "WRITE"))
+                await self._change(f"PREPARE {name} {mode} {rng.choice(SHAPES)}")
+            case "DEALLOCATE" if state.shapes:
+                await self._change(f"DEALLOCATE {rng.choice(list(state.shapes))}")
+
+    async def _change(self, text: str) -> None:
+        """Send a statement that changes the session; an error ends the session."""
+        answer = (await self._ask(text))[1]
+        if answer.outcome is not Outcome.RAN:
+            raise ConnectionEndedError(answer.lines[-1])
+        match text.split(" ", 2):
+            case ["SET", name, value]:
+                self._state.values[name] = value
+            case ["PREPARE", name, shape]:
+                self._state.shapes[name] = Shape(*shape.split(" "))
+            case ["DEALLOCATE", name]:
+                del self._state.shapes[name]
+
+    def _make_access(self, mode: str, arguments: str) -> str:
+        """Return a read or a write, by a prepared statement of its mode if there is one."""
+        names = [name for name, shape in self._state.shapes.items() if shape.mode == mode]
+        if names and self._rng.random() < _PREPARED_SHARE:
+            return f"EXECUTE {self._rng.choice(names)} {arguments}"
+        return f"{mode} {arguments}"
+
+    def _draw_size(self) -> int:
+        """Return how many bytes to add to a statement or to its row."""
+        choice = self._rng.random()
+        if choice < _HUGE_SHARE:
+            return self._rng.randrange(*_HUGE_BYTES)
+        return self._rng.randrange(*_LARGE_BYTES) if choice < _LARGE_SHARE else 0
+
+    def _make_write(self, key: str, element: str) -> str:
+        size = self._draw_size()
+        padding = PADDING_MARK + "x" * size if size else ""
+        return self._make_access("WRITE", f"{key} {element}{padding}")
+
     # Statements --------------------------------------------------------------------------------
 
     async def _ask(self, text: str) -> tuple[str, Answer]:
-        request_id = f"{self._session}-{next(self._numbers)}"
+        request_id = self._next_request_id()
+        self._checker.statements.record_sent(request_id, text, self._state)
         sent_s = self._checker.now_s()
         try:
             answer = await self._connection.ask(request_id, text)
         except ConnectionEndedError as error:
-            cut = self._make_cut(self._connection.host, request_id, sent_s, text, error)
+            shown = text[:MAX_SHOWN_TEXT]
+            cut = self._make_cut(self._connection.host, request_id, sent_s, shown, error)
             self._checker.handle_cut_request(cut)
             raise
         if not answer.is_well_formed:
-            self._checker.report(Promise.PROTOCOL_KEPT, f"{request_id} {text}: {answer}")
+            detail = f"{request_id} {text[:MAX_SHOWN_TEXT]}: {str(answer)[-MAX_SHOWN_TEXT:]}"
+            self._checker.report(Promise.PROTOCOL_KEPT, detail)
             raise ConnectionEndedError("malformed answer")
         self._record(self._connection.host, answer.outcome, answer.outcome is Outcome.RAN)
-        if answer.outcome is Outcome.RAN and text.split(" ")[0] in ("READ", "WRITE", "COMMIT"):
+        word = text.split(" ")[0]
+        if answer.outcome is Outcome.RAN and word in ("READ", "WRITE", "EXECUTE", "COMMIT"):
             if answer.lines[-1] != f"COMPLETE s.{request_id}":
-                self._checker.report(Promise.SIGNED_ANSWER, f"{request_id} {text}: {answer.lines}")
+                detail = f"{request_id} {text[:MAX_SHOWN_TEXT]}: {answer.lines[-1]}"
+                self._checker.report(Promise.SIGNED_ANSWER, detail)
+        if word == "EXECUTE" and answer.lines[-1].startswith("ERROR NOSTMT"):
+            detail = f"{request_id} {text[:MAX_SHOWN_TEXT]}: {answer.lines[-1]}"
+            self._checker.report(StatementPromise.STATEMENT_PINNED, detail)
+        if answer.state == "I":
+            self._state.transaction = None
         return request_id, answer
 
+    def _next_request_id(self) -> str:
+        return f"{self._session}-{next(self._numbers)}"
+
     def _make_cut(
         self, host: str, request_id: str, sent_s: float, text: str, error: ConnectionEndedError
     ) -> CutRequest:
@@ -314,50 +436,102 @@
         key, element = self._next_element()
         invoked, outcome = self._now(), Outcome.UNKNOWN
         try:
-            outcome = (await self._ask(f"WRITE {key} {element}"))[1].outcome
+            outcome = (await self._ask(self._make_write(key, element)))[1].outcome
         finally:
             self._add_append(key, element, invoked, outcome)
         return outcome is Outcome.RAN
 
-    async def _write_transaction(self) -> bool:
-        writes = [self._next_element() for _ in range(2)]
-        longest_s = PAUSE_S if self._pace is Pace.BUSY else TRANSACTION_PAUSE_S
+    async def _run_transaction(self, is_read_only: bool) -> bool:
+        """Run a transaction with pauses; roll it back or leave in it at times."""
+        writes: list[tuple[str, str]] = []
         invoked, outcome = self._now(), Outcome.NOT_RUN  # until the commit is sent
         try:
-            for text in ("BEGIN", *(f"WRITE {key} {element}" for key, element in writes)):
-                answer = (await self._ask(text))[1]
-                if answer.outcome is not Outcome.RAN:
-                    if answer.state != "I":
+            if (await self._ask("BEGIN READ" if is_read_only else "BEGIN"))[1].state != "T":
+                return False
+            self._state.transaction = CallerTransaction()
+            leaves = self._rng.random() < _LEAVING_SHARE
+            for _ in range(self._draw_statement_count()):
+                await self._pause_in_transaction()
+                if leaves and self._rng.random() < 0.3:
+                    self._leave(writes)
+                if not await self._run_in_transaction(is_read_only, writes, invoked):
+                    if self._state.transaction is not None:
                         await self._ask("ROLLBACK")
                     return False
-                try:
-                    await self._connection.wait(self._rng.uniform(0, longest_s))
-                except EndAnnouncedError:
-                    self._checker.handle_ended_transaction(self._connection.host)
-                    raise
+            await self._pause_in_transaction()
+            if self._rng.random() < _ROLLBACK_SHARE:
+                return (await self._ask("ROLLBACK"))[1].outcome is Outcome.RAN
             outcome = Outcome.UNKNOWN
+            if leaves:
+                self._leave_by(Leaving.UNANSWERED, "COMMIT")
             outcome = (await self._ask("COMMIT"))[1].outcome
         finally:
             for key, element in writes:
                 self._add_append(key, element, invoked, outcome, writes[0][1])
         return outcome is Outcome.RAN
 
+    def _draw_statement_count(self) -> int:
+        if self._rng.random() < 0.7:
+            return self._rng.randint(0, 3)
+        return self._rng.randint(4, MAX_TRANSACTION_STATEMENTS)
+
+    async def _pause_in_transaction(self) -> None:
+        longest_s = PAUSE_S if self._pace is Pace.BUSY else TRANSACTION_PAUSE_S
+        try:
+            await self._connection.wait(self._rng.uniform(0, longest_s))
+        except EndAnnouncedError:
+            self._checker.handle_ended_transaction(self._connection.host)
+            raise
+
+    async def _run_in_transaction(
+        self, is_read_only: bool, writes: list[tuple[str, str]], invoked: timedelta
+    ) -> bool:
+        """Run one statement; return whether the transaction goes on."""
+        choice, keys = self._rng.random(), list(self._directory.keys.values())
+        if choice < 0.2:
+            await self._change_session()
+            return True
+        if not is_read_only and (choice < 0.7 or not keys):
+            writes.append(self._next_element())
+            return (await self._ask(self._make_write(*writes[-1])))[1].outcome is Outcome.RAN
+        return await self._read(self._rng.choice(keys), invoked)
+
+    def _leave(self, writes: list[tuple[str, str]]) -> None:
+        leaving = self._rng.choice(list(Leaving))
+        if leaving is Leaving.HALF_LINE and self._rng.random() < 0.5:
+            self._leave_by(leaving, "COMMIT")
+        writes.append(self._next_element())
+        self._leave_by(leaving, self._make_write(*writes[-1]))
+
+    def _leave_by(self, leaving: Leaving, text: str) -> NoReturn:
+        request_id = self._next_request_id()
+        if leaving is Leaving.UNANSWERED:
+            self._checker.statements.record_sent(request_id, text, self._state)
+        self._connection.leave(leaving, request_id, text)
+        raise LeftError
+
     def _add_append(
         self, key: str, element: str, invoked: timedelta, outcome: Outcome, group: str | None = None
     ) -> None:
         append = Append(self._session, key, element, invoked, self._now(), outcome, group)
         self._checker.history.appends.append(append)
 
-    async def _read(self, key: str) -> bool:
-        invoked = self._now()
-        _, answer = await self._ask(f"READ {key}")
+    async def _read(self, key: str, invoked: timedelta | None = None) -> bool:
+        """Read an item; a read in a transaction counts from the start of that."""
+        invoked, size = invoked or self._now(), self._draw_size()
+        arguments = f"{key}{PADDING_MARK}{size}" if size else key
+        _, answer = await self._ask(self._make_access("READ", arguments))
         if answer.outcome is not Outcome.RAN:
             return False
-        words = answer.lines[0].split(" ")  # ROW ELEMENTS tag=SESSION
+        words = answer.lines[0].split(" ", 2)  # ROW ELEMENTS VALUES
         elements = () if words[1] == "none" else tuple(words[1].split(","))
-        if words[2:] != [f"tag={self._session}"]:
-            detail = f"{self._session} reads {answer.lines[0][-80:]}"
-            self._checker.report(Promise.SESSION_STATE_KEPT, detail)
+        values = ",".join(f"{name}={value}" for name, value in sorted(self._state.values.items()))
+        if words[2:] != [values]:
+            detail = f"{self._session} reads {words[2:]}"
+            self._checker.report(Promise.SESSION_STATE_KEPT, detail[:MAX_SHOWN_TEXT])
+        if answer.lines[1:-1] != ((f"ROW {'x' * size}",) if size else ()):
+            detail = f"{self._session} reads {len(answer.lines)} rows, not {size} bytes"
+            self._checker.report(Guarantee.MATCHING_ANSWER, detail)
         if any(not key.startswith(element.partition(":")[0] + "-") for element in elements):
             self._checker.report(Guarantee.MATCHING_ANSWER, f"{key}: {answer.lines[0]}")
         age = timedelta(seconds=MAX_STALENESS_S[self.database])
@@ -377,13 +551,24 @@
         await asyncio.sleep(RETRY_PAUSE_S)
         is_there, changed_s = operators.has_optional_route, operators.changed_at_s
         sent_s = checker.now_s()
-        answer = await probe(host, address, OPTIONAL_DATABASE, f"{host}-route-{number}", "READ x")
+        request_id = f"{host}-route-{number}"
+        answer = await probe(
+            host, address, OPTIONAL_DATABASE, request_id, "READ x", checker.statements
+        )
         if changed_s == operators.changed_at_s:
             checker.handle_optional_route(host, is_there, changed_s, sent_s, answer)
 
 
-async def probe(host: str, address: Address, database: str, request_id: str, text: str) -> str:
+async def probe(
+    host: str,
+    address: Address,
+    database: str,
+    request_id: str,
+    text: str,
+    statements: StatementChecker,
+) -> str:
     """Return the first line that a host answers on a new connection, or why there is none."""
+    statements.record_sent(request_id, text, CallerSession())
     try:
         connection = await Connection.open(host, address, database)
         try:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,7 +11,9 @@
 from hickorywind_bench.checker import Guarantee, check_history
 from hickorywind_bench.history import Append, History
 from soak.plan import HARMLESS_KINDS, HOST_KINDS, PLANNED_KINDS, Fault, FaultKind
-from soak.platform import LEAVING_S, SoakGroup, StatementRun
+from soak.platform import LEAVING_S, SoakGroup
+from soak.servers import StatementRun
+from soak.statements import StatementChecker, StatementPromise
 
 CONTACT_S = 5.0  # a host is in touch after this time without a fault (contact_ms)
 LOSS_SLACK_S = 0.2  # a request may cross the close of its connection (loss_slack_ms)
@@ -170,10 +172,12 @@
         self._hosts_by_request: dict[str, list[str]] = {}
         self._holders: dict[int, str] = {}
         self._killed_s: dict[str, list[float]] = {}
+        self.statements = StatementChecker(self.report)
         group.on_statement = self.handle_statement
+        group.on_server_statement = self.statements.handle_statement
         group.on_promotion = self.handle_promotion
 
-    def report(self, promise: Promise | Guarantee, detail: str) -> None:
+    def report(self, promise: Promise | StatementPromise | Guarantee, detail: str) -> None:
         """Record a violation."""
         at_s = round(self.now_s() - self.started_s, 3)
         self.findings.append(Finding(at_s, promise.value, detail))
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -15,6 +15,7 @@
 STOPS_SEED_INTERVAL = 4  # each fourth seed plays ``Theme.STOPS``
 _MAX_SERIES_LENGTH = 4
 _MAX_STOP_INTERVAL_S = 2.0  # between the stops of a series, each of which takes up to six seconds
+_SERVER_FAULT_INTERVAL_S = 2.5  # average time between two faults of ``SERVER_KINDS``
 _STARVATION_LEAD_S = 1.0  # before a stop
 _IDLE_CALLERS = (4, 20, 60, 100)  # for each host
 _FIRST_FAULT_S = 0.5
@@ -60,6 +61,11 @@
     MALFORMED_INPUT = "malformed messages to a host and in the store"
     HOST_STARVED = "host gets little processor time"
     HOST_RELOADED = "host gets SIGHUP after its settings file was changed"
+    STATEMENTS_REFUSED = "servers refuse statements of any kind with BUSY, singly or for a moment"
+    ANSWERS_SPLIT = "answers arrive in parts"
+    ANSWERS_CUT = "servers close connections before, within or after an answer"
+    IDLE_CONNECTIONS_CLOSED = "servers close idle connections"
+    CONNECTIONS_LIMITED = "server refuses new connections"
 
 
 PLANNED_KINDS = (
@@ -94,6 +100,14 @@
     *LINK_KINDS,
 )
 STOP_KINDS = (FaultKind.HOST_STARVED, FaultKind.HOST_RELOADED)  # beside planned stops
+# Beside each series of other faults; drawn apart from them.
+ANSWER_KINDS = (FaultKind.STATEMENTS_REFUSED, FaultKind.ANSWERS_SPLIT)
+SERVER_KINDS = (
+    *ANSWER_KINDS,
+    FaultKind.ANSWERS_CUT,
+    FaultKind.IDLE_CONNECTIONS_CLOSED,
+    FaultKind.CONNECTIONS_LIMITED,
+)
 HOST_KINDS = (*HARMED_HOST_KINDS, *STOP_KINDS)  # concern one host
 # Faults that have neither end nor effect on what a host can reach.
 HARMLESS_KINDS = (
@@ -101,6 +115,7 @@
     FaultKind.MALFORMED_INPUT,
     FaultKind.STORE_HISTORY_LOST,
     FaultKind.HOST_RELOADED,
+    *ANSWER_KINDS,
 )
 
 
@@ -136,7 +151,7 @@
 _DRAWN_THEMES = (Theme.PLANNED, Theme.MIXED, Theme.HAND_OVER)
 _KINDS_BY_THEME = {
     Theme.PLANNED: PLANNED_KINDS,
-    Theme.MIXED: tuple(kind for kind in FaultKind if kind not in STOP_KINDS),
+    Theme.MIXED: tuple(kind for kind in FaultKind if kind not in (*STOP_KINDS, *SERVER_KINDS)),
     Theme.HAND_OVER: (
         *CHANGE_KINDS,
         FaultKind.PROMOTION_ANSWER_LOST,
@@ -173,6 +188,7 @@
             else:
                 faults += _draw_series(rng, theme, start_s, host_count, server_count)
             start_s += rng.expovariate(1 / SERIES_INTERVAL_S)
+        faults += _draw_server_faults(seed, theme, duration_s, server_count)
         kept = [fault for fault in faults if fault.at_s < duration_s]
         idle_callers = rng.choice(_IDLE_CALLERS) if theme is Theme.STOPS else min(_IDLE_CALLERS)
         faults = sorted(kept, key=lambda fault: fault.at_s)
@@ -216,6 +232,23 @@
         start_s += rng.uniform(0, MAX_PAUSE_IN_SERIES_S)
 
 
+def _draw_server_faults(
+    seed: int, theme: Theme, duration_s: float, server_count: int
+) -> Iterator[Fault]:
+    """Harm statements and answers beside the other faults, which stay the same for a seed."""
+    rng = random.Random(f"servers {seed}")
+    is_planned = theme in (Theme.PLANNED, Theme.STOPS)
+    at_s = rng.uniform(0, SERIES_INTERVAL_S)
+    while at_s < duration_s:
+        yield Fault(
+            kind=rng.choice(ANSWER_KINDS if is_planned else SERVER_KINDS),
+            at_s=round(at_s, 2),
+            for_s=round(rng.uniform(MIN_FAULT_S, MAX_FAULT_S), 2),
+            server=rng.randrange(server_count),
+        )
+        at_s += rng.expovariate(1 / _SERVER_FAULT_INTERVAL_S)
+
+
 def _draw_stops(rng: random.Random, start_s: float, host_count: int) -> Iterator[Fault]:
     """Stop some hosts or all, at once or in turn, beside SIGHUP and changes of configuration."""
     hosts = rng.sample(range(host_count), rng.randint(1, host_count))
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -6,7 +6,6 @@
 import json
 import random
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 from typing import Any
@@ -30,12 +29,12 @@
 )
 from hickorywind.store.interface import StoredValue
 from soak.relay import replace_ports
-from standins.lineplatform.group import LineGroup, LineServer
+from soak.servers import SERVICE, AnswerFaults, SoakServer, StatementRun
+from soak.statements import ServerStatement
+from standins.lineplatform.group import LineGroup
 from standins.lineplatform.httpstore import HttpStore
 from standins.lineplatform.memorystore import MemoryCoordinationStore, MemoryStore
 
-SERVICE = "ledger"
-STATEMENT_S = 0.002  # keeps statements in flight while faults strike
 PROMOTION_S = 0.3  # from the order until the new primary leads
 DEMOTION_S = 1.0  # until a replaced primary learns of it
 ENTRY_EXPIRY_S = 1.5  # three heartbeat intervals without a sign of a crashed server
@@ -44,95 +43,28 @@
 MAX_STALENESS_S = {"bookings": 0.0, "views": 1.5, "orders": 2.5}
 OPTIONAL_DATABASE = "extra"  # its route is added and removed
 _BUSY_STATUSES = (429, 503)
-_MALFORMED_ANSWER = "ROW \r\nNONSENSE 1 2\r\n"
-
-
-class ListData(dict):
-    """Items whose values are comma-separated lists that each write extends."""
-
-    def update(self, writes: Any) -> None:
-        """Append the value of each write to its item's list."""
-        if isinstance(writes, Mapping):
-            super().update(writes)
-            return
-        for item, value in writes:
-            self[item] = f"{self[item]},{value}" if item in self else value
-
-
-@dataclass(frozen=True)
-class StatementRun:
-    """Arrival of a caller's statement at a backend server."""
-
-    request_id: str
-    host: str
-    backend: BackendId
-    leaving_since_s: float | None
-
-
-class SoakServer(LineServer):
-    """Backend server that keeps lists, reports its role and records what reaches it."""
-
-    def __init__(self, group: SoakGroup, name: str) -> None:
-        super().__init__(group, name)
-        self.data = ListData()
-        self.delay_seconds = STATEMENT_S
-        self.malformed_answers = 0
-        self.leaving_since_s: float | None = None
-        self.born = 1
-
-    def _answer(self, connection: Any, line: str) -> str | None:
-        word, _, rest = line.partition(" ")
-        request_id = rest.partition(" ")[0]
-        if word == "QUERY" and request_id != "-":
-            port = connection.writer.get_extra_info("peername")[1]
-            host = self.group.sources.get(port, "")
-            run = StatementRun(request_id, host, self.backend, self.leaving_since_s)
-            self.group.on_statement(run)
-        answer = super()._answer(connection, line)
-        if word == "QUERY" and request_id != "-" and self.malformed_answers:
-            self.malformed_answers -= 1
-            return _MALFORMED_ANSWER
-        return answer
-
-    def _run_statement(self, connection: Any, request_id: str, text: str) -> str:
-        if text == "COMMIT" and connection.transaction and self.role != "primary":
-            connection.transaction = None
-            return f"ERROR READONLY {self.backend}\r\n"
-        return super()._run_statement(connection, request_id, text)
-
-    def follow(self, primary: LineServer) -> None:
-        """Become a replica with the primary's lists."""
-        super().follow(primary)
-        self.data = ListData(primary.data)
-
-    def registration(self, zone: str) -> bytes:
-        """Return the entry that the server writes into the store."""
-        return json.dumps(
-            {
-                "backend": SERVICE,
-                "address": str(self.address),
-                "zone": zone,
-                "version": "1",
-                "slots": 8,
-                "state": "ready" if self.leaving_since_s is None else "draining",
-                "db_role": self.role,
-                "born": self.born,
-                "seq": 1,
-            }
-        ).encode()
 
 
 class SoakGroup(LineGroup):
     """Servers of the service, whose replaced primaries learn late of a promotion."""
 
-    def __init__(self, names: tuple[str, ...], store: MemoryStore, sources: dict[int, str]):
+    def __init__(
+        self,
+        names: tuple[str, ...],
+        store: MemoryStore,
+        sources: dict[int, str],
+        rng: random.Random,
+    ) -> None:
         super().__init__(SERVICE, names)
         self.servers = {name: SoakServer(self, name) for name in names}
         self.primary = self.servers[names[0]]
         self.primary.role = "primary"
         self.sources = sources
         self.on_statement: Callable[[StatementRun], None] = lambda run: None
+        self.on_server_statement: Callable[[ServerStatement], None] = lambda statement: None
         self.on_promotion: Callable[[str, int], None] = lambda holder, token: None
+        self.rng = rng
+        self.answer_faults = AnswerFaults()
         self.rolled_back: set[str] = set()
         self.demotion_s = DEMOTION_S
         self.is_promotion_answer_lost = False
@@ -183,7 +115,7 @@
         for server, value in learns.items():
             server.learns_of_promotions = value
             if server not in (old, new_primary) and server.is_receiving:
-                server.follow(new_primary)
+                server.roll_back_to(new_primary)
         self.start_task(self.register(new_primary))
         if old.is_running:
             self.start_task(self._demote_later(old))
@@ -191,7 +123,7 @@
     async def _demote_later(self, old: SoakServer) -> None:
         await asyncio.sleep(self.demotion_s)
         if old is not self.primary and old.role == "primary":
-            old.follow(self.primary)
+            old.roll_back_to(self.primary)
             await self.register(old)
 
     async def crash_and_expire(self, server: SoakServer) -> None:
--- a/soak/report.py
+++ b/soak/report.py
@@ -4,7 +4,8 @@
 
 import json
 from collections import Counter
-from dataclasses import asdict, dataclass
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, field
 from datetime import datetime
 from pathlib import Path
 
@@ -30,6 +31,7 @@
     longest_stall_s: float  # of the soak itself
     announcement_count: int = 0  # sessions whose host announced its end
     cuts: tuple[CutRequest, ...] = ()
+    statement_counts: Mapping[str, int] = field(default_factory=dict)
 
     def counts(self) -> dict[str, int]:
         """Return the number of operations by how they ended."""
@@ -57,6 +59,8 @@
             f"{len(self.findings)} findings",
             f"  {self.announcement_count} ends announced; requests without an answer: {cuts}",
         ]
+        statements = sorted(self.statement_counts.items())
+        lines.append("  " + ", ".join(f"{count} {name}" for name, count in statements))
         by_promise = Counter(finding.promise for finding in self.findings)
         lines += [f"  {count} x {promise}" for promise, count in by_promise.items()]
         lines += [f"    {each.at_s:.3f} {each.detail}" for each in self.findings[:MAX_DETAILS]]
@@ -79,6 +83,7 @@
             "longest_stall_s": self.longest_stall_s,
             "announced_ends": self.announcement_count,
             "cut_counts": {kind.name: count for kind, count in self.cut_counts().items()},
+            "statement_counts": dict(self.statement_counts),
             "cuts": [{**asdict(cut), "kind": cut.kind.name} for cut in self.cuts],
             "findings": [asdict(finding) for finding in self.findings],
         }
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,7 +19,6 @@
 from soak.platform import (
     DEMOTION_S,
     MAX_STALENESS_S,
-    STATEMENT_S,
     Operators,
     SoakGroup,
     StoreFront,
@@ -27,6 +26,7 @@
     StoreState,
 )
 from soak.relay import Direction, RelayLink
+from soak.servers import STATEMENT_S, SoakServer
 from standins.lineplatform.memorystore import MemoryStore
 from standins.ports import PortBlock, PortSource
 
@@ -36,6 +36,12 @@
 LINK_DELAY_S = (0.02, 0.4)
 STARVED_STOPPED_S = (0.1, 0.3)  # a starved host stands still this long
 STARVED_RUNNING_S = 0.05  # and runs this long, in turn
+REFUSED_SHARES = (0.01, 0.05, 0.3)  # of all statements
+SPLIT_SHARE = 0.5  # of all answers
+CUT_SHARES = (0.005, 0.05)
+IDLE_CLOSE_INTERVAL_S = 0.3
+CONNECTION_LIMIT = 100  # of one server
+LOW_CONNECTION_LIMIT = 2
 SERVERS = ("i-a", "i-b", "i-c")
 # Apart from tests.ports, tests.standins.test_ports, standins.cluster and ephemeral ports.
 _PORTS = range(31_300, 32_700)
@@ -67,7 +73,8 @@
         self._store = MemoryStore()
         self._store_state = StoreState(self._rng)
         self._sources: dict[int, str] = {}
-        self._group = SoakGroup(SERVERS, self._store, self._sources)
+        group_rng = random.Random(plan.seed)
+        self._group = SoakGroup(SERVERS, self._store, self._sources, group_rng)
         self._disturbances = Disturbances()
         self.checker = PromiseChecker(self._disturbances, self._group)
         self.checker.now_s = self.now_s
@@ -186,7 +193,7 @@
                 return
             self._names += 1
             request_id = f"probe-{self._names}"
-            answers.append(await probe(name, host.addresses.callers, database, request_id, text))
+            answers.append(await self._probe(host, database, request_id, text))
             await asyncio.sleep(_POLL_S)
 
     async def _check_recovery(self) -> None:
@@ -208,9 +215,15 @@
             self._names += 1
             text = f"WRITE probe-{name} probe:{self._names}"
             request_id = f"probe-{self._names}"
-            answers.append(await probe(name, host.addresses.callers, "bookings", request_id, text))
+            answers.append(await self._probe(host, "bookings", request_id, text))
             await asyncio.sleep(_POLL_S)
 
+    async def _probe(self, host: HostProcess, database: str, request_id: str, text: str) -> str:
+        statements = self.checker.statements
+        return await probe(
+            host.name, host.addresses.callers, database, request_id, text, statements
+        )
+
     async def _stop_hosts(self) -> None:
         """Stop all hosts by plan while the callers go on."""
         stop = Fault(FaultKind.HOST_STOPPED, 0, 0)
@@ -359,6 +372,18 @@
                 return _set(group.primary, "lose_answers", self._rng.randint(1, 20), 0)
             case FaultKind.ANSWERS_MALFORMED:
                 return _set(server, "malformed_answers", self._rng.randint(1, 5), 0)
+            case FaultKind.STATEMENTS_REFUSED:
+                share, is_single = self._rng.choice(REFUSED_SHARES), self._rng.random() < 0.5
+                attribute = "refused" if is_single else "busy_spells"
+                return _set(group.answer_faults, attribute, share if is_single else share / 10, 0.0)
+            case FaultKind.ANSWERS_SPLIT:
+                return _set(group.answer_faults, "split", SPLIT_SHARE, 0.0)
+            case FaultKind.ANSWERS_CUT:
+                return _set(group.answer_faults, "cut", self._rng.choice(CUT_SHARES), 0.0)
+            case FaultKind.IDLE_CONNECTIONS_CLOSED:
+                return _undo(asyncio.create_task(_close_idle(server)).cancel)
+            case FaultKind.CONNECTIONS_LIMITED:
+                return _set(server, "connection_limit", LOW_CONNECTION_LIMIT, CONNECTION_LIMIT)
             case FaultKind.PROMOTION_ANSWER_LOST:
                 return _set(group, "is_promotion_answer_lost", True, False)
             case FaultKind.MALFORMED_INPUT:
@@ -438,6 +463,12 @@
         return end_fault
 
 
+async def _close_idle(server: SoakServer) -> None:
+    while True:
+        server.close_idle_connections()
+        await asyncio.sleep(IDLE_CLOSE_INTERVAL_S)
+
+
 def _undo(function: Callable[..., Any], *arguments: Any) -> EndFault:
     async def end_fault() -> None:
         result = function(*arguments)
--- /dev/null
+++ b/soak/servers.py
@@ -0,0 +1,257 @@
+"""Backend servers of the soak: they keep lists, refuse statements and harm their answers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from hickorywind.ids import BackendId
+from soak.statements import (
+    OWN_REQUEST_ID,
+    ServerStatement,
+    ServerTransaction,
+    Shape,
+    remove_position,
+)
+from standins.lineplatform.group import LineServer, ServerConnection
+
+if TYPE_CHECKING:
+    from soak.platform import SoakGroup
+
+SERVICE = "ledger"
+STATEMENT_S = 0.002  # keeps statements in flight while faults strike
+PADDING_MARK = "#"  # the text behind it makes a write large, and its row a read
+MAX_MESSAGE_BYTES = 1_048_576
+BUSY_SPELL_S = (0.1, 0.4)  # "rolled back and busy for a moment"
+_PART_PAUSE_S = (0.0005, 0.02)
+_MAX_PARTS = 6
+_MALFORMED_ANSWER = "ROW \r\nNONSENSE 1 2\r\n"
+
+
+@dataclass(frozen=True)
+class StatementRun:
+    """Arrival of a caller's statement at a backend server."""
+
+    request_id: str
+    host: str
+    backend: BackendId
+    leaving_since_s: float | None
+
+
+@dataclass
+class AnswerFaults:
+    """Shares of statements and answers that all servers harm."""
+
+    refused: float = 0.0  # with BUSY
+    busy_spells: float = 0.0  # after which a server refuses all for a while
+    split: float = 0.0  # in several parts
+    cut: float = 0.0  # connection closed before or after the statement, or within the answer
+
+
+class ListData(dict):
+    """Items whose values are comma-separated lists that each write extends."""
+
+    def update(self, writes: Any) -> None:
+        """Append the value of each write to its item's list."""
+        if isinstance(writes, Mapping):
+            super().update(writes)
+            return
+        for item, value in writes:
+            self[item] = f"{self[item]},{value}" if item in self else value
+
+
+class SoakServer(LineServer):
+    """Backend server that keeps lists, reports its role and records what reaches it."""
+
+    def __init__(self, group: SoakGroup, name: str) -> None:
+        super().__init__(group, name)
+        self.data = ListData()
+        self.delay_seconds = STATEMENT_S
+        self.malformed_answers = 0
+        self.leaving_since_s: float | None = None
+        self.born = 1
+        self._busy_until_s = 0.0
+
+    async def start(self) -> None:
+        """Start listening, after a restart at the same address as before."""
+        self._server = await asyncio.start_server(
+            self._serve, self.address.host, self.address.port, limit=2 * MAX_MESSAGE_BYTES
+        )
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = ServerConnection(writer)
+        self._connections.add(connection)
+        rng, faults = self.group.rng, self.group.answer_faults
+        try:
+            # A line without its end is no message: its sender left.
+            while (line := await reader.readline()).endswith(b"\r\n"):
+                if self.is_silent:
+                    continue
+                await asyncio.sleep(self.delay_seconds)
+                if writer.transport.is_closing():
+                    break
+                is_cut = line.startswith(b"QUERY") and rng.random() < faults.cut
+                if is_cut and rng.random() < 0.3:
+                    break
+                reply = self._answer(connection, line.decode().removesuffix("\r\n"))
+                if reply is None or self._loses_answer(line):
+                    break
+                if is_cut:
+                    writer.write(reply.encode()[: rng.randrange(len(reply))])
+                    await writer.drain()
+                    break
+                await self._send(writer, reply.encode())
+        except ConnectionError:
+            pass
+        finally:
+            self._connections.discard(connection)
+            # Sends what is still buffered, unless the connection is broken.
+            writer.close()
+
+    async def _send(self, writer: asyncio.StreamWriter, reply: bytes) -> None:
+        rng = self.group.rng
+        if rng.random() < self.group.answer_faults.split:
+            places = sorted(rng.randrange(len(reply)) for _ in range(rng.randrange(1, _MAX_PARTS)))
+            for start, end in zip([0, *places], places, strict=False):
+                writer.write(reply[start:end])
+                await writer.drain()
+                await asyncio.sleep(rng.uniform(*_PART_PAUSE_S))
+            reply = reply[places[-1] :]
+        writer.write(reply)
+        await writer.drain()
+
+    def close_idle_connections(self) -> None:
+        """Close some connections without a transaction; a statement may be on its way."""
+        for connection in list(self._connections):
+            if connection.transaction is None and self.group.rng.random() < 0.5:
+                connection.writer.transport.abort()
+
+    # Statements --------------------------------------------------------------------------------
+
+    def _answer(self, connection: ServerConnection, line: str) -> str | None:
+        word, _, rest = line.partition(" ")
+        if word != "QUERY" or not connection.is_open:
+            return super()._answer(connection, line)
+        request_id, _, text = rest.partition(" ")
+        port = connection.writer.get_extra_info("peername")[1]
+        host = self.group.sources.get(port, "")
+        if request_id != OWN_REQUEST_ID:
+            run = StatementRun(request_id, host, self.backend, self.leaving_since_s)
+            self.group.on_statement(run)
+        values, transaction = dict(connection.settings), connection.transaction
+        shape = self._find_shape(connection, text)
+        body = self._refuse(connection, remove_position(text))
+        if body is None:
+            body = self._run_statement(connection, request_id, text)
+        words = (body or "").split(" ", 2)
+        error_code = words[1] if words[0] == "ERROR" else ""
+        self.group.on_server_statement(
+            ServerStatement(
+                request_id, host, self.backend, text, error_code, values, shape, transaction
+            )
+        )
+        if body is None:
+            return None
+        if request_id != OWN_REQUEST_ID and self.malformed_answers:
+            self.malformed_answers -= 1
+            return _MALFORMED_ANSWER
+        return f"{body}READY {self._state(connection, error_code)} {self.position}\r\n"
+
+    def _state(self, connection: ServerConnection, error_code: str) -> str:
+        """Return the state letter; an error other than BUSY fails an open transaction."""
+        transaction = connection.transaction
+        if transaction is None:
+            return "I"
+        if error_code and error_code != "BUSY":
+            transaction.has_failed = True
+        return "E" if transaction.has_failed else "T"
+
+    def _find_shape(self, connection: ServerConnection, text: str) -> Shape | None:
+        words = remove_position(text).split(" ", 2)
+        if words[0] != "EXECUTE" or words[1] not in connection.prepared_statements:
+            return None
+        return Shape(*connection.prepared_statements[words[1]])
+
+    def _refuse(self, connection: ServerConnection, text: str) -> str | None:
+        """Return the refusal of a statement, or None if it may run."""
+        transaction, word = connection.transaction, text.partition(" ")[0]
+        is_end = word in ("COMMIT", "ROLLBACK")
+        if transaction is not None and transaction.has_failed:
+            if not is_end:
+                return "ERROR MALFORMED the transaction has failed\r\n"
+            if word == "COMMIT":
+                connection.transaction = None
+                return f"ERROR ABORTED {self.backend}\r\n"
+        if transaction is not None and self._has_lost_lead(transaction):
+            if word != "COMMIT" or transaction:
+                if is_end:
+                    connection.transaction = None
+                return f"ERROR READONLY {self.backend}\r\n"
+        if not self._is_busy_now():
+            return None
+        if transaction is not None:
+            transaction.has_failed = self.group.rng.random() < 0.5
+            if word == "COMMIT" and self.group.rng.random() < 0.5:
+                connection.transaction = None
+        return f"ERROR BUSY {self.backend}\r\n"
+
+    def _has_lost_lead(self, transaction: ServerTransaction) -> bool:
+        return not transaction.is_read_only and self.role != "primary"
+
+    def _is_busy_now(self) -> bool:
+        rng, faults = self.group.rng, self.group.answer_faults
+        if rng.random() < faults.busy_spells:
+            self.be_busy_for_a_moment()
+        now_s = asyncio.get_running_loop().time()
+        return now_s < self._busy_until_s or rng.random() < faults.refused
+
+    def be_busy_for_a_moment(self) -> None:
+        """Refuse all statements for a while."""
+        now_s = asyncio.get_running_loop().time()
+        self._busy_until_s = now_s + self.group.rng.uniform(*BUSY_SPELL_S)
+
+    def _run_statement(
+        self, connection: ServerConnection, request_id: str, text: str
+    ) -> str | None:
+        text, _, padding = text.partition(PADDING_MARK)
+        body = super()._run_statement(connection, request_id, text)
+        if body is None or body.startswith("ERROR"):
+            return body
+        word, _, rest = remove_position(text).partition(" ")
+        if word == "BEGIN":
+            connection.transaction = ServerTransaction(self.backend, rest == "READ")
+        if padding and body.startswith("ROW"):
+            row, _, completion = body.partition("\r\n")
+            return f"{row}\r\nROW {'x' * int(padding)}\r\n{completion}"
+        return body
+
+    def follow(self, primary: LineServer) -> None:
+        """Become a replica with the primary's lists."""
+        super().follow(primary)
+        self.data = ListData(primary.data)
+
+    def roll_back_to(self, primary: LineServer) -> None:
+        """Become a replica; a server that was ahead is busy for a moment."""
+        is_ahead = self.log_offset > primary.log_offset
+        self.follow(primary)
+        if is_ahead:
+            self.be_busy_for_a_moment()
+
+    def registration(self, zone: str) -> bytes:
+        """Return the entry that the server writes into the store."""
+        return json.dumps(
+            {
+                "backend": SERVICE,
+                "address": str(self.address),
+                "zone": zone,
+                "version": "1",
+                "slots": 8,
+                "state": "ready" if self.leaving_since_s is None else "draining",
+                "db_role": self.role,
+                "born": self.born,
+                "seq": 1,
+            }
+        ).encode()
--- a/standins/lineplatform/group.py
+++ b/standins/lineplatform/group.py
@@ -13,7 +13,9 @@
 
 
 @dataclass(eq=False)
-class _Connection:
+class ServerConnection:
+    """Connection to a backend server, with its session and open transaction."""
+
     writer: asyncio.StreamWriter
     client: str = ""
     is_open: bool = False
@@ -47,7 +49,7 @@
         self.clients: dict[str, str] = {}  # client of the connection by request id
         self.address = Address("127.0.0.1", 0)
         self._server: asyncio.Server | None = None
-        self._connections: set[_Connection] = set()
+        self._connections: set[ServerConnection] = set()
 
     async def start(self) -> None:
         """Start listening, after a restart at the same address as before."""
@@ -77,7 +79,7 @@
         return f"{self.term}.{self.log_offset}"
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        connection = _Connection(writer)
+        connection = ServerConnection(writer)
         self._connections.add(connection)
         try:
             while line := await reader.readline():
@@ -103,7 +105,7 @@
             return True
         return False
 
-    def _answer(self, connection: _Connection, line: str) -> str | None:
+    def _answer(self, connection: ServerConnection, line: str) -> str | None:
         word, _, rest = line.partition(" ")
         if word == "CONNECT":
             return self._connect(connection, rest)
@@ -118,7 +120,7 @@
             state = "E" if connection.has_failed else "T"
         return f"{body}READY {state} {self.position}\r\n"
 
-    def _connect(self, connection: _Connection, rest: str) -> str | None:
+    def _connect(self, connection: ServerConnection, rest: str) -> str | None:
         service, connection.client, backend = rest.split(" ")
         if service != self.group.service or backend != self.backend:
             connection.writer.write(f"ERROR MISROUTED {self.backend}\r\n".encode())
@@ -129,7 +131,9 @@
         connection.is_open = True
         return f"READY I {self.position}\r\n"
 
-    def _run_statement(self, connection: _Connection, request_id: str, text: str) -> str | None:
+    def _run_statement(
+        self, connection: ServerConnection, request_id: str, text: str
+    ) -> str | None:
         self.statements.append(text)
         self.clients[request_id] = connection.client
         if text.startswith("AFTER "):
@@ -186,7 +190,7 @@
                 return self._write(connection, request_id, rest)
         return "COMPLETE -\r\n"
 
-    def _write(self, connection: _Connection, request_id: str, rest: str) -> str | None:
+    def _write(self, connection: ServerConnection, request_id: str, rest: str) -> str | None:
         if self.role != "primary":
             return f"ERROR READONLY {self.backend}\r\n"
         item, _, value = rest.partition(" ")
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,3 +1,4 @@
+import random
 import unittest
 from datetime import timedelta
 
@@ -6,7 +7,8 @@
 from hickorywind_bench.history import Append, Read
 from soak.checks import CONFIG_APPLY_S, CutKind, CutRequest, Disturbances, Promise, PromiseChecker
 from soak.plan import Fault, FaultKind
-from soak.platform import LEAVING_S, SoakGroup, StatementRun
+from soak.platform import LEAVING_S, SoakGroup
+from soak.servers import StatementRun
 from standins.lineplatform.memorystore import MemoryStore
 
 NOW_S = 50.0
@@ -17,7 +19,7 @@
 
     def setUp(self):
         self.disturbances = Disturbances()
-        self.group = SoakGroup(("i-a", "i-b"), MemoryStore(), {})
+        self.group = SoakGroup(("i-a", "i-b"), MemoryStore(), {}, random.Random(1))
         self.checker = PromiseChecker(self.disturbances, self.group)
         self.checker.now_s = lambda: NOW_S
 
