--- a/soak/checks.py
+++ b/soak/checks.py
@@ -175,6 +175,7 @@
         self.statements = StatementChecker(self.report)
         group.on_statement = self.handle_statement
         group.on_server_statement = self.statements.handle_statement
+        group.on_half_line = self.statements.count_half_line
         group.on_promotion = self.handle_promotion
 
     def report(self, promise: Promise | StatementPromise | Guarantee, detail: str) -> None:
@@ -191,7 +192,10 @@
         ignored = (FaultKind.PRIMARY_LEAVES, FaultKind.HOST_STOPPED, FaultKind.HOST_KILLED)
         calm_since = run.leaving_since_s - CONTACT_S
         if late_s > LEAVING_SLACK_S and self._disturbances.is_calm(run.host, calm_since, ignored):
-            detail = f"{run.request_id} from {run.host} at {run.backend}, {late_s:.2f} s late"
+            place = " in a transaction" if run.continues_transaction else ""
+            detail = (
+                f"{run.request_id}{place} from {run.host} at {run.backend}, {late_s:.2f} s late"
+            )
             self.report(Promise.LEFT_SERVER_UNUSED, detail)
 
     def handle_promotion(self, holder: str, token: int) -> None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -17,6 +17,7 @@
 _MAX_STOP_INTERVAL_S = 2.0  # between the stops of a series, each of which takes up to six seconds
 _SERVER_FAULT_INTERVAL_S = 2.5  # average time between two faults of ``SERVER_KINDS``
 _STARVATION_LEAD_S = 1.0  # before a stop
+_MAX_CONNECTIONS = (90, 24, 8)  # of each server; the lowest makes many hosts share their reads
 _IDLE_CALLERS = (4, 20, 60, 100)  # for each host
 _FIRST_FAULT_S = 0.5
 
@@ -170,6 +171,7 @@
     theme: Theme
     faults: tuple[Fault, ...]
     idle_callers: int = 0  # for each host, beside the busy ones
+    max_connections: int = max(_MAX_CONNECTIONS)  # of each server
 
     @classmethod
     def from_seed(
@@ -192,7 +194,10 @@
         kept = [fault for fault in faults if fault.at_s < duration_s]
         idle_callers = rng.choice(_IDLE_CALLERS) if theme is Theme.STOPS else min(_IDLE_CALLERS)
         faults = sorted(kept, key=lambda fault: fault.at_s)
-        return cls(seed, host_count, theme, tuple(faults), idle_callers)
+        max_connections = max(_MAX_CONNECTIONS)
+        if idle_callers == min(_IDLE_CALLERS):
+            max_connections = random.Random(f"connections {seed}").choice(_MAX_CONNECTIONS)
+        return cls(seed, host_count, theme, tuple(faults), idle_callers, max_connections)
 
     @classmethod
     def from_document(cls, document: dict[str, Any]) -> Plan:
@@ -207,8 +212,14 @@
             )
             for fault in document["faults"]
         )
-        theme, idle_callers = Theme(document["theme"]), document.get("idle_callers", 0)
-        return cls(document["seed"], document["hosts"], theme, faults, idle_callers)
+        return cls(
+            document["seed"],
+            document["hosts"],
+            Theme(document["theme"]),
+            faults,
+            document.get("idle_callers", 0),
+            document.get("max_connections", max(_MAX_CONNECTIONS)),
+        )
 
 
 def _draw_series(
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -62,6 +62,7 @@
         self.sources = sources
         self.on_statement: Callable[[StatementRun], None] = lambda run: None
         self.on_server_statement: Callable[[ServerStatement], None] = lambda statement: None
+        self.on_half_line: Callable[[], None] = lambda: None
         self.on_promotion: Callable[[str, int], None] = lambda holder, token: None
         self.rng = rng
         self.answer_faults = AnswerFaults()
@@ -292,8 +293,9 @@
 class Operators:
     """Operators that change the configuration and know since when it holds."""
 
-    def __init__(self, store: MemoryStore) -> None:
+    def __init__(self, store: MemoryStore, max_connections: int) -> None:
         self._store = store
+        self._max_connections = max_connections
         self._version = 0
         self.has_optional_route = False
         self.changed_at_s = 0.0
@@ -304,7 +306,7 @@
         self.has_optional_route = not self.has_optional_route
         databases = [*MAX_STALENESS_S, *([OPTIONAL_DATABASE] if self.has_optional_route else [])]
         routes = [_make_route(each, rng.choice((900, 1000, 1100))) for each in databases]
-        services = [{"name": SERVICE, "max_conns": 90}]
+        services = [{"name": SERVICE, "max_conns": self._max_connections}]
         document = {"version": self._version, "routes": routes, "backends": services}
         document["limits"] = {"tx_idle_ms": 1500}
         await self._store.put(CONFIGURATION_KEY, json.dumps(document).encode())
--- a/soak/report.py
+++ b/soak/report.py
@@ -49,7 +49,8 @@
         plan = self.plan
         cuts = ", ".join(f"{count} {kind.value}" for kind, count in self.cut_counts().items())
         lines = [
-            f"seed {plan.seed}: {plan.host_count} hosts with {plan.idle_callers} idle callers each,"
+            f"seed {plan.seed}: {plan.host_count} hosts with {plan.idle_callers} idle callers each, "
+            f"{plan.max_connections} connections for each server,"
             f" {self.duration_s:.0f} s from "
             f"{self.started_at:%H:%M:%S.%f}, "
             f"{len(plan.faults)} faults ({plan.theme.value}), "
@@ -75,6 +76,7 @@
             "started_at": self.started_at.isoformat(),
             "theme": self.plan.theme.value,
             "idle_callers": self.plan.idle_callers,
+            "max_connections": self.plan.max_connections,
             "faults": [_fault_document(fault) for fault in self.plan.faults],
             "counts": self.counts(),
             "promotions": self.promotion_count,
--- a/soak/run.py
+++ b/soak/run.py
@@ -40,7 +40,6 @@
 SPLIT_SHARE = 0.5  # of all answers
 CUT_SHARES = (0.005, 0.05)
 IDLE_CLOSE_INTERVAL_S = 0.3
-CONNECTION_LIMIT = 100  # of one server
 LOW_CONNECTION_LIMIT = 2
 SERVERS = ("i-a", "i-b", "i-c")
 # Apart from tests.ports, tests.standins.test_ports, standins.cluster and ephemeral ports.
@@ -79,7 +78,7 @@
         self.checker = PromiseChecker(self._disturbances, self._group)
         self.checker.now_s = self.now_s
         self.checker.stopping_since_s = lambda name: self._hosts[name].stopping_since_s
-        self._operators = Operators(self._store)
+        self._operators = Operators(self._store, plan.max_connections)
         self._ports = PortSource(PortBlock.claim(random.Random(), _PORTS, _BLOCK_SIZE))
         self._hosts: dict[str, HostProcess] = {}
         self._fronts: list[StoreFront] = []
@@ -117,6 +116,7 @@
     async def _start(self) -> None:
         for server in self._group.servers.values():
             server.address = self._ports.next_address()
+            server.connection_limit = self.plan.max_connections
         await self._group.start()
         await self._operators.change(self._rng)
         for server in self._group.servers.values():
@@ -383,7 +383,8 @@
             case FaultKind.IDLE_CONNECTIONS_CLOSED:
                 return _undo(asyncio.create_task(_close_idle(server)).cancel)
             case FaultKind.CONNECTIONS_LIMITED:
-                return _set(server, "connection_limit", LOW_CONNECTION_LIMIT, CONNECTION_LIMIT)
+                plan_limit = self.plan.max_connections
+                return _set(server, "connection_limit", LOW_CONNECTION_LIMIT, plan_limit)
             case FaultKind.PROMOTION_ANSWER_LOST:
                 return _set(group, "is_promotion_answer_lost", True, False)
             case FaultKind.MALFORMED_INPUT:
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -39,6 +39,7 @@
     host: str
     backend: BackendId
     leaving_since_s: float | None
+    continues_transaction: bool = False
 
 
 @dataclass
@@ -86,8 +87,10 @@
         self._connections.add(connection)
         rng, faults = self.group.rng, self.group.answer_faults
         try:
-            # A line without its end is no message: its sender left.
-            while (line := await reader.readline()).endswith(b"\r\n"):
+            while line := await reader.readline():
+                if not line.endswith(b"\r\n"):
+                    self.group.on_half_line()
+                    break
                 if self.is_silent:
                     continue
                 await asyncio.sleep(self.delay_seconds)
@@ -127,7 +130,9 @@
         """Close some connections without a transaction; a statement may be on its way."""
         for connection in list(self._connections):
             if connection.transaction is None and self.group.rng.random() < 0.5:
-                connection.writer.transport.abort()
+                if self.group.rng.random() < 0.3:
+                    connection.writer.write(f"ERROR BUSY {self.backend}\r\n".encode())
+                connection.writer.close()
 
     # Statements --------------------------------------------------------------------------------
 
@@ -137,11 +142,12 @@
             return super()._answer(connection, line)
         request_id, _, text = rest.partition(" ")
         port = connection.writer.get_extra_info("peername")[1]
-        host = self.group.sources.get(port, "")
+        host, transaction = self.group.sources.get(port, ""), connection.transaction
         if request_id != OWN_REQUEST_ID:
-            run = StatementRun(request_id, host, self.backend, self.leaving_since_s)
+            continues = transaction is not None and transaction.owner is not None
+            run = StatementRun(request_id, host, self.backend, self.leaving_since_s, continues)
             self.group.on_statement(run)
-        values, transaction = dict(connection.settings), connection.transaction
+        values = dict(connection.settings)
         shape = self._find_shape(connection, text)
         body = self._refuse(connection, remove_position(text))
         if body is None:
@@ -162,12 +168,10 @@
 
     def _state(self, connection: ServerConnection, error_code: str) -> str:
         """Return the state letter; an error other than BUSY fails an open transaction."""
-        transaction = connection.transaction
-        if transaction is None:
+        if connection.transaction is None:
             return "I"
-        if error_code and error_code != "BUSY":
-            transaction.has_failed = True
-        return "E" if transaction.has_failed else "T"
+        connection.has_failed |= error_code not in ("", "BUSY")
+        return "E" if connection.has_failed else "T"
 
     def _find_shape(self, connection: ServerConnection, text: str) -> Shape | None:
         words = remove_position(text).split(" ", 2)
@@ -178,29 +182,21 @@
     def _refuse(self, connection: ServerConnection, text: str) -> str | None:
         """Return the refusal of a statement, or None if it may run."""
         transaction, word = connection.transaction, text.partition(" ")[0]
-        is_end = word in ("COMMIT", "ROLLBACK")
-        if transaction is not None and transaction.has_failed:
-            if not is_end:
-                return "ERROR MALFORMED the transaction has failed\r\n"
-            if word == "COMMIT":
-                connection.transaction = None
-                return f"ERROR ABORTED {self.backend}\r\n"
-        if transaction is not None and self._has_lost_lead(transaction):
-            if word != "COMMIT" or transaction:
-                if is_end:
-                    connection.transaction = None
-                return f"ERROR READONLY {self.backend}\r\n"
+        has_lost_lead = (
+            transaction is not None and not transaction.is_read_only and self.role != "primary"
+        )
+        if has_lost_lead and (word != "COMMIT" or transaction):
+            if word in ("COMMIT", "ROLLBACK"):
+                connection.transaction, connection.has_failed = None, False
+            return f"ERROR READONLY {self.backend}\r\n"
         if not self._is_busy_now():
             return None
         if transaction is not None:
-            transaction.has_failed = self.group.rng.random() < 0.5
-            if word == "COMMIT" and self.group.rng.random() < 0.5:
-                connection.transaction = None
+            connection.has_failed |= self.group.rng.random() < 0.5
+        if word == "COMMIT" and self.group.rng.random() < 0.5:
+            connection.transaction, connection.has_failed = None, False
         return f"ERROR BUSY {self.backend}\r\n"
 
-    def _has_lost_lead(self, transaction: ServerTransaction) -> bool:
-        return not transaction.is_read_only and self.role != "primary"
-
     def _is_busy_now(self) -> bool:
         rng, faults = self.group.rng, self.group.answer_faults
         if rng.random() < faults.busy_spells:
--- a/soak/statements.py
+++ b/soak/statements.py
@@ -45,7 +45,6 @@
         super().__init__()
         self.backend = backend
         self.is_read_only = is_read_only
-        self.has_failed = False
         self.owner: CallerTransaction | None = None
 
 
@@ -133,6 +132,10 @@
             self._compare("shapes", statement.shape, sent.shape, pinned, statement)
         self._check_transaction(statement, sent.transaction)
 
+    def count_half_line(self) -> None:
+        """Count a statement whose sender left before its end; it must not run."""
+        self.counts["half lines"] += 1
+
     def _check_own(self, statement: ServerStatement) -> None:
         word = remove_position(statement.text).partition(" ")[0]
         self.counts["own statements"] += 1
