--- a/soak/report.py
+++ b/soak/report.py
@@ -49,8 +49,8 @@
         plan = self.plan
         cuts = ", ".join(f"{count} {kind.value}" for kind, count in self.cut_counts().items())
         lines = [
-            f"seed {plan.seed}: {plan.host_count} hosts with {plan.idle_callers} idle callers each, "
-            f"{plan.max_connections} connections for each server,"
+            f"seed {plan.seed}: {plan.host_count} hosts with {plan.idle_callers} idle callers each,"
+            f" {plan.max_connections} connections for each server,"
             f" {self.duration_s:.0f} s from "
             f"{self.started_at:%H:%M:%S.%f}, "
             f"{len(plan.faults)} faults ({plan.theme.value}), "
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from hickorywind.ids import BackendId
+from hickorywind.ids import Address, BackendId
 from soak.statements import (
     OWN_REQUEST_ID,
     ServerStatement,
@@ -81,6 +81,8 @@
         self._server = await asyncio.start_server(
             self._serve, self.address.host, self.address.port, limit=2 * MAX_MESSAGE_BYTES
         )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = Address("127.0.0.1", port)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = ServerConnection(writer)
@@ -129,7 +131,8 @@
     def close_idle_connections(self) -> None:
         """Close some connections without a transaction; a statement may be on its way."""
         for connection in list(self._connections):
-            if connection.transaction is None and self.group.rng.random() < 0.5:
+            is_open = not connection.writer.transport.is_closing()
+            if is_open and connection.transaction is None and self.group.rng.random() < 0.5:
                 if self.group.rng.random() < 0.3:
                     connection.writer.write(f"ERROR BUSY {self.backend}\r\n".encode())
                 connection.writer.close()
--- a/soak/statements.py
+++ b/soak/statements.py
@@ -128,7 +128,7 @@
             return
         pinned = StatementPromise.STATEMENT_PINNED
         self._compare("values", statement.values, sent.values, pinned, statement)
-        if statement.text.startswith("EXECUTE "):
+        if sent.text.startswith("EXECUTE "):
             self._compare("shapes", statement.shape, sent.shape, pinned, statement)
         self._check_transaction(statement, sent.transaction)
 
