--- a/soak/platform.py
+++ b/soak/platform.py
@@ -66,6 +66,8 @@
         self.on_promotion: Callable[[str, int], None] = lambda holder, token: None
         self.rng = rng
         self.answer_faults = AnswerFaults()
+        # Whether a rollback undoes SET and PREPARE, which the platform leaves open.
+        self.rolls_back_sessions = rng.random() < 0.5
         self.rolled_back: set[str] = set()
         self.demotion_s = DEMOTION_S
         self.is_promotion_answer_lost = False
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -26,6 +26,7 @@
 PADDING_MARK = "#"  # the text behind it makes a write large, and its row a read
 MAX_MESSAGE_BYTES = 1_048_576
 BUSY_SPELL_S = (0.1, 0.4)  # "rolled back and busy for a moment"
+SETUP_WORDS = ("SET", "RESET", "PREPARE")
 _PART_PAUSE_S = (0.0005, 0.02)
 _MAX_PARTS = 6
 _MALFORMED_ANSWER = "ROW \r\nNONSENSE 1 2\r\n"
@@ -46,7 +47,7 @@
 class AnswerFaults:
     """Shares of statements and answers that all servers harm."""
 
-    refused: float = 0.0  # with BUSY
+    refused: float = 0.0  # with BUSY, or setup of a session with FAILED
     busy_spells: float = 0.0  # after which a server refuses all for a while
     split: float = 0.0  # in several parts
     cut: float = 0.0  # connection closed before or after the statement, or within the answer
@@ -157,6 +158,9 @@
             body = self._run_statement(connection, request_id, text)
         words = (body or "").split(" ", 2)
         error_code = words[1] if words[0] == "ERROR" else ""
+        has_ended = transaction is not None and connection.transaction is None
+        if has_ended and (error_code or text == "ROLLBACK") and self.group.rolls_back_sessions:
+            connection.settings, connection.prepared_statements = transaction.session_before
         self.group.on_server_statement(
             ServerStatement(
                 request_id, host, self.backend, text, error_code, values, shape, transaction
@@ -194,6 +198,10 @@
             return f"ERROR READONLY {self.backend}\r\n"
         if not self._is_busy_now():
             return None
+        if word in SETUP_WORDS and self.group.rng.random() < 0.2:
+            if self.group.rng.random() < 0.5:
+                self._run_statement(connection, OWN_REQUEST_ID, text)
+            return f"ERROR FAILED {self.backend}\r\n"
         if transaction is not None:
             connection.has_failed |= self.group.rng.random() < 0.5
         if word == "COMMIT" and self.group.rng.random() < 0.5:
@@ -222,6 +230,8 @@
         word, _, rest = remove_position(text).partition(" ")
         if word == "BEGIN":
             connection.transaction = ServerTransaction(self.backend, rest == "READ")
+            session = dict(connection.settings), dict(connection.prepared_statements)
+            connection.transaction.session_before = session
         if padding and body.startswith("ROW"):
             row, _, completion = body.partition("\r\n")
             return f"{row}\r\nROW {'x' * int(padding)}\r\n{completion}"
--- a/soak/statements.py
+++ b/soak/statements.py
@@ -46,6 +46,8 @@
         self.backend = backend
         self.is_read_only = is_read_only
         self.owner: CallerTransaction | None = None
+        # Values and prepared statements of the connection at its BEGIN.
+        self.session_before: tuple[dict[str, str], dict[str, tuple[str, str]]] = ({}, {})
 
 
 @dataclass
--- a/tests/soak/test_callers.py
+++ b/tests/soak/test_callers.py
@@ -3,7 +3,13 @@
 import unittest
 
 from hickorywind.ids import Address
-from soak.callers import Answer, Connection, ConnectionEndedError, EndAnnouncedError
+from soak.callers import (
+    Answer,
+    Connection,
+    ConnectionEndedError,
+    EndAnnouncedError,
+    Leaving,
+)
 from soak.checks import CutKind
 
 
@@ -50,6 +56,32 @@
         self.assertEqual(answer.lines, ("ERROR BUSY stopping",))
         self.assertTrue(answer.is_well_formed)
 
+    async def test_caller_that_leaves_sends_no_whole_statement_unless_it_is_unanswered(self):
+        for leaving, expected in (
+            (Leaving.CLOSE, b""),
+            (Leaving.RESET, ConnectionResetError),
+            (Leaving.HALF_LINE, b"QUERY q1"),
+            (Leaving.UNANSWERED, b"QUERY q1 COMMIT\r\n"),
+        ):
+            received = asyncio.get_running_loop().create_future()
+
+            async def serve(reader, writer, received=received):
+                await reader.readline()
+                writer.write(b"READY I -\r\n")
+                try:
+                    received.set_result(await reader.read())
+                except ConnectionResetError as error:
+                    received.set_result(type(error))
+                writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            self.addCleanup(server.close)
+            address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+            connection = await Connection.open("h0", address, "bookings")
+            connection.leave(leaving, "q1", "COMMIT")
+            async with asyncio.timeout(2):
+                self.assertEqual(await received, expected, leaving)
+
     def test_two_answers_to_one_request_break_the_protocol(self):
         for lines in ((), ("ROW x",), ("ERROR BUSY stopping", "COMPLETE -")):
             self.assertFalse(Answer(lines, "I").is_well_formed, lines)
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -31,6 +31,23 @@
         self.assertGreater(report.promotion_count, 0)
 
 
+class RefusedSetupTest(unittest.TestCase):
+    def test_refused_session_setup_leaks_no_values_or_statements_to_other_sessions(self):
+        faults = (
+            Fault(FaultKind.STATEMENTS_REFUSED, 0.1, 2.5),
+            Fault(FaultKind.ANSWERS_SPLIT, 0.2, 2.5),
+            Fault(FaultKind.ANSWERS_CUT, 0.3, 1.0),
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            plan = Plan(2, 2, Theme.MIXED, faults, max_connections=8)
+            report = run_plan(plan, DURATION_S, Path(folder))
+        self.assertEqual(report.findings, (), report.to_text())
+        counts = report.statement_counts
+        self.assertGreater(counts["compared values"], 200)
+        for name in ("compared shapes", "refused SET", "refused RESET", "refused PREPARE"):
+            self.assertGreater(counts[name], 0, counts)
+
+
 class PlannedStopTest(unittest.TestCase):
     def test_stops_of_starved_and_other_hosts_lose_no_request_of_idle_callers(self):
         faults = (
