--- a/soak/callers.py
+++ b/soak/callers.py
@@ -359,7 +359,7 @@
             case ["SET", name, value]:
                 self._state.values[name] = value
             case ["PREPARE", name, shape]:
-                self._state.shapes[name] = Shape(*shape.split(" "))
+                self._state.shapes[name] = Shape(*shape.split(" ", 1))
             case ["DEALLOCATE", name]:
                 del self._state.shapes[name]
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -97,6 +97,9 @@
                 await asyncio.sleep(self._duration_s)
             await self._check_recovery()
             await self._stop_hosts()
+            for task in self._tasks:
+                if task.done():
+                    task.result()  # raises the error of a caller or watcher that failed
             self.checker.finish()
         finally:
             await self._clean_up()
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -223,6 +223,8 @@
     def _run_statement(
         self, connection: ServerConnection, request_id: str, text: str
     ) -> str | None:
+        if text.startswith("PREPARE ") and not connection.has_failed:
+            return _prepare(connection, text)
         text, _, padding = text.partition(PADDING_MARK)
         body = super()._run_statement(connection, request_id, text)
         if body is None or body.startswith("ERROR"):
@@ -264,3 +266,12 @@
                 "seq": 1,
             }
         ).encode()
+
+
+def _prepare(connection: ServerConnection, text: str) -> str:
+    """Prepare a statement, whose shape extends to the end of the line."""
+    match text.split(" ", 3):
+        case [_, name, "READ" | "WRITE" as mode, shape]:
+            connection.prepared_statements[name] = (mode, shape)
+            return "COMPLETE -\r\n"
+    return "ERROR MALFORMED no such statement\r\n"
--- a/soak/statements.py
+++ b/soak/statements.py
@@ -100,10 +100,12 @@
         self.counts: Counter[str] = Counter()
         self._report = report
         self._sent: dict[str, SentStatement] = {}
+        self._setups: set[str] = set()  # SET and PREPARE of all callers, without statement names
 
     def record_sent(self, request_id: str, text: str, session: CallerSession) -> None:
         """Record a statement before a caller sends it."""
         words = text.split(" ", 2)
+        self._setups.add(_split_setup(text))
         shape = session.shapes.get(words[1]) if words[0] == "EXECUTE" else None
         sent = SentStatement(text, dict(session.values), shape, session.transaction)
         self._sent[request_id] = sent
@@ -143,6 +145,8 @@
         self.counts["own statements"] += 1
         if word not in OWN_STATEMENTS:
             self._fail(StatementPromise.STATEMENT_ASKED, statement, "not a host's own statement")
+        elif word in ("SET", "PREPARE") and _split_setup(statement.text) not in self._setups:
+            self._fail(StatementPromise.STATEMENT_ASKED, statement, "no caller asked for this")
         elif statement.error_code:
             self.counts[f"refused {word}"] += 1
 
@@ -199,6 +203,16 @@
     return text.split(" ", 2)[2] if text.startswith("AFTER ") else text
 
 
+def _split_setup(text: str) -> str:
+    """Return a SET, or a PREPARE without the name of the statement; nothing of others."""
+    match text.split(" ", 2):
+        case ["SET", _, _]:
+            return text
+        case ["PREPARE", _, shape]:
+            return f"PREPARE {shape}"
+    return ""
+
+
 def _split_text(text: str) -> str:
     """Return a caller's statement without what a host may change."""
     text = remove_position(text)
--- a/tests/soak/test_servers.py
+++ b/tests/soak/test_servers.py
@@ -3,6 +3,7 @@
 import unittest
 
 from soak.platform import SERVICE, SoakGroup
+from soak.statements import Shape
 from standins.lineplatform.memorystore import MemoryStore
 
 
@@ -89,6 +90,11 @@
             results.add((code, connection.settings.get("a") == str(number)))
         self.assertEqual(results, {("BUSY", False), ("FAILED", False), ("FAILED", True)})
 
+    async def test_shape_extends_to_the_end_of_the_line(self):
+        await self.ask("PREPARE s1 READ q1 x y", "EXECUTE s1 x")
+        self.assertEqual(self.statements[-1].shape, Shape("READ", "q1 x y"))
+        self.assertEqual(await self.ask("PREPARE q1 x READ q1 x"), ("MALFORMED", "I"))
+
     async def test_rollback_undoes_session_changes_at_some_servers(self):
         for undoes, expected in ((True, {"a": "1"}), (False, {"a": "2"})):
             self.group.rolls_back_sessions = undoes
--- a/tests/soak/test_statements.py
+++ b/tests/soak/test_statements.py
@@ -58,13 +58,16 @@
             self.expect(ASKED)
 
     def test_own_statements_of_hosts(self):
+        for text in ("SET a b", "PREPARE s1 READ q1 x"):
+            self.checker.record_sent("1", text, CallerSession())
         for text in ("BEGIN", "AFTER 1.2 BEGIN READ", "ROLLBACK", "SET a b", "RESET", "STATUS"):
             self.arrive("-", text)
-        self.arrive("-", "PREPARE rq1 READ q1", "BUSY")
+        self.arrive("-", "PREPARE rq1 READ q1 x", "BUSY")
         self.expect()
         self.assertEqual(self.checker.counts["own statements"], 7)
         self.assertEqual(self.checker.counts["refused PREPARE"], 1)
-        for text in ("COMMIT", "READ x", "WRITE x y", "EXECUTE rq1 x"):
+        texts = ("COMMIT", "READ x", "WRITE x y", "EXECUTE rq1 x", "SET a c", "SET b b")
+        for text in (*texts, "PREPARE rq1 x READ q1 x", "PREPARE rq1 WRITE q1 x"):
             self.arrive("-", text)
             self.expect(ASKED)
 
