Soak: judge only new work at a server that left, without the soak's own stalls

The check still judges each single statement and the first of a transaction; of the lateness it subtracts exactly the time in which the soak stood still.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -496,7 +496,7 @@
             return (await self._ask(self._make_write(*writes[-1])))[1].outcome is Outcome.RAN
         return await self._read(self._rng.choice(keys), invoked)
 
-    def _leave(self, writes: list[tuple[str, str]]) -> None:
+    def _leave(self, writes: list[tuple[str, str]]) -> NoReturn:
         leaving = self._rng.choice(list(Leaving))
         if leaving is Leaving.HALF_LINE and self._rng.random() < 0.5:
             self._leave_by(leaving, "COMMIT")
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -140,19 +140,27 @@
     def __init__(self) -> None:
         self.longest_s = 0.0
         self._last_tick_s = 0.0
-        self._last_stall_s = float("-inf")
+        self._stalls: list[tuple[float, float]] = []  # from and until
 
     def tick(self, now_s: float) -> None:
         """Record that the soak runs; to be called every ``STALL_TICK_S``."""
         if self._last_tick_s:
             self.longest_s = max(self.longest_s, now_s - self._last_tick_s)
             if now_s - self._last_tick_s > STALL_S:
-                self._last_stall_s = now_s
+                self._stalls.append((self._last_tick_s, now_s))
         self._last_tick_s = now_s
 
     def has_stalled(self, since_s: float, now_s: float) -> bool:
         """Return whether the soak stood still at some time since ``since_s``."""
-        return self._last_stall_s >= since_s or now_s - self._last_tick_s > STALL_S
+        last_stall_s = self._stalls[-1][1] if self._stalls else float("-inf")
+        return last_stall_s >= since_s or now_s - self._last_tick_s > STALL_S
+
+    def stalled_s(self, since_s: float, now_s: float) -> float:
+        """Return how long the soak stood still since ``since_s``."""
+        stalls = [*self._stalls]
+        if self._last_tick_s and now_s - self._last_tick_s > STALL_S:
+            stalls.append((self._last_tick_s, now_s))
+        return sum(max(0.0, until_s - max(from_s, since_s)) for from_s, until_s in stalls)
 
 
 class PromiseChecker:
@@ -186,16 +194,16 @@
     def handle_statement(self, run: StatementRun) -> None:
         """Check the arrival of a caller's statement at a backend server."""
         self._hosts_by_request.setdefault(run.request_id, []).append(run.host)
-        if run.leaving_since_s is None:
+        # Only single statements and the first of a transaction are new work.
+        if run.leaving_since_s is None or run.continues_transaction:
             return
-        late_s = self.now_s() - run.leaving_since_s - LEAVING_S
+        # What a host sent in time waited in the relays while the soak stood still.
+        stalled_s = self.stalls.stalled_s(run.leaving_since_s, self.now_s())
+        late_s = self.now_s() - run.leaving_since_s - LEAVING_S - stalled_s
         ignored = (FaultKind.PRIMARY_LEAVES, FaultKind.HOST_STOPPED, FaultKind.HOST_KILLED)
         calm_since = run.leaving_since_s - CONTACT_S
         if late_s > LEAVING_SLACK_S and self._disturbances.is_calm(run.host, calm_since, ignored):
-            place = " in a transaction" if run.continues_transaction else ""
-            detail = (
-                f"{run.request_id}{place} from {run.host} at {run.backend}, {late_s:.2f} s late"
-            )
+            detail = f"{run.request_id} from {run.host} at {run.backend}, {late_s:.2f} s late"
             self.report(Promise.LEFT_SERVER_UNUSED, detail)
 
     def handle_promotion(self, holder: str, token: int) -> None:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -5,7 +5,15 @@
 from hickorywind.results import Outcome
 from hickorywind_bench.checker import Guarantee
 from hickorywind_bench.history import Append, Read
-from soak.checks import CONFIG_APPLY_S, CutKind, CutRequest, Disturbances, Promise, PromiseChecker
+from soak.checks import (
+    CONFIG_APPLY_S,
+    CutKind,
+    CutRequest,
+    Disturbances,
+    Promise,
+    PromiseChecker,
+    StallMonitor,
+)
 from soak.plan import Fault, FaultKind
 from soak.platform import LEAVING_S, SoakGroup
 from soak.servers import StatementRun
@@ -147,6 +155,20 @@
         self.checker.handle_statement(run)
         self.expect(Promise.LEFT_SERVER_UNUSED)
 
+    def test_open_transaction_may_go_on_at_a_server_that_left(self):
+        for continues, expected in ((True, 0), (False, 1)):
+            run = StatementRun("q1", "h0", "i-a", NOW_S - LEAVING_S - 1, continues)
+            self.checker.handle_statement(run)
+            self.assertEqual(len(self.checker.findings), expected, continues)
+
+    def test_time_in_which_the_soak_stood_still_is_not_late(self):
+        for stalled_s, expected in ((0.6, 0), (0.4, 1)):
+            self.checker.stalls = StallMonitor()
+            for tick_s in (NOW_S - stalled_s - 0.01, NOW_S - 0.01):
+                self.checker.stalls.tick(tick_s)
+            self.checker.handle_statement(StatementRun("q1", "h0", "i-a", NOW_S - LEAVING_S - 1))
+            self.assertEqual(len(self.checker.findings), expected, stalled_s)
+
     def test_host_that_can_not_know_of_the_leaving_may_use_the_server(self):
         self.disturb(FaultKind.STORE_SILENT)
         self.checker.handle_statement(StatementRun("q1", "h0", "i-a", NOW_S - LEAVING_S - 1))
