--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,7 +11,9 @@
 from hickorywind_bench.checker import Guarantee, check_history
 from hickorywind_bench.history import Append, History
 from soak.plan import HARMLESS_KINDS, HOST_KINDS, PLANNED_KINDS, Fault, FaultKind
-from soak.platform import LEAVING_S, SoakGroup, StatementRun
+from soak.platform import LEAVING_S, SoakGroup
+from soak.servers import StatementRun
+from soak.statements import StatementChecker, StatementPromise
 
 CONTACT_S = 5.0  # a host is in touch after this time without a fault (contact_ms)
 LOSS_SLACK_S = 0.2  # a request may cross the close of its connection (loss_slack_ms)
@@ -138,19 +140,27 @@
     def __init__(self) -> None:
         self.longest_s = 0.0
         self._last_tick_s = 0.0
-        self._last_stall_s = float("-inf")
+        self._stalls: list[tuple[float, float]] = []  # from and until
 
     def tick(self, now_s: float) -> None:
         """Record that the soak runs; to be called every ``STALL_TICK_S``."""
         if self._last_tick_s:
             self.longest_s = max(self.longest_s, now_s - self._last_tick_s)
             if now_s - self._last_tick_s > STALL_S:
-                self._last_stall_s = now_s
+                self._stalls.append((self._last_tick_s, now_s))
         self._last_tick_s = now_s
 
     def has_stalled(self, since_s: float, now_s: float) -> bool:
         """Return whether the soak stood still at some time since ``since_s``."""
-        return self._last_stall_s >= since_s or now_s - self._last_tick_s > STALL_S
+        last_stall_s = self._stalls[-1][1] if self._stalls else float("-inf")
+        return last_stall_s >= since_s or now_s - self._last_tick_s > STALL_S
+
+    def stalled_s(self, since_s: float, now_s: float) -> float:
+        """Return how long the soak stood still since ``since_s``."""
+        stalls = [*self._stalls]
+        if self._last_tick_s and now_s - self._last_tick_s > STALL_S:
+            stalls.append((self._last_tick_s, now_s))
+        return sum(max(0.0, until_s - max(from_s, since_s)) for from_s, until_s in stalls)
 
 
 class PromiseChecker:
@@ -170,10 +180,13 @@
         self._hosts_by_request: dict[str, list[str]] = {}
         self._holders: dict[int, str] = {}
         self._killed_s: dict[str, list[float]] = {}
+        self.statements = StatementChecker(self.report)
         group.on_statement = self.handle_statement
+        group.on_server_statement = self.statements.handle_statement
+        group.on_half_line = self.statements.count_half_line
         group.on_promotion = self.handle_promotion
 
-    def report(self, promise: Promise | Guarantee, detail: str) -> None:
+    def report(self, promise: Promise | StatementPromise | Guarantee, detail: str) -> None:
         """Record a violation."""
         at_s = round(self.now_s() - self.started_s, 3)
         self.findings.append(Finding(at_s, promise.value, detail))
@@ -181,9 +194,12 @@
     def handle_statement(self, run: StatementRun) -> None:
         """Check the arrival of a caller's statement at a backend server."""
         self._hosts_by_request.setdefault(run.request_id, []).append(run.host)
-        if run.leaving_since_s is None:
+        # Only single statements and the first of a transaction are new work.
+        if run.leaving_since_s is None or run.continues_transaction:
             return
-        late_s = self.now_s() - run.leaving_since_s - LEAVING_S
+        # What a host sent in time waited in the relays while the soak stood still.
+        stalled_s = self.stalls.stalled_s(run.leaving_since_s, self.now_s())
+        late_s = self.now_s() - run.leaving_since_s - LEAVING_S - stalled_s
         ignored = (FaultKind.PRIMARY_LEAVES, FaultKind.HOST_STOPPED, FaultKind.HOST_KILLED)
         calm_since = run.leaving_since_s - CONTACT_S
         if late_s > LEAVING_SLACK_S and self._disturbances.is_calm(run.host, calm_since, ignored):
--- a/soak/report.py
+++ b/soak/report.py
@@ -4,7 +4,8 @@
 
 import json
 from collections import Counter
-from dataclasses import asdict, dataclass
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, field
 from datetime import datetime
 from pathlib import Path
 
@@ -30,6 +31,7 @@
     longest_stall_s: float  # of the soak itself
     announcement_count: int = 0  # sessions whose host announced its end
     cuts: tuple[CutRequest, ...] = ()
+    statement_counts: Mapping[str, int] = field(default_factory=dict)
 
     def counts(self) -> dict[str, int]:
         """Return the number of operations by how they ended."""
@@ -48,6 +50,7 @@
         cuts = ", ".join(f"{count} {kind.value}" for kind, count in self.cut_counts().items())
         lines = [
             f"seed {plan.seed}: {plan.host_count} hosts with {plan.idle_callers} idle callers each,"
+            f" {plan.max_connections} connections for each server,"
             f" {self.duration_s:.0f} s from "
             f"{self.started_at:%H:%M:%S.%f}, "
             f"{len(plan.faults)} faults ({plan.theme.value}), "
@@ -57,6 +60,8 @@
             f"{len(self.findings)} findings",
             f"  {self.announcement_count} ends announced; requests without an answer: {cuts}",
         ]
+        statements = sorted(self.statement_counts.items())
+        lines.append("  " + ", ".join(f"{count} {name}" for name, count in statements))
         by_promise = Counter(finding.promise for finding in self.findings)
         lines += [f"  {count} x {promise}" for promise, count in by_promise.items()]
         lines += [f"    {each.at_s:.3f} {each.detail}" for each in self.findings[:MAX_DETAILS]]
@@ -71,6 +76,7 @@
             "started_at": self.started_at.isoformat(),
             "theme": self.plan.theme.value,
             "idle_callers": self.plan.idle_callers,
+            "max_connections": self.plan.max_connections,
             "faults": [_fault_document(fault) for fault in self.plan.faults],
             "counts": self.counts(),
             "promotions": self.promotion_count,
@@ -79,6 +85,7 @@
             "longest_stall_s": self.longest_stall_s,
             "announced_ends": self.announcement_count,
             "cut_counts": {kind.name: count for kind, count in self.cut_counts().items()},
+            "statement_counts": dict(self.statement_counts),
             "cuts": [{**asdict(cut), "kind": cut.kind.name} for cut in self.cuts],
             "findings": [asdict(finding) for finding in self.findings],
         }
