Don't vouch for a copy that is known to be old

Cause: the age of the last contact, which a host tells the others, did not look at what the host knew to be missing. It is now at least the time for which it has known. ContactTest.test_host_that_knows_of_a_newer_configuration_... failed (6 ms against 200 ms) and passes.

--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -133,7 +133,10 @@
         self._sessions: set[Session] = set()
         self._peers = Peers(self._identity, clock, rng)
         self._watch_duty = StoreWatchDuty(
-            settings.host, settings.store_watchers_per_zone, self._fleet.copies
+            settings.host,
+            settings.store_watchers_per_zone,
+            self._fleet.copies,
+            self._fleet.behind,
         )
         self._sync = StoreSync(
             self._fleet,
--- a/hickorywind/membership/storewatch.py
+++ b/hickorywind/membership/storewatch.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from datetime import timedelta
 
 from hickorywind.ids import HostId
@@ -33,11 +33,19 @@
 class StoreWatchDuty:
     """Decision of one host whether it watches the store itself.
 
-    ``watchers_per_zone`` of 0 makes every host watch. ``prefixes`` are those of the host's copies.
+    ``watchers_per_zone`` of 0 makes every host watch. ``prefixes`` are those of the host's copies;
+    ``get_behind`` returns for how long the host has known that the copy of one is old, or None.
     """
 
-    def __init__(self, own_host: HostId, watchers_per_zone: int, prefixes: Collection[str]) -> None:
+    def __init__(
+        self,
+        own_host: HostId,
+        watchers_per_zone: int,
+        prefixes: Collection[str],
+        get_behind: Callable[[str], timedelta | None] = lambda prefix: None,
+    ) -> None:
         self._own_host = own_host
+        self._get_behind = get_behind
         self._watchers_per_zone = watchers_per_zone
         self._is_watcher = not watchers_per_zone  # until the hosts of the zone are known
         self._reads_large_copies = self._is_watcher
@@ -94,7 +102,10 @@
     def contact_age(self, now: Instant) -> timedelta | None:
         """Return the time since all copies were current, for other hosts, or None if unknown."""
         contacts = self._contacts.values()
-        return None if None in contacts else max(timedelta(0), now - min(contacts))
+        if None in contacts:
+            return None
+        lags = [self._get_behind(prefix) or timedelta(0) for prefix in self._contacts]
+        return max(timedelta(0), now - min(contacts), *lags)
 
     def may_copy_from_other_zones(self, behind: timedelta | None) -> bool:
         """Return whether a host that has been behind for so long may copy from any zone."""
