Take only a signed answer for a caller's statement, and only an unsigned one for setup

- A late answer too many shifted the answers of all later statements on a busy connection, and a READY alone passed for a success or for a confirmed SET.
The server signs reads, writes and commits and nothing else: a success without its signature, or a setup with one, now ends the connection.
- A setup that began or ended a transaction went unnoticed, and the statement behind it ran outside of its transaction or inside one that was rolled back.
- An answer that arrived before its statement was sent whole counted, and a connection that an unexpected answer ended closed in order behind half a line.

--- a/hickorywind/host/autocommit.py
+++ b/hickorywind/host/autocommit.py
@@ -110,7 +110,9 @@
         if self._mode is AccessMode.WRITE:
             self._service.add_primary_work(self)
         try:
-            answers = await connection.exchange(payload, 1, self._route.statement_timeout)
+            answers = await connection.exchange(
+                payload, 1, self._route.statement_timeout, is_signed=True
+            )
         except ConnectionLostError as error:
             return self._handle_connection_loss(backend, error)
         finally:
--- a/hickorywind/host/backendconnection.py
+++ b/hickorywind/host/backendconnection.py
@@ -94,10 +94,14 @@
             raise ConnectionRejectedError(error.kind, error.text)
         return connection
 
-    async def exchange(self, payload: bytes, answer_count: int, timeout: timedelta) -> list[Answer]:
+    async def exchange(
+        self, payload: bytes, answer_count: int, timeout: timedelta, is_signed: bool = False
+    ) -> list[Answer]:
         """Send statements and return their answers; close the connection on a timeout.
 
-        Raise ``ConnectionLostError`` if an answer is missing; the statements may have run.
+        ``is_signed`` tells whether they are a caller's, whose success the server signs, or the
+        host's own. Raise ``ConnectionLostError`` if an answer is missing or can't be theirs; the
+        statements may have run.
         """
         try:
             async with asyncio.timeout(max(0.001, timeout.total_seconds())):
@@ -108,6 +112,9 @@
         except asyncio.CancelledError:
             self.close()
             raise
+        if any(each.is_ok and self.codec.is_signed(each) is not is_signed for each in answers):
+            self._end_out_of_step(0, 0)
+            raise ConnectionLostError("the answer is not one to this statement")
         self.state = answers[-1].state
         error = answers[-1].error
         if error is not None and error.kind is BackendErrorKind.UNKNOWN_STATEMENT:
@@ -124,14 +131,18 @@
         """Give the connection a session's values and statement; return the server's refusal.
 
         Only after None does the connection hold them. Raise ``ConnectionLostError`` if an answer
-        is missing.
+        is missing, or if the setup began or ended a transaction.
         """
         steps = self.session.plan(values, template)
         if not steps:
             return None
-        payload = encode_steps(self.codec, steps)
+        payload, state = encode_steps(self.codec, steps), self.state
         answers = await self.exchange(payload, len(steps), timeout)
-        return self._record_setup(steps, answers)
+        refusal = self._record_setup(steps, answers)
+        if refusal is None and self.state is not state:
+            self.close()
+            raise ConnectionLostError("the transaction state changed in the session's setup")
+        return refusal
 
     async def begin(
         self,
@@ -174,6 +185,10 @@
     def close(self) -> None:
         """Close the connection; an open transaction is rolled back by the backend server."""
         self.closed_locally = True
+        self._abort()
+        self.connection_lost(None)
+
+    def _abort(self) -> None:
         if self._transport is not None:
             unsent_bytes = self._transport.get_write_buffer_size()
             if unsent_bytes:
@@ -186,7 +201,6 @@
                 if sock is not None:
                     reset_on_close(sock)
             self._transport.abort()
-        self.connection_lost(None)
 
     # Callbacks of the transport ----------------------------------------------------------------
 
@@ -214,7 +228,9 @@
         is_awaited = self._waiter is not None and not self._waiter.done()
         self._answers += answers
         surplus = len(self._answers) - self._expected_count if is_awaited else len(answers)
-        if not is_awaited or surplus > 0:
+        # An answer to a statement that is not sent whole is that of another one.
+        is_early = surplus >= 0 and self._transport.get_write_buffer_size() > 0
+        if not is_awaited or surplus > 0 or is_early:
             self._end_out_of_step(len(data), surplus)
         elif surplus == 0:
             self._waiter.set_result(self._answers)
@@ -226,7 +242,7 @@
             "backend_message_unexpected",
             extra={"backend": self.backend, "bytes": byte_count, "answers": surplus},
         )
-        self._transport.abort()
+        self._abort()
         self.connection_lost(ConnectionError("unexpected message"))
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -192,7 +192,9 @@
         sent = self.service.clock.now()
         self._has_written |= mode is AccessMode.WRITE
         try:
-            answers = await connection.exchange(payload, 1, self.route.statement_timeout)
+            answers = await connection.exchange(
+                payload, 1, self.route.statement_timeout, is_signed=True
+            )
         except ConnectionLostError as error:
             self.service.release_unanswered_slot(backend)
             self.service.record_connection_failure(backend, error)
--- a/hickorywind/platform/lineprotocol.py
+++ b/hickorywind/platform/lineprotocol.py
@@ -44,6 +44,7 @@
 
 MAX_MESSAGE_BYTES = 1_048_576  # limit of the protocol
 PROXY_REQUEST_ID = "-"  # marks statements that the proxy itself sends
+_UNSIGNED_TAG = "-"  # completes statements that need no signature
 
 _LINE_END = b"\r\n"
 _LETTER_BY_STATE = {
@@ -297,6 +298,10 @@
         """Return an error without a final state after it, as when a connection is refused."""
         return self._error
 
+    def is_signed(self, answer: Answer) -> bool | None:
+        """Return whether a success carries the server's signature; None without a completion."""
+        return answer.completion_tag != _UNSIGNED_TAG if answer.completion_tag else None
+
     @property
     def has_partial_answer(self) -> bool:
         """Whether bytes have arrived that complete no answer yet."""
--- a/hickorywind/ports/codecs.py
+++ b/hickorywind/ports/codecs.py
@@ -65,6 +65,13 @@
         """
         ...
 
+    def is_signed(self, answer: Answer) -> bool | None:
+        """Return whether a success is signed, as those of callers' statements are.
+
+        None if the answer says of no statement that it is complete.
+        """
+        ...
+
     @property
     def has_partial_answer(self) -> bool:
         """Whether bytes have arrived that complete no answer yet."""
--- a/tests/host/test_backendconnection.py
+++ b/tests/host/test_backendconnection.py
@@ -64,18 +64,18 @@
     async def test_answer_too_many_is_not_taken_for_the_last_one(self):
         connection = await self.connect(ANSWER + b"COMPLETE -\r\nREADY T -\r\n")
         with self.assertRaises(ConnectionLostError):
-            await connection.exchange(READ, 1, TIMEOUT)
+            await connection.exchange(READ, 1, TIMEOUT, is_signed=True)
         self.assertTrue(connection.is_lost)
 
     async def test_row_behind_an_answer_does_not_join_the_next_one(self):
         connection = await self.connect(ANSWER + b"ROW 2\r\n", ANSWER)
-        (answer,) = await connection.exchange(READ, 1, TIMEOUT)
+        (answer,) = await connection.exchange(READ, 1, TIMEOUT, is_signed=True)
         self.assertEqual(answer.rows, ("1",))
         self.assertTrue(connection.is_lost)
 
     async def test_answer_in_many_pieces_is_whole(self):
         connection = await self.connect(ANSWER[:3])
-        exchange = asyncio.create_task(connection.exchange(READ, 1, TIMEOUT))
+        exchange = asyncio.create_task(connection.exchange(READ, 1, TIMEOUT, is_signed=True))
         await self.wait_until(lambda: not self.script)
         for number in range(3, len(ANSWER)):
             self.writer.write(ANSWER[number : number + 1])
@@ -90,7 +90,7 @@
         connection = await self.connect()
         payload = b"QUERY q1 WRITE x " + b"y" * 8_000_000 + b"\r\n"
         with self.assertRaises(ConnectionLostError):
-            await connection.exchange(payload, 1, timedelta(milliseconds=50))
+            await connection.exchange(payload, 1, timedelta(milliseconds=50), is_signed=True)
         with self.assertRaises(ConnectionResetError):
             while await self.reader.read(1_000_000):
                 pass
--- a/tests/host/test_largefleet.py
+++ b/tests/host/test_largefleet.py
@@ -364,6 +364,14 @@
         await self.store.put(CONFIGURATION_KEY, configuration(2))
         await self.wait_until(lambda: self.all_have_configuration(2), APPLY_SECONDS)
 
+    async def test_hosts_do_not_rely_on_watchers_that_are_all_deaf(self):
+        await asyncio.sleep(MEASURED_SECONDS)
+        for host in self.hosts.values():
+            if host.role._watch_duty.is_watcher:
+                host.coordinator.is_deaf = True
+        await self.store.put(CONFIGURATION_KEY, configuration(2))
+        await self.wait_until(lambda: self.all_have_configuration(2), APPLY_SECONDS)
+
     async def test_watch_that_missed_a_change_from_another_host_is_sent_anew(self):
         await asyncio.sleep(MEASURED_SECONDS)
         deaf = next(h for h in self.hosts.values() if h.role._watch_duty.is_watcher)
