--- a/hickorywind/host/backendconnection.py
+++ b/hickorywind/host/backendconnection.py
@@ -233,7 +233,8 @@
         if not is_awaited or surplus > 0 or is_early:
             self._end_out_of_step(len(data), surplus)
         elif surplus == 0:
-            self._waiter.set_result(self._answers)
+            complete, self._answers = self._answers, []
+            self._waiter.set_result(complete)
             if self.codec.has_partial_answer:
                 self._end_out_of_step(len(data), 0)
 
--- a/tests/host/test_backendconnection.py
+++ b/tests/host/test_backendconnection.py
@@ -73,6 +73,15 @@
         self.assertEqual(answer.rows, ("1",))
         self.assertTrue(connection.is_lost)
 
+    async def test_answer_too_many_right_behind_the_last_one_is_not_taken(self):
+        connection = await self.connect(b"")
+        exchange = asyncio.create_task(connection.exchange(READ, 1, TIMEOUT, is_signed=True))
+        await self.wait_until(lambda: not self.script)
+        connection.data_received(ANSWER)
+        connection.data_received(b"ROW 2\r\nCOMPLETE s.q2\r\nREADY I -\r\n")
+        self.assertEqual([answer.rows for answer in await exchange], [("1",)])
+        self.assertTrue(connection.is_lost)
+
     async def test_answer_in_many_pieces_is_whole(self):
         connection = await self.connect(ANSWER[:3])
         exchange = asyncio.create_task(connection.exchange(READ, 1, TIMEOUT, is_signed=True))
