Log up to which positions a promoted server has received and applied its log

Seen by callers: statements ran on logs without commits that had been acknowledged before. No log line told whether a new primary had applied what it had received when hosts began to use it, or whether a former one was used. candidate_leads tells received and applied positions; the status keeps both.

--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -253,6 +253,16 @@
                 )
             led = None if status is None else status.leading_term
             if led is not None and led > record.term and led >= runtime.newest_term:
+                logger.info(
+                    "candidate_leads",
+                    extra={
+                        "service": runtime.name,
+                        "backend": record.candidate,
+                        "term": led,
+                        "received": str(status.received_position),
+                        "applied": str(status.applied_position),
+                    },
+                )
                 return led
             if led is not None and not has_logged_old_lead:
                 has_logged_old_lead = True
--- a/hickorywind/platform/lineprotocol.py
+++ b/hickorywind/platform/lineprotocol.py
@@ -359,14 +359,17 @@
         return _encode_query(PROXY_REQUEST_ID, "STATUS")
 
     def decode_status(self, answer: Answer) -> ServerStatus | None:
-        """Decode a status row: role, term, received position, then load figures; else None."""
+        """Decode a status row: role, term, received position, then load figures; else None.
+
+        The position behind the row is the applied one.
+        """
         fields = answer.rows[0].split(" ") if answer.rows else []
         if len(fields) < 3 or fields[0] not in ("primary", "replica"):
             return None
         term, received = parse_counter(fields[1]), parse_position(fields[2])
         if term is None or received is None:
             return None
-        return ServerStatus(InstanceRole(fields[0]), Term(term), received)
+        return ServerStatus(InstanceRole(fields[0]), Term(term), received, answer.position)
 
 
 def _encode_query(request_id: str, text: str) -> bytes:
--- a/hickorywind/ports/replies.py
+++ b/hickorywind/ports/replies.py
@@ -79,13 +79,15 @@
 class ServerStatus:
     """Status that a backend server reports of itself.
 
-    ``received_position`` is the log position up to which it has received changes; ``term`` is the
+    ``received_position`` is the log position up to which it has received changes,
+    ``applied_position`` the one up to which statements see them, if it is told; ``term`` is the
     newest primary term that it knows.
     """
 
     role: InstanceRole
     term: Term
     received_position: LogPosition
+    applied_position: LogPosition | None = None
 
     @property
     def leading_term(self) -> Term | None:
