Soak: compare the log of each statement with the commits acknowledged before it

The soak checked what reads returned, per item, and nothing of writes and commits, and its replicas applied each commit in the moment it ran. Now replicas receive and apply commits later, and every statement is judged by the log on which it runs.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -386,8 +386,8 @@
 
     async def _ask(self, text: str) -> tuple[str, Answer]:
         request_id = self._next_request_id()
-        self._checker.statements.record_sent(request_id, text, self._state)
         sent_s = self._checker.now_s()
+        self._record_sent(request_id, text, sent_s)
         try:
             answer = await self._connection.ask(request_id, text)
         except ConnectionEndedError as error:
@@ -412,6 +412,21 @@
             self._state.transaction = None
         return request_id, answer
 
+    def _record_sent(self, request_id: str, text: str, sent_s: float) -> None:
+        self._checker.statements.record_sent(request_id, text, self._state)
+        words = text.split(" ", 2)
+        mode = words[0]
+        if mode == "EXECUTE":
+            mode = self._state.shapes[words[1]].mode
+        self._checker.freshness.record_sent(
+            request_id,
+            self._session,
+            sent_s,
+            0.0 if mode == "WRITE" else MAX_STALENESS_S[self.database],
+            self.database == "orders",
+            self._state.transaction,
+        )
+
     def _next_request_id(self) -> str:
         return f"{self._session}-{next(self._numbers)}"
 
@@ -445,10 +460,11 @@
         """Run a transaction with pauses; roll it back or leave in it at times."""
         writes: list[tuple[str, str]] = []
         invoked, outcome = self._now(), Outcome.NOT_RUN  # until the commit is sent
+        started_s = self._checker.now_s()
         try:
             if (await self._ask("BEGIN READ" if is_read_only else "BEGIN"))[1].state != "T":
                 return False
-            self._state.transaction = CallerTransaction()
+            self._state.transaction = CallerTransaction(started_s, is_read_only)
             leaves = self._rng.random() < _LEAVING_SHARE
             for _ in range(self._draw_statement_count()):
                 await self._pause_in_transaction()
@@ -506,7 +522,7 @@
     def _leave_by(self, leaving: Leaving, text: str) -> NoReturn:
         request_id = self._next_request_id()
         if leaving is Leaving.UNANSWERED:
-            self._checker.statements.record_sent(request_id, text, self._state)
+            self._record_sent(request_id, text, self._checker.now_s())
         self._connection.leave(leaving, request_id, text)
         raise LeftError
 
@@ -515,6 +531,8 @@
     ) -> None:
         append = Append(self._session, key, element, invoked, self._now(), outcome, group)
         self._checker.history.appends.append(append)
+        if outcome is Outcome.RAN:
+            self._checker.freshness.record_commit(element, self._session, self._checker.now_s())
 
     async def _read(self, key: str, invoked: timedelta | None = None) -> bool:
         """Read an item; a read in a transaction counts from the start of that."""
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,10 +10,11 @@
 from hickorywind.results import Outcome
 from hickorywind_bench.checker import Guarantee, check_history
 from hickorywind_bench.history import Append, History
+from soak.freshness import FreshnessChecker
 from soak.plan import HARMLESS_KINDS, HOST_KINDS, PLANNED_KINDS, Fault, FaultKind
 from soak.platform import LEAVING_S, SoakGroup
 from soak.servers import StatementRun
-from soak.statements import StatementChecker, StatementPromise
+from soak.statements import ServerStatement, StatementChecker, StatementPromise, remove_position
 
 CONTACT_S = 5.0  # a host is in touch after this time without a fault (contact_ms)
 LOSS_SLACK_S = 0.2  # a request may cross the close of its connection (loss_slack_ms)
@@ -42,6 +43,7 @@
     SESSION_STATE_KEPT = "a session sees its own values"
     SIGNED_ANSWER = "a success carries the signature of its own request"
     PROTOCOL_KEPT = "each request gets one answer, and only an error comes without a request"
+    LOG_HOLDS_ACKNOWLEDGED = "a statement runs on a log with the commits acknowledged before it"
     SERVICE_RETURNS = "service returns after the last fault"
 
 
@@ -181,8 +183,12 @@
         self._holders: dict[int, str] = {}
         self._killed_s: dict[str, list[float]] = {}
         self.statements = StatementChecker(self.report)
+        self.freshness = FreshnessChecker(
+            lambda detail: self.report(Promise.LOG_HOLDS_ACKNOWLEDGED, detail),
+            lambda element: element in group.rolled_back,
+        )
         group.on_statement = self.handle_statement
-        group.on_server_statement = self.statements.handle_statement
+        group.on_server_statement = self._handle_server_statement
         group.on_half_line = self.statements.count_half_line
         group.on_promotion = self.handle_promotion
 
@@ -206,6 +212,13 @@
             detail = f"{run.request_id} from {run.host} at {run.backend}, {late_s:.2f} s late"
             self.report(Promise.LEFT_SERVER_UNUSED, detail)
 
+    def _handle_server_statement(self, statement: ServerStatement) -> None:
+        self.statements.handle_statement(statement)
+        if not statement.error_code:
+            origin = f"from {statement.host} at {statement.backend}"
+            text = remove_position(statement.text)
+            self.freshness.handle_statement(statement.request_id, text, origin, statement.log)
+
     def handle_promotion(self, holder: str, token: int) -> None:
         """Check the fencing token of an order to promote."""
         if token < max(self._holders, default=token):
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -15,6 +15,7 @@
 STOPS_SEED_INTERVAL = 4  # each fourth seed plays ``Theme.STOPS``
 _MAX_SERIES_LENGTH = 4
 _MAX_STOP_INTERVAL_S = 2.0  # between the stops of a series, each of which takes up to six seconds
+_REPLICATION_FAULT_INTERVAL_S = 5.0  # average time between two faults of ``REPLICATION_KINDS``
 _SERVER_FAULT_INTERVAL_S = 2.5  # average time between two faults of ``SERVER_KINDS``
 _STARVATION_LEAD_S = 1.0  # before a stop
 _MAX_CONNECTIONS = (90, 24, 8)  # of each server; the lowest makes many hosts share their reads
@@ -67,6 +68,7 @@
     ANSWERS_CUT = "servers close connections before, within or after an answer"
     IDLE_CONNECTIONS_CLOSED = "servers close idle connections"
     CONNECTIONS_LIMITED = "server refuses new connections"
+    REPLICAS_APPLY_LATE = "replicas apply late what they received"
 
 
 PLANNED_KINDS = (
@@ -109,6 +111,7 @@
     FaultKind.IDLE_CONNECTIONS_CLOSED,
     FaultKind.CONNECTIONS_LIMITED,
 )
+REPLICATION_KINDS = (FaultKind.REPLICAS_APPLY_LATE,)  # drawn apart from the others, too
 HOST_KINDS = (*HARMED_HOST_KINDS, *STOP_KINDS)  # concern one host
 # Faults that have neither end nor effect on what a host can reach.
 HARMLESS_KINDS = (
@@ -117,6 +120,7 @@
     FaultKind.STORE_HISTORY_LOST,
     FaultKind.HOST_RELOADED,
     *ANSWER_KINDS,
+    FaultKind.REPLICAS_APPLY_LATE,
 )
 
 
@@ -152,7 +156,9 @@
 _DRAWN_THEMES = (Theme.PLANNED, Theme.MIXED, Theme.HAND_OVER)
 _KINDS_BY_THEME = {
     Theme.PLANNED: PLANNED_KINDS,
-    Theme.MIXED: tuple(kind for kind in FaultKind if kind not in (*STOP_KINDS, *SERVER_KINDS)),
+    Theme.MIXED: tuple(
+        kind for kind in FaultKind if kind not in (*STOP_KINDS, *SERVER_KINDS, *REPLICATION_KINDS)
+    ),
     Theme.HAND_OVER: (
         *CHANGE_KINDS,
         FaultKind.PROMOTION_ANSWER_LOST,
@@ -191,6 +197,7 @@
                 faults += _draw_series(rng, theme, start_s, host_count, server_count)
             start_s += rng.expovariate(1 / SERIES_INTERVAL_S)
         faults += _draw_server_faults(seed, theme, duration_s, server_count)
+        faults += _draw_replication_faults(seed, duration_s)
         kept = [fault for fault in faults if fault.at_s < duration_s]
         idle_callers = rng.choice(_IDLE_CALLERS) if theme is Theme.STOPS else min(_IDLE_CALLERS)
         faults = sorted(kept, key=lambda fault: fault.at_s)
@@ -260,6 +267,15 @@
         at_s += rng.expovariate(1 / _SERVER_FAULT_INTERVAL_S)
 
 
+def _draw_replication_faults(seed: int, duration_s: float) -> Iterator[Fault]:
+    rng = random.Random(f"replication {seed}")
+    at_s = rng.uniform(0, _REPLICATION_FAULT_INTERVAL_S)
+    while at_s < duration_s:
+        kind, for_s = rng.choice(REPLICATION_KINDS), rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        yield Fault(kind, round(at_s, 2), round(for_s, 2))
+        at_s += rng.expovariate(1 / _REPLICATION_FAULT_INTERVAL_S)
+
+
 def _draw_stops(rng: random.Random, start_s: float, host_count: int) -> Iterator[Fault]:
     """Stop some hosts or all, at once or in turn, beside SIGHUP and changes of configuration."""
     hosts = rng.sample(range(host_count), rng.randint(1, host_count))
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -29,7 +29,7 @@
 )
 from hickorywind.store.interface import StoredValue
 from soak.relay import replace_ports
-from soak.servers import SERVICE, AnswerFaults, SoakServer, StatementRun
+from soak.servers import APPLY_S, SERVICE, AnswerFaults, SoakServer, StatementRun
 from soak.statements import ServerStatement
 from standins.lineplatform.group import LineGroup
 from standins.lineplatform.httpstore import HttpStore
@@ -68,6 +68,9 @@
         self.answer_faults = AnswerFaults()
         # Whether a rollback undoes SET and PREPARE, which the platform leaves open.
         self.rolls_back_sessions = rng.random() < 0.5
+        # Whether a promoted server has applied what it received, which the platform leaves open.
+        self.applies_at_promotion = random.Random(f"promotion {rng.random()}").random() < 0.5
+        self.apply_s = APPLY_S
         self.rolled_back: set[str] = set()
         self.demotion_s = DEMOTION_S
         self.is_promotion_answer_lost = False
@@ -108,9 +111,9 @@
         old = self.primary
         if new_primary is old:
             return
-        for item, elements in old.data.items():
-            held = new_primary.data.get(item, "").split(",")
-            self.rolled_back.update(set(elements.split(",")) - set(held))
+        self.rolled_back |= old.received_elements - new_primary.received_elements
+        if self.applies_at_promotion:
+            new_primary.apply_all()
         learns = {server: server.learns_of_promotions for server in self.servers.values()}
         for server in self.servers.values():
             server.learns_of_promotions = server is not old
--- a/soak/run.py
+++ b/soak/run.py
@@ -26,13 +26,14 @@
     StoreState,
 )
 from soak.relay import Direction, RelayLink
-from soak.servers import STATEMENT_S, SoakServer
+from soak.servers import APPLY_S, STATEMENT_S, SoakServer
 from standins.lineplatform.memorystore import MemoryStore
 from standins.ports import PortBlock, PortSource
 
 RECOVERY_S = 15.0  # a permit expires, then a primary change and its takeover
 START_LIMIT_S = 20.0
 SLOW_ANSWER_S = 0.5
+LATE_APPLY_S = (0.5, 3.0)
 LINK_DELAY_S = (0.02, 0.4)
 STARVED_STOPPED_S = (0.1, 0.3)  # a starved host stands still this long
 STARVED_RUNNING_S = 0.05  # and runs this long, in turn
@@ -371,6 +372,8 @@
                 return _set(group, "demotion_s", DEMOTION_S + fault.for_s, DEMOTION_S)
             case FaultKind.SERVER_LAGS if server is not group.primary:
                 return self._stop_receiving(server)
+            case FaultKind.REPLICAS_APPLY_LATE:
+                return _set(group, "apply_s", self._rng.uniform(*LATE_APPLY_S), APPLY_S)
             case FaultKind.ANSWERS_LOST:
                 return _set(group.primary, "lose_answers", self._rng.randint(1, 20), 0)
             case FaultKind.ANSWERS_MALFORMED:
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import json
-from collections.abc import Mapping
+from collections import deque
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -27,6 +28,8 @@
 MAX_MESSAGE_BYTES = 1_048_576
 BUSY_SPELL_S = (0.1, 0.4)  # "rolled back and busy for a moment"
 SETUP_WORDS = ("SET", "RESET", "PREPARE")
+NETWORK_S = 0.002  # until a replica receives a commit
+APPLY_S = 0.02  # until it has applied the commit, on average
 _PART_PAUSE_S = (0.0005, 0.02)
 _MAX_PARTS = 6
 _MALFORMED_ANSWER = "ROW \r\nNONSENSE 1 2\r\n"
@@ -43,6 +46,15 @@
     continues_transaction: bool = False
 
 
+@dataclass(frozen=True, eq=False)
+class LogEntry:
+    """Commit in the log of a server."""
+
+    term: int
+    number: int
+    writes: tuple[tuple[str, str], ...]
+
+
 @dataclass
 class AnswerFaults:
     """Shares of statements and answers that all servers harm."""
@@ -54,7 +66,14 @@
 
 
 class ListData(dict):
-    """Items whose values are comma-separated lists that each write extends."""
+    """Items whose values are comma-separated lists that each write extends.
+
+    ``elements`` holds the values of all writes.
+    """
+
+    def __init__(self, source: ListData | None = None) -> None:
+        super().__init__(source or {})
+        self.elements: set[str] = set(source.elements) if source else set()
 
     def update(self, writes: Any) -> None:
         """Append the value of each write to its item's list."""
@@ -62,6 +81,7 @@
             super().update(writes)
             return
         for item, value in writes:
+            self.elements.add(value)
             self[item] = f"{self[item]},{value}" if item in self else value
 
 
@@ -76,6 +96,8 @@
         self.leaving_since_s: float | None = None
         self.born = 1
         self._busy_until_s = 0.0
+        self._unapplied: deque[LogEntry] = deque()  # received, not seen by statements yet
+        self._applied_until_s = 0.0  # when all of them will be applied
 
     async def start(self) -> None:
         """Start listening, after a restart at the same address as before."""
@@ -163,7 +185,15 @@
             connection.settings, connection.prepared_statements = transaction.session_before
         self.group.on_server_statement(
             ServerStatement(
-                request_id, host, self.backend, text, error_code, values, shape, transaction
+                request_id,
+                host,
+                self.backend,
+                text,
+                error_code,
+                values,
+                shape,
+                transaction,
+                self.data.elements,
             )
         )
         if body is None:
@@ -239,14 +269,77 @@
             return f"{row}\r\nROW {'x' * int(padding)}\r\n{completion}"
         return body
 
+    # Replication -------------------------------------------------------------------------------
+
+    @property
+    def received_number(self) -> int:
+        """Number of the last commit that this server has received."""
+        return self.log_offset + len(self._unapplied)
+
+    @property
+    def received_position(self) -> str:
+        """Return the position of the last commit that this server has received."""
+        return f"{self.term}.{self.received_number}"
+
+    @property
+    def received_elements(self) -> set[str]:
+        """Values of all writes that this server has received."""
+        unapplied = (value for entry in self._unapplied for _, value in entry.writes)
+        return self.data.elements.union(unapplied)
+
+    def _commit(self, writes: list[tuple[str, str]]) -> bool:
+        if not writes:
+            return True
+        self.apply_all()
+        if self is not self.group.primary:
+            return super()._commit(writes)
+        self.log_offset += 1
+        self.data.update(writes)
+        self.group.commits.extend(writes)
+        entry = LogEntry(self.term, self.log_offset, tuple(writes))
+        for server in self.group.servers.values():
+            if server is not self and server.is_running:
+                asyncio.get_running_loop().call_later(NETWORK_S, server.receive, entry)
+        return True
+
+    def receive(self, entry: LogEntry) -> None:
+        """Receive the next commit of the primary that this replica follows."""
+        is_next = entry.term == self.term and entry.number == self.received_number + 1
+        if is_next and self.is_receiving and self.is_running and self.role == "replica":
+            self._apply_later((entry,))
+
+    def _apply_later(self, entries: Iterable[LogEntry]) -> None:
+        loop, rng = asyncio.get_running_loop(), self.group.rng
+        for entry in entries:
+            self._unapplied.append(entry)
+            applied_s = loop.time() + rng.expovariate(1 / self.group.apply_s)
+            self._applied_until_s = max(self._applied_until_s, applied_s)
+            loop.call_at(self._applied_until_s, self._apply_until, entry)
+
+    def _apply_until(self, entry: LogEntry) -> None:
+        while self._unapplied and entry in self._unapplied:
+            self._apply_next()
+
+    def _apply_next(self) -> None:
+        entry = self._unapplied.popleft()
+        self.data.update(entry.writes)
+        self.log_offset = entry.number
+
+    def apply_all(self) -> None:
+        """Apply all commits that this server has received."""
+        while self._unapplied:
+            self._apply_next()
+
     def follow(self, primary: LineServer) -> None:
         """Become a replica with the primary's lists."""
         super().follow(primary)
         self.data = ListData(primary.data)
+        self._unapplied.clear()
+        self._apply_later(tuple(primary._unapplied))
 
     def roll_back_to(self, primary: LineServer) -> None:
         """Become a replica; a server that was ahead is busy for a moment."""
-        is_ahead = self.log_offset > primary.log_offset
+        is_ahead = self.received_number > primary.received_number
         self.follow(primary)
         if is_ahead:
             self.be_busy_for_a_moment()
--- a/soak/statements.py
+++ b/soak/statements.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Container, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -35,6 +35,8 @@
 class CallerTransaction:
     """Transaction of a caller, from its BEGIN until it is told of the end or leaves."""
 
+    started_s: float = 0.0  # when its BEGIN was sent
+    is_read_only: bool = False
     server_transaction: ServerTransaction | None = None  # in which its first statement ran
 
 
@@ -84,6 +86,7 @@
     values: Mapping[str, str]
     shape: Shape | None
     transaction: ServerTransaction | None
+    log: Container[str] = ()  # writes that the server held when it ran the statement
 
     def describe(self) -> str:
         """Return the statement, and where it came from."""
--- a/standins/lineplatform/group.py
+++ b/standins/lineplatform/group.py
@@ -34,6 +34,7 @@
         self.role = "replica"
         self.term = 1
         self.log_offset = 0
+        self.unapplied_count = 0  # commits at the end of its log that it has only received
         self.data: dict[str, str] = {}
         self.is_receiving = True
         self.learns_of_promotions = True
@@ -75,6 +76,11 @@
 
     @property
     def position(self) -> str:
+        """Return the position of the last applied log entry as ``TERM.OFFSET``."""
+        return f"{self.term}.{self.log_offset - self.unapplied_count}"
+
+    @property
+    def received_position(self) -> str:
         """Return the position of the last log entry as ``TERM.OFFSET``."""
         return f"{self.term}.{self.log_offset}"
 
@@ -150,7 +156,8 @@
             return f"ERROR BUSY {self.backend}\r\n"
         match word:
             case "STATUS":
-                return f"ROW {self.role} {self.term} {self.position} 0 0 1\r\nCOMPLETE -\r\n"
+                row = f"{self.role} {self.term} {self.received_position} 0 0 1"
+                return f"ROW {row}\r\nCOMPLETE -\r\n"
             case "SET":
                 name, _, value = rest.partition(" ")
                 connection.settings[name] = value
--- a/tests/soak/test_servers.py
+++ b/tests/soak/test_servers.py
@@ -133,3 +133,28 @@
             self.server.close_idle_connections()
         with self.assertRaises((AssertionError, ConnectionError)):
             await self.ask("READ x")
+
+    async def test_replica_applies_what_it_received_later(self):
+        self.group.apply_s = 60.0
+        replica = self.group.servers["i-b"]
+        await self.ask("WRITE x 1", "WRITE x 2")
+        await asyncio.sleep(0.05)
+        self.assertEqual((replica.received_position, replica.position), ("1.2", "1.0"))
+        self.assertEqual(replica.received_elements, {"1", "2"})
+        self.assertEqual(replica.data, {})
+
+    async def test_promoted_server_keeps_what_it_received_and_may_apply_it_later(self):
+        for applies_at_promotion, applied in ((False, {}), (True, {"x": "1"})):
+            with self.subTest(applies_at_promotion=applies_at_promotion):
+                group = SoakGroup(("i-a", "i-b"), MemoryStore(), {}, random.Random(1))
+                group.applies_at_promotion, group.apply_s = applies_at_promotion, 60.0
+                await group.start()
+                self.addAsyncCleanup(group.stop)
+                old, new = group.servers.values()
+                old._commit([("x", "1")])
+                await asyncio.sleep(0.05)
+                old._commit([("x", "2")])  # that the other one hasn't received
+                group.make_primary(new)
+                self.assertEqual((new.data, group.rolled_back), (applied, {"2"}))
+                new._commit([("x", "3")])
+                self.assertEqual(new.data, {"x": "1,3"})
