--- /dev/null
+++ b/tests/host/test_leadershipstore.py
@@ -0,0 +1,76 @@
+"""Writes of leadership records beside those of other hosts."""
+
+import unittest
+import unittest.mock
+
+from hickorywind.failover.leadership import LeadershipPhase, LeadershipRecord, encode_record
+from hickorywind.host.fleet import LEADERSHIP_PREFIX, Fleet
+from hickorywind.host.leadershipstore import LeadershipStore
+from hickorywind.ids import Revision
+from hickorywind.ports.coordination import Committed, ItemWritten, Snapshot
+from hickorywind.store.interface import StoredValue
+from hickorywind.util.clock import ManualClock
+from tests.host.harness import SCHEMA
+
+BEFORE = LeadershipRecord("i-a", LeadershipPhase.OPEN, 1, term=1)
+CHANGED = LeadershipRecord("i-b", LeadershipPhase.OPEN, 2, term=2)
+
+
+def item(service, record, revision):
+    return StoredValue(LEADERSHIP_PREFIX + service, encode_record(record), Revision(revision))
+
+
+def make_fleet(as_of, *items):
+    fleet = Fleet(SCHEMA, ManualClock())
+    fleet.apply_snapshot(LEADERSHIP_PREFIX, Snapshot(items, Revision(as_of)), "store")
+    return fleet
+
+
+class OwnWriteTest(unittest.IsolatedAsyncioTestCase):
+    """A host writes the record of one service while another host changes another one."""
+
+    async def asyncSetUp(self):
+        self.unchanged = item("tools", BEFORE, 5), item("ledger", BEFORE, 6)
+        self.changed_elsewhere = item("tools", CHANGED, 11)
+        self.fleet = make_fleet(10, *self.unchanged)
+        self.peers = unittest.mock.AsyncMock()
+        relay = unittest.mock.AsyncMock()
+        relay.write.return_value = Committed(Revision(12))
+        store = LeadershipStore(self.fleet, relay, self.peers)
+        await store.write("ledger", CHANGED, Revision(6))
+        (self.notice,) = self.peers.broadcast.await_args.args
+
+    def known(self, fleet):
+        services = ("tools", "ledger")
+        return {name: int(fleet.permits.leadership(name).revision) for name in services}
+
+    def receive_notice(self, fleet):
+        items = tuple(each.to_stored() for each in self.notice.items)
+        snapshot = Snapshot(items, Revision(self.notice.as_of))
+        fleet.apply_snapshot(LEADERSHIP_PREFIX, snapshot, "notice")
+
+    def test_next_watch_still_asks_for_the_change_of_the_other_service(self):
+        self.assertEqual(self.known(self.fleet), {"tools": 5, "ledger": 12})
+        self.assertLess(self.fleet.copies[LEADERSHIP_PREFIX].as_of, 11)
+
+    def test_notice_does_not_hide_the_change_of_the_other_service_from_a_host(self):
+        fleet = make_fleet(10, *self.unchanged)
+        self.receive_notice(fleet)
+        self.assertEqual(self.known(fleet), {"tools": 5, "ledger": 12})
+        self.assertLess(fleet.copies[LEADERSHIP_PREFIX].as_of, 11)
+
+    def test_late_notice_of_the_other_host_is_taken(self):
+        snapshot = Snapshot((self.changed_elsewhere, self.unchanged[1]), Revision(11))
+        self.fleet.apply_snapshot(LEADERSHIP_PREFIX, snapshot, "notice")
+        self.assertEqual(self.known(self.fleet), {"tools": 11, "ledger": 12})
+
+    def test_host_that_knows_the_other_change_takes_the_notice_and_keeps_that_change(self):
+        fleet = make_fleet(11, self.changed_elsewhere, self.unchanged[1])
+        self.receive_notice(fleet)
+        self.assertEqual(self.known(fleet), {"tools": 11, "ledger": 12})
+
+    def test_watch_of_the_change_still_completes_the_copy(self):
+        changes = (ItemWritten(self.changed_elsewhere), ItemWritten(item("ledger", CHANGED, 12)))
+        self.fleet.apply_changes(LEADERSHIP_PREFIX, changes, Revision(12), "store")
+        self.assertEqual(self.known(self.fleet), {"tools": 11, "ledger": 12})
+        self.assertEqual(self.fleet.copies[LEADERSHIP_PREFIX].as_of, 12)
--- a/tests/platform/test_lineprotocol.py
+++ b/tests/platform/test_lineprotocol.py
@@ -167,6 +167,7 @@
         status = codec.decode_status(answer)
         self.assertEqual(status.role, InstanceRole.REPLICA)
         self.assertEqual(status.received_position, LogPosition(3, 9))
+        self.assertEqual(status.applied_position, LogPosition(3, 4))
         (busy,) = codec.feed(b"ERROR BUSY i\r\nREADY I 3.4\r\n")
         self.assertIsNone(codec.decode_status(busy))
 
