Use a primary only once it has applied the log that it received

Cause: replicas receive commits and apply them later, and a promoted server leads with what it had received. Its status tells both positions, but a record opened, and a connection was taken for one to the primary, by role and term alone. Until it had applied its log, statements ran without the former primary's last commits, and its positions, taken as samples, let replicas serve reads as old. The same held for a primary that restarts in its term.

Change: a connection is verified, a record opened or reopened, and a promotion ended only with a status whose two positions are equal.

That the users' servers lead so early is not shown by their record.

--- a/hickorywind/host/backendconnection.py
+++ b/hickorywind/host/backendconnection.py
@@ -54,7 +54,8 @@
         self.idle_since: Instant = timedelta(0)
         self.is_lost = False
         self.closed_locally = False
-        # Term in which the server led when it last gave its status here; None as a replica.
+        # Term in which the server led when it last gave its status here; None as a replica, or
+        # while it has not applied its log.
         self.primary_term: Term | None = None
         self.on_lost: Callable[[BackendConnection], None] | None = None
         self._transport: asyncio.Transport | None = None
--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -278,14 +278,16 @@
         status = await self._query_status(self._services[service], primaries[0])
         if status is not None and status.role is not InstanceRole.PRIMARY:
             return  # its registration is outdated
+        if status is not None and not status.has_applied_log:
+            return  # it is asked again at the next check
         term = Term(0) if status is None else status.term
         record = LeadershipRecord(primaries[0], LeadershipPhase.OPEN, 0, term=term)
         await self.store.write(service, record, Revision(0))
 
-    async def _query_leading_term(self, runtime: ServiceRuntime, primary: BackendId) -> Term | None:
-        """Return the term in which a server calls itself primary, or None."""
+    async def _query_usable_term(self, runtime: ServiceRuntime, primary: BackendId) -> Term | None:
+        """Return the term in which a server leads that has applied its log, or None."""
         status = await self._query_status(runtime, primary)
-        return None if status is None else status.leading_term
+        return None if status is None or not status.has_applied_log else status.leading_term
 
     async def _query_status(
         self, runtime: ServiceRuntime, server: BackendId
@@ -387,7 +389,7 @@
             backend.server.address, CONNECT_PROBE_TIMEOUT
         ):
             return False
-        term = await self._query_leading_term(runtime, closed.record.primary)
+        term = await self._query_usable_term(runtime, closed.record.primary)
         if term is None or term < max(closed.record.term, runtime.newest_term):
             return False
         await self._open(runtime, closed, closed.record.primary, term)
@@ -478,7 +480,7 @@
         closed = await self.store.write(service, record, unconfirmed.revision)
         runtime.set_primary_state(PrimaryState.CHANGING)
         fencing = await self._fence_completely(runtime, closed)
-        term = await self._query_leading_term(runtime, candidate)
+        term = await self._query_usable_term(runtime, candidate)
         if term is not None and term > ended_term and term >= runtime.newest_term:
             await self._open(runtime, closed, candidate, term)
         else:
--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -190,7 +190,8 @@
     """Why a candidate did not become primary.
 
     ``NOT_ORDERED``: another host may have taken over the change; ``NOT_RUNNING``: the candidate has
-    gone; ``NO_EFFECT``: it did not lead in a new term in time after an order.
+    gone; ``NO_EFFECT``: it did not lead in a new term in time after an order, or did not get on
+    with applying its log.
     """
 
     NOT_ORDERED = "not_ordered"
@@ -220,9 +221,9 @@
     ) -> Term | PromotionFailure:
         """Order the promotion, wait until the candidate leads in a new term and return that term.
 
-        An accepted order alone proves nothing. After a failure the caller must write a new closed
-        record and try again. Raise ``PrimaryChangeCancelledError`` if another host took over the
-        change.
+        An accepted order alone proves nothing, and a leader may still have to apply its log. After
+        a failure the caller must write a new closed record and try again. Raise
+        ``PrimaryChangeCancelledError`` if another host took over the change.
         """
         record = closed.record
         deadline = self._clock.now() + PROMOTION_TIMEOUT
@@ -263,7 +264,8 @@
                         "applied": str(status.applied_position),
                     },
                 )
-                return led
+                has_applied = await self._wait_until_applied(runtime, backend, status)
+                return led if has_applied else PromotionFailure.NO_EFFECT
             if led is not None and not has_logged_old_lead:
                 has_logged_old_lead = True
                 logger.warning(
@@ -279,6 +281,25 @@
             await asyncio.sleep(PROMOTION_POLL_INTERVAL.total_seconds())
         return PromotionFailure.NO_EFFECT if was_sent else PromotionFailure.NOT_ORDERED
 
+    async def _wait_until_applied(
+        self, runtime: ServiceRuntime, backend: Backend, leading: ServerStatus
+    ) -> bool:
+        """Wait until a new leader has applied what it received.
+
+        Return False if it stops leading, or applies nothing for ``PROMOTION_TIMEOUT``.
+        """
+        status = leading
+        deadline = self._clock.now() + PROMOTION_TIMEOUT
+        while not status.has_applied_log:
+            await asyncio.sleep(PROMOTION_POLL_INTERVAL.total_seconds())
+            applied = status.applied_position
+            status = await query_server(runtime, backend) or status
+            if status.leading_term != leading.term or self._clock.now() >= deadline:
+                return False
+            if status.applied_position != applied:
+                deadline = self._clock.now() + PROMOTION_TIMEOUT
+        return True
+
     async def _order(
         self, runtime: ServiceRuntime, closed: VersionedLeadership
     ) -> PromotionOutcome | None:
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -622,9 +622,11 @@
     def _record_status(
         self, backend: Backend, connection: BackendConnection, status: ServerStatus | None
     ) -> None:
-        connection.primary_term = None if status is None else status.leading_term
+        connection.primary_term = None
         if status is None:
             return
+        if status.has_applied_log:
+            connection.primary_term = status.leading_term
         self.newest_term = max(self.newest_term, status.term, status.received_position.term)
         is_used = self.fleet.usable_primary(self.name) == backend.server.backend
         if is_used and self.is_verified_primary(backend, connection):
@@ -634,7 +636,7 @@
         """Return whether a connection reaches a primary of the recorded term.
 
         It is checked once for each connection and term, as a restarted server may have become a
-        replica, or may call itself primary in a term that has ended.
+        replica, may call itself primary in a term that has ended, or may not have applied its log.
         Raise ``ConnectionLostError`` if the server does not answer.
         """
         if self.is_verified_primary(backend, connection):
@@ -642,10 +644,9 @@
         answers = await connection.exchange(connection.codec.encode_status(), 1, STATUS_TIMEOUT)
         status = backend.connections.decode_status(answers[0])
         self._record_status(backend, connection, status)
-        is_primary = self.is_verified_primary(backend, connection)
-        if status is not None and not is_primary:
+        if status is not None and not self.leads_as_recorded(backend, status.leading_term):
             self.on_primary_suspected(self.name, NOT_LEADING)
-        return is_primary
+        return self.is_verified_primary(backend, connection)
 
     def close_scarce_connections(self) -> None:
         """Close idle connections to servers that have too few for all hosts."""
--- a/hickorywind/ports/replies.py
+++ b/hickorywind/ports/replies.py
@@ -94,6 +94,11 @@
         """Term in which the server calls itself primary; None for a replica."""
         return self.term if self.role is InstanceRole.PRIMARY else None
 
+    @property
+    def has_applied_log(self) -> bool:
+        """Whether statements see all changes that the server has received, as far as it tells."""
+        return self.applied_position is None or self.applied_position >= self.received_position
+
 
 @dataclass(frozen=True, slots=True)
 class RelayedAnswer:
