Keep a copy's revision where it is complete when a host writes a leadership record

Cause: after its own write of one service's record a host took its copy for complete up to that write, and told the other hosts so. A record of another service, changed between the copy and the write, was then neither asked for by the next watch nor taken from a later notice, until it changed again or the host took the stuck change over after 20 s. It doesn't let a former primary be used, as hosts are asked to stop by a call; the host refuses work for the primary meanwhile.

Change: the own write is applied as a single change, and of a notice whose copy is older than the own one the newer items are taken.

Evidence: three of the tests of tests.host.test_leadershipstore failed before.

--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -55,9 +55,13 @@
         self.items: dict[str, StoredValue] = {}
 
     def replace(self, snapshot: Snapshot) -> tuple[Change, ...]:
-        """Replace the items by a snapshot; return the changes, none for an older snapshot."""
+        """Replace the items by a snapshot; return the changes.
+
+        Of an older snapshot only the items are taken that changed after this copy was complete.
+        """
         if snapshot.as_of < self.as_of:
-            return ()
+            newer = (item for item in snapshot.items if item.revision > self.as_of)
+            return self.apply(tuple(ItemWritten(item) for item in newer), self.as_of)
         snapshot_items = {item.key: item for item in snapshot.items}
         changes: list[Change] = [
             ItemWritten(item)
--- a/hickorywind/host/leadershipstore.py
+++ b/hickorywind/host/leadershipstore.py
@@ -20,8 +20,8 @@
 from hickorywind.ids import HostId, Revision, ServiceName
 from hickorywind.ports.coordination import (
     Committed,
+    ItemWritten,
     Lease,
-    Snapshot,
 )
 from hickorywind.protocol.messages import EndedLease
 from hickorywind.store.era import era_of
@@ -130,13 +130,10 @@
     async def _broadcast(
         self, service: ServiceName, record: LeadershipRecord, revision: Revision
     ) -> VersionedLeadership:
-        key = LEADERSHIP_PREFIX + service
+        item = StoredValue(LEADERSHIP_PREFIX + service, encode_record(record), revision)
         copy = self._fleet.copies[LEADERSHIP_PREFIX]
-        kept = tuple(item for item in copy.items.values() if item.key != key)
-        items = (*kept, StoredValue(key, encode_record(record), revision))
-        self._fleet.apply_snapshot(
-            LEADERSHIP_PREFIX, Snapshot(items, max(copy.as_of, revision)), "own write"
-        )
+        # Not complete up to the write: other services may have changed just before it.
+        self._fleet.apply_changes(LEADERSHIP_PREFIX, (ItemWritten(item),), copy.as_of, "own write")
         await self._peers.broadcast(copy.to_message(0))
         return VersionedLeadership(record, revision)
 
