Soak: positions of servers hold the term in which a commit ran

A promoted server that had not applied its log showed it under its new term, so that reads that require a position of the former term ran there, and a replaced primary un-applied what it had.

--- a/soak/servers.py
+++ b/soak/servers.py
@@ -96,6 +96,7 @@
         self.leaving_since_s: float | None = None
         self.born = 1
         self._busy_until_s = 0.0
+        self.log_term = self.term  # of the last applied commit
         self._unapplied: deque[LogEntry] = deque()  # received, not seen by statements yet
         self._applied_until_s = 0.0  # when all of them will be applied
 
@@ -276,10 +277,21 @@
         """Number of the last commit that this server has received."""
         return self.log_offset + len(self._unapplied)
 
+    @property
+    def position(self) -> str:
+        """Return the position of the last applied commit, in the term in which it ran."""
+        return f"{self.log_term}.{self.log_offset}"
+
     @property
     def received_position(self) -> str:
         """Return the position of the last commit that this server has received."""
-        return f"{self.term}.{self.received_number}"
+        if not self._unapplied:
+            return self.position
+        return f"{self._unapplied[-1].term}.{self._unapplied[-1].number}"
+
+    def _has_position(self, minimum_position: str) -> bool:
+        term, number = minimum_position.split(".")
+        return (self.log_term, self.log_offset) >= (int(term), int(number))
 
     @property
     def received_elements(self) -> set[str]:
@@ -292,8 +304,9 @@
             return True
         self.apply_all()
         if self is not self.group.primary:
+            self.log_term = self.term
             return super()._commit(writes)
-        self.log_offset += 1
+        self.log_term, self.log_offset = self.term, self.log_offset + 1
         self.data.update(writes)
         self.group.commits.extend(writes)
         entry = LogEntry(self.term, self.log_offset, tuple(writes))
@@ -323,7 +336,7 @@
     def _apply_next(self) -> None:
         entry = self._unapplied.popleft()
         self.data.update(entry.writes)
-        self.log_offset = entry.number
+        self.log_term, self.log_offset = entry.term, entry.number
 
     def apply_all(self) -> None:
         """Apply all commits that this server has received."""
@@ -332,10 +345,15 @@
 
     def follow(self, primary: LineServer) -> None:
         """Become a replica with the primary's lists."""
+        applied = self.data.elements  # stays applied
         super().follow(primary)
-        self.data = ListData(primary.data)
+        self.data, self.log_term = ListData(primary.data), primary.log_term
+        self._unapplied = deque(primary._unapplied)
+        while self._unapplied and all(value in applied for _, value in self._unapplied[0].writes):
+            self._apply_next()
+        unapplied = tuple(self._unapplied)
         self._unapplied.clear()
-        self._apply_later(tuple(primary._unapplied))
+        self._apply_later(unapplied)
 
     def roll_back_to(self, primary: LineServer) -> None:
         """Become a replica; a server that was ahead is busy for a moment."""
--- a/tests/soak/test_servers.py
+++ b/tests/soak/test_servers.py
@@ -156,5 +156,6 @@
                 old._commit([("x", "2")])  # that the other one hasn't received
                 group.make_primary(new)
                 self.assertEqual((new.data, group.rolled_back), (applied, {"2"}))
+                self.assertEqual((new.term, new.received_position), (2, "1.1"))
                 new._commit([("x", "3")])
-                self.assertEqual(new.data, {"x": "1,3"})
+                self.assertEqual((new.data, new.position), ({"x": "1,3"}, "2.2"))
