Skip a replica for a position that it lacks although it had it before

What callers would see: a read that waits while its host sends it to the same replica again and again.

Cause: the newest position seen at a server was never taken back. A replica that a change of primary rolled back answers that it lacks a position which it had shown; the read was then sent there at once again, as often as a round trip allows, for a lagging replica does not count as an attempt.

Evidence: the new test of tests.admission.test_dispatch failed before; a test in virtual time (tests.host.test_lateapplication, replicas whose position goes back) did not end within 10 minutes.

--- a/hickorywind/admission/dispatch.py
+++ b/hickorywind/admission/dispatch.py
@@ -134,6 +134,8 @@
 
     def record_missing_position(self, position: LogPosition, now: Instant) -> None:
         """Record that the server had not applied a log position."""
+        if self.known_position is not None and self.known_position >= position:
+            self.known_position = None  # the server was rolled back
         self.missing_position = position
         self.missing_checked_at = now
 
--- a/tests/admission/test_dispatch.py
+++ b/tests/admission/test_dispatch.py
@@ -104,6 +104,12 @@
         probes = Counter(backend for _, backend in self.granted[1:])
         self.assertEqual(probes, Counter({"i-b": 1, "i-c": 1}))
 
+    def test_replica_that_was_rolled_back_behind_a_position_is_skipped_for_it(self):
+        server = self.dispatcher.servers["i-b"]
+        server.record_position(POSITION)
+        server.record_missing_position(POSITION, START)
+        self.assertFalse(server.has_probably_applied(POSITION, START))
+
     def test_lagging_replicas_are_checked_less_and_less_often(self):
         """Reads arrive for 8 s while both replicas lag and the primary has no connection left."""
         self.dispatcher.servers["i-a"].has_connection = lambda: False
