Lift a session's floor only at a verified primary

Cause: a server on record as the primary that lacked a position was taken as proof that a change of primary had rolled it back, so the session's floor and the position samples were dropped. A primary that has restarted and not applied its log yet, or a replica that a late host still has on record, proves nothing of the kind. A refusal counted as one of a lagging replica, so nothing bounded its repetitions either.

Change: the connection is verified first, as before work for a primary. One that isn't verified counts as an attempt and is passed over. An answer that came through a home no longer lifts the floor; the host's own read does.

Evidence: tests.host.test_lateapplication.SessionFloorTest failed before (the floor was None after the primary's restart) and passes.

--- a/hickorywind/host/autocommit.py
+++ b/hickorywind/host/autocommit.py
@@ -11,7 +11,7 @@
 from hickorywind.host.targets import (
     RETRY_AFTER_MS,
     encode_request,
-    record_missing_position,
+    handle_missing_position,
     set_up_session,
 )
 from hickorywind.ids import AccessMode, BackendId, LogPosition
@@ -118,9 +118,17 @@
         finally:
             self._service.remove_primary_work(self)
         self._service.release_answered_slot(backend, sent)
-        backend.connections.release(connection)
         answer = answers[-1]
         self._service.record_answer(backend, answer, sent, is_position_sample)
+        if min_position is not None and answer.lacks_position:
+            refusal = await handle_missing_position(
+                self._service, grant, self._context, min_position
+            )
+            backend.connections.release(connection)
+            if refusal.code is not ResultCode.REPLICA_BEHIND:
+                self._exclude(backend.server.backend)
+            return refusal
+        backend.connections.release(connection)
         if answer.is_ok:
             return self._handle_success(backend, answer)
         return self._handle_error(backend, answer, min_position)
@@ -175,10 +183,6 @@
         if kind not in NOT_RUN_ERROR_KINDS:
             return RelayedAnswer(answer)
         match kind:
-            case BackendErrorKind.BEHIND if min_position is not None:
-                record_missing_position(self._service, backend, self._context, min_position)
-                reason = "the replica lacks the log position that the read requires"
-                return Result.not_run(ResultCode.REPLICA_BEHIND, reason, RETRY_AFTER_MS)
             case BackendErrorKind.BUSY:
                 backend.load.limit.record_refusal(now)
             case BackendErrorKind.READ_ONLY:
--- a/hickorywind/host/sharedreads.py
+++ b/hickorywind/host/sharedreads.py
@@ -16,7 +16,7 @@
 from hickorywind.host.servicestate import Backend, FailedRead
 from hickorywind.host.sessioncontext import SessionContext
 from hickorywind.host.sessionstate import StatementTemplate
-from hickorywind.host.targets import check_primary, choose_target, record_missing_position
+from hickorywind.host.targets import check_primary, choose_target
 from hickorywind.ids import AccessMode, BackendId, HostId, ServiceName
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.placement.readhomes import ReadHomes, ReportedLoads, choose_server
@@ -148,7 +148,7 @@
                 self._homes.record_silence(home, self._clock.now())
                 logger.info("read_home_silent", extra={"peer": home, "backend": server.backend})
             elif reply is not None:
-                answer = self._accept(service, backend, context, target, reply, now)
+                answer = self._accept(service, backend, target, reply, now)
                 if answer is not None and not self._may_repeat(server, answer, target, failed, now):
                     return answer
                 if answer is not None:
@@ -238,7 +238,6 @@
         self,
         service: ServiceRuntime,
         backend: Backend,
-        context: SessionContext,
         target: Target,
         reply: SharedReadReply,
         sent: Instant,
@@ -247,8 +246,10 @@
         now = self._clock.now()
         self._loads.record(backend.server.backend, milliseconds(reply.expected_ms), now)
         if reply.refusal is not None:
-            if reply.refusal.code is ResultCode.REPLICA_BEHIND and isinstance(target, AtPosition):
-                record_missing_position(service, backend, context, target.position)
+            is_behind = reply.refusal.code is ResultCode.REPLICA_BEHIND
+            is_replica = not service.may_start_primary_work(backend)
+            if is_behind and is_replica and isinstance(target, AtPosition):
+                backend.load.record_missing_position(target.position, now)
             return None
         error = None
         if reply.error_kind is not None:
--- a/hickorywind/host/targets.py
+++ b/hickorywind/host/targets.py
@@ -78,22 +78,34 @@
             return connection.codec.encode_statement(request.request_id, request.text, min_position)
 
 
-def record_missing_position(
-    service: ServiceRuntime, backend: Backend, context: SessionContext, min_position: LogPosition
-) -> None:
-    """Record that a backend server lacks a log position.
+async def handle_missing_position(
+    service: ServiceRuntime, grant: Grant, context: SessionContext, min_position: LogPosition
+) -> Result:
+    """Record that a granted server lacks a log position; return the refusal.
 
-    If even the primary lacks it, a primary change rolled it back; the session's floor and the
-    position samples are then dropped, so that they constrain no later read.
+    If even a verified primary lacks it, a primary change rolled it back; the session's floor and
+    the position samples are then dropped, so that they constrain no later read.
     """
-    if service.may_start_primary_work(backend):
-        context.floor = None
-        service.samples.clear()
-        logger.info(
-            "position_rolled_back", extra={"service": service.name, "position": str(min_position)}
-        )
-        return
-    backend.load.record_missing_position(min_position, service.clock.now())
+    backend = grant.backend
+    if not service.may_start_primary_work(backend):
+        backend.load.record_missing_position(min_position, service.clock.now())
+        reason = "the replica lacks the log position that the read requires"
+        return Result.not_run(ResultCode.REPLICA_BEHIND, reason, RETRY_AFTER_MS)
+    try:
+        is_primary = await service.verify_primary(backend, grant.connection)
+    except ConnectionLostError as error:
+        service.record_connection_failure(backend, error)
+        is_primary = False
+    if not (is_primary and service.may_start_primary_work(backend)):
+        reason = "the primary has not shown that it has applied its log"
+        return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, RETRY_AFTER_MS)
+    context.floor = None
+    service.samples.clear()
+    logger.info(
+        "position_rolled_back", extra={"service": service.name, "position": str(min_position)}
+    )
+    reason = "a change of primary rolled back the log position that the read requires"
+    return Result.not_run(ResultCode.REPLICA_BEHIND, reason, RETRY_AFTER_MS)
 
 
 async def check_primary(service: ServiceRuntime, grant: Grant) -> Result | None:
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -16,7 +16,7 @@
 from hickorywind.host.targets import (
     RETRY_AFTER_MS,
     encode_request,
-    record_missing_position,
+    handle_missing_position,
     record_setup_refusal,
 )
 from hickorywind.ids import AccessMode, LogPosition
@@ -135,19 +135,17 @@
             backend.load.limit.start(self.service.clock.now())
             return None
         self.service.release_unanswered_slot(backend)
+        if refusal is None and min_position is not None and answer.lacks_position:
+            missing = await handle_missing_position(
+                self.service, grant, self._context, min_position
+            )
+            backend.connections.release(connection)
+            return missing
         backend.connections.release(connection)
         if refusal is not None:
             record_setup_refusal(self.service, backend, refusal)
             reason = f"the backend server refused the session's setup: {refusal.text}"
             return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, RETRY_AFTER_MS)
-        if (
-            answer.error is not None
-            and answer.error.kind is BackendErrorKind.BEHIND
-            and min_position
-        ):
-            record_missing_position(self.service, backend, self._context, min_position)
-            reason = "the replica lacks the log position that the transaction requires"
-            return Result.not_run(ResultCode.REPLICA_BEHIND, reason, RETRY_AFTER_MS)
         if answer.error is not None and answer.error.kind is BackendErrorKind.READ_ONLY:
             self.service.on_primary_suspected(
                 self.service.name, "the primary answered BEGIN with a read-only error"
--- a/hickorywind/ports/replies.py
+++ b/hickorywind/ports/replies.py
@@ -74,6 +74,11 @@
         """Whether the statement succeeded."""
         return self.error is None
 
+    @property
+    def lacks_position(self) -> bool:
+        """Whether the server refused as its log lacks the position that the statement requires."""
+        return self.error is not None and self.error.kind is BackendErrorKind.BEHIND
+
 
 @dataclass(frozen=True, slots=True)
 class ServerStatus:
--- a/standins/lineplatform/group.py
+++ b/standins/lineplatform/group.py
@@ -209,7 +209,8 @@
 
     def _has_position(self, minimum_position: str) -> bool:
         term, log_offset = minimum_position.split(".")
-        return (self.term, self.log_offset) >= (int(term), int(log_offset))
+        applied_offset = self.log_offset - self.unapplied_count
+        return (self.term, applied_offset) >= (int(term), int(log_offset))
 
     def follow(self, primary: LineServer) -> None:
         """Become a replica with a copy of the primary's data and log position."""
--- a/tests/host/test_lateapplication.py
+++ b/tests/host/test_lateapplication.py
@@ -9,6 +9,21 @@
 SETTLE_SECONDS = 4.0
 
 
+class SessionFloorTest(HostTestCase):
+    async def test_primary_that_has_not_applied_its_log_does_not_lift_a_session_s_floor(self):
+        primary = self.group.primary
+        caller = await self.caller("orders")
+        await caller.ask("WRITE kiln 1")
+        (session,) = self.hosts["h0"].role._sessions
+        floor = session._context.floor
+        await primary.crash()
+        for server in self.group.servers.values():
+            server.unapplied_count = 1
+        await primary.start()
+        self.assertTrue((await caller.ask("READ kiln"))[0].startswith("ERROR"))
+        self.assertEqual(session._context.floor, floor)
+
+
 class LateApplicationTest(HostTestCase):
     host_count = 3
 
