--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -48,6 +48,20 @@
             self.assertGreater(counts[name], 0, counts)
 
 
+class LateApplicationTest(unittest.TestCase):
+    def test_promoted_server_that_applies_its_log_late_runs_no_statement_before(self):
+        faults = (
+            Fault(FaultKind.REPLICAS_APPLY_LATE, 0.1, 6.0),
+            Fault(FaultKind.PRIMARY_LEAVES, 1.0, 0.5),
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            plan = Plan(1, 2, Theme.MIXED, faults)  # a seed in which they lead before that
+            report = run_plan(plan, DURATION_S, Path(folder))
+        self.assertEqual(report.findings, (), report.to_text())
+        self.assertGreater(report.statement_counts["compared logs"], 200)
+        self.assertGreater(report.promotion_count, 0)
+
+
 class PlannedStopTest(unittest.TestCase):
     def test_stops_of_starved_and_other_hosts_lose_no_request_of_idle_callers(self):
         faults = (
