Choose, of replicas with equal logs, the one that has applied most

The choice went by received positions alone and then by distance. The new test of tests.failover.test_succession failed before.

--- a/hickorywind/failover/succession.py
+++ b/hickorywind/failover/succession.py
@@ -80,7 +80,8 @@
         """Return the candidate with the most advanced log, or None without candidates.
 
         A new leader comes first. A leaving server comes after one that stays, unless that one lacks
-        more commits up to ``acknowledged``; of equal ones ``preferred`` comes first. A server that
+        more commits up to ``acknowledged``; of equal ones ``preferred`` comes first, else the one
+        that has applied most, as a promoted server is used only then. A server that
         claims an old lead comes after equally advanced replicas, as the platform does not give a
         new term to a server that it takes for primary; it comes last if a newer term is known, or
         if it is ``passed_over`` for having stayed in its old term when it was to be promoted.
@@ -99,6 +100,7 @@
                 not candidate.is_leaving,
                 position,
                 not claims_old_lead,
+                status.applied_position or position,
                 -candidate.distance,
                 candidate.backend,
             )
--- a/tests/failover/test_succession.py
+++ b/tests/failover/test_succession.py
@@ -34,6 +34,15 @@
     def test_replica_with_the_greatest_position_is_chosen(self):
         self.check(KnownTerms(1, 1), [replica("i-b", 1, 4), replica("i-c", 1, 5)], "i-c", 1)
 
+    def test_of_equal_logs_the_one_that_is_applied_furthest_is_chosen(self):
+        def lagging(name, offset, applied):
+            applied_position = LogPosition(1, applied)
+            status = ServerStatus(InstanceRole.REPLICA, 1, LogPosition(1, offset), applied_position)
+            return Candidate(name, status, 0.0)
+
+        self.check(KnownTerms(1, 1), [lagging("i-c", 5, 2), lagging("i-b", 5, 4)], "i-b", 1)
+        self.check(KnownTerms(1, 1), [lagging("i-c", 6, 2), lagging("i-b", 5, 5)], "i-c", 1)
+
     def test_claim_of_an_old_term_comes_after_any_replica(self):
         self.check(KnownTerms(2, 2), [primary("i-a", 1, 9), replica("i-b", 2, 4)], "i-b", 2)
 
