--- /dev/null
+++ b/tests/host/test_fencing.py
@@ -0,0 +1,56 @@
+"""Hosts that a change of primary must wait for."""
+
+import asyncio
+import json
+
+from hickorywind.host.fleet import LEADERSHIP_PREFIX
+from tests.host.harness import SERVICE, HostTestCase
+
+PERMIT_SECONDS = 7.2
+CHANGE_SECONDS = 6.0  # with its takeover, without waiting for permits
+
+
+class LateClosingTest(HostTestCase):
+    """A host stops using the primary, sends its closing write and restarts; the write runs late."""
+
+    host_count = 3
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.group.primary.learns_of_promotions = False
+        self.former_incarnation = self.incarnation("h1")
+        await self.restart_host("h1")
+        await self.wait_until(lambda: self.hosts["h1"].primary() == "i-a")
+
+    def incarnation(self, name):
+        return self.hosts[name].role._identity.incarnation
+
+    async def run_closing_write(self, incarnation):
+        self.network.cut_from.add("h1")
+        self.network.cut_to.add("h1")
+        self.hosts["h1"].coordinator.is_cut = True
+        closed = {"primary": "i-a", "phase": "closed", "change": 0, "term": 1}
+        closed |= {"promoter": "h1", "candidate": "i-b", "stopped": ["h1"]}
+        closed |= {"stopped_incarnations": {"h1": incarnation}}
+        await self.store.put(LEADERSHIP_PREFIX + SERVICE, json.dumps(closed).encode())
+
+    def others_use(self, server):
+        return {self.hosts[name].primary() for name in ("h0", "h2")} == {server}
+
+    async def test_successor_process_of_the_promoter_is_waited_for(self):
+        caller = await self.caller("bookings", "h1")
+        await self.run_closing_write(self.former_incarnation)
+
+        async def write_repeatedly():
+            while (await caller.ask("WRITE kiln 1"))[0]:
+                await asyncio.sleep(0.02)
+
+        writing = asyncio.create_task(write_repeatedly())
+        self.addCleanup(writing.cancel)
+        await self.wait_until(lambda: self.others_use("i-b"), 2 * PERMIT_SECONDS)
+        await asyncio.sleep(1.0)
+        self.assertEqual(self.group.commits_of_former_primary, [])
+
+    async def test_process_that_stopped_itself_is_not_waited_for(self):
+        await self.run_closing_write(self.incarnation("h1"))
+        await self.wait_until(lambda: self.others_use("i-b"), CHANGE_SECONDS)
