Wait for a promoter's new process if the record was closed by its former one

Cause: a closed record names the hosts that stopped using the primary before they wrote it, and nobody waits for their permits. It named hosts, not processes. A write that gets no answer may take effect seconds later, when its sender was killed and has started again: the new process had stopped nothing. Cut off from peers and store it used the primary for as long as its permit lasted, while another one led.

Change: the record holds the incarnations too, and only the process that stopped is not waited for. Records of older versions are taken as before.

Evidence: tests.host.test_fencing failed before (writes at the former primary after the promotion); the host that stopped by itself is still not waited for.

--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -70,6 +70,8 @@
 
     ``stopped`` names hosts that stopped using the primary before they wrote a closed record of this
     change: the promoter, and former ones whose change it took over. Nobody waits for their permits.
+    ``stopped_incarnations`` holds their incarnations: a write may take effect after its sender has
+    restarted, and its new process has stopped nothing. Records of older versions lack it.
 
     ``era`` is that of the store when the record was written.
     """
@@ -82,8 +84,14 @@
     is_planned: bool = False
     term: Term = Term(0)
     stopped: tuple[HostId, ...] = ()
+    stopped_incarnations: dict[HostId, Incarnation] = {}
     era: StoreEra = StoreEra(0)
 
+    def names_as_stopped(self, host: HostRecord) -> bool:
+        """Return whether the registered process of a host stopped using the primary."""
+        incarnation = self.stopped_incarnations.get(host.host, host.incarnation)
+        return host.host in self.stopped and incarnation == host.incarnation
+
 
 class HostRecord(msgspec.Struct, frozen=True):
     """Registration of a host in the store, kept until the host is known to have ended.
--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -39,7 +39,15 @@
 from hickorywind.host.servicestate import PrimaryState
 from hickorywind.host.silenthosts import SilentHostFencer
 from hickorywind.host.storerelay import StoreRelay
-from hickorywind.ids import BackendId, HostId, InstanceRole, Revision, ServiceName, Term
+from hickorywind.ids import (
+    BackendId,
+    HostId,
+    Incarnation,
+    InstanceRole,
+    Revision,
+    ServiceName,
+    Term,
+)
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.placement.rendezvous import rank_members
 from hickorywind.ports.catalog import BackendState
@@ -476,7 +484,7 @@
             any_server = msgspec.structs.replace(previous, primary=BackendId(""))
             candidate, ended_term = await choose_successor(runtime, any_server, self._clock)
         # Planned, so that open transactions may end and silent hosts are waited for.
-        record = self._closed_record(previous, candidate, True, ended_term, ())
+        record = self._closed_record(previous, candidate, True, ended_term, {})
         closed = await self.store.write(service, record, unconfirmed.revision)
         runtime.set_primary_state(PrimaryState.CHANGING)
         fencing = await self._fence_completely(runtime, closed)
@@ -517,7 +525,7 @@
         successor: BackendId,
         is_planned: bool,
         ended_term: Term,
-        stopped: tuple[HostId, ...],
+        stopped: dict[HostId, Incarnation | None],
     ) -> LeadershipRecord:
         return LeadershipRecord(
             record.primary,
@@ -527,12 +535,13 @@
             successor,
             is_planned,
             ended_term,
-            stopped,
+            tuple(stopped),
+            {host: each for host, each in stopped.items() if each is not None},
         )
 
-    def _stopped_hosts(self, record: LeadershipRecord) -> tuple[HostId, ...]:
+    def _stopped_hosts(self, record: LeadershipRecord) -> dict[HostId, Incarnation | None]:
         """Return the hosts, this one included, that stopped using a primary for its change."""
-        return tuple(dict.fromkeys((*_formerly_stopped(record), self._identity.host)))
+        return _formerly_stopped(record) | {self._identity.host: self._identity.incarnation}
 
     async def _fence_completely(
         self, runtime: ServiceRuntime, closed: VersionedLeadership
@@ -590,6 +599,11 @@
             task.cancel()
 
 
-def _formerly_stopped(record: LeadershipRecord) -> tuple[HostId, ...]:
-    """Return the hosts that stopped using a primary for the change that a record belongs to."""
-    return record.stopped if record.phase is LeadershipPhase.CLOSED else ()
+def _formerly_stopped(record: LeadershipRecord) -> dict[HostId, Incarnation | None]:
+    """Return the hosts that stopped using a primary for the change that a record belongs to.
+
+    The incarnation of one is None if an older version wrote the record.
+    """
+    if record.phase is not LeadershipPhase.CLOSED:
+        return {}
+    return {host: record.stopped_incarnations.get(host) for host in record.stopped}
--- a/hickorywind/host/fencer.py
+++ b/hickorywind/host/fencer.py
@@ -99,8 +99,9 @@
             self._request_closes(runtime, closed, others, fencing, timeout),
             self._request_closes(runtime, closed, silent, fencing, CLOSE_TIMEOUT),
         )
-        for host in closed.record.stopped:
-            fencing.record_state(host, HostFencingState.STOPPED_USING)
+        for host, record in hosts.items():
+            if closed.record.names_as_stopped(record):
+                fencing.record_state(host, HostFencingState.STOPPED_USING)
         if fencing.pending_hosts and closed.record.is_planned:
             await self._check_registrations(runtime.name, closed.revision, fencing)
         await asyncio.gather(
