Count the first permit of a registration from its write, not from the read after it

Cause: a host that had registered counted its permit from the read of the fleet that follows the store's answer. Others may end its lease as soon as they can read the registration, and wait 7.2 s from then; an answer that took longer than .2 s let the permit outlast their wait by up to .8 s.

Evidence: tests.host.test_fencing.LateRegistrationTest failed before (permit until 1008.709 s, wait until 1008.009 s) and passes.

--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -177,6 +177,7 @@
         while True:
             try:
                 lease = await self._coordination_store.grant_lease(LEASE_TTL)
+                write_sent = self._fleet.now()
                 result = await self._write_record(lease, revision)
                 self.record_call("register", None)
                 if isinstance(result, Conflict):
@@ -187,6 +188,10 @@
                 self._lease = lease
                 self._registered_at = result.revision
                 await self._load_fleet()
+                # Others may have ended the lease as soon as they could read it.
+                self._fleet.permits.extend(write_sent)
+                self._is_loaded.set()
+                self.on_loaded()
                 logger.info("host_registered", extra={"lease": lease.id})
                 return
             except StoreUnavailableError as error:
@@ -246,7 +251,7 @@
         return Revision(0)
 
     async def _load_fleet(self) -> None:
-        """Read hosts and leadership after registration; the first permit starts with this read."""
+        """Read hosts and leadership after registration."""
         sent = self._fleet.now()
         snapshot = await self._coordination_store.read_range(OWN_PREFIX)
         hosts = tuple(item for item in snapshot.items if item.key.startswith(HOSTS_PREFIX))
@@ -255,10 +260,7 @@
         )
         self._fleet.apply_snapshot(LEADERSHIP_PREFIX, Snapshot(leadership, snapshot.as_of), "store")
         self._peers.add(*self._fleet.add_hosts(Snapshot(hosts, snapshot.as_of)))
-        self._fleet.permits.extend(sent)
         self._watch_duty.record_own_contact(LEADERSHIP_PREFIX, sent)
-        self._is_loaded.set()
-        self.on_loaded()
 
     async def _renew_until_lease_ends(self) -> None:
         interval = PERMIT_RENEWAL_INTERVAL.total_seconds()
--- a/tests/host/test_fencing.py
+++ b/tests/host/test_fencing.py
@@ -2,14 +2,41 @@
 
 import asyncio
 import json
+from unittest import mock
 
 from hickorywind.host.fleet import LEADERSHIP_PREFIX
+from hickorywind.ports.coordination import Committed
 from tests.host.harness import SERVICE, HostTestCase
 
 PERMIT_SECONDS = 7.2
+ANSWER_SECONDS = 0.9  # below the timeout of a call
 CHANGE_SECONDS = 6.0  # with its takeover, without waiting for permits
 
 
+class LateRegistrationTest(HostTestCase):
+    """A host registers anew, and its lease is ended before it gets the store's answer."""
+
+    async def test_permit_ends_with_the_wait_of_the_host_that_ended_the_lease(self):
+        coordinator, transact = self.hosts["h0"].coordinator, self.hosts["h0"].coordinator.transact
+        lease_ends = []
+
+        async def answer_late(*arguments):
+            result = await transact(*arguments)
+            if isinstance(result, Committed):
+                self.store.leases.clear()
+                lease_ends.append(self.loop.time())
+                await asyncio.sleep(ANSWER_SECONDS)
+            return result
+
+        self.store.leases.clear()
+        with mock.patch.object(coordinator, "transact", answer_late):
+            await self.wait_until(lambda: lease_ends)
+            await asyncio.sleep(ANSWER_SECONDS + 0.1)
+        permits = self.hosts["h0"].role._fleet.permits
+        valid_until = permits.valid_until.total_seconds()
+        self.assertLessEqual(valid_until, lease_ends[0] + PERMIT_SECONDS)
+
+
 class LateClosingTest(HostTestCase):
     """A host stops using the primary, sends its closing write and restarts; the write runs late."""
 
