--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -286,14 +286,17 @@
     ) -> bool:
         """Wait until a new leader has applied what it received.
 
-        Return False if it stops leading, or applies nothing for ``PROMOTION_TIMEOUT``.
+        Return False if it stops leading, exits, or applies nothing for ``PROMOTION_TIMEOUT``.
         """
-        status = leading
+        status, name = leading, backend.server.backend
         deadline = self._clock.now() + PROMOTION_TIMEOUT
         while not status.has_applied_log:
             await asyncio.sleep(PROMOTION_POLL_INTERVAL.total_seconds())
             applied = status.applied_position
-            status = await query_server(runtime, backend) or status
+            answer = await query_server(runtime, backend)
+            if answer is None and await self._fencer.has_primary_exited(runtime, name):
+                return False
+            status = answer or status
             if status.leading_term != leading.term or self._clock.now() >= deadline:
                 return False
             if status.applied_position != applied:
--- a/tests/host/test_lateapplication.py
+++ b/tests/host/test_lateapplication.py
@@ -7,6 +7,7 @@
 CALLER_WORDS = {"READ", "WRITE", "EXECUTE", "BEGIN", "COMMIT"}
 LATE_SECONDS = 1.5  # well below the time that work for the primary waits for one
 SETTLE_SECONDS = 4.0
+CHANGE_SECONDS = 3.0  # five seconds less two promotions of the platform, which take none here
 
 
 class SessionFloorTest(HostTestCase):
@@ -70,3 +71,15 @@
         await primary.start()
         await self.assert_used_only_once_applied(primary)
         self.assertEqual(self.group.promotions, [])
+
+    async def test_promoted_server_that_crashes_before_it_has_applied_its_log_is_replaced(self):
+        replicas = [self.group.servers[name] for name in ("i-b", "i-c")]
+        for server in replicas:
+            server.unapplied_count = 2
+        await self.group.primary.crash()
+        await self.wait_until(lambda: self.group.primary in replicas)
+        promoted = self.group.primary
+        (other,) = set(replicas) - {promoted}
+        other.unapplied_count = 0
+        await promoted.crash()
+        await self.wait_until(lambda: self.run_by_callers(other), CHANGE_SECONDS)
