Give a connection back before its answer is recorded, as before

The order had changed with the check of a primary that lacks a position: an answer that lets waiting work start was recorded while its connection counted as in use.

--- a/hickorywind/host/autocommit.py
+++ b/hickorywind/host/autocommit.py
@@ -119,16 +119,11 @@
             self._service.remove_primary_work(self)
         self._service.release_answered_slot(backend, sent)
         answer = answers[-1]
-        self._service.record_answer(backend, answer, sent, is_position_sample)
         if min_position is not None and answer.lacks_position:
-            refusal = await handle_missing_position(
-                self._service, grant, self._context, min_position
-            )
-            backend.connections.release(connection)
-            if refusal.code is not ResultCode.REPLICA_BEHIND:
-                self._exclude(backend.server.backend)
-            return refusal
+            self._service.record_answer(backend, answer, sent, is_position_sample)
+            return await self._handle_missing_position(grant, min_position)
         backend.connections.release(connection)
+        self._service.record_answer(backend, answer, sent, is_position_sample)
         if answer.is_ok:
             return self._handle_success(backend, answer)
         return self._handle_error(backend, answer, min_position)
@@ -148,6 +143,13 @@
         reason = f"the backend server failed the read: {answer.error.text}"
         return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, RETRY_SOON_MS)
 
+    async def _handle_missing_position(self, grant: Grant, min_position: LogPosition) -> Result:
+        refusal = await handle_missing_position(self._service, grant, self._context, min_position)
+        grant.backend.connections.release(grant.connection)
+        if refusal.code is not ResultCode.REPLICA_BEHIND:
+            self._exclude(grant.backend.server.backend)
+        return refusal
+
     def _handle_success(self, backend: Backend, answer: Answer) -> Reply | Result:
         if self._mode is AccessMode.READ:
             backend.load.record_successful_read(self._service.clock.now())
