--- a/soak/servers.py
+++ b/soak/servers.py
@@ -330,7 +330,7 @@
             loop.call_at(self._applied_until_s, self._apply_until, entry)
 
     def _apply_until(self, entry: LogEntry) -> None:
-        while self._unapplied and entry in self._unapplied:
+        while entry in self._unapplied:
             self._apply_next()
 
     def _apply_next(self) -> None:
