Log the comparison of logs in a planned change, and commits of former primaries

Callers saw statements run on logs without commits that had been acknowledged before. No log line told whether the successor of a leaving primary had received its log, nor whether a server committed after its host had stopped using it. catch_up_ended tells both positions and how the comparison ended (a warning unless complete); former_primary_answered names the server, the position and the primary on record. Each tells one hypothesis of the incident from the others. No decision is changed.

--- a/hickorywind/host/autocommit.py
+++ b/hickorywind/host/autocommit.py
@@ -155,6 +155,7 @@
             backend.load.record_successful_read(self._service.clock.now())
         if self._mode is AccessMode.WRITE:
             if not self._service.may_finish_primary_work(backend):
+                self._service.log_former_primary(backend, self._request.request_id, answer)
                 reason = "the primary was replaced before the answer arrived"
                 return Result.unknown(ResultCode.COMMIT_UNPROVEN, reason)
             self._context.raise_floor(answer.position)
--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -173,16 +173,31 @@
     state = CatchUp.UNKNOWN
     old = runtime.backends.get(primary)
     new = runtime.backends.get(successor)
+    old_status = new_status = None
     while old is not None and new is not None and clock.now() < deadline:
         old_status = await query_server(runtime, old)
         new_status = await query_server(runtime, new)
         if old_status is None:
-            return CatchUp.UNKNOWN
+            state = CatchUp.UNKNOWN
+            break
         if new_status is not None:
             if new_status.received_position >= old_status.received_position:
-                return CatchUp.COMPLETE
+                state = CatchUp.COMPLETE
+                break
             state = CatchUp.BEHIND
         await asyncio.sleep(PROMOTION_POLL_INTERVAL.total_seconds())
+    logger.log(
+        logging.INFO if state is CatchUp.COMPLETE else logging.WARNING,
+        "catch_up_ended",
+        extra={
+            "service": runtime.name,
+            "primary": primary,
+            "successor": successor,
+            "state": state,
+            "held": None if old_status is None else str(old_status.received_position),
+            "received": None if new_status is None else str(new_status.received_position),
+        },
+    )
     return state
 
 
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -205,6 +205,21 @@
         """Return whether work that started on a backend server as the primary may complete."""
         return self.fleet.permits.may_finish(self.name, backend.server.backend, self.fleet.now())
 
+    def log_former_primary(self, backend: Backend, request_id: str, answer: Answer) -> None:
+        """Log that a server which this host no longer uses as the primary has committed."""
+        leadership = self.fleet.permits.leadership(self.name)
+        logger.warning(
+            "former_primary_answered",
+            extra={
+                "service": self.name,
+                "backend": backend.server.backend,
+                "request_id": request_id,
+                "position": None if answer.position is None else str(answer.position),
+                "primary": self.recorded_primary(),
+                "term": None if leadership is None else leadership.record.term,
+            },
+        )
+
     def may_sample(self, backend: Backend, connection: BackendConnection) -> bool:
         """Return whether answers to work sent now on a connection are position samples."""
         return self.may_start_primary_work(backend) and self.is_verified_primary(
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -203,7 +203,7 @@
         is_position_sample = self._runs_on_primary and self.service.may_sample(backend, connection)
         self.service.record_answer(backend, answer, sent, is_position_sample)
         if mode is None:
-            return self._complete_commit(backend, connection, answer)
+            return self._complete_commit(request, backend, connection, answer)
         if answer.error is not None and answer.error.kind is BackendErrorKind.UNKNOWN_STATEMENT:
             reason = (
                 "the backend server lost the prepared statement; the transaction was rolled back"
@@ -223,7 +223,7 @@
         return Result.not_run(ResultCode.TRANSACTION_LOST, reason, RETRY_AFTER_MS)
 
     def _complete_commit(
-        self, backend: Backend, connection: BackendConnection, answer: Answer
+        self, request: Request, backend: Backend, connection: BackendConnection, answer: Answer
     ) -> Reply:
         may_finish = self.service.may_finish_primary_work(backend)
         self._unpin()
@@ -232,6 +232,7 @@
         backend.connections.release(connection)
         if answer.is_ok and self._has_written:
             if not may_finish:
+                self.service.log_former_primary(backend, request.request_id, answer)
                 reason = (
                     "this host lost its right to use the primary before the commit was answered"
                 )
