Reset a backend connection that is given up while an answer is awaited

Callers could see a write that was given up (told as unknown) take effect seconds later, at a primary that was replaced meanwhile, and so on a log without commits acknowledged since.

Cause: a connection without an answer in time, or to a primary found unreachable, was closed in order once its bytes had left the process. The kernel then goes on to deliver what the server has not acknowledged, for up to the user timeout of 2.5 s, also when the path to the server comes back: longer than a change of primary takes. Only what was still in the process's own buffer was dropped.

Change: closing with an answer awaited resets the connection, which drops what the kernel holds. What the server has received may still run, as before.

Evidence: the new test gives up a write that stands in the kernel's buffer. Before, the server then received it whole (ConnectionResetError not raised, 2 of 2); now it does not (4 of 4). tests.host: 277 passed.

Conclusion: one road by which a late write reaches a former primary is closed. That the users met it is not shown.

--- a/hickorywind/host/backendconnection.py
+++ b/hickorywind/host/backendconnection.py
@@ -60,7 +60,7 @@
         self.on_lost: Callable[[BackendConnection], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._answers: list[Answer] = []
-        self._expected_count = 0
+        self._expected_count = 0  # of answers that are still awaited
         self._waiter: asyncio.Future[list[Answer]] | None = None
 
     @classmethod
@@ -190,18 +190,21 @@
         self.connection_lost(None)
 
     def _abort(self) -> None:
-        if self._transport is not None:
-            unsent_bytes = self._transport.get_write_buffer_size()
-            if unsent_bytes:
-                logger.info(
-                    "backend_statement_cut",
-                    extra={"backend": self.backend, "unsent_bytes": unsent_bytes},
-                )
-                # A server could take half a statement before an orderly end for a whole one.
-                sock = self._transport.get_extra_info("socket")
-                if sock is not None:
-                    reset_on_close(sock)
-            self._transport.abort()
+        if self._transport is None:
+            return
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes:
+            logger.info(
+                "backend_statement_cut",
+                extra={"backend": self.backend, "unsent_bytes": unsent_bytes},
+            )
+        if unsent_bytes or self._expected_count:
+            # A server could take half a statement before an orderly end for a whole one, and the
+            # kernel would deliver a whole one for seconds, to a server that was replaced meanwhile.
+            sock = self._transport.get_extra_info("socket")
+            if sock is not None:
+                reset_on_close(sock)
+        self._transport.abort()
 
     # Callbacks of the transport ----------------------------------------------------------------
 
@@ -235,6 +238,7 @@
             self._end_out_of_step(len(data), surplus)
         elif surplus == 0:
             complete, self._answers = self._answers, []
+            self._expected_count = 0
             self._waiter.set_result(complete)
             if self.codec.has_partial_answer:
                 self._end_out_of_step(len(data), 0)
@@ -252,6 +256,7 @@
         if self.is_lost:
             return
         self.is_lost = True
+        self._expected_count = 0
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(
                 ConnectionLostError(f"the connection ended: {exc or 'closed'}")
--- a/tests/host/test_backendconnection.py
+++ b/tests/host/test_backendconnection.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 import unittest
 from datetime import timedelta
 
@@ -19,11 +20,14 @@
         self.script = [GREETING, *script]
         listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.addCleanup(listener.close)
+        return await self.open(listener.sockets[0])
+
+    async def open(self, listener):
         connection = await BackendConnection.open(
             BackendServer(
                 BackendId("i-a"),
                 ServiceName("s"),
-                Address("127.0.0.1", listener.sockets[0].getsockname()[1]),
+                Address("127.0.0.1", listener.getsockname()[1]),
                 "z1",
                 BackendState.READY,
                 3,
@@ -105,5 +109,32 @@
                 pass
 
 
+class AbandonedStatementTest(ScriptedServerTestCase):
+    async def test_write_that_the_server_has_not_received_is_not_delivered_after_its_timeout(self):
+        loop = asyncio.get_running_loop()
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.setblocking(False)
+        opening = asyncio.create_task(self.open(listener))
+        server, _ = await loop.sock_accept(listener)
+        self.addCleanup(server.close)
+        await loop.sock_recv(server, 4096)
+        await loop.sock_sendall(server, GREETING)
+        connection = await opening
+        write = b"QUERY q1 WRITE x " + b"v" * 150_000 + b"\r\n"
+        with self.assertRaises(ConnectionLostError):
+            await connection.exchange(write, 1, timedelta(milliseconds=50), is_signed=True)
+        await asyncio.sleep(0.01)  # the transport closes its socket in the next iteration
+        received = b""
+        with self.assertRaises(ConnectionResetError):
+            async with asyncio.timeout(1.0):
+                while data := await loop.sock_recv(server, 65536):
+                    received += data
+        self.assertLess(len(received), len(write))
+
+
 if __name__ == "__main__":
     unittest.main()
