Stand-in: a server steps down in a newer term, and lost leads end transactions

What callers saw: nothing; the stand-in answered an order to step down with an empty success and kept its lead, and a transaction begun at a primary still committed its writes after that server had become a replica. Change: a primary of a lower term steps down and returns its status row. A plain transaction whose server lost the lead gets READONLY for all statements but the COMMIT of one that wrote nothing; COMMIT and ROLLBACK end it. Evidence: tests.standins.test_lineplatform before: 1 passed, 8 failed (subtests counted), for instance 'COMPLETE -' != 'ROW primary 2 2.0 0 0 1', and {'1a': '5'} != {} (the former primary committed). Conclusion: the stand-in can show statements at a former primary.

--- a/standins/lineplatform/group.py
+++ b/standins/lineplatform/group.py
@@ -21,6 +21,7 @@
     is_open: bool = False
     transaction: list[tuple[str, str]] | None = None
     has_failed: bool = False  # the transaction, which only its end can leave
+    is_read_only: bool = False  # the transaction
     settings: dict[str, str] = field(default_factory=dict)
     prepared_statements: dict[str, tuple[str, str]] = field(default_factory=dict)
 
@@ -147,6 +148,12 @@
             if not self._has_position(minimum_position):
                 return f"ERROR LAGGING {self.backend}\r\n"
         word, _, rest = text.partition(" ")
+        if self._has_lost_lead(connection) and (word != "COMMIT" or connection.transaction):
+            if word in ("COMMIT", "ROLLBACK"):
+                connection.transaction, connection.has_failed = None, False
+            else:
+                connection.has_failed = True
+            return f"ERROR READONLY {self.backend}\r\n"
         if connection.has_failed and word not in ("COMMIT", "ROLLBACK"):
             return "ERROR MALFORMED the transaction has failed\r\n"
         if (code := self.refuse(text)) is not None:
@@ -156,8 +163,13 @@
             return f"ERROR BUSY {self.backend}\r\n"
         match word:
             case "STATUS":
-                row = f"{self.role} {self.term} {self.received_position} 0 0 1"
-                return f"ROW {row}\r\nCOMPLETE -\r\n"
+                return self._status_row()
+            case "STEPDOWN" if not rest.isdecimal():
+                return "ERROR MALFORMED no such term\r\n"
+            case "STEPDOWN":
+                if self.term < int(rest):
+                    self.role = "replica"
+                return self._status_row()
             case "SET":
                 name, _, value = rest.partition(" ")
                 connection.settings[name] = value
@@ -178,7 +190,7 @@
             case "BEGIN":
                 if rest != "READ" and self.role != "primary":
                     return f"ERROR READONLY {self.backend}\r\n"
-                connection.transaction = []
+                connection.transaction, connection.is_read_only = [], rest == "READ"
             case "ROLLBACK":
                 connection.transaction, connection.has_failed = None, False
             case "COMMIT" if connection.has_failed:
@@ -197,6 +209,15 @@
                 return self._write(connection, request_id, rest)
         return "COMPLETE -\r\n"
 
+    def _status_row(self) -> str:
+        row = f"{self.role} {self.term} {self.received_position} 0 0 1"
+        return f"ROW {row}\r\nCOMPLETE -\r\n"
+
+    def _has_lost_lead(self, connection: ServerConnection) -> bool:
+        """Return whether the connection's transaction began at a primary, which this is no more."""
+        is_plain = connection.transaction is not None and not connection.is_read_only
+        return is_plain and self.role != "primary"
+
     def _write(self, connection: ServerConnection, request_id: str, rest: str) -> str | None:
         if self.role != "primary":
             return f"ERROR READONLY {self.backend}\r\n"
