A promoter tells the old primary to step down

Cause: only the senders were stopped. The old primary itself leads until a server tells it of its successor. Change: the exclusive promoter orders the old primary to step down in a term above all known ones. In planned work it does so before the order to promote, for 400 ms at most, and then waits until the candidate has received the final end of the old log (1.5 s at most in one change). Else it does so beside the order, again every 300 ms while it is exclusive, so that a dead or silent primary delays nothing. A write refused as read-only runs at the new primary, and casts no suspicion on that one. Events: primary_stepped_down, primary_not_stepped_down, log_end_awaited. Evidence: tests.host.test_formerprimaries on the code before: 3 passed, 4 failed: 'ERROR INDOUBT [4001] the primary was replaced before the answer arrived' != 'COMPLETE s.q2'; '1' != 'last' (the last commit is not at the new primary); 'primary' != 'replica'; no order to step down. The suspicion failed on the code with the order alone: [('ledger', 'the primary refuses writes')] != []. After: 7 passed. Mutations: without the wait the last commit is lost; with an unplanned change that waits, the primary that comes back leads on (1 failed of 7 each). Virtual time until all hosts use a new primary: silent primary that failed 4.09 s before and after; silent primary that leaves 1.09 s before, 1.49 s after. tests.host, soak, standins, failover: 445 passed, 1 failed, 3 known red: tests.soak.test_run.LateApplicationTest, as the soak's list of a host's own statements lacks the new one. Conclusion: what reaches the old primary after the order is refused as not run; what ran before is in the successor's log, if the old primary answers.

--- a/hickorywind/host/autocommit.py
+++ b/hickorywind/host/autocommit.py
@@ -189,7 +189,7 @@
             case BackendErrorKind.BUSY:
                 backend.load.limit.record_refusal(now)
             case BackendErrorKind.READ_ONLY:
-                self._service.on_primary_suspected(self._service.name, "the primary refuses writes")
+                self._service.suspect_primary(backend, "the primary refuses writes")
             case BackendErrorKind.UNKNOWN_STATEMENT:
                 pass  # the connection's next setup prepares it
             case _:
--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -15,7 +15,11 @@
     VersionedLeadership,
 )
 from hickorywind.failover.succession import Candidate, KnownTerms, ReplicaSurvey
-from hickorywind.host.backendconnection import ConnectionLostError, ConnectionRejectedError
+from hickorywind.host.backendconnection import (
+    ConnectFailedError,
+    ConnectionLostError,
+    ConnectionRejectedError,
+)
 from hickorywind.host.fencer import Fencer
 from hickorywind.host.leadershipstore import (
     STORE_RETRY_DELAY,
@@ -24,12 +28,12 @@
 )
 from hickorywind.host.service import ServiceRuntime
 from hickorywind.host.servicestate import Backend
-from hickorywind.ids import BackendId, HostId, LogPosition, Term
+from hickorywind.ids import BackendId, HostId, LogPosition, ServiceName, Term
 from hickorywind.ports.catalog import BackendState
 from hickorywind.ports.coordination import FencingToken, Promoter, PromotionOutcome
-from hickorywind.ports.replies import ServerStatus
+from hickorywind.ports.replies import BackendErrorKind, ServerStatus
 from hickorywind.store.interface import StoreUnavailableError
-from hickorywind.util.clock import Clock
+from hickorywind.util.clock import Clock, Instant
 
 logger = logging.getLogger(__name__)
 
@@ -42,6 +46,8 @@
 PROMOTION_RESEND_INTERVAL = timedelta(milliseconds=1500)  # the order or its answer may be lost
 STATUS_ATTEMPTS = 2  # a server without a free slot gives no status; a retry mostly gets one
 STATUS_RETRY_DELAY = timedelta(milliseconds=50)
+STEP_DOWN_TIMEOUT = timedelta(milliseconds=400)  # a round trip between regions and a busy slot
+STEP_DOWN_INTERVAL = timedelta(milliseconds=300)  # between orders to a server that can't be reached
 
 
 async def query_server(runtime: ServiceRuntime, backend: Backend) -> ServerStatus | None:
@@ -201,6 +207,47 @@
     return state
 
 
+async def order_step_down(
+    runtime: ServiceRuntime, record: LeadershipRecord, backend: Backend
+) -> ServerStatus | None:
+    """Order the former primary to become a replica; return its status if it is one afterwards.
+
+    The order names a term above all known ones. Whoever is promoted next leads in that term or a
+    higher one, so that a late order does not end its lead. Return None after
+    ``STEP_DOWN_TIMEOUT``, and at once if the server refuses connections.
+    """
+    reason, term = "no answer", Term(0)
+    extra = {"service": runtime.name, "backend": backend.server.backend}
+    try:
+        async with asyncio.timeout(STEP_DOWN_TIMEOUT.total_seconds()):
+            while True:
+                term = Term(max(record.term, runtime.newest_term) + 1)
+                try:
+                    status = await runtime.step_down(backend, term)
+                except (ConnectionLostError, ConnectionRejectedError) as error:
+                    reason = str(error)
+                    if not _may_step_down_later(error):
+                        break
+                else:
+                    if status is not None and status.leading_term is None:
+                        extra |= {"term": term, "held": str(status.received_position)}
+                        logger.info("primary_stepped_down", extra=extra)
+                        return status
+                    reason = "it is busy" if status is None else f"it leads in term {status.term}"
+                await asyncio.sleep(STATUS_RETRY_DELAY.total_seconds())
+    except TimeoutError:
+        pass
+    logger.info("primary_not_stepped_down", extra={**extra, "term": term, "reason": reason})
+    return None
+
+
+def _may_step_down_later(error: ConnectionLostError | ConnectionRejectedError) -> bool:
+    """Return whether another connection may reach the server at once."""
+    if isinstance(error, ConnectionRejectedError):
+        return error.kind is BackendErrorKind.CONNECTION_LIMIT
+    return not isinstance(error, ConnectFailedError)
+
+
 class PromotionFailure(Enum):
     """Why a candidate did not become primary.
 
@@ -230,30 +277,98 @@
         self._store = store
         self._own_host = own_host
         self._clock = clock
+        self._catch_up_ends: dict[ServiceName, tuple[int, Instant]] = {}
 
     async def run(
         self, runtime: ServiceRuntime, closed: VersionedLeadership, fencing: Fencing
     ) -> Term | PromotionFailure:
         """Order the promotion, wait until the candidate leads in a new term and return that term.
 
+        The old primary is ordered to step down: before, if it leaves by plan, so that the candidate
+        can receive its whole log; else at the same time, as nobody knows whether it runs.
+
         An accepted order alone proves nothing, and a leader may still have to apply its log. After
         a failure the caller must write a new closed record and try again. Raise
         ``PrimaryChangeCancelledError`` if another host took over the change.
         """
+        if not self._store.is_exclusive(runtime.name, closed):
+            # Writing the record again gives this host a new exclusive period by one store call,
+            # longer than the one that a read gives.
+            return PromotionFailure.NOT_ORDERED
+        if _is_planned(runtime, closed.record):
+            await self._end_old_log(runtime, closed.record)
+            return await self._order_until_led(runtime, closed, fencing)
+        stepping_down = asyncio.create_task(self._step_down_repeatedly(runtime, closed))
+        try:
+            return await self._order_until_led(runtime, closed, fencing)
+        finally:
+            stepping_down.cancel()
+
+    async def _end_old_log(self, runtime: ServiceRuntime, record: LeadershipRecord) -> None:
+        """Let a leaving primary step down, and the candidate receive the end of its log.
+
+        What hosts sent to it before they stopped using it may have run there until now.
+        """
+        old = _former_primary(runtime, record)
+        status = None if old is None else await order_step_down(runtime, record, old)
+        if status is not None:
+            await self._wait_until_received(runtime, record, status.received_position)
+
+    async def _step_down_repeatedly(
+        self, runtime: ServiceRuntime, closed: VersionedLeadership
+    ) -> None:
+        """Order a failed primary to step down, as it may still run or come back.
+
+        End once it has, or when another host may have taken over the change.
+        """
+        while self._store.is_exclusive(runtime.name, closed):
+            old = _former_primary(runtime, closed.record)
+            if old is None or await order_step_down(runtime, closed.record, old) is not None:
+                return
+            await asyncio.sleep(STEP_DOWN_INTERVAL.total_seconds())
+
+    async def _wait_until_received(
+        self, runtime: ServiceRuntime, record: LeadershipRecord, end: LogPosition
+    ) -> None:
+        """Wait until the candidate has received a log up to its end.
+
+        All waits of one change end ``CATCH_UP_TIMEOUT`` after the first one began.
+        """
+        change, deadline = self._catch_up_ends.get(runtime.name, (-1, timedelta(0)))
+        if change != record.change:
+            deadline = self._clock.now() + CATCH_UP_TIMEOUT
+            self._catch_up_ends[runtime.name] = (record.change, deadline)
+        received, has_received = None, False
+        while (backend := runtime.backends.get(record.candidate)) is not None:
+            status = await query_server(runtime, backend)
+            received = None if status is None else status.received_position
+            has_received = received is not None and received >= end
+            if has_received or self._clock.now() >= deadline:
+                break
+            await asyncio.sleep(PROMOTION_POLL_INTERVAL.total_seconds())
+        logger.log(
+            logging.INFO if has_received else logging.WARNING,
+            "log_end_awaited",
+            extra={
+                "service": runtime.name,
+                "backend": record.candidate,
+                "held": str(end),
+                "received": None if received is None else str(received),
+            },
+        )
+
+    async def _order_until_led(
+        self, runtime: ServiceRuntime, closed: VersionedLeadership, fencing: Fencing
+    ) -> Term | PromotionFailure:
         record = closed.record
         deadline = self._clock.now() + PROMOTION_TIMEOUT
         next_order_at = self._clock.now()
-        has_ordered = was_sent = has_logged_old_lead = False
+        was_sent = has_logged_old_lead = False
         while self._clock.now() < deadline:
             if self._clock.now() >= next_order_at:
-                if not has_ordered and not self._store.is_exclusive(runtime.name, closed):
-                    # Writing the record again gives this host a new exclusive period by one store
-                    # call, longer than the one that a read gives.
-                    return PromotionFailure.NOT_ORDERED
                 outcome = await self._order(runtime, closed)
                 if outcome is PromotionOutcome.NOT_RUNNING:
                     return PromotionFailure.NOT_RUNNING
-                has_ordered = True
                 was_sent |= outcome is not None
                 delay = STORE_RETRY_DELAY if outcome is None else PROMOTION_RESEND_INTERVAL
                 next_order_at = self._clock.now() + delay
@@ -343,3 +458,15 @@
             },
         )
         return outcome
+
+
+def _is_planned(runtime: ServiceRuntime, record: LeadershipRecord) -> bool:
+    """Return whether the old primary leaves by plan; a change taken up again no longer says so."""
+    old = runtime.backends.get(record.primary)
+    is_leaving = old is not None and old.server.state is BackendState.LEAVING
+    return record.is_planned or is_leaving
+
+
+def _former_primary(runtime: ServiceRuntime, record: LeadershipRecord) -> Backend | None:
+    """Return the primary that is replaced, unless it is itself the candidate or is gone."""
+    return None if record.primary == record.candidate else runtime.backends.get(record.primary)
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -205,6 +205,11 @@
         """Return whether work that started on a backend server as the primary may complete."""
         return self.fleet.permits.may_finish(self.name, backend.server.backend, self.fleet.now())
 
+    def suspect_primary(self, backend: Backend, reason: str) -> None:
+        """Report a server that refuses writes, unless it is known to be no longer the primary."""
+        if backend.server.backend == self.recorded_primary():
+            self.on_primary_suspected(self.name, reason)
+
     def log_former_primary(self, backend: Backend, request_id: str, answer: Answer) -> None:
         """Log that a server which this host no longer uses as the primary has committed."""
         leadership = self.fleet.permits.leadership(self.name)
@@ -634,6 +639,23 @@
         self.record_answer(backend, answers[0], sent, is_primary)
         return answers[0]
 
+    async def step_down(self, backend: Backend, term: Term) -> ServerStatus | None:
+        """Order a backend server that leads in a term below ``term`` to become a replica.
+
+        Return its status afterwards, or None if it gives none. Raise ``ConnectionRejectedError`` or
+        ``ConnectionLostError`` if it does not answer.
+        """
+        connection = await backend.connections.acquire_any()
+        payload = connection.codec.encode_step_down(term)
+        answers = await connection.exchange(payload, 1, STATUS_TIMEOUT)
+        connection.primary_term = None
+        backend.connections.release(connection)
+        status = backend.connections.decode_status(answers[0])
+        if status is not None and status.leading_term is not None:
+            # That of a replica may be the order's, in which nobody need lead.
+            self.newest_term = max(self.newest_term, status.leading_term)
+        return status
+
     def _record_status(
         self, backend: Backend, connection: BackendConnection, status: ServerStatus | None
     ) -> None:
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -147,8 +147,8 @@
             reason = f"the backend server refused the session's setup: {refusal.text}"
             return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, RETRY_AFTER_MS)
         if answer.error is not None and answer.error.kind is BackendErrorKind.READ_ONLY:
-            self.service.on_primary_suspected(
-                self.service.name, "the primary answered BEGIN with a read-only error"
+            self.service.suspect_primary(
+                backend, "the primary answered BEGIN with a read-only error"
             )
         reason = f"begin failed: {answer.error.text if answer.error else 'unexpected state'}"
         return Result.not_run(ResultCode.BACKEND_UNREACHABLE, reason, RETRY_AFTER_MS)
--- a/hickorywind/platform/lineprotocol.py
+++ b/hickorywind/platform/lineprotocol.py
@@ -358,6 +358,10 @@
         """Encode a query for the server's status."""
         return _encode_query(PROXY_REQUEST_ID, "STATUS")
 
+    def encode_step_down(self, term: Term) -> bytes:
+        """Encode the order that makes a primary of a lower term a replica."""
+        return _encode_query(PROXY_REQUEST_ID, f"STEPDOWN {term}")
+
     def decode_status(self, answer: Answer) -> ServerStatus | None:
         """Decode a status row: role, term, received position, then load figures; else None.
 
--- a/hickorywind/ports/codecs.py
+++ b/hickorywind/ports/codecs.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from hickorywind.ids import BackendId, LogPosition, ServiceName
+from hickorywind.ids import BackendId, LogPosition, ServiceName, Term
 from hickorywind.ports.replies import (
     Answer,
     BackendError,
@@ -117,6 +117,13 @@
         """Encode a query for the server's status."""
         ...
 
+    def encode_step_down(self, term: Term) -> bytes:
+        """Encode the order that makes a primary of a lower term a replica.
+
+        The server answers with its status afterwards.
+        """
+        ...
+
     def decode_status(self, answer: Answer) -> ServerStatus | None:
         """Return the status that an answer holds, or None if it holds none."""
         ...
--- a/standins/lineplatform/group.py
+++ b/standins/lineplatform/group.py
@@ -41,6 +41,9 @@
         self.learns_of_promotions = True
         self.is_silent = False
         self.delay_seconds = 0.0
+        # Unset: callers' statements wait, as they do for a slot; the hosts' own do not.
+        self.has_free_slot = asyncio.Event()
+        self.has_free_slot.set()
         self.is_busy = False
         self.fails_reads = False
         self.lose_answers = 0
@@ -92,6 +95,8 @@
             while line := await reader.readline():
                 if self.is_silent:
                     continue
+                if line.startswith(b"QUERY ") and not line.startswith(b"QUERY - "):
+                    await self.has_free_slot.wait()
                 if self.delay_seconds:
                     await asyncio.sleep(self.delay_seconds)
                     if writer.transport.is_closing():
--- /dev/null
+++ b/tests/host/test_formerprimaries.py
@@ -0,0 +1,133 @@
+"""What was sent to a primary before its change runs there later, or not at all."""
+
+import asyncio
+import json
+
+from hickorywind.platform.documents import CONFIGURATION_KEY
+from tests.host.harness import SERVICE, Caller, HostTestCase, configuration
+
+CHANGE_SECONDS = 6.0
+SILENT_PLANNED_SECONDS = 1.6
+SILENT_FAILED_SECONDS = 4.2  # most of it until silence counts as a failure
+STATEMENT_SECONDS = 9.0  # longer than a change
+LATE_REPLICATION_SECONDS = 0.5
+
+
+class FormerPrimaryTestCase(HostTestCase):
+    """A former primary learns of no promotion, so that it leads until it is told to step down."""
+
+    host_count = 3
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        document = json.loads(configuration(2))
+        for route in document["routes"]:
+            route["timeout_ms"] = STATEMENT_SECONDS * 1000
+        await self.store.put(CONFIGURATION_KEY, json.dumps(document).encode())
+        await self.wait_until(lambda: all(each == 2 for each in self.versions()))
+        self.former = self.group.servers["i-a"]
+        self.former.learns_of_promotions = False
+        self.caller_of_h0 = await self.caller("bookings")
+        await self.caller_of_h0.ask("WRITE kiln 1")
+
+    def versions(self):
+        return [host.role._fleet.configuration.version for host in self.hosts.values()]
+
+    async def queue_write(self):
+        """Send a write that waits for a slot at the primary; return the task of its caller."""
+        self.former.has_free_slot.clear()
+        writing = asyncio.create_task(self.caller_of_h0.ask("WRITE kiln 2"))
+        self.addCleanup(writing.cancel)
+        await self.wait_until(lambda: self.service("h0")._primary_work)
+        return writing
+
+    def service(self, host):
+        return self.hosts[host].role._services[SERVICE]
+
+    async def change_by_plan(self):
+        await self.register(self.former, state="draining")
+        await self.wait_until(self.all_use_a_new_primary, CHANGE_SECONDS)
+
+    def all_use_a_new_primary(self):
+        primaries = {host.primary() for host in self.hosts.values()}
+        return primaries == {self.group.primary.backend} and self.group.primary is not self.former
+
+
+class PlannedChangeTest(FormerPrimaryTestCase):
+    async def test_queued_write_runs_only_at_the_new_primary(self):
+        writing = await self.queue_write()
+        await self.change_by_plan()
+        self.former.has_free_slot.set()
+        self.assertEqual((await writing)[0], "COMPLETE s.q2")
+        self.assertEqual(self.group.commits_of_former_primary, [])
+        self.assertEqual((await self.caller_of_h0.ask("READ kiln"))[0], "ROW 2")
+
+    async def test_refusal_by_a_former_primary_casts_no_suspicion_on_the_new_one(self):
+        suspicions = []
+        writing = await self.queue_write()
+        await self.change_by_plan()
+        self.service("h0").on_primary_suspected = lambda *reason: suspicions.append(reason)
+        self.former.has_free_slot.set()
+        await writing
+        self.assertEqual(suspicions, [])
+
+    async def test_last_commit_before_the_step_down_reaches_the_new_primary(self):
+        others = [each for each in self.group.servers.values() if each is not self.former]
+
+        def commit_last(text):
+            if text.startswith("STEPDOWN") and self.former.role == "primary":
+                for server in others:
+                    server.is_receiving = False
+                self.former._commit([("kiln", "last")])
+                self.loop.call_later(LATE_REPLICATION_SECONDS, replicate)
+
+        def replicate():
+            for server in others:
+                server.is_receiving = True
+                if server.role == "replica":
+                    server.follow(self.former)
+
+        self.former.refuse = commit_last
+        await self.change_by_plan()
+        self.assertEqual(self.group.primary.data["kiln"], "last")
+
+    async def test_late_order_to_step_down_never_ends_a_newer_lead(self):
+        await self.change_by_plan()
+        orders = {name: server.statements for name, server in self.group.servers.items()}
+        late = [text for text in orders.pop("i-a") if text.startswith("STEPDOWN")]
+        self.assertTrue(late)
+        for statements in orders.values():
+            self.assertFalse([text for text in statements if text.startswith("STEPDOWN")])
+        await self.register(self.former)
+        for name in orders:
+            await self.register(self.group.servers[name], state="draining")
+        await self.wait_until(lambda: self.hosts["h0"].primary() == "i-a", CHANGE_SECONDS)
+        connection = await Caller.connect(str(self.former.address), SERVICE, "late i-a")
+        self.addCleanup(connection.close)
+        for text in late:
+            await connection.ask(text)
+        self.assertEqual(self.former.role, "primary")
+
+    async def test_silent_former_primary_delays_the_change_only_shortly(self):
+        started = self.loop.time()
+        self.former.is_silent = True
+        await self.change_by_plan()
+        self.assertLess(self.loop.time() - started, SILENT_PLANNED_SECONDS)
+
+
+class FailedPrimaryTest(FormerPrimaryTestCase):
+    async def test_failed_primary_that_comes_back_steps_down_beside_the_promotion(self):
+        self.group.promotion_delay_seconds = 1.0
+        await self.former.crash()
+        await self.wait_until(lambda: self.group.promotions)
+        await self.former.start()
+        await self.wait_until(self.all_use_a_new_primary, CHANGE_SECONDS)
+        self.assertEqual(self.former.role, "replica")
+
+    async def test_order_to_a_silent_primary_does_not_delay_the_promotion(self):
+        started = self.loop.time()
+        self.former.is_silent = True
+        await self.wait_until(self.all_use_a_new_primary, 2 * CHANGE_SECONDS)
+        print("FAILED SILENT", self.loop.time() - started)
+        order, *_ = self.group.promotions
+        self.assertEqual(self.group.primary.backend, order[1])
