A host that stopped using a primary acknowledges nothing until a record opens

A write could be acknowledged by its host although that host had confirmed that it uses the old primary no more, while a second promoter's order to promote was on its way. Cause: the stop counted against the revision of the newest record. When a planned change was taken over, its record was closed again under a newer revision, and begun work might finish until the host was asked again. Change: a stop counts until the host learns a newer open record. Evidence: before, tests.failover.test_leadership 20 passed, 2 failed ('True is not false' for both new tests), and with three hosts tests.host.test_formerprimaries.TakenOverChangeTest failed 2 of 2: ['COMPLETE s.q2', 'READY I -']. After: tests.failover and tests.host.test_formerprimaries 64 passed, 0 failed. Conclusion: a confirmed stop holds for the whole change. That the users met it is not shown.

--- a/hickorywind/failover/leadership.py
+++ b/hickorywind/failover/leadership.py
@@ -171,6 +171,7 @@
     _revoked_at: Instant | None = None
     _records: dict[ServiceName, VersionedLeadership] = field(default_factory=dict)
     _unconfirmed: dict[ServiceName, VersionedLeadership] = field(default_factory=dict)
+    _opened_at: dict[ServiceName, Revision] = field(default_factory=dict)
     _use_stopped_at: dict[ServiceName, Revision] = field(default_factory=dict)
     _new_work_stopped_at: dict[ServiceName, Revision] = field(default_factory=dict)
 
@@ -205,6 +206,8 @@
             return False
         self._unconfirmed.pop(service, None)
         self._records[service] = leadership
+        if leadership.record.phase is LeadershipPhase.OPEN:
+            self._opened_at[service] = leadership.revision
         return True
 
     def forget(self, service: ServiceName, removed_at: Revision) -> None:
@@ -295,12 +298,14 @@
     def may_finish(self, service: ServiceName, backend: BackendId, now: Instant) -> bool:
         """Return whether work begun at a primary may continue and be acknowledged.
 
-        A planned change of primary allows this until this host has stopped using the old one.
+        A planned change of primary allows this until this host has stopped using the old one, also
+        if its record is closed again after that.
         """
         known = self._records.get(service)
         if known is None or known.record.primary != backend or not self.is_valid(now):
             return False
-        if self._use_stopped_at.get(service, Revision(0)) >= known.revision:
+        stopped_at = self._use_stopped_at.get(service)
+        if stopped_at is not None and stopped_at >= self._opened_at.get(service, Revision(0)):
             return False
         is_open = known.record.phase is LeadershipPhase.OPEN
         return is_open or known.record.is_planned
--- a/tests/failover/test_leadership.py
+++ b/tests/failover/test_leadership.py
@@ -110,6 +110,23 @@
         self.permits.stop_using(SERVICE, 6)
         self.assertFalse(self.permits.may_finish(SERVICE, "i-a", START))
 
+    def test_stopped_use_outlasts_further_closed_records_of_a_planned_change(self):
+        self.permits.learn(SERVICE, versioned(6, LeadershipPhase.CLOSED, is_planned=True))
+        self.permits.stop_using(SERVICE, 6)
+        for revision in (7, 8):
+            record = versioned(revision, LeadershipPhase.CLOSED, is_planned=True)
+            self.permits.learn(SERVICE, record)
+            self.assertFalse(self.permits.may_finish(SERVICE, "i-a", START))
+        self.permits.learn(SERVICE, versioned(9))
+        self.assertTrue(self.permits.may_finish(SERVICE, "i-a", START))
+        self.permits.learn(SERVICE, versioned(10, LeadershipPhase.CLOSED, is_planned=True))
+        self.assertTrue(self.permits.may_finish(SERVICE, "i-a", START))
+
+    def test_stop_asked_before_any_closed_record_is_known_outlasts_a_later_one(self):
+        self.permits.stop_using(SERVICE, 6)
+        self.permits.learn(SERVICE, versioned(7, LeadershipPhase.CLOSED, is_planned=True))
+        self.assertFalse(self.permits.may_finish(SERVICE, "i-a", START))
+
     def test_unplanned_change_lets_no_work_finish(self):
         self.permits.learn(SERVICE, versioned(6, LeadershipPhase.CLOSED))
         self.assertFalse(self.permits.may_finish(SERVICE, "i-a", START))
--- a/tests/host/test_formerprimaries.py
+++ b/tests/host/test_formerprimaries.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+from hickorywind.failover.leadership import LeadershipPhase, LeadershipRecord, encode_record
+from hickorywind.host.fleet import LEADERSHIP_PREFIX
 from hickorywind.platform.documents import CONFIGURATION_KEY
 from tests.host.harness import SERVICE, Caller, HostTestCase, configuration
 
@@ -115,6 +117,23 @@
         self.assertLess(self.loop.time() - started, SILENT_PLANNED_SECONDS)
 
 
+class TakenOverChangeTest(FormerPrimaryTestCase):
+    async def test_host_that_stopped_acknowledges_nothing_when_the_record_is_closed_again(self):
+        writing = await self.queue_write()
+        revision = await self.close_record("gone-1")
+        await self.hosts["h0"].role._stop_using_primary(SERVICE, revision, True)
+        await self.close_record("gone-2")
+        self.former.has_free_slot.set()
+        self.assertTrue((await writing)[0].startswith("ERROR INDOUBT [4001]"), writing.result())
+
+    async def close_record(self, promoter):
+        record = LeadershipRecord("i-a", LeadershipPhase.CLOSED, 0, promoter, "i-b", True, 1)
+        await self.store.put(LEADERSHIP_PREFIX + SERVICE, encode_record(record))
+        permits = self.hosts["h0"].role._fleet.permits
+        await self.wait_until(lambda: permits.leadership(SERVICE).record.promoter == promoter)
+        return permits.leadership(SERVICE).revision
+
+
 class FailedPrimaryTest(FormerPrimaryTestCase):
     async def test_failed_primary_that_comes_back_steps_down_beside_the_promotion(self):
         self.group.promotion_delay_seconds = 1.0
