A planned change of primary waits for a successor that holds the whole log

Cause: the change went on when the successor was still behind after 1.5 s, and at once when the old primary gave no status: BUSY twice, or its connection limit. Before the record was closed nothing was compared at all.

Change: the primary serves on, within the time in which it gets new work, until a replica keeps up with it. After fencing the logs are compared again; a refused status is asked for again. Whoever holds all is promoted, or the primary is opened again while it may serve. The best one is promoted without the rest only once the old primary's process has exited or hangs, or 2 s after it should have ended. One that doesn't answer while it serves is judged as any other.

--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -27,6 +27,8 @@
 )
 from hickorywind.host.peers import Peers
 from hickorywind.host.promotion import (
+    CATCH_UP_TIMEOUT,
+    PROMOTION_POLL_INTERVAL,
     CatchUp,
     Promotion,
     PromotionFailure,
@@ -44,6 +46,7 @@
     HostId,
     Incarnation,
     InstanceRole,
+    LogPosition,
     Revision,
     ServiceName,
     Term,
@@ -55,7 +58,11 @@
 from hickorywind.ports.replies import ServerStatus
 from hickorywind.store.interface import StoreUnavailableError
 from hickorywind.util.clock import Clock, Instant
-from hickorywind.util.sockets import CONNECT_PROBE_TIMEOUT, accepts_connections
+from hickorywind.util.sockets import (
+    CONNECT_PROBE_TIMEOUT,
+    accepts_connections,
+    refuses_connections,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -420,22 +427,170 @@
                 return
         if self._fleet.permits.leadership(service) != leadership:
             return
-        record = leadership.record
-        if runtime.sync_replicas:
-            # A successor that receives nothing would only stop the service until it is given up.
-            successor, _ = await choose_successor(runtime, record, self._clock, is_planned=True)
-            state = await wait_for_catch_up(runtime, record.primary, successor, self._clock)
-            if state is CatchUp.BEHIND:
-                raise PrimaryChangeCancelledError("the successor lacks acknowledged commits")
+        if not await self._await_successor(runtime, leadership):
+            await self._replace_failed(runtime, leadership)
+            return
         closed = await self._close(runtime, leadership, is_planned=True)
         runtime.set_primary_state(PrimaryState.CHANGING)
         fencing = await self._fence_completely(runtime, closed)
-        state = await wait_for_catch_up(
-            runtime, record.primary, closed.record.candidate, self._clock
+        closed, held = await self._require_old_log(runtime, closed, may_reopen=True)
+        await self._promote_and_open(runtime, closed, fencing, held)
+
+    async def _await_successor(
+        self, runtime: ServiceRuntime, leadership: VersionedLeadership
+    ) -> bool:
+        """Wait until a successor keeps up with the leaving primary, which serves meanwhile.
+
+        Return True at the latest when the primary gets no new work any more, and False if it has
+        failed. Raise ``PrimaryChangeCancelledError`` if it is not to be replaced now.
+        """
+        primary = leadership.record.primary
+        while True:
+            successor, ended_term = await choose_successor(
+                runtime, leadership.record, self._clock, is_planned=True
+            )
+            backend = runtime.backends.get(primary)
+            if backend is None:
+                return True
+            deadline = runtime.leaving_deadline(backend)
+            comparison = await wait_for_catch_up(
+                runtime, primary, successor, ended_term, self._clock, deadline, is_serving=True
+            )
+            if self._fleet.permits.leadership(runtime.name) != leadership:
+                raise PrimaryChangeCancelledError("another host wrote the leadership record first")
+            if backend.leaving_since is None:
+                raise PrimaryChangeCancelledError("the primary is no longer leaving")
+            match comparison.state:
+                case CatchUp.COMPLETE | CatchUp.PRIMARY_GONE | CatchUp.PRIMARY_REPLACED:
+                    return True
+                case CatchUp.PRIMARY_SILENT:
+                    verdict = await check_primary(runtime, self._peers, primary)
+                    if verdict in (PrimaryVerdict.FAILED, PrimaryVerdict.LOST_LEAD):
+                        self._apply_verdict(
+                            runtime, primary, verdict, "no answer to a status query"
+                        )
+                        return False
+            if self._fleet.now() >= deadline:
+                return True
+            await asyncio.sleep(PROMOTION_POLL_INTERVAL.total_seconds())
+
+    async def _require_old_log(
+        self,
+        runtime: ServiceRuntime,
+        closed: VersionedLeadership,
+        *,
+        held: LogPosition | None = None,
+        passed_over: BackendId | None = None,
+        ordered_until: Instant | None = None,
+        may_reopen: bool = False,
+    ) -> tuple[VersionedLeadership, LogPosition | None]:
+        """Return a closed record whose candidate holds the log of the old primary, and its end.
+
+        ``held`` is that end as far as it is known. While the old primary answers, wait for such a
+        candidate until it should have ended; open it again while it may serve, if ``may_reopen``.
+        The candidate is kept while an order for it may take effect, until ``ordered_until``.
+        """
+        primary, started = closed.record.primary, self._fleet.now()
+        verdict: PrimaryVerdict | None = None
+        while True:
+            backend = runtime.backends.get(primary)
+            give_up_at = started if backend is None else self._give_up_at(runtime, closed, started)
+            comparison = await wait_for_catch_up(
+                runtime,
+                primary,
+                closed.record.candidate,
+                closed.record.term,
+                self._clock,
+                give_up_at,
+            )
+            held = comparison.held or held
+            if comparison.state is CatchUp.COMPLETE:
+                return closed, held
+            if self._fleet.permits.is_superseded(runtime.name, closed.revision):
+                raise PrimaryChangeCancelledError("another host took over the primary change")
+            # One that accepts connections and did not answer the check either hangs.
+            is_hanging = verdict is PrimaryVerdict.RUNNING or not closed.record.is_planned
+            match comparison.state:
+                case CatchUp.PRIMARY_GONE | CatchUp.PRIMARY_REPLACED:
+                    has_ended = True
+                case CatchUp.PRIMARY_SILENT if is_hanging:
+                    has_ended = True
+                case CatchUp.PRIMARY_SILENT:
+                    verdict = await check_primary(runtime, self._peers, primary)
+                    has_ended = verdict is PrimaryVerdict.FAILED
+                case _:
+                    verdict, has_ended = None, False
+            has_ended |= self._fleet.now() >= give_up_at
+            if comparison.state is not CatchUp.PRIMARY_REPLACED and await self._may_choose(
+                runtime, closed, ordered_until
+            ):
+                closed = await self._close_for_holder(runtime, closed, held, passed_over, has_ended)
+            may_serve = backend is not None and self._fleet.now() < runtime.leaving_deadline(
+                backend
+            )
+            if has_ended:
+                break
+            if may_reopen and may_serve and await self._reopen_if_recovered(runtime, closed):
+                raise PrimaryChangeCancelledError("no successor holds the log of the primary")
+            await asyncio.sleep(PROMOTION_POLL_INTERVAL.total_seconds())
+        if runtime.sync_replicas:
+            closed = await self._require_complete_log(runtime, closed, may_reopen and may_serve)
+        return closed, held
+
+    def _give_up_at(
+        self, runtime: ServiceRuntime, closed: VersionedLeadership, started: Instant
+    ) -> Instant:
+        """Return until when a change that waits from ``started`` on waits for the old log."""
+        backend = runtime.backends[closed.record.primary]
+        if closed.record.is_planned or backend.leaving_since is not None:
+            return runtime.leaving_end(backend, started)
+        return started + CATCH_UP_TIMEOUT
+
+    async def _may_choose(
+        self, runtime: ServiceRuntime, closed: VersionedLeadership, ordered_until: Instant | None
+    ) -> bool:
+        """Return whether no order for the candidate can take effect any more."""
+        if ordered_until is None or self._fleet.now() >= ordered_until:
+            return True
+        backend = runtime.backends.get(closed.record.candidate)
+        return backend is None or await refuses_connections(
+            backend.server.address, CONNECT_PROBE_TIMEOUT
         )
-        if runtime.sync_replicas and state is not CatchUp.COMPLETE:
-            closed = await self._require_complete_log(runtime, closed, may_reopen=True)
-        await self._promote_and_open(runtime, closed, fencing)
+
+    async def _close_for_holder(
+        self,
+        runtime: ServiceRuntime,
+        closed: VersionedLeadership,
+        held: LogPosition | None,
+        passed_over: BackendId | None,
+        is_best_enough: bool,
+    ) -> VersionedLeadership:
+        """Return a closed record that names a server with the old primary's log, up to ``held``.
+
+        Without such a server return ``closed``, or one with the best if ``is_best_enough``.
+        """
+        candidate = closed.record.candidate
+        try:
+            chosen = await choose_successor(
+                runtime,
+                closed.record,
+                self._clock,
+                is_planned=True,
+                passed_over=passed_over,
+                preferred=candidate,
+                held=held or runtime.newest_position_of(closed.record.primary),
+            )
+        except PrimaryChangeCancelledError:
+            if is_best_enough:
+                raise
+            return closed
+        if chosen[0] == candidate:
+            return closed
+        received = runtime.backends[chosen[0]].received_position
+        holds_all = held is not None and received is not None and received >= held
+        if not holds_all and not is_best_enough:
+            return closed
+        return await self._write_closed(runtime, closed, False, chosen)
 
     async def _take_over(self, service: ServiceName, leadership: VersionedLeadership) -> None:
         """Finish the primary change of another promoter, at first with the same candidate."""
@@ -505,11 +660,29 @@
         leadership: VersionedLeadership,
         is_planned: bool,
         passed_over: BackendId | None = None,
+        held: LogPosition | None = None,
     ) -> VersionedLeadership:
-        record = leadership.record
-        successor, ended_term = await choose_successor(
-            runtime, record, self._clock, is_planned=is_planned, passed_over=passed_over
+        candidate = leadership.record.candidate
+        chosen = await choose_successor(
+            runtime,
+            leadership.record,
+            self._clock,
+            is_planned=is_planned,
+            passed_over=passed_over,
+            preferred=None if held is None or candidate == passed_over else candidate,
+            held=held,
         )
+        return await self._write_closed(runtime, leadership, is_planned, chosen)
+
+    async def _write_closed(
+        self,
+        runtime: ServiceRuntime,
+        leadership: VersionedLeadership,
+        is_planned: bool,
+        chosen: tuple[BackendId, Term],
+    ) -> VersionedLeadership:
+        """Write a closed record with a successor and the term above which it must lead."""
+        record, (successor, ended_term) = leadership.record, chosen
         # While the store is silent nobody can replace the primary, which may come back meanwhile.
         if not is_planned and self._fleet.permits.has_fresh_proof(self._clock.now()):
             self._fleet.permits.stop_using(runtime.name, leadership.revision)
@@ -552,15 +725,20 @@
         return fencing
 
     async def _promote_and_open(
-        self, runtime: ServiceRuntime, closed: VersionedLeadership, fencing: Fencing
+        self,
+        runtime: ServiceRuntime,
+        closed: VersionedLeadership,
+        fencing: Fencing,
+        held: LogPosition | None = None,
     ) -> None:
+        """Promote a candidate, where the old log ends at ``held`` if that is known, and open it."""
         while True:
             outcome = await self._promotion.run(runtime, closed, fencing)
             if not isinstance(outcome, PromotionFailure):
                 break
             has_no_effect = outcome is PromotionFailure.NO_EFFECT
             passed_over = closed.record.candidate if has_no_effect else None
-            closed = await self._close(runtime, closed, False, passed_over)
+            closed = await self._close(runtime, closed, False, passed_over, held)
         while not fencing.is_complete(self._clock.now()):
             # The old primary ran again before the promotion took effect, so silent hosts may have
             # used it: wait until their permits have expired.
--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 from collections.abc import Sequence
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
@@ -27,13 +29,16 @@
 from hickorywind.ids import BackendId, HostId, LogPosition, Term
 from hickorywind.ports.catalog import BackendState
 from hickorywind.ports.coordination import FencingToken, Promoter, PromotionOutcome
-from hickorywind.ports.replies import ServerStatus
+from hickorywind.ports.replies import BackendErrorKind, ServerStatus
 from hickorywind.store.interface import StoreUnavailableError
-from hickorywind.util.clock import Clock
+from hickorywind.util.clock import Clock, Instant
+from hickorywind.util.sockets import CONNECT_PROBE_TIMEOUT, refuses_connections
 
 logger = logging.getLogger(__name__)
 
-CATCH_UP_TIMEOUT = timedelta(milliseconds=1500)  # for the successor in a planned change
+CATCH_UP_TIMEOUT = timedelta(milliseconds=1500)  # for one comparison of two logs
+SERVING_POLL_INTERVAL = timedelta(milliseconds=300)  # a status takes a slot that callers need
+MIN_WAIT = timedelta(milliseconds=1)
 PROMOTION_TIMEOUT = timedelta(seconds=4)  # until one promotion takes effect
 PROMOTION_POLL_INTERVAL = timedelta(milliseconds=60)  # between queries of the successor's status
 # For a replica to receive the log of a server that claims an old lead, so that it can be promoted
@@ -70,13 +75,15 @@
     is_planned: bool = False,
     passed_over: BackendId | None = None,
     preferred: BackendId | None = None,
+    held: LogPosition | None = None,
 ) -> tuple[BackendId, Term]:
     """Return the successor of a primary and the term above which it must lead.
 
-    If the best candidate claims an old lead, replicas get ``OLD_LEAD_CATCH_UP_TIMEOUT`` to receive
-    its log, and are then preferred. The successor of a primary that runs catches up with it; any
-    other one has to hold what was acknowledged. Raise ``PrimaryChangeCancelledError`` if no
-    candidate answers, or if one that does not answer may hold more acknowledged commits.
+    ``held`` is the end of the old primary's log, if it is known. If the best candidate claims an
+    old lead, replicas get ``OLD_LEAD_CATCH_UP_TIMEOUT`` to receive its log, and are then preferred.
+    The successor of a primary that runs catches up with it; any other one has to hold what was
+    acknowledged. Raise ``PrimaryChangeCancelledError`` if no candidate answers, or if one that does
+    not answer may hold more acknowledged commits.
     """
     deadline = clock.now() + OLD_LEAD_CATCH_UP_TIMEOUT
     while True:
@@ -90,7 +97,9 @@
         terms = KnownTerms(
             Term(max(record.term, runtime.used_term)), Term(max(record.term, runtime.newest_term))
         )
-        acknowledged = None if is_planned else _acknowledged_position(runtime, candidates)
+        acknowledged = held
+        if held is None and not is_planned:
+            acknowledged = _acknowledged_position(runtime, candidates)
         chosen = terms.choose_successor(candidates, passed_over, acknowledged, preferred)
         if chosen is None:
             raise PrimaryChangeCancelledError("no backend server can be promoted")
@@ -152,53 +161,125 @@
 
 
 class CatchUp(Enum):
-    """Whether a successor has received the whole log of a primary that runs.
+    """Whether a successor has received the whole log of an old primary.
 
-    ``UNKNOWN``: the primary or the successor gives no status.
+    ``UNKNOWN``: one of them runs and gives no status; ``PRIMARY_SILENT``: the old primary did not
+    answer; ``PRIMARY_GONE``: its process has exited, or it is no longer registered;
+    ``PRIMARY_REPLACED``: a server leads in a new term, or it no longer leads before it was to stop.
     """
 
     COMPLETE = "complete"
     BEHIND = "behind"
     UNKNOWN = "unknown"
+    PRIMARY_SILENT = "primary_silent"
+    PRIMARY_GONE = "primary_gone"
+    PRIMARY_REPLACED = "primary_replaced"
+
+
+@dataclass(frozen=True, slots=True)
+class LogComparison:
+    """Comparison of the logs of an old primary and its successor.
+
+    ``held`` and ``received`` are their log positions, or None if they are not known.
+    """
+
+    state: CatchUp
+    held: LogPosition | None = None
+    received: LogPosition | None = None
 
 
 async def wait_for_catch_up(
-    runtime: ServiceRuntime, primary: BackendId, successor: BackendId, clock: Clock
-) -> CatchUp:
-    """Wait until the successor has received what the primary holds now.
+    runtime: ServiceRuntime,
+    primary: BackendId,
+    successor: BackendId,
+    ended_term: Term,
+    clock: Clock,
+    deadline: Instant,
+    *,
+    is_serving: bool = False,
+) -> LogComparison:
+    """Wait until the successor has received what the old primary holds.
 
-    Return early if the primary gives no status, and at the latest after ``CATCH_UP_TIMEOUT``.
+    While that one is serving, what it held at first is enough. Compare the logs at least once, and
+    return at the latest after ``CATCH_UP_TIMEOUT`` or at ``deadline``. Statuses that the servers
+    refuse to give are asked for again.
     """
-    deadline = clock.now() + CATCH_UP_TIMEOUT
-    state = CatchUp.UNKNOWN
-    old = runtime.backends.get(primary)
-    new = runtime.backends.get(successor)
-    old_status = new_status = None
-    while old is not None and new is not None and clock.now() < deadline:
-        old_status = await query_server(runtime, old)
-        new_status = await query_server(runtime, new)
-        if old_status is None:
-            state = CatchUp.UNKNOWN
+    deadline = min(deadline, clock.now() + CATCH_UP_TIMEOUT)
+    interval = PROMOTION_POLL_INTERVAL
+    required: LogPosition | None = None
+    while True:
+        result = await _compare_logs(runtime, primary, successor, ended_term, is_serving)
+        if required is None or not is_serving:
+            required = result.held
+        if result.state is CatchUp.BEHIND and result.received >= required:
+            result = dataclasses.replace(result, state=CatchUp.COMPLETE)
+        is_open = result.state in (CatchUp.BEHIND, CatchUp.UNKNOWN)
+        if not is_open or clock.now() >= deadline:
             break
-        if new_status is not None:
-            if new_status.received_position >= old_status.received_position:
-                state = CatchUp.COMPLETE
-                break
-            state = CatchUp.BEHIND
-        await asyncio.sleep(PROMOTION_POLL_INTERVAL.total_seconds())
+        await asyncio.sleep(min(interval, max(deadline - clock.now(), MIN_WAIT)).total_seconds())
+        if is_serving:
+            interval = min(interval * 2, SERVING_POLL_INTERVAL)
     logger.log(
-        logging.INFO if state is CatchUp.COMPLETE else logging.WARNING,
+        logging.INFO if result.state is CatchUp.COMPLETE else logging.WARNING,
         "catch_up_ended",
         extra={
             "service": runtime.name,
             "primary": primary,
             "successor": successor,
-            "state": state,
-            "held": None if old_status is None else str(old_status.received_position),
-            "received": None if new_status is None else str(new_status.received_position),
+            "state": result.state,
+            "held": None if result.held is None else str(result.held),
+            "received": None if result.received is None else str(result.received),
         },
     )
-    return state
+    return result
+
+
+async def _compare_logs(
+    runtime: ServiceRuntime,
+    primary: BackendId,
+    successor: BackendId,
+    ended_term: Term,
+    is_serving: bool,
+) -> LogComparison:
+    old, new = runtime.backends.get(primary), runtime.backends.get(successor)
+    if old is None:
+        return LogComparison(CatchUp.PRIMARY_GONE)
+    if new is None:
+        return LogComparison(CatchUp.UNKNOWN)
+    old_status, new_status = await asyncio.gather(
+        _query_old_primary(runtime, old), query_server(runtime, new)
+    )
+    received = None if new_status is None else new_status.received_position
+    if new_status is not None and (new_status.leading_term or Term(0)) > ended_term:
+        return LogComparison(CatchUp.PRIMARY_REPLACED, None, received)
+    if isinstance(old_status, CatchUp):
+        return LogComparison(old_status, None, received)
+    has_lost_lead = is_serving and old_status.leading_term is None
+    if old_status.term > ended_term or has_lost_lead:
+        return LogComparison(CatchUp.PRIMARY_REPLACED, None, received)
+    held = old_status.received_position
+    if received is None:
+        return LogComparison(CatchUp.UNKNOWN, held)
+    state = CatchUp.COMPLETE if received >= held else CatchUp.BEHIND
+    return LogComparison(state, held, received)
+
+
+async def _query_old_primary(runtime: ServiceRuntime, backend: Backend) -> ServerStatus | CatchUp:
+    """Return the status of an old primary, or what it means that there is none."""
+    try:
+        answer = await runtime.query_status(backend)
+    except ConnectionRejectedError as error:
+        # Another server uses the address of one that has exited.
+        is_wrong_server = error.kind is BackendErrorKind.WRONG_SERVER
+        return CatchUp.PRIMARY_GONE if is_wrong_server else CatchUp.UNKNOWN
+    except ConnectionLostError as error:
+        has_exited = await refuses_connections(backend.server.address, CONNECT_PROBE_TIMEOUT)
+        logger.info(
+            "status_query_failed",
+            extra={"backend": backend.server.backend, "reason": str(error)},
+        )
+        return CatchUp.PRIMARY_GONE if has_exited else CatchUp.PRIMARY_SILENT
+    return backend.connections.decode_status(answer) or CatchUp.UNKNOWN
 
 
 class PromotionFailure(Enum):
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -59,6 +59,7 @@
 # Fraction of a leaving server's time in which it gets new work; a host may learn late that the
 # server is leaving.
 LEAVING_USE_FRACTION = 0.7
+LEAVING_END_MARGIN = timedelta(seconds=2)  # a leaving server may end late
 STALL_CHECK_INTERVAL = timedelta(milliseconds=500)  # between two checks of one stalled server
 FIRST_PROBE_DELAY = timedelta(milliseconds=300)  # before a failed server is probed
 TRANSACTION_DRAIN_TIMEOUT = timedelta(milliseconds=1200)  # well below the drain time limit
@@ -110,7 +111,7 @@
         self._sampling_task: asyncio.Task | None = None
         self._closed_result: Result | None = None
         self._background = BackgroundTasks()
-        self._leaving_use_duration = leaving_duration * LEAVING_USE_FRACTION
+        self._leaving_duration = leaving_duration
         self._created_at = clock.now()
         self._last_primary: BackendId | None = None
         self._primary_lost_at: Instant | None = None
@@ -172,7 +173,15 @@
     def leaving_deadline(self, backend: Backend) -> Instant:
         """Return the instant until which a leaving primary may get new work."""
         since = self.clock.now() if backend.leaving_since is None else backend.leaving_since
-        return since + self._leaving_use_duration
+        return since + self._leaving_duration * LEAVING_USE_FRACTION
+
+    def leaving_end(self, backend: Backend, since: Instant) -> Instant:
+        """Return the instant at which a server that leaves should have ended, with a margin.
+
+        One that is not known to leave counts as leaving from ``since``.
+        """
+        since = since if backend.leaving_since is None else backend.leaving_since
+        return since + self._leaving_duration + LEAVING_END_MARGIN
 
     def _remove_backend(self, backend_id: BackendId) -> None:
         backend = self.backends.pop(backend_id)
@@ -520,6 +529,11 @@
         leadership = self.fleet.permits.leadership(self.name)
         return None if leadership is None else leadership.record.primary
 
+    def newest_position_of(self, primary: BackendId) -> LogPosition | None:
+        """Return the newest position sampled at a primary, or None if this host has no sample."""
+        newest = self.samples.newest() if primary == self._last_primary else None
+        return None if newest is None else newest.position
+
     def leads_as_recorded(self, backend: Backend, term: Term | None) -> bool:
         """Return whether a server that leads in a term, or in none, may be used as the primary.
 
@@ -640,6 +654,7 @@
         connection.primary_term = None
         if status is None:
             return
+        backend.received_position = status.received_position
         if status.has_applied_log:
             connection.primary_term = status.leading_term
         self.newest_term = max(self.newest_term, status.term, status.received_position.term)
--- a/hickorywind/host/servicestate.py
+++ b/hickorywind/host/servicestate.py
@@ -47,6 +47,8 @@
 
     ``unanswered_since`` and ``last_unanswered`` are the times of the first and the last new
     connection that the server did not answer; any answer resets ``unanswered_since``.
+    ``received_position`` is the position up to which the server's last status said it has received
+    commits.
     """
 
     server: BackendServer
@@ -57,6 +59,7 @@
     last_answer: Instant = timedelta(0)
     unanswered_since: Instant | None = None
     last_unanswered: Instant = timedelta(0)
+    received_position: LogPosition | None = None
 
     def record_answer(self, now: Instant) -> None:
         """Record that the server sent any answer."""
--- /dev/null
+++ b/tests/host/test_completelog.py
@@ -0,0 +1,230 @@
+"""Changes of primary that keep all acknowledged commits while the old primary answers."""
+
+import asyncio
+
+from hickorywind.failover.leadership import LeadershipPhase
+from hickorywind.host.service import LEAVING_END_MARGIN, LEAVING_USE_FRACTION
+from tests.host.harness import SERVICE, HostTestCase
+
+LEAVING_SECONDS = 7.0
+USE_SECONDS = LEAVING_SECONDS * LEAVING_USE_FRACTION
+END_SECONDS = LEAVING_SECONDS + LEAVING_END_MARGIN.total_seconds()
+CHANGE_SECONDS = 5.0  # the stated limit for a change of primary
+REPLICA_LAG_COMMITS = 5
+
+
+class CompleteLogTestCase(HostTestCase):
+    host_count = 3
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.primary, self.second, self.third = (
+            self.group.servers[name] for name in ("i-a", "i-b", "i-c")
+        )
+        self.numbers = iter(range(1_000_000))
+        self.writers = []
+        for name in self.hosts:
+            self.start_writer(name)
+        await self.wait_until(lambda: len(self.group.commits) > 10)
+
+    def start_writer(self, host):
+        writer = asyncio.create_task(self.write_repeatedly(host))
+        self.addCleanup(writer.cancel)
+        self.writers.append(writer)
+
+    async def write_repeatedly(self, host):
+        while True:
+            caller = await self.caller("bookings", host)
+            while (await caller.ask(f"WRITE row-{next(self.numbers)} 1"))[0]:
+                await asyncio.sleep(0.02)
+
+    def record(self):
+        return self.hosts["h0"].role._fleet.permits.leadership(SERVICE).record
+
+    def promoted(self):
+        return [backend for _, backend, _ in self.group.promotions]
+
+    def lost_by(self, server):
+        return [item for item, _ in self.group.commits if item not in server.data]
+
+    def hear_nothing(self, *servers):
+        for server in servers:
+            server.is_receiving = False
+
+    def catch_up(self, server):
+        server.is_receiving = True
+        server.follow(self.primary)
+
+    async def lag(self, *servers):
+        """Let replicas lack some commits."""
+        self.hear_nothing(*servers)
+        before = len(self.group.commits)
+        await self.wait_until(lambda: len(self.group.commits) > before + REPLICA_LAG_COMMITS)
+
+    async def leave(self):
+        await self.register(self.primary, state="draining")
+
+    def on_close(self, act):
+        """Call ``act`` once when a host learns that the record was closed."""
+        done = []
+
+        def listen(service):
+            if self.record().phase is LeadershipPhase.CLOSED and not done:
+                done.append(self.record())
+                act()
+
+        self.hosts["h0"].role._fleet.leadership_listeners.append(listen)
+
+    async def assert_served_for(self, seconds):
+        """Check that the old primary commits writes of callers all the time."""
+        until = self.loop.time() + seconds
+        while self.loop.time() < until:
+            before = len(self.group.commits)
+            await asyncio.sleep(0.5)
+            self.assertGreater(len(self.group.commits), before)
+        self.assertEqual(self.promoted(), [])
+
+    async def assert_kept(self, *servers, seconds=CHANGE_SECONDS):
+        """Check that one of some servers is promoted and holds all acknowledged commits."""
+        await self.wait_until(lambda: self.promoted() != [], seconds)
+        promoted = self.group.primary
+        self.assertIn(promoted.backend, servers)
+        self.assertEqual(self.lost_by(promoted), [])
+        await self.wait_until(
+            lambda: {host.primary() for host in self.hosts.values()} == {promoted.backend}
+        )
+
+
+class LeavingPrimaryTest(CompleteLogTestCase):
+    async def test_successors_that_receive_nothing_do_not_cost_acknowledged_commits(self):
+        await self.lag(self.second, self.third)
+        await self.leave()
+        await self.assert_served_for(USE_SECONDS - 1.0)
+        self.catch_up(self.third)
+        await self.assert_kept("i-c")
+
+    async def change_without_statuses(self, refuse):
+        """Leave with a commit that no replica has, once ``refuse`` was called; return after 2 s."""
+
+        def begin():
+            self.hear_nothing(self.second, self.third)
+            refuse()
+
+        self.on_close(begin)
+        caller = await self.caller("bookings")
+        await caller.ask("BEGIN")
+        await caller.ask("WRITE kept 1")
+        await self.leave()
+        await self.wait_until(lambda: self.record().phase is LeadershipPhase.CLOSED)
+        self.assertTrue((await caller.ask("COMMIT"))[0].startswith("COMPLETE"))
+        await asyncio.sleep(2.0)
+        self.assertEqual(self.promoted(), [])
+
+    async def test_refused_status_does_not_cost_acknowledged_commits(self):
+        def refuse():
+            self.primary.refuse = lambda text: "BUSY" if text == "STATUS" else None
+
+        await self.change_without_statuses(refuse)
+        self.catch_up(self.second)
+        self.primary.refuse = lambda text: None
+        await self.assert_kept("i-b")
+
+    async def test_connection_limit_of_the_primary_does_not_cost_acknowledged_commits(self):
+        def refuse():
+            self.primary.connection_limit = 0
+            for connection in list(self.primary._connections):
+                if connection.transaction is None:
+                    connection.writer.transport.abort()
+
+        await self.change_without_statuses(refuse)
+        self.catch_up(self.second)
+        self.primary.connection_limit = 100
+        await self.assert_kept("i-b")
+
+    async def test_replica_that_holds_all_is_promoted_in_place_of_one_that_falls_behind(self):
+        self.hear_nothing(self.third)
+        last = []
+
+        def fall_behind():
+            self.hear_nothing(self.second)
+            self.catch_up(self.third)
+            last.append(self.primary.log_offset)
+
+        self.on_close(fall_behind)
+        caller = await self.caller("bookings")
+        await caller.ask("BEGIN")
+        await caller.ask("WRITE kept 1")
+        await self.leave()
+        await self.wait_until(lambda: last != [])
+        self.assertTrue((await caller.ask("COMMIT"))[0].startswith("COMPLETE"))
+        await self.assert_kept("i-c")
+
+    async def test_primary_serves_again_if_all_successors_fall_behind(self):
+        self.on_close(lambda: self.hear_nothing(self.second, self.third))
+        caller = await self.caller("bookings")
+        await caller.ask("BEGIN")
+        await caller.ask("WRITE kept 1")
+        await self.leave()
+        await self.wait_until(lambda: self.record().phase is LeadershipPhase.CLOSED)
+        self.assertTrue((await caller.ask("COMMIT"))[0].startswith("COMPLETE"))
+        before = len(self.group.commits)
+        await self.wait_until(lambda: len(self.group.commits) > before + 10, CHANGE_SECONDS)
+        self.assertEqual(self.promoted(), [])
+        self.catch_up(self.second)
+        await self.assert_kept("i-b")
+
+    async def test_replica_that_holds_all_only_after_the_leaving_deadline_is_waited_for(self):
+        await self.lag(self.second, self.third)
+        await self.leave()
+        await asyncio.sleep(END_SECONDS - 1.0)
+        self.assertEqual(self.promoted(), [])
+        self.catch_up(self.second)
+        await self.assert_kept("i-b")
+
+    async def test_change_is_made_once_the_primary_should_have_ended(self):
+        await self.lag(self.second, self.third)
+        await self.leave()
+        await self.wait_until(lambda: self.promoted() != [], END_SECONDS + CHANGE_SECONDS)
+        await self.wait_until(self.is_open)
+
+    async def test_calm_change_does_not_wait(self):
+        started = self.loop.time()
+        await self.leave()
+        await self.assert_kept("i-b", "i-c")
+        self.assertLess(self.loop.time() - started, 2.0)
+
+
+class FailingLeavingPrimaryTest(CompleteLogTestCase):
+    async def assert_replaced(self):
+        """Check that no host lacks a primary for longer than the stated limit."""
+        await self.wait_until(
+            lambda: {host.primary() for host in self.hosts.values()} <= {"i-b", "i-c"},
+            CHANGE_SECONDS,
+        )
+
+    async def test_crashed_primary_is_replaced_at_once(self):
+        await self.lag(self.second, self.third)
+        await self.leave()
+        await asyncio.sleep(2.0)
+        await self.primary.crash()
+        await self.assert_replaced()
+
+    async def test_silent_primary_is_replaced_as_one_that_does_not_leave(self):
+        await self.leave()
+        self.primary.is_silent = True
+        await self.assert_replaced()
+
+    async def test_primary_that_falls_silent_while_it_waits_for_a_successor_is_replaced(self):
+        await self.lag(self.second, self.third)
+        await self.leave()
+        await asyncio.sleep(2.0)
+        self.primary.is_silent = True
+        await self.assert_replaced()
+
+    async def test_primary_that_falls_silent_once_its_record_is_closed_is_replaced(self):
+        def fall_silent():
+            self.primary.is_silent = True
+
+        self.on_close(fall_silent)
+        await self.leave()
+        await self.assert_replaced()
