A planned change that is taken over compares the logs too

What callers saw: when the promoter of a planned change was gone, its candidate was promoted without acknowledged commits of the old primary, which still ran.

Cause: with sync_replicas 0 a host that took a change over compared nothing.

Change: it waits as the promoter would, also for the record of a later attempt, which isn't marked as planned, while the old primary leads in the ended term. It never opens the old primary again, keeps the candidate for 4 s, as an order for it may take effect, and goes on at once if the candidate leads.

--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -29,6 +29,7 @@
 from hickorywind.host.promotion import (
     CATCH_UP_TIMEOUT,
     PROMOTION_POLL_INTERVAL,
+    PROMOTION_TIMEOUT,
     CatchUp,
     Promotion,
     PromotionFailure,
@@ -606,10 +607,17 @@
             previous, previous.candidate, previous.is_planned, term, stopped
         )
         closed = await self.store.write(service, record, leadership.revision)
-        fencing = await self._fence_completely(runtime, closed)
-        if runtime.sync_replicas:
+        ordered_until = self._fleet.now() + PROMOTION_TIMEOUT
+        fencing, status = await asyncio.gather(
+            self._fence_completely(runtime, closed), self._query_status(runtime, previous.primary)
+        )
+        held = None
+        led = None if status is None else status.leading_term
+        if previous.is_planned or (led is not None and led <= term):
+            closed, held = await self._require_old_log(runtime, closed, ordered_until=ordered_until)
+        elif runtime.sync_replicas:
             closed = await self._require_complete_log(runtime, closed)
-        await self._promote_and_open(runtime, closed, fencing)
+        await self._promote_and_open(runtime, closed, fencing, held)
 
     # Store restored from an older copy -----------------------------------------------------------
 
--- a/tests/host/test_completelog.py
+++ b/tests/host/test_completelog.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from hickorywind.failover.leadership import LeadershipPhase
+from hickorywind.failover.leadership import LeadershipPhase, LeadershipRecord, encode_record
+from hickorywind.host.fleet import LEADERSHIP_PREFIX
 from hickorywind.host.service import LEAVING_END_MARGIN, LEAVING_USE_FRACTION
 from tests.host.harness import SERVICE, HostTestCase
 
@@ -228,3 +229,46 @@
         self.on_close(fall_silent)
         await self.leave()
         await self.assert_replaced()
+
+
+class TakeoverTest(CompleteLogTestCase):
+    async def close(self, candidate, is_planned=True):
+        """Write a closed record of a promoter that is gone."""
+        term = self.record().term
+        record = LeadershipRecord(
+            "i-a", LeadershipPhase.CLOSED, 1, "gone", candidate, is_planned, term
+        )
+        await self.store.put(LEADERSHIP_PREFIX + SERVICE, encode_record(record))
+
+    async def test_change_that_is_taken_over_keeps_acknowledged_commits(self):
+        await self.lag(self.second, self.third)
+        await self.leave()
+        await self.close("i-b")
+        await asyncio.sleep(4.0)
+        self.assertEqual(self.promoted(), [])
+        self.catch_up(self.second)
+        await self.assert_kept("i-b")
+
+    async def test_replica_with_all_commits_is_promoted_once_no_order_can_take_effect(self):
+        await self.lag(self.second)
+        await self.leave()
+        await self.close("i-b")
+        await self.assert_kept("i-c", seconds=2 * CHANGE_SECONDS)
+
+    async def test_second_record_of_a_planned_change_keeps_acknowledged_commits(self):
+        await self.lag(self.second, self.third)
+        await self.leave()
+        await self.close("i-b", is_planned=False)
+        await asyncio.sleep(4.0)
+        self.assertEqual(self.promoted(), [])
+        self.catch_up(self.second)
+        await self.assert_kept("i-b")
+
+    async def test_candidate_that_leads_already_is_not_compared(self):
+        await self.lag(self.second, self.third)
+        self.primary.learns_of_promotions = False
+        self.group.make_primary(self.second)
+        await self.close("i-b")
+        await self.wait_until(
+            lambda: {host.primary() for host in self.hosts.values()} == {"i-b"}, CHANGE_SECONDS
+        )
