A promotion after one without effect compares the logs too

What callers saw: an order to promote without effect for 4 s was followed by one for another server, although that one lacked commits of the old primary, which still ran.

Cause: only the first attempt of a change compared the logs.

Change: each attempt after an order compares them, with the bounds of the first one.

--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -747,6 +747,11 @@
             has_no_effect = outcome is PromotionFailure.NO_EFFECT
             passed_over = closed.record.candidate if has_no_effect else None
             closed = await self._close(runtime, closed, False, passed_over, held)
+            # Without an order the record was only too old, and the logs were compared before.
+            if outcome is not PromotionFailure.NOT_ORDERED:
+                closed, held = await self._require_old_log(
+                    runtime, closed, held=held, passed_over=passed_over
+                )
         while not fencing.is_complete(self._clock.now()):
             # The old primary ran again before the promotion took effect, so silent hosts may have
             # used it: wait until their permits have expired.
--- a/tests/host/test_completelog.py
+++ b/tests/host/test_completelog.py
@@ -1,10 +1,12 @@
 """Changes of primary that keep all acknowledged commits while the old primary answers."""
 
 import asyncio
+from unittest import mock
 
 from hickorywind.failover.leadership import LeadershipPhase, LeadershipRecord, encode_record
 from hickorywind.host.fleet import LEADERSHIP_PREFIX
 from hickorywind.host.service import LEAVING_END_MARGIN, LEAVING_USE_FRACTION
+from hickorywind.ports.coordination import PromotionOutcome
 from tests.host.harness import SERVICE, HostTestCase
 
 LEAVING_SECONDS = 7.0
@@ -272,3 +274,25 @@
         await self.wait_until(
             lambda: {host.primary() for host in self.hosts.values()} == {"i-b"}, CHANGE_SECONDS
         )
+
+
+class LaterRoundTest(CompleteLogTestCase):
+    async def test_server_promoted_after_an_order_without_effect_holds_all_commits(self):
+        self.hear_nothing(self.third)
+        promote = self.group.promote
+        orders = []
+
+        async def ignore_second(service, backend, holder, token):
+            orders.append(backend)
+            if backend == "i-b":
+                return PromotionOutcome.ACCEPTED
+            return await promote(service, backend, holder, token)
+
+        with mock.patch.object(self.group, "promote", ignore_second):
+            await self.leave()
+            await self.wait_until(lambda: orders != [], CHANGE_SECONDS)
+            self.second.role, self.second.term = "primary", 1
+            await asyncio.sleep(5.0)
+            self.assertNotIn("i-c", orders)
+            self.catch_up(self.third)
+            await self.assert_kept("i-c")
