A change of primary says which commits it gave up

What callers saw: acknowledged commits of a former primary were gone after a change, and no log or metric said so.

Cause: nobody compared the log of the new primary with what was known of the old one.

Change: after the promotion the received position of the new primary is compared with the end of the old log, as the planned change last saw it, and with the newest position sample, in unplanned changes too. New event commits_given_up and counter hickorywind_host_commits_given_up. A missing position proves nothing.

--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -752,6 +752,7 @@
                 closed, held = await self._require_old_log(
                     runtime, closed, held=held, passed_over=passed_over
                 )
+        self._report_given_up(runtime, closed, held)
         while not fencing.is_complete(self._clock.now()):
             # The old primary ran again before the promotion took effect, so silent hosts may have
             # used it: wait until their permits have expired.
@@ -759,6 +760,33 @@
         await self._open(runtime, closed, closed.record.candidate, outcome)
         self._metrics.failovers.inc()
 
+    def _report_given_up(
+        self, runtime: ServiceRuntime, closed: VersionedLeadership, held: LogPosition | None
+    ) -> None:
+        """Log and count commits of the old primary that its successor, which leads, lacks.
+
+        They are known from the end of the old log and from samples of its position.
+        """
+        successor = runtime.backends.get(closed.record.candidate)
+        received = None if successor is None else successor.received_position
+        known = [held, runtime.newest_position_of(closed.record.primary)]
+        held = max((each for each in known if each is not None), default=None)
+        if held is None or received is None or received.offset >= held.offset:
+            return
+        count = held.offset - received.offset
+        logger.warning(
+            "commits_given_up",
+            extra={
+                "service": runtime.name,
+                "primary": closed.record.primary,
+                "successor": closed.record.candidate,
+                "received": str(received),
+                "held": str(held),
+                "count": count,
+            },
+        )
+        self._metrics.commits_given_up.labels(runtime.name).inc(count)
+
     async def _open(
         self,
         runtime: ServiceRuntime,
--- a/hickorywind/observability/hostmetrics.py
+++ b/hickorywind/observability/hostmetrics.py
@@ -62,6 +62,12 @@
         self.failovers = Counter(
             f"{_PREFIX}_failovers", "Primary changes completed here", registry=registry
         )
+        self.commits_given_up = Counter(
+            f"{_PREFIX}_commits_given_up",
+            "Commits of a former primary that the promoted server lacks",
+            ("service",),
+            registry=registry,
+        )
         self.log_lines_dropped = Counter(
             f"{_PREFIX}_log_lines_dropped", "Log lines dropped", registry=registry
         )
--- a/tests/host/test_completelog.py
+++ b/tests/host/test_completelog.py
@@ -296,3 +296,54 @@
             self.assertNotIn("i-c", orders)
             self.catch_up(self.third)
             await self.assert_kept("i-c")
+
+
+class GivenUpCommitsTest(CompleteLogTestCase):
+    """The log and the metrics say how many commits a change of primary has given up."""
+
+    def given_up(self, logs):
+        """Return the fields of the event, of which there has to be one."""
+        (event,) = [each for each in logs.records if each.msg == "commits_given_up"]
+        counted = sum(
+            host.role._metrics.commits_given_up.labels(SERVICE)._value.get()
+            for host in self.hosts.values()
+        )
+        self.assertEqual(counted, event.count)
+        return event
+
+    async def change(self):
+        """Return the log of a change of primary."""
+        with self.assertLogs("hickorywind.host.failovermanager") as logs:
+            await self.wait_until(
+                lambda: self.record().change > 0 and self.is_open(), END_SECONDS + CHANGE_SECONDS
+            )
+        return logs
+
+    async def stop_writers(self):
+        for writer in self.writers:
+            writer.cancel()
+        await asyncio.sleep(1.5)  # until each host has queried the position of the idle primary
+
+    async def test_commits_that_a_crash_costs_are_reported(self):
+        await self.lag(self.second, self.third)
+        await self.stop_writers()
+        before = self.primary.log_offset
+        received = max(self.second.log_offset, self.third.log_offset)
+        await self.primary.crash()
+        event = self.given_up(await self.change())
+        self.assertEqual((event.service, event.primary), (SERVICE, "i-a"))
+        self.assertEqual(event.successor, self.group.primary.backend)
+        self.assertEqual(event.count, before - received)
+        self.assertEqual((event.held, event.received), (f"1/{before}", f"2/{received}"))
+
+    async def test_commits_that_a_planned_change_gives_up_are_reported(self):
+        await self.lag(self.second, self.third)
+        await self.leave()
+        event = self.given_up(await self.change())
+        self.assertEqual(event.count, len(self.lost_by(self.group.primary)))
+
+    async def test_change_that_loses_nothing_reports_nothing(self):
+        await self.stop_writers()
+        await self.leave()
+        logs = await self.change()
+        self.assertNotIn("commits_given_up", [each.msg for each in logs.records])
