A commit that was sent to a leaving primary is left to its answer

What callers saw: a COMMIT that waited at a leaving primary for more than 1.2 s was told as unknown (4002, the connection was closed by the host), although the server would have said that it did not run. Cause: the end of the drain closed the connection of each open transaction. That rolls back what waits for its caller, but may not prevent a COMMIT that the server has received, and gives up the proof. Change: such a commit is left to its answer, as single writes are; it is refused once the old primary has stepped down. Conclusion: abandoning a sent statement stays a wait for its answer, bounded by its statement timeout.

--- a/hickorywind/host/autocommit.py
+++ b/hickorywind/host/autocommit.py
@@ -129,7 +129,10 @@
         return self._handle_error(backend, answer, min_position)
 
     def abandon(self) -> None:
-        """Do nothing: a single statement can't be rolled back once it was sent."""
+        """Do nothing: a single statement can't be rolled back once it was sent.
+
+        Its connection stays open, as a refusal by the server proves that it did not run.
+        """
 
     def _handle_failed_read(
         self, backend: Backend, answer: Answer, min_position: LogPosition | None, now: Instant
--- a/hickorywind/host/servicestate.py
+++ b/hickorywind/host/servicestate.py
@@ -25,7 +25,7 @@
     """Open work at a primary, such as a transaction."""
 
     def abandon(self) -> None:
-        """Roll back the work immediately."""
+        """Roll back the work immediately, unless it may have committed by now."""
         ...
 
 
--- a/hickorywind/host/transaction.py
+++ b/hickorywind/host/transaction.py
@@ -54,6 +54,7 @@
         self._grant: Grant | None = None
         self._runs_on_primary = False
         self._has_written = False
+        self._is_committing = False
         self._setup_steps: list[SetupStep] = []  # since it began
         self._abort_result: Result | None = None
 
@@ -189,6 +190,7 @@
         payload = encode_request(connection, request, template, None)
         sent = self.service.clock.now()
         self._has_written |= mode is AccessMode.WRITE
+        self._is_committing = mode is None
         try:
             answers = await connection.exchange(
                 payload, 1, self.route.statement_timeout, is_signed=True
@@ -264,7 +266,12 @@
         return pinned
 
     def abandon(self) -> None:
-        """Roll back, as this host may no longer use the primary."""
+        """Roll back, as this host may no longer use the primary.
+
+        A commit that was sent is left to its answer, as closing its connection may not prevent it.
+        """
+        if self._is_committing:
+            return
         reason = "this host may no longer use the primary; the transaction was rolled back"
         self.abort(Result.not_run(ResultCode.TRANSACTION_LOST, reason, RETRY_AFTER_MS))
 
--- a/tests/host/test_formerprimaries.py
+++ b/tests/host/test_formerprimaries.py
@@ -64,6 +64,33 @@
         self.assertEqual(self.group.commits_of_former_primary, [])
         self.assertEqual((await self.caller_of_h0.ask("READ kiln"))[0], "ROW 2")
 
+    async def test_queued_commit_is_answered_as_not_run(self):
+        for text in ("BEGIN", "WRITE kiln 2"):
+            await self.caller_of_h0.ask(text)
+        self.former.has_free_slot.clear()
+        committing = asyncio.create_task(self.caller_of_h0.ask("COMMIT"))
+        self.addCleanup(committing.cancel)
+        await self.change_by_plan()
+        self.former.has_free_slot.set()
+        self.assertEqual(await committing, ["ERROR READONLY i-a", "READY I -"])
+        self.assertEqual(self.group.commits_of_former_primary, [])
+
+    async def test_write_at_a_primary_that_does_not_step_down_is_never_acknowledged(self):
+        self.former.refuse = lambda text: "BUSY" if text.startswith("STEPDOWN") else None
+        other = await self.caller("bookings")
+        for text in ("BEGIN", "WRITE hearth 2"):
+            await other.ask(text)
+        writing = await self.queue_write()
+        committing = asyncio.create_task(other.ask("COMMIT"))
+        self.addCleanup(committing.cancel)
+        await self.change_by_plan()
+        self.former.has_free_slot.set()
+        for lines in (await writing, await committing):
+            self.assertTrue(lines[0].startswith("ERROR INDOUBT [4001]"), lines)
+        commits = self.group.commits_of_former_primary
+        self.assertEqual(sorted(commits), [("hearth", "2"), ("kiln", "2")])
+        self.assertEqual((await self.caller_of_h0.ask("READ kiln"))[0], "ROW 1")
+
     async def test_refusal_by_a_former_primary_casts_no_suspicion_on_the_new_one(self):
         suspicions = []
         writing = await self.queue_write()
