Tests of a planned change with replicas that receive nothing beside a host in trouble

Each kind of trouble of a host, at each of three hosts, while the primary leaves and both replicas receive nothing for 6 and 7 s, with orders to promote that take effect at once and late: no acknowledged write may be lost.

--- a/tests/host/histories.py
+++ b/tests/host/histories.py
@@ -24,6 +24,11 @@
     def promotions(self):
         return self._group.promotions
 
+    @property
+    def rolled_back(self):
+        """Time, item and remaining value of each item whose acknowledged writes were lost."""
+        return list(self._rolled_back)
+
     def record_write(self, item, value, answer):
         """Record the answer to a write; an empty answer means none yet or a lost connection."""
         self._outcomes[item, str(value)] = answer
--- a/tests/host/test_completelog.py
+++ b/tests/host/test_completelog.py
@@ -1,19 +1,23 @@
 """Changes of primary that keep all acknowledged commits while the old primary answers."""
 
 import asyncio
+import unittest
 from unittest import mock
 
 from hickorywind.failover.leadership import LeadershipPhase, LeadershipRecord, encode_record
 from hickorywind.host.fleet import LEADERSHIP_PREFIX
 from hickorywind.host.service import LEAVING_END_MARGIN, LEAVING_USE_FRACTION
 from hickorywind.ports.coordination import PromotionOutcome
+from tests.host.faults import HOST_COUNT, HOST_FAULTS, MAX_DURATION_MS, Fault, FaultKind
 from tests.host.harness import SERVICE, HostTestCase
+from tests.host.simulation import run_schedule_for_history
 
 LEAVING_SECONDS = 7.0
 USE_SECONDS = LEAVING_SECONDS * LEAVING_USE_FRACTION
 END_SECONDS = LEAVING_SECONDS + LEAVING_END_MARGIN.total_seconds()
 CHANGE_SECONDS = 5.0  # the stated limit for a change of primary
 REPLICA_LAG_COMMITS = 5
+RECOVERY_SECONDS = 15.0
 
 
 class CompleteLogTestCase(HostTestCase):
@@ -347,3 +351,27 @@
         await self.leave()
         logs = await self.change()
         self.assertNotIn("commits_given_up", [each.msg for each in logs.records])
+
+
+class FaultyHostTest(unittest.TestCase):
+    """A primary leaves while its replicas receive nothing and a host is in trouble."""
+
+    def check(self, *more):
+        for kind in HOST_FAULTS:
+            for target in range(HOST_COUNT):
+                with self.subTest(kind=kind, target=target):
+                    schedule = [
+                        Fault(FaultKind.SERVER_NOT_RECEIVING, 1_500, 6_000, 1),
+                        Fault(FaultKind.SERVER_NOT_RECEIVING, 1_500, 7_000, 2),
+                        Fault(FaultKind.PRIMARY_LEAVING, 2_000, MAX_DURATION_MS, 0),
+                        Fault(kind, 2_500, 8_000, target),
+                        *more,
+                    ]
+                    history = run_schedule_for_history(schedule, RECOVERY_SECONDS)
+                    self.assertEqual((history.problems, history.rolled_back), ([], []))
+
+    def test_host_in_trouble_does_not_cost_acknowledged_commits(self):
+        self.check()
+
+    def test_late_promotion_does_not_cost_acknowledged_commits(self):
+        self.check(Fault(FaultKind.PROMOTION_DELAYED, 1_000, MAX_DURATION_MS, 0))
