Test: the order to step down never goes to the candidate itself

What callers would see: a service without a primary, as the platform does not promote again the server that it takes for primary. Change: a test for the check that the promotion has.

--- a/tests/host/test_formerprimaries.py
+++ b/tests/host/test_formerprimaries.py
@@ -145,6 +145,13 @@
 
 
 class TakenOverChangeTest(FormerPrimaryTestCase):
+    async def test_order_to_step_down_never_goes_to_the_candidate(self):
+        await self.close_record("gone", candidate="i-a")
+        await self.wait_until(lambda: self.group.promotions, CHANGE_SECONDS)
+        await asyncio.sleep(1.0)
+        self.assertEqual({order[1] for order in self.group.promotions}, {"i-a"})
+        self.assertEqual(self.former.role, "primary")
+
     async def test_host_that_stopped_acknowledges_nothing_when_the_record_is_closed_again(self):
         writing = await self.queue_write()
         revision = await self.close_record("gone-1")
@@ -153,8 +160,8 @@
         self.former.has_free_slot.set()
         self.assertTrue((await writing)[0].startswith("ERROR INDOUBT [4001]"), writing.result())
 
-    async def close_record(self, promoter):
-        record = LeadershipRecord("i-a", LeadershipPhase.CLOSED, 0, promoter, "i-b", True, 1)
+    async def close_record(self, promoter, candidate="i-b"):
+        record = LeadershipRecord("i-a", LeadershipPhase.CLOSED, 0, promoter, candidate, True, 1)
         await self.store.put(LEADERSHIP_PREFIX + SERVICE, encode_record(record))
         permits = self.hosts["h0"].role._fleet.permits
         await self.wait_until(lambda: permits.leadership(SERVICE).record.promoter == promoter)
