A taken-over change follows a server that a late order of another promoter has made primary

Cause: a server that leads was chosen only if its log was as long as that of the old primary, which its promotion had ended.

Change: one that leads in a new term is chosen whatever its log.

--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -568,7 +568,8 @@
     ) -> VersionedLeadership:
         """Return a closed record that names a server with the old primary's log, up to ``held``.
 
-        Without such a server return ``closed``, or one with the best if ``is_best_enough``.
+        One that leads in a new term comes first, as it ended that log. Without such a server return
+        ``closed``, or one with the best if ``is_best_enough``.
         """
         candidate = closed.record.candidate
         try:
@@ -589,7 +590,8 @@
             return closed
         received = runtime.backends[chosen[0]].received_position
         holds_all = held is not None and received is not None and received >= held
-        if not holds_all and not is_best_enough:
+        leads = chosen[1] < runtime.newest_term
+        if not holds_all and not leads and not is_best_enough:
             return closed
         return await self._write_closed(runtime, closed, False, chosen)
 
--- a/tests/host/test_completelog.py
+++ b/tests/host/test_completelog.py
@@ -8,6 +8,7 @@
 from hickorywind.host.fleet import LEADERSHIP_PREFIX
 from hickorywind.host.service import LEAVING_END_MARGIN, LEAVING_USE_FRACTION
 from hickorywind.ports.coordination import PromotionOutcome
+from standins.lineplatform.group import LineServer
 from tests.host.faults import HOST_COUNT, HOST_FAULTS, MAX_DURATION_MS, Fault, FaultKind
 from tests.host.harness import SERVICE, HostTestCase
 from tests.host.simulation import run_schedule_for_history
@@ -16,6 +17,7 @@
 USE_SECONDS = LEAVING_SECONDS * LEAVING_USE_FRACTION
 END_SECONDS = LEAVING_SECONDS + LEAVING_END_MARGIN.total_seconds()
 CHANGE_SECONDS = 5.0  # the stated limit for a change of primary
+ORDER_SECONDS = 4.0  # during which an order to promote may take effect
 REPLICA_LAG_COMMITS = 5
 RECOVERY_SECONDS = 15.0
 
@@ -279,6 +281,23 @@
             lambda: {host.primary() for host in self.hosts.values()} == {"i-b"}, CHANGE_SECONDS
         )
 
+    async def test_other_server_that_leads_after_a_late_order_is_used(self):
+        await self.lag(self.second, self.third)
+        # On the platform a position keeps its term until the first commit of the next one.
+        position = property(lambda server: f"1.{server.log_offset}")
+        patch = mock.patch.object(LineServer, "received_position", position)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.primary.learns_of_promotions = False
+        await self.leave()
+        await self.close("i-b")
+        await self.wait_until(lambda: self.record().promoter != "gone")
+        self.group.make_primary(self.third)
+        await self.wait_until(
+            lambda: {host.primary() for host in self.hosts.values()} == {"i-c"}, ORDER_SECONDS + 3.0
+        )
+        self.assertEqual(self.promoted(), ["i-c"])
+
 
 class LaterRoundTest(CompleteLogTestCase):
     async def test_server_promoted_after_an_order_without_effect_holds_all_commits(self):
