Soak: a planned change loses no acknowledged commit, and rolled-back commits by what they were

Cause: `SoakGroup.rolled_back` holds all that the old primary had and the new one lacked, without asking whether the old one still ran and served.

Change: each change of primary is recorded (planned or not, the state of the replaced primary, what was lost), and commits are counted by that and by what callers were told. A new check finds acknowledged commits lost in a planned change whose leaving primary served. Logs that lack a rolled-back commit are counted.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -93,6 +93,7 @@
         sum(caller.announcement_count for caller in run.callers),
         tuple(cut.count_from(started_s) for cut in run.checker.cuts),
         dict(run.checker.statements.counts + run.checker.freshness.counts),
+        dict(run.checker.state_counts),
     )
 
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,6 +10,7 @@
 from hickorywind.results import Outcome
 from hickorywind_bench.checker import Guarantee, check_history
 from hickorywind_bench.history import Append, History
+from soak.changes import count_rolled_back
 from soak.freshness import FreshnessChecker
 from soak.plan import HARMLESS_KINDS, HOST_KINDS, PLANNED_KINDS, Fault, FaultKind
 from soak.platform import LEAVING_S, SoakGroup
@@ -31,6 +32,7 @@
     """Promise of the pages beyond those of ``Guarantee``."""
 
     ONE_PRIMARY_ACKNOWLEDGES = "a replaced primary acknowledges no write"
+    PLANNED_CHANGE_KEEPS_ALL = "a planned change loses no acknowledged commit"
     ONE_PROMOTER = "fencing tokens rise, one holder each"
     ACCEPTED_IS_ANSWERED = "a request that was accepted is answered around planned work"
     READ_IS_ANSWERED = "a request that a process has read is answered unless it is killed"
@@ -172,6 +174,7 @@
         self.history = History()
         self.findings: list[Finding] = []
         self.stray_count = 0
+        self.state_counts: Counter[str] = Counter()
         self.cuts: list[CutRequest] = []
         self.stalls = StallMonitor()
         self.now_s: Callable[[], float] = lambda: 0.0
@@ -270,6 +273,7 @@
     def finish(self) -> None:
         """Check the history against the logs of the servers."""
         self._check_runs()
+        self._check_changes()
         self._check_cuts()
         excused = self._group.rolled_back | {
             element for _, element in self._group.commits_of_former_primary
@@ -286,6 +290,18 @@
         for violation in check_history(judged):
             self.report(violation.guarantee, violation.detail)
 
+    def _check_changes(self) -> None:
+        acknowledged = {
+            each.element for each in self.history.appends if each.outcome is Outcome.RAN
+        }
+        self.state_counts += count_rolled_back(self._group.changes, acknowledged)
+        for change in self._group.changes:
+            for element in sorted(change.lost & acknowledged if change.could_keep_all else ()):
+                at_s = round(change.at_s - self.started_s, 3)
+                detail = f"{element} in a {change.describe()}"
+                promise = Promise.PLANNED_CHANGE_KEEPS_ALL.value
+                self.findings.append(Finding(at_s, promise, detail))
+
     def _check_cuts(self) -> None:
         """Check the requests whose connections ended, except those of killed processes.
 
--- a/soak/freshness.py
+++ b/soak/freshness.py
@@ -91,15 +91,19 @@
             )
 
     def _find_missing(self, expectation: _Expectation, log: Container[str]) -> _Commit | None:
-        compared = 0
+        compared, lacks_rolled_back = 0, False
         for commit in reversed(self._commits):
             if compared == _COMPARED_COMMITS:
-                return None
+                break
             is_own = expectation.reads_own_writes and commit.session == expectation.session
             age_s = 0.0 if is_own else expectation.max_staleness_s
             if commit.acknowledged_s >= expectation.started_s - age_s:
                 continue
             compared += 1
-            if commit.element not in log and not self._is_excused(commit.element):
+            if commit.element in log:
+                continue
+            if not self._is_excused(commit.element):
                 return commit
+            lacks_rolled_back = True
+        self.counts["logs without a rolled-back commit"] += lacks_rolled_back
         return None
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -17,6 +17,9 @@
 _MAX_STOP_INTERVAL_S = 2.0  # between the stops of a series, each of which takes up to six seconds
 _REPLICATION_FAULT_INTERVAL_S = 5.0  # average time between two faults of ``REPLICATION_KINDS``
 _SERVER_FAULT_INTERVAL_S = 2.5  # average time between two faults of ``SERVER_KINDS``
+_LAGGING_CHANGE_SHARE = 0.5  # of the seeds that don't play ``Theme.STOPS``
+_LAGGING_CHANGE_INTERVAL_S = 10.0  # average time between two planned changes beside such a lag
+_LAG_LEAD_S = (0.1, 1.5)  # before the primary leaves
 _STARVATION_LEAD_S = 1.0  # before a stop
 _MAX_CONNECTIONS = (90, 24, 8)  # of each server; the lowest makes many hosts share their reads
 _IDLE_CALLERS = (4, 20, 60, 100)  # for each host
@@ -198,6 +201,7 @@
             start_s += rng.expovariate(1 / SERIES_INTERVAL_S)
         faults += _draw_server_faults(seed, theme, duration_s, server_count)
         faults += _draw_replication_faults(seed, duration_s)
+        faults += _draw_lagging_changes(seed, theme, duration_s, server_count)
         kept = [fault for fault in faults if fault.at_s < duration_s]
         idle_callers = rng.choice(_IDLE_CALLERS) if theme is Theme.STOPS else min(_IDLE_CALLERS)
         faults = sorted(kept, key=lambda fault: fault.at_s)
@@ -276,6 +280,24 @@
         at_s += rng.expovariate(1 / _REPLICATION_FAULT_INTERVAL_S)
 
 
+def _draw_lagging_changes(
+    seed: int, theme: Theme, duration_s: float, server_count: int
+) -> Iterator[Fault]:
+    """Let primaries leave by plan while no replica receives anything."""
+    rng = random.Random(f"lagging changes {seed}")
+    if theme is Theme.STOPS or rng.random() >= _LAGGING_CHANGE_SHARE:
+        return
+    at_s = rng.uniform(0, duration_s / 2)
+    while at_s < duration_s:
+        for_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        for server in range(server_count):
+            lag = FaultKind.SERVER_LAGS
+            yield Fault(lag, round(at_s, 2), round(for_s, 2), server=server)
+        leaves_s, away_s = at_s + rng.uniform(*_LAG_LEAD_S), rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        yield _make_fault(FaultKind.PRIMARY_LEAVES, leaves_s, away_s, 0)
+        at_s += rng.expovariate(1 / _LAGGING_CHANGE_INTERVAL_S)
+
+
 def _draw_stops(rng: random.Random, start_s: float, host_count: int) -> Iterator[Fault]:
     """Stop some hosts or all, at once or in turn, beside SIGHUP and changes of configuration."""
     hosts = rng.sample(range(host_count), rng.randint(1, host_count))
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -28,6 +28,7 @@
     Snapshot,
 )
 from hickorywind.store.interface import StoredValue
+from soak.changes import SERVED_S, FormerPrimary, Order, PrimaryChange
 from soak.relay import replace_ports
 from soak.servers import APPLY_S, SERVICE, AnswerFaults, SoakServer, StatementRun
 from soak.statements import ServerStatement
@@ -72,6 +73,7 @@
         self.applies_at_promotion = random.Random(f"promotion {rng.random()}").random() < 0.5
         self.apply_s = APPLY_S
         self.rolled_back: set[str] = set()
+        self.changes: list[PrimaryChange] = []
         self.demotion_s = DEMOTION_S
         self.is_promotion_answer_lost = False
         self._store = store
@@ -98,20 +100,27 @@
         chosen = next((each for each in running if each.backend == backend), None)
         if chosen is None or service != SERVICE:
             return PromotionOutcome.NOT_RUNNING
-        self.start_task(self._lead_soon(chosen, token))
+        self.start_task(self._lead_soon(chosen, self._record_order(chosen), token))
         return PromotionOutcome.ACCEPTED
 
-    async def _lead_soon(self, chosen: SoakServer, token: FencingToken) -> None:
+    def _record_order(self, chosen: SoakServer) -> Order:
+        now_s, primary = asyncio.get_running_loop().time(), self.primary
+        is_planned = primary.leaving_since_s is not None
+        return Order(now_s, chosen.backend, primary.backend, is_planned)
+
+    async def _lead_soon(self, chosen: SoakServer, order: Order, token: FencingToken) -> None:
         await asyncio.sleep(PROMOTION_S)
         if chosen.is_running and token == max(each[2] for each in self.promotions):
-            self.make_primary(chosen)
+            self.make_primary(chosen, order)
 
-    def make_primary(self, new_primary: SoakServer) -> None:
+    def make_primary(self, new_primary: SoakServer, order: Order | None = None) -> None:
         """Let a server lead the next term; the old primary learns of it later."""
         old = self.primary
         if new_primary is old:
             return
-        self.rolled_back |= old.received_elements - new_primary.received_elements
+        lost = frozenset(old.received_elements - new_primary.received_elements)
+        self.rolled_back |= lost
+        self._record_change(old, new_primary, order or self._record_order(new_primary), lost)
         if self.applies_at_promotion:
             new_primary.apply_all()
         learns = {server: server.learns_of_promotions for server in self.servers.values()}
@@ -126,6 +135,18 @@
         if old.is_running:
             self.start_task(self._demote_later(old))
 
+    def _record_change(
+        self, old: SoakServer, new: SoakServer, order: Order, lost: frozenset[str]
+    ) -> None:
+        state = FormerPrimary.GONE
+        if old.is_running:
+            has_served = old.answered_s >= order.at_s - SERVED_S
+            state = FormerPrimary.SERVING if has_served else FormerPrimary.UNREACHABLE
+        # An order that was given for another primary takes effect late; no plan of this one's.
+        is_planned = order.is_planned and order.primary == old.backend
+        now_s = asyncio.get_running_loop().time()
+        self.changes.append(PrimaryChange(now_s, old.backend, new.backend, is_planned, state, lost))
+
     async def _demote_later(self, old: SoakServer) -> None:
         await asyncio.sleep(self.demotion_s)
         if old is not self.primary and old.role == "primary":
--- a/soak/report.py
+++ b/soak/report.py
@@ -32,6 +32,7 @@
     announcement_count: int = 0  # sessions whose host announced its end
     cuts: tuple[CutRequest, ...] = ()
     statement_counts: Mapping[str, int] = field(default_factory=dict)
+    state_counts: Mapping[str, int] = field(default_factory=dict)  # states of the platform
 
     def counts(self) -> dict[str, int]:
         """Return the number of operations by how they ended."""
@@ -62,6 +63,9 @@
         ]
         statements = sorted(self.statement_counts.items())
         lines.append("  " + ", ".join(f"{count} {name}" for name, count in statements))
+        if self.state_counts:
+            states = sorted(self.state_counts.items())
+            lines.append("  states: " + "; ".join(f"{count} {name}" for name, count in states))
         by_promise = Counter(finding.promise for finding in self.findings)
         lines += [f"  {count} x {promise}" for promise, count in by_promise.items()]
         lines += [f"    {each.at_s:.3f} {each.detail}" for each in self.findings[:MAX_DETAILS]]
@@ -86,6 +90,7 @@
             "announced_ends": self.announcement_count,
             "cut_counts": {kind.name: count for kind, count in self.cut_counts().items()},
             "statement_counts": dict(self.statement_counts),
+            "state_counts": dict(self.state_counts),
             "cuts": [{**asdict(cut), "kind": cut.kind.name} for cut in self.cuts],
             "findings": [asdict(finding) for finding in self.findings],
         }
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -95,6 +95,7 @@
         self.malformed_answers = 0
         self.leaving_since_s: float | None = None
         self.born = 1
+        self.answered_s = float("-inf")  # when it last answered a statement
         self._busy_until_s = 0.0
         self.log_term = self.term  # of the last applied commit
         self._unapplied: deque[LogEntry] = deque()  # received, not seen by statements yet
@@ -133,6 +134,7 @@
                     await writer.drain()
                     break
                 await self._send(writer, reply.encode())
+                self.answered_s = asyncio.get_running_loop().time()
         except ConnectionError:
             pass
         finally:
--- /dev/null
+++ b/tests/soak/test_changes.py
@@ -0,0 +1,86 @@
+"""Changes of primary, and the commits that the new one lacks."""
+
+import asyncio
+import random
+import unittest
+from datetime import timedelta
+
+from hickorywind.results import Outcome
+from hickorywind_bench.history import Append
+from soak.checks import Disturbances, Promise, PromiseChecker
+from soak.platform import SoakGroup
+from standins.lineplatform.memorystore import MemoryStore
+
+
+class PrimaryChangeTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.group = SoakGroup(("i-a", "i-b", "i-c"), MemoryStore(), {}, random.Random(1))
+        self.checker = PromiseChecker(Disturbances(), self.group)
+        self.now_s = asyncio.get_running_loop().time
+        await self.group.start()
+        self.addAsyncCleanup(self.group.stop)
+        self.old, self.new, self.third = self.group.servers.values()
+
+    def append(self, element, outcome):
+        at = timedelta(seconds=1)
+        self.checker.history.appends.append(Append("s", "k-0", element, at, at, outcome))
+
+    def change(self, answered_before_s=0.0, leaving=True, order=None):
+        """Replace the primary by one that lacks two commits, one of them acknowledged."""
+        self.new.is_receiving = False
+        self.old._commit([("k-0", "k:1")])
+        self.old._commit([("k-0", "k:2")])
+        self.append("k:1", Outcome.RAN)
+        self.append("k:2", Outcome.UNKNOWN)
+        self.old.answered_s = self.now_s() - answered_before_s
+        self.old.leaving_since_s = self.now_s() if leaving else None
+        self.group.make_primary(self.new, order)
+        self.checker.finish()
+        return [each.promise for each in self.checker.findings]
+
+    async def test_acknowledged_commit_that_a_planned_change_loses_while_its_server_serves(self):
+        self.assertEqual(self.change(), [Promise.PLANNED_CHANGE_KEEPS_ALL.value])
+        self.assertIn("k:1 in a planned change from i-a", self.checker.findings[0].detail)
+        state = "planned, former primary served"
+        self.assertEqual(
+            self.checker.state_counts,
+            {
+                f"changes, {state}": 1,
+                f"rolled back, {state}, acknowledged": 1,
+                f"rolled back, {state}, not acknowledged": 1,
+            },
+        )
+
+    async def test_leaving_server_that_had_ended_may_take_commits_with_it(self):
+        await self.old.crash()
+        self.assertEqual(self.change(), [])
+        self.assertEqual(
+            self.checker.state_counts[
+                "rolled back, planned, former primary had ended, acknowledged"
+            ],
+            1,
+        )
+
+    async def test_leaving_server_that_answered_nobody_may_take_commits_with_it(self):
+        self.assertEqual(self.change(answered_before_s=1.5), [])
+        state = "planned, former primary ran without serving"
+        self.assertEqual(self.checker.state_counts[f"changes, {state}"], 1)
+
+    async def test_unplanned_change_may_lose_commits(self):
+        self.assertEqual(self.change(leaving=False), [])
+        state = "unplanned, former primary served"
+        self.assertEqual(self.checker.state_counts[f"changes, {state}"], 1)
+
+    async def test_order_given_before_the_server_was_leaving_is_not_planned(self):
+        order = self.group._record_order(self.new)
+        self.assertEqual(self.change(order=order), [])
+
+    async def test_change_that_loses_nothing(self):
+        self.old._commit([("k-0", "k:1")])
+        self.append("k:1", Outcome.RAN)
+        await asyncio.sleep(0.05)
+        self.old.answered_s = self.old.leaving_since_s = self.now_s()
+        self.group.make_primary(self.new)
+        self.new.apply_all()
+        self.checker.finish()
+        self.assertEqual(self.checker.findings, [])
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -44,3 +44,18 @@
             Report(plan, 30.0, datetime.now(UTC), (), (), 0, 0, 0, 0.0).write(Path(folder))
             text = (Path(folder) / "report.json").read_text()
         self.assertEqual(Plan.from_document(json.loads(text)), plan)
+
+    def test_planned_changes_beside_lagging_replicas_in_a_third_of_the_other_seeds(self):
+        plans = [Plan.from_seed(seed, 20, 4) for seed in range(120)]
+        plans = [plan for plan in plans if plan.theme is not Theme.STOPS]
+        lagging = [plan for plan in plans if _has_lagging_change(plan)]
+        self.assertGreater(len(lagging), len(plans) / 3)
+
+
+def _has_lagging_change(plan):
+    lags = [fault for fault in plan.faults if fault.kind is FaultKind.SERVER_LAGS]
+    leaves = [fault for fault in plan.faults if fault.kind is FaultKind.PRIMARY_LEAVES]
+    return any(
+        {lag.server for lag in lags if lag.at_s < leaving.at_s < lag.until_s} == {0, 1, 2}
+        for leaving in leaves
+    )
