Soak: count writes at a former primary by what their callers were told

Change: statements that write, and commits, which a server runs after another one was promoted are recorded with server and time, and counted by what the caller was told. The check "a replaced primary acknowledges no write" finds those that were told a success, as before, and names server, time and change.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -295,13 +295,24 @@
             each.element for each in self.history.appends if each.outcome is Outcome.RAN
         }
         self.state_counts += count_rolled_back(self._group.changes, acknowledged)
+        self._count_former_writes()
         for change in self._group.changes:
             for element in sorted(change.lost & acknowledged if change.could_keep_all else ()):
                 at_s = round(change.at_s - self.started_s, 3)
-                detail = f"{element} in a {change.describe()}"
+                detail = f"{element} in the {change.describe()}"
                 promise = Promise.PLANNED_CHANGE_KEEPS_ALL.value
                 self.findings.append(Finding(at_s, promise, detail))
 
+    def _count_former_writes(self) -> None:
+        outcomes = {each.element: each.outcome for each in self.history.appends}
+        counts = self.state_counts
+        for write in self._group.former_writes:
+            counts["statements that write at a former primary"] += 1
+            for element in write.elements:
+                outcome = outcomes.get(element)
+                told = outcome.value if outcome is not None else "nothing, the caller left"
+                counts[f"commits at a former primary, caller told {told}"] += 1
+
     def _check_cuts(self) -> None:
         """Check the requests whose connections ended, except those of killed processes.
 
@@ -334,7 +345,20 @@
             if count > 1:
                 self.report(Guarantee.AT_MOST_ONCE, self._describe(append, count))
             if append.outcome is Outcome.RAN and strays[append.element]:
-                self.report(Promise.ONE_PRIMARY_ACKNOWLEDGES, self._describe(append, count))
+                detail = f"{self._describe(append, count)}{self._describe_stray(append.element)}"
+                self.report(Promise.ONE_PRIMARY_ACKNOWLEDGES, detail)
+
+    def _describe_stray(self, element: str) -> str:
+        """Return where a write ran that its server ran too late, and after which change."""
+        for write in self._group.former_writes:
+            if element in write.elements:
+                changes = [each for each in self._group.changes if each.at_s <= write.at_s]
+                since = "".join(
+                    f", {write.at_s - each.at_s:.3f} s after the {each.describe()}"
+                    for each in changes[-1:]
+                )
+                return f", at {write.backend} {write.at_s - self.started_s:.3f}{since}"
+        return ""
 
     def _describe(self, append: Append, count: int) -> str:
         sent_s = append.invoked_at.total_seconds() - self.started_s
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -30,7 +30,7 @@
 from hickorywind.store.interface import StoredValue
 from soak.changes import SERVED_S, FormerPrimary, Order, PrimaryChange
 from soak.relay import replace_ports
-from soak.servers import APPLY_S, SERVICE, AnswerFaults, SoakServer, StatementRun
+from soak.servers import APPLY_S, SERVICE, AnswerFaults, FormerWrite, SoakServer, StatementRun
 from soak.statements import ServerStatement
 from standins.lineplatform.group import LineGroup
 from standins.lineplatform.httpstore import HttpStore
@@ -74,6 +74,7 @@
         self.apply_s = APPLY_S
         self.rolled_back: set[str] = set()
         self.changes: list[PrimaryChange] = []
+        self.former_writes: list[FormerWrite] = []
         self.demotion_s = DEMOTION_S
         self.is_promotion_answer_lost = False
         self._store = store
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -55,6 +55,16 @@
     writes: tuple[tuple[str, str], ...]
 
 
+@dataclass(frozen=True)
+class FormerWrite:
+    """Statement that writes, or a commit, which a server ran after another one was promoted."""
+
+    at_s: float
+    request_id: str
+    backend: BackendId
+    elements: tuple[str, ...]  # that it committed
+
+
 @dataclass
 class AnswerFaults:
     """Shares of statements and answers that all servers harm."""
@@ -142,6 +152,17 @@
             # Sends what is still buffered, unless the connection is broken.
             writer.close()
 
+    def _writes(self, connection: ServerConnection, text: str) -> bool:
+        """Return whether a statement is a write, or a COMMIT of writes."""
+        match text.split(" ", 2):
+            case ["WRITE", *_]:
+                return True
+            case ["COMMIT"]:
+                return bool(connection.transaction)
+            case ["EXECUTE", name, *_]:
+                return connection.prepared_statements.get(name, ("",))[0] == "WRITE"
+        return False
+
     async def _send(self, writer: asyncio.StreamWriter, reply: bytes) -> None:
         rng = self.group.rng
         if rng.random() < self.group.answer_faults.split:
@@ -176,6 +197,8 @@
             continues = transaction is not None and transaction.owner is not None
             run = StatementRun(request_id, host, self.backend, self.leaving_since_s, continues)
             self.group.on_statement(run)
+        is_former_write = self is not self.group.primary and self._writes(connection, text)
+        stray_count = len(self.group.commits_of_former_primary)
         values = dict(connection.settings)
         shape = self._find_shape(connection, text)
         body = self._refuse(connection, remove_position(text))
@@ -183,6 +206,8 @@
             body = self._run_statement(connection, request_id, text)
         words = (body or "").split(" ", 2)
         error_code = words[1] if words[0] == "ERROR" else ""
+        if is_former_write and not error_code:
+            self._record_former_write(request_id, stray_count)
         has_ended = transaction is not None and connection.transaction is None
         if has_ended and (error_code or text == "ROLLBACK") and self.group.rolls_back_sessions:
             connection.settings, connection.prepared_statements = transaction.session_before
@@ -206,6 +231,13 @@
             return _MALFORMED_ANSWER
         return f"{body}READY {self._state(connection, error_code)} {self.position}\r\n"
 
+    def _record_former_write(self, request_id: str, stray_count: int) -> None:
+        strays = self.group.commits_of_former_primary[stray_count:]
+        elements = tuple(element for _, element in strays)
+        now_s = asyncio.get_running_loop().time()
+        write = FormerWrite(now_s, request_id, self.backend, elements)
+        self.group.former_writes.append(write)
+
     def _state(self, connection: ServerConnection, error_code: str) -> str:
         """Return the state letter; an error other than BUSY fails an open transaction."""
         if connection.transaction is None:
--- a/tests/soak/test_changes.py
+++ b/tests/soak/test_changes.py
@@ -9,6 +9,7 @@
 from hickorywind_bench.history import Append
 from soak.checks import Disturbances, Promise, PromiseChecker
 from soak.platform import SoakGroup
+from standins.lineplatform.group import ServerConnection
 from standins.lineplatform.memorystore import MemoryStore
 
 
@@ -40,7 +41,7 @@
 
     async def test_acknowledged_commit_that_a_planned_change_loses_while_its_server_serves(self):
         self.assertEqual(self.change(), [Promise.PLANNED_CHANGE_KEEPS_ALL.value])
-        self.assertIn("k:1 in a planned change from i-a", self.checker.findings[0].detail)
+        self.assertIn("k:1 in the planned change from i-a", self.checker.findings[0].detail)
         state = "planned, former primary served"
         self.assertEqual(
             self.checker.state_counts,
@@ -84,3 +85,59 @@
         self.new.apply_all()
         self.checker.finish()
         self.assertEqual(self.checker.findings, [])
+
+
+class FormerPrimaryTest(unittest.IsolatedAsyncioTestCase):
+    """Writes that reach a server after another one was promoted."""
+
+    async def asyncSetUp(self):
+        self.group = SoakGroup(("i-a", "i-b"), MemoryStore(), {}, random.Random(1))
+        self.group.apply_s = 0.001
+        self.checker = PromiseChecker(Disturbances(), self.group)
+        await self.group.start()
+        self.addAsyncCleanup(self.group.stop)
+        self.old, self.new = self.group.servers.values()
+        self.connection = ServerConnection(FakeWriter(), "h0", is_open=True)
+
+    def ask(self, *texts):
+        for number, text in enumerate(texts):
+            answer = self.old._answer(self.connection, f"QUERY q{number} {text}")
+        return answer.split(" ", 1)[0]
+
+    def finish(self, outcome):
+        at = timedelta(seconds=1)
+        self.checker.history.appends.append(Append("s", "k-0", "k:1", at, at, outcome))
+        self.checker.finish()
+        return [each.detail for each in self.checker.findings if "acknowledges" in each.promise]
+
+    async def test_acknowledged_write_at_a_former_primary(self):
+        self.group.make_primary(self.new)
+        self.assertEqual(self.ask("WRITE k-0 k:1"), "COMPLETE")
+        (detail,) = self.finish(Outcome.RAN)
+        self.assertIn("at i-a", detail)
+        self.assertIn("s after the unplanned change from i-a, which ran without serving", detail)
+        counts = self.checker.state_counts
+        self.assertEqual(counts["commits at a former primary, caller told ran"], 1)
+
+    async def test_write_of_unknown_outcome_at_a_former_primary_is_counted(self):
+        self.group.make_primary(self.new)
+        self.ask("PREPARE s1 WRITE x", "BEGIN", "READ k-0", "EXECUTE s1 k-0 k:1", "COMMIT")
+        self.assertEqual(self.finish(Outcome.UNKNOWN), [])
+        counts = self.checker.state_counts
+        self.assertEqual(counts["commits at a former primary, caller told unknown"], 1)
+        self.assertEqual(counts["statements that write at a former primary"], 2)
+
+    async def test_write_at_a_primary_or_refused_by_a_replica_is_not_counted(self):
+        self.ask("WRITE k-0 k:1")
+        self.group.make_primary(self.new)
+        self.old.roll_back_to(self.new)
+        self.old._busy_until_s = 0.0
+        self.assertEqual(self.ask("WRITE k-0 k:2"), "ERROR")
+        self.assertEqual(self.group.former_writes, [])
+
+
+class FakeWriter:
+    """Writer of a connection that nobody reads."""
+
+    def get_extra_info(self, name):
+        return ("127.0.0.1", 1)
