Soak: slots with a queue, and servers that run later what they received

Change: in half of the seeds without planned stops each server has 3 slots, which reads, writes and commits occupy for 8 to 40 ms, with a queue served in no particular order; in half of them (drawn apart) servers run what they received although they were silent then or the sender has left. Counted: statements and writes that ran after their sender had left, writes that stood in a queue while their primary was replaced.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -294,6 +294,7 @@
         acknowledged = {
             each.element for each in self.history.appends if each.outcome is Outcome.RAN
         }
+        self.state_counts += self._group.state_counts
         self.state_counts += count_rolled_back(self._group.changes, acknowledged)
         self._count_former_writes()
         for change in self._group.changes:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -17,7 +17,8 @@
 _MAX_STOP_INTERVAL_S = 2.0  # between the stops of a series, each of which takes up to six seconds
 _REPLICATION_FAULT_INTERVAL_S = 5.0  # average time between two faults of ``REPLICATION_KINDS``
 _SERVER_FAULT_INTERVAL_S = 2.5  # average time between two faults of ``SERVER_KINDS``
-_LAGGING_CHANGE_SHARE = 0.5  # of the seeds that don't play ``Theme.STOPS``
+_HARSH_SHARE = 0.5  # of the seeds that don't play ``Theme.STOPS``, for each such property
+_SLOTS = 3  # so few that statements of 8 to 40 ms queue
 _LAGGING_CHANGE_INTERVAL_S = 10.0  # average time between two planned changes beside such a lag
 _LAG_LEAD_S = (0.1, 1.5)  # before the primary leaves
 _STARVATION_LEAD_S = 1.0  # before a stop
@@ -181,6 +182,14 @@
     faults: tuple[Fault, ...]
     idle_callers: int = 0  # for each host, beside the busy ones
     max_connections: int = max(_MAX_CONNECTIONS)  # of each server
+    slots: int = 0  # of each server; 0: no limit
+    runs_received_later: bool = False  # also what came while a server was silent or its sender left
+
+    def describe_harshness(self) -> str:
+        """Return what the platform does that it may, but that most runs don't see."""
+        words = [f"{self.slots} slots"] if self.slots else ["no limit of slots"]
+        words += ["servers run later what they received"] if self.runs_received_later else []
+        return ", ".join(words)
 
     @classmethod
     def from_seed(
@@ -208,7 +217,16 @@
         max_connections = max(_MAX_CONNECTIONS)
         if idle_callers == min(_IDLE_CALLERS):
             max_connections = random.Random(f"connections {seed}").choice(_MAX_CONNECTIONS)
-        return cls(seed, host_count, theme, tuple(faults), idle_callers, max_connections)
+        return cls(
+            seed,
+            host_count,
+            theme,
+            tuple(faults),
+            idle_callers,
+            max_connections,
+            slots=_SLOTS if _is_harsh(seed, theme, "slots") else 0,
+            runs_received_later=_is_harsh(seed, theme, "received later"),
+        )
 
     @classmethod
     def from_document(cls, document: dict[str, Any]) -> Plan:
@@ -230,6 +248,8 @@
             faults,
             document.get("idle_callers", 0),
             document.get("max_connections", max(_MAX_CONNECTIONS)),
+            document.get("slots", 0),
+            document.get("runs_received_later", False),
         )
 
 
@@ -280,13 +300,19 @@
         at_s += rng.expovariate(1 / _REPLICATION_FAULT_INTERVAL_S)
 
 
+def _is_harsh(seed: int, theme: Theme, name: str) -> bool:
+    """Return whether a seed has a property that is drawn apart from all others."""
+    return theme is not Theme.STOPS and random.Random(f"{name} {seed}").random() < _HARSH_SHARE
+
+
 def _draw_lagging_changes(
     seed: int, theme: Theme, duration_s: float, server_count: int
 ) -> Iterator[Fault]:
     """Let primaries leave by plan while no replica receives anything."""
-    rng = random.Random(f"lagging changes {seed}")
-    if theme is Theme.STOPS or rng.random() >= _LAGGING_CHANGE_SHARE:
+    if not _is_harsh(seed, theme, "lagging changes"):
         return
+    rng = random.Random(f"lagging changes {seed}")
+    rng.random()
     at_s = rng.uniform(0, duration_s / 2)
     while at_s < duration_s:
         for_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+from collections import Counter
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from enum import Enum
@@ -75,6 +76,10 @@
         self.rolled_back: set[str] = set()
         self.changes: list[PrimaryChange] = []
         self.former_writes: list[FormerWrite] = []
+        self.state_counts: Counter[str] = Counter()  # of states that are hard to reach
+        self.slot_count = 0  # of each server; 0: no limit
+        # Whether a server runs later what it received while it was silent or its sender left.
+        self.runs_received_later = False
         self.demotion_s = DEMOTION_S
         self.is_promotion_answer_lost = False
         self._store = store
@@ -139,6 +144,8 @@
     def _record_change(
         self, old: SoakServer, new: SoakServer, order: Order, lost: frozenset[str]
     ) -> None:
+        waiting = "writes that stood in a queue while their primary was replaced"
+        self.state_counts[waiting] += old.waiting_writes
         state = FormerPrimary.GONE
         if old.is_running:
             has_served = old.answered_s >= order.at_s - SERVED_S
--- a/soak/report.py
+++ b/soak/report.py
@@ -51,7 +51,7 @@
         cuts = ", ".join(f"{count} {kind.value}" for kind, count in self.cut_counts().items())
         lines = [
             f"seed {plan.seed}: {plan.host_count} hosts with {plan.idle_callers} idle callers each,"
-            f" {plan.max_connections} connections for each server,"
+            f" {plan.max_connections} connections for each server, {plan.describe_harshness()},"
             f" {self.duration_s:.0f} s from "
             f"{self.started_at:%H:%M:%S.%f}, "
             f"{len(plan.faults)} faults ({plan.theme.value}), "
@@ -81,6 +81,8 @@
             "theme": self.plan.theme.value,
             "idle_callers": self.plan.idle_callers,
             "max_connections": self.plan.max_connections,
+            "slots": self.plan.slots,
+            "runs_received_later": self.plan.runs_received_later,
             "faults": [_fault_document(fault) for fault in self.plan.faults],
             "counts": self.counts(),
             "promotions": self.promotion_count,
--- a/soak/run.py
+++ b/soak/run.py
@@ -75,6 +75,8 @@
         self._sources: dict[int, str] = {}
         group_rng = random.Random(plan.seed)
         self._group = SoakGroup(SERVERS, self._store, self._sources, group_rng)
+        self._group.slot_count = plan.slots
+        self._group.runs_received_later = plan.runs_received_later
         self._disturbances = Disturbances()
         self.checker = PromiseChecker(self._disturbances, self._group)
         self.checker.now_s = self.now_s
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import random
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from hickorywind.ids import Address, BackendId
+from soak.slots import SLOT_S, SLOT_WORDS, TIMED_WORDS, ReceivedLines, Slots
 from soak.statements import (
     OWN_REQUEST_ID,
     ServerStatement,
@@ -30,6 +33,8 @@
 SETUP_WORDS = ("SET", "RESET", "PREPARE")
 NETWORK_S = 0.002  # until a replica receives a commit
 APPLY_S = 0.02  # until it has applied the commit, on average
+_SILENT_POLL_S = 0.01
+_MAX_SLOT_DELAY_S = 0.2  # of a slow server, which has to work off its queue
 _PART_PAUSE_S = (0.0005, 0.02)
 _MAX_PARTS = 6
 _MALFORMED_ANSWER = "ROW \r\nNONSENSE 1 2\r\n"
@@ -65,6 +70,20 @@
     elements: tuple[str, ...]  # that it committed
 
 
+@dataclass(eq=False)
+class SoakConnection(ServerConnection):
+    """Connection to a server of the soak."""
+
+    is_closed_here: bool = False  # by the server, which runs nothing more from it
+    lines: ReceivedLines | None = None
+
+    @property
+    def has_ended(self) -> bool:
+        """Return whether its sender has left."""
+        has_read_end = self.lines is not None and self.lines.has_ended
+        return has_read_end or self.writer.transport.is_closing()
+
+
 @dataclass
 class AnswerFaults:
     """Shares of statements and answers that all servers harm."""
@@ -105,6 +124,9 @@
         self.malformed_answers = 0
         self.leaving_since_s: float | None = None
         self.born = 1
+        self.slot_rng = random.Random(f"slots {name}")
+        self.slots = Slots(0, self.slot_rng)
+        self.waiting_writes = 0  # received, not run yet
         self.answered_s = float("-inf")  # when it last answered a statement
         self._busy_until_s = 0.0
         self.log_term = self.term  # of the last applied commit
@@ -113,6 +135,7 @@
 
     async def start(self) -> None:
         """Start listening, after a restart at the same address as before."""
+        self.slots = Slots(self.group.slot_count, self.slot_rng)
         self._server = await asyncio.start_server(
             self._serve, self.address.host, self.address.port, limit=2 * MAX_MESSAGE_BYTES
         )
@@ -120,23 +143,22 @@
         self.address = Address("127.0.0.1", port)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        connection = ServerConnection(writer)
+        connection = SoakConnection(writer)
         self._connections.add(connection)
         rng, faults = self.group.rng, self.group.answer_faults
+        if self.group.runs_received_later:
+            connection.lines = ReceivedLines(reader)
+        lines = connection.lines or reader
         try:
-            while line := await reader.readline():
+            while line := await lines.readline():
                 if not line.endswith(b"\r\n"):
                     self.group.on_half_line()
                     break
-                if self.is_silent:
+                if self.is_silent and not self.group.runs_received_later:
                     continue
-                await asyncio.sleep(self.delay_seconds)
-                if writer.transport.is_closing():
-                    break
                 is_cut = line.startswith(b"QUERY") and rng.random() < faults.cut
-                if is_cut and rng.random() < 0.3:
-                    break
-                reply = self._answer(connection, line.decode().removesuffix("\r\n"))
+                is_left_out = is_cut and rng.random() < 0.3
+                reply = await self._run_line(connection, line, is_left_out)
                 if reply is None or self._loses_answer(line):
                     break
                 if is_cut:
@@ -148,10 +170,45 @@
         except ConnectionError:
             pass
         finally:
+            if connection.lines is not None:
+                connection.lines.close()
             self._connections.discard(connection)
             # Sends what is still buffered, unless the connection is broken.
             writer.close()
 
+    async def _run_line(
+        self, connection: SoakConnection, line: bytes, is_left_out: bool
+    ) -> str | None:
+        """Return the answer to a line, or None if the server ends the connection instead."""
+        born, text = self.born, line.decode().removesuffix("\r\n")
+        statement = text.split(" ", 2)[-1] if text.startswith("QUERY ") else text
+        word = remove_position(statement).partition(" ")[0]
+        is_write = self._writes(connection, statement)
+        counts = self.group.state_counts
+        self.waiting_writes += is_write
+        try:
+            async with self.slots.occupy() if word in SLOT_WORDS else contextlib.nullcontext():
+                await self._spend_time(word)
+                if not self.is_running or self.born != born or connection.is_closed_here:
+                    return None
+                has_ended = connection.has_ended
+                if is_left_out or (has_ended and not self.group.runs_received_later):
+                    return None
+                counts["statements that ran after their sender had left"] += has_ended
+                counts["writes that ran after their sender had left"] += has_ended and is_write
+                return self._answer(connection, text)
+        finally:
+            self.waiting_writes -= is_write
+
+    async def _spend_time(self, word: str) -> None:
+        delay_s = self.delay_seconds
+        if self.group.slot_count and word in TIMED_WORDS:
+            delay_s = min(delay_s, _MAX_SLOT_DELAY_S) + self.slot_rng.uniform(*SLOT_S)
+        await asyncio.sleep(delay_s)
+        self.group.state_counts["lines that waited at a silent server"] += self.is_silent
+        while self.is_silent and self.group.runs_received_later:
+            await asyncio.sleep(_SILENT_POLL_S)
+
     def _writes(self, connection: ServerConnection, text: str) -> bool:
         """Return whether a statement is a write, or a COMMIT of writes."""
         match text.split(" ", 2):
@@ -180,6 +237,7 @@
         for connection in list(self._connections):
             is_open = not connection.writer.transport.is_closing()
             if is_open and connection.transaction is None and self.group.rng.random() < 0.5:
+                connection.is_closed_here = True
                 if self.group.rng.random() < 0.3:
                     connection.writer.write(f"ERROR BUSY {self.backend}\r\n".encode())
                 connection.writer.close()
