Soak: primaries that stall beside their planned change

Change: where servers run later what they received, primaries leave by plan while they are silent, cut off or slow, and learn late that they were replaced (drawn apart, every 8 s on average).

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -20,6 +20,9 @@
 _HARSH_SHARE = 0.5  # of the seeds that don't play ``Theme.STOPS``, for each such property
 _SLOTS = 3  # so few that statements of 8 to 40 ms queue
 _LAGGING_CHANGE_INTERVAL_S = 10.0  # average time between two planned changes beside such a lag
+_STALLED_CHANGE_INTERVAL_S = 8.0  # average time between two changes of a stalled primary
+_STALL_LEAD_S = (-0.5, 1.5)  # before the primary leaves
+_STALL_S = (0.5, 4.0)
 _LAG_LEAD_S = (0.1, 1.5)  # before the primary leaves
 _STARVATION_LEAD_S = 1.0  # before a stop
 _MAX_CONNECTIONS = (90, 24, 8)  # of each server; the lowest makes many hosts share their reads
@@ -100,6 +103,7 @@
     FaultKind.PRIMARY_CUT_OFF,
     FaultKind.PRIMARY_SILENT,
 )
+STALL_KINDS = (FaultKind.PRIMARY_SILENT, FaultKind.PRIMARY_CUT_OFF, FaultKind.PRIMARY_SLOW)
 HARMED_HOST_KINDS = (
     FaultKind.HOST_STOPPED,
     FaultKind.HOST_PAUSED,
@@ -211,6 +215,7 @@
         faults += _draw_server_faults(seed, theme, duration_s, server_count)
         faults += _draw_replication_faults(seed, duration_s)
         faults += _draw_lagging_changes(seed, theme, duration_s, server_count)
+        faults += _draw_stalled_changes(seed, theme, duration_s)
         kept = [fault for fault in faults if fault.at_s < duration_s]
         idle_callers = rng.choice(_IDLE_CALLERS) if theme is Theme.STOPS else min(_IDLE_CALLERS)
         faults = sorted(kept, key=lambda fault: fault.at_s)
@@ -324,6 +329,21 @@
         at_s += rng.expovariate(1 / _LAGGING_CHANGE_INTERVAL_S)
 
 
+def _draw_stalled_changes(seed: int, theme: Theme, duration_s: float) -> Iterator[Fault]:
+    """Let primaries leave by plan while they stall, and learn late that they were replaced."""
+    if not _is_harsh(seed, theme, "received later"):
+        return
+    rng = random.Random(f"stalled changes {seed}")
+    at_s = rng.uniform(_STALL_LEAD_S[1], duration_s / 2)
+    while at_s < duration_s:
+        yield _make_fault(FaultKind.PRIMARY_LEAVES, at_s, rng.uniform(MIN_FAULT_S, MAX_FAULT_S), 0)
+        stalls_s = at_s - rng.uniform(*_STALL_LEAD_S)
+        yield _make_fault(rng.choice(STALL_KINDS), stalls_s, rng.uniform(*_STALL_S), 0)
+        told_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        yield _make_fault(FaultKind.FORMER_PRIMARY_NOT_TOLD, at_s, told_s, 0)
+        at_s += rng.expovariate(1 / _STALLED_CHANGE_INTERVAL_S)
+
+
 def _draw_stops(rng: random.Random, start_s: float, host_count: int) -> Iterator[Fault]:
     """Stop some hosts or all, at once or in turn, beside SIGHUP and changes of configuration."""
     hosts = rng.sample(range(host_count), rng.randint(1, host_count))
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -205,9 +205,10 @@
         if self.group.slot_count and word in TIMED_WORDS:
             delay_s = min(delay_s, _MAX_SLOT_DELAY_S) + self.slot_rng.uniform(*SLOT_S)
         await asyncio.sleep(delay_s)
-        self.group.state_counts["lines that waited at a silent server"] += self.is_silent
-        while self.is_silent and self.group.runs_received_later:
-            await asyncio.sleep(_SILENT_POLL_S)
+        if self.group.runs_received_later:
+            self.group.state_counts["lines that waited at a silent server"] += self.is_silent
+            while self.is_silent:
+                await asyncio.sleep(_SILENT_POLL_S)
 
     def _writes(self, connection: ServerConnection, text: str) -> bool:
         """Return whether a statement is a write, or a COMMIT of writes."""
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -4,7 +4,7 @@
 from datetime import UTC, datetime
 from pathlib import Path
 
-from soak.plan import CHANGE_KINDS, FaultKind, Plan, Theme
+from soak.plan import CHANGE_KINDS, STALL_KINDS, FaultKind, Plan, Theme
 from soak.report import Report
 
 
@@ -51,6 +51,16 @@
         lagging = [plan for plan in plans if _has_lagging_change(plan)]
         self.assertGreater(len(lagging), len(plans) / 3)
 
+    def test_each_harsh_property_is_drawn_in_a_third_of_the_other_seeds(self):
+        plans = [Plan.from_seed(seed, 20, 4) for seed in range(120)]
+        others = [plan for plan in plans if plan.theme is not Theme.STOPS]
+        for name in ("slots", "runs_received_later"):
+            harsh = [plan for plan in plans if getattr(plan, name)]
+            self.assertGreater(len(harsh), len(others) / 3, name)
+            self.assertTrue(all(plan in others for plan in harsh))
+        late = [plan for plan in plans if plan.runs_received_later]
+        self.assertTrue(all(_has_stalled_change(plan) for plan in late))
+
 
 def _has_lagging_change(plan):
     lags = [fault for fault in plan.faults if fault.kind is FaultKind.SERVER_LAGS]
@@ -59,3 +69,9 @@
         {lag.server for lag in lags if lag.at_s < leaving.at_s < lag.until_s} == {0, 1, 2}
         for leaving in leaves
     )
+
+
+def _has_stalled_change(plan):
+    leaves = [fault for fault in plan.faults if fault.kind is FaultKind.PRIMARY_LEAVES]
+    stalls = [fault for fault in plan.faults if fault.kind in STALL_KINDS]
+    return any(-2 < stall.at_s - leaving.at_s < 1 for leaving in leaves for stall in stalls)
