Soak: orders to promote that take effect late, twice and out of order

A change counts as planned by the primary of the order, not of its effect. Counted: orders that took effect late (over 1.2 s), twice, or after a newer one.

--- a/soak/changes.py
+++ b/soak/changes.py
@@ -29,6 +29,7 @@
     chosen: str
     primary: str
     is_planned: bool
+    token: int = 0
 
 
 @dataclass(frozen=True)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -188,11 +188,13 @@
     max_connections: int = max(_MAX_CONNECTIONS)  # of each server
     slots: int = 0  # of each server; 0: no limit
     runs_received_later: bool = False  # also what came while a server was silent or its sender left
+    takes_orders_late: bool = False  # orders to promote take effect late, twice and out of order
 
     def describe_harshness(self) -> str:
         """Return what the platform does that it may, but that most runs don't see."""
         words = [f"{self.slots} slots"] if self.slots else ["no limit of slots"]
         words += ["servers run later what they received"] if self.runs_received_later else []
+        words += ["orders take effect late"] if self.takes_orders_late else []
         return ", ".join(words)
 
     @classmethod
@@ -231,6 +233,7 @@
             max_connections,
             slots=_SLOTS if _is_harsh(seed, theme, "slots") else 0,
             runs_received_later=_is_harsh(seed, theme, "received later"),
+            takes_orders_late=_is_harsh(seed, theme, "late orders"),
         )
 
     @classmethod
@@ -255,6 +258,7 @@
             document.get("max_connections", max(_MAX_CONNECTIONS)),
             document.get("slots", 0),
             document.get("runs_received_later", False),
+            document.get("takes_orders_late", False),
         )
 
 
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -38,6 +38,10 @@
 from standins.lineplatform.memorystore import MemoryCoordinationStore, MemoryStore
 
 PROMOTION_S = 0.3  # from the order until the new primary leads
+ORDER_S = (0.3, 1.2)  # the same if orders take effect late
+_LATE_ORDER_S = (1.2, 4.0)  # and sometimes
+_LATE_ORDER_SHARE = 0.25
+_TWICE_SHARE = 0.3  # of the orders that take effect late
 DEMOTION_S = 1.0  # until a replaced primary learns of it
 ENTRY_EXPIRY_S = 1.5  # three heartbeat intervals without a sign of a crashed server
 LEAVING_S = 3.0  # how long a leaving server serves after its report, told to the hosts
@@ -77,6 +81,10 @@
         self.changes: list[PrimaryChange] = []
         self.former_writes: list[FormerWrite] = []
         self.state_counts: Counter[str] = Counter()  # of states that are hard to reach
+        # Whether orders to promote take effect late, twice, and out of order, whatever their token.
+        self.takes_orders_late = False
+        self.order_rng = random.Random("orders")
+        self.orders_in_effect: list[Order] = []
         self.slot_count = 0  # of each server; 0: no limit
         # Whether a server runs later what it received while it was silent or its sender left.
         self.runs_received_later = False
@@ -106,19 +114,39 @@
         chosen = next((each for each in running if each.backend == backend), None)
         if chosen is None or service != SERVICE:
             return PromotionOutcome.NOT_RUNNING
-        self.start_task(self._lead_soon(chosen, self._record_order(chosen), token))
+        order = self._record_order(chosen, token)
+        if not self.takes_orders_late:
+            self.start_task(self._lead_soon(chosen, order))
+        elif chosen is not self.primary or chosen.role != "primary":
+            for delay_s in draw_order_delays(self.order_rng):
+                self.start_task(self._lead_late(chosen, order, delay_s))
         return PromotionOutcome.ACCEPTED
 
-    def _record_order(self, chosen: SoakServer) -> Order:
+    def _record_order(self, chosen: SoakServer, token: int = 0) -> Order:
         now_s, primary = asyncio.get_running_loop().time(), self.primary
         is_planned = primary.leaving_since_s is not None
-        return Order(now_s, chosen.backend, primary.backend, is_planned)
+        return Order(now_s, chosen.backend, primary.backend, is_planned, token)
 
-    async def _lead_soon(self, chosen: SoakServer, order: Order, token: FencingToken) -> None:
+    async def _lead_soon(self, chosen: SoakServer, order: Order) -> None:
         await asyncio.sleep(PROMOTION_S)
-        if chosen.is_running and token == max(each[2] for each in self.promotions):
+        if chosen.is_running and order.token == max(each[2] for each in self.promotions):
             self.make_primary(chosen, order)
 
+    async def _lead_late(self, chosen: SoakServer, order: Order, delay_s: float) -> None:
+        """Let a server lead whatever was ordered since, as a platform that checks no token."""
+        await asyncio.sleep(delay_s)
+        is_there = chosen.is_running and chosen.backend == order.chosen
+        if not is_there or (chosen is self.primary and chosen.role == "primary"):
+            return
+        if order in self.orders_in_effect:
+            self.state_counts["orders that took effect twice"] += 1
+        if any(each.at_s > order.at_s for each in self.orders_in_effect):
+            self.state_counts["orders that took effect after a newer one"] += 1
+        if delay_s > ORDER_S[1]:
+            self.state_counts["orders that took effect late"] += 1
+        self.orders_in_effect.append(order)
+        self.make_primary(chosen, order)
+
     def make_primary(self, new_primary: SoakServer, order: Order | None = None) -> None:
         """Let a server lead the next term; the old primary learns of it later."""
         old = self.primary
@@ -199,6 +227,15 @@
         await self.restart(server)
 
 
+def draw_order_delays(rng: random.Random) -> tuple[float, ...]:
+    """Return after which seconds an order takes effect, once or twice."""
+    times = 2 if rng.random() < _TWICE_SHARE else 1
+    return tuple(
+        rng.uniform(*(_LATE_ORDER_S if rng.random() < _LATE_ORDER_SHARE else ORDER_S))
+        for _ in range(times)
+    )
+
+
 class StoreMode(Enum):
     """Way in which the store treats calls."""
 
--- a/soak/report.py
+++ b/soak/report.py
@@ -83,6 +83,7 @@
             "max_connections": self.plan.max_connections,
             "slots": self.plan.slots,
             "runs_received_later": self.plan.runs_received_later,
+            "takes_orders_late": self.plan.takes_orders_late,
             "faults": [_fault_document(fault) for fault in self.plan.faults],
             "counts": self.counts(),
             "promotions": self.promotion_count,
--- a/soak/run.py
+++ b/soak/run.py
@@ -76,6 +76,8 @@
         group_rng = random.Random(plan.seed)
         self._group = SoakGroup(SERVERS, self._store, self._sources, group_rng)
         self._group.slot_count = plan.slots
+        self._group.takes_orders_late = plan.takes_orders_late
+        self._group.order_rng = random.Random(f"orders {plan.seed}")
         self._group.runs_received_later = plan.runs_received_later
         self._disturbances = Disturbances()
         self.checker = PromiseChecker(self._disturbances, self._group)
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -54,7 +54,7 @@
     def test_each_harsh_property_is_drawn_in_a_third_of_the_other_seeds(self):
         plans = [Plan.from_seed(seed, 20, 4) for seed in range(120)]
         others = [plan for plan in plans if plan.theme is not Theme.STOPS]
-        for name in ("slots", "runs_received_later"):
+        for name in ("slots", "runs_received_later", "takes_orders_late"):
             harsh = [plan for plan in plans if getattr(plan, name)]
             self.assertGreater(len(harsh), len(others) / 3, name)
             self.assertTrue(all(plan in others for plan in harsh))
