Soak: hosts may fence servers by STEPDOWN and PAUSE

What callers saw: nothing yet; the product is about to fence a former primary by STEPDOWN, which the soak would have reported as "not a host's own statement", and a primary that stepped down could never lead again.

Change: `STEPDOWN`, `PAUSE` and `RESUME` are allowed as a host's own statements. A primary that steps down registers as a replica, follows a new primary when it learns of it, and leads again by an order or its restart; a paused replica receives nothing until RESUME, a promotion or its restart. Counted: primaries and former primaries that stepped down, replicas that were paused.

--- a/soak/platform.py
+++ b/soak/platform.py
@@ -151,6 +151,7 @@
         """Let a server lead the next term; the old primary learns of it later."""
         old = self.primary
         if new_primary is old:
+            self._lead_again()
             return
         lost = frozenset(old.received_elements - new_primary.received_elements)
         self.rolled_back |= lost
@@ -163,12 +164,33 @@
         super().make_primary(new_primary)
         for server, value in learns.items():
             server.learns_of_promotions = value
+            server.held_term = 0
             if server not in (old, new_primary) and server.is_receiving:
                 server.roll_back_to(new_primary)
         self.start_task(self.register(new_primary))
         if old.is_running:
             self.start_task(self._demote_later(old))
 
+    def _lead_again(self) -> None:
+        """Let a primary that stepped down lead the next term; a primary goes on."""
+        primary = self.primary
+        if primary.role == "primary":
+            return
+        primary.role = "primary"
+        primary.term = max(server.term for server in self.servers.values()) + 1
+        self.state_counts["primaries that led again after STEPDOWN"] += 1
+        for server in self.servers.values():
+            server.held_term = 0
+            if server is not primary and server.is_receiving:
+                server.follow(primary)
+        self.start_task(self.register(primary))
+
+    def handle_step_down(self, server: SoakServer) -> None:
+        """Register a primary that has become a replica by STEPDOWN."""
+        kind = "primaries" if server is self.primary else "former primaries"
+        self.state_counts[f"{kind} that stepped down"] += 1
+        self.start_task(self.register(server))
+
     def _record_change(
         self, old: SoakServer, new: SoakServer, order: Order, lost: frozenset[str]
     ) -> None:
@@ -185,7 +207,8 @@
 
     async def _demote_later(self, old: SoakServer) -> None:
         await asyncio.sleep(self.demotion_s)
-        if old is not self.primary and old.role == "primary":
+        is_behind = old is not self.primary and old.term < self.primary.term
+        if is_behind and old.is_running and not old.held_term:
             old.roll_back_to(self.primary)
             await self.register(old)
 
@@ -203,6 +226,8 @@
         """Start a crashed server, as a replica if another leads."""
         if server.is_running:
             return
+        server.held_term = 0
+        server.role = "primary"  # a restart forgets STEPDOWN
         if server is not self.primary:
             server.follow(self.primary)
         server.born += 1
--- a/soak/run.py
+++ b/soak/run.py
@@ -468,7 +468,7 @@
 
         async def end_fault() -> None:
             server.is_receiving = True
-            if server.role == "replica":
+            if server.role == "replica" and not server.held_term:
                 server.follow(self._group.primary)
 
         return end_fault
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -126,6 +126,7 @@
         self.born = 1
         self.slot_rng = random.Random(f"slots {name}")
         self.slots = Slots(0, self.slot_rng)
+        self.held_term = 0  # of the PAUSE in force; 0: it receives
         self.waiting_writes = 0  # received, not run yet
         self.answered_s = float("-inf")  # when it last answered a statement
         self._busy_until_s = 0.0
@@ -349,10 +350,15 @@
     ) -> str | None:
         if text.startswith("PREPARE ") and not connection.has_failed:
             return _prepare(connection, text)
+        if text.startswith(("PAUSE", "RESUME")) and not connection.has_failed:
+            return self._hold(text)
+        was_primary = self.role == "primary"
         text, _, padding = text.partition(PADDING_MARK)
         body = super()._run_statement(connection, request_id, text)
         if body is None or body.startswith("ERROR"):
             return body
+        if was_primary and self.role != "primary":
+            self.group.handle_step_down(self)
         word, _, rest = remove_position(text).partition(" ")
         if word == "BEGIN":
             connection.transaction = ServerTransaction(self.backend, rest == "READ")
@@ -363,6 +369,29 @@
             return f"{row}\r\nROW {'x' * int(padding)}\r\n{completion}"
         return body
 
+    def _hold(self, text: str) -> str:
+        """Stop or resume receiving, and return the status row."""
+        word, _, term = text.partition(" ")
+        if word == "RESUME":
+            self.resume()
+        elif not term.isdecimal():
+            return "ERROR MALFORMED no such term\r\n"
+        elif self.role == "replica" and int(term) > max(self.term, self.held_term):
+            self.held_term = int(term)
+            self.group.state_counts["replicas that were paused"] += 1
+        return self._status_row()
+
+    def resume(self) -> None:
+        """Receive again, and first what came meanwhile."""
+        was_held, self.held_term = self.held_term, 0
+        if was_held and self.is_receiving and self.role == "replica":
+            self.follow(self.group.primary)
+
+    def _status_row(self) -> str:
+        busy, count = self.waiting_writes, len(self._connections)
+        row = f"{self.role} {self.term} {self.received_position} {self.held_term} 0 {busy} {count}"
+        return f"ROW {row}\r\nCOMPLETE -\r\n"
+
     # Replication -------------------------------------------------------------------------------
 
     @property
@@ -411,7 +440,8 @@
     def receive(self, entry: LogEntry) -> None:
         """Receive the next commit of the primary that this replica follows."""
         is_next = entry.term == self.term and entry.number == self.received_number + 1
-        if is_next and self.is_receiving and self.is_running and self.role == "replica":
+        receives = self.is_receiving and not self.held_term and self.role == "replica"
+        if is_next and receives and self.is_running:
             self._apply_later((entry,))
 
     def _apply_later(self, entries: Iterable[LogEntry]) -> None:
--- a/soak/statements.py
+++ b/soak/statements.py
@@ -8,7 +8,10 @@
 from enum import Enum
 
 OWN_REQUEST_ID = "-"  # of statements that a host sends for itself
-OWN_STATEMENTS = frozenset("BEGIN ROLLBACK SET RESET PREPARE DEALLOCATE STATUS".split())
+OWN_STATEMENTS = frozenset(
+    "BEGIN ROLLBACK SET RESET PREPARE DEALLOCATE STATUS STEPDOWN PAUSE RESUME".split()
+)
+ROLE_WORDS = ("STEPDOWN", "PAUSE", "RESUME")
 _MAX_SHOWN_TEXT = 60
 _NO_STATEMENT = "NOSTMT"
 
@@ -152,6 +155,8 @@
             self._fail(StatementPromise.STATEMENT_ASKED, statement, "no caller asked for this")
         elif statement.error_code:
             self.counts[f"refused {word}"] += 1
+        elif word in ROLE_WORDS:
+            self.counts[f"{word} of hosts"] += 1
 
     def _compare(
         self,
