Soak: several services whose servers are released at once

A fault of servers meets one service, drawn apart from the rest of the plan. A new fault, SERVERS_RELEASED, lets the primaries and up to one replica of all services leave at once, and new servers take their logs at their addresses. Logs, fencing tokens and freshness are judged for each service. test_checks: `handle_promotion` takes the service, and the test asserts the same as before and that two services have tokens of their own.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,8 +17,8 @@
 from hickorywind_bench.checker import Guarantee
 from hickorywind_bench.history import Append, Read
 from soak.checks import CutKind, CutRequest, Promise, PromiseChecker
-from soak.platform import MAX_STALENESS_S, OPTIONAL_DATABASE, Operators
-from soak.servers import MAX_MESSAGE_BYTES, PADDING_MARK
+from soak.platform import MAX_STALENESS_S, OPTIONAL_DATABASE, Operators, find_kind
+from soak.servers import MAX_MESSAGE_BYTES, PADDING_MARK, SERVICE
 from soak.statements import (
     CallerSession,
     CallerTransaction,
@@ -246,9 +246,12 @@
         directory: Directory,
         checker: PromiseChecker,
         pace: Pace = Pace.BUSY,
+        service: str = SERVICE,
     ) -> None:
         self.name = name
         self.database = database
+        self._service = service
+        self._kind = find_kind(database)
         self.answered: list[Answered] = []
         self.announcement_count = 0
         self._pace = pace
@@ -322,9 +325,9 @@
             await self._change_session()
         others = [key for name, key in self._directory.keys.items() if name != self.name]
         choice = self._rng.random()
-        if self.database != "views" and choice < 0.3:
+        if self._kind != "views" and choice < 0.3:
             return await self._write()
-        if self.database == "bookings" and choice < (0.4 if self._pace is Pace.BUSY else 0.6):
+        if self._kind == "bookings" and choice < (0.4 if self._pace is Pace.BUSY else 0.6):
             return await self._run_transaction(is_read_only=False)
         own = self._directory.keys.get(self.name)
         if choice > 0.9 and (own or others):
@@ -422,9 +425,10 @@
             request_id,
             self._session,
             sent_s,
-            0.0 if mode == "WRITE" else MAX_STALENESS_S[self.database],
-            self.database == "orders",
+            0.0 if mode == "WRITE" else MAX_STALENESS_S[self._kind],
+            self._kind == "orders",
             self._state.transaction,
+            self._service,
         )
 
     def _next_request_id(self) -> str:
@@ -532,7 +536,8 @@
         append = Append(self._session, key, element, invoked, self._now(), outcome, group)
         self._checker.history.appends.append(append)
         if outcome is Outcome.RAN:
-            self._checker.freshness.record_commit(element, self._session, self._checker.now_s())
+            now_s = self._checker.now_s()
+            self._checker.freshness.record_commit(element, self._session, now_s, self._service)
 
     async def _read(self, key: str, invoked: timedelta | None = None) -> bool:
         """Read an item; a read in a transaction counts from the start of that."""
@@ -552,7 +557,7 @@
             self._checker.report(Guarantee.MATCHING_ANSWER, detail)
         if any(not key.startswith(element.partition(":")[0] + "-") for element in elements):
             self._checker.report(Guarantee.MATCHING_ANSWER, f"{key}: {answer.lines[0]}")
-        age = timedelta(seconds=MAX_STALENESS_S[self.database])
+        age = timedelta(seconds=MAX_STALENESS_S[self._kind])
         read = Read(self._session, key, elements, invoked, self._now(), age)
         self._checker.history.reads.append(read)
         return True
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,13 +6,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import Enum
+from functools import partial
 
 from hickorywind.results import Outcome
 from hickorywind_bench.checker import Guarantee, check_history
 from hickorywind_bench.history import Append, History
 from soak.changes import count_rolled_back
 from soak.freshness import FreshnessChecker
-from soak.plan import HARMLESS_KINDS, HOST_KINDS, PLANNED_KINDS, Fault, FaultKind
+from soak.plan import HARMLESS_KINDS, HOST_KINDS, LEAVING_KINDS, PLANNED_KINDS, Fault, FaultKind
 from soak.platform import LEAVING_S, SoakGroup
 from soak.servers import StatementRun
 from soak.statements import ServerStatement, StatementChecker, StatementPromise, remove_position
@@ -170,7 +171,7 @@
 class PromiseChecker:
     """Checker of what callers, backend servers and the platform see."""
 
-    def __init__(self, disturbances: Disturbances, group: SoakGroup) -> None:
+    def __init__(self, disturbances: Disturbances, *groups: SoakGroup) -> None:
         self.history = History()
         self.findings: list[Finding] = []
         self.stray_count = 0
@@ -181,19 +182,20 @@
         self.started_s = 0.0
         self.stopping_since_s: Callable[[str], float | None] = lambda host: None
         self._disturbances = disturbances
-        self._group = group
+        self._groups = groups
         self._hosts_by_request: dict[str, list[str]] = {}
-        self._holders: dict[int, str] = {}
+        self._holders: dict[str, dict[int, str]] = {}  # by service and token
         self._killed_s: dict[str, list[float]] = {}
         self.statements = StatementChecker(self.report)
         self.freshness = FreshnessChecker(
             lambda detail: self.report(Promise.LOG_HOLDS_ACKNOWLEDGED, detail),
-            lambda element: element in group.rolled_back,
+            lambda element: any(element in group.rolled_back for group in groups),
         )
-        group.on_statement = self.handle_statement
-        group.on_server_statement = self._handle_server_statement
-        group.on_half_line = self.statements.count_half_line
-        group.on_promotion = self.handle_promotion
+        for group in groups:
+            group.on_statement = self.handle_statement
+            group.on_server_statement = self._handle_server_statement
+            group.on_half_line = self.statements.count_half_line
+            group.on_promotion = partial(self.handle_promotion, group.service)
 
     def report(self, promise: Promise | StatementPromise | Guarantee, detail: str) -> None:
         """Record a violation."""
@@ -209,7 +211,7 @@
         # What a host sent in time waited in the relays while the soak stood still.
         stalled_s = self.stalls.stalled_s(run.leaving_since_s, self.now_s())
         late_s = self.now_s() - run.leaving_since_s - LEAVING_S - stalled_s
-        ignored = (FaultKind.PRIMARY_LEAVES, FaultKind.HOST_STOPPED, FaultKind.HOST_KILLED)
+        ignored = (*LEAVING_KINDS, FaultKind.HOST_STOPPED, FaultKind.HOST_KILLED)
         calm_since = run.leaving_since_s - CONTACT_S
         if late_s > LEAVING_SLACK_S and self._disturbances.is_calm(run.host, calm_since, ignored):
             detail = f"{run.request_id} from {run.host} at {run.backend}, {late_s:.2f} s late"
@@ -222,12 +224,13 @@
             text = remove_position(statement.text)
             self.freshness.handle_statement(statement.request_id, text, origin, statement.log)
 
-    def handle_promotion(self, holder: str, token: int) -> None:
-        """Check the fencing token of an order to promote."""
-        if token < max(self._holders, default=token):
+    def handle_promotion(self, service: str, holder: str, token: int) -> None:
+        """Check the fencing token of an order to promote a server of a service."""
+        holders = self._holders.setdefault(service, {})
+        if token < max(holders, default=token):
             self.report(Promise.ONE_PROMOTER, f"{holder} promotes with {token} after a higher one")
-        if self._holders.setdefault(token, holder) != holder:
-            self.report(Promise.ONE_PROMOTER, f"{holder} and {self._holders[token]} use {token}")
+        if holders.setdefault(token, holder) != holder:
+            self.report(Promise.ONE_PROMOTER, f"{holder} and {holders[token]} use {token}")
 
     def handle_kill(self, host: str) -> None:
         """Record that a process ended in another way than by a planned stop."""
@@ -245,7 +248,8 @@
         is_timed = not self.stalls.has_stalled(cut.sent_s, cut.ended_s)
         is_due = was_passed_on or (is_timed and cut.ended_s - cut.sent_s > LOSS_SLACK_S)
         calm_since = cut.sent_s - CONTACT_S
-        if is_due and self._disturbances.is_calm(None, calm_since, PLANNED_KINDS):
+        planned = (*PLANNED_KINDS, *LEAVING_KINDS)
+        if is_due and self._disturbances.is_calm(None, calm_since, planned):
             passed_on = ", passed on" if was_passed_on else ""
             self.report(Promise.ACCEPTED_IS_ANSWERED, f"{cut.describe()}{passed_on}")
 
@@ -260,7 +264,7 @@
         self, host: str, is_there: bool, changed_s: float, sent_s: float, answer: str
     ) -> None:
         """Check an answer for the route that is added and removed."""
-        ignored = (FaultKind.HOST_STOPPED, FaultKind.HOST_KILLED, FaultKind.PRIMARY_LEAVES)
+        ignored = (FaultKind.HOST_STOPPED, FaultKind.HOST_KILLED, *LEAVING_KINDS)
         if sent_s < changed_s + CONFIG_APPLY_S:
             return
         if not self._disturbances.is_calm(host, changed_s - CONTACT_S, ignored):
@@ -275,10 +279,14 @@
         self._check_runs()
         self._check_changes()
         self._check_cuts()
-        excused = self._group.rolled_back | {
-            element for _, element in self._group.commits_of_former_primary
+        excused = {each for group in self._groups for each in group.rolled_back} | {
+            element for group in self._groups for _, element in group.commits_of_former_primary
+        }
+        final = {
+            key: tuple(text.split(","))
+            for group in self._groups
+            for key, text in group.primary.data.items()
         }
-        final = {key: tuple(text.split(",")) for key, text in self._group.primary.data.items()}
         judged = History(
             [each for each in self.history.appends if each.element not in excused],
             [
@@ -294,10 +302,12 @@
         acknowledged = {
             each.element for each in self.history.appends if each.outcome is Outcome.RAN
         }
-        self.state_counts += self._group.state_counts
-        self.state_counts += count_rolled_back(self._group.changes, acknowledged)
+        changes = [change for group in self._groups for change in group.changes]
+        for group in self._groups:
+            self.state_counts += group.state_counts
+        self.state_counts += count_rolled_back(changes, acknowledged)
         self._count_former_writes()
-        for change in self._group.changes:
+        for change in changes:
             for element in sorted(change.lost & acknowledged if change.could_keep_all else ()):
                 at_s = round(change.at_s - self.started_s, 3)
                 detail = f"{element} in the {change.describe()}"
@@ -307,7 +317,7 @@
     def _count_former_writes(self) -> None:
         outcomes = {each.element: each.outcome for each in self.history.appends}
         counts = self.state_counts
-        for write in self._group.former_writes:
+        for write in (write for group in self._groups for write in group.former_writes):
             counts["statements that write at a former primary"] += 1
             for element in write.elements:
                 outcome = outcomes.get(element)
@@ -336,8 +346,9 @@
         return any(cut.connected_s <= each <= until_s for each in killed_s)
 
     def _check_runs(self) -> None:
-        strays = Counter(element for _, element in self._group.commits_of_former_primary)
-        runs = strays + Counter(element for _, element in self._group.commits)
+        groups = self._groups
+        strays = Counter(e for group in groups for _, e in group.commits_of_former_primary)
+        runs = strays + Counter(e for group in groups for _, e in group.commits)
         self.stray_count = strays.total()
         for append in self.history.appends:
             count = runs[append.element]
@@ -351,9 +362,9 @@
 
     def _describe_stray(self, element: str) -> str:
         """Return where a write ran that its server ran too late, and after which change."""
-        for write in self._group.former_writes:
-            if element in write.elements:
-                changes = [each for each in self._group.changes if each.at_s <= write.at_s]
+        for group in self._groups:
+            for write in (each for each in group.former_writes if element in each.elements):
+                changes = [each for each in group.changes if each.at_s <= write.at_s]
                 since = "".join(
                     f", {write.at_s - each.at_s:.3f} s after the {each.describe()}"
                     for each in changes[-1:]
--- a/soak/freshness.py
+++ b/soak/freshness.py
@@ -19,6 +19,7 @@
     element: str
     session: str
     acknowledged_s: float
+    service: str
 
 
 @dataclass(frozen=True)
@@ -32,6 +33,7 @@
     started_s: float
     max_staleness_s: float
     reads_own_writes: bool
+    service: str
 
 
 class FreshnessChecker:
@@ -59,6 +61,7 @@
         max_staleness_s: float,
         reads_own_writes: bool,
         transaction: CallerTransaction | None,
+        service: str = "",
     ) -> None:
         """Record a statement when a caller sends it; one in a transaction counts from its BEGIN."""
         started_s = sent_s
@@ -67,12 +70,14 @@
             if not transaction.is_read_only:
                 max_staleness_s = 0.0
         self._expectations[request_id] = _Expectation(
-            session, started_s, max_staleness_s, reads_own_writes
+            session, started_s, max_staleness_s, reads_own_writes, service
         )
 
-    def record_commit(self, element: str, session: str, acknowledged_s: float) -> None:
+    def record_commit(
+        self, element: str, session: str, acknowledged_s: float, service: str = ""
+    ) -> None:
         """Record that a caller got the acknowledgement of a write."""
-        self._commits.append(_Commit(element, session, acknowledged_s))
+        self._commits.append(_Commit(element, session, acknowledged_s, service))
 
     def handle_statement(
         self, request_id: str, text: str, origin: str, log: Container[str]
@@ -95,6 +100,8 @@
         for commit in reversed(self._commits):
             if compared == _COMPARED_COMMITS:
                 break
+            if commit.service != expectation.service:
+                continue
             is_own = expectation.reads_own_writes and commit.session == expectation.session
             age_s = 0.0 if is_own else expectation.max_staleness_s
             if commit.acknowledged_s >= expectation.started_s - age_s:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Any
 
@@ -25,6 +25,11 @@
 _STALL_S = (0.5, 4.0)
 _LAG_LEAD_S = (0.1, 1.5)  # before the primary leaves
 _STARVATION_LEAD_S = 1.0  # before a stop
+_RELEASE_INTERVAL_S = 8.0  # average time between two releases
+_FIRST_RELEASE_S = (1.0, 6.0)
+# As many services as the ports of a run suffice for.
+_MAX_SERVICES = 3
+_MAX_SERVICES_BY_HOSTS = {7: 2, 8: 1}
 _MAX_CONNECTIONS = (90, 24, 8)  # of each server; the lowest makes many hosts share their reads
 _IDLE_CALLERS = (4, 20, 60, 100)  # for each host
 _FIRST_FAULT_S = 0.5
@@ -76,6 +81,7 @@
     IDLE_CONNECTIONS_CLOSED = "servers close idle connections"
     CONNECTIONS_LIMITED = "server refuses new connections"
     REPLICAS_APPLY_LATE = "replicas apply late what they received"
+    SERVERS_RELEASED = "servers of all services leave by plan at once, also primaries"
 
 
 PLANNED_KINDS = (
@@ -120,6 +126,9 @@
     FaultKind.CONNECTIONS_LIMITED,
 )
 REPLICATION_KINDS = (FaultKind.REPLICAS_APPLY_LATE,)  # drawn apart from the others, too
+RELEASE_KINDS = (FaultKind.SERVERS_RELEASED,)  # beside several services
+# Kinds of planned work that end servers.
+LEAVING_KINDS = (FaultKind.PRIMARY_LEAVES, *RELEASE_KINDS)
 HOST_KINDS = (*HARMED_HOST_KINDS, *STOP_KINDS)  # concern one host
 # Faults that have neither end nor effect on what a host can reach.
 HARMLESS_KINDS = (
@@ -136,7 +145,7 @@
 class Fault:
     """Fault that starts ``at_s`` into the run and lasts ``for_s``.
 
-    ``host`` and ``server`` are numbers; ``link_end`` selects the links of that host.
+    ``host``, ``server`` and ``service`` are numbers; ``link_end`` selects the links of that host.
     """
 
     kind: FaultKind
@@ -145,6 +154,7 @@
     host: int = 0
     server: int = 0
     link_end: LinkEnd = LinkEnd.ALL
+    service: int = 0
 
     @property
     def until_s(self) -> float:
@@ -165,7 +175,9 @@
 _KINDS_BY_THEME = {
     Theme.PLANNED: PLANNED_KINDS,
     Theme.MIXED: tuple(
-        kind for kind in FaultKind if kind not in (*STOP_KINDS, *SERVER_KINDS, *REPLICATION_KINDS)
+        kind
+        for kind in FaultKind
+        if kind not in (*STOP_KINDS, *SERVER_KINDS, *REPLICATION_KINDS, *RELEASE_KINDS)
     ),
     Theme.HAND_OVER: (
         *CHANGE_KINDS,
@@ -189,11 +201,13 @@
     slots: int = 0  # of each server; 0: no limit
     runs_received_later: bool = False  # also what came while a server was silent or its sender left
     takes_orders_late: bool = False  # orders to promote take effect late, twice and out of order
+    services: int = 1
 
     def describe_harshness(self) -> str:
         """Return what the platform does that it may, but that most runs don't see."""
         words = [f"{self.slots} slots"] if self.slots else ["no limit of slots"]
         words += ["servers run later what they received"] if self.runs_received_later else []
+        words += [f"{self.services} services"] if self.services > 1 else []
         words += ["orders take effect late"] if self.takes_orders_late else []
         return ", ".join(words)
 
@@ -218,9 +232,15 @@
         faults += _draw_replication_faults(seed, duration_s)
         faults += _draw_lagging_changes(seed, theme, duration_s, server_count)
         faults += _draw_stalled_changes(seed, theme, duration_s)
+        services = _draw_services(seed, theme, host_count)
+        faults += _draw_releases(seed, services, duration_s)
         kept = [fault for fault in faults if fault.at_s < duration_s]
         idle_callers = rng.choice(_IDLE_CALLERS) if theme is Theme.STOPS else min(_IDLE_CALLERS)
-        faults = sorted(kept, key=lambda fault: fault.at_s)
+        rng = random.Random(f"service of each fault {seed}")
+        faults = [
+            replace(fault, service=rng.randrange(services))
+            for fault in sorted(kept, key=lambda fault: fault.at_s)
+        ]
         max_connections = max(_MAX_CONNECTIONS)
         if idle_callers == min(_IDLE_CALLERS):
             max_connections = random.Random(f"connections {seed}").choice(_MAX_CONNECTIONS)
@@ -234,6 +254,7 @@
             slots=_SLOTS if _is_harsh(seed, theme, "slots") else 0,
             runs_received_later=_is_harsh(seed, theme, "received later"),
             takes_orders_late=_is_harsh(seed, theme, "late orders"),
+            services=services,
         )
 
     @classmethod
@@ -259,6 +280,7 @@
             document.get("slots", 0),
             document.get("runs_received_later", False),
             document.get("takes_orders_late", False),
+            document.get("services", 1),
         )
 
 
@@ -314,6 +336,23 @@
     return theme is not Theme.STOPS and random.Random(f"{name} {seed}").random() < _HARSH_SHARE
 
 
+def _draw_services(seed: int, theme: Theme, host_count: int) -> int:
+    count = random.Random(f"count of services {seed}").randint(2, _MAX_SERVICES)
+    if not _is_harsh(seed, theme, "services"):
+        return 1
+    return min(count, _MAX_SERVICES_BY_HOSTS.get(host_count, _MAX_SERVICES))
+
+
+def _draw_releases(seed: int, services: int, duration_s: float) -> Iterator[Fault]:
+    """Release primaries and replicas of all services at once; ``server`` counts the replicas."""
+    rng = random.Random(f"releases {seed}")
+    at_s = rng.uniform(*_FIRST_RELEASE_S)
+    while services > 1 and at_s < duration_s:
+        kind, for_s = rng.choice(RELEASE_KINDS), rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        yield Fault(kind, round(at_s, 2), round(for_s, 2), server=rng.randrange(2))
+        at_s += rng.expovariate(1 / _RELEASE_INTERVAL_S)
+
+
 def _draw_lagging_changes(
     seed: int, theme: Theme, duration_s: float, server_count: int
 ) -> Iterator[Fault]:
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -6,7 +6,7 @@
 import json
 import random
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 from enum import Enum
 from typing import Any
@@ -46,6 +46,7 @@
 ENTRY_EXPIRY_S = 1.5  # three heartbeat intervals without a sign of a crashed server
 LEAVING_S = 3.0  # how long a leaving server serves after its report, told to the hosts
 LEAVING_EXTRA_S = 1.5  # "a little longer", in which nobody may use it
+SERVICES = (SERVICE, "archive", "stock")
 MAX_STALENESS_S = {"bookings": 0.0, "views": 1.5, "orders": 2.5}
 OPTIONAL_DATABASE = "extra"  # its route is added and removed
 _BUSY_STATUSES = (429, 503)
@@ -60,8 +61,9 @@
         store: MemoryStore,
         sources: dict[int, str],
         rng: random.Random,
+        service: str = SERVICE,
     ) -> None:
-        super().__init__(SERVICE, names)
+        super().__init__(service, names)
         self.servers = {name: SoakServer(self, name) for name in names}
         self.primary = self.servers[names[0]]
         self.primary.role = "primary"
@@ -112,7 +114,7 @@
         self.promotions.append((holder, backend, token))
         running = [each for each in self.servers.values() if each.is_running]
         chosen = next((each for each in running if each.backend == backend), None)
-        if chosen is None or service != SERVICE:
+        if chosen is None or service != self.service:
             return PromotionOutcome.NOT_RUNNING
         order = self._record_order(chosen, token)
         if not self.takes_orders_late:
@@ -287,11 +289,11 @@
 class StoreFront(HttpStore):
     """Store as one host sees it: the addresses in it are those of the host's own relay links."""
 
-    def __init__(self, store: MemoryStore, state: StoreState, group: SoakGroup) -> None:
+    def __init__(self, store: MemoryStore, state: StoreState, groups: Iterable[SoakGroup]) -> None:
         super().__init__(store)
         self.view: dict[int, int] = {}  # port of the relay link by true port
         self._state = state
-        self._group = group
+        self._groups = {group.service: group for group in groups}
         self._shared_store = store
         self._store = self  # calls that write go through ``transact``
         self._client = _ViewClient(store, self.view)
@@ -339,15 +341,19 @@
                 await handler(request)
                 return _lose_answer(request)
         response = await handler(request)
-        if request.path == "/failover" and self._group.is_promotion_answer_lost:
+        is_lost = any(group.is_promotion_answer_lost for group in self._groups.values())
+        if request.path == "/failover" and is_lost:
             return _lose_answer(request)
         return response
 
     async def _promote(self, request: web.Request) -> web.Response:
         body = await request.json()
         holder, token = request.headers["Lease-Holder"], int(request.headers["Fencing-Token"])
-        outcome = await self._group.promote(
-            ServiceName(body["backend"]), BackendId(body["id"]), HostId(holder), FencingToken(token)
+        service = ServiceName(body["backend"])
+        if service not in self._groups:
+            return web.Response(status=409)
+        outcome = await self._groups[service].promote(
+            service, BackendId(body["id"]), HostId(holder), FencingToken(token)
         )
         return web.Response(status=409 if outcome is PromotionOutcome.NOT_RUNNING else 200)
 
@@ -389,9 +395,12 @@
 class Operators:
     """Operators that change the configuration and know since when it holds."""
 
-    def __init__(self, store: MemoryStore, max_connections: int) -> None:
+    def __init__(
+        self, store: MemoryStore, max_connections: int, services: Iterable[str] = (SERVICE,)
+    ) -> None:
         self._store = store
         self._max_connections = max_connections
+        self._services = tuple(services)
         self._version = 0
         self.has_optional_route = False
         self.changed_at_s = 0.0
@@ -400,24 +409,38 @@
         """Write the next version, which changes time limits and adds or removes a route."""
         self._version += rng.randint(1, 4)
         self.has_optional_route = not self.has_optional_route
-        databases = [*MAX_STALENESS_S, *([OPTIONAL_DATABASE] if self.has_optional_route else [])]
-        routes = [_make_route(each, rng.choice((900, 1000, 1100))) for each in databases]
-        services = [{"name": SERVICE, "max_conns": self._max_connections}]
+        databases = [
+            (each, service) for service in self._services for each in list_databases(service)
+        ]
+        databases += [(OPTIONAL_DATABASE, SERVICE)] if self.has_optional_route else []
+        routes = [_make_route(*each, rng.choice((900, 1000, 1100))) for each in databases]
+        services = [{"name": each, "max_conns": self._max_connections} for each in self._services]
         document = {"version": self._version, "routes": routes, "backends": services}
         document["limits"] = {"tx_idle_ms": 1500}
         await self._store.put(CONFIGURATION_KEY, json.dumps(document).encode())
         self.changed_at_s = asyncio.get_running_loop().time()
 
 
-def _make_route(database: str, timeout_ms: int) -> dict[str, Any]:
+def list_databases(service: str) -> list[str]:
+    """Return the databases of a service, one for each kind of route."""
+    return [each if service == SERVICE else f"{each}-{service}" for each in MAX_STALENESS_S]
+
+
+def find_kind(database: str) -> str:
+    """Return the key in ``MAX_STALENESS_S`` of a database."""
+    return database.partition("-")[0]
+
+
+def _make_route(database: str, service: str, timeout_ms: int) -> dict[str, Any]:
+    kind = find_kind(database)
     kinds = {"views": "bounded_staleness", "orders": "read_your_writes"}
     return {
         "name": f"r-{database}",
         "database": database,
-        "backend": SERVICE,
-        "route_type": kinds.get(database, "primary"),
+        "backend": service,
+        "route_type": kinds.get(kind, "primary"),
         "timeout_ms": timeout_ms,
         "target_latency_ms": 1500,
-        "priority": list(MAX_STALENESS_S).index(database) if database in MAX_STALENESS_S else 1,
-        "max_staleness_ms": MAX_STALENESS_S.get(database, 0) * 1000 or 1000,
+        "priority": list(MAX_STALENESS_S).index(kind) if kind in MAX_STALENESS_S else 1,
+        "max_staleness_ms": MAX_STALENESS_S.get(kind, 0) * 1000 or 1000,
     }
--- a/soak/report.py
+++ b/soak/report.py
@@ -84,6 +84,7 @@
             "slots": self.plan.slots,
             "runs_received_later": self.plan.runs_received_later,
             "takes_orders_late": self.plan.takes_orders_late,
+            "services": self.plan.services,
             "faults": [_fault_document(fault) for fault in self.plan.faults],
             "counts": self.counts(),
             "promotions": self.promotion_count,
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,12 +18,14 @@
 from soak.plan import LINK_KINDS, STORE_KINDS, Fault, FaultKind, Plan
 from soak.platform import (
     DEMOTION_S,
-    MAX_STALENESS_S,
+    SERVICES,
     Operators,
     SoakGroup,
     StoreFront,
     StoreMode,
     StoreState,
+    find_kind,
+    list_databases,
 )
 from soak.relay import Direction, RelayLink
 from soak.servers import APPLY_S, STATEMENT_S, SoakServer
@@ -42,7 +44,9 @@
 CUT_SHARES = (0.005, 0.05)
 IDLE_CLOSE_INTERVAL_S = 0.3
 LOW_CONNECTION_LIMIT = 2
-SERVERS = ("i-a", "i-b", "i-c")
+# Of each service.
+SERVERS = (("i-a", "i-b", "i-c"), ("i-d", "i-e", "i-f"), ("i-g", "i-h", "i-j"))
+_MIN_BUSY_CALLERS = 6  # of each host; at least one for each database
 # Apart from tests.ports, tests.standins.test_ports, standins.cluster and ephemeral ports.
 _PORTS = range(31_300, 32_700)
 MAX_HOST_COUNT = 8
@@ -73,23 +77,33 @@
         self._store = MemoryStore()
         self._store_state = StoreState(self._rng)
         self._sources: dict[int, str] = {}
-        group_rng = random.Random(plan.seed)
-        self._group = SoakGroup(SERVERS, self._store, self._sources, group_rng)
-        self._group.slot_count = plan.slots
-        self._group.takes_orders_late = plan.takes_orders_late
-        self._group.order_rng = random.Random(f"orders {plan.seed}")
-        self._group.runs_received_later = plan.runs_received_later
+        self._groups = [self._make_group(number) for number in range(plan.services)]
+        self._servers = {
+            name: server for group in self._groups for name, server in group.servers.items()
+        }
         self._disturbances = Disturbances()
-        self.checker = PromiseChecker(self._disturbances, self._group)
+        self.checker = PromiseChecker(self._disturbances, *self._groups)
         self.checker.now_s = self.now_s
         self.checker.stopping_since_s = lambda name: self._hosts[name].stopping_since_s
-        self._operators = Operators(self._store, plan.max_connections)
+        services = [group.service for group in self._groups]
+        self._operators = Operators(self._store, plan.max_connections, services)
         self._ports = PortSource(PortBlock.claim(random.Random(), _PORTS, _BLOCK_SIZE))
         self._hosts: dict[str, HostProcess] = {}
         self._fronts: list[StoreFront] = []
         self._tasks: list[asyncio.Task] = []
         self._names = 0
 
+    def _make_group(self, number: int) -> SoakGroup:
+        plan, service = self.plan, SERVICES[number]
+        names = SERVERS[number]
+        rng = random.Random(f"{service} {plan.seed}" if number else plan.seed)
+        group = SoakGroup(names, self._store, self._sources, rng, service)
+        group.slot_count = plan.slots
+        group.runs_received_later = plan.runs_received_later
+        group.takes_orders_late = plan.takes_orders_late
+        group.order_rng = random.Random(f"orders {number} {plan.seed}")
+        return group
+
     async def run(self) -> None:
         """Play the plan; the findings are in ``checker``."""
         try:
@@ -112,23 +126,24 @@
     @property
     def promotion_count(self) -> int:
         """Return the number of orders to promote."""
-        return len(self._group.promotions)
+        return sum(len(group.promotions) for group in self._groups)
 
     @property
     def rolled_back_count(self) -> int:
         """Return the number of writes that a promoted server lacked."""
-        return len(self._group.rolled_back)
+        return sum(len(group.rolled_back) for group in self._groups)
 
     # Start and stop ----------------------------------------------------------------------------
 
     async def _start(self) -> None:
-        for server in self._group.servers.values():
+        for server in self._servers.values():
             server.address = self._ports.next_address()
             server.connection_limit = self.plan.max_connections
-        await self._group.start()
+        for group in self._groups:
+            await group.start()
         await self._operators.change(self._rng)
-        for server in self._group.servers.values():
-            await self._group.register(server)
+        for server in self._servers.values():
+            await server.group.register(server)
         for number in range(self.plan.host_count):
             host = HostProcess(number, HostAddresses.from_ports(self._ports), self.folder)
             host.on_kill = self.checker.handle_kill
@@ -144,10 +159,10 @@
         self._start_task(self._match_links_to_processes())
 
     async def _open_links(self) -> None:
-        servers = {name: server.address for name, server in self._group.servers.items()}
+        servers = {name: server.address for name, server in self._servers.items()}
         peers = {name: host.addresses.peers for name, host in self._hosts.items()}
         for host in self._hosts.values():
-            front = StoreFront(self._store, self._store_state, self._group)
+            front = StoreFront(self._store, self._store_state, self._groups)
             self._fronts.append(front)
             front_address = self._ports.next_address()
             await front.start(front_address.host, front_address.port)
@@ -167,28 +182,39 @@
         translate_peer_links(self._hosts, {**servers, **peers})
 
     def _start_callers(self) -> None:
-        directory = Directory({name: host.addresses.callers for name, host in self._hosts.items()})
+        addresses = {name: host.addresses.callers for name, host in self._hosts.items()}
+        directories = {group.service: Directory(addresses) for group in self._groups}
         for name, host in self._hosts.items():
-            databases = list(MAX_STALENESS_S)
-            paces = [(database, Pace.BUSY) for database in databases * 2]
+            databases = self._databases()
+            busy_count = max(len(databases), _MIN_BUSY_CALLERS)
+            paces = [(databases[each % len(databases)], Pace.BUSY) for each in range(busy_count)]
             paces += [
                 (databases[number % len(databases)], Pace.IDLE if number % 4 else Pace.SINGLE)
                 for number in range(self.plan.idle_callers)
             ]
-            for number, (database, pace) in enumerate(paces):
-                caller_name = f"{name}.{database}.{number}"
-                caller = SoakCaller(caller_name, name, database, directory, self.checker, pace)
+            for number, ((database, service), pace) in enumerate(paces):
+                # Without hyphens, which end the name of the caller in a key.
+                caller_name = f"{name}.{database.replace('-', '.')}.{number}"
+                directory = directories[service]
+                caller = SoakCaller(
+                    caller_name, name, database, directory, self.checker, pace, service
+                )
                 self.callers.append(caller)
                 self._start_task(caller.run())
             callers = host.addresses.callers
             self._start_task(watch_optional_route(name, callers, self._operators, self.checker))
 
+    def _databases(self) -> list[tuple[str, str]]:
+        """Return the databases, each with its service."""
+        services = [group.service for group in self._groups]
+        return [(each, service) for service in services for each in list_databases(service)]
+
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
 
     async def _wait_until_open(self, limit_s: float) -> None:
         for name in self._hosts:
-            for database in MAX_STALENESS_S:
+            for database, _ in self._databases():
                 await self._wait_for_answer(name, database, limit_s)
 
     async def _wait_for_answer(self, name: str, database: str, limit_s: float) -> None:
@@ -208,22 +234,23 @@
         checks = [
             self._wait_for_answer(name, database, RECOVERY_S)
             for name in self._hosts
-            for database in MAX_STALENESS_S
+            for database, _ in self._databases()
         ]
-        checks += [self._wait_for_write(name) for name in self._hosts]
+        written = [each for each, _ in self._databases() if find_kind(each) == "bookings"]
+        checks += [self._wait_for_write(name, each) for name in self._hosts for each in written]
         await asyncio.gather(*checks)
 
-    async def _wait_for_write(self, name: str) -> None:
+    async def _wait_for_write(self, name: str, database: str) -> None:
         host, until_s, answers = self._hosts[name], self.now_s() + RECOVERY_S, [""]
         while not answers[-1].startswith("COMPLETE"):
             if self.now_s() > until_s:
-                detail = f"no write at {name} after {RECOVERY_S} s: {answers[-3:]}"
+                detail = f"no write to {database} at {name} after {RECOVERY_S} s: {answers[-3:]}"
                 self.checker.report(Promise.SERVICE_RETURNS, detail)
                 return
             self._names += 1
             text = f"WRITE probe-{name} probe:{self._names}"
             request_id = f"probe-{self._names}"
-            answers.append(await self._probe(host, "bookings", request_id, text))
+            answers.append(await self._probe(host, database, request_id, text))
             await asyncio.sleep(_POLL_S)
 
     async def _probe(self, host: HostProcess, database: str, request_id: str, text: str) -> str:
@@ -256,7 +283,8 @@
             for link in host.links.values():
                 link.close()
                 link.reset()
-        await self._group.stop()
+        for group in self._groups:
+            await group.stop()
         for front in self._fronts:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(front.stop(), _STORE_STOP_LIMIT_S)
@@ -313,7 +341,7 @@
     def _is_running(self, target: str) -> bool:
         if target in self._hosts:
             return self._hosts[target].process.is_running
-        return target == "store" or self._group.servers[target].is_running
+        return target == "store" or self._servers[target].is_running
 
     # Faults ------------------------------------------------------------------------------------
 
@@ -328,10 +356,11 @@
         disturbance.until_s = self.now_s()
 
     async def _begin(self, fault: Fault, host: HostProcess) -> EndFault | None:
-        group = self._group
-        server = group.servers[SERVERS[fault.server]]
+        group = self._groups[fault.service]
+        server = list(group.servers.values())[fault.server]
         if fault.kind in LINK_KINDS:
-            return self._harm_links(fault, host.select_links(fault.link_end, SERVERS))
+            names = tuple(self._servers)
+            return self._harm_links(fault, host.select_links(fault.link_end, names))
         if fault.kind in STORE_KINDS:
             return self._set_store_mode(_STORE_MODES[fault.kind])
         match fault.kind:
@@ -355,18 +384,20 @@
             case FaultKind.PRIMARY_CRASHES:
                 primary = group.primary
                 await group.crash_and_expire(primary)
-                return _undo(self._restart_server, primary)
+                return _undo(_restart_server, group, primary)
             case FaultKind.SERVER_CRASHES:
                 await group.crash_and_expire(server)
-                return _undo(self._restart_server, server)
+                return _undo(_restart_server, group, server)
             case FaultKind.PRIMARY_LEAVES:
                 primary = group.primary
                 self._names += 1
                 if await group.leave(primary):
                     return _undo(group.replace, primary, f"{primary.backend}-{self._names}")
+            case FaultKind.SERVERS_RELEASED:
+                return await self._release(fault.server)
             case FaultKind.PRIMARY_CUT_OFF:
                 cut = [each for each in self._hosts.values() if fault.server == 0 or each != host]
-                name = next(each for each in SERVERS if group.servers[each] is group.primary)
+                name = next(each for each in group.servers if group.servers[each] is group.primary)
                 return self._hold_links([each.links[name] for each in cut], tuple(Direction))
             case FaultKind.PRIMARY_SILENT:
                 return _set(group.primary, "is_silent", True, False)
@@ -375,7 +406,7 @@
             case FaultKind.FORMER_PRIMARY_NOT_TOLD:
                 return _set(group, "demotion_s", DEMOTION_S + fault.for_s, DEMOTION_S)
             case FaultKind.SERVER_LAGS if server is not group.primary:
-                return self._stop_receiving(server)
+                return _stop_receiving(group, server)
             case FaultKind.REPLICAS_APPLY_LATE:
                 return _set(group, "apply_s", self._rng.uniform(*LATE_APPLY_S), APPLY_S)
             case FaultKind.ANSWERS_LOST:
@@ -459,21 +490,39 @@
         if not host.process.is_running:
             host.start()
 
-    async def _restart_server(self, server: Any) -> None:
-        if server.leaving_since_s is None:
-            await self._group.restart(server)
-
-    def _stop_receiving(self, server: Any) -> EndFault:
-        server.is_receiving = False
+    async def _release(self, replica_count: int) -> EndFault:
+        """Let the primary and some replicas of each service leave; new servers take their logs."""
+        released = []
+        for group in self._groups:
+            replicas = [each for each in group.servers.values() if each is not group.primary]
+            released += [group.primary, *replicas[:replica_count]]
+        left = await asyncio.gather(*(server.group.leave(server) for server in released))
+        gone = [server for server, has_left in zip(released, left, strict=True) if has_left]
 
         async def end_fault() -> None:
-            server.is_receiving = True
-            if server.role == "replica" and not server.held_term:
-                server.follow(self._group.primary)
+            for server in gone:
+                self._names += 1
+                await server.group.replace(server, f"{server.backend}-{self._names}")
 
         return end_fault
 
 
+async def _restart_server(group: SoakGroup, server: SoakServer) -> None:
+    if server.leaving_since_s is None:
+        await group.restart(server)
+
+
+def _stop_receiving(group: SoakGroup, server: SoakServer) -> EndFault:
+    server.is_receiving = False
+
+    async def end_fault() -> None:
+        server.is_receiving = True
+        if server.role == "replica" and not server.held_term:
+            server.follow(group.primary)
+
+    return end_fault
+
+
 async def _close_idle(server: SoakServer) -> None:
     while True:
         server.close_idle_connections()
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -489,7 +489,7 @@
         """Return the entry that the server writes into the store."""
         return json.dumps(
             {
-                "backend": SERVICE,
+                "backend": self.group.service,
                 "address": str(self.address),
                 "zone": zone,
                 "version": "1",
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -98,12 +98,16 @@
         self.assertEqual(len(self.checker.findings), 2)
 
     def test_promoters_that_share_a_token_or_go_back(self):
-        self.checker.handle_promotion("h0", 5)
-        self.checker.handle_promotion("h0", 5)
+        self.checker.handle_promotion("ledger", "h0", 5)
+        self.checker.handle_promotion("ledger", "h0", 5)
         self.assertEqual(self.checker.findings, [])
-        self.checker.handle_promotion("h1", 5)
-        self.checker.handle_promotion("h1", 4)
+        self.checker.handle_promotion("ledger", "h1", 5)
+        self.checker.handle_promotion("ledger", "h1", 4)
         self.assertEqual(len(self.checker.findings), 2)
+        self.checker.handle_promotion("archive", "h1", 4)
+        self.assertEqual(len(self.checker.findings), 2)  # a duty of its own
+        self.checker.handle_promotion("archive", "h0", 4)
+        self.assertEqual(len(self.checker.findings), 3)
 
     def test_planned_stop_that_cuts_an_accepted_request(self):
         self.disturb(FaultKind.HOST_STOPPED)
--- a/tests/soak/test_freshness.py
+++ b/tests/soak/test_freshness.py
@@ -50,5 +50,13 @@
         reading = CallerTransaction(1.1, is_read_only=True)
         self.assertEqual(self.run_statement("READ x", {"c0"}, age_s=1.5, transaction=reading), 1)
 
+    def test_commits_of_another_service_are_in_another_log(self):
+        self.checker.record_commit("c2", "s1", 1.0, "archive")
+        self.assertEqual(self.run_statement("READ x", {"c1"}), 0)
+        self.checker.record_sent("q2", "s2", 2.0, 0.0, False, None, "archive")
+        self.checker.handle_statement("q2", "READ x", "from h0 at i-d", {"c1"})
+        self.assertEqual(len(self.found), 1)
+        self.assertIn("lacks c2", self.found[0])
+
     def test_setup_needs_no_log(self):
         self.assertEqual(self.run_statement("SET a 1", {"c0"}), 0)
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -58,6 +58,12 @@
             harsh = [plan for plan in plans if getattr(plan, name)]
             self.assertGreater(len(harsh), len(others) / 3, name)
             self.assertTrue(all(plan in others for plan in harsh))
+        released = [plan for plan in others if plan.services > 1]
+        self.assertGreater(len(released), len(others) / 3)
+        for plan in released:
+            kinds = [fault.kind for fault in plan.faults]
+            self.assertIn(FaultKind.SERVERS_RELEASED, kinds)
+            self.assertEqual({each.service for each in plan.faults}, set(range(plan.services)))
         late = [plan for plan in plans if plan.runs_received_later]
         self.assertTrue(all(_has_stalled_change(plan) for plan in late))
 
