Soak: a planned change also when the leaving server's log has moved before the order takes effect

The promoter had ordered i-c-16 at 08:53.266 with `catch_up_ended state=behind held=3/299 received=3/262` while i-a-14 was leaving and served; the order took effect at 54.2, when i-a-14 had ended and a new server with its log had its address.

Cause: the order kept the id of the primary, and the new server has another.

Change: the order keeps its address, and whether it served at the order. A server that ended between order and effect, without a new one, is counted apart and is no finding.

Evidence: two new tests of test_changes; the first fails on the code before ([] instead of the finding).

--- a/soak/changes.py
+++ b/soak/changes.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from hickorywind.ids import Address
+
 SERVED_S = 1.0  # a primary that answered so long before the order to replace it still served
 
 
@@ -15,20 +17,23 @@
 
     SERVING = "served"
     UNREACHABLE = "ran without serving"
+    ENDED_SINCE_ORDER = "served at the order and had ended since"
     GONE = "had ended"
 
 
 @dataclass(frozen=True)
 class Order:
-    """Order to promote a server, with the primary of that time.
+    """Order to promote a server, with the address of the primary of that time.
 
-    ``is_planned`` tells whether that primary was about to leave.
+    ``is_planned`` tells whether that primary was about to leave, ``was_served`` whether it had
+    answered a short time before. A new server with its log has its address, too.
     """
 
     at_s: float
     chosen: str
-    primary: str
+    primary: Address
     is_planned: bool
+    was_served: bool
     token: int = 0
 
 
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -127,7 +127,8 @@
     def _record_order(self, chosen: SoakServer, token: int = 0) -> Order:
         now_s, primary = asyncio.get_running_loop().time(), self.primary
         is_planned = primary.leaving_since_s is not None
-        return Order(now_s, chosen.backend, primary.backend, is_planned, token)
+        was_served = primary.is_running and primary.answered_s >= now_s - SERVED_S
+        return Order(now_s, chosen.backend, primary.address, is_planned, was_served, token)
 
     async def _lead_soon(self, chosen: SoakServer, order: Order) -> None:
         await asyncio.sleep(PROMOTION_S)
@@ -198,12 +199,16 @@
     ) -> None:
         waiting = "writes that stood in a queue while their primary was replaced"
         self.state_counts[waiting] += old.waiting_writes
-        state = FormerPrimary.GONE
-        if old.is_running:
-            has_served = old.answered_s >= order.at_s - SERVED_S
-            state = FormerPrimary.SERVING if has_served else FormerPrimary.UNREACHABLE
         # An order that was given for another primary takes effect late; no plan of this one's.
-        is_planned = order.is_planned and order.primary == old.backend
+        is_for_this = order.primary == old.address
+        match is_for_this and order.was_served, old.is_running:
+            case True, True:
+                state = FormerPrimary.SERVING
+            case True, False:
+                state = FormerPrimary.ENDED_SINCE_ORDER
+            case False, is_running:
+                state = FormerPrimary.UNREACHABLE if is_running else FormerPrimary.GONE
+        is_planned = order.is_planned and is_for_this
         now_s = asyncio.get_running_loop().time()
         self.changes.append(PrimaryChange(now_s, old.backend, new.backend, is_planned, state, lost))
 
--- a/tests/soak/test_changes.py
+++ b/tests/soak/test_changes.py
@@ -76,6 +76,23 @@
         order = self.group._record_order(self.new)
         self.assertEqual(self.change(order=order), [])
 
+    async def test_order_that_takes_effect_when_a_new_server_has_the_log_of_the_leaving_one(self):
+        self.old.leaving_since_s = self.old.answered_s = self.now_s()
+        order = self.group._record_order(self.new)
+        await self.old.crash()
+        await self.group.replace(self.old, "i-a-1")
+        found = self.change(leaving=False, order=order)
+        self.assertEqual(found, [Promise.PLANNED_CHANGE_KEEPS_ALL.value])
+        self.assertIn("planned change from i-a-1", self.checker.findings[0].detail)
+
+    async def test_order_that_takes_effect_after_the_leaving_server_has_ended(self):
+        self.old.leaving_since_s = self.old.answered_s = self.now_s()
+        order = self.group._record_order(self.new)
+        await self.old.crash()
+        self.assertEqual(self.change(order=order), [])
+        state = "planned, former primary served at the order and had ended since, acknowledged"
+        self.assertEqual(self.checker.state_counts[f"rolled back, {state}"], 1)
+
     async def test_change_that_loses_nothing(self):
         self.old._commit([("k-0", "k:1")])
         self.append("k:1", Outcome.RAN)
