Soak: series meet one service, and a new primary that crashes while an order for it is under way

Change: a series of faults meets one service. Where orders take effect late a primary leaves and the new one crashes for a moment while an order for it may be under way; this and the stalled primaries are left out where planned work only is played, which keeps checks with a time bound in force there. Commits at a former primary are counted by whether their sender was still there.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -319,6 +319,9 @@
         counts = self.state_counts
         for write in (write for group in self._groups for write in group.former_writes):
             counts["statements that write at a former primary"] += 1
+            if write.elements:
+                sender = "was there" if write.is_answered else "had left"
+                counts[f"commits at a former primary, whose sender {sender}"] += 1
             for element in write.elements:
                 outcome = outcomes.get(element)
                 told = outcome.value if outcome is not None else "nothing, the caller left"
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Any
@@ -23,6 +23,9 @@
 _STALLED_CHANGE_INTERVAL_S = 8.0  # average time between two changes of a stalled primary
 _STALL_LEAD_S = (-0.5, 1.5)  # before the primary leaves
 _STALL_S = (0.5, 4.0)
+_QUICK_CHANGE_INTERVAL_S = 8.0  # average time between two such pairs of changes
+_QUICK_CRASH_S = (1.5, 5.0)  # after the primary before is leaving
+_QUICK_DOWN_S = (0.3, 3.0)
 _LAG_LEAD_S = (0.1, 1.5)  # before the primary leaves
 _STARVATION_LEAD_S = 1.0  # before a stop
 _RELEASE_INTERVAL_S = 8.0  # average time between two releases
@@ -220,27 +223,31 @@
         theme = rng.choice(_DRAWN_THEMES)
         if seed % STOPS_SEED_INTERVAL == STOPS_SEED_INTERVAL - 1:
             theme = Theme.STOPS
+        services = _draw_services(seed, theme, host_count)
+        service_rng = random.Random(f"service of each series {seed}")
         faults: list[Fault] = []
         start_s = _FIRST_FAULT_S
         while start_s < duration_s:
             if theme is Theme.STOPS:
                 faults += _draw_stops(rng, start_s, host_count)
             else:
-                faults += _draw_series(rng, theme, start_s, host_count, server_count)
+                series = _draw_series(rng, theme, start_s, host_count, server_count)
+                faults += _meet_one_service(series, service_rng, services)
             start_s += rng.expovariate(1 / SERIES_INTERVAL_S)
-        faults += _draw_server_faults(seed, theme, duration_s, server_count)
-        faults += _draw_replication_faults(seed, duration_s)
-        faults += _draw_lagging_changes(seed, theme, duration_s, server_count)
-        faults += _draw_stalled_changes(seed, theme, duration_s)
-        services = _draw_services(seed, theme, host_count)
+        for fault in _draw_server_faults(seed, theme, duration_s, server_count):
+            faults += _meet_one_service((fault,), service_rng, services)
+        for fault in _draw_replication_faults(seed, duration_s):
+            faults += _meet_one_service((fault,), service_rng, services)
+        for series in (
+            *_draw_lagging_changes(seed, theme, duration_s, server_count),
+            *_draw_stalled_changes(seed, theme, duration_s),
+            *_draw_quick_changes(seed, theme, duration_s),
+        ):
+            faults += _meet_one_service(series, service_rng, services)
         faults += _draw_releases(seed, services, duration_s)
         kept = [fault for fault in faults if fault.at_s < duration_s]
         idle_callers = rng.choice(_IDLE_CALLERS) if theme is Theme.STOPS else min(_IDLE_CALLERS)
-        rng = random.Random(f"service of each fault {seed}")
-        faults = [
-            replace(fault, service=rng.randrange(services))
-            for fault in sorted(kept, key=lambda fault: fault.at_s)
-        ]
+        faults = sorted(kept, key=lambda fault: fault.at_s)
         max_connections = max(_MAX_CONNECTIONS)
         if idle_callers == min(_IDLE_CALLERS):
             max_connections = random.Random(f"connections {seed}").choice(_MAX_CONNECTIONS)
@@ -284,6 +291,13 @@
         )
 
 
+def _meet_one_service(
+    series: Iterable[Fault], rng: random.Random, services: int
+) -> Iterator[Fault]:
+    service = rng.randrange(services)
+    return (replace(fault, service=service) for fault in series)
+
+
 def _draw_series(
     rng: random.Random, theme: Theme, start_s: float, host_count: int, server_count: int
 ) -> Iterator[Fault]:
@@ -355,7 +369,7 @@
 
 def _draw_lagging_changes(
     seed: int, theme: Theme, duration_s: float, server_count: int
-) -> Iterator[Fault]:
+) -> Iterator[list[Fault]]:
     """Let primaries leave by plan while no replica receives anything."""
     if not _is_harsh(seed, theme, "lagging changes"):
         return
@@ -364,29 +378,47 @@
     at_s = rng.uniform(0, duration_s / 2)
     while at_s < duration_s:
         for_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
-        for server in range(server_count):
-            lag = FaultKind.SERVER_LAGS
-            yield Fault(lag, round(at_s, 2), round(for_s, 2), server=server)
+        lag = _make_fault(FaultKind.SERVER_LAGS, at_s, for_s, 0)
         leaves_s, away_s = at_s + rng.uniform(*_LAG_LEAD_S), rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
-        yield _make_fault(FaultKind.PRIMARY_LEAVES, leaves_s, away_s, 0)
+        yield [
+            *(replace(lag, server=server) for server in range(server_count)),
+            _make_fault(FaultKind.PRIMARY_LEAVES, leaves_s, away_s, 0),
+        ]
         at_s += rng.expovariate(1 / _LAGGING_CHANGE_INTERVAL_S)
 
 
-def _draw_stalled_changes(seed: int, theme: Theme, duration_s: float) -> Iterator[Fault]:
+def _draw_stalled_changes(seed: int, theme: Theme, duration_s: float) -> Iterator[list[Fault]]:
     """Let primaries leave by plan while they stall, and learn late that they were replaced."""
-    if not _is_harsh(seed, theme, "received later"):
+    if theme is Theme.PLANNED or not _is_harsh(seed, theme, "received later"):
         return
     rng = random.Random(f"stalled changes {seed}")
     at_s = rng.uniform(_STALL_LEAD_S[1], duration_s / 2)
     while at_s < duration_s:
-        yield _make_fault(FaultKind.PRIMARY_LEAVES, at_s, rng.uniform(MIN_FAULT_S, MAX_FAULT_S), 0)
-        stalls_s = at_s - rng.uniform(*_STALL_LEAD_S)
-        yield _make_fault(rng.choice(STALL_KINDS), stalls_s, rng.uniform(*_STALL_S), 0)
+        away_s, stalls_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S), at_s - rng.uniform(*_STALL_LEAD_S)
         told_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
-        yield _make_fault(FaultKind.FORMER_PRIMARY_NOT_TOLD, at_s, told_s, 0)
+        yield [
+            _make_fault(FaultKind.PRIMARY_LEAVES, at_s, away_s, 0),
+            _make_fault(rng.choice(STALL_KINDS), stalls_s, rng.uniform(*_STALL_S), 0),
+            _make_fault(FaultKind.FORMER_PRIMARY_NOT_TOLD, at_s, told_s, 0),
+        ]
         at_s += rng.expovariate(1 / _STALLED_CHANGE_INTERVAL_S)
 
 
+def _draw_quick_changes(seed: int, theme: Theme, duration_s: float) -> Iterator[list[Fault]]:
+    """Let new primaries crash for a moment while an order for them may still take effect."""
+    if theme is Theme.PLANNED or not _is_harsh(seed, theme, "late orders"):
+        return
+    rng = random.Random(f"quick changes {seed}")
+    at_s = rng.uniform(0, duration_s / 2)
+    while at_s < duration_s:
+        away_s, crash_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S), at_s + rng.uniform(*_QUICK_CRASH_S)
+        yield [
+            _make_fault(FaultKind.PRIMARY_LEAVES, at_s, away_s, 0),
+            _make_fault(FaultKind.PRIMARY_CRASHES, crash_s, rng.uniform(*_QUICK_DOWN_S), 0),
+        ]
+        at_s += rng.expovariate(1 / _QUICK_CHANGE_INTERVAL_S)
+
+
 def _draw_stops(rng: random.Random, start_s: float, host_count: int) -> Iterator[Fault]:
     """Stop some hosts or all, at once or in turn, beside SIGHUP and changes of configuration."""
     hosts = rng.sample(range(host_count), rng.randint(1, host_count))
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -68,6 +68,7 @@
     request_id: str
     backend: BackendId
     elements: tuple[str, ...]  # that it committed
+    is_answered: bool = True  # its sender was still there
 
 
 @dataclass(eq=False)
@@ -246,7 +247,7 @@
 
     # Statements --------------------------------------------------------------------------------
 
-    def _answer(self, connection: ServerConnection, line: str) -> str | None:
+    def _answer(self, connection: SoakConnection, line: str) -> str | None:
         word, _, rest = line.partition(" ")
         if word != "QUERY" or not connection.is_open:
             return super()._answer(connection, line)
@@ -267,7 +268,7 @@
         words = (body or "").split(" ", 2)
         error_code = words[1] if words[0] == "ERROR" else ""
         if is_former_write and not error_code:
-            self._record_former_write(request_id, stray_count)
+            self._record_former_write(connection, request_id, stray_count)
         has_ended = transaction is not None and connection.transaction is None
         if has_ended and (error_code or text == "ROLLBACK") and self.group.rolls_back_sessions:
             connection.settings, connection.prepared_statements = transaction.session_before
@@ -291,11 +292,14 @@
             return _MALFORMED_ANSWER
         return f"{body}READY {self._state(connection, error_code)} {self.position}\r\n"
 
-    def _record_former_write(self, request_id: str, stray_count: int) -> None:
+    def _record_former_write(
+        self, connection: SoakConnection, request_id: str, stray_count: int
+    ) -> None:
         strays = self.group.commits_of_former_primary[stray_count:]
         elements = tuple(element for _, element in strays)
         now_s = asyncio.get_running_loop().time()
-        write = FormerWrite(now_s, request_id, self.backend, elements)
+        is_answered = not connection.has_ended
+        write = FormerWrite(now_s, request_id, self.backend, elements, is_answered)
         self.group.former_writes.append(write)
 
     def _state(self, connection: ServerConnection, error_code: str) -> str:
--- a/tests/soak/test_changes.py
+++ b/tests/soak/test_changes.py
@@ -9,7 +9,7 @@
 from hickorywind_bench.history import Append
 from soak.checks import Disturbances, Promise, PromiseChecker
 from soak.platform import SoakGroup
-from standins.lineplatform.group import ServerConnection
+from soak.servers import SoakConnection
 from standins.lineplatform.memorystore import MemoryStore
 
 
@@ -114,7 +114,7 @@
         await self.group.start()
         self.addAsyncCleanup(self.group.stop)
         self.old, self.new = self.group.servers.values()
-        self.connection = ServerConnection(FakeWriter(), "h0", is_open=True)
+        self.connection = SoakConnection(FakeWriter(), "h0", is_open=True)
 
     def ask(self, *texts):
         for number, text in enumerate(texts):
@@ -135,14 +135,18 @@
         self.assertIn("s after the unplanned change from i-a, which ran without serving", detail)
         counts = self.checker.state_counts
         self.assertEqual(counts["commits at a former primary, caller told ran"], 1)
+        self.assertEqual(counts["commits at a former primary, whose sender was there"], 1)
 
     async def test_write_of_unknown_outcome_at_a_former_primary_is_counted(self):
         self.group.make_primary(self.new)
-        self.ask("PREPARE s1 WRITE x", "BEGIN", "READ k-0", "EXECUTE s1 k-0 k:1", "COMMIT")
+        self.ask("PREPARE s1 WRITE x", "BEGIN", "READ k-0", "EXECUTE s1 k-0 k:1")
+        self.connection.writer.has_closed = True
+        self.ask("COMMIT")
         self.assertEqual(self.finish(Outcome.UNKNOWN), [])
         counts = self.checker.state_counts
         self.assertEqual(counts["commits at a former primary, caller told unknown"], 1)
         self.assertEqual(counts["statements that write at a former primary"], 2)
+        self.assertEqual(counts["commits at a former primary, whose sender had left"], 1)
 
     async def test_write_at_a_primary_or_refused_by_a_replica_is_not_counted(self):
         self.ask("WRITE k-0 k:1")
@@ -154,7 +158,13 @@
 
 
 class FakeWriter:
-    """Writer of a connection that nobody reads."""
+    """Writer of a connection that nobody reads, and its transport."""
+
+    def __init__(self):
+        self.transport, self.has_closed = self, False
+
+    def is_closing(self):
+        return self.has_closed
 
     def get_extra_info(self, name):
         return ("127.0.0.1", 1)
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -58,13 +58,19 @@
             harsh = [plan for plan in plans if getattr(plan, name)]
             self.assertGreater(len(harsh), len(others) / 3, name)
             self.assertTrue(all(plan in others for plan in harsh))
+        unplanned = [plan for plan in others if plan.theme is not Theme.PLANNED]
+        for plan in (plan for plan in unplanned if plan.takes_orders_late):
+            self.assertTrue(_has_quick_change(plan), plan.seed)
         released = [plan for plan in others if plan.services > 1]
         self.assertGreater(len(released), len(others) / 3)
         for plan in released:
             kinds = [fault.kind for fault in plan.faults]
             self.assertIn(FaultKind.SERVERS_RELEASED, kinds)
-            self.assertEqual({each.service for each in plan.faults}, set(range(plan.services)))
-        late = [plan for plan in plans if plan.runs_received_later]
+            services = {each.service for each in plan.faults}
+            self.assertTrue(services <= set(range(plan.services)))
+        used = {each.service for plan in released for each in plan.faults}
+        self.assertEqual(used, {0, 1, 2})
+        late = [plan for plan in unplanned if plan.runs_received_later]
         self.assertTrue(all(_has_stalled_change(plan) for plan in late))
 
 
@@ -72,12 +78,31 @@
     lags = [fault for fault in plan.faults if fault.kind is FaultKind.SERVER_LAGS]
     leaves = [fault for fault in plan.faults if fault.kind is FaultKind.PRIMARY_LEAVES]
     return any(
-        {lag.server for lag in lags if lag.at_s < leaving.at_s < lag.until_s} == {0, 1, 2}
+        {
+            lag.server
+            for lag in lags
+            if lag.at_s < leaving.at_s < lag.until_s and lag.service == leaving.service
+        }
+        == {0, 1, 2}
         for leaving in leaves
     )
 
 
+def _has_quick_change(plan):
+    leaves = [fault for fault in plan.faults if fault.kind is FaultKind.PRIMARY_LEAVES]
+    crashes = [fault for fault in plan.faults if fault.kind is FaultKind.PRIMARY_CRASHES]
+    return any(
+        1 < crash.at_s - leaving.at_s < 6 and crash.service == leaving.service
+        for leaving in leaves
+        for crash in crashes
+    )
+
+
 def _has_stalled_change(plan):
     leaves = [fault for fault in plan.faults if fault.kind is FaultKind.PRIMARY_LEAVES]
     stalls = [fault for fault in plan.faults if fault.kind in STALL_KINDS]
-    return any(-2 < stall.at_s - leaving.at_s < 1 for leaving in leaves for stall in stalls)
+    return any(
+        -2 < stall.at_s - leaving.at_s < 1 and stall.service == leaving.service
+        for leaving in leaves
+        for stall in stalls
+    )
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -24,7 +24,16 @@
             Fault(FaultKind.HOST_KILLED, 2.2, 0.5, host=0),
         )
         with tempfile.TemporaryDirectory() as folder:
-            plan = Plan(1, 2, Theme.MIXED, faults)
+            plan = Plan(
+                1,
+                2,
+                Theme.MIXED,
+                faults,
+                slots=3,
+                runs_received_later=True,
+                takes_orders_late=True,
+                services=2,
+            )
             report = run_plan(plan, DURATION_S, Path(folder))
         self.assertEqual(report.findings, (), report.to_text())
         self.assertGreater(report.counts()["served"], 200)
