Soak: a short run of a planned change beside replicas that lag

Change: LaggingReplicasTest (10 s): replicas receive nothing for 3.5 s, the primary leaves; no finding, nothing rolled back, and the primary changes.

--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -71,6 +71,17 @@
         self.assertGreater(report.promotion_count, 0)
 
 
+class LaggingReplicasTest(unittest.TestCase):
+    def test_planned_change_beside_replicas_that_lag_loses_no_acknowledged_commit(self):
+        lags = (Fault(FaultKind.SERVER_LAGS, 0.2, 3.5, server=server) for server in range(3))
+        faults = (*lags, Fault(FaultKind.PRIMARY_LEAVES, 0.5, 0.5))
+        with tempfile.TemporaryDirectory() as folder:
+            report = run_plan(Plan(1, 2, Theme.PLANNED, faults), DURATION_S, Path(folder))
+        self.assertEqual(report.findings, (), report.to_text())
+        self.assertEqual(report.rolled_back_count, 0, report.to_text())
+        self.assertGreater(report.promotion_count, 0)
+
+
 class PlannedStopTest(unittest.TestCase):
     def test_stops_of_starved_and_other_hosts_lose_no_request_of_idle_callers(self):
         faults = (
