--- a/soak/plan.py
+++ b/soak/plan.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Any
 
@@ -17,7 +17,22 @@
 _MAX_STOP_INTERVAL_S = 2.0  # between the stops of a series, each of which takes up to six seconds
 _REPLICATION_FAULT_INTERVAL_S = 5.0  # average time between two faults of ``REPLICATION_KINDS``
 _SERVER_FAULT_INTERVAL_S = 2.5  # average time between two faults of ``SERVER_KINDS``
+_HARSH_SHARE = 0.5  # of the seeds that don't play ``Theme.STOPS``, for each such property
+_SLOTS = 3  # so few that statements of 8 to 40 ms queue
+_LAGGING_CHANGE_INTERVAL_S = 10.0  # average time between two planned changes beside such a lag
+_STALLED_CHANGE_INTERVAL_S = 8.0  # average time between two changes of a stalled primary
+_STALL_LEAD_S = (-0.5, 1.5)  # before the primary leaves
+_STALL_S = (0.5, 4.0)
+_QUICK_CHANGE_INTERVAL_S = 8.0  # average time between two such pairs of changes
+_QUICK_CRASH_S = (1.5, 5.0)  # after the primary before is leaving
+_QUICK_DOWN_S = (0.3, 3.0)
+_LAG_LEAD_S = (0.1, 1.5)  # before the primary leaves
 _STARVATION_LEAD_S = 1.0  # before a stop
+_RELEASE_INTERVAL_S = 8.0  # average time between two releases
+_FIRST_RELEASE_S = (1.0, 6.0)
+# As many services as the ports of a run suffice for.
+_MAX_SERVICES = 3
+_MAX_SERVICES_BY_HOSTS = {7: 2, 8: 1}
 _MAX_CONNECTIONS = (90, 24, 8)  # of each server; the lowest makes many hosts share their reads
 _IDLE_CALLERS = (4, 20, 60, 100)  # for each host
 _FIRST_FAULT_S = 0.5
@@ -69,6 +84,7 @@
     IDLE_CONNECTIONS_CLOSED = "servers close idle connections"
     CONNECTIONS_LIMITED = "server refuses new connections"
     REPLICAS_APPLY_LATE = "replicas apply late what they received"
+    SERVERS_RELEASED = "servers of all services leave by plan at once, also primaries"
 
 
 PLANNED_KINDS = (
@@ -96,6 +112,7 @@
     FaultKind.PRIMARY_CUT_OFF,
     FaultKind.PRIMARY_SILENT,
 )
+STALL_KINDS = (FaultKind.PRIMARY_SILENT, FaultKind.PRIMARY_CUT_OFF, FaultKind.PRIMARY_SLOW)
 HARMED_HOST_KINDS = (
     FaultKind.HOST_STOPPED,
     FaultKind.HOST_PAUSED,
@@ -112,6 +129,9 @@
     FaultKind.CONNECTIONS_LIMITED,
 )
 REPLICATION_KINDS = (FaultKind.REPLICAS_APPLY_LATE,)  # drawn apart from the others, too
+RELEASE_KINDS = (FaultKind.SERVERS_RELEASED,)  # beside several services
+# Kinds of planned work that end servers.
+LEAVING_KINDS = (FaultKind.PRIMARY_LEAVES, *RELEASE_KINDS)
 HOST_KINDS = (*HARMED_HOST_KINDS, *STOP_KINDS)  # concern one host
 # Faults that have neither end nor effect on what a host can reach.
 HARMLESS_KINDS = (
@@ -128,7 +148,7 @@
 class Fault:
     """Fault that starts ``at_s`` into the run and lasts ``for_s``.
 
-    ``host`` and ``server`` are numbers; ``link_end`` selects the links of that host.
+    ``host``, ``server`` and ``service`` are numbers; ``link_end`` selects the links of that host.
     """
 
     kind: FaultKind
@@ -137,6 +157,7 @@
     host: int = 0
     server: int = 0
     link_end: LinkEnd = LinkEnd.ALL
+    service: int = 0
 
     @property
     def until_s(self) -> float:
@@ -157,7 +178,9 @@
 _KINDS_BY_THEME = {
     Theme.PLANNED: PLANNED_KINDS,
     Theme.MIXED: tuple(
-        kind for kind in FaultKind if kind not in (*STOP_KINDS, *SERVER_KINDS, *REPLICATION_KINDS)
+        kind
+        for kind in FaultKind
+        if kind not in (*STOP_KINDS, *SERVER_KINDS, *REPLICATION_KINDS, *RELEASE_KINDS)
     ),
     Theme.HAND_OVER: (
         *CHANGE_KINDS,
@@ -178,6 +201,18 @@
     faults: tuple[Fault, ...]
     idle_callers: int = 0  # for each host, beside the busy ones
     max_connections: int = max(_MAX_CONNECTIONS)  # of each server
+    slots: int = 0  # of each server; 0: no limit
+    runs_received_later: bool = False  # also what came while a server was silent or its sender left
+    takes_orders_late: bool = False  # orders to promote take effect late, twice and out of order
+    services: int = 1
+
+    def describe_harshness(self) -> str:
+        """Return what the platform does that it may, but that most runs don't see."""
+        words = [f"{self.slots} slots"] if self.slots else ["no limit of slots"]
+        words += ["servers run later what they received"] if self.runs_received_later else []
+        words += [f"{self.services} services"] if self.services > 1 else []
+        words += ["orders take effect late"] if self.takes_orders_late else []
+        return ", ".join(words)
 
     @classmethod
     def from_seed(
@@ -188,23 +223,46 @@
         theme = rng.choice(_DRAWN_THEMES)
         if seed % STOPS_SEED_INTERVAL == STOPS_SEED_INTERVAL - 1:
             theme = Theme.STOPS
+        services = _draw_services(seed, theme, host_count)
+        service_rng = random.Random(f"service of each series {seed}")
         faults: list[Fault] = []
         start_s = _FIRST_FAULT_S
         while start_s < duration_s:
             if theme is Theme.STOPS:
                 faults += _draw_stops(rng, start_s, host_count)
             else:
-                faults += _draw_series(rng, theme, start_s, host_count, server_count)
+                series = _draw_series(rng, theme, start_s, host_count, server_count)
+                faults += _meet_one_service(series, service_rng, services)
             start_s += rng.expovariate(1 / SERIES_INTERVAL_S)
-        faults += _draw_server_faults(seed, theme, duration_s, server_count)
-        faults += _draw_replication_faults(seed, duration_s)
+        for fault in _draw_server_faults(seed, theme, duration_s, server_count):
+            faults += _meet_one_service((fault,), service_rng, services)
+        for fault in _draw_replication_faults(seed, duration_s):
+            faults += _meet_one_service((fault,), service_rng, services)
+        for series in (
+            *_draw_lagging_changes(seed, theme, duration_s, server_count),
+            *_draw_stalled_changes(seed, theme, duration_s),
+            *_draw_quick_changes(seed, theme, duration_s),
+        ):
+            faults += _meet_one_service(series, service_rng, services)
+        faults += _draw_releases(seed, services, duration_s)
         kept = [fault for fault in faults if fault.at_s < duration_s]
         idle_callers = rng.choice(_IDLE_CALLERS) if theme is Theme.STOPS else min(_IDLE_CALLERS)
         faults = sorted(kept, key=lambda fault: fault.at_s)
         max_connections = max(_MAX_CONNECTIONS)
         if idle_callers == min(_IDLE_CALLERS):
             max_connections = random.Random(f"connections {seed}").choice(_MAX_CONNECTIONS)
-        return cls(seed, host_count, theme, tuple(faults), idle_callers, max_connections)
+        return cls(
+            seed,
+            host_count,
+            theme,
+            tuple(faults),
+            idle_callers,
+            max_connections,
+            slots=_SLOTS if _is_harsh(seed, theme, "slots") else 0,
+            runs_received_later=_is_harsh(seed, theme, "received later"),
+            takes_orders_late=_is_harsh(seed, theme, "late orders"),
+            services=services,
+        )
 
     @classmethod
     def from_document(cls, document: dict[str, Any]) -> Plan:
@@ -226,9 +284,20 @@
             faults,
             document.get("idle_callers", 0),
             document.get("max_connections", max(_MAX_CONNECTIONS)),
+            document.get("slots", 0),
+            document.get("runs_received_later", False),
+            document.get("takes_orders_late", False),
+            document.get("services", 1),
         )
 
 
+def _meet_one_service(
+    series: Iterable[Fault], rng: random.Random, services: int
+) -> Iterator[Fault]:
+    service = rng.randrange(services)
+    return (replace(fault, service=service) for fault in series)
+
+
 def _draw_series(
     rng: random.Random, theme: Theme, start_s: float, host_count: int, server_count: int
 ) -> Iterator[Fault]:
@@ -276,6 +345,80 @@
         at_s += rng.expovariate(1 / _REPLICATION_FAULT_INTERVAL_S)
 
 
+def _is_harsh(seed: int, theme: Theme, name: str) -> bool:
+    """Return whether a seed has a property that is drawn apart from all others."""
+    return theme is not Theme.STOPS and random.Random(f"{name} {seed}").random() < _HARSH_SHARE
+
+
+def _draw_services(seed: int, theme: Theme, host_count: int) -> int:
+    count = random.Random(f"count of services {seed}").randint(2, _MAX_SERVICES)
+    if not _is_harsh(seed, theme, "services"):
+        return 1
+    return min(count, _MAX_SERVICES_BY_HOSTS.get(host_count, _MAX_SERVICES))
+
+
+def _draw_releases(seed: int, services: int, duration_s: float) -> Iterator[Fault]:
+    """Release primaries and replicas of all services at once; ``server`` counts the replicas."""
+    rng = random.Random(f"releases {seed}")
+    at_s = rng.uniform(*_FIRST_RELEASE_S)
+    while services > 1 and at_s < duration_s:
+        kind, for_s = rng.choice(RELEASE_KINDS), rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        yield Fault(kind, round(at_s, 2), round(for_s, 2), server=rng.randrange(2))
+        at_s += rng.expovariate(1 / _RELEASE_INTERVAL_S)
+
+
+def _draw_lagging_changes(
+    seed: int, theme: Theme, duration_s: float, server_count: int
+) -> Iterator[list[Fault]]:
+    """Let primaries leave by plan while no replica receives anything."""
+    if not _is_harsh(seed, theme, "lagging changes"):
+        return
+    rng = random.Random(f"lagging changes {seed}")
+    rng.random()
+    at_s = rng.uniform(0, duration_s / 2)
+    while at_s < duration_s:
+        for_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        lag = _make_fault(FaultKind.SERVER_LAGS, at_s, for_s, 0)
+        leaves_s, away_s = at_s + rng.uniform(*_LAG_LEAD_S), rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        yield [
+            *(replace(lag, server=server) for server in range(server_count)),
+            _make_fault(FaultKind.PRIMARY_LEAVES, leaves_s, away_s, 0),
+        ]
+        at_s += rng.expovariate(1 / _LAGGING_CHANGE_INTERVAL_S)
+
+
+def _draw_stalled_changes(seed: int, theme: Theme, duration_s: float) -> Iterator[list[Fault]]:
+    """Let primaries leave by plan while they stall, and learn late that they were replaced."""
+    if theme is Theme.PLANNED or not _is_harsh(seed, theme, "received later"):
+        return
+    rng = random.Random(f"stalled changes {seed}")
+    at_s = rng.uniform(_STALL_LEAD_S[1], duration_s / 2)
+    while at_s < duration_s:
+        away_s, stalls_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S), at_s - rng.uniform(*_STALL_LEAD_S)
+        told_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        yield [
+            _make_fault(FaultKind.PRIMARY_LEAVES, at_s, away_s, 0),
+            _make_fault(rng.choice(STALL_KINDS), stalls_s, rng.uniform(*_STALL_S), 0),
+            _make_fault(FaultKind.FORMER_PRIMARY_NOT_TOLD, at_s, told_s, 0),
+        ]
+        at_s += rng.expovariate(1 / _STALLED_CHANGE_INTERVAL_S)
+
+
+def _draw_quick_changes(seed: int, theme: Theme, duration_s: float) -> Iterator[list[Fault]]:
+    """Let new primaries crash for a moment while an order for them may still take effect."""
+    if theme is Theme.PLANNED or not _is_harsh(seed, theme, "late orders"):
+        return
+    rng = random.Random(f"quick changes {seed}")
+    at_s = rng.uniform(0, duration_s / 2)
+    while at_s < duration_s:
+        away_s, crash_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S), at_s + rng.uniform(*_QUICK_CRASH_S)
+        yield [
+            _make_fault(FaultKind.PRIMARY_LEAVES, at_s, away_s, 0),
+            _make_fault(FaultKind.PRIMARY_CRASHES, crash_s, rng.uniform(*_QUICK_DOWN_S), 0),
+        ]
+        at_s += rng.expovariate(1 / _QUICK_CHANGE_INTERVAL_S)
+
+
 def _draw_stops(rng: random.Random, start_s: float, host_count: int) -> Iterator[Fault]:
     """Stop some hosts or all, at once or in turn, beside SIGHUP and changes of configuration."""
     hosts = rng.sample(range(host_count), rng.randint(1, host_count))
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -5,7 +5,8 @@
 import asyncio
 import json
 import random
-from collections.abc import Callable, Mapping
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 from enum import Enum
 from typing import Any
@@ -28,18 +29,24 @@
     Snapshot,
 )
 from hickorywind.store.interface import StoredValue
+from soak.changes import SERVED_S, FormerPrimary, Order, PrimaryChange
 from soak.relay import replace_ports
-from soak.servers import APPLY_S, SERVICE, AnswerFaults, SoakServer, StatementRun
+from soak.servers import APPLY_S, SERVICE, AnswerFaults, FormerWrite, SoakServer, StatementRun
 from soak.statements import ServerStatement
 from standins.lineplatform.group import LineGroup
 from standins.lineplatform.httpstore import HttpStore
 from standins.lineplatform.memorystore import MemoryCoordinationStore, MemoryStore
 
 PROMOTION_S = 0.3  # from the order until the new primary leads
+ORDER_S = (0.3, 1.2)  # the same if orders take effect late
+_LATE_ORDER_S = (1.2, 4.0)  # and sometimes
+_LATE_ORDER_SHARE = 0.25
+_TWICE_SHARE = 0.3  # of the orders that take effect late
 DEMOTION_S = 1.0  # until a replaced primary learns of it
 ENTRY_EXPIRY_S = 1.5  # three heartbeat intervals without a sign of a crashed server
 LEAVING_S = 3.0  # how long a leaving server serves after its report, told to the hosts
 LEAVING_EXTRA_S = 1.5  # "a little longer", in which nobody may use it
+SERVICES = (SERVICE, "archive", "stock")
 MAX_STALENESS_S = {"bookings": 0.0, "views": 1.5, "orders": 2.5}
 OPTIONAL_DATABASE = "extra"  # its route is added and removed
 _BUSY_STATUSES = (429, 503)
@@ -54,8 +61,9 @@
         store: MemoryStore,
         sources: dict[int, str],
         rng: random.Random,
+        service: str = SERVICE,
     ) -> None:
-        super().__init__(SERVICE, names)
+        super().__init__(service, names)
         self.servers = {name: SoakServer(self, name) for name in names}
         self.primary = self.servers[names[0]]
         self.primary.role = "primary"
@@ -72,6 +80,16 @@
         self.applies_at_promotion = random.Random(f"promotion {rng.random()}").random() < 0.5
         self.apply_s = APPLY_S
         self.rolled_back: set[str] = set()
+        self.changes: list[PrimaryChange] = []
+        self.former_writes: list[FormerWrite] = []
+        self.state_counts: Counter[str] = Counter()  # of states that are hard to reach
+        # Whether orders to promote take effect late, twice, and out of order, whatever their token.
+        self.takes_orders_late = False
+        self.order_rng = random.Random("orders")
+        self.orders_in_effect: list[Order] = []
+        self.slot_count = 0  # of each server; 0: no limit
+        # Whether a server runs later what it received while it was silent or its sender left.
+        self.runs_received_later = False
         self.demotion_s = DEMOTION_S
         self.is_promotion_answer_lost = False
         self._store = store
@@ -96,22 +114,51 @@
         self.promotions.append((holder, backend, token))
         running = [each for each in self.servers.values() if each.is_running]
         chosen = next((each for each in running if each.backend == backend), None)
-        if chosen is None or service != SERVICE:
+        if chosen is None or service != self.service:
             return PromotionOutcome.NOT_RUNNING
-        self.start_task(self._lead_soon(chosen, token))
+        order = self._record_order(chosen, token)
+        if not self.takes_orders_late:
+            self.start_task(self._lead_soon(chosen, order))
+        elif chosen is not self.primary or chosen.role != "primary":
+            for delay_s in draw_order_delays(self.order_rng):
+                self.start_task(self._lead_late(chosen, order, delay_s))
         return PromotionOutcome.ACCEPTED
 
-    async def _lead_soon(self, chosen: SoakServer, token: FencingToken) -> None:
-        await asyncio.sleep(PROMOTION_S)
-        if chosen.is_running and token == max(each[2] for each in self.promotions):
-            self.make_primary(chosen)
+    def _record_order(self, chosen: SoakServer, token: int = 0) -> Order:
+        now_s, primary = asyncio.get_running_loop().time(), self.primary
+        is_planned = primary.leaving_since_s is not None
+        was_served = primary.is_running and primary.answered_s >= now_s - SERVED_S
+        return Order(now_s, chosen.backend, primary.address, is_planned, was_served, token)
 
-    def make_primary(self, new_primary: SoakServer) -> None:
+    async def _lead_soon(self, chosen: SoakServer, order: Order) -> None:
+        await asyncio.sleep(PROMOTION_S)
+        if chosen.is_running and order.token == max(each[2] for each in self.promotions):
+            self.make_primary(chosen, order)
+
+    async def _lead_late(self, chosen: SoakServer, order: Order, delay_s: float) -> None:
+        """Let a server lead whatever was ordered since, as a platform that checks no token."""
+        await asyncio.sleep(delay_s)
+        is_there = chosen.is_running and chosen.backend == order.chosen
+        if not is_there or (chosen is self.primary and chosen.role == "primary"):
+            return
+        if order in self.orders_in_effect:
+            self.state_counts["orders that took effect twice"] += 1
+        if any(each.at_s > order.at_s for each in self.orders_in_effect):
+            self.state_counts["orders that took effect after a newer one"] += 1
+        if delay_s > ORDER_S[1]:
+            self.state_counts["orders that took effect late"] += 1
+        self.orders_in_effect.append(order)
+        self.make_primary(chosen, order)
+
+    def make_primary(self, new_primary: SoakServer, order: Order | None = None) -> None:
         """Let a server lead the next term; the old primary learns of it later."""
         old = self.primary
         if new_primary is old:
+            self._lead_again()
             return
-        self.rolled_back |= old.received_elements - new_primary.received_elements
+        lost = frozenset(old.received_elements - new_primary.received_elements)
+        self.rolled_back |= lost
+        self._record_change(old, new_primary, order or self._record_order(new_primary), lost)
         if self.applies_at_promotion:
             new_primary.apply_all()
         learns = {server: server.learns_of_promotions for server in self.servers.values()}
@@ -120,15 +167,55 @@
         super().make_primary(new_primary)
         for server, value in learns.items():
             server.learns_of_promotions = value
+            server.held_term = 0
             if server not in (old, new_primary) and server.is_receiving:
                 server.roll_back_to(new_primary)
         self.start_task(self.register(new_primary))
         if old.is_running:
             self.start_task(self._demote_later(old))
 
+    def _lead_again(self) -> None:
+        """Let a primary that stepped down lead the next term; a primary goes on."""
+        primary = self.primary
+        if primary.role == "primary":
+            return
+        primary.role = "primary"
+        primary.term = max(server.term for server in self.servers.values()) + 1
+        self.state_counts["primaries that led again after STEPDOWN"] += 1
+        for server in self.servers.values():
+            server.held_term = 0
+            if server is not primary and server.is_receiving:
+                server.follow(primary)
+        self.start_task(self.register(primary))
+
+    def handle_step_down(self, server: SoakServer) -> None:
+        """Register a primary that has become a replica by STEPDOWN."""
+        kind = "primaries" if server is self.primary else "former primaries"
+        self.state_counts[f"{kind} that stepped down"] += 1
+        self.start_task(self.register(server))
+
+    def _record_change(
+        self, old: SoakServer, new: SoakServer, order: Order, lost: frozenset[str]
+    ) -> None:
+        waiting = "writes that stood in a queue while their primary was replaced"
+        self.state_counts[waiting] += old.waiting_writes
+        # An order that was given for another primary takes effect late; no plan of this one's.
+        is_for_this = order.primary == old.address
+        match is_for_this and order.was_served, old.is_running:
+            case True, True:
+                state = FormerPrimary.SERVING
+            case True, False:
+                state = FormerPrimary.ENDED_SINCE_ORDER
+            case False, is_running:
+                state = FormerPrimary.UNREACHABLE if is_running else FormerPrimary.GONE
+        is_planned = order.is_planned and is_for_this
+        now_s = asyncio.get_running_loop().time()
+        self.changes.append(PrimaryChange(now_s, old.backend, new.backend, is_planned, state, lost))
+
     async def _demote_later(self, old: SoakServer) -> None:
         await asyncio.sleep(self.demotion_s)
-        if old is not self.primary and old.role == "primary":
+        is_behind = old is not self.primary and old.term < self.primary.term
+        if is_behind and old.is_running and not old.held_term:
             old.roll_back_to(self.primary)
             await self.register(old)
 
@@ -146,6 +233,8 @@
         """Start a crashed server, as a replica if another leads."""
         if server.is_running:
             return
+        server.held_term = 0
+        server.role = "primary"  # a restart forgets STEPDOWN
         if server is not self.primary:
             server.follow(self.primary)
         server.born += 1
@@ -170,6 +259,15 @@
         await self.restart(server)
 
 
+def draw_order_delays(rng: random.Random) -> tuple[float, ...]:
+    """Return after which seconds an order takes effect, once or twice."""
+    times = 2 if rng.random() < _TWICE_SHARE else 1
+    return tuple(
+        rng.uniform(*(_LATE_ORDER_S if rng.random() < _LATE_ORDER_SHARE else ORDER_S))
+        for _ in range(times)
+    )
+
+
 class StoreMode(Enum):
     """Way in which the store treats calls."""
 
@@ -196,11 +294,11 @@
 class StoreFront(HttpStore):
     """Store as one host sees it: the addresses in it are those of the host's own relay links."""
 
-    def __init__(self, store: MemoryStore, state: StoreState, group: SoakGroup) -> None:
+    def __init__(self, store: MemoryStore, state: StoreState, groups: Iterable[SoakGroup]) -> None:
         super().__init__(store)
         self.view: dict[int, int] = {}  # port of the relay link by true port
         self._state = state
-        self._group = group
+        self._groups = {group.service: group for group in groups}
         self._shared_store = store
         self._store = self  # calls that write go through ``transact``
         self._client = _ViewClient(store, self.view)
@@ -248,15 +346,19 @@
                 await handler(request)
                 return _lose_answer(request)
         response = await handler(request)
-        if request.path == "/failover" and self._group.is_promotion_answer_lost:
+        is_lost = any(group.is_promotion_answer_lost for group in self._groups.values())
+        if request.path == "/failover" and is_lost:
             return _lose_answer(request)
         return response
 
     async def _promote(self, request: web.Request) -> web.Response:
         body = await request.json()
         holder, token = request.headers["Lease-Holder"], int(request.headers["Fencing-Token"])
-        outcome = await self._group.promote(
-            ServiceName(body["backend"]), BackendId(body["id"]), HostId(holder), FencingToken(token)
+        service = ServiceName(body["backend"])
+        if service not in self._groups:
+            return web.Response(status=409)
+        outcome = await self._groups[service].promote(
+            service, BackendId(body["id"]), HostId(holder), FencingToken(token)
         )
         return web.Response(status=409 if outcome is PromotionOutcome.NOT_RUNNING else 200)
 
@@ -298,9 +400,12 @@
 class Operators:
     """Operators that change the configuration and know since when it holds."""
 
-    def __init__(self, store: MemoryStore, max_connections: int) -> None:
+    def __init__(
+        self, store: MemoryStore, max_connections: int, services: Iterable[str] = (SERVICE,)
+    ) -> None:
         self._store = store
         self._max_connections = max_connections
+        self._services = tuple(services)
         self._version = 0
         self.has_optional_route = False
         self.changed_at_s = 0.0
@@ -309,24 +414,38 @@
         """Write the next version, which changes time limits and adds or removes a route."""
         self._version += rng.randint(1, 4)
         self.has_optional_route = not self.has_optional_route
-        databases = [*MAX_STALENESS_S, *([OPTIONAL_DATABASE] if self.has_optional_route else [])]
-        routes = [_make_route(each, rng.choice((900, 1000, 1100))) for each in databases]
-        services = [{"name": SERVICE, "max_conns": self._max_connections}]
+        databases = [
+            (each, service) for service in self._services for each in list_databases(service)
+        ]
+        databases += [(OPTIONAL_DATABASE, SERVICE)] if self.has_optional_route else []
+        routes = [_make_route(*each, rng.choice((900, 1000, 1100))) for each in databases]
+        services = [{"name": each, "max_conns": self._max_connections} for each in self._services]
         document = {"version": self._version, "routes": routes, "backends": services}
         document["limits"] = {"tx_idle_ms": 1500}
         await self._store.put(CONFIGURATION_KEY, json.dumps(document).encode())
         self.changed_at_s = asyncio.get_running_loop().time()
 
 
-def _make_route(database: str, timeout_ms: int) -> dict[str, Any]:
+def list_databases(service: str) -> list[str]:
+    """Return the databases of a service, one for each kind of route."""
+    return [each if service == SERVICE else f"{each}-{service}" for each in MAX_STALENESS_S]
+
+
+def find_kind(database: str) -> str:
+    """Return the key in ``MAX_STALENESS_S`` of a database."""
+    return database.partition("-")[0]
+
+
+def _make_route(database: str, service: str, timeout_ms: int) -> dict[str, Any]:
+    kind = find_kind(database)
     kinds = {"views": "bounded_staleness", "orders": "read_your_writes"}
     return {
         "name": f"r-{database}",
         "database": database,
-        "backend": SERVICE,
-        "route_type": kinds.get(database, "primary"),
+        "backend": service,
+        "route_type": kinds.get(kind, "primary"),
         "timeout_ms": timeout_ms,
         "target_latency_ms": 1500,
-        "priority": list(MAX_STALENESS_S).index(database) if database in MAX_STALENESS_S else 1,
-        "max_staleness_ms": MAX_STALENESS_S.get(database, 0) * 1000 or 1000,
+        "priority": list(MAX_STALENESS_S).index(kind) if kind in MAX_STALENESS_S else 1,
+        "max_staleness_ms": MAX_STALENESS_S.get(kind, 0) * 1000 or 1000,
     }
--- a/soak/report.py
+++ b/soak/report.py
@@ -32,6 +32,7 @@
     announcement_count: int = 0  # sessions whose host announced its end
     cuts: tuple[CutRequest, ...] = ()
     statement_counts: Mapping[str, int] = field(default_factory=dict)
+    state_counts: Mapping[str, int] = field(default_factory=dict)  # states of the platform
 
     def counts(self) -> dict[str, int]:
         """Return the number of operations by how they ended."""
@@ -50,7 +51,7 @@
         cuts = ", ".join(f"{count} {kind.value}" for kind, count in self.cut_counts().items())
         lines = [
             f"seed {plan.seed}: {plan.host_count} hosts with {plan.idle_callers} idle callers each,"
-            f" {plan.max_connections} connections for each server,"
+            f" {plan.max_connections} connections for each server, {plan.describe_harshness()},"
             f" {self.duration_s:.0f} s from "
             f"{self.started_at:%H:%M:%S.%f}, "
             f"{len(plan.faults)} faults ({plan.theme.value}), "
@@ -62,6 +63,9 @@
         ]
         statements = sorted(self.statement_counts.items())
         lines.append("  " + ", ".join(f"{count} {name}" for name, count in statements))
+        if self.state_counts:
+            states = sorted(self.state_counts.items())
+            lines.append("  states: " + "; ".join(f"{count} {name}" for name, count in states))
         by_promise = Counter(finding.promise for finding in self.findings)
         lines += [f"  {count} x {promise}" for promise, count in by_promise.items()]
         lines += [f"    {each.at_s:.3f} {each.detail}" for each in self.findings[:MAX_DETAILS]]
@@ -77,6 +81,10 @@
             "theme": self.plan.theme.value,
             "idle_callers": self.plan.idle_callers,
             "max_connections": self.plan.max_connections,
+            "slots": self.plan.slots,
+            "runs_received_later": self.plan.runs_received_later,
+            "takes_orders_late": self.plan.takes_orders_late,
+            "services": self.plan.services,
             "faults": [_fault_document(fault) for fault in self.plan.faults],
             "counts": self.counts(),
             "promotions": self.promotion_count,
@@ -86,6 +94,7 @@
             "announced_ends": self.announcement_count,
             "cut_counts": {kind.name: count for kind, count in self.cut_counts().items()},
             "statement_counts": dict(self.statement_counts),
+            "state_counts": dict(self.state_counts),
             "cuts": [{**asdict(cut), "kind": cut.kind.name} for cut in self.cuts],
             "findings": [asdict(finding) for finding in self.findings],
         }
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import random
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from hickorywind.ids import Address, BackendId
+from soak.slots import SLOT_S, SLOT_WORDS, TIMED_WORDS, ReceivedLines, Slots
 from soak.statements import (
     OWN_REQUEST_ID,
     ServerStatement,
@@ -30,6 +33,8 @@
 SETUP_WORDS = ("SET", "RESET", "PREPARE")
 NETWORK_S = 0.002  # until a replica receives a commit
 APPLY_S = 0.02  # until it has applied the commit, on average
+_SILENT_POLL_S = 0.01
+_MAX_SLOT_DELAY_S = 0.2  # of a slow server, which has to work off its queue
 _PART_PAUSE_S = (0.0005, 0.02)
 _MAX_PARTS = 6
 _MALFORMED_ANSWER = "ROW \r\nNONSENSE 1 2\r\n"
@@ -55,6 +60,31 @@
     writes: tuple[tuple[str, str], ...]
 
 
+@dataclass(frozen=True)
+class FormerWrite:
+    """Statement that writes, or a commit, which a server ran after another one was promoted."""
+
+    at_s: float
+    request_id: str
+    backend: BackendId
+    elements: tuple[str, ...]  # that it committed
+    is_answered: bool = True  # its sender was still there
+
+
+@dataclass(eq=False)
+class SoakConnection(ServerConnection):
+    """Connection to a server of the soak."""
+
+    is_closed_here: bool = False  # by the server, which runs nothing more from it
+    lines: ReceivedLines | None = None
+
+    @property
+    def has_ended(self) -> bool:
+        """Return whether its sender has left."""
+        has_read_end = self.lines is not None and self.lines.has_ended
+        return has_read_end or self.writer.transport.is_closing()
+
+
 @dataclass
 class AnswerFaults:
     """Shares of statements and answers that all servers harm."""
@@ -95,6 +125,11 @@
         self.malformed_answers = 0
         self.leaving_since_s: float | None = None
         self.born = 1
+        self.slot_rng = random.Random(f"slots {name}")
+        self.slots = Slots(0, self.slot_rng)
+        self.held_term = 0  # of the PAUSE in force; 0: it receives
+        self.waiting_writes = 0  # received, not run yet
+        self.answered_s = float("-inf")  # when it last answered a statement
         self._busy_until_s = 0.0
         self.log_term = self.term  # of the last applied commit
         self._unapplied: deque[LogEntry] = deque()  # received, not seen by statements yet
@@ -102,6 +137,7 @@
 
     async def start(self) -> None:
         """Start listening, after a restart at the same address as before."""
+        self.slots = Slots(self.group.slot_count, self.slot_rng)
         self._server = await asyncio.start_server(
             self._serve, self.address.host, self.address.port, limit=2 * MAX_MESSAGE_BYTES
         )
@@ -109,23 +145,22 @@
         self.address = Address("127.0.0.1", port)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        connection = ServerConnection(writer)
+        connection = SoakConnection(writer)
         self._connections.add(connection)
         rng, faults = self.group.rng, self.group.answer_faults
+        if self.group.runs_received_later:
+            connection.lines = ReceivedLines(reader)
+        lines = connection.lines or reader
         try:
-            while line := await reader.readline():
+            while line := await lines.readline():
                 if not line.endswith(b"\r\n"):
                     self.group.on_half_line()
                     break
-                if self.is_silent:
+                if self.is_silent and not self.group.runs_received_later:
                     continue
-                await asyncio.sleep(self.delay_seconds)
-                if writer.transport.is_closing():
-                    break
                 is_cut = line.startswith(b"QUERY") and rng.random() < faults.cut
-                if is_cut and rng.random() < 0.3:
-                    break
-                reply = self._answer(connection, line.decode().removesuffix("\r\n"))
+                is_left_out = is_cut and rng.random() < 0.3
+                reply = await self._run_line(connection, line, is_left_out)
                 if reply is None or self._loses_answer(line):
                     break
                 if is_cut:
@@ -133,13 +168,61 @@
                     await writer.drain()
                     break
                 await self._send(writer, reply.encode())
+                self.answered_s = asyncio.get_running_loop().time()
         except ConnectionError:
             pass
         finally:
+            if connection.lines is not None:
+                connection.lines.close()
             self._connections.discard(connection)
             # Sends what is still buffered, unless the connection is broken.
             writer.close()
 
+    async def _run_line(
+        self, connection: SoakConnection, line: bytes, is_left_out: bool
+    ) -> str | None:
+        """Return the answer to a line, or None if the server ends the connection instead."""
+        born, text = self.born, line.decode().removesuffix("\r\n")
+        statement = text.split(" ", 2)[-1] if text.startswith("QUERY ") else text
+        word = remove_position(statement).partition(" ")[0]
+        is_write = self._writes(connection, statement)
+        counts = self.group.state_counts
+        self.waiting_writes += is_write
+        try:
+            async with self.slots.occupy() if word in SLOT_WORDS else contextlib.nullcontext():
+                await self._spend_time(word)
+                if not self.is_running or self.born != born or connection.is_closed_here:
+                    return None
+                has_ended = connection.has_ended
+                if is_left_out or (has_ended and not self.group.runs_received_later):
+                    return None
+                counts["statements that ran after their sender had left"] += has_ended
+                counts["writes that ran after their sender had left"] += has_ended and is_write
+                return self._answer(connection, text)
+        finally:
+            self.waiting_writes -= is_write
+
+    async def _spend_time(self, word: str) -> None:
+        delay_s = self.delay_seconds
+        if self.group.slot_count and word in TIMED_WORDS:
+            delay_s = min(delay_s, _MAX_SLOT_DELAY_S) + self.slot_rng.uniform(*SLOT_S)
+        await asyncio.sleep(delay_s)
+        if self.group.runs_received_later:
+            self.group.state_counts["lines that waited at a silent server"] += self.is_silent
+            while self.is_silent:
+                await asyncio.sleep(_SILENT_POLL_S)
+
+    def _writes(self, connection: ServerConnection, text: str) -> bool:
+        """Return whether a statement is a write, or a COMMIT of writes."""
+        match text.split(" ", 2):
+            case ["WRITE", *_]:
+                return True
+            case ["COMMIT"]:
+                return bool(connection.transaction)
+            case ["EXECUTE", name, *_]:
+                return connection.prepared_statements.get(name, ("",))[0] == "WRITE"
+        return False
+
     async def _send(self, writer: asyncio.StreamWriter, reply: bytes) -> None:
         rng = self.group.rng
         if rng.random() < self.group.answer_faults.split:
@@ -157,13 +240,14 @@
         for connection in list(self._connections):
             is_open = not connection.writer.transport.is_closing()
             if is_open and connection.transaction is None and self.group.rng.random() < 0.5:
+                connection.is_closed_here = True
                 if self.group.rng.random() < 0.3:
                     connection.writer.write(f"ERROR BUSY {self.backend}\r\n".encode())
                 connection.writer.close()
 
     # Statements --------------------------------------------------------------------------------
 
-    def _answer(self, connection: ServerConnection, line: str) -> str | None:
+    def _answer(self, connection: SoakConnection, line: str) -> str | None:
         word, _, rest = line.partition(" ")
         if word != "QUERY" or not connection.is_open:
             return super()._answer(connection, line)
@@ -174,6 +258,8 @@
             continues = transaction is not None and transaction.owner is not None
             run = StatementRun(request_id, host, self.backend, self.leaving_since_s, continues)
             self.group.on_statement(run)
+        is_former_write = self is not self.group.primary and self._writes(connection, text)
+        stray_count = len(self.group.commits_of_former_primary)
         values = dict(connection.settings)
         shape = self._find_shape(connection, text)
         body = self._refuse(connection, remove_position(text))
@@ -181,6 +267,8 @@
             body = self._run_statement(connection, request_id, text)
         words = (body or "").split(" ", 2)
         error_code = words[1] if words[0] == "ERROR" else ""
+        if is_former_write and not error_code:
+            self._record_former_write(connection, request_id, stray_count)
         has_ended = transaction is not None and connection.transaction is None
         if has_ended and (error_code or text == "ROLLBACK") and self.group.rolls_back_sessions:
             connection.settings, connection.prepared_statements = transaction.session_before
@@ -204,6 +292,16 @@
             return _MALFORMED_ANSWER
         return f"{body}READY {self._state(connection, error_code)} {self.position}\r\n"
 
+    def _record_former_write(
+        self, connection: SoakConnection, request_id: str, stray_count: int
+    ) -> None:
+        strays = self.group.commits_of_former_primary[stray_count:]
+        elements = tuple(element for _, element in strays)
+        now_s = asyncio.get_running_loop().time()
+        is_answered = not connection.has_ended
+        write = FormerWrite(now_s, request_id, self.backend, elements, is_answered)
+        self.group.former_writes.append(write)
+
     def _state(self, connection: ServerConnection, error_code: str) -> str:
         """Return the state letter; an error other than BUSY fails an open transaction."""
         if connection.transaction is None:
@@ -256,10 +354,15 @@
     ) -> str | None:
         if text.startswith("PREPARE ") and not connection.has_failed:
             return _prepare(connection, text)
+        if text.startswith(("PAUSE", "RESUME")) and not connection.has_failed:
+            return self._hold(text)
+        was_primary = self.role == "primary"
         text, _, padding = text.partition(PADDING_MARK)
         body = super()._run_statement(connection, request_id, text)
         if body is None or body.startswith("ERROR"):
             return body
+        if was_primary and self.role != "primary":
+            self.group.handle_step_down(self)
         word, _, rest = remove_position(text).partition(" ")
         if word == "BEGIN":
             connection.transaction = ServerTransaction(self.backend, rest == "READ")
@@ -270,6 +373,29 @@
             return f"{row}\r\nROW {'x' * int(padding)}\r\n{completion}"
         return body
 
+    def _hold(self, text: str) -> str:
+        """Stop or resume receiving, and return the status row."""
+        word, _, term = text.partition(" ")
+        if word == "RESUME":
+            self.resume()
+        elif not term.isdecimal():
+            return "ERROR MALFORMED no such term\r\n"
+        elif self.role == "replica" and int(term) > max(self.term, self.held_term):
+            self.held_term = int(term)
+            self.group.state_counts["replicas that were paused"] += 1
+        return self._status_row()
+
+    def resume(self) -> None:
+        """Receive again, and first what came meanwhile."""
+        was_held, self.held_term = self.held_term, 0
+        if was_held and self.is_receiving and self.role == "replica":
+            self.follow(self.group.primary)
+
+    def _status_row(self) -> str:
+        busy, count = self.waiting_writes, len(self._connections)
+        row = f"{self.role} {self.term} {self.received_position} {self.held_term} 0 {busy} {count}"
+        return f"ROW {row}\r\nCOMPLETE -\r\n"
+
     # Replication -------------------------------------------------------------------------------
 
     @property
@@ -318,7 +444,8 @@
     def receive(self, entry: LogEntry) -> None:
         """Receive the next commit of the primary that this replica follows."""
         is_next = entry.term == self.term and entry.number == self.received_number + 1
-        if is_next and self.is_receiving and self.is_running and self.role == "replica":
+        receives = self.is_receiving and not self.held_term and self.role == "replica"
+        if is_next and receives and self.is_running:
             self._apply_later((entry,))
 
     def _apply_later(self, entries: Iterable[LogEntry]) -> None:
@@ -366,7 +493,7 @@
         """Return the entry that the server writes into the store."""
         return json.dumps(
             {
-                "backend": SERVICE,
+                "backend": self.group.service,
                 "address": str(self.address),
                 "zone": zone,
                 "version": "1",
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -4,7 +4,7 @@
 from datetime import UTC, datetime
 from pathlib import Path
 
-from soak.plan import CHANGE_KINDS, FaultKind, Plan, Theme
+from soak.plan import CHANGE_KINDS, STALL_KINDS, FaultKind, Plan, Theme
 from soak.report import Report
 
 
@@ -44,3 +44,65 @@
             Report(plan, 30.0, datetime.now(UTC), (), (), 0, 0, 0, 0.0).write(Path(folder))
             text = (Path(folder) / "report.json").read_text()
         self.assertEqual(Plan.from_document(json.loads(text)), plan)
+
+    def test_planned_changes_beside_lagging_replicas_in_a_third_of_the_other_seeds(self):
+        plans = [Plan.from_seed(seed, 20, 4) for seed in range(120)]
+        plans = [plan for plan in plans if plan.theme is not Theme.STOPS]
+        lagging = [plan for plan in plans if _has_lagging_change(plan)]
+        self.assertGreater(len(lagging), len(plans) / 3)
+
+    def test_each_harsh_property_is_drawn_in_a_third_of_the_other_seeds(self):
+        plans = [Plan.from_seed(seed, 20, 4) for seed in range(120)]
+        others = [plan for plan in plans if plan.theme is not Theme.STOPS]
+        for name in ("slots", "runs_received_later", "takes_orders_late"):
+            harsh = [plan for plan in plans if getattr(plan, name)]
+            self.assertGreater(len(harsh), len(others) / 3, name)
+            self.assertTrue(all(plan in others for plan in harsh))
+        unplanned = [plan for plan in others if plan.theme is not Theme.PLANNED]
+        for plan in (plan for plan in unplanned if plan.takes_orders_late):
+            self.assertTrue(_has_quick_change(plan), plan.seed)
+        released = [plan for plan in others if plan.services > 1]
+        self.assertGreater(len(released), len(others) / 3)
+        for plan in released:
+            kinds = [fault.kind for fault in plan.faults]
+            self.assertIn(FaultKind.SERVERS_RELEASED, kinds)
+            services = {each.service for each in plan.faults}
+            self.assertTrue(services <= set(range(plan.services)))
+        used = {each.service for plan in released for each in plan.faults}
+        self.assertEqual(used, {0, 1, 2})
+        late = [plan for plan in unplanned if plan.runs_received_later]
+        self.assertTrue(all(_has_stalled_change(plan) for plan in late))
+
+
+def _has_lagging_change(plan):
+    lags = [fault for fault in plan.faults if fault.kind is FaultKind.SERVER_LAGS]
+    leaves = [fault for fault in plan.faults if fault.kind is FaultKind.PRIMARY_LEAVES]
+    return any(
+        {
+            lag.server
+            for lag in lags
+            if lag.at_s < leaving.at_s < lag.until_s and lag.service == leaving.service
+        }
+        == {0, 1, 2}
+        for leaving in leaves
+    )
+
+
+def _has_quick_change(plan):
+    leaves = [fault for fault in plan.faults if fault.kind is FaultKind.PRIMARY_LEAVES]
+    crashes = [fault for fault in plan.faults if fault.kind is FaultKind.PRIMARY_CRASHES]
+    return any(
+        1 < crash.at_s - leaving.at_s < 6 and crash.service == leaving.service
+        for leaving in leaves
+        for crash in crashes
+    )
+
+
+def _has_stalled_change(plan):
+    leaves = [fault for fault in plan.faults if fault.kind is FaultKind.PRIMARY_LEAVES]
+    stalls = [fault for fault in plan.faults if fault.kind in STALL_KINDS]
+    return any(
+        -2 < stall.at_s - leaving.at_s < 1 and stall.service == leaving.service
+        for leaving in leaves
+        for stall in stalls
+    )
