--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -422,6 +422,8 @@
         received, has_received = None, False
         while (backend := runtime.backends.get(record.candidate)) is not None:
             status = await query_server(runtime, backend)
+            if status is not None and (status.leading_term or Term(0)) > record.term:
+                return  # its promotion has ended the old log
             received = None if status is None else status.received_position
             has_received = received is not None and received >= end
             if has_received or self._clock.now() >= deadline:
