A host that alone can't reach a leaving primary sends work for it to other hosts

Cause: a host that waits for a successor checked a silent primary and used the verdict only if the primary had failed.

Change: it applies each verdict, and uses the primary again with its next status.

--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -454,8 +454,15 @@
             if backend is None:
                 return True
             deadline = runtime.leaving_deadline(backend)
+            is_usable = runtime.primary_state is PrimaryState.USABLE
             comparison = await wait_for_catch_up(
-                runtime, primary, successor, ended_term, self._clock, deadline, is_serving=True
+                runtime,
+                primary,
+                successor,
+                ended_term,
+                self._clock,
+                deadline if is_usable else self._fleet.now(),
+                is_serving=True,
             )
             if self._fleet.permits.leadership(runtime.name) != leadership:
                 raise PrimaryChangeCancelledError("another host wrote the leadership record first")
@@ -466,11 +473,11 @@
                     return True
                 case CatchUp.PRIMARY_SILENT:
                     verdict = await check_primary(runtime, self._peers, primary)
+                    self._apply_verdict(runtime, primary, verdict, "no answer to a status query")
                     if verdict in (PrimaryVerdict.FAILED, PrimaryVerdict.LOST_LEAD):
-                        self._apply_verdict(
-                            runtime, primary, verdict, "no answer to a status query"
-                        )
                         return False
+                case CatchUp.BEHIND:
+                    runtime.set_primary_state(PrimaryState.USABLE)
             if self._fleet.now() >= deadline:
                 return True
             await asyncio.sleep(PROMOTION_POLL_INTERVAL.total_seconds())
--- a/tests/host/test_completelog.py
+++ b/tests/host/test_completelog.py
@@ -5,8 +5,10 @@
 from unittest import mock
 
 from hickorywind.failover.leadership import LeadershipPhase, LeadershipRecord, encode_record
+from hickorywind.host.detection import PrimaryVerdict
 from hickorywind.host.fleet import LEADERSHIP_PREFIX
 from hickorywind.host.service import LEAVING_END_MARGIN, LEAVING_USE_FRACTION
+from hickorywind.host.servicestate import PrimaryState
 from hickorywind.ports.coordination import PromotionOutcome
 from standins.lineplatform.group import LineServer
 from tests.host.faults import HOST_COUNT, HOST_FAULTS, MAX_DURATION_MS, Fault, FaultKind
@@ -238,6 +240,21 @@
         await self.leave()
         await self.assert_replaced()
 
+    async def test_work_goes_to_other_hosts_while_only_they_reach_the_primary(self):
+        await self.lag(self.second, self.third)
+        await self.leave()
+        await asyncio.sleep(1.0)
+        verdict = mock.AsyncMock(return_value=PrimaryVerdict.REACHED_BY_OTHERS)
+        with mock.patch("hickorywind.host.failovermanager.check_primary", verdict):
+            self.primary.is_silent = True
+            await self.wait_until(lambda: PrimaryState.UNREACHABLE in self.states(), 1.0)
+            self.primary.is_silent = False
+            await self.wait_until(lambda: self.states() == {PrimaryState.USABLE}, 1.0)
+        self.assertEqual(self.promoted(), [])
+
+    def states(self):
+        return {host.role._services[SERVICE].primary_state for host in self.hosts.values()}
+
 
 class TakeoverTest(CompleteLogTestCase):
     async def close(self, candidate, is_planned=True):
