Soak: a write in a transaction that only reads needs no newer log than its reads

Cause: the soak's. A caller that leaves sends a write without waiting, also in `BEGIN READ` on a route of bounded staleness. It was judged as work of a primary (staleness 0), although its transaction may run 1.5 s behind and commits nothing.

Change: the route's bound goes to the checker, which takes 0 for a write alone and for every statement of a transaction that may write. The check is as strict for all of these; only writes in a transaction that only reads get the bound of their transaction.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -425,10 +425,11 @@
             request_id,
             self._session,
             sent_s,
-            0.0 if mode == "WRITE" else MAX_STALENESS_S[self._kind],
+            MAX_STALENESS_S[self._kind],
             self._kind == "orders",
             self._state.transaction,
             self._service,
+            is_write=mode == "WRITE",
         )
 
     def _next_request_id(self) -> str:
--- a/soak/freshness.py
+++ b/soak/freshness.py
@@ -62,13 +62,17 @@
         reads_own_writes: bool,
         transaction: CallerTransaction | None,
         service: str = "",
+        is_write: bool = False,
     ) -> None:
-        """Record a statement when a caller sends it; one in a transaction counts from its BEGIN."""
-        started_s = sent_s
+        """Record a statement when a caller sends it; one in a transaction counts from its BEGIN.
+
+        Only a primary may run a write, or a transaction that may write.
+        """
+        started_s, needs_primary = sent_s, is_write
         if transaction is not None:
-            started_s = transaction.started_s
-            if not transaction.is_read_only:
-                max_staleness_s = 0.0
+            started_s, needs_primary = transaction.started_s, not transaction.is_read_only
+        if needs_primary:
+            max_staleness_s = 0.0
         self._expectations[request_id] = _Expectation(
             session, started_s, max_staleness_s, reads_own_writes, service
         )
