Soak: a connection opened on a link that was silent for long passes nothing on

Links that were silent for over 3 s are said to be reset.

Cause: the soak's. `release` resets what is connected, but `_serve` of a connection that was opened meanwhile then went on.

Change: it ends if it was reset. A shorter silence still passes on what came.

--- a/soak/relay.py
+++ b/soak/relay.py
@@ -104,6 +104,8 @@
         target_writer = None
         try:
             await self._passing[Direction.OUTWARD].wait()
+            if writer.transport.is_closing():
+                return  # reset, and never connected to the target
             target_reader, target_writer = await asyncio.open_connection(
                 self._target.host, self._target.port
             )
--- a/tests/soak/test_relay.py
+++ b/tests/soak/test_relay.py
@@ -1,8 +1,10 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
 from hickorywind.ids import Address
+from soak import relay
 from soak.relay import Direction, RelayLink, replace_ports
 from tests.ports import free_address
 
@@ -22,6 +24,7 @@
 
 class RelayLinkTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
+        self.received = []
         self.target = await asyncio.start_server(self.echo, "127.0.0.1", 0)
         port = self.target.sockets[0].getsockname()[1]
         self.link = RelayLink(free_address(), Address("127.0.0.1", port), {}, "h0")
@@ -40,6 +43,7 @@
     async def echo(self, reader, writer):
         with contextlib.suppress(ConnectionResetError):
             while data := await reader.read(100):
+                self.received.append(data)
                 writer.write(data)
         writer.close()
 
@@ -54,6 +58,19 @@
         async with asyncio.timeout(2):
             self.assertEqual(await self.reader.readexactly(19), b"at 127.0.0.1:31999.")
 
+    async def test_connection_that_was_opened_while_held_long_passes_nothing(self):
+        listen = self.link.listen
+        for limit_s, expected in ((0.05, []), (60.0, [b"order"])):
+            with mock.patch.object(relay, "_PEER_UNREACHABLE_S", limit_s):
+                self.link.hold(Direction.OUTWARD)
+                _, writer = await asyncio.open_connection(listen.host, listen.port)
+                self.addCleanup(writer.transport.abort)
+                writer.write(b"order")
+                await asyncio.sleep(0.1)
+                self.link.release(Direction.OUTWARD)
+                await asyncio.sleep(0.1)
+            self.assertEqual(self.received, expected, limit_s)
+
     async def test_held_bytes_pass_after_the_last_release(self):
         for direction in Direction:
             self.link.hold(direction)
