Do not repeat an accepted order to promote

Cause: an order without effect after 1.5 s was repeated, also an accepted one. Where the platform is slow both take effect. The later of the two can come after the next change of primary; it then takes the lead away from the server that is used.

--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -48,7 +48,7 @@
 # For a replica to receive the log of a server that claims an old lead, so that it can be promoted
 # instead; log entries cross regions in a fraction of this.
 OLD_LEAD_CATCH_UP_TIMEOUT = timedelta(milliseconds=500)
-PROMOTION_RESEND_INTERVAL = timedelta(milliseconds=1500)  # the order or its answer may be lost
+PROMOTION_RESEND_INTERVAL = timedelta(milliseconds=1500)  # without an answer it may be lost
 STATUS_ATTEMPTS = 2  # a server without a free slot gives no status; a retry mostly gets one
 STATUS_RETRY_DELAY = timedelta(milliseconds=50)
 STEP_DOWN_TIMEOUT = timedelta(milliseconds=400)  # a round trip between regions and a busy slot
@@ -453,8 +453,7 @@
                 if outcome is PromotionOutcome.NOT_RUNNING:
                     return PromotionFailure.NOT_RUNNING
                 was_sent |= outcome is not None
-                delay = STORE_RETRY_DELAY if outcome is None else PROMOTION_RESEND_INTERVAL
-                next_order_at = self._clock.now() + delay
+                next_order_at = self._clock.now() + _order_again_after(outcome)
             backend = runtime.backends.get(record.candidate)
             if backend is None:
                 return PromotionFailure.NOT_RUNNING
@@ -543,6 +542,20 @@
         return outcome
 
 
+def _order_again_after(outcome: PromotionOutcome | None) -> timedelta:
+    """Return when to repeat an order to promote.
+
+    An accepted one is not repeated: both may take effect, the later one after the next change.
+    """
+    match outcome:
+        case None:
+            return STORE_RETRY_DELAY
+        case PromotionOutcome.ACCEPTED:
+            return PROMOTION_TIMEOUT
+        case _:
+            return PROMOTION_RESEND_INTERVAL
+
+
 def _is_planned(runtime: ServiceRuntime, record: LeadershipRecord) -> bool:
     """Return whether the old primary leaves by plan; a change taken up again no longer says so."""
     old = runtime.backends.get(record.primary)
