Give up a primary as soon as another server registers that leads in a newer term

Callers got writes acknowledged by a primary that a late order to promote had replaced, for a second, until it learned of its successor; all of them were lost.

Cause: the successor's entry in the store says primary at once, but hosts read roles only of servers on record. They noticed by answers of the former primary.

Change: a host asks a server whose entry says primary, and that isn't the primary on record, for its term, once for each entry and record. If it leads in a newer term, the primary on record is replaced by it like a failed one; the former one is told to step down.

Evidence: test_primary_that_a_late_promotion_replaced_is_given_up_once_its_successor_registers: TimeoutError before, passed after. tests.host.test_latepromotions, test_promotionterms, test_failovermanager and tests.observability: 73 passed.

--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -39,7 +39,7 @@
     wait_for_catch_up,
 )
 from hickorywind.host.service import ServiceRuntime
-from hickorywind.host.servicestate import PrimaryState
+from hickorywind.host.servicestate import Backend, PrimaryState
 from hickorywind.host.silenthosts import SilentHostFencer
 from hickorywind.host.storerelay import StoreRelay
 from hickorywind.ids import (
@@ -54,7 +54,7 @@
 )
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.placement.rendezvous import rank_members
-from hickorywind.ports.catalog import BackendState
+from hickorywind.ports.catalog import BackendServer, BackendState
 from hickorywind.ports.coordination import CoordinationStore, Promoter
 from hickorywind.ports.replies import ServerStatus
 from hickorywind.store.interface import StoreUnavailableError
@@ -64,6 +64,7 @@
     accepts_connections,
     refuses_connections,
 )
+from hickorywind.util.tasks import BackgroundTasks
 
 logger = logging.getLogger(__name__)
 
@@ -105,6 +106,9 @@
         self._ranks: dict[ServiceName, int] = {}
         self._silent_host_fencer = SilentHostFencer(fleet, coordination_store, self.store, peers)
         self._tasks: dict[ServiceName, asyncio.Task] = {}
+        # The last claim checked of each service, with the revision of its leadership record.
+        self._checked_claims: dict[ServiceName, tuple[Revision, BackendServer]] = {}
+        self._claim_checks = BackgroundTasks()
         # When the closed or unconfirmed record of a service became known.
         self._known_since: dict[ServiceName, tuple[Revision, timedelta]] = {}
         self.is_stopping = False
@@ -156,6 +160,46 @@
                 if not self._is_busy(service):
                     self._check_service(service)
 
+    def check_reported_primaries(self) -> None:
+        """Replace primaries instead of which another registered server leads in a newer term.
+
+        An order to promote may take effect late; the server that it replaces leads on for a while.
+        """
+        for service, runtime in self._services.items():
+            leadership = self._fleet.permits.leadership(service)
+            if leadership is None or self.is_stopping:
+                continue
+            record = leadership.record
+            if record.phase is not LeadershipPhase.OPEN or record.term == 0:
+                continue
+            for backend in runtime.backends.values():
+                claim = leadership.revision, backend.server
+                claims_lead = backend.server.role is InstanceRole.PRIMARY
+                is_other = backend.server.backend != record.primary
+                if claims_lead and is_other and self._checked_claims.get(service) != claim:
+                    self._checked_claims[service] = claim
+                    self._claim_checks.start(self._check_claim(runtime, leadership, backend))
+
+    async def _check_claim(
+        self, runtime: ServiceRuntime, leadership: VersionedLeadership, claimant: Backend
+    ) -> None:
+        status = await query_server(runtime, claimant)
+        led = None if status is None else status.leading_term
+        if led is None or led <= leadership.record.term:
+            return  # its registration is outdated
+        logger.warning(
+            "other_server_leads",
+            extra={"service": runtime.name, "backend": claimant.server.backend, "term": led},
+        )
+        if not self._is_busy(runtime.name):
+            self._start_task(runtime.name, self._replace_overtaken(runtime, leadership))
+
+    async def _replace_overtaken(
+        self, runtime: ServiceRuntime, leadership: VersionedLeadership
+    ) -> None:
+        if await self._defer_to_higher_ranks(leadership, runtime.name):
+            await self._replace_failed(runtime, leadership)
+
     def _check_service(self, service: ServiceName) -> None:
         leadership = self._fleet.permits.leadership(service)
         unconfirmed = self._fleet.permits.unconfirmed(service)
@@ -823,6 +867,7 @@
     def close(self) -> None:
         """Cancel all primary changes and start no more."""
         self.is_stopping = True
+        self._claim_checks.cancel()
         for task in self._tasks.values():
             task.cancel()
 
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -365,6 +365,7 @@
         for service in self._services.values():
             service.host_count = 1 + len(self._peers.table.alive())
             service.refresh()
+        self._failover_manager.check_reported_primaries()
         if self._fleet.configuration is not None:
             self._metrics.configuration_version.set(self._fleet.configuration.version)
             if self._configured_after is None:
--- a/tests/host/test_latepromotions.py
+++ b/tests/host/test_latepromotions.py
@@ -6,6 +6,7 @@
 
 CHANGE_LIMIT_SECONDS = 5.0
 PROMOTION_DELAY_SECONDS = 2.0
+NOTICE_SECONDS = 0.5  # a replaced primary leads for a second
 ROUND_TRIP_SECONDS = 0.005  # between callers and hosts
 
 
@@ -90,3 +91,19 @@
             await asyncio.gather(*delayed)
             await self.write_until_all_succeed(100)
             await self.assert_settled()
+
+    async def test_accepted_order_that_takes_effect_late_is_not_given_twice(self):
+        self.group.promotion_delay_seconds = 3.0
+        await self.group.servers["i-a"].crash()
+        await self.wait_until(lambda: self.leaders() in ({"i-b"}, {"i-c"}))
+        self.assertEqual(len(self.group.promotions), 1)
+
+    async def test_primary_that_a_late_promotion_replaced_is_given_up_once_its_successor_registers(
+        self,
+    ):
+        former, successor = self.group.servers["i-a"], self.group.servers["i-b"]
+        former.learns_of_promotions = False
+        self.group.make_primary(successor)
+        await self.register(successor)
+        await self.wait_until(lambda: self.leaders() == {"i-b"}, NOTICE_SECONDS)
+        self.assertEqual(former.role, "replica")
