The hosts end their open transactions at the same time in a planned change

What callers saw: with transactions open, no primary for up to 2.4 s plus the promotion; a primary that leaves may have ended by then, so that its log could not be compared with that of its successor.

Cause: the promoter asked the other hosts to stop only after its own transactions had ended, each for up to 1.2 s.

Change: it asks them at the same time. Fencing is complete when all have stopped, as before.

--- a/hickorywind/host/fencer.py
+++ b/hickorywind/host/fencer.py
@@ -84,7 +84,16 @@
 
     async def start(self, runtime: ServiceRuntime, closed: VersionedLeadership) -> Fencing:
         """Stop using the primary, ask the other hosts to stop, and end leases of silent hosts."""
-        await self.stop_using_primary(runtime, closed.revision, closed.record.is_planned)
+        is_planned = closed.record.is_planned
+        _, fencing = await asyncio.gather(
+            self.stop_using_primary(runtime, closed.revision, is_planned),
+            self._stop_other_hosts(runtime, closed),
+        )
+        return fencing
+
+    async def _stop_other_hosts(
+        self, runtime: ServiceRuntime, closed: VersionedLeadership
+    ) -> Fencing:
         hosts = await self._other_hosts()
         fencing = Fencing.from_hosts(set(hosts))
         self._records |= hosts
--- a/tests/host/test_completelog.py
+++ b/tests/host/test_completelog.py
@@ -7,7 +7,11 @@
 from hickorywind.failover.leadership import LeadershipPhase, LeadershipRecord, encode_record
 from hickorywind.host.detection import PrimaryVerdict
 from hickorywind.host.fleet import LEADERSHIP_PREFIX
-from hickorywind.host.service import LEAVING_END_MARGIN, LEAVING_USE_FRACTION
+from hickorywind.host.service import (
+    LEAVING_END_MARGIN,
+    LEAVING_USE_FRACTION,
+    TRANSACTION_DRAIN_TIMEOUT,
+)
 from hickorywind.host.servicestate import PrimaryState
 from hickorywind.ports.coordination import PromotionOutcome
 from standins.lineplatform.group import LineServer
@@ -198,6 +202,25 @@
         await self.wait_until(lambda: self.promoted() != [], END_SECONDS + CHANGE_SECONDS)
         await self.wait_until(self.is_open)
 
+    async def test_open_transactions_of_all_hosts_end_at_the_same_time(self):
+        """One host after the other, they may outlast the leaving primary and its log."""
+
+        async def stay_open(host):
+            caller = await self.caller("bookings", host)
+            await caller.ask("BEGIN")
+            while (await caller.ask("READ kiln"))[0]:
+                await asyncio.sleep(0.3)
+
+        for name in self.hosts:
+            staying = asyncio.create_task(stay_open(name))
+            self.addCleanup(staying.cancel)
+        await asyncio.sleep(0.5)
+        await self.leave()
+        await self.wait_until(lambda: self.record().phase is LeadershipPhase.CLOSED)
+        await self.assert_kept(
+            "i-b", "i-c", seconds=TRANSACTION_DRAIN_TIMEOUT.total_seconds() + 0.3
+        )
+
     async def test_calm_change_does_not_wait(self):
         started = self.loop.time()
         await self.leave()
