Wait for the permit of a host that refuses connections

Callers of a host that was cut off from all others by resets, and that still reached the servers, used a former primary for up to seven seconds after its successor had acknowledged commits: their statements ran on a log without these.

Cause: a refused connection was taken as proof that the host's process had ended. A cut may refuse or reset connections too. The promoter then waited for no permit, and the host's registration was deleted at once.

Change: only an answer, a record of the stop in the store, or a registration that the host removed itself ends the wait; anyone else's permit has to expire. A host that was killed and restarts at its address answers for its former process.

Both new tests failed before ('i-a' is not None: the host uses the primary when its successor is promoted, and when it is unregistered), and pass now.

Conclusion: a state was taken as proved by what a cut can bring about as well.

--- a/hickorywind/host/fencer.py
+++ b/hickorywind/host/fencer.py
@@ -68,14 +68,12 @@
         return hosts
 
     async def _probe_pending_hosts(self, hosts: dict[HostId, HostRecord], fencing: Fencing) -> None:
-        """Stop waiting for hosts that answer a greeting or whose process has exited."""
+        """Stop waiting for hosts that answer a greeting."""
 
         async def probe(host: HostId) -> None:
             self._peers.add(hosts[host])
             if await self._peers.is_responding(host, CLOSE_TIMEOUT):
                 fencing.record_state(host, HostFencingState.ANSWERING)
-            elif await refuses_connections(hosts[host].address, CONNECT_PROBE_TIMEOUT):
-                fencing.record_state(host, HostFencingState.ENDED)
 
         await asyncio.gather(*(probe(host) for host in list(fencing.pending_hosts)))
 
@@ -227,5 +225,3 @@
         )
         if isinstance(reply, PrimaryUseStopped):
             fencing.record_state(record.host, HostFencingState.STOPPED_USING)
-        elif await refuses_connections(record.address, CONNECT_PROBE_TIMEOUT):
-            fencing.record_state(record.host, HostFencingState.ENDED)
--- a/hickorywind/host/silenthosts.py
+++ b/hickorywind/host/silenthosts.py
@@ -16,7 +16,6 @@
 from hickorywind.ports.coordination import Condition, CoordinationStore
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
 from hickorywind.util.clock import Instant
-from hickorywind.util.sockets import CONNECT_PROBE_TIMEOUT, refuses_connections
 
 logger = logging.getLogger(__name__)
 
@@ -119,8 +118,6 @@
             return
         if await self._peers.answers_first_greeting(host):
             state = HostFencingState.ANSWERING
-        elif await refuses_connections(peer.record.address, CONNECT_PROBE_TIMEOUT):
-            state = HostFencingState.ENDED
         else:
             state = HostFencingState.SILENT
         self._probes[key] = _Probe(state, self._fleet.now())
--- a/tests/host/memorypeers.py
+++ b/tests/host/memorypeers.py
@@ -100,6 +100,10 @@
         self._network.deliver(self.host, peer.host, peer.enqueue, data)
         return True
 
+    def refuse(self):
+        """Refuse connections from now on, as a cut may do."""
+        self._socket.close()
+
     def close(self):
         self._socket.close()
         self._network.listeners.pop(self._address, None)
--- a/tests/host/test_fencing.py
+++ b/tests/host/test_fencing.py
@@ -4,7 +4,7 @@
 import json
 from unittest import mock
 
-from hickorywind.host.fleet import LEADERSHIP_PREFIX
+from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX
 from hickorywind.ports.coordination import Committed
 from tests.host.harness import SERVICE, HostTestCase
 
@@ -81,3 +81,40 @@
     async def test_process_that_stopped_itself_is_not_waited_for(self):
         await self.run_closing_write(self.incarnation("h1"))
         await self.wait_until(self.others_use_a_new_primary, CHANGE_SECONDS)
+
+
+class RefusedConnectionsTest(HostTestCase):
+    """A host whose connections from all peers are refused, by a cut, and which reaches servers."""
+
+    host_count = 3
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.used_at_promotion = []
+        promote = self.group.promote
+
+        async def record_use(*order):
+            self.used_at_promotion.append(self.hosts["h2"].primary())
+            return await promote(*order)
+
+        patch = mock.patch.object(self.group, "promote", record_use)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.network.cut_from.add("h2")
+        self.network.cut_to.add("h2")
+        self.hosts["h2"].coordinator.is_cut = True
+        for listener in self.network.listeners.values():
+            if listener.host == "h2":
+                listener.refuse()
+
+    async def test_host_that_refuses_connections_uses_no_primary_when_its_successor_leads(self):
+        await self.register(self.group.servers["i-a"], state="draining")
+        await self.wait_until(lambda: self.used_at_promotion)
+        self.assertEqual(self.used_at_promotion, [None])
+
+    async def test_host_that_refuses_connections_is_not_unregistered_while_its_permit_is_valid(
+        self,
+    ):
+        while f"{HOSTS_PREFIX}h2" in self.store.items:
+            await asyncio.sleep(0.1)
+        self.assertIsNone(self.hosts["h2"].primary())
