commits_given_up counts what a planned change saw of a primary that ended while it was waited for

Cause: a comparison that ended with the exit of the old primary forgot the position that it had seen before.

Change: it returns the last position known.

--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -201,14 +201,16 @@
     """Wait until the successor has received what the old primary holds.
 
     While that one is serving, what it held at first is enough. Compare the logs at least once, and
-    return at the latest after ``CATCH_UP_TIMEOUT`` or at ``deadline``. Statuses that the servers
-    refuse to give are asked for again.
+    return at the latest after ``CATCH_UP_TIMEOUT`` or at ``deadline``, with the last position known
+    of the old primary. Statuses that the servers refuse to give are asked for again.
     """
     deadline = min(deadline, clock.now() + CATCH_UP_TIMEOUT)
     interval = PROMOTION_POLL_INTERVAL
     required: LogPosition | None = None
+    held: LogPosition | None = None
     while True:
         result = await _compare_logs(runtime, primary, successor, ended_term, is_serving)
+        held = result.held or held
         if required is None or not is_serving:
             required = result.held
         if result.state is CatchUp.BEHIND and result.received >= required:
@@ -219,6 +221,7 @@
         await asyncio.sleep(min(interval, max(deadline - clock.now(), MIN_WAIT)).total_seconds())
         if is_serving:
             interval = min(interval * 2, SERVING_POLL_INTERVAL)
+    result = dataclasses.replace(result, held=held)
     logger.log(
         logging.INFO if result.state is CatchUp.COMPLETE else logging.WARNING,
         "catch_up_ended",
--- a/tests/host/test_completelog.py
+++ b/tests/host/test_completelog.py
@@ -405,6 +405,19 @@
         event = self.given_up(await self.change())
         self.assertEqual(event.count, len(self.lost_by(self.group.primary)))
 
+    async def test_commits_seen_before_the_primary_ended_are_reported(self):
+        await self.stop_writers()
+        self.on_close(lambda: self.hear_nothing(self.second, self.third))
+        caller = await self.caller("bookings")
+        await caller.ask("BEGIN")
+        await caller.ask("WRITE kept 1")
+        await self.leave()
+        await self.wait_until(lambda: self.record().phase is LeadershipPhase.CLOSED)
+        self.assertTrue((await caller.ask("COMMIT"))[0].startswith("COMPLETE"))
+        await asyncio.sleep(0.5)
+        await self.primary.crash()
+        self.assertEqual(self.given_up(await self.change()).count, 1)
+
     async def test_change_that_loses_nothing_reports_nothing(self):
         await self.stop_writers()
         await self.leave()
