The second record of a planned change waits for the old log, whatever status it gives

What callers saw: nothing yet; found by review. A planned change that is closed again (no effect of the first order, or too old a record) no longer says that it is planned. If its promoter then failed while it waited for the log, who took over asked the leaving primary for its status once; refused (BUSY), lost, or that of a server that had stepped down, no logs were compared at all and the candidate was promoted without the acknowledged commits, although the old primary lives. One lost answer also counted as a hang for such a record. Cause: only the record was asked whether the change is planned, not whether the server leaves. Change: both places ask what the order to step down asks already (is_by_plan). Evidence: the three new tests of tests.host.test_completelog on the code before: 24 passed, 3 failed, each "Lists differ: ['i-b'] != []" (promoted without the commits). After, with tests.host.test_formerprimaries: 38 passed, 0 failed. Conclusion: a planned change compares logs on each of its records.

--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -35,6 +35,7 @@
     PromotionFailure,
     choose_successor,
     find_leader,
+    is_by_plan,
     query_server,
     wait_for_catch_up,
 )
@@ -517,7 +518,8 @@
             if self._fleet.permits.is_superseded(runtime.name, closed.revision):
                 raise PrimaryChangeCancelledError("another host took over the primary change")
             # One that accepts connections and did not answer the check either hangs.
-            is_hanging = verdict is PrimaryVerdict.RUNNING or not closed.record.is_planned
+            is_planned = is_by_plan(runtime, closed.record)
+            is_hanging = verdict is PrimaryVerdict.RUNNING or not is_planned
             match comparison.state:
                 case CatchUp.PRIMARY_GONE | CatchUp.PRIMARY_REPLACED:
                     has_ended = True
@@ -622,7 +624,7 @@
         )
         held = None
         led = None if status is None else status.leading_term
-        if previous.is_planned or (led is not None and led <= term):
+        if is_by_plan(runtime, previous) or (led is not None and led <= term):
             closed, held = await self._require_old_log(runtime, closed, ordered_until=ordered_until)
         elif runtime.sync_replicas:
             closed = await self._require_complete_log(runtime, closed)
--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -376,7 +376,7 @@
             # Writing the record again gives this host a new exclusive period by one store call,
             # longer than the one that a read gives.
             return PromotionFailure.NOT_ORDERED
-        if _is_planned(runtime, closed.record):
+        if is_by_plan(runtime, closed.record):
             await self._end_old_log(runtime, closed.record)
             return await self._order_until_led(runtime, closed, fencing)
         stepping_down = asyncio.create_task(self._step_down_repeatedly(runtime, closed))
@@ -543,7 +543,7 @@
         return outcome
 
 
-def _is_planned(runtime: ServiceRuntime, record: LeadershipRecord) -> bool:
+def is_by_plan(runtime: ServiceRuntime, record: LeadershipRecord) -> bool:
     """Return whether the old primary leaves by plan; a change taken up again no longer says so."""
     old = runtime.backends.get(record.primary)
     is_leaving = old is not None and old.server.state is BackendState.LEAVING
--- a/tests/host/test_completelog.py
+++ b/tests/host/test_completelog.py
@@ -289,6 +289,37 @@
         self.catch_up(self.second)
         await self.assert_kept("i-b")
 
+    async def assert_second_record_waits_for_the_log(self):
+        await self.close("i-b", is_planned=False)
+        await asyncio.sleep(4.0)
+        self.assertEqual(self.promoted(), [])
+
+    async def test_refused_status_does_not_end_the_wait_of_a_second_record(self):
+        await self.lag(self.second, self.third)
+        await self.leave()
+        self.primary.refuse = lambda text: "BUSY" if text == "STATUS" else None
+        await self.assert_second_record_waits_for_the_log()
+        self.primary.refuse = lambda text: None
+        self.catch_up(self.second)
+        await self.assert_kept("i-b")
+
+    async def test_step_down_of_an_earlier_promoter_does_not_end_the_wait_of_a_second_record(self):
+        await self.lag(self.second, self.third)
+        await self.leave()
+        self.primary.role = "replica"
+        await self.assert_second_record_waits_for_the_log()
+        self.catch_up(self.second)
+        await self.assert_kept("i-b")
+
+    async def test_lost_answer_does_not_end_the_wait_of_a_second_record(self):
+        await self.lag(self.second, self.third)
+        await self.leave()
+        self.loop.call_later(2.2, setattr, self.primary, "is_silent", True)
+        self.loop.call_later(2.5, setattr, self.primary, "is_silent", False)
+        await self.assert_second_record_waits_for_the_log()
+        self.catch_up(self.second)
+        await self.assert_kept("i-b")
+
     async def test_candidate_that_leads_already_is_not_compared(self):
         await self.lag(self.second, self.third)
         self.primary.learns_of_promotions = False
