A planned change that a restored store shows as unfinished waits for the old log

What callers saw: nothing yet; found by review. If the store comes back from a copy while a planned change waits for a replica that holds the log, the host that confirms the record promoted the candidate without acknowledged commits, although the old primary lives. Cause: confirming a closed record compared no logs with sync_replicas 0; only the wait after the order to step down was left, 1.5 s. Change: such a record is finished as one that is taken over: it waits for the old log, and keeps the candidate while an order for it may take effect. Evidence: the new test of tests.host.test_storerestore on the code before: 14 passed, 1 failed (the replica without the commit was primary). After: 15 passed, 0 failed. Conclusion: a restored store ends no planned change early.

--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -660,15 +660,22 @@
         # Planned, so that open transactions may end and silent hosts are waited for.
         record = self._closed_record(previous, candidate, True, ended_term, {})
         closed = await self.store.write(service, record, unconfirmed.revision)
+        ordered_until = self._fleet.now() + PROMOTION_TIMEOUT
         runtime.set_primary_state(PrimaryState.CHANGING)
         fencing = await self._fence_completely(runtime, closed)
         term = await self._query_usable_term(runtime, candidate)
         if term is not None and term > ended_term and term >= runtime.newest_term:
             await self._open(runtime, closed, candidate, term)
         else:
-            if runtime.sync_replicas:
+            held = None
+            is_unfinished = leader is None and previous.phase is LeadershipPhase.CLOSED
+            if is_unfinished and is_by_plan(runtime, previous):
+                closed, held = await self._require_old_log(
+                    runtime, closed, ordered_until=ordered_until
+                )
+            elif runtime.sync_replicas:
                 closed = await self._require_complete_log(runtime, closed)
-            await self._promote_and_open(runtime, closed, fencing)
+            await self._promote_and_open(runtime, closed, fencing, held)
         logger.info("leadership_confirmed", extra={"service": service, "backend": candidate})
 
     # Steps -------------------------------------------------------------------------------------
--- a/tests/host/test_storerestore.py
+++ b/tests/host/test_storerestore.py
@@ -143,6 +143,34 @@
         self.assertEqual(self.stored_record().primary, self.primary.backend)
         self.assertEqual(len(self.group.promotions), before)
 
+    async def test_restored_record_of_a_planned_change_costs_no_commits(self):
+        candidate = self.former  # a replica by now
+        for server in self.group.servers.values():
+            server.is_receiving = False
+        caller = await self.caller("bookings")
+        self.assertTrue((await caller.ask("WRITE kiln kept"))[0].startswith("COMPLETE"))
+        record = LeadershipRecord(
+            self.primary.backend,
+            LeadershipPhase.CLOSED,
+            self.stored_record().change,
+            "gone",
+            candidate.backend,
+            True,
+            self.primary.term,
+            era=1,
+        )
+        await self.register(self.primary, state="draining")
+        await self.store.put(LEADERSHIP_PREFIX + SERVICE, encode_record(record))
+        await self.wait_until(lambda: not any(host.primary() for host in self.hosts.values()))
+        await self.restore(self.store.copy())
+        await asyncio.sleep(CONFIRMED_SECONDS)
+        self.assertIs(self.group.primary, self.primary)
+        candidate.is_receiving = True
+        candidate.follow(self.primary)
+        await self.wait_until(self.is_confirmed, RECOVERY_SECONDS)
+        self.assertIs(self.group.primary, candidate)
+        self.assertEqual(candidate.data.get("kiln"), "kept")
+
     async def test_record_that_the_copy_lacks_is_written_again(self):
         del self.copy["items"][LEADERSHIP_PREFIX + SERVICE]
         await self.restore(self.copy)
