A promoter that alone gets no answers of a leaving primary does not give its log up

What callers saw: nothing yet; found by review. A promoter that lost two answers of a leaving primary, which still accepted connections, took it for hanging and promoted a replica without acknowledged commits, although all other hosts got answers. Cause: only connections were checked from other hosts, as of one that can't be reached, not answers. Change: after the second lost answer the others are asked whether the server answers them; without a quorum the change goes on waiting, at most until the server should have ended. Evidence: the new test of tests.host.test_completelog on the code before: 27 passed, 1 failed, "Lists differ: ['i-c'] != []". After, with tests.host.test_formerprimaries: 39 passed, 0 failed, the tests of hanging primaries and their limits among them. Conclusion: one bad link ends no planned change early.

--- a/hickorywind/host/detection.py
+++ b/hickorywind/host/detection.py
@@ -60,7 +60,7 @@
         return peers_verdict
     verdict = await _check_role(runtime, backend)
     if verdict is PrimaryVerdict.RUNNING and backend.is_unresponsive(runtime.clock.now()):
-        return await _check_unresponsive(runtime, peers, backend)
+        return await check_unresponsive(runtime, peers, backend)
     return verdict
 
 
@@ -74,7 +74,7 @@
     return await backend.connections.responds_to_new_connection(STATUS_TIMEOUT)
 
 
-async def _check_unresponsive(
+async def check_unresponsive(
     runtime: ServiceRuntime, peers: Peers, backend: Backend
 ) -> PrimaryVerdict:
     """Return FAILED if an unresponsive primary answers no peer either, otherwise RUNNING."""
--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -16,7 +16,7 @@
     LeadershipRecord,
     VersionedLeadership,
 )
-from hickorywind.host.detection import PrimaryVerdict, check_primary
+from hickorywind.host.detection import PrimaryVerdict, check_primary, check_unresponsive
 from hickorywind.host.fencer import FENCING_POLL_INTERVAL, Fencer
 from hickorywind.host.fleet import Fleet
 from hickorywind.host.identity import HostIdentity
@@ -517,14 +517,16 @@
                 return closed, held
             if self._fleet.permits.is_superseded(runtime.name, closed.revision):
                 raise PrimaryChangeCancelledError("another host took over the primary change")
-            # One that accepts connections and did not answer the check either hangs.
             is_planned = is_by_plan(runtime, closed.record)
-            is_hanging = verdict is PrimaryVerdict.RUNNING or not is_planned
             match comparison.state:
                 case CatchUp.PRIMARY_GONE | CatchUp.PRIMARY_REPLACED:
                     has_ended = True
-                case CatchUp.PRIMARY_SILENT if is_hanging:
+                case CatchUp.PRIMARY_SILENT if backend is None or not is_planned:
                     has_ended = True
+                case CatchUp.PRIMARY_SILENT if verdict is PrimaryVerdict.RUNNING:
+                    # It accepts connections, so it hangs, or answers are lost on the way here.
+                    verdict = await check_unresponsive(runtime, self._peers, backend)
+                    has_ended = verdict is PrimaryVerdict.FAILED
                 case CatchUp.PRIMARY_SILENT:
                     verdict = await check_primary(runtime, self._peers, primary)
                     has_ended = verdict is PrimaryVerdict.FAILED
--- a/tests/host/test_completelog.py
+++ b/tests/host/test_completelog.py
@@ -5,9 +5,10 @@
 from unittest import mock
 
 from hickorywind.failover.leadership import LeadershipPhase, LeadershipRecord, encode_record
+from hickorywind.host.backendconnection import ConnectionLostError
 from hickorywind.host.detection import PrimaryVerdict
 from hickorywind.host.fleet import LEADERSHIP_PREFIX
-from hickorywind.host.service import LEAVING_END_MARGIN, LEAVING_USE_FRACTION
+from hickorywind.host.service import LEAVING_END_MARGIN, LEAVING_USE_FRACTION, STATUS_TIMEOUT
 from hickorywind.host.servicestate import PrimaryState
 from hickorywind.ports.coordination import PromotionOutcome
 from standins.lineplatform.group import LineServer
@@ -257,11 +258,11 @@
 
 
 class TakeoverTest(CompleteLogTestCase):
-    async def close(self, candidate, is_planned=True):
-        """Write a closed record of a promoter that is gone."""
+    async def close(self, candidate, is_planned=True, promoter="gone"):
+        """Write a closed record of a promoter that is gone, or does nothing for it yet."""
         term = self.record().term
         record = LeadershipRecord(
-            "i-a", LeadershipPhase.CLOSED, 1, "gone", candidate, is_planned, term
+            "i-a", LeadershipPhase.CLOSED, 1, promoter, candidate, is_planned, term
         )
         await self.store.put(LEADERSHIP_PREFIX + SERVICE, encode_record(record))
 
@@ -320,6 +321,25 @@
         self.catch_up(self.second)
         await self.assert_kept("i-b")
 
+    async def test_promoter_that_alone_gets_no_status_does_not_give_commits_up(self):
+        await self.lag(self.second, self.third)
+        await self.leave()
+        service = self.hosts["h0"].role._services[SERVICE]
+        query = service.query_status
+
+        async def lose_answer(backend):
+            if backend.server.backend != "i-a":
+                return await query(backend)
+            await asyncio.sleep(STATUS_TIMEOUT.total_seconds())
+            raise ConnectionLostError("no answer")
+
+        with mock.patch.object(service, "query_status", lose_answer):
+            await self.close("i-b", promoter="h0")
+            await asyncio.sleep(ORDER_SECONDS + 2.0)
+            self.assertEqual(self.promoted(), [])
+        self.catch_up(self.second)
+        await self.assert_kept("i-b")
+
     async def test_candidate_that_leads_already_is_not_compared(self):
         await self.lag(self.second, self.third)
         self.primary.learns_of_promotions = False
