The term of an order to step down counts for no promotion

What callers saw: nothing yet; found by review. If a server that stepped down shows the term of the order, each round of a change without effect orders it down in a higher one, and the closed record's term grows with it. A promotion that then takes effect leads in the next term of the service, counts as old, and as the platform promotes no primary again the service has none for ever. A change that is taken over also took that term for a new leader's and promoted a replica without acknowledged commits. Cause: only the answer to the order itself was left out of the newest term, not later statuses of that server. Change: the term of the recorded primary counts only while it leads; its log position counts as before. Conclusion: no promotion is measured against a term in which nobody leads.

--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -261,7 +261,7 @@
     if isinstance(old_status, CatchUp):
         return LogComparison(old_status, None, received)
     has_lost_lead = is_serving and old_status.leading_term is None
-    if old_status.term > ended_term or has_lost_lead:
+    if (old_status.leading_term or Term(0)) > ended_term or has_lost_lead:
         return LogComparison(CatchUp.PRIMARY_REPLACED, None, received)
     held = old_status.received_position
     if received is None:
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -679,7 +679,10 @@
         backend.received_position = status.received_position
         if status.has_applied_log:
             connection.primary_term = status.leading_term
-        self.newest_term = max(self.newest_term, status.term, status.received_position.term)
+        self.newest_term = max(self.newest_term, status.received_position.term)
+        # One that was told to step down may show the order's term, in which nobody need lead.
+        if status.leading_term is not None or backend.server.backend != self.recorded_primary():
+            self.newest_term = max(self.newest_term, status.term)
         is_used = self.fleet.usable_primary(self.name) == backend.server.backend
         if is_used and self.is_verified_primary(backend, connection):
             self.used_term = max(self.used_term, status.term)
--- a/tests/host/test_completelog.py
+++ b/tests/host/test_completelog.py
@@ -367,6 +367,54 @@
         self.assertEqual(self.promoted(), ["i-c"])
 
 
+class StepDownTermTest(CompleteLogTestCase):
+    """Servers that show the term of the order with which they stepped down; nobody leads in it."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        # On the platform a position keeps its term until the first commit of the next one.
+        position = property(lambda server: f"1.{server.log_offset}")
+        patch = mock.patch.multiple(LineServer, position=position, received_position=position)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def test_orders_without_effect_do_not_keep_a_promotion_from_counting(self):
+        def step_down(text):
+            word, _, term = text.partition(" ")
+            if word == "STEPDOWN" and int(term) > self.primary.term:
+                self.primary.role, self.primary.term = "replica", int(term)
+
+        def lead(server):
+            server.role, server.term = "primary", 2
+            self.group.primary = server
+
+        self.primary.refuse = step_down
+        effective = self.loop.time() + 2.5 * ORDER_SECONDS
+
+        async def promote(service, backend, holder, token):
+            if self.loop.time() >= effective:
+                lead(self.group.servers[backend])
+            return PromotionOutcome.ACCEPTED
+
+        with mock.patch.object(self.group, "promote", promote):
+            await self.third.crash()
+            await self.leave()
+            await self.wait_until(
+                lambda: {host.primary() for host in self.hosts.values()} == {"i-b"},
+                4 * ORDER_SECONDS,
+            )
+
+    async def test_term_of_the_order_does_not_end_the_wait_for_the_log(self):
+        await self.lag(self.second, self.third)
+        await self.leave()
+        term = self.record().term
+        self.primary.role, self.primary.term = "replica", term + 1
+        record = LeadershipRecord("i-a", LeadershipPhase.CLOSED, 1, "gone", "i-b", True, term)
+        await self.store.put(LEADERSHIP_PREFIX + SERVICE, encode_record(record))
+        await asyncio.sleep(4.0)
+        self.assertEqual(self.promoted(), [])
+
+
 class LaterRoundTest(CompleteLogTestCase):
     async def test_server_promoted_after_an_order_without_effect_holds_all_commits(self):
         self.hear_nothing(self.third)
