--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -16,7 +16,7 @@
     LeadershipRecord,
     VersionedLeadership,
 )
-from hickorywind.host.detection import PrimaryVerdict, check_primary
+from hickorywind.host.detection import PrimaryVerdict, check_primary, check_unresponsive
 from hickorywind.host.fencer import FENCING_POLL_INTERVAL, Fencer
 from hickorywind.host.fleet import Fleet
 from hickorywind.host.identity import HostIdentity
@@ -35,6 +35,7 @@
     PromotionFailure,
     choose_successor,
     find_leader,
+    is_by_plan,
     query_server,
     wait_for_catch_up,
 )
@@ -560,13 +561,16 @@
                 return closed, held
             if self._fleet.permits.is_superseded(runtime.name, closed.revision):
                 raise PrimaryChangeCancelledError("another host took over the primary change")
-            # One that accepts connections and did not answer the check either hangs.
-            is_hanging = verdict is PrimaryVerdict.RUNNING or not closed.record.is_planned
+            is_planned = is_by_plan(runtime, closed.record)
             match comparison.state:
                 case CatchUp.PRIMARY_GONE | CatchUp.PRIMARY_REPLACED:
                     has_ended = True
-                case CatchUp.PRIMARY_SILENT if is_hanging:
+                case CatchUp.PRIMARY_SILENT if backend is None or not is_planned:
                     has_ended = True
+                case CatchUp.PRIMARY_SILENT if verdict is PrimaryVerdict.RUNNING:
+                    # It accepts connections, so it hangs, or answers are lost on the way here.
+                    verdict = await check_unresponsive(runtime, self._peers, backend)
+                    has_ended = verdict is PrimaryVerdict.FAILED
                 case CatchUp.PRIMARY_SILENT:
                     verdict = await check_primary(runtime, self._peers, primary)
                     has_ended = verdict is PrimaryVerdict.FAILED
@@ -666,7 +670,7 @@
         )
         held = None
         led = None if status is None else status.leading_term
-        if previous.is_planned or (led is not None and led <= term):
+        if is_by_plan(runtime, previous) or (led is not None and led <= term):
             closed, held = await self._require_old_log(runtime, closed, ordered_until=ordered_until)
         elif runtime.sync_replicas:
             closed = await self._require_complete_log(runtime, closed)
@@ -702,15 +706,22 @@
         # Planned, so that open transactions may end and silent hosts are waited for.
         record = self._closed_record(previous, candidate, True, ended_term, {})
         closed = await self.store.write(service, record, unconfirmed.revision)
+        ordered_until = self._fleet.now() + PROMOTION_TIMEOUT
         runtime.set_primary_state(PrimaryState.CHANGING)
         fencing = await self._fence_completely(runtime, closed)
         term = await self._query_usable_term(runtime, candidate)
         if term is not None and term > ended_term and term >= runtime.newest_term:
             await self._open(runtime, closed, candidate, term)
         else:
-            if runtime.sync_replicas:
+            held = None
+            is_unfinished = leader is None and previous.phase is LeadershipPhase.CLOSED
+            if is_unfinished and is_by_plan(runtime, previous):
+                closed, held = await self._require_old_log(
+                    runtime, closed, ordered_until=ordered_until
+                )
+            elif runtime.sync_replicas:
                 closed = await self._require_complete_log(runtime, closed)
-            await self._promote_and_open(runtime, closed, fencing)
+            await self._promote_and_open(runtime, closed, fencing, held)
         logger.info("leadership_confirmed", extra={"service": service, "backend": candidate})
 
     # Steps -------------------------------------------------------------------------------------
--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -264,7 +264,7 @@
     if isinstance(old_status, CatchUp):
         return LogComparison(old_status, None, received)
     has_lost_lead = is_serving and old_status.leading_term is None
-    if old_status.term > ended_term or has_lost_lead:
+    if (old_status.leading_term or Term(0)) > ended_term or has_lost_lead:
         return LogComparison(CatchUp.PRIMARY_REPLACED, None, received)
     held = old_status.received_position
     if received is None:
@@ -379,7 +379,7 @@
             # Writing the record again gives this host a new exclusive period by one store call,
             # longer than the one that a read gives.
             return PromotionFailure.NOT_ORDERED
-        if _is_planned(runtime, closed.record):
+        if is_by_plan(runtime, closed.record):
             await self._end_old_log(runtime, closed.record)
             return await self._order_until_led(runtime, closed, fencing)
         stepping_down = asyncio.create_task(self._step_down_repeatedly(runtime, closed))
@@ -559,7 +559,7 @@
             return PROMOTION_RESEND_INTERVAL
 
 
-def _is_planned(runtime: ServiceRuntime, record: LeadershipRecord) -> bool:
+def is_by_plan(runtime: ServiceRuntime, record: LeadershipRecord) -> bool:
     """Return whether the old primary leaves by plan; a change taken up again no longer says so."""
     old = runtime.backends.get(record.primary)
     is_leaving = old is not None and old.server.state is BackendState.LEAVING
