A refused status does not take a connection's verification

What callers saw: while a leaving primary waits for a successor, hosts ask it for its status on the callers' idle connections. A refusal (BUSY) made each such connection unverified, so that the next statement needed a status of its own; while these were refused too, no write ran at a primary that serves. Found by review. Cause: the term in which a connection was verified was cleared before the answer was known to hold a status. Change: only a status changes it. A refusal says nothing about who leads, and leaves things as if nobody had asked.

--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -673,9 +673,9 @@
     def _record_status(
         self, backend: Backend, connection: BackendConnection, status: ServerStatus | None
     ) -> None:
-        connection.primary_term = None
         if status is None:
-            return
+            return  # refused, which says nothing about who leads
+        connection.primary_term = None
         backend.received_position = status.received_position
         if status.has_applied_log:
             connection.primary_term = status.leading_term
--- a/tests/host/test_completelog.py
+++ b/tests/host/test_completelog.py
@@ -141,6 +141,12 @@
         self.primary.refuse = lambda text: None
         await self.assert_kept("i-b")
 
+    async def test_refused_status_does_not_keep_callers_from_a_primary_that_waits(self):
+        await self.lag(self.second, self.third)
+        self.primary.refuse = lambda text: "BUSY" if text == "STATUS" else None
+        await self.leave()
+        await self.assert_served_for(USE_SECONDS - 1.0)
+
     async def test_connection_limit_of_the_primary_does_not_cost_acknowledged_commits(self):
         def refuse():
             self.primary.connection_limit = 0
