A promoter that alone is refused by a leaving primary does not give its log up

Callers would have lost acknowledged commits of a leaving primary that lives, if a cut resets the promoter's connections to it.

Cause: a refused connection counted as the end of the primary's process, as that of a host did.

Change: while the primary is registered, the other hosts are asked whether they reach it; the log is given up only if they don't either, at the latest when the server should have ended.

--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -563,7 +563,13 @@
                 raise PrimaryChangeCancelledError("another host took over the primary change")
             is_planned = is_by_plan(runtime, closed.record)
             match comparison.state:
-                case CatchUp.PRIMARY_GONE | CatchUp.PRIMARY_REPLACED:
+                case CatchUp.PRIMARY_REPLACED:
+                    has_ended = True
+                case CatchUp.PRIMARY_GONE if backend is not None and is_planned:
+                    # A cut refuses connections, too, so the other hosts are asked.
+                    verdict = await check_primary(runtime, self._peers, primary)
+                    has_ended = verdict in (PrimaryVerdict.FAILED, PrimaryVerdict.LOST_LEAD)
+                case CatchUp.PRIMARY_GONE:
                     has_ended = True
                 case CatchUp.PRIMARY_SILENT if backend is None or not is_planned:
                     has_ended = True
--- a/tests/host/test_completelog.py
+++ b/tests/host/test_completelog.py
@@ -351,6 +351,28 @@
         self.catch_up(self.second)
         await self.assert_kept("i-b")
 
+    async def test_promoter_that_alone_is_refused_by_the_old_primary_does_not_give_commits_up(self):
+        await self.lag(self.second, self.third)
+        await self.leave()
+        service = self.hosts["h0"].role._services[SERVICE]
+        query = service.query_status
+
+        async def refuse(backend):
+            if backend.server.backend != "i-a":
+                return await query(backend)
+            raise ConnectionLostError("the connection was reset")
+
+        async def is_refused(address, timeout):
+            return address == self.primary.address
+
+        name = "hickorywind.host.promotion.refuses_connections"
+        with mock.patch.object(service, "query_status", refuse), mock.patch(name, is_refused):
+            await self.close("i-b", promoter="h0")
+            await asyncio.sleep(ORDER_SECONDS + 2.0)
+            self.assertEqual(self.promoted(), [])
+        self.catch_up(self.second)
+        await self.assert_kept("i-b")
+
     async def test_promoter_that_alone_gets_no_status_does_not_give_commits_up(self):
         await self.lag(self.second, self.third)
         await self.leave()
