Log and count a host's control traffic by kind and distance

Hosts count what they exchange with other hosts (both directions of their own connections) and with the store, export it (hickorywind_host_traffic_bytes) and log periods of 2 s beyond the stated 5 KB a second (control_traffic_high).

--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -92,6 +92,10 @@
 CONFIGURATION_COPY_TIMEOUT = timedelta(seconds=3)
 # After this time without a copy another host is asked as well.
 COPY_HEDGE_DELAY = timedelta(seconds=1)
+TRAFFIC_PERIOD = timedelta(
+    seconds=2
+)  # for which a host's control traffic is compared with its limit
+LOGGED_TRAFFIC_KINDS = 8  # of a period, the largest ones
 UNREGISTER_GRACE_FRACTION = 0.9  # of the grace time, after which the store isn't waited for
 
 
@@ -135,7 +139,8 @@
         self._fleet = Fleet(adapters.schema, clock)
         self._services: dict[ServiceName, ServiceRuntime] = {}
         self._sessions: set[Session] = set()
-        self._peers = Peers(self._identity, clock, rng)
+        self._topology = Topology(settings.zones)
+        self._peers = Peers(self._identity, clock, rng, self._topology, metrics.traffic)
         self._watch_duty = StoreWatchDuty(
             settings.host,
             settings.store_watchers_per_zone,
@@ -213,6 +218,7 @@
             group.create_task(self._failover_manager.monitor())
             group.create_task(self._run_dispatch_loop())
             group.create_task(self._run_housekeeping())
+            group.create_task(self._report_traffic())
             if self._settings.status_listen:
                 address = self._settings.address("status_listen")
                 group.create_task(serve_status(address, self.describe))
@@ -303,6 +309,24 @@
             self._metrics.permit_seconds.set(permit_remaining.total_seconds())
             self._metrics.sessions.set(len(self._sessions))
 
+    async def _report_traffic(self) -> None:
+        """Log periods in which the control traffic of this host exceeded its limit."""
+        while True:
+            await asyncio.sleep(TRAFFIC_PERIOD.total_seconds())
+            summary = self._metrics.traffic.take_summary()
+            if not summary.exceeds_limit(TRAFFIC_PERIOD):
+                continue
+            largest = summary.by_kind[:LOGGED_TRAFFIC_KINDS]
+            logger.info(
+                "control_traffic_high",
+                extra={
+                    "bytes": summary.total_bytes,
+                    "other_region_bytes": summary.other_region_bytes,
+                    "store_bytes": summary.store_bytes,
+                    "by_kind": ",".join(f"{kind}:{count}/{size}" for kind, count, size in largest),
+                },
+            )
+
     async def drain(self) -> None:
         """Stop accepting callers and end all sessions within the grace time."""
         started = self._clock.now()
@@ -380,7 +404,7 @@
         service = ServiceRuntime(
             name,
             self._fleet,
-            Topology(self._settings.zones),
+            self._topology,
             self._settings.availability_zone,
             self._adapters.make_backend_codec,
             self._clock,
--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import partial
 
 import zmq
 
@@ -15,6 +16,8 @@
 from hickorywind.host.identity import HostIdentity
 from hickorywind.ids import AvailabilityZone, HostId
 from hickorywind.membership.peertable import PeerState, PeerTable
+from hickorywind.observability.trafficmeter import Distance, TrafficMeter
+from hickorywind.ports.catalog import Topology
 from hickorywind.ports.coordination import LeaseId
 from hickorywind.protocol.channel import Link, Listener
 from hickorywind.protocol.messages import (
@@ -41,6 +44,7 @@
 _CONNECT_ALLOWANCE = timedelta(milliseconds=300)
 _CONNECT_RETRY_DELAY = timedelta(milliseconds=20)  # until a connection opened for a call is up
 _UNUSED_LINK_LIFETIME = timedelta(seconds=30)  # several calls of one primary change
+_DISTANCES = (Distance.ZONE, Distance.REGION, Distance.OTHER_REGION)  # by ``Topology.distance``
 
 
 @dataclass
@@ -81,8 +85,17 @@
 class Peers:
     """Connections to the other hosts, with greetings to neighbours, calls and replies."""
 
-    def __init__(self, identity: HostIdentity, clock: Clock, rng: random.Random) -> None:
+    def __init__(
+        self,
+        identity: HostIdentity,
+        clock: Clock,
+        rng: random.Random,
+        topology: Topology | None = None,
+        traffic: TrafficMeter | None = None,
+    ) -> None:
         self._identity = identity
+        self._topology = topology or Topology()
+        self._traffic = traffic or TrafficMeter()
         self._clock = clock
         self._rng = rng
         self._peers: dict[HostId, Peer] = {}
@@ -168,9 +181,14 @@
     def _open_link(self, peer: Peer) -> Link:
         if peer.link is None:
             peer.link = Link(peer.record.address, with_heartbeats=False)
+            peer.link.on_transfer = partial(self._count_transfer, peer.record.zone)
             peer.receiver = asyncio.create_task(self._receive(peer, peer.link))
         return peer.link
 
+    def _count_transfer(self, zone: AvailabilityZone, message: Message, size_bytes: int) -> None:
+        distance = _DISTANCES[self._topology.distance(self._identity.zone, zone)]
+        self._traffic.record(type(message).__name__, distance, size_bytes)
+
     def known_hosts(self) -> tuple[HostRecord, ...]:
         """Return all other hosts that have not been removed."""
         return tuple(peer.record for peer in self._peers.values())
--- a/hickorywind/observability/hostmetrics.py
+++ b/hickorywind/observability/hostmetrics.py
@@ -7,12 +7,16 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from hickorywind.observability.latencybuckets import LATENCY_BOUNDS_SECONDS
+from hickorywind.observability.trafficmeter import Distance, TrafficMeter
 
 _PREFIX = "hickorywind_host"
 
 
 class HostMetrics:
-    """Metrics of requests, store calls, sessions, permits, failovers and quotas of one host."""
+    """Metrics of requests, store calls, sessions, permits, failovers and quotas of one host.
+
+    ``traffic`` counts the bytes exchanged with other hosts and with the store.
+    """
 
     def __init__(self, registry: CollectorRegistry) -> None:
         self.registry = registry
@@ -88,6 +92,14 @@
             ("side",),
             registry=registry,
         )
+        self._traffic_bytes = Counter(
+            f"{_PREFIX}_traffic_bytes",
+            "Bytes exchanged with other hosts and with the store",
+            ("kind", "distance"),
+            registry=registry,
+        )
+        self._traffic_series: dict[tuple[str, Distance], Counter] = {}
+        self.traffic = TrafficMeter(self._count_transfer)
         self._request_series: dict[tuple[str, int], Counter] = {}
 
     @classmethod
@@ -103,6 +115,14 @@
             series = self._request_series[key] = self.requests.labels(outcome, str(code))
         series.inc()
 
+    def _count_transfer(self, kind: str, distance: Distance, size_bytes: int) -> None:
+        key = (kind, distance)
+        series = self._traffic_series.get(key)
+        if series is None:
+            series = self._traffic_bytes.labels(kind, distance.value)
+            self._traffic_series[key] = series
+        series.inc(size_bytes)
+
     def observe_latency(self, duration: timedelta) -> None:
         """Record the duration of a request that ran."""
         self.latency.observe(duration.total_seconds())
--- a/hickorywind/platform/program.py
+++ b/hickorywind/platform/program.py
@@ -15,6 +15,7 @@
 from hickorywind.observability.boundedlog import BoundedLogHandler
 from hickorywind.observability.hostmetrics import HostMetrics
 from hickorywind.observability.logs import EventFields, make_formatter
+from hickorywind.observability.trafficmeter import Distance
 from hickorywind.platform.documents import (
     BACKENDS_PREFIX,
     CONFIGURATION_KEY,
@@ -60,8 +61,11 @@
     root.setLevel(settings.log.level.upper())
 
 
-def _make_adapters(settings: HostSettings) -> Adapters:
+def _make_adapters(settings: HostSettings, metrics: HostMetrics) -> Adapters:
     client = PlatformClient.from_addresses(settings.address("store"), settings.address("control"))
+    client.on_transfer = lambda kind, size_bytes: metrics.traffic.record(
+        kind, Distance.STORE, size_bytes
+    )
     schema = DocumentSchema(
         CONFIGURATION_KEY, BACKENDS_PREFIX, decode_configuration, decode_backend
     )
@@ -82,7 +86,7 @@
         loop.add_signal_handler(signal_number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload_settings, settings_path, settings)
     incarnation = Incarnation(clock.now() // timedelta(microseconds=1))
-    adapters = _make_adapters(settings)
+    adapters = _make_adapters(settings, metrics)
     runtime = HostRuntime(
         settings, adapters, listener, clock, incarnation, metrics, random.Random()
     )
--- a/hickorywind/platform/storeclient.py
+++ b/hickorywind/platform/storeclient.py
@@ -5,7 +5,7 @@
 import base64
 import json
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -35,6 +35,7 @@
 from hickorywind.store.interface import StoredValue, StoreSilentError, StoreUnavailableError
 from hickorywind.util.decoding import MalformedDataError, convert, parse_counter
 from hickorywind.util.httpclient import (
+    HttpAnswer,
     HttpAnswerTooLargeError,
     HttpCallError,
     HttpClient,
@@ -79,7 +80,8 @@
     """Client of the store and the platform's control interface over pooled connections.
 
     A call fails if its answer does not begin within the timeout, or then stops making progress. A
-    large answer on a slow link takes longer as a whole.
+    large answer on a slow link takes longer as a whole. ``on_transfer`` is called with the kind of
+    each call and the bytes of its request and answer.
     """
 
     def __init__(self, store: Address, control: Address, call_timeout: timedelta) -> None:
@@ -87,6 +89,7 @@
         self._control = control
         self._call_timeout = call_timeout
         self._client = HttpClient()
+        self.on_transfer: Callable[[str, int], None] = lambda kind, size_bytes: None
         self._era = StoreEra(0)  # the newest one in which the store has answered
 
     @classmethod
@@ -233,6 +236,8 @@
         max_bytes: int | None = None,
     ) -> _Answer:
         target = path if query is None else f"{path}?{urlencode(query, errors='surrogatepass')}"
+        payload = b"" if body is None else json.dumps(body).encode()
+        answer: HttpAnswer | None = None
         try:
             answer = await self._client.call(
                 address or self._store,
@@ -240,7 +245,7 @@
                 target,
                 timeout or self._call_timeout,
                 headers,
-                b"" if body is None else json.dumps(body).encode(),
+                payload,
                 max_bytes,
             )
         except HttpTimeoutError as error:
@@ -249,6 +254,9 @@
             raise StoreUnavailableError(str(error)) from error
         except HttpAnswerTooLargeError as error:
             raise AnswerTooLargeError(error.size_bytes) from error
+        finally:
+            received_bytes = 0 if answer is None else len(answer.body)
+            self.on_transfer(_call_kind(path, query), len(target) + len(payload) + received_bytes)
         # An answer without the header, as from something in front of the store, has the known era.
         era = StoreEra(parse_counter(answer.headers.get(_ERA_HEADER, "")) or self._era)
         if era > self._era:
@@ -260,6 +268,12 @@
         return _Answer(answer.status, _decode_body(answer.body), era)
 
 
+def _call_kind(path: str, query: dict[str, str] | None) -> str:
+    """Return the name by which transfers of a call are counted, without names of single items."""
+    name = "/".join(part for part in path.split("/") if not part.isdigit())
+    return name if query is None else f"{name} {query['prefix']}"
+
+
 def _decode_body(data: bytes) -> dict[str, Any]:
     if not data:
         return {}
--- a/hickorywind/protocol/channel.py
+++ b/hickorywind/protocol/channel.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NewType
 
@@ -110,7 +111,10 @@
 
 
 class Link:
-    """DEALER socket that exchanges messages with the peer at one address."""
+    """DEALER socket that exchanges messages with the peer at one address.
+
+    ``on_transfer`` is called with each message that was sent or received and its size in bytes.
+    """
 
     def __init__(
         self, address: Address, keys: ChannelKeys | None = None, with_heartbeats: bool = True
@@ -119,6 +123,7 @@
 
         Heartbeats are not needed if the messages themselves show whether the peer is alive.
         """
+        self.on_transfer: Callable[[Message, int], None] = lambda message, size_bytes: None
         self._socket = zmq.asyncio.Context.instance().socket(zmq.DEALER)
         _set_common_options(self._socket, with_heartbeats)
         self._socket.setsockopt(zmq.IMMEDIATE, 1)
@@ -132,15 +137,20 @@
 
     async def send(self, message: Message) -> bool:
         """Send a message without waiting; return False if the peer is not connected."""
+        data = encode(message)
         try:
-            await self._socket.send(encode(message), flags=zmq.NOBLOCK)
+            await self._socket.send(data, flags=zmq.NOBLOCK)
         except zmq.Again:
             return False
+        self.on_transfer(message, len(data))
         return True
 
     async def receive(self) -> Message:
         """Wait for the next message; raise ``HickorywindError`` for one that can't be decoded."""
-        return decode(await self._socket.recv())
+        data = await self._socket.recv()
+        message = decode(data)
+        self.on_transfer(message, len(data))
+        return message
 
     def close(self) -> None:
         """Close the socket and drop unsent messages."""
--- a/tests/host/memorypeers.py
+++ b/tests/host/memorypeers.py
@@ -53,6 +53,7 @@
         self._inbox = asyncio.Queue()
         self._is_closed = False
         self.is_silent = False
+        self.on_transfer = lambda message, size_bytes: None
 
     async def send(self, message):
         listener = self._network.listeners.get(self._address)
@@ -61,6 +62,7 @@
         if self.is_silent:
             return True
         data = encode(message)
+        self.on_transfer(message, len(data))
         self._network.bytes_sent += len(data)
         self._network.deliver(self.host, listener.host, listener.inbox.put_nowait, (self, data))
         return True
@@ -70,7 +72,10 @@
             self._inbox.put_nowait(data)
 
     async def receive(self):
-        return decode(await self._inbox.get())
+        data = await self._inbox.get()
+        message = decode(data)
+        self.on_transfer(message, len(data))
+        return message
 
     def close(self):
         self._is_closed = True
