Test harness: a link of limited capacity between two regions, and a fleet that starts at once behind it

Messages between hosts, answers of the store and handshakes of connections queue on the link and are counted by kind.

--- a/standins/lineplatform/memorystore.py
+++ b/standins/lineplatform/memorystore.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from copy import deepcopy
 from datetime import timedelta
 from typing import Any
@@ -27,6 +27,7 @@
 from hickorywind.store.era import era_of, make_revision, number_of
 from hickorywind.store.interface import StoredValue, StoreSilentError, StoreUnavailableError
 
+ITEM_BYTES = 120  # of an item in an answer beside its value
 _CALL_TIMEOUT_SECONDS = 1.0
 _WATCH_TIMEOUT_MARGIN_SECONDS = 2.0
 _KEPT = ("revision", "items", "history", "compacted_revision", "leases", "next_lease")
@@ -126,6 +127,8 @@
         self.is_deaf = False
         self.refuses_reads = False
         self.lose_next_answer = False
+        # Waits until the link of this host has carried an answer to a call, of so many bytes.
+        self.carry_answer: Callable[[str, int], Awaitable[None]] | None = None
         self.calls: list[str] = []
 
     async def _begin_call(self, call: str, timeout_seconds: float = _CALL_TIMEOUT_SECONDS) -> None:
@@ -137,6 +140,8 @@
             await asyncio.sleep(self._store.delay_seconds)
         if self.is_cut or (self.refuses_reads and call in ("range", "watch")):
             raise StoreUnavailableError(f"{call}: cut off")
+        if self.carry_answer is not None:
+            await self.carry_answer(call, 0)
 
     async def read_range(
         self, prefix: str, max_bytes: int | None = None, timeout: timedelta | None = None
@@ -147,7 +152,7 @@
             self._qualify(item) for key, item in self._store.items.items() if key.startswith(prefix)
         )
         as_of = self._in_era(self._store.revision)
-        await self._transfer(sum(len(item.value) for item in items), max_bytes)
+        await self._transfer(items, max_bytes)
         return Snapshot(items, as_of)
 
     def _in_era(self, number: int) -> Revision:
@@ -156,11 +161,14 @@
     def _qualify(self, item: StoredValue) -> StoredValue:
         return StoredValue(item.key, item.value, self._in_era(item.revision))
 
-    async def _transfer(self, size: int, max_bytes: int | None) -> None:
+    async def _transfer(self, items: Sequence[StoredValue], max_bytes: int | None) -> None:
         """Wait until the link, which carries one answer after the other, has carried one."""
+        size = sum(len(item.value) for item in items)
         if max_bytes is not None and size > max_bytes:
             raise AnswerTooLargeError(size)
         self._store.bytes_read += size
+        if self.carry_answer is not None:
+            await self.carry_answer("items", size * 4 // 3 + len(items) * ITEM_BYTES)
         if self._store.bytes_per_second is None:
             return
         now = asyncio.get_running_loop().time()
@@ -189,7 +197,7 @@
             return HistoryCompacted()
         batch = ChangeBatch(self._changes_after(prefix, after), self._in_era(self._store.revision))
         written = [each.item for each in batch.changes if isinstance(each, ItemWritten)]
-        await self._transfer(sum(len(item.value) for item in written), max_bytes)
+        await self._transfer(written, max_bytes)
         return batch
 
     def _has_history(self, after: Revision) -> bool:
--- a/tests/host/harness.py
+++ b/tests/host/harness.py
@@ -181,6 +181,8 @@
 
         async def connect(make_protocol, host=None, port=None, **options):
             gate = CURRENT_GATE.get()
+            if gate is not None:
+                await self.delay_connection(gate.name, Address(host, port))
             if gate is not None and (gate.name, Address(host, port)) in self.refused:
                 raise ConnectionRefusedError(errno.ECONNREFUSED, "refused by the test")
             return await create_connection(make_protocol, host, port, **options)
@@ -195,6 +197,9 @@
             self.addCleanup(patch.stop)
         await super().asyncSetUp()
 
+    async def delay_connection(self, host, address):
+        """Wait as long as the network takes to open a connection of a host to a server."""
+
     def refuse(self, server, *hosts):
         """Reset the connections of hosts to a server that runs, and refuse new ones, as a cut may.
 
--- a/tests/host/memorypeers.py
+++ b/tests/host/memorypeers.py
@@ -23,6 +23,7 @@
         self.cut_from = set()
         self.cut_to = set()
         self.bytes_sent = 0
+        self.region_link = None  # between hosts of different regions, None: no limit
 
     def make_link(self, address, with_heartbeats=True):
         """Return a link; replaces the class ``Link`` of the hosts."""
@@ -32,7 +33,7 @@
         """Return a listener; replaces the class ``Listener`` of the hosts."""
         return MemoryListener(self, CURRENT_GATE.get().name, address)
 
-    def deliver(self, source, target, handler, *arguments):
+    def deliver(self, source, target, kind, size, handler, *arguments):
         """Deliver a message after half a round trip, unless it is lost by then."""
 
         def arrive():
@@ -40,7 +41,11 @@
             if not is_cut and (source in self.separated) == (target in self.separated):
                 handler(*arguments)
 
-        asyncio.get_running_loop().call_later(ROUND_TRIP_SECONDS / 2, arrive)
+        delay = ROUND_TRIP_SECONDS / 2
+        if self.region_link is not None:
+            regions = self.region_link.regions
+            delay += self.region_link.carry(regions[source], regions[target], kind, size)[1]
+        asyncio.get_running_loop().call_later(delay, arrive)
 
 
 class MemoryLink:
@@ -64,7 +69,10 @@
         data = encode(message)
         self.on_transfer(message, len(data))
         self._network.bytes_sent += len(data)
-        self._network.deliver(self.host, listener.host, listener.inbox.put_nowait, (self, data))
+        kind = type(message).__name__
+        self._network.deliver(
+            self.host, listener.host, kind, len(data), listener.inbox.put_nowait, (self, data)
+        )
         return True
 
     def enqueue(self, data):
@@ -105,7 +113,8 @@
     async def send(self, peer, message):
         data = encode(message)
         self._network.bytes_sent += len(data)
-        self._network.deliver(self.host, peer.host, peer.enqueue, data)
+        kind = type(message).__name__
+        self._network.deliver(self.host, peer.host, kind, len(data), peer.enqueue, data)
         return True
 
     def refuse(self):
--- /dev/null
+++ b/tests/host/test_fleetrestart.py
@@ -0,0 +1,135 @@
+"""A fleet of two regions that loses power and starts at once, behind the link between them."""
+
+import asyncio
+import os
+import unittest.mock
+
+from hickorywind.failover.leadership import LeadershipPhase, decode_leadership
+from hickorywind.host.fleet import LEADERSHIP_PREFIX
+from hickorywind.ports.coordination import ItemWritten
+from hickorywind.protocol.messages import ReachQuery
+from tests.host.harness import SERVICE, HostTestCase, RunningHost
+from tests.host.regionlink import CALL_BYTES, RegionLink
+from tests.host.virtualtime import Gate, VirtualClock, VirtualLoop
+from tests.ports import wait_until_free
+
+ZONES = {"z0": "r0", "z1": "r0", "z2": "r1", "z3": "r1"}
+SERVER_ZONES = {"i-a": "z2", "i-b": "z0", "i-c": "z1"}
+STORE_REGION = "r0"
+HOST_COUNT = int(os.environ.get("HICKORYWIND_FLEET_HOSTS", "48"))
+FULL_SIZE = 195
+FULL_LINK_BYTES_PER_SECOND = 75_000_000 / 8
+DOWN_SECONDS = 0.8
+RECOVERY_SECONDS = 5.0  # the stated aim
+SETTLED_SECONDS = 8.0
+SUSPICION_SECONDS = 0.25  # between failed connections to a primary whose connections are scarce
+
+
+class FleetRestartTest(HostTestCase):
+    host_count = HOST_COUNT
+
+    def _setupAsyncioRunner(self):  # noqa: N802
+        # Without the loop's debug mode, which takes most of the time of a large fleet.
+        self._asyncioRunner = asyncio.Runner(loop_factory=VirtualLoop)
+
+    async def asyncSetUp(self):
+        # What a start reads grows with the square of the fleet.
+        share = min(1.0, (HOST_COUNT / FULL_SIZE) ** 2)
+        loop = asyncio.get_running_loop()
+        self.link = RegionLink(loop, FULL_LINK_BYTES_PER_SECOND * share)
+        await super().asyncSetUp()
+        await asyncio.sleep(SETTLED_SECONDS)
+        self.link.sent.clear()
+
+    def start_host(self, name, settings=None, is_cut=False):
+        self.network.region_link = self.link
+        zone = f"z{int(name[1:]) % len(ZONES)}"
+        region = self.link.regions[name] = ZONES[zone]
+        host = self.hosts[name] = Gate(name).run(
+            RunningHost,
+            name,
+            self.store,
+            self.group,
+            settings,
+            is_cut,
+            VirtualClock(self.loop),
+            zone,
+            ZONES,
+            {"store_watchers_per_zone": 2},
+        )
+
+        async def carry_answer(call, size_bytes):
+            await self.link.carry_answer(STORE_REGION, region, call, size_bytes or CALL_BYTES)
+
+        host.coordinator.carry_answer = carry_answer
+
+    async def register(self, server, **changes):
+        await super().register(server, **{"zone": SERVER_ZONES[server.backend]} | changes)
+
+    async def delay_connection(self, host, address):
+        for server in self.group.servers.values():
+            if server.address == address:
+                region = ZONES[SERVER_ZONES[server.backend]]
+                await self.link.connect(self.link.regions[host], region)
+
+    async def restart_all(self):
+        for host in self.hosts.values():
+            await host.kill()
+        await asyncio.sleep(DOWN_SECONDS)
+        for name, host in list(self.hosts.items()):
+            await wait_until_free(host.settings.address("peers_listen"))
+            self.start_host(name, host.settings)
+
+    def closed_records(self):
+        """Return the changes of primary that were begun."""
+        written = [change.item for _, change in self.store.history if type(change) is ItemWritten]
+        records = [
+            decode_leadership(item.value)
+            for item in written
+            if item.key.startswith(LEADERSHIP_PREFIX)
+        ]
+        return [record for record in records if record.phase is LeadershipPhase.CLOSED]
+
+    def ended_leases(self):
+        return sum(host.coordinator.calls.count("end") for host in self.hosts.values())
+
+    def suspect_primary(self, hosts):
+        """Report the primary as callers' failed connections do."""
+        for host in hosts:
+            manager = host.role._failover_manager
+            Gate(host.settings.host).run(manager.report_suspect, SERVICE, "connecting failed")
+
+    async def test_hosts_that_start_at_once_take_no_running_process_for_ended(self):
+        await self.restart_all()
+        started = self.loop.time()
+        while self.loop.time() < started + SETTLED_SECONDS:
+            await asyncio.sleep(SUSPICION_SECONDS)
+            self.suspect_primary(self.hosts.values())
+            if self.loop.time() > started + RECOVERY_SECONDS:
+                self.assertTrue(self.is_open())
+        self.assertEqual((self.closed_records(), self.ended_leases()), ([], 0))
+
+    async def test_primary_behind_a_full_link_is_not_replaced(self):
+        """Guards issue 60: the hosts of one region, all behind that link, outvoted the other's."""
+        for second in range(4):
+            for region in set(ZONES.values()):
+                # Held up by more than the time-outs of probes and calls, which go on.
+                size_bytes = int(self.link._bytes_per_second * 1.2)
+                self.link.carry(region, None, "other traffic", size_bytes)
+            self.suspect_primary(list(self.hosts.values())[second::4])
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(SETTLED_SECONDS)
+        self.assertEqual(self.closed_records(), [])
+        self.assertTrue(self.is_open())
+
+
+class UnknownServerTest(HostTestCase):
+    async def test_host_that_has_not_read_the_servers_yet_does_not_call_one_unreachable(self):
+        role = self.hosts["h0"].role
+        fleet = role._fleet
+        with unittest.mock.patch.dict(fleet.backends, clear=True):
+            reply = await role._handle_peer_message(ReachQuery(1, "i-a"))
+            self.assertFalse(reply.is_reachable)  # it is not registered
+            copy = fleet.copies[fleet._schema.backends_prefix]
+            with unittest.mock.patch.object(copy, "as_of", 0):
+                self.assertIsNone(await role._handle_peer_message(ReachQuery(2, "i-a")))
