--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -222,6 +222,8 @@
             return
         self._known_since.pop(service, None)
         primary = self._fleet.backends.get(leadership.record.primary)
+        if primary is None and not self._fleet.has_read_backends:
+            return
         if primary is None:
             self._start_task(service, self._investigate(service, "the primary is not registered"))
         elif primary.state is BackendState.LEAVING:
--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -164,6 +164,11 @@
         """Return the primary that this host may use now, or None."""
         return self.permits.usable_primary(service, self._clock.now())
 
+    @property
+    def has_read_backends(self) -> bool:
+        """Whether this host knows which backend servers are registered."""
+        return self.copies[self._schema.backends_prefix].as_of > _BEFORE_FIRST_REVISION
+
     def copy_of(self, prefix: str) -> StoreCopy | None:
         """Return the copy of a prefix, or None if this host keeps none."""
         return self.host_copy if prefix == HOSTS_PREFIX else self.copies.get(prefix)
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -562,7 +562,8 @@
             case CopyReply():
                 self._apply_copy(message, "notice")
             case ReachQuery(call, backend):
-                return ReachReply(call, await self._reaches(backend))
+                is_reachable = await self._reaches(backend)
+                return None if is_reachable is None else ReachReply(call, is_reachable)
             case ResponsivenessQuery(call, name, backend):
                 return ResponsivenessReply(call, await self._is_backend_responsive(name, backend))
             case StopPrimaryUse(call, service, revision, is_planned):
@@ -620,14 +621,15 @@
             self._sync.confirms_leases,
         )
 
-    async def _reaches(self, backend: BackendId) -> bool:
+    async def _reaches(self, backend: BackendId) -> bool | None:
         """Return whether a backend server accepts connections; suspect a primary that does not.
 
         So the host of the first rank, which is to replace it, need not notice the failure itself.
+        Return None if this host has not read the registered servers yet.
         """
         server = self._fleet.backends.get(backend)
         if server is None:
-            return False
+            return False if self._fleet.has_read_backends else None
         if await accepts_connections(server.address, CONNECT_PROBE_TIMEOUT):
             return True
         service = self._services.get(server.service)
