--- a/hickorywind/host/detection.py
+++ b/hickorywind/host/detection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Collection
 from datetime import timedelta
 from enum import Enum
 
@@ -15,7 +16,7 @@
 from hickorywind.host.peers import Peers
 from hickorywind.host.service import STATUS_TIMEOUT, ServiceRuntime
 from hickorywind.host.servicestate import UNRESPONSIVE_AFTER, Backend
-from hickorywind.ids import BackendId
+from hickorywind.ids import BackendId, HostId
 from hickorywind.ports.replies import BackendErrorKind
 from hickorywind.protocol.messages import (
     ReachQuery,
@@ -36,8 +37,9 @@
     ``LEADS``: its status says that it is primary in the recorded term or a later one; ``RUNNING``:
     it accepts connections but gave no status; ``LOST_LEAD``: it is a replica, or primary in an
     older term, or another server uses its address; ``FAILED``: neither this host nor a quorum of
-    its peers reaches it or gets an answer; ``REACHED_BY_OTHERS``: only peers reach it; ``UNKNOWN``:
-    this host does not reach it and too few peers replied.
+    its peers, some of the primary's region among them, reaches it or gets an answer;
+    ``REACHED_BY_OTHERS``: only peers reach it; ``UNKNOWN``: this host does not reach it and too few
+    peers replied.
     """
 
     LEADS = "leads"
@@ -54,7 +56,7 @@
     """Check a primary from this host and from its peers at the same time."""
     backend = runtime.backends.get(primary)
     is_reachable, peers_verdict = await asyncio.gather(
-        _is_reachable(backend), _ask_peers(runtime, peers, primary)
+        _is_reachable(runtime, backend), _ask_peers(runtime, peers, primary)
     )
     if not is_reachable:
         return peers_verdict
@@ -80,11 +82,15 @@
     """Return FAILED if an unresponsive primary answers no peer either, otherwise RUNNING."""
     name = backend.server.backend
     voters = peers.table.voters()
-    replies = await peers.call_each(
+    replies = await peers.ask_each(
         voters, lambda call: ResponsivenessQuery(call, runtime.name, name), PEER_ANSWER_TIMEOUT
     )
-    answers = [reply for reply in replies if isinstance(reply, ResponsivenessReply)]
-    answered = sum(answer.is_responsive for answer in answers)
+    answers = {
+        host: reply.is_responsive
+        for host, reply in replies.items()
+        if isinstance(reply, ResponsivenessReply)
+    }
+    answered = sum(answers.values())
     logger.info(
         "primary_silence_checked",
         extra={
@@ -95,15 +101,20 @@
             "answered": answered,
         },
     )
-    if answered or not peers.table.is_quorum(len(answers)):
+    of_region = _hosts_of_region(runtime, peers, name, voters)
+    if answered or not _is_decided(peers, of_region, answers.keys()):
         return PrimaryVerdict.RUNNING
     return PrimaryVerdict.FAILED
 
 
-async def _is_reachable(backend: Backend | None) -> bool:
+async def _is_reachable(runtime: ServiceRuntime, backend: Backend | None) -> bool:
     if backend is None:
         return False
-    return await accepts_connections(backend.server.address, CONNECT_PROBE_TIMEOUT)
+    started = runtime.clock.now()
+    if await accepts_connections(backend.server.address, CONNECT_PROBE_TIMEOUT):
+        return True
+    # An answer that was on a slow link shows that the server runs.
+    return backend.last_answer > started
 
 
 async def _check_role(runtime: ServiceRuntime, backend: Backend) -> PrimaryVerdict:
@@ -132,9 +143,12 @@
 async def _ask_peers(runtime: ServiceRuntime, peers: Peers, primary: BackendId) -> PrimaryVerdict:
     """Ask the peers whether they reach a primary; it has failed only if none of them does."""
     voters = peers.table.voters()
-    replies = await peers.call_each(voters, lambda call: ReachQuery(call, primary))
-    answers = [reply for reply in replies if isinstance(reply, ReachReply)]
-    reached = sum(answer.is_reachable for answer in answers)
+    replies = await peers.ask_each(voters, lambda call: ReachQuery(call, primary))
+    answers = {
+        host: reply.is_reachable for host, reply in replies.items() if isinstance(reply, ReachReply)
+    }
+    reached = sum(answers.values())
+    of_region = _hosts_of_region(runtime, peers, primary, voters)
     logger.info(
         "primary_checked",
         extra={
@@ -143,8 +157,36 @@
             "peers": len(voters),
             "replies": len(answers),
             "reached": reached,
+            "of_region": len(of_region),
+            "region_replies": len(of_region & answers.keys()),
         },
     )
     if reached:
         return PrimaryVerdict.REACHED_BY_OTHERS
-    return PrimaryVerdict.FAILED if peers.table.is_quorum(len(answers)) else PrimaryVerdict.UNKNOWN
+    is_decided = _is_decided(peers, of_region, answers.keys())
+    return PrimaryVerdict.FAILED if is_decided else PrimaryVerdict.UNKNOWN
+
+
+def _is_decided(peers: Peers, of_region: set[HostId], answering: Collection[HostId]) -> bool:
+    """Return whether the hosts that answered may decide that a primary has failed.
+
+    Hosts of one region lose a primary of the other together while the link between them is full,
+    so one of its own region has to answer, too, as long as any of them is alive.
+    """
+    is_heard = not of_region or not of_region.isdisjoint(answering)
+    return is_heard and peers.table.is_quorum(len(answering))
+
+
+def _hosts_of_region(
+    runtime: ServiceRuntime, peers: Peers, primary: BackendId, hosts: tuple[HostId, ...]
+) -> set[HostId]:
+    """Return those of ``hosts`` that are in the region of a primary; none if it is unknown."""
+    backend = runtime.backends.get(primary)
+    if backend is None:
+        return set()
+    zone = backend.server.zone
+    return {
+        host
+        for host in hosts
+        if runtime.topology.is_same_region(zone, peers.table.states[host].record.zone)
+    }
--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -240,8 +240,18 @@
         timeout: timedelta = CALL_TIMEOUT,
     ) -> list[Message]:
         """Send a message to several hosts at once and return the replies that arrive in time."""
+        return list((await self.ask_each(hosts, make_message, timeout)).values())
+
+    async def ask_each(
+        self,
+        hosts: tuple[HostId, ...],
+        make_message: Callable[[int], Message],
+        timeout: timedelta = CALL_TIMEOUT,
+    ) -> dict[HostId, Message]:
+        """Send a message to several hosts at once; return the replies in time, by host."""
         replies = await asyncio.gather(*(self.call(host, make_message, timeout) for host in hosts))
-        return [reply for reply in replies if reply is not None]
+        pairs = zip(hosts, replies, strict=True)
+        return {host: reply for host, reply in pairs if reply is not None}
 
     async def is_responding(self, host: HostId, timeout: timedelta) -> bool:
         """Return whether a host answers a greeting in time."""
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -103,7 +103,7 @@
         self.host_count = 1
         self.homes: BackendHomes | None = None
         self.shares_reads = False  # whether homes run the reads of all hosts
-        self._topology = topology
+        self.topology = topology
         self._zone = zone
         self._make_codec = make_codec
         self._rng = rng
@@ -140,7 +140,7 @@
         backend = self.backends.get(server.backend)
         if backend is None:
             connections = ConnectionPool(server, self._make_codec, self.clock)
-            distance = self._topology.distance(self._zone, server.zone)
+            distance = self.topology.distance(self._zone, server.zone)
             load = ServerState(server.backend, distance, server.slots)
             load.has_connection = connections.has_connection
             load.has_idle_connection = connections.has_idle_connection
--- a/hickorywind/ports/catalog.py
+++ b/hickorywind/ports/catalog.py
@@ -141,6 +141,10 @@
 
     regions: Mapping[AvailabilityZone, Region] = field(default_factory=dict)
 
+    def is_same_region(self, first: AvailabilityZone, second: AvailabilityZone) -> bool:
+        """Return whether two zones are in one region."""
+        return self.distance(first, second) < 2
+
     def distance(self, first: AvailabilityZone, second: AvailabilityZone) -> int:
         """Return 0 for two servers of one zone, 1 within one region, 2 between regions."""
         if first == second:
