--- a/hickorywind/protocol/channel.py
+++ b/hickorywind/protocol/channel.py
@@ -116,6 +116,8 @@
     ``on_transfer`` is called with each message that was sent or received and its size in bytes.
     """
 
+    on_transfer: Callable[[Message, int], None] = staticmethod(lambda message, size_bytes: None)
+
     def __init__(
         self, address: Address, keys: ChannelKeys | None = None, with_heartbeats: bool = True
     ) -> None:
@@ -123,7 +125,6 @@
 
         Heartbeats are not needed if the messages themselves show whether the peer is alive.
         """
-        self.on_transfer: Callable[[Message, int], None] = lambda message, size_bytes: None
         self._socket = zmq.asyncio.Context.instance().socket(zmq.DEALER)
         _set_common_options(self._socket, with_heartbeats)
         self._socket.setsockopt(zmq.IMMEDIATE, 1)
