--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -280,8 +280,8 @@
         return Revision(0) if item is None else item.revision
 
     async def _read_own_item(self) -> StoredValue | None:
-        snapshot = await self._coordination_store.read_range(HOSTS_PREFIX)
         key = HOSTS_PREFIX + self._identity.host
+        snapshot = await self._coordination_store.read_range(key)
         return next((item for item in snapshot.items if item.key == key), None)
 
     # Contact -----------------------------------------------------------------------------------
@@ -346,15 +346,20 @@
                 self._registered_at = item.revision
 
     async def _load_fleet(self) -> None:
-        """Read hosts and leadership after registration."""
+        """Read leadership after registration, and the hosts unless they are known.
+
+        A process that registers again, as its lease was ended, hears from others of newer hosts.
+        """
         sent = self._fleet.now()
-        snapshot = await self._coordination_store.read_range(OWN_PREFIX)
+        prefix = OWN_PREFIX if self._loaded_at is None else LEADERSHIP_PREFIX
+        snapshot = await self._coordination_store.read_range(prefix)
         hosts = tuple(item for item in snapshot.items if item.key.startswith(HOSTS_PREFIX))
         leadership = tuple(
             item for item in snapshot.items if item.key.startswith(LEADERSHIP_PREFIX)
         )
         self._fleet.apply_snapshot(LEADERSHIP_PREFIX, Snapshot(leadership, snapshot.as_of), "store")
-        self._peers.add(*self._fleet.add_hosts(Snapshot(hosts, snapshot.as_of)))
+        if prefix == OWN_PREFIX:
+            self._peers.add(*self._fleet.add_hosts(Snapshot(hosts, snapshot.as_of)))
         self._watch_duty.record_own_contact(LEADERSHIP_PREFIX, sent)
 
     async def _renew_until_lease_ends(self) -> None:
