--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
+import xxhash
+
 from hickorywind.failover.leadership import (
     HostRecord,
     MissingPermitTimer,
@@ -35,6 +37,8 @@
 OWN_PREFIX = "hickorywind/"
 LEADERSHIP_PREFIX = OWN_PREFIX + "services/"
 HOSTS_PREFIX = OWN_PREFIX + "hosts/"
+# Beside the revisions of copies in a greeting: two hosts may each lack a record that the other has.
+LEADERSHIP_DIGEST = LEADERSHIP_PREFIX + "#"
 # Registrations that expired during a store outage are back about two seconds after its end.
 MISSING_BACKEND_GRACE = timedelta(seconds=3)
 
@@ -53,6 +57,7 @@
         self.as_of = Revision(0)
         self.changed_at = Revision(0)
         self.items: dict[str, StoredValue] = {}
+        self._digest: int | None = None
 
     def replace(self, snapshot: Snapshot) -> tuple[Change, ...]:
         """Replace the items by a snapshot; return the changes.
@@ -75,6 +80,13 @@
         self.apply(tuple(changes), snapshot.as_of)
         return tuple(changes)
 
+    def digest(self) -> int:
+        """Return a number that is equal for two copies with the same items."""
+        if self._digest is None:
+            revisions = (f"{key}={item.revision}" for key, item in sorted(self.items.items()))
+            self._digest = xxhash.xxh3_64_intdigest("\n".join(revisions).encode()) >> 1
+        return self._digest
+
     def to_message(
         self, call: int, after: Revision = _BEFORE_FIRST_REVISION, deflates: bool = False
     ) -> CopyReply:
@@ -86,11 +98,19 @@
         )
         return CopyReply(call, self.prefix, self.as_of, items)
 
+    def to_notice(self, keys: Collection[str]) -> CopyReply:
+        """Return some of the items as a message that says nothing about all others."""
+        items = tuple(
+            CopiedItem.from_stored(self.items[key]) for key in sorted(keys) if key in self.items
+        )
+        return CopyReply(0, self.prefix, _BEFORE_FIRST_REVISION, items)
+
     def apply(self, changes: tuple[Change, ...], as_of: Revision) -> tuple[Change, ...]:
         """Apply changes in order; return those that changed the copy."""
         applied = []
         for change in changes:
             if self._apply_change(change):
+                self._digest = None
                 applied.append(change)
                 revision = (
                     change.item.revision if isinstance(change, ItemWritten) else change.revision
@@ -177,9 +197,11 @@
         """Return by prefix the revision by which hosts compare their copies.
 
         For registrations it is the one up to which the copy is complete, as no host watches them.
+        ``LEADERSHIP_DIGEST`` holds the digest of the leadership records.
         """
         revisions = {prefix: copy.changed_at for prefix, copy in self.copies.items()}
-        return revisions | {HOSTS_PREFIX: self.host_copy.as_of}
+        digest = Revision(self.copies[LEADERSHIP_PREFIX].digest())
+        return revisions | {HOSTS_PREFIX: self.host_copy.as_of, LEADERSHIP_DIGEST: digest}
 
     def configuration_state(self) -> ConfigurationState | None:
         """Return the state of the configuration in force, or None if there is none."""
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -13,7 +13,12 @@
 from hickorywind.host.accountquotas import AccountQuotas
 from hickorywind.host.detection import is_responsive
 from hickorywind.host.failovermanager import FailoverManager
-from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX, Fleet
+from hickorywind.host.fleet import (
+    HOSTS_PREFIX,
+    LEADERSHIP_DIGEST,
+    LEADERSHIP_PREFIX,
+    Fleet,
+)
 from hickorywind.host.hoststatus import describe_host, serve_status
 from hickorywind.host.identity import HostIdentity
 from hickorywind.host.peers import CALL_TIMEOUT, Peers
@@ -191,6 +196,7 @@
         self._background = BackgroundTasks()
         # By prefix and host, when it was asked for its copy.
         self._copies_in_progress: dict[str, dict[HostId, Instant]] = {}
+        self._leadership_to_pass: set[str] = set()
         self._register_callbacks()
 
     def _register_callbacks(self) -> None:
@@ -470,10 +476,20 @@
         return is_large and self._settings.store_watchers_per_zone > 0
 
     def _pass_leadership_on(self, service: ServiceName) -> None:
-        """Send changed leadership records to the hosts that don't watch the store themselves."""
-        if self._shares_watches:
-            copy = self._fleet.copies[LEADERSHIP_PREFIX]
-            self._background.start(self._peers.broadcast(copy.to_message(0)))
+        """Send changed leadership records to the hosts that don't watch the store themselves.
+
+        Records that change at once go out together.
+        """
+        if not self._shares_watches:
+            return
+        if not self._leadership_to_pass:
+            self._background.start(self._send_leadership())
+        self._leadership_to_pass.add(LEADERSHIP_PREFIX + service)
+
+    async def _send_leadership(self) -> None:
+        keys, self._leadership_to_pass = self._leadership_to_pass, set()
+        message = self._fleet.copies[LEADERSHIP_PREFIX].to_notice(keys)
+        await self._peers.send_to_neighbours(message)
 
     def _fetch_newer_copies(self, host: HostId, revisions: dict[str, int]) -> bool:
         """Start to fetch the copies that another host has newer; return whether it has none."""
@@ -481,7 +497,7 @@
         own_revisions = self._fleet.copy_revisions()
         for prefix, revision in revisions.items():
             own_revision = own_revisions.get(prefix)
-            if own_revision is None or own_revision >= revision:
+            if own_revision is None or own_revision >= revision or prefix == LEADERSHIP_DIGEST:
                 continue
             if prefix != HOSTS_PREFIX:
                 is_up_to_date = False
@@ -490,8 +506,19 @@
                 continue
             self._start_fetch(host, prefix)
         return is_up_to_date
+        if is_up_to_date and self._differs_in_leadership(revisions):
+            is_up_to_date = False
+            self._start_fetch(host, LEADERSHIP_PREFIX)
 
     def _start_fetch(self, host: HostId, prefix: str) -> None:
+    def _differs_in_leadership(self, revisions: dict[str, int]) -> bool:
+        """Return whether a host's newest leadership record is the same and another one is not."""
+        own = self._fleet.copy_revisions()
+        is_equally_new = revisions.get(LEADERSHIP_PREFIX) == own[LEADERSHIP_PREFIX]
+        return is_equally_new and revisions.get(LEADERSHIP_DIGEST, own[LEADERSHIP_DIGEST]) != (
+            own[LEADERSHIP_DIGEST]
+        )
+
         """Ask a host for its copy, unless it or, a moment ago, another one was asked."""
         now = self._fleet.now()
         asked = self._copies_in_progress.setdefault(prefix, {})
--- a/hickorywind/host/leadershipstore.py
+++ b/hickorywind/host/leadershipstore.py
@@ -140,7 +140,7 @@
         copy = self._fleet.copies[LEADERSHIP_PREFIX]
         # Not complete up to the write: other services may have changed just before it.
         self._fleet.apply_changes(LEADERSHIP_PREFIX, (ItemWritten(item),), copy.as_of, "own write")
-        await self._peers.broadcast(copy.to_message(0))
+        await self._peers.broadcast(copy.to_notice((item.key,)))
         return VersionedLeadership(record, revision)
 
     async def read_hosts(self) -> dict[HostId, HostRecord]:
--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -283,6 +283,12 @@
             if peer.link is not None:
                 await peer.link.send(message)
 
+    async def send_to_neighbours(self, message: Message) -> None:
+        """Send a message without a reply to the greeted hosts with an open connection."""
+        for peer in list(self._peers.values()):
+            if peer.link is not None and peer.greeter is not None:
+                await peer.link.send(message)
+
     async def _receive(self, peer: Peer, link: Link) -> None:
         while True:
             try:
