--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -432,6 +432,7 @@
             identity.zone,
             identity.address,
             self._fleet.copy_revisions(),
+            tuple((lease.id, lease.era) for lease in self._sync.own_leases),
         )
 
     def _handle_greeting_reply(self, reply: GreetingReply, sent: Instant) -> None:
@@ -641,7 +642,7 @@
             self._fleet.copy_revisions(),
             tuple(samples),
             self._is_stopping,
-            self._failover_manager.store.ended_leases(),
+            self._failover_manager.store.ended_leases_for(greeting.leases),
             permits.is_valid(now) and now + MIN_PERMIT_REMAINING < permits.valid_until,
             self._peers.table.make_reports(),
             None if contact_age is None else int(to_milliseconds(contact_age)) + 1,
--- a/hickorywind/host/leadershipstore.py
+++ b/hickorywind/host/leadershipstore.py
@@ -18,7 +18,7 @@
 from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX, Fleet, decode_hosts
 from hickorywind.host.peers import Peers
 from hickorywind.host.storerelay import StoreRelay
-from hickorywind.ids import HostId, Revision, ServiceName
+from hickorywind.ids import HostId, Revision, ServiceName, StoreEra
 from hickorywind.ports.coordination import (
     Committed,
     ItemWritten,
@@ -42,6 +42,7 @@
 # it orders a promotion.
 EXCLUSIVE_AFTER_READ = timedelta(milliseconds=400)
 
+LEASE_END_NEWS = timedelta(seconds=4)  # greetings spread the end of a lease in this time
 
 class PrimaryChangeCancelledError(Exception):
     """Raised when a primary change ends early; the message gives the reason."""
@@ -207,7 +208,7 @@
         )
         known_at = self._fleet.now()
         recorders = {reply.host for reply in replies if isinstance(reply, LeaseEndsRecorded)}
-        for lease in ended:
+        for lease in awaited:
             self._recorded_by.setdefault(lease, set()).update(recorders)
         for record in waiting:
             if self._may_lose_contact(record, hosts.keys()):
@@ -229,6 +230,8 @@
             for lease, confirmed in self._lease_ends.items()
             if now < confirmed + ENDED_LEASE_RETENTION
         }
+        awaited = {record.granted_lease for record in waiting}
+        leases = tuple(each for each in leases if Lease(LeaseId(each.lease), each.era) in awaited)
         self._recorded_by = {
             lease: hosts for lease, hosts in self._recorded_by.items() if lease in self._lease_ends
         }
@@ -248,6 +251,27 @@
                     else None
                 ),
             )
+    def ended_leases_for(
+        self, leases: Collection[tuple[int, StoreEra]] | None
+    ) -> tuple[EndedLease, ...]:
+        """Return the ended leases to report to a host that holds or held ``leases``.
+
+        These are its own and those of which the news still spreads, however many ended before; all
+        of them for a host of an older version, which names no leases.
+        """
+        ended = self.ended_leases()
+        if leases is None:
+            return ended
+        newest_ms = int(to_milliseconds(LEASE_END_NEWS))
+
+        def is_reported(each: EndedLease) -> bool:
+            is_news = each.age_ms < newest_ms or (
+                each.without_contact_ms is not None and each.without_contact_ms < newest_ms
+            )
+            return is_news or (each.lease, each.era) in leases
+
+        return tuple(filter(is_reported, ended))
+
             for lease, confirmed in self._lease_ends.items()
         )
 
--- a/hickorywind/host/storesync.py
+++ b/hickorywind/host/storesync.py
@@ -297,6 +297,11 @@
             return False
         return now >= self._loaded_at + PERMIT_END_DELAY
 
+    @property
+    def own_leases(self) -> set[Lease]:
+        """Leases on which the permit of this host rests, or soon may."""
+        return {each for each in (self._permit_lease, self._granted_lease) if each is not None}
+
     def record_confirmation(
         self, host: HostId, ended_leases: tuple[EndedLease, ...], asked_at: Instant
     ) -> None:
@@ -305,7 +310,7 @@
         The permit may soon rest on the newest lease, so the host must not know of its end either.
         """
         ended = {Lease(LeaseId(each.lease), each.era) for each in ended_leases}
-        if ended.isdisjoint({self._permit_lease, self._granted_lease}):
+        if ended.isdisjoint(self.own_leases):
             self._fleet.permits.record_confirmation(host, asked_at)
 
     def _extend_permit(self, proof_sent: Instant) -> None:
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -289,7 +289,10 @@
 
 
 class Greeting(msgspec.Struct, frozen=True, tag="hello", array_like=True):
-    """Identity of the sending host and the revisions of its copies of store prefixes."""
+    """Identity of the sending host and the revisions of its copies of store prefixes.
+
+    ``leases`` holds the ids and eras of its leases, None in messages of older versions.
+    """
 
     call: int
     host: HostId
@@ -297,6 +300,7 @@
     zone: str
     address: Address
     revisions: dict[str, int]
+    leases: tuple[tuple[int, StoreEra], ...] | None = None
 
 
 class PeerReport(msgspec.Struct, frozen=True, array_like=True):
@@ -319,8 +323,9 @@
     ``holds_permit`` says that the replying host may use primaries for some time to come;
     ``reports`` holds what it knows of silent and leaving hosts. ``store_contact_ms`` is the age of
     the newest contact with the store that its copies reflect, None if it knows of none.
-    ``confirms_leases`` says that ``ended_leases`` lacks no end that the replying host was to
-    record, of a lease whose permit may be valid.
+    ``ended_leases`` holds those that ended lately, and those of the greeting host.
+    ``confirms_leases`` says that it lacks no end of these that the replying host was to record, of
+    a lease whose permit may be valid.
     """
 
     call: int
