--- a/hickorywind/host/leadershipstore.py
+++ b/hickorywind/host/leadershipstore.py
@@ -15,7 +15,13 @@
     VersionedLeadership,
     encode_record,
 )
-from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX, Fleet, decode_hosts
+from hickorywind.host.fleet import (
+    HOSTS_PREFIX,
+    LEADERSHIP_PREFIX,
+    Fleet,
+    StoreCopy,
+    decode_hosts,
+)
 from hickorywind.host.peers import Peers
 from hickorywind.host.storerelay import StoreRelay
 from hickorywind.ids import HostId, Revision, ServiceName, StoreEra
@@ -24,11 +30,13 @@
     ItemWritten,
     Lease,
     LeaseId,
+    Snapshot,
 )
 from hickorywind.protocol.messages import EndedLease, LeaseEndsRecorded, RecordLeaseEnds
 from hickorywind.store.era import era_of
 from hickorywind.store.interface import StoredValue, StoreUnavailableError
 from hickorywind.util.clock import Instant, to_milliseconds
+from hickorywind.util.tasks import JoinedCall
 
 logger = logging.getLogger(__name__)
 
@@ -60,6 +68,8 @@
         self._contact_ends: dict[Lease, Instant] = {}
         self._recorded_by: dict[Lease, set[HostId]] = {}  # hosts that won't confirm an ended lease
         self._written: dict[ServiceName, tuple[Revision, Instant]] = {}
+        self._host_copy = StoreCopy(HOSTS_PREFIX)  # unlike the fleet's, with deletions
+        self._registrations = JoinedCall(self._read_registrations)
 
     async def write(
         self, service: ServiceName, record: LeadershipRecord, revision: Revision
@@ -145,9 +155,26 @@
         return VersionedLeadership(record, revision)
 
     async def read_hosts(self) -> dict[HostId, HostRecord]:
-        """Read the registered hosts with one store call; raise ``StoreUnavailableError``."""
-        snapshot = await self._relay.read_range(HOSTS_PREFIX)
-        return {record.host: record for record in decode_hosts(snapshot.items)}
+        """Return the hosts that are registered now; raise ``StoreUnavailableError``."""
+        return {record.host: record for record in decode_hosts(await self.read_registrations())}
+
+    async def read_registrations(self) -> tuple[StoredValue, ...]:
+        """Return the registrations of hosts as they are now; raise ``StoreUnavailableError``.
+
+        Changes of several services share the reads, and after the first one only what has changed
+        is read: in a large fleet the registrations are large.
+        """
+        return await self._registrations.run()
+
+    async def _read_registrations(self) -> tuple[StoredValue, ...]:
+        copy = self._host_copy
+        result = await self._relay.read_changes(HOSTS_PREFIX, copy.as_of)
+        if isinstance(result, Snapshot):
+            copy = self._host_copy = StoreCopy(HOSTS_PREFIX)
+            copy.replace(result)
+        else:
+            copy.apply(result.changes, result.as_of)
+        return tuple(copy.items.values())
 
     async def read_hosts_with_retries(self) -> dict[HostId, HostRecord]:
         """Read the registered hosts, with retries; raise ``StoreUnavailableError``."""
--- a/hickorywind/host/storerelay.py
+++ b/hickorywind/host/storerelay.py
@@ -12,10 +12,14 @@
 from hickorywind.host.peers import Peers
 from hickorywind.ids import HostId, Revision
 from hickorywind.ports.coordination import (
+    Change,
+    ChangeBatch,
     Committed,
     Condition,
     Conflict,
     CoordinationStore,
+    ItemDeleted,
+    ItemWritten,
     Lease,
     LeaseId,
     Put,
@@ -38,6 +42,7 @@
 
 RELAY_PEER_COUNT = 3  # asked at once, so that one mostly reaches a store that is up
 RELAY_TIMEOUT = timedelta(milliseconds=1300)  # one store call and the round trip to the peer
+NO_WAIT = timedelta(milliseconds=1)  # for changes that the store does not have yet
 HEDGE_DELAY = timedelta(milliseconds=300)  # two round trips between regions
 
 
@@ -46,7 +51,7 @@
     """Answer of the store: a lease has ended."""
 
 
-StoreAnswer = Snapshot | Committed | Conflict | LeaseEnded
+StoreAnswer = Snapshot | ChangeBatch | Committed | Conflict | LeaseEnded
 Answer = TypeVar("Answer")
 
 
@@ -69,6 +74,22 @@
             self._coordination_store.read_range(prefix), lambda call: StoreReadRequest(call, prefix)
         )
 
+    async def read_changes(self, prefix: str, after: Revision) -> Snapshot | ChangeBatch:
+        """Read what changed under a prefix after a revision, or all if that is not known.
+
+        Raise ``StoreUnavailableError``.
+        """
+        return await self._call(
+            self._read_changes(prefix, after), lambda call: StoreReadRequest(call, prefix, after)
+        )
+
+    async def _read_changes(self, prefix: str, after: Revision) -> Snapshot | ChangeBatch:
+        if after:
+            result = await self._coordination_store.watch(prefix, after, NO_WAIT)
+            if isinstance(result, ChangeBatch):
+                return result
+        return await self._coordination_store.read_range(prefix)
+
     async def write(
         self, key: str, expected_revision: Revision, value: bytes
     ) -> Committed | Conflict:
@@ -155,9 +176,18 @@
                 return self._end_lease_for_peer(message)
 
     async def _read_for_peer(self, message: StoreReadRequest) -> Message:
-        snapshot = await self._coordination_store.read_range(message.prefix)
-        items = tuple(CopiedItem.from_stored(item) for item in snapshot.items)
-        return StoreReadReply(message.call, snapshot.as_of, items)
+        result = await self._read_changes(message.prefix, message.after)
+        if isinstance(result, Snapshot):
+            items = tuple(CopiedItem.from_stored(item) for item in result.items)
+            return StoreReadReply(message.call, result.as_of, items)
+        newest = {_key_of(change): change for change in result.changes}.values()
+        return StoreReadReply(
+            message.call,
+            result.as_of,
+            tuple(CopiedItem.from_stored(each.item) for each in newest if _is_write(each)),
+            message.after,
+            {each.key: each.revision for each in newest if not _is_write(each)},
+        )
 
     async def _write_for_peer(self, message: StoreWriteRequest) -> Message:
         result = await self._coordination_store.transact(
@@ -171,11 +201,23 @@
         return EndLeaseReply(message.call)
 
 
+def _is_write(change: Change) -> bool:
+    return isinstance(change, ItemWritten)
+
+
+def _key_of(change: Change) -> str:
+    return change.item.key if isinstance(change, ItemWritten) else change.key
+
+
 def _decode_reply(reply: Message | None) -> StoreAnswer | None:
     """Return the store answer that the reply of a peer contains, or None."""
     match reply:
-        case StoreReadReply(_, as_of, copied):
+        case StoreReadReply(_, as_of, copied, 0):
             return Snapshot(tuple(item.to_stored() for item in copied), as_of)
+        case StoreReadReply(_, as_of, copied, _, deleted):
+            written = tuple(ItemWritten(item.to_stored()) for item in copied)
+            gone = tuple(ItemDeleted(key, revision) for key, revision in deleted.items())
+            return ChangeBatch(written + gone, as_of)
         case StoreWriteReply(_, None):
             return Conflict()
         case StoreWriteReply(_, revision):
--- a/hickorywind/protocol/messages.py
+++ b/hickorywind/protocol/messages.py
@@ -480,18 +480,28 @@
 
 
 class StoreReadRequest(msgspec.Struct, frozen=True, tag="read", array_like=True):
-    """Request to a host that reaches the store to read the items under a prefix."""
+    """Request to a host that reaches the store to read the items under a prefix.
+
+    With ``after``, its changes after that revision are enough.
+    """
 
     call: int
     prefix: str
+    after: Revision = Revision(0)
 
 
 class StoreReadReply(msgspec.Struct, frozen=True, tag="read_ok", array_like=True):
-    """Items under a prefix, read from the store after the request arrived."""
+    """Items under a prefix, read from the store after the request arrived.
+
+    With ``after``, only what changed after that revision; ``deleted`` holds the keys that were
+    deleted last, with the revisions of their deletion.
+    """
 
     call: int
     as_of: Revision
     items: tuple[CopiedItem, ...]
+    after: Revision = Revision(0)
+    deleted: dict[str, Revision] = {}
 
 
 class StoreWriteRequest(msgspec.Struct, frozen=True, tag="write", array_like=True):
--- a/tests/host/test_leaseends.py
+++ b/tests/host/test_leaseends.py
@@ -50,7 +50,7 @@
         self.records = {f"h{number}": registration(number) for number in range(HOST_COUNT)}
         self.asked, self.unresponsive = [], set()
         self.peers = mock.Mock(call_each=self.call_each)
-        self.relay = mock.AsyncMock(read_range=self.read_range)
+        self.relay = mock.AsyncMock(read_changes=self.read_changes)
         self.store = LeadershipStore(Fleet(SCHEMA, self.clock), self.relay, self.peers, "h0")
 
     async def read_range(self, prefix):
@@ -60,6 +60,9 @@
         )
         return Snapshot(tuple(items), Revision(1))
 
+    async def read_changes(self, prefix, after):
+        return await self.read_range(prefix)
+
     async def call_each(self, hosts, make_message, timeout):
         self.asked.append((frozenset(hosts), make_message(1)))
         return [LeaseEndsRecorded(1, host) for host in hosts if host not in self.unresponsive]
@@ -127,14 +130,14 @@
     async def test_number_that_was_read_before_a_lease_ended_does_not_count_for_it(self):
         """The host may have lowered it since, and another host ended the lease after that."""
         await self.end_lease_of("h4")
-        read_range = self.relay.read_range
+        read_changes = self.relay.read_changes
 
-        async def answer_late(prefix):
-            snapshot = await read_range(prefix)
+        async def answer_late(prefix, after):
+            snapshot = await read_changes(prefix, after)
             self.store.record_lease_end(self.records["h3"].granted_lease, self.clock.now())
             return snapshot
 
-        self.relay.read_range = answer_late
+        self.relay.read_changes = answer_late
         await self.store.announce_lease_ends({"h3", "h4"})
         self.assertFalse(self.contact_ended("h3"))
         self.assertTrue(self.contact_ended("h4"))
