--- a/hickorywind/host/peers.py
+++ b/hickorywind/host/peers.py
@@ -320,6 +320,7 @@
                 peer.has_answered = True
                 state.is_leaving = reply.is_leaving
                 state.holds_permit = reply.holds_permit
+                self.table.record_answer(peer.record.host)
                 self.table.record_reports(reply.reports)
                 self.on_greeting_reply(reply, sent)
             elif self._is_connecting(peer):
--- a/hickorywind/host/silenthosts.py
+++ b/hickorywind/host/silenthosts.py
@@ -58,6 +58,7 @@
         """Fence the hosts that are silent now in a background task.
 
         Only the host of the first rank does so, and only if at most half of the others are silent.
+        Hosts of a zone that is out of reach as a whole are left to changes of primary for a while.
         """
         if self._task is not None and not self._task.done():
             return
@@ -66,6 +67,7 @@
             record.host: record.incarnation
             for record in self._peers.table.silent_hosts()
             if self._skipped_until.get((record.host, record.incarnation), timedelta(0)) < now
+            and not self._peers.table.is_zone_out_of_reach(record.zone)
         }
         if len(silent) * 2 > self._peers.table.expected_count():
             return
--- a/hickorywind/membership/peertable.py
+++ b/hickorywind/membership/peertable.py
@@ -27,6 +27,10 @@
 # A silent host counts towards the quorum until its permit has expired: until then this host itself
 # may be the isolated one.
 EXPECTED_WINDOW = SILENT_AFTER + PERMIT_DURATION + timedelta(seconds=2)
+# After this time without any of its hosts a zone counts as lost, not as cut off for a moment.
+ZONE_SILENCE_LIMIT = timedelta(seconds=10)
+ZONE_ANSWER_WINDOW = timedelta(milliseconds=1500)  # for one answer out of two greetings
+ZONE_MIN_HOSTS = 3  # of a zone with fewer hosts all may end at once
 REPORT_LIFETIME = timedelta(seconds=4)  # a report is repeated each second while it holds
 MISSED_GREETINGS_UNTIL_UNRESPONSIVE = 2
 
@@ -74,6 +78,8 @@
     clock: Clock
     states: dict[HostId, PeerState] = field(default_factory=dict)
     _zones_heard: dict[AvailabilityZone, Instant] = field(default_factory=dict)
+    # When a host of the zone answered a greeting in time.
+    _zones_answered: dict[AvailabilityZone, Instant] = field(default_factory=dict)
     # Hosts that are greeted or were reported. Only these can be silent or leaving, so most methods
     # look at these few instead of at the whole fleet.
     _observed: set[HostId] = field(default_factory=set)
@@ -88,6 +94,7 @@
         """Add a host, or replace what is known of an older incarnation."""
         now = self.clock.now()
         self._zones_heard.setdefault(record.zone, now)
+        self._zones_answered.setdefault(record.zone, now)
         self._observed.discard(record.host)
         state = self.states[record.host] = PeerState(record, now)
         self._zones[record.host] = record.zone
@@ -146,6 +153,12 @@
             state.last_heard = self._zones_heard[state.record.zone] = now
             state.missed_greetings = 0
 
+    def record_answer(self, host: HostId) -> None:
+        """Record that a host answered a greeting in time."""
+        state = self.states.get(host)
+        if state is not None:
+            self._zones_answered[state.record.zone] = self.clock.now()
+
     def record_reports(self, reports: Iterable[PeerReport]) -> None:
         """Record what another host reported of hosts that this one does not greet."""
         now = self.clock.now()
@@ -253,6 +266,16 @@
         """Return the hosts that are silent, as heard or as reported."""
         return tuple(state.record for _, state in self._observed_states() if self._is_silent(state))
 
+    def is_zone_out_of_reach(self, zone: AvailabilityZone) -> bool:
+        """Return whether the hosts of a zone stopped answering in time together, a moment ago.
+
+        The way to it is a likelier cause than the end of all of them.
+        """
+        if sum(each == zone for each in self._zones.values()) < ZONE_MIN_HOSTS:
+            return False
+        now, answered_at = self.clock.now(), self._zones_answered[zone]
+        return answered_at + ZONE_ANSWER_WINDOW < now < answered_at + ZONE_SILENCE_LIMIT
+
     def silent_since(self, host: HostId) -> Instant:
         """Return since when a silent host has been silent."""
         state = self.states[host]
