--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -506,12 +506,11 @@
             if prefix == self._fleet.configuration_key and not self._may_copy_configuration(host):
                 continue
             self._start_fetch(host, prefix)
-        return is_up_to_date
         if is_up_to_date and self._differs_in_leadership(revisions):
             is_up_to_date = False
             self._start_fetch(host, LEADERSHIP_PREFIX)
+        return is_up_to_date
 
-    def _start_fetch(self, host: HostId, prefix: str) -> None:
     def _differs_in_leadership(self, revisions: dict[str, int]) -> bool:
         """Return whether a host's newest leadership record is the same and another one is not."""
         own = self._fleet.copy_revisions()
@@ -520,6 +519,7 @@
             own[LEADERSHIP_DIGEST]
         )
 
+    def _start_fetch(self, host: HostId, prefix: str) -> None:
         """Ask a host for its copy, unless it or, a moment ago, another one was asked."""
         now = self._fleet.now()
         asked = self._copies_in_progress.setdefault(prefix, {})
--- a/hickorywind/host/leadershipstore.py
+++ b/hickorywind/host/leadershipstore.py
@@ -42,6 +42,7 @@
 
 STORE_ATTEMPTS = 6  # per store call that a primary change depends on
 ENDED_LEASE_RETENTION = timedelta(seconds=60)  # longer than any wait for a permit to expire
+LEASE_END_NEWS = timedelta(seconds=4)  # greetings spread the end of a lease in this time
 ANNOUNCEMENT_TIMEOUT = timedelta(milliseconds=500)  # for a host to record ended leases
 STORE_RETRY_DELAY = timedelta(milliseconds=200)
 TAKEOVER_TIMEOUT = timedelta(milliseconds=1400)  # until a silent promoter's change is taken over
@@ -50,7 +51,6 @@
 # it orders a promotion.
 EXCLUSIVE_AFTER_READ = timedelta(milliseconds=400)
 
-LEASE_END_NEWS = timedelta(seconds=4)  # greetings spread the end of a lease in this time
 
 class PrimaryChangeCancelledError(Exception):
     """Raised when a primary change ends early; the message gives the reason."""
@@ -230,6 +230,8 @@
         asked = {
             host for record in waiting for host in hosts.keys() - unasked - self._recorders(record)
         }
+        awaited = {record.granted_lease for record in waiting}
+        leases = tuple(each for each in leases if Lease(LeaseId(each.lease), each.era) in awaited)
         replies = await self._peers.call_each(
             tuple(asked), lambda call: RecordLeaseEnds(call, leases), ANNOUNCEMENT_TIMEOUT
         )
@@ -249,6 +251,27 @@
     def _recorders(self, record: HostRecord) -> set[HostId]:
         return self._recorded_by.get(record.granted_lease, set())
 
+    def ended_leases_for(
+        self, leases: Collection[tuple[int, StoreEra]] | None
+    ) -> tuple[EndedLease, ...]:
+        """Return the ended leases to report to a host that holds or held ``leases``.
+
+        These are its own and those of which the news still spreads, however many ended before; all
+        of them for a host of an older version, which names no leases.
+        """
+        ended = self.ended_leases()
+        if leases is None:
+            return ended
+        newest_ms = int(to_milliseconds(LEASE_END_NEWS))
+
+        def is_reported(each: EndedLease) -> bool:
+            is_news = each.age_ms < newest_ms or (
+                each.without_contact_ms is not None and each.without_contact_ms < newest_ms
+            )
+            return is_news or (each.lease, each.era) in leases
+
+        return tuple(filter(is_reported, ended))
+
     def ended_leases(self) -> tuple[EndedLease, ...]:
         """Return the recently ended leases, to report to other hosts; drop older ones."""
         now = self._fleet.now()
@@ -257,8 +280,6 @@
             for lease, confirmed in self._lease_ends.items()
             if now < confirmed + ENDED_LEASE_RETENTION
         }
-        awaited = {record.granted_lease for record in waiting}
-        leases = tuple(each for each in leases if Lease(LeaseId(each.lease), each.era) in awaited)
         self._recorded_by = {
             lease: hosts for lease, hosts in self._recorded_by.items() if lease in self._lease_ends
         }
@@ -278,27 +299,6 @@
                     else None
                 ),
             )
-    def ended_leases_for(
-        self, leases: Collection[tuple[int, StoreEra]] | None
-    ) -> tuple[EndedLease, ...]:
-        """Return the ended leases to report to a host that holds or held ``leases``.
-
-        These are its own and those of which the news still spreads, however many ended before; all
-        of them for a host of an older version, which names no leases.
-        """
-        ended = self.ended_leases()
-        if leases is None:
-            return ended
-        newest_ms = int(to_milliseconds(LEASE_END_NEWS))
-
-        def is_reported(each: EndedLease) -> bool:
-            is_news = each.age_ms < newest_ms or (
-                each.without_contact_ms is not None and each.without_contact_ms < newest_ms
-            )
-            return is_news or (each.lease, each.era) in leases
-
-        return tuple(filter(is_reported, ended))
-
             for lease, confirmed in self._lease_ends.items()
         )
 
--- a/standins/lineplatform/memorystore.py
+++ b/standins/lineplatform/memorystore.py
@@ -152,7 +152,7 @@
             self._qualify(item) for key, item in self._store.items.items() if key.startswith(prefix)
         )
         as_of = self._in_era(self._store.revision)
-        await self._transfer(items, max_bytes)
+        await self._transfer("range items", items, max_bytes)
         return Snapshot(items, as_of)
 
     def _in_era(self, number: int) -> Revision:
@@ -161,14 +161,16 @@
     def _qualify(self, item: StoredValue) -> StoredValue:
         return StoredValue(item.key, item.value, self._in_era(item.revision))
 
-    async def _transfer(self, items: Sequence[StoredValue], max_bytes: int | None) -> None:
+    async def _transfer(
+        self, kind: str, items: Sequence[StoredValue], max_bytes: int | None
+    ) -> None:
         """Wait until the link, which carries one answer after the other, has carried one."""
         size = sum(len(item.value) for item in items)
         if max_bytes is not None and size > max_bytes:
             raise AnswerTooLargeError(size)
         self._store.bytes_read += size
         if self.carry_answer is not None:
-            await self.carry_answer("items", size * 4 // 3 + len(items) * ITEM_BYTES)
+            await self.carry_answer(kind, size * 4 // 3 + len(items) * ITEM_BYTES)
         if self._store.bytes_per_second is None:
             return
         now = asyncio.get_running_loop().time()
@@ -197,7 +199,7 @@
             return HistoryCompacted()
         batch = ChangeBatch(self._changes_after(prefix, after), self._in_era(self._store.revision))
         written = [each.item for each in batch.changes if isinstance(each, ItemWritten)]
-        await self._transfer(written, max_bytes)
+        await self._transfer("watch items", written, max_bytes)
         return batch
 
     def _has_history(self, after: Revision) -> bool:
--- a/tests/host/test_fleetrestart.py
+++ b/tests/host/test_fleetrestart.py
@@ -3,10 +3,19 @@
 import asyncio
 import os
 import unittest.mock
-
-from hickorywind.failover.leadership import LeadershipPhase, decode_leadership
-from hickorywind.host.fleet import LEADERSHIP_PREFIX
-from hickorywind.ports.coordination import ItemWritten
+from collections import Counter
+from datetime import timedelta
+
+from hickorywind.failover.leadership import (
+    LeadershipPhase,
+    LeadershipRecord,
+    decode_leadership,
+    encode_record,
+)
+from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX
+from hickorywind.ids import BackendId, Revision, Term
+from hickorywind.observability.trafficmeter import CONTROL_BYTES_PER_SECOND
+from hickorywind.ports.coordination import ItemWritten, Lease, LeaseId
 from hickorywind.protocol.messages import ReachQuery
 from tests.host.harness import SERVICE, HostTestCase, RunningHost
 from tests.host.regionlink import CALL_BYTES, RegionLink
@@ -19,6 +28,7 @@
 HOST_COUNT = int(os.environ.get("HICKORYWIND_FLEET_HOSTS", "48"))
 FULL_SIZE = 195
 FULL_LINK_BYTES_PER_SECOND = 75_000_000 / 8
+SERVICE_COUNT = 10
 DOWN_SECONDS = 0.8
 RECOVERY_SECONDS = 5.0  # the stated aim
 SETTLED_SECONDS = 8.0
@@ -119,9 +129,81 @@
             self.suspect_primary(list(self.hosts.values())[second::4])
             await asyncio.sleep(1.0)
         await asyncio.sleep(SETTLED_SECONDS)
-        self.assertEqual(self.closed_records(), [])
+        self.assertEqual((self.closed_records(), self.ended_leases()), ([], 0))
         self.assertTrue(self.is_open())
 
+    async def sent_by_kind(self, seconds):
+        """Return the bytes that the link carries in so many seconds, by kind, for each host."""
+        self.link.sent.clear()
+        await asyncio.sleep(seconds)
+        total = Counter()
+        for (kind, _), size_bytes in self.link.sent.items():
+            total[kind] += size_bytes / len(self.hosts)
+        return total
+
+    async def test_hosts_whose_leases_were_ended_do_not_read_all_registrations_again(self):
+        """Guards issue 60: what they read filled the link, so that more leases were ended."""
+        self.store.leases.clear()
+        sent = await self.sent_by_kind(4.0)
+        self.assertGreater(sent["grant"], 0)
+        far_share = (
+            sum(region != STORE_REGION for region in self.link.regions.values()) / HOST_COUNT
+        )
+        self.assertLess(sent["range items"] / far_share / 4.0, CONTROL_BYTES_PER_SECOND)
+
+    async def test_change_of_one_leadership_record_does_not_send_all_of_them(self):
+        for number in range(SERVICE_COUNT):
+            await self.put_record(f"s{number}", 0)
+        await asyncio.sleep(2.0)
+        self.link.sent.clear()
+        await self.put_record("s0", 1)
+        await self.put_record("s0", 2)
+        sent = await self.sent_by_kind(1.0)
+        self.assertGreater(sent["CopyReply"], 0)
+        self.assertLess(sent["CopyReply"], CONTROL_BYTES_PER_SECOND)
+
+    async def put_record(self, service, change):
+        record = LeadershipRecord(BackendId("i-x"), LeadershipPhase.OPEN, change, term=Term(1))
+        await self.store.put(LEADERSHIP_PREFIX + service, encode_record(record))
+
+    async def test_host_that_lacks_an_older_record_than_its_newest_gets_it_by_greeting(self):
+        host = self.hosts["h7"]
+        copy = host.role._fleet.copies[LEADERSHIP_PREFIX]
+        await self.put_record("s0", 0)
+        await self.put_record("s1", 0)
+        await asyncio.sleep(2.0)
+        del copy.items[LEADERSHIP_PREFIX + "s0"]
+        copy._digest, copy.as_of = None, Revision(1)
+        await self.wait_until(lambda: LEADERSHIP_PREFIX + "s0" in copy.items, 3.0)
+
+    async def test_changes_that_wait_do_not_read_all_registrations_again_and_again(self):
+        far = next(name for name in self.hosts if self.link.regions[name] != STORE_REGION)
+        store = self.hosts[far].role._failover_manager.store
+
+        def read():
+            return Gate(far).run(lambda: asyncio.create_task(store.read_hosts()))
+
+        await read()
+        self.link.sent.clear()
+        for _ in range(10):
+            for hosts in await asyncio.gather(*(read() for _ in range(SERVICE_COUNT))):
+                self.assertEqual(hosts.keys(), self.hosts.keys())
+            await asyncio.sleep(0.3)
+        read_bytes = sum(size for (kind, _), size in self.link.sent.items() if "items" in kind)
+        self.assertLess(read_bytes / 3.0, CONTROL_BYTES_PER_SECOND)
+        await self.store.delete(HOSTS_PREFIX + "h3")
+        self.assertNotIn("h3", await read())
+
+    async def test_ended_leases_of_many_hosts_do_not_fill_each_greeting(self):
+        calm = await self.sent_by_kind(3.0)
+        for host in self.hosts.values():
+            store = host.role._failover_manager.store
+            ended_at = host.role._fleet.now() - timedelta(seconds=10)
+            for number in range(FULL_SIZE):
+                store.record_lease_end(Lease(LeaseId(10_000 + number)), ended_at)
+        sent = await self.sent_by_kind(3.0)
+        self.assertLess(sent["GreetingReply"], calm["GreetingReply"] * 1.2)
+
 
 class UnknownServerTest(HostTestCase):
     async def test_host_that_has_not_read_the_servers_yet_does_not_call_one_unreachable(self):
