--- a/hickorywind/host/failovermanager.py
+++ b/hickorywind/host/failovermanager.py
@@ -67,6 +67,8 @@
 
 RANK_DELAY = timedelta(milliseconds=300)  # delay per rank, so that one host acts first
 CHECK_INTERVAL = timedelta(milliseconds=400)  # between the checks of all services
+# After a longer wait for hosts of higher rank a primary is checked again: it may have come back.
+VERDICT_LIFETIME = RANK_DELAY * 1.5
 PLANNED_RANK_DELAY = timedelta(milliseconds=1200)  # greetings spread ended leases in this time
 MINORITY_DELAY = timedelta(seconds=3)  # a host that reaches few peers may be isolated
 PROMOTER_PROBE_TIMEOUT = timedelta(milliseconds=700)  # several round trips between regions
@@ -373,14 +375,24 @@
         if self._fleet.permits.unconfirmed(service) is not None:
             return  # nobody can replace the primary before that record is confirmed
         primary = leadership.record.primary
+        if not await self._has_failed(runtime, primary, reason):
+            return
+        checked_at = self._fleet.now()
+        if not await self._defer_to_higher_ranks(leadership, service):
+            return
+        is_outdated = self._fleet.now() >= checked_at + VERDICT_LIFETIME
+        if is_outdated and not await self._has_failed(runtime, primary, reason):
+            return
+        if self._fleet.permits.leadership(service) == leadership:
+            await self._replace_failed(runtime, leadership)
+
+    async def _has_failed(self, runtime: ServiceRuntime, primary: BackendId, reason: str) -> bool:
+        """Return whether a primary has to be replaced; record what its check found."""
         verdict = await check_primary(runtime, self._peers, primary)
         self._apply_verdict(runtime, primary, verdict, reason)
         if verdict is PrimaryVerdict.UNKNOWN:
-            self._undecided_at[service] = self._fleet.now()
-        if verdict not in (PrimaryVerdict.FAILED, PrimaryVerdict.LOST_LEAD):
-            return
-        if await self._defer_to_higher_ranks(leadership, service):
-            await self._replace_failed(runtime, leadership)
+            self._undecided_at[runtime.name] = self._fleet.now()
+        return verdict in (PrimaryVerdict.FAILED, PrimaryVerdict.LOST_LEAD)
 
     def _apply_verdict(
         self, runtime: ServiceRuntime, primary: BackendId, verdict: PrimaryVerdict, reason: str
--- a/tests/host/test_fleetrestart.py
+++ b/tests/host/test_fleetrestart.py
@@ -12,6 +12,7 @@
     decode_leadership,
     encode_record,
 )
+from hickorywind.host.failovermanager import RANK_DELAY
 from hickorywind.host.fleet import HOSTS_PREFIX, LEADERSHIP_PREFIX
 from hickorywind.ids import BackendId, Revision, Term
 from hickorywind.observability.trafficmeter import CONTROL_BYTES_PER_SECOND
@@ -132,6 +133,21 @@
         self.assertEqual((self.closed_records(), self.ended_leases()), ([], 0))
         self.assertTrue(self.is_open())
 
+    async def test_primary_that_is_back_is_not_replaced_by_hosts_that_left_it_to_others(self):
+        """Guards issue 60: a host of rank 22 replaced a primary that it had checked 7 s before."""
+
+        def rank(name):
+            return self.hosts[name].role._failover_manager._rank(SERVICE)
+
+        last = max(self.hosts, key=rank)
+        for name in (last, *self.hosts[last].role._peers.table.voters()):
+            self.refused.add((name, self.group.servers["i-a"].address))
+        self.suspect_primary([self.hosts[last]])
+        await asyncio.sleep(0.2)
+        self.refused.clear()
+        await asyncio.sleep(HOST_COUNT * RANK_DELAY.total_seconds())
+        self.assertEqual(self.closed_records(), [])
+
     async def sent_by_kind(self, seconds):
         """Return the bytes that the link carries in so many seconds, by kind, for each host."""
         self.link.sent.clear()
