Removal of silent hosts reads the store itself again

A relayed read takes 1.3 s to fail while all hosts lack the store, so that the leases of hosts lost meanwhile ended later than the .6 s of test_lease_of_a_silent_host_ends_as_soon_as_the_store_is_back, which failed since. One host reads then, once for all of them.

--- a/hickorywind/host/leadershipstore.py
+++ b/hickorywind/host/leadershipstore.py
@@ -155,18 +155,14 @@
         return VersionedLeadership(record, revision)
 
     async def read_hosts(self) -> dict[HostId, HostRecord]:
-        """Return the hosts that are registered now; raise ``StoreUnavailableError``."""
-        return {record.host: record for record in decode_hosts(await self.read_registrations())}
-
-    async def read_registrations(self) -> tuple[StoredValue, ...]:
-        """Return the registrations of hosts as they are now; raise ``StoreUnavailableError``.
+        """Return the hosts that are registered now; raise ``StoreUnavailableError``.
 
         Changes of several services share the reads, and after the first one only what has changed
         is read: in a large fleet the registrations are large.
         """
-        return await self._registrations.run()
+        return dict(await self._registrations.run())
 
-    async def _read_registrations(self) -> tuple[StoredValue, ...]:
+    async def _read_registrations(self) -> dict[HostId, HostRecord]:
         copy = self._host_copy
         result = await self._relay.read_changes(HOSTS_PREFIX, copy.as_of)
         if isinstance(result, Snapshot):
@@ -174,7 +170,7 @@
             copy.replace(result)
         else:
             copy.apply(result.changes, result.as_of)
-        return tuple(copy.items.values())
+        return {record.host: record for record in decode_hosts(copy.items.values())}
 
     async def read_hosts_with_retries(self) -> dict[HostId, HostRecord]:
         """Read the registered hosts, with retries; raise ``StoreUnavailableError``."""
--- a/hickorywind/host/silenthosts.py
+++ b/hickorywind/host/silenthosts.py
@@ -9,7 +9,7 @@
 
 from hickorywind.failover.leadership import Fencing, HostFencingState, HostRecord
 from hickorywind.host.fencer import FENCING_POLL_INTERVAL
-from hickorywind.host.fleet import Fleet, decode_hosts
+from hickorywind.host.fleet import HOSTS_PREFIX, Fleet, decode_hosts
 from hickorywind.host.leadershipstore import LeadershipStore
 from hickorywind.host.peers import Peers
 from hickorywind.ids import HostId
@@ -78,9 +78,10 @@
         self._probes = {key: self._probes[key] for key in silent.items() if key in self._probes}
         await asyncio.gather(*(self._probe(key) for key in silent.items()))
         try:
+            snapshot = await self._coordination_store.read_range(HOSTS_PREFIX)
             found = [
                 (item, record)
-                for item in await self._store.read_registrations()
+                for item in snapshot.items
                 for record in decode_hosts((item,))
                 if self._is_to_be_fenced(record, silent)
             ]
