--- a/hickorywind/membership/peertable.py
+++ b/hickorywind/membership/peertable.py
@@ -80,6 +80,8 @@
     _zones_heard: dict[AvailabilityZone, Instant] = field(default_factory=dict)
     # When a host of the zone answered a greeting in time.
     _zones_answered: dict[AvailabilityZone, Instant] = field(default_factory=dict)
+    # When one did so after a pause.
+    _zones_back: dict[AvailabilityZone, Instant] = field(default_factory=dict)
     # Hosts that are greeted or were reported. Only these can be silent or leaving, so most methods
     # look at these few instead of at the whole fleet.
     _observed: set[HostId] = field(default_factory=set)
@@ -156,8 +158,12 @@
     def record_answer(self, host: HostId) -> None:
         """Record that a host answered a greeting in time."""
         state = self.states.get(host)
-        if state is not None:
-            self._zones_answered[state.record.zone] = self.clock.now()
+        if state is None:
+            return
+        now, zone = self.clock.now(), state.record.zone
+        if now > self._zones_answered[zone] + ZONE_ANSWER_WINDOW:
+            self._zones_back[zone] = now
+        self._zones_answered[zone] = now
 
     def record_reports(self, reports: Iterable[PeerReport]) -> None:
         """Record what another host reported of hosts that this one does not greet."""
@@ -269,11 +275,14 @@
     def is_zone_out_of_reach(self, zone: AvailabilityZone) -> bool:
         """Return whether the hosts of a zone stopped answering in time together, a moment ago.
 
-        The way to it is a likelier cause than the end of all of them.
+        The way to it is a likelier cause than the end of all of them. Once they answer again, what
+        was reported meanwhile has to lapse.
         """
         if sum(each == zone for each in self._zones.values()) < ZONE_MIN_HOSTS:
             return False
         now, answered_at = self.clock.now(), self._zones_answered[zone]
+        if zone in self._zones_back and now < self._zones_back[zone] + REPORT_LIFETIME:
+            return True
         return answered_at + ZONE_ANSWER_WINDOW < now < answered_at + ZONE_SILENCE_LIMIT
 
     def silent_since(self, host: HostId) -> Instant:
--- a/tests/membership/test_peertable.py
+++ b/tests/membership/test_peertable.py
@@ -12,6 +12,8 @@
     EXPECTED_WINDOW,
     REPORT_LIFETIME,
     SILENT_AFTER,
+    ZONE_ANSWER_WINDOW,
+    ZONE_SILENCE_LIMIT,
     PeerTable,
 )
 from hickorywind.protocol.messages import PeerReport
@@ -129,6 +131,36 @@
         self.pass_time(ALIVE_WINDOW + 5 * SECOND, {lost})
         self.assertEqual(len(self.table.alive()), FLEET_SIZE - 2)
 
+    def answer_in_time(self, duration, silent_zone=None):
+        until = self.clock.time + duration
+        while self.clock.time < until:
+            self.clock.time += SECOND / 2
+            for host in self.greeted:
+                if zone_of(int(host[1:])) != silent_zone:
+                    self.table.record_answer(host)
+
+    def test_zone_whose_hosts_stop_answering_together_is_out_of_reach_for_a_while(self):
+        self.answer_in_time(2 * SECOND)
+        self.assertFalse(self.table.is_zone_out_of_reach("z3"))
+        self.answer_in_time(ZONE_ANSWER_WINDOW + SECOND, silent_zone="z3")
+        self.assertTrue(self.table.is_zone_out_of_reach("z3"))
+        self.assertFalse(self.table.is_zone_out_of_reach("z2"))
+        self.answer_in_time(ZONE_SILENCE_LIMIT, silent_zone="z3")
+        self.assertFalse(self.table.is_zone_out_of_reach("z3"))
+
+    def test_zone_that_answers_again_is_out_of_reach_until_reports_have_lapsed(self):
+        self.answer_in_time(ZONE_ANSWER_WINDOW + SECOND, silent_zone="z3")
+        self.answer_in_time(SECOND)
+        self.assertTrue(self.table.is_zone_out_of_reach("z3"))
+        self.answer_in_time(REPORT_LIFETIME)
+        self.assertFalse(self.table.is_zone_out_of_reach("z3"))
+
+    def test_zone_of_few_hosts_may_end_as_a_whole(self):
+        for number in range(3 + 2 * ZONE_COUNT, FLEET_SIZE, ZONE_COUNT):
+            self.table.remove(f"h{number}")
+        self.answer_in_time(ZONE_ANSWER_WINDOW + SECOND, silent_zone="z3")
+        self.assertFalse(self.table.is_zone_out_of_reach("z3"))
+
     def test_host_whose_zone_is_cut_off_sees_no_majority_and_reports_nothing(self):
         self.pass_time(ALIVE_WINDOW + SECOND, {f"z{number}" for number in range(1, ZONE_COUNT)})
         self.assertFalse(self.table.sees_majority())
