--- a/hickorywind/host/detection.py
+++ b/hickorywind/host/detection.py
@@ -24,7 +24,6 @@
     ResponsivenessQuery,
     ResponsivenessReply,
 )
-from hickorywind.util.sockets import CONNECT_PROBE_TIMEOUT, accepts_connections
 
 logger = logging.getLogger(__name__)
 
@@ -111,7 +110,7 @@
     if backend is None:
         return False
     started = runtime.clock.now()
-    if await accepts_connections(backend.server.address, CONNECT_PROBE_TIMEOUT):
+    if await runtime.accepts_connections(backend):
         return True
     # An answer that was on a slow link shows that the server runs.
     return backend.last_answer > started
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -78,9 +78,7 @@
 from hickorywind.util.deflate import DeflatedDataError
 from hickorywind.util.listening import BACKLOG
 from hickorywind.util.sockets import (
-    CONNECT_PROBE_TIMEOUT,
     accept_waiting,
-    accepts_connections,
 )
 from hickorywind.util.tasks import BackgroundTasks
 
@@ -658,10 +656,10 @@
         server = self._fleet.backends.get(backend)
         if server is None:
             return False if self._fleet.has_read_backends else None
-        if await accepts_connections(server.address, CONNECT_PROBE_TIMEOUT):
+        service = self._services[server.service]
+        if await service.accepts_connections(service.backends[backend]):
             return True
-        service = self._services.get(server.service)
-        if service is not None and service.recorded_primary() == backend:
+        if service.recorded_primary() == backend:
             self._failover_manager.report_suspect(server.service, "a peer can't reach it either")
         return False
 
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -24,6 +24,7 @@
 )
 from hickorywind.host.connectionpool import ConnectionPool
 from hickorywind.host.fleet import Fleet
+from hickorywind.host.reachprobe import ReachProbe
 from hickorywind.host.servicestate import (
     RETRY_SOON_MS,
     Backend,
@@ -42,7 +43,6 @@
 from hickorywind.results import Result, ResultCode
 from hickorywind.routing.samples import PositionSamples
 from hickorywind.util.clock import Clock, Instant, to_milliseconds
-from hickorywind.util.sockets import CONNECT_PROBE_TIMEOUT, accepts_connections
 from hickorywind.util.tasks import BackgroundTasks
 
 logger = logging.getLogger(__name__)
@@ -148,7 +148,8 @@
             connections.on_idle_connection_lost = partial(
                 self._on_idle_connection_lost, server.backend
             )
-            backend = self.backends[server.backend] = Backend(server, connections, load)
+            probe = ReachProbe(self.clock)
+            backend = self.backends[server.backend] = Backend(server, connections, load, probe)
             self._dispatcher.servers[server.backend] = load
         was_usable = self._is_usable(backend)
         if server.state is BackendState.LEAVING and backend.leaving_since is None:
@@ -489,9 +490,13 @@
                     self._background.start(self._check_reachability(backend))
 
     async def _check_reachability(self, backend: Backend) -> None:
-        if not await accepts_connections(backend.server.address, CONNECT_PROBE_TIMEOUT):
+        if not await self.accepts_connections(backend):
             self.close_connections(backend, "no answers")
 
+    async def accepts_connections(self, backend: Backend) -> bool:
+        """Return whether a server accepts connections, or did so a moment ago."""
+        return await backend.reach_probe.run(backend.server.address, self.host_count)
+
     def close_connections(self, backend: Backend, reason: str) -> None:
         """Close all connections to an unreachable server and stop using it."""
         logger.warning(
--- a/hickorywind/host/servicestate.py
+++ b/hickorywind/host/servicestate.py
@@ -10,6 +10,7 @@
 from hickorywind.admission.dispatch import AtPosition, ServerState, Target
 from hickorywind.host.backendconnection import BackendConnection
 from hickorywind.host.connectionpool import ConnectionPool
+from hickorywind.host.reachprobe import ReachProbe
 from hickorywind.host.sessioncontext import SessionContext
 from hickorywind.host.sessionstate import StatementTemplate
 from hickorywind.ids import BackendId, LogPosition, ServiceName
@@ -54,6 +55,7 @@
     server: BackendServer
     connections: ConnectionPool
     load: ServerState
+    reach_probe: ReachProbe
     next_check: Instant = timedelta(0)
     leaving_since: Instant | None = None
     last_answer: Instant = timedelta(0)
