--- a/hickorywind/host/detection.py
+++ b/hickorywind/host/detection.py
@@ -170,7 +170,7 @@
     """Return whether the hosts that answered may decide that a primary has failed.
 
     Hosts of one region lose a primary of the other together while the link between them is full,
-    so one of its own region has to answer, too, as long as any of them is alive.
+    so one ``of_region``, that of the primary, has to answer, too, as long as any of them is alive.
     """
     is_heard = not of_region or not of_region.isdisjoint(answering)
     return is_heard and peers.table.is_quorum(len(answering))
@@ -179,11 +179,16 @@
 def _hosts_of_region(
     runtime: ServiceRuntime, peers: Peers, primary: BackendId, hosts: tuple[HostId, ...]
 ) -> set[HostId]:
-    """Return those of ``hosts`` that are in the region of a primary; none if it is unknown."""
+    """Return those of ``hosts`` that are in the region of a primary, if this host is in another.
+
+    Return none if the region is unknown.
+    """
     backend = runtime.backends.get(primary)
     if backend is None:
         return set()
     zone = backend.server.zone
+    if runtime.topology.is_same_region(zone, peers.table.own_zone):
+        return set()
     return {
         host
         for host in hosts
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -77,9 +77,7 @@
 from hickorywind.util.clock import Clock, Instant, milliseconds, to_milliseconds
 from hickorywind.util.deflate import DeflatedDataError
 from hickorywind.util.listening import BACKLOG
-from hickorywind.util.sockets import (
-    accept_waiting,
-)
+from hickorywind.util.sockets import accept_waiting
 from hickorywind.util.tasks import BackgroundTasks
 
 logger = logging.getLogger(__name__)
