--- a/hickorywind/host/fleet.py
+++ b/hickorywind/host/fleet.py
@@ -237,7 +237,9 @@
         return self._lag.age(prefix, self._clock.now())
 
     def _record_caught_up(self, copy: StoreCopy, source: str) -> None:
-        behind = self._lag.record_copied(copy.prefix, copy.as_of, self._clock.now())
+        # A notice brings the newest change of a copy that is not known to be complete up to it.
+        newest = max(copy.as_of, copy.changed_at)
+        behind = self._lag.record_copied(copy.prefix, newest, self._clock.now())
         if behind is not None:
             logger.log(
                 self._lag_log_level(copy.prefix),
--- a/hickorywind/host/hostruntime.py
+++ b/hickorywind/host/hostruntime.py
@@ -93,9 +93,8 @@
 CONFIGURATION_COPY_TIMEOUT = timedelta(seconds=3)
 # After this time without a copy another host is asked as well.
 COPY_HEDGE_DELAY = timedelta(seconds=1)
-TRAFFIC_PERIOD = timedelta(
-    seconds=2
-)  # for which a host's control traffic is compared with its limit
+# For which the control traffic of this host is compared with its limit.
+TRAFFIC_PERIOD = timedelta(seconds=2)
 LOGGED_TRAFFIC_KINDS = 8  # of a period, the largest ones
 UNREGISTER_GRACE_FRACTION = 0.9  # of the grace time, after which the store isn't waited for
 
--- a/tests/host/test_fleetrestart.py
+++ b/tests/host/test_fleetrestart.py
@@ -17,7 +17,7 @@
 from hickorywind.ids import BackendId, Revision, Term
 from hickorywind.observability.trafficmeter import CONTROL_BYTES_PER_SECOND
 from hickorywind.ports.coordination import ItemWritten, Lease, LeaseId
-from hickorywind.protocol.messages import ReachQuery
+from hickorywind.protocol.messages import CopiedItem, CopyReply, ReachQuery
 from tests.host.harness import SERVICE, HostTestCase, RunningHost
 from tests.host.regionlink import CALL_BYTES, RegionLink
 from tests.host.virtualtime import Gate, VirtualClock, VirtualLoop
@@ -192,6 +192,18 @@
         copy._digest, copy.as_of = None, Revision(1)
         await self.wait_until(lambda: LEADERSHIP_PREFIX + "s0" in copy.items, 3.0)
 
+    async def test_host_that_gets_a_record_by_notice_does_not_count_as_behind(self):
+        """It would watch the store itself, as would those that rely on its contact."""
+        fleet = self.hosts["h7"].role._fleet
+        await self.put_record("s0", 0)
+        revision = Revision(self.store.revision)
+        fleet.record_peer_revision(LEADERSHIP_PREFIX, revision, "h3")
+        self.assertIsNotNone(fleet.behind(LEADERSHIP_PREFIX))
+        item = self.store.items[LEADERSHIP_PREFIX + "s0"]
+        notice = CopyReply(0, LEADERSHIP_PREFIX, Revision(0), (CopiedItem.from_stored(item),))
+        await self.hosts["h7"].role._handle_peer_message(notice)
+        self.assertIsNone(fleet.behind(LEADERSHIP_PREFIX))
+
     async def test_changes_that_wait_do_not_read_all_registrations_again_and_again(self):
         far = next(name for name in self.hosts if self.link.regions[name] != STORE_REGION)
         store = self.hosts[far].role._failover_manager.store
