Test of a controller's restart: let a process that starts late be declared dead

Cause: the test expected a killed controller to be back before its peers declare the host dead, 2.5 s after it fell silent. That is a property of the machine that starts the process. Reproduced with the cluster and two busy processes on one core: 2 of 4 runs saw DEAD 2.7 and 3.2 s after the kill, the pool's address unchanged.

Change: the check of the states holds where the process answered before a peer could suspect it; where it starts later, DEAD is allowed. In both cases the pool's address must not change, and the host must come back alive with a newer incarnation, which the test didn't ask for before.

Conclusion: a bound of the test, not a fault of the controller.

--- a/tests/controller/test_site.py
+++ b/tests/controller/test_site.py
@@ -4,8 +4,10 @@
 import re
 import time
 
+from hickorywind.controller.role import JOIN_TIMEOUT
 from hickorywind.ids import HostId, Role
 from hickorywind.membership.directory import Directory
+from hickorywind.membership.prober import ACK_TIMEOUT, INDIRECT_ACK_TIMEOUT, SUSPICION_TIMEOUT
 from hickorywind.protocol.channel import Link
 from hickorywind.protocol.messages import StatusReply, StatusRequest
 from hickorywind.protocol.records import MemberState
@@ -32,6 +34,7 @@
 
 
 STATUS_ATTEMPTS = 5
+SHORTEST_DETECTION = ACK_TIMEOUT + INDIRECT_ACK_TIMEOUT + SUSPICION_TIMEOUT
 
 
 class ControllerSiteTest(SiteTest):
@@ -149,16 +152,33 @@
                 10,
             )
 
+    async def seconds_until_status(self, host):
+        """Return the time until a controller that is starting answers for the first time."""
+        begin = time.monotonic()
+        while await request_status(host.controller) is None:
+            self.assertLess(time.monotonic() - begin, 20)
+        return time.monotonic() - begin
+
     async def test_restart_of_a_controller_moves_no_home(self):
         first, second, _ = self.cluster.hosts
         before = (await self.directory(second)).member(HostId(first.host))
         self.assertIsNotNone(before.pool)
         self.controller(first).kill()
         self.controller(first).start()
+        starting = asyncio.create_task(self.seconds_until_status(first))
+        states = []
         end = time.monotonic() + 5
         while time.monotonic() < end:
             known = (await self.directory(second)).member(HostId(first.host))
             self.assertEqual(known.pool, before.pool)
-            self.assertIn(known.state, (MemberState.ALIVE, MemberState.SUSPECT))
+            states.append(known.state)
             await asyncio.sleep(0.03)
-        self.assertGreater(known.incarnation, before.incarnation)
+        # A process that the machine starts so late is rightly declared dead before it joins.
+        if await starting < (SHORTEST_DETECTION - JOIN_TIMEOUT).total_seconds():
+            self.assertLessEqual(set(states), {MemberState.ALIVE, MemberState.SUSPECT})
+        await self.wait_for(
+            second,
+            lambda known: known.member(HostId(first.host)).incarnation > before.incarnation
+            and known.member(HostId(first.host)).state is MemberState.ALIVE,
+            10,
+        )
