--- a/hickorywind/host/connectionpool.py
+++ b/hickorywind/host/connectionpool.py
@@ -22,6 +22,7 @@
     TransactionState,
 )
 from hickorywind.util.clock import Clock, Instant
+from hickorywind.util.sockets import CONNECT_PROBE_TIMEOUT, accepts_connections
 
 logger = logging.getLogger(__name__)
 
@@ -176,6 +177,10 @@
         connection.idle_since = self._clock.now()
         self._idle.append(connection)
 
+    async def accepts_new_connection(self) -> bool:
+        """Return whether the server accepts a connection at its address."""
+        return await accepts_connections(self.server.address, CONNECT_PROBE_TIMEOUT)
+
     async def responds_to_new_connection(self, timeout: timedelta) -> bool:
         """Return whether the server answers on a new connection; a refusal is an answer."""
         try:
--- a/hickorywind/host/detection.py
+++ b/hickorywind/host/detection.py
@@ -72,7 +72,7 @@
         return True
     if backend.is_unresponsive(now):
         return False
-    return await backend.connections.responds_to_new_connection(STATUS_TIMEOUT)
+    return await runtime.responds_to_new_connection(backend)
 
 
 async def check_unresponsive(
--- a/hickorywind/host/service.py
+++ b/hickorywind/host/service.py
@@ -24,7 +24,6 @@
 )
 from hickorywind.host.connectionpool import ConnectionPool
 from hickorywind.host.fleet import Fleet
-from hickorywind.host.reachprobe import ReachProbe
 from hickorywind.host.servicestate import (
     RETRY_SOON_MS,
     Backend,
@@ -35,6 +34,7 @@
     ServiceView,
 )
 from hickorywind.host.sessioncontext import SessionContext
+from hickorywind.host.sharedprobe import SharedProbe
 from hickorywind.ids import AvailabilityZone, BackendId, LogPosition, ServiceName, Term
 from hickorywind.placement.readhomes import HOME_CONNECTION_SHARE
 from hickorywind.ports.catalog import BackendServer, BackendState, Route, Topology
@@ -148,8 +148,15 @@
             connections.on_idle_connection_lost = partial(
                 self._on_idle_connection_lost, server.backend
             )
-            probe = ReachProbe(self.clock)
-            backend = self.backends[server.backend] = Backend(server, connections, load, probe)
+            backend = self.backends[server.backend] = Backend(
+                server,
+                connections,
+                load,
+                SharedProbe(self.clock, connections.accepts_new_connection),
+                SharedProbe(
+                    self.clock, partial(connections.responds_to_new_connection, STATUS_TIMEOUT)
+                ),
+            )
             self._dispatcher.servers[server.backend] = load
         was_usable = self._is_usable(backend)
         if server.state is BackendState.LEAVING and backend.leaving_since is None:
@@ -495,7 +502,11 @@
 
     async def accepts_connections(self, backend: Backend) -> bool:
         """Return whether a server accepts connections, or did so a moment ago."""
-        return await backend.reach_probe.run(backend.server.address, self.host_count)
+        return await backend.reach_probe.run(self.host_count)
+
+    async def responds_to_new_connection(self, backend: Backend) -> bool:
+        """Return whether a server answers on a new connection, or did so a moment ago."""
+        return await backend.response_probe.run(self.host_count)
 
     def close_connections(self, backend: Backend, reason: str) -> None:
         """Close all connections to an unreachable server and stop using it."""
--- a/hickorywind/host/servicestate.py
+++ b/hickorywind/host/servicestate.py
@@ -10,9 +10,9 @@
 from hickorywind.admission.dispatch import AtPosition, ServerState, Target
 from hickorywind.host.backendconnection import BackendConnection
 from hickorywind.host.connectionpool import ConnectionPool
-from hickorywind.host.reachprobe import ReachProbe
 from hickorywind.host.sessioncontext import SessionContext
 from hickorywind.host.sessionstate import StatementTemplate
+from hickorywind.host.sharedprobe import SharedProbe
 from hickorywind.ids import BackendId, LogPosition, ServiceName
 from hickorywind.ports.catalog import BackendServer, Route
 from hickorywind.ports.replies import Answer, Reply
@@ -55,7 +55,8 @@
     server: BackendServer
     connections: ConnectionPool
     load: ServerState
-    reach_probe: ReachProbe
+    reach_probe: SharedProbe
+    response_probe: SharedProbe
     next_check: Instant = timedelta(0)
     leaving_since: Instant | None = None
     last_answer: Instant = timedelta(0)
--- a/tests/host/test_servicestate.py
+++ b/tests/host/test_servicestate.py
@@ -11,7 +11,7 @@
     """A backend server is unresponsive only if new connections stay unanswered repeatedly."""
 
     def setUp(self):
-        self.backend = Backend(None, None, None, None)
+        self.backend = Backend(None, None, None, None, None)
 
     def test_first_unanswered_connection_does_not_count(self):
         self.backend.record_unanswered_connection(START)
