Ask a replica again that refuses its status while the others lack commits

What callers saw: acknowledged commits were lost if the replica that holds them was at its connection limit in the moment in which the successor of a failed primary was chosen.

Cause: choose_successor takes who answers first; a refused connection is not tried again.

Change: while the best candidate lacks what was acknowledged and some replica gave no status, the survey is repeated, for .5 s at most, which is the time that replicas get where a server claims an old lead.

Evidence: test_completelog.SurveyTest, whose first test chose i-b, which lacks the commits, before, and i-c now; the two others bound the wait (at most 1 s; none if no commit is missing) and passed before, too.

Price: .5 s more where a replica crashes together with its primary.

--- a/hickorywind/host/promotion.py
+++ b/hickorywind/host/promotion.py
@@ -44,9 +44,9 @@
 MIN_WAIT = timedelta(milliseconds=1)
 PROMOTION_TIMEOUT = timedelta(seconds=4)  # until one promotion takes effect
 PROMOTION_POLL_INTERVAL = timedelta(milliseconds=60)  # between queries of the successor's status
-# For a replica to receive the log of a server that claims an old lead, so that it can be promoted
-# instead; log entries cross regions in a fraction of this.
-OLD_LEAD_CATCH_UP_TIMEOUT = timedelta(milliseconds=500)
+# For a better successor: a replica that receives the log of a server that claims an old lead (log
+# entries cross regions in a fraction of this), or one that did not answer and may hold more.
+BETTER_SUCCESSOR_TIMEOUT = timedelta(milliseconds=500)
 PROMOTION_RESEND_INTERVAL = timedelta(milliseconds=1500)  # without an answer it may be lost
 STATUS_ATTEMPTS = 2  # a server without a free slot gives no status; a retry mostly gets one
 STATUS_RETRY_DELAY = timedelta(milliseconds=50)
@@ -85,12 +85,13 @@
     """Return the successor of a primary and the term above which it must lead.
 
     ``held`` is the end of the old primary's log, if it is known. If the best candidate claims an
-    old lead, replicas get ``OLD_LEAD_CATCH_UP_TIMEOUT`` to receive its log, and are then preferred.
+    old lead, replicas get ``BETTER_SUCCESSOR_TIMEOUT`` to receive its log, and are then preferred.
+    If it lacks acknowledged commits, replicas that gave no status get that time to do so.
     The successor of a primary that runs catches up with it; any other one has to hold what was
     acknowledged. Raise ``PrimaryChangeCancelledError`` if no candidate answers, or if one that does
     not answer may hold more acknowledged commits.
     """
-    deadline = clock.now() + OLD_LEAD_CATCH_UP_TIMEOUT
+    deadline = clock.now() + BETTER_SUCCESSOR_TIMEOUT
     while True:
         survey = await _survey_replicas(runtime, record.primary)
         candidates = survey.candidates
@@ -111,7 +112,11 @@
         may_be_overtaken = terms.claims_old_lead(chosen.status) and any(
             not terms.claims_old_lead(candidate.status) for candidate in candidates
         )
-        if not may_be_overtaken or clock.now() >= deadline:
+        lacks_commits = acknowledged is not None and (
+            chosen.status.received_position < acknowledged
+        )
+        is_final = not may_be_overtaken and not (lacks_commits and survey.unanswered)
+        if is_final or clock.now() >= deadline:
             return chosen.backend, terms.ended_term(chosen.status)
         await asyncio.sleep(PROMOTION_POLL_INTERVAL.total_seconds())
 
--- a/tests/host/test_completelog.py
+++ b/tests/host/test_completelog.py
@@ -8,6 +8,7 @@
 from hickorywind.host.backendconnection import ConnectionLostError
 from hickorywind.host.detection import PrimaryVerdict
 from hickorywind.host.fleet import LEADERSHIP_PREFIX
+from hickorywind.host.promotion import choose_successor
 from hickorywind.host.service import (
     LEAVING_END_MARGIN,
     LEAVING_USE_FRACTION,
@@ -20,6 +21,7 @@
 from tests.host.faults import HOST_COUNT, HOST_FAULTS, MAX_DURATION_MS, Fault, FaultKind
 from tests.host.harness import SERVICE, HostTestCase
 from tests.host.simulation import run_schedule_for_history
+from tests.host.virtualtime import Gate
 
 LEAVING_SECONDS = 7.0
 USE_SECONDS = LEAVING_SECONDS * LEAVING_USE_FRACTION
@@ -28,6 +30,7 @@
 ORDER_SECONDS = 4.0  # during which an order to promote may take effect
 REPLICA_LAG_COMMITS = 5
 RECOVERY_SECONDS = 15.0
+SURVEY_SECONDS = 1.0  # within which a successor is chosen
 
 
 class CompleteLogTestCase(HostTestCase):
@@ -112,6 +115,45 @@
         )
 
 
+class SurveyTest(CompleteLogTestCase):
+    """Replicas that are asked for their logs while a failed primary is replaced."""
+
+    async def choose_without_connections(self, refusing, seconds):
+        """Return whom a host chooses while a server refuses connections, and the seconds it takes."""
+        refusing.connection_limit = 0
+        for connection in list(refusing._connections):
+            connection.writer.transport.abort()
+        self.loop.call_later(seconds, setattr, refusing, "connection_limit", 100)
+        runtime = self.hosts["h0"].role._services[SERVICE]
+        started = self.loop.time()
+
+        def choose():
+            return asyncio.create_task(choose_successor(runtime, self.record(), runtime.clock))
+
+        chosen, _ = await Gate("h0").run(choose)
+        return chosen, self.loop.time() - started
+
+    async def test_replica_at_its_connection_limit_is_waited_for_if_the_others_lack_commits(self):
+        await self.lag(self.second)
+        chosen, took = await self.choose_without_connections(self.third, 0.3)
+        self.assertEqual(chosen, "i-c")
+        self.assertLess(took, SURVEY_SECONDS)
+
+    async def test_replica_that_does_not_answer_is_not_waited_for_any_longer(self):
+        await self.lag(self.second)
+        chosen, took = await self.choose_without_connections(self.third, 10.0)
+        self.assertEqual(chosen, "i-b")
+        self.assertLess(took, SURVEY_SECONDS)
+
+    async def test_replica_that_does_not_answer_is_not_waited_for_if_no_commit_is_missing(self):
+        for writer in self.writers:
+            writer.cancel()
+        await asyncio.sleep(1.0)
+        chosen, took = await self.choose_without_connections(self.third, 10.0)
+        self.assertEqual(chosen, "i-b")
+        self.assertLess(took, 0.1)
+
+
 class LeavingPrimaryTest(CompleteLogTestCase):
     async def test_successors_that_receive_nothing_do_not_cost_acknowledged_commits(self):
         await self.lag(self.second, self.third)
