--- a/tests/host/test_completelog.py
+++ b/tests/host/test_completelog.py
@@ -119,7 +119,7 @@
     """Replicas that are asked for their logs while a failed primary is replaced."""
 
     async def choose_without_connections(self, refusing, seconds):
-        """Return whom a host chooses while a server refuses connections, and the seconds it takes."""
+        """Return the choice of a host that a server refuses for a time, and the seconds it took."""
         refusing.connection_limit = 0
         for connection in list(refusing._connections):
             connection.writer.transport.abort()
