--- a/tests/host/test_leadershipstore.py
+++ b/tests/host/test_leadershipstore.py
@@ -2,12 +2,13 @@
 
 import unittest
 import unittest.mock
+from datetime import timedelta
 
 from hickorywind.failover.leadership import LeadershipPhase, LeadershipRecord, encode_record
 from hickorywind.host.fleet import LEADERSHIP_PREFIX, Fleet
-from hickorywind.host.leadershipstore import LeadershipStore
-from hickorywind.ids import Revision
-from hickorywind.ports.coordination import Committed, ItemWritten, Snapshot
+from hickorywind.host.leadershipstore import LEASE_END_NEWS, LeadershipStore
+from hickorywind.ids import Revision, StoreEra
+from hickorywind.ports.coordination import Committed, ItemWritten, Lease, LeaseId, Snapshot
 from hickorywind.store.interface import StoredValue
 from hickorywind.util.clock import ManualClock
 from tests.host.harness import SCHEMA
@@ -74,3 +75,34 @@
         self.fleet.apply_changes(LEADERSHIP_PREFIX, changes, Revision(12), "store")
         self.assertEqual(self.known(self.fleet), {"tools": 11, "ledger": 12})
         self.assertEqual(self.fleet.copies[LEADERSHIP_PREFIX].as_of, 12)
+
+
+class EndedLeasesTest(unittest.TestCase):
+    """Ended leases that a host reports to another one, which counts on confirmations of its own."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        fleet = Fleet(SCHEMA, self.clock)
+        self.store = LeadershipStore(fleet, None, None, "h0")
+        self.store.record_lease_end(Lease(LeaseId(1)), self.clock.now())
+        self.clock.advance(LEASE_END_NEWS + timedelta(seconds=1))
+        self.store.record_lease_end(Lease(LeaseId(2)), self.clock.now())
+
+    def reported(self, *leases):
+        return [each.lease for each in self.store.ended_leases_for(leases)]
+
+    def test_end_of_its_own_lease_is_reported_to_a_host_long_after(self):
+        self.assertEqual(self.reported((1, StoreEra(0))), [1, 2])
+
+    def test_lease_of_another_era_is_another_lease(self):
+        self.assertEqual(self.reported((1, StoreEra(1))), [2])
+
+    def test_news_are_reported_to_all_and_older_ends_to_none(self):
+        self.assertEqual(self.reported(), [2])
+
+    def test_end_of_contact_is_news_although_the_lease_ended_long_ago(self):
+        self.store.record_contact_end(Lease(LeaseId(1)), self.clock.now())
+        self.assertEqual(self.reported(), [1, 2])
+
+    def test_host_that_names_no_leases_gets_all(self):
+        self.assertEqual([each.lease for each in self.store.ended_leases_for(None)], [1, 2])
