Give the loopback device real time in the test of requests that cross a close

Cause, as traced before: virtual time advances as soon as nothing is ready, also while the kernel still delivers bytes of the test's own socket, so that the host's quiet period ends between two requests that follow each other at once.

Change: VirtualLoop.wait_for_delivery gives the kernel real time before each advance; this test alone asks for it, 10 ms, once the close is near. The assertions are the same.

Conclusion: the harness outran the kernel; the host answers all three.

--- a/tests/host/test_sessionend.py
+++ b/tests/host/test_sessionend.py
@@ -15,6 +15,7 @@
 REFUSES_NEW_WORK_SECONDS = 3.0
 ENDS_TRANSACTIONS_SECONDS = 4.2
 REFUSED = "ERROR BUSY [5002]"
+DELIVERY_SECONDS = 0.01  # real time, of the loopback device
 
 
 class SessionEndTest(HostTestCase):
@@ -62,6 +63,7 @@
     async def test_pipelined_requests_that_cross_the_close_are_each_answered(self):
         self.stop()
         await asyncio.sleep(ASKED_TO_CLOSE_SECONDS + 2 * QUIET_SECONDS)
+        self.loop.wait_for_delivery(DELIVERY_SECONDS)
         answers = [await self.client.ask("READ x") for _ in range(3)]
         self.assertEqual([lines[0][: len(REFUSED)] for lines in answers], [REFUSED] * 3)
         self.assertEqual([lines[-1] for lines in answers], ["READY I -"] * 3)
--- a/tests/host/virtualtime.py
+++ b/tests/host/virtualtime.py
@@ -14,11 +14,15 @@
 
 
 class _SkippingSelector:
-    """Selector that advances the virtual time instead of waiting."""
+    """Selector that advances the virtual time instead of waiting.
+
+    ``delivery_seconds`` is the real time that the kernel gets for bytes on their way before that.
+    """
 
     def __init__(self, inner, advance):
         self._inner = inner
         self._advance = advance
+        self.delivery_seconds = 0.0
 
     def select(self, timeout=None):
         events = self._inner.select(0)
@@ -26,6 +30,8 @@
             return events
         if timeout is None:
             return self._inner.select(IDLE_WAIT_SECONDS)
+        if self.delivery_seconds and (events := self._inner.select(self.delivery_seconds)):
+            return events
         self._advance(timeout)
         return []
 
@@ -44,6 +50,10 @@
         self._selector = _SkippingSelector(self._selector, self.advance)
         self.set_task_factory(_make_task)
 
+    def wait_for_delivery(self, seconds):
+        """Give the kernel real time for bytes on their way before each advance from now on."""
+        self._selector.delivery_seconds = seconds
+
     def advance(self, seconds):
         """Let time pass without running any task, as if the process were blocked."""
         self._seconds += seconds
