--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -66,6 +66,23 @@
         fleet.start(7, incarnation=2)
         self.assertLess(fleet.run(seconds(20), fleet.has_converged), seconds(8))
 
+    def assert_never_dead(self, fleet, duration_seconds):
+        """Run a fleet and check that host 0 takes host 1 for dead at no moment."""
+        for _ in range(round(duration_seconds / 0.05)):
+            fleet.run(seconds(0.05))
+            self.assertIsNot(self.state(fleet, 0, 1), MemberState.DEAD)
+
+    def test_host_that_restarts_before_it_can_be_detected_is_at_no_moment_dead(self):
+        for down_seconds in (0.5, 1.0, 1.5, 2.0, 2.4):
+            for seed in range(20):
+                with self.subTest(down_seconds=down_seconds, seed=seed):
+                    fleet = self.start(3, seed)
+                    fleet.stopped.add(1)
+                    self.assert_never_dead(fleet, down_seconds)
+                    fleet.start(1, incarnation=2)
+                    self.assert_never_dead(fleet, 5.0)
+                    self.assertIs(self.state(fleet, 0, 1), MemberState.ALIVE)
+
     def test_restart_with_an_older_incarnation_comes_back(self):
         fleet = self.start(9)
         fleet.stopped.add(4)
