--- a/review/7/case.py
+++ b/review/7/case.py
@@ -8,13 +8,11 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
-
-from review.fleet2.callers import Caller, LostError  # noqa: E402
-from review.fleet2.hosts import Host, HostFolder, wait_until_ready  # noqa: E402
-from review.fleet2.records import Record, Tasks  # noqa: E402
-from review.fleet2.servers import Group  # noqa: E402
-from review.fleet2.store import HttpListener, Store  # noqa: E402
+from fleet2.callers import Caller, LostError
+from fleet2.hosts import Host, HostFolder, wait_until_ready
+from fleet2.records import Record, Tasks
+from fleet2.servers import Group
+from fleet2.store import HttpListener, Store
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 ROUNDS = 5
--- a/review/fleet2/callers.py
+++ b/review/7/fleet2/callers.py
@@ -6,7 +6,7 @@
 import itertools
 from dataclasses import dataclass
 
-from review.fleet2.records import Record
+from fleet2.records import Record
 
 CONNECT_S = 2.0
 ANSWER_S = 15.0
--- a/review/fleet2/hosts.py
+++ b/review/7/fleet2/hosts.py
@@ -6,7 +6,6 @@
 import json
 import os
 import shutil
-import signal
 import socket
 import subprocess
 import sys
@@ -14,7 +13,7 @@
 import tomllib
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[3]
 
 
 def free_address() -> str:
@@ -67,25 +66,12 @@
                 words, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log
             )
 
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal to the process."""
-        self._child.send_signal(number)
-
     def kill(self) -> None:
         """Kill the process and wait for its end."""
         if self._child is not None:
             self._child.kill()
             self._child.wait()
 
-    @property
-    def exit_code(self) -> int | None:
-        """Exit code of the process, or None while it runs."""
-        return self._child.poll()
-
-    def log(self) -> str:
-        """Return what the process has logged."""
-        return self._log_path.read_text(errors="replace") if self._log_path.exists() else ""
-
     async def is_ready(self) -> bool:
         """Return whether the process answers a readiness probe with 200."""
         host, port = self.ready.split(":")
--- a/review/fleet2/servers.py
+++ b/review/7/fleet2/servers.py
@@ -6,8 +6,8 @@
 import time
 from dataclasses import dataclass, field
 
-from review.fleet2.records import Record, Tasks
-from review.fleet2.store import Store
+from fleet2.records import Record, Tasks
+from fleet2.store import Store
 
 PROMOTE_S = 1.0
 FOLLOW_S = 1.0  # until an old primary that reaches the new one follows it
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Builds what the scripts of review/7 start: stand-ins of Python's standard library alone.
-cd "$(dirname "$0")/.." && exec python3 -m compileall -q review/fleet2 review/7
+# Builds what review/7/run.sh starts: stand-ins of Python's standard library alone.
+cd "$(dirname "$0")/.." && exec python3 -m compileall -q review/7
